Meet the platform's store through its HTTP dialect

StoreClient.perform carries out one store action and tells how it ended; a failed call says whether it may have taken effect.

--- /dev/null
+++ b/packages/wire/dandelionyoke_wire/_store.py
@@ -0,0 +1,196 @@
+"""The platform's store, met through its HTTP dialect (docs/PROTOCOL.md)."""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import urllib3
+
+from dandelionyoke_core import (
+    Action,
+    LeaseGrant,
+    LeaseGranted,
+    LeaseId,
+    LeaseLapsed,
+    LeaseRelease,
+    LeaseRenew,
+    StoreConflict,
+    StoreDelete,
+    StoreFailed,
+    StoreGet,
+    StoreItem,
+    StoreList,
+    StoreListing,
+    StorePut,
+    StoreResult,
+    StoreWatch,
+    StoreWritten,
+)
+from dandelionyoke_wire._transport import (
+    Reply,
+    TransportError,
+    call_json,
+    new_pool,
+)
+
+READ_TIMEOUT_S = 5.0
+
+# A watch is answered after its wait; the network gets this much more.
+WATCH_MARGIN_S = 5.0
+
+_EMPTY_BODY: Mapping[str, Any] = MappingProxyType({})
+
+
+class StoreClient:
+    """Performs one store action at a time and tells how it ended.
+
+    `perform` blocks; inside an entry each call runs in a green thread.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        pool: urllib3.PoolManager | None = None,
+        read_timeout_s: float = READ_TIMEOUT_S,
+    ) -> None:
+        self._base_url = base_url.rstrip('/')
+        self._pool = pool or new_pool()
+        self._read_timeout_s = read_timeout_s
+
+    def perform(self, action: Action) -> StoreResult:
+        """Carry out a store action; never raises for a failed call."""
+        try:
+            return self._dispatch(action)
+        except TransportError as error:
+            return StoreFailed(error.cause, may_have_happened=error.sent)
+        except (KeyError, TypeError, ValueError) as bad:
+            return StoreFailed(f'bad answer: {bad!r}', may_have_happened=True)
+
+    def _dispatch(self, action: Action) -> StoreResult:
+        match action:
+            case StoreGet():
+                return self._get(action)
+            case StorePut():
+                return self._put(action)
+            case StoreDelete():
+                return self._delete(action)
+            case StoreList() | StoreWatch():
+                return self._listing(action)
+            case LeaseGrant() | LeaseRenew() | LeaseRelease():
+                return self._lease(action)
+        raise TypeError(f'{type(action).__name__} is no store action')
+
+    def _get(self, action: StoreGet) -> StoreResult:
+        reply = self._call('GET', _value_path(action.key))
+        if reply.status == HTTPStatus.NOT_FOUND:
+            return StoreItem(action.key, 0, None)
+        return _failure(reply) or _item(reply.body)
+
+    def _put(self, action: StorePut) -> StoreResult:
+        body: dict[str, Any] = {
+            'value': action.value,
+            'expected_revision': action.expected_revision,
+        }
+        if action.lease_id is not None:
+            body['lease_id'] = action.lease_id
+        reply = self._call('PUT', _value_path(action.key), body)
+        return _written(reply)
+
+    def _delete(self, action: StoreDelete) -> StoreResult:
+        query = urlencode({'expected_revision': action.expected_revision})
+        path = f'{_value_path(action.key)}?{query}'
+        return _written(self._call('DELETE', path))
+
+    def _listing(self, action: StoreList | StoreWatch) -> StoreResult:
+        if isinstance(action, StoreList):
+            query = urlencode({'prefix': action.prefix})
+            reply = self._call('GET', f'/store/list?{query}')
+        else:
+            query = urlencode(
+                {
+                    'prefix': action.prefix,
+                    'after': action.after_revision,
+                    'wait_s': action.wait_s,
+                }
+            )
+            reply = self._call(
+                'GET',
+                f'/store/watch?{query}',
+                read_timeout_s=action.wait_s + WATCH_MARGIN_S,
+            )
+        return _failure(reply) or _listed(reply.body)
+
+    def _lease(
+        self, action: LeaseGrant | LeaseRenew | LeaseRelease
+    ) -> StoreResult:
+        if isinstance(action, LeaseGrant):
+            reply = self._call('POST', '/store/leases', {'ttl_s': action.ttl_s})
+            return _failure(reply) or LeaseGranted(
+                LeaseId(str(reply.body['lease_id'])), action.ttl_s
+            )
+        path = f'/store/leases/{quote(action.lease_id, safe="")}'
+        if isinstance(action, LeaseRelease):
+            reply = self._call('DELETE', path)
+            return _failure(reply) or LeaseLapsed(action.lease_id)
+        reply = self._call('POST', f'{path}/renew', _EMPTY_BODY)
+        if reply.status == HTTPStatus.NOT_FOUND:
+            return LeaseLapsed(action.lease_id)
+        return _failure(reply) or LeaseGranted(
+            action.lease_id, float(reply.body['ttl_s'])
+        )
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None = None,
+        read_timeout_s: float | None = None,
+    ) -> Reply:
+        return call_json(
+            self._pool,
+            method,
+            f'{self._base_url}{path}',
+            body,
+            read_timeout_s=read_timeout_s or self._read_timeout_s,
+        )
+
+
+def _value_path(key: str) -> str:
+    return f'/store/value/{quote(key)}'
+
+
+def _failure(reply: Reply) -> StoreFailed | None:
+    if reply.status == HTTPStatus.OK:
+        return None
+    # 503 and 429 are answered before the store looks at a write.
+    refused = (HTTPStatus.SERVICE_UNAVAILABLE, HTTPStatus.TOO_MANY_REQUESTS)
+    return StoreFailed(
+        f'the store answered {reply.status}',
+        may_have_happened=reply.status not in refused,
+    )
+
+
+def _written(reply: Reply) -> StoreResult:
+    if reply.status == HTTPStatus.CONFLICT:
+        return StoreConflict(_item(reply.body))
+    return _failure(reply) or StoreWritten(
+        str(reply.body['key']), int(reply.body['revision'])
+    )
+
+
+def _item(body: Mapping[str, Any]) -> StoreItem:
+    value = body.get('value')
+    return StoreItem(
+        str(body['key']),
+        int(body['revision']),
+        None if value is None else str(value),
+    )
+
+
+def _listed(body: Mapping[str, Any]) -> StoreListing:
+    return StoreListing(
+        int(body['revision']),
+        tuple(_item(found) for found in body['items']),
+    )
