--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -2,7 +2,9 @@
 
 from dandelionyoke_core._actions import (
     Action as Action,
+    AnswerModels as AnswerModels,
     AnswerService as AnswerService,
+    AnswerStatus as AnswerStatus,
     CallService as CallService,
     CancelAttempt as CancelAttempt,
     ConnectPeer as ConnectPeer,
@@ -15,6 +17,7 @@
     LeaseRenew as LeaseRenew,
     ListInstances as ListInstances,
     ListTargets as ListTargets,
+    NodeStatus as NodeStatus,
     ObserveLatency as ObserveLatency,
     PollCacheEvents as PollCacheEvents,
     PollLoad as PollLoad,
@@ -35,6 +38,10 @@
     SubmitUsage as SubmitUsage,
     WriteLog as WriteLog,
 )
+from dandelionyoke_core._chat import (
+    ChatMessage as ChatMessage,
+    chat_prompt as chat_prompt,
+)
 from dandelionyoke_core._codec import (
     message_from_mapping as message_from_mapping,
     message_to_mapping as message_to_mapping,
@@ -74,6 +81,7 @@
     ListingFailed as ListingFailed,
     LoadReported as LoadReported,
     ModelCalled as ModelCalled,
+    ModelsAsked as ModelsAsked,
     Notice as Notice,
     PeerConnected as PeerConnected,
     PeerDisconnected as PeerDisconnected,
@@ -85,6 +93,7 @@
     ShutdownForced as ShutdownForced,
     ShutdownRequested as ShutdownRequested,
     Started as Started,
+    StatusAsked as StatusAsked,
     StoreAnswered as StoreAnswered,
     TargetOrderAnswered as TargetOrderAnswered,
     TargetsListed as TargetsListed,
--- a/packages/core/dandelionyoke_core/_actions.py
+++ b/packages/core/dandelionyoke_core/_actions.py
@@ -2,9 +2,11 @@
 
 import attrs
 
+from dandelionyoke_core._entities import Model
 from dandelionyoke_core._events import PeerMessage
 from dandelionyoke_core._names import (
     AttemptId,
+    Domain,
     InstanceId,
     LeaseId,
     ModelName,
@@ -57,6 +59,39 @@
     body: bytes = attrs.field(repr=False)
 
 
+@attrs.frozen
+class AnswerModels(Action):
+    """List models to the caller."""
+
+    request_id: RequestId
+    models: tuple[Model, ...]
+
+
+@attrs.frozen
+class NodeStatus:
+    """What a node knows of itself, for the operator's command.
+
+    `knowledge_age_s` is the age of its configuration; None: it has none.
+    """
+
+    instance_id: InstanceId
+    domain: Domain
+    revision: int
+    knowledge_age_s: float | None
+    leaving: bool
+    in_progress: int
+    live: tuple[InstanceId, ...]
+    duties: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class AnswerStatus(Action):
+    """Tell the operator what this node knows of itself."""
+
+    request_id: RequestId
+    status: NodeStatus
+
+
 @attrs.frozen
 class RefuseCall(Action):
     """End a call with a refusal, in the stream if one has begun."""
--- a/packages/core/dandelionyoke_core/_events.py
+++ b/packages/core/dandelionyoke_core/_events.py
@@ -82,6 +82,21 @@
     deadline_in_s: float | None = None
 
 
+@attrs.frozen
+class ModelsAsked(Event):
+    """A caller asks which models its key may use."""
+
+    request_id: RequestId
+    bearer_key: str = attrs.field(repr=False)
+
+
+@attrs.frozen
+class StatusAsked(Event):
+    """The operator asks what this node knows of itself."""
+
+    request_id: RequestId
+
+
 @attrs.frozen
 class CallerGone(Event):
     """The caller's connection ended before its answer did."""
