--- /dev/null
+++ b/packages/wire/dandelionyoke_wire/_engine.py
@@ -0,0 +1,317 @@
+"""Engines, met through their HTTP dialect (docs/PROTOCOL.md)."""
+
+import json
+from collections.abc import Callable, Iterator, Mapping
+from http import HTTPStatus
+from typing import Any
+
+import urllib3
+from cattrs import BaseValidationError, structure
+
+from dandelionyoke_core import (
+    AttemptAccepted,
+    AttemptEnded,
+    AttemptFailed,
+    AttemptId,
+    AttemptRefused,
+    CacheEvent,
+    CacheEventsReported,
+    CancelAttempt,
+    EngineOrderAnswered,
+    Event,
+    LoadReport,
+    LoadReported,
+    OrderState,
+    PollCacheEvents,
+    PollLoad,
+    ReadEngineOrder,
+    RequestId,
+    ResumeAttempt,
+    SendEngineOrder,
+    StartAttempt,
+    TargetUnreachable,
+    TokensArrived,
+)
+from dandelionyoke_wire._pools import TargetPools
+from dandelionyoke_wire._transport import (
+    Reply,
+    TransportError,
+    call_json,
+    timeout,
+    was_sent,
+)
+
+Emit = Callable[[Event], None]
+
+POLL_TIMEOUT_S = 2.0
+CANCEL_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 5.0
+
+# The core judges silence much sooner; this frees a forgotten socket.
+STREAM_TIMEOUT_S = 300.0
+
+READ_BYTES = 65_536
+MAX_LINE_BYTES = 1_048_576
+
+_BROKEN = (urllib3.exceptions.HTTPError, OSError)
+_MALFORMED = (KeyError, TypeError, ValueError)
+_BAD_REPORT = (*_MALFORMED, BaseValidationError)
+_NO_ANSWER = (TransportError, *_MALFORMED)
+_BAD_STREAM = (*_BROKEN, *_MALFORMED)
+
+
+class EngineClient:
+    """Performs engine actions; what comes back is emitted as events.
+
+    Each method blocks and is run in a green thread of its own.
+    """
+
+    def __init__(self, pools: TargetPools, emit: Emit) -> None:
+        self._pools = pools
+        self._emit = emit
+
+    def start(self, action: StartAttempt) -> None:
+        """Send a call and emit its stream."""
+        body = {
+            'attempt_id': action.attempt_id,
+            'model': action.model_name,
+            'prompt': action.prompt,
+            'resume_tokens': list(action.resume_tokens),
+            'max_output_tokens': action.max_output_tokens,
+            'priority': action.priority,
+        }
+        pool = self._pools.pool(action.address)
+        self._stream(pool, f'{action.address}/generate', body, action)
+
+    def resume(self, action: ResumeAttempt) -> None:
+        """Read on an attempt on a new connection and emit its stream."""
+        body = {
+            'attempt_id': action.resumed_attempt_id,
+            'offset': action.offset,
+        }
+        pool = self._pools.fresh(action.address)
+        self._stream(pool, f'{action.address}/resume', body, action)
+
+    def cancel(self, action: CancelAttempt) -> None:
+        """Tell an engine to stop; a lost cancel only costs work."""
+        try:
+            self._call(
+                'POST',
+                action.address,
+                '/cancel',
+                {'attempt_id': action.attempt_id},
+                CANCEL_TIMEOUT_S,
+            )
+        except TransportError:
+            self._pools.fresh(action.address)
+
+    def poll_load(self, action: PollLoad) -> None:
+        """Read a load report."""
+        try:
+            reply = self._call(
+                'GET', action.address, '/load', None, POLL_TIMEOUT_S
+            )
+            report = structure(dict(reply.body), LoadReport)
+        except TransportError as error:
+            self._pools.fresh(action.address)
+            self._emit(TargetUnreachable(action.target_id, error.cause))
+        except _BAD_REPORT:
+            self._emit(TargetUnreachable(action.target_id, 'bad load report'))
+        else:
+            self._emit(LoadReported(action.target_id, report))
+
+    def poll_cache_events(self, action: PollCacheEvents) -> None:
+        """Read cache events; a failed read is a gap like any other."""
+        path = f'/cache-events?after={action.after_sequence}'
+        try:
+            reply = self._call(
+                'GET', action.address, path, None, POLL_TIMEOUT_S
+            )
+            reported = CacheEventsReported(
+                action.target_id,
+                int(reply.body['first']),
+                int(reply.body['next']),
+                tuple(map(_cache_event, reply.body['events'])),
+            )
+        except _NO_ANSWER:
+            return
+        self._emit(reported)
+
+    def send_order(
+        self, action: SendEngineOrder, may_send: Callable[[], bool]
+    ) -> None:
+        """Send an order if `may_send` still holds as its bytes leave."""
+        order = action.order
+        body = {
+            'order_id': order.order_id,
+            'fence': order.fence,
+            'kind': order.kind.value,
+            'argument': order.argument,
+        }
+        if not may_send():
+            self._order_ended(action, OrderState.UNKNOWN, 'term over, not sent')
+            return
+        self._order(action, 'POST', '/orders', body)
+
+    def read_order(self, action: ReadEngineOrder) -> None:
+        """Ask what became of an order."""
+        self._order(action, 'GET', f'/orders/{action.order_id}', None)
+
+    def _order(
+        self,
+        action: SendEngineOrder | ReadEngineOrder,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None,
+    ) -> None:
+        try:
+            reply = self._call(
+                method, action.address, path, body, ORDER_TIMEOUT_S
+            )
+            state = OrderState(reply.body['state'])
+        except _NO_ANSWER as error:
+            self._order_ended(action, OrderState.UNKNOWN, str(error))
+            return
+        self._order_ended(action, state, str(reply.body.get('cause', '')))
+
+    def _order_ended(
+        self,
+        action: SendEngineOrder | ReadEngineOrder,
+        state: OrderState,
+        cause: str,
+    ) -> None:
+        order_id = (
+            action.order.order_id
+            if isinstance(action, SendEngineOrder)
+            else action.order_id
+        )
+        self._emit(
+            EngineOrderAnswered(action.target_id, order_id, state, cause)
+        )
+
+    def _call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: Mapping[str, Any] | None,
+        read_timeout_s: float,
+    ) -> Reply:
+        return call_json(
+            self._pools.pool(address),
+            method,
+            f'{address}{path}',
+            body,
+            read_timeout_s=read_timeout_s,
+        )
+
+    def _stream(
+        self,
+        pool: urllib3.PoolManager,
+        url: str,
+        body: Mapping[str, Any],
+        action: StartAttempt | ResumeAttempt,
+    ) -> None:
+        ids = (action.request_id, action.attempt_id)
+        try:
+            response = pool.request(
+                'POST',
+                url,
+                body=json.dumps(body).encode(),
+                headers={'Content-Type': 'application/json'},
+                timeout=timeout(STREAM_TIMEOUT_S),
+                preload_content=False,
+                redirect=False,
+            )
+        except _BROKEN as error:
+            self._emit(AttemptFailed(*ids, was_sent(error), str(error)))
+            return
+        # Closing, not releasing: a stream that was left in the middle must
+        # not go back to the pool, where the next call would read its rest.
+        try:
+            self._emit_answer(response, *ids)
+        except _BAD_STREAM as error:
+            self._emit(AttemptFailed(*ids, sent=True, cause=repr(error)))
+        finally:
+            response.close()
+
+    def _emit_answer(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        request_id: RequestId,
+        attempt_id: AttemptId,
+    ) -> None:
+        if response.status != HTTPStatus.OK:
+            refused = json.loads(response.read(MAX_LINE_BYTES) or b'{}')
+            self._emit(_refused(request_id, attempt_id, refused))
+            return
+        self._emit(AttemptAccepted(request_id, attempt_id))
+        for line in _lines(response):
+            event = _stream_event(request_id, attempt_id, json.loads(line))
+            self._emit(event)
+            if not isinstance(event, TokensArrived):
+                return
+        self._emit(
+            AttemptFailed(request_id, attempt_id, sent=True, cause='cut')
+        )
+
+
+def _lines(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    """Yield each line as soon as it is there.
+
+    `read1` gives what has arrived; `stream(n)` and `read(n)` would hold
+    tokens back until n bytes are there.
+    """
+    pending = b''
+    while chunk := response.read1(READ_BYTES):
+        *lines, pending = (pending + chunk).split(b'\n')
+        yield from (line for line in lines if line)
+        if len(pending) > MAX_LINE_BYTES:
+            raise ValueError('a line of the stream is too long')
+
+
+def _stream_event(
+    request_id: RequestId, attempt_id: AttemptId, line: Mapping[str, Any]
+) -> Event:
+    tokens = line.get('tokens')
+    if tokens is not None:
+        return TokensArrived(
+            request_id,
+            attempt_id,
+            int(line['offset']),
+            tuple(map(str, tokens)),
+        )
+    end_reason = line.get('end')
+    if end_reason is not None:
+        return AttemptEnded(
+            request_id,
+            attempt_id,
+            str(end_reason),
+            int(line['offset']),
+            int(line['prompt_tokens']),
+            int(line.get('cached_tokens', 0)),
+        )
+    cause = str(line.get('error', 'bad line'))
+    return AttemptFailed(request_id, attempt_id, sent=True, cause=cause)
+
+
+def _refused(
+    request_id: RequestId, attempt_id: AttemptId, body: Mapping[str, Any]
+) -> Event:
+    cause = str(body.get('cause', 'refused without a cause'))
+    # Only an explicit "ran: false" is proof that nothing ran.
+    if body.get('ran') is not False:
+        return AttemptFailed(request_id, attempt_id, sent=True, cause=cause)
+    retry_after_s = body.get('retry_after_s')
+    return AttemptRefused(
+        request_id,
+        attempt_id,
+        cause,
+        None if retry_after_s is None else float(retry_after_s),
+    )
+
+
+def _cache_event(body: Mapping[str, Any]) -> CacheEvent:
+    return CacheEvent(
+        int(body['sequence']), body['kind'] == 'stored', str(body['block'])
+    )
--- /dev/null
+++ b/packages/wire/dandelionyoke_wire/_plain.py
@@ -0,0 +1,105 @@
+"""Plain services: any call, passed on once, without the caller's key."""
+
+import contextlib
+import json
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any
+
+import urllib3
+
+from dandelionyoke_core import (
+    AttemptFailed,
+    AttemptRefused,
+    CallService,
+    Event,
+    ServiceAnswered,
+)
+from dandelionyoke_wire._pools import TargetPools
+from dandelionyoke_wire._transport import timeout, was_sent
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+CHUNK_BYTES = 65_536
+
+_BROKEN = (urllib3.exceptions.HTTPError, OSError)
+
+
+class PlainClient:
+    """Performs calls to plain services; the end is emitted as an event."""
+
+    def __init__(
+        self, pools: TargetPools, emit: Callable[[Event], None]
+    ) -> None:
+        self._pools = pools
+        self._emit = emit
+
+    def call(self, action: CallService) -> None:
+        """Send the call once and emit how it ended."""
+        ids = (action.request_id, action.attempt_id)
+        try:
+            event = self._exchange(action)
+        except _BROKEN as error:
+            event = AttemptFailed(*ids, was_sent(error), str(error))
+        if isinstance(event, AttemptFailed):
+            self._pools.fresh(action.address)
+        self._emit(event)
+
+    def _exchange(self, action: CallService) -> Event:
+        ids = (action.request_id, action.attempt_id)
+        response = self._pools.pool(action.address).request(
+            action.method,
+            f'{action.address}{action.path}',
+            body=action.body or None,
+            headers=_headers(action),
+            timeout=timeout(action.timeout_s),
+            preload_content=False,
+            redirect=False,
+        )
+        with contextlib.closing(response):
+            body = _read(response)
+        if body is None:
+            return AttemptFailed(*ids, sent=True, cause='answer too large')
+        refused = _not_run(response.status, body)
+        if refused is not None:
+            return AttemptRefused(*ids, *refused)
+        return ServiceAnswered(
+            *ids,
+            response.status,
+            response.headers.get('Content-Type', ''),
+            body,
+        )
+
+
+def _headers(action: CallService) -> dict[str, str]:
+    headers = {
+        'X-Request-Id': action.request_id,
+        'X-Attempt-Id': action.attempt_id,
+    }
+    if action.content_type:
+        headers['Content-Type'] = action.content_type
+    if action.idempotency_key is not None:
+        headers['Idempotency-Key'] = action.idempotency_key
+    return headers
+
+
+def _read(response: urllib3.BaseHTTPResponse) -> bytes | None:
+    chunks: list[bytes] = []
+    size_bytes = 0
+    for chunk in response.stream(CHUNK_BYTES):
+        chunks.append(chunk)
+        size_bytes += len(chunk)
+        if size_bytes > MAX_ANSWER_BYTES:
+            return None
+    return b''.join(chunks)
+
+
+def _not_run(status: int, body: bytes) -> tuple[str, float | None] | None:
+    if status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    try:
+        refusal: Any = json.loads(body)
+    except ValueError:
+        return None
+    if not isinstance(refusal, dict) or refusal.get('ran') is not False:
+        return None
+    return str(refusal.get('cause', 'refused')), refusal.get('retry_after_s')
