Own the sockets: callers, peers, and the task that runs a node

The WSGI application turns calls into events and answers into JSON or SSE; peers prove a shared secret before any message counts; the runtime gives each blocking action a green thread.

--- a/packages/wire/dandelionyoke_wire/__init__.py
+++ b/packages/wire/dandelionyoke_wire/__init__.py
@@ -1,5 +1,23 @@
 """Tasks that own the sockets of dandelionyoke."""
 
+from dandelionyoke_wire._callers import (
+    CallerApp as CallerApp,
+    CallerSettings as CallerSettings,
+)
+from dandelionyoke_wire._mailboxes import Mailboxes as Mailboxes
+from dandelionyoke_wire._peers import (
+    PeerHub as PeerHub,
+    PeerSettings as PeerSettings,
+)
+from dandelionyoke_wire._platform import PlatformClient as PlatformClient
+from dandelionyoke_wire._runtime import (
+    ActionSink as ActionSink,
+    Decider as Decider,
+    Inbox as Inbox,
+    NodeTask as NodeTask,
+    Performer as Performer,
+    clock_s as clock_s,
+)
 from dandelionyoke_wire._store import StoreClient as StoreClient
 from dandelionyoke_wire._transport import (
     Reply as Reply,
--- a/packages/wire/dandelionyoke_wire/_engine.py
+++ b/packages/wire/dandelionyoke_wire/_engine.py
@@ -21,6 +21,7 @@
     Event,
     LoadReport,
     LoadReported,
+    OrderId,
     OrderState,
     PollCacheEvents,
     PollLoad,
@@ -32,6 +33,7 @@
     TargetUnreachable,
     TokensArrived,
 )
+from dandelionyoke_wire._guarded import MaySend, call_guarded
 from dandelionyoke_wire._pools import TargetPools
 from dandelionyoke_wire._transport import (
     Reply,
@@ -137,9 +139,7 @@
             return
         self._emit(reported)
 
-    def send_order(
-        self, action: SendEngineOrder, may_send: Callable[[], bool]
-    ) -> None:
+    def send_order(self, action: SendEngineOrder, may_send: MaySend) -> None:
         """Send an order if `may_send` still holds as its bytes leave."""
         order = action.order
         body = {
@@ -148,45 +148,57 @@
             'kind': order.kind.value,
             'argument': order.argument,
         }
-        if not may_send():
-            self._order_ended(action, OrderState.UNKNOWN, 'term over, not sent')
-            return
-        self._order(action, 'POST', '/orders', body)
+        try:
+            reply = call_guarded(
+                'POST',
+                f'{action.address}/orders',
+                body,
+                may_send,
+                ORDER_TIMEOUT_S,
+            )
+        except TransportError as error:
+            self._order_ended(action, order.order_id, error.cause)
+        else:
+            self._order_answered(action, order.order_id, reply)
 
     def read_order(self, action: ReadEngineOrder) -> None:
         """Ask what became of an order."""
-        self._order(action, 'GET', f'/orders/{action.order_id}', None)
+        path = f'/orders/{action.order_id}'
+        try:
+            reply = self._call(
+                'GET', action.address, path, None, ORDER_TIMEOUT_S
+            )
+        except TransportError as error:
+            self._order_ended(action, action.order_id, error.cause)
+        else:
+            self._order_answered(action, action.order_id, reply)
 
-    def _order(
+    def _order_answered(
         self,
         action: SendEngineOrder | ReadEngineOrder,
-        method: str,
-        path: str,
-        body: Mapping[str, Any] | None,
+        order_id: OrderId,
+        reply: Reply,
     ) -> None:
         try:
-            reply = self._call(
-                method, action.address, path, body, ORDER_TIMEOUT_S
-            )
             state = OrderState(reply.body['state'])
-        except _NO_ANSWER as error:
-            self._order_ended(action, OrderState.UNKNOWN, str(error))
+        except _MALFORMED as error:
+            self._order_ended(action, order_id, repr(error))
             return
-        self._order_ended(action, state, str(reply.body.get('cause', '')))
+        cause = str(reply.body.get('cause', ''))
+        self._emit(
+            EngineOrderAnswered(action.target_id, order_id, state, cause)
+        )
 
     def _order_ended(
         self,
         action: SendEngineOrder | ReadEngineOrder,
-        state: OrderState,
+        order_id: OrderId,
         cause: str,
     ) -> None:
-        order_id = (
-            action.order.order_id
-            if isinstance(action, SendEngineOrder)
-            else action.order_id
-        )
         self._emit(
-            EngineOrderAnswered(action.target_id, order_id, state, cause)
+            EngineOrderAnswered(
+                action.target_id, order_id, OrderState.UNKNOWN, cause
+            )
         )
 
     def _call(
--- a/packages/wire/dandelionyoke_wire/_platform.py
+++ b/packages/wire/dandelionyoke_wire/_platform.py
@@ -15,10 +15,13 @@
     SendTargetOrder,
     SubmitUsage,
     Target,
+    TargetOrder,
     TargetOrderAnswered,
     TargetsListed,
     UsageAnswered,
+    UsageWindow,
 )
+from dandelionyoke_wire._guarded import MaySend, call_guarded
 from dandelionyoke_wire._transport import (
     Reply,
     TransportError,
@@ -61,40 +64,41 @@
         """Read the lagging list of entry instances."""
         self._list('/instances', _instances_listed)
 
-    def order_targets(
-        self, action: SendTargetOrder, may_send: Callable[[], bool]
-    ) -> None:
+    def order_targets(self, action: SendTargetOrder, may_send: MaySend) -> None:
         """Send an order if `may_send` still holds as its bytes leave."""
-        order_id = action.order.order_id
-        state, cause = OrderState.UNKNOWN, 'term over, not sent'
-        if may_send():
-            state, cause = self._send_order(unstructure(action.order))
-        self._emit(TargetOrderAnswered(order_id, state, cause))
-
-    def submit_usage(
-        self, action: SubmitUsage, may_send: Callable[[], bool]
-    ) -> None:
-        """Report a window if `may_send` still holds as its bytes leave."""
-        window = action.window
-        accepted: bool | None = None
-        if may_send():
-            accepted = self._submit(unstructure(window))
-        self._emit(UsageAnswered(window.window_id, accepted))
-
-    def _send_order(self, order: Mapping[str, Any]) -> tuple[OrderState, str]:
+        state, cause = OrderState.UNKNOWN, ''
         try:
-            reply = self._call('POST', '/targets/orders', order)
+            reply = self._guarded('/targets/orders', action.order, may_send)
             state = OrderState(reply.body['state'])
         except _NO_ANSWER as error:
-            return OrderState.UNKNOWN, str(error)
-        return state, str(reply.body.get('cause', ''))
+            cause = str(error)
+        self._emit(TargetOrderAnswered(action.order.order_id, state, cause))
 
-    def _submit(self, window: Mapping[str, Any]) -> bool | None:
+    def submit_usage(self, action: SubmitUsage, may_send: MaySend) -> None:
+        """Report a window if `may_send` still holds as its bytes leave."""
+        window = action.window
+        accepted: bool | None = None
         try:
-            reply = self._call('POST', '/usage/windows', window)
+            reply = self._guarded('/usage/windows', window, may_send)
         except TransportError:
-            return None
-        return reply.status == HTTPStatus.OK
+            accepted = None
+        else:
+            accepted = reply.status == HTTPStatus.OK
+        self._emit(UsageAnswered(window.window_id, accepted))
+
+    def _guarded(
+        self,
+        path: str,
+        record: TargetOrder | UsageWindow,
+        may_send: MaySend,
+    ) -> Reply:
+        return call_guarded(
+            'POST',
+            f'{self._base_url}{path}',
+            unstructure(record),
+            may_send,
+            READ_TIMEOUT_S,
+        )
 
     def _list(
         self, path: str, read: Callable[[Mapping[str, Any]], Event]
--- a/packages/wire/dandelionyoke_wire/_transport.py
+++ b/packages/wire/dandelionyoke_wire/_transport.py
@@ -80,10 +80,15 @@
         )
     except (urllib3.exceptions.HTTPError, OSError) as error:
         raise TransportError(str(error), sent=was_sent(error)) from error
-    return Reply(response.status, _decode(response.data))
+    return Reply(response.status, decode_json(response.data))
 
 
-def _decode(raw: bytes) -> Mapping[str, Any]:
+def decode_json(raw: bytes) -> Mapping[str, Any]:
+    """Decode a JSON object.
+
+    Raises:
+        TransportError: the bytes are no JSON object.
+    """
     if not raw:
         return {}
     try:
