--- /dev/null
+++ b/packages/core/dandelionyoke_core/_information.py
@@ -0,0 +1,84 @@
+"""Answers of a node about itself: models for callers, status for operators."""
+
+from collections.abc import Callable
+from typing import ClassVar
+
+from dandelionyoke_core._actions import (
+    AnswerModels,
+    AnswerStatus,
+    NodeStatus,
+    RefuseCall,
+)
+from dandelionyoke_core._events import Event, ModelsAsked, StatusAsked
+from dandelionyoke_core._notices import DutyGained, DutyLost
+from dandelionyoke_core._ports import Authenticator, Directory, Output, Peers
+from dandelionyoke_core._records import Instance
+from dandelionyoke_core._refusals import Refusal
+
+
+class InformationPart:
+    """Tells what this node knows; decides nothing."""
+
+    handles: ClassVar[tuple[type[Event], ...]] = (
+        ModelsAsked,
+        StatusAsked,
+        DutyGained,
+        DutyLost,
+    )
+
+    def __init__(
+        self,
+        own: Instance,
+        directory: Directory,
+        authenticator: Authenticator,
+        peers: Peers,
+        leaving: Callable[[], bool],
+        in_progress: Callable[[], int],
+    ) -> None:
+        self._own = own
+        self._directory = directory
+        self._authenticator = authenticator
+        self._peers = peers
+        self._leaving = leaving
+        self._in_progress = in_progress
+        self._duties: set[str] = set()
+
+    def handle(self, event: Event, now_s: float) -> list[Output]:
+        """Take an event and say what follows from it."""
+        outputs: list[Output] = []
+        match event:
+            case ModelsAsked():
+                outputs.append(self._models(event, now_s))
+            case StatusAsked():
+                status = self._status(now_s)
+                outputs.append(AnswerStatus(event.request_id, status))
+            case DutyGained():
+                self._duties.add(event.duty)
+            case DutyLost():
+                self._duties.discard(event.duty)
+        return outputs
+
+    def next_wakeup_s(self) -> float | None:
+        """Tell when this part has to be woken: never."""
+        return None
+
+    def _models(self, event: ModelsAsked, now_s: float) -> Output:
+        found = self._authenticator.authenticate(event.bearer_key, now_s)
+        if isinstance(found, Refusal):
+            return RefuseCall(event.request_id, found)
+        models = self._directory.snapshot.models
+        return AnswerModels(
+            event.request_id, tuple(models[name] for name in sorted(models))
+        )
+
+    def _status(self, now_s: float) -> NodeStatus:
+        return NodeStatus(
+            instance_id=self._own.instance_id,
+            domain=self._own.domain,
+            revision=self._directory.snapshot.revision,
+            knowledge_age_s=self._directory.knowledge_age_s(now_s),
+            leaving=self._leaving(),
+            in_progress=self._in_progress(),
+            live=self._peers.live,
+            duties=tuple(sorted(self._duties)),
+        )
--- /dev/null
+++ b/packages/entry/dandelionyoke_entry/__main__.py
@@ -0,0 +1,19 @@
+"""Start an entry process."""
+
+import eventlet
+
+# Before any other import, so that each library gets the green sockets.
+eventlet.monkey_patch()
+
+import sys  # noqa: E402 - see above
+
+from dandelionyoke_entry._command import run_from_shell  # noqa: E402 - see above
+
+
+def main() -> None:
+    """Run the program and exit with its status."""
+    sys.exit(run_from_shell())
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/entry/dandelionyoke_entry/_log.py
@@ -0,0 +1,66 @@
+"""JSON lines by eliot, from the records that the core asks for.
+
+The records of a request form one action, from admission to its end, under
+the request's id, so that a log answers why a request went where it went.
+"""
+
+from collections import OrderedDict
+from typing import TextIO
+
+from eliot import (
+    Action,
+    FileDestination,
+    add_destinations,
+    log_message,
+    start_task,
+)
+
+from dandelionyoke_core import InstanceId, WriteLog
+
+REQUEST_FIRST = 'request.admitted'
+REQUEST_LAST = frozenset(('request.finished', 'request.refused'))
+REQUEST_ACTION = 'request'
+
+# A request whose end never came must not hold memory for good.
+MAX_OPEN_ACTIONS = 8192
+
+
+class Log:
+    """Writes records to a stream as JSON lines."""
+
+    def __init__(self, stream: TextIO, instance_id: InstanceId) -> None:
+        self._instance_id = instance_id
+        self._open: OrderedDict[str, Action] = OrderedDict()
+        add_destinations(FileDestination(file=stream))
+
+    def write(self, record: WriteLog) -> None:
+        """Write one record."""
+        if record.kind == REQUEST_FIRST:
+            self._begin(record.subject)
+        action = self._open.get(record.subject)
+        if action is None:
+            self._message(record)
+            return
+        with action.context():
+            self._message(record)
+        if record.kind in REQUEST_LAST:
+            self._open.pop(record.subject).finish()
+
+    def _begin(self, request_id: str) -> None:
+        if len(self._open) >= MAX_OPEN_ACTIONS:
+            _, oldest = self._open.popitem(last=False)
+            oldest.finish()
+        self._open[request_id] = start_task(
+            action_type=REQUEST_ACTION,
+            request_id=request_id,
+            instance_id=self._instance_id,
+        )
+
+    def _message(self, record: WriteLog) -> None:
+        log_message(
+            message_type=record.kind,
+            instance_id=self._instance_id,
+            subject=record.subject,
+            detail=record.detail,
+            cause=record.cause,
+        )
--- /dev/null
+++ b/packages/entry/dandelionyoke_entry/_process.py
@@ -0,0 +1,182 @@
+"""An entry as a process: its sockets, its node, its end."""
+
+import logging
+import random
+import secrets
+import signal
+import sys
+import time
+import traceback
+
+from eventlet import event as green_event, listen, sleep, spawn_n, wsgi
+from eventlet.green import socket
+
+from dandelionyoke_core import (
+    Action,
+    CountMetric,
+    Instance,
+    LifecycleSettings,
+    Node,
+    NodeSettings,
+    ObserveLatency,
+    ShutdownForced,
+    ShutdownRequested,
+    Started,
+    StopProcess,
+    WriteLog,
+)
+from dandelionyoke_entry._log import Log
+from dandelionyoke_entry._metrics import Metrics
+from dandelionyoke_entry._settings import Endpoint, EntrySettings
+from dandelionyoke_entry._status import ExitStatus
+from dandelionyoke_wire import (
+    CallerApp,
+    CallerSettings,
+    Inbox,
+    Mailboxes,
+    NodeTask,
+    PeerSettings,
+    Performer,
+)
+
+# A caller that sends or takes nothing for this long loses its connection.
+SOCKET_TIMEOUT_S = 60.0
+KEEPALIVE_S = 60.0
+MAX_URL_BYTES = 8192
+BACKLOG = 512
+INCARNATION_BYTES = 8
+
+# Answers that the node has ended are written out within this time.
+LAST_WRITES_S = 10.0
+WRITE_CHECK_S = 0.01
+
+
+class Process:
+    """Wires the node to its sockets and runs until it stops."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._status = green_event.Event()
+        self._metrics = Metrics()
+        self._log = Log(sys.stderr, settings.instance_id)
+        self._inbox = Inbox()
+        self._mailboxes = Mailboxes()
+        self._performer = Performer(
+            settings.platform_url,
+            PeerSettings(settings.instance_id, settings.secret),
+            self._inbox,
+            self._mailboxes,
+            self,
+        )
+        self._callers = _listen(settings.callers)
+        self._peers = _listen(settings.peers)
+        self._node = Node(self._node_settings(), random.Random())
+        self._app = CallerApp(
+            CallerSettings(settings.instance_id, settings.max_body_bytes),
+            self._mailboxes,
+            self._inbox.put,
+            self._metrics.text,
+            lambda: self._node.leaving,
+        )
+
+    def run(self) -> ExitStatus:
+        """Serve until asked to leave and all is finished."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+        spawn_n(self._run_node)
+        spawn_n(self._performer.peers.serve, self._peers)
+        spawn_n(self._serve_callers)
+        self._inbox.put(Started(time.time()))
+        self._announce()
+        status: ExitStatus = self._status.wait()
+        self._finish_writing()
+        return status
+
+    def record(self, action: Action) -> None:
+        """Take an action that is for the process itself."""
+        match action:
+            case WriteLog():
+                self._log.write(action)
+            case CountMetric():
+                self._metrics.count(action)
+            case ObserveLatency():
+                self._metrics.observe(action)
+            case StopProcess():
+                self._stop(ExitStatus.OK if action.clean else ExitStatus.CUT)
+
+    def _announce(self) -> None:
+        """Tell whoever started the process that it listens, and where."""
+        sys.stdout.write(f'READY {_url("http", self._callers)}\n')
+        sys.stdout.write(f'PEERS {_url("ws", self._peers)}\n')
+        sys.stdout.flush()
+
+    def _node_settings(self) -> NodeSettings:
+        settings = self._settings
+        return NodeSettings(
+            instance=Instance(
+                settings.instance_id,
+                settings.domain,
+                _url('http', self._callers),
+                _url('ws', self._peers),
+            ),
+            incarnation=secrets.token_hex(INCARNATION_BYTES),
+            lifecycle=LifecycleSettings(settings.balancer_notice_s),
+        )
+
+    def _run_node(self) -> None:
+        task = NodeTask(self._node, self._inbox, self._performer.perform)
+        try:
+            task.run()
+        except Exception:
+            # A node that raised is in no known state. Going on would answer
+            # callers from it, so the process ends and its peers take over.
+            cause = traceback.format_exc()
+            self._log.write(WriteLog('process.failed', 'node', cause=cause))
+            self._stop(ExitStatus.FAILED)
+
+    def _serve_callers(self) -> None:
+        wsgi.server(
+            self._callers,
+            self._app,
+            log=_quiet_logger(),
+            log_output=False,
+            debug=False,
+            max_size=self._settings.max_calls,
+            keepalive=KEEPALIVE_S,
+            socket_timeout=SOCKET_TIMEOUT_S,
+            url_length_limit=MAX_URL_BYTES,
+        )
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        if self._node.leaving:
+            self._inbox.put(ShutdownForced())
+        else:
+            self._inbox.put(ShutdownRequested())
+
+    def _stop(self, status: ExitStatus) -> None:
+        if not self._status.ready():
+            self._status.send(status)
+
+    def _finish_writing(self) -> None:
+        checks = int(LAST_WRITES_S / WRITE_CHECK_S)
+        for _ in range(checks):
+            if not self._app.open_answers:
+                return
+            sleep(WRITE_CHECK_S)
+
+
+def _listen(endpoint: Endpoint) -> socket.socket:
+    return listen((endpoint.host, endpoint.port), backlog=BACKLOG)
+
+
+def _url(scheme: str, listener: socket.socket) -> str:
+    host, port = listener.getsockname()
+    return f'{scheme}://{host}:{port}'
+
+
+def _quiet_logger() -> logging.Logger:
+    """Keep the server's own lines out of the JSON log."""
+    logger = logging.getLogger('dandelionyoke.http')
+    logger.addHandler(logging.NullHandler())
+    logger.propagate = False
+    return logger
--- a/packages/wire/dandelionyoke_wire/_callers.py
+++ b/packages/wire/dandelionyoke_wire/_callers.py
@@ -91,17 +91,25 @@
         self._emit = emit
         self._metrics_text = metrics_text
         self._is_leaving = is_leaving
+        # Answers that the node has ended may still be on their way out; a
+        # process that stopped before they are written would cut them.
+        self.open_answers = 0
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve one call."""
         request_id = self._new_request_id()
+        self.open_answers += 1
         try:
-            return self._route(request_id, environ, start_response)
+            chunks = self._route(request_id, environ, start_response)
         except CallError as error:
             answer = _refused(request_id, error.refusal)
-        return _send(start_response, answer)
+            chunks = _send(start_response, answer)
+        return _Written(chunks, self._written)
+
+    def _written(self) -> None:
+        self.open_answers -= 1
 
     def _new_request_id(self) -> RequestId:
         unique = secrets.token_hex(REQUEST_ID_BYTES)
@@ -221,6 +229,25 @@
         raise CallError(_cut_short()) from error
 
 
+class _Written:
+    """An answer's chunks; tells when the server is done with them."""
+
+    def __init__(
+        self, chunks: Iterable[bytes], written: Callable[[], None]
+    ) -> None:
+        self._chunks = chunks
+        self._written = written
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._chunks)
+
+    def close(self) -> None:
+        """Take the server's word that it is done, in full or not."""
+        self._written()
+        if isinstance(self._chunks, _Chunks):
+            self._chunks.close()
+
+
 class _Call:
     """One open call: its mailbox, and whether its caller is still there."""
 
--- a/packages/wire/dandelionyoke_wire/_platform.py
+++ b/packages/wire/dandelionyoke_wire/_platform.py
@@ -48,14 +48,6 @@
         self._emit = emit
         self._pool = new_pool()
 
-    def register(self, instance: Instance) -> None:
-        """List this entry; only the tests' platform needs to be told.
-
-        Raises:
-            TransportError: the platform gave no answer.
-        """
-        self._call('POST', '/instances', unstructure(instance))
-
     def list_targets(self) -> None:
         """Read the list of targets."""
         self._list('/targets', _targets_listed)
