Add stand-ins for the platform, engines, plain services and a load

Entries, tests and the demo need something to serve against. The models are pure, so that tests in virtual time drive them without a socket; the same models run over HTTP by python -m dandelionyoke_standins <kind>.

The load driver has not yet run against an entry.

--- /dev/null
+++ b/packages/standins/dandelionyoke_standins/_command.py
@@ -0,0 +1,200 @@
+"""The command line: which stand-in to run, and how."""
+
+import argparse
+import os
+import random
+import sys
+import time
+from typing import Protocol
+
+import attrs
+
+from dandelionyoke_standins._batch import BatchSettings
+from dandelionyoke_standins._blocks import CacheEventSettings
+from dandelionyoke_standins._engine import EngineModel, EngineSettings
+from dandelionyoke_standins._engine_http import EngineShell
+from dandelionyoke_standins._engine_orders import ROLES, OrderTimes
+from dandelionyoke_standins._engine_report import ReportSettings
+from dandelionyoke_standins._http import announce, wait_for_stop
+from dandelionyoke_standins._load import LoadDriver, LoadSettings, report_load
+from dandelionyoke_standins._plain import PlainModel, PlainShell
+from dandelionyoke_standins._platform import PlatformModel, PlatformSettings
+from dandelionyoke_standins._platform_http import PlatformShell
+from dandelionyoke_standins._targets import TargetSettings
+from dandelionyoke_standins._workload import CALL_KINDS
+
+Options = argparse.Namespace
+
+ENGINE_NUMBERS = (
+    ('--seed', 0),
+    ('--kv-blocks', 4000),
+    ('--max-running', 32),
+    ('--max-waiting', 256),
+    ('--decode-tokens-per-s', 800.0),
+    ('--stream-tokens-per-s', 60.0),
+    ('--prefill-tokens-per-s', 8000.0),
+    ('--report-lag-s', 0.5),
+    ('--event-lag-s', 0.5),
+    ('--event-gap-share', 0.005),
+    ('--role-s', 3.0),
+    ('--model-s', 2.0),
+)
+
+
+class Shell(Protocol):
+    """A stand-in that serves until it is told to stop."""
+
+    address: str
+
+    def start(self) -> None:
+        """Serve in tasks of its own."""
+
+
+def main() -> int:
+    """Run the stand-in that the arguments ask for."""
+    options = _parser().parse_args()
+    if options.kind == 'load':
+        return report_load(LoadDriver(_load_settings(options)).run())
+    _serve(_shell(options))
+    return 0
+
+
+def _serve(shell: Shell) -> None:
+    shell.start()
+    announce(f'READY {shell.address}')
+    wait_for_stop()
+
+
+def _shell(options: Options) -> Shell:
+    if options.kind == 'platform':
+        model = PlatformModel(_platform_settings(options))
+        return PlatformShell(model, options.port)
+    if options.kind == 'plain':
+        return PlainShell(PlainModel(), options.engine_id, options.port)
+    seed = options.seed or int.from_bytes(os.urandom(8))
+    engine = EngineModel(
+        _engine_settings(options), random.Random(seed), time.monotonic()
+    )
+    return EngineShell(engine, options.port)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='dandelionyoke_standins', description=__doc__
+    )
+    kinds = parser.add_subparsers(dest='kind', required=True)
+    _add_platform(_long_running(kinds, 'platform'))
+    _add_engine(_long_running(kinds, 'engine'))
+    _long_running(kinds, 'plain').add_argument('--engine-id', default='plain')
+    _add_load(kinds.add_parser('load', help='send a load, check the answers'))
+    return parser
+
+
+def _long_running(
+    kinds: 'argparse._SubParsersAction[argparse.ArgumentParser]', name: str
+) -> argparse.ArgumentParser:
+    parser = kinds.add_parser(name, help=f'serve as the {name}')
+    parser.add_argument('--port', type=int, default=0)
+    return parser
+
+
+def _add_platform(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--lag-s', type=float, default=1)
+    parser.add_argument('--boot-s', type=float, default=3)
+    parser.add_argument('--leave-s', type=float, default=5)
+    parser.add_argument('--invent-addresses', action='store_true')
+    parser.add_argument('--max-reads-per-s', type=int)
+    parser.add_argument('--max-writes-per-s', type=int)
+
+
+def _platform_settings(options: Options) -> PlatformSettings:
+    limits = {
+        'read': options.max_reads_per_s,
+        'write': options.max_writes_per_s,
+    }
+    return PlatformSettings(
+        lag_s=options.lag_s,
+        targets=TargetSettings(
+            boot_s=options.boot_s,
+            leave_s=options.leave_s,
+            is_inventing=options.invent_addresses,
+        ),
+        limits_per_s={
+            kind: limit for kind, limit in limits.items() if limit is not None
+        },
+    )
+
+
+def _add_engine(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--engine-id', default='engine')
+    parser.add_argument('--model', action='append', dest='models')
+    parser.add_argument('--role', choices=ROLES, default='mixed')
+    parser.add_argument(
+        '--fencing', choices=('check', 'ignore'), default='check'
+    )
+    for flag, default in ENGINE_NUMBERS:
+        parser.add_argument(flag, type=type(default), default=default)
+
+
+def _engine_settings(options: Options) -> EngineSettings:
+    return EngineSettings(
+        engine_id=options.engine_id,
+        models=tuple(options.models or ('model',)),
+        role=options.role,
+        is_checking_fence=options.fencing == 'check',
+        kv_total_blocks=options.kv_blocks,
+        max_waiting=options.max_waiting,
+        batch=BatchSettings(
+            prefill_tokens_per_s=options.prefill_tokens_per_s,
+            decode_tokens_per_s=options.decode_tokens_per_s,
+            stream_tokens_per_s=options.stream_tokens_per_s,
+            max_running=options.max_running,
+        ),
+        events=CacheEventSettings(options.event_lag_s, options.event_gap_share),
+        report=ReportSettings(options.report_lag_s),
+        order_times=OrderTimes(options.role_s, options.model_s),
+    )
+
+
+def _add_load(parser: argparse.ArgumentParser) -> None:
+    defaults = attrs.fields_dict(LoadSettings)
+    parser.add_argument('--entry', action='append', required=True)
+    parser.add_argument('--api-key', action='append', required=True)
+    parser.add_argument('--model', required=True)
+    parser.add_argument('--service', default='')
+    parser.add_argument(
+        '--call-kind', action='append', choices=CALL_KINDS, dest='call_kinds'
+    )
+    for name in ('count', 'concurrency', 'seed'):
+        parser.add_argument(
+            f'--{name}', type=int, default=defaults[name].default
+        )
+    for name in ('time_limit_s', 'answer_timeout_s'):
+        parser.add_argument(
+            f'--{name.replace("_", "-")}',
+            type=float,
+            default=defaults[name].default,
+        )
+
+
+def _load_settings(options: Options) -> LoadSettings:
+    kinds = tuple(options.call_kinds or CALL_KINDS)
+    if not options.service:
+        kinds = tuple(kind for kind in kinds if kind != 'service')
+    return LoadSettings(
+        entries=tuple(options.entry),
+        api_keys=tuple(options.api_key),
+        model=options.model,
+        service=options.service,
+        kinds=kinds,
+        count=options.count,
+        concurrency=options.concurrency,
+        time_limit_s=options.time_limit_s,
+        answer_timeout_s=options.answer_timeout_s,
+        seed=options.seed,
+    )
+
+
+def run() -> None:
+    """Run, and end the process with the status."""
+    sys.exit(main())
--- /dev/null
+++ b/packages/standins/dandelionyoke_standins/_plain.py
@@ -0,0 +1,165 @@
+"""A plain service that counts how often each call has run."""
+
+import os
+import time
+from collections import Counter
+from contextlib import ExitStack
+
+import attrs
+import eventlet
+
+from dandelionyoke_standins._errors import (
+    BadCallError,
+    LostAnswerError,
+    NotRunError,
+)
+from dandelionyoke_standins._http import Call, Reply, Route, Server, Signal
+
+CRASH_STATUS = 70
+RETRY_S = 1.0
+
+
+@attrs.define
+class PlainFaults:
+    """What is wrong with the service at present.
+
+    `crash` ends the process `before` or `after` the next call has run;
+    `crash_on` does so before any call whose body holds the text.
+    """
+
+    silent: bool = False
+    lose_answers: int = 0
+    crash: str = ''
+    crash_on: str = ''
+    refuse: str = ''
+    delay_s: float = 0
+
+
+@attrs.frozen
+class PlainRun:
+    """One run of a call, as the service saw it."""
+
+    at_s: float
+    key: str
+    request_id: str
+    attempt_id: str
+    method: str
+    path: str
+    has_caller_key: bool
+
+
+class PlainModel:
+    """Counts runs; a run takes effect when it is counted."""
+
+    def __init__(self) -> None:
+        self.faults = PlainFaults()
+        self.runs: Counter[str] = Counter()
+        self.record: list[PlainRun] = []
+
+    def run(self, run: PlainRun) -> int:
+        """Run a call; give how often its key has run by now."""
+        self.runs[run.key] += 1
+        self.record.append(run)
+        return self.runs[run.key]
+
+
+class PlainShell:
+    """Owns a plain service and its callers."""
+
+    def __init__(
+        self, model: PlainModel, engine_id: str = 'plain', port: int = 0
+    ) -> None:
+        self._model = model
+        self._engine_id = engine_id
+        self._incarnation = os.urandom(8).hex()
+        self._running = 0
+        self._changed = Signal()
+        self._server = Server(self._routes(), port)
+        self.address = self._server.address
+
+    def start(self) -> None:
+        """Serve."""
+        self._server.start()
+
+    def _routes(self) -> tuple[Route, ...]:
+        return (
+            Route('GET', '/load', self._load),
+            Route('POST', '/standin/faults', self._set_faults),
+            Route('GET', '/standin/runs', self._runs),
+            Route('GET', '/standin/record', self._record),
+            Route('*', '/.*', self._run),
+        )
+
+    def _run(self, call: Call) -> Reply:
+        faults = self._model.faults
+        if faults.refuse:
+            raise NotRunError(
+                ran=False, cause=faults.refuse, retry_after_s=RETRY_S
+            )
+        with ExitStack() as stack:
+            self._running += 1
+            stack.callback(self._leave)
+            return self._run_once(call)
+
+    def _leave(self) -> None:
+        self._running -= 1
+
+    def _run_once(self, call: Call) -> Reply:
+        faults = self._model.faults
+        if faults.delay_s:
+            eventlet.sleep(faults.delay_s)
+        text = call.body.decode(errors='replace')
+        if faults.crash == 'before' or _holds(text, faults.crash_on):
+            os._exit(CRASH_STATUS)
+        runs = self._model.run(_seen(call))
+        if faults.crash == 'after':
+            os._exit(CRASH_STATUS)
+        if faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            raise LostAnswerError
+        while faults.silent:
+            self._changed.wait(1)
+        return Reply({'runs': runs})
+
+    def _load(self, call: Call) -> Reply:
+        return Reply(
+            {
+                'engine_id': self._engine_id,
+                'incarnation': self._incarnation,
+                'measured_s': time.monotonic(),
+                'age_s': 0,
+                'running': self._running,
+                'waiting': 0,
+                'draining': False,
+            }
+        )
+
+    def _set_faults(self, call: Call) -> Reply:
+        for name, setting in call.json.items():
+            if not hasattr(self._model.faults, name):
+                raise BadCallError(cause=f'unknown fault {name}')
+            setattr(self._model.faults, name, setting)
+        self._changed.notify()
+        return Reply(self._model.faults)
+
+    def _runs(self, call: Call) -> Reply:
+        return Reply({'runs': self._model.runs})
+
+    def _record(self, call: Call) -> Reply:
+        return Reply({'runs': self._model.record})
+
+
+def _holds(text: str, part: str) -> bool:
+    return bool(part) and part in text
+
+
+def _seen(call: Call) -> PlainRun:
+    return PlainRun(
+        at_s=time.monotonic(),
+        key=call.headers.get('idempotency-key', ''),
+        request_id=call.headers.get('x-request-id', ''),
+        attempt_id=call.headers.get('x-attempt-id', ''),
+        method=call.method,
+        path=call.path,
+        has_caller_key='authorization' in call.headers,
+    )
--- /dev/null
+++ b/packages/standins/dandelionyoke_standins/_platform_http.py
@@ -0,0 +1,248 @@
+"""The platform over HTTP, as docs/PROTOCOL.md section 3 lays it down."""
+
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+import attrs
+import eventlet
+
+from dandelionyoke_standins._errors import BadCallError
+from dandelionyoke_standins._http import Call, Reply, Route, Server, Signal
+from dandelionyoke_standins._json import Json, build
+from dandelionyoke_standins._platform import (
+    Instance,
+    PlatformModel,
+    UsageWindow,
+)
+from dandelionyoke_standins._store import StoreChanges, StoreEntry
+from dandelionyoke_standins._targets import Target, TargetOrder
+
+LEASE_CHECK_S = 0.02
+MAX_WAIT_S = 60.0
+
+Answer = TypeVar('Answer')
+
+
+class PlatformShell:
+    """Owns a platform model, and gives it the clock and the callers."""
+
+    def __init__(self, model: PlatformModel, port: int = 0) -> None:
+        self._model = model
+        self._changed = Signal()
+        self._server = Server(self._routes(), port)
+        self.address = self._server.address
+
+    def start(self) -> None:
+        """Serve, and end the leases that lapse."""
+        self._server.start()
+        eventlet.spawn(self._expire_leases)
+
+    def _routes(self) -> list[Route]:
+        return [
+            Route('GET', '/store/value/(.+)', self._read),
+            Route('PUT', '/store/value/(.+)', self._write),
+            Route('DELETE', '/store/value/(.+)', self._delete),
+            Route('GET', '/store/list', self._list),
+            Route('GET', '/store/watch', self._watch),
+            Route('POST', '/store/leases', self._grant),
+            Route('POST', '/store/leases/([^/]+)/renew', self._renew),
+            Route('DELETE', '/store/leases/([^/]+)', self._revoke),
+            Route('GET', '/instances', self._instances),
+            Route('POST', '/instances', self._add_instance),
+            Route('DELETE', '/instances/([^/]+)', self._drop_instance),
+            Route('GET', '/targets', self._targets),
+            Route('POST', '/targets/orders', self._order),
+            Route('POST', '/usage/windows', self._usage),
+            Route('POST', '/standin/faults', self._set_faults),
+            Route('POST', '/standin/targets', self._set_targets),
+            Route('POST', '/standin/reclaim', self._reclaim),
+            Route('GET', '/standin/counts', self._counts),
+            Route('GET', '/standin/record', self._record),
+        ]
+
+    def _read(self, call: Call, key: str) -> Reply:
+        self._enter('read', key)
+        entry = self._model.store.read(key)
+        return _entry_reply(entry, 200 if entry.revision else 404)
+
+    def _write(self, call: Call, key: str) -> Reply:
+        body = call.json
+        text = body.get('value')
+        if not isinstance(text, str):
+            raise BadCallError(cause='value is not text')
+        expected = _revision(body.get('expected_revision'))
+        entry = self._change(
+            'write',
+            key,
+            lambda: self._model.store.write(
+                key, text, expected, body.get('lease_id')
+            ),
+        )
+        return Reply({'key': key, 'revision': entry.revision})
+
+    def _delete(self, call: Call, key: str) -> Reply:
+        expected = _revision(call.query.get('expected_revision'))
+        entry = self._change(
+            'write',
+            key,
+            lambda: self._model.store.delete(key, expected),
+        )
+        return Reply({'key': key, 'revision': entry.revision})
+
+    def _list(self, call: Call) -> Reply:
+        prefix = call.query.get('prefix', '')
+        self._enter('list', prefix)
+        return _changes_reply(self._model.store.list_prefix(prefix))
+
+    def _watch(self, call: Call) -> Reply:
+        prefix = call.query.get('prefix', '')
+        after = _revision(call.query.get('after'))
+        wait_s = min(float(call.query.get('wait_s', 0)), MAX_WAIT_S)
+        self._enter('watch', prefix)
+        until_s = time.monotonic() + wait_s
+        while True:
+            self._model.faults.before(prefix)
+            changes = self._model.store.changes_after(prefix, after)
+            left_s = until_s - time.monotonic()
+            if changes.items or left_s <= 0:
+                return _changes_reply(changes)
+            self._changed.wait(left_s)
+
+    def _grant(self, call: Call) -> Reply:
+        ttl_s = float(_field(call.json, 'ttl_s'))
+        lease_id = self._change(
+            'lease',
+            None,
+            lambda: self._model.store.grant_lease(ttl_s, time.monotonic()),
+        )
+        return Reply({'lease_id': lease_id})
+
+    def _renew(self, call: Call, lease_id: str) -> Reply:
+        ttl_s = self._change(
+            'lease',
+            None,
+            lambda: self._model.store.renew_lease(lease_id, time.monotonic()),
+        )
+        return Reply({'lease_id': lease_id, 'ttl_s': ttl_s})
+
+    def _revoke(self, call: Call, lease_id: str) -> Reply:
+        self._change(
+            'lease',
+            None,
+            lambda: self._model.store.revoke_lease(lease_id, time.monotonic()),
+        )
+        return Reply({'lease_id': lease_id})
+
+    def _instances(self, call: Call) -> Reply:
+        self._enter('instances', None)
+        return Reply({'instances': self._model.instances(time.monotonic())})
+
+    def _add_instance(self, call: Call) -> Reply:
+        instance = build(Instance, call.json)
+        self._model.list_instance(instance, time.monotonic())
+        return Reply({'instance_id': instance.instance_id})
+
+    def _drop_instance(self, call: Call, instance_id: str) -> Reply:
+        self._model.unlist_instance(instance_id, time.monotonic())
+        return Reply({'instance_id': instance_id})
+
+    def _targets(self, call: Call) -> Reply:
+        self._enter('targets', None)
+        return Reply({'targets': self._model.targets(time.monotonic())})
+
+    def _order(self, call: Call) -> Reply:
+        order = build(TargetOrder, call.json)
+        answer = self._change(
+            'order',
+            None,
+            lambda: self._model.order_targets(order, time.monotonic()),
+        )
+        return Reply(answer)
+
+    def _usage(self, call: Call) -> Reply:
+        window = build(UsageWindow, call.json)
+        self._change(
+            'usage',
+            None,
+            lambda: self._model.report_usage(window, time.monotonic()),
+        )
+        return Reply({'window_id': window.window_id})
+
+    def _set_faults(self, call: Call) -> Reply:
+        for name, setting in call.json.items():
+            if not hasattr(self._model.faults, name):
+                raise BadCallError(cause=f'unknown fault {name}')
+            setattr(self._model.faults, name, setting)
+        self._changed.notify()
+        return Reply(self._model.faults)
+
+    def _set_targets(self, call: Call) -> Reply:
+        body = call.json
+        targets = [build(Target, entry) for entry in body.get('targets', ())]
+        spares = [build(Target, entry) for entry in body.get('spares', ())]
+        self._model.replace_targets(targets, spares)
+        return Reply({'targets': targets, 'spares': spares})
+
+    def _reclaim(self, call: Call) -> Reply:
+        body = call.json
+        domain = _field(body, 'domain')
+        notice_s = float(_field(body, 'notice_s'))
+        self._model.reclaim_targets(domain, notice_s, time.monotonic())
+        return Reply({'domain': domain})
+
+    def _counts(self, call: Call) -> Reply:
+        return Reply(self._model.meter.counts)
+
+    def _record(self, call: Call) -> Reply:
+        return Reply(self._model.record)
+
+    def _enter(self, kind: str, key: str | None) -> None:
+        """Count a call, and let it meet the faults of the moment."""
+        self._model.meter.count(kind, time.monotonic())
+        faults = self._model.faults
+        if faults.delay_s and faults.touches(key):
+            eventlet.sleep(faults.delay_s)
+        faults.before(key)
+        self._model.store.expire(time.monotonic())
+
+    def _change(
+        self, kind: str, key: str | None, act: Callable[[], Answer]
+    ) -> Answer:
+        """Let a change take effect, then perhaps lose its answer."""
+        self._enter(kind, key)
+        answer = act()
+        self._changed.notify()
+        self._model.faults.after_write(key)
+        return answer
+
+    def _expire_leases(self) -> None:
+        while True:
+            eventlet.sleep(LEASE_CHECK_S)
+            revision = self._model.store.revision
+            self._model.store.expire(time.monotonic())
+            if self._model.store.revision != revision:
+                self._changed.notify()
+
+
+def _revision(text: object) -> int:
+    try:
+        return int(str(text))
+    except ValueError as error:
+        raise BadCallError(cause=f'not a revision: {text}') from error
+
+
+def _field(body: Json, name: str) -> str:
+    if name not in body:
+        raise BadCallError(cause=f'{name} is missing')
+    return str(body[name])
+
+
+def _entry_reply(entry: StoreEntry, status: int) -> Reply:
+    if status == 404:
+        return Reply({'key': entry.key, 'revision': 0}, status)
+    return Reply(attrs.asdict(entry), status)
+
+
+def _changes_reply(changes: StoreChanges) -> Reply:
+    return Reply(changes)
--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,196 @@
+"""The engine model, in virtual time."""
+
+import random
+
+import testtools
+
+from dandelionyoke_standins import (
+    BatchSettings,
+    CacheEventSettings,
+    EngineModel,
+    EngineOrder,
+    EngineSettings,
+    GenerateRequest,
+    MissingError,
+    NotRunError,
+    answer_text,
+)
+
+
+def engine(**settings: object) -> EngineModel:
+    return EngineModel(EngineSettings(**settings), random.Random(1))
+
+
+def request(attempt_id: str, prompt: str, **more: object) -> GenerateRequest:
+    return GenerateRequest(attempt_id, 'model', prompt, **more)
+
+
+def order(
+    order_id: str, fence: int, kind: str, argument: str = ''
+) -> EngineOrder:
+    return EngineOrder(order_id, fence, kind, argument)
+
+
+def text_of(model: EngineModel, attempt_id: str) -> str:
+    return ''.join(model.output_from(attempt_id, 0).tokens)
+
+
+class EngineModelTest(testtools.TestCase):
+    def test_an_answer_is_the_function_of_its_prompt(self) -> None:
+        model = engine()
+        model.generate(request('a', 'please answer 70 tokens'), 0)
+        parts = []
+        for tick in range(1, 300):
+            for output in model.advance(tick / 50):
+                parts.extend(output.tokens)
+        expected = answer_text('please answer 70 tokens', 1024)
+        self.assertEqual(expected, ''.join(parts))
+        self.assertEqual('stop', model.output_from('a', 0).end.reason)
+
+    def test_a_resumed_answer_goes_on_on_another_engine(self) -> None:
+        prompt = 'answer 40 tokens'
+        first, second = engine(), engine()
+        first.generate(request('a', prompt), 0)
+        first.advance(0.4)
+        tokens = first.output_from('a', 0).tokens
+        self.assertTrue(0 < len(tokens) < 40)
+        second.generate(request('b', prompt, resume_tokens=tokens), 0)
+        second.advance(5)
+        self.assertEqual(answer_text(prompt, 1024), text_of(second, 'b'))
+
+    def test_streams_share_the_decode_rate(self) -> None:
+        model = engine(batch=BatchSettings(decode_tokens_per_s=100))
+        for name in 'abcd':
+            model.generate(request(name, f'{name} answer 500 tokens'), 0)
+        model.advance(10)
+        sizes = [len(model.output_from(name, 0).tokens) for name in 'abcd']
+        self.assertTrue(all(abs(size - 250) < 10 for size in sizes), sizes)
+
+    def test_a_known_prefix_is_not_computed_again(self) -> None:
+        model = engine(events=CacheEventSettings(gap_share=0))
+        prefix = 'crate ' * 3200
+        model.generate(request('a', prefix + 'one answer 5 tokens'), 0)
+        model.advance(2)
+        model.generate(request('b', prefix + 'two answer 5 tokens'), 2)
+        model.advance(4)
+        self.assertEqual(0, model.attempt_record('a').cached_tokens)
+        self.assertEqual(3200, model.attempt_record('b').cached_tokens)
+        stored = model.cache_events(0, 4).events
+        self.assertTrue(len(stored) >= 200)
+        self.assertEqual(stored[9:], model.cache_events(9, 4).events)
+
+    def test_an_overfull_memory_costs_time_but_no_token(self) -> None:
+        # Each answer fits alone, but not all of them together: the engine
+        # throws work out and computes it again, which its callers notice
+        # as a pause.
+        model = engine(kv_total_blocks=40)
+        prompts = {name: f'{name} answer 300 tokens' for name in 'abcd'}
+        for name, prompt in prompts.items():
+            model.generate(request(name, prompt), 0)
+        model.advance(60)
+        self.assertGreater(model.record.preemptions, 0)
+        for name, prompt in prompts.items():
+            self.assertEqual(answer_text(prompt, 1024), text_of(model, name))
+        self.assertEqual(0, model.load_report(70).kv_used_blocks)
+
+    def test_the_higher_priority_leaves_the_queue_first(self) -> None:
+        model = engine(batch=BatchSettings(max_running=1))
+        model.generate(request('first', 'answer 30 tokens'), 0)
+        model.generate(request('low', 'low answer 30 tokens'), 0)
+        model.generate(request('high', 'hi answer 30 tokens', priority=9), 0)
+        model.advance(10)
+        ends = {one.attempt_id: one.ended_s for one in model.record.attempts}
+        self.assertLess(ends['high'], ends['low'])
+
+    def test_cancelled_work_frees_its_memory(self) -> None:
+        model = engine()
+        model.generate(request('a', 'answer 900 tokens'), 0)
+        model.advance(1)
+        self.assertTrue(model.cancel('a', 1))
+        self.assertFalse(model.cancel('a', 1))
+        self.assertEqual('cancelled', model.advance(1)[-1].end.cause)
+        self.assertEqual(0, model.load_report(3).kv_used_blocks)
+
+    def test_a_load_report_lags(self) -> None:
+        model = engine()
+        model.advance(10)
+        model.generate(request('a', 'answer 900 tokens'), 10)
+        self.assertEqual(0, model.load_report(10.3).running)
+        late = model.load_report(10.8)
+        self.assertEqual(('a',), late.in_progress)
+        self.assertTrue(0.5 <= late.age_s < 0.7, late.age_s)
+
+    def test_a_crash_takes_the_neighbours_along(self) -> None:
+        model = engine()
+        model.faults.crash_on = 'poison'
+        model.generate(request('a', 'answer 900 tokens'), 0)
+        model.advance(1)
+        self.assertFalse(model.is_crashed)
+        model.generate(request('b', 'poison'), 1)
+        model.advance(2)
+        self.assertTrue(model.is_crashed)
+
+
+class EngineOrderTest(testtools.TestCase):
+    def test_an_old_fence_has_no_effect_where_it_is_checked(self) -> None:
+        model = engine()
+        model.order(order('1', 7, 'drain'), 0)
+        answer = model.order(order('2', 6, 'undrain'), 0)
+        self.assertEqual(
+            ('refused', 'stale_fence'), (answer.state, answer.cause)
+        )
+        refusal = self.assertRaises(
+            NotRunError, model.generate, request('a', 'x'), 0
+        )
+        self.assertEqual('draining', refusal.answer['cause'])
+        other = engine(is_checking_fence=False)
+        other.order(order('1', 7, 'drain'), 0)
+        other.order(order('2', 6, 'undrain'), 0)
+        other.generate(request('a', 'x'), 0)
+
+    def test_a_repeated_order_changes_nothing(self) -> None:
+        model = engine()
+        model.order(order('1', 1, 'drain'), 0)
+        model.order(order('2', 2, 'undrain'), 0)
+        answer = model.order(order('1', 3, 'drain'), 0)
+        self.assertEqual('done', answer.state)
+        model.generate(request('a', 'x'), 0)
+        repeats = [one.is_repeat for one in model.record.orders]
+        self.assertEqual([False, False, True], repeats)
+
+    def test_a_role_change_cuts_work_and_takes_seconds(self) -> None:
+        model = engine()
+        model.generate(request('a', 'answer 900 tokens'), 0)
+        model.advance(1)
+        answer = model.order(order('1', 1, 'role', 'decode'), 1)
+        self.assertEqual('accepted', answer.state)
+        self.assertEqual('role', model.output_from('a', 0).end.cause)
+        refusal = self.assertRaises(
+            NotRunError, model.generate, request('b', 'x'), 2
+        )
+        self.assertEqual('role', refusal.answer['cause'])
+        self.assertEqual('done', model.order_state('1', 4.1).state)
+        self.assertEqual('decode', model.load_report(5).role)
+        model.generate(request('b', 'x'), 5)
+
+    def test_a_model_is_served_from_its_load_to_its_unload(self) -> None:
+        model = engine()
+        wanted = GenerateRequest('a', 'other', 'answer 900 tokens')
+        self.assertRaises(MissingError, model.generate, wanted, 0)
+        model.order(order('1', 1, 'load_model', 'other'), 0)
+        model.generate(wanted, 3)
+        model.advance(4)
+        model.order(order('2', 2, 'unload_model', 'other'), 4)
+        self.assertEqual('unload_model', model.output_from('a', 0).end.cause)
+
+    def test_exported_work_goes_on_without_computing_it_again(self) -> None:
+        prompt = 'crate ' * 1600 + 'answer 200 tokens'
+        source, target = engine(), engine()
+        source.generate(request('a', prompt), 0)
+        source.advance(2)
+        export = source.export_kv('a', 2)
+        target.import_kv(export, 2)
+        target.generate(request('b', prompt, resume_tokens=export.tokens), 2)
+        target.advance(10)
+        self.assertEqual(answer_text(prompt, 1024), text_of(target, 'b'))
+        self.assertGreater(target.attempt_record('b').cached_tokens, 1600)
