--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -35,6 +35,14 @@
     SubmitUsage as SubmitUsage,
     WriteLog as WriteLog,
 )
+from dandelionyoke_core._admission import AdmissionPart as AdmissionPart
+from dandelionyoke_core._admission_settings import (
+    AdmissionSettings as AdmissionSettings,
+)
+from dandelionyoke_core._capacity import (
+    CapacityView as CapacityView,
+    ServiceCapacity as ServiceCapacity,
+)
 from dandelionyoke_core._codec import (
     message_from_mapping as message_from_mapping,
     message_to_mapping as message_to_mapping,
@@ -93,6 +101,7 @@
     UsageAnswered as UsageAnswered,
     Woken as Woken,
 )
+from dandelionyoke_core._load_estimate import EngineSpeed as EngineSpeed
 from dandelionyoke_core._names import (
     AttemptId as AttemptId,
     ChangeId as ChangeId,
@@ -131,6 +140,7 @@
     TargetCrashed as TargetCrashed,
     TargetLeaving as TargetLeaving,
 )
+from dandelionyoke_core._observation import LoadShared as LoadShared
 from dandelionyoke_core._ports import (
     Admitted as Admitted,
     Admitter as Admitter,
@@ -177,6 +187,10 @@
     RefusalKind as RefusalKind,
     RunState as RunState,
 )
+from dandelionyoke_core._routing import RoutingPart as RoutingPart
+from dandelionyoke_core._routing_settings import (
+    RoutingSettings as RoutingSettings,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_routing_settings.py
@@ -0,0 +1,34 @@
+"""The settings of routing and of the observation of targets."""
+
+import attrs
+
+from dandelionyoke_core._load_estimate import EngineSpeed
+
+
+@attrs.frozen
+class RoutingSettings:
+    """How targets are observed and chosen.
+
+    `sample` random targets are compared with the one that the call's prefix
+    points to. A target that could not be reached gets no call for
+    `avoid_s`, and `crash_failures` failed polls in a row count as its end.
+    """
+
+    list_interval_s: float = 2.0
+    poll_interval_s: float = 0.5
+    cache_interval_s: float = 1.0
+    jitter_share: float = 0.2
+    watchers: int = 2
+    poll_all_below_entries: int = 16
+    sample: int = 3
+    avoid_s: float = 3.0
+    crash_failures: int = 3
+    report_stale_s: float = 10.0
+    far_penalty_s: float = 0.05
+    short_block_penalty_s: float = 0.05
+    affinity_blocks: int = 8
+    plain_slots: int = 16
+    share_burst_tokens: int = 20000
+    share_lifetime_s: float = 20.0
+    retry_after_s: float = 1.0
+    speed: EngineSpeed = attrs.field(factory=EngineSpeed)
