--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -38,6 +38,16 @@
     SubmitUsage as SubmitUsage,
     WriteLog as WriteLog,
 )
+from dandelionyoke_core._admission import (
+    AdmissionPart as AdmissionPart,
+)
+from dandelionyoke_core._admission_settings import (
+    AdmissionSettings as AdmissionSettings,
+)
+from dandelionyoke_core._capacity import (
+    CapacityView as CapacityView,
+    ServiceCapacity as ServiceCapacity,
+)
 from dandelionyoke_core._chat import (
     ChatMessage as ChatMessage,
     chat_prompt as chat_prompt,
@@ -102,6 +112,9 @@
     UsageAnswered as UsageAnswered,
     Woken as Woken,
 )
+from dandelionyoke_core._load_estimate import (
+    EngineSpeed as EngineSpeed,
+)
 from dandelionyoke_core._names import (
     AttemptId as AttemptId,
     ChangeId as ChangeId,
@@ -140,6 +153,9 @@
     TargetCrashed as TargetCrashed,
     TargetLeaving as TargetLeaving,
 )
+from dandelionyoke_core._observation import (
+    LoadShared as LoadShared,
+)
 from dandelionyoke_core._ports import (
     Admitted as Admitted,
     Admitter as Admitter,
@@ -186,6 +202,12 @@
     RefusalKind as RefusalKind,
     RunState as RunState,
 )
+from dandelionyoke_core._routing import (
+    RoutingPart as RoutingPart,
+)
+from dandelionyoke_core._routing_settings import (
+    RoutingSettings as RoutingSettings,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
--- a/packages/core/dandelionyoke_core/_information.py
+++ b/packages/core/dandelionyoke_core/_information.py
@@ -15,6 +15,8 @@
 from dandelionyoke_core._records import Instance
 from dandelionyoke_core._refusals import Refusal
 
+NEVER_S: float | None = None
+
 
 class InformationPart:
     """Tells what this node knows; decides nothing."""
@@ -60,7 +62,7 @@
 
     def next_wakeup_s(self) -> float | None:
         """Tell when this part has to be woken: never."""
-        return None
+        return NEVER_S
 
     def _models(self, event: ModelsAsked, now_s: float) -> Output:
         found = self._authenticator.authenticate(event.bearer_key, now_s)
