Agree on the configuration and on who is alive

A node had no configuration, no keys and no peers, so that nothing that rests on them could be wired up or run.

A lost answer is settled by reading the changes since for the change id. A few watchers in each domain wait on the head, the rest hear of a change by gossip over a bounded number of links, and a gap is closed by a peer's changes, else by the store. Suspicion of a silent peer spreads as a record that the peer itself answers.

Ruled out: heartbeats of all instances passed on by all (410 records a second over eight links are far above 12 KB/s), and a change written under its own key before the head (a committer that dies between leaves a key that no one owns).

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -35,12 +35,44 @@
     SubmitUsage as SubmitUsage,
     WriteLog as WriteLog,
 )
+from dandelionyoke_core._changes import (
+    Problem as Problem,
+    apply_change as apply_change,
+    difference as difference,
+    validate as validate,
+)
 from dandelionyoke_core._codec import (
     message_from_mapping as message_from_mapping,
     message_to_mapping as message_to_mapping,
     record_from_json as record_from_json,
     record_to_json as record_to_json,
 )
+from dandelionyoke_core._commit import (
+    CommitOutcome as CommitOutcome,
+    Committed as Committed,
+    Committer as Committer,
+    ConfigurationLoader as ConfigurationLoader,
+    Conflicted as Conflicted,
+    Head as Head,
+    Loaded as Loaded,
+    LoadOutcome as LoadOutcome,
+    Proposal as Proposal,
+    Rejected as Rejected,
+    StoreLayoutSettings as StoreLayoutSettings,
+    Unsettled as Unsettled,
+)
+from dandelionyoke_core._configuration import (
+    ConfigurationPart as ConfigurationPart,
+    ConfigurationSettings as ConfigurationSettings,
+)
+from dandelionyoke_core._configuration_messages import (
+    ConfigurationNews as ConfigurationNews,
+    ConfigurationOffered as ConfigurationOffered,
+    ConfigurationWanted as ConfigurationWanted,
+)
+from dandelionyoke_core._configuration_reader import (
+    ReaderSettings as ReaderSettings,
+)
 from dandelionyoke_core._entities import (
     ApiKey as ApiKey,
     Change as Change,
@@ -93,6 +125,32 @@
     UsageAnswered as UsageAnswered,
     Woken as Woken,
 )
+from dandelionyoke_core._gossip import (
+    GossipSettings as GossipSettings,
+)
+from dandelionyoke_core._keys import (
+    KeysPart as KeysPart,
+    KeysSettings as KeysSettings,
+    hash_key as hash_key,
+)
+from dandelionyoke_core._knowledge import (
+    KnowledgeSettings as KnowledgeSettings,
+)
+from dandelionyoke_core._links import (
+    LinkSettings as LinkSettings,
+)
+from dandelionyoke_core._membership import (
+    MembershipPart as MembershipPart,
+    MembershipSettings as MembershipSettings,
+)
+from dandelionyoke_core._membership_messages import (
+    Heartbeat as Heartbeat,
+    MemberRecord as MemberRecord,
+    MemberState as MemberState,
+    RecordBatch as RecordBatch,
+    RecordEntry as RecordEntry,
+    RecordSummary as RecordSummary,
+)
 from dandelionyoke_core._names import (
     AttemptId as AttemptId,
     ChangeId as ChangeId,
@@ -177,8 +235,14 @@
     RefusalKind as RefusalKind,
     RunState as RunState,
 )
+from dandelionyoke_core._rendezvous import (
+    rendezvous as rendezvous,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
     split_tokens as split_tokens,
 )
+from dandelionyoke_core._topology import (
+    TopologySettings as TopologySettings,
+)
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_configuration.py
@@ -0,0 +1,311 @@
+"""The configuration in force in this node, and how news of it travels.
+
+In each domain a few instances, the watchers, wait on the head in the store.
+All others hear of a change over the peer links, and read the head now and
+then in case that they missed one. A node that the store does not answer
+asks its peers what they know and how old that is.
+"""
+
+import random as random_module
+from typing import ClassVar
+
+import attrs
+
+from dandelionyoke_core._actions import SendPeer, WriteLog
+from dandelionyoke_core._configuration_messages import (
+    ConfigurationNews,
+    ConfigurationOffered,
+    ConfigurationWanted,
+    make_news,
+)
+from dandelionyoke_core._configuration_reader import (
+    HeadReader,
+    ReaderSettings,
+    Reading,
+)
+from dandelionyoke_core._entities import Change, Snapshot
+from dandelionyoke_core._errors import DandelionyokeError
+from dandelionyoke_core._events import (
+    Event,
+    PeerConnected,
+    PeerDisconnected,
+    PeerMessageArrived,
+    Started,
+    StoreAnswered,
+    Woken,
+)
+from dandelionyoke_core._knowledge import Knowledge, KnowledgeSettings
+from dandelionyoke_core._names import Domain, InstanceId
+from dandelionyoke_core._notices import PeersKnown, RecordLearned, ShareRecord
+from dandelionyoke_core._ports import Output, Peers
+from dandelionyoke_core._rendezvous import rendezvous
+
+WATCH_TOPIC = 'config/watch'
+# A node that lacks a change gives its peer's answer this long before it
+# reads the store, so that a gap in many nodes is no load on the store.
+GAP_PATIENCE_S = 2.0
+
+
+@attrs.frozen
+class ConfigurationSettings:
+    """How news of the configuration travels."""
+
+    watchers_in_domain: int = 3
+    ask_every_s: float = 10.0
+    ask_timeout_s: float = 3.0
+    reader: ReaderSettings = attrs.field(factory=ReaderSettings)
+    knowledge: KnowledgeSettings = attrs.field(factory=KnowledgeSettings)
+
+
+@attrs.frozen
+class _Question:
+    number: int
+    peer_id: InstanceId
+    asked_s: float
+
+
+class ConfigurationPart:
+    """Keeps the newest configuration that the node has heard of in force."""
+
+    handles: ClassVar[tuple[type[Event], ...]] = (
+        Started,
+        Woken,
+        StoreAnswered,
+        PeerConnected,
+        PeerDisconnected,
+        PeerMessageArrived,
+        PeersKnown,
+        RecordLearned,
+    )
+
+    def __init__(
+        self,
+        settings: ConfigurationSettings,
+        peers: Peers,
+        random: random_module.Random,
+        instance_id: InstanceId,
+        domain: Domain,
+    ) -> None:
+        self._settings = settings
+        self._peers = peers
+        self._random = random
+        self._instance_id = instance_id
+        self._watch_topic = f'{WATCH_TOPIC}/{domain}'
+        self._knowledge = Knowledge(settings.knowledge)
+        self._reader = HeadReader(
+            settings.reader, random, f'config/{instance_id}'
+        )
+        self._confirmed_s: float | None = None
+        self._heard_revision = 0
+        self._links: dict[InstanceId, None] = {}
+        self._question: _Question | None = None
+        self._asked_count = 0
+        self._ask_due_s: float | None = None
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The whole configuration; revision 0 while nothing is known."""
+        return self._knowledge.snapshot
+
+    def knowledge_age_s(self, now_s: float) -> float | None:
+        """Seconds since it was last confirmed; None: never."""
+        if self._confirmed_s is None:
+            return None
+        return max(0, now_s - self._confirmed_s)
+
+    def next_wakeup_s(self) -> float | None:
+        """Tell when this part has to be woken, or None."""
+        wakeups = (self._reader.next_wakeup_s(), self._ask_due_s)
+        return min((at_s for at_s in wakeups if at_s is not None), default=None)
+
+    def handle(self, event: Event, now_s: float) -> list[Output]:
+        """Take an event and say what follows from it."""
+        outputs = self._take(event, now_s)
+        outputs.extend(
+            self._reader.advance(
+                self._knowledge.revision, self._is_watcher(), now_s
+            )
+        )
+        outputs.extend(self._ask_when_due(now_s))
+        return outputs
+
+    def _take(self, event: Event, now_s: float) -> list[Output]:
+        match event:
+            case Started():
+                self._reader.hurry(now_s)
+                self._ask_due_s = now_s + self._settings.ask_every_s
+            case StoreAnswered():
+                return self._take_answer(event, now_s)
+            case PeerConnected(peer_id=peer_id):
+                self._links[peer_id] = None
+                return self._ask_new_peer(peer_id, now_s)
+            case PeerDisconnected(peer_id=peer_id):
+                self._links.pop(peer_id, None)
+            case PeersKnown() if self._is_watcher():
+                self._reader.hurry(now_s)
+            case PeerMessageArrived():
+                return self._take_message(event, now_s)
+            case RecordLearned(
+                record=ConfigurationNews() as news, from_peer=peer_id
+            ):
+                outputs = self._take_changes(news.changes)
+                return outputs + self._catch_up(news.version, peer_id, now_s)
+        return []
+
+    def _take_message(
+        self, arrived: PeerMessageArrived, now_s: float
+    ) -> list[Output]:
+        peer_id = arrived.peer_id
+        if isinstance(arrived.message, ConfigurationWanted):
+            offer = self._offer(arrived.message, now_s)
+            return [SendPeer(peer_id, offer)]
+        if isinstance(arrived.message, ConfigurationOffered):
+            return self._take_offer(peer_id, arrived.message, now_s)
+        return []
+
+    def _is_watcher(self) -> bool:
+        watchers = rendezvous(
+            self._watch_topic,
+            self._peers.live_in_domain,
+            self._settings.watchers_in_domain,
+        )
+        return self._instance_id in watchers
+
+    def _take_answer(self, event: StoreAnswered, now_s: float) -> list[Output]:
+        actions, reading = self._reader.take(event, self._is_watcher(), now_s)
+        news = [] if reading is None else self._take_reading(reading)
+        return [*actions, *news]
+
+    def _take_reading(self, reading: Reading) -> list[Output]:
+        found = reading.found
+        if (
+            found.revision is not None
+            and found.revision < self.snapshot.revision
+        ):
+            # A read that was slower than a peer's news, or a store that lost
+            # writes; taking it would bring a withdrawn key back to life.
+            return [
+                WriteLog(
+                    'configuration.store_behind',
+                    str(self.snapshot.revision),
+                    f'the store is at {found.revision}',
+                )
+            ]
+        if found.snapshot is None:
+            outputs = self._take_changes(found.changes)
+        else:
+            outputs = self._knowledge.take_snapshot(
+                found.snapshot, found.changes
+            )
+        if found.revision is None or found.revision == self.snapshot.revision:
+            self._confirm(reading.confirmed_s)
+        return self._with_news(outputs)
+
+    def _take_changes(self, changes: tuple[Change, ...]) -> list[Output]:
+        try:
+            return self._knowledge.take_changes(changes)
+        except DandelionyokeError as wrong:
+            # Only a peer of another version can cause this; the store's
+            # snapshot, which the next read takes, is the way out.
+            return [WriteLog('configuration.unusable', '', str(wrong))]
+
+    def _with_news(self, outputs: list[Output]) -> list[Output]:
+        if not outputs:
+            return []
+        news = make_news(self.snapshot.revision, self._knowledge.last_changes())
+        return [*outputs, ShareRecord(news, everywhere=True)]
+
+    def _confirm(self, confirmed_s: float) -> None:
+        if self._confirmed_s is None or confirmed_s > self._confirmed_s:
+            self._confirmed_s = confirmed_s
+
+    # Questions to peers.
+
+    def _catch_up(
+        self, heard_revision: int, peer_id: InstanceId, now_s: float
+    ) -> list[Output]:
+        self._heard_revision = max(self._heard_revision, heard_revision)
+        if self._heard_revision <= self.snapshot.revision:
+            return []
+        patience_s = self._random.uniform(0.5, 1) * GAP_PATIENCE_S
+        self._reader.hurry(now_s + patience_s)
+        if self._question is not None:
+            return []
+        return self._ask(peer_id, now_s)
+
+    def _ask_new_peer(self, peer_id: InstanceId, now_s: float) -> list[Output]:
+        age_s = self.knowledge_age_s(now_s)
+        if self._question is not None or self._reader.reaches_store:
+            return []
+        if age_s is not None and age_s < self._settings.ask_every_s:
+            return []
+        return self._ask(peer_id, now_s)
+
+    def _ask_when_due(self, now_s: float) -> list[Output]:
+        if self._ask_due_s is None or now_s < self._ask_due_s:
+            return []
+        self._question = None
+        self._ask_due_s = now_s + self._ask_pause_s()
+        age_s = self.knowledge_age_s(now_s)
+        fresh = age_s is not None and age_s < self._settings.ask_every_s
+        if fresh or not self._links:
+            return []
+        return self._ask(self._random.choice(list(self._links)), now_s)
+
+    def _ask(self, peer_id: InstanceId, now_s: float) -> list[Output]:
+        self._asked_count += 1
+        self._question = _Question(self._asked_count, peer_id, now_s)
+        self._ask_due_s = now_s + self._settings.ask_timeout_s
+        wanted = ConfigurationWanted(
+            question_number=self._asked_count,
+            revision=self.snapshot.revision,
+            whole=not self._reader.reaches_store,
+        )
+        return [SendPeer(peer_id, wanted)]
+
+    def _ask_pause_s(self) -> float:
+        return self._settings.ask_every_s * self._random.uniform(0.5, 1.5)
+
+    def _offer(
+        self, wanted: ConfigurationWanted, now_s: float
+    ) -> ConfigurationOffered:
+        changes = self._knowledge.changes_after(wanted.revision)
+        snapshot = self.snapshot if changes is None and wanted.whole else None
+        return ConfigurationOffered(
+            question_number=wanted.question_number,
+            revision=self.snapshot.revision,
+            age_s=self.knowledge_age_s(now_s),
+            changes=changes or (),
+            snapshot=snapshot,
+        )
+
+    def _take_offer(
+        self, peer_id: InstanceId, offered: ConfigurationOffered, now_s: float
+    ) -> list[Output]:
+        question = self._question
+        if question is None or question.peer_id != peer_id:
+            return []
+        if question.number != offered.question_number:
+            return []
+        self._question = None
+        self._ask_due_s = now_s + self._ask_pause_s()
+        outputs = self._take_changes(offered.changes)
+        if offered.snapshot is not None:
+            outputs.extend(self._knowledge.take_snapshot(offered.snapshot))
+        if offered.revision == self.snapshot.revision:
+            self._confirm_by_peer(question, offered)
+        self._heard_revision = max(self._heard_revision, offered.revision)
+        if self._heard_revision > self.snapshot.revision:
+            self._reader.hurry(now_s)
+        return self._with_news(outputs)
+
+    def _confirm_by_peer(
+        self, question: _Question, offered: ConfigurationOffered
+    ) -> None:
+        """Take the peer's knowledge for as old as it was when asked for it.
+
+        An answer may lie in a buffer while this process is paused; counted
+        from its arrival, it would make old knowledge look fresh.
+        """
+        if offered.age_s is not None:
+            self._confirm(question.asked_s - offered.age_s)
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_configuration_reader.py
@@ -0,0 +1,213 @@
+"""When and how a node reads the configuration's head in the store."""
+
+import random as random_module
+
+import attrs
+
+from dandelionyoke_core._actions import Action, StoreWatch
+from dandelionyoke_core._commit import (
+    HEAD_KEY,
+    Loaded,
+    StoreLayoutSettings,
+    StoreSteps,
+    Unsettled,
+    read_head,
+)
+from dandelionyoke_core._entities import Change, Snapshot
+from dandelionyoke_core._errors import DandelionyokeError
+from dandelionyoke_core._events import StoreAnswered
+from dandelionyoke_core._records import (
+    StoreFailed,
+    StoreItem,
+    StoreListing,
+)
+from dandelionyoke_core._store_dialogue import Steps, StoreDialogue
+
+# The store's clock may run a little slower than this node's.
+CLOCK_MARGIN = 0.98
+MAX_DOUBLINGS = 16
+
+
+@attrs.frozen
+class ReaderSettings:
+    """How often the head is read, by watchers and by all others."""
+
+    watch_wait_s: float = 10.0
+    check_every_s: float = 60.0
+    call_timeout_s: float = 10.0
+    retry_min_s: float = 0.5
+    retry_max_s: float = 4.0
+    layout: StoreLayoutSettings = attrs.field(factory=StoreLayoutSettings)
+
+
+@attrs.frozen
+class HeadRead:
+    """What a read of the head found; `revision` None: nothing new."""
+
+    store_revision: int
+    revision: int | None = None
+    changes: tuple[Change, ...] = ()
+    snapshot: Snapshot | None = None
+
+
+@attrs.frozen
+class Reading:
+    """The end of a read: what held in the store at `confirmed_s`."""
+
+    found: HeadRead
+    confirmed_s: float
+
+
+ReadOutcome = HeadRead | Unsettled
+
+
+class HeadReader:
+    """Keeps at most one read of the head under way."""
+
+    def __init__(
+        self,
+        settings: ReaderSettings,
+        random: random_module.Random,
+        prefix: str,
+    ) -> None:
+        self._settings = settings
+        self._random = random
+        self._store = StoreSteps(prefix, settings.layout)
+        self._dialogue: StoreDialogue[ReadOutcome] | None = None
+        self._begun_s = 0.0
+        self._deadline_s = 0.0
+        self._watches = False
+        self._due_s: float | None = None
+        self._store_revision: int | None = None
+        self._failures = 0
+        self._succeeded = False
+
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the last read had an answer."""
+        return self._succeeded and self._failures == 0
+
+    def next_wakeup_s(self) -> float | None:
+        """Tell when `advance` has something to do."""
+        return self._due_s if self._dialogue is None else self._deadline_s
+
+    def hurry(self, due_s: float) -> None:
+        """Read again by then, if no read is under way."""
+        self._due_s = due_s if self._due_s is None else min(self._due_s, due_s)
+
+    def advance(
+        self, known_revision: int, is_watcher: bool, now_s: float
+    ) -> list[Action]:
+        """Give up on a read without an answer, and begin one that is due."""
+        if self._dialogue is not None:
+            if now_s < self._deadline_s:
+                return []
+            self._fail(is_watcher, now_s)
+        if self._due_s is None or now_s < self._due_s:
+            return []
+        return self._begin(known_revision, is_watcher, now_s)
+
+    def take(
+        self, event: StoreAnswered, is_watcher: bool, now_s: float
+    ) -> tuple[list[Action], Reading | None]:
+        """Take the end of a store call, of a read that may go on."""
+        dialogue = self._dialogue
+        if dialogue is None or dialogue.awaited != event.operation_id:
+            return [], None
+        self._deadline_s = now_s + self._settings.call_timeout_s
+        actions = dialogue.handle(event, now_s)
+        if dialogue.outcome is None:
+            return actions, None
+        if isinstance(dialogue.outcome, Unsettled):
+            self._fail(is_watcher, now_s)
+            return [], None
+        return [], self._finish(dialogue.outcome, is_watcher, now_s)
+
+    def _begin(
+        self, known_revision: int, is_watcher: bool, now_s: float
+    ) -> list[Action]:
+        self._watches = is_watcher and self._store_revision is not None
+        after = self._store_revision if self._watches else None
+        self._dialogue = StoreDialogue(self._read(after, known_revision))
+        self._begun_s = now_s
+        self._due_s = None
+        self._deadline_s = now_s + self._settings.call_timeout_s
+        if self._watches:
+            self._deadline_s += self._settings.watch_wait_s
+        return self._dialogue.begin()
+
+    def _finish(
+        self, found: HeadRead, is_watcher: bool, now_s: float
+    ) -> Reading:
+        confirmed_s = self._begun_s
+        if self._watches and found.revision is None:
+            waited_s = self._settings.watch_wait_s * CLOCK_MARGIN
+            confirmed_s = min(now_s, self._begun_s + waited_s)
+        self._dialogue = None
+        self._failures = 0
+        self._succeeded = True
+        self._store_revision = found.store_revision
+        self._due_s = now_s
+        if not is_watcher:
+            jitter = self._random.uniform(0.5, 1.5)
+            self._due_s += self._settings.check_every_s * jitter
+        return Reading(found, confirmed_s)
+
+    def _fail(self, is_watcher: bool, now_s: float) -> None:
+        self._dialogue = None
+        # A watch that failed may have skipped what it was to tell.
+        self._store_revision = None
+        self._failures = min(self._failures + 1, MAX_DOUBLINGS)
+        most_s = self._settings.retry_max_s
+        if not is_watcher and self._succeeded:
+            most_s = self._settings.check_every_s
+        pause_s = self._settings.retry_min_s * 2 ** (self._failures - 1)
+        jitter = self._random.uniform(0.5, 1)
+        self._due_s = now_s + min(most_s, pause_s) * jitter
+
+    def _read(
+        self, watch_after: int | None, known_revision: int
+    ) -> Steps[ReadOutcome]:
+        found = yield from self._read_head(watch_after)
+        if not isinstance(found, StoreItem):
+            return found
+        try:
+            return (yield from self._read_below(found, known_revision))
+        except DandelionyokeError as wrong:
+            return Unsettled(str(wrong))
+
+    def _read_head(
+        self, watch_after: int | None
+    ) -> Steps[StoreItem | ReadOutcome]:
+        if watch_after is None:
+            return (yield from self._store.get_once(HEAD_KEY))
+        answer = yield StoreWatch(
+            operation_id=self._store.next_id(),
+            prefix=HEAD_KEY,
+            after_revision=watch_after,
+            wait_s=self._settings.watch_wait_s,
+        )
+        if not isinstance(answer, StoreListing):
+            cause = answer.cause if isinstance(answer, StoreFailed) else ''
+            return Unsettled(cause)
+        items = [item for item in answer.items if item.key == HEAD_KEY]
+        if items:
+            return max(items, key=lambda item: item.revision)
+        return HeadRead(max(watch_after, answer.revision))
+
+    def _read_below(
+        self, item: StoreItem, known_revision: int
+    ) -> Steps[ReadOutcome]:
+        head = read_head(item)
+        kept_after = head.revision - len(head.changes)
+        if max(known_revision, kept_after) == known_revision:
+            return HeadRead(item.revision, head.revision, head.changes)
+        loaded = yield from self._store.load_from(item)
+        if not isinstance(loaded, Loaded):
+            return loaded
+        return HeadRead(
+            store_revision=item.revision,
+            revision=head.revision,
+            changes=loaded.changes,
+            snapshot=loaded.snapshot,
+        )
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_membership.py
@@ -0,0 +1,369 @@
+"""Who the other entries are, and how shared records reach them."""
+
+import random as random_module
+from typing import ClassVar
+
+import attrs
+
+from dandelionyoke_core._actions import (
+    Action,
+    CountMetric,
+    ListInstances,
+    SendPeer,
+    WriteLog,
+)
+from dandelionyoke_core._events import (
+    Event,
+    InstancesListed,
+    ListingFailed,
+    PeerConnected,
+    PeerDisconnected,
+    PeerMessage,
+    PeerMessageArrived,
+    SharedRecord,
+    Started,
+    Woken,
+)
+from dandelionyoke_core._gossip import GossipSettings, RecordTable, batches
+from dandelionyoke_core._links import Links, LinkSettings
+from dandelionyoke_core._members import Members
+from dandelionyoke_core._membership_messages import (
+    Heartbeat,
+    MemberRecord,
+    MemberState,
+    RecordBatch,
+    RecordEntry,
+    RecordSummary,
+    member_key,
+)
+from dandelionyoke_core._names import Domain, InstanceId
+from dandelionyoke_core._notices import (
+    Leaving,
+    PeersKnown,
+    RecordLearned,
+    ShareRecord,
+)
+from dandelionyoke_core._ports import Output
+from dandelionyoke_core._records import Instance
+from dandelionyoke_core._topology import TopologySettings, choose_links
+
+VERSIONS_PER_INCARNATION = 1 << 20
+
+
+@attrs.frozen
+class MembershipSettings:
+    """How an instance finds its peers, and when it misses one."""
+
+    heartbeat_s: float = 1.0
+    stall_s: float = 2.0
+    grace_s: float = 2.0
+    accuse_again_s: float = 30.0
+    list_every_s: float = 30.0
+    probe_every_s: float = 10.0
+    relink_after_s: float = 0.3
+    announce_every_s: float = 1800.0
+    member_lifetime_s: float = 5400.0
+    max_members: int = 2048
+    seeds: tuple[Instance, ...] = ()
+    links: LinkSettings = attrs.field(factory=LinkSettings)
+    topology: TopologySettings = attrs.field(factory=TopologySettings)
+    gossip: GossipSettings = attrs.field(factory=GossipSettings)
+
+
+class MembershipPart:
+    """Knows the live entries, links to a few, and passes records on.
+
+    `incarnation` is higher for each start under one instance id, for
+    example seconds since the epoch.
+    """
+
+    handles: ClassVar[tuple[type[Event], ...]] = (
+        Started,
+        Woken,
+        InstancesListed,
+        ListingFailed,
+        PeerConnected,
+        PeerDisconnected,
+        PeerMessageArrived,
+        ShareRecord,
+        Leaving,
+    )
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        own: Instance,
+        incarnation: int,
+        random: random_module.Random,
+    ) -> None:
+        self._settings = settings
+        self._own = own
+        self._random = random
+        self._version = incarnation * VERSIONS_PER_INCARNATION
+        self._state = MemberState.LIVE
+        self._members = Members(own, settings.grace_s, settings.max_members)
+        self._links = Links(own.instance_id, settings.links)
+        self._table = RecordTable(settings.gossip)
+        self._peer_domains: dict[InstanceId, Domain] = {}
+        self._accused: dict[InstanceId, float] = {}
+        self._outbox: list[tuple[RecordEntry, InstanceId | None]] = []
+        self._beats = 0
+        self._tick_due_s: float | None = None
+        self._list_due_s = 0.0
+        self._probe_due_s = 0.0
+        self._announce_due_s = 0.0
+        self._relink_due_s: float | None = None
+        self._death_due_s: float | None = None
+        self._is_dirty = False
+
+    @property
+    def live(self) -> tuple[InstanceId, ...]:
+        """Live entries everywhere, this one included, sorted."""
+        return self._members.live
+
+    @property
+    def live_in_domain(self) -> tuple[InstanceId, ...]:
+        """Live entries of this failure domain, this one included, sorted."""
+        return self._members.live_in_domain
+
+    @property
+    def leaving(self) -> tuple[InstanceId, ...]:
+        """Entries that are going; they finish what they have."""
+        return self._members.leaving
+
+    def next_wakeup_s(self) -> float | None:
+        """Tell when this part has to be woken, or None."""
+        wakeups = (self._tick_due_s, self._relink_due_s, self._death_due_s)
+        return min((at_s for at_s in wakeups if at_s is not None), default=None)
+
+    def handle(self, event: Event, now_s: float) -> list[Output]:
+        """Take an event and say what follows from it."""
+        self._notice_stall(now_s)
+        outputs = self._take(event, now_s)
+        if self._tick_due_s is not None and now_s >= self._tick_due_s:
+            outputs.extend(self._tick(now_s))
+        outputs.extend(self._refresh(now_s))
+        outputs.extend(self._flush())
+        return outputs
+
+    def _take(self, event: Event, now_s: float) -> list[Output]:
+        match event:
+            case Started():
+                return self._start(now_s)
+            case InstancesListed(instances=instances):
+                self._members.take_list(instances)
+                self._is_dirty = True
+            case PeerConnected(peer_id=peer_id):
+                return self._greet(peer_id, now_s)
+            case PeerDisconnected(peer_id=peer_id):
+                self._links.disconnected(peer_id, now_s)
+                self._peer_domains.pop(peer_id, None)
+            case PeerMessageArrived(peer_id=peer_id, message=message):
+                self._links.heard(peer_id, now_s)
+                return self._take_message(peer_id, message, now_s)
+            case ShareRecord(record=record, everywhere=everywhere):
+                self._share(record, everywhere, now_s)
+            case Leaving():
+                self._state = MemberState.LEAVING
+                self._announce(now_s)
+        return []
+
+    def _notice_stall(self, now_s: float) -> None:
+        due_s = self._tick_due_s
+        if due_s is not None and now_s - due_s > self._settings.stall_s:
+            self._links.excuse(now_s)
+
+    # Time.
+
+    def _start(self, now_s: float) -> list[Output]:
+        self._tick_due_s = now_s
+        self._list_due_s = now_s
+        self._members.take_list(self._settings.seeds)
+        self._is_dirty = True
+        return [PeersKnown(self.live, self.live_in_domain)]
+
+    def _tick(self, now_s: float) -> list[Output]:
+        self._tick_due_s = now_s + self._jitter(self._settings.heartbeat_s)
+        self._table.expire(now_s)
+        outputs: list[Output] = list(self._links.advance(now_s))
+        outputs.extend(self._beat())
+        outputs.extend(self._accuse(now_s))
+        if now_s >= self._announce_due_s:
+            self._announce(now_s)
+        if now_s >= self._list_due_s:
+            self._list_due_s = now_s + self._jitter(self._settings.list_every_s)
+            outputs.append(ListInstances())
+        if now_s >= self._probe_due_s:
+            outputs.extend(self._probe(now_s))
+        return outputs
+
+    def _beat(self) -> list[Action]:
+        self._beats += 1
+        beat = Heartbeat(self._beats)
+        return [SendPeer(peer_id, beat) for peer_id in self._links.up()]
+
+    def _jitter(self, pause_s: float) -> float:
+        return pause_s * self._random.uniform(0.9, 1.1)
+
+    def _probe(self, now_s: float) -> list[Action]:
+        """Try one of the dead: a cut may be over, and no one else would."""
+        self._probe_due_s = now_s + self._jitter(self._settings.probe_every_s)
+        dead = self._members.dead_but_listed()
+        if not dead:
+            return []
+        chosen = self._random.choice(dead)
+        return self._links.probe(chosen.instance_id, chosen.peer_address, now_s)
+
+    # Members.
+
+    def _refresh(self, now_s: float) -> list[Output]:
+        """Bring the live lists and the links in line with what is known."""
+        outputs: list[Output] = []
+        is_death_due = (
+            self._death_due_s is not None and now_s >= self._death_due_s
+        )
+        if self._is_dirty or is_death_due:
+            self._is_dirty = False
+            if self._members.refresh(now_s):
+                outputs.append(PeersKnown(self.live, self.live_in_domain))
+                self._relink_due_s = now_s + self._settings.relink_after_s
+            self._death_due_s = self._members.next_death_s(now_s)
+        if self._relink_due_s is not None and now_s >= self._relink_due_s:
+            self._relink_due_s = None
+            outputs.extend(self._relink(now_s))
+        return outputs
+
+    def _relink(self, now_s: float) -> list[Action]:
+        live = self._members.live_instances()
+        chosen = choose_links(self._own, live, self._settings.topology)
+        addresses = {
+            instance.instance_id: instance.peer_address
+            for instance in live
+            if instance.instance_id in chosen
+        }
+        return self._links.want(addresses, now_s)
+
+    def _accuse(self, now_s: float) -> list[Output]:
+        outputs: list[Output] = []
+        for instance_id in self._links.missing(now_s):
+            member = self._members.find(instance_id)
+            if member is None or member.state is MemberState.SUSPECTED:
+                continue
+            if now_s < self._accused.get(instance_id, now_s):
+                # It answered an earlier suspicion over other links: only the
+                # way to it is broken, and accusing it each second would
+                # flood the peers with records.
+                continue
+            self._accused[instance_id] = now_s + self._settings.accuse_again_s
+            suspicion = self._record(
+                member.instance, member.version + 1, MemberState.SUSPECTED
+            )
+            self._keep_member(suspicion, now_s)
+            outputs.append(WriteLog('membership.suspected', instance_id))
+            outputs.append(CountMetric('membership_suspicions'))
+        return outputs
+
+    def _announce(self, now_s: float) -> None:
+        self._announce_due_s = now_s + self._jitter(
+            self._settings.announce_every_s
+        )
+        self._version += 1
+        self._keep_member(
+            self._record(self._own, self._version, self._state), now_s
+        )
+
+    def _record(
+        self, instance: Instance, version: int, state: MemberState
+    ) -> MemberRecord:
+        return MemberRecord(
+            record_key=member_key(instance.instance_id),
+            version=version,
+            lifetime_s=self._settings.member_lifetime_s,
+            instance=instance,
+            state=state,
+            said_by=self._own.instance_id,
+        )
+
+    def _keep_member(self, record: MemberRecord, now_s: float) -> None:
+        self._share(record, everywhere=True, now_s=now_s)
+        self._members.take_record(record, now_s)
+        self._is_dirty = True
+
+    def _take_member(self, record: MemberRecord, now_s: float) -> list[Output]:
+        self._members.take_record(record, now_s)
+        self._is_dirty = True
+        if record.instance.instance_id != self._own.instance_id:
+            return []
+        # Said of this node by a peer that missed it, or by itself before a
+        # restart: unanswered, the others would take it for dead.
+        self._version = max(self._version, record.version)
+        self._announce(now_s)
+        return [
+            WriteLog('membership.refuted', record.said_by, record.state.value)
+        ]
+
+    # Records and links.
+
+    def _greet(self, peer_id: InstanceId, now_s: float) -> list[Output]:
+        refusal = self._links.connected(peer_id, now_s)
+        if refusal:
+            return list(refusal)
+        self._accused.pop(peer_id, None)
+        summary = RecordSummary(self._own, self._table.versions())
+        return [SendPeer(peer_id, summary)]
+
+    def _take_message(
+        self, peer_id: InstanceId, message: PeerMessage, now_s: float
+    ) -> list[Output]:
+        if isinstance(message, RecordBatch):
+            return self._take_batch(peer_id, message, now_s)
+        if not isinstance(message, RecordSummary):
+            return []
+        self._peer_domains[peer_id] = message.instance.domain
+        newer = self._table.newer_than(
+            message.versions, self._shares_domain(peer_id), now_s
+        )
+        return [SendPeer(peer_id, batch) for batch in batches(newer)]
+
+    def _take_batch(
+        self, peer_id: InstanceId, batch: RecordBatch, now_s: float
+    ) -> list[Output]:
+        outputs: list[Output] = []
+        for entry in batch.entries:
+            learned = self._table.learn(entry, now_s)
+            if learned is None:
+                continue
+            record, onward = learned
+            self._outbox.append((onward, peer_id))
+            outputs.append(RecordLearned(record, peer_id))
+            if isinstance(record, MemberRecord):
+                outputs.extend(self._take_member(record, now_s))
+        return outputs
+
+    def _share(
+        self, record: SharedRecord, everywhere: bool, now_s: float
+    ) -> None:
+        entry = self._table.keep(record, everywhere, now_s)
+        if entry is not None:
+            self._outbox.append((entry, None))
+
+    def _flush(self) -> list[Action]:
+        if not self._outbox:
+            return []
+        waiting = self._outbox
+        self._outbox = []
+        actions: list[Action] = []
+        for peer_id in self._links.up():
+            same_domain = self._shares_domain(peer_id)
+            entries = (
+                entry
+                for entry, source in waiting
+                if source != peer_id and (same_domain or entry.everywhere)
+            )
+            actions.extend(
+                SendPeer(peer_id, batch) for batch in batches(entries)
+            )
+        return actions
+
+    def _shares_domain(self, peer_id: InstanceId) -> bool:
+        return self._peer_domains.get(peer_id) == self._own.domain
