Answer model calls and service calls in the core

Cause: nothing in the core took a caller's call yet, so no entry could serve one.

Change: RequestPart places model calls on engines and follows their streams, with resumes, retries out of a budget, deadlines and refusals. OncePart claims calls that may run at most once in the platform's store by compare-and-set. QuarantinePart counts the engines that a request crashed; it does not yet share its counts or protect neighbours.

Conclusion: the parts can be wired into a process.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -35,6 +35,7 @@
     SubmitUsage as SubmitUsage,
     WriteLog as WriteLog,
 )
+from dandelionyoke_core._claims import OnceSettings as OnceSettings
 from dandelionyoke_core._codec import (
     message_from_mapping as message_from_mapping,
     message_to_mapping as message_to_mapping,
@@ -131,6 +132,7 @@
     TargetCrashed as TargetCrashed,
     TargetLeaving as TargetLeaving,
 )
+from dandelionyoke_core._once import OncePart as OncePart
 from dandelionyoke_core._ports import (
     Admitted as Admitted,
     Admitter as Admitter,
@@ -148,6 +150,10 @@
     Router as Router,
     Ticket as Ticket,
 )
+from dandelionyoke_core._quarantine import (
+    QuarantinePart as QuarantinePart,
+    QuarantineSettings as QuarantineSettings,
+)
 from dandelionyoke_core._records import (
     CacheEvent as CacheEvent,
     EngineOrder as EngineOrder,
@@ -177,6 +183,10 @@
     RefusalKind as RefusalKind,
     RunState as RunState,
 )
+from dandelionyoke_core._request import RequestPart as RequestPart
+from dandelionyoke_core._request_settings import (
+    RequestSettings as RequestSettings,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_claims.py
@@ -0,0 +1,188 @@
+"""The record of a claim in the store, and what a record means to a repeat."""
+
+import base64
+import enum
+import hashlib
+
+import attrs
+
+from dandelionyoke_core._events import ServiceCalled
+from dandelionyoke_core._names import InstanceId, OrganisationId, RequestId
+from dandelionyoke_core._notices import ClaimAnswered, ClaimRefused
+from dandelionyoke_core._refusals import Refusal, RefusalKind, RunState
+
+CLAIM_PREFIX = 'once'
+_SEND_AGAIN = 'Send the request again after retry_after_s'
+_LOOK_UP = (
+    'Find out at the service whether it ran; a repeat with the same '
+    'Idempotency-Key is not sent again'
+)
+
+
+@enum.unique
+class ClaimState(enum.Enum):
+    """Where a claim stands. ENDED and DOUBT are final."""
+
+    RUNNING = 'running'
+    OPEN = 'open'
+    ENDED = 'ended'
+    DOUBT = 'doubt'
+
+
+@attrs.frozen
+class OnceSettings:
+    """How long claims last and how patiently the store is asked.
+
+    A claim is kept for `retention_s`; `clock_margin_s` is how far apart the
+    wall clocks of two entries may be. A claim whose owner has not recorded
+    an end `run_limit_s` after it was made is in doubt. A caller waits
+    `patience_s` for the store.
+    """
+
+    retention_s: float = 172_800.0
+    clock_margin_s: float = 600.0
+    run_limit_s: float = 120.0
+    patience_s: float = 2.0
+    answer_limit_s: float = 5.0
+    pause_s: float = 0.1
+    pause_limit_s: float = 5.0
+    repeat_after_s: float = 1.0
+    kept_answer_bytes: int = 65_536
+    max_claims: int = 2_000
+
+
+@attrs.frozen
+class ClaimRecord:
+    """What the store holds for one idempotency key of an organisation.
+
+    Both times are absolute, in seconds since the epoch, and are the only
+    judges of this claim: nothing but them makes it doubtful or drops it.
+    `kept` is False where the answer was too large to record.
+    """
+
+    claim_id: str
+    instance_id: InstanceId
+    request_hash: str
+    run_until_wall_s: float
+    expires_wall_s: float
+    state: ClaimState = ClaimState.RUNNING
+    status: int = 0
+    content_type: str = ''
+    body_base64: str = ''
+    kept: bool = True
+
+    def ended(
+        self, status: int, content_type: str, body: bytes, limit_bytes: int
+    ) -> 'ClaimRecord':
+        """Record an end, with the answer if it is small enough to keep."""
+        kept = len(body) + len(content_type) <= limit_bytes
+        return attrs.evolve(
+            self,
+            state=ClaimState.ENDED,
+            status=status,
+            content_type=content_type if kept else '',
+            body_base64=base64.b64encode(body).decode() if kept else '',
+            kept=kept,
+        )
+
+    def told(
+        self,
+        request_id: RequestId,
+        request_hash: str,
+        wall_s: float,
+        repeat_after_s: float,
+    ) -> ClaimAnswered | ClaimRefused:
+        """Say what a repeat gets to hear of this claim."""
+        if request_hash != self.request_hash:
+            return ClaimRefused(request_id, _key_reused())
+        if self.state is ClaimState.ENDED and self.kept:
+            return ClaimAnswered(
+                request_id,
+                self.status,
+                self.content_type,
+                base64.b64decode(self.body_base64),
+            )
+        if self.state is ClaimState.ENDED:
+            return ClaimRefused(request_id, _not_kept(self.status))
+        if self.state is ClaimState.RUNNING and wall_s < self.run_until_wall_s:
+            return ClaimRefused(request_id, _in_progress(repeat_after_s))
+        return ClaimRefused(request_id, in_doubt())
+
+
+def claim_key(organisation_id: OrganisationId, idempotency_key: str) -> str:
+    """Name the store key of a claim."""
+    digest = hashlib.sha256(idempotency_key.encode()).hexdigest()
+    return f'{CLAIM_PREFIX}/{organisation_id}/{digest}'
+
+
+def hash_request(call: ServiceCalled) -> str:
+    """Name what is asked, so that a key stands for one request only."""
+    digest = hashlib.sha256()
+    pieces = (
+        call.service_name.encode(),
+        call.method.upper().encode(),
+        call.path.encode(),
+        call.body,
+    )
+    for piece in pieces:
+        digest.update(len(piece).to_bytes(8) + piece)
+    return digest.hexdigest()
+
+
+def store_down(retry_after_s: float) -> Refusal:
+    """Refuse a call whose claim could not be made; it was not sent."""
+    return Refusal(
+        RefusalKind.STORE_DOWN,
+        'The store that guards against a second run gives no answer',
+        _SEND_AGAIN,
+        retry_after_s=retry_after_s,
+    )
+
+
+def in_doubt() -> Refusal:
+    """Refuse a call whose first run has an unknown end."""
+    return Refusal(
+        RefusalKind.END_UNKNOWN,
+        'A request with this Idempotency-Key was sent and its end is not known',
+        _LOOK_UP,
+        RunState.UNKNOWN,
+    )
+
+
+def too_many_claims(retry_after_s: float) -> Refusal:
+    """Refuse a call because too many claims are in progress here."""
+    return Refusal(
+        RefusalKind.OVERLOADED,
+        'Too many calls that run at most once are in progress here',
+        _SEND_AGAIN,
+        retry_after_s=retry_after_s,
+    )
+
+
+def _key_reused() -> Refusal:
+    return Refusal(
+        RefusalKind.KEY_REUSED,
+        'This Idempotency-Key came with another request before',
+        'Use a new Idempotency-Key for each new request',
+    )
+
+
+def _in_progress(retry_after_s: float) -> Refusal:
+    return Refusal(
+        RefusalKind.IN_PROGRESS,
+        'A request with this Idempotency-Key is in progress',
+        'Send the request again after retry_after_s to get its answer',
+        RunState.UNKNOWN,
+        retry_after_s,
+    )
+
+
+def _not_kept(status: int) -> Refusal:
+    return Refusal(
+        RefusalKind.END_UNKNOWN,
+        f'The request ran once and was answered with status {status}; the '
+        'answer was too large to keep',
+        'Read the outcome at the service; a repeat with the same '
+        'Idempotency-Key is not sent again',
+        RunState.UNKNOWN,
+    )
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_retry_budget.py
@@ -0,0 +1,37 @@
+"""A bound on retries, as a share of the traffic that causes them."""
+
+
+class RetryBudget:
+    """Saves a share of each call, and pays for retries from it.
+
+    When targets fail, each caller's retry adds load to the rest; without a
+    bound the retries alone keep the rest overloaded after the cause is gone.
+    """
+
+    def __init__(
+        self, share: float, reserve: float, refill_per_s: float
+    ) -> None:
+        self._share = share
+        self._reserve = reserve
+        self._refill_per_s = refill_per_s
+        self._balance = reserve
+        self._refilled_s: float | None = None
+
+    def earn(self, now_s: float) -> None:
+        """Save the share of one new call."""
+        self._refill(now_s)
+        self._balance = min(self._reserve, self._balance + self._share)
+
+    def spend(self, now_s: float) -> bool:
+        """Pay for one retry; False when too little was saved."""
+        self._refill(now_s)
+        if self._balance < 1:
+            return False
+        self._balance -= 1
+        return True
+
+    def _refill(self, now_s: float) -> None:
+        if self._refilled_s is not None:
+            earned = (now_s - self._refilled_s) * self._refill_per_s
+            self._balance = min(self._reserve, self._balance + earned)
+        self._refilled_s = now_s
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_service_calls.py
@@ -0,0 +1,336 @@
+"""How a call of a plain service gets its answer, at most once if it must."""
+
+import posixpath
+from urllib.parse import unquote
+
+from dandelionyoke_core._actions import (
+    AnswerService,
+    CallService,
+    DropAttempt,
+    RefuseCall,
+    WriteLog,
+)
+from dandelionyoke_core._call import Call, Phase
+from dandelionyoke_core._call_desk import CallDesk, refusal_log, stray
+from dandelionyoke_core._entities import Service
+from dandelionyoke_core._events import (
+    AttemptAccepted,
+    AttemptFailed,
+    AttemptRefused,
+    Event,
+    ServiceAnswered,
+    ServiceCalled,
+)
+from dandelionyoke_core._notices import (
+    ClaimAnswered,
+    ClaimRefused,
+)
+from dandelionyoke_core._ports import NoRoute, Output
+from dandelionyoke_core._refusals import Refusal, RefusalKind, RunState
+
+IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'PUT', 'DELETE'))
+_SEND_AGAIN = 'Send the request again after retry_after_s'
+
+
+class ServiceCalls:
+    """Sends calls to plain services."""
+
+    def __init__(self, desk: CallDesk) -> None:
+        self._desk = desk
+        self._settings = desk.settings
+
+    def begin(self, call: Call, now_s: float) -> list[Output]:
+        """Send an admitted call, or claim it first."""
+        event = call.event
+        if not call.unrepeatable or not isinstance(event, ServiceCalled):
+            return self._place(call, now_s)
+        call.phase = Phase.CLAIMING
+        organisation_id = call.identity.organisation.organisation_id
+        return self._desk.claimer.claim(event, organisation_id, now_s)
+
+    def granted(self, call: Call, now_s: float) -> list[Output]:
+        """Send a call that this node alone may send."""
+        call.claimed = True
+        if call.caller_gone:
+            return self.abandon(call, now_s)
+        return self._place(call, now_s)
+
+    def answered_before(
+        self, call: Call, event: ClaimAnswered, now_s: float
+    ) -> list[Output]:
+        """Give the recorded answer; nothing runs."""
+        outputs = self._desk.close(call, now_s)
+        if call.caller_gone:
+            return outputs
+        return [
+            *outputs,
+            AnswerService(
+                call.request_id, event.status, event.content_type, event.body
+            ),
+            WriteLog(
+                'request.finished',
+                call.request_id,
+                f'status {event.status} from the record of the first call',
+            ),
+        ]
+
+    def claim_refused(
+        self, call: Call, event: ClaimRefused, now_s: float
+    ) -> list[Output]:
+        """Pass the claimer's refusal on as it is.
+
+        It speaks of the run under the key, which may be another request's,
+        so that this request's own record must not overwrite it.
+        """
+        outputs = self._desk.close(call, now_s)
+        if call.caller_gone:
+            return outputs
+        return [
+            *outputs,
+            RefuseCall(call.request_id, event.refusal),
+            refusal_log(call.request_id, event.refusal),
+        ]
+
+    def accepted(
+        self, call: Call, event: AttemptAccepted, now_s: float
+    ) -> list[Output]:
+        """Note that the service took the call."""
+        return []
+
+    def answered(self, call: Call, event: Event, now_s: float) -> list[Output]:
+        """Give the caller its answer at once, and record it."""
+        if not isinstance(event, ServiceAnswered):
+            return [stray('kind')]
+        outputs: list[Output] = []
+        if not call.caller_gone:
+            outputs.append(
+                AnswerService(
+                    call.request_id,
+                    event.status,
+                    event.content_type,
+                    event.body,
+                )
+            )
+        if call.claimed:
+            call.claimed = False
+            outputs += self._desk.claimer.settle(
+                call.request_id,
+                event.status,
+                event.content_type,
+                event.body,
+                now_s,
+            )
+        outputs += self._desk.finish(call, call.need.prompt_tokens, now_s)
+        return outputs
+
+    def refused(
+        self, call: Call, event: AttemptRefused, now_s: float
+    ) -> list[Output]:
+        """Go elsewhere; the target did not run the call."""
+        return self._not_run(call, event.cause, now_s)
+
+    def failed(
+        self, call: Call, event: AttemptFailed, now_s: float
+    ) -> list[Output]:
+        """Go elsewhere if the call surely did not run or may run again."""
+        if not event.sent:
+            return self._not_run(call, event.cause, now_s)
+        return self._broke(call, event.cause, now_s)
+
+    def crashed(self, call: Call, now_s: float) -> list[Output]:
+        """The target is gone with the call in progress."""
+        return self._broke(call, 'the target crashed', now_s)
+
+    def reclaimed(self, call: Call, now_s: float) -> list[Output]:
+        """Leave a target that the platform takes away, if that is safe."""
+        attempt = call.attempt
+        if attempt is None or not _repeatable(call):
+            return []
+        call.avoid.add(attempt.target.target_id)
+        return [*self._drop(call, now_s), *self._place(call, now_s)]
+
+    def abandon(self, call: Call, now_s: float) -> list[Output]:
+        """Forget a call that nobody waits for and that was not sent."""
+        outputs = self._reopen(call, now_s)
+        return [*outputs, *self._desk.close(call, now_s)]
+
+    def due_s(self, call: Call) -> float:
+        """Tell when this call has to be looked at."""
+        if call.attempt is None:
+            return call.deadline_s
+        limit_s = self._settings.service_timeout_s
+        limit_s += self._settings.service_grace_s
+        silent_s = call.attempt.heard_s + limit_s
+        if call.caller_gone:
+            return silent_s
+        return min(silent_s, call.deadline_s)
+
+    def woken(self, call: Call, now_s: float) -> list[Output]:
+        """Give up on a target that never answered."""
+        return self._broke(call, 'no answer in time', now_s)
+
+    def give_up(
+        self, call: Call, refusal: Refusal, now_s: float
+    ) -> list[Output]:
+        """End a call for its caller.
+
+        One that may not be repeated and is at its target goes on without
+        the caller: its end is still worth recording, since a repeat will
+        ask for it.
+        """
+        if call.claimed and call.attempt is not None:
+            return self._go_on_alone(call, refusal)
+        outputs = self._reopen(call, now_s)
+        return [*outputs, *self._end(call, refusal, now_s)]
+
+    def _go_on_alone(self, call: Call, refusal: Refusal) -> list[Output]:
+        if call.caller_gone:
+            return []
+        call.caller_gone = True
+        refusal = call.truthful(refusal)
+        return [
+            RefuseCall(call.request_id, refusal),
+            refusal_log(call.request_id, refusal),
+        ]
+
+    def _place(self, call: Call, now_s: float) -> list[Output]:
+        if call.placements >= self._settings.max_attempts:
+            refusal = _none_took_it(self._come_back_s(call, now_s))
+            return self.give_up(call, refusal, now_s)
+        choice = self._desk.choose(call, now_s)
+        if isinstance(choice, NoRoute):
+            return self.give_up(call, _no_target(choice), now_s)
+        event = call.event
+        if not isinstance(event, ServiceCalled):
+            return []
+        attempt = call.place(choice, now_s)
+        return [
+            CallService(
+                call.request_id,
+                attempt.attempt_id,
+                choice.target_id,
+                choice.address,
+                event.method,
+                event.path,
+                event.content_type,
+                event.body,
+                event.idempotency_key,
+                self._settings.service_timeout_s,
+            ),
+            self._desk.began(call, attempt, now_s),
+        ]
+
+    def _not_run(self, call: Call, cause: str, now_s: float) -> list[Output]:
+        attempt = self._desk.leave(call, now_s)
+        if attempt is None:
+            return []
+        call.unproven.discard(attempt.work_id)
+        call.avoid.add(attempt.target.target_id)
+        log = WriteLog(
+            'request.routed',
+            call.request_id,
+            f'{attempt.target.target_id} did not run {attempt.attempt_id}',
+            cause,
+        )
+        if call.caller_gone:
+            return [log, *self.abandon(call, now_s)]
+        return [log, *self._place(call, now_s)]
+
+    def _broke(self, call: Call, cause: str, now_s: float) -> list[Output]:
+        attempt = call.attempt
+        if attempt is None:
+            return []
+        call.avoid.add(attempt.target.target_id)
+        outputs = self._drop(call, now_s)
+        if _repeatable(call) and self._desk.budget.spend(now_s):
+            return [*outputs, *self._place(call, now_s)]
+        if call.claimed:
+            call.claimed = False
+            outputs += self._desk.claimer.doubt(call.request_id, now_s)
+        refusal = _end_unknown(call, cause)
+        return [*outputs, *self._end(call, refusal, now_s)]
+
+    def _drop(self, call: Call, now_s: float) -> list[Output]:
+        # A plain service knows no cancel; closing the connection is all.
+        attempt = self._desk.leave(call, now_s, failed=True)
+        if attempt is None:
+            return []
+        return [DropAttempt(call.request_id, attempt.attempt_id)]
+
+    def _reopen(self, call: Call, now_s: float) -> list[Output]:
+        if not call.claimed:
+            return []
+        call.claimed = False
+        return self._desk.claimer.reopen(call.request_id, now_s)
+
+    def _end(self, call: Call, refusal: Refusal, now_s: float) -> list[Output]:
+        outputs = self._drop(call, now_s)
+        return [*outputs, *self._desk.refuse(call, refusal, now_s)]
+
+    def _come_back_s(self, call: Call, now_s: float) -> float:
+        return self._desk.admitter.come_back_s(call.need.service, now_s)
+
+
+def is_unrepeatable(service: Service, method: str, path: str) -> bool:
+    """Whether a call is one that may run at most once.
+
+    The service may take `//returns`, `/x/../returns` and `/%72eturns` for
+    `/returns`. Taken as written, each would slip past the pattern, and a
+    repeat would run twice; so all are compared in one form.
+    """
+    asked = f'{method.upper()} {_plain_path(path)}'
+    return any(_covers(pattern, asked) for pattern in service.unrepeatable)
+
+
+def _plain_path(path: str) -> str:
+    decoded = unquote(path.partition('?')[0])
+    return posixpath.normpath(f'/{decoded.lstrip("/")}')
+
+
+def _covers(pattern: str, asked: str) -> bool:
+    if not pattern.endswith('*'):
+        method, _, path = pattern.partition(' ')
+        return asked == f'{method.upper()} {_plain_path(path)}'
+    return f'{asked}/'.startswith(pattern[:-1])
+
+
+def _repeatable(call: Call) -> bool:
+    event = call.event
+    if call.unrepeatable or not isinstance(event, ServiceCalled):
+        return False
+    return event.method.upper() in IDEMPOTENT_METHODS
+
+
+def _no_target(no_route: NoRoute) -> Refusal:
+    return Refusal(
+        RefusalKind.NO_TARGET,
+        f'No target can take this call now ({no_route.cause})',
+        _SEND_AGAIN,
+        retry_after_s=no_route.retry_after_s,
+    )
+
+
+def _none_took_it(retry_after_s: float) -> Refusal:
+    return Refusal(
+        RefusalKind.TARGET_FAILED,
+        'Each target that was tried failed or refused the call',
+        _SEND_AGAIN,
+        retry_after_s=retry_after_s,
+    )
+
+
+def _end_unknown(call: Call, cause: str) -> Refusal:
+    if call.unrepeatable:
+        return Refusal(
+            RefusalKind.END_UNKNOWN,
+            f'The call was sent and its end is not known ({cause})',
+            'Find out at the service whether it ran; a repeat with the same '
+            'Idempotency-Key is not sent again',
+            RunState.UNKNOWN,
+        )
+    return Refusal(
+        RefusalKind.TARGET_FAILED,
+        f'The call was sent and no answer came ({cause})',
+        'Find out at the service whether it ran before you send it again',
+        RunState.UNKNOWN,
+    )
