--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -2,7 +2,9 @@
 
 from dandelionyoke_core._actions import (
     Action as Action,
+    AnswerModels as AnswerModels,
     AnswerService as AnswerService,
+    AnswerStatus as AnswerStatus,
     CallService as CallService,
     CancelAttempt as CancelAttempt,
     ConnectPeer as ConnectPeer,
@@ -15,6 +17,7 @@
     LeaseRenew as LeaseRenew,
     ListInstances as ListInstances,
     ListTargets as ListTargets,
+    NodeStatus as NodeStatus,
     ObserveLatency as ObserveLatency,
     PollCacheEvents as PollCacheEvents,
     PollLoad as PollLoad,
@@ -35,6 +38,20 @@
     SubmitUsage as SubmitUsage,
     WriteLog as WriteLog,
 )
+from dandelionyoke_core._admission import (
+    AdmissionPart as AdmissionPart,
+)
+from dandelionyoke_core._admission_settings import (
+    AdmissionSettings as AdmissionSettings,
+)
+from dandelionyoke_core._capacity import (
+    CapacityView as CapacityView,
+    ServiceCapacity as ServiceCapacity,
+)
+from dandelionyoke_core._chat import (
+    ChatMessage as ChatMessage,
+    chat_prompt as chat_prompt,
+)
 from dandelionyoke_core._claims import OnceSettings as OnceSettings
 from dandelionyoke_core._codec import (
     message_from_mapping as message_from_mapping,
@@ -75,6 +92,7 @@
     ListingFailed as ListingFailed,
     LoadReported as LoadReported,
     ModelCalled as ModelCalled,
+    ModelsAsked as ModelsAsked,
     Notice as Notice,
     PeerConnected as PeerConnected,
     PeerDisconnected as PeerDisconnected,
@@ -86,6 +104,7 @@
     ShutdownForced as ShutdownForced,
     ShutdownRequested as ShutdownRequested,
     Started as Started,
+    StatusAsked as StatusAsked,
     StoreAnswered as StoreAnswered,
     TargetOrderAnswered as TargetOrderAnswered,
     TargetsListed as TargetsListed,
@@ -94,6 +113,9 @@
     UsageAnswered as UsageAnswered,
     Woken as Woken,
 )
+from dandelionyoke_core._load_estimate import (
+    EngineSpeed as EngineSpeed,
+)
 from dandelionyoke_core._names import (
     AttemptId as AttemptId,
     ChangeId as ChangeId,
@@ -132,6 +154,9 @@
     TargetCrashed as TargetCrashed,
     TargetLeaving as TargetLeaving,
 )
+from dandelionyoke_core._observation import (
+    LoadShared as LoadShared,
+)
 from dandelionyoke_core._once import OncePart as OncePart
 from dandelionyoke_core._ports import (
     Admitted as Admitted,
@@ -187,6 +212,12 @@
 from dandelionyoke_core._request_settings import (
     RequestSettings as RequestSettings,
 )
+from dandelionyoke_core._routing import (
+    RoutingPart as RoutingPart,
+)
+from dandelionyoke_core._routing_settings import (
+    RoutingSettings as RoutingSettings,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
--- a/packages/core/dandelionyoke_core/_once.py
+++ b/packages/core/dandelionyoke_core/_once.py
@@ -129,6 +129,11 @@
         """Tell when the store has to be asked again."""
         return self._timers.next_s()
 
+    @property
+    def in_progress(self) -> int:
+        """How many claims have an end that is not in the store yet."""
+        return len(self._claims)
+
     def claim(
         self,
         call: ServiceCalled,
--- a/packages/core/dandelionyoke_core/_request.py
+++ b/packages/core/dandelionyoke_core/_request.py
@@ -125,6 +125,11 @@
         """Tell when a silent stream or a deadline has to be looked at."""
         return self._timers.next_s()
 
+    @property
+    def in_progress(self) -> int:
+        """How many calls are not finished."""
+        return len(self._desk.calls)
+
     def _table(
         self,
     ) -> dict[type[Event], Callable[[Any, float], list[Output]]]:
--- /dev/null
+++ b/packages/wire/dandelionyoke_wire/_platform.py
@@ -0,0 +1,122 @@
+"""The platform's lists, target orders and usage reports."""
+
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+from typing import Any
+
+from cattrs import BaseValidationError, structure, unstructure
+
+from dandelionyoke_core import (
+    Event,
+    Instance,
+    InstancesListed,
+    ListingFailed,
+    OrderState,
+    SendTargetOrder,
+    SubmitUsage,
+    Target,
+    TargetOrder,
+    TargetOrderAnswered,
+    TargetsListed,
+    UsageAnswered,
+    UsageWindow,
+)
+from dandelionyoke_wire._guarded import MaySend, call_guarded
+from dandelionyoke_wire._transport import (
+    Reply,
+    TransportError,
+    call_json,
+    new_pool,
+)
+
+READ_TIMEOUT_S = 5.0
+
+_NO_ANSWER = (
+    TransportError,
+    KeyError,
+    TypeError,
+    ValueError,
+    BaseValidationError,
+)
+
+
+class PlatformClient:
+    """Performs platform actions; what comes back is emitted as events."""
+
+    def __init__(self, base_url: str, emit: Callable[[Event], None]) -> None:
+        self._base_url = base_url.rstrip('/')
+        self._emit = emit
+        self._pool = new_pool()
+
+    def list_targets(self) -> None:
+        """Read the list of targets."""
+        self._list('/targets', _targets_listed)
+
+    def list_instances(self) -> None:
+        """Read the lagging list of entry instances."""
+        self._list('/instances', _instances_listed)
+
+    def order_targets(self, action: SendTargetOrder, may_send: MaySend) -> None:
+        """Send an order if `may_send` still holds as its bytes leave."""
+        state, cause = OrderState.UNKNOWN, ''
+        try:
+            reply = self._guarded('/targets/orders', action.order, may_send)
+            state = OrderState(reply.body['state'])
+        except _NO_ANSWER as error:
+            cause = str(error)
+        self._emit(TargetOrderAnswered(action.order.order_id, state, cause))
+
+    def submit_usage(self, action: SubmitUsage, may_send: MaySend) -> None:
+        """Report a window if `may_send` still holds as its bytes leave."""
+        window = action.window
+        accepted: bool | None = None
+        try:
+            reply = self._guarded('/usage/windows', window, may_send)
+        except TransportError:
+            accepted = None
+        else:
+            accepted = reply.status == HTTPStatus.OK
+        self._emit(UsageAnswered(window.window_id, accepted))
+
+    def _guarded(
+        self,
+        path: str,
+        record: TargetOrder | UsageWindow,
+        may_send: MaySend,
+    ) -> Reply:
+        return call_guarded(
+            'POST',
+            f'{self._base_url}{path}',
+            unstructure(record),
+            may_send,
+            READ_TIMEOUT_S,
+        )
+
+    def _list(
+        self, path: str, read: Callable[[Mapping[str, Any]], Event]
+    ) -> None:
+        try:
+            reply = self._call('GET', path, None)
+            event = read(reply.body)
+        except _NO_ANSWER as error:
+            event = ListingFailed(f'{path}: {error}')
+        self._emit(event)
+
+    def _call(
+        self, method: str, path: str, body: Mapping[str, Any] | None
+    ) -> Reply:
+        return call_json(
+            self._pool,
+            method,
+            f'{self._base_url}{path}',
+            body,
+            read_timeout_s=READ_TIMEOUT_S,
+        )
+
+
+def _targets_listed(body: Mapping[str, Any]) -> Event:
+    return TargetsListed(structure(body['targets'], tuple[Target, ...]))
+
+
+def _instances_listed(body: Mapping[str, Any]) -> Event:
+    return InstancesListed(structure(body['instances'], tuple[Instance, ...]))
