--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -58,6 +58,9 @@
     ChatMessage as ChatMessage,
     chat_prompt as chat_prompt,
 )
+from dandelionyoke_core._claims import (
+    OnceSettings as OnceSettings,
+)
 from dandelionyoke_core._codec import (
     message_from_mapping as message_from_mapping,
     message_to_mapping as message_to_mapping,
@@ -212,6 +215,9 @@
 from dandelionyoke_core._observation import (
     LoadShared as LoadShared,
 )
+from dandelionyoke_core._once import (
+    OncePart as OncePart,
+)
 from dandelionyoke_core._ports import (
     Admitted as Admitted,
     Admitter as Admitter,
@@ -229,6 +235,10 @@
     Router as Router,
     Ticket as Ticket,
 )
+from dandelionyoke_core._quarantine import (
+    QuarantinePart as QuarantinePart,
+    QuarantineSettings as QuarantineSettings,
+)
 from dandelionyoke_core._records import (
     CacheEvent as CacheEvent,
     EngineOrder as EngineOrder,
@@ -261,6 +271,12 @@
 from dandelionyoke_core._rendezvous import (
     rendezvous as rendezvous,
 )
+from dandelionyoke_core._request import (
+    RequestPart as RequestPart,
+)
+from dandelionyoke_core._request_settings import (
+    RequestSettings as RequestSettings,
+)
 from dandelionyoke_core._routing import (
     RoutingPart as RoutingPart,
 )
