--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -44,6 +44,10 @@
 from dandelionyoke_core._admission_settings import (
     AdmissionSettings as AdmissionSettings,
 )
+from dandelionyoke_core._assembly import (
+    Node as Node,
+    NodeSettings as NodeSettings,
+)
 from dandelionyoke_core._capacity import (
     CapacityView as CapacityView,
     ServiceCapacity as ServiceCapacity,
@@ -156,6 +160,9 @@
 from dandelionyoke_core._knowledge import (
     KnowledgeSettings as KnowledgeSettings,
 )
+from dandelionyoke_core._lifecycle import (
+    LifecycleSettings as LifecycleSettings,
+)
 from dandelionyoke_core._links import (
     LinkSettings as LinkSettings,
 )
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_assembly.py
@@ -0,0 +1,142 @@
+"""A whole node: which parts it has and how they know each other."""
+
+from random import Random
+
+import attrs
+
+from dandelionyoke_core._actions import Action
+from dandelionyoke_core._admission import AdmissionPart
+from dandelionyoke_core._admission_settings import AdmissionSettings
+from dandelionyoke_core._claims import OnceSettings
+from dandelionyoke_core._configuration import (
+    ConfigurationPart,
+    ConfigurationSettings,
+)
+from dandelionyoke_core._events import Event
+from dandelionyoke_core._information import InformationPart
+from dandelionyoke_core._keys import KeysPart, KeysSettings
+from dandelionyoke_core._lifecycle import LifecyclePart, LifecycleSettings
+from dandelionyoke_core._membership import (
+    MembershipPart,
+    MembershipSettings,
+)
+from dandelionyoke_core._node import Composition
+from dandelionyoke_core._once import OncePart
+from dandelionyoke_core._quarantine import (
+    QuarantinePart,
+    QuarantineSettings,
+)
+from dandelionyoke_core._records import Instance
+from dandelionyoke_core._request import RequestPart
+from dandelionyoke_core._request_settings import RequestSettings
+from dandelionyoke_core._routing import RoutingPart
+from dandelionyoke_core._routing_settings import RoutingSettings
+
+
+@attrs.frozen
+class NodeSettings:
+    """The settings of every part of a node.
+
+    `incarnation` is higher for each start under one instance id: seconds
+    since the epoch at the start.
+    """
+
+    instance: Instance
+    incarnation: int
+    membership: MembershipSettings = attrs.field(factory=MembershipSettings)
+    configuration: ConfigurationSettings = attrs.field(
+        factory=ConfigurationSettings
+    )
+    keys: KeysSettings = attrs.field(factory=KeysSettings)
+    routing: RoutingSettings = attrs.field(factory=RoutingSettings)
+    admission: AdmissionSettings = attrs.field(factory=AdmissionSettings)
+    once: OnceSettings = attrs.field(factory=OnceSettings)
+    quarantine: QuarantineSettings = attrs.field(factory=QuarantineSettings)
+    request: RequestSettings = attrs.field(factory=RequestSettings)
+    lifecycle: LifecycleSettings = attrs.field(factory=LifecycleSettings)
+
+
+class Node:
+    """One entry's decisions behind a single `handle`.
+
+    Nothing that decides lives outside it, so that a test can run many nodes
+    in one process and replay a run from its seed.
+    """
+
+    def __init__(self, settings: NodeSettings, random: Random) -> None:
+        own = settings.instance
+        self.membership = MembershipPart(
+            settings.membership, own, settings.incarnation, random
+        )
+        self.configuration = ConfigurationPart(
+            settings.configuration,
+            self.membership,
+            random,
+            own.instance_id,
+            own.domain,
+        )
+        self.keys = KeysPart(self.configuration, settings.keys)
+        self.routing = RoutingPart(
+            settings.routing,
+            self.configuration,
+            self.membership,
+            own.domain,
+            own.instance_id,
+            random,
+        )
+        self.admission = AdmissionPart(
+            settings.admission,
+            self.configuration,
+            self.membership,
+            self.routing,
+            own.instance_id,
+        )
+        self.once = OncePart(settings.once, own.instance_id, random)
+        self.quarantine = QuarantinePart(settings.quarantine)
+        self.request = RequestPart(
+            settings.request,
+            self.configuration,
+            self.keys,
+            self.admission,
+            self.routing,
+            self.once,
+            self.quarantine,
+            random,
+        )
+        self.lifecycle = LifecyclePart(
+            settings.lifecycle, lambda: self.request.in_progress
+        )
+        self.information = InformationPart(
+            own,
+            self.configuration,
+            self.keys,
+            self.membership,
+            lambda: self.leaving,
+            lambda: self.request.in_progress,
+        )
+        self._parts = Composition(
+            (
+                self.membership,
+                self.configuration,
+                self.routing,
+                self.admission,
+                self.once,
+                self.quarantine,
+                self.request,
+                self.lifecycle,
+                self.information,
+            )
+        )
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the node was asked to leave."""
+        return self.lifecycle.leaving
+
+    def handle(self, event: Event, now_s: float) -> list[Action]:
+        """Take one event; return the actions that follow, in order."""
+        return self._parts.handle(event, now_s)
+
+    def next_wakeup_s(self) -> float | None:
+        """Tell when the next `Woken` is due, or None."""
+        return self._parts.next_wakeup_s()
--- a/packages/entry/dandelionyoke_entry/_process.py
+++ b/packages/entry/dandelionyoke_entry/_process.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import secrets
 import signal
 import sys
 import time
@@ -44,7 +43,6 @@
 KEEPALIVE_S = 60.0
 MAX_URL_BYTES = 8192
 BACKLOG = 512
-INCARNATION_BYTES = 8
 
 # Answers that the node has ended are written out within this time.
 LAST_WRITES_S = 10.0
@@ -119,7 +117,7 @@
                 _url('http', self._callers),
                 _url('ws', self._peers),
             ),
-            incarnation=secrets.token_hex(INCARNATION_BYTES),
+            incarnation=int(time.time()),
             lifecycle=LifecycleSettings(settings.balancer_notice_s),
         )
 
--- a/packages/standins/dandelionyoke_standins/_attempt.py
+++ b/packages/standins/dandelionyoke_standins/_attempt.py
@@ -1,5 +1,6 @@
 """One attempt of an engine at an answer, and what it holds."""
 
+from collections.abc import Iterable
 from typing import Literal
 
 import attrs
@@ -14,6 +15,10 @@
 AttemptState = Literal['waiting', 'running', 'ended']
 
 
+def _as_tuple(tokens: Iterable[str]) -> tuple[str, ...]:
+    return tuple(tokens)
+
+
 @attrs.frozen
 class GenerateRequest:
     """What a caller of the engine asks for.
@@ -24,7 +29,9 @@
     attempt_id: str
     model: str
     prompt: str
-    resume_tokens: tuple[str, ...] = attrs.field(default=(), converter=tuple)
+    resume_tokens: tuple[str, ...] = attrs.field(
+        default=(), converter=_as_tuple
+    )
     max_output_tokens: int = 1024
     priority: int = 0
 
