Drive fifty whole nodes in virtual time, twice with one trace

Also: the callers' tests with a stock OpenAI client, the path's tests in real processes, and the launcher behind make serve and make demo.

--- a/packages/core/dandelionyoke_core/_actions.py
+++ b/packages/core/dandelionyoke_core/_actions.py
@@ -81,6 +81,7 @@
     leaving: bool
     in_progress: int
     live: tuple[InstanceId, ...]
+    usable_targets: int = 0
     duties: tuple[str, ...] = ()
 
 
--- a/packages/core/dandelionyoke_core/_assembly.py
+++ b/packages/core/dandelionyoke_core/_assembly.py
@@ -111,6 +111,7 @@
             self.configuration,
             self.keys,
             self.membership,
+            self.routing,
             lambda: self.leaving,
             lambda: self.request.in_progress,
         )
--- a/packages/core/dandelionyoke_core/_information.py
+++ b/packages/core/dandelionyoke_core/_information.py
@@ -9,6 +9,7 @@
     NodeStatus,
     RefuseCall,
 )
+from dandelionyoke_core._capacity import CapacityView
 from dandelionyoke_core._events import Event, ModelsAsked, StatusAsked
 from dandelionyoke_core._notices import DutyGained, DutyLost
 from dandelionyoke_core._ports import Authenticator, Directory, Output, Peers
@@ -34,6 +35,7 @@
         directory: Directory,
         authenticator: Authenticator,
         peers: Peers,
+        capacities: CapacityView,
         leaving: Callable[[], bool],
         in_progress: Callable[[], int],
     ) -> None:
@@ -41,6 +43,7 @@
         self._directory = directory
         self._authenticator = authenticator
         self._peers = peers
+        self._capacities = capacities
         self._leaving = leaving
         self._in_progress = in_progress
         self._duties: set[str] = set()
@@ -73,6 +76,12 @@
             event.request_id, tuple(models[name] for name in sorted(models))
         )
 
+    def _usable_targets(self, now_s: float) -> int:
+        return sum(
+            self._capacities.capacity(service, now_s).targets
+            for service in self._directory.snapshot.services
+        )
+
     def _status(self, now_s: float) -> NodeStatus:
         return NodeStatus(
             instance_id=self._own.instance_id,
@@ -82,5 +91,6 @@
             leaving=self._leaving(),
             in_progress=self._in_progress(),
             live=self._peers.live,
+            usable_targets=self._usable_targets(now_s),
             duties=tuple(sorted(self._duties)),
         )
--- a/packages/standins/dandelionyoke_standins/__init__.py
+++ b/packages/standins/dandelionyoke_standins/__init__.py
@@ -69,3 +69,16 @@
     TargetOrderAnswer as TargetOrderAnswer,
     TargetSettings as TargetSettings,
 )
+from dandelionyoke_standins._world import (
+    CallRecord as CallRecord,
+    World as World,
+    WorldSettings as WorldSettings,
+)
+from dandelionyoke_standins._world_setup import (
+    DeploymentPlan as DeploymentPlan,
+    EngineGroup as EngineGroup,
+    add_entry as add_entry,
+    commit as commit,
+    deploy as deploy,
+)
+from dandelionyoke_standins._world_targets import VirtualEngine as VirtualEngine
--- a/packages/standins/dandelionyoke_standins/_workload.py
+++ b/packages/standins/dandelionyoke_standins/_workload.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from dandelionyoke_core import ChatMessage, chat_prompt
 from dandelionyoke_standins._output import answer_text
 
 CallKind = Literal['completion', 'stream', 'chat', 'chat_stream', 'service']
@@ -52,12 +53,15 @@
     answer_tokens = chance.randint(most // 2, most)
     max_output_tokens = answer_tokens + SPARE_OUTPUT_TOKENS
     prompt = _prompt(number, words, answer_tokens, chance)
+    seen_by_engine = prompt
+    if kind.startswith('chat'):
+        seen_by_engine = chat_prompt([ChatMessage('user', prompt)])
     return LoadCall(
         number=number,
         kind=kind,
         prompt=prompt,
         max_output_tokens=max_output_tokens,
-        expected_text=answer_text(prompt, max_output_tokens),
+        expected_text=answer_text(seen_by_engine, max_output_tokens),
     )
 
 
--- a/packages/standins/dandelionyoke_standins/_world.py
+++ b/packages/standins/dandelionyoke_standins/_world.py
@@ -68,7 +68,7 @@
 from dandelionyoke_standins._world_targets import (
     Delivery,
     VirtualEngine,
-    call_plain,
+    take_plain,
     unreachable,
 )
 
@@ -425,7 +425,7 @@
         delay_s = self.settings.store_delay_s
         delay_s += self.platform.faults.delay_s
         self._send_later(instance_id, delay_s, event)
-        self._tell_watches()
+        self.tell_watches()
 
     def _watch(
         self, instance_id: InstanceId, action: StoreWatch, end_s: float
@@ -437,9 +437,9 @@
         watch = _Watch(instance_id, action)
         self._watches.append(watch)
         self.later(max(0, end_s - self.now_s), lambda: self._end_watch(watch))
-        self._tell_watches()
+        self.tell_watches()
 
-    def _tell_watches(self) -> None:
+    def tell_watches(self) -> None:
         """Answer the watches whose keys have changed."""
         for watch in tuple(self._watches):
             if self._changes(watch).items:
@@ -473,20 +473,16 @@
 
     def _target_takes(self, instance_id: InstanceId, action: Action) -> None:
         address = str(getattr(action, 'address', ''))
-        if isinstance(action, CallService):
-            model = self.plains.get(address)
-            if model is None:
-                self._unreachable(instance_id, action)
-                return
-            answer = call_plain(model, action, self.now_s)
-            deliveries = _to(instance_id, answer)
+        plain = self.plains.get(address)
+        engine = self.engines.get(address)
+        if not self._reaches_target(instance_id, address):
+            self._unreachable(instance_id, action)
+        elif engine is not None:
+            self._hand_out(engine.take(instance_id, action, self.now_s))
+        elif plain is not None:
+            self._hand_out(take_plain(plain, instance_id, action, self.now_s))
         else:
-            engine = self.engines.get(address)
-            if engine is None or not self._reaches_target(instance_id, address):
-                self._unreachable(instance_id, action)
-                return
-            deliveries = engine.take(instance_id, action, self.now_s)
-        self._hand_out(deliveries)
+            self._unreachable(instance_id, action)
 
     def _unreachable(self, instance_id: InstanceId, action: Action) -> None:
         event = unreachable(action)
@@ -593,10 +589,6 @@
     return operation_id
 
 
-def _to(instance_id: InstanceId, event: Event | None) -> list[Delivery]:
-    return [] if event is None else [Delivery(instance_id, event)]
-
-
 def _structured(
     records: Iterable[Any], record_type: type[Record]
 ) -> tuple[Record, ...]:
--- a/packages/standins/dandelionyoke_standins/_world_targets.py
+++ b/packages/standins/dandelionyoke_standins/_world_targets.py
@@ -42,6 +42,7 @@
 
 HTTP_OK = 200
 JSON_TYPE = 'application/json'
+PLAIN_INCARNATION = 'plain'
 
 
 @attrs.define
@@ -266,10 +267,24 @@
         )
 
 
-def call_plain(
+def take_plain(
+    model: PlainModel, node_id: str, action: Action, now_s: float
+) -> list[Delivery]:
+    """Take an action for a plain service; give what its node gets."""
+    event: Event | None = None
+    match action:
+        case CallService():
+            event = _call_plain(model, action, now_s)
+        case PollLoad():
+            report = LoadReport(action.target_id, PLAIN_INCARNATION, now_s)
+            event = LoadReported(action.target_id, report)
+    return [] if event is None else [Delivery(node_id, event)]
+
+
+def _call_plain(
     model: PlainModel, action: CallService, now_s: float
 ) -> Event | None:
-    """Run a call of a plain service; None when it stays silent."""
+    """Run a call; None when the service stays silent."""
     ids = (action.request_id, action.attempt_id)
     if model.faults.refuse:
         return AttemptRefused(*ids, model.faults.refuse)
--- /dev/null
+++ b/scripts/demo_configuration.py
@@ -0,0 +1,44 @@
+"""What the demo's operator declares, with two organisations and their keys."""
+
+import secrets
+
+import attrs
+
+from dandelionyoke_core import hash_key
+from dandelionyoke_operator import (
+    ApiKey,
+    Configuration,
+    Model,
+    Organisation,
+    Service,
+    ServiceKind,
+)
+
+KEY_BYTES = 24
+
+
+@attrs.frozen
+class DemoKeys:
+    """The bearer keys of the demo's organisations."""
+
+    routes: str = attrs.field(factory=lambda: secrets.token_urlsafe(KEY_BYTES))
+    depot: str = attrs.field(factory=lambda: secrets.token_urlsafe(KEY_BYTES))
+
+
+def demo_configuration(keys: DemoKeys) -> Configuration:
+    """Declare the demo's organisations, services and models."""
+    return Configuration.of(
+        Organisation('duka-routes', priority=7, weight=2),
+        Organisation('depot-clerks'),
+        ApiKey(hash_key(keys.routes), 'duka-routes', 'drivers'),
+        ApiKey(hash_key(keys.depot), 'depot-clerks', 'office'),
+        Service('route-assistant'),
+        Service('ledger-desk'),
+        Service(
+            'crate-ledger',
+            ServiceKind.PLAIN,
+            unrepeatable=('POST /confirm',),
+        ),
+        Model('crate-lm', 'route-assistant'),
+        Model('ledger-lm', 'ledger-desk'),
+    )
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -10,7 +10,8 @@
 import subprocess  # noqa: S404 - see above
 import sys
 import threading
-from collections.abc import Mapping, Sequence
+import time
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -20,6 +21,7 @@
 LOGS = ROOT / '.logs'
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
+POLL_S = 0.05
 SECRET = 'loopback-only-secret-of-the-demo'
 
 ENTRY_SETTINGS = """\
@@ -59,6 +61,11 @@
             if not line:
                 raise RuntimeError(f'{self.name} ended; see .logs/')
 
+    def lines_until_end(self) -> Iterator[str]:
+        """Yield each line of output until the process ends it."""
+        while line := self.lines.get():
+            yield line
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, unless the process has ended."""
         if self.process.poll() is None:
@@ -175,6 +182,45 @@
         running.address = running.await_line('READY ')
         return running
 
+    def start_load(self, *options: str) -> Running:
+        """Start the load driver."""
+        return self._start('load', 'dandelionyoke_standins', 'load', *options)
+
+    def configure(self, text: str, reason: str = 'set up') -> None:
+        """Put a configuration in force by the operator's command."""
+        file = LOGS / 'configuration.ini'
+        file.write_text(text)
+        self.operate('check', str(file))
+        self.operate(
+            'apply', str(file), '--reason', reason, '--author', 'launcher'
+        )
+
+    def operate(self, *arguments: str) -> str:
+        """Run the operator's command; return what it printed."""
+        program = pathlib.Path(sys.executable).parent / 'dandelionyoke'
+        ended = subprocess.run(  # noqa: S603 - our own program
+            [str(program), *arguments, '--platform', self.platform_url],
+            check=False,
+            capture_output=True,
+            text=True,
+            timeout=READY_TIMEOUT_S,
+        )
+        if ended.returncode:
+            raise RuntimeError(f'{arguments}: {ended.stdout}{ended.stderr}')
+        return ended.stdout
+
+    def await_targets(self) -> None:
+        """Wait until every entry reports all targets as usable."""
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        for entry in self.entries:
+            while self._usable_targets(entry) < len(self.targets):
+                if time.monotonic() > deadline_s:
+                    raise RuntimeError(f'{entry.name} sees too few targets')
+                time.sleep(POLL_S)
+
+    def _usable_targets(self, entry: Running) -> int:
+        return int(self.get(f'{entry.address}/status')['usable_targets'])
+
     def list_targets(self) -> None:
         """Tell the platform's stand-in which targets there are."""
         self.post(
@@ -189,7 +235,7 @@
         """Get JSON."""
         return self._pool.request('GET', url).json()
 
-    def stop(self) -> None:
+    def close(self) -> None:
         """End all that was started: entries first, so that they drain."""
         entries = [
             running for running in self._running if running in self.entries
--- /dev/null
+++ b/tests/core/test_node.py
@@ -0,0 +1,88 @@
+"""Whole nodes behind one `handle`, in virtual time from one seed."""
+
+import testtools
+
+from dandelionyoke_core import (
+    ApiKey,
+    Model,
+    ModelCalled,
+    Organisation,
+    Put,
+    RequestId,
+    Service,
+    ServiceCalled,
+    ServiceKind,
+    hash_key,
+)
+from dandelionyoke_standins import (
+    DeploymentPlan,
+    EngineGroup,
+    EngineSettings,
+    World,
+    answer_text,
+    commit,
+    deploy,
+)
+
+KEY = 'a key of the depot'
+OPERATIONS = (
+    Put(Organisation('depot')),
+    Put(ApiKey(hash_key(KEY), 'depot')),
+    Put(Service('assistant')),
+    Put(Service('ledger', ServiceKind.PLAIN, unrepeatable=('POST /confirm',))),
+    Put(Model('crate-lm', 'assistant')),
+)
+ENGINES = EngineGroup('assistant', 6, EngineSettings(models=('crate-lm',)))
+
+
+def run_nodes(seed: int, entries: int) -> World:
+    """Run a load through a fleet; each entry gets one call of each kind."""
+    world = World(seed)
+    plan = DeploymentPlan(
+        entries=entries, engines=(ENGINES,), plain_services=('ledger',)
+    )
+    names = deploy(world, plan)
+    commit(world, OPERATIONS)
+    world.run(8)
+    for name in names:
+        world.send(
+            name,
+            ModelCalled(
+                RequestId(f'{name}-model'), KEY, 'crate-lm', prompt(name), 64
+            ),
+        )
+        world.send(
+            name,
+            ServiceCalled(
+                RequestId(f'{name}-plain'),
+                KEY,
+                'ledger',
+                'POST',
+                '/confirm',
+                idempotency_key=f'empties of {name}',
+            ),
+        )
+    world.run(20)
+    return world
+
+
+def prompt(name: str) -> str:
+    """Ask for an answer that tells the call apart."""
+    return f'{name}: answer 20 tokens'
+
+
+class NodeTest(testtools.TestCase):
+    def test_fifty_nodes_answer_and_replay_from_their_seed(self) -> None:
+        worlds = [run_nodes(seed=11, entries=50) for _ in range(2)]
+        for request_id, call in worlds[0].calls.items():
+            if request_id.endswith('-plain'):
+                assert call.answered is not None, call
+                self.assertEqual(b'{"runs": 1}', call.answered.body)
+            else:
+                expected = answer_text(prompt(request_id[:-6]), 64)
+                self.assertEqual(expected, ''.join(call.tokens))
+        self.assertEqual(worlds[0].trace, worlds[1].trace)
+
+    def test_another_seed_is_another_run(self) -> None:
+        traces = {run_nodes(seed, entries=4).trace for seed in (1, 2)}
+        self.assertEqual(2, len(traces))
--- /dev/null
+++ b/tests/entry/fleet_case.py
@@ -0,0 +1,63 @@
+"""Tests that run against real processes on loopback."""
+
+from typing import Any, ClassVar
+
+import testtools
+import urllib3
+
+from scripts.demo_configuration import DemoKeys, demo_configuration
+from scripts.fleet import Deployment, Fleet
+
+TIMEOUT_S = 20.0
+
+
+class FleetCase(testtools.TestCase):
+    """One deployment for all tests of a class."""
+
+    deployment: ClassVar[Deployment] = Deployment(
+        engines={'route-assistant': 2, 'ledger-desk': 1}
+    )
+    fleet: ClassVar[Fleet]
+    keys: ClassVar[DemoKeys]
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        cls.fleet = Fleet()
+        cls.addClassCleanup(cls.fleet.close)
+        cls.keys = DemoKeys()
+        cls.fleet.deploy(cls.deployment)
+        cls.fleet.configure(str(demo_configuration(cls.keys)))
+        cls.fleet.await_targets()
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.http = urllib3.PoolManager(timeout=TIMEOUT_S, retries=False)
+        self.addCleanup(self.http.clear)
+
+    def call(
+        self,
+        path: str,
+        body: Any = None,
+        *,
+        entry: int = 0,
+        method: str = 'POST',
+        key: str | None = None,
+        **headers: str,
+    ) -> urllib3.BaseHTTPResponse:
+        """Call an entry with a good key, unless another is given."""
+        address = self.fleet.entries[entry].address
+        sent = {'Authorization': f'Bearer {key or self.keys.routes}'}
+        named = {name.replace('_', '-'): text for name, text in headers.items()}
+        return self.http.request(
+            method, f'{address}{path}', json=body, headers=sent | named
+        )
+
+    def target(self, target_id: str) -> str:
+        """Return the address of a target."""
+        found = [
+            target
+            for target in self.fleet.targets
+            if target['target_id'] == target_id
+        ]
+        return str(found[0]['address'])
--- /dev/null
+++ b/tests/entry/test_callers.py
@@ -0,0 +1,142 @@
+"""What callers meet: a stock OpenAI client, and input that is wrong."""
+
+import json
+import socket
+from urllib.parse import urlsplit
+
+import openai
+
+from dandelionyoke_standins import answer_text
+from tests.entry.fleet_case import TIMEOUT_S, FleetCase
+
+PROMPT = 'crate history of duka-la-juma: answer 12 tokens'
+EXPECTED = answer_text(PROMPT, 64)
+
+
+class OpenAIClientTest(FleetCase):
+    """A stock client library, pointed at an entry."""
+
+    def client(self, key: str | None = None) -> openai.OpenAI:
+        """Make a client that does not retry by itself."""
+        client = openai.OpenAI(
+            base_url=f'{self.fleet.entries[0].address}/v1',
+            api_key=key or self.keys.routes,
+            max_retries=0,
+            timeout=TIMEOUT_S,
+        )
+        self.addCleanup(client.close)
+        return client
+
+    def test_it_lists_models(self) -> None:
+        names = [model.id for model in self.client().models.list()]
+        self.assertEqual(['crate-lm', 'ledger-lm'], names)
+
+    def test_it_completes(self) -> None:
+        answer = self.client().completions.create(
+            model='crate-lm', prompt=PROMPT, max_tokens=64
+        )
+        self.assertEqual(EXPECTED, answer.choices[0].text)
+        self.assertEqual('stop', answer.choices[0].finish_reason)
+        assert answer.usage is not None
+        self.assertEqual(12, answer.usage.completion_tokens)
+
+    def test_it_streams_a_chat_with_usage(self) -> None:
+        stream = self.client().chat.completions.create(
+            model='crate-lm',
+            messages=[{'role': 'user', 'content': PROMPT}],
+            max_tokens=64,
+            stream=True,
+            stream_options={'include_usage': True},
+        )
+        chunks = list(stream)
+        text = ''.join(
+            choice.delta.content or ''
+            for chunk in chunks
+            for choice in chunk.choices
+        )
+        self.assertEqual(answer_text(f'user: {PROMPT}\nassistant:', 64), text)
+        assert chunks[-1].usage is not None
+        self.assertEqual(12, chunks[-1].usage.completion_tokens)
+
+    def test_it_gets_its_usual_errors(self) -> None:
+        chat = {'messages': [{'role': 'user', 'content': 'x'}]}
+        for key, model, error in (
+            ('wrong', 'crate-lm', openai.AuthenticationError),
+            (None, 'no-such-model', openai.NotFoundError),
+        ):
+            completions = self.client(key).chat.completions
+            self.assertRaises(error, completions.create, model=model, **chat)
+        raised = self.assertRaises(
+            openai.BadRequestError,
+            self.client().completions.create,
+            model='crate-lm',
+            prompt=PROMPT,
+            max_tokens=0,
+        )
+        self.assertIn('Send a whole number', str(raised))
+
+
+class WrongInputTest(FleetCase):
+    """Whatever comes, the answer is clear and the entry serves on."""
+
+    def test_a_wrong_body_is_refused_with_its_remedy(self) -> None:
+        for body in (b'', b'{', b'\xff\xfe', b'[]', b'{"model": "crate-lm"}'):
+            answer = self.raw_post(body)
+            problem = json.loads(answer.data)
+            self.assertEqual(400, answer.status)
+            self.assertEqual('no', problem['run'])
+            self.assertNotEqual('', problem['remedy'])
+
+    def test_a_body_over_the_limit_is_refused(self) -> None:
+        answer = self.raw_post(b' ' * 4_194_305)
+        self.assertEqual(413, answer.status)
+
+    def test_an_unknown_path_is_refused(self) -> None:
+        self.assertEqual(404, self.call('/v2/anything').status)
+
+    def test_a_header_without_end_closes_the_connection(self) -> None:
+        """A caller sends a header line that never ends. Without a bound it
+        would hold a worker and its memory for good."""
+        answer = self.exchange(b'GET /v1/models HTTP/1.1\r\nX: ', b'x' * 65_536)
+        self.assertIn(b' 400 ', answer.split(b'\r\n')[0])
+        self.assert_still_serving(answer)
+
+    def test_a_body_that_stops_halfway_leaves_no_worker_stuck(self) -> None:
+        """A caller announces a body, sends a part and closes. The entry must
+        not wait for the rest, nor print a traceback to whoever is next."""
+        head = b'POST /v1/completions HTTP/1.1\r\nContent-Length: 500\r\n\r\n{'
+        self.assert_still_serving(self.exchange(head))
+
+    def test_a_line_that_is_no_http_gets_an_error(self) -> None:
+        self.assert_still_serving(self.exchange(b'\x16\x03\x01\r\n\r\n'))
+
+    def raw_post(self, body: bytes):  # type: ignore[no-untyped-def]
+        """Post bytes as they are."""
+        return self.http.request(
+            'POST',
+            f'{self.fleet.entries[0].address}/v1/completions',
+            body=body,
+            headers={'Authorization': f'Bearer {self.keys.routes}'},
+        )
+
+    def exchange(self, *pieces: bytes) -> bytes:
+        """Send bytes, close the sending side, and read to the end."""
+        parts = urlsplit(self.fleet.entries[0].address)
+        address = (parts.hostname, parts.port)
+        with socket.create_connection(address, timeout=TIMEOUT_S) as sock:
+            received = b''
+            try:
+                for piece in pieces:
+                    sock.sendall(piece)
+                sock.shutdown(socket.SHUT_WR)
+                while chunk := sock.recv(65_536):
+                    received += chunk
+            except ConnectionError:
+                return received
+        return received
+
+    def assert_still_serving(self, answer: bytes) -> None:
+        """No traceback went out, and the entry still answers."""
+        self.assertNotIn(b'Traceback', answer)
+        models = self.call('/v1/models', method='GET')
+        self.assertEqual(200, models.status)
--- /dev/null
+++ b/tests/entry/test_path.py
@@ -0,0 +1,88 @@
+"""The whole path in separate processes, from the operator to the engine."""
+
+import json
+import signal
+import threading
+
+from dandelionyoke_standins import answer_text
+from tests.entry.fleet_case import FleetCase
+
+
+class PathTest(FleetCase):
+    """Requests through real entries to stand-ins and back."""
+
+    def test_both_entries_answer_whole(self) -> None:
+        for entry in (0, 1):
+            prompt = f'question {entry}: answer 9 tokens'
+            answer = self.call(
+                '/v1/completions',
+                {'model': 'ledger-lm', 'prompt': prompt},
+                entry=entry,
+            )
+            choice = json.loads(answer.data)['choices'][0]
+            self.assertEqual(answer_text(prompt, 64), choice['text'])
+
+    def test_a_stream_brings_each_token_once_in_order(self) -> None:
+        prompt = 'stream: answer 40 tokens'
+        answer = self.call(
+            '/v1/completions',
+            {'model': 'crate-lm', 'prompt': prompt, 'stream': True},
+        )
+        events = answer.data.decode().split('\n\n')
+        self.assertEqual(['data: [DONE]', ''], events[-2:])
+        chunks = [json.loads(one.removeprefix('data: ')) for one in events[:-2]]
+        text = ''.join(chunk['choices'][0]['text'] for chunk in chunks)
+        self.assertEqual(answer_text(prompt, 64), text)
+
+    def test_a_confirmation_runs_once_through_both_entries(self) -> None:
+        for entry in (0, 1, 0):
+            answer = self.call(
+                '/services/crate-ledger/confirm',
+                {'returned': 4},
+                entry=entry,
+                Idempotency_Key='empties-17',
+            )
+            self.assertEqual({'runs': 1}, json.loads(answer.data))
+        runs = self.fleet.get(f'{self.target("crate-ledger-0")}/standin/runs')
+        self.assertEqual(1, runs['runs']['empties-17'])
+
+    def test_a_confirmation_without_its_key_names_the_remedy(self) -> None:
+        answer = self.call('/services/crate-ledger/confirm', {'returned': 4})
+        self.assertEqual(400, answer.status)
+        self.assertIn('Idempotency-Key', json.loads(answer.data)['remedy'])
+
+    def test_no_target_sees_a_callers_key(self) -> None:
+        self.call(
+            '/services/crate-ledger/confirm', {}, Idempotency_Key='key-check'
+        )
+        address = self.target('crate-ledger-0')
+        record = json.dumps(self.fleet.get(f'{address}/standin/record'))
+        self.assertNotIn(self.keys.routes, record)
+        self.assertNotIn('"has_caller_key": true', record)
+
+
+class ShutdownTest(FleetCase):
+    """SIGTERM in the middle of a stream."""
+
+    def test_sigterm_lets_a_stream_finish(self) -> None:
+        """An operator replaces an entry while a driver reads a long answer.
+        The driver must get it whole, and the process must end by itself."""
+        prompt = 'long one: answer 90 tokens'
+        got: list[bytes] = []
+        caller = threading.Thread(
+            target=lambda: got.append(
+                self.call(
+                    '/v1/completions',
+                    {'model': 'crate-lm', 'prompt': prompt, 'stream': True},
+                ).data
+            )
+        )
+        caller.start()
+        entry = self.fleet.entries[0]
+        while not self.fleet.get(f'{entry.address}/status')['in_progress']:
+            continue
+        entry.signal(signal.SIGTERM)
+        caller.join()
+        self.assertEqual(0, entry.wait())
+        self.assertIn(b'[DONE]', got[0])
+        self.assertEqual(90, got[0].count(b'"text": "w'))
