--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -38,6 +38,20 @@
     SubmitUsage as SubmitUsage,
     WriteLog as WriteLog,
 )
+from dandelionyoke_core._admission import (
+    AdmissionPart as AdmissionPart,
+)
+from dandelionyoke_core._admission_settings import (
+    AdmissionSettings as AdmissionSettings,
+)
+from dandelionyoke_core._assembly import (
+    Node as Node,
+    NodeSettings as NodeSettings,
+)
+from dandelionyoke_core._capacity import (
+    CapacityView as CapacityView,
+    ServiceCapacity as ServiceCapacity,
+)
 from dandelionyoke_core._changes import (
     Problem as Problem,
     apply_change as apply_change,
@@ -48,6 +62,9 @@
     ChatMessage as ChatMessage,
     chat_prompt as chat_prompt,
 )
+from dandelionyoke_core._claims import (
+    OnceSettings as OnceSettings,
+)
 from dandelionyoke_core._codec import (
     message_from_mapping as message_from_mapping,
     message_to_mapping as message_to_mapping,
@@ -55,14 +72,12 @@
     record_to_json as record_to_json,
 )
 from dandelionyoke_core._commit import (
-    CommitOutcome as CommitOutcome,
     Committed as Committed,
     Committer as Committer,
     ConfigurationLoader as ConfigurationLoader,
     Conflicted as Conflicted,
     Head as Head,
     Loaded as Loaded,
-    LoadOutcome as LoadOutcome,
     Proposal as Proposal,
     Rejected as Rejected,
     StoreLayoutSettings as StoreLayoutSettings,
@@ -145,9 +160,15 @@
 from dandelionyoke_core._knowledge import (
     KnowledgeSettings as KnowledgeSettings,
 )
+from dandelionyoke_core._lifecycle import (
+    LifecycleSettings as LifecycleSettings,
+)
 from dandelionyoke_core._links import (
     LinkSettings as LinkSettings,
 )
+from dandelionyoke_core._load_estimate import (
+    EngineSpeed as EngineSpeed,
+)
 from dandelionyoke_core._membership import (
     MembershipPart as MembershipPart,
     MembershipSettings as MembershipSettings,
@@ -198,6 +219,12 @@
     TargetCrashed as TargetCrashed,
     TargetLeaving as TargetLeaving,
 )
+from dandelionyoke_core._observation import (
+    LoadShared as LoadShared,
+)
+from dandelionyoke_core._once import (
+    OncePart as OncePart,
+)
 from dandelionyoke_core._ports import (
     Admitted as Admitted,
     Admitter as Admitter,
@@ -215,6 +242,10 @@
     Router as Router,
     Ticket as Ticket,
 )
+from dandelionyoke_core._quarantine import (
+    QuarantinePart as QuarantinePart,
+    QuarantineSettings as QuarantineSettings,
+)
 from dandelionyoke_core._records import (
     CacheEvent as CacheEvent,
     EngineOrder as EngineOrder,
@@ -247,6 +278,18 @@
 from dandelionyoke_core._rendezvous import (
     rendezvous as rendezvous,
 )
+from dandelionyoke_core._request import (
+    RequestPart as RequestPart,
+)
+from dandelionyoke_core._request_settings import (
+    RequestSettings as RequestSettings,
+)
+from dandelionyoke_core._routing import (
+    RoutingPart as RoutingPart,
+)
+from dandelionyoke_core._routing_settings import (
+    RoutingSettings as RoutingSettings,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
--- a/packages/core/dandelionyoke_core/_configuration.py
+++ b/packages/core/dandelionyoke_core/_configuration.py
@@ -165,8 +165,8 @@
 
     def _is_watcher(self) -> bool:
         watchers = rendezvous(
-            self._watch_topic,
             self._peers.live_in_domain,
+            self._watch_topic,
             self._settings.watchers_in_domain,
         )
         return self._instance_id in watchers
--- a/packages/core/dandelionyoke_core/_topology.py
+++ b/packages/core/dandelionyoke_core/_topology.py
@@ -69,5 +69,5 @@
     for number in range(min(count, others)):
         skipped = (place * count + number) % others
         domain = order[(start + skipped) % len(order)]
-        chosen.extend(rendezvous(own.instance_id, domains[domain], 1))
+        chosen.extend(rendezvous(domains[domain], own.instance_id, 1))
     return chosen
