--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -4,6 +4,7 @@
 nothing under `packages/` starts any, and a test sees to that.
 """
 
+import os
 import pathlib
 import queue
 import signal
@@ -51,6 +52,14 @@
     )
     address: str = ''
     second_address: str = ''
+    service: str = ''
+    domain: str = ''
+    kind: str = ''
+
+    def await_ready(self) -> str:
+        """Wait until the process listens; return its address."""
+        self.address = self.address or self.await_line('READY ')
+        return self.address
 
     def await_line(self, word: str) -> str:
         """Wait for a line that starts with a word; return the rest."""
@@ -109,45 +118,61 @@
     def deploy(self, deployment: Deployment) -> None:
         """Start the platform, the targets and the entries."""
         platform = self.start_standin('platform', 'platform', '--lag-s', '0.2')
-        self.platform_url = platform.address
-        for service, count in deployment.engines.items():
-            for number in range(count):
-                domain = deployment.domains[number % len(deployment.domains)]
-                self.start_engine(
-                    service, number, domain, deployment.models[service]
-                )
-        for service in deployment.plain_services:
-            self.start_plain(service, deployment.domains[0])
+        # All begin before the first is waited for: each start takes a second.
+        targets = [
+            self._begin_engine(service, number, deployment)
+            for service, count in deployment.engines.items()
+            for number in range(count)
+        ]
+        targets.extend(
+            self._begin_plain(service, deployment.domains[0])
+            for service in deployment.plain_services
+        )
+        self.platform_url = platform.await_ready()
+        entries = [
+            self._begin_entry(
+                f'entry-{number + 1}',
+                deployment.domains[number % len(deployment.domains)],
+            )
+            for number in range(deployment.entries)
+        ]
+        for target in targets:
+            self._note_target(target)
         self.list_targets()
-        for number in range(deployment.entries):
-            domain = deployment.domains[number % len(deployment.domains)]
-            self.start_entry(f'entry-{number + 1}', domain)
+        for entry in entries:
+            self._list_entry(entry)
 
-    def start_engine(
-        self, service: str, number: int, domain: str, model: str, *more: str
+    def start_entry(self, instance_id: str, domain: str) -> Running:
+        """Start an entry and list it at the platform."""
+        running = self._begin_entry(instance_id, domain)
+        self._list_entry(running)
+        return running
+
+    def start_standin(self, name: str, kind: str, *options: str) -> Running:
+        """Start a stand-in."""
+        return self._start(name, 'dandelionyoke_standins', kind, *options)
+
+    def _begin_engine(
+        self, service: str, number: int, deployment: Deployment
     ) -> Running:
-        """Start an engine and note it as a target."""
-        target_id = f'{service}-{number}'
+        name = f'{service}-{number}'
+        model = deployment.models[service]
         running = self.start_standin(
-            target_id,
-            'engine',
-            '--engine-id',
-            target_id,
-            '--model',
-            model,
-            *more,
+            name, 'engine', '--engine-id', name, '--model', model
         )
-        self._note_target(running, service, domain, 'engine')
+        running.service = service
+        running.domain = deployment.domains[number % len(deployment.domains)]
+        running.kind = 'engine'
         return running
 
-    def start_plain(self, service: str, domain: str) -> Running:
-        """Start a plain service and note it as a target."""
+    def _begin_plain(self, service: str, domain: str) -> Running:
         running = self.start_standin(f'{service}-0', 'plain')
-        self._note_target(running, service, domain, 'plain')
+        running.service = service
+        running.domain = domain
+        running.kind = 'plain'
         return running
 
-    def start_entry(self, instance_id: str, domain: str) -> Running:
-        """Start an entry and list it at the platform."""
+    def _begin_entry(self, instance_id: str, domain: str) -> Running:
         settings = LOGS / f'{instance_id}.ini'
         settings.write_text(
             ENTRY_SETTINGS.format(
@@ -161,26 +186,36 @@
         running = self._start(
             instance_id, 'dandelionyoke_entry', '--settings', str(settings)
         )
-        running.address = running.await_line('READY ')
+        running.domain = domain
+        return running
+
+    def _list_entry(self, running: Running) -> None:
+        running.await_ready()
         running.second_address = running.await_line('PEERS ')
         self.post(
             f'{self.platform_url}/instances',
             {
-                'instance_id': instance_id,
-                'domain': domain,
+                'instance_id': running.name,
+                'domain': running.domain,
                 'caller_address': running.address,
                 'peer_address': running.second_address,
                 'state': 'live',
             },
         )
         self.entries.append(running)
-        return running
 
-    def start_standin(self, name: str, kind: str, *options: str) -> Running:
-        """Start a stand-in and wait until it listens."""
-        running = self._start(name, 'dandelionyoke_standins', kind, *options)
-        running.address = running.await_line('READY ')
-        return running
+    def _note_target(self, running: Running) -> None:
+        self.targets.append(
+            {
+                'target_id': running.name,
+                'service': running.service,
+                'domain': running.domain,
+                'address': running.await_ready(),
+                'kind': running.kind,
+                'reclaimable': False,
+                'state': 'live',
+            }
+        )
 
     def start_load(self, *options: str) -> Running:
         """Start the load driver."""
@@ -199,8 +234,9 @@
         """Run the operator's command; return what it printed."""
         program = pathlib.Path(sys.executable).parent / 'dandelionyoke'
         ended = subprocess.run(  # noqa: S603 - our own program
-            [str(program), *arguments, '--platform', self.platform_url],
+            [str(program), *arguments],
             check=False,
+            env={**os.environ, 'DANDELIONYOKE_PLATFORM': self.platform_url},
             capture_output=True,
             text=True,
             timeout=READY_TIMEOUT_S,
@@ -258,21 +294,6 @@
             running.process.kill()
             running.wait()
 
-    def _note_target(
-        self, running: Running, service: str, domain: str, kind: str
-    ) -> None:
-        self.targets.append(
-            {
-                'target_id': running.name,
-                'service': service,
-                'domain': domain,
-                'address': running.address,
-                'kind': kind,
-                'reclaimable': False,
-                'state': 'live',
-            }
-        )
-
     def _start(self, name: str, module: str, *arguments: str) -> Running:
         with (LOGS / f'{name}.log').open('w') as log:
             process = subprocess.Popen(  # noqa: S603 - our own modules
--- a/tests/entry/test_path.py
+++ b/tests/entry/test_path.py
@@ -8,6 +8,14 @@
 from tests.entry.fleet_case import FleetCase
 
 
+def streamed_text(raw: bytes) -> str:
+    """Join a whole stream's text; a stream without its end is an error."""
+    *events, done, rest = raw.decode().split('\n\n')
+    assert (done, rest) == ('data: [DONE]', ''), raw[-200:]
+    chunks = [json.loads(one.removeprefix('data: ')) for one in events]
+    return ''.join(chunk['choices'][0]['text'] for chunk in chunks)
+
+
 class PathTest(FleetCase):
     """Requests through real entries to stand-ins and back."""
 
@@ -28,11 +36,7 @@
             '/v1/completions',
             {'model': 'crate-lm', 'prompt': prompt, 'stream': True},
         )
-        events = answer.data.decode().split('\n\n')
-        self.assertEqual(['data: [DONE]', ''], events[-2:])
-        chunks = [json.loads(one.removeprefix('data: ')) for one in events[:-2]]
-        text = ''.join(chunk['choices'][0]['text'] for chunk in chunks)
-        self.assertEqual(answer_text(prompt, 64), text)
+        self.assertEqual(answer_text(prompt, 64), streamed_text(answer.data))
 
     def test_a_confirmation_runs_once_through_both_entries(self) -> None:
         for entry in (0, 1, 0):
@@ -84,5 +88,4 @@
         entry.signal(signal.SIGTERM)
         caller.join()
         self.assertEqual(0, entry.wait())
-        self.assertIn(b'[DONE]', got[0])
-        self.assertEqual(90, got[0].count(b'"text": "w'))
+        self.assertEqual(answer_text(prompt, 128), streamed_text(got[0]))
