--- a/Makefile
+++ b/Makefile
@@ -11,11 +11,12 @@
 	@echo "make demo | test | serve | lint | format | measure | clean"
 
 $(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
-	$(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
-		--no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
-	touch $@
+	@echo "setting up $(VENV)" >&2
+	@$(PYTHON) -m venv $(VENV)
+	@$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt >&2
+	@$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+		--no-deps --no-build-isolation $(PACKAGES:%=-e packages/%) >&2
+	@touch $@
 
 install: $(VENV)/.installed
 
--- a/packages/wire/dandelionyoke_wire/_callers.py
+++ b/packages/wire/dandelionyoke_wire/_callers.py
@@ -50,6 +50,7 @@
 REQUEST_ID_BYTES = 9
 JSON_TYPE = 'application/json'
 SERVICES_PREFIX = '/services/'
+VERSION_PREFIX = '/v1'
 
 
 @attrs.frozen
@@ -121,17 +122,17 @@
         environ: Environ,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
-        path = environ['PATH_INFO']
+        path = _path(environ)
         method = environ['REQUEST_METHOD']
         if path.startswith(SERVICES_PREFIX):
             event = self._service_call(request_id, environ)
             return _send(start_response, self._ask(event, environ))
         match (method, path):
-            case ('POST', '/v1/chat/completions'):
+            case ('POST', '/chat/completions'):
                 return self._model(request_id, environ, start_response, True)
-            case ('POST', '/v1/completions'):
+            case ('POST', '/completions'):
                 return self._model(request_id, environ, start_response, False)
-            case ('GET', '/v1/models'):
+            case ('GET', '/models'):
                 asked = ModelsAsked(request_id, _bearer_key(environ))
                 return _send(start_response, self._ask(asked, environ))
             case ('GET', '/status'):
@@ -157,7 +158,7 @@
     def _service_call(
         self, request_id: RequestId, environ: Environ
     ) -> ServiceCalled:
-        below = environ['PATH_INFO'].removeprefix(SERVICES_PREFIX)
+        below = _path(environ).removeprefix(SERVICES_PREFIX)
         service_name, _, path = below.partition('/')
         query = environ.get('QUERY_STRING')
         return ServiceCalled(
@@ -400,6 +401,12 @@
         return f'{status:d} Unknown'
 
 
+def _path(environ: Environ) -> str:
+    """Return the path; client libraries differ on whether they add /v1."""
+    path: str = environ['PATH_INFO']
+    return path.removeprefix(VERSION_PREFIX)
+
+
 def _bearer_key(environ: Environ) -> str:
     scheme, _, key = environ.get('HTTP_AUTHORIZATION', '').partition(' ')
     return key.strip() if scheme.lower() == 'bearer' else ''
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -108,7 +108,7 @@
 
     def __init__(self, balancer_notice_s: float = 0.2) -> None:
         self._balancer_notice_s = balancer_notice_s
-        self._running: list[Running] = []
+        self.running: list[Running] = []
         self.platform_url = ''
         self.entries: list[Running] = []
         self.targets: list[dict[str, object]] = []
@@ -230,7 +230,7 @@
             'apply', str(file), '--reason', reason, '--author', 'launcher'
         )
 
-    def operate(self, *arguments: str) -> str:
+    def operate(self, *arguments: str, statuses: Sequence[int] = (0,)) -> str:
         """Run the operator's command; return what it printed."""
         program = pathlib.Path(sys.executable).parent / 'dandelionyoke'
         ended = subprocess.run(  # noqa: S603 - our own program
@@ -241,7 +241,7 @@
             text=True,
             timeout=READY_TIMEOUT_S,
         )
-        if ended.returncode:
+        if ended.returncode not in statuses:
             raise RuntimeError(f'{arguments}: {ended.stdout}{ended.stderr}')
         return ended.stdout
 
@@ -274,18 +274,16 @@
     def close(self) -> None:
         """End all that was started: entries first, so that they drain."""
         entries = [
-            running for running in self._running if running in self.entries
-        ]
-        others = [
-            running for running in self._running if running not in entries
+            running for running in self.running if running in self.entries
         ]
+        others = [running for running in self.running if running not in entries]
         for group in (entries, others):
             for running in group:
                 running.signal(signal.SIGCONT)
                 running.signal(signal.SIGTERM)
             for running in group:
                 self._end(running)
-        self._running.clear()
+        self.running.clear()
 
     def _end(self, running: Running) -> None:
         try:
@@ -304,7 +302,7 @@
                 start_new_session=True,
             )
         running = Running(name, process)
-        self._running.append(running)
+        self.running.append(running)
         threading.Thread(target=_pump, args=(running,), daemon=True).start()
         return running
 
--- a/scripts/launch.py
+++ b/scripts/launch.py
@@ -46,7 +46,7 @@
     """Tell where to call, one line for each entry and organisation."""
     for key in (keys.routes, keys.depot):
         for entry in fleet.entries:
-            sys.stdout.write(f'BASE_URL={entry.address}/v1 API_KEY={key}\n')
+            sys.stdout.write(f'BASE_URL={entry.address} API_KEY={key}\n')
     sys.stdout.flush()
 
 
--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -27,6 +27,13 @@
         self.addCleanup(client.close)
         return client
 
+    def test_it_may_leave_the_version_out(self) -> None:
+        client = openai.OpenAI(
+            base_url=self.fleet.entries[0].address, api_key=self.keys.routes
+        )
+        self.addCleanup(client.close)
+        self.assertEqual(2, len(list(client.models.list())))
+
     def test_it_lists_models(self) -> None:
         names = [model.id for model in self.client().models.list()]
         self.assertEqual(['crate-lm', 'ledger-lm'], names)
