Add a cuttable link, and run the stand-ins' calls as processes

The failure tests need connections that are reset, silenced or swallowed, so a relay does that on command. The platform now counts and limits calls per group of kinds and is entered through one pair of methods, so that a driver in virtual time meets the same faults as a caller over HTTP. The engine's changes by order and its memory of attempts are modules of their own. A stream tells at once that its attempt is accepted: before, its headers waited for the first token.

--- a/packages/standins/dandelionyoke_standins/__init__.py
+++ b/packages/standins/dandelionyoke_standins/__init__.py
@@ -48,7 +48,6 @@
     answer_plan as answer_plan,
     answer_text as answer_text,
     output_token as output_token,
-    output_tokens as output_tokens,
 )
 from dandelionyoke_standins._platform import (
     Instance as Instance,
--- a/packages/standins/dandelionyoke_standins/__main__.py
+++ b/packages/standins/dandelionyoke_standins/__main__.py
@@ -1,6 +1,12 @@
 """Run a stand-in: `python -m dandelionyoke_standins <kind>`."""
 
-import eventlet
+import os
+
+# Addresses are numbers here. Without its own resolver eventlet starts in
+# half the time.
+os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
+
+import eventlet  # noqa: E402 its environment comes first
 
 eventlet.monkey_patch()
 
--- a/packages/standins/dandelionyoke_standins/_attempt.py
+++ b/packages/standins/dandelionyoke_standins/_attempt.py
@@ -5,11 +5,7 @@
 import attrs
 
 from dandelionyoke_core import BLOCK_TOKENS, prefix_blocks, split_tokens
-from dandelionyoke_standins._output import (
-    AnswerPlan,
-    answer_plan,
-    output_tokens,
-)
+from dandelionyoke_standins._output import AnswerPlan, answer_plan
 
 AttemptState = Literal['waiting', 'running', 'ended']
 
@@ -119,12 +115,16 @@
         """Name the whole blocks of the context as it is now."""
         self.context_names = prefix_blocks((*self.prompt_tokens, *self.output))
 
+    def computed_names(self) -> tuple[str, ...]:
+        """Name the blocks whose KV is there."""
+        if self.pending_tokens:
+            return self.held_names
+        self.name_context()
+        return self.context_names
+
     def emit(self) -> None:
         """Put out the next token."""
-        offset = len(self.output)
-        self.output.extend(
-            output_tokens(self.request.prompt, offset, offset + 1)
-        )
+        self.output.append(self.plan.token(len(self.output)))
         self.computed_tokens = self.context_tokens
 
     def output_from(self, offset: int) -> Output:
--- a/packages/standins/dandelionyoke_standins/_batch.py
+++ b/packages/standins/dandelionyoke_standins/_batch.py
@@ -60,8 +60,12 @@
     @property
     def pending_tokens(self) -> int:
         """Prompt tokens that are still to be computed."""
-        everyone = (*self.waiting, *self.running)
-        return sum(attempt.pending_tokens for attempt in everyone)
+        return sum(attempt.pending_tokens for attempt in self.in_progress)
+
+    @property
+    def in_progress(self) -> tuple[Attempt, ...]:
+        """What runs and what waits."""
+        return (*self.running, *self.waiting)
 
     @property
     def is_idle(self) -> bool:
--- a/packages/standins/dandelionyoke_standins/_command.py
+++ b/packages/standins/dandelionyoke_standins/_command.py
@@ -16,6 +16,7 @@
 from dandelionyoke_standins._engine_orders import ROLES, OrderTimes
 from dandelionyoke_standins._engine_report import ReportSettings
 from dandelionyoke_standins._http import announce, wait_for_stop
+from dandelionyoke_standins._link import Link, LinkSettings
 from dandelionyoke_standins._load import LoadDriver, LoadSettings, report_load
 from dandelionyoke_standins._plain import PlainModel, PlainShell
 from dandelionyoke_standins._platform import PlatformModel, PlatformSettings
@@ -55,7 +56,10 @@
     options = _parser().parse_args()
     if options.kind == 'load':
         return report_load(LoadDriver(_load_settings(options)).run())
-    _serve(_shell(options))
+    if options.kind == 'link':
+        _serve_link(_link_settings(options))
+    else:
+        _serve(_shell(options))
     return 0
 
 
@@ -65,6 +69,14 @@
     wait_for_stop()
 
 
+def _serve_link(settings: LinkSettings) -> None:
+    link = Link(settings)
+    link.start()
+    announce(f'READY {link.address}')
+    link.announce_control()
+    wait_for_stop()
+
+
 def _shell(options: Options) -> Shell:
     if options.kind == 'platform':
         model = PlatformModel(_platform_settings(options))
@@ -75,6 +87,7 @@
     engine = EngineModel(
         _engine_settings(options), random.Random(seed), time.monotonic()
     )
+    engine.faults.crash_on = options.crash_on
     return EngineShell(engine, options.port)
 
 
@@ -86,6 +99,7 @@
     _add_platform(_long_running(kinds, 'platform'))
     _add_engine(_long_running(kinds, 'engine'))
     _long_running(kinds, 'plain').add_argument('--engine-id', default='plain')
+    _add_link(_long_running(kinds, 'link'))
     _add_load(kinds.add_parser('load', help='send a load, check the answers'))
     return parser
 
@@ -103,15 +117,11 @@
     parser.add_argument('--boot-s', type=float, default=3)
     parser.add_argument('--leave-s', type=float, default=5)
     parser.add_argument('--invent-addresses', action='store_true')
-    parser.add_argument('--max-reads-per-s', type=int)
-    parser.add_argument('--max-writes-per-s', type=int)
+    parser.add_argument('--max-reads-per-s', type=int, default=2000)
+    parser.add_argument('--max-writes-per-s', type=int, default=500)
 
 
 def _platform_settings(options: Options) -> PlatformSettings:
-    limits = {
-        'read': options.max_reads_per_s,
-        'write': options.max_writes_per_s,
-    }
     return PlatformSettings(
         lag_s=options.lag_s,
         targets=TargetSettings(
@@ -120,7 +130,8 @@
             is_inventing=options.invent_addresses,
         ),
         limits_per_s={
-            kind: limit for kind, limit in limits.items() if limit is not None
+            'store_reads': options.max_reads_per_s,
+            'store_writes': options.max_writes_per_s,
         },
     )
 
@@ -128,6 +139,7 @@
 def _add_engine(parser: argparse.ArgumentParser) -> None:
     parser.add_argument('--engine-id', default='engine')
     parser.add_argument('--model', action='append', dest='models')
+    parser.add_argument('--crash-on', default='')
     parser.add_argument('--role', choices=ROLES, default='mixed')
     parser.add_argument(
         '--fencing', choices=('check', 'ignore'), default='check'
@@ -156,11 +168,21 @@
     )
 
 
+def _add_link(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--to', required=True, help='host:port')
+    parser.add_argument('--control-port', type=int, default=0)
+
+
+def _link_settings(options: Options) -> LinkSettings:
+    host, _, port = options.to.rpartition(':')
+    return LinkSettings(host, int(port), options.port, options.control_port)
+
+
 def _add_load(parser: argparse.ArgumentParser) -> None:
     defaults = attrs.fields_dict(LoadSettings)
     parser.add_argument('--entry', action='append', required=True)
     parser.add_argument('--api-key', action='append', required=True)
-    parser.add_argument('--model', required=True)
+    parser.add_argument('--model', action='append', required=True)
     parser.add_argument('--service', default='')
     parser.add_argument(
         '--call-kind', action='append', choices=CALL_KINDS, dest='call_kinds'
@@ -184,7 +206,7 @@
     return LoadSettings(
         entries=tuple(options.entry),
         api_keys=tuple(options.api_key),
-        model=options.model,
+        models=tuple(options.model),
         service=options.service,
         kinds=kinds,
         count=options.count,
--- a/packages/standins/dandelionyoke_standins/_engine.py
+++ b/packages/standins/dandelionyoke_standins/_engine.py
@@ -2,9 +2,7 @@
 
 import itertools
 import random
-from collections import deque
 from collections.abc import Iterable
-from typing import cast
 
 import attrs
 
@@ -14,6 +12,7 @@
     Output,
     StreamEnd,
 )
+from dandelionyoke_standins._attempt_book import AttemptBook
 from dandelionyoke_standins._batch import Batch, BatchSettings, Role
 from dandelionyoke_standins._blocks import (
     BlockPool,
@@ -36,15 +35,13 @@
     record_attempt,
 )
 from dandelionyoke_standins._errors import MissingError, NotRunError
+from dandelionyoke_standins._serving import Serving
 
 STEP_S = 0.02
 REST_STEP_S = 0.1
-MAX_RECORDS = 200_000
 RETRY_FULL_S = 1.0
 RETRY_DRAINING_S = 5.0
 CAUSE_CANCELLED = 'cancelled'
-INSTANT_ORDERS = ('drain', 'undrain')
-CLEARING_ORDERS = ('role', 'set_version')
 
 
 @attrs.frozen
@@ -95,34 +92,23 @@
         self.faults = EngineFaults()
         self.is_crashed = False
         self.incarnation = f'{chance.getrandbits(64):016x}'
-        self.role: Role = settings.role
-        self.models = list(settings.models)
-        self.version = ''
-        self.drain_order_id: str | None = None
+        self.serving = Serving(settings.role, settings.models)
         self._now_s = now_s
         self._log = CacheEventLog(settings.events, chance)
         self._pool = BlockPool(settings.kv_total_blocks, self._log)
         self._batch = Batch(settings.batch, self._pool)
         self._desk = OrderDesk(settings.is_checking_fence)
         self._reports = ReportLog(settings.report)
-        self._attempts: dict[str, Attempt] = {}
+        self._book = AttemptBook(settings.keep_ended_s)
         self._exports: dict[str, KvExport] = {}
-        self._ended: deque[Attempt] = deque()
-        self._past: deque[AttemptRecord] = deque(maxlen=MAX_RECORDS)
         self._arrivals = itertools.count()
-        self._fresh: dict[str, int] = {}
-        self._decoded = 0
+        self._sampled_tokens = 0
         self._sample()
 
     def advance(self, now_s: float) -> list[Output]:
         """Work until now; give what came out since the last time."""
         self._run_until(now_s)
-        fresh = self._fresh
-        self._fresh = {}
-        return [
-            self._attempts[attempt_id].output_from(offset)
-            for attempt_id, offset in fresh.items()
-        ]
+        return self._book.take_fresh()
 
     def generate(self, request: GenerateRequest, now_s: float) -> None:
         """Queue an attempt, or refuse it as not run.
@@ -130,28 +116,32 @@
         A repeated attempt id goes on with the attempt that there is.
         """
         self._run_until(now_s)
-        if request.attempt_id in self._attempts:
+        if self._book.get(request.attempt_id) is not None:
             return
-        self._refuse(request, now_s)
+        if request.model not in self.serving.models:
+            raise MissingError(ran=False, cause='unknown_model')
+        refusal = self._refusal(now_s)
+        if refusal is not None:
+            raise refusal
         attempt = Attempt.receive(request, next(self._arrivals), now_s)
         if attempt.whole_blocks > self.settings.kv_total_blocks:
             raise _not_run('full', RETRY_FULL_S)
-        self._attempts[request.attempt_id] = attempt
+        self._book.add(attempt)
         self._batch.add(attempt)
 
     def output_from(self, attempt_id: str, offset: int) -> Output:
         """Give the output of an attempt from an offset on."""
-        return self._known(attempt_id).output_from(offset)
+        return self._book.known(attempt_id).output_from(offset)
 
     def attempt_record(self, attempt_id: str) -> AttemptRecord:
         """Give what an outsider may check about an attempt."""
-        return record_attempt(self._known(attempt_id))
+        return record_attempt(self._book.known(attempt_id))
 
     def cancel(self, attempt_id: str, now_s: float) -> bool:
         """End an attempt in progress; false when there is none."""
         self._run_until(now_s)
-        attempt = self._attempts.get(attempt_id)
-        if attempt is None or attempt.state == 'ended':
+        attempt = self._book.get(attempt_id)
+        if attempt is None or attempt.end is not None:
             return False
         self._cut((attempt,), CAUSE_CANCELLED)
         return True
@@ -170,11 +160,12 @@
         """Take an order; what takes time goes on in `advance`."""
         self._run_until(now_s)
         is_new = self._desk.answer_to(order.order_id) is None
-        answer = self._desk.receive(order, self._takes_s(order), now_s)
+        takes_s = self.serving.takes_s(order, self.settings.order_times)
+        answer = self._desk.receive(order, takes_s, now_s)
         if is_new and answer.state != 'refused':
             self._begin(order)
             if answer.state == 'done':
-                self._complete(order)
+                self.serving.complete(order)
         return answer
 
     def order_state(self, order_id: str, now_s: float) -> EngineOrderAnswer:
@@ -188,13 +179,11 @@
     def export_kv(self, attempt_id: str, now_s: float) -> KvExport:
         """Set the KV of an attempt out for another engine."""
         self._run_until(now_s)
-        attempt = self._known(attempt_id)
-        computed = attempt.held_names
-        if attempt.pending_tokens == 0:
-            attempt.name_context()
-            computed = attempt.context_names
+        attempt = self._book.known(attempt_id)
         handle = f'kv-{self.incarnation}-{attempt_id}'
-        export = KvExport(handle, computed, tuple(attempt.output))
+        export = KvExport(
+            handle, attempt.computed_names(), tuple(attempt.output)
+        )
         self._exports[handle] = export
         return export
 
@@ -212,10 +201,9 @@
     @property
     def record(self) -> EngineRecord:
         """Every order and every attempt, for checks from outside."""
-        kept = [record_attempt(one) for one in self._attempts.values()]
         return EngineRecord(
             orders=tuple(self._desk.received),
-            attempts=(*self._past, *kept),
+            attempts=tuple(self._book.records()),
             preemptions=self._batch.preemptions,
         )
 
@@ -230,23 +218,19 @@
     def _step(self, step_s: float) -> None:
         finished = self._desk.close_due(self._now_s)
         if finished is not None:
-            self._complete(finished)
+            self.serving.complete(finished)
         if not self._batch.is_idle:
             self._work(step_s)
-        self._forget_ended()
+        self.is_crashed = self.faults.crash or self._is_running_crasher()
+        self._book.forget(self._now_s)
         if self._reports.is_due(self._now_s):
             self._sample()
 
     def _work(self, step_s: float) -> None:
-        before = {one: len(one.output) for one in self._in_progress()}
-        self._batch.step(self.role, step_s, self._now_s)
+        before = {one: len(one.output) for one in self._batch.in_progress}
+        self._batch.step(self.serving.role, step_s, self._now_s)
         for attempt, offset in before.items():
-            is_ended = attempt.state == 'ended'
-            if is_ended:
-                self._ended.append(attempt)
-            if is_ended or len(attempt.output) > offset:
-                self._fresh.setdefault(attempt.request.attempt_id, offset)
-        self.is_crashed = self.faults.crash or self._is_running_crasher()
+            self._book.note(attempt, offset)
 
     def _is_running_crasher(self) -> bool:
         text = self.faults.crash_on
@@ -254,22 +238,6 @@
             return False
         return any(text in one.request.prompt for one in self._batch.running)
 
-    def _in_progress(self) -> tuple[Attempt, ...]:
-        return (*self._batch.running, *self._batch.waiting)
-
-    def _known(self, attempt_id: str) -> Attempt:
-        attempt = self._attempts.get(attempt_id)
-        if attempt is None:
-            raise MissingError(ran=True, cause='unknown_attempt')
-        return attempt
-
-    def _refuse(self, request: GenerateRequest, now_s: float) -> None:
-        if request.model not in self.models:
-            raise MissingError(ran=False, cause='unknown_model')
-        refusal = self._refusal(now_s)
-        if refusal is not None:
-            raise refusal
-
     def _refusal(self, now_s: float) -> NotRunError | None:
         if self.faults.refuse:
             return _not_run(self.faults.refuse, RETRY_FULL_S)
@@ -277,102 +245,57 @@
         if order is not None:
             cause = 'role' if order.kind == 'role' else 'loading'
             return _not_run(cause, self._desk.left_s(now_s))
-        if self.drain_order_id is not None:
+        if self.serving.is_draining:
             return _not_run('draining', RETRY_DRAINING_S)
         if len(self._batch.waiting) >= self.settings.max_waiting:
             return _not_run('full', RETRY_FULL_S)
         return None
 
-    def _takes_s(self, order: EngineOrder) -> float:
-        if order.kind in INSTANT_ORDERS:
-            return 0
-        if order.kind == 'role':
-            is_same = order.argument == self.role
-            return 0 if is_same else self.settings.order_times.role_s
-        return self.settings.order_times.model_s
-
     def _begin(self, order: EngineOrder) -> None:
-        """Cut the work that can't go on under the order."""
-        if order.kind == 'role' and order.argument == self.role:
-            return
-        if order.kind in CLEARING_ORDERS:
-            self._cut(self._in_progress(), order.kind)
+        attempts = self.serving.cut_by(order, self._batch.in_progress)
+        self._cut(attempts, order.kind)
+        if self.serving.clears_memory(order):
             self._pool.clear(self._now_s)
-        elif order.kind == 'unload_model':
-            self.models = [
-                name for name in self.models if name != order.argument
-            ]
-            cut = [
-                attempt
-                for attempt in self._in_progress()
-                if attempt.request.model == order.argument
-            ]
-            self._cut(cut, order.kind)
-
-    def _complete(self, order: EngineOrder) -> None:
-        match order.kind:
-            case 'drain':
-                self.drain_order_id = order.order_id
-            case 'undrain':
-                self.drain_order_id = None
-            case 'role':
-                self.role = cast(Role, order.argument)
-            case 'set_version':
-                self.version = order.argument
-            case 'load_model' | 'load_adapter':
-                self.models = sorted({*self.models, order.argument})
+        self.serving.begin(order)
 
     def _cut(self, attempts: Iterable[Attempt], cause: str) -> None:
-        for attempt in tuple(attempts):
+        for attempt in attempts:
             end = StreamEnd('error', cause)
             self._batch.remove(attempt, end, self._now_s)
-            self._ended.append(attempt)
-            self._fresh.setdefault(
-                attempt.request.attempt_id, len(attempt.output)
-            )
-
-    def _forget_ended(self) -> None:
-        until_s = self._now_s - self.settings.keep_ended_s
-        while self._ended and _ended_s(self._ended[0]) < until_s:
-            attempt = self._ended.popleft()
-            attempt_id = attempt.request.attempt_id
-            self._past.append(record_attempt(attempt))
-            self._attempts.pop(attempt_id)
-            self._fresh.pop(attempt_id, None)
+            self._book.note(attempt, len(attempt.output))
 
     def _sample(self) -> None:
         decoded = self._batch.decoded_tokens
-        rate = self._reports.rate_since(decoded - self._decoded, self._now_s)
-        self._decoded = decoded
+        rate = self._reports.rate_since(
+            decoded - self._sampled_tokens, self._now_s
+        )
+        self._sampled_tokens = decoded
+        serving = self.serving
         self._reports.add(
             LoadReport(
                 engine_id=self.settings.engine_id,
                 incarnation=self.incarnation,
                 measured_s=self._now_s,
                 age_s=0,
-                role=self.role,
-                models=tuple(self.models),
+                role=serving.role,
+                models=serving.models,
                 running=len(self._batch.running),
                 waiting=len(self._batch.waiting),
                 prefill_queue_tokens=self._batch.pending_tokens,
                 decode_tokens_per_s=rate,
                 kv_used_blocks=self._pool.used_blocks,
                 kv_total_blocks=self.settings.kv_total_blocks,
-                draining=self.drain_order_id is not None,
-                drain_order_id=self.drain_order_id,
+                draining=serving.is_draining,
+                drain_order_id=serving.drain_order_id,
                 highest_fence=self._desk.highest_fence,
                 in_progress=tuple(
                     attempt.request.attempt_id
-                    for attempt in self._in_progress()
+                    for attempt in self._batch.in_progress
                 ),
-                version=self.version,
+                version=serving.version,
             )
         )
 
 
-def _ended_s(attempt: Attempt) -> float:
-    return attempt.ended_s or 0
-
-
 def _not_run(cause: str, retry_after_s: float) -> NotRunError:
     return NotRunError(ran=False, cause=cause, retry_after_s=retry_after_s)
--- a/packages/standins/dandelionyoke_standins/_engine_http.py
+++ b/packages/standins/dandelionyoke_standins/_engine_http.py
@@ -83,6 +83,9 @@
         self, attempt_id: str, offset: int, silent_after: int | None
     ) -> Iterator[bytes]:
         """Stream the output as it comes; perhaps go silent on the way."""
+        # The headers leave with the first line, so an empty one tells at
+        # once that the attempt is accepted, however long it will wait.
+        yield _line({'offset': offset, 'tokens': ()})
         sent = 0
         while True:
             output = self._model.output_from(attempt_id, offset)
@@ -90,7 +93,7 @@
             if silent_after is not None:
                 tokens = tokens[: max(0, silent_after - sent)]
             if tokens:
-                yield encode({'offset': offset, 'tokens': tokens}) + b'\n'
+                yield _line({'offset': offset, 'tokens': tokens})
             sent += len(tokens)
             offset += len(tokens)
             self._stay_silent(is_silent=sent == silent_after)
@@ -101,15 +104,16 @@
 
     def _end_line(self, attempt_id: str, end: StreamEnd, offset: int) -> bytes:
         if end.reason == 'error':
-            return encode({'error': end.cause}) + b'\n'
+            return _line({'error': end.cause})
         record = self._model.attempt_record(attempt_id)
-        line = {
-            'end': end.reason,
-            'offset': offset,
-            'prompt_tokens': record.prompt_tokens,
-            'cached_tokens': record.cached_tokens,
-        }
-        return encode(line) + b'\n'
+        return _line(
+            {
+                'end': end.reason,
+                'offset': offset,
+                'prompt_tokens': record.prompt_tokens,
+                'cached_tokens': record.cached_tokens,
+            }
+        )
 
     def _cancel(self, call: Call) -> Reply:
         self._enter()
@@ -189,6 +193,10 @@
             raise LostAnswerError
 
 
+def _line(fields: Json) -> bytes:
+    return encode(fields) + b'\n'
+
+
 def _text(body: Json, name: str) -> str:
     text = body.get(name)
     if not isinstance(text, str):
--- a/packages/standins/dandelionyoke_standins/_load.py
+++ b/packages/standins/dandelionyoke_standins/_load.py
@@ -30,7 +30,7 @@
 
     entries: tuple[str, ...]
     api_keys: tuple[str, ...]
-    model: str
+    models: tuple[str, ...]
     service: str = ''
     kinds: tuple[CallKind, ...] = CALL_KINDS
     count: int = 100
@@ -68,6 +68,13 @@
 )
 
 
+# No byte of the call has left, so another entry may take it.
+NOT_CONNECTED = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+
+
 class LoadDriver:
     """Sends the mix through all entries in turn, some calls at a time."""
 
@@ -106,6 +113,8 @@
         for _ in range(MAX_TRIES):
             try:
                 return self._send(call, entry)
+            except NOT_CONNECTED:
+                entry = self._entry_after(entry)
             except RefusedError as refusal:
                 pause_s = min(refusal.retry_after_s, MAX_PAUSE_S)
                 if time.monotonic() + pause_s > self._deadline_s:
@@ -113,6 +122,10 @@
                 eventlet.sleep(pause_s)
         raise RefusedError(503, 0)
 
+    def _entry_after(self, entry: str) -> str:
+        entries = self._settings.entries
+        return entries[(entries.index(entry) + 1) % len(entries)]
+
     def _send(self, call: LoadCall, entry: str) -> str:
         if time.monotonic() > self._deadline_s:
             raise RefusedError(0, 0)
@@ -131,8 +144,9 @@
     def _body(
         self, call: LoadCall, *, is_chat: bool, is_stream: bool
     ) -> dict[str, Any]:
+        models = self._settings.models
         body: dict[str, Any] = {
-            'model': self._settings.model,
+            'model': models[call.number % len(models)],
             'max_tokens': call.max_output_tokens,
             'stream': is_stream,
         }
--- a/packages/standins/dandelionyoke_standins/_output.py
+++ b/packages/standins/dandelionyoke_standins/_output.py
@@ -20,11 +20,21 @@
 
 @attrs.frozen
 class AnswerPlan:
-    """How many tokens the whole answer has, and why it ends there."""
+    """The whole answer: its tokens' name, how many, and why it ends."""
 
+    name: str
     length_tokens: int
     end: EndReason
 
+    def token(self, offset: int) -> str:
+        """Give one token of the answer."""
+        return f'w{self.name}-{offset} '
+
+    @property
+    def text(self) -> str:
+        """The text of the whole answer."""
+        return ''.join(map(self.token, range(self.length_tokens)))
+
 
 def prompt_hash(prompt: str) -> str:
     """Name a prompt in the tokens of its answer."""
@@ -33,36 +43,25 @@
 
 def output_token(prompt: str, offset: int) -> str:
     """Give one token of the answer to a prompt."""
-    return _token(prompt_hash(prompt), offset)
-
-
-def output_tokens(prompt: str, first: int, last: int) -> tuple[str, ...]:
-    """Give the tokens from one offset up to, not including, another."""
-    name = prompt_hash(prompt)
-    return tuple(_token(name, offset) for offset in range(first, last))
+    return AnswerPlan(prompt_hash(prompt), offset, 'length').token(offset)
 
 
 def answer_plan(prompt: str, max_output_tokens: int) -> AnswerPlan:
     """Tell where the whole answer ends, resumed tokens counted in."""
-    natural = _natural_length(prompt)
+    name = prompt_hash(prompt)
+    natural = _natural_length(prompt, name)
     if natural <= max_output_tokens:
-        return AnswerPlan(natural, 'stop')
-    return AnswerPlan(max_output_tokens, 'length')
+        return AnswerPlan(name, natural, 'stop')
+    return AnswerPlan(name, max_output_tokens, 'length')
 
 
 def answer_text(prompt: str, max_output_tokens: int) -> str:
     """Give the text of the whole answer."""
-    plan = answer_plan(prompt, max_output_tokens)
-    return ''.join(output_tokens(prompt, 0, plan.length_tokens))
-
-
-def _token(name: str, offset: int) -> str:
-    return f'w{name}-{offset} '
+    return answer_plan(prompt, max_output_tokens).text
 
 
-def _natural_length(prompt: str) -> int:
+def _natural_length(prompt: str, name: str) -> int:
     asked = _ASKED_LENGTH.search(prompt)
     if asked is not None:
         return int(asked.group(1))
-    spread = int(prompt_hash(prompt), 16) % _ANSWER_SPREAD_TOKENS
-    return _SHORTEST_ANSWER_TOKENS + spread
+    return _SHORTEST_ANSWER_TOKENS + int(name, 16) % _ANSWER_SPREAD_TOKENS
--- a/packages/standins/dandelionyoke_standins/_plain.py
+++ b/packages/standins/dandelionyoke_standins/_plain.py
@@ -17,19 +17,24 @@
 
 CRASH_STATUS = 70
 RETRY_S = 1.0
+# So that the call that asks for the crash gets its answer.
+CRASH_DELAY_S = 0.01
 
 
 @attrs.define
 class PlainFaults:
     """What is wrong with the service at present.
 
-    `crash` ends the process `before` or `after` the next call has run;
-    `crash_on` does so before any call whose body holds the text.
+    `crash` ends the process at once, `crash_before_run` and
+    `crash_after_run` with the next call, and `crash_on` before a call whose
+    body holds the text.
     """
 
     silent: bool = False
     lose_answers: int = 0
-    crash: str = ''
+    crash: bool = False
+    crash_before_run: bool = False
+    crash_after_run: bool = False
     crash_on: str = ''
     refuse: str = ''
     delay_s: float = 0
@@ -109,10 +114,10 @@
         if faults.delay_s:
             eventlet.sleep(faults.delay_s)
         text = call.body.decode(errors='replace')
-        if faults.crash == 'before' or _holds(text, faults.crash_on):
+        if faults.crash_before_run or _holds(text, faults.crash_on):
             os._exit(CRASH_STATUS)
         runs = self._model.run(_seen(call))
-        if faults.crash == 'after':
+        if faults.crash_after_run:
             os._exit(CRASH_STATUS)
         if faults.lose_answers > 0:
             faults.lose_answers -= 1
@@ -140,6 +145,8 @@
                 raise BadCallError(cause=f'unknown fault {name}')
             setattr(self._model.faults, name, setting)
         self._changed.notify()
+        if self._model.faults.crash:
+            eventlet.spawn_after(CRASH_DELAY_S, os._exit, CRASH_STATUS)
         return Reply(self._model.faults)
 
     def _runs(self, call: Call) -> Reply:
--- a/packages/standins/dandelionyoke_standins/_platform.py
+++ b/packages/standins/dandelionyoke_standins/_platform.py
@@ -112,7 +112,11 @@
 
 
 class PlatformModel:
-    """The platform without HTTP; faults are left to who calls it."""
+    """The platform without HTTP.
+
+    Who drives it says `enter` before each call and `leave` after a change,
+    so that the call is counted and meets the faults of the moment.
+    """
 
     def __init__(self, settings: PlatformSettings | None = None) -> None:
         self.settings = settings or PlatformSettings()
@@ -123,6 +127,20 @@
         self._book = TargetBook(self.settings.targets)
         self._sightings: dict[str, list[_Sighting]] = {}
 
+    def delay_s(self, key: str | None) -> float:
+        """Tell how long a call waits before it takes effect."""
+        return self.faults.delay_s if self.faults.touches(key) else 0
+
+    def enter(self, kind: str, key: str | None, now_s: float) -> None:
+        """Count a call; refuse it over the rate limit or in an outage."""
+        self.meter.count(kind, now_s)
+        self.faults.before(key)
+        self.store.expire(now_s)
+
+    def leave(self, key: str | None) -> None:
+        """Lose the answer of a change that has taken effect, if told so."""
+        self.faults.after_write(key)
+
     def list_instance(self, instance: Instance, now_s: float) -> None:
         """List an instance, or change its state."""
         self._see(instance.instance_id, instance, now_s)
--- a/packages/standins/dandelionyoke_standins/_platform_http.py
+++ b/packages/standins/dandelionyoke_standins/_platform_http.py
@@ -198,13 +198,10 @@
         return Reply(self._model.record)
 
     def _enter(self, kind: str, key: str | None) -> None:
-        """Count a call, and let it meet the faults of the moment."""
-        self._model.meter.count(kind, time.monotonic())
-        faults = self._model.faults
-        if faults.delay_s and faults.touches(key):
-            eventlet.sleep(faults.delay_s)
-        faults.before(key)
-        self._model.store.expire(time.monotonic())
+        delay_s = self._model.delay_s(key)
+        if delay_s:
+            eventlet.sleep(delay_s)
+        self._model.enter(kind, key, time.monotonic())
 
     def _change(
         self, kind: str, key: str | None, act: Callable[[], Answer]
@@ -213,7 +210,7 @@
         self._enter(kind, key)
         answer = act()
         self._changed.notify()
-        self._model.faults.after_write(key)
+        self._model.leave(key)
         return answer
 
     def _expire_leases(self) -> None:
--- /dev/null
+++ b/tests/standins/test_engine_http.py
@@ -0,0 +1,240 @@
+"""The engine, the plain service and the link as processes."""
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import testtools
+import urllib3
+
+from dandelionyoke_standins import answer_text
+from tests.standins.processes import ProcessTestCase, Standin
+
+PROMPT = 'How many crates does the shop owe? answer 60 tokens'
+CRASH_STATUS = 70
+
+
+def generate_body(attempt_id: str, prompt: str = PROMPT) -> dict[str, Any]:
+    return {
+        'attempt_id': attempt_id,
+        'model': 'model',
+        'prompt': prompt,
+        'resume_tokens': [],
+        'max_output_tokens': 500,
+        'priority': 1,
+    }
+
+
+def lines(answer: urllib3.BaseHTTPResponse) -> Iterator[dict[str, Any]]:
+    pending = b''
+    while part := answer.read1():
+        *whole, pending = (pending + part).split(b'\n')
+        yield from map(json.loads, whole)
+
+
+def first_tokens(stream: Iterator[dict[str, Any]]) -> None:
+    """Wait until output comes; the first line only tells acceptance."""
+    next(line for line in stream if line['tokens'])
+
+
+def text(received: list[dict[str, Any]]) -> str:
+    return ''.join(
+        token for line in received for token in line.get('tokens', ())
+    )
+
+
+class EngineStreamTest(testtools.TestCase):
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        cls.engine = Standin('engine')
+        cls.addClassCleanup(cls.engine.stop)
+
+    def test_a_stream_comes_in_parts_and_ends(self) -> None:
+        engine = self.engine
+        received = list(lines(engine.stream('/generate', generate_body('a'))))
+        self.assertEqual(answer_text(PROMPT, 500), text(received))
+        self.assertGreater(len(received), 10)
+        end = received[-1]
+        self.assertEqual(('stop', 60), (end['end'], end['offset']))
+        again = engine.stream('/resume', {'attempt_id': 'a', 'offset': 50})
+        rest = list(lines(again))
+        self.assertEqual(50, rest[0]['offset'])
+        self.assertTrue(text(received).endswith(text(rest)))
+
+    def test_cancelled_work_ends_its_stream(self) -> None:
+        engine = self.engine
+        stream = lines(engine.stream('/generate', generate_body('cancelled')))
+        first_tokens(stream)
+        answer = engine.call('POST', '/cancel', {'attempt_id': 'cancelled'})
+        self.assertTrue(answer.body['cancelled'])
+        self.assertEqual({'error': 'cancelled'}, list(stream)[-1])
+
+
+class EngineProcessTest(ProcessTestCase):
+    def test_a_silent_stream_is_resumed_on_a_new_connection(self) -> None:
+        # Something between the ends loses track of the connection: it stays
+        # open and nothing more comes. The caller sees its answer stop in
+        # the middle, while a new connection would go on at once.
+        engine = self.standin('engine')
+        engine.call('POST', '/standin/faults', {'silent_after_tokens': 20})
+        stream = engine.stream('/generate', generate_body('a'))
+        received: list[dict[str, Any]] = []
+        for line in lines(stream):
+            received.append(line)
+            if line['offset'] + len(line['tokens']) == 20:
+                break
+        rest = lines(
+            engine.stream('/resume', {'attempt_id': 'a', 'offset': 20})
+        )
+        received.extend(rest)
+        self.assertEqual(answer_text(PROMPT, 500), text(received))
+        stream.close()
+
+    def test_a_poisonous_prompt_ends_the_process(self) -> None:
+        # One prompt crashes every engine that runs it; the other callers of
+        # that engine see their connections end.
+        engine = self.standin('engine', '--crash-on', 'poison')
+        innocent = engine.stream('/generate', generate_body('a'))
+        engine.stream('/generate', generate_body('b', 'poison'))
+        self.assertRaises(urllib3.exceptions.HTTPError, list, lines(innocent))
+        self.assertEqual(CRASH_STATUS, engine.process.wait(20))
+
+    def test_a_role_change_cuts_streams_and_refuses_work(self) -> None:
+        engine = self.standin('engine', '--role-s', '0.2')
+        stream = lines(engine.stream('/generate', generate_body('a')))
+        first_tokens(stream)
+        order = {
+            'order_id': '1',
+            'fence': 1,
+            'kind': 'role',
+            'argument': 'prefill',
+        }
+        state = engine.call('POST', '/orders', order).body['state']
+        self.assertEqual('accepted', state)
+        refusal = engine.call('POST', '/generate', generate_body('b'))
+        self.assertEqual(503, refusal.status)
+        self.assertEqual(
+            (False, 'role'),
+            (
+                refusal.body['ran'],
+                refusal.body['cause'],
+            ),
+        )
+        self.assertEqual('role', list(stream)[-1]['error'])
+        record = engine.call('GET', '/standin/record').body
+        self.assertEqual(1, len(record['orders']))
+        self.assertEqual(
+            ['a'], [one['attempt_id'] for one in record['attempts']]
+        )
+
+    def test_kv_moves_from_engine_to_engine(self) -> None:
+        source, target = self.standin('engine'), self.standin('engine')
+        prompt = 'crate ' * 320 + PROMPT
+        stream = lines(source.stream('/generate', generate_body('a', prompt)))
+        first_tokens(stream)
+        export = source.call('POST', '/kv/export', {'attempt_id': 'a'}).body
+        self.assertGreaterEqual(export['blocks'], 20)
+        moved = {
+            'handle': export['handle'],
+            'source': source.address,
+            'attempt_id': 'b',
+        }
+        self.assertEqual(
+            {'imported': True}, target.call('POST', '/kv/import', moved).body
+        )
+        body = generate_body('b', prompt)
+        body['resume_tokens'] = export['tokens']
+        received = list(lines(target.stream('/generate', body)))
+        whole = ''.join(export['tokens']) + text(received)
+        self.assertEqual(answer_text(prompt, 500), whole)
+        self.assertGreaterEqual(received[-1]['cached_tokens'], 320)
+
+
+class PlainProcessTest(ProcessTestCase):
+    def test_runs_are_counted_per_key(self) -> None:
+        plain = self.standin('plain')
+        runs = [self._confirm(plain, key) for key in ('a', 'a', 'b')]
+        self.assertEqual([1, 2, 1], runs)
+        counted = plain.call('GET', '/standin/runs').body['runs']
+        self.assertEqual({'a': 2, 'b': 1}, counted)
+
+    def test_a_lost_answer_has_run_and_a_refusal_has_not(self) -> None:
+        plain = self.standin('plain')
+        plain.call('POST', '/standin/faults', {'lose_answers': 1})
+        self.assertRaises(
+            urllib3.exceptions.ProtocolError, self._confirm, plain, 'lost'
+        )
+        plain.call('POST', '/standin/faults', {'refuse': 'draining'})
+        refusal = plain.call('POST', '/confirm')
+        self.assertEqual((503, False), (refusal.status, refusal.body['ran']))
+        runs = plain.call('GET', '/standin/runs').body['runs']
+        self.assertEqual({'lost': 1}, runs)
+
+    def test_a_crash_after_the_run_ends_the_process(self) -> None:
+        plain = self.standin('plain')
+        plain.call('POST', '/standin/faults', {'crash_after_run': True})
+        self.assertRaises(
+            urllib3.exceptions.ProtocolError, self._confirm, plain, 'a'
+        )
+        self.assertEqual(CRASH_STATUS, plain.process.wait(20))
+
+    def _confirm(self, plain: Standin, key: str) -> int:
+        answer = plain.http.request(
+            'POST',
+            f'{plain.address}/confirm',
+            headers={'Idempotency-Key': key},
+        )
+        return int(answer.json()['runs'])
+
+
+class LinkProcessTest(ProcessTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.engine = self.standin('engine')
+        there = self.engine.address.removeprefix('http://')
+        self.link = self.standin('link', '--to', there)
+        self.control = self.link.line('CONTROL')
+
+    def test_a_cut_resets_what_is_open_and_refuses_what_is_new(self) -> None:
+        # A partition begins in the middle of an answer: its connection is
+        # reset, and no other comes through until it is over.
+        stream = lines(self.link.stream('/generate', generate_body('a')))
+        first_tokens(stream)
+        self._command('cut')
+        self.assertRaises(urllib3.exceptions.HTTPError, list, stream)
+        self.assertRaises(
+            urllib3.exceptions.NewConnectionError,
+            self.link.call,
+            'GET',
+            '/load',
+        )
+        self._command('restore')
+        rest = self.link.stream('/resume', {'attempt_id': 'a', 'offset': 0})
+        self.assertEqual(answer_text(PROMPT, 500), text(list(lines(rest))))
+
+    def test_a_silenced_connection_stays_silent_and_new_ones_work(
+        self,
+    ) -> None:
+        stream = lines(self.link.stream('/generate', generate_body('a')))
+        first_tokens(stream)
+        self.assertEqual(1, self._command('silence')['silent'])
+        rest = self.link.stream('/resume', {'attempt_id': 'a', 'offset': 0})
+        self.assertEqual(answer_text(PROMPT, 500), text(list(lines(rest))))
+
+    def test_a_blackhole_swallows_new_connections_until_restored(
+        self,
+    ) -> None:
+        self._command('blackhole')
+        self.assertRaises(
+            urllib3.exceptions.ReadTimeoutError,
+            self.link.http.request,
+            'GET',
+            f'{self.link.address}/load',
+            timeout=0.3,
+        )
+        self._command('restore')
+        self.assertEqual(200, self.link.call('GET', '/load').status)
+
+    def _command(self, name: str) -> dict[str, Any]:
+        return self.link.http.request('POST', f'{self.control}/{name}').json()
