Check the load driver, and let each role serve its mix best

The load driver had not met an entry. A tiny one in the test shows it a lost token, a doubled token, a cut stream and a doubled run, and it counts each as not whole. A call that is refused is sent again under its own Idempotency-Key.

--- a/packages/standins/dandelionyoke_standins/_attempt.py
+++ b/packages/standins/dandelionyoke_standins/_attempt.py
@@ -45,7 +45,10 @@
 
 @attrs.define(eq=False)
 class Attempt:
-    """An attempt in the engine's queue, its batch or its memory of ends."""
+    """An attempt in the engine's queue, its batch or its memory of ends.
+
+    `pending_tokens` are still to be computed before it can decode.
+    """
 
     request: GenerateRequest
     received_s: float
@@ -56,7 +59,7 @@
     state: AttemptState = 'waiting'
     end: StreamEnd | None = None
     ended_s: float | None = None
-    computed_tokens: int = 0
+    pending_tokens: int = 0
     cached_tokens: int = 0
     decode_credit: float = 0
     preemptions: int = 0
@@ -77,7 +80,7 @@
             plan=answer_plan(request.prompt, request.max_output_tokens),
             output=list(request.resume_tokens),
         )
-        attempt.name_context()
+        attempt.start_over()
         return attempt
 
     @property
@@ -85,11 +88,6 @@
         """Tokens whose KV the next token rests on."""
         return len(self.prompt_tokens) + len(self.output)
 
-    @property
-    def pending_tokens(self) -> int:
-        """Tokens that are still to be computed before decoding."""
-        return self.context_tokens - self.computed_tokens
-
     @property
     def context_blocks(self) -> int:
         """Blocks that the context fills, the last one perhaps in part."""
@@ -106,15 +104,16 @@
         """Whether every token of the answer is there."""
         return len(self.output) >= self.plan.length_tokens
 
-    @property
-    def is_decoding(self) -> bool:
-        """Whether the context is computed, so that tokens come out."""
-        return self.state == 'running' and self.pending_tokens == 0
-
     def name_context(self) -> None:
         """Name the whole blocks of the context as it is now."""
         self.context_names = prefix_blocks((*self.prompt_tokens, *self.output))
 
+    def start_over(self) -> None:
+        """Wait with nothing computed."""
+        self.state = 'waiting'
+        self.pending_tokens = self.context_tokens
+        self.name_context()
+
     def computed_names(self) -> tuple[str, ...]:
         """Name the blocks whose KV is there."""
         if self.pending_tokens:
@@ -125,7 +124,6 @@
     def emit(self) -> None:
         """Put out the next token."""
         self.output.append(self.plan.token(len(self.output)))
-        self.computed_tokens = self.context_tokens
 
     def output_from(self, offset: int) -> Output:
         """Give the output from an offset on."""
--- a/packages/standins/dandelionyoke_standins/_batch.py
+++ b/packages/standins/dandelionyoke_standins/_batch.py
@@ -29,7 +29,7 @@
 ROLE_RATES: Mapping[Role, RoleRates] = MappingProxyType(
     {
         'prefill': RoleRates(1.6, 0.4, 0.9),
-        'decode': RoleRates(0.4, 1.6, 0.2),
+        'decode': RoleRates(0.4, 1.6, 0.4),
         'mixed': RoleRates(1, 1, 0.5),
     }
 )
@@ -88,12 +88,12 @@
         attempt.end = end
         attempt.ended_s = now_s
 
-    def step(self, role: Role, step_s: float, now_s: float) -> list[Attempt]:
-        """Work for one step; give the attempts that put something out."""
+    def step(self, role: Role, step_s: float, now_s: float) -> None:
+        """Work for one step."""
         rates = ROLE_RATES[role]
         self._admit(now_s)
         left_s = step_s - self._prefill(rates, step_s, now_s)
-        return self._decode(rates, left_s, step_s, now_s)
+        self._decode(rates, left_s, step_s, now_s)
 
     def _admit(self, now_s: float) -> None:
         while self.waiting and len(self.running) < self._settings.max_running:
@@ -116,7 +116,7 @@
         attempt.private_blocks = needed
         # The last token's output is not in the cache, so it is computed.
         known = min(_block_tokens(len(cached)), attempt.context_tokens - 1)
-        attempt.computed_tokens = known
+        attempt.pending_tokens = attempt.context_tokens - known
         attempt.cached_tokens = known
         return True
 
@@ -133,7 +133,7 @@
         used = 0
         for attempt in sorted(pending, key=_queue_order):
             chunk = min(int(self._prefill_credit), attempt.pending_tokens)
-            attempt.computed_tokens += chunk
+            attempt.pending_tokens -= chunk
             self._prefill_credit -= chunk
             used += chunk
             if not attempt.pending_tokens:
@@ -149,36 +149,28 @@
 
     def _decode(
         self, rates: RoleRates, left_s: float, step_s: float, now_s: float
-    ) -> list[Attempt]:
-        decoding = [one for one in self.running if one.is_decoding]
+    ) -> None:
+        decoding = [one for one in self.running if not one.pending_tokens]
         if not decoding:
-            return []
+            return
         rate = self._settings.decode_tokens_per_s * rates.decode_factor
         fair = left_s * rate / len(decoding)
         credit = min(fair, step_s * self._settings.stream_tokens_per_s)
-        return [
-            attempt
-            for attempt in decoding
-            if self._decode_one(attempt, credit, now_s)
-        ]
-
-    def _decode_one(
-        self, attempt: Attempt, credit: float, now_s: float
-    ) -> bool:
-        before = len(attempt.output)
-        attempt.decode_credit += credit
-        while attempt.is_decoding and attempt.decode_credit >= 1:
-            if attempt.is_whole:
-                break
+        for attempt in decoding:
+            attempt.decode_credit += credit
+            # Another one's need for memory may have sent it back to wait.
+            if attempt.state == 'running':
+                self._decode_one(attempt, now_s)
+
+    def _decode_one(self, attempt: Attempt, now_s: float) -> None:
+        while attempt.decode_credit >= 1 and not attempt.is_whole:
             if not self._make_room(attempt, now_s):
-                break
+                return
             attempt.emit()
             attempt.decode_credit -= 1
-        self.decoded_tokens += len(attempt.output) - before
-        if attempt.is_whole and attempt.state == 'running':
+            self.decoded_tokens += 1
+        if attempt.is_whole:
             self.remove(attempt, StreamEnd(attempt.plan.end), now_s)
-            return True
-        return len(attempt.output) > before
 
     def _make_room(self, attempt: Attempt, now_s: float) -> bool:
         """Take a block when the last one is full, preempting if need be."""
@@ -197,11 +189,9 @@
         """Put an attempt back into the queue; its KV is computed again."""
         self.running.remove(attempt)
         self._give_back(attempt)
-        attempt.state = 'waiting'
+        attempt.start_over()
         attempt.preemptions += 1
         self.preemptions += 1
-        attempt.computed_tokens = 0
-        attempt.name_context()
         self.add(attempt)
 
     def _keep_prefix(self, attempt: Attempt, now_s: float) -> None:
--- a/packages/standins/dandelionyoke_standins/_engine.py
+++ b/packages/standins/dandelionyoke_standins/_engine.py
@@ -37,6 +37,7 @@
 from dandelionyoke_standins._errors import MissingError, NotRunError
 from dandelionyoke_standins._serving import Serving
 
+# Longer steps cost less and give the output in larger parts.
 STEP_S = 0.02
 REST_STEP_S = 0.1
 RETRY_FULL_S = 1.0
@@ -55,6 +56,7 @@
     kv_total_blocks: int = 4000
     max_waiting: int = 256
     keep_ended_s: float = 60.0
+    step_s: float = STEP_S
     batch: BatchSettings = attrs.field(factory=BatchSettings)
     events: CacheEventSettings = attrs.field(factory=CacheEventSettings)
     report: ReportSettings = attrs.field(factory=ReportSettings)
@@ -208,10 +210,12 @@
         )
 
     def _run_until(self, now_s: float) -> None:
-        while self._now_s + STEP_S <= now_s and not self.is_crashed:
-            step_s = STEP_S
+        while not self.is_crashed:
+            step_s = self.settings.step_s
+            if self._now_s + step_s > now_s:
+                return
             if self._batch.is_idle and self._desk.open_order is None:
-                step_s = min(now_s - self._now_s, REST_STEP_S)
+                step_s = max(step_s, min(now_s - self._now_s, REST_STEP_S))
             self._now_s += step_s
             self._step(step_s)
 
--- a/packages/standins/dandelionyoke_standins/_load.py
+++ b/packages/standins/dandelionyoke_standins/_load.py
@@ -87,6 +87,8 @@
             timeout=settings.answer_timeout_s,
         )
         self._deadline_s: float = 0
+        # One key for each confirmation, the same when it is sent again.
+        self._run_id = secrets.token_hex(8)
 
     def run(self) -> list[LoadOutcome]:
         """Send every call, and give what came back."""
@@ -158,7 +160,7 @@
 
     def _confirm(self, call: LoadCall, entry: str) -> str:
         url = f'{entry}/services/{self._settings.service}/confirm'
-        headers = {'Idempotency-Key': secrets.token_hex(16)}
+        headers = {'Idempotency-Key': f'{self._run_id}-{call.number}'}
         answer = self._post(call, url, {'returned': call.number}, headers)
         return str(json.loads(answer.read())['runs'])
 
--- /dev/null
+++ b/tests/standins/test_load.py
@@ -0,0 +1,138 @@
+"""The load driver against a tiny entry that answers well or badly."""
+
+import http.server
+import json
+import subprocess
+import sys
+import threading
+from typing import Any
+
+import attrs
+import testtools
+
+from dandelionyoke_standins import answer_text
+
+TIMEOUT_S = 60
+
+
+class _Entry(http.server.BaseHTTPRequestHandler):
+    """Answers as an entry does; the server says which fault it shows."""
+
+    protocol_version = 'HTTP/1.1'
+
+    def do_POST(self) -> None:
+        server = self.server
+        size = int(self.headers['Content-Length'])
+        body = json.loads(self.rfile.read(size))
+        server.keys.add(self.headers['Authorization'])
+        server.calls += 1
+        if server.calls == server.refuse_call:
+            self._send(429, b'{"run": "no"}', 'application/problem+json')
+        elif self.path.startswith('/services/'):
+            runs = 2 if server.fault == 'doubled run' else 1
+            self._send(200, json.dumps({'runs': runs}).encode())
+        else:
+            self._complete(body)
+
+    def _complete(self, body: dict[str, Any]) -> None:
+        is_chat = 'messages' in body
+        prompt = body['messages'][0]['content'] if is_chat else body['prompt']
+        tokens = answer_text(prompt, body['max_tokens']).split(' ')[:-1]
+        if self.server.fault == 'lost token':
+            tokens.pop(1)
+        if self.server.fault == 'doubled token':
+            tokens.insert(1, tokens[0])
+        parts = [f'{token} ' for token in tokens]
+        if not body['stream']:
+            text = ''.join(parts)
+            choice = {'message': {'content': text}, 'text': text}
+            self._send(200, json.dumps({'choices': [choice]}).encode())
+            return
+        events = [
+            json.dumps(
+                {'choices': [{'delta': {'content': part}, 'text': part}]}
+            )
+            for part in parts
+        ]
+        if self.server.fault != 'cut stream':
+            events.append('[DONE]')
+        stream = ''.join(f'data: {event}\n\n' for event in events)
+        self._send(200, stream.encode(), 'text/event-stream')
+
+    def _send(
+        self, status: int, body: bytes, kind: str = 'application/json'
+    ) -> None:
+        self.send_response(status)
+        self.send_header('Content-Type', kind)
+        self.send_header('Content-Length', str(len(body)))
+        self.send_header('Retry-After', '0')
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *arguments: object) -> None:
+        """Keep quiet."""
+
+
+@attrs.frozen
+class Ended:
+    status: int
+    lines: list[str]
+
+
+class LoadTest(testtools.TestCase):
+    def test_all_whole_is_told_in_the_last_line(self) -> None:
+        entries = [self._entry('', refuse_call=3), self._entry('')]
+        ended = self._load(entries, 20)
+        self.assertEqual(['demo: 20 of 20 answers whole'], ended.lines)
+        self.assertEqual(0, ended.status)
+        self.assertEqual(21, sum(entry.calls for entry in entries))
+        keys = {'Bearer key-1', 'Bearer key-2'}
+        self.assertEqual(keys, entries[0].keys | entries[1].keys)
+
+    def test_each_kind_of_broken_answer_is_noticed(self) -> None:
+        # An answer with a token too few or too many, a stream that breaks
+        # off, or a confirmation that ran twice: each is a caller who was
+        # told something wrong, so the status must say so.
+        for fault, whole in {
+            'lost token': 2,
+            'doubled token': 2,
+            'cut stream': 6,
+            'doubled run': 8,
+        }.items():
+            ended = self._load([self._entry(fault)], 10)
+            last = f'demo: {whole} of 10 answers whole'
+            self.assertEqual((1, last), (ended.status, ended.lines[-1]))
+
+    def test_an_entry_that_is_gone_is_passed_over(self) -> None:
+        gone = self._entry('')
+        gone.shutdown()
+        gone.server_close()
+        ended = self._load([gone, self._entry('')], 5)
+        self.assertEqual(['demo: 5 of 5 answers whole'], ended.lines)
+
+    def _entry(
+        self, fault: str, refuse_call: int = 0
+    ) -> http.server.ThreadingHTTPServer:
+        entry = http.server.ThreadingHTTPServer(('127.0.0.1', 0), _Entry)
+        entry.fault = fault
+        entry.refuse_call = refuse_call
+        entry.calls = 0
+        entry.keys = set()
+        threading.Thread(target=entry.serve_forever).start()
+        self.addCleanup(entry.server_close)
+        self.addCleanup(entry.shutdown)
+        return entry
+
+    def _load(
+        self, entries: list[http.server.ThreadingHTTPServer], count: int
+    ) -> Ended:
+        command = [sys.executable, '-W', 'ignore', '-m']
+        command += ['dandelionyoke_standins', 'load', '--model', 'model']
+        command += ['--service', 'ledger-desk', '--count', str(count)]
+        command += ['--api-key', 'key-1', '--api-key', 'key-2']
+        for entry in entries:
+            command += ['--entry', f'http://127.0.0.1:{entry.server_port}']
+        ended = subprocess.run(
+            command, capture_output=True, text=True, timeout=TIMEOUT_S
+        )
+        return Ended(ended.returncode, ended.stdout.splitlines())
