--- a/packages/standins/dandelionyoke_standins/_attempt.py
+++ b/packages/standins/dandelionyoke_standins/_attempt.py
@@ -6,11 +6,7 @@
 import attrs
 
 from dandelionyoke_core import BLOCK_TOKENS, prefix_blocks, split_tokens
-from dandelionyoke_standins._output import (
-    AnswerPlan,
-    answer_plan,
-    output_tokens,
-)
+from dandelionyoke_standins._output import AnswerPlan, answer_plan
 
 AttemptState = Literal['waiting', 'running', 'ended']
 
@@ -56,7 +52,10 @@
 
 @attrs.define(eq=False)
 class Attempt:
-    """An attempt in the engine's queue, its batch or its memory of ends."""
+    """An attempt in the engine's queue, its batch or its memory of ends.
+
+    `pending_tokens` are still to be computed before it can decode.
+    """
 
     request: GenerateRequest
     received_s: float
@@ -67,7 +66,7 @@
     state: AttemptState = 'waiting'
     end: StreamEnd | None = None
     ended_s: float | None = None
-    computed_tokens: int = 0
+    pending_tokens: int = 0
     cached_tokens: int = 0
     decode_credit: float = 0
     preemptions: int = 0
@@ -88,7 +87,7 @@
             plan=answer_plan(request.prompt, request.max_output_tokens),
             output=list(request.resume_tokens),
         )
-        attempt.name_context()
+        attempt.start_over()
         return attempt
 
     @property
@@ -96,11 +95,6 @@
         """Tokens whose KV the next token rests on."""
         return len(self.prompt_tokens) + len(self.output)
 
-    @property
-    def pending_tokens(self) -> int:
-        """Tokens that are still to be computed before decoding."""
-        return self.context_tokens - self.computed_tokens
-
     @property
     def context_blocks(self) -> int:
         """Blocks that the context fills, the last one perhaps in part."""
@@ -117,22 +111,26 @@
         """Whether every token of the answer is there."""
         return len(self.output) >= self.plan.length_tokens
 
-    @property
-    def is_decoding(self) -> bool:
-        """Whether the context is computed, so that tokens come out."""
-        return self.state == 'running' and self.pending_tokens == 0
-
     def name_context(self) -> None:
         """Name the whole blocks of the context as it is now."""
         self.context_names = prefix_blocks((*self.prompt_tokens, *self.output))
 
+    def start_over(self) -> None:
+        """Wait with nothing computed."""
+        self.state = 'waiting'
+        self.pending_tokens = self.context_tokens
+        self.name_context()
+
+    def computed_names(self) -> tuple[str, ...]:
+        """Name the blocks whose KV is there."""
+        if self.pending_tokens:
+            return self.held_names
+        self.name_context()
+        return self.context_names
+
     def emit(self) -> None:
         """Put out the next token."""
-        offset = len(self.output)
-        self.output.extend(
-            output_tokens(self.request.prompt, offset, offset + 1)
-        )
-        self.computed_tokens = self.context_tokens
+        self.output.append(self.plan.token(len(self.output)))
 
     def output_from(self, offset: int) -> Output:
         """Give the output from an offset on."""
