--- a/packages/core/dandelionyoke_core/_call.py
+++ b/packages/core/dandelionyoke_core/_call.py
@@ -47,7 +47,8 @@
     """What is known of a call.
 
     `tokens` reached the caller. `unproven` names work that was handed to a
-    target which has not said that it did not run it.
+    target which has not said that it did not run it. `owes_retry` is whether
+    the next placement draws on the retry budget.
     """
 
     event: ModelCalled | ServiceCalled
@@ -68,6 +69,7 @@
     claimed: bool = False
     stalled_s: float | None = None
     retry_at_s: float = 0.0
+    owes_retry: bool = False
 
     @property
     def request_id(self) -> RequestId:
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_claim_sweep.py
@@ -0,0 +1,91 @@
+"""Claims that are past their retention leave the store, little by little."""
+
+from collections import deque
+from random import Random
+
+from dandelionyoke_core._actions import StoreDelete, StoreList
+from dandelionyoke_core._claims import (
+    CLAIM_PREFIX,
+    ClaimRecord,
+    OnceSettings,
+)
+from dandelionyoke_core._codec import record_from_json
+from dandelionyoke_core._errors import CodecError
+from dandelionyoke_core._names import OperationId, OrganisationId
+from dandelionyoke_core._ports import Output
+from dandelionyoke_core._records import StoreItem, StoreListing, StoreResult
+
+MAX_ORGANISATIONS = 256
+BUCKETS = 256
+
+
+class ClaimSweep:
+    """Lists one small bucket of keys at a time and drops what is expired.
+
+    Expiry is judged by the record alone, and a delete names the revision
+    that was judged, so that a claim made in the meantime stays.
+    """
+
+    def __init__(self, settings: OnceSettings, random: Random) -> None:
+        self._settings = settings
+        self._random = random
+        self._organisations: deque[OrganisationId] = deque(
+            maxlen=MAX_ORGANISATIONS
+        )
+        self._listing_id: OperationId | None = None
+        self._next_s: float | None = None
+
+    def saw(self, organisation_id: OrganisationId, now_s: float) -> None:
+        """Note an organisation that has claims."""
+        if organisation_id not in self._organisations:
+            self._organisations.append(organisation_id)
+        if self._next_s is None:
+            self._plan(now_s)
+
+    def next_wakeup_s(self) -> float | None:
+        """Tell when the next bucket is due."""
+        return self._next_s
+
+    def due(self, name: str, now_s: float) -> list[Output]:
+        """List the next bucket if it is time."""
+        if self._next_s is None or now_s < self._next_s:
+            return []
+        self._plan(now_s)
+        organisation_id = self._random.choice(self._organisations)
+        bucket = self._random.randrange(BUCKETS)
+        self._listing_id = OperationId(name)
+        prefix = f'{CLAIM_PREFIX}/{organisation_id}/{bucket:02x}'
+        return [StoreList(self._listing_id, prefix)]
+
+    def answered(
+        self,
+        operation_id: OperationId,
+        result: StoreResult,
+        wall_s: float,
+    ) -> list[Output]:
+        """Drop what is expired; a failed delete is found again later."""
+        if operation_id != self._listing_id:
+            return []
+        self._listing_id = None
+        if not isinstance(result, StoreListing):
+            return []
+        expired = [item for item in result.items if self._is_past(item, wall_s)]
+        return [
+            StoreDelete(
+                OperationId(f'{operation_id}.{place}'), item.key, item.revision
+            )
+            for place, item in enumerate(expired[: self._settings.sweep_batch])
+        ]
+
+    def _is_past(self, item: StoreItem, wall_s: float) -> bool:
+        if item.value is None:
+            return False
+        try:
+            record = record_from_json(item.value, ClaimRecord)
+        except CodecError:
+            return False
+        return record.is_expired(wall_s, self._settings.clock_margin_s)
+
+    def _plan(self, now_s: float) -> None:
+        interval_s = self._settings.sweep_interval_s
+        self._next_s = now_s + interval_s * self._random.uniform(0.5, 1.5)
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_claim_table.py
@@ -0,0 +1,165 @@
+"""The claims of one node and what it is asking the store about them."""
+
+import enum
+from collections.abc import Iterator
+from random import Random
+
+import attrs
+
+from dandelionyoke_core._actions import Action, StoreGet, StorePut
+from dandelionyoke_core._claims import ClaimRecord, OnceSettings
+from dandelionyoke_core._codec import record_to_json
+from dandelionyoke_core._names import OperationId, RequestId
+from dandelionyoke_core._timers import Timers
+
+MAX_DOUBLINGS = 16
+
+
+@enum.unique
+class Step(enum.Enum):
+    """What a claim's owner is doing with it."""
+
+    CREATING = 'creating'
+    READING = 'reading'
+    HELD = 'held'
+    CLOSING = 'closing'
+
+
+@attrs.define
+class Claim:
+    """A claim of this node, until its end is in the store.
+
+    `record` is what is written next, where `expected_revision` stands.
+    `may_exist` is whether the store may hold this claim. `refused` is
+    whether its caller was told that it was not sent, so that it must be
+    given back if it proves to exist.
+    """
+
+    request_id: RequestId
+    key: str
+    record: ClaimRecord
+    patience_until_s: float
+    expected_revision: int = 0
+    step: Step = Step.CREATING
+    operation_id: OperationId | None = None
+    asked_s: float = 0.0
+    retry_at_s: float | None = None
+    failures: int = 0
+    may_exist: bool = False
+    refused: bool = False
+
+    @property
+    def is_impatient(self) -> bool:
+        """Whether a caller still waits to hear if its call may be sent."""
+        return not self.refused and self.step in {Step.CREATING, Step.READING}
+
+
+class ClaimTable:
+    """Claims by request, each with at most one store operation at a time."""
+
+    def __init__(
+        self, settings: OnceSettings, incarnation: str, random: Random
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._random = random
+        self._numbers = 0
+        self._claims: dict[RequestId, Claim] = {}
+        self._operations: dict[OperationId, RequestId] = {}
+        self._timers: Timers[RequestId] = Timers()
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def name(self) -> str:
+        """Make a name that no other incarnation of any instance makes."""
+        self._numbers += 1
+        return f'{self._incarnation}.{self._numbers}'
+
+    def add(self, claim: Claim) -> None:
+        """Take up a new claim."""
+        self._claims[claim.request_id] = claim
+
+    def find(self, request_id: RequestId) -> Claim | None:
+        """Look a claim up."""
+        return self._claims.get(request_id)
+
+    def forget(self, claim: Claim) -> None:
+        """Drop a claim whose end is in the store, or that never was."""
+        self._claims.pop(claim.request_id, None)
+
+    def write(self, claim: Claim, now_s: float) -> Action:
+        """Write the claim's record where it is expected to stand."""
+        return StorePut(
+            self._ask(claim, now_s),
+            claim.key,
+            record_to_json(claim.record),
+            claim.expected_revision,
+        )
+
+    def read(self, claim: Claim, now_s: float) -> Action:
+        """Read what stands under the claim's key."""
+        return StoreGet(self._ask(claim, now_s), claim.key)
+
+    def answered(self, operation_id: OperationId) -> Claim | None:
+        """Find the claim that an answer is for; None for a late answer."""
+        request_id = self._operations.pop(operation_id, None)
+        if request_id is None:
+            return None
+        claim = self._claims[request_id]
+        claim.operation_id = None
+        return claim
+
+    def give_up_waiting(self, claim: Claim) -> None:
+        """Pass over the answer to the present operation, if it comes."""
+        if claim.operation_id is not None:
+            self._operations.pop(claim.operation_id, None)
+            claim.operation_id = None
+
+    def retry_later(self, claim: Claim, now_s: float) -> None:
+        """Ask again after a pause that grows with each failure."""
+        claim.failures += 1
+        doublings = min(claim.failures, MAX_DOUBLINGS)
+        pause_s = min(
+            self._settings.pause_s * 2**doublings, self._settings.pause_limit_s
+        )
+        # Spread, so that the entries do not all come back in one moment.
+        claim.retry_at_s = now_s + pause_s * self._random.uniform(0.5, 1)
+        self.watch(claim)
+
+    def watch(self, claim: Claim) -> None:
+        """Have the claim looked at when it is due."""
+        due_s = self._due_s(claim.request_id)
+        if due_s is not None:
+            self._timers.put(claim.request_id, due_s)
+
+    def next_wakeup_s(self) -> float | None:
+        """Tell when a claim has to be looked at."""
+        return self._timers.next_s()
+
+    def due(self, now_s: float) -> Iterator[Claim]:
+        """Take the claims that have to be looked at."""
+        for request_id in tuple(self._timers.due(now_s, self._due_s)):
+            claim = self._claims.get(request_id)
+            if claim is not None:
+                yield claim
+
+    def _ask(self, claim: Claim, now_s: float) -> OperationId:
+        operation_id = OperationId(f'once.{self.name()}')
+        self._operations[operation_id] = claim.request_id
+        claim.operation_id = operation_id
+        claim.asked_s = now_s
+        claim.retry_at_s = None
+        self.watch(claim)
+        return operation_id
+
+    def _due_s(self, request_id: RequestId) -> float | None:
+        claim = self._claims.get(request_id)
+        if claim is None:
+            return None
+        times = [claim.retry_at_s]
+        if claim.operation_id is not None:
+            times.append(claim.asked_s + self._settings.answer_limit_s)
+        if claim.is_impatient:
+            times.append(claim.patience_until_s)
+        return min((due for due in times if due is not None), default=None)
--- a/packages/core/dandelionyoke_core/_claims.py
+++ b/packages/core/dandelionyoke_core/_claims.py
@@ -36,7 +36,8 @@
     A claim is kept for `retention_s`; `clock_margin_s` is how far apart the
     wall clocks of two entries may be. A claim whose owner has not recorded
     an end `run_limit_s` after it was made is in doubt. A caller waits
-    `patience_s` for the store.
+    `patience_s` for the store. Every `sweep_interval_s` a small bucket of
+    keys is searched and `sweep_batch` expired claims at most are dropped.
     """
 
     retention_s: float = 172_800.0
@@ -49,6 +50,8 @@
     repeat_after_s: float = 1.0
     kept_answer_bytes: int = 65_536
     max_claims: int = 2_000
+    sweep_interval_s: float = 60.0
+    sweep_batch: int = 20
 
 
 @attrs.frozen
@@ -71,6 +74,10 @@
     body_base64: str = ''
     kept: bool = True
 
+    def is_expired(self, wall_s: float, clock_margin_s: float) -> bool:
+        """Whether its retention is over by every clock within the margin."""
+        return wall_s > self.expires_wall_s + clock_margin_s
+
     def ended(
         self, status: int, content_type: str, body: bytes, limit_bytes: int
     ) -> 'ClaimRecord':
--- a/packages/core/dandelionyoke_core/_model_calls.py
+++ b/packages/core/dandelionyoke_core/_model_calls.py
@@ -78,7 +78,7 @@
         attempt = call.attempt
         if attempt is None:
             return []
-        if attempt.resumes:
+        if attempt.resumes and not (event.sent and attempt.progressed):
             return self._broke(call, event.cause, now_s)
         if event.sent:
             return self._resume(call, attempt, event.cause, now_s)
@@ -167,7 +167,12 @@
         if event.offset > position:
             return self._resume(call, attempt, 'gap at the end', now_s)
         if event.offset < position:
-            return [stray('end'), *self._broke(call, 'crossed end', now_s)]
+            # The engine ends before what the caller holds already: this is
+            # another answer, and no end of this one.
+            return [
+                stray('end'),
+                *self._elsewhere(call, 'crossed end', now_s),
+            ]
         return [
             FinishCall(
                 call.request_id,
@@ -226,26 +231,25 @@
         if call.attempt is not None:
             call.avoid.add(call.attempt.target.target_id)
             outputs += self._desk.cancel(call, now_s)
-        if self._desk.budget.spend(now_s):
-            return [*outputs, *self._place(call, now_s)]
-        refusal = Refusal(
-            RefusalKind.TARGET_FAILED,
-            f'The engine failed ({cause}) and too many requests are being '
-            'tried again already',
-            _SEND_AGAIN,
-            retry_after_s=self._come_back_s(call, now_s),
-        )
-        return [*outputs, *self._wait_or_refuse(call, refusal, now_s)]
+        call.owes_retry = True
+        log = WriteLog('request.routed', call.request_id, 'elsewhere', cause)
+        return [*outputs, log, *self._place(call, now_s)]
 
     def _place(self, call: Call, now_s: float) -> list[Output]:
         refusal = self._desk.quarantine.refusal(call.fingerprint, now_s)
-        if refusal is not None:
+        if refusal is not None and refusal.retry_after_s is None:
             return self._desk.refuse(call, refusal, now_s)
+        if refusal is not None:
+            return self._wait_or_refuse(call, refusal, now_s)
         if call.placements >= self._settings.max_attempts:
             return self._desk.refuse(call, self._worn_out(call, now_s), now_s)
         choice = self._desk.choose(call, now_s)
         if isinstance(choice, NoRoute):
             return self._wait_or_refuse(call, _no_target(choice), now_s)
+        if call.owes_retry and not self._desk.budget.spend(now_s):
+            refusal = self._over_budget(call, now_s)
+            return self._wait_or_refuse(call, refusal, now_s)
+        call.owes_retry = False
         return self._start(call, choice, now_s)
 
     def _start(self, call: Call, target: Target, now_s: float) -> list[Output]:
@@ -279,6 +283,15 @@
         self._desk.stall(call, refusal.retry_after_s or 0, now_s)
         return []
 
+    def _over_budget(self, call: Call, now_s: float) -> Refusal:
+        return Refusal(
+            RefusalKind.TARGET_FAILED,
+            'The engine failed and too many requests are being tried again '
+            'already',
+            _SEND_AGAIN,
+            retry_after_s=self._come_back_s(call, now_s),
+        )
+
     def _worn_out(self, call: Call, now_s: float) -> Refusal:
         return Refusal(
             RefusalKind.TARGET_FAILED,
