Quarantine requests that crash engines, and spare their neighbours

Cause: each request that was in progress on two crashed engines was refused, the innocent ones too, and no entry knew what another had found.

Change: a crash makes all that ran on the engine suspects. A suspect is tried on an engine that no other suspect is on; one that ends is cleared, one that crashes its engine again is refused with the remedy. Suspicions and trials are shared with all peers. The Quarantine port gained crowded, lost and the outputs of started and ended, because the router has to be told which engines to keep off and a run to the end has to be told from a cancelled one. A call that an engine dropped waits for the next one instead of being refused.

Ruled out: counting crashes alone.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -244,6 +244,13 @@
 )
 from dandelionyoke_core._quarantine import (
     QuarantinePart as QuarantinePart,
+)
+from dandelionyoke_core._quarantine_messages import (
+    Suspicion as Suspicion,
+    SuspicionShared as SuspicionShared,
+    TrialShared as TrialShared,
+)
+from dandelionyoke_core._quarantine_settings import (
     QuarantineSettings as QuarantineSettings,
 )
 from dandelionyoke_core._records import (
--- a/packages/core/dandelionyoke_core/_assembly.py
+++ b/packages/core/dandelionyoke_core/_assembly.py
@@ -22,10 +22,8 @@
 )
 from dandelionyoke_core._node import Composition
 from dandelionyoke_core._once import OncePart
-from dandelionyoke_core._quarantine import (
-    QuarantinePart,
-    QuarantineSettings,
-)
+from dandelionyoke_core._quarantine import QuarantinePart
+from dandelionyoke_core._quarantine_settings import QuarantineSettings
 from dandelionyoke_core._records import Instance
 from dandelionyoke_core._request import RequestPart
 from dandelionyoke_core._request_settings import RequestSettings
--- a/packages/core/dandelionyoke_core/_call_desk.py
+++ b/packages/core/dandelionyoke_core/_call_desk.py
@@ -41,45 +41,56 @@
 
     def choose(self, call: Call, now_s: float) -> Target | NoRoute:
         """Ask the router, with the targets that failed this call."""
-        need = attrs.evolve(call.need, avoid=frozenset(call.avoid))
+        avoid = frozenset(call.avoid)
+        if call.fingerprint:
+            avoid |= self.quarantine.crowded(call.fingerprint, now_s)
+        need = attrs.evolve(call.need, avoid=avoid)
         return self.router.choose(need, now_s)
 
-    def began(self, call: Call, attempt: Attempt, now_s: float) -> WriteLog:
+    def began(self, call: Call, attempt: Attempt, now_s: float) -> list[Output]:
         """Tell the parts that follow work in progress of a new attempt."""
         target_id = attempt.target.target_id
         self.router.dispatched(attempt.work_id, target_id, call.need, now_s)
+        outputs: list[Output] = [
+            WriteLog(
+                'request.routed',
+                call.request_id,
+                f'{attempt.attempt_id} to {target_id}',
+                f'attempt {call.placements} of {self.settings.max_attempts}',
+            )
+        ]
         if call.fingerprint:
-            self.quarantine.started(
-                attempt.work_id, target_id, call.fingerprint
+            outputs += self.quarantine.started(
+                attempt.work_id, target_id, call.fingerprint, now_s
             )
-        return WriteLog(
-            'request.routed',
-            call.request_id,
-            f'{attempt.attempt_id} to {target_id}',
-            f'attempt {call.placements} of {self.settings.max_attempts}',
-        )
+        return outputs
 
     def leave(
-        self, call: Call, now_s: float, *, failed: bool = False
-    ) -> Attempt | None:
+        self,
+        call: Call,
+        now_s: float,
+        *,
+        failed: bool = False,
+        whole: bool = False,
+    ) -> list[Output]:
         """Stop following the present attempt, without a word to the target."""
         attempt = call.attempt
         call.attempt = None
-        if attempt is not None:
-            self.router.ended(attempt.work_id, now_s, failed)
-            self.quarantine.ended(attempt.work_id)
-        return attempt
+        if attempt is None:
+            return []
+        self.router.ended(attempt.work_id, now_s, failed)
+        return self.quarantine.ended(attempt.work_id, whole)
 
     def cancel(self, call: Call, now_s: float) -> list[Output]:
         """Stop the present attempt at its target.
 
         Work that nobody reads would go on being billed.
         """
-        attempt = self.leave(call, now_s)
+        attempt = call.attempt
         if attempt is None:
             return []
         target = attempt.target
-        outputs: list[Output] = []
+        outputs = self.leave(call, now_s)
         if attempt.resumes:
             outputs.append(DropAttempt(call.request_id, attempt.attempt_id))
         outputs.append(
@@ -126,11 +137,12 @@
         self, call: Call, prompt_tokens: int, now_s: float
     ) -> list[Output]:
         """Forget a call that has its whole answer."""
-        self.leave(call, now_s)
+        outputs = self.leave(call, now_s, whole=True)
         self.calls.pop(call.request_id, None)
         served = len(call.tokens)
         self.admitter.finish(call.request_id, prompt_tokens, served, now_s)
         return [
+            *outputs,
             delivered_call(call, prompt_tokens),
             WriteLog(
                 'request.finished',
--- a/packages/core/dandelionyoke_core/_intake.py
+++ b/packages/core/dandelionyoke_core/_intake.py
@@ -61,7 +61,7 @@
         organisation_id = identity.organisation.organisation_id
         print_of = fingerprint(organisation_id, event.model_name, event.prompt)
         refusal = self._quarantine.refusal(print_of, now_s)
-        if refusal is not None:
+        if refusal is not None and refusal.retry_after_s is None:
             return refusal
         tokens = split_tokens(event.prompt)
         if len(tokens) + event.max_output_tokens > model.context_tokens:
--- a/packages/core/dandelionyoke_core/_model_calls.py
+++ b/packages/core/dandelionyoke_core/_model_calls.py
@@ -60,13 +60,14 @@
         self, call: Call, event: AttemptRefused, now_s: float
     ) -> list[Output]:
         """Go elsewhere; the engine did not run the work."""
-        attempt = self._desk.leave(call, now_s)
+        attempt = call.attempt
         if attempt is None:
             return []
         call.avoid.add(attempt.target.target_id)
         if not attempt.resumes:
             call.unproven.discard(attempt.work_id)
         return [
+            *self._desk.leave(call, now_s),
             _refused_log(call, attempt, event.cause),
             *self._place(call, now_s),
         ]
@@ -82,10 +83,10 @@
             return self._broke(call, event.cause, now_s)
         if event.sent:
             return self._resume(call, attempt, event.cause, now_s)
-        self._desk.leave(call, now_s, failed=True)
         call.unproven.discard(attempt.work_id)
         call.avoid.add(attempt.target.target_id)
         return [
+            *self._desk.leave(call, now_s, failed=True),
             _refused_log(call, attempt, event.cause),
             *self._place(call, now_s),
         ]
@@ -127,6 +128,7 @@
         if attempt is None:
             return []
         if attempt.resumes and not attempt.progressed:
+            self._desk.quarantine.lost(attempt.work_id, now_s)
             return self._elsewhere(call, 'silent after a resume', now_s)
         return self._resume(call, attempt, 'silent', now_s)
 
@@ -240,7 +242,7 @@
         if refusal is not None and refusal.retry_after_s is None:
             return self._desk.refuse(call, refusal, now_s)
         if refusal is not None:
-            return self._wait_or_refuse(call, refusal, now_s)
+            return self._wait(call, refusal, now_s)
         if call.placements >= self._settings.max_attempts:
             return self._desk.refuse(call, self._worn_out(call, now_s), now_s)
         choice = self._desk.choose(call, now_s)
@@ -269,16 +271,21 @@
                 event.max_output_tokens,
                 call.identity.organisation.priority,
             ),
-            self._desk.began(call, attempt, now_s),
+            *self._desk.began(call, attempt, now_s),
         ]
 
     def _wait_or_refuse(
         self, call: Call, refusal: Refusal, now_s: float
     ) -> list[Output]:
-        # A caller that holds half an answer is better off waiting for the
-        # rest than being told to start over; one that holds nothing is
-        # better off knowing at once.
-        if not call.tokens or self._desk.stalled_for_good(call, now_s):
+        # A caller whose answer was begun is better off waiting for the rest
+        # than being told to start over, and of a call that nothing was done
+        # for it is better off knowing at once.
+        if not call.tokens and not call.unproven:
+            return self._desk.refuse(call, refusal, now_s)
+        return self._wait(call, refusal, now_s)
+
+    def _wait(self, call: Call, refusal: Refusal, now_s: float) -> list[Output]:
+        if self._desk.stalled_for_good(call, now_s):
             return self._desk.refuse(call, refusal, now_s)
         self._desk.stall(call, refusal.retry_after_s or 0, now_s)
         return []
--- a/packages/core/dandelionyoke_core/_ports.py
+++ b/packages/core/dandelionyoke_core/_ports.py
@@ -214,12 +214,29 @@
         """Refuse a call whose fingerprint is quarantined."""
 
     def started(
-        self, attempt_id: AttemptId, target_id: TargetId, fingerprint: str
-    ) -> None:
+        self,
+        attempt_id: AttemptId,
+        target_id: TargetId,
+        fingerprint: str,
+        now_s: float,
+    ) -> list[Output]:
         """Remember what is in progress where."""
 
-    def ended(self, attempt_id: AttemptId) -> None:
-        """Forget an attempt that ended without harm."""
+    def crowded(self, fingerprint: str, now_s: float) -> frozenset[TargetId]:
+        """Tell which targets a call must keep off, for its neighbours' sake.
+
+        Two suspects of one crash on one target could not be told apart if
+        it crashed too.
+        """
+
+    def ended(self, attempt_id: AttemptId, whole: bool = False) -> list[Output]:
+        """Forget an attempt that ended without harm.
+
+        `whole` is whether it ran to its end, which clears its fingerprint.
+        """
+
+    def lost(self, attempt_id: AttemptId, now_s: float) -> None:
+        """An attempt was left at a silent target, which may have crashed."""
 
     def broke(self, attempt_id: AttemptId, now_s: float) -> list[Output]:
         """An attempt broke off; its target may have crashed of it."""
--- a/packages/core/dandelionyoke_core/_service_calls.py
+++ b/packages/core/dandelionyoke_core/_service_calls.py
@@ -217,13 +217,14 @@
                 event.idempotency_key,
                 self._settings.service_timeout_s,
             ),
-            self._desk.began(call, attempt, now_s),
+            *self._desk.began(call, attempt, now_s),
         ]
 
     def _not_run(self, call: Call, cause: str, now_s: float) -> list[Output]:
-        attempt = self._desk.leave(call, now_s)
+        attempt = call.attempt
         if attempt is None:
             return []
+        left = self._desk.leave(call, now_s)
         call.unproven.discard(attempt.work_id)
         call.avoid.add(attempt.target.target_id)
         log = WriteLog(
@@ -233,8 +234,8 @@
             cause,
         )
         if call.caller_gone:
-            return [log, *self.abandon(call, now_s)]
-        return [log, *self._place(call, now_s)]
+            return [*left, log, *self.abandon(call, now_s)]
+        return [*left, log, *self._place(call, now_s)]
 
     def _broke(self, call: Call, cause: str, now_s: float) -> list[Output]:
         attempt = call.attempt
@@ -252,10 +253,13 @@
 
     def _drop(self, call: Call, now_s: float) -> list[Output]:
         # A plain service knows no cancel; closing the connection is all.
-        attempt = self._desk.leave(call, now_s, failed=True)
+        attempt = call.attempt
         if attempt is None:
             return []
-        return [DropAttempt(call.request_id, attempt.attempt_id)]
+        return [
+            *self._desk.leave(call, now_s, failed=True),
+            DropAttempt(call.request_id, attempt.attempt_id),
+        ]
 
     def _reopen(self, call: Call, now_s: float) -> list[Output]:
         if not call.claimed:
