Prove that a call which may not be repeated runs at most once

Cause: claims were written but nothing showed that they hold when entries die, race, or lose the store's answers.

Change: a schedule goes systematically through the orders of store calls, lost calls, lost answers and one death, with up to three departures from the default order, for eight racing entries and for a death at each step. Claims now carry the time at which they were made, so that a replacement with the same name and seed cannot take its predecessor's claim for its own.

--- a/packages/core/dandelionyoke_core/_once.py
+++ b/packages/core/dandelionyoke_core/_once.py
@@ -105,7 +105,8 @@
             return [ClaimRefused(request_id, too_many_claims(pause_s))]
         wall_s = self._wall_s(now_s)
         record = ClaimRecord(
-            self._table.name(),
+            # The time tells incarnations apart that draw the same number.
+            f'{self._table.name()}.{wall_s}',
             self._instance_id,
             hash_request(call),
             wall_s + self._settings.run_limit_s,
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -1,12 +1,14 @@
 """Small fakes at the interfaces of the parts that answer calls."""
 
 from collections import Counter, deque
+from collections.abc import Iterator
 from random import Random
 from typing import Any, TypeVar
 
 from dandelionyoke_core import (
     Action,
     Admitted,
+    CallDelivered,
     Composition,
     Event,
     Identity,
@@ -28,6 +30,8 @@
     Service,
     ServiceCalled,
     ServiceKind,
+    SharedRecord,
+    ShareRecord,
     Snapshot,
     Started,
     StoreAnswered,
@@ -57,7 +61,7 @@
         'ledger-desk': Service(
             'ledger-desk',
             ServiceKind.PLAIN,
-            unrepeatable=('POST /returns/*', 'POST /invoices'),
+            unrepeatable=('POST /returns/*', 'PUT /stock'),
         ),
     },
     {'crate-model': Model('crate-model', 'route-assistant')},
@@ -184,6 +188,44 @@
 TARGETS = (*map(engine, 'abcd'), *map(desk, 'xyz'))
 
 
+class Gossip:
+    """Stands for membership: keeps what an entry shares."""
+
+    handles = (ShareRecord,)
+
+    def __init__(self) -> None:
+        self.shared: list[SharedRecord] = []
+
+    def handle(self, event: Event, now_s: float) -> list[Any]:
+        assert isinstance(event, ShareRecord)
+        self.shared.append(event.record)
+        return []
+
+    def next_wakeup_s(self) -> float | None:
+        return None
+
+
+class Usage:
+    """Stands for usage: adds up what was told to have been delivered."""
+
+    handles = (CallDelivered,)
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.prompt_tokens = 0
+        self.output_tokens = 0
+
+    def handle(self, event: Event, now_s: float) -> list[Any]:
+        assert isinstance(event, CallDelivered)
+        self.requests += event.requests
+        self.prompt_tokens += event.prompt_tokens
+        self.output_tokens += event.output_tokens
+        return []
+
+    def next_wakeup_s(self) -> float | None:
+        return None
+
+
 class Entry:
     """The parts of one entry that answer calls, in virtual time."""
 
@@ -194,6 +236,7 @@
         once: OnceSettings = OnceSettings(),
         quarantine: QuarantineSettings = QuarantineSettings(),
         seed: int = 1,
+        started_wall_s: float = 1_000_000.0,
     ) -> None:
         self.now_s = 100.0
         self.name = name
@@ -211,10 +254,18 @@
             self.quarantine,
             Random(seed),
         )
-        self.parts = (self.quarantine, self.once, self.request)
-        self.node = Composition(self.parts)
+        self.gossip, self.usage = Gossip(), Usage()
+        self.node = Composition(
+            (
+                self.quarantine,
+                self.once,
+                self.request,
+                self.gossip,
+                self.usage,
+            )
+        )
         self.said: list[Action] = []
-        self.tell(Started(1_000_000.0))
+        self.tell(Started(started_wall_s))
 
     def tell(self, event: Event) -> list[Action]:
         actions = self.node.handle(event, self.now_s)
@@ -254,10 +305,14 @@
 
 
 def confirm(name: str = 'r1', **more: Any) -> Event:
-    given = {'idempotency_key': 'k1', 'body': b'4 crates', **more}
-    return ServiceCalled(
-        name, 'key-1', 'ledger-desk', 'POST', '/returns/7', **given
-    )
+    given = {
+        'method': 'POST',
+        'path': '/returns/7',
+        'idempotency_key': 'k1',
+        'body': b'4 crates',
+        **more,
+    }
+    return ServiceCalled(name, 'key-1', 'ledger-desk', **given)
 
 
 def serve(entry: Entry, store: Store, actions: list[Action]) -> list[Action]:
@@ -271,3 +326,37 @@
             result = store.perform(action)
             waiting += entry.tell(StoreAnswered(action.operation_id, result))
     return done
+
+
+def schedules(deviations: int, limit: int) -> Iterator['Schedule']:
+    """Go through every run that leaves the default order a few times.
+
+    Each run asks its schedule what comes next; option 0 is the default.
+    """
+    waiting: deque[tuple[int, ...]] = deque(((),))
+    for _ in range(limit):
+        if not waiting:
+            return
+        schedule = Schedule(waiting.popleft())
+        yield schedule
+        if sum(map(bool, schedule.prefix)) < deviations:
+            waiting += schedule.branches()
+
+
+class Schedule:
+    """The choices of one run, which can be replayed."""
+
+    def __init__(self, prefix: tuple[int, ...]) -> None:
+        self.prefix = prefix
+        self.options: list[int] = []
+
+    def choose(self, options: int) -> int:
+        step = len(self.options)
+        self.options.append(options)
+        return self.prefix[step] if step < len(self.prefix) else 0
+
+    def branches(self) -> Iterator[tuple[int, ...]]:
+        done = len(self.prefix)
+        for step in range(done, len(self.options)):
+            for option in range(1, self.options[step]):
+                yield (*self.prefix, *(0,) * (step - done), option)
