--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -51,15 +51,9 @@
     CommitOutcome as CommitOutcome,
     Committed as Committed,
     Committer as Committer,
-    ConfigurationLoader as ConfigurationLoader,
     Conflicted as Conflicted,
-    Head as Head,
-    Loaded as Loaded,
-    LoadOutcome as LoadOutcome,
     Proposal as Proposal,
     Rejected as Rejected,
-    StoreLayoutSettings as StoreLayoutSettings,
-    Unsettled as Unsettled,
 )
 from dandelionyoke_core._configuration import (
     ConfigurationPart as ConfigurationPart,
@@ -238,6 +232,14 @@
 from dandelionyoke_core._rendezvous import (
     rendezvous as rendezvous,
 )
+from dandelionyoke_core._store_layout import (
+    ConfigurationLoader as ConfigurationLoader,
+    Head as Head,
+    Loaded as Loaded,
+    LoadOutcome as LoadOutcome,
+    StoreLayoutSettings as StoreLayoutSettings,
+    Unsettled as Unsettled,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
@@ -245,4 +247,5 @@
 )
 from dandelionyoke_core._topology import (
     TopologySettings as TopologySettings,
+    choose_links as choose_links,
 )
--- a/packages/core/dandelionyoke_core/_commit.py
+++ b/packages/core/dandelionyoke_core/_commit.py
@@ -1,59 +1,40 @@
-"""How a configuration lies in the store, and how it is read and changed.
+"""How a change gets into the configuration: once, and on what it was planned.
 
-`config/head` holds the revision, the last changes and the revision of the
-snapshot to start from. A change is committed by compare-and-swap on it.
-Everything else is immutable: `config/snapshot/<revision>`, and
-`config/change/<revision>` for the changes that left the head.
+The compare-and-swap on the head is the commit point.
 """
 
-import itertools
 from collections.abc import Sequence
 
 import attrs
 
-from dandelionyoke_core._actions import StoreGet, StorePut
 from dandelionyoke_core._changes import Problem, apply_change, validate
-from dandelionyoke_core._codec import record_from_json, record_to_json
+from dandelionyoke_core._codec import record_to_json
 from dandelionyoke_core._entities import Change, Operation, Snapshot
 from dandelionyoke_core._errors import DandelionyokeError
-from dandelionyoke_core._names import ChangeId, OperationId
+from dandelionyoke_core._names import ChangeId
 from dandelionyoke_core._records import (
     StoreConflict,
     StoreFailed,
-    StoreItem,
     StoreWritten,
 )
 from dandelionyoke_core._store_dialogue import Steps, StoreDialogue
+from dandelionyoke_core._store_layout import (
+    HEAD_KEY,
+    MAX_VALUE_BYTES,
+    Head,
+    Loaded,
+    StoreLayoutSettings,
+    StoreSteps,
+    Unsettled,
+    change_key,
+    snapshot_key,
+)
 
-HEAD_KEY = 'config/head'
-SNAPSHOT_PREFIX = 'config/snapshot/'
-CHANGE_PREFIX = 'config/change/'
-MAX_VALUE_BYTES = 1_048_576
 # The head holds the whole of the newest change, whatever its size, and has
 # to fit into a value with it.
 MAX_CHANGE_BYTES = 786_432
 
 
-@attrs.frozen
-class StoreLayoutSettings:
-    """How much the head holds, and when a snapshot is cut."""
-
-    head_changes: int = 32
-    head_bytes: int = 65_536
-    snapshot_every_changes: int = 16
-    max_tries: int = 6
-    max_changes_since: int = 256
-
-
-@attrs.frozen
-class Head:
-    """The content of `config/head`; its changes end at its revision."""
-
-    revision: int = 0
-    snapshot_revision: int = 0
-    changes: tuple[Change, ...] = ()
-
-
 @attrs.frozen
 class Proposal:
     """A change that an operator wants.
@@ -92,184 +73,9 @@
     problems: tuple[Problem, ...]
 
 
-@attrs.frozen
-class Unsettled:
-    """The store did not answer.
-
-    Where the change may have happened, the same proposal, with the same
-    change id, finds out and is safe.
-    """
-
-    cause: str
-    may_have_happened: bool = False
-
-
 CommitOutcome = Committed | Conflicted | Rejected | Unsettled
 
 
-@attrs.frozen
-class Loaded:
-    """A configuration as read from the store."""
-
-    snapshot: Snapshot
-    changes: tuple[Change, ...]
-    head: Head
-    head_store_revision: int
-
-
-LoadOutcome = Loaded | Unsettled
-
-
-class StoreSteps:
-    """The store calls of reading and changing a configuration."""
-
-    def __init__(self, prefix: str, settings: StoreLayoutSettings) -> None:
-        self._prefix = prefix
-        self._settings = settings
-        self._numbers = itertools.count(1)
-
-    def load(self, history_from: int | None = None) -> Steps[LoadOutcome]:
-        """Read all of a configuration.
-
-        The snapshot can be gone by the time that it is read, because newer
-        ones have followed; then the head is read again.
-        """
-        cause = ''
-        for _ in range(self._settings.max_tries):
-            head_item = yield from self.get(HEAD_KEY)
-            if isinstance(head_item, Unsettled):
-                return head_item
-            try:
-                loaded = yield from self.load_from(head_item, history_from)
-            except DandelionyokeError as wrong:
-                return Unsettled(str(wrong))
-            if isinstance(loaded, Loaded):
-                return loaded
-            cause = loaded.cause
-        return Unsettled(cause)
-
-    def load_from(
-        self, head_item: StoreItem, history_from: int | None = None
-    ) -> Steps[LoadOutcome]:
-        """Read what a head rests on."""
-        head = read_head(head_item)
-        base = yield from self._get_snapshot(head.snapshot_revision)
-        if isinstance(base, Unsettled):
-            return base
-        first = head.snapshot_revision + 1
-        if history_from is not None:
-            oldest = head.revision - self._settings.max_changes_since
-            first = max(1, oldest, min(first, history_from))
-        changes = yield from self.get_changes(head, first)
-        if isinstance(changes, Unsettled):
-            return changes
-        snapshot = base
-        for change in changes:
-            if change.revision > snapshot.revision:
-                snapshot = apply_change(snapshot, change)
-        return Loaded(snapshot, changes, head, head_item.revision)
-
-    def get_changes(
-        self, head: Head, first: int
-    ) -> Steps[tuple[Change, ...] | Unsettled]:
-        """Read the changes from a revision up to the head's."""
-        kept_from = head.revision - len(head.changes) + 1
-        found: list[Change] = []
-        for revision in range(first, kept_from):
-            text = yield from self._get_text(change_key(revision))
-            if isinstance(text, Unsettled):
-                return text
-            found.append(record_from_json(text, Change))
-        found.extend(
-            change for change in head.changes if change.revision >= first
-        )
-        return tuple(found)
-
-    def get(self, key: str) -> Steps[StoreItem | Unsettled]:
-        """Read a key, with a bounded number of tries."""
-        found: StoreItem | Unsettled = Unsettled('')
-        for _ in range(self._settings.max_tries):
-            found = yield from self.get_once(key)
-            if isinstance(found, StoreItem):
-                return found
-        return found
-
-    def get_once(self, key: str) -> Steps[StoreItem | Unsettled]:
-        """Read a key, with one try."""
-        answer = yield StoreGet(self.next_id(), key)
-        if isinstance(answer, StoreItem):
-            return answer
-        return Unsettled(_cause_of(answer))
-
-    def create(self, key: str, text: str) -> Steps[Unsettled | None]:
-        """Write an immutable key; it is fine if it is there already."""
-        cause = ''
-        for _ in range(self._settings.max_tries):
-            answer = yield StorePut(self.next_id(), key, text, 0)
-            if isinstance(answer, StoreWritten | StoreConflict):
-                return None
-            cause = _cause_of(answer)
-        return Unsettled(cause)
-
-    def swap(
-        self, key: str, text: str, expected_revision: int
-    ) -> Steps[StoreWritten | StoreConflict | StoreFailed]:
-        """Write a key by compare-and-swap, once."""
-        answer = yield StorePut(self.next_id(), key, text, expected_revision)
-        if isinstance(answer, StoreWritten | StoreConflict):
-            return answer
-        if isinstance(answer, StoreFailed):
-            return answer
-        return StoreFailed(_cause_of(answer), may_have_happened=True)
-
-    def _get_snapshot(self, revision: int) -> Steps[Snapshot | Unsettled]:
-        if revision == 0:
-            return Snapshot()
-        text = yield from self._get_text(snapshot_key(revision))
-        if isinstance(text, Unsettled):
-            return text
-        return record_from_json(text, Snapshot)
-
-    def _get_text(self, key: str) -> Steps[str | Unsettled]:
-        found = yield from self.get(key)
-        if isinstance(found, Unsettled):
-            return found
-        if found.value is None:
-            return Unsettled(f'{key} is gone')
-        return found.value
-
-    def next_id(self) -> OperationId:
-        """Name the next call."""
-        return OperationId(f'{self._prefix}/{next(self._numbers)}')
-
-
-class ConfigurationLoader(StoreDialogue[LoadOutcome]):
-    """Reads a configuration, and its changes from a revision on."""
-
-    def __init__(
-        self,
-        history_from: int | None = None,
-        settings: StoreLayoutSettings | None = None,
-        prefix: str = 'config-load',
-    ) -> None:
-        steps = StoreSteps(prefix, settings or StoreLayoutSettings())
-        super().__init__(steps.load(history_from))
-
-    @property
-    def snapshot(self) -> Snapshot:
-        """The configuration as read; the empty one before."""
-        if isinstance(self.outcome, Loaded):
-            return self.outcome.snapshot
-        return Snapshot()
-
-    @property
-    def changes(self) -> tuple[Change, ...]:
-        """The changes as read, oldest first."""
-        if isinstance(self.outcome, Loaded):
-            return self.outcome.changes
-        return ()
-
-
 class Committer(StoreDialogue[CommitOutcome]):
     """Brings one proposal to its outcome."""
 
@@ -339,9 +145,12 @@
         answer = yield from self._store.swap(
             HEAD_KEY, record_to_json(head), loaded.head_store_revision
         )
-        if isinstance(answer, StoreWritten):
-            return Committed(change)
-        return answer
+        if not isinstance(answer, StoreWritten):
+            return answer
+        unused = loaded.head.old_snapshot_revision
+        if self._cuts_snapshot(loaded.head) and unused:
+            yield from self._store.drop(snapshot_key(unused))
+        return Committed(change)
 
     def _change(self, revision: int) -> Change:
         return Change(
@@ -372,11 +181,14 @@
         )
 
     def _next_head(self, head: Head, change: Change) -> Head:
-        cuts = self._cuts_snapshot(head)
+        changes = (*self._kept(head), change)
+        if not self._cuts_snapshot(head):
+            return attrs.evolve(head, revision=change.revision, changes=changes)
         return Head(
             revision=change.revision,
-            snapshot_revision=head.revision if cuts else head.snapshot_revision,
-            changes=(*self._kept(head), change),
+            snapshot_revision=head.revision,
+            old_snapshot_revision=head.snapshot_revision,
+            changes=changes,
         )
 
     def _cuts_snapshot(self, head: Head) -> bool:
@@ -392,23 +204,6 @@
         )
 
 
-def change_key(revision: int) -> str:
-    """Name the key of a change."""
-    return f'{CHANGE_PREFIX}{revision}'
-
-
-def snapshot_key(revision: int) -> str:
-    """Name the key of a snapshot."""
-    return f'{SNAPSHOT_PREFIX}{revision}'
-
-
-def read_head(item: StoreItem) -> Head:
-    """Read the head; a store without one holds the empty configuration."""
-    if item.value is None:
-        return Head()
-    return record_from_json(item.value, Head)
-
-
 def _newest(
     changes: Sequence[Change], most_changes: int, most_bytes: int
 ) -> tuple[Change, ...]:
@@ -447,9 +242,3 @@
         f'{what} takes more than {most_bytes} bytes',
         'Split it, or remove what is no longer used',
     )
-
-
-def _cause_of(answer: object) -> str:
-    if isinstance(answer, StoreFailed):
-        return answer.cause
-    return f'the store answered with {type(answer).__name__}'
--- a/packages/core/dandelionyoke_core/_configuration.py
+++ b/packages/core/dandelionyoke_core/_configuration.py
@@ -97,6 +97,7 @@
         )
         self._confirmed_s: float | None = None
         self._heard_revision = 0
+        self._store_at = 0
         self._links: dict[InstanceId, None] = {}
         self._question: _Question | None = None
         self._asked_count = 0
@@ -197,7 +198,9 @@
             outputs = self._knowledge.take_snapshot(
                 found.snapshot, found.changes
             )
-        if found.revision is None or found.revision == self.snapshot.revision:
+        if found.revision is not None:
+            self._store_at = found.revision
+        if self._store_at >= self.snapshot.revision:
             self._confirm(reading.confirmed_s)
         return self._with_news(outputs)
 
--- a/packages/core/dandelionyoke_core/_configuration_reader.py
+++ b/packages/core/dandelionyoke_core/_configuration_reader.py
@@ -5,14 +5,6 @@
 import attrs
 
 from dandelionyoke_core._actions import Action, StoreWatch
-from dandelionyoke_core._commit import (
-    HEAD_KEY,
-    Loaded,
-    StoreLayoutSettings,
-    StoreSteps,
-    Unsettled,
-    read_head,
-)
 from dandelionyoke_core._entities import Change, Snapshot
 from dandelionyoke_core._errors import DandelionyokeError
 from dandelionyoke_core._events import StoreAnswered
@@ -22,6 +14,14 @@
     StoreListing,
 )
 from dandelionyoke_core._store_dialogue import Steps, StoreDialogue
+from dandelionyoke_core._store_layout import (
+    HEAD_KEY,
+    Loaded,
+    StoreLayoutSettings,
+    StoreSteps,
+    Unsettled,
+    read_head,
+)
 
 # The store's clock may run a little slower than this node's.
 CLOCK_MARGIN = 0.98
--- a/packages/core/dandelionyoke_core/_knowledge.py
+++ b/packages/core/dandelionyoke_core/_knowledge.py
@@ -20,7 +20,7 @@
     """How many changes a node keeps, and how many it tells at once."""
 
     kept_changes: int = 64
-    told_changes: int = 16
+    told_changes: int = 4
     told_bytes: int = 16_384
 
 
@@ -92,10 +92,6 @@
         if snapshot.revision <= old.revision:
             return []
         self.snapshot = snapshot
-        if len(changes) != snapshot.revision - old.revision:
-            # With a hole in it, a run of changes would look whole to a peer
-            # that asks for it, and the peer would miss what lies between.
-            self._recent.clear()
         self._recent.extend(changes)
         outputs: list[Output] = [ConfigurationInForce(snapshot, tuple(changes))]
         outputs.extend(
--- a/packages/core/dandelionyoke_core/_links.py
+++ b/packages/core/dandelionyoke_core/_links.py
@@ -92,7 +92,7 @@
     def disconnected(self, name: InstanceId, now_s: float) -> None:
         """Take the end of a link, or of a dial."""
         link = self._links.get(name)
-        if link is None:
+        if link is None or not (link.is_up or link.dialing):
             return
         link.is_up = False
         self._put_off(link, now_s)
@@ -111,7 +111,6 @@
             if link.is_up and self._is_over(link, now_s):
                 link.is_up = False
                 self._put_off(link, now_s)
-                link.dial_due_s = now_s
                 actions.append(DisconnectPeer(name))
             elif link.dialing and now_s >= link.dial_due_s:
                 self._put_off(link, now_s)
--- a/packages/core/dandelionyoke_core/_members.py
+++ b/packages/core/dandelionyoke_core/_members.py
@@ -55,26 +55,31 @@
         """Give the live instances with their addresses."""
         return [self._members[name].instance for name in self.live]
 
-    def take_list(self, instances: Iterable[Instance]) -> None:
-        """Take the platform's list, which lags."""
+    def take_list(self, instances: Iterable[Instance]) -> list[InstanceId]:
+        """Take the platform's list, which lags; return what it adds."""
         self._listed = {
             instance.instance_id: instance for instance in instances
         }
+        added: list[InstanceId] = []
         for instance_id, instance in self._listed.items():
             member = self._members.get(instance_id)
             if member is None:
                 self._add(instance)
+                added.append(instance_id)
             elif member.version == 0 and instance_id != self._own.instance_id:
                 member.instance = instance
                 member.state = _STATE_OF_PRESENCE[instance.state]
         self._drop_unlisted()
+        return added
 
     def take_record(self, record: MemberRecord, now_s: float) -> None:
         """Take what an instance, or a peer that misses it, says."""
         instance_id = record.instance.instance_id
+        member = self._members.get(instance_id)
         if instance_id == self._own.instance_id:
+            if member is not None and record.said_by == instance_id:
+                member.state = record.state
             return
-        member = self._members.get(instance_id)
         if member is None:
             member = self._add(record.instance)
         if member is None:
--- a/packages/core/dandelionyoke_core/_membership.py
+++ b/packages/core/dandelionyoke_core/_membership.py
@@ -12,6 +12,7 @@
     SendPeer,
     WriteLog,
 )
+from dandelionyoke_core._courier import Courier
 from dandelionyoke_core._events import (
     Event,
     InstancesListed,
@@ -20,11 +21,10 @@
     PeerDisconnected,
     PeerMessage,
     PeerMessageArrived,
-    SharedRecord,
     Started,
     Woken,
 )
-from dandelionyoke_core._gossip import GossipSettings, RecordTable, batches
+from dandelionyoke_core._gossip import GossipSettings
 from dandelionyoke_core._links import Links, LinkSettings
 from dandelionyoke_core._members import Members
 from dandelionyoke_core._membership_messages import (
@@ -32,11 +32,12 @@
     MemberRecord,
     MemberState,
     RecordBatch,
-    RecordEntry,
     RecordSummary,
     member_key,
+    next_announcement,
+    suspicion_of,
 )
-from dandelionyoke_core._names import Domain, InstanceId
+from dandelionyoke_core._names import InstanceId
 from dandelionyoke_core._notices import (
     Leaving,
     PeersKnown,
@@ -103,10 +104,8 @@
         self._state = MemberState.LIVE
         self._members = Members(own, settings.grace_s, settings.max_members)
         self._links = Links(own.instance_id, settings.links)
-        self._table = RecordTable(settings.gossip)
-        self._peer_domains: dict[InstanceId, Domain] = {}
+        self._courier = Courier(own, settings.gossip)
         self._accused: dict[InstanceId, float] = {}
-        self._outbox: list[tuple[RecordEntry, InstanceId | None]] = []
         self._beats = 0
         self._tick_due_s: float | None = None
         self._list_due_s = 0.0
@@ -143,7 +142,7 @@
         if self._tick_due_s is not None and now_s >= self._tick_due_s:
             outputs.extend(self._tick(now_s))
         outputs.extend(self._refresh(now_s))
-        outputs.extend(self._flush())
+        outputs.extend(self._courier.flush(self._links.up()))
         return outputs
 
     def _take(self, event: Event, now_s: float) -> list[Output]:
@@ -151,18 +150,17 @@
             case Started():
                 return self._start(now_s)
             case InstancesListed(instances=instances):
-                self._members.take_list(instances)
-                self._is_dirty = True
+                self._take_list(instances, now_s)
             case PeerConnected(peer_id=peer_id):
                 return self._greet(peer_id, now_s)
             case PeerDisconnected(peer_id=peer_id):
                 self._links.disconnected(peer_id, now_s)
-                self._peer_domains.pop(peer_id, None)
+                self._courier.forget(peer_id)
             case PeerMessageArrived(peer_id=peer_id, message=message):
                 self._links.heard(peer_id, now_s)
                 return self._take_message(peer_id, message, now_s)
             case ShareRecord(record=record, everywhere=everywhere):
-                self._share(record, everywhere, now_s)
+                self._courier.share(record, everywhere, now_s)
             case Leaving():
                 self._state = MemberState.LEAVING
                 self._announce(now_s)
@@ -178,13 +176,12 @@
     def _start(self, now_s: float) -> list[Output]:
         self._tick_due_s = now_s
         self._list_due_s = now_s
-        self._members.take_list(self._settings.seeds)
-        self._is_dirty = True
+        self._take_list(self._settings.seeds, now_s)
         return [PeersKnown(self.live, self.live_in_domain)]
 
     def _tick(self, now_s: float) -> list[Output]:
         self._tick_due_s = now_s + self._jitter(self._settings.heartbeat_s)
-        self._table.expire(now_s)
+        self._courier.expire(now_s)
         outputs: list[Output] = list(self._links.advance(now_s))
         outputs.extend(self._beat())
         outputs.extend(self._accuse(now_s))
@@ -216,6 +213,14 @@
 
     # Members.
 
+    def _take_list(self, instances: tuple[Instance, ...], now_s: float) -> None:
+        for instance_id in self._members.take_list(instances):
+            # The list may show again, for a while, what was dropped.
+            record = self._courier.find(member_key(instance_id))
+            if isinstance(record, MemberRecord):
+                self._members.take_record(record, now_s)
+        self._is_dirty = True
+
     def _refresh(self, now_s: float) -> list[Output]:
         """Bring the live lists and the links in line with what is known."""
         outputs: list[Output] = []
@@ -245,18 +250,24 @@
 
     def _accuse(self, now_s: float) -> list[Output]:
         outputs: list[Output] = []
+        self._accused = {
+            name: until_s
+            for name, until_s in self._accused.items()
+            if now_s < until_s
+        }
         for instance_id in self._links.missing(now_s):
             member = self._members.find(instance_id)
             if member is None or member.state is MemberState.SUSPECTED:
                 continue
-            if now_s < self._accused.get(instance_id, now_s):
+            if instance_id in self._accused:
                 # It answered an earlier suspicion over other links: only the
                 # way to it is broken, and accusing it each second would
                 # flood the peers with records.
                 continue
             self._accused[instance_id] = now_s + self._settings.accuse_again_s
+            version = suspicion_of(member.version)
             suspicion = self._record(
-                member.instance, member.version + 1, MemberState.SUSPECTED
+                member.instance, version, MemberState.SUSPECTED
             )
             self._keep_member(suspicion, now_s)
             outputs.append(WriteLog('membership.suspected', instance_id))
@@ -267,7 +278,7 @@
         self._announce_due_s = now_s + self._jitter(
             self._settings.announce_every_s
         )
-        self._version += 1
+        self._version = next_announcement(self._version)
         self._keep_member(
             self._record(self._own, self._version, self._state), now_s
         )
@@ -285,7 +296,7 @@
         )
 
     def _keep_member(self, record: MemberRecord, now_s: float) -> None:
-        self._share(record, everywhere=True, now_s=now_s)
+        self._courier.share(record, everywhere=True, now_s=now_s)
         self._members.take_record(record, now_s)
         self._is_dirty = True
 
@@ -309,61 +320,18 @@
         if refusal:
             return list(refusal)
         self._accused.pop(peer_id, None)
-        summary = RecordSummary(self._own, self._table.versions())
-        return [SendPeer(peer_id, summary)]
+        return [self._courier.greet(peer_id)]
 
     def _take_message(
         self, peer_id: InstanceId, message: PeerMessage, now_s: float
     ) -> list[Output]:
-        if isinstance(message, RecordBatch):
-            return self._take_batch(peer_id, message, now_s)
-        if not isinstance(message, RecordSummary):
+        if isinstance(message, RecordSummary):
+            return list(self._courier.answer(peer_id, message, now_s))
+        if not isinstance(message, RecordBatch):
             return []
-        self._peer_domains[peer_id] = message.instance.domain
-        newer = self._table.newer_than(
-            message.versions, self._shares_domain(peer_id), now_s
-        )
-        return [SendPeer(peer_id, batch) for batch in batches(newer)]
-
-    def _take_batch(
-        self, peer_id: InstanceId, batch: RecordBatch, now_s: float
-    ) -> list[Output]:
         outputs: list[Output] = []
-        for entry in batch.entries:
-            learned = self._table.learn(entry, now_s)
-            if learned is None:
-                continue
-            record, onward = learned
-            self._outbox.append((onward, peer_id))
+        for record in self._courier.take(peer_id, message, now_s):
             outputs.append(RecordLearned(record, peer_id))
             if isinstance(record, MemberRecord):
                 outputs.extend(self._take_member(record, now_s))
         return outputs
-
-    def _share(
-        self, record: SharedRecord, everywhere: bool, now_s: float
-    ) -> None:
-        entry = self._table.keep(record, everywhere, now_s)
-        if entry is not None:
-            self._outbox.append((entry, None))
-
-    def _flush(self) -> list[Action]:
-        if not self._outbox:
-            return []
-        waiting = self._outbox
-        self._outbox = []
-        actions: list[Action] = []
-        for peer_id in self._links.up():
-            same_domain = self._shares_domain(peer_id)
-            entries = (
-                entry
-                for entry, source in waiting
-                if source != peer_id and (same_domain or entry.everywhere)
-            )
-            actions.extend(
-                SendPeer(peer_id, batch) for batch in batches(entries)
-            )
-        return actions
-
-    def _shares_domain(self, peer_id: InstanceId) -> bool:
-        return self._peer_domains.get(peer_id) == self._own.domain
--- a/packages/core/dandelionyoke_core/_membership_messages.py
+++ b/packages/core/dandelionyoke_core/_membership_messages.py
@@ -31,8 +31,10 @@
 class MemberRecord(SharedRecord):
     """What an instance says of itself, or a peer that misses it.
 
-    A suspicion has the version after the last known one, and the instance
-    answers it with the version after that.
+    An instance's own versions are even, suspicions have the odd one after
+    the last that was known. With one run of numbers for both, two regions
+    that lost each other would give one version to an announcement and to a
+    suspicion, and would stay apart in what they take for the newest.
     """
 
     instance: Instance
@@ -67,3 +69,13 @@
 def member_key(instance_id: InstanceId) -> str:
     """Name the record of an instance."""
     return f'member/{instance_id}'
+
+
+def next_announcement(version: int) -> int:
+    """Give the version with which an instance outbids what is said of it."""
+    return (version // 2 + 1) * 2
+
+
+def suspicion_of(version: int) -> int:
+    """Give the version of a suspicion of what was said last."""
+    return version // 2 * 2 + 1
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_store_layout.py
@@ -0,0 +1,258 @@
+"""How a configuration lies in the store, and how it is read.
+
+`config/head` holds the revision, the last changes and the revision of the
+snapshot to start from. Everything else is immutable:
+`config/snapshot/<revision>`, and `config/change/<revision>` for the changes
+that left the head.
+"""
+
+import itertools
+
+import attrs
+
+from dandelionyoke_core._actions import StoreDelete, StoreGet, StorePut
+from dandelionyoke_core._changes import apply_change
+from dandelionyoke_core._codec import record_from_json
+from dandelionyoke_core._entities import Change, Snapshot
+from dandelionyoke_core._errors import DandelionyokeError
+from dandelionyoke_core._names import OperationId
+from dandelionyoke_core._records import (
+    StoreConflict,
+    StoreFailed,
+    StoreItem,
+    StoreWritten,
+)
+from dandelionyoke_core._store_dialogue import Steps, StoreDialogue
+
+HEAD_KEY = 'config/head'
+SNAPSHOT_PREFIX = 'config/snapshot/'
+CHANGE_PREFIX = 'config/change/'
+MAX_VALUE_BYTES = 1_048_576
+
+
+@attrs.frozen
+class StoreLayoutSettings:
+    """How much the head holds, and when a snapshot is cut."""
+
+    head_changes: int = 32
+    head_bytes: int = 65_536
+    snapshot_every_changes: int = 16
+    max_tries: int = 6
+    max_changes_since: int = 256
+
+
+@attrs.frozen
+class Head:
+    """The content of `config/head`; its changes end at its revision.
+
+    The snapshot before the present one stays for those who read it now.
+    """
+
+    revision: int = 0
+    snapshot_revision: int = 0
+    old_snapshot_revision: int = 0
+    changes: tuple[Change, ...] = ()
+
+
+@attrs.frozen
+class Unsettled:
+    """The store did not answer.
+
+    Where the change may have happened, the same proposal, with the same
+    change id, finds out and is safe.
+    """
+
+    cause: str
+    may_have_happened: bool = False
+
+
+@attrs.frozen
+class Loaded:
+    """A configuration as read from the store."""
+
+    snapshot: Snapshot
+    changes: tuple[Change, ...]
+    head: Head
+    head_store_revision: int
+
+
+LoadOutcome = Loaded | Unsettled
+
+
+class StoreSteps:
+    """The store calls of reading and changing a configuration."""
+
+    def __init__(self, prefix: str, settings: StoreLayoutSettings) -> None:
+        self._prefix = prefix
+        self._settings = settings
+        self._numbers = itertools.count(1)
+
+    def load(self, history_from: int | None = None) -> Steps[LoadOutcome]:
+        """Read all of a configuration.
+
+        The snapshot can be gone by the time that it is read, because newer
+        ones have followed; then the head is read again.
+        """
+        cause = ''
+        for _ in range(self._settings.max_tries):
+            head_item = yield from self.get(HEAD_KEY)
+            if isinstance(head_item, Unsettled):
+                return head_item
+            try:
+                loaded = yield from self.load_from(head_item, history_from)
+            except DandelionyokeError as wrong:
+                return Unsettled(str(wrong))
+            if isinstance(loaded, Loaded):
+                return loaded
+            cause = loaded.cause
+        return Unsettled(cause)
+
+    def load_from(
+        self, head_item: StoreItem, history_from: int | None = None
+    ) -> Steps[LoadOutcome]:
+        """Read what a head rests on."""
+        head = read_head(head_item)
+        base = yield from self._get_snapshot(head.snapshot_revision)
+        if isinstance(base, Unsettled):
+            return base
+        first = head.snapshot_revision + 1
+        if history_from is not None:
+            oldest = head.revision - self._settings.max_changes_since
+            first = max(1, oldest, min(first, history_from))
+        changes = yield from self.get_changes(head, first)
+        if isinstance(changes, Unsettled):
+            return changes
+        snapshot = base
+        for change in changes:
+            if change.revision > snapshot.revision:
+                snapshot = apply_change(snapshot, change)
+        return Loaded(snapshot, changes, head, head_item.revision)
+
+    def get_changes(
+        self, head: Head, first: int
+    ) -> Steps[tuple[Change, ...] | Unsettled]:
+        """Read the changes from a revision up to the head's."""
+        kept_from = head.revision - len(head.changes) + 1
+        found: list[Change] = []
+        for revision in range(first, kept_from):
+            text = yield from self._get_text(change_key(revision))
+            if isinstance(text, Unsettled):
+                return text
+            found.append(record_from_json(text, Change))
+        found.extend(
+            change for change in head.changes if change.revision >= first
+        )
+        return tuple(found)
+
+    def get(self, key: str) -> Steps[StoreItem | Unsettled]:
+        """Read a key, with a bounded number of tries."""
+        found: StoreItem | Unsettled = Unsettled('')
+        for _ in range(self._settings.max_tries):
+            found = yield from self.get_once(key)
+            if isinstance(found, StoreItem):
+                return found
+        return found
+
+    def get_once(self, key: str) -> Steps[StoreItem | Unsettled]:
+        """Read a key, with one try."""
+        answer = yield StoreGet(self.next_id(), key)
+        if isinstance(answer, StoreItem):
+            return answer
+        return Unsettled(_cause_of(answer))
+
+    def create(self, key: str, text: str) -> Steps[Unsettled | None]:
+        """Write an immutable key; it is fine if it is there already."""
+        cause = ''
+        for _ in range(self._settings.max_tries):
+            answer = yield StorePut(self.next_id(), key, text, 0)
+            if isinstance(answer, StoreWritten | StoreConflict):
+                return None
+            cause = _cause_of(answer)
+        return Unsettled(cause)
+
+    def swap(
+        self, key: str, text: str, expected_revision: int
+    ) -> Steps[StoreWritten | StoreConflict | StoreFailed]:
+        """Write a key by compare-and-swap, once."""
+        answer = yield StorePut(self.next_id(), key, text, expected_revision)
+        if isinstance(answer, StoreWritten | StoreConflict):
+            return answer
+        if isinstance(answer, StoreFailed):
+            return answer
+        return StoreFailed(_cause_of(answer), may_have_happened=True)
+
+    def drop(self, key: str) -> Steps[None]:
+        """Remove a key that nothing names any more, with one try."""
+        found = yield from self.get_once(key)
+        if isinstance(found, StoreItem) and found.value is not None:
+            yield StoreDelete(self.next_id(), key, found.revision)
+
+    def _get_snapshot(self, revision: int) -> Steps[Snapshot | Unsettled]:
+        if revision == 0:
+            return Snapshot()
+        text = yield from self._get_text(snapshot_key(revision))
+        if isinstance(text, Unsettled):
+            return text
+        return record_from_json(text, Snapshot)
+
+    def _get_text(self, key: str) -> Steps[str | Unsettled]:
+        found = yield from self.get(key)
+        if isinstance(found, Unsettled):
+            return found
+        if found.value is None:
+            return Unsettled(f'{key} is gone')
+        return found.value
+
+    def next_id(self) -> OperationId:
+        """Name the next call."""
+        return OperationId(f'{self._prefix}/{next(self._numbers)}')
+
+
+class ConfigurationLoader(StoreDialogue[LoadOutcome]):
+    """Reads a configuration, and its changes from a revision on."""
+
+    def __init__(
+        self,
+        history_from: int | None = None,
+        settings: StoreLayoutSettings | None = None,
+        prefix: str = 'config-load',
+    ) -> None:
+        steps = StoreSteps(prefix, settings or StoreLayoutSettings())
+        super().__init__(steps.load(history_from))
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """The configuration as read; the empty one before."""
+        if isinstance(self.outcome, Loaded):
+            return self.outcome.snapshot
+        return Snapshot()
+
+    @property
+    def changes(self) -> tuple[Change, ...]:
+        """The changes as read, oldest first."""
+        if isinstance(self.outcome, Loaded):
+            return self.outcome.changes
+        return ()
+
+
+def change_key(revision: int) -> str:
+    """Name the key of a change."""
+    return f'{CHANGE_PREFIX}{revision}'
+
+
+def snapshot_key(revision: int) -> str:
+    """Name the key of a snapshot."""
+    return f'{SNAPSHOT_PREFIX}{revision}'
+
+
+def read_head(item: StoreItem) -> Head:
+    """Read the head; a store without one holds the empty configuration."""
+    if item.value is None:
+        return Head()
+    return record_from_json(item.value, Head)
+
+
+def _cause_of(answer: object) -> str:
+    if isinstance(answer, StoreFailed):
+        return answer.cause
+    return f'the store answered with {type(answer).__name__}'
--- a/packages/core/dandelionyoke_core/_topology.py
+++ b/packages/core/dandelionyoke_core/_topology.py
@@ -22,9 +22,14 @@
 
 @attrs.frozen
 class TopologySettings:
-    """How many links a node opens to other domains."""
+    """How many links a node opens to other domains.
+
+    A small domain takes at most `inward_per_peer` for each of its
+    instances from any other domain, so that a large one does not swamp it.
+    """
 
     links_across: int = 2
+    inward_per_peer: int = 4
 
 
 def choose_links(
@@ -39,7 +44,7 @@
     ring = _ring(domains[own.domain])
     place = ring.index(own.instance_id)
     inside = _links_inside(ring, place)
-    across = _links_across(own, place, domains, settings.links_across)
+    across = _links_across(own, place, domains, settings)
     return frozenset((*inside, *across))
 
 
@@ -60,14 +65,16 @@
     own: Instance,
     place: int,
     domains: Mapping[Domain, Sequence[InstanceId]],
-    count: int,
+    settings: TopologySettings,
 ) -> list[InstanceId]:
+    count = settings.links_across
     order = sorted(domains)
     others = len(order) - 1
     start = order.index(own.domain) + 1
     chosen: list[InstanceId] = []
     for number in range(min(count, others)):
         skipped = (place * count + number) % others
-        domain = order[(start + skipped) % len(order)]
-        chosen.extend(rendezvous(own.instance_id, domains[domain], 1))
+        peers = domains[order[(start + skipped) % len(order)]]
+        if place < settings.inward_per_peer * len(peers):
+            chosen.extend(rendezvous(own.instance_id, peers, 1))
     return chosen
