--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -74,14 +74,9 @@
 from dandelionyoke_core._commit import (
     Committed as Committed,
     Committer as Committer,
-    ConfigurationLoader as ConfigurationLoader,
     Conflicted as Conflicted,
-    Head as Head,
-    Loaded as Loaded,
     Proposal as Proposal,
     Rejected as Rejected,
-    StoreLayoutSettings as StoreLayoutSettings,
-    Unsettled as Unsettled,
 )
 from dandelionyoke_core._configuration import (
     ConfigurationPart as ConfigurationPart,
@@ -297,6 +292,13 @@
 from dandelionyoke_core._routing_settings import (
     RoutingSettings as RoutingSettings,
 )
+from dandelionyoke_core._store_layout import (
+    ConfigurationLoader as ConfigurationLoader,
+    Head as Head,
+    Loaded as Loaded,
+    StoreLayoutSettings as StoreLayoutSettings,
+    Unsettled as Unsettled,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
@@ -304,4 +306,5 @@
 )
 from dandelionyoke_core._topology import (
     TopologySettings as TopologySettings,
+    choose_links as choose_links,
 )
