--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -101,6 +101,10 @@
     UsageAnswered as UsageAnswered,
     Woken as Woken,
 )
+from dandelionyoke_core._fleet_notices import (
+    RoleWanted as RoleWanted,
+    TargetsWanted as TargetsWanted,
+)
 from dandelionyoke_core._load_estimate import EngineSpeed as EngineSpeed
 from dandelionyoke_core._names import (
     AttemptId as AttemptId,
--- /dev/null
+++ b/packages/standins/dandelionyoke_standins/_policy_deployments.py
@@ -0,0 +1,173 @@
+"""The two users' deployments, in the sizes that the brief gives."""
+
+from dandelionyoke_core import (
+    Domain,
+    Organisation,
+    OrganisationId,
+    ServiceName,
+)
+from dandelionyoke_standins._policy_workload import (
+    CallClass,
+    Customer,
+    Deployment,
+    TargetGroup,
+)
+
+# A few large organisations and some small ones, as parts of the demand.
+DEMANDS = (0.3, 0.25, 0.15, 0.1, 0.08, 0.06, 0.04, 0.02)
+# No limit of tokens or calls: the measures ask how capacity is shared.
+NO_LIMIT = 1_000_000
+
+ASSISTANT = ServiceName('route-assistant')
+LEDGER = ServiceName('ledger-desk')
+MODELO = ServiceName('modelo-lm')
+COBROS = ServiceName('cobros-app')
+
+
+def _customers(names: tuple[str, ...]) -> tuple[Customer, ...]:
+    return tuple(
+        Customer(
+            Organisation(
+                OrganisationId(name),
+                tokens_per_s=NO_LIMIT,
+                requests_per_s=NO_LIMIT,
+                concurrent_requests=NO_LIMIT,
+            ),
+            demand,
+        )
+        for name, demand in zip(names, DEMANDS, strict=True)
+    )
+
+
+MWAKILEMA = Deployment(
+    name='mwakilema',
+    entries={
+        Domain('kurasini'): 3,
+        Domain('mikocheni'): 3,
+        Domain('ubungo'): 2,
+    },
+    groups=(
+        TargetGroup(ASSISTANT, Domain('kurasini'), steady=3, reclaimable=1),
+        TargetGroup(ASSISTANT, Domain('mikocheni'), steady=2, reclaimable=1),
+        TargetGroup(ASSISTANT, Domain('ubungo'), steady=2, reclaimable=1),
+        TargetGroup(LEDGER, Domain('kurasini'), steady=1, plain=True),
+        TargetGroup(LEDGER, Domain('mikocheni'), steady=1, plain=True),
+        TargetGroup(LEDGER, Domain('ubungo'), steady=1, plain=True),
+    ),
+    customers=_customers(
+        (
+            'dar-routes',
+            'morogoro-routes',
+            'kariakoo-depot',
+            'temeke-depot',
+            'ilala-dukas',
+            'kibaha-dukas',
+            'chalinze-dukas',
+            'mlandizi-dukas',
+        )
+    ),
+    classes=(
+        CallClass(
+            'history',
+            ASSISTANT,
+            prompt_tokens=3000,
+            output_tokens=40,
+            deadline_s=10,
+            shared_tokens=2400,
+            documents=60,
+        ),
+        CallClass(
+            'van-load',
+            ASSISTANT,
+            prompt_tokens=700,
+            output_tokens=120,
+            deadline_s=10,
+            shared_tokens=320,
+            documents=20,
+        ),
+        CallClass(
+            'roadside',
+            ASSISTANT,
+            prompt_tokens=80,
+            output_tokens=200,
+            deadline_s=12,
+        ),
+        CallClass(
+            'confirm',
+            LEDGER,
+            prompt_tokens=0,
+            output_tokens=3,
+            deadline_s=3,
+            steady=True,
+        ),
+    ),
+    reclaimable_share=0.3,
+)
+
+AFORO = Deployment(
+    name='aforo',
+    entries={
+        Domain('limon-a'): 2,
+        Domain('limon-b'): 2,
+        Domain('moin-a'): 2,
+        Domain('moin-b'): 2,
+    },
+    groups=(
+        TargetGroup(MODELO, Domain('limon-a'), steady=2, reclaimable=1),
+        TargetGroup(MODELO, Domain('limon-b'), steady=2, reclaimable=1),
+        TargetGroup(MODELO, Domain('moin-a'), steady=2),
+        TargetGroup(MODELO, Domain('moin-b'), steady=1, reclaimable=1),
+        TargetGroup(COBROS, Domain('limon-a'), steady=1, plain=True),
+        TargetGroup(COBROS, Domain('limon-b'), steady=1, plain=True),
+        TargetGroup(COBROS, Domain('moin-a'), steady=1, plain=True),
+        TargetGroup(COBROS, Domain('moin-b'), steady=1, plain=True),
+    ),
+    customers=_customers(
+        (
+            'puerto-limon',
+            'moin-agency',
+            'caribe-tanks',
+            'broker-siquirres',
+            'agency-bataan',
+            'agency-matina',
+            'agency-cahuita',
+            'agency-bribri',
+        )
+    ),
+    classes=(
+        CallClass(
+            'reconciliation',
+            MODELO,
+            prompt_tokens=9000,
+            output_tokens=500,
+            deadline_s=60,
+            shared_tokens=6400,
+            documents=6,
+        ),
+        CallClass(
+            'lookup',
+            MODELO,
+            prompt_tokens=400,
+            output_tokens=60,
+            deadline_s=6,
+            shared_tokens=160,
+            documents=10,
+        ),
+        CallClass(
+            'question',
+            MODELO,
+            prompt_tokens=150,
+            output_tokens=220,
+            deadline_s=15,
+        ),
+        CallClass(
+            'invoice',
+            COBROS,
+            prompt_tokens=0,
+            output_tokens=3,
+            deadline_s=3,
+            steady=True,
+        ),
+    ),
+    reclaimable_share=0.3,
+)
