Admit a call only where a target can begin it

Admission looks at the estimates of routing, so that calls wait in the fair queue and not in the engines. Limits follow the demand that entries tell each other of; far targets are read a few at a time.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -41,6 +41,7 @@
 )
 from dandelionyoke_core._capacity import (
     CapacityView as CapacityView,
+    Outlook as Outlook,
     ServiceCapacity as ServiceCapacity,
 )
 from dandelionyoke_core._codec import (
@@ -49,6 +50,7 @@
     record_from_json as record_from_json,
     record_to_json as record_to_json,
 )
+from dandelionyoke_core._demand import DemandShared as DemandShared
 from dandelionyoke_core._entities import (
     ApiKey as ApiKey,
     Change as Change,
@@ -105,7 +107,10 @@
     RoleWanted as RoleWanted,
     TargetsWanted as TargetsWanted,
 )
-from dandelionyoke_core._load_estimate import EngineSpeed as EngineSpeed
+from dandelionyoke_core._load_estimate import (
+    EngineSpeed as EngineSpeed,
+    WorkSize as WorkSize,
+)
 from dandelionyoke_core._names import (
     AttemptId as AttemptId,
     ChangeId as ChangeId,
@@ -144,7 +149,7 @@
     TargetCrashed as TargetCrashed,
     TargetLeaving as TargetLeaving,
 )
-from dandelionyoke_core._observation import LoadShared as LoadShared
+from dandelionyoke_core._observation import LoadsShared as LoadsShared
 from dandelionyoke_core._ports import (
     Admitted as Admitted,
     Admitter as Admitter,
@@ -200,3 +205,4 @@
     prefix_blocks as prefix_blocks,
     split_tokens as split_tokens,
 )
+from dandelionyoke_core._work_mix import MixRow as MixRow
--- a/packages/core/dandelionyoke_core/_admission.py
+++ b/packages/core/dandelionyoke_core/_admission.py
@@ -2,13 +2,12 @@
 
 from typing import ClassVar
 
-import attrs
-
 from dandelionyoke_core._admission_settings import AdmissionSettings
-from dandelionyoke_core._capacity import CapacityView
+from dandelionyoke_core._capacity import CapacityView, Outlook
+from dandelionyoke_core._demand import DemandShared, DemandTable
 from dandelionyoke_core._events import Event, Started, Woken
-from dandelionyoke_core._fair_queue import FairQueue
 from dandelionyoke_core._limits import OrganisationLimits
+from dandelionyoke_core._load_estimate import WorkSize
 from dandelionyoke_core._names import InstanceId, RequestId, ServiceName
 from dandelionyoke_core._notices import (
     CallAdmitted,
@@ -26,24 +25,8 @@
 )
 from dandelionyoke_core._rate import DecayingRate
 from dandelionyoke_core._refusals import Refusal, RefusalKind
-
-
-@attrs.define
-class Running:
-    """A call that holds a place."""
-
-    ticket: Ticket
-    cost: float
-    weight: float
-
-
-@attrs.define
-class ServiceQueue:
-    """One service's queue, its running calls and how fast it drains."""
-
-    drained: DecayingRate
-    queue: FairQueue = attrs.field(factory=FairQueue)
-    running: dict[RequestId, Running] = attrs.field(factory=dict)
+from dandelionyoke_core._service_queue import ServiceQueue
+from dandelionyoke_core._work_mix import MixRow
 
 
 class AdmissionPart:
@@ -68,7 +51,8 @@
         self._directory = directory
         self._peers = peers
         self._capacities = capacities
-        self._limits = OrganisationLimits(settings, instance_id)
+        self._demand = DemandTable(settings, peers, instance_id)
+        self._limits = OrganisationLimits(settings, self._demand)
         self._services: dict[ServiceName, ServiceQueue] = {}
         self._places: dict[RequestId, ServiceName] = {}
         self._due_s: float | None = None
@@ -76,15 +60,25 @@
     def handle(self, event: Event, now_s: float) -> list[Output]:
         """Take an event and say what follows from it."""
         match event:
+            case Started():
+                self._demand.start(now_s)
+                self._limits.entries_known(len(self._peers.live), now_s)
             case Woken():
-                return self._wake(now_s)
+                return [*self._demand.share(now_s), *self._wake(now_s)]
             case PeersKnown(live=live):
                 self._limits.entries_known(len(live), now_s)
+            case RecordLearned(record=DemandShared() as record):
+                self._demand.learn(record, now_s)
         return []
 
     def next_wakeup_s(self) -> float | None:
-        """Tell when queued calls have to be looked at again."""
-        return self._due_s
+        """Tell when queued calls, or the demand, have to be looked at."""
+        due = (self._due_s, self._demand.next_wakeup_s())
+        return min((due_s for due_s in due if due_s is not None), default=None)
+
+    def mix(self, service: ServiceName, now_s: float) -> tuple[MixRow, ...]:
+        """Estimate the work that this domain's entries are asked for."""
+        return self._demand.mix(service, now_s)
 
     # The Admitter port.
 
@@ -93,19 +87,24 @@
     ) -> Admitted | Queued | Refusal:
         """Decide on a new call at once."""
         service = self._service(ticket.service)
-        refusal = self._limits.refusal(ticket, now_s)
-        if refusal is None:
-            refusal = self._room_refusal(ticket, service, now_s)
+        output_tokens = service.output.mean_tokens(ticket.max_output_tokens)
+        self._demand.count(ticket, output_tokens, now_s)
+        self._demand.meter.add(
+            ticket.service, ticket.prompt_tokens, output_tokens, now_s
+        )
+        outlook = self._outlook(ticket, service, now_s)
+        refusal = self._refusal(ticket, service, outlook, now_s)
         if refusal is not None:
             return refusal
-        self._limits.admit(ticket, now_s)
+        self._limits.admit(ticket, output_tokens, now_s)
         self._places[ticket.request_id] = ticket.service
-        cost = self._cost(ticket.prompt_tokens, ticket.max_output_tokens)
+        cost = self._cost(ticket.prompt_tokens, output_tokens)
+        was_empty = not service.has_queue
         service.queue.push(ticket, cost, self._weight(ticket))
-        if len(service.queue) == 1 and self._has_room(ticket.service, now_s):
-            self._start_next(service)
+        if was_empty and self._may_start(ticket, service, outlook, now_s):
+            service.start_next()
             return Admitted()
-        self._due_s = now_s if self._due_s is None else self._due_s
+        self._look_again(now_s + self._settings.look_again_s)
         return Queued()
 
     def withdraw(self, request_id: RequestId, now_s: float) -> None:
@@ -126,57 +125,86 @@
         service = self._service(name)
         waiting = service.queue.remove(request_id)
         if waiting is not None:
-            self._limits.finish(waiting.ticket, 0, 0, now_s)
+            self._give_back(service, waiting.ticket, 0)
             return
         running = service.running.pop(request_id)
+        ticket = running.ticket
         served = self._cost(prompt_tokens, output_tokens)
-        organisation_id = running.ticket.organisation.organisation_id
-        service.queue.correct(
-            organisation_id, served - running.cost, running.weight
-        )
+        name_of = ticket.organisation.organisation_id
+        service.queue.correct(name_of, served - running.cost, running.weight)
         service.drained.add(served, now_s)
-        self._limits.finish(running.ticket, prompt_tokens, output_tokens, now_s)
+        self._give_back(service, ticket, prompt_tokens + output_tokens)
+        if output_tokens:
+            service.output.learn(output_tokens, ticket.max_output_tokens)
         # finish() cannot return a notice, so the freed place is given away
         # by a wake-up that is due at once; without it a queued call would
         # wait for the next timer.
-        if service.queue:
-            self._due_s = now_s
+        if service.has_queue:
+            self._look_again(now_s)
 
     def come_back_s(self, service: ServiceName, now_s: float) -> float:
         """Estimate when a refused call would find room, in seconds."""
-        return self._bounded_retry(self._wait_s(self._service(service), now_s))
+        found = self._service(service)
+        return self._bounded_retry(
+            found.wait_s(found.queue.cost, now_s, self._settings.min_retry_s)
+        )
 
     # Decisions.
 
-    def _room_refusal(
-        self, ticket: Ticket, service: ServiceQueue, now_s: float
+    def _refusal(
+        self,
+        ticket: Ticket,
+        service: ServiceQueue,
+        outlook: Outlook | None,
+        now_s: float,
     ) -> Refusal | None:
-        settings = self._settings
-        capacity = self._capacities.capacity(ticket.service, now_s)
-        if not capacity.slots:
+        limited = self._limits.refusal(ticket, now_s)
+        if limited is not None:
+            return limited
+        if outlook is None:
             return Refusal(
                 RefusalKind.NO_TARGET,
                 f'no target of {ticket.service} can take work now',
-                'Send the call again later',
-                retry_after_s=settings.no_target_retry_s,
+                'Send the call again after the time given',
+                retry_after_s=self._settings.no_target_retry_s,
             )
-        wait_s = self._wait_s(service, now_s)
-        if ticket.deadline_s is not None and self._has_queue(service):
-            if now_s + wait_s > ticket.deadline_s:
-                return self._overloaded(
-                    RefusalKind.DEADLINE, 'the deadline would pass', wait_s
-                )
-        own = service.queue.queued_of(ticket.organisation.organisation_id)
-        if len(service.queue) >= settings.max_queued:
+        return self._queue_refusal(ticket, service, outlook, now_s)
+
+    def _queue_refusal(
+        self,
+        ticket: Ticket,
+        service: ServiceQueue,
+        outlook: Outlook,
+        now_s: float,
+    ) -> Refusal | None:
+        settings = self._settings
+        name = ticket.organisation.organisation_id
+        queue = service.queue
+        ahead = queue.ahead(name)
+        wait_s = service.wait_s(ahead, now_s, settings.min_retry_s)
+        if self._is_too_late(ticket, wait_s + outlook.total_s, now_s):
+            return self._overloaded(
+                RefusalKind.DEADLINE, 'the deadline would pass', wait_s
+            )
+        if len(queue) >= settings.max_queued:
             return self._overloaded(
                 RefusalKind.OVERLOADED, 'the queue is full', wait_s
             )
-        if own >= settings.max_queued * settings.max_queued_share:
+        share = settings.max_queued * settings.max_queued_share
+        if queue.queued_of(name) >= share:
             return self._overloaded(
                 RefusalKind.OVERLOADED, 'too many calls wait already', wait_s
             )
         return None
 
+    def _is_too_late(
+        self, ticket: Ticket, needed_s: float, now_s: float
+    ) -> bool:
+        if ticket.deadline_s is None:
+            return False
+        expected_s = needed_s * self._settings.deadline_margin
+        return now_s + expected_s > ticket.deadline_s
+
     def _overloaded(
         self, kind: RefusalKind, detail: str, wait_s: float
     ) -> Refusal:
@@ -187,48 +215,61 @@
             retry_after_s=self._bounded_retry(wait_s),
         )
 
-    def _wait_s(self, service: ServiceQueue, now_s: float) -> float:
-        rate = service.drained.per_s(now_s)
-        if not self._has_queue(service):
-            return 0
-        return service.queue.cost / rate if rate else self._settings.min_retry_s
-
-    def _has_queue(self, service: ServiceQueue) -> bool:
-        return len(service.queue) > 0
-
     def _bounded_retry(self, wait_s: float) -> float:
         settings = self._settings
         return min(settings.max_retry_s, max(settings.min_retry_s, wait_s))
 
-    def _has_room(self, name: ServiceName, now_s: float) -> bool:
-        service = self._service(name)
-        capacity = self._capacities.capacity(name, now_s)
-        share = 1 / max(1, len(self._peers.live))
-        return len(service.running) < max(1, capacity.slots * share)
-
-    def _start_next(self, service: ServiceQueue) -> RequestId | None:
-        taken = service.queue.pop()
-        if taken is None:
-            return None
-        request_id = taken.ticket.request_id
-        service.running[request_id] = Running(
-            taken.ticket, taken.cost, taken.weight
+    def _outlook(
+        self, ticket: Ticket, service: ServiceQueue, now_s: float
+    ) -> Outlook | None:
+        size = WorkSize(
+            ticket.prompt_tokens,
+            service.output.mean_tokens(ticket.max_output_tokens),
+            service.output.high_tokens(ticket.max_output_tokens),
         )
-        return request_id
+        return self._capacities.outlook(ticket.service, size, now_s)
+
+    def _may_start(
+        self,
+        ticket: Ticket,
+        service: ServiceQueue,
+        outlook: Outlook | None,
+        now_s: float,
+    ) -> bool:
+        if outlook is None or not outlook.has_room:
+            return False
+        capacity = self._capacities.capacity(ticket.service, now_s)
+        entries = max(1, len(self._peers.live))
+        slots = capacity.slots / entries * self._settings.slot_margin
+        return len(service.running) < max(1, slots)
+
+    # Queues.
 
     def _wake(self, now_s: float) -> list[Output]:
-        outputs: list[Output] = []
+        """Let one call of each queue go, and look again at once.
+
+        The next look then sees the load of the call that went; letting
+        several go on one look would send them all to the same free room.
+        """
         self._due_s = None
-        for name, service in self._services.items():
+        outputs: list[Output] = []
+        for service in self._services.values():
             outputs.extend(self._reject_late(service, now_s))
-            while self._has_queue(service) and self._has_room(name, now_s):
-                request_id = self._start_next(service)
-                if request_id is not None:
-                    outputs.append(CallAdmitted(request_id))
-            if self._has_queue(service):
-                self._due_s = now_s + self._settings.min_retry_s
+            outputs.extend(self._start_next(service, now_s))
         return outputs
 
+    def _start_next(self, service: ServiceQueue, now_s: float) -> list[Output]:
+        head = service.queue.peek()
+        if head is None:
+            return []
+        outlook = self._outlook(head.ticket, service, now_s)
+        if self._may_start(head.ticket, service, outlook, now_s):
+            request_id = service.start_next()
+            self._look_again(now_s)
+            return [] if request_id is None else [CallAdmitted(request_id)]
+        self._look_again(now_s + self._settings.look_again_s)
+        return []
+
     def _reject_late(self, service: ServiceQueue, now_s: float) -> list[Output]:
         outputs: list[Output] = []
         for waiting in service.queue.waiting():
@@ -242,23 +283,33 @@
             refusal = self._overloaded(
                 RefusalKind.DEADLINE,
                 'the call waited too long',
-                self._wait_s(service, now_s),
+                service.wait_s(service.queue.cost, now_s, 0),
             )
             outputs.append(CallRejected(ticket.request_id, refusal))
         return outputs
 
+    def _look_again(self, at_s: float) -> None:
+        if self._due_s is None or at_s < self._due_s:
+            self._due_s = at_s
+
+    def _give_back(
+        self, service: ServiceQueue, ticket: Ticket, served_tokens: int
+    ) -> None:
+        expected = service.output.mean_tokens(ticket.max_output_tokens)
+        charged = ticket.prompt_tokens + expected
+        self._limits.finish(ticket, served_tokens - charged)
+
     def _service(self, name: ServiceName) -> ServiceQueue:
         service = self._services.get(name)
         if service is None:
-            rate = DecayingRate(self._settings.rate_window_s)
-            service = ServiceQueue(rate)
+            service = ServiceQueue(DecayingRate(self._settings.rate_window_s))
             self._services[name] = service
         return service
 
-    def _cost(self, prompt_tokens: int, output_tokens: int) -> float:
+    def _cost(self, prompt_tokens: float, output_tokens: float) -> float:
         # A call of no tokens, as to a plain service, is still some work.
         tokens = prompt_tokens + self._settings.output_weight * output_tokens
-        return max(1.0, tokens)
+        return max(1, tokens)
 
     def _weight(self, ticket: Ticket) -> float:
         organisation = ticket.organisation
--- a/packages/core/dandelionyoke_core/_fair_queue.py
+++ b/packages/core/dandelionyoke_core/_fair_queue.py
@@ -55,6 +55,18 @@
         flow = self._flows.get(organisation_id)
         return 0 if flow is None else len(flow.calls)
 
+    def ahead(self, organisation_id: OrganisationId) -> float:
+        """Add up the work that a new call of an organisation waits for."""
+        flow = self._flows.get(organisation_id)
+        finish = 0.0 if flow is None else flow.finish
+        start = max(self._virtual, finish)
+        return sum(
+            call.cost
+            for other in self._flows.values()
+            for call in other.calls
+            if call.start <= start
+        )
+
     def push(self, ticket: Ticket, cost: float, weight: float) -> None:
         """Queue a call."""
         flow = self._flow(ticket)
--- a/packages/core/dandelionyoke_core/_load_estimate.py
+++ b/packages/core/dandelionyoke_core/_load_estimate.py
@@ -1,91 +1,136 @@
 """What a call would find at a target: pure estimates, no state."""
 
 import math
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import attrs
 
-from dandelionyoke_core._ports import RouteNeed
-from dandelionyoke_core._records import LoadReport, Role
+from dandelionyoke_core._records import Role
 
 
 @attrs.frozen
-class EngineSpeed:
-    """How fast an engine works, where nothing was measured yet.
+class RoleRates:
+    """What a role makes of an engine's rates.
 
-    A step of a batch costs `step_s` and `step_per_call_s` for each call in
-    it. A role moves speed from one kind of work to the other.
+    While some calls decode, prefill takes at most `prefill_share` of the
+    time.
     """
 
+    prefill_factor: float
+    decode_factor: float
+    prefill_share: float
+
+
+ROLE_RATES: Mapping[Role, RoleRates] = MappingProxyType(
+    {
+        Role.PREFILL: RoleRates(1.6, 0.4, 0.9),
+        Role.DECODE: RoleRates(0.4, 1.6, 0.2),
+        Role.MIXED: RoleRates(1, 1, 0.5),
+    }
+)
+
+
+@attrs.frozen
+class EngineSpeed:
+    """How fast a mixed engine works, where nothing was measured yet."""
+
     prefill_tokens_per_s: float = 8000.0
-    step_s: float = 0.012
-    step_per_call_s: float = 0.0006
-    role_gain: float = 1.6
-    role_loss: float = 0.4
-    max_calls: int = 48
+    decode_tokens_per_s: float = 800.0
+    stream_tokens_per_s: float = 60.0
+    max_calls: int = 32
 
     def prefill_rate(self, role: Role) -> float:
-        """Prompt tokens a second of an engine in a role."""
-        return self.prefill_tokens_per_s * self._factor(role, Role.PREFILL)
+        """Prompt tokens a second of an engine that does nothing else."""
+        return self.prefill_tokens_per_s * ROLE_RATES[role].prefill_factor
+
+    def decode_rate(self, role: Role) -> float:
+        """Output tokens a second of an engine that does nothing else."""
+        return self.decode_tokens_per_s * ROLE_RATES[role].decode_factor
+
+    def engine_s(self, prompt: float, output: float, role: Role) -> float:
+        """Seconds of an engine's time that work of this size takes."""
+        prefill_s = prompt / self.prefill_rate(role)
+        return prefill_s + output / self.decode_rate(role)
 
-    def token_s(self, role: Role, calls: int) -> float:
-        """Time between tokens of a batch of this many calls."""
-        step_s = self.step_s + self.step_per_call_s * calls
-        return step_s / self._factor(role, Role.DECODE)
 
-    def _factor(self, role: Role, favoured: Role) -> float:
-        if role is Role.MIXED:
-            return 1.0
-        return self.role_gain if role is favoured else self.role_loss
+@attrs.frozen
+class WorkSize:
+    """What a call is expected to take.
+
+    `reserved_tokens` is the output that memory is left for; it is more than
+    the mean, since a call that outgrows its memory throws another one out.
+    """
+
+    prompt_tokens: float
+    output_tokens: float
+    reserved_tokens: float = 0
 
 
 @attrs.frozen
-class Correction:
-    """What this entry knows beyond the report of a target."""
+class Load:
+    """The load of a target, as far as it is known by now.
+
+    `used_blocks` counts what the calls there will grow to.
+    """
 
-    calls: int = 0
-    prefill_tokens: int = 0
-    blocks: int = 0
+    role: Role = Role.MIXED
+    calls: float = 0
+    prefill_tokens: float = 0
+    used_blocks: float = 0
+    total_blocks: int = 0
+    block_tokens: int = 16
 
 
 @attrs.frozen
 class Estimate:
-    """What a call would find at a target."""
+    """What a call would find at a target.
+
+    `queue_s` passes before its own prefill begins; `engine_s` is the time
+    of the engine that it takes from others.
+    """
 
+    queue_s: float
     first_token_s: float
     token_s: float
-    short_blocks: int
     total_s: float
+    engine_s: float
+    short_blocks: float
 
 
-def call_blocks(tokens: int, block_tokens: int) -> int:
+def call_blocks(tokens: float, block_tokens: int) -> int:
     """Blocks that hold this many tokens."""
     return math.ceil(tokens / max(1, block_tokens))
 
 
 def estimate(
-    need: RouteNeed,
-    report: LoadReport,
-    correction: Correction,
-    cached_blocks: int,
-    speed: EngineSpeed,
+    size: WorkSize, load: Load, cached_blocks: int, speed: EngineSpeed
 ) -> Estimate:
     """Estimate the times of a call and the memory that it would lack."""
-    cached_tokens = cached_blocks * report.block_tokens
-    prefill_tokens = max(0, need.prompt_tokens - cached_tokens)
-    queued_tokens = report.prefill_queue_tokens + correction.prefill_tokens
-    calls = max(0, report.running + report.waiting + correction.calls)
-    rate = speed.prefill_rate(report.role)
-    token_s = speed.token_s(report.role, calls + 1)
-    first_token_s = (max(0, queued_tokens) + prefill_tokens) / rate + token_s
-    final_tokens = need.prompt_tokens + need.max_output_tokens
-    wanted = call_blocks(final_tokens, report.block_tokens) - cached_blocks
-    used = report.kv_used_blocks + correction.blocks
-    short = 0
-    if report.kv_total_blocks:
-        short = max(0, used + wanted - report.kv_total_blocks)
+    rates = ROLE_RATES[load.role]
+    fresh = max(0, size.prompt_tokens - cached_blocks * load.block_tokens)
+    share = rates.prefill_share if load.calls > 0 else 1
+    prefill_rate = speed.prefill_rate(load.role) * share
+    queue_s = load.prefill_tokens / prefill_rate
+    first_token_s = queue_s + fresh / prefill_rate
+    # Prefill takes its share of the time only while prompts are queued.
+    prefill_share = rates.prefill_share * min(1, 4 * first_token_s)
+    decode_rate = speed.decode_rate(load.role) * (1 - prefill_share)
+    token_s = max(1 / speed.stream_tokens_per_s, (load.calls + 1) / decode_rate)
     return Estimate(
-        first_token_s=first_token_s,
+        queue_s=queue_s,
+        first_token_s=first_token_s + token_s,
         token_s=token_s,
-        short_blocks=short,
-        total_s=first_token_s + token_s * need.max_output_tokens,
+        total_s=first_token_s + token_s * size.output_tokens,
+        engine_s=speed.engine_s(fresh, size.output_tokens, load.role),
+        short_blocks=_short_blocks(size, load, cached_blocks),
     )
+
+
+def _short_blocks(size: WorkSize, load: Load, cached_blocks: int) -> float:
+    if not load.total_blocks:
+        return 0
+    output_tokens = max(size.output_tokens, size.reserved_tokens)
+    tokens = size.prompt_tokens + output_tokens
+    wanted = call_blocks(tokens, load.block_tokens) - cached_blocks
+    return max(0, load.used_blocks + wanted - load.total_blocks)
--- a/packages/core/dandelionyoke_core/_observation.py
+++ b/packages/core/dandelionyoke_core/_observation.py
@@ -1,39 +1,93 @@
-"""Who reads the load of which target, and how others learn of it."""
+"""Who reads the load of which target, and how others learn of it.
 
-from collections.abc import Iterable
+In a small domain every entry reads every target of it. In a large one two
+entries read each target, and each of them shares one record of all that it
+reads: so an entry hears as many records as its domain has entries that
+watch, whatever their targets take.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
 
 import attrs
 
 from dandelionyoke_core._events import SharedRecord
 from dandelionyoke_core._names import InstanceId, TargetId
-from dandelionyoke_core._records import LoadReport, Target
+from dandelionyoke_core._records import LoadReport, Role, Target
 from dandelionyoke_core._rendezvous import rendezvous
 from dandelionyoke_core._routing_settings import RoutingSettings
 
 
 @attrs.frozen
-class LoadShared(SharedRecord):
-    """A load report that a watcher read for the entries of its domain.
+class LoadsShared(SharedRecord):
+    """The loads that one watcher read, in columns to keep it small.
 
-    The attempts in progress are left out: they grow with the load, and each
-    entry knows its own.
+    The attempts in progress and the models are left out: the former grow
+    with the load, and each entry knows its own.
     """
 
-    target_id: TargetId
-    report: LoadReport
+    target_ids: tuple[TargetId, ...]
+    incarnations: tuple[str, ...]
+    ages_s: tuple[float, ...]
+    roles: tuple[Role, ...]
+    calls: tuple[int, ...]
+    prefill_queue_tokens: tuple[int, ...]
+    kv_used_blocks: tuple[int, ...]
+    kv_total_blocks: tuple[int, ...]
+    draining: tuple[TargetId, ...] = ()
+    unreachable: tuple[TargetId, ...] = ()
 
+    def reports(self) -> Iterator[tuple[TargetId, LoadReport]]:
+        """Give the loads as reports."""
+        for row, target_id in enumerate(self.target_ids):
+            yield (
+                target_id,
+                LoadReport(
+                    engine_id=target_id,
+                    incarnation=self.incarnations[row],
+                    measured_s=0,
+                    age_s=self.ages_s[row],
+                    role=self.roles[row],
+                    running=self.calls[row],
+                    prefill_queue_tokens=self.prefill_queue_tokens[row],
+                    kv_used_blocks=self.kv_used_blocks[row],
+                    kv_total_blocks=self.kv_total_blocks[row],
+                    draining=target_id in self.draining,
+                ),
+            )
 
-def is_watcher(
-    settings: RoutingSettings,
-    instance_id: InstanceId,
-    live_in_domain: tuple[InstanceId, ...],
-    target: Target,
+
+def share_loads(
+    key: str,
+    version: int,
+    lifetime_s: float,
+    reports: Sequence[tuple[TargetId, LoadReport]],
+    unreachable: tuple[TargetId, ...],
+) -> LoadsShared:
+    """Put reports into one record."""
+    return LoadsShared(
+        record_key=key,
+        version=version,
+        lifetime_s=lifetime_s,
+        target_ids=tuple(target_id for target_id, _ in reports),
+        incarnations=tuple(one.incarnation for _, one in reports),
+        ages_s=tuple(round(one.age_s, 2) for _, one in reports),
+        roles=tuple(one.role for _, one in reports),
+        calls=tuple(one.running + one.waiting for _, one in reports),
+        prefill_queue_tokens=tuple(
+            one.prefill_queue_tokens for _, one in reports
+        ),
+        kv_used_blocks=tuple(one.kv_used_blocks for _, one in reports),
+        kv_total_blocks=tuple(one.kv_total_blocks for _, one in reports),
+        draining=tuple(target_id for target_id, one in reports if one.draining),
+        unreachable=unreachable,
+    )
+
+
+def is_watched_by_all(
+    settings: RoutingSettings, live_in_domain: tuple[InstanceId, ...]
 ) -> bool:
-    """Tell whether this entry reads the load of a target of its domain."""
-    if len(live_in_domain) <= settings.poll_all_below_entries:
-        return True
-    watchers = rendezvous(live_in_domain, target.target_id, settings.watchers)
-    return instance_id in watchers
+    """Tell whether the domain is small enough that all read all."""
+    return len(live_in_domain) <= settings.poll_all_below_entries
 
 
 def watched(
@@ -43,8 +97,11 @@
     targets: Iterable[Target],
 ) -> frozenset[TargetId]:
     """Name the targets that this entry has to read."""
+    if is_watched_by_all(settings, live_in_domain):
+        return frozenset(target.target_id for target in targets)
     return frozenset(
         target.target_id
         for target in targets
-        if is_watcher(settings, instance_id, live_in_domain, target)
+        if instance_id
+        in rendezvous(live_in_domain, target.target_id, settings.watchers)
     )
--- a/packages/core/dandelionyoke_core/_prefix_index.py
+++ b/packages/core/dandelionyoke_core/_prefix_index.py
@@ -20,6 +20,10 @@
         self._blocks: OrderedDict[str, None] = OrderedDict()
         self.sequence = 0
 
+    def holds(self, block: str) -> bool:
+        """Tell whether the target is thought to hold a block."""
+        return block in self._blocks
+
     def overlap(self, blocks: Sequence[str]) -> int:
         """Count the leading blocks that the target holds."""
         for position, block in enumerate(blocks):
--- a/packages/core/dandelionyoke_core/_rate.py
+++ b/packages/core/dandelionyoke_core/_rate.py
@@ -21,6 +21,11 @@
         self._fade(now_s)
         self._sum += amount
 
+    def amount(self, now_s: float) -> float:
+        """Tell the faded sum of the window."""
+        self._fade(now_s)
+        return self._sum
+
     def per_s(self, now_s: float) -> float:
         """Tell the present rate; 0 while nothing was counted.
 
--- a/packages/core/dandelionyoke_core/_routing.py
+++ b/packages/core/dandelionyoke_core/_routing.py
@@ -1,10 +1,10 @@
 """Which target a call goes to, and what is known of the targets."""
 
-from collections.abc import Sequence
 from random import Random
 from typing import ClassVar
 
-from dandelionyoke_core._capacity import ServiceCapacity
+from dandelionyoke_core._capacity import Outlook, ServiceCapacity
+from dandelionyoke_core._choice import Chooser
 from dandelionyoke_core._events import (
     CacheEventsReported,
     Event,
@@ -15,7 +15,7 @@
     TargetUnreachable,
     Woken,
 )
-from dandelionyoke_core._load_estimate import estimate
+from dandelionyoke_core._load_estimate import WorkSize
 from dandelionyoke_core._names import (
     AttemptId,
     Domain,
@@ -24,6 +24,7 @@
     TargetId,
 )
 from dandelionyoke_core._notices import RecordLearned, TargetLeaving
+from dandelionyoke_core._output_estimate import OutputEstimate
 from dandelionyoke_core._poll_schedule import PollSchedule
 from dandelionyoke_core._ports import (
     Directory,
@@ -32,10 +33,10 @@
     Peers,
     RouteNeed,
 )
-from dandelionyoke_core._records import Target, TargetKind
-from dandelionyoke_core._rendezvous import rendezvous
+from dandelionyoke_core._reclaimable_budget import ReclaimableBudget
+from dandelionyoke_core._records import Role, Target
 from dandelionyoke_core._routing_settings import RoutingSettings
-from dandelionyoke_core._target_state import TargetState
+from dandelionyoke_core._target_state import Sent, TargetState
 from dandelionyoke_core._target_table import TargetTable
 
 
@@ -65,12 +66,13 @@
     ) -> None:
         self._settings = settings
         self._directory = directory
-        self._domain = domain
-        self._random = random
-        self._table = TargetTable(settings, peers, domain, instance_id)
+        self._table = TargetTable(settings)
+        self._chooser = Chooser(settings, domain, random)
         self._schedule = PollSchedule(
-            settings, peers, instance_id, self._table, random
+            settings, peers, domain, instance_id, self._table, random
         )
+        self._outputs: dict[ServiceName, OutputEstimate] = {}
+        self._budgets: dict[ServiceName, ReclaimableBudget] = {}
 
     def handle(self, event: Event, now_s: float) -> list[Output]:
         """Take an event and say what follows from it."""
@@ -88,16 +90,18 @@
 
     def choose(self, need: RouteNeed, now_s: float) -> Target | NoRoute:
         """Choose a target for an attempt."""
-        usable = [
-            state
-            for state in self._table.of_service(need.service)
-            if state.usable(now_s) and _fits(state, need)
-        ]
-        if not usable:
+        self._schedule.need(need.service, now_s)
+        usable = self._usable(need.service, now_s)
+        fitting = {
+            target_id: state
+            for target_id, state in usable.items()
+            if _fits(state, need)
+        }
+        allowed = self._without_reclaimable(need, fitting, now_s)
+        if not allowed:
             return NoRoute('no usable target', self._settings.retry_after_s)
-        compared = self._compared(need, usable)
-        best = min(compared, key=lambda state: self._cost(state, need))
-        return best.target
+        size = self._size(need)
+        return self._chooser.best(need, size, allowed, now_s).target
 
     def find(self, target_id: TargetId) -> Target | None:
         """Look a target up; None when it is gone."""
@@ -112,84 +116,117 @@
         now_s: float,
     ) -> None:
         """Count an attempt as in progress at a target."""
-        self._table.dispatched(attempt_id, target_id, need, now_s)
+        state = self._table.find(target_id)
+        if state is None:
+            return
+        cached_blocks = state.prefixes.overlap(need.blocks)
+        size = self._size(need)
+        sent = Sent(need, now_s, cached_blocks, size.reserved_tokens)
+        self._table.dispatched(attempt_id, target_id, sent)
+        self._budget(need.service).add(
+            self._engine_s(size), now_s, reclaimable=state.target.reclaimable
+        )
 
     def progressed(
         self, attempt_id: AttemptId, output_tokens: int, now_s: float
     ) -> None:
         """Count output of an attempt (the total so far)."""
-        self._table.progressed(attempt_id, output_tokens)
+        self._table.progressed(attempt_id, output_tokens, now_s)
 
     def ended(
         self, attempt_id: AttemptId, now_s: float, failed: bool = False
     ) -> None:
         """Stop counting an attempt."""
-        self._table.ended(attempt_id, now_s)
+        sent = self._table.ended(attempt_id, now_s)
+        if sent is not None and not failed:
+            self._output(sent.need.service).learn(
+                sent.output_tokens, sent.need.max_output_tokens
+            )
 
     # The CapacityView port.
 
     def capacity(self, service: ServiceName, now_s: float) -> ServiceCapacity:
         """Add up the usable targets of a service."""
-        usable = [
-            state
-            for state in self._table.of_service(service)
+        usable = self._usable(service, now_s).values()
+        slots = sum(self._slots(state) for state in usable)
+        return ServiceCapacity(len(usable), slots)
+
+    def outlook(
+        self, service: ServiceName, size: WorkSize, now_s: float
+    ) -> Outlook | None:
+        """Look at the best of a few targets; None while none is usable."""
+        usable = self._usable(service, now_s)
+        if not usable:
+            return None
+        found, state = self._chooser.outlook(size, usable, now_s)
+        has_room = (
+            found.queue_s <= self._settings.start_within_s
+            and found.token_s <= self._settings.max_token_s
+            and found.short_blocks <= 0
+            and state.load().calls < self._slots(state)
+        )
+        return Outlook(has_room, found.first_token_s, found.total_s)
+
+    # What a call takes.
+
+    def _usable(
+        self, service: ServiceName, now_s: float
+    ) -> dict[TargetId, TargetState]:
+        return {
+            target_id: state
+            for target_id, state in self._table.of_service(service).items()
             if state.usable(now_s)
-        ]
-        speed = self._settings.speed
-        return ServiceCapacity(
-            targets=len(usable),
-            slots=sum(self._slots(state) for state in usable),
-            blocks=sum(state.report.kv_total_blocks for state in usable),
-            prefill_tokens_per_s=sum(
-                speed.prefill_rate(state.report.role) for state in usable
-            ),
+        }
+
+    def _without_reclaimable(
+        self,
+        need: RouteNeed,
+        usable: dict[TargetId, TargetState],
+        now_s: float,
+    ) -> dict[TargetId, TargetState]:
+        steady = {
+            target_id: state
+            for target_id, state in usable.items()
+            if not state.target.reclaimable
+        }
+        if need.steady:
+            return steady
+        service = self._directory.snapshot.services.get(need.service)
+        share = 0 if service is None else service.reclaimable_share
+        engine_s = self._engine_s(self._size(need))
+        if self._budget(need.service).allows(engine_s, share, now_s):
+            return usable
+        # With no steady target left, refusing would serve the caller worse
+        # than a target that may vanish.
+        return steady or usable
+
+    def _size(self, need: RouteNeed) -> WorkSize:
+        output = self._output(need.service)
+        return WorkSize(
+            need.prompt_tokens,
+            output.mean_tokens(need.max_output_tokens),
+            output.high_tokens(need.max_output_tokens),
         )
 
-    def _slots(self, state: TargetState) -> int:
-        if state.target.kind is TargetKind.PLAIN:
-            return self._settings.plain_slots
-        return self._settings.speed.max_calls
-
-    # Choosing.
-
-    def _compared(
-        self, need: RouteNeed, usable: Sequence[TargetState]
-    ) -> list[TargetState]:
-        by_id = {state.target.target_id: state for state in usable}
-        near = [
-            target_id
-            for target_id, state in by_id.items()
-            if state.target.domain == self._domain
-        ]
-        ids = near or list(by_id)
-        chosen = self._random.sample(ids, min(self._settings.sample, len(ids)))
-        if len(near) < len(by_id):
-            chosen.append(self._random.choice(list(by_id)))
-        if need.blocks:
-            head = need.blocks[: self._settings.affinity_blocks][-1]
-            chosen.extend(rendezvous(ids, head, 1))
-        if need.prefer in by_id and need.prefer is not None:
-            chosen.append(need.prefer)
-        return [by_id[target_id] for target_id in chosen]
-
-    def _cost(self, state: TargetState, need: RouteNeed) -> float:
-        cached = state.prefixes.overlap(need.blocks)
-        if need.prefer == state.target.target_id:
-            cached = max(cached, len(need.blocks))
-        found = estimate(
-            need, state.report, state.correction(), cached, self._settings.speed
+    def _engine_s(self, size: WorkSize) -> float:
+        return self._settings.speed.engine_s(
+            size.prompt_tokens, size.output_tokens, Role.MIXED
         )
-        cost = found.total_s
-        cost += found.short_blocks * self._settings.short_block_penalty_s
-        if state.target.domain != self._domain:
-            cost += self._settings.far_penalty_s
-        return cost
+
+    def _output(self, service: ServiceName) -> OutputEstimate:
+        return self._outputs.setdefault(service, OutputEstimate())
+
+    def _budget(self, service: ServiceName) -> ReclaimableBudget:
+        return self._budgets.setdefault(service, ReclaimableBudget())
+
+    def _slots(self, state: TargetState) -> int:
+        if state.is_engine:
+            return self._settings.speed.max_calls
+        return self._settings.plain_slots
 
 
 def _fits(state: TargetState, need: RouteNeed) -> bool:
     if state.target.target_id in need.avoid:
         return False
-    if need.steady and state.target.reclaimable:
-        return False
     models = state.report.models
     return not need.model or not models or need.model in models
--- a/packages/core/dandelionyoke_core/_target_table.py
+++ b/packages/core/dandelionyoke_core/_target_table.py
@@ -1,8 +1,6 @@
 """The targets as the platform lists them and as they report themselves."""
 
-from collections.abc import Iterable
-
-import attrs
+from collections.abc import Iterable, Mapping
 
 from dandelionyoke_core._events import (
     CacheEventsReported,
@@ -11,106 +9,85 @@
     TargetsListed,
     TargetUnreachable,
 )
-from dandelionyoke_core._names import (
-    AttemptId,
-    Domain,
-    InstanceId,
-    ServiceName,
-    TargetId,
-)
+from dandelionyoke_core._names import AttemptId, ServiceName, TargetId
 from dandelionyoke_core._notices import (
     RecordLearned,
-    ShareRecord,
     TargetCrashed,
     TargetLeaving,
 )
-from dandelionyoke_core._observation import LoadShared
-from dandelionyoke_core._ports import Output, Peers, RouteNeed
+from dandelionyoke_core._observation import LoadsShared
+from dandelionyoke_core._ports import Output
 from dandelionyoke_core._records import LoadReport, Presence, Target
 from dandelionyoke_core._routing_settings import RoutingSettings
-from dandelionyoke_core._target_state import TargetState, unknown_report
+from dandelionyoke_core._target_state import (
+    Sent,
+    TargetState,
+    unknown_report,
+)
 
 
 class TargetTable:
     """Every known target with its last report and this entry's attempts."""
 
-    def __init__(
-        self,
-        settings: RoutingSettings,
-        peers: Peers,
-        domain: Domain,
-        instance_id: InstanceId,
-    ) -> None:
+    def __init__(self, settings: RoutingSettings) -> None:
         self._settings = settings
-        self._peers = peers
-        self._domain = domain
-        self._instance_id = instance_id
         self._states: dict[TargetId, TargetState] = {}
+        self._services: dict[ServiceName, dict[TargetId, TargetState]] = {}
         self._places: dict[AttemptId, TargetId] = {}
-        self._version = 0
 
     def learn(self, event: Event, now_s: float) -> list[Output]:
         """Take in what is told of targets."""
         match event:
             case TargetsListed(targets=targets):
                 return self._listed(targets)
-            case LoadReported():
-                return self._reported(event, now_s)
+            case LoadReported(target_id=target_id, report=report):
+                return self._take(target_id, report, now_s)
             case TargetUnreachable(target_id=target_id):
-                return self._unreachable(target_id, now_s)
+                return self._missed(target_id, now_s)
             case CacheEventsReported():
                 self._cache_reported(event)
             case TargetLeaving(target_id=target_id):
                 self._leave(target_id)
-            case RecordLearned(record=LoadShared() as shared):
-                return self._take(shared.target_id, shared.report, now_s)
+            case RecordLearned(record=LoadsShared() as shared):
+                return self._loads_shared(shared, now_s)
         return []
 
     def find(self, target_id: TargetId) -> TargetState | None:
         """Look a target up."""
         return self._states.get(target_id)
 
-    def of_service(self, service: ServiceName) -> Iterable[TargetState]:
-        """Go through the targets of a service."""
-        return (
-            state
-            for state in self._states.values()
-            if state.target.service == service
-        )
-
-    def in_domain(self) -> list[TargetState]:
-        """List the targets of this entry's domain."""
-        return [
-            state
-            for state in self._states.values()
-            if state.target.domain == self._domain
-        ]
+    def every(self) -> Iterable[TargetState]:
+        """Go through all targets."""
+        return self._states.values()
+
+    def of_service(
+        self, service: ServiceName
+    ) -> Mapping[TargetId, TargetState]:
+        """Give the targets of a service."""
+        return self._services.get(service, {})
 
     def dispatched(
-        self,
-        attempt_id: AttemptId,
-        target_id: TargetId,
-        need: RouteNeed,
-        now_s: float,
+        self, attempt_id: AttemptId, target_id: TargetId, sent: Sent
     ) -> None:
         """Count an attempt as in progress at a target."""
         state = self._states.get(target_id)
         if state is not None:
-            state.start(attempt_id, need, now_s)
+            state.start(attempt_id, sent)
             self._places[attempt_id] = target_id
 
-    def progressed(self, attempt_id: AttemptId, output_tokens: int) -> None:
+    def progressed(
+        self, attempt_id: AttemptId, output_tokens: int, now_s: float
+    ) -> None:
         """Count output of an attempt (the total so far)."""
         state = self._place(attempt_id)
         if state is not None:
-            state.sent[attempt_id].output_tokens = output_tokens
+            state.progress(attempt_id, output_tokens, now_s)
 
-    def ended(self, attempt_id: AttemptId, now_s: float) -> None:
+    def ended(self, attempt_id: AttemptId, now_s: float) -> Sent | None:
         """Stop counting an attempt."""
         state = self._place(attempt_id)
-        if state is not None:
-            state.finish(attempt_id, now_s)
         self._places.pop(attempt_id, None)
+        return None if state is None else state.finish(attempt_id, now_s)
 
     def _place(self, attempt_id: AttemptId) -> TargetState | None:
         target_id = self._places.get(attempt_id)
@@ -122,7 +99,7 @@
             state = self._states.get(target.target_id)
             if state is None:
                 state = TargetState(target, unknown_report(target))
-                self._states[target.target_id] = state
+                self._add(state)
             if _begins_to_leave(state.target, target):
                 outputs.append(
                     TargetLeaving(target.target_id, target.state.value)
@@ -132,26 +109,26 @@
         self._drop_unlisted({target.target_id for target in targets})
         return outputs
 
+    def _add(self, state: TargetState) -> None:
+        target = state.target
+        self._states[target.target_id] = state
+        service = self._services.setdefault(target.service, {})
+        service[target.target_id] = state
+
     def _drop_unlisted(self, listed: set[TargetId]) -> None:
         for target_id in set(self._states) - listed:
-            self._states[target_id].listed = False
-            if not self._states[target_id].sent:
+            state = self._states[target_id]
+            state.listed = False
+            if not state.sent:
                 self._states.pop(target_id)
+                self._services[state.target.service].pop(target_id)
 
-    def _reported(self, event: LoadReported, now_s: float) -> list[Output]:
-        outputs = self._take(event.target_id, event.report, now_s)
-        here = len(self._peers.live_in_domain)
-        if here <= self._settings.poll_all_below_entries:
-            return outputs
-        self._version += 1
-        record = LoadShared(
-            record_key=f'load/{event.target_id}/{self._instance_id}',
-            version=self._version,
-            lifetime_s=self._settings.share_lifetime_s,
-            target_id=event.target_id,
-            report=attrs.evolve(event.report, in_progress=()),
-        )
-        outputs.append(ShareRecord(record))
+    def _loads_shared(self, shared: LoadsShared, now_s: float) -> list[Output]:
+        outputs: list[Output] = []
+        for target_id, report in shared.reports():
+            outputs.extend(self._take(target_id, report, now_s))
+        for target_id in shared.unreachable:
+            outputs.extend(self._missed(target_id, now_s))
         return outputs
 
     def _take(
@@ -162,15 +139,17 @@
             return []
         before = state.report.incarnation
         restarted = before not in {'', report.incarnation}
-        state.reached(now_s)
         taken_s = now_s - report.age_s
-        if restarted:
-            state.prefixes.clear()
-        if restarted or taken_s >= state.taken_s:
-            state.take(report, taken_s)
-        return _crash(state) if restarted else []
+        if taken_s < state.taken_s:
+            return []
+        state.reached(now_s)
+        state.take(report, taken_s)
+        if not restarted:
+            return []
+        state.prefixes.clear()
+        return _crash(state)
 
-    def _unreachable(self, target_id: TargetId, now_s: float) -> list[Output]:
+    def _missed(self, target_id: TargetId, now_s: float) -> list[Output]:
         state = self._states.get(target_id)
         if state is None:
             return []
