--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -103,10 +103,20 @@
     UsageAnswered as UsageAnswered,
     Woken as Woken,
 )
+from dandelionyoke_core._fleet import (
+    CONTROL_DUTY as CONTROL_DUTY,
+    FleetPart as FleetPart,
+)
 from dandelionyoke_core._fleet_notices import (
     RoleWanted as RoleWanted,
     TargetsWanted as TargetsWanted,
 )
+from dandelionyoke_core._fleet_settings import FleetSettings as FleetSettings
+from dandelionyoke_core._fleet_view import (
+    TargetSight as TargetSight,
+    TargetView as TargetView,
+    WorkView as WorkView,
+)
 from dandelionyoke_core._load_estimate import (
     EngineSpeed as EngineSpeed,
     WorkSize as WorkSize,
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_fleet.py
@@ -0,0 +1,157 @@
+"""Which roles the engines should have, and how many targets there should be.
+
+It decides only; another part turns its wishes into journalled orders. It
+decides for its own failure domain and while this node holds the domain's
+duty of control, so that two nodes do not pull an engine both ways.
+"""
+
+from typing import ClassVar
+
+import attrs
+
+from dandelionyoke_core._entities import Service, ServiceKind
+from dandelionyoke_core._events import Event, Started, Woken
+from dandelionyoke_core._fleet_roles import RoleDecider
+from dandelionyoke_core._fleet_settings import FleetSettings
+from dandelionyoke_core._fleet_size import SizeDecider
+from dandelionyoke_core._fleet_view import (
+    FleetPlace,
+    TargetView,
+    WorkView,
+)
+from dandelionyoke_core._mix_history import MixHistory
+from dandelionyoke_core._names import Domain, ServiceName
+from dandelionyoke_core._notices import DutyExtended, DutyGained, DutyLost
+from dandelionyoke_core._ports import Directory, Output
+from dandelionyoke_core._role_plan import WorkRow
+from dandelionyoke_core._work_mix import MixRow
+
+CONTROL_DUTY = 'control'
+
+
+@attrs.frozen
+class Duty:
+    """The duty that this node holds."""
+
+    fence: int
+    until_s: float
+
+
+@attrs.define
+class Deciders:
+    """The decisions for one service."""
+
+    roles: RoleDecider
+    size: SizeDecider
+
+
+class FleetPart:
+    """Decides on roles and numbers of targets of its domain."""
+
+    handles: ClassVar[tuple[type[Event], ...]] = (
+        Started,
+        Woken,
+        DutyGained,
+        DutyExtended,
+        DutyLost,
+    )
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        directory: Directory,
+        targets: TargetView,
+        work: WorkView,
+        domain: Domain,
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._targets = targets
+        self._work = work
+        self._domain = domain
+        self._duty: Duty | None = None
+        self._deciders: dict[ServiceName, Deciders] = {}
+        self._next_s: float | None = None
+
+    def handle(self, event: Event, now_s: float) -> list[Output]:
+        """Take an event and say what follows from it."""
+        match event:
+            case DutyGained() | DutyExtended() if event.duty == CONTROL_DUTY:
+                self._duty = Duty(event.fence, event.until_s)
+                if self._next_s is None:
+                    self._next_s = now_s + self._settings.look_interval_s
+            case DutyLost() if event.duty == CONTROL_DUTY:
+                self._stop()
+            case Woken():
+                return self._wake(now_s)
+        return []
+
+    def next_wakeup_s(self) -> float | None:
+        """Tell when the next look is due."""
+        return self._next_s
+
+    def _wake(self, now_s: float) -> list[Output]:
+        if self._next_s is None or now_s < self._next_s:
+            return []
+        duty = self._duty
+        if duty is None or now_s >= duty.until_s:
+            self._stop()
+            return []
+        self._next_s = now_s + self._settings.look_interval_s
+        outputs: list[Output] = []
+        for service in self._directory.snapshot.services.values():
+            if service.kind is ServiceKind.ENGINE:
+                outputs.extend(self._decide(service, duty, now_s))
+        return outputs
+
+    def _stop(self) -> None:
+        self._duty = None
+        self._next_s = None
+        self._deciders.clear()
+
+    def _decide(
+        self, service: Service, duty: Duty, now_s: float
+    ) -> list[Output]:
+        name = service.service_name
+        place = FleetPlace(self._domain, name, duty.fence)
+        mix = self._work.mix(name, now_s)
+        fresh_share = self._targets.fresh_share(name)
+        deciders = self._deciders_of(name)
+        sights = self._targets.sights(name, now_s)
+        here = [one for one in sights if one.target.domain == self._domain]
+        outputs: list[Output] = []
+        outputs.extend(
+            deciders.roles.decide(
+                place, _fast_rows(mix, fresh_share), here, now_s
+            )
+        )
+        outputs.extend(
+            deciders.size.decide(
+                place, service, _slow_rows(mix, fresh_share), sights, now_s
+            )
+        )
+        return outputs
+
+    def _deciders_of(self, name: ServiceName) -> Deciders:
+        deciders = self._deciders.get(name)
+        if deciders is None:
+            history = MixHistory(self._settings.shift_threshold)
+            deciders = Deciders(
+                RoleDecider(self._settings, history),
+                SizeDecider(self._settings),
+            )
+            self._deciders[name] = deciders
+        return deciders
+
+
+def _fast_rows(mix: tuple[MixRow, ...], fresh_share: float) -> list[WorkRow]:
+    return [
+        WorkRow(row.prompt_per_s * fresh_share, row.output_per_s) for row in mix
+    ]
+
+
+def _slow_rows(mix: tuple[MixRow, ...], fresh_share: float) -> list[WorkRow]:
+    return [
+        WorkRow(row.slow_prompt_per_s * fresh_share, row.slow_output_per_s)
+        for row in mix
+    ]
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_fleet_roles.py
@@ -0,0 +1,131 @@
+"""Whether a role change pays: one engine at a time, with hysteresis."""
+
+from collections import Counter
+from collections.abc import Iterator, Sequence
+
+import attrs
+
+from dandelionyoke_core._fleet_notices import RoleWanted
+from dandelionyoke_core._fleet_settings import FleetSettings
+from dandelionyoke_core._fleet_view import FleetPlace, TargetSight
+from dandelionyoke_core._mix_history import MixHistory
+from dandelionyoke_core._records import Role
+from dandelionyoke_core._role_plan import WorkRow, changed, stress
+
+
+@attrs.frozen
+class RoleChange:
+    """A change that was decided on."""
+
+    wish: RoleWanted
+    decided_s: float
+
+
+@attrs.define
+class RoleDecider:
+    """Decides on role changes of one service in one domain."""
+
+    settings: FleetSettings
+    history: MixHistory
+    _change: RoleChange | None = None
+    _told_s: float = 0.0
+    _quiet_until_s: float = 0.0
+
+    def decide(
+        self,
+        place: FleetPlace,
+        rows: Sequence[WorkRow],
+        sights: Sequence[TargetSight],
+        now_s: float,
+    ) -> list[RoleWanted]:
+        """Follow the change that is open, or look for one that pays."""
+        self.history.learn(rows, self.settings.speed, now_s)
+        if self._change is not None:
+            return self._follow(self._change, place, sights, now_s)
+        if now_s < self._quiet_until_s or not rows:
+            return []
+        wish = self._best(place, rows, sights, now_s)
+        if wish is None:
+            return []
+        self._change = RoleChange(wish, now_s)
+        self._told_s = now_s
+        return [wish]
+
+    def forget(self) -> None:
+        """Drop the open change, as when another one decides."""
+        self._change = None
+
+    def _follow(
+        self,
+        change: RoleChange,
+        place: FleetPlace,
+        sights: Sequence[TargetSight],
+        now_s: float,
+    ) -> list[RoleWanted]:
+        wish = change.wish
+        done = any(
+            sight.target.target_id == wish.target_id
+            and sight.role is wish.role
+            and sight.is_usable
+            for sight in sights
+        )
+        if done or now_s - change.decided_s > self.settings.wish_limit_s:
+            self._change = None
+            self._quiet_until_s = now_s + self.settings.settle_s
+            return []
+        if now_s - self._told_s < self.settings.repeat_s:
+            return []
+        self._told_s = now_s
+        return [attrs.evolve(wish, fence=place.fence)]
+
+    def _best(
+        self,
+        place: FleetPlace,
+        rows: Sequence[WorkRow],
+        sights: Sequence[TargetSight],
+        now_s: float,
+    ) -> RoleWanted | None:
+        usable = [sight for sight in sights if sight.is_usable]
+        # An engine that drains leaves its work to the others of the domain.
+        if len(usable) < 2 or len(usable) < len(sights):
+            return None
+        counts = Counter(sight.role for sight in usable)
+        speed = self.settings.speed
+        before = stress(rows, counts, speed)
+        found = [
+            (stress(rows, changed(counts, old, new), speed), old, new)
+            for old, new in _changes(counts)
+        ]
+        after, old, new = min(found, key=lambda one: one[0])
+        gain_s = self._gain_s(before, after, len(usable), now_s)
+        if gain_s < self.settings.change_cost_s * self.settings.gain_factor:
+            return None
+        chosen = min(
+            (sight for sight in usable if sight.role is old),
+            key=lambda sight: (sight.calls, sight.target.target_id),
+        )
+        reason = (
+            f'stress {before:.2f} -> {after:.2f},'
+            f' gain {gain_s:.0f} engine seconds'
+        )
+        return RoleWanted(
+            chosen.target.target_id, place.service, new, place.fence, reason
+        )
+
+    def _gain_s(
+        self, before: float, after: float, engines: int, now_s: float
+    ) -> float:
+        """Engine seconds saved while the mix is expected to hold."""
+        settings = self.settings
+        held_s = self.history.held_s(now_s)
+        hold_s = min(settings.max_hold_s, max(settings.min_hold_s, held_s))
+        comfortable = settings.comfortable_stress
+        saved = max(before, comfortable) - max(after, comfortable)
+        return saved * engines * hold_s
+
+
+def _changes(counts: Counter[Role]) -> Iterator[tuple[Role, Role]]:
+    for old in Role:
+        for new in Role:
+            if old is not new and counts[old]:
+                yield old, new
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_fleet_settings.py
@@ -0,0 +1,33 @@
+"""The settings of the fleet's decisions."""
+
+import attrs
+
+from dandelionyoke_core._load_estimate import EngineSpeed
+
+
+@attrs.frozen
+class FleetSettings:
+    """When a role change or another number of targets pays.
+
+    `change_cost_s` is the time of an engine that a role change takes: its
+    drain, the change, and a cache that begins empty. Below
+    `comfortable_stress` there is nothing to gain. `gain_factor` is how much
+    the gain has to exceed the cost.
+    """
+
+    look_interval_s: float = 2.0
+    change_cost_s: float = 8.0
+    gain_factor: float = 1.5
+    comfortable_stress: float = 0.5
+    min_hold_s: float = 30.0
+    max_hold_s: float = 300.0
+    shift_threshold: float = 0.15
+    settle_s: float = 8.0
+    wish_limit_s: float = 60.0
+    repeat_s: float = 5.0
+    grow_stress: float = 0.85
+    shrink_stress: float = 0.5
+    grow_after_s: float = 20.0
+    shrink_after_s: float = 120.0
+    size_settle_s: float = 90.0
+    speed: EngineSpeed = attrs.field(factory=EngineSpeed)
--- a/packages/core/dandelionyoke_core/_routing.py
+++ b/packages/core/dandelionyoke_core/_routing.py
@@ -15,6 +15,7 @@
     TargetUnreachable,
     Woken,
 )
+from dandelionyoke_core._fleet_view import TargetSight
 from dandelionyoke_core._load_estimate import WorkSize
 from dandelionyoke_core._names import (
     AttemptId,
@@ -36,9 +37,12 @@
 from dandelionyoke_core._reclaimable_budget import ReclaimableBudget
 from dandelionyoke_core._records import Role, Target
 from dandelionyoke_core._routing_settings import RoutingSettings
-from dandelionyoke_core._target_state import Sent, TargetState
+from dandelionyoke_core._target_state import NEVER_S, Sent, TargetState
 from dandelionyoke_core._target_table import TargetTable
 
+# Prompt tokens over which the share of cached prompts is averaged.
+FRESH_MEMORY_TOKENS = 100_000
+
 
 class RoutingPart:
     """Observes the targets and chooses one for each attempt."""
@@ -71,6 +75,7 @@
         self._schedule = PollSchedule(
             settings, peers, domain, instance_id, self._table, random
         )
+        self._fresh_shares: dict[ServiceName, float] = {}
         self._outputs: dict[ServiceName, OutputEstimate] = {}
         self._budgets: dict[ServiceName, ReclaimableBudget] = {}
 
@@ -123,6 +128,7 @@
         size = self._size(need)
         sent = Sent(need, now_s, cached_blocks, size.reserved_tokens)
         self._table.dispatched(attempt_id, target_id, sent)
+        self._learn_fresh(sent, state.report.block_tokens)
         self._budget(need.service).add(
             self._engine_s(size), now_s, reclaimable=state.target.reclaimable
         )
@@ -167,6 +173,28 @@
         )
         return Outlook(has_room, found.first_token_s, found.total_s)
 
+    # The TargetView port.
+
+    def sights(
+        self, service: ServiceName, now_s: float
+    ) -> tuple[TargetSight, ...]:
+        """Show the targets of a service, everywhere."""
+        return tuple(
+            TargetSight(
+                state.target,
+                state.report.role,
+                state.load().calls,
+                state.usable(now_s),
+                state.heard_s > NEVER_S,
+            )
+            for state in self._table.of_service(service).values()
+            if state.listed
+        )
+
+    def fresh_share(self, service: ServiceName) -> float:
+        """Tell which part of the prompts is not found in caches."""
+        return self._fresh_shares.get(service, 1)
+
     # What a call takes.
 
     def _usable(
@@ -208,6 +236,18 @@
             output.high_tokens(need.max_output_tokens),
         )
 
+    def _learn_fresh(self, sent: Sent, block_tokens: int) -> None:
+        """Follow the share of prompts that caches do not hold."""
+        prompt_tokens = sent.need.prompt_tokens
+        if not prompt_tokens:
+            return
+        service = sent.need.service
+        seen = sent.fresh_tokens(block_tokens) / prompt_tokens
+        before = self._fresh_shares.get(service, 1)
+        # Weighted by size: a short prompt's miss costs next to nothing.
+        learning = min(1, prompt_tokens / FRESH_MEMORY_TOKENS)
+        self._fresh_shares[service] = before + learning * (seen - before)
+
     def _engine_s(self, size: WorkSize) -> float:
         return self._settings.speed.engine_s(
             size.prompt_tokens, size.output_tokens, Role.MIXED
--- a/packages/standins/dandelionyoke_standins/_policy_runs.py
+++ b/packages/standins/dandelionyoke_standins/_policy_runs.py
@@ -11,6 +11,8 @@
     AdmissionSettings,
     Composition,
     Domain,
+    FleetPart,
+    FleetSettings,
     InstanceId,
     RoutingPart,
     RoutingSettings,
@@ -112,7 +114,10 @@
         AdmissionSettings(), directory, peers, routing, instance_id
     )
     caller = Caller(admission, routing, ledger)
-    return Composition((routing, admission, caller, Spreader(), OrdersPart()))
+    fleet = FleetPart(FleetSettings(), directory, routing, admission, domain)
+    return Composition(
+        (routing, admission, caller, Spreader(), fleet, OrdersPart())
+    )
 
 
 def naive_node(
--- a/packages/standins/dandelionyoke_standins/_policy_world.py
+++ b/packages/standins/dandelionyoke_standins/_policy_world.py
@@ -4,9 +4,11 @@
 from functools import partial
 
 from dandelionyoke_core import (
+    CONTROL_DUTY,
     Action,
     CallerGone,
     CancelAttempt,
+    DutyGained,
     Event,
     ListingFailed,
     ListTargets,
@@ -30,6 +32,7 @@
 from dandelionyoke_standins._policy_workload import Call
 
 POLL_S = 0.003
+DUTY_UNTIL_S = 1e9
 LISTING_LAG_S = 2.0
 
 
@@ -49,6 +52,8 @@
         self.nodes = tuple(nodes)
         for box in self.nodes:
             self.give(box, Started(0), 0)
+        for box in _first_of_each_domain(self.nodes):
+            self.give(box, DutyGained(CONTROL_DUTY, 1, DUTY_UNTIL_S), 0)
         self._refresh_listing()
         self.targets.sample_reports()
 
@@ -115,3 +120,8 @@
     def _refresh_listing(self) -> None:
         self.platform.refresh(self.clock.now_s)
         self.clock.later(LISTING_LAG_S, self._refresh_listing)
+
+
+def _first_of_each_domain(nodes: Sequence[NodeBox]) -> list[NodeBox]:
+    holders = {box.domain: box for box in reversed(nodes)}
+    return list(holders.values())
