--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -50,6 +50,7 @@
 )
 from dandelionyoke_core._capacity import (
     CapacityView as CapacityView,
+    Outlook as Outlook,
     ServiceCapacity as ServiceCapacity,
 )
 from dandelionyoke_core._changes import (
@@ -90,6 +91,9 @@
 from dandelionyoke_core._configuration_reader import (
     ReaderSettings as ReaderSettings,
 )
+from dandelionyoke_core._demand import (
+    DemandShared as DemandShared,
+)
 from dandelionyoke_core._entities import (
     ApiKey as ApiKey,
     Change as Change,
@@ -144,6 +148,21 @@
     UsageAnswered as UsageAnswered,
     Woken as Woken,
 )
+from dandelionyoke_core._fleet import (
+    FleetPart as FleetPart,
+)
+from dandelionyoke_core._fleet_notices import (
+    RoleWanted as RoleWanted,
+    TargetsWanted as TargetsWanted,
+)
+from dandelionyoke_core._fleet_settings import (
+    FleetSettings as FleetSettings,
+)
+from dandelionyoke_core._fleet_view import (
+    TargetSight as TargetSight,
+    TargetView as TargetView,
+    WorkView as WorkView,
+)
 from dandelionyoke_core._gossip import (
     GossipSettings as GossipSettings,
 )
@@ -163,6 +182,7 @@
 )
 from dandelionyoke_core._load_estimate import (
     EngineSpeed as EngineSpeed,
+    WorkSize as WorkSize,
 )
 from dandelionyoke_core._membership import (
     MembershipPart as MembershipPart,
@@ -215,7 +235,7 @@
     TargetLeaving as TargetLeaving,
 )
 from dandelionyoke_core._observation import (
-    LoadShared as LoadShared,
+    LoadsShared as LoadsShared,
 )
 from dandelionyoke_core._once import (
     OncePart as OncePart,
@@ -308,3 +328,6 @@
     TopologySettings as TopologySettings,
     choose_links as choose_links,
 )
+from dandelionyoke_core._work_mix import (
+    MixRow as MixRow,
+)
