Show what each change replaced, and the entries during an outage

The audit trail named the sections that a change touched, not what it made of them, and a conflict showed no more. `status` failed with the store, just when the age of each entry's knowledge matters. Breaking off the wait left open whether the change was made.

The trail is replayed, so that each change carries its options before and after; where the replay cannot know, it says so by a mark of its own.

--- a/packages/operator/dandelionyoke_operator/_application.py
+++ b/packages/operator/dandelionyoke_operator/_application.py
@@ -63,6 +63,8 @@
         except DandelionyokeError as error:
             writer.write_error(error, self._environment.stderr)
             return status_of(error)
+        except KeyboardInterrupt:
+            return ExitStatus.INTERRUPTED
         writer.write(report, self._environment.stdout)
         return report.exit_status
 
--- a/packages/operator/dandelionyoke_operator/_declarations.py
+++ b/packages/operator/dandelionyoke_operator/_declarations.py
@@ -38,15 +38,15 @@
         default=TEXT_FORMAT,
     ),
     _value('settings', 'A settings file (INI).'),
+    _value('platform', 'The address of the platform.'),
 )
-PLATFORM = _value('platform', 'The address of the platform.')
 
 _FILE = argument('file', 'A configuration file; - is standard input.')
 _AUTHOR = _value('author', 'Who makes the change; by default the user.')
 _REASON = _value('reason', 'Why, for the audit trail.')
 _WAIT = _value('wait', 'How long to wait until it is in force, in seconds.')
 _LIMIT = _value('limit', 'How many of the last changes to read.')
-_CHANGE = (PLATFORM, _AUTHOR, _REASON, _WAIT)
+_CHANGE = (_AUTHOR, _REASON, _WAIT)
 
 DECLARATIONS = (
     Declaration(
@@ -59,14 +59,13 @@
         'show',
         'Print the configuration in the store.',
         commands.show,
-        options=(PLATFORM,),
     ),
     Declaration(
         'plan',
         'Tell what a file would change.',
         commands.plan,
         (_FILE,),
-        (PLATFORM, _LIMIT),
+        (_LIMIT,),
     ),
     Declaration(
         'apply',
@@ -91,7 +90,6 @@
         'List the audit trail, newest first.',
         commands.history,
         options=(
-            PLATFORM,
             _LIMIT,
             _value('organisation', 'Only what is about this organisation.'),
             _value('since', 'Only from this time on: ISO 8601, or 2h ago.'),
@@ -122,6 +120,5 @@
         'status',
         'Tell how far each entry instance is.',
         commands.status,
-        options=(PLATFORM,),
     ),
 )
--- a/packages/operator/dandelionyoke_operator/_difference.py
+++ b/packages/operator/dandelionyoke_operator/_difference.py
@@ -12,7 +12,6 @@
 )
 from dandelionyoke_operator._options import (
     Option,
-    header,
     layout_of,
 )
 from dandelionyoke_operator._reports import (
@@ -24,36 +23,49 @@
 ADDED = 'added'
 CHANGED = 'changed'
 REMOVED = 'removed'
+SET = 'set'
+
+Place = tuple[Section, str]
 
 
 def describe(
     operations: Iterable[Operation], before: Snapshot
 ) -> tuple[SectionDifference, ...]:
     """Tell what operations would change in a snapshot."""
-    return tuple(_describe(operation, before) for operation in operations)
+    return tuple(
+        describe_operation(operation, find_entity(before, *place_of(operation)))
+        for operation in operations
+    )
 
 
-def place_of(operation: Operation) -> tuple[Section, str]:
+def place_of(operation: Operation) -> Place:
     """Tell which entity an operation is about."""
     if isinstance(operation, Remove):
         return operation.section, operation.name
     return place_of_entity(operation.entity)
 
 
-def _describe(operation: Operation, before: Snapshot) -> SectionDifference:
+def describe_operation(
+    operation: Operation, before: Entity | None
+) -> SectionDifference:
+    """Tell what an operation makes of what was there before."""
+    section, name = place_of(operation)
+    after = operation.entity if isinstance(operation, Put) else None
+    action = CHANGED
+    if after is None:
+        action = REMOVED
+    elif before is None:
+        action = ADDED
+    return SectionDifference(
+        action, f'{section.value} {name}', tuple(_options(before, after))
+    )
+
+
+def describe_blindly(operation: Operation) -> SectionDifference:
+    """Tell of an operation where it is not known what was there before."""
     section, name = place_of(operation)
-    present = find_entity(before, section, name)
-    title = f'{section.value} {name}'
-    match operation:
-        case Remove():
-            return SectionDifference(
-                REMOVED, title, tuple(_options(present, None))
-            )
-        case Put(entity):
-            action = CHANGED if present else ADDED
-            return SectionDifference(
-                action, header(entity), tuple(_options(present, entity))
-            )
+    action = SET if isinstance(operation, Put) else REMOVED
+    return SectionDifference(action, f'{section.value} {name}')
 
 
 def _options(
--- a/packages/operator/dandelionyoke_operator/_exit.py
+++ b/packages/operator/dandelionyoke_operator/_exit.py
@@ -15,3 +15,4 @@
     UNAVAILABLE = 5
     UNSETTLED = 6
     NOT_EVERYWHERE = 7
+    INTERRUPTED = 130
--- a/packages/operator/dandelionyoke_operator/_past.py
+++ b/packages/operator/dandelionyoke_operator/_past.py
@@ -2,13 +2,10 @@
 
 from collections.abc import Iterable, Iterator
 
-from dandelionyoke_core import Change, Loaded, Operation, Put, Remove, Section
-from dandelionyoke_operator._difference import place_of
+from dandelionyoke_core import Change, Loaded, Operation, Put, Remove
+from dandelionyoke_operator._difference import Place, place_of
 from dandelionyoke_operator._errors import InvalidError
-
-FIRST_REVISION = 1
-
-Place = tuple[Section, str]
+from dandelionyoke_operator._trail import FIRST_REVISION
 
 
 def inverse(loaded: Loaded, revision: int) -> tuple[Operation, ...]:
--- a/packages/operator/dandelionyoke_operator/_reports.py
+++ b/packages/operator/dandelionyoke_operator/_reports.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from dandelionyoke_core import Change, InstanceId, Operation
+from dandelionyoke_core import Entity, InstanceId
 from dandelionyoke_operator._exit import ExitStatus
 
 
@@ -36,6 +36,7 @@
 
     revision: int
     text: str
+    entities: tuple[Entity, ...]
 
 
 @attrs.frozen
@@ -81,18 +82,18 @@
 class RolloutReport(Report):
     """Where a revision is in force.
 
-    `listed` is False where the platform gave no list of instances, so that
+    `revision` is None where the store does not tell it. `listed` is False where the platform gave no list of instances, so that
     nobody can be asked.
     """
 
-    revision: int
+    revision: int | None
     instances: tuple[InstanceRevision, ...] = ()
     listed: bool = True
 
     @property
     def everywhere(self) -> bool:
         """Tell whether each entry that stays has the revision in force."""
-        return self.listed and not self.missing
+        return self.listed and self.revision is not None and not self.missing
 
     @property
     def missing(self) -> tuple[InstanceRevision, ...]:
@@ -105,9 +106,9 @@
 
     def is_in_force(self, instance: InstanceRevision) -> bool:
         """Tell whether an entry has this revision in force."""
-        return instance.revision is not None and (
-            instance.revision >= self.revision
-        )
+        if self.revision is None or instance.revision is None:
+            return False
+        return instance.revision >= self.revision
 
     @property
     def exit_status(self) -> ExitStatus:
@@ -157,19 +158,7 @@
     author: str
     reason: str
     committed_wall_s: float
-    operations: tuple[Operation, ...]
-
-    @classmethod
-    def of(cls, change: Change) -> 'ChangeRecord':
-        """Take a change from the core."""
-        return cls(
-            revision=change.revision,
-            change_id=change.change_id,
-            author=change.author,
-            reason=change.reason,
-            committed_wall_s=change.committed_wall_s,
-            operations=change.operations,
-        )
+    differences: tuple[SectionDifference, ...]
 
 
 @attrs.frozen
@@ -199,4 +188,6 @@
     @property
     def exit_status(self) -> ExitStatus:
         """Success only when all entries are up to date."""
+        if self.rollout.revision is None:
+            return ExitStatus.UNAVAILABLE
         return self.rollout.exit_status
--- a/packages/operator/dandelionyoke_operator/_rollout.py
+++ b/packages/operator/dandelionyoke_operator/_rollout.py
@@ -1,5 +1,7 @@
 """Follows a revision until it is in force in every entry."""
 
+from collections.abc import Iterable
+
 import eventlet
 
 from dandelionyoke_core import Instance, Presence
@@ -12,16 +14,13 @@
 CONCURRENT_CALLS = 32
 
 
-def read_rollout(platform: Platform, revision: int) -> RolloutReport:
+def read_rollout(platform: Platform, revision: int | None) -> RolloutReport:
     """Ask every entry once which revision it has in force."""
     try:
         listed = platform.instances()
     except UnavailableError:
         return RolloutReport(revision, listed=False)
-    # One silent entry would hold up all others' answers by its timeout.
-    pool = eventlet.GreenPool(CONCURRENT_CALLS)
-    asked = pool.imap(lambda instance: _ask(platform, instance), listed)
-    return RolloutReport(revision, tuple(sorted(asked, key=_place)))
+    return RolloutReport(revision, _ask_all(platform, listed))
 
 
 def await_rollout(
@@ -30,15 +29,51 @@
     settings: Settings,
     environment: Environment,
 ) -> RolloutReport:
-    """Ask until the revision is in force everywhere or the wait is over."""
+    """Ask until the revision is in force everywhere or the wait is over.
+
+    An entry never goes back to an older revision, so one that has this one
+    is not asked again.
+    """
     give_up_s = environment.monotonic_s() + settings.wait_s
     rollout = read_rollout(platform, revision)
     while not rollout.everywhere and environment.monotonic_s() < give_up_s:
         environment.sleep(settings.poll_interval_s)
-        rollout = read_rollout(platform, revision)
+        rollout = _read_again(platform, rollout)
     return rollout
 
 
+def _read_again(platform: Platform, rollout: RolloutReport) -> RolloutReport:
+    try:
+        listed = platform.instances()
+    except UnavailableError:
+        return rollout
+    settled = {
+        each.instance_id: each
+        for each in rollout.instances
+        if rollout.is_in_force(each)
+    }
+    unsettled = [each for each in listed if each.instance_id not in settled]
+    still_listed = {each.instance_id for each in listed}
+    kept = [
+        each
+        for instance_id, each in settled.items()
+        if instance_id in still_listed
+    ]
+    asked = _ask_all(platform, unsettled)
+    return RolloutReport(
+        rollout.revision, tuple(sorted((*kept, *asked), key=_place))
+    )
+
+
+def _ask_all(
+    platform: Platform, instances: Iterable[Instance]
+) -> tuple[InstanceRevision, ...]:
+    # One silent entry would hold up all others' answers by its timeout.
+    pool = eventlet.GreenPool(CONCURRENT_CALLS)
+    asked = pool.imap(lambda instance: _ask(platform, instance), instances)
+    return tuple(sorted(asked, key=_place))
+
+
 def _ask(platform: Platform, instance: Instance) -> InstanceRevision:
     leaving = instance.state is not Presence.LIVE
     status = platform.entry_status(instance)
--- a/packages/operator/dandelionyoke_operator/_settings.py
+++ b/packages/operator/dandelionyoke_operator/_settings.py
@@ -106,14 +106,14 @@
     """Read a duration.
 
     Raises:
-        SettingsError: it is no positive number.
+        SettingsError: it is no number, or a negative one.
     """
     try:
         duration_s = float(text)
     except ValueError:
         duration_s = -1.0
-    if 0 < duration_s < float('inf'):
+    if 0 <= duration_s < float('inf'):
         return duration_s
     raise SettingsError(
-        f'{place} is {text!r}', 'Write a number of seconds above 0'
+        f'{place} is {text!r}', 'Write a number of seconds, 0 or above'
     )
--- a/packages/operator/dandelionyoke_operator/commands/_change.py
+++ b/packages/operator/dandelionyoke_operator/commands/_change.py
@@ -52,7 +52,7 @@
         operations=difference(present, wanted),
         base_revision=base,
     )
-    return commit(invocation, platform, intent, present)
+    return commit(invocation, platform, intent, loaded)
 
 
 def undo(invocation: Invocation) -> CommitReport | ConflictReport:
@@ -66,4 +66,4 @@
         operations=inverse(loaded, revision),
         base_revision=loaded.snapshot.revision,
     )
-    return commit(invocation, platform, intent, loaded.snapshot)
+    return commit(invocation, platform, intent, loaded)
--- a/packages/operator/dandelionyoke_operator/commands/_key.py
+++ b/packages/operator/dandelionyoke_operator/commands/_key.py
@@ -13,7 +13,6 @@
 )
 from dandelionyoke_operator._errors import InvalidError
 from dandelionyoke_operator._invocation import STANDARD_INPUT, Invocation
-from dandelionyoke_operator._platform import Platform
 from dandelionyoke_operator._reports import (
     CommitReport,
     ConflictReport,
@@ -119,13 +118,9 @@
 ) -> CommitReport | ConflictReport:
     platform = invocation.platform()
     for _ in range(ATTEMPTS):
-        before = _present(invocation, platform)
-        intent = step.intent(invocation, before)
-        report = commit(invocation, platform, intent, before)
+        loaded = invocation.repository(platform).load()
+        intent = step.intent(invocation, loaded.snapshot)
+        report = commit(invocation, platform, intent, loaded)
         if isinstance(report, CommitReport):
             break
     return report
-
-
-def _present(invocation: Invocation, platform: Platform) -> Snapshot:
-    return invocation.repository(platform).load().snapshot
--- a/packages/operator/dandelionyoke_operator/commands/_read.py
+++ b/packages/operator/dandelionyoke_operator/commands/_read.py
@@ -1,21 +1,22 @@
 """Commands that only read."""
 
+import contextlib
 import datetime
 import re
 from types import MappingProxyType
 
 from dandelionyoke_operator._audit import concerns
 from dandelionyoke_operator._configuration import Configuration
-from dandelionyoke_operator._errors import UsageError
+from dandelionyoke_operator._errors import UnavailableError, UsageError
 from dandelionyoke_operator._invocation import Invocation
 from dandelionyoke_operator._reports import (
-    ChangeRecord,
     CheckReport,
     HistoryReport,
     ShowReport,
     StatusReport,
 )
 from dandelionyoke_operator._rollout import read_rollout
+from dandelionyoke_operator._trail import read_trail
 
 _UNITS_S = MappingProxyType({'m': 60, 'h': 3600, 'd': 86_400})
 _AGO = re.compile(r'(\d+)([mhd])')
@@ -36,7 +37,11 @@
     """Print the configuration in the store as INI."""
     loaded = invocation.repository(invocation.platform()).load()
     configuration = Configuration.from_snapshot(loaded.snapshot)
-    return ShowReport(loaded.snapshot.revision, str(configuration))
+    return ShowReport(
+        revision=loaded.snapshot.revision,
+        text=str(configuration),
+        entities=configuration.entities,
+    )
 
 
 def history(invocation: Invocation) -> HistoryReport:
@@ -46,25 +51,29 @@
     since_s = _moment(invocation, 'since')
     until_s = _moment(invocation, 'until')
     organisation = invocation.option('organisation')
+    changes = loaded.changes
     chosen = [
-        change
-        for change in loaded.changes
+        record
+        for change, record in zip(changes, read_trail(changes), strict=True)
         if (since_s is None or change.committed_wall_s >= since_s)
         and (until_s is None or change.committed_wall_s <= until_s)
-        and (
-            organisation is None
-            or concerns(change, organisation, loaded.changes)
-        )
+        and (organisation is None or concerns(change, organisation, changes))
     ]
-    records = map(ChangeRecord.of, reversed(chosen))
-    return HistoryReport(tuple(records))
+    return HistoryReport(tuple(reversed(chosen)))
 
 
 def status(invocation: Invocation) -> StatusReport:
-    """Tell how far each entry is."""
+    """Tell how far each entry is, also while the store is down.
+
+    Entries serve on through an outage of the store, and that is when the
+    operator has to know how old their knowledge is.
+    """
     platform = invocation.platform()
-    loaded = invocation.repository(platform).load()
-    return StatusReport(read_rollout(platform, loaded.snapshot.revision))
+    revision = None
+    with contextlib.suppress(UnavailableError):
+        loaded = invocation.repository(platform).load()
+        revision = loaded.snapshot.revision
+    return StatusReport(read_rollout(platform, revision))
 
 
 def _moment(invocation: Invocation, name: str) -> float | None:
--- a/packages/operator/dandelionyoke_operator/output/_difference.py
+++ b/packages/operator/dandelionyoke_operator/output/_difference.py
@@ -4,13 +4,13 @@
 from collections.abc import Iterable, Iterator, Sequence
 from types import MappingProxyType
 
-from dandelionyoke_operator._difference import ADDED, CHANGED, REMOVED
+from dandelionyoke_operator._difference import ADDED, CHANGED, REMOVED, SET
 from dandelionyoke_operator._reports import (
     OptionDifference,
     SectionDifference,
 )
 
-_MARKS = MappingProxyType({ADDED: '+', CHANGED: '~', REMOVED: '-'})
+_MARKS = MappingProxyType({ADDED: '+', CHANGED: '~', REMOVED: '-', SET: '='})
 _NOTHING = '(nothing)'
 
 
@@ -19,9 +19,18 @@
 ) -> Iterator[str]:
     """Write each section that differs, and its options."""
     for section in differences:
-        yield f'{_MARKS[section.action]} [{section.section}]'
-        for option in section.options:
-            yield f'    {_option(option)}'
+        yield title_line(section)
+        yield from (f'    {line}' for line in option_lines(section))
+
+
+def title_line(section: SectionDifference) -> str:
+    """Write what happens to a section."""
+    return f'{_MARKS[section.action]} [{section.section}]'
+
+
+def option_lines(section: SectionDifference) -> Iterator[str]:
+    """Write each option that differs."""
+    return map(_option, section.options)
 
 
 def count_differences(differences: Sequence[SectionDifference]) -> str:
--- a/packages/operator/dandelionyoke_operator/output/_rollout.py
+++ b/packages/operator/dandelionyoke_operator/output/_rollout.py
@@ -28,7 +28,10 @@
 
 def status_lines(rollout: RolloutReport) -> Iterator[str]:
     """Tell each entry's revision, age of knowledge, work and duties."""
-    yield f'Revision {rollout.revision} is in the store.'
+    if rollout.revision is None:
+        yield 'The store does not answer; this is what the entries say.'
+    else:
+        yield f'Revision {rollout.revision} is in the store.'
     if not rollout.listed:
         yield _UNLISTED
         return
--- a/packages/operator/dandelionyoke_operator/output/_trail.py
+++ b/packages/operator/dandelionyoke_operator/output/_trail.py
@@ -3,9 +3,9 @@
 import datetime
 from collections.abc import Iterator
 
-from dandelionyoke_core import Operation, Remove
-from dandelionyoke_operator._difference import place_of
+from dandelionyoke_operator._difference import CHANGED
 from dandelionyoke_operator._reports import ChangeRecord
+from dandelionyoke_operator.output._difference import option_lines, title_line
 
 
 def change_lines(change: ChangeRecord) -> Iterator[str]:
@@ -16,11 +16,8 @@
     when = moment.strftime('%Y-%m-%d %H:%M:%S UTC')
     yield f'revision {change.revision}  {when}  {change.author}'
     yield f'    {change.reason}'
-    for operation in change.operations:
-        yield f'    {_operation(operation)}'
-
-
-def _operation(operation: Operation) -> str:
-    section, name = place_of(operation)
-    verb = 'removed' if isinstance(operation, Remove) else 'set'
-    return f'{verb} [{section.value} {name}]'
+    for section in change.differences:
+        yield f'    {title_line(section)}'
+        # What was added or removed is told in full by `show` and `plan`.
+        if section.action == CHANGED:
+            yield from (f'        {line}' for line in option_lines(section))
--- a/tests/operator/support.py
+++ b/tests/operator/support.py
@@ -92,7 +92,7 @@
         return self.content.get(key, StoreItem(key, 0, None))
 
 
-@attrs.define
+@attrs.define(slots=False)
 class MemoryPlatform:
     """Entries that follow the store, but for those that lag or are silent."""
 
--- a/tests/operator/test_changes.py
+++ b/tests/operator/test_changes.py
@@ -1,6 +1,6 @@
 """Changes go in once, spread, meet each other, and can be undone."""
 
-from dandelionyoke_core import hash_key
+from dandelionyoke_core import Instance, hash_key
 from dandelionyoke_operator._exit import ExitStatus
 from tests.operator.support import FLEET
 from tests.operator.test_commands import RAISED, DeskTest
@@ -34,6 +34,23 @@
             '    ubungo-1 has not answered',
         )
 
+    def test_breaking_off_the_wait_leaves_no_doubt_about_the_change(
+        self,
+    ) -> None:
+        """The operator breaks off a wait that takes too long. The screen
+        says already that the change is made, so nobody makes it again.
+        """
+
+        def break_off(instance: Instance) -> None:
+            raise KeyboardInterrupt
+
+        self.platform.entry_status = break_off
+        self._ended(
+            self.desk.apply(FLEET),
+            ExitStatus.INTERRUPTED,
+            'Revision 1 is committed',
+        )
+
     def test_without_a_list_of_instances_nobody_claims_it_is_in_force(
         self,
     ) -> None:
@@ -61,7 +78,7 @@
             ExitStatus.CONFLICT,
             'revision 2 is in force, and this was written against 1',
             'baraka',
-            'set [organisation duka-routes]',
+            '~ [organisation duka-routes]\n        priority: 7 -> 9',
         )
         self.assertIn('priority = 9', self.desk.run('show').output)
         self._ended(self.desk.apply(FLEET, '--base', '1'), ExitStatus.CONFLICT)
@@ -183,6 +200,11 @@
             ExitStatus.INVALID,
             '[organisation mbezi-shops] was before lies further back',
         )
+        self._ended(
+            self.desk.run('history', '--limit', '1'),
+            ExitStatus.SUCCESS,
+            '= [organisation duka-routes]',
+        )
         self._ended(
             self.desk.run('undo', '82'),
             ExitStatus.SUCCESS,
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -108,6 +108,24 @@
             'leaving',
         )
 
+    def test_status_tells_what_entries_say_while_the_store_is_down(
+        self,
+    ) -> None:
+        """The store is out and customers call. The entries serve on, and the
+        operator reads which revision they have and how old it is.
+        """
+        self.store.outage_calls = 6
+        self._ended(
+            self.desk.run('status'),
+            ExitStatus.UNAVAILABLE,
+            'The store does not answer',
+            'ubungo-1 has revision 0, confirmed 0.5 s ago',
+        )
+        self.platform.listed = False
+        self._ended(
+            self.desk.run('status'), ExitStatus.NOT_EVERYWHERE, 'no list'
+        )
+
     def test_every_command_has_help(self) -> None:
         for declaration in DECLARATIONS:
             words = declaration.name.split()
