Hold signals back before READY, and record what a killed process saw

A process that was told to stop right after its READY line was killed by the signal, since the handlers were installed only afterwards; one run of make test showed it (test_it_stops_when_asked_to). They now come first.

What an engine or a plain service had received was lost with its process, so a check of a crash could not ask.

--- a/packages/standins/dandelionyoke_standins/_command.py
+++ b/packages/standins/dandelionyoke_standins/_command.py
@@ -15,7 +15,7 @@
 from dandelionyoke_standins._engine_http import EngineShell
 from dandelionyoke_standins._engine_orders import ROLES, OrderTimes
 from dandelionyoke_standins._engine_report import ReportSettings
-from dandelionyoke_standins._http import announce, wait_for_stop
+from dandelionyoke_standins._http import StopSignal, announce
 from dandelionyoke_standins._link import Link, LinkSettings
 from dandelionyoke_standins._load import LoadDriver, LoadSettings, report_load
 from dandelionyoke_standins._plain import PlainModel, PlainShell
@@ -64,17 +64,19 @@
 
 
 def _serve(shell: Shell) -> None:
+    stop = StopSignal()
     shell.start()
     announce(f'READY {shell.address}')
-    wait_for_stop()
+    stop.wait()
 
 
 def _serve_link(settings: LinkSettings) -> None:
+    stop = StopSignal()
     link = Link(settings)
     link.start()
     announce(f'READY {link.address}')
     link.announce_control()
-    wait_for_stop()
+    stop.wait()
 
 
 def _shell(options: Options) -> Shell:
@@ -82,13 +84,15 @@
         model = PlatformModel(_platform_settings(options))
         return PlatformShell(model, options.port)
     if options.kind == 'plain':
-        return PlainShell(PlainModel(), options.engine_id, options.port)
+        return PlainShell(
+            PlainModel(), options.engine_id, options.port, options.record_file
+        )
     seed = options.seed or int.from_bytes(os.urandom(8))
     engine = EngineModel(
         _engine_settings(options), random.Random(seed), time.monotonic()
     )
     engine.faults.crash_on = options.crash_on
-    return EngineShell(engine, options.port)
+    return EngineShell(engine, options.port, options.record_file)
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -98,7 +102,7 @@
     kinds = parser.add_subparsers(dest='kind', required=True)
     _add_platform(_long_running(kinds, 'platform'))
     _add_engine(_long_running(kinds, 'engine'))
-    _long_running(kinds, 'plain').add_argument('--engine-id', default='plain')
+    _add_plain(_long_running(kinds, 'plain'))
     _add_link(_long_running(kinds, 'link'))
     _add_load(kinds.add_parser('load', help='send a load, check the answers'))
     return parser
@@ -136,10 +140,16 @@
     )
 
 
+def _add_plain(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('--engine-id', default='plain')
+    parser.add_argument('--record-file', default='')
+
+
 def _add_engine(parser: argparse.ArgumentParser) -> None:
     parser.add_argument('--engine-id', default='engine')
     parser.add_argument('--model', action='append', dest='models')
     parser.add_argument('--crash-on', default='')
+    parser.add_argument('--record-file', default='')
     parser.add_argument('--role', choices=ROLES, default='mixed')
     parser.add_argument(
         '--fencing', choices=('check', 'ignore'), default='check'
--- a/packages/standins/dandelionyoke_standins/_engine.py
+++ b/packages/standins/dandelionyoke_standins/_engine.py
@@ -40,6 +40,8 @@
 # Longer steps cost less and give the output in larger parts.
 STEP_S = 0.02
 REST_STEP_S = 0.1
+# The oldest export goes when there are more.
+MAX_EXPORTS = 256
 RETRY_FULL_S = 1.0
 RETRY_DRAINING_S = 5.0
 CAUSE_CANCELLED = 'cancelled'
@@ -187,6 +189,8 @@
             handle, attempt.computed_names(), tuple(attempt.output)
         )
         self._exports[handle] = export
+        while len(self._exports) > MAX_EXPORTS:
+            self._exports.pop(next(iter(self._exports)))
         return export
 
     def exported_kv(self, handle: str) -> KvExport:
--- a/packages/standins/dandelionyoke_standins/_engine_http.py
+++ b/packages/standins/dandelionyoke_standins/_engine_http.py
@@ -7,12 +7,17 @@
 import eventlet
 import urllib3
 
-from dandelionyoke_standins._attempt import GenerateRequest, StreamEnd
+from dandelionyoke_standins._attempt import GenerateRequest, Output, StreamEnd
 from dandelionyoke_standins._engine import EngineModel, KvExport
 from dandelionyoke_standins._engine_orders import EngineOrder
-from dandelionyoke_standins._errors import BadCallError, LostAnswerError
+from dandelionyoke_standins._errors import (
+    BadCallError,
+    LostAnswerError,
+    MissingError,
+)
 from dandelionyoke_standins._http import Call, Reply, Route, Server, Signal
 from dandelionyoke_standins._json import Json, build, decode, encode
+from dandelionyoke_standins._record_file import RecordFile
 
 TICK_S = 0.01
 PATIENCE_S = 5.0
@@ -22,8 +27,13 @@
 class EngineShell:
     """Owns an engine model, and gives it the clock and the callers."""
 
-    def __init__(self, model: EngineModel, port: int = 0) -> None:
+    def __init__(
+        self, model: EngineModel, port: int = 0, record_path: str = ''
+    ) -> None:
         self._model = model
+        self._file = RecordFile(
+            record_path, model.settings.engine_id, model.incarnation
+        )
         self._moved = Signal()
         self._pool = urllib3.PoolManager(retries=False)
         self._server = Server(self._routes(), port)
@@ -56,13 +66,22 @@
             outputs = self._model.advance(time.monotonic())
             if self._model.is_crashed or self._model.faults.crash:
                 os._exit(CRASH_STATUS)
+            for output in outputs:
+                self._record_end(output)
             if outputs:
                 self._moved.notify()
 
+    def _record_end(self, output: Output) -> None:
+        if output.end is not None:
+            record = self._model.attempt_record(output.attempt_id)
+            self._file.write('attempt_ended', record)
+
     def _generate(self, call: Call) -> Reply:
         self._enter()
         request = build(GenerateRequest, call.json)
         self._model.generate(request, time.monotonic())
+        record = self._model.attempt_record(request.attempt_id)
+        self._file.write('attempt', record)
         self._lose_answer()
         offset = len(request.resume_tokens)
         silent_after = self._model.faults.silent_after_tokens
@@ -136,6 +155,7 @@
         self._enter()
         order = build(EngineOrder, call.json)
         answer = self._model.order(order, time.monotonic())
+        self._file.write('order', self._model.record.orders[-1])
         self._moved.notify()
         self._lose_answer()
         return Reply(answer)
@@ -163,11 +183,19 @@
         self._enter()
         body = call.json
         url = f'{_text(body, "source")}/kv/{_text(body, "handle")}'
-        answer = self._pool.request('GET', url, timeout=PATIENCE_S)
-        export = build(KvExport, decode(answer.data))
+        export = self._fetch(url)
         self._model.import_kv(export, time.monotonic())
         return Reply({'imported': True})
 
+    def _fetch(self, url: str) -> KvExport:
+        try:
+            answer = self._pool.request('GET', url, timeout=PATIENCE_S)
+        except urllib3.exceptions.HTTPError as error:
+            raise MissingError(imported=False, cause='unreachable') from error
+        if answer.status != 200:
+            raise MissingError(imported=False, cause='unknown_handle')
+        return build(KvExport, decode(answer.data))
+
     def _set_faults(self, call: Call) -> Reply:
         for name, setting in call.json.items():
             if not hasattr(self._model.faults, name):
--- a/packages/standins/dandelionyoke_standins/_http.py
+++ b/packages/standins/dandelionyoke_standins/_http.py
@@ -152,6 +152,27 @@
         return Reply({'cause': f'unknown {cause}'}, 404)
 
 
+class StopSignal:
+    """Waits for SIGTERM or SIGINT, which it holds back once it is made.
+
+    A handler alone would not wake the event loop out of its poll, and the
+    process would stop only at the next timer. The wakeup descriptor does.
+    """
+
+    def __init__(self) -> None:
+        reader, writer = socket.socketpair()
+        writer.setblocking(False)
+        signal.set_wakeup_fd(writer.fileno())
+        self._reader = reader
+        self._writer = writer
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, _ignore)
+
+    def wait(self) -> None:
+        """Wait for the signal."""
+        self._reader.recv(1)
+
+
 def address_of(listener: socket.socket) -> str:
     """Give the address that a listening socket is reached at."""
     return f'http://{HOST}:{listener.getsockname()[1]}'
@@ -162,20 +183,6 @@
     print(line, flush=True)  # noqa: WPS421 the protocol's READY line
 
 
-def wait_for_stop() -> None:
-    """Wait for SIGTERM or SIGINT.
-
-    A handler alone would not wake the event loop out of its poll, and the
-    process would stop only at the next timer. The wakeup descriptor does.
-    """
-    reader, writer = socket.socketpair()
-    writer.setblocking(False)
-    signal.set_wakeup_fd(writer.fileno())
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, _ignore)
-    reader.recv(1)
-
-
 def _ignore(number: int, frame: object) -> None:
     """Let the wakeup descriptor tell it."""
 
--- a/packages/standins/dandelionyoke_standins/_plain.py
+++ b/packages/standins/dandelionyoke_standins/_plain.py
@@ -14,6 +14,7 @@
     NotRunError,
 )
 from dandelionyoke_standins._http import Call, Reply, Route, Server, Signal
+from dandelionyoke_standins._record_file import RecordFile
 
 CRASH_STATUS = 70
 RETRY_S = 1.0
@@ -72,11 +73,16 @@
     """Owns a plain service and its callers."""
 
     def __init__(
-        self, model: PlainModel, engine_id: str = 'plain', port: int = 0
+        self,
+        model: PlainModel,
+        engine_id: str = 'plain',
+        port: int = 0,
+        record_path: str = '',
     ) -> None:
         self._model = model
         self._engine_id = engine_id
         self._incarnation = os.urandom(8).hex()
+        self._file = RecordFile(record_path, engine_id, self._incarnation)
         self._running = 0
         self._changed = Signal()
         self._server = Server(self._routes(), port)
@@ -116,7 +122,9 @@
         text = call.body.decode(errors='replace')
         if faults.crash_before_run or _holds(text, faults.crash_on):
             os._exit(CRASH_STATUS)
-        runs = self._model.run(_seen(call))
+        run = _seen(call)
+        runs = self._model.run(run)
+        self._file.write('run', run)
         if faults.crash_after_run:
             os._exit(CRASH_STATUS)
         if faults.lose_answers > 0:
--- a/packages/standins/dandelionyoke_standins/_store.py
+++ b/packages/standins/dandelionyoke_standins/_store.py
@@ -1,5 +1,6 @@
 """The platform's store as a pure model: revisions, leases and changes."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterator
 from typing import Protocol
@@ -84,6 +85,8 @@
         self._leases: dict[str, _Lease] = {}
         self._lease_of: dict[str, str] = {}
         self._granted = 0
+        # No lease lapses before this time.
+        self._checked_until_s = math.inf
 
     def read(self, key: str) -> StoreEntry:
         """Give the entry, at revision 0 when the key is absent."""
@@ -141,7 +144,9 @@
         """Open a lease that lapses unless it is renewed."""
         self._granted += 1
         lease_id = f'lease-{self._granted}'
-        self._leases[lease_id] = _Lease(ttl_s, now_s + ttl_s)
+        expires_s = now_s + ttl_s
+        self._checked_until_s = min(self._checked_until_s, expires_s)
+        self._leases[lease_id] = _Lease(ttl_s, expires_s)
         return lease_id
 
     def renew_lease(self, lease_id: str, now_s: float) -> float:
@@ -159,6 +164,8 @@
 
     def expire(self, now_s: float) -> None:
         """End the leases whose time is over."""
+        if now_s < self._checked_until_s:
+            return
         lapsed = [
             lease_id
             for lease_id, lease in self._leases.items()
@@ -166,6 +173,7 @@
         ]
         for lease_id in lapsed:
             self._end_lease(lease_id)
+        self._checked_until_s = self.next_expiry_s or math.inf
 
     @property
     def next_expiry_s(self) -> float | None:
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -1,8 +1,10 @@
 """The engine model, in virtual time."""
 
+import contextlib
 import random
 
 import testtools
+from hypothesis import given, settings, strategies
 
 from dandelionyoke_standins import (
     BatchSettings,
@@ -17,8 +19,8 @@
 )
 
 
-def engine(**settings: object) -> EngineModel:
-    return EngineModel(EngineSettings(**settings), random.Random(1))
+def engine(**fields: object) -> EngineModel:
+    return EngineModel(EngineSettings(**fields), random.Random(1))
 
 
 def request(attempt_id: str, prompt: str, **more: object) -> GenerateRequest:
@@ -130,6 +132,80 @@
         model.advance(2)
         self.assertTrue(model.is_crashed)
 
+    def test_each_role_serves_its_own_mix_best(self) -> None:
+        mixes = {
+            'prefill': ('crate ' * 3000, 10),
+            'mixed': ('crate ' * 1500, 75),
+            'decode': ('', 200),
+        }
+        for best, (prompt, answer_tokens) in mixes.items():
+            whole = {
+                role: self._answers_in_time(role, prompt, answer_tokens)
+                for role in mixes
+            }
+            self.assertEqual(best, max(whole, key=whole.get), whole)
+
+    @given(strategies.integers(), strategies.integers(30, 400))
+    @settings(max_examples=25)
+    def test_no_course_of_events_breaks_an_answer(
+        self, seed: int, kv_blocks: int
+    ) -> None:
+        # Whatever is queued, cancelled and cut, each answer that ends is
+        # whole, memory is never overfull, and all of it is free at the end.
+        chance = random.Random(seed)
+        model = engine(kv_total_blocks=kv_blocks)
+        prompts: dict[str, str] = {}
+        for now_s in range(1, 40):
+            self._do_something(model, chance, prompts, now_s)
+            report = model.load_report(now_s)
+            self.assertTrue(report.kv_used_blocks <= kv_blocks)
+        for now_s in range(40, 140):
+            self._check(model, prompts, now_s)
+        records = {one.attempt_id: one for one in model.record.attempts}
+        self.assertEqual(set(prompts), set(records))
+        self.assertNotIn(None, [one.end for one in records.values()])
+        self.assertEqual(0, model.load_report(150).kv_used_blocks)
+
+    def _do_something(
+        self,
+        model: EngineModel,
+        chance: random.Random,
+        prompts: dict[str, str],
+        now_s: int,
+    ) -> None:
+        name = f'a{now_s}'
+        shared = 'crate ' * chance.randint(0, 300)
+        prompt = f'{shared}{chance.randint(0, 3)} answer 80 tokens'
+        with contextlib.suppress(NotRunError):
+            priority = chance.randint(0, 9)
+            model.generate(request(name, prompt, priority=priority), now_s)
+            prompts[name] = prompt
+        if prompts and chance.random() < 0.2:
+            model.cancel(chance.choice(sorted(prompts)), now_s)
+        if chance.random() < 0.1:
+            role = chance.choice(('prefill', 'decode', 'mixed'))
+            model.order(order(name, now_s, 'role', role), now_s)
+        self._check(model, prompts, now_s + 0.5)
+
+    def _check(
+        self, model: EngineModel, prompts: dict[str, str], now_s: float
+    ) -> None:
+        for output in model.advance(now_s):
+            if output.end and output.end.reason == 'stop':
+                expected = answer_text(prompts[output.attempt_id], 1024)
+                self.assertEqual(expected, text_of(model, output.attempt_id))
+
+    def _answers_in_time(
+        self, role: str, prompt: str, answer_tokens: int
+    ) -> int:
+        model = engine(role=role)
+        for number in range(120):
+            asked = f'{number} {prompt} answer {answer_tokens} tokens'
+            model.generate(request(str(number), asked), 0)
+        model.advance(14)
+        ends = [one.end for one in model.record.attempts]
+        return len(ends) - ends.count(None)
+
 
 class EngineOrderTest(testtools.TestCase):
     def test_an_old_fence_has_no_effect_where_it_is_checked(self) -> None:
--- a/tests/standins/test_engine_http.py
+++ b/tests/standins/test_engine_http.py
@@ -1,6 +1,8 @@
 """The engine, the plain service and the link as processes."""
 
 import json
+import pathlib
+import tempfile
 from collections.abc import Iterator
 from typing import Any
 
@@ -93,12 +95,21 @@
 
     def test_a_poisonous_prompt_ends_the_process(self) -> None:
         # One prompt crashes every engine that runs it; the other callers of
-        # that engine see their connections end.
-        engine = self.standin('engine', '--crash-on', 'poison')
+        # that engine see their connections end. What was in progress is
+        # known afterwards from the record outside the process.
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name, 'record')
+        engine = self.standin(
+            'engine', '--crash-on', 'poison', '--record-file', str(path)
+        )
         innocent = engine.stream('/generate', generate_body('a'))
         engine.stream('/generate', generate_body('b', 'poison'))
         self.assertRaises(urllib3.exceptions.HTTPError, list, lines(innocent))
         self.assertEqual(CRASH_STATUS, engine.process.wait(20))
+        records = [json.loads(line) for line in path.read_text().splitlines()]
+        seen = [(one['kind'], one['record']['attempt_id']) for one in records]
+        self.assertEqual([('attempt', 'a'), ('attempt', 'b')], seen)
 
     def test_a_role_change_cuts_streams_and_refuses_work(self) -> None:
         engine = self.standin('engine', '--role-s', '0.2')
