Keep the plain service's model apart from its sockets

The package's public names import neither eventlet nor urllib3, so that a driver in virtual time can use the plain service's model too; it was in one module with its HTTP shell.

--- a/packages/standins/dandelionyoke_standins/__init__.py
+++ b/packages/standins/dandelionyoke_standins/__init__.py
@@ -49,6 +49,11 @@
     answer_text as answer_text,
     output_token as output_token,
 )
+from dandelionyoke_standins._plain import (
+    PlainFaults as PlainFaults,
+    PlainModel as PlainModel,
+    PlainRun as PlainRun,
+)
 from dandelionyoke_standins._platform import (
     Instance as Instance,
     PlatformFaults as PlatformFaults,
--- a/packages/standins/dandelionyoke_standins/_command.py
+++ b/packages/standins/dandelionyoke_standins/_command.py
@@ -18,7 +18,8 @@
 from dandelionyoke_standins._http import StopSignal, announce
 from dandelionyoke_standins._link import Link, LinkSettings
 from dandelionyoke_standins._load import LoadDriver, LoadSettings, report_load
-from dandelionyoke_standins._plain import PlainModel, PlainShell
+from dandelionyoke_standins._plain import PlainModel
+from dandelionyoke_standins._plain_http import PlainShell
 from dandelionyoke_standins._platform import PlatformModel, PlatformSettings
 from dandelionyoke_standins._platform_http import PlatformShell
 from dandelionyoke_standins._targets import TargetSettings
--- /dev/null
+++ b/packages/standins/dandelionyoke_standins/_plain_http.py
@@ -0,0 +1,132 @@
+"""A plain service over HTTP, as docs/PROTOCOL.md section 2 lays it down."""
+
+import os
+import time
+from contextlib import ExitStack
+
+import eventlet
+
+from dandelionyoke_standins._errors import (
+    BadCallError,
+    LostAnswerError,
+    NotRunError,
+)
+from dandelionyoke_standins._http import Call, Reply, Route, Server, Signal
+from dandelionyoke_standins._plain import PlainModel, PlainRun
+from dandelionyoke_standins._record_file import RecordFile
+
+CRASH_STATUS = 70
+RETRY_S = 1.0
+# So that the call that asks for the crash gets its answer.
+CRASH_DELAY_S = 0.01
+
+
+class PlainShell:
+    """Owns a plain service and its callers."""
+
+    def __init__(
+        self,
+        model: PlainModel,
+        engine_id: str = 'plain',
+        port: int = 0,
+        record_path: str = '',
+    ) -> None:
+        self._model = model
+        self._engine_id = engine_id
+        self._incarnation = os.urandom(8).hex()
+        self._file = RecordFile(record_path, engine_id, self._incarnation)
+        self._running = 0
+        self._changed = Signal()
+        self._server = Server(self._routes(), port)
+        self.address = self._server.address
+
+    def start(self) -> None:
+        """Serve."""
+        self._server.start()
+
+    def _routes(self) -> tuple[Route, ...]:
+        return (
+            Route('GET', '/load', self._load),
+            Route('POST', '/standin/faults', self._set_faults),
+            Route('GET', '/standin/runs', self._runs),
+            Route('GET', '/standin/record', self._record),
+            Route('*', '/.*', self._run),
+        )
+
+    def _run(self, call: Call) -> Reply:
+        faults = self._model.faults
+        if faults.refuse:
+            raise NotRunError(
+                ran=False, cause=faults.refuse, retry_after_s=RETRY_S
+            )
+        with ExitStack() as stack:
+            self._running += 1
+            stack.callback(self._leave)
+            return self._run_once(call)
+
+    def _leave(self) -> None:
+        self._running -= 1
+
+    def _run_once(self, call: Call) -> Reply:
+        faults = self._model.faults
+        if faults.delay_s:
+            eventlet.sleep(faults.delay_s)
+        text = call.body.decode(errors='replace')
+        if faults.crash_before_run or _holds(text, faults.crash_on):
+            os._exit(CRASH_STATUS)
+        run = _seen(call)
+        runs = self._model.run(run)
+        self._file.write('run', run)
+        if faults.crash_after_run:
+            os._exit(CRASH_STATUS)
+        if faults.lose_answers > 0:
+            faults.lose_answers -= 1
+            raise LostAnswerError
+        while faults.silent:
+            self._changed.wait(1)
+        return Reply({'runs': runs})
+
+    def _load(self, call: Call) -> Reply:
+        return Reply(
+            {
+                'engine_id': self._engine_id,
+                'incarnation': self._incarnation,
+                'measured_s': time.monotonic(),
+                'age_s': 0,
+                'running': self._running,
+                'waiting': 0,
+                'draining': False,
+            }
+        )
+
+    def _set_faults(self, call: Call) -> Reply:
+        for name, setting in call.json.items():
+            if not hasattr(self._model.faults, name):
+                raise BadCallError(cause=f'unknown fault {name}')
+            setattr(self._model.faults, name, setting)
+        self._changed.notify()
+        if self._model.faults.crash:
+            eventlet.spawn_after(CRASH_DELAY_S, os._exit, CRASH_STATUS)
+        return Reply(self._model.faults)
+
+    def _runs(self, call: Call) -> Reply:
+        return Reply({'runs': self._model.runs})
+
+    def _record(self, call: Call) -> Reply:
+        return Reply({'runs': self._model.record})
+
+
+def _holds(text: str, part: str) -> bool:
+    return bool(part) and part in text
+
+
+def _seen(call: Call) -> PlainRun:
+    return PlainRun(
+        at_s=time.monotonic(),
+        key=call.headers.get('idempotency-key', ''),
+        request_id=call.headers.get('x-request-id', ''),
+        attempt_id=call.headers.get('x-attempt-id', ''),
+        method=call.method,
+        path=call.path,
+        has_caller_key='authorization' in call.headers,
+    )
