--- a/packages/operator/dandelionyoke_operator/_repository.py
+++ b/packages/operator/dandelionyoke_operator/_repository.py
@@ -17,6 +17,7 @@
     Proposal,
     Rejected,
     StoreAnswered,
+    StoreDelete,
     StoreFailed,
     StoreGet,
     StoreLayoutSettings,
@@ -126,7 +127,7 @@
         waiting = deque(machine.begin())
         while waiting and machine.outcome is None:
             action = waiting.popleft()
-            if not isinstance(action, StoreGet | StorePut):
+            if not isinstance(action, StoreGet | StorePut | StoreDelete):
                 raise TypeError(f'{type(action).__name__} is not expected')
             result = self._store.perform(action)
             if isinstance(result, StoreFailed):
