--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -73,6 +73,7 @@
     record_to_json as record_to_json,
 )
 from dandelionyoke_core._commit import (
+    CommitOutcome as CommitOutcome,
     Committed as Committed,
     Committer as Committer,
     Conflicted as Conflicted,
@@ -149,6 +150,7 @@
     Woken as Woken,
 )
 from dandelionyoke_core._fleet import (
+    CONTROL_DUTY as CONTROL_DUTY,
     FleetPart as FleetPart,
 )
 from dandelionyoke_core._fleet_notices import (
@@ -316,6 +318,7 @@
     ConfigurationLoader as ConfigurationLoader,
     Head as Head,
     Loaded as Loaded,
+    LoadOutcome as LoadOutcome,
     StoreLayoutSettings as StoreLayoutSettings,
     Unsettled as Unsettled,
 )
--- a/tests/standins/test_load.py
+++ b/tests/standins/test_load.py
@@ -10,6 +10,7 @@
 import attrs
 import testtools
 
+from dandelionyoke_core import ChatMessage, chat_prompt
 from dandelionyoke_standins import answer_text
 
 TIMEOUT_S = 60
@@ -36,7 +37,10 @@
 
     def _complete(self, body: dict[str, Any]) -> None:
         is_chat = 'messages' in body
-        prompt = body['messages'][0]['content'] if is_chat else body['prompt']
+        prompt = body.get('prompt', '')
+        if is_chat:
+            turns = [ChatMessage(**turn) for turn in body['messages']]
+            prompt = chat_prompt(turns)
         tokens = answer_text(prompt, body['max_tokens']).split(' ')[:-1]
         if self.server.fault == 'lost token':
             tokens.pop(1)
