--- a/packages/core/dandelionyoke_core/_call.py
+++ b/packages/core/dandelionyoke_core/_call.py
@@ -48,7 +48,8 @@
 
     `tokens` reached the caller. `unproven` names work that was handed to a
     target which has not said that it did not run it. `owes_retry` is whether
-    the next placement draws on the retry budget.
+    the next placement draws on the retry budget; `row` counts placements
+    without a sign of life between them.
     """
 
     event: ModelCalled | ServiceCalled
@@ -63,6 +64,7 @@
     attempt: Attempt | None = None
     attempts: int = 0
     placements: int = 0
+    row: int = 0
     unproven: set[AttemptId] = attrs.field(factory=set)
     avoid: set[TargetId] = attrs.field(factory=set)
     caller_gone: bool = False
@@ -97,11 +99,19 @@
         attempt_id = self.next_attempt_id()
         self.attempt = Attempt(attempt_id, attempt_id, target, now_s)
         self.placements += 1
+        self.row += 1
         self.unproven.add(attempt_id)
         self.phase = Phase.RUNNING
-        self.stalled_s = None
         return self.attempt
 
+    def heard(self, now_s: float) -> None:
+        """Note a sign of life of the present attempt."""
+        self.stalled_s = None
+        self.row = 0
+        if self.attempt is not None:
+            self.attempt.accepted = True
+            self.attempt.heard_s = now_s
+
     def reread(self, attempt: Attempt, now_s: float) -> Attempt:
         """Read the same work on, as a new stream."""
         attempt_id = self.next_attempt_id()
--- a/packages/core/dandelionyoke_core/_ports.py
+++ b/packages/core/dandelionyoke_core/_ports.py
@@ -235,7 +235,7 @@
         `whole` is whether it ran to its end, which clears its fingerprint.
         """
 
-    def lost(self, attempt_id: AttemptId, now_s: float) -> None:
+    def lost(self, attempt_id: AttemptId, now_s: float) -> list[Output]:
         """An attempt was left at a silent target, which may have crashed."""
 
     def broke(self, attempt_id: AttemptId, now_s: float) -> list[Output]:
--- a/packages/core/dandelionyoke_core/_quarantine.py
+++ b/packages/core/dandelionyoke_core/_quarantine.py
@@ -31,11 +31,18 @@
 
 @attrs.frozen
 class Run:
-    """A request in progress on an engine; `trial` if it was a suspect."""
+    """A request in progress on an engine.
 
+    `trial` is whether it was a suspect when it started, `announced` whether
+    peers were told of it, so that they have to be told of its end.
+    """
+
+    attempt_id: AttemptId
     target_id: TargetId
     fingerprint: str
+    started_s: float
     trial: bool = False
+    announced: bool = False
 
 
 @attrs.frozen
@@ -58,7 +65,7 @@
         self._runs: dict[AttemptId, Run] = {}
         self._lost: deque[tuple[float, Run]] = deque(maxlen=settings.max_lost)
         self._incidents: deque[Incident] = deque(maxlen=settings.max_incidents)
-        self._trials: OrderedDict[str, tuple[TargetId, float]] = OrderedDict()
+        self._trials: OrderedDict[AttemptId, tuple[Run, float]] = OrderedDict()
         self._version = 0
 
     def handle(self, event: Event, now_s: float) -> list[Output]:
@@ -109,9 +116,9 @@
     ) -> list[Output]:
         """Remember what is in progress where."""
         trial = self._suspects.find(fingerprint, now_s) is not None
-        run = Run(target_id, fingerprint, trial)
+        run = Run(attempt_id, target_id, fingerprint, now_s, trial)
         self._runs[attempt_id] = run
-        return [self._share_trial(run)] if trial else []
+        return [self._announce(run)] if trial else []
 
     def ended(self, attempt_id: AttemptId, whole: bool = False) -> list[Output]:
         """Forget an attempt; one that ran to its end clears its request."""
@@ -119,17 +126,29 @@
         if run is None:
             return []
         outputs: list[Output] = []
-        if run.trial:
+        if run.announced:
             outputs.append(self._share_trial(run, over=True))
         if whole and self._suspects.clear(run.fingerprint):
             outputs.append(self._share(run.fingerprint, Suspicion.CLEARED))
         return outputs
 
-    def lost(self, attempt_id: AttemptId, now_s: float) -> None:
-        """Remember an attempt that was left at a silent engine."""
+    def lost(self, attempt_id: AttemptId, now_s: float) -> list[Output]:
+        """Suspect an attempt that was left at a silent engine.
+
+        It is not yet known whether the engine crashed, so nothing is held
+        against a suspect's second one until a crash is told.
+        """
         run = self._runs.get(attempt_id)
-        if run is not None:
-            self._lost.append((now_s, run))
+        if run is None:
+            return []
+        self._incident(run, now_s)
+        if self._is_outage(now_s):
+            return self._excuse_all(now_s)
+        self._lost.append((now_s, run))
+        if self._suspects.find(run.fingerprint, now_s) is not None:
+            return []
+        self._suspects.suspect(run.fingerprint, now_s)
+        return [self._share(run.fingerprint, Suspicion.SUSPECT)]
 
     def broke(self, attempt_id: AttemptId, now_s: float) -> list[Output]:
         """Count the engine of an attempt that broke off."""
@@ -154,7 +173,7 @@
         return outputs
 
     def _count(self, run: Run, now_s: float) -> list[Output]:
-        incident = self._incident(run.target_id, now_s)
+        incident = self._incident(run, now_s)
         if self._is_outage(now_s):
             return self._excuse_all(now_s)
         fingerprint = run.fingerprint
@@ -174,14 +193,15 @@
         self._suspects.convict(fingerprint, now_s)
         return [self._share(fingerprint, Suspicion.CONVICTED)]
 
-    def _incident(self, target_id: TargetId, now_s: float) -> Incident:
+    def _incident(self, run: Run, now_s: float) -> Incident:
         """Find or open the incident that a broken attempt belongs to.
 
         The attempts of one crash break one after the other. Who was a
         suspect is settled by the first, before the rest become suspects by
-        this very crash.
+        this very crash. An attempt that started later broke in another one.
         """
-        since_s = now_s - self._settings.lost_window_s
+        target_id = run.target_id
+        since_s = max(run.started_s, now_s - self._settings.lost_window_s)
         for known in self._incidents:
             if known.target_id == target_id and known.began_s >= since_s:
                 return known
@@ -205,12 +225,13 @@
 
     def _excuse_all(self, now_s: float) -> list[Output]:
         # A request crashes one engine at a time. Many at once are a cut
-        # network or a zone taken away, which condemns nobody; so verdicts
-        # of the last moments are taken back.
+        # network or a zone taken away, which condemns nobody. What was said
+        # in the last moments is taken back; else all that ran there would
+        # be tried one by one, and wait for minutes.
         since_s = now_s - self._settings.outage_window_s
         return [
             self._share(fingerprint, Suspicion.CLEARED)
-            for fingerprint in self._suspects.convicted_since(since_s)
+            for fingerprint in self._suspects.blamed_since(since_s)
             if self._suspects.clear(fingerprint)
         ]
 
@@ -223,14 +244,19 @@
             if self._suspects.find(run.fingerprint, now_s) is not None
         ]
         elsewhere = [
-            (fingerprint, target_id)
-            for fingerprint, (target_id, until_s) in self._trials.items()
+            (run.fingerprint, run.target_id)
+            for run, until_s in self._trials.values()
             if now_s < until_s
         ]
         return here + elsewhere
 
     def _is_tried(self, fingerprint: str, now_s: float) -> bool:
-        return any(
+        since_s = now_s - self._settings.lost_window_s
+        awaits_news = any(
+            run.trial and run.fingerprint == fingerprint and lost_s >= since_s
+            for lost_s, run in self._lost
+        )
+        return awaits_news or any(
             other == fingerprint
             for other, _ in self._suspects_in_progress(now_s)
         )
@@ -254,18 +280,25 @@
 
     def _share_runs(self, fingerprint: str) -> list[Output]:
         return [
-            self._share_trial(run)
-            for run in self._runs.values()
+            self._announce(run)
+            for run in tuple(self._runs.values())
             if run.fingerprint == fingerprint
         ]
 
+    def _announce(self, run: Run) -> Output:
+        self._runs[run.attempt_id] = attrs.evolve(run, announced=True)
+        return self._share_trial(run)
+
     def _trial_learned(self, record: TrialShared, now_s: float) -> None:
         self._version = max(self._version, record.version)
-        self._trials.pop(record.fingerprint, None)
+        self._trials.pop(record.attempt_id, None)
         if record.over:
             return
+        run = Run(
+            record.attempt_id, record.target_id, record.fingerprint, now_s
+        )
         until_s = now_s + self._settings.trial_lifetime_s
-        self._trials[record.fingerprint] = (record.target_id, until_s)
+        self._trials[record.attempt_id] = (run, until_s)
         if len(self._trials) > self._settings.max_trials:
             self._trials.popitem(last=False)
 
@@ -283,9 +316,10 @@
     def _share_trial(self, run: Run, *, over: bool = False) -> Output:
         self._version += 1
         record = TrialShared(
-            f'trial/{run.fingerprint}',
+            f'trial/{run.attempt_id}',
             self._version,
             self._settings.trial_lifetime_s,
+            run.attempt_id,
             run.fingerprint,
             run.target_id,
             over,
--- a/packages/core/dandelionyoke_core/_quarantine_messages.py
+++ b/packages/core/dandelionyoke_core/_quarantine_messages.py
@@ -5,7 +5,7 @@
 import attrs
 
 from dandelionyoke_core._events import SharedRecord
-from dandelionyoke_core._names import TargetId
+from dandelionyoke_core._names import AttemptId, TargetId
 
 
 @enum.unique
@@ -29,6 +29,7 @@
 class TrialShared(SharedRecord):
     """A suspect is in progress on an engine; or its trial is over."""
 
+    attempt_id: AttemptId
     fingerprint: str
     target_id: TargetId
     over: bool = False
--- a/packages/core/dandelionyoke_core/_quarantine_settings.py
+++ b/packages/core/dandelionyoke_core/_quarantine_settings.py
@@ -13,6 +13,8 @@
     `outage_window_s`: when `outage_engines` break within it, the cause is
     taken for an outage and not for a request. After `joint_limit` crashes
     with other suspects on the engine a request is quarantined all the same.
+    A suspect that an engine fell silent with waits `lost_window_s` for news
+    of the engine.
     """
 
     suspect_lifetime_s: float = 600.0
@@ -21,7 +23,7 @@
     outage_engines: int = 3
     joint_limit: int = 2
     lost_window_s: float = 30.0
-    trial_lifetime_s: float = 60.0
+    trial_lifetime_s: float = 300.0
     retry_after_s: float = 1.0
     max_suspects: int = 2_048
     max_trials: int = 1_024
--- a/packages/core/dandelionyoke_core/_suspects.py
+++ b/packages/core/dandelionyoke_core/_suspects.py
@@ -62,11 +62,11 @@
         """Drop a suspicion; False if there was none."""
         return self._suspects.pop(fingerprint, None) is not None
 
-    def convicted_since(self, since_s: float) -> Iterator[str]:
-        """Go through the requests that were convicted since a time."""
+    def blamed_since(self, since_s: float) -> Iterator[str]:
+        """Go through the requests that were blamed since a time."""
         for fingerprint, suspect in tuple(self._suspects.items()):
-            convicted_s = suspect.convicted_s
-            if convicted_s is not None and convicted_s >= since_s:
+            blamed_s = max(suspect.since_s, suspect.convicted_s or 0)
+            if blamed_s >= since_s:
                 yield fingerprint
 
     def _until_s(self, suspect: Suspect) -> float:
