Split the answering parts into small modules

A call that begins to wait is logged. Suspicions stay with peers as long as they hold, not as long as a quarantine.

--- a/packages/core/dandelionyoke_core/_call_desk.py
+++ b/packages/core/dandelionyoke_core/_call_desk.py
@@ -151,8 +151,12 @@
             ),
         ]
 
-    def stall(self, call: Call, pause_s: float, now_s: float) -> None:
+    def stall(
+        self, call: Call, pause_s: float, cause: str, now_s: float
+    ) -> list[Output]:
         """Let a begun answer wait for a target."""
+        log = WriteLog('request.waiting', call.request_id, cause=cause)
+        outputs: list[Output] = [] if call.phase is Phase.STALLED else [log]
         call.phase = Phase.STALLED
         if call.stalled_s is None:
             call.stalled_s = now_s
@@ -160,6 +164,7 @@
         call.retry_at_s = min(
             now_s + pause_s, call.stalled_s + self.settings.stall_limit_s
         )
+        return outputs
 
     def stalled_for_good(self, call: Call, now_s: float) -> bool:
         """Whether a waiting answer has waited for as long as it may."""
--- a/packages/core/dandelionyoke_core/_intake.py
+++ b/packages/core/dandelionyoke_core/_intake.py
@@ -5,7 +5,13 @@
 import attrs
 
 from dandelionyoke_core._call import Call
-from dandelionyoke_core._entities import Model, ServiceKind
+from dandelionyoke_core._call_refusals import (
+    key_required,
+    too_long,
+    unknown_model,
+    unknown_service,
+)
+from dandelionyoke_core._entities import ServiceKind
 from dandelionyoke_core._events import ModelCalled, ServiceCalled
 from dandelionyoke_core._names import ModelName, OrganisationId
 from dandelionyoke_core._ports import (
@@ -16,10 +22,10 @@
     RouteNeed,
     Ticket,
 )
-from dandelionyoke_core._refusals import Refusal, RefusalKind
+from dandelionyoke_core._refusals import Refusal
 from dandelionyoke_core._request_settings import RequestSettings
-from dandelionyoke_core._service_calls import is_unrepeatable
 from dandelionyoke_core._tokens import prefix_blocks, split_tokens
+from dandelionyoke_core._unrepeatable import is_unrepeatable
 
 Intent = tuple[Call, Ticket]
 
@@ -57,7 +63,7 @@
     ) -> Intent | Refusal:
         model = self._directory.snapshot.models.get(event.model_name)
         if model is None:
-            return _unknown_model(event.model_name)
+            return unknown_model(event.model_name)
         organisation_id = identity.organisation.organisation_id
         print_of = fingerprint(organisation_id, event.model_name, event.prompt)
         refusal = self._quarantine.refusal(print_of, now_s)
@@ -65,7 +71,7 @@
             return refusal
         tokens = split_tokens(event.prompt)
         if len(tokens) + event.max_output_tokens > model.context_tokens:
-            return _too_long(len(tokens), event.max_output_tokens, model)
+            return too_long(len(tokens), event.max_output_tokens, model)
         deadline_s = self._deadline_s(event, now_s)
         need = RouteNeed(
             organisation_id,
@@ -85,10 +91,10 @@
     ) -> Intent | Refusal:
         service = self._directory.snapshot.services.get(event.service_name)
         if service is None or service.kind is not ServiceKind.PLAIN:
-            return _unknown_service(event.service_name)
+            return unknown_service(event.service_name)
         unrepeatable = is_unrepeatable(service, event.method, event.path)
         if unrepeatable and not event.idempotency_key:
-            return _key_required(event)
+            return key_required(event)
         deadline_s = self._deadline_s(event, now_s)
         need = RouteNeed(
             identity.organisation.organisation_id,
@@ -136,40 +142,3 @@
         call.arrived_s,
         call.deadline_s,
     )
-
-
-def _unknown_model(model_name: ModelName) -> Refusal:
-    return Refusal(
-        RefusalKind.UNKNOWN_MODEL,
-        f'There is no model {model_name!r}',
-        'Choose a model that GET /v1/models lists',
-    )
-
-
-def _unknown_service(service_name: str) -> Refusal:
-    return Refusal(
-        RefusalKind.UNKNOWN_SERVICE,
-        f'There is no plain service {service_name!r}',
-        'Ask the operator for the name of the service',
-    )
-
-
-def _too_long(
-    prompt_tokens: int, max_output_tokens: int, model: Model
-) -> Refusal:
-    return Refusal(
-        RefusalKind.TOO_LARGE,
-        f'{prompt_tokens} prompt tokens and {max_output_tokens} output '
-        f'tokens exceed the {model.context_tokens} of {model.model_name}',
-        'Shorten the prompt or lower max_tokens',
-    )
-
-
-def _key_required(event: ServiceCalled) -> Refusal:
-    return Refusal(
-        RefusalKind.KEY_REQUIRED,
-        f'{event.method} {event.path} may run at most once and came '
-        'without a key',
-        'Send the header Idempotency-Key with a value of your own, the '
-        'same one whenever you repeat this call',
-    )
--- a/packages/core/dandelionyoke_core/_model_calls.py
+++ b/packages/core/dandelionyoke_core/_model_calls.py
@@ -5,7 +5,6 @@
     FinishCall,
     ResumeAttempt,
     SendTokens,
-    StartAttempt,
     WriteLog,
 )
 from dandelionyoke_core._call import Attempt, Call, Phase
@@ -16,27 +15,25 @@
     AttemptFailed,
     AttemptRefused,
     Event,
-    ModelCalled,
     TokensArrived,
 )
+from dandelionyoke_core._model_placement import ModelPlacement
 from dandelionyoke_core._notices import CallDelivered
-from dandelionyoke_core._ports import NoRoute, Output
-from dandelionyoke_core._records import Target
-from dandelionyoke_core._refusals import Refusal, RefusalKind
-
-_SEND_AGAIN = 'Send the request again after retry_after_s'
+from dandelionyoke_core._ports import Output
+from dandelionyoke_core._refusals import Refusal
 
 
 class ModelCalls:
-    """Places model calls on engines and follows their streams."""
+    """Follows the streams of model calls."""
 
     def __init__(self, desk: CallDesk) -> None:
         self._desk = desk
         self._settings = desk.settings
+        self._placement = ModelPlacement(desk)
 
     def begin(self, call: Call, now_s: float) -> list[Output]:
         """Send an admitted call to its first engine."""
-        return self._place(call, now_s)
+        return self._placement.place(call, now_s)
 
     def accepted(
         self, call: Call, event: AttemptAccepted, now_s: float
@@ -67,7 +64,7 @@
         return [
             *self._desk.leave(call, now_s),
             _refused_log(call, attempt, event.cause),
-            *self._place(call, now_s),
+            *self._placement.place(call, now_s),
         ]
 
     def failed(
@@ -86,7 +83,7 @@
         return [
             *self._desk.leave(call, now_s, failed=True),
             _refused_log(call, attempt, event.cause),
-            *self._place(call, now_s),
+            *self._placement.place(call, now_s),
         ]
 
     def crashed(self, call: Call, now_s: float) -> list[Output]:
@@ -104,9 +101,15 @@
         call.avoid.add(call.attempt.target.target_id)
         return [
             *self._desk.cancel(call, now_s),
-            *self._place(call, now_s),
+            *self._placement.place(call, now_s),
         ]
 
+    def give_up(
+        self, call: Call, refusal: Refusal, now_s: float
+    ) -> list[Output]:
+        """End a call and stop its work."""
+        return self._desk.refuse(call, refusal, now_s)
+
     def due_s(self, call: Call) -> float:
         """Tell when this call has to be looked at."""
         if call.phase is Phase.STALLED:
@@ -122,14 +125,14 @@
             # One that failed may be back, and may be the only one.
             call.avoid.clear()
             call.row = 0
-            return self._place(call, now_s)
+            return self._placement.place(call, now_s)
         attempt = call.attempt
         if attempt is None:
             return []
         if attempt.resumes and not attempt.progressed:
             outputs = self._desk.quarantine.lost(attempt.work_id, now_s)
             cause = 'silent after a resume'
-            return [*outputs, *self._elsewhere(call, cause, now_s)]
+            return [*outputs, *self._placement.elsewhere(call, cause, now_s)]
         return self._resume(call, attempt, 'silent', now_s)
 
     def _arrived(
@@ -172,7 +175,7 @@
             # another answer, and no end of this one.
             return [
                 stray('end'),
-                *self._elsewhere(call, 'crossed end', now_s),
+                *self._placement.elsewhere(call, 'crossed end', now_s),
             ]
         return [
             FinishCall(
@@ -198,7 +201,7 @@
         # connection while the engine still works: a new connection gets
         # the rest at once, and nothing runs twice.
         if call.attempts >= self._settings.max_resumes:
-            return self._elsewhere(call, cause, now_s)
+            return self._placement.elsewhere(call, cause, now_s)
         stream = call.reread(attempt, now_s)
         target = attempt.target
         return [
@@ -225,110 +228,7 @@
         if attempt is None:
             return []
         outputs = self._desk.quarantine.broke(attempt.work_id, now_s)
-        return [*outputs, *self._elsewhere(call, cause, now_s)]
-
-    def _elsewhere(self, call: Call, cause: str, now_s: float) -> list[Output]:
-        outputs: list[Output] = []
-        if call.attempt is not None:
-            call.avoid.add(call.attempt.target.target_id)
-            outputs += self._desk.cancel(call, now_s)
-        call.owes_retry = True
-        log = WriteLog('request.routed', call.request_id, 'elsewhere', cause)
-        return [*outputs, log, *self._place(call, now_s)]
-
-    def _place(self, call: Call, now_s: float) -> list[Output]:
-        refusal = self._desk.quarantine.refusal(call.fingerprint, now_s)
-        if refusal is not None and refusal.retry_after_s is None:
-            return self._desk.refuse(call, refusal, now_s)
-        if refusal is not None:
-            return self._hold(call, now_s)
-        if len(call.unproven) >= self._settings.max_attempts:
-            return self._desk.refuse(call, self._worn_out(call, now_s), now_s)
-        if call.row >= self._settings.max_attempts:
-            worn_out = self._worn_out(call, now_s)
-            return self._wait_or_refuse(call, worn_out, now_s)
-        choice = self._desk.choose(call, now_s)
-        if isinstance(choice, NoRoute):
-            if self._desk.quarantine.crowded(call.fingerprint, now_s):
-                return self._hold(call, now_s)
-            return self._wait_or_refuse(call, _no_target(choice), now_s)
-        if call.owes_retry and not self._desk.budget.spend(now_s):
-            refusal = self._over_budget(call, now_s)
-            return self._wait_or_refuse(call, refusal, now_s)
-        call.owes_retry = False
-        return self._start(call, choice, now_s)
-
-    def _start(self, call: Call, target: Target, now_s: float) -> list[Output]:
-        event = call.event
-        if not isinstance(event, ModelCalled):
-            return []
-        attempt = call.place(target, now_s)
-        return [
-            StartAttempt(
-                call.request_id,
-                attempt.attempt_id,
-                target.target_id,
-                target.address,
-                event.model_name,
-                event.prompt,
-                tuple(call.tokens),
-                event.max_output_tokens,
-                call.identity.organisation.priority,
-            ),
-            *self._desk.began(call, attempt, now_s),
-        ]
-
-    def _wait_or_refuse(
-        self, call: Call, refusal: Refusal, now_s: float
-    ) -> list[Output]:
-        # A caller whose answer was begun is better off waiting for the rest
-        # than being told to start over, and of a call that nothing was done
-        # for it is better off knowing at once.
-        if not call.tokens and not call.unproven:
-            return self._desk.refuse(call, refusal, now_s)
-        return self._wait(call, refusal, now_s)
-
-    def _hold(self, call: Call, now_s: float) -> list[Output]:
-        # It waits for other suspects of a crash, one of which caused it.
-        # It may well be innocent, so nothing but its deadline ends this.
-        call.stalled_s = None
-        self._desk.stall(call, 0, now_s)
-        return []
-
-    def _wait(self, call: Call, refusal: Refusal, now_s: float) -> list[Output]:
-        if self._desk.stalled_for_good(call, now_s):
-            return self._desk.refuse(call, refusal, now_s)
-        self._desk.stall(call, refusal.retry_after_s or 0, now_s)
-        return []
-
-    def _over_budget(self, call: Call, now_s: float) -> Refusal:
-        return Refusal(
-            RefusalKind.TARGET_FAILED,
-            'The engine failed and too many requests are being tried again '
-            'already',
-            _SEND_AGAIN,
-            retry_after_s=self._come_back_s(call, now_s),
-        )
-
-    def _worn_out(self, call: Call, now_s: float) -> Refusal:
-        return Refusal(
-            RefusalKind.TARGET_FAILED,
-            f'{call.placements} engines failed or refused this request',
-            _SEND_AGAIN,
-            retry_after_s=self._come_back_s(call, now_s),
-        )
-
-    def _come_back_s(self, call: Call, now_s: float) -> float:
-        return self._desk.admitter.come_back_s(call.need.service, now_s)
-
-
-def _no_target(no_route: NoRoute) -> Refusal:
-    return Refusal(
-        RefusalKind.NO_TARGET,
-        f'No engine can take this request now ({no_route.cause})',
-        _SEND_AGAIN,
-        retry_after_s=no_route.retry_after_s,
-    )
+        return [*outputs, *self._placement.elsewhere(call, cause, now_s)]
 
 
 def _refused_log(call: Call, attempt: Attempt, cause: str) -> WriteLog:
--- a/packages/core/dandelionyoke_core/_quarantine.py
+++ b/packages/core/dandelionyoke_core/_quarantine.py
@@ -6,12 +6,12 @@
 as the only suspect there, and is refused from then on.
 """
 
-from collections import OrderedDict, deque
 from typing import ClassVar
 
 import attrs
 
 from dandelionyoke_core._events import Event
+from dandelionyoke_core._incidents import Incident, Incidents
 from dandelionyoke_core._names import AttemptId, TargetId
 from dandelionyoke_core._notices import (
     RecordLearned,
@@ -26,34 +26,10 @@
 )
 from dandelionyoke_core._quarantine_settings import QuarantineSettings
 from dandelionyoke_core._refusals import Refusal, RefusalKind
+from dandelionyoke_core._runs import Run, Runs
 from dandelionyoke_core._suspects import Suspects
 
 
-@attrs.frozen
-class Run:
-    """A request in progress on an engine.
-
-    `trial` is whether it was a suspect when it started, `announced` whether
-    peers were told of it, so that they have to be told of its end.
-    """
-
-    attempt_id: AttemptId
-    target_id: TargetId
-    fingerprint: str
-    started_s: float
-    trial: bool = False
-    announced: bool = False
-
-
-@attrs.frozen
-class Incident:
-    """An engine broke; the suspects that were on it at that moment."""
-
-    target_id: TargetId
-    began_s: float
-    suspects: frozenset[str]
-
-
 class QuarantinePart:
     """Finds out which request crashes engines, and spares its neighbours."""
 
@@ -62,10 +38,8 @@
     def __init__(self, settings: QuarantineSettings) -> None:
         self._settings = settings
         self._suspects = Suspects(settings)
-        self._runs: dict[AttemptId, Run] = {}
-        self._lost: deque[tuple[float, Run]] = deque(maxlen=settings.max_lost)
-        self._incidents: deque[Incident] = deque(maxlen=settings.max_incidents)
-        self._trials: OrderedDict[AttemptId, tuple[Run, float]] = OrderedDict()
+        self._runs = Runs(settings)
+        self._incidents = Incidents(settings)
         self._version = 0
 
     def handle(self, event: Event, now_s: float) -> list[Output]:
@@ -102,9 +76,9 @@
         if self._suspects.find(fingerprint, now_s) is None:
             return frozenset()
         return frozenset(
-            target_id
-            for other, target_id in self._suspects_in_progress(now_s)
-            if other != fingerprint
+            run.target_id
+            for run in self._runs.known(now_s)
+            if run.fingerprint != fingerprint and self._suspected(run, now_s)
         )
 
     def started(
@@ -117,12 +91,12 @@
         """Remember what is in progress where."""
         trial = self._suspects.find(fingerprint, now_s) is not None
         run = Run(attempt_id, target_id, fingerprint, now_s, trial)
-        self._runs[attempt_id] = run
+        self._runs.start(run)
         return [self._announce(run)] if trial else []
 
     def ended(self, attempt_id: AttemptId, whole: bool = False) -> list[Output]:
         """Forget an attempt; one that ran to its end clears its request."""
-        run = self._runs.pop(attempt_id, None)
+        run = self._runs.end(attempt_id)
         if run is None:
             return []
         outputs: list[Output] = []
@@ -138,21 +112,21 @@
         It is not yet known whether the engine crashed, so nothing is held
         against a suspect's second one until a crash is told.
         """
-        run = self._runs.get(attempt_id)
+        run = self._runs.find(attempt_id)
         if run is None:
             return []
         self._incident(run, now_s)
-        if self._is_outage(now_s):
+        if self._incidents.look_like_outage(now_s):
             return self._excuse_all(now_s)
-        self._lost.append((now_s, run))
-        if self._suspects.find(run.fingerprint, now_s) is not None:
+        self._runs.lose(run, now_s)
+        if self._suspected(run, now_s):
             return []
         self._suspects.suspect(run.fingerprint, now_s)
         return [self._share(run.fingerprint, Suspicion.SUSPECT)]
 
     def broke(self, attempt_id: AttemptId, now_s: float) -> list[Output]:
         """Count the engine of an attempt that broke off."""
-        run = self._runs.get(attempt_id)
+        run = self._runs.find(attempt_id)
         if run is None:
             return []
         outputs = self._count(run, now_s)
@@ -166,15 +140,14 @@
             for attempt_id in event.attempt_ids
             for output in self.broke(attempt_id, now_s)
         ]
-        since_s = now_s - self._settings.lost_window_s
-        for lost_s, run in tuple(self._lost):
-            if run.target_id == event.target_id and lost_s >= since_s:
+        for run in self._runs.lost(now_s):
+            if run.target_id == event.target_id:
                 outputs.extend(self._count(run, now_s))
         return outputs
 
     def _count(self, run: Run, now_s: float) -> list[Output]:
         incident = self._incident(run, now_s)
-        if self._is_outage(now_s):
+        if self._incidents.look_like_outage(now_s):
             return self._excuse_all(now_s)
         fingerprint = run.fingerprint
         suspect = self._suspects.find(fingerprint, now_s)
@@ -194,35 +167,24 @@
         return [self._share(fingerprint, Suspicion.CONVICTED)]
 
     def _incident(self, run: Run, now_s: float) -> Incident:
-        """Find or open the incident that a broken attempt belongs to.
+        """Find or open the incident that a broken run belongs to.
 
-        The attempts of one crash break one after the other. Who was a
-        suspect is settled by the first, before the rest become suspects by
-        this very crash. An attempt that started later broke in another one.
+        Who was a suspect is settled when it opens, before the rest become
+        suspects by this very crash.
         """
-        target_id = run.target_id
-        since_s = max(run.started_s, now_s - self._settings.lost_window_s)
-        for known in self._incidents:
-            if known.target_id == target_id and known.began_s >= since_s:
-                return known
+        known = self._incidents.find(run, now_s)
+        if known is not None:
+            return known
         on_it = frozenset(
-            fingerprint
-            for fingerprint, where in self._suspects_in_progress(now_s)
-            if where == target_id
+            other.fingerprint
+            for other in self._runs.known(now_s)
+            if other.target_id == run.target_id
+            and self._suspected(other, now_s)
         )
-        incident = Incident(target_id, now_s, on_it)
-        self._incidents.append(incident)
+        incident = Incident(run.target_id, now_s, on_it)
+        self._incidents.add(incident)
         return incident
 
-    def _is_outage(self, now_s: float) -> bool:
-        since_s = now_s - self._settings.outage_window_s
-        engines = {
-            incident.target_id
-            for incident in self._incidents
-            if incident.began_s >= since_s
-        }
-        return len(engines) >= self._settings.outage_engines
-
     def _excuse_all(self, now_s: float) -> list[Output]:
         # A request crashes one engine at a time. Many at once are a cut
         # network or a zone taken away, which condemns nobody. What was said
@@ -235,30 +197,20 @@
             if self._suspects.clear(fingerprint)
         ]
 
-    # Trials.
-
-    def _suspects_in_progress(self, now_s: float) -> list[tuple[str, TargetId]]:
-        here = [
-            (run.fingerprint, run.target_id)
-            for run in self._runs.values()
-            if self._suspects.find(run.fingerprint, now_s) is not None
-        ]
-        elsewhere = [
-            (run.fingerprint, run.target_id)
-            for run, until_s in self._trials.values()
-            if now_s < until_s
-        ]
-        return here + elsewhere
+    def _suspected(self, run: Run, now_s: float) -> bool:
+        return self._suspects.find(run.fingerprint, now_s) is not None
 
     def _is_tried(self, fingerprint: str, now_s: float) -> bool:
-        since_s = now_s - self._settings.lost_window_s
-        awaits_news = any(
-            run.trial and run.fingerprint == fingerprint and lost_s >= since_s
-            for lost_s, run in self._lost
-        )
-        return awaits_news or any(
-            other == fingerprint
-            for other, _ in self._suspects_in_progress(now_s)
+        # A trial that was left at a silent engine is one until it is known
+        # whether the engine crashed; else the request would go on to a
+        # third engine before the end of its second is heard of.
+        if any(
+            run.trial and run.fingerprint == fingerprint
+            for run in self._runs.lost(now_s)
+        ):
+            return True
+        return any(
+            run.fingerprint == fingerprint for run in self._runs.known(now_s)
         )
 
     # Peers.
@@ -275,39 +227,32 @@
                 self._suspects.convict(fingerprint, now_s)
             case Suspicion.SUSPECT:
                 self._suspects.suspect(fingerprint, now_s)
-                return self._share_runs(fingerprint)
+                return list(map(self._announce, self._runs.copies(fingerprint)))
         return []
 
-    def _share_runs(self, fingerprint: str) -> list[Output]:
-        return [
-            self._announce(run)
-            for run in tuple(self._runs.values())
-            if run.fingerprint == fingerprint
-        ]
-
     def _announce(self, run: Run) -> Output:
-        self._runs[run.attempt_id] = attrs.evolve(run, announced=True)
+        self._runs.start(attrs.evolve(run, announced=True))
         return self._share_trial(run)
 
     def _trial_learned(self, record: TrialShared, now_s: float) -> None:
         self._version = max(self._version, record.version)
-        self._trials.pop(record.attempt_id, None)
         if record.over:
+            self._runs.end_peer(record.attempt_id)
             return
         run = Run(
             record.attempt_id, record.target_id, record.fingerprint, now_s
         )
-        until_s = now_s + self._settings.trial_lifetime_s
-        self._trials[record.attempt_id] = (run, until_s)
-        if len(self._trials) > self._settings.max_trials:
-            self._trials.popitem(last=False)
+        self._runs.tell_peer(run, now_s)
 
     def _share(self, fingerprint: str, suspicion: Suspicion) -> Output:
         self._version += 1
+        lifetime_s = self._settings.suspect_lifetime_s
+        if suspicion is Suspicion.CONVICTED:
+            lifetime_s = self._settings.quarantine_s
         record = SuspicionShared(
             f'suspicion/{fingerprint}',
             self._version,
-            self._settings.quarantine_s,
+            lifetime_s,
             fingerprint,
             suspicion,
         )
--- a/packages/core/dandelionyoke_core/_request.py
+++ b/packages/core/dandelionyoke_core/_request.py
@@ -7,6 +7,12 @@
 from dandelionyoke_core._actions import RefuseCall, WriteLog
 from dandelionyoke_core._call import Call, Phase
 from dandelionyoke_core._call_desk import CallDesk, refusal_log, stray
+from dandelionyoke_core._call_refusals import (
+    caller_left,
+    cut_short,
+    key_withdrawn,
+    too_many_calls,
+)
 from dandelionyoke_core._events import (
     AttemptAccepted,
     AttemptEnded,
@@ -21,8 +27,8 @@
     TokensArrived,
     Woken,
 )
+from dandelionyoke_core._flows import Flows
 from dandelionyoke_core._intake import Intake
-from dandelionyoke_core._model_calls import ModelCalls
 from dandelionyoke_core._names import RequestId
 from dandelionyoke_core._notices import (
     CallAdmitted,
@@ -44,11 +50,9 @@
     Queued,
     Router,
 )
-from dandelionyoke_core._refusals import Refusal, RefusalKind
+from dandelionyoke_core._refusals import Refusal
 from dandelionyoke_core._request_settings import RequestSettings
 from dandelionyoke_core._retry_budget import RetryBudget
-from dandelionyoke_core._service_calls import ServiceCalls
-from dandelionyoke_core._timers import Timers
 
 RECLAIMED = 'reclaimed'
 
@@ -108,9 +112,7 @@
                 settings.retry_refill_per_s,
             ),
         )
-        self._models = ModelCalls(self._desk)
-        self._services = ServiceCalls(self._desk)
-        self._timers: Timers[RequestId] = Timers()
+        self._flows = Flows(self._desk)
         self._handlers = self._table()
 
     def handle(self, event: Event, now_s: float) -> list[Output]:
@@ -118,12 +120,12 @@
         outputs: list[Output] = self._handlers[type(event)](event, now_s)
         request_id = getattr(event, 'request_id', None)
         if request_id is not None:
-            self._set_timer(request_id)
+            self._flows.watch(request_id)
         return outputs
 
     def next_wakeup_s(self) -> float | None:
         """Tell when a silent stream or a deadline has to be looked at."""
-        return self._timers.next_s()
+        return self._flows.next_wakeup_s()
 
     @property
     def in_progress(self) -> int:
@@ -157,7 +159,7 @@
     ) -> list[Output]:
         request_id = event.request_id
         if len(self._desk.calls) >= self._settings.max_calls:
-            return _turn_away(request_id, _too_many_calls())
+            return _turn_away(request_id, too_many_calls())
         taken = self._intake.take(event, now_s)
         if isinstance(taken, Refusal):
             return _turn_away(request_id, taken)
@@ -180,7 +182,7 @@
             f'{call.need.prompt_tokens} prompt tokens, '
             f'waited {now_s - call.arrived_s:.3f} s',
         )
-        return [log, *self._flow(call).begin(call, now_s)]
+        return [log, *self._flows.of(call).begin(call, now_s)]
 
     def _caller_gone(self, event: CallerGone, now_s: float) -> list[Output]:
         call = self._desk.calls.get(event.request_id)
@@ -193,7 +195,7 @@
             'caller_gone',
         )
         call.caller_gone = True
-        return [log, *self._give_up(call, _caller_left(), now_s)]
+        return [log, *self._flows.of(call).give_up(call, caller_left(), now_s)]
 
     def _admitted(self, event: CallAdmitted, now_s: float) -> list[Output]:
         call = self._desk.calls.get(event.request_id)
@@ -216,7 +218,7 @@
             # sent. A claim left behind would answer every repeat with "in
             # progress" and then with doubt, though nothing ever ran.
             return self._desk.claimer.reopen(event.request_id, now_s)
-        return self._services.granted(call, now_s)
+        return self._flows.services.granted(call, now_s)
 
     def _claim_ended(
         self, event: ClaimAnswered | ClaimRefused, now_s: float
@@ -225,8 +227,8 @@
         if call is None or call.phase is not Phase.CLAIMING:
             return []
         if isinstance(event, ClaimAnswered):
-            return self._services.answered_before(call, event, now_s)
-        return self._services.claim_refused(call, event, now_s)
+            return self._flows.services.answered_before(call, event, now_s)
+        return self._flows.services.claim_refused(call, event, now_s)
 
     # Attempts.
 
@@ -236,7 +238,7 @@
             return [stray('request')]
         if call.attempt is None or call.attempt.attempt_id != event.attempt_id:
             return [stray('attempt')]
-        flow = self._flow(call)
+        flow = self._flows.of(call)
         match event:
             case AttemptAccepted():
                 return flow.accepted(call, event, now_s)
@@ -246,13 +248,18 @@
                 return flow.failed(call, event, now_s)
         return flow.answered(call, event, now_s)
 
+    def _woken(self, event: Woken, now_s: float) -> list[Output]:
+        return self._flows.woken(now_s)
+
     # What ends or moves many calls at once.
 
     def _key_withdrawn(self, event: KeyWithdrawn, now_s: float) -> list[Output]:
         outputs: list[Output] = []
         for call in tuple(self._desk.calls.values()):
             if call.identity.key_hash == event.key_hash:
-                outputs += self._give_up(call, _withdrawn(), now_s)
+                outputs += self._flows.of(call).give_up(
+                    call, key_withdrawn(), now_s
+                )
         return outputs
 
     def _shutdown_forced(
@@ -261,7 +268,7 @@
         return [
             output
             for call in tuple(self._desk.calls.values())
-            for output in self._give_up(call, _cut_short(), now_s)
+            for output in self._flows.of(call).give_up(call, cut_short(), now_s)
         ]
 
     def _target_crashed(
@@ -272,8 +279,8 @@
         for call in tuple(self._desk.calls.values()):
             attempt = call.attempt
             if attempt is not None and attempt.work_id in lost:
-                outputs += self._flow(call).crashed(call, now_s)
-                self._set_timer(call.request_id)
+                outputs += self._flows.of(call).crashed(call, now_s)
+                self._flows.watch(call.request_id)
         return outputs
 
     def _target_leaving(
@@ -285,92 +292,13 @@
         for call in tuple(self._desk.calls.values()):
             attempt = call.attempt
             if attempt and attempt.target.target_id == event.target_id:
-                outputs += self._flow(call).reclaimed(call, now_s)
-                self._set_timer(call.request_id)
-        return outputs
-
-    # Time.
-
-    def _woken(self, event: Woken, now_s: float) -> list[Output]:
-        outputs: list[Output] = []
-        for request_id in tuple(self._timers.due(now_s, self._due_s)):
-            call = self._desk.calls.get(request_id)
-            if call is not None:
-                outputs += self._look_at(call, now_s)
-                self._set_timer(request_id)
+                outputs += self._flows.of(call).reclaimed(call, now_s)
+                self._flows.watch(call.request_id)
         return outputs
 
-    def _look_at(self, call: Call, now_s: float) -> list[Output]:
-        if now_s >= call.deadline_s and not call.caller_gone:
-            return self._give_up(call, _too_late(), now_s)
-        return self._flow(call).woken(call, now_s)
-
-    def _due_s(self, request_id: RequestId) -> float | None:
-        call = self._desk.calls.get(request_id)
-        return None if call is None else self._flow(call).due_s(call)
-
-    def _set_timer(self, request_id: RequestId) -> None:
-        due_s = self._due_s(request_id)
-        if due_s is not None:
-            self._timers.put(request_id, due_s)
-
-    def _give_up(
-        self, call: Call, refusal: Refusal, now_s: float
-    ) -> list[Output]:
-        if isinstance(call.event, ServiceCalled):
-            return self._services.give_up(call, refusal, now_s)
-        return self._desk.refuse(call, refusal, now_s)
-
-    def _flow(self, call: Call) -> ModelCalls | ServiceCalls:
-        if isinstance(call.event, ModelCalled):
-            return self._models
-        return self._services
-
 
 def _turn_away(request_id: RequestId, refusal: Refusal) -> list[Output]:
     return [
         RefuseCall(request_id, refusal),
         refusal_log(request_id, refusal),
     ]
-
-
-def _too_many_calls() -> Refusal:
-    return Refusal(
-        RefusalKind.OVERLOADED,
-        'This entry holds as many calls as it can',
-        'Send the request again after retry_after_s',
-        retry_after_s=1.0,
-    )
-
-
-def _caller_left() -> Refusal:
-    return Refusal(
-        RefusalKind.DEADLINE,
-        'The connection ended before the answer did',
-        'Keep the connection open until the answer ends',
-    )
-
-
-def _withdrawn() -> Refusal:
-    return Refusal(
-        RefusalKind.WITHDRAWN,
-        'The key of this request was withdrawn while it ran',
-        'Ask the operator for a new key',
-    )
-
-
-def _cut_short() -> Refusal:
-    return Refusal(
-        RefusalKind.LEAVING,
-        'This entry was told to stop at once',
-        'Send the request again; another entry takes it',
-        retry_after_s=1.0,
-    )
-
-
-def _too_late() -> Refusal:
-    return Refusal(
-        RefusalKind.DEADLINE,
-        'The deadline of this request has passed',
-        'Allow more time or ask for less output',
-    )
--- a/packages/core/dandelionyoke_core/_service_calls.py
+++ b/packages/core/dandelionyoke_core/_service_calls.py
@@ -1,8 +1,5 @@
 """How a call of a plain service gets its answer, at most once if it must."""
 
-import posixpath
-from urllib.parse import unquote
-
 from dandelionyoke_core._actions import (
     AnswerService,
     CallService,
@@ -12,7 +9,11 @@
 )
 from dandelionyoke_core._call import Call, Phase
 from dandelionyoke_core._call_desk import CallDesk, refusal_log, stray
-from dandelionyoke_core._entities import Service
+from dandelionyoke_core._call_refusals import (
+    end_unknown,
+    no_target,
+    worn_out,
+)
 from dandelionyoke_core._events import (
     AttemptAccepted,
     AttemptFailed,
@@ -26,10 +27,8 @@
     ClaimRefused,
 )
 from dandelionyoke_core._ports import NoRoute, Output
-from dandelionyoke_core._refusals import Refusal, RefusalKind, RunState
-
-IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'PUT', 'DELETE'))
-_SEND_AGAIN = 'Send the request again after retry_after_s'
+from dandelionyoke_core._refusals import Refusal
+from dandelionyoke_core._unrepeatable import IDEMPOTENT_METHODS
 
 
 class ServiceCalls:
@@ -195,11 +194,11 @@
 
     def _place(self, call: Call, now_s: float) -> list[Output]:
         if call.placements >= self._settings.max_attempts:
-            refusal = _none_took_it(self._come_back_s(call, now_s))
+            refusal = worn_out(call.placements, self._come_back_s(call, now_s))
             return self.give_up(call, refusal, now_s)
         choice = self._desk.choose(call, now_s)
         if isinstance(choice, NoRoute):
-            return self.give_up(call, _no_target(choice), now_s)
+            return self.give_up(call, no_target(choice), now_s)
         event = call.event
         if not isinstance(event, ServiceCalled):
             return []
@@ -248,7 +247,7 @@
         if call.claimed:
             call.claimed = False
             outputs += self._desk.claimer.doubt(call.request_id, now_s)
-        refusal = _end_unknown(call, cause)
+        refusal = end_unknown(cause, unrepeatable=call.unrepeatable)
         return [*outputs, *self._end(call, refusal, now_s)]
 
     def _drop(self, call: Call, now_s: float) -> list[Output]:
@@ -275,66 +274,8 @@
         return self._desk.admitter.come_back_s(call.need.service, now_s)
 
 
-def is_unrepeatable(service: Service, method: str, path: str) -> bool:
-    """Whether a call is one that may run at most once.
-
-    The service may take `//returns`, `/x/../returns` and `/%72eturns` for
-    `/returns`. Taken as written, each would slip past the pattern, and a
-    repeat would run twice; so all are compared in one form.
-    """
-    asked = f'{method.upper()} {_plain_path(path)}'
-    return any(_covers(pattern, asked) for pattern in service.unrepeatable)
-
-
-def _plain_path(path: str) -> str:
-    decoded = unquote(path.partition('?')[0])
-    return posixpath.normpath(f'/{decoded.lstrip("/")}')
-
-
-def _covers(pattern: str, asked: str) -> bool:
-    if not pattern.endswith('*'):
-        method, _, path = pattern.partition(' ')
-        return asked == f'{method.upper()} {_plain_path(path)}'
-    return f'{asked}/'.startswith(pattern[:-1])
-
-
 def _repeatable(call: Call) -> bool:
     event = call.event
     if call.unrepeatable or not isinstance(event, ServiceCalled):
         return False
     return event.method.upper() in IDEMPOTENT_METHODS
-
-
-def _no_target(no_route: NoRoute) -> Refusal:
-    return Refusal(
-        RefusalKind.NO_TARGET,
-        f'No target can take this call now ({no_route.cause})',
-        _SEND_AGAIN,
-        retry_after_s=no_route.retry_after_s,
-    )
-
-
-def _none_took_it(retry_after_s: float) -> Refusal:
-    return Refusal(
-        RefusalKind.TARGET_FAILED,
-        'Each target that was tried failed or refused the call',
-        _SEND_AGAIN,
-        retry_after_s=retry_after_s,
-    )
-
-
-def _end_unknown(call: Call, cause: str) -> Refusal:
-    if call.unrepeatable:
-        return Refusal(
-            RefusalKind.END_UNKNOWN,
-            f'The call was sent and its end is not known ({cause})',
-            'Find out at the service whether it ran; a repeat with the same '
-            'Idempotency-Key is not sent again',
-            RunState.UNKNOWN,
-        )
-    return Refusal(
-        RefusalKind.TARGET_FAILED,
-        f'The call was sent and no answer came ({cause})',
-        'Find out at the service whether it ran before you send it again',
-        RunState.UNKNOWN,
-    )
