--- a/packages/core/dandelionyoke_core/_call_desk.py
+++ b/packages/core/dandelionyoke_core/_call_desk.py
@@ -6,6 +6,7 @@
     CancelAttempt,
     CountMetric,
     DropAttempt,
+    ObserveLatency,
     RefuseCall,
     WriteLog,
 )
@@ -110,11 +111,9 @@
         outputs = self.close(call, now_s)
         if call.caller_gone:
             return outputs
-        refusal = call.truthful(refusal)
         return [
             *outputs,
-            RefuseCall(call.request_id, refusal),
-            refusal_log(call.request_id, refusal),
+            *refusal_outputs(call.request_id, call.truthful(refusal)),
         ]
 
     def close(self, call: Call, now_s: float) -> list[Output]:
@@ -144,6 +143,8 @@
         return [
             *outputs,
             delivered_call(call, prompt_tokens),
+            CountMetric('request.finished', label=call.need.service),
+            ObserveLatency('request.total', now_s - call.arrived_s),
             WriteLog(
                 'request.finished',
                 call.request_id,
@@ -186,14 +187,15 @@
     )
 
 
-def refusal_log(request_id: RequestId, refusal: Refusal) -> WriteLog:
-    """Say why a call was refused."""
-    return WriteLog(
-        'request.refused',
-        request_id,
-        f'{refusal.detail} (run: {refusal.run.value})',
-        refusal.kind.value,
-    )
+def refusal_outputs(request_id: RequestId, refusal: Refusal) -> list[Output]:
+    """Refuse a call, and say why."""
+    kind = refusal.kind.value
+    detail = f'{refusal.detail} (run: {refusal.run.value})'
+    return [
+        RefuseCall(request_id, refusal),
+        WriteLog('request.refused', request_id, detail, kind),
+        CountMetric('request.refused', label=kind),
+    ]
 
 
 def stray(cause: str) -> CountMetric:
--- a/packages/core/dandelionyoke_core/_model_calls.py
+++ b/packages/core/dandelionyoke_core/_model_calls.py
@@ -1,8 +1,10 @@
 """How a model call gets its whole answer, whatever its attempts meet."""
 
 from dandelionyoke_core._actions import (
+    CountMetric,
     DropAttempt,
     FinishCall,
+    ObserveLatency,
     ResumeAttempt,
     SendTokens,
     WriteLog,
@@ -152,6 +154,7 @@
         call.tokens.extend(fresh)
         self._desk.router.progressed(attempt.work_id, len(call.tokens), now_s)
         return [
+            *_first_token(call, position, now_s),
             SendTokens(call.request_id, fresh),
             CallDelivered(
                 call.request_id,
@@ -205,6 +208,7 @@
         stream = call.reread(attempt, now_s)
         target = attempt.target
         return [
+            CountMetric('request.resumed'),
             DropAttempt(call.request_id, attempt.attempt_id),
             ResumeAttempt(
                 call.request_id,
@@ -231,6 +235,12 @@
         return [*outputs, *self._placement.elsewhere(call, cause, now_s)]
 
 
+def _first_token(call: Call, position: int, now_s: float) -> list[Output]:
+    if position:
+        return []
+    return [ObserveLatency('request.first_token', now_s - call.arrived_s)]
+
+
 def _refused_log(call: Call, attempt: Attempt, cause: str) -> WriteLog:
     did = 'does not resume' if attempt.resumes else 'did not run'
     return WriteLog(
--- a/packages/core/dandelionyoke_core/_model_placement.py
+++ b/packages/core/dandelionyoke_core/_model_placement.py
@@ -1,6 +1,6 @@
 """Where a model call goes, and what happens when it can go nowhere."""
 
-from dandelionyoke_core._actions import StartAttempt, WriteLog
+from dandelionyoke_core._actions import CountMetric, StartAttempt, WriteLog
 from dandelionyoke_core._call import Call
 from dandelionyoke_core._call_desk import CallDesk
 from dandelionyoke_core._call_refusals import (
@@ -51,8 +51,11 @@
         if call.owes_retry and not self._desk.budget.spend(now_s):
             refusal = over_budget(self._come_back_s(call, now_s))
             return self._wait_or_refuse(call, refusal, now_s)
+        outputs: list[Output] = []
+        if call.owes_retry:
+            outputs.append(CountMetric('request.retried'))
         call.owes_retry = False
-        return self._start(call, choice, now_s)
+        return [*outputs, *self._start(call, choice, now_s)]
 
     def _start(self, call: Call, target: Target, now_s: float) -> list[Output]:
         event = call.event
--- a/packages/core/dandelionyoke_core/_request.py
+++ b/packages/core/dandelionyoke_core/_request.py
@@ -4,9 +4,9 @@
 from random import Random
 from typing import Any, ClassVar
 
-from dandelionyoke_core._actions import RefuseCall, WriteLog
+from dandelionyoke_core._actions import WriteLog
 from dandelionyoke_core._call import Call, Phase
-from dandelionyoke_core._call_desk import CallDesk, refusal_log, stray
+from dandelionyoke_core._call_desk import CallDesk, refusal_outputs, stray
 from dandelionyoke_core._call_refusals import (
     caller_left,
     cut_short,
@@ -29,7 +29,6 @@
 )
 from dandelionyoke_core._flows import Flows
 from dandelionyoke_core._intake import Intake
-from dandelionyoke_core._names import RequestId
 from dandelionyoke_core._notices import (
     CallAdmitted,
     CallRejected,
@@ -159,14 +158,14 @@
     ) -> list[Output]:
         request_id = event.request_id
         if len(self._desk.calls) >= self._settings.max_calls:
-            return _turn_away(request_id, too_many_calls())
+            return refusal_outputs(request_id, too_many_calls())
         taken = self._intake.take(event, now_s)
         if isinstance(taken, Refusal):
-            return _turn_away(request_id, taken)
+            return refusal_outputs(request_id, taken)
         call, ticket = taken
         place = self._desk.admitter.offer(ticket, now_s)
         if isinstance(place, Refusal):
-            return _turn_away(request_id, place)
+            return refusal_outputs(request_id, place)
         self._desk.calls[request_id] = call
         self._desk.budget.earn(now_s)
         if isinstance(place, Queued):
@@ -295,10 +294,3 @@
                 outputs += self._flows.of(call).reclaimed(call, now_s)
                 self._flows.watch(call.request_id)
         return outputs
-
-
-def _turn_away(request_id: RequestId, refusal: Refusal) -> list[Output]:
-    return [
-        RefuseCall(request_id, refusal),
-        refusal_log(request_id, refusal),
-    ]
--- a/packages/core/dandelionyoke_core/_service_calls.py
+++ b/packages/core/dandelionyoke_core/_service_calls.py
@@ -4,11 +4,10 @@
     AnswerService,
     CallService,
     DropAttempt,
-    RefuseCall,
     WriteLog,
 )
 from dandelionyoke_core._call import Call, Phase
-from dandelionyoke_core._call_desk import CallDesk, refusal_log, stray
+from dandelionyoke_core._call_desk import CallDesk, refusal_outputs, stray
 from dandelionyoke_core._call_refusals import (
     end_unknown,
     no_target,
@@ -86,8 +85,7 @@
             return outputs
         return [
             *outputs,
-            RefuseCall(call.request_id, event.refusal),
-            refusal_log(call.request_id, event.refusal),
+            *refusal_outputs(call.request_id, event.refusal),
         ]
 
     def accepted(
@@ -186,11 +184,7 @@
         if call.caller_gone:
             return []
         call.caller_gone = True
-        refusal = call.truthful(refusal)
-        return [
-            RefuseCall(call.request_id, refusal),
-            refusal_log(call.request_id, refusal),
-        ]
+        return refusal_outputs(call.request_id, call.truthful(refusal))
 
     def _place(self, call: Call, now_s: float) -> list[Output]:
         if call.placements >= self._settings.max_attempts:
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -5,66 +5,24 @@
 from random import Random
 from typing import Any, TypeVar
 
-from dandelionyoke_core import (
-    Action,
-    Admitted,
-    CallDelivered,
-    Composition,
-    Event,
-    Identity,
-    InstanceId,
-    Model,
-    ModelCalled,
-    NoRoute,
-    OncePart,
-    OnceSettings,
-    Organisation,
-    QuarantinePart,
-    QuarantineSettings,
-    Refusal,
-    RefusalKind,
-    RefuseCall,
-    RequestPart,
-    RequestSettings,
-    RouteNeed,
-    Service,
-    ServiceCalled,
-    ServiceKind,
-    SharedRecord,
-    ShareRecord,
-    Snapshot,
-    Started,
-    StoreAnswered,
-    StoreConflict,
-    StoreDelete,
-    StoreGet,
-    StoreItem,
-    StorePut,
-    StoreResult,
-    StoreWritten,
-    Target,
-    TargetId,
-    TargetKind,
-    Ticket,
-    Woken,
-)
+import dandelionyoke_core as core
 
 Wanted = TypeVar('Wanted')
 
-ORGANISATION = Organisation('duka')
-SNAPSHOT = Snapshot(
+ORGANISATION = core.Organisation('duka')
+SNAPSHOT = core.Snapshot(
     1,
     {'duka': ORGANISATION},
     {},
     {
-        'route-assistant': Service('route-assistant'),
-        'ledger-desk': Service(
+        'route-assistant': core.Service('route-assistant'),
+        'ledger-desk': core.Service(
             'ledger-desk',
-            ServiceKind.PLAIN,
+            core.ServiceKind.PLAIN,
             unrepeatable=('POST /returns/*', 'PUT /stock'),
         ),
     },
-    {'crate-model': Model('crate-model', 'route-assistant')},
+    {'crate-model': core.Model('crate-model', 'route-assistant')},
 )
 
 
@@ -72,26 +30,28 @@
     """The platform's store: one dictionary with revisions."""
 
     def __init__(self) -> None:
-        self.items: dict[str, StoreItem] = {}
+        self.items: dict[str, core.StoreItem] = {}
         self.revision = 0
 
-    def perform(self, action: Action) -> StoreResult:
-        if isinstance(action, StoreGet):
+    def perform(self, action: core.Action) -> core.StoreResult:
+        if isinstance(action, core.StoreGet):
             return self._present(action.key)
-        assert isinstance(action, StorePut | StoreDelete)
+        assert isinstance(action, core.StorePut | core.StoreDelete)
         present = self._present(action.key)
         if present.revision != action.expected_revision:
-            return StoreConflict(present)
+            return core.StoreConflict(present)
         self.revision += 1
-        value = action.value if isinstance(action, StorePut) else None
+        value = action.value if isinstance(action, core.StorePut) else None
         if value is None:
             self.items.pop(action.key)
         else:
-            self.items[action.key] = StoreItem(action.key, self.revision, value)
-        return StoreWritten(action.key, self.revision)
+            self.items[action.key] = core.StoreItem(
+                action.key, self.revision, value
+            )
+        return core.StoreWritten(action.key, self.revision)
 
-    def _present(self, key: str) -> StoreItem:
-        return self.items.get(key, StoreItem(key, 0, None))
+    def _present(self, key: str) -> core.StoreItem:
+        return self.items.get(key, core.StoreItem(key, 0, None))
 
 
 class Directory:
@@ -102,22 +62,26 @@
 
 
 class Authenticator:
-    def authenticate(self, bearer_key: str, now_s: float) -> Identity | Refusal:
+    def authenticate(
+        self, bearer_key: str, now_s: float
+    ) -> core.Identity | core.Refusal:
         if bearer_key.startswith('key'):
-            return Identity(ORGANISATION, f'hash of {bearer_key}')
-        return Refusal(RefusalKind.UNAUTHENTICATED, 'No such key', 'Ask')
+            return core.Identity(ORGANISATION, f'hash of {bearer_key}')
+        return core.Refusal(
+            core.RefusalKind.UNAUTHENTICATED, 'No such key', 'Ask'
+        )
 
 
 class Admitter:
     """Admits all (or what `place` says) and counts what it holds."""
 
     def __init__(self) -> None:
-        self.place: Any = Admitted()
+        self.place: Any = core.Admitted()
         self.held: set[str] = set()
         self.served: Counter[str] = Counter()
 
-    def offer(self, ticket: Ticket, now_s: float) -> Any:
-        if not isinstance(self.place, Refusal):
+    def offer(self, ticket: core.Ticket, now_s: float) -> Any:
+        if not isinstance(self.place, core.Refusal):
             self.held.add(ticket.request_id)
         return self.place
 
@@ -141,27 +105,29 @@
 class Router:
     """Takes the first target that is not to be avoided."""
 
-    def __init__(self, targets: tuple[Target, ...]) -> None:
+    def __init__(self, targets: tuple[core.Target, ...]) -> None:
         self.targets = targets
-        self.running: dict[str, TargetId] = {}
-        self.needs: list[RouteNeed] = []
+        self.running: dict[str, core.TargetId] = {}
+        self.needs: list[core.RouteNeed] = []
 
-    def choose(self, need: RouteNeed, now_s: float) -> Target | NoRoute:
+    def choose(
+        self, need: core.RouteNeed, now_s: float
+    ) -> core.Target | core.NoRoute:
         self.needs.append(need)
         for target in self.targets:
             free = target.target_id not in need.avoid
             if free and target.service == need.service:
                 return target
-        return NoRoute('all are avoided', 2)
+        return core.NoRoute('all are avoided', 2)
 
-    def find(self, target_id: TargetId) -> Target | None:
+    def find(self, target_id: core.TargetId) -> core.Target | None:
         return next((t for t in self.targets if t.target_id == target_id), None)
 
     def dispatched(
         self,
         attempt_id: str,
-        target_id: TargetId,
-        need: RouteNeed,
+        target_id: core.TargetId,
+        need: core.RouteNeed,
         now_s: float,
     ) -> None:
         self.running[attempt_id] = target_id
@@ -175,13 +141,19 @@
         self.running.pop(attempt_id)
 
 
-def engine(name: str) -> Target:
-    return Target(TargetId(name), 'route-assistant', 'ubungo', f'{name}:80')
+def engine(name: str) -> core.Target:
+    return core.Target(
+        core.TargetId(name), 'route-assistant', 'ubungo', f'{name}:80'
+    )
 
 
-def desk(name: str) -> Target:
-    return Target(
-        TargetId(name), 'ledger-desk', 'ubungo', f'{name}:80', TargetKind.PLAIN
+def desk(name: str) -> core.Target:
+    return core.Target(
+        core.TargetId(name),
+        'ledger-desk',
+        'ubungo',
+        f'{name}:80',
+        core.TargetKind.PLAIN,
     )
 
 
@@ -191,13 +163,13 @@
 class Gossip:
     """Stands for membership: keeps what an entry shares."""
 
-    handles = (ShareRecord,)
+    handles = (core.ShareRecord,)
 
     def __init__(self) -> None:
-        self.shared: list[SharedRecord] = []
+        self.shared: list[core.SharedRecord] = []
 
-    def handle(self, event: Event, now_s: float) -> list[Any]:
-        assert isinstance(event, ShareRecord)
+    def handle(self, event: core.Event, now_s: float) -> list[Any]:
+        assert isinstance(event, core.ShareRecord)
         self.shared.append(event.record)
         return []
 
@@ -208,15 +180,15 @@
 class Usage:
     """Stands for usage: adds up what was told to have been delivered."""
 
-    handles = (CallDelivered,)
+    handles = (core.CallDelivered,)
 
     def __init__(self) -> None:
         self.requests = 0
         self.prompt_tokens = 0
         self.output_tokens = 0
 
-    def handle(self, event: Event, now_s: float) -> list[Any]:
-        assert isinstance(event, CallDelivered)
+    def handle(self, event: core.Event, now_s: float) -> list[Any]:
+        assert isinstance(event, core.CallDelivered)
         self.requests += event.requests
         self.prompt_tokens += event.prompt_tokens
         self.output_tokens += event.output_tokens
@@ -232,9 +204,9 @@
     def __init__(
         self,
         name: str = 'entry-1',
-        settings: RequestSettings = RequestSettings(),
-        once: OnceSettings = OnceSettings(),
-        quarantine: QuarantineSettings = QuarantineSettings(),
+        settings: core.RequestSettings = core.RequestSettings(),
+        once: core.OnceSettings = core.OnceSettings(),
+        quarantine: core.QuarantineSettings = core.QuarantineSettings(),
         seed: int = 1,
         started_wall_s: float = 1_000_000.0,
     ) -> None:
@@ -242,9 +214,11 @@
         self.name = name
         self.admitter = Admitter()
         self.router = Router(TARGETS)
-        self.once = OncePart(once, InstanceId(name), Random(f'{name}{seed}'))
-        self.quarantine = QuarantinePart(quarantine)
-        self.request = RequestPart(
+        self.once = core.OncePart(
+            once, core.InstanceId(name), Random(f'{name}{seed}')
+        )
+        self.quarantine = core.QuarantinePart(quarantine)
+        self.request = core.RequestPart(
             settings,
             Directory(),
             Authenticator(),
@@ -255,32 +229,26 @@
             Random(seed),
         )
         self.gossip, self.usage = Gossip(), Usage()
-        self.node = Composition(
-            (
-                self.quarantine,
-                self.once,
-                self.request,
-                self.gossip,
-                self.usage,
-            )
+        self.node = core.Composition(
+            (self.quarantine, self.once, self.request, self.gossip, self.usage)
         )
-        self.said: list[Action] = []
-        self.tell(Started(started_wall_s))
+        self.said: list[core.Action] = []
+        self.tell(core.Started(started_wall_s))
 
-    def tell(self, event: Event) -> list[Action]:
+    def tell(self, event: core.Event) -> list[core.Action]:
         actions = self.node.handle(event, self.now_s)
         self.said += actions
         return actions
 
-    def wait(self, duration_s: float) -> list[Action]:
+    def wait(self, duration_s: float) -> list[core.Action]:
         """Let time pass, with every wake-up on the way."""
         until_s = self.now_s + duration_s
-        actions: list[Action] = []
+        actions: list[core.Action] = []
         while (wakeup_s := self.node.next_wakeup_s()) is not None:
             if wakeup_s > until_s:
                 break
             self.now_s = max(self.now_s, wakeup_s)
-            actions += self.tell(Woken())
+            actions += self.tell(core.Woken())
         self.now_s = until_s
         return actions
 
@@ -290,21 +258,23 @@
     def last(self, kind: type[Wanted]) -> Wanted:
         return self.all(kind)[-1]
 
-    def refusal(self, request_id: str) -> Refusal | None:
+    def refusal(self, request_id: str) -> core.Refusal | None:
         found = [
             action.refusal
-            for action in self.all(RefuseCall)
+            for action in self.all(core.RefuseCall)
             if action.request_id == request_id
         ]
         assert len(found) < 2, found
         return found[0] if found else None
 
 
-def ask(name: str = 'r1', prompt: str = 'three crates', **more: Any) -> Event:
-    return ModelCalled(name, 'key-1', 'crate-model', prompt, 8, **more)
+def ask(
+    name: str = 'r1', prompt: str = 'three crates', **more: Any
+) -> core.Event:
+    return core.ModelCalled(name, 'key-1', 'crate-model', prompt, 8, **more)
 
 
-def confirm(name: str = 'r1', **more: Any) -> Event:
+def confirm(name: str = 'r1', **more: Any) -> core.Event:
     given = {
         'method': 'POST',
         'path': '/returns/7',
@@ -312,19 +282,23 @@
         'body': b'4 crates',
         **more,
     }
-    return ServiceCalled(name, 'key-1', 'ledger-desk', **given)
+    return core.ServiceCalled(name, 'key-1', 'ledger-desk', **given)
 
 
-def serve(entry: Entry, store: Store, actions: list[Action]) -> list[Action]:
+def serve(
+    entry: Entry, store: Store, actions: list[core.Action]
+) -> list[core.Action]:
     """Answer each store operation at once, until none is left."""
     waiting = deque(actions)
-    done: list[Action] = []
+    done: list[core.Action] = []
     while waiting:
         action = waiting.popleft()
         done.append(action)
-        if isinstance(action, StoreGet | StorePut | StoreDelete):
+        if isinstance(action, core.StoreGet | core.StorePut | core.StoreDelete):
             result = store.perform(action)
-            waiting += entry.tell(StoreAnswered(action.operation_id, result))
+            waiting += entry.tell(
+                core.StoreAnswered(action.operation_id, result)
+            )
     return done
 
 
--- a/tests/core/test_once.py
+++ b/tests/core/test_once.py
@@ -7,31 +7,10 @@
 import testtools
 from hypothesis import given, strategies
 
-from dandelionyoke_core import (
-    Action,
-    AnswerService,
-    AttemptFailed,
-    AttemptRefused,
-    CallerGone,
-    CallService,
-    OnceSettings,
-    RefusalKind,
-    RefuseCall,
-    RunState,
-    ServiceAnswered,
-    StoreAnswered,
-    StoreDelete,
-    StoreFailed,
-    StoreGet,
-    StoreItem,
-    StoreList,
-    StoreListing,
-    StorePut,
-    Woken,
-)
+import dandelionyoke_core as core
 from tests.core.fakes import Entry, Schedule, Store, confirm, schedules, serve
 
-STORE_CALLS = (StoreGet, StorePut, StoreDelete)
+STORE_CALLS = (core.StoreGet, core.StorePut, core.StoreDelete)
 SETTLED_S = 200
 OK, LOST_ANSWER, LOST_CALL = range(3)
 
@@ -60,11 +39,11 @@
         if entry.name not in self.dead:
             self.take(entry, entry.tell(event))
 
-    def take(self, entry: Entry, actions: list[Action]) -> None:
+    def take(self, entry: Entry, actions: list[core.Action]) -> None:
         self.flights += [
             Flight(entry, action)
             for action in actions
-            if isinstance(action, (*STORE_CALLS, CallService))
+            if isinstance(action, (*STORE_CALLS, core.CallService))
         ]
 
     def run(self, kill: bool = False) -> None:
@@ -84,27 +63,27 @@
 
     def land(self, flight: Flight, mode: int) -> None:
         action = flight.action
-        if isinstance(action, CallService):
+        if isinstance(action, core.CallService):
             self.serve(flight.entry, action, mode)
             return
-        result: Any = StoreFailed('cut', may_have_happened=True)
+        result: Any = core.StoreFailed('cut', may_have_happened=True)
         if mode != LOST_CALL:
             performed = self.store.perform(action)
             result = performed if mode == OK else result
-        self.tell(flight.entry, StoreAnswered(action.operation_id, result))
+        self.tell(flight.entry, core.StoreAnswered(action.operation_id, result))
 
-    def serve(self, entry: Entry, call: CallService, mode: int) -> None:
+    def serve(self, entry: Entry, call: core.CallService, mode: int) -> None:
         ids = call.request_id, call.attempt_id
         if mode == LOST_CALL:
-            self.tell(entry, AttemptRefused(*ids, 'draining'))
+            self.tell(entry, core.AttemptRefused(*ids, 'draining'))
             return
         assert call.idempotency_key is not None
         self.runs[call.idempotency_key] += 1
         self.ran.add(call.request_id)
         if mode == OK:
-            self.tell(entry, ServiceAnswered(*ids, 200, 't', b'done'))
+            self.tell(entry, core.ServiceAnswered(*ids, 200, 't', b'done'))
         else:
-            self.tell(entry, AttemptFailed(*ids, sent=True, cause='cut'))
+            self.tell(entry, core.AttemptFailed(*ids, sent=True, cause='cut'))
 
     def pass_time(self, until_s: float) -> bool:
         due = [
@@ -118,14 +97,14 @@
         now_s, place = min(due)
         for entry in self.entries:
             entry.now_s = max(entry.now_s, now_s)
-        self.tell(self.entries[place], Woken())
+        self.tell(self.entries[place], core.Woken())
         return True
 
     def ends(self, entry: Entry) -> list[Any]:
         return [
             action
             for action in entry.said
-            if isinstance(action, AnswerService | RefuseCall)
+            if isinstance(action, core.AnswerService | core.RefuseCall)
         ]
 
     def check(self) -> None:
@@ -137,10 +116,13 @@
             asked = [end.request_id for end in self.ends(entry)]
             assert len(asked) == len(set(asked)) == 1, asked
             for end in self.ends(entry):
-                answered = isinstance(end, AnswerService)
+                answered = isinstance(end, core.AnswerService)
                 assert not answered or self.runs.total() == 1
-                if isinstance(end, RefuseCall) and end.request_id in self.ran:
-                    assert end.refusal.run is RunState.UNKNOWN
+                if (
+                    isinstance(end, core.RefuseCall)
+                    and end.request_id in self.ran
+                ):
+                    assert end.refusal.run is core.RunState.UNKNOWN
             assert entry.once.in_progress == 0, 'a claim was never closed'
 
 
@@ -182,7 +164,9 @@
         self.assertGreater(deaths, 100)
 
 
-def told(entry: Entry, request_id: str) -> tuple[RefusalKind, RunState]:
+def told(
+    entry: Entry, request_id: str
+) -> tuple[core.RefusalKind, core.RunState]:
     refusal = entry.refusal(request_id)
     assert refusal is not None
     return refusal.kind, refusal.run
@@ -194,9 +178,11 @@
         self.store = Store()
         self.first, self.other = Entry('entry-1'), Entry('entry-2')
 
-    def send(self, entry: Entry, name: str, **more: Any) -> CallService | None:
+    def send(
+        self, entry: Entry, name: str, **more: Any
+    ) -> core.CallService | None:
         serve(entry, self.store, entry.tell(confirm(name, **more)))
-        calls = entry.all(CallService)
+        calls = entry.all(core.CallService)
         return calls[-1] if calls and calls[-1].request_id == name else None
 
     def end(self, entry: Entry, event: Any) -> None:
@@ -213,14 +199,14 @@
         self.assertIsNone(self.send(self.other, 'r2'))
         refusal = self.other.refusal('r2')
         assert refusal is not None
-        self.assertEqual(RefusalKind.IN_PROGRESS, refusal.kind)
+        self.assertEqual(core.RefusalKind.IN_PROGRESS, refusal.kind)
         self.assertEqual(1, refusal.retry_after_s)
-        answer = ServiceAnswered('r1', call.attempt_id, 201, 't', b'done')
+        answer = core.ServiceAnswered('r1', call.attempt_id, 201, 't', b'done')
         self.end(self.first, answer)
         self.assertIsNone(self.send(self.other, 'r3'))
         self.assertEqual(
-            [AnswerService('r3', 201, 't', b'done')],
-            self.other.all(AnswerService),
+            [core.AnswerService('r3', 201, 't', b'done')],
+            self.other.all(core.AnswerService),
         )
 
     def test_an_owner_that_died_leaves_its_claim_in_doubt(self) -> None:
@@ -233,7 +219,7 @@
             self.other.wait(wait_s)
             self.assertIsNone(self.send(self.other, name))
             self.assertEqual(
-                (RefusalKind.END_UNKNOWN, RunState.UNKNOWN),
+                (core.RefusalKind.END_UNKNOWN, core.RunState.UNKNOWN),
                 told(self.other, name),
             )
 
@@ -245,7 +231,9 @@
         self.send(self.first, 'r1')
         replacement = Entry('entry-1', started_wall_s=1_000_060)
         self.assertIsNone(self.send(replacement, 'r1'))
-        self.assertEqual(RefusalKind.IN_PROGRESS, told(replacement, 'r1')[0])
+        self.assertEqual(
+            core.RefusalKind.IN_PROGRESS, told(replacement, 'r1')[0]
+        )
 
     def test_a_late_end_is_recorded_though_the_caller_left(self) -> None:
         """The van drives into a dead spot while the service works, and the
@@ -254,12 +242,12 @@
         """
         call = self.send(self.first, 'r1')
         assert call is not None
-        self.end(self.first, CallerGone('r1'))
-        answer = ServiceAnswered('r1', call.attempt_id, 200, 't', b'done')
+        self.end(self.first, core.CallerGone('r1'))
+        answer = core.ServiceAnswered('r1', call.attempt_id, 200, 't', b'done')
         self.end(self.first, answer)
-        self.assertEqual([], self.first.all(AnswerService))
+        self.assertEqual([], self.first.all(core.AnswerService))
         self.send(self.other, 'r2')
-        self.assertEqual(b'done', self.other.last(AnswerService).body)
+        self.assertEqual(b'done', self.other.last(core.AnswerService).body)
         self.assertEqual(1, self.first.usage.requests)
 
     def test_each_end_of_an_attempt(self) -> None:
@@ -267,9 +255,11 @@
         last may have run the call, so only then is it refused as unknown
         for good; else it goes to another target.
         """
-        refused = AttemptRefused('r1', 'r1.1', 'draining')
-        unreached = AttemptFailed('r1', 'r1.1', sent=False, cause='refused')
-        broken = AttemptFailed('r1', 'r1.1', sent=True, cause='reset')
+        refused = core.AttemptRefused('r1', 'r1.1', 'draining')
+        unreached = core.AttemptFailed(
+            'r1', 'r1.1', sent=False, cause='refused'
+        )
+        broken = core.AttemptFailed('r1', 'r1.1', sent=True, cause='reset')
         put = {'method': 'PUT', 'path': '/stock'}
         for event, elsewhere, more in (
             (refused, True, {}),
@@ -281,10 +271,12 @@
             self.store = Store()
             self.send(entry, 'r1', **more)
             self.end(entry, event)
-            self.assertEqual(2 if elsewhere else 1, len(entry.all(CallService)))
+            self.assertEqual(
+                2 if elsewhere else 1, len(entry.all(core.CallService))
+            )
             if elsewhere:
                 continue
-            expected = (RefusalKind.END_UNKNOWN, RunState.UNKNOWN)
+            expected = (core.RefusalKind.END_UNKNOWN, core.RunState.UNKNOWN)
             self.assertEqual(expected, told(entry, 'r1'))
             other = Entry('entry-2')
             self.send(other, 'r2', **more)
@@ -298,10 +290,12 @@
         self.send(self.first, 'r1')
         for number in range(1, 4):
             self.end(
-                self.first, AttemptRefused('r1', f'r1.{number}', 'draining')
+                self.first,
+                core.AttemptRefused('r1', f'r1.{number}', 'draining'),
             )
         self.assertEqual(
-            (RefusalKind.NO_TARGET, RunState.NO), told(self.first, 'r1')
+            (core.RefusalKind.NO_TARGET, core.RunState.NO),
+            told(self.first, 'r1'),
         )
         self.assertIsNotNone(self.send(self.other, 'r2'))
 
@@ -313,7 +307,7 @@
         self.send(self.first, 'r1')
         self.assertIsNone(self.send(self.other, 'r2', body=b'5 crates'))
         kind, run = told(self.other, 'r2')
-        self.assertEqual((422, RunState.NO), (kind.status, run))
+        self.assertEqual((422, core.RunState.NO), (kind.status, run))
 
     def test_a_large_answer_is_not_kept_but_its_run_is(self) -> None:
         """A service answers with more than a claim may hold. The caller
@@ -322,11 +316,12 @@
         """
         call = self.send(self.first, 'r1')
         assert call is not None
-        body = bytes(OnceSettings().kept_answer_bytes + 1)
+        body = bytes(core.OnceSettings().kept_answer_bytes + 1)
         self.end(
-            self.first, ServiceAnswered('r1', call.attempt_id, 200, 't', body)
+            self.first,
+            core.ServiceAnswered('r1', call.attempt_id, 200, 't', body),
         )
-        self.assertEqual(body, self.first.last(AnswerService).body)
+        self.assertEqual(body, self.first.last(core.AnswerService).body)
         self.assertIsNone(self.send(self.other, 'r2'))
         refusal = self.other.refusal('r2')
         assert refusal is not None
@@ -339,9 +334,11 @@
         """
         self.send(self.first, 'r1')
         (key,) = self.store.items
-        self.store.items[key] = StoreItem(key, 1, '{"version": 9}')
+        self.store.items[key] = core.StoreItem(key, 1, '{"version": 9}')
         self.assertIsNone(self.send(self.other, 'r2'))
-        self.assertEqual(RefusalKind.END_UNKNOWN, told(self.other, 'r2')[0])
+        self.assertEqual(
+            core.RefusalKind.END_UNKNOWN, told(self.other, 'r2')[0]
+        )
 
     def test_a_claim_is_dropped_after_its_retention_only(self) -> None:
         """Claims are swept from the store so that it does not fill up. One
@@ -350,16 +347,16 @@
         """
         self.send(self.first, 'r1')
         (item,) = self.store.items.values()
-        settings = OnceSettings()
+        settings = core.OnceSettings()
         kept_s = settings.retention_s + settings.clock_margin_s
         for wait_s, deletes in ((kept_s - 1000, 0), (2000, 1)):
             self.other.now_s += wait_s
             self.send(self.other, f'r{wait_s}', idempotency_key='other')
             self.other.wait(settings.sweep_interval_s * 2)
-            listing = self.other.last(StoreList)
-            answer = StoreListing(1, (item,))
-            self.other.tell(StoreAnswered(listing.operation_id, answer))
-            self.assertEqual(deletes, len(self.other.all(StoreDelete)))
+            listing = self.other.last(core.StoreList)
+            answer = core.StoreListing(1, (item,))
+            self.other.tell(core.StoreAnswered(listing.operation_id, answer))
+            self.assertEqual(deletes, len(self.other.all(core.StoreDelete)))
 
 
 class StoreFailureTest(testtools.TestCase):
@@ -368,20 +365,20 @@
         caller hears within two seconds that its call was not sent, and
         that is true: nothing ever reaches the service.
         """
-        for failed in (StoreFailed('503', may_have_happened=False), None):
+        for failed in (core.StoreFailed('503', may_have_happened=False), None):
             entry = Entry()
             answered = 0
             entry.tell(confirm())
             while entry.now_s < 102.5:
-                puts = entry.all(StorePut)
+                puts = entry.all(core.StorePut)
                 if failed is not None and answered < len(puts):
                     answered += 1
                     operation_id = puts[-1].operation_id
-                    entry.tell(StoreAnswered(operation_id, failed))
+                    entry.tell(core.StoreAnswered(operation_id, failed))
                 entry.wait(0.05)
-            expected = (RefusalKind.STORE_DOWN, RunState.NO)
+            expected = (core.RefusalKind.STORE_DOWN, core.RunState.NO)
             self.assertEqual(expected, told(entry, 'r1'))
-            self.assertEqual([], entry.all(CallService))
+            self.assertEqual([], entry.all(core.CallService))
 
     def test_an_end_is_recorded_when_the_store_comes_back(self) -> None:
         """The store fails between the claim and the end, for an hour. The
@@ -390,18 +387,18 @@
         """
         entry, store = Entry(), Store()
         serve(entry, store, entry.tell(confirm()))
-        entry.tell(ServiceAnswered('r1', 'r1.1', 200, 't', b'done'))
-        self.assertEqual(b'done', entry.last(AnswerService).body)
+        entry.tell(core.ServiceAnswered('r1', 'r1.1', 200, 't', b'done'))
+        self.assertEqual(b'done', entry.last(core.AnswerService).body)
         for _ in range(100):
-            put = entry.last(StorePut)
-            failed = StoreFailed('503', may_have_happened=False)
-            entry.tell(StoreAnswered(put.operation_id, failed))
+            put = entry.last(core.StorePut)
+            failed = core.StoreFailed('503', may_have_happened=False)
+            entry.tell(core.StoreAnswered(put.operation_id, failed))
             entry.wait(6)
-        serve(entry, store, [entry.last(StorePut)])
+        serve(entry, store, [entry.last(core.StorePut)])
         self.assertEqual(0, entry.once.in_progress)
         serve(entry, store, entry.tell(confirm('r2')))
-        self.assertEqual('r2', entry.last(AnswerService).request_id)
-        self.assertLess(len(entry.all(StorePut)), 110)
+        self.assertEqual('r2', entry.last(core.AnswerService).request_id)
+        self.assertLess(len(entry.all(core.StorePut)), 110)
 
     def test_a_claim_whose_answer_was_lost_is_read_not_written(self) -> None:
         """The claim takes effect and its answer is lost. The entry must
@@ -410,14 +407,14 @@
         """
         entry, store = Entry(), Store()
         (put,) = entry.tell(confirm())[-1:]
-        assert isinstance(put, StorePut)
+        assert isinstance(put, core.StorePut)
         store.perform(put)
-        failed = StoreFailed('cut', may_have_happened=True)
-        entry.tell(StoreAnswered(put.operation_id, failed))
+        failed = core.StoreFailed('cut', may_have_happened=True)
+        entry.tell(core.StoreAnswered(put.operation_id, failed))
         (read,) = entry.wait(1)
-        self.assertIsInstance(read, StoreGet)
+        self.assertIsInstance(read, core.StoreGet)
         serve(entry, store, [read])
-        self.assertEqual(1, len(entry.all(CallService)))
+        self.assertEqual(1, len(entry.all(core.CallService)))
 
     def test_a_late_write_of_a_refused_claim_cannot_land(self) -> None:
         """The claim is held up in the network for so long that the caller
@@ -428,11 +425,11 @@
         (late,) = entry.tell(confirm())[-1:]
         for _ in range(20):
             serve(entry, store, entry.wait(1))
-        self.assertEqual(RefusalKind.STORE_DOWN, told(entry, 'r1')[0])
+        self.assertEqual(core.RefusalKind.STORE_DOWN, told(entry, 'r1')[0])
         store.perform(late)
         other = Entry('entry-2')
         serve(other, store, other.tell(confirm('r2')))
-        self.assertEqual(1, len(other.all(CallService)))
+        self.assertEqual(1, len(other.all(core.CallService)))
 
 
 class Ledger:
@@ -444,16 +441,16 @@
     def call(self, key: str, body: bytes, outcome: int) -> Any:
         if key in self.kept:
             first_body, end = self.kept[key]
-            return end if first_body == body else RefusalKind.KEY_REUSED
-        ends = {OK: b'done', LOST_ANSWER: RefusalKind.END_UNKNOWN}
+            return end if first_body == body else core.RefusalKind.KEY_REUSED
+        ends = {OK: b'done', LOST_ANSWER: core.RefusalKind.END_UNKNOWN}
         if outcome in ends:
             self.kept[key] = body, ends[outcome]
-        return ends.get(outcome, RefusalKind.NO_TARGET)
+        return ends.get(outcome, core.RefusalKind.NO_TARGET)
 
 
 def told_of_outage(end: Any) -> bool:
-    refused = isinstance(end, RefuseCall)
-    return refused and end.refusal.kind is RefusalKind.STORE_DOWN
+    refused = isinstance(end, core.RefuseCall)
+    return refused and end.refusal.kind is core.RefusalKind.STORE_DOWN
 
 
 class DifferentialTest(testtools.TestCase):
@@ -485,7 +482,7 @@
                 if not world.flights:
                     continue
                 flight = world.flights.pop(0)
-                store_call = not isinstance(flight.action, CallService)
+                store_call = not isinstance(flight.action, core.CallService)
                 fault = faults.pop(0) if store_call and faults else OK
                 world.land(flight, fault if store_call else outcome)
             end = world.ends(entry)[-1]
@@ -494,7 +491,7 @@
                 self.assertGreater(lost, 2)
                 continue
             self.assertEqual(name, end.request_id)
-            answered = isinstance(end, AnswerService)
+            answered = isinstance(end, core.AnswerService)
             self.assertEqual(
                 ledger.call(key, body, outcome),
                 end.body if answered else end.refusal.kind,
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -6,24 +6,7 @@
 import testtools
 from hypothesis import given, strategies
 
-from dandelionyoke_core import (
-    Action,
-    AttemptEnded,
-    AttemptFailed,
-    AttemptId,
-    CancelAttempt,
-    FinishCall,
-    InstanceId,
-    QuarantinePart,
-    QuarantineSettings,
-    RecordLearned,
-    RefusalKind,
-    ResumeAttempt,
-    StartAttempt,
-    TargetCrashed,
-    TargetId,
-    TokensArrived,
-)
+import dandelionyoke_core as core
 from tests.core.fakes import Entry, ask, engine
 
 POISON = 'crash'
@@ -39,9 +22,9 @@
         self.random = Random(seed)
         self.engines = [engine(f'e{place}') for place in range(engines)]
         self.entries = [Entry(f'entry-{place}') for place in range(entries)]
-        self.work: dict[str, tuple[Entry, StartAttempt, float]] = {}
-        self.down: dict[TargetId, float] = {}
-        self.crashes: list[TargetId] = []
+        self.work: dict[str, tuple[Entry, core.StartAttempt, float]] = {}
+        self.down: dict[core.TargetId, float] = {}
+        self.crashes: list[core.TargetId] = []
         self.slow_s = SLOW_S
         for entry in self.entries:
             entry.router.targets = tuple(self.engines)
@@ -53,20 +36,22 @@
     def tell(self, entry: Entry, event: Any) -> None:
         self.take(entry, entry.tell(event))
 
-    def take(self, entry: Entry, actions: list[Action]) -> None:
+    def take(self, entry: Entry, actions: list[core.Action]) -> None:
         self.spread(entry)
         for action in actions:
-            if isinstance(action, StartAttempt | ResumeAttempt):
+            if isinstance(action, core.StartAttempt | core.ResumeAttempt):
                 self.connect(entry, action)
-            elif isinstance(action, CancelAttempt):
+            elif isinstance(action, core.CancelAttempt):
                 self.work.pop(action.attempt_id, None)
 
     def connect(
-        self, entry: Entry, action: StartAttempt | ResumeAttempt
+        self, entry: Entry, action: core.StartAttempt | core.ResumeAttempt
     ) -> None:
-        if action.target_id in self.down or isinstance(action, ResumeAttempt):
+        if action.target_id in self.down or isinstance(
+            action, core.ResumeAttempt
+        ):
             ids = action.request_id, action.attempt_id
-            failed = AttemptFailed(*ids, sent=False, cause='refused')
+            failed = core.AttemptFailed(*ids, sent=False, cause='refused')
             self.tell(entry, failed)
         else:
             self.work[action.attempt_id] = entry, action, self.now_s
@@ -78,10 +63,12 @@
             if other is entry:
                 continue
             for record in shared:
-                learned = RecordLearned(record, InstanceId(entry.name))
+                learned = core.RecordLearned(
+                    record, core.InstanceId(entry.name)
+                )
                 self.take(other, other.tell(learned))
 
-    def crash(self, target_id: TargetId) -> None:
+    def crash(self, target_id: core.TargetId) -> None:
         self.crashes.append(target_id)
         self.down[target_id] = self.now_s + RESTART_S
         lost = [
@@ -94,7 +81,7 @@
             self.work.pop(start.attempt_id)
         for entry, start in lost:
             ids = start.request_id, start.attempt_id
-            self.tell(entry, AttemptFailed(*ids, sent=True, cause='reset'))
+            self.tell(entry, core.AttemptFailed(*ids, sent=True, cause='reset'))
 
     def tick(self) -> None:
         """Let engines crash, answer and come back."""
@@ -109,8 +96,8 @@
             if began_s + self.slow_s <= self.now_s:
                 self.work.pop(start.attempt_id)
                 ids = start.request_id, start.attempt_id
-                self.tell(entry, TokensArrived(*ids, 0, ('a', 'b')))
-                self.tell(entry, AttemptEnded(*ids, 'stop', 2, 3))
+                self.tell(entry, core.TokensArrived(*ids, 0, ('a', 'b')))
+                self.tell(entry, core.AttemptEnded(*ids, 'stop', 2, 3))
         for entry in self.entries:
             self.take(entry, entry.wait(TICK_S))
         self.down = {t: s for t, s in self.down.items() if s > self.now_s}
@@ -123,7 +110,7 @@
         """How each call ended: True, or the kind of its refusal."""
         found: dict[str, Any] = {}
         for entry in self.entries:
-            for end in entry.all(FinishCall):
+            for end in entry.all(core.FinishCall):
                 found[end.request_id] = True
             for name in self.names:
                 refusal = entry.refusal(name)
@@ -138,7 +125,7 @@
     def check(self, fleet: Fleet, engines: int = 2) -> None:
         ends = fleet.ends()
         for name in fleet.names:
-            expected = RefusalKind.QUARANTINED if POISON in name else True
+            expected = core.RefusalKind.QUARANTINED if POISON in name else True
             self.assertEqual((name, expected), (name, ends.get(name)))
         self.assertLessEqual(len(fleet.crashes), engines)
         for entry in fleet.entries:
@@ -225,12 +212,12 @@
         entry.tell(ask())
         for name in 'ab':
             entry.wait(32)
-            entry.tell(TargetCrashed(TargetId(name), ()))
+            entry.tell(core.TargetCrashed(core.TargetId(name), ()))
         entry.wait(4)
         refusal = entry.refusal('r1')
         assert refusal is not None
         self.assertEqual(422, refusal.kind.status)
-        self.assertEqual(2, len(entry.all(StartAttempt)))
+        self.assertEqual(2, len(entry.all(core.StartAttempt)))
 
     def test_a_prompt_that_many_share_is_not_condemned(self) -> None:
         """Every salesman asks the same short question, so that it runs on
@@ -272,19 +259,24 @@
 
 
 class PartTest(testtools.TestCase):
-    def crash(self, part: QuarantinePart, number: int, prompt: str) -> None:
-        attempt_id, target_id = AttemptId(f'a{number}'), TargetId(f'e{number}')
+    def crash(
+        self, part: core.QuarantinePart, number: int, prompt: str
+    ) -> None:
+        attempt_id, target_id = (
+            core.AttemptId(f'a{number}'),
+            core.TargetId(f'e{number}'),
+        )
         now_s = number * 50.0
         part.started(attempt_id, target_id, prompt, now_s)
-        part.handle(TargetCrashed(target_id, (attempt_id,)), now_s + 1)
+        part.handle(core.TargetCrashed(target_id, (attempt_id,)), now_s + 1)
 
     def test_suspicion_and_quarantine_end(self) -> None:
         """An engine crashes of its own accord now and then. A prompt that
         was there once must not be refused for the next crash days later,
         and a quarantine ends, so that a mended engine can be used.
         """
-        settings = QuarantineSettings(suspect_lifetime_s=40)
-        part = QuarantinePart(settings)
+        settings = core.QuarantineSettings(suspect_lifetime_s=40)
+        part = core.QuarantinePart(settings)
         for number in (1, 2):
             self.crash(part, number, 'p')
         self.assertIsNone(part.refusal('p', 110))
@@ -296,8 +288,10 @@
         """A broken fleet crashes engines all day. What is kept of it must
         not grow until the entry itself dies of it.
         """
-        settings = QuarantineSettings(max_suspects=10, suspect_lifetime_s=1e9)
-        part = QuarantinePart(settings)
+        settings = core.QuarantineSettings(
+            max_suspects=10, suspect_lifetime_s=1e9
+        )
+        part = core.QuarantinePart(settings)
         for number in range(50):
             self.crash(part, number, f'p{number}')
         self.assertEqual(10, len(part._suspects))
--- a/tests/core/test_request.py
+++ b/tests/core/test_request.py
@@ -5,74 +5,41 @@
 import testtools
 from hypothesis import given, strategies
 
-from dandelionyoke_core import (
-    AnswerService,
-    AttemptAccepted,
-    AttemptEnded,
-    AttemptFailed,
-    AttemptRefused,
-    CallAdmitted,
-    CallerGone,
-    CallRejected,
-    CallService,
-    CancelAttempt,
-    CountMetric,
-    DropAttempt,
-    Event,
-    FinishCall,
-    KeyWithdrawn,
-    Queued,
-    Refusal,
-    RefusalKind,
-    RefuseCall,
-    RequestSettings,
-    ResumeAttempt,
-    RunState,
-    SendTokens,
-    ServiceAnswered,
-    ShutdownForced,
-    StartAttempt,
-    StorePut,
-    TargetCrashed,
-    TargetId,
-    TargetLeaving,
-    TokensArrived,
-    WriteLog,
-)
+import dandelionyoke_core as core
 from tests.core.fakes import Entry, Store, ask, confirm, engine, serve
 
 ANSWER = tuple(f'crate{place} ' for place in range(8))
-NO, UNKNOWN = RunState.NO, RunState.UNKNOWN
-WITHDRAWN = KeyWithdrawn('hash of key-1')
+NO, UNKNOWN = core.RunState.NO, core.RunState.UNKNOWN
+WITHDRAWN = core.KeyWithdrawn('hash of key-1')
 
 
-def output(attempt: str, start: int, end: int, name: str = 'r1') -> Event:
-    return TokensArrived(name, attempt, start, ANSWER[start:end])
+def output(attempt: str, start: int, end: int, name: str = 'r1') -> core.Event:
+    return core.TokensArrived(name, attempt, start, ANSWER[start:end])
 
 
-def end_of(attempt: str, offset: int = 8, name: str = 'r1') -> Event:
-    return AttemptEnded(name, attempt, 'stop', offset, 3)
+def end_of(attempt: str, offset: int = 8, name: str = 'r1') -> core.Event:
+    return core.AttemptEnded(name, attempt, 'stop', offset, 3)
 
 
-def broken(attempt: str, name: str = 'r1') -> Event:
-    return AttemptFailed(name, attempt, sent=True, cause='reset')
+def broken(attempt: str, name: str = 'r1') -> core.Event:
+    return core.AttemptFailed(name, attempt, sent=True, cause='reset')
 
 
-def unreached(attempt: str, name: str = 'r1') -> Event:
-    return AttemptFailed(name, attempt, sent=False, cause='refused')
+def unreached(attempt: str, name: str = 'r1') -> core.Event:
+    return core.AttemptFailed(name, attempt, sent=False, cause='refused')
 
 
-def draining(attempt: str, name: str = 'r1') -> Event:
-    return AttemptRefused(name, attempt, 'draining')
+def draining(attempt: str, name: str = 'r1') -> core.Event:
+    return core.AttemptRefused(name, attempt, 'draining')
 
 
 def tokens_of(entry: Entry) -> tuple[str, ...]:
-    return sum((sent.tokens for sent in entry.all(SendTokens)), ())
+    return sum((sent.tokens for sent in entry.all(core.SendTokens)), ())
 
 
 def stream(entry: Entry) -> str:
     """Name the stream that the entry opened last."""
-    opened = StartAttempt | ResumeAttempt
+    opened = core.StartAttempt | core.ResumeAttempt
     return [a.attempt_id for a in entry.said if isinstance(a, opened)][-1]
 
 
@@ -86,11 +53,15 @@
         """The caller has all, once; nothing is held; usage counts it once."""
         self.assertEqual(ANSWER, tokens_of(entry))
         self.assertEqual(
-            [FinishCall('r1', 'stop', 3, 8)], entry.all(FinishCall)
+            [core.FinishCall('r1', 'stop', 3, 8)], entry.all(core.FinishCall)
         )
-        self.assertEqual([], entry.all(RefuseCall))
+        self.assertEqual([], entry.all(core.RefuseCall))
         self.assertEqual(set(), entry.admitter.held)
         self.assertEqual({}, entry.router.running)
+        observed = {
+            observed.metric for observed in entry.all(core.ObserveLatency)
+        }
+        self.assertEqual({'request.first_token', 'request.total'}, observed)
         usage = entry.usage
         self.assertEqual(
             (1, 3, 8),
@@ -105,15 +76,12 @@
         entry = asked(Entry())
         entry.tell(output('r1.1', 0, 3))
         entry.tell(broken('r1.1'))
-        self.assertEqual(3, entry.last(ResumeAttempt).offset)
+        self.assertEqual(3, entry.last(core.ResumeAttempt).offset)
         entry.tell(unreached('r1.2'))
-        start = entry.last(StartAttempt)
+        start = entry.last(core.StartAttempt)
         self.assertEqual(
-            (TargetId('b'), ANSWER[:3]),
-            (
-                start.target_id,
-                start.resume_tokens,
-            ),
+            (core.TargetId('b'), ANSWER[:3]),
+            (start.target_id, start.resume_tokens),
         )
         entry.tell(output('r1.3', 3, 8))
         entry.tell(end_of('r1.3'))
@@ -126,20 +94,20 @@
         """
         entry = asked(Entry())
         entry.tell(output('r1.1', 0, 3))
-        entry.wait(RequestSettings().silence_limit_s)
+        entry.wait(core.RequestSettings().silence_limit_s)
         self.assertEqual(
-            (DropAttempt('r1', 'r1.1'), 3, 'r1.1'),
+            (core.DropAttempt('r1', 'r1.1'), 3, 'r1.1'),
             (
-                entry.last(DropAttempt),
-                entry.last(ResumeAttempt).offset,
-                entry.last(ResumeAttempt).resumed_attempt_id,
+                entry.last(core.DropAttempt),
+                entry.last(core.ResumeAttempt).offset,
+                entry.last(core.ResumeAttempt).resumed_attempt_id,
             ),
         )
-        entry.tell(AttemptAccepted('r1', 'r1.2'))
+        entry.tell(core.AttemptAccepted('r1', 'r1.2'))
         entry.tell(output('r1.2', 3, 8))
         entry.tell(end_of('r1.2'))
         self.whole(entry)
-        self.assertEqual(1, len(entry.all(StartAttempt)))
+        self.assertEqual(1, len(entry.all(core.StartAttempt)))
 
     def test_an_engine_goes_silent_for_good(self) -> None:
         """The engine is paused or cut off: a new connection is silent too.
@@ -148,17 +116,19 @@
         """
         entry = asked(Entry())
         entry.tell(output('r1.1', 0, 3))
-        entry.wait(RequestSettings().silence_limit_s)
-        entry.wait(RequestSettings().accept_limit_s)
-        self.assertEqual('r1.1', entry.last(CancelAttempt).attempt_id)
-        self.assertEqual(TargetId('b'), entry.last(StartAttempt).target_id)
+        entry.wait(core.RequestSettings().silence_limit_s)
+        entry.wait(core.RequestSettings().accept_limit_s)
+        self.assertEqual('r1.1', entry.last(core.CancelAttempt).attempt_id)
+        self.assertEqual(
+            core.TargetId('b'), entry.last(core.StartAttempt).target_id
+        )
         for late in (
             output('r1.1', 3, 8),
             output('r1.2', 3, 8),
             end_of('r1.2'),
         ):
             (counted,) = entry.tell(late)
-            self.assertIsInstance(counted, CountMetric)
+            self.assertIsInstance(counted, core.CountMetric)
         entry.tell(output('r1.3', 3, 8))
         entry.tell(end_of('r1.3'))
         self.whole(entry)
@@ -173,10 +143,10 @@
         entry.tell(output('r1.1', 1, 4))
         entry.tell(output('r1.1', 0, 2))
         entry.tell(output('r1.1', 5, 6))
-        self.assertEqual(4, entry.last(ResumeAttempt).offset)
+        self.assertEqual(4, entry.last(core.ResumeAttempt).offset)
         entry.tell(output('r1.2', 4, 6))
         entry.tell(end_of('r1.2'))
-        self.assertEqual(6, entry.last(ResumeAttempt).offset)
+        self.assertEqual(6, entry.last(core.ResumeAttempt).offset)
         entry.tell(output('r1.3', 6, 8))
         entry.tell(end_of('r1.3'))
         self.whole(entry)
@@ -188,16 +158,16 @@
         entry = asked(Entry())
         entry.tell(ask('r2', 'another prompt'))
         for crossed in (
-            TokensArrived('r1', 'r2.1', 0, ('secret',)),
-            TokensArrived('r9', 'r9.1', 0, ('secret',)),
+            core.TokensArrived('r1', 'r2.1', 0, ('secret',)),
+            core.TokensArrived('r9', 'r9.1', 0, ('secret',)),
             end_of('r2.1'),
-            ServiceAnswered('r1', 'r1.1', 200, 't', b'secret'),
+            core.ServiceAnswered('r1', 'r1.1', 200, 't', b'secret'),
         ):
             (counted,) = entry.tell(crossed)
-            self.assertIsInstance(counted, CountMetric)
+            self.assertIsInstance(counted, core.CountMetric)
         entry.tell(output('r2.1', 0, 2, 'r2'))
         entry.tell(end_of('r2.1', 1, 'r2'))
-        self.assertEqual([], entry.all(FinishCall))
+        self.assertEqual([], entry.all(core.FinishCall))
 
     def test_a_reclaimed_engine_is_left_at_once(self) -> None:
         """The platform takes a cheap engine away on a few seconds' notice.
@@ -206,11 +176,13 @@
         """
         entry = asked(Entry())
         entry.tell(output('r1.1', 0, 3))
-        entry.tell(TargetLeaving(TargetId('a'), 'leaving'))
-        self.assertEqual(1, len(entry.all(StartAttempt)))
-        entry.tell(TargetLeaving(TargetId('a'), 'reclaimed'))
-        self.assertEqual(ANSWER[:3], entry.last(StartAttempt).resume_tokens)
-        self.assertEqual('r1.1', entry.last(CancelAttempt).attempt_id)
+        entry.tell(core.TargetLeaving(core.TargetId('a'), 'leaving'))
+        self.assertEqual(1, len(entry.all(core.StartAttempt)))
+        entry.tell(core.TargetLeaving(core.TargetId('a'), 'reclaimed'))
+        self.assertEqual(
+            ANSWER[:3], entry.last(core.StartAttempt).resume_tokens
+        )
+        self.assertEqual('r1.1', entry.last(core.CancelAttempt).attempt_id)
 
     def test_a_begun_answer_waits_for_an_engine(self) -> None:
         """The only engine restarts in the middle of an answer. The caller
@@ -219,10 +191,12 @@
         entry = Entry()
         entry.router.targets = (engine('a'),)
         asked(entry).tell(output('r1.1', 0, 3))
-        entry.tell(TargetCrashed(TargetId('a'), ('r1.1',)))
-        self.assertEqual(1, len(entry.all(StartAttempt)))
+        entry.tell(core.TargetCrashed(core.TargetId('a'), ('r1.1',)))
+        self.assertEqual(1, len(entry.all(core.StartAttempt)))
         entry.wait(3)
-        self.assertEqual(ANSWER[:3], entry.last(StartAttempt).resume_tokens)
+        self.assertEqual(
+            ANSWER[:3], entry.last(core.StartAttempt).resume_tokens
+        )
         entry.tell(output('r1.2', 3, 8))
         entry.tell(end_of('r1.2'))
         self.whole(entry)
@@ -255,9 +229,9 @@
         self.assertEqual(
             (set(), {}), (entry.admitter.held, entry.router.running)
         )
-        logs = [log.detail for log in entry.all(WriteLog)]
+        logs = [log.detail for log in entry.all(core.WriteLog)]
         not_run = sum('did not run' in detail for detail in logs)
-        self.assertLessEqual(len(entry.all(StartAttempt)) - not_run, 6)
+        self.assertLessEqual(len(entry.all(core.StartAttempt)) - not_run, 6)
 
     def disturb(self, entry: Entry, fault: int, place: int) -> None:
         present, got = stream(entry), len(tokens_of(entry))
@@ -270,7 +244,7 @@
             unreached(present),
             draining(present),
             output(f'r1.{1 + place % 3}', start, 8),
-            AttemptAccepted('r1', present),
+            core.AttemptAccepted('r1', present),
         )
         if fault < len(events):
             entry.tell(events[fault])
@@ -284,11 +258,11 @@
         promise that sending it again is safe, so it is said only when no
         byte left, or each target that got it said that it did not run.
         """
-        cases: list[tuple[list[Event], str, RunState]] = [
+        cases: list[tuple[list[core.Event], str, core.RunState]] = [
             ([draining(f'r1.{n}') for n in (1, 2, 3, 4)], 'TARGET_FAILED', NO),
             ([unreached(f'r1.{n}') for n in (1, 2, 3, 4)], 'TARGET_FAILED', NO),
             ([WITHDRAWN], 'WITHDRAWN', UNKNOWN),
-            ([ShutdownForced()], 'LEAVING', UNKNOWN),
+            ([core.ShutdownForced()], 'LEAVING', UNKNOWN),
             ([broken('r1.1'), WITHDRAWN], 'WITHDRAWN', UNKNOWN),
             ([output('r1.1', 0, 2), WITHDRAWN], 'WITHDRAWN', UNKNOWN),
             (
@@ -304,7 +278,7 @@
             ),
         ]
         for events, kind, run in cases:
-            entry = Entry(settings=RequestSettings(max_attempts=4))
+            entry = Entry(settings=core.RequestSettings(max_attempts=4))
             asked(entry)
             for event in events:
                 entry.tell(event)
@@ -314,7 +288,9 @@
             refusal = entry.refusal('r1')
             assert refusal is not None, events
             self.assertEqual(
-                (RefusalKind[kind], run), (refusal.kind, refusal.run), events
+                (core.RefusalKind[kind], run),
+                (refusal.kind, refusal.run),
+                events,
             )
             if kind == 'TARGET_FAILED':
                 self.assertEqual(3, refusal.retry_after_s)
@@ -326,15 +302,15 @@
         passes or the queue gives it up. It never left, so the refusal says
         "not run", and its place is given back.
         """
-        overloaded = Refusal(RefusalKind.OVERLOADED, 'full', 'wait')
+        overloaded = core.Refusal(core.RefusalKind.OVERLOADED, 'full', 'wait')
         for event in (
             WITHDRAWN,
-            ShutdownForced(),
-            CallRejected('r1', overloaded),
+            core.ShutdownForced(),
+            core.CallRejected('r1', overloaded),
             None,
         ):
             entry = Entry()
-            entry.admitter.place = Queued()
+            entry.admitter.place = core.Queued()
             entry.tell(ask(deadline_in_s=5))
             if event is None:
                 entry.wait(5)
@@ -344,18 +320,24 @@
             assert refusal is not None
             self.assertEqual(NO, refusal.run)
             self.assertEqual(set(), entry.admitter.held)
-            self.assertEqual([], entry.tell(CallAdmitted('r1')))
+            self.assertEqual([], entry.tell(core.CallAdmitted('r1')))
 
     def test_refusals_on_arrival_name_a_remedy(self) -> None:
         """A caller makes a mistake or comes at a bad time. It must learn at
         once what is wrong and what to do, and nothing may leave for a
         target.
         """
-        full = Refusal(RefusalKind.OVERLOADED, 'full', 'wait', retry_after_s=4)
+        full = core.Refusal(
+            core.RefusalKind.OVERLOADED, 'full', 'wait', retry_after_s=4
+        )
         for event, kind, place in (
-            (ask(prompt='a ' * 40_000), RefusalKind.TOO_LARGE, None),
-            (ask(), RefusalKind.OVERLOADED, full),
-            (confirm(idempotency_key=None), RefusalKind.KEY_REQUIRED, None),
+            (ask(prompt='a ' * 40_000), core.RefusalKind.TOO_LARGE, None),
+            (ask(), core.RefusalKind.OVERLOADED, full),
+            (
+                confirm(idempotency_key=None),
+                core.RefusalKind.KEY_REQUIRED,
+                None,
+            ),
         ):
             entry = Entry()
             entry.admitter.place = place or entry.admitter.place
@@ -366,7 +348,7 @@
             self.assertTrue(refusal.remedy)
             self.assertEqual([], entry.router.needs)
             self.assertIn(
-                'request.refused', [w.kind for w in entry.all(WriteLog)]
+                'request.refused', [w.kind for w in entry.all(core.WriteLog)]
             )
 
     def test_a_deadline_ends_a_call_and_its_work(self) -> None:
@@ -380,9 +362,9 @@
         refusal = entry.refusal('r1')
         assert refusal is not None
         self.assertEqual(
-            (RefusalKind.DEADLINE, UNKNOWN), (refusal.kind, refusal.run)
+            (core.RefusalKind.DEADLINE, UNKNOWN), (refusal.kind, refusal.run)
         )
-        self.assertEqual('r1.1', entry.last(CancelAttempt).attempt_id)
+        self.assertEqual('r1.1', entry.last(core.CancelAttempt).attempt_id)
 
     def test_a_caller_that_left_costs_no_more(self) -> None:
         """The driver closes the app in the middle of an answer. Work that
@@ -390,9 +372,9 @@
         """
         entry = asked(Entry())
         entry.tell(output('r1.1', 0, 3))
-        entry.tell(CallerGone('r1'))
-        self.assertEqual('r1.1', entry.last(CancelAttempt).attempt_id)
-        self.assertEqual([], entry.all(RefuseCall))
+        entry.tell(core.CallerGone('r1'))
+        self.assertEqual('r1.1', entry.last(core.CancelAttempt).attempt_id)
+        self.assertEqual([], entry.all(core.RefuseCall))
         self.assertEqual(
             (1, 3), (entry.usage.requests, entry.usage.output_tokens)
         )
@@ -426,7 +408,7 @@
         retries would multiply the load on what is left; refusals for a
         drain cost no engine anything and are not counted.
         """
-        settings = RequestSettings(retry_refill_per_s=0)
+        settings = core.RequestSettings(retry_refill_per_s=0)
         for fault, expected in ((broken, (31, 46)), (draining, (120, 120))):
             entry = Entry(settings=settings)
             for number in range(30):
@@ -434,7 +416,7 @@
                 entry.tell(ask(name, f'prompt {number}'))
                 for attempt in range(1, 9):
                     entry.tell(fault(f'{name}.{attempt}', name))
-            starts = len(entry.all(StartAttempt))
+            starts = len(entry.all(core.StartAttempt))
             self.assertTrue(expected[0] <= starts <= expected[1], starts)
 
     def test_plain_calls_are_retried_only_if_repeating_is_harmless(
@@ -450,7 +432,7 @@
                 confirm(method=method, path='/lines', idempotency_key=None)
             )
             entry.tell(broken('r1.1'))
-            self.assertEqual(calls, len(entry.all(CallService)), method)
+            self.assertEqual(calls, len(entry.all(core.CallService)), method)
             refusal = entry.refusal('r1')
             if calls == 1:
                 assert refusal is not None
@@ -472,11 +454,11 @@
         ):
             entry = Entry()
             entry.tell(confirm(path=path))
-            self.assertEqual(1, len(entry.all(StorePut)), path)
+            self.assertEqual(1, len(entry.all(core.StorePut)), path)
         for path in ('/returnsheet', '/lines'):
             entry = Entry()
             entry.tell(confirm(path=path))
-            self.assertEqual(1, len(entry.all(CallService)), path)
+            self.assertEqual(1, len(entry.all(core.CallService)), path)
 
     def test_steady_work_stays_off_reclaimable_targets(self) -> None:
         """A long reconciliation or an invoice on a cheap target would be
@@ -500,5 +482,5 @@
         self.assertEqual((NO, 2), (refusal.run, refusal.retry_after_s))
         other = Entry('entry-2')
         serve(other, store, other.tell(confirm('r2')))
-        other.tell(ServiceAnswered('r2', 'r2.1', 200, 't', b'done'))
-        self.assertEqual(b'done', other.last(AnswerService).body)
+        other.tell(core.ServiceAnswered('r2', 'r2.1', 200, 't', b'done'))
+        self.assertEqual(b'done', other.last(core.AnswerService).body)
