--- a/packages/core/dandelionyoke_core/_quarantine.py
+++ b/packages/core/dandelionyoke_core/_quarantine.py
@@ -6,12 +6,12 @@
 as the only suspect there, and is refused from then on.
 """
 
-from collections import OrderedDict, deque
 from typing import ClassVar
 
 import attrs
 
 from dandelionyoke_core._events import Event
+from dandelionyoke_core._incidents import Incident, Incidents
 from dandelionyoke_core._names import AttemptId, TargetId
 from dandelionyoke_core._notices import (
     RecordLearned,
@@ -26,27 +26,10 @@
 )
 from dandelionyoke_core._quarantine_settings import QuarantineSettings
 from dandelionyoke_core._refusals import Refusal, RefusalKind
+from dandelionyoke_core._runs import Run, Runs
 from dandelionyoke_core._suspects import Suspects
 
 
-@attrs.frozen
-class Run:
-    """A request in progress on an engine; `trial` if it was a suspect."""
-
-    target_id: TargetId
-    fingerprint: str
-    trial: bool = False
-
-
-@attrs.frozen
-class Incident:
-    """An engine broke; the suspects that were on it at that moment."""
-
-    target_id: TargetId
-    began_s: float
-    suspects: frozenset[str]
-
-
 class QuarantinePart:
     """Finds out which request crashes engines, and spares its neighbours."""
 
@@ -55,10 +38,8 @@
     def __init__(self, settings: QuarantineSettings) -> None:
         self._settings = settings
         self._suspects = Suspects(settings)
-        self._runs: dict[AttemptId, Run] = {}
-        self._lost: deque[tuple[float, Run]] = deque(maxlen=settings.max_lost)
-        self._incidents: deque[Incident] = deque(maxlen=settings.max_incidents)
-        self._trials: OrderedDict[str, tuple[TargetId, float]] = OrderedDict()
+        self._runs = Runs(settings)
+        self._incidents = Incidents(settings)
         self._version = 0
 
     def handle(self, event: Event, now_s: float) -> list[Output]:
@@ -95,9 +76,9 @@
         if self._suspects.find(fingerprint, now_s) is None:
             return frozenset()
         return frozenset(
-            target_id
-            for other, target_id in self._suspects_in_progress(now_s)
-            if other != fingerprint
+            run.target_id
+            for run in self._runs.known(now_s)
+            if run.fingerprint != fingerprint and self._suspected(run, now_s)
         )
 
     def started(
@@ -109,31 +90,43 @@
     ) -> list[Output]:
         """Remember what is in progress where."""
         trial = self._suspects.find(fingerprint, now_s) is not None
-        run = Run(target_id, fingerprint, trial)
-        self._runs[attempt_id] = run
-        return [self._share_trial(run)] if trial else []
+        run = Run(attempt_id, target_id, fingerprint, now_s, trial)
+        self._runs.start(run)
+        return [self._announce(run)] if trial else []
 
     def ended(self, attempt_id: AttemptId, whole: bool = False) -> list[Output]:
         """Forget an attempt; one that ran to its end clears its request."""
-        run = self._runs.pop(attempt_id, None)
+        run = self._runs.end(attempt_id)
         if run is None:
             return []
         outputs: list[Output] = []
-        if run.trial:
+        if run.announced:
             outputs.append(self._share_trial(run, over=True))
         if whole and self._suspects.clear(run.fingerprint):
             outputs.append(self._share(run.fingerprint, Suspicion.CLEARED))
         return outputs
 
-    def lost(self, attempt_id: AttemptId, now_s: float) -> None:
-        """Remember an attempt that was left at a silent engine."""
-        run = self._runs.get(attempt_id)
-        if run is not None:
-            self._lost.append((now_s, run))
+    def lost(self, attempt_id: AttemptId, now_s: float) -> list[Output]:
+        """Suspect an attempt that was left at a silent engine.
+
+        It is not yet known whether the engine crashed, so nothing is held
+        against a suspect's second one until a crash is told.
+        """
+        run = self._runs.find(attempt_id)
+        if run is None:
+            return []
+        self._incident(run, now_s)
+        if self._incidents.look_like_outage(now_s):
+            return self._excuse_all(now_s)
+        self._runs.lose(run, now_s)
+        if self._suspected(run, now_s):
+            return []
+        self._suspects.suspect(run.fingerprint, now_s)
+        return [self._share(run.fingerprint, Suspicion.SUSPECT)]
 
     def broke(self, attempt_id: AttemptId, now_s: float) -> list[Output]:
         """Count the engine of an attempt that broke off."""
-        run = self._runs.get(attempt_id)
+        run = self._runs.find(attempt_id)
         if run is None:
             return []
         outputs = self._count(run, now_s)
@@ -147,15 +140,14 @@
             for attempt_id in event.attempt_ids
             for output in self.broke(attempt_id, now_s)
         ]
-        since_s = now_s - self._settings.lost_window_s
-        for lost_s, run in tuple(self._lost):
-            if run.target_id == event.target_id and lost_s >= since_s:
+        for run in self._runs.lost(now_s):
+            if run.target_id == event.target_id:
                 outputs.extend(self._count(run, now_s))
         return outputs
 
     def _count(self, run: Run, now_s: float) -> list[Output]:
-        incident = self._incident(run.target_id, now_s)
-        if self._is_outage(now_s):
+        incident = self._incident(run, now_s)
+        if self._incidents.look_like_outage(now_s):
             return self._excuse_all(now_s)
         fingerprint = run.fingerprint
         suspect = self._suspects.find(fingerprint, now_s)
@@ -174,65 +166,51 @@
         self._suspects.convict(fingerprint, now_s)
         return [self._share(fingerprint, Suspicion.CONVICTED)]
 
-    def _incident(self, target_id: TargetId, now_s: float) -> Incident:
-        """Find or open the incident that a broken attempt belongs to.
+    def _incident(self, run: Run, now_s: float) -> Incident:
+        """Find or open the incident that a broken run belongs to.
 
-        The attempts of one crash break one after the other. Who was a
-        suspect is settled by the first, before the rest become suspects by
-        this very crash.
+        Who was a suspect is settled when it opens, before the rest become
+        suspects by this very crash.
         """
-        since_s = now_s - self._settings.lost_window_s
-        for known in self._incidents:
-            if known.target_id == target_id and known.began_s >= since_s:
-                return known
+        known = self._incidents.find(run, now_s)
+        if known is not None:
+            return known
         on_it = frozenset(
-            fingerprint
-            for fingerprint, where in self._suspects_in_progress(now_s)
-            if where == target_id
+            other.fingerprint
+            for other in self._runs.known(now_s)
+            if other.target_id == run.target_id
+            and self._suspected(other, now_s)
         )
-        incident = Incident(target_id, now_s, on_it)
-        self._incidents.append(incident)
+        incident = Incident(run.target_id, now_s, on_it)
+        self._incidents.add(incident)
         return incident
 
-    def _is_outage(self, now_s: float) -> bool:
-        since_s = now_s - self._settings.outage_window_s
-        engines = {
-            incident.target_id
-            for incident in self._incidents
-            if incident.began_s >= since_s
-        }
-        return len(engines) >= self._settings.outage_engines
-
     def _excuse_all(self, now_s: float) -> list[Output]:
         # A request crashes one engine at a time. Many at once are a cut
-        # network or a zone taken away, which condemns nobody; so verdicts
-        # of the last moments are taken back.
+        # network or a zone taken away, which condemns nobody. What was said
+        # in the last moments is taken back; else all that ran there would
+        # be tried one by one, and wait for minutes.
         since_s = now_s - self._settings.outage_window_s
         return [
             self._share(fingerprint, Suspicion.CLEARED)
-            for fingerprint in self._suspects.convicted_since(since_s)
+            for fingerprint in self._suspects.blamed_since(since_s)
             if self._suspects.clear(fingerprint)
         ]
 
-    # Trials.
-
-    def _suspects_in_progress(self, now_s: float) -> list[tuple[str, TargetId]]:
-        here = [
-            (run.fingerprint, run.target_id)
-            for run in self._runs.values()
-            if self._suspects.find(run.fingerprint, now_s) is not None
-        ]
-        elsewhere = [
-            (fingerprint, target_id)
-            for fingerprint, (target_id, until_s) in self._trials.items()
-            if now_s < until_s
-        ]
-        return here + elsewhere
+    def _suspected(self, run: Run, now_s: float) -> bool:
+        return self._suspects.find(run.fingerprint, now_s) is not None
 
     def _is_tried(self, fingerprint: str, now_s: float) -> bool:
+        # A trial that was left at a silent engine is one until it is known
+        # whether the engine crashed; else the request would go on to a
+        # third engine before the end of its second is heard of.
+        if any(
+            run.trial and run.fingerprint == fingerprint
+            for run in self._runs.lost(now_s)
+        ):
+            return True
         return any(
-            other == fingerprint
-            for other, _ in self._suspects_in_progress(now_s)
+            run.fingerprint == fingerprint for run in self._runs.known(now_s)
         )
 
     # Peers.
@@ -249,32 +227,32 @@
                 self._suspects.convict(fingerprint, now_s)
             case Suspicion.SUSPECT:
                 self._suspects.suspect(fingerprint, now_s)
-                return self._share_runs(fingerprint)
+                return list(map(self._announce, self._runs.copies(fingerprint)))
         return []
 
-    def _share_runs(self, fingerprint: str) -> list[Output]:
-        return [
-            self._share_trial(run)
-            for run in self._runs.values()
-            if run.fingerprint == fingerprint
-        ]
+    def _announce(self, run: Run) -> Output:
+        self._runs.start(attrs.evolve(run, announced=True))
+        return self._share_trial(run)
 
     def _trial_learned(self, record: TrialShared, now_s: float) -> None:
         self._version = max(self._version, record.version)
-        self._trials.pop(record.fingerprint, None)
         if record.over:
+            self._runs.end_peer(record.attempt_id)
             return
-        until_s = now_s + self._settings.trial_lifetime_s
-        self._trials[record.fingerprint] = (record.target_id, until_s)
-        if len(self._trials) > self._settings.max_trials:
-            self._trials.popitem(last=False)
+        run = Run(
+            record.attempt_id, record.target_id, record.fingerprint, now_s
+        )
+        self._runs.tell_peer(run, now_s)
 
     def _share(self, fingerprint: str, suspicion: Suspicion) -> Output:
         self._version += 1
+        lifetime_s = self._settings.suspect_lifetime_s
+        if suspicion is Suspicion.CONVICTED:
+            lifetime_s = self._settings.quarantine_s
         record = SuspicionShared(
             f'suspicion/{fingerprint}',
             self._version,
-            self._settings.quarantine_s,
+            lifetime_s,
             fingerprint,
             suspicion,
         )
@@ -283,9 +261,10 @@
     def _share_trial(self, run: Run, *, over: bool = False) -> Output:
         self._version += 1
         record = TrialShared(
-            f'trial/{run.fingerprint}',
+            f'trial/{run.attempt_id}',
             self._version,
             self._settings.trial_lifetime_s,
+            run.attempt_id,
             run.fingerprint,
             run.target_id,
             over,
