Estimate decode by how much prefill keeps an engine busy

Cause: in a swing to long prompts the engines in the prefill role stood at a third of their prefill rate. The estimate took a queued prompt for one that keeps the engine at its prefill share for good, so nothing was admitted there, and short prompts were sent there all the same, since the engine time that they took from others counted too little. Ruled out: the role plan (its stress fell as planned) and the caches (hits stayed at a tenth throughout). Change: follow the part of the time in which prompts are queued, and weigh engine time by four.

--- a/packages/core/dandelionyoke_core/_load_estimate.py
+++ b/packages/core/dandelionyoke_core/_load_estimate.py
@@ -8,6 +8,8 @@
 
 from dandelionyoke_core._records import Role
 
+MOMENT_S = 0.001
+
 
 @attrs.frozen
 class RoleRates:
@@ -71,7 +73,8 @@
 class Load:
     """The load of a target, as far as it is known by now.
 
-    `used_blocks` counts what the calls there will grow to.
+    `used_blocks` counts what the calls there will grow to; `prefill_busy`
+    is the part of the time in which prompts were queued of late.
     """
 
     role: Role = Role.MIXED
@@ -80,6 +83,7 @@
     used_blocks: float = 0
     total_blocks: int = 0
     block_tokens: int = 16
+    prefill_busy: float = 0
 
 
 @attrs.frozen
@@ -114,8 +118,10 @@
     queue_s = load.prefill_tokens / prefill_rate
     first_token_s = queue_s + fresh / prefill_rate
     # Prefill takes its share of the time only while prompts are queued.
-    prefill_share = rates.prefill_share * min(1, 4 * first_token_s)
-    decode_rate = speed.decode_rate(load.role) * (1 - prefill_share)
+    decode_s = size.output_tokens / speed.stream_tokens_per_s
+    own_part = first_token_s / (first_token_s + decode_s + MOMENT_S)
+    busy_share = rates.prefill_share * max(load.prefill_busy, own_part)
+    decode_rate = speed.decode_rate(load.role) * (1 - busy_share)
     token_s = max(1 / speed.stream_tokens_per_s, (load.calls + 1) / decode_rate)
     return Estimate(
         queue_s=queue_s,
--- a/packages/core/dandelionyoke_core/_routing_settings.py
+++ b/packages/core/dandelionyoke_core/_routing_settings.py
@@ -31,7 +31,7 @@
     report_fresh_s: float = 6.0
     far_penalty_s: float = 0.05
     short_block_penalty_s: float = 0.05
-    engine_time_weight: float = 1.0
+    engine_time_weight: float = 4.0
     affinity_blocks: int = 8
     plain_slots: int = 16
     start_within_s: float = 0.5
--- a/packages/core/dandelionyoke_core/_target_state.py
+++ b/packages/core/dandelionyoke_core/_target_state.py
@@ -19,6 +19,8 @@
 # Ends are kept only until the next report; without one the target is
 # avoided soon, so the oldest may go.
 MAX_ENDED = 1024
+# Weight of one report in the part of the time with queued prompts.
+BUSY_LEARNING = 0.15
 
 
 @attrs.define
@@ -59,6 +61,7 @@
         factory=lambda: deque(maxlen=MAX_ENDED)
     )
     prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
+    prefill_busy: float = 0.0
     failures: int = 0
     avoid_until_s: float = NEVER_S
     left: bool = False
@@ -99,12 +102,15 @@
             used_blocks=max(0, report.kv_used_blocks + blocks),
             total_blocks=report.kv_total_blocks,
             block_tokens=report.block_tokens,
+            prefill_busy=self.prefill_busy,
         )
 
     def take(self, report: LoadReport, taken_s: float) -> None:
         """Replace the report by a newer one."""
         self.report = report
         self.taken_s = taken_s
+        busy = int(report.prefill_queue_tokens > 0)
+        self.prefill_busy += BUSY_LEARNING * (busy - self.prefill_busy)
         while self.ended and self.ended[0][0] <= taken_s:
             self.ended.popleft()
 
--- a/packages/core/dandelionyoke_core/_work_mix.py
+++ b/packages/core/dandelionyoke_core/_work_mix.py
@@ -10,7 +10,7 @@
 # Calls are sorted by the power of two of prompt to output tokens.
 LOWEST_BUCKET = -4
 HIGHEST_BUCKET = 9
-FAST_WINDOW_S = 15.0
+FAST_WINDOW_S = 8.0
 SLOW_WINDOW_S = 90.0
 # A bucket that is asked for less than this is not worth telling.
 LEAST_CALLS_PER_S = 0.005
