--- a/packages/core/dandelionyoke_core/_admission.py
+++ b/packages/core/dandelionyoke_core/_admission.py
@@ -100,7 +100,8 @@
         self._places[ticket.request_id] = ticket.service
         cost = self._cost(ticket.prompt_tokens, output_tokens)
         was_empty = not service.has_queue
-        service.queue.push(ticket, cost, self._weight(ticket))
+        run_s = 0 if outlook is None else outlook.run_s
+        service.queue.push(ticket, cost, self._weight(ticket), run_s)
         if was_empty and self._may_start(ticket, service, outlook, now_s):
             service.start_next()
             return Admitted()
@@ -276,7 +277,8 @@
             ticket = waiting.ticket
             limit_s = ticket.arrived_s + self._settings.queue_limit_s
             if ticket.deadline_s is not None:
-                limit_s = min(limit_s, ticket.deadline_s)
+                run_s = waiting.run_s * self._settings.deadline_margin
+                limit_s = min(limit_s, ticket.deadline_s - run_s)
             if now_s < limit_s:
                 continue
             self.withdraw(ticket.request_id, now_s)
--- a/packages/core/dandelionyoke_core/_capacity.py
+++ b/packages/core/dandelionyoke_core/_capacity.py
@@ -21,11 +21,15 @@
 
 @attrs.frozen
 class Outlook:
-    """What a call would find now: whether it could begin, and its times."""
+    """What a call would find now: whether it could begin, and its times.
+
+    `run_s` is what would be left of `total_s` without the queue there.
+    """
 
     has_room: bool
     first_token_s: float
     total_s: float
+    run_s: float
 
 
 class CapacityView(Protocol):
--- a/packages/core/dandelionyoke_core/_fair_queue.py
+++ b/packages/core/dandelionyoke_core/_fair_queue.py
@@ -17,12 +17,13 @@
 
 @attrs.frozen
 class Waiting:
-    """A queued call."""
+    """A queued call; `run_s` is what it is expected to take once it goes."""
 
     ticket: Ticket
     cost: float
     weight: float
     start: float
+    run_s: float
 
 
 @attrs.define
@@ -67,12 +68,14 @@
             if call.start <= start
         )
 
-    def push(self, ticket: Ticket, cost: float, weight: float) -> None:
+    def push(
+        self, ticket: Ticket, cost: float, weight: float, run_s: float
+    ) -> None:
         """Queue a call."""
         flow = self._flow(ticket)
         start = max(self._virtual, flow.finish)
         flow.finish = start + cost / weight
-        flow.calls.append(Waiting(ticket, cost, weight, start))
+        flow.calls.append(Waiting(ticket, cost, weight, start, run_s))
         self._size += 1
         self._cost += cost
 
--- a/packages/core/dandelionyoke_core/_routing.py
+++ b/packages/core/dandelionyoke_core/_routing.py
@@ -171,7 +171,12 @@
             and found.short_blocks <= 0
             and state.load().calls < self._slots(state)
         )
-        return Outlook(has_room, found.first_token_s, found.total_s)
+        return Outlook(
+            has_room,
+            found.first_token_s,
+            found.total_s,
+            found.total_s - found.queue_s,
+        )
 
     # The TargetView port.
 
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -53,7 +53,7 @@
     def outlook(
         self, service: ServiceName, size: WorkSize, now_s: float
     ) -> Outlook | None:
-        return Outlook(True, 0.1, 1) if self.slots else None
+        return Outlook(True, 0.1, 1, 1) if self.slots else None
 
 
 def make_admission(slots: int) -> AdmissionPart:
