--- a/packages/core/dandelionyoke_core/_choice.py
+++ b/packages/core/dandelionyoke_core/_choice.py
@@ -35,7 +35,7 @@
     ) -> TargetState:
         """Choose for a call; there must be a usable target."""
         near, far = self._split(usable, now_s)
-        ids = [*self._sampled(near, far), *self._pointed(need, near or far)]
+        ids = [*self._sampled(near, far), *self._pointed(need, usable, near, far)]
         if need.prefer is not None and need.prefer in usable:
             ids.append(need.prefer)
         states = [usable[target_id] for target_id in dict.fromkeys(ids)]
@@ -78,15 +78,24 @@
         return sampled + self._random.sample(far, min(rest, len(far)))
 
     def _pointed(
-        self, need: RouteNeed, ids: Sequence[TargetId]
+        self,
+        need: RouteNeed,
+        usable: States,
+        near: Sequence[TargetId],
+        far: Sequence[TargetId],
     ) -> list[TargetId]:
-        """Name the target that the prefix hashes to.
+        """Name the targets that the prefix hashes to.
 
         Cache events are late and have gaps; the hash brings calls with one
-        prefix together even while no event has told of it.
+        prefix together even while no event has told of it. Where all far
+        targets are known, all domains share one choice: their caches then
+        hold each prefix once, and domains are a fraction of a millisecond
+        apart.
         """
         if not need.blocks:
             return []
+        all_known = len(near) + len(far) == len(usable)
+        ids = [*near, *far] if all_known else near or far
         head = need.blocks[: self._settings.affinity_blocks][-1]
         return list(rendezvous(ids, head, MAX_HOLDERS))
 
--- a/packages/core/dandelionyoke_core/_poll_schedule.py
+++ b/packages/core/dandelionyoke_core/_poll_schedule.py
@@ -118,7 +118,7 @@
         return [state for state in near if state.target.target_id in names]
 
     def _far(self, now_s: float) -> list[TargetState]:
-        """Pick a few targets of other domains, to know where to turn.
+        """Pick the targets of other domains, or a few of many, to know where to turn.
 
         Without them an entry whose domain is full would not know which far
         target is idle; reading all of them would cost each entry as much as
@@ -132,8 +132,9 @@
             for state in self._table.of_service(service).values()
             if state.target.domain != self._domain
         ]
-        count = min(self._settings.far_polls, len(far))
-        return self._random.sample(far, count)
+        if len(far) <= self._settings.poll_all_below_far:
+            return far
+        return self._random.sample(far, self._settings.far_polls)
 
     def _share(self, now_s: float) -> list[Output]:
         here = self._peers.live_in_domain
--- a/packages/core/dandelionyoke_core/_routing_settings.py
+++ b/packages/core/dandelionyoke_core/_routing_settings.py
@@ -23,13 +23,14 @@
     jitter_share: float = 0.2
     watchers: int = 2
     far_polls: int = 2
+    poll_all_below_far: int = 16
     needed_s: float = 60.0
     poll_all_below_entries: int = 16
     sample: int = 3
     avoid_s: float = 3.0
     crash_failures: int = 3
     report_fresh_s: float = 6.0
-    far_penalty_s: float = 0.05
+    far_penalty_s: float = 0.01
     short_block_penalty_s: float = 0.05
     engine_time_weight: float = 4.0
     affinity_blocks: int = 8
--- a/packages/standins/dandelionyoke_standins/_policy_memory.py
+++ b/packages/standins/dandelionyoke_standins/_policy_memory.py
@@ -42,7 +42,7 @@
 
     def release(self, names: Iterable[str]) -> None:
         """Leave named blocks to the cache once nobody holds them."""
-        for name in names:
+        for name in reversed(tuple(names)):
             self._holders[name] -= 1
             if not self._holders[name]:
                 self._holders.pop(name)
