Bring calls with one prefix together from the first on

Cause: of the prompts of a swing to long histories, caches held a tenth. Ruled out: late cache events (of the hits that were expected, two thirds came true). Change: a call to the target that its prefix hashes to is worth the prefill that later calls may save, by how often this entry sees prefixes again.

--- a/packages/core/dandelionyoke_core/_choice.py
+++ b/packages/core/dandelionyoke_core/_choice.py
@@ -6,7 +6,9 @@
 from dandelionyoke_core._load_estimate import Estimate, WorkSize, estimate
 from dandelionyoke_core._names import Domain, TargetId
 from dandelionyoke_core._ports import RouteNeed
+from dandelionyoke_core._records import Role
 from dandelionyoke_core._rendezvous import rendezvous
+from dandelionyoke_core._reuse_estimate import ReuseEstimate
 from dandelionyoke_core._routing_settings import RoutingSettings
 from dandelionyoke_core._target_state import TargetState
 
@@ -24,9 +26,14 @@
     """
 
     def __init__(
-        self, settings: RoutingSettings, domain: Domain, random: Random
+        self,
+        settings: RoutingSettings,
+        domain: Domain,
+        reuse: ReuseEstimate,
+        random: Random,
     ) -> None:
         self._settings = settings
+        self._reuse = reuse
         self._domain = domain
         self._random = random
 
@@ -35,11 +42,15 @@
     ) -> TargetState:
         """Choose for a call; there must be a usable target."""
         near, far = self._split(usable, now_s)
-        ids = [*self._sampled(near, far), *self._pointed(need, usable, near, far)]
+        pointed = self._pointed(need, usable, near, far)
+        ids = [*self._sampled(near, far), *pointed]
         if need.prefer is not None and need.prefer in usable:
             ids.append(need.prefer)
         states = [usable[target_id] for target_id in dict.fromkeys(ids)]
-        return min(states, key=lambda state: self._cost(need, size, state))
+        home = pointed[0] if pointed else None
+        return min(
+            states, key=lambda state: self._cost(need, size, state, home)
+        )
 
     def outlook(
         self, size: WorkSize, usable: States, now_s: float
@@ -100,7 +111,11 @@
         return list(rendezvous(ids, head, MAX_HOLDERS))
 
     def _cost(
-        self, need: RouteNeed, size: WorkSize, state: TargetState
+        self,
+        need: RouteNeed,
+        size: WorkSize,
+        state: TargetState,
+        home: TargetId | None,
     ) -> float:
         cached = state.prefixes.overlap(need.blocks)
         if need.prefer == state.target.target_id:
@@ -111,8 +126,32 @@
         cost += found.short_blocks * settings.short_block_penalty_s
         if state.target.domain != self._domain:
             cost += settings.far_penalty_s
+        if state.target.target_id == home:
+            cost -= self._reuse_s(need, state)
         return cost
 
+    def _reuse_s(self, need: RouteNeed, state: TargetState) -> float:
+        """Time that later calls may save if this one goes to its home.
+
+        This entry sees a part of the calls only, so what it sees again
+        counts several times.
+        Without it the first calls with a prefix go wherever it is idle just
+        then, and each target computes and keeps the prefix once more.
+        """
+        tokens = len(need.blocks) * state.report.block_tokens
+        prefill_s = self._settings.speed.engine_s(tokens, 0, Role.MIXED)
+        weight = self._settings.engine_time_weight
+        seen = self._reuse.share(need.service)
+        reuse_share = self._settings.reuse_factor * seen
+        return (
+            weight
+            * prefill_s
+            * max(
+                self._settings.least_reuse_share,
+                min(self._settings.most_reuse_share, reuse_share),
+            )
+        )
+
     def _estimate(
         self, size: WorkSize, state: TargetState, cached_blocks: int
     ) -> Estimate:
--- a/packages/core/dandelionyoke_core/_routing.py
+++ b/packages/core/dandelionyoke_core/_routing.py
@@ -16,6 +16,7 @@
     Woken,
 )
 from dandelionyoke_core._fleet_view import TargetSight
+from dandelionyoke_core._fresh_shares import FreshShares
 from dandelionyoke_core._load_estimate import WorkSize
 from dandelionyoke_core._names import (
     AttemptId,
@@ -36,13 +37,11 @@
 )
 from dandelionyoke_core._reclaimable_budget import ReclaimableBudget
 from dandelionyoke_core._records import Role, Target
+from dandelionyoke_core._reuse_estimate import ReuseEstimate
 from dandelionyoke_core._routing_settings import RoutingSettings
 from dandelionyoke_core._target_state import NEVER_S, Sent, TargetState
 from dandelionyoke_core._target_table import TargetTable
 
-# Prompt tokens over which the share of cached prompts is averaged.
-FRESH_MEMORY_TOKENS = 100_000
-
 
 class RoutingPart:
     """Observes the targets and chooses one for each attempt."""
@@ -71,11 +70,12 @@
         self._settings = settings
         self._directory = directory
         self._table = TargetTable(settings)
-        self._chooser = Chooser(settings, domain, random)
+        self._fresh = FreshShares()
+        self._reuse = ReuseEstimate()
+        self._chooser = Chooser(settings, domain, self._reuse, random)
         self._schedule = PollSchedule(
             settings, peers, domain, instance_id, self._table, random
         )
-        self._fresh_shares: dict[ServiceName, float] = {}
         self._outputs: dict[ServiceName, OutputEstimate] = {}
         self._budgets: dict[ServiceName, ReclaimableBudget] = {}
 
@@ -128,7 +128,8 @@
         size = self._size(need)
         sent = Sent(need, now_s, cached_blocks, size.reserved_tokens)
         self._table.dispatched(attempt_id, target_id, sent)
-        self._learn_fresh(sent, state.report.block_tokens)
+        self._fresh.learn(sent, state.report.block_tokens)
+        self._reuse.learn(need)
         self._budget(need.service).add(
             self._engine_s(size), now_s, reclaimable=state.target.reclaimable
         )
@@ -198,7 +199,7 @@
 
     def fresh_share(self, service: ServiceName) -> float:
         """Tell which part of the prompts is not found in caches."""
-        return self._fresh_shares.get(service, 1)
+        return self._fresh.share(service)
 
     # What a call takes.
 
@@ -241,18 +242,6 @@
             output.high_tokens(need.max_output_tokens),
         )
 
-    def _learn_fresh(self, sent: Sent, block_tokens: int) -> None:
-        """Follow the share of prompts that caches do not hold."""
-        prompt_tokens = sent.need.prompt_tokens
-        if not prompt_tokens:
-            return
-        service = sent.need.service
-        seen = sent.fresh_tokens(block_tokens) / prompt_tokens
-        before = self._fresh_shares.get(service, 1)
-        # Weighted by size: a short prompt's miss costs next to nothing.
-        learning = min(1, prompt_tokens / FRESH_MEMORY_TOKENS)
-        self._fresh_shares[service] = before + learning * (seen - before)
-
     def _engine_s(self, size: WorkSize) -> float:
         return self._settings.speed.engine_s(
             size.prompt_tokens, size.output_tokens, Role.MIXED
--- a/packages/core/dandelionyoke_core/_routing_settings.py
+++ b/packages/core/dandelionyoke_core/_routing_settings.py
@@ -34,6 +34,9 @@
     short_block_penalty_s: float = 0.05
     engine_time_weight: float = 4.0
     affinity_blocks: int = 8
+    reuse_factor: float = 3.0
+    least_reuse_share: float = 0.1
+    most_reuse_share: float = 0.8
     plain_slots: int = 16
     start_within_s: float = 0.5
     max_token_s: float = 0.045
