Size the fleet by all its targets, and let the poorest domain grow

Cause: each domain compared its own entries' demand with its own targets, though work flows between domains. A domain with three engines for three entries looked full while the next one was idle, so it ordered targets that came after the swing. Ruled out: the slow mix (over all domains its stress stayed below the limit). Change: the size is judged over all targets; the domain with the fewest grows, the one with the most shrinks.

--- a/packages/core/dandelionyoke_core/_demand.py
+++ b/packages/core/dandelionyoke_core/_demand.py
@@ -127,16 +127,19 @@
             sum(one.calls_per_s for one in found),
         )
 
-    def mix(self, service: ServiceName, now_s: float) -> tuple[MixRow, ...]:
-        """Estimate the work that this domain's entries admit."""
+    def mix(
+        self, service: ServiceName, now_s: float, *, everywhere: bool
+    ) -> tuple[MixRow, ...]:
+        """Estimate the work that the entries are asked for."""
         own = self.meter.rows(service, now_s)
-        here = set(self._peers.live_in_domain)
+        peers = self._peers
+        asked = peers.live if everywhere else peers.live_in_domain
         if not self._is_small():
-            return tuple(row.scaled(len(here)) for row in own)
+            return tuple(row.scaled(len(asked)) for row in own)
         heard = [
             row
             for one in self._fresh(now_s)
-            if one.record.instance_id in here
+            if one.record.instance_id in asked
             for row in one.record.mix
             if row.service == service
         ]
--- a/packages/core/dandelionyoke_core/_fleet.py
+++ b/packages/core/dandelionyoke_core/_fleet.py
@@ -114,7 +114,8 @@
     ) -> list[Output]:
         name = service.service_name
         place = FleetPlace(self._domain, name, duty.fence)
-        mix = self._work.mix(name, now_s)
+        mix = self._work.mix(name, now_s, everywhere=False)
+        whole = self._work.mix(name, now_s, everywhere=True)
         fresh_share = self._targets.fresh_share(name)
         deciders = self._deciders_of(name)
         sights = self._targets.sights(name, now_s)
@@ -127,7 +128,7 @@
         )
         outputs.extend(
             deciders.size.decide(
-                place, service, _slow_rows(mix, fresh_share), sights, now_s
+                place, service, _slow_rows(whole, fresh_share), sights, now_s
             )
         )
         return outputs
--- a/packages/core/dandelionyoke_core/_fleet_size.py
+++ b/packages/core/dandelionyoke_core/_fleet_size.py
@@ -9,6 +9,7 @@
 from dandelionyoke_core._fleet_notices import TargetsWanted
 from dandelionyoke_core._fleet_settings import FleetSettings
 from dandelionyoke_core._fleet_view import FleetPlace, TargetSight
+from dandelionyoke_core._names import Domain
 from dandelionyoke_core._role_plan import WorkRow, stress
 
 
@@ -17,7 +18,9 @@
     """Decides on the number of targets of one service in one domain.
 
     New targets come too late for a swing, so it looks at the slow mix, and
-    only at what has lasted.
+    only at what has lasted. Work flows between domains, so it looks at all
+    targets; of the domains, the poorest grows and the richest shrinks. In a
+    cut each side sees its own targets and decides for itself.
     """
 
     settings: FleetSettings
@@ -34,22 +37,47 @@
         now_s: float,
     ) -> list[TargetsWanted]:
         """Ask for one more target, or one less, or nothing."""
-        here = [
-            sight for sight in sights if sight.target.domain == place.domain
-        ]
-        usable = [sight for sight in here if sight.is_usable]
-        if not usable or now_s < self._quiet_until_s:
+        usable = [sight for sight in sights if sight.is_usable]
+        here = [one for one in usable if one.target.domain == place.domain]
+        if not here or now_s < self._quiet_until_s:
             return []
         self._note(rows, usable, now_s)
-        settings = self.settings
-        if _lasted(self._full_since_s, settings.grow_after_s, now_s):
-            if len(sights) < service.max_targets:
-                return self._settle(_grow(place, service, sights), now_s)
-        if _lasted(self._idle_since_s, settings.shrink_after_s, now_s):
-            if len(sights) > service.min_targets and len(here) > 1:
-                return self._settle(_shrink(place, usable), now_s)
+        if self._may_grow(place, service, sights, now_s):
+            return self._settle(_grow(place, service, sights), now_s)
+        if self._may_shrink(place, service, sights, now_s):
+            return self._settle(_shrink(place, here), now_s)
         return []
 
+    def _may_grow(
+        self,
+        place: FleetPlace,
+        service: Service,
+        sights: Sequence[TargetSight],
+        now_s: float,
+    ) -> bool:
+        after_s = self.settings.grow_after_s
+        if not _lasted(self._full_since_s, after_s, now_s):
+            return False
+        by_domain = _by_domain(sights)
+        poorest = min(by_domain, key=lambda name: (by_domain[name], name))
+        return len(sights) < service.max_targets and poorest == place.domain
+
+    def _may_shrink(
+        self,
+        place: FleetPlace,
+        service: Service,
+        sights: Sequence[TargetSight],
+        now_s: float,
+    ) -> bool:
+        after_s = self.settings.shrink_after_s
+        if not _lasted(self._idle_since_s, after_s, now_s):
+            return False
+        by_domain = _by_domain(sights)
+        richest = max(by_domain, key=lambda name: (by_domain[name], name))
+        if len(sights) <= service.min_targets or by_domain[richest] < 2:
+            return False
+        return richest == place.domain
+
     def _note(
         self,
         rows: Sequence[WorkRow],
@@ -98,6 +126,10 @@
     )
 
 
+def _by_domain(sights: Sequence[TargetSight]) -> Counter[Domain]:
+    return Counter(sight.target.domain for sight in sights)
+
+
 def _dearest(usable: Sequence[TargetSight]) -> TargetSight:
     """Choose what to give back: a steady target before a cheap one.
 
--- a/packages/core/dandelionyoke_core/_fleet_view.py
+++ b/packages/core/dandelionyoke_core/_fleet_view.py
@@ -35,8 +35,10 @@
 class WorkView(Protocol):
     """Shows what is asked for."""
 
-    def mix(self, service: ServiceName, now_s: float) -> tuple[MixRow, ...]:
-        """Estimate the work that this domain's entries are asked for."""
+    def mix(
+        self, service: ServiceName, now_s: float, *, everywhere: bool
+    ) -> tuple[MixRow, ...]:
+        """Estimate the work that entries are asked for, here or everywhere."""
 
 
 @attrs.frozen
