Read the long list of targets in two places of a large domain

The list of 890 targets is about 130 KB; read by each entry every two seconds it would take five times what a node may spend on control. Two entries of a large domain read it and tell the rest what changed. Versions of shared records go on from the clock's, so that a process that starts again under its name is heard.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -210,6 +210,7 @@
 from dandelionyoke_core._routing_settings import (
     RoutingSettings as RoutingSettings,
 )
+from dandelionyoke_core._target_changes import TargetsShared as TargetsShared
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
--- a/packages/core/dandelionyoke_core/_admission.py
+++ b/packages/core/dandelionyoke_core/_admission.py
@@ -60,8 +60,8 @@
     def handle(self, event: Event, now_s: float) -> list[Output]:
         """Take an event and say what follows from it."""
         match event:
-            case Started():
-                self._demand.start(now_s)
+            case Started(wall_s=wall_s):
+                self._demand.start(now_s, wall_s)
                 self._limits.entries_known(len(self._peers.live), now_s)
             case Woken():
                 return [*self._demand.share(now_s), *self._wake(now_s)]
--- a/packages/core/dandelionyoke_core/_demand.py
+++ b/packages/core/dandelionyoke_core/_demand.py
@@ -24,6 +24,7 @@
 from dandelionyoke_core._work_mix import MixRow, WorkMeter
 
 MAX_ORGANISATIONS = 4096
+VERSIONS_PER_S = 1000
 
 
 @attrs.frozen
@@ -149,8 +150,13 @@
         """Tell when the demand is to be shared again."""
         return self._next_s
 
-    def start(self, now_s: float) -> None:
-        """Begin to share."""
+    def start(self, now_s: float, wall_s: float) -> None:
+        """Begin to share; versions go on from the clock's.
+
+        A process that starts again under its instance's name would else
+        begin with versions that its peers take for old.
+        """
+        self._version = int(wall_s * VERSIONS_PER_S)
         self._next_s = now_s
 
     def share(self, now_s: float) -> list[Output]:
--- a/packages/core/dandelionyoke_core/_poll_schedule.py
+++ b/packages/core/dandelionyoke_core/_poll_schedule.py
@@ -12,10 +12,14 @@
     watched,
 )
 from dandelionyoke_core._ports import Output, Peers
+from dandelionyoke_core._rendezvous import rendezvous
 from dandelionyoke_core._routing_settings import RoutingSettings
+from dandelionyoke_core._target_changes import TargetsShared
 from dandelionyoke_core._target_state import TargetState
 from dandelionyoke_core._target_table import TargetTable
 
+VERSIONS_PER_S = 1000
+
 
 class JitteredTimer:
     """A timer whose every interval is stretched or cut at random.
@@ -36,13 +40,13 @@
         """Be due at once."""
         self.due_s = now_s
 
-    def rings(self, now_s: float) -> bool:
+    def rings(self, now_s: float, slower: float = 1) -> bool:
         """Tell whether it is due, and if so set it again."""
         if self.due_s is None or now_s < self.due_s:
             return False
         share = self._jitter_share
         stretch = self._random.uniform(1 - share, 1 + share)
-        self.due_s = now_s + self._interval_s * stretch
+        self.due_s = now_s + self._interval_s * stretch * slower
         return True
 
 
@@ -72,8 +76,13 @@
         self._caches = JitteredTimer(settings.cache_interval_s, jitter, random)
         self._shares = JitteredTimer(settings.share_interval_s, jitter, random)
 
-    def start(self, now_s: float) -> None:
-        """Make every reading due."""
+    def start(self, now_s: float, wall_s: float) -> None:
+        """Make every reading due; versions go on from the clock's.
+
+        A process that starts again under its instance's name would else
+        begin with versions that its peers take for old.
+        """
+        self._version = int(wall_s * VERSIONS_PER_S)
         for timer in self._timers():
             timer.start(now_s)
 
@@ -89,7 +98,8 @@
     def due(self, now_s: float) -> list[Output]:
         """Ask for the readings that are due now."""
         outputs: list[Output] = []
-        if self._lists.rings(now_s):
+        seldom = 1 if self._is_lister() else self._settings.seldom_list_factor
+        if self._lists.rings(now_s, seldom):
             outputs.append(ListTargets())
         if self._loads.rings(now_s):
             outputs.extend(_poll_loads(self._watched()))
@@ -143,16 +153,39 @@
         states = self._watched()
         since_s = now_s - self._settings.share_interval_s * 2
         heard = [state for state in states if state.heard_s >= since_s]
-        self._version += 1
         record = share_loads(
             f'loads/{self._instance_id}',
-            self._version,
+            self._next_version(),
             self._settings.share_lifetime_s,
             [(state.target.target_id, state.report) for state in heard],
             tuple(state.target.target_id for state in states if state.failures),
         )
+        return [ShareRecord(record), *self._share_changes(now_s)]
+
+    def _share_changes(self, now_s: float) -> list[Output]:
+        changed, gone = self._table.changes.latest(now_s)
+        if not self._is_lister() or not (changed or gone):
+            return []
+        record = TargetsShared(
+            record_key=f'targets/{self._instance_id}',
+            version=self._next_version(),
+            lifetime_s=self._settings.share_lifetime_s,
+            changed=changed,
+            gone=gone,
+        )
         return [ShareRecord(record)]
 
+    def _is_lister(self) -> bool:
+        here = self._peers.live_in_domain
+        if is_watched_by_all(self._settings, here):
+            return True
+        listers = rendezvous(here, 'targets', self._settings.watchers)
+        return self._instance_id in listers
+
+    def _next_version(self) -> int:
+        self._version += 1
+        return self._version
+
 
 def _poll_loads(states: Iterable[TargetState]) -> list[Output]:
     return [
--- a/packages/core/dandelionyoke_core/_routing.py
+++ b/packages/core/dandelionyoke_core/_routing.py
@@ -82,7 +82,7 @@
     def handle(self, event: Event, now_s: float) -> list[Output]:
         """Take an event and say what follows from it."""
         if isinstance(event, Started):
-            self._schedule.start(now_s)
+            self._schedule.start(now_s, event.wall_s)
         if isinstance(event, Started | Woken):
             return self._schedule.due(now_s)
         return self._table.learn(event, now_s)
--- a/packages/core/dandelionyoke_core/_target_table.py
+++ b/packages/core/dandelionyoke_core/_target_table.py
@@ -19,6 +19,10 @@
 from dandelionyoke_core._ports import Output
 from dandelionyoke_core._records import LoadReport, Presence, Target
 from dandelionyoke_core._routing_settings import RoutingSettings
+from dandelionyoke_core._target_changes import (
+    RecentChanges,
+    TargetsShared,
+)
 from dandelionyoke_core._target_state import (
     Sent,
     TargetState,
@@ -30,6 +34,7 @@
     """Every known target with its last report and this entry's attempts."""
 
     def __init__(self, settings: RoutingSettings) -> None:
+        self.changes = RecentChanges()
         self._settings = settings
         self._states: dict[TargetId, TargetState] = {}
         self._services: dict[ServiceName, dict[TargetId, TargetState]] = {}
@@ -39,7 +44,7 @@
         """Take in what is told of targets."""
         match event:
             case TargetsListed(targets=targets):
-                return self._listed(targets)
+                return self._listed(targets, now_s)
             case LoadReported(target_id=target_id, report=report):
                 return self._take(target_id, report, now_s)
             case TargetUnreachable(target_id=target_id):
@@ -48,8 +53,10 @@
                 self._cache_reported(event)
             case TargetLeaving(target_id=target_id):
                 self._leave(target_id)
-            case RecordLearned(record=LoadsShared() as shared):
-                return self._loads_shared(shared, now_s)
+            case RecordLearned(record=LoadsShared() as loads):
+                return self._loads_shared(loads, now_s)
+            case RecordLearned(record=TargetsShared() as news):
+                return self._targets_shared(news, now_s)
         return []
 
     def find(self, target_id: TargetId) -> TargetState | None:
@@ -93,35 +100,61 @@
         target_id = self._places.get(attempt_id)
         return None if target_id is None else self._states.get(target_id)
 
-    def _listed(self, targets: tuple[Target, ...]) -> list[Output]:
+    def _listed(
+        self, targets: tuple[Target, ...], now_s: float
+    ) -> list[Output]:
         outputs: list[Output] = []
+        is_first = not self._states
         for target in targets:
+            outputs.extend(self._put(target, now_s))
+        if is_first:
+            # The others have read the list too: it is news to none.
+            self.changes.forget()
+        listed = {target.target_id for target in targets}
+        for target_id in set(self._states) - listed:
+            self._unlist(target_id, now_s)
+        return outputs
+
+    def _targets_shared(
+        self, news: TargetsShared, now_s: float
+    ) -> list[Output]:
+        outputs: list[Output] = []
+        for target in news.changed:
             state = self._states.get(target.target_id)
-            if state is None:
-                state = TargetState(target, unknown_report(target))
-                self._add(state)
-            if _begins_to_leave(state.target, target):
-                outputs.append(
-                    TargetLeaving(target.target_id, target.state.value)
-                )
-            state.target = target
-            state.listed = True
-        self._drop_unlisted({target.target_id for target in targets})
+            # News may be older than what the list said here; a target
+            # that leaves does not come back under its name.
+            if state is None or target.state is not Presence.LIVE:
+                outputs.extend(self._put(target, now_s))
+        for target_id in news.gone:
+            if target_id in self._states:
+                self._unlist(target_id, now_s)
         return outputs
 
-    def _add(self, state: TargetState) -> None:
-        target = state.target
-        self._states[target.target_id] = state
-        service = self._services.setdefault(target.service, {})
-        service[target.target_id] = state
+    def _put(self, target: Target, now_s: float) -> list[Output]:
+        state = self._states.get(target.target_id)
+        if state is None:
+            state = TargetState(target, unknown_report(target))
+            self._states[target.target_id] = state
+            service = self._services.setdefault(target.service, {})
+            service[target.target_id] = state
+            self.changes.note(target, now_s)
+        elif state.target != target:
+            self.changes.note(target, now_s)
+        leaves = _begins_to_leave(state.target, target)
+        state.target = target
+        state.listed = True
+        if leaves:
+            return [TargetLeaving(target.target_id, target.state.value)]
+        return []
 
-    def _drop_unlisted(self, listed: set[TargetId]) -> None:
-        for target_id in set(self._states) - listed:
-            state = self._states[target_id]
-            state.listed = False
-            if not state.sent:
-                self._states.pop(target_id)
-                self._services[state.target.service].pop(target_id)
+    def _unlist(self, target_id: TargetId, now_s: float) -> None:
+        state = self._states[target_id]
+        if state.listed:
+            self.changes.note_gone(target_id, now_s)
+        state.listed = False
+        if not state.sent:
+            self._states.pop(target_id)
+            self._services[state.target.service].pop(target_id)
 
     def _loads_shared(self, shared: LoadsShared, now_s: float) -> list[Output]:
         outputs: list[Output] = []
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -10,6 +10,7 @@
 from dandelionyoke_core import (
     CacheEvent,
     CacheEventsReported,
+    ListTargets,
     LoadReport,
     LoadReported,
     LoadsShared,
@@ -24,6 +25,7 @@
     TargetId,
     TargetLeaving,
     TargetsListed,
+    TargetsShared,
     TargetUnreachable,
     Woken,
     WorkSize,
@@ -312,6 +314,7 @@
                     part.handle(event, 1)
             shares = part.handle(Woken(), 3)
             records += [out for out in shares if isinstance(out, ShareRecord)]
+        self.assertEqual(68, len(records))
         self.assertEqual({2}, set(polls.values()))
         self.assertEqual(148, len(polls))
         for share in records:
@@ -321,6 +324,44 @@
             parts[0].handle(RecordLearned(record, HERE), 9)
         self.assertEqual({7}, set(calls_at(parts[0]).values()))
 
+    def test_two_read_the_list_and_all_learn_of_a_reclaim(self) -> None:
+        """A zone's cheap targets are reclaimed on a few seconds' notice.
+
+        An entry that reads the long list once a minute would send callers
+        to targets that are about to vanish.
+        """
+        entries = tuple(entry(number) for number in range(68))
+        peers = FixedPeers(entries * 6, entries)
+        targets = make_targets(9)
+        reclaimed = attrs.evolve(targets[0], state=Presence.RECLAIMED)
+        fresh = make_targets(10)[9]
+        parts = {
+            name: make_routing(targets, peers=peers, here=name)
+            for name in entries
+        }
+        listers = []
+        for name, part in parts.items():
+            part.handle(Woken(), 0)
+            if ListTargets() in part.handle(Woken(), 3):
+                listers.append(name)
+        self.assertEqual(2, len(listers))
+        teller = parts[listers[0]]
+        teller.handle(TargetsListed((reclaimed, *targets[2:], fresh)), 3)
+        (news,) = [
+            out.record
+            for out in teller.handle(Woken(), 9)
+            if isinstance(out, ShareRecord)
+            and isinstance(out.record, TargetsShared)
+        ]
+        record = message_from_mapping(message_to_mapping(news))
+        other = next(parts[name] for name in entries if name not in listers)
+        for _ in range(2):
+            outputs = other.handle(RecordLearned(record, listers[0]), 9)
+        self.assertEqual([], outputs)
+        self.assertEqual(reclaimed, other.find(targets[0].target_id))
+        self.assertIsNone(other.find(targets[1].target_id))
+        self.assertEqual(fresh, other.find(fresh.target_id))
+
     @given(
         st.lists(
             st.tuples(st.booleans(), st.integers(0, 9), st.booleans()),
