Tell a large fleet only of demand that presses and of loads once

Change: in a large fleet an entry tells only of organisations that ask for more than 0.7 of an equal part of their limits, and only the first of a target's two watchers shares its load.

--- a/packages/core/dandelionyoke_core/_admission_settings.py
+++ b/packages/core/dandelionyoke_core/_admission_settings.py
@@ -30,5 +30,6 @@
     demand_lifetime_s: float = 5.0
     share_all_below_entries: int = 16
     shared_organisations: int = 64
+    pressing_share: float = 0.7
     reserved_share: float = 0.2
     no_target_retry_s: float = 1.0
--- a/packages/core/dandelionyoke_core/_demand.py
+++ b/packages/core/dandelionyoke_core/_demand.py
@@ -11,6 +11,7 @@
 import attrs
 
 from dandelionyoke_core._admission_settings import AdmissionSettings
+from dandelionyoke_core._entities import Organisation
 from dandelionyoke_core._events import SharedRecord
 from dandelionyoke_core._names import (
     InstanceId,
@@ -72,11 +73,20 @@
 
 @attrs.define
 class OwnDemand:
-    """One organisation's demand at this entry."""
+    """One organisation's demand at this entry, and its limits."""
 
+    organisation: Organisation
     tokens: DecayingRate
     calls: DecayingRate
 
+    def presses(self, entries: int, share: float, now_s: float) -> bool:
+        """Tell whether it asks for much of an equal part of its limits."""
+        limits = self.organisation
+        part = share / entries
+        if self.tokens.per_s(now_s) > limits.tokens_per_s * part:
+            return True
+        return self.calls.per_s(now_s) > limits.requests_per_s * part
+
 
 class DemandTable:
     """Demand here and elsewhere."""
@@ -95,6 +105,7 @@
         self._told: dict[OrganisationId, Asked] = {}
         self._heard: dict[InstanceId, Heard] = {}
         self._version = 0
+        self._has_told = False
         self._next_s: float | None = None
 
     def count(self, ticket: Ticket, output_tokens: float, now_s: float) -> None:
@@ -104,8 +115,13 @@
         if own is None:
             self._make_room(now_s)
             window_s = self._settings.rate_window_s
-            own = OwnDemand(DecayingRate(window_s), DecayingRate(window_s))
+            own = OwnDemand(
+                ticket.organisation,
+                DecayingRate(window_s),
+                DecayingRate(window_s),
+            )
             self._own[name] = own
+        own.organisation = ticket.organisation
         own.tokens.add(ticket.prompt_tokens + output_tokens, now_s)
         own.calls.add(1, now_s)
 
@@ -168,10 +184,15 @@
         is_small = self._is_small()
         mix = self.meter.every_row(now_s) if is_small else ()
         record = self._record(self._told, is_sum=False, mix=mix)
-        outputs: list[Output] = [ShareRecord(record, is_small)]
+        outputs: list[Output] = []
+        if is_small or self._told or self._has_told:
+            outputs.append(ShareRecord(record, is_small))
+        # One empty record takes back what was told before it.
+        self._has_told = bool(self._told)
         if not is_small and self._is_summing():
             total = self._record(self._domain_asked(now_s), is_sum=True)
-            outputs.append(ShareRecord(total, everywhere=True))
+            if total.organisations:
+                outputs.append(ShareRecord(total, everywhere=True))
         return outputs
 
     def _record(
@@ -201,9 +222,17 @@
         )
 
     def _own_asked(self, now_s: float) -> dict[OrganisationId, Asked]:
+        """Give the demand that the others have to know.
+
+        In a large fleet that is what presses: an organisation that asks for
+        less than an equal part of its limits is served without any news.
+        """
+        share = 0 if self._is_small() else self._settings.pressing_share
+        entries = max(1, len(self._peers.live))
         return {
             name: Asked(own.tokens.per_s(now_s), own.calls.per_s(now_s))
             for name, own in self._own.items()
+            if own.presses(entries, share, now_s)
         }
 
     def _domain_asked(self, now_s: float) -> dict[OrganisationId, Asked]:
--- a/packages/core/dandelionyoke_core/_poll_schedule.py
+++ b/packages/core/dandelionyoke_core/_poll_schedule.py
@@ -19,6 +19,9 @@
 from dandelionyoke_core._target_table import TargetTable
 
 VERSIONS_PER_S = 1000
+# What was missed so often in a row is taken for gone.
+MISSED_POLLS = 4
+MISSED_SHARES = 6
 
 
 class JitteredTimer:
@@ -70,6 +73,7 @@
         self._random = random
         self._needed: dict[ServiceName, float] = {}
         self._version = 0
+        self._started_s = 0.0
         jitter = settings.jitter_share
         self._lists = JitteredTimer(settings.list_interval_s, jitter, random)
         self._loads = JitteredTimer(settings.poll_interval_s, jitter, random)
@@ -83,6 +87,7 @@
         begin with versions that its peers take for old.
         """
         self._version = int(wall_s * VERSIONS_PER_S)
+        self._started_s = now_s
         for timer in self._timers():
             timer.start(now_s)
 
@@ -106,7 +111,9 @@
             outputs.extend(_poll_loads(self._far(now_s)))
         if self._caches.rings(now_s):
             outputs.extend(_poll_caches(self._watched()))
-        if self._shares.rings(now_s):
+        here = len(self._peers.live_in_domain)
+        slower = max(1, here / self._settings.entries_per_share)
+        if self._shares.rings(now_s, slower):
             outputs.extend(self._share(now_s))
         return outputs
 
@@ -150,18 +157,34 @@
         here = self._peers.live_in_domain
         if is_watched_by_all(self._settings, here):
             return []
-        states = self._watched()
-        since_s = now_s - self._settings.share_interval_s * 2
+        since_s = now_s - self._settings.poll_interval_s * MISSED_POLLS
+        states = [one for one in self._watched() if self._tells(one, now_s)]
         heard = [state for state in states if state.heard_s >= since_s]
+        silent = [state for state in states if state.failures]
+        if not heard and not silent:
+            return self._share_changes(now_s)
         record = share_loads(
             f'loads/{self._instance_id}',
             self._next_version(),
             self._settings.share_lifetime_s,
             [(state.target.target_id, state.report) for state in heard],
-            tuple(state.target.target_id for state in states if state.failures),
+            tuple(state.target.target_id for state in silent),
         )
         return [ShareRecord(record), *self._share_changes(now_s)]
 
+    def _tells(self, state: TargetState, now_s: float) -> bool:
+        """Tell whether this entry is the one that shares a target's load.
+
+        The first of its watchers does; the second only when nobody has for
+        a while, as when the first has just gone.
+        """
+        here = self._peers.live_in_domain
+        first = rendezvous(here, state.target.target_id, 1)
+        if self._instance_id in first:
+            return True
+        silent_s = self._settings.share_interval_s * MISSED_SHARES
+        return now_s - max(state.shared_s, self._started_s) > silent_s
+
     def _share_changes(self, now_s: float) -> list[Output]:
         changed, gone = self._table.changes.latest(now_s)
         if not self._is_lister() or not (changed or gone):
--- a/packages/core/dandelionyoke_core/_routing_settings.py
+++ b/packages/core/dandelionyoke_core/_routing_settings.py
@@ -21,6 +21,7 @@
     poll_interval_s: float = 0.5
     cache_interval_s: float = 1.0
     share_interval_s: float = 2.0
+    entries_per_share: int = 32
     jitter_share: float = 0.2
     watchers: int = 2
     far_polls: int = 2
--- a/packages/core/dandelionyoke_core/_target_state.py
+++ b/packages/core/dandelionyoke_core/_target_state.py
@@ -56,6 +56,7 @@
     report: LoadReport
     taken_s: float = NEVER_S
     heard_s: float = NEVER_S
+    shared_s: float = NEVER_S
     sent: dict[AttemptId, Sent] = attrs.field(factory=dict)
     ended: deque[tuple[float, Sent]] = attrs.field(
         factory=lambda: deque(maxlen=MAX_ENDED)
--- a/packages/core/dandelionyoke_core/_target_table.py
+++ b/packages/core/dandelionyoke_core/_target_table.py
@@ -159,6 +159,9 @@
     def _loads_shared(self, shared: LoadsShared, now_s: float) -> list[Output]:
         outputs: list[Output] = []
         for target_id, report in shared.reports():
+            state = self._states.get(target_id)
+            if state is not None:
+                state.shared_s = now_s
             outputs.extend(self._take(target_id, report, now_s))
         for target_id in shared.unreachable:
             outputs.extend(self._missed(target_id, now_s))
