--- a/packages/standins/dandelionyoke_standins/_policy_scenarios.py
+++ b/packages/standins/dandelionyoke_standins/_policy_scenarios.py
@@ -5,6 +5,7 @@
 
 from dandelionyoke_core import Domain, OrganisationId, ServiceName
 from dandelionyoke_standins._policy_deployments import AFORO, MWAKILEMA
+from dandelionyoke_standins._policy_engine import EngineFakeSettings
 from dandelionyoke_standins._policy_runs import Fault, Scenario
 from dandelionyoke_standins._policy_workload import (
     Demand,
@@ -15,6 +16,7 @@
 
 RECLAIM_NOTICE_S = 5.0
 SURGE = 10.0
+SLOW = 0.6
 SWING_S = (60.0, 150.0, 210.0)
 
 # Calls a second of each class: before, through and after a swing.
@@ -63,6 +65,9 @@
             ((60, _cut(away)), (120, _heal)),
         ),
         Scenario('greedy', deployment, _steady(deployment, greedy)),
+        Scenario(
+            'slow engines', deployment, _scaled(swing, SLOW), engine=_slow()
+        ),
     ]
 
 
@@ -86,6 +91,26 @@
     return Demand((Phase(SWING_S[1], mean),), surges)
 
 
+def _scaled(demand: Demand, factor: float) -> Demand:
+    phases = tuple(
+        Phase(
+            phase.until_s,
+            {name: rate * factor for name, rate in phase.rates.items()},
+        )
+        for phase in demand.phases
+    )
+    return Demand(phases, demand.surges)
+
+
+def _slow() -> EngineFakeSettings:
+    """Engines slower than any setting of the system says."""
+    usual = EngineFakeSettings()
+    return EngineFakeSettings(
+        prefill_tokens_per_s=usual.prefill_tokens_per_s * SLOW,
+        decode_tokens_per_s=usual.decode_tokens_per_s * SLOW,
+    )
+
+
 def _crash(service: ServiceName) -> Fault:
     def strike(world: World) -> None:
         box = next(
