--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -322,6 +322,9 @@
     StoreLayoutSettings as StoreLayoutSettings,
     Unsettled as Unsettled,
 )
+from dandelionyoke_core._target_changes import (
+    TargetsShared as TargetsShared,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
--- a/packages/core/dandelionyoke_core/_admission.py
+++ b/packages/core/dandelionyoke_core/_admission.py
@@ -60,8 +60,8 @@
     def handle(self, event: Event, now_s: float) -> list[Output]:
         """Take an event and say what follows from it."""
         match event:
-            case Started():
-                self._demand.start(now_s)
+            case Started(wall_s=wall_s):
+                self._demand.start(now_s, wall_s)
                 self._limits.entries_known(len(self._peers.live), now_s)
             case Woken():
                 return [*self._demand.share(now_s), *self._wake(now_s)]
@@ -76,9 +76,11 @@
         due = (self._due_s, self._demand.next_wakeup_s())
         return min((due_s for due_s in due if due_s is not None), default=None)
 
-    def mix(self, service: ServiceName, now_s: float) -> tuple[MixRow, ...]:
-        """Estimate the work that this domain's entries are asked for."""
-        return self._demand.mix(service, now_s)
+    def mix(
+        self, service: ServiceName, now_s: float, *, everywhere: bool
+    ) -> tuple[MixRow, ...]:
+        """Estimate the work that entries are asked for, here or everywhere."""
+        return self._demand.mix(service, now_s, everywhere=everywhere)
 
     # The Admitter port.
 
@@ -100,7 +102,8 @@
         self._places[ticket.request_id] = ticket.service
         cost = self._cost(ticket.prompt_tokens, output_tokens)
         was_empty = not service.has_queue
-        service.queue.push(ticket, cost, self._weight(ticket))
+        run_s = 0 if outlook is None else outlook.run_s
+        service.queue.push(ticket, cost, self._weight(ticket), run_s)
         if was_empty and self._may_start(ticket, service, outlook, now_s):
             service.start_next()
             return Admitted()
@@ -276,7 +279,8 @@
             ticket = waiting.ticket
             limit_s = ticket.arrived_s + self._settings.queue_limit_s
             if ticket.deadline_s is not None:
-                limit_s = min(limit_s, ticket.deadline_s)
+                run_s = waiting.run_s * self._settings.deadline_margin
+                limit_s = min(limit_s, ticket.deadline_s - run_s)
             if now_s < limit_s:
                 continue
             self.withdraw(ticket.request_id, now_s)
--- a/packages/core/dandelionyoke_core/_target_state.py
+++ b/packages/core/dandelionyoke_core/_target_state.py
@@ -19,6 +19,8 @@
 # Ends are kept only until the next report; without one the target is
 # avoided soon, so the oldest may go.
 MAX_ENDED = 1024
+# Weight of one report in the part of the time with queued prompts.
+BUSY_LEARNING = 0.15
 
 
 @attrs.define
@@ -54,11 +56,13 @@
     report: LoadReport
     taken_s: float = NEVER_S
     heard_s: float = NEVER_S
+    shared_s: float = NEVER_S
     sent: dict[AttemptId, Sent] = attrs.field(factory=dict)
     ended: deque[tuple[float, Sent]] = attrs.field(
         factory=lambda: deque(maxlen=MAX_ENDED)
     )
     prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
+    prefill_busy: float = 0.0
     failures: int = 0
     avoid_until_s: float = NEVER_S
     left: bool = False
@@ -87,7 +91,7 @@
             calls += int(self._is_news(sent))
             fresh_tokens += self._fresh_correction(sent)
             blocks += self._blocks_to_come(sent)
-        for _, gone in self.ended:
+        for gone in self._gone():
             calls -= 1
             blocks -= self._blocks(gone.held_tokens()) - gone.cached_blocks
             if gone.first_s is None or gone.first_s >= self.taken_s:
@@ -99,12 +103,15 @@
             used_blocks=max(0, report.kv_used_blocks + blocks),
             total_blocks=report.kv_total_blocks,
             block_tokens=report.block_tokens,
+            prefill_busy=self.prefill_busy,
         )
 
     def take(self, report: LoadReport, taken_s: float) -> None:
         """Replace the report by a newer one."""
         self.report = report
         self.taken_s = taken_s
+        busy = int(report.prefill_queue_tokens > 0)
+        self.prefill_busy += BUSY_LEARNING * (busy - self.prefill_busy)
         while self.ended and self.ended[0][0] <= taken_s:
             self.ended.popleft()
 
@@ -136,10 +143,16 @@
     def finish(self, attempt_id: AttemptId, now_s: float) -> Sent | None:
         """Move an attempt from what is in progress to what has ended."""
         sent = self.sent.pop(attempt_id, None)
-        if sent is not None and not self._is_news(sent):
+        # A call that the present report does not show yet is kept too: the
+        # next report may have been taken while it still ran.
+        if sent is not None:
             self.ended.append((now_s, sent))
         return sent
 
+    def _gone(self) -> list[Sent]:
+        """Give the calls that the report shows and that have ended."""
+        return [sent for _, sent in self.ended if not self._is_news(sent)]
+
     def _is_news(self, sent: Sent) -> bool:
         return sent.sent_s >= self.taken_s
 
@@ -166,7 +179,7 @@
         engine would have to preempt.
         """
         known = sum(not self._is_news(sent) for sent in self.sent.values())
-        known += len(self.ended)
+        known += len(self._gone())
         report = self.report
         others = max(0, report.running + report.waiting - known)
         if not others or not self.sent:
