--- a/packages/operator/dandelionyoke_operator/commands/_commit.py
+++ b/packages/operator/dandelionyoke_operator/commands/_commit.py
@@ -23,7 +23,7 @@
     # Said before the wait: whoever breaks it off has to know that the
     # change is made, or they make it again.
     invocation.environment.stderr.write(
-        f'Revision {revision} is committed; waiting for the entries.\n'
+        f'Committed as revision {revision}; waiting for the entries.\n'
     )
     return CommitReport(
         revision=revision,
--- a/packages/operator/dandelionyoke_operator/output/_text.py
+++ b/packages/operator/dandelionyoke_operator/output/_text.py
@@ -80,7 +80,7 @@
     if report.rollout is None:
         yield f'No difference from revision {report.revision}.'
         return
-    yield f'Revision {report.revision} is committed:'
+    yield f'Revision {report.revision}:'
     yield from difference_lines(report.differences)
     yield from rollout_lines(report.rollout)
 
--- /dev/null
+++ b/tests/operator/test_settings.py
@@ -0,0 +1,59 @@
+"""Settings come from options, variables and a file, in this order."""
+
+import pathlib
+import tempfile
+
+from dandelionyoke_operator._exit import ExitStatus
+from tests.operator.test_commands import DeskTest
+
+
+class SettingsTest(DeskTest):
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name, 'settings.ini')
+        self.desk.variables.clear()
+
+    def _connects_to(self, url: str, *options: str) -> None:
+        self._ended(self.desk.run('show', *options), ExitStatus.SUCCESS)
+        self.assertEqual(url, self.desk.connected[-1])
+
+    def test_the_nearest_setting_wins(self) -> None:
+        self.path.write_text('[operator]\nplatform_url = http://file\n')
+        named = ('--settings', str(self.path))
+        self._connects_to('http://file', *named)
+        self.desk.variables['DANDELIONYOKE_SETTINGS'] = str(self.path)
+        self._connects_to('http://file')
+        self.desk.variables['DANDELIONYOKE_PLATFORM'] = 'http://variable'
+        self._connects_to('http://variable', *named)
+        self._connects_to(
+            'http://option', *named, '--platform', 'http://option'
+        )
+
+    def test_a_wrong_setting_is_told_with_its_remedy(self) -> None:
+        """A settings file has a slip of the pen, or is not where the option
+        says. The command ends before it reaches anything.
+        """
+        for text, problem in (
+            ('platform_url = x', 'cannot be read'),
+            ('[entry]', 'no section [operator]'),
+            ('[operator]\nplatform = x', 'platform is no setting'),
+            ('[operator]\nwait_s = soon', "wait_s is 'soon'"),
+            ('[operator]\nwait_s = -1', "wait_s is '-1'"),
+        ):
+            self.path.write_text(text)
+            ended = self.desk.run('show', '--settings', str(self.path))
+            self._ended(ended, ExitStatus.USAGE, problem, 'remedy: ')
+        for options in (
+            ('--wait', 'x'),
+            ('--format', 'yaml'),
+            ('--since', 'monday'),
+            ('--limit', '-3'),
+            ('--colour', 'red'),
+        ):
+            ended = self.desk.run('history', '--platform', 'p', *options)
+            self._ended(ended, ExitStatus.USAGE, options[0], 'remedy: ')
+        ended = self.desk.run('show', '--settings', 'nowhere.ini')
+        self._ended(ended, ExitStatus.USAGE, 'nowhere.ini cannot be read')
+        self.assertEqual(set(), set(self.desk.connected) - {'p'})
