--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -50,6 +50,7 @@
 )
 from dandelionyoke_core._capacity import (
     CapacityView as CapacityView,
+    Outlook as Outlook,
     ServiceCapacity as ServiceCapacity,
 )
 from dandelionyoke_core._changes import (
@@ -74,14 +75,9 @@
 from dandelionyoke_core._commit import (
     Committed as Committed,
     Committer as Committer,
-    ConfigurationLoader as ConfigurationLoader,
     Conflicted as Conflicted,
-    Head as Head,
-    Loaded as Loaded,
     Proposal as Proposal,
     Rejected as Rejected,
-    StoreLayoutSettings as StoreLayoutSettings,
-    Unsettled as Unsettled,
 )
 from dandelionyoke_core._configuration import (
     ConfigurationPart as ConfigurationPart,
@@ -95,6 +91,9 @@
 from dandelionyoke_core._configuration_reader import (
     ReaderSettings as ReaderSettings,
 )
+from dandelionyoke_core._demand import (
+    DemandShared as DemandShared,
+)
 from dandelionyoke_core._entities import (
     ApiKey as ApiKey,
     Change as Change,
@@ -149,6 +148,21 @@
     UsageAnswered as UsageAnswered,
     Woken as Woken,
 )
+from dandelionyoke_core._fleet import (
+    FleetPart as FleetPart,
+)
+from dandelionyoke_core._fleet_notices import (
+    RoleWanted as RoleWanted,
+    TargetsWanted as TargetsWanted,
+)
+from dandelionyoke_core._fleet_settings import (
+    FleetSettings as FleetSettings,
+)
+from dandelionyoke_core._fleet_view import (
+    TargetSight as TargetSight,
+    TargetView as TargetView,
+    WorkView as WorkView,
+)
 from dandelionyoke_core._gossip import (
     GossipSettings as GossipSettings,
 )
@@ -168,6 +182,7 @@
 )
 from dandelionyoke_core._load_estimate import (
     EngineSpeed as EngineSpeed,
+    WorkSize as WorkSize,
 )
 from dandelionyoke_core._membership import (
     MembershipPart as MembershipPart,
@@ -220,7 +235,7 @@
     TargetLeaving as TargetLeaving,
 )
 from dandelionyoke_core._observation import (
-    LoadShared as LoadShared,
+    LoadsShared as LoadsShared,
 )
 from dandelionyoke_core._once import (
     OncePart as OncePart,
@@ -244,6 +259,13 @@
 )
 from dandelionyoke_core._quarantine import (
     QuarantinePart as QuarantinePart,
+)
+from dandelionyoke_core._quarantine_messages import (
+    Suspicion as Suspicion,
+    SuspicionShared as SuspicionShared,
+    TrialShared as TrialShared,
+)
+from dandelionyoke_core._quarantine_settings import (
     QuarantineSettings as QuarantineSettings,
 )
 from dandelionyoke_core._records import (
@@ -290,6 +312,13 @@
 from dandelionyoke_core._routing_settings import (
     RoutingSettings as RoutingSettings,
 )
+from dandelionyoke_core._store_layout import (
+    ConfigurationLoader as ConfigurationLoader,
+    Head as Head,
+    Loaded as Loaded,
+    StoreLayoutSettings as StoreLayoutSettings,
+    Unsettled as Unsettled,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
@@ -297,4 +326,8 @@
 )
 from dandelionyoke_core._topology import (
     TopologySettings as TopologySettings,
+    choose_links as choose_links,
+)
+from dandelionyoke_core._work_mix import (
+    MixRow as MixRow,
 )
