Take any store call of the committer, and refuse texts of several lines

A key's label with a line break went into the store, and `show` could no longer print what was there. A file with a byte order mark was refused.

A property test feeds arbitrary text to the reader: it gives a configuration that prints the same again, or a report.

--- a/packages/operator/dandelionyoke_operator/_invocation.py
+++ b/packages/operator/dandelionyoke_operator/_invocation.py
@@ -63,7 +63,7 @@
             or self.environment.user
         )
         if author:
-            return author
+            return _one_line(author, '--author')
         raise UsageError('Nobody is named as the author', 'Give --author NAME')
 
     @property
@@ -73,13 +73,17 @@
         Raises:
             UsageError: no reason is given.
         """
-        reason = self.option('reason')
+        reason = self.reason_or('')
         if reason:
             return reason
         raise UsageError(
             'No reason is given', 'Give --reason TEXT for the audit trail'
         )
 
+    def reason_or(self, default: str) -> str:
+        """Why a change is made; a default where nobody says."""
+        return _one_line(self.option('reason') or default, '--reason')
+
     @property
     def base_revision(self) -> int | None:
         """The revision that the operator says a file was written against."""
@@ -113,9 +117,15 @@
         if path == STANDARD_INPUT:
             return self.environment.stdin.read()
         try:
-            return pathlib.Path(path).read_text(encoding='utf-8')
+            return pathlib.Path(path).read_text(encoding='utf-8-sig')
         except (OSError, UnicodeDecodeError) as error:
             raise UsageError(
                 f'The file {path} cannot be read: {error}',
                 'Name a readable text file, or - for standard input',
             ) from error
+
+
+def _one_line(text: str, place: str) -> str:
+    if text.isprintable():
+        return text
+    raise UsageError(f'{place} is {text!r}', 'Write a text on one line')
--- a/packages/operator/dandelionyoke_operator/_platform.py
+++ b/packages/operator/dandelionyoke_operator/_platform.py
@@ -48,6 +48,7 @@
     knowledge_age_s: float | None = None
     leaving: bool = False
     in_progress: int | None = None
+    usable_targets: int | None = None
     duties: tuple[str, ...] = ()
 
 
@@ -73,7 +74,7 @@
     """The platform and the entries over HTTP."""
 
     def __init__(self, base_url: str) -> None:
-        self._base_url = base_url.rstrip('/')
+        self._base_url = _base_of(base_url).rstrip('/')
         self._pool = new_pool()
         self._store = StoreClient(self._base_url, self._pool)
 
--- a/packages/operator/dandelionyoke_operator/_reports.py
+++ b/packages/operator/dandelionyoke_operator/_reports.py
@@ -75,6 +75,7 @@
     leaving: bool = False
     knowledge_age_s: float | None = None
     in_progress: int | None = None
+    usable_targets: int | None = None
     duties: tuple[str, ...] = ()
 
 
--- a/packages/operator/dandelionyoke_operator/_repository.py
+++ b/packages/operator/dandelionyoke_operator/_repository.py
@@ -17,9 +17,11 @@
     Proposal,
     Rejected,
     StoreAnswered,
+    StoreDelete,
     StoreFailed,
     StoreGet,
     StoreLayoutSettings,
+    StoreList,
     StorePut,
     Unsettled,
 )
@@ -33,6 +35,8 @@
 from dandelionyoke_operator._mistakes import ConfigurationMistakes
 from dandelionyoke_operator._platform import Store
 
+_CALLS = (StoreGet, StoreList, StorePut, StoreDelete)
+
 PAUSE_AFTER_FAILURE_S = 0.2
 
 # The loader starts at a snapshot that is a few changes old. Were it held to
@@ -126,7 +130,7 @@
         waiting = deque(machine.begin())
         while waiting and machine.outcome is None:
             action = waiting.popleft()
-            if not isinstance(action, StoreGet | StorePut):
+            if not isinstance(action, _CALLS):
                 raise TypeError(f'{type(action).__name__} is not expected')
             result = self._store.perform(action)
             if isinstance(result, StoreFailed):
--- a/packages/operator/dandelionyoke_operator/_rollout.py
+++ b/packages/operator/dandelionyoke_operator/_rollout.py
@@ -88,6 +88,7 @@
         leaving=leaving or status.leaving,
         knowledge_age_s=status.knowledge_age_s,
         in_progress=status.in_progress,
+        usable_targets=status.usable_targets,
         duties=status.duties,
     )
 
--- a/packages/operator/dandelionyoke_operator/commands/_change.py
+++ b/packages/operator/dandelionyoke_operator/commands/_change.py
@@ -62,7 +62,7 @@
     loaded = invocation.repository(platform).load(invocation.limit)
     intent = Intent(
         author=invocation.author,
-        reason=invocation.option('reason') or f'undo revision {revision}',
+        reason=invocation.reason_or(f'undo revision {revision}'),
         operations=inverse(loaded, revision),
         base_revision=loaded.snapshot.revision,
     )
--- a/packages/operator/dandelionyoke_operator/commands/_key.py
+++ b/packages/operator/dandelionyoke_operator/commands/_key.py
@@ -13,6 +13,8 @@
 )
 from dandelionyoke_operator._errors import InvalidError
 from dandelionyoke_operator._invocation import STANDARD_INPUT, Invocation
+from dandelionyoke_operator._mistake_finder import find_mistakes
+from dandelionyoke_operator._mistakes import ConfigurationMistakes
 from dandelionyoke_operator._reports import (
     CommitReport,
     ConflictReport,
@@ -67,10 +69,15 @@
                 f'There is no organisation {organisation!r}',
                 f'Name one of these: {known}',
             )
+        # A label that no file can hold would make the configuration in
+        # force one that `show` cannot print.
+        mistakes = find_mistakes((before.organisations[organisation], self.key))
+        if mistakes:
+            raise ConfigurationMistakes(mistakes)
         reason = f'issue a key for {organisation}'
         return Intent(
             invocation.author,
-            invocation.option('reason') or reason,
+            invocation.reason_or(reason),
             (Put(self.key),),
             before.revision,
         )
@@ -85,7 +92,7 @@
         reason = f'withdraw a key of {found.organisation_id}'
         return Intent(
             invocation.author,
-            invocation.option('reason') or reason,
+            invocation.reason_or(reason),
             (Remove(Section.KEY, found.key_hash),),
             before.revision,
         )
--- a/packages/operator/dandelionyoke_operator/output/_rollout.py
+++ b/packages/operator/dandelionyoke_operator/output/_rollout.py
@@ -61,6 +61,8 @@
         facts.append(f'confirmed {instance.knowledge_age_s:.1f} s ago')
     if instance.in_progress is not None:
         facts.append(f'{instance.in_progress} in progress')
+    if instance.usable_targets is not None:
+        facts.append(f'{instance.usable_targets} targets usable')
     if instance.duties:
         facts.append(f'duties {", ".join(instance.duties)}')
     if instance.leaving:
--- a/tests/operator/support.py
+++ b/tests/operator/support.py
@@ -15,6 +15,7 @@
     InstanceId,
     Presence,
     StoreConflict,
+    StoreDelete,
     StoreFailed,
     StoreGet,
     StoreItem,
@@ -69,6 +70,8 @@
             return StoreFailed('503', may_have_happened=False)
         if isinstance(action, StoreGet):
             return self._present(action.key)
+        if isinstance(action, StoreDelete):
+            return self._delete(action)
         assert isinstance(action, StorePut)
         race, self.before_put = self.before_put, None
         if race:
@@ -88,6 +91,14 @@
             return StoreFailed('connection closed', may_have_happened=True)
         return StoreWritten(action.key, self.revision)
 
+    def _delete(self, action: StoreDelete) -> StoreResult:
+        present = self._present(action.key)
+        if present.revision != action.expected_revision:
+            return StoreConflict(present)
+        self.revision += 1
+        self.content.pop(action.key, None)
+        return StoreWritten(action.key, self.revision)
+
     def _present(self, key: str) -> StoreItem:
         return self.content.get(key, StoreItem(key, 0, None))
 
@@ -125,6 +136,7 @@
             revision=self._head() - (1 if lag else 0),
             knowledge_age_s=0.5,
             in_progress=4,
+            usable_targets=13,
             duties=('control',) if name == 'ubungo-1' else (),
         )
 
--- a/tests/operator/test_changes.py
+++ b/tests/operator/test_changes.py
@@ -223,6 +223,9 @@
         stored = ''.join(str(item) for item in self.store.content.values())
         self.assertIn(hash_key('dy-2'), stored)
         self.assertNotIn('dy-2', stored)
+        for wrong in (('--label', 'two\nlines'), ('--reason', 'two\nlines')):
+            ended = self.desk.run('key', 'issue', 'duka-routes', *wrong)
+            self.assertIn('on one line', ended.errors)
         self._ended(
             self.desk.run('key', 'issue', 'nobody'),
             ExitStatus.INVALID,
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -104,7 +104,7 @@
             self.desk.run('status'),
             ExitStatus.SUCCESS,
             'ubungo:\n  ubungo-1 has revision 0, confirmed 0.5 s ago, '
-            '4 in progress, duties control\n',
+            '4 in progress, 13 targets usable, duties control\n',
             'leaving',
         )
 
--- a/tests/operator/test_configuration.py
+++ b/tests/operator/test_configuration.py
@@ -68,24 +68,16 @@
 def configurations(draw: st.DrawFn) -> Configuration:
     names = st.lists(NAMES, min_size=1, max_size=3, unique=True)
     organisations, services = draw(names), draw(names)
-    engines = [
-        service
-        for service in draw(_all_of([_services(name) for name in services]))
-    ]
-    carriers = [
-        service.service_name
-        for service in engines
-        if service.kind is ServiceKind.ENGINE
-    ]
+    backs = draw(_all_of([_services(name) for name in services]))
     models = [
         Model(
             name,
-            draw(st.sampled_from(carriers)),
+            draw(st.sampled_from(services)),
             version=draw(NAMES),
             adapters=tuple(draw(st.lists(NAMES, max_size=3, unique=True))),
             context_tokens=draw(COUNTS),
         )
-        for name in (draw(names) if carriers else ())
+        for name in draw(names)
     ]
     keys = [
         ApiKey(key_hash, draw(st.sampled_from(organisations)), draw(LABELS))
@@ -93,7 +85,33 @@
     ]
     customers = draw(_all_of([_organisations(name) for name in organisations]))
     base = draw(st.none() | st.integers(0, 10**9))
-    return Configuration((*customers, *keys, *engines, *models), base)
+    return Configuration((*customers, *keys, *backs, *models), base)
+
+
+LINES = st.sampled_from(
+    [
+        '',
+        '# a comment',
+        '[organisation a]',
+        '[service s]',
+        '[organisation a]]',
+        '[key ' + '0' * 64 + ']',
+        '[]',
+        '  [model m]',
+        'priority = 5',
+        'priority',
+        '= 5',
+        'organisation = a',
+        'unrepeatable =',
+        '    POST /a',
+        '    # POST /b',
+        '\tPUT /b',
+        'label = x\r',
+        '[configuration]',
+        'base_revision = 3',
+        '\x0c',
+    ]
+)
 
 
 class RoundTripTest(testtools.TestCase):
@@ -106,6 +124,19 @@
         self.assertEqual(configuration, again)
         self.assertEqual(text, str(again))
 
+    @given(st.lists(LINES | st.text(max_size=12), max_size=12).map('\n'.join))
+    def test_any_text_is_a_configuration_or_a_report(self, text: str) -> None:
+        """An operator hands over the wrong file. What is in it is told as
+        mistakes, or it is a configuration that prints the same again.
+        """
+        try:
+            configuration = parse_configuration(text)
+        except ConfigurationMistakes as caught:
+            self.assertNotEqual((), caught.mistakes)
+            return
+        again = parse_configuration(str(configuration))
+        self.assertEqual(configuration, again)
+
     def test_order_and_comments_do_not_matter(self) -> None:
         text = (
             '# evening shift\n[service s]\nunrepeatable =\n'
