Read the whole audit trail only where it is needed

`plan` and `apply` read 256 changes each time, most by a read of their own, to look for withdrawn keys. Only a file that brings a key has to be looked up, and only a conflict has to be told with what it replaced.

--- a/packages/operator/dandelionyoke_operator/_wanted.py
+++ b/packages/operator/dandelionyoke_operator/_wanted.py
@@ -7,7 +7,6 @@
 from dandelionyoke_core import (
     ApiKey,
     Change,
-    Loaded,
     Put,
     Remove,
     Section,
@@ -40,7 +39,9 @@
     return attrs.evolve(wanted, keys=kept)
 
 
-def refuse_withdrawn(wanted: Snapshot, loaded: Loaded) -> None:
+def refuse_withdrawn(
+    key_hashes: Iterable[str], changes: Iterable[Change]
+) -> None:
     """Refuse to bring a withdrawn key back by way of an old file.
 
     A file that was printed before a withdrawal still lists the key. Applied
@@ -50,9 +51,10 @@
     Raises:
         ConfigurationMistakes: names each such key.
     """
+    trail = tuple(changes)
     mistakes = []
-    for key_hash in sorted(wanted.keys.keys() - loaded.snapshot.keys):
-        revision = _withdrawn_at(key_hash, loaded.changes)
+    for key_hash in sorted(key_hashes):
+        revision = _withdrawn_at(key_hash, trail)
         if revision is not None:
             title = f'{Section.KEY.value} {key_hash}'
             found = f'a key that revision {revision} withdrew'
--- a/packages/operator/dandelionyoke_operator/commands/_change.py
+++ b/packages/operator/dandelionyoke_operator/commands/_change.py
@@ -1,6 +1,7 @@
 """Plans, applies and undoes changes of the whole configuration."""
 
-from dandelionyoke_core import difference
+from dandelionyoke_core import Snapshot, difference
+from dandelionyoke_operator._configuration import Configuration
 from dandelionyoke_operator._difference import describe
 from dandelionyoke_operator._invocation import Invocation
 from dandelionyoke_operator._past import inverse
@@ -9,7 +10,7 @@
     ConflictReport,
     PlanReport,
 )
-from dandelionyoke_operator._repository import Intent
+from dandelionyoke_operator._repository import Intent, Repository
 from dandelionyoke_operator._wanted import refuse_withdrawn, wanted_snapshot
 from dandelionyoke_operator.commands._commit import commit
 
@@ -18,13 +19,11 @@
     """Tell what a file would change."""
     file = invocation.configuration()
     repository = invocation.repository(invocation.platform())
-    loaded = repository.load(invocation.limit)
-    wanted = wanted_snapshot(file, loaded.snapshot)
-    refuse_withdrawn(wanted, loaded)
-    operations = difference(loaded.snapshot, wanted)
-    return PlanReport(
-        loaded.snapshot.revision, describe(operations, loaded.snapshot)
-    )
+    present = repository.load().snapshot
+    wanted = wanted_snapshot(file, present)
+    _refuse_withdrawn(invocation, repository, wanted, present)
+    operations = difference(present, wanted)
+    return PlanReport(present.revision, describe(operations, present))
 
 
 def apply(invocation: Invocation) -> CommitReport | ConflictReport:
@@ -36,23 +35,19 @@
     """
     file = invocation.configuration()
     platform = invocation.platform()
-    loaded = invocation.repository(platform).load(invocation.limit)
-    present = loaded.snapshot
-    base = invocation.base_revision
-    if base is None:
-        base = file.base_revision
-    if base is None:
-        base = present.revision
+    repository = invocation.repository(platform)
+    present = repository.load().snapshot
+    base = _base_revision(invocation, file, present)
     wanted = wanted_snapshot(file, present)
     if base == present.revision:
-        refuse_withdrawn(wanted, loaded)
+        _refuse_withdrawn(invocation, repository, wanted, present)
     intent = Intent(
         author=invocation.author,
         reason=invocation.reason,
         operations=difference(present, wanted),
         base_revision=base,
     )
-    return commit(invocation, platform, intent, loaded)
+    return commit(invocation, platform, intent, present)
 
 
 def undo(invocation: Invocation) -> CommitReport | ConflictReport:
@@ -66,4 +61,26 @@
         operations=inverse(loaded, revision),
         base_revision=loaded.snapshot.revision,
     )
-    return commit(invocation, platform, intent, loaded)
+    return commit(invocation, platform, intent, loaded.snapshot)
+
+
+def _base_revision(
+    invocation: Invocation, file: Configuration, present: Snapshot
+) -> int:
+    for base in (invocation.base_revision, file.base_revision):
+        if base is not None:
+            return base
+    return present.revision
+
+
+def _refuse_withdrawn(
+    invocation: Invocation,
+    repository: Repository,
+    wanted: Snapshot,
+    present: Snapshot,
+) -> None:
+    """Read the audit trail only where a file brings a key."""
+    brought = wanted.keys.keys() - present.keys
+    if brought:
+        loaded = repository.load(invocation.limit)
+        refuse_withdrawn(brought, loaded.changes)
--- a/packages/operator/dandelionyoke_operator/commands/_commit.py
+++ b/packages/operator/dandelionyoke_operator/commands/_commit.py
@@ -1,24 +1,32 @@
 """Commits a change and follows it until it is in force."""
 
-from dandelionyoke_core import Conflicted, Loaded
+import contextlib
+
+from dandelionyoke_core import Change, Conflicted, Snapshot
 from dandelionyoke_operator._difference import describe
+from dandelionyoke_operator._errors import UnavailableError
 from dandelionyoke_operator._invocation import Invocation
 from dandelionyoke_operator._platform import Platform
 from dandelionyoke_operator._reports import CommitReport, ConflictReport
-from dandelionyoke_operator._repository import Intent
+from dandelionyoke_operator._repository import Intent, Repository
 from dandelionyoke_operator._rollout import await_rollout
 from dandelionyoke_operator._trail import merge_changes, read_trail
 
 
 def commit(
-    invocation: Invocation, platform: Platform, intent: Intent, loaded: Loaded
+    invocation: Invocation,
+    platform: Platform,
+    intent: Intent,
+    before: Snapshot,
 ) -> CommitReport | ConflictReport:
-    """Commit a change that was planned on a configuration as loaded."""
+    """Commit a change that was planned on a snapshot."""
     if not intent.operations:
-        return CommitReport(loaded.snapshot.revision, (), None)
-    outcome = invocation.repository(platform).commit(intent)
+        return CommitReport(before.revision, (), None)
+    repository = invocation.repository(platform)
+    outcome = repository.commit(intent)
     if isinstance(outcome, Conflicted):
-        return _conflict(outcome, intent.base_revision or 0, loaded)
+        earlier = _earlier_changes(repository, invocation.limit)
+        return _conflict(outcome, intent.base_revision or 0, earlier)
     revision = outcome.change.revision
     # Said before the wait: whoever breaks it off has to know that the
     # change is made, or they make it again.
@@ -27,7 +35,7 @@
     )
     return CommitReport(
         revision=revision,
-        differences=describe(intent.operations, loaded.snapshot),
+        differences=describe(intent.operations, before),
         rollout=await_rollout(
             platform, revision, invocation.settings, invocation.environment
         ),
@@ -35,14 +43,23 @@
     )
 
 
+def _earlier_changes(repository: Repository, limit: int) -> tuple[Change, ...]:
+    """Read what tells what the conflicting changes replaced, if it can be."""
+    with contextlib.suppress(UnavailableError):
+        return repository.load(limit).changes
+    return ()
+
+
 def _conflict(
-    conflict: Conflicted, base_revision: int, loaded: Loaded
+    conflict: Conflicted, base_revision: int, earlier: tuple[Change, ...]
 ) -> ConflictReport:
-    trail = read_trail(merge_changes(loaded.changes, conflict.changes_since))
+    trail = read_trail(merge_changes(earlier, conflict.changes_since))
     return ConflictReport(
         base_revision=base_revision,
         present_revision=conflict.present_revision,
         changes_since=tuple(
-            record for record in trail if record.revision > base_revision
+            record
+            for record in trail
+            if base_revision < record.revision <= conflict.present_revision
         ),
     )
--- a/packages/operator/dandelionyoke_operator/commands/_key.py
+++ b/packages/operator/dandelionyoke_operator/commands/_key.py
@@ -125,9 +125,9 @@
 ) -> CommitReport | ConflictReport:
     platform = invocation.platform()
     for _ in range(ATTEMPTS):
-        loaded = invocation.repository(platform).load()
-        intent = step.intent(invocation, loaded.snapshot)
-        report = commit(invocation, platform, intent, loaded)
+        before = invocation.repository(platform).load().snapshot
+        intent = step.intent(invocation, before)
+        report = commit(invocation, platform, intent, before)
         if isinstance(report, CommitReport):
             break
     return report
--- a/tests/operator/support.py
+++ b/tests/operator/support.py
@@ -63,8 +63,10 @@
     before_put: Callable[[], object] | None = None
     lost_answers: int = 0
     outage_calls: int = 0
+    calls: int = 0
 
     def perform(self, action: Action) -> StoreResult:
+        self.calls += 1
         if self.outage_calls:
             self.outage_calls -= 1
             return StoreFailed('503', may_have_happened=False)
--- a/tests/operator/test_changes.py
+++ b/tests/operator/test_changes.py
@@ -5,6 +5,9 @@
 from tests.operator.support import FLEET
 from tests.operator.test_commands import RAISED, DeskTest
 
+# The head, a snapshot, and the changes between that the head has lost.
+MOST_CALLS = 20
+
 
 class ApplyTest(DeskTest):
     def test_apply_waits_until_all_entries_have_it(self) -> None:
@@ -195,6 +198,9 @@
             self.desk.apply(FLEET.replace('= 7', f'= {priority % 2}'))
         removed = FLEET.replace('[organisation mbezi-shops]', '')
         self.desk.apply(removed.replace('= 7', '= 1'))
+        self.store.calls = 0
+        self.desk.run('plan', '-', stdin=FLEET)
+        self.assertLess(self.store.calls, MOST_CALLS)
         self._ended(
             self.desk.run('undo', '82', '--limit', '1'),
             ExitStatus.INVALID,
