Cover what the committer refuses, and say when no entry can be asked

A change on a platform that lists no entry ended as if it were in force. A refusal of the committer, a write that the store turns away, and a key in place of its hash were met by no test.

--- a/packages/operator/dandelionyoke_operator/commands/_key.py
+++ b/packages/operator/dandelionyoke_operator/commands/_key.py
@@ -1,5 +1,7 @@
 """Issues and withdraws keys."""
 
+from typing import Protocol
+
 import attrs
 
 from dandelionyoke_core import (
@@ -57,6 +59,13 @@
     return _commit_anyhow(invocation, _Withdrawal(wanted))
 
 
+class _KeyStep(Protocol):
+    """A change of one key, planned anew on each revision that it meets."""
+
+    def intent(self, invocation: Invocation, before: Snapshot) -> Intent:
+        """Plan the change on a snapshot."""
+
+
 @attrs.frozen
 class _Issue:
     key: ApiKey
@@ -121,7 +130,7 @@
 
 
 def _commit_anyhow(
-    invocation: Invocation, step: _Issue | _Withdrawal
+    invocation: Invocation, step: _KeyStep
 ) -> CommitReport | ConflictReport:
     platform = invocation.platform()
     for _ in range(ATTEMPTS):
--- a/packages/operator/dandelionyoke_operator/output/_rollout.py
+++ b/packages/operator/dandelionyoke_operator/output/_rollout.py
@@ -9,6 +9,7 @@
     'The platform gave no list of instances, so it is not known where this '
     'is in force. Try `status` again in a while.'
 )
+_NONE_LISTED = 'The platform lists no entry instance that could be asked.'
 
 
 def rollout_lines(rollout: RolloutReport) -> Iterator[str]:
@@ -16,6 +17,8 @@
     if not rollout.listed:
         yield _UNLISTED
         return
+    if not rollout.instances:
+        yield _NONE_LISTED
     for domain, members in _by_domain(rollout):
         staying = [each for each in members if not each.leaving]
         there = [each for each in staying if rollout.is_in_force(each)]
@@ -35,6 +38,8 @@
     if not rollout.listed:
         yield _UNLISTED
         return
+    if not rollout.instances:
+        yield _NONE_LISTED
     for domain, members in _by_domain(rollout):
         yield f'{domain}:'
         for each in members:
--- a/tests/operator/support.py
+++ b/tests/operator/support.py
@@ -55,7 +55,7 @@
     """Compare-and-swap in memory, with the store's faults.
 
     `before_put` runs before the next write; `lost_answers` writes take
-    effect without an answer; the first `outage_calls` calls are refused.
+    effect without an answer; the next `outage_calls` calls are refused.
     """
 
     content: dict[str, StoreItem] = attrs.field(factory=dict)
@@ -63,6 +63,7 @@
     before_put: Callable[[], object] | None = None
     lost_answers: int = 0
     outage_calls: int = 0
+    refuses_writes: bool = False
     calls: int = 0
 
     def perform(self, action: Action) -> StoreResult:
@@ -72,6 +73,8 @@
             return StoreFailed('503', may_have_happened=False)
         if isinstance(action, StoreGet):
             return self._present(action.key)
+        if self.refuses_writes:
+            return StoreFailed('429', may_have_happened=False)
         if isinstance(action, StoreDelete):
             return self._delete(action)
         assert isinstance(action, StorePut)
@@ -114,14 +117,14 @@
     silent: set[str] = attrs.field(factory=set)
     leaving: set[str] = attrs.field(factory=set)
     listed: bool = True
+    names: tuple[str, ...] = ('kurasini-1', 'kurasini-2', 'ubungo-1')
     asked: int = 0
 
     def instances(self) -> tuple[Instance, ...]:
         if not self.listed:
             raise UnavailableError('no list', 'Try again')
         return tuple(
-            _instance(name, name in self.leaving)
-            for name in ('kurasini-1', 'kurasini-2', 'ubungo-1')
+            _instance(name, name in self.leaving) for name in self.names
         )
 
     def entry_status(self, instance: Instance) -> EntryStatus | None:
--- a/tests/operator/test_changes.py
+++ b/tests/operator/test_changes.py
@@ -132,10 +132,17 @@
         self._ended(
             self.desk.apply(RAISED), ExitStatus.UNAVAILABLE, 'cannot be read'
         )
+        self.store.outage_calls = 0
+        self.store.refuses_writes = True
+        self._ended(
+            self.desk.apply(RAISED),
+            ExitStatus.UNAVAILABLE,
+            'Nothing was changed',
+        )
 
-    def test_a_change_that_the_core_rejects_names_the_section(self) -> None:
-        """One operator removes a service while another gives it a model,
-        each right by itself. What cannot stand together is refused.
+    def test_values_that_do_not_go_together_name_the_section(self) -> None:
+        """Each value of a file is right by itself, but not together with
+        another. The core judges it, and the report names the section.
         """
         crowded = FLEET.replace('reclaimable', 'min_targets = 99\nreclaimable')
         self._ended(
@@ -189,6 +196,24 @@
         self._ended(self.desk.run('undo', '9'), ExitStatus.INVALID, 'limit')
         self._ended(self.desk.run('undo', 'x'), ExitStatus.USAGE)
 
+    def test_undo_that_would_leave_a_model_without_service_is_refused(
+        self,
+    ) -> None:
+        """A model was removed, then its service. Undoing only the first
+        would bring a model back that nothing carries; the committer refuses
+        it and names the model.
+        """
+        self.desk.apply(FLEET)
+        without_model = FLEET.partition('[model')[0]
+        self.desk.apply(without_model)
+        self.desk.apply(without_model.partition('[service')[0])
+        self._ended(
+            self.desk.run('undo', '2'),
+            ExitStatus.INVALID,
+            '[model crate-lm]',
+            'route-assistant',
+        )
+
     def test_undo_says_when_it_has_not_read_far_enough(self) -> None:
         """The value before the change was set long ago. Without reading that
         far, undoing would remove the section; it asks for more instead.
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -35,6 +35,11 @@
             ended = self.desk.run('check', str(path), '--format', 'json')
         self.assertEqual(2, ended.fields['organisations'])
         self.assertEqual([], self.desk.connected)
+        self._ended(
+            self.desk.run('check', str(path)),
+            ExitStatus.USAGE,
+            f'The file {path} cannot be read',
+        )
 
     def test_check_names_each_mistake(self) -> None:
         """A value of a file is wrong, as when a finger slips on a phone.
@@ -126,6 +131,14 @@
             self.desk.run('status'), ExitStatus.NOT_EVERYWHERE, 'no list'
         )
 
+    def test_a_platform_without_entries_is_told(self) -> None:
+        """The first configuration is applied before any entry is started.
+        It is committed, and the operator reads that nobody can confirm it.
+        """
+        self.platform.names = ()
+        for ended in (self.desk.apply(FLEET), self.desk.run('status')):
+            self._ended(ended, ExitStatus.SUCCESS, 'lists no entry instance')
+
     def test_every_command_has_help(self) -> None:
         for declaration in DECLARATIONS:
             words = declaration.name.split()
--- a/tests/operator/test_configuration.py
+++ b/tests/operator/test_configuration.py
@@ -197,6 +197,16 @@
         )
         self.assertEqual('Write weight', places['organisation a', 'Weight'])
 
+    def test_a_key_in_place_of_its_hash_stays_off_the_screen(self) -> None:
+        """An operator writes a key where its hash belongs. The report names
+        the place by a few letters, and does not spread the key further.
+        """
+        key = 'dy-9rTzQm4vXw2LkPb7'
+        text = f'[organisation o]\n[key {key}]\norganisation = o\n'
+        (mistake,) = self._mistakes(text)
+        self.assertNotIn(key, str(mistake))
+        self.assertIn('never the key itself', mistake.remedy)
+
     def test_wrong_objects_are_told_like_a_wrong_file(self) -> None:
         """A configuration is built in Python with values that no file could
         hold. It is refused when it is built, before anything is printed.
