Tell in a plan that a file is too old, and whose key a change is about

`plan` compared an old file with what is in force and did not say that `apply` would refuse it. The audit trail showed a key by its hash alone.

--- a/packages/operator/dandelionyoke_operator/_reports.py
+++ b/packages/operator/dandelionyoke_operator/_reports.py
@@ -59,10 +59,14 @@
 
 @attrs.frozen
 class PlanReport(Report):
-    """What a file would change in the configuration in force."""
+    """What a file would change in the configuration in force.
+
+    `file_revision` is the revision that the file was written against.
+    """
 
     base_revision: int
     differences: tuple[SectionDifference, ...]
+    file_revision: int | None = None
 
 
 @attrs.frozen
--- a/packages/operator/dandelionyoke_operator/commands/_change.py
+++ b/packages/operator/dandelionyoke_operator/commands/_change.py
@@ -23,7 +23,11 @@
     wanted = wanted_snapshot(file, present)
     _refuse_withdrawn(invocation, repository, wanted, present)
     operations = difference(present, wanted)
-    return PlanReport(present.revision, describe(operations, present))
+    return PlanReport(
+        base_revision=present.revision,
+        differences=describe(operations, present),
+        file_revision=file.base_revision,
+    )
 
 
 def apply(invocation: Invocation) -> CommitReport | ConflictReport:
--- a/packages/operator/dandelionyoke_operator/output/_text.py
+++ b/packages/operator/dandelionyoke_operator/output/_text.py
@@ -73,6 +73,11 @@
     yield f'Against revision {report.base_revision}:'
     yield from difference_lines(report.differences)
     yield count_differences(report.differences)
+    if report.file_revision not in {None, report.base_revision}:
+        yield (
+            f'The file was written against revision {report.file_revision}; '
+            '`apply` will refuse it.'
+        )
 
 
 @report_lines.register
--- a/packages/operator/dandelionyoke_operator/output/_trail.py
+++ b/packages/operator/dandelionyoke_operator/output/_trail.py
@@ -3,8 +3,9 @@
 import datetime
 from collections.abc import Iterator
 
+from dandelionyoke_core import Section
 from dandelionyoke_operator._difference import CHANGED
-from dandelionyoke_operator._reports import ChangeRecord
+from dandelionyoke_operator._reports import ChangeRecord, SectionDifference
 from dandelionyoke_operator.output._difference import option_lines, title_line
 
 
@@ -18,6 +19,11 @@
     yield f'    {change.reason}'
     for section in change.differences:
         yield f'    {title_line(section)}'
-        # What was added or removed is told in full by `show` and `plan`.
-        if section.action == CHANGED:
+        # What was added or removed is told in full by `show` and `plan`;
+        # a key's section alone does not tell whose it was.
+        if section.action == CHANGED or _is_key(section):
             yield from (f'        {line}' for line in option_lines(section))
+
+
+def _is_key(section: SectionDifference) -> bool:
+    return section.section.startswith(Section.KEY.value)
--- a/tests/operator/support.py
+++ b/tests/operator/support.py
@@ -184,11 +184,10 @@
         factory=lambda: {'DANDELIONYOKE_PLATFORM': 'http://platform'}
     )
     connected: list[str] = attrs.field(factory=list)
-    runs: int = 0
+    key_numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     change_numbers: Iterator[int] = attrs.field(factory=itertools.count)
 
     def run(self, *arguments: str, stdin: str = '') -> Ended:
-        self.runs += 1
         out, err = io.StringIO(), io.StringIO()
         status = run(
             Environment(
@@ -202,7 +201,7 @@
                 wall_s=lambda: self.now_s,
                 monotonic_s=lambda: self.now_s,
                 sleep=self._sleep,
-                new_key=lambda: f'dy-{self.runs}',
+                new_key=lambda: f'dy-{next(self.key_numbers)}',
                 new_change_id=lambda: f'change-{next(self.change_numbers)}',
             )
         )
--- a/tests/operator/test_changes.py
+++ b/tests/operator/test_changes.py
@@ -250,10 +250,10 @@
 
     def test_a_key_is_printed_once_and_kept_as_a_hash(self) -> None:
         ended = self.desk.run('key', 'issue', 'duka-routes', '--label', 'van 3')
-        self._ended(ended, ExitStatus.SUCCESS, 'key: dy-2\n')
+        self._ended(ended, ExitStatus.SUCCESS, 'key: dy-1\n')
         stored = ''.join(str(item) for item in self.store.content.values())
-        self.assertIn(hash_key('dy-2'), stored)
-        self.assertNotIn('dy-2', stored)
+        self.assertIn(hash_key('dy-1'), stored)
+        self.assertNotIn('dy-1', stored)
         for wrong in (('--label', 'two\nlines'), ('--reason', 'two\nlines')):
             ended = self.desk.run('key', 'issue', 'duka-routes', *wrong)
             self.assertIn('on one line', ended.errors)
@@ -275,7 +275,7 @@
         self.store.before_put = go_down
         ended = self.desk.run('key', 'issue', 'duka-routes')
         self._ended(ended, ExitStatus.UNSETTLED)
-        self.assertNotIn('dy-2', ended.output + ended.errors)
+        self.assertNotIn('dy-1', ended.output + ended.errors)
 
     def test_keys_are_issued_and_withdrawn_through_other_changes(self) -> None:
         """Another operator's change lands while a key is issued. One key
@@ -285,12 +285,12 @@
         self._ended(
             self.desk.run('key', 'issue', 'duka-routes'), ExitStatus.SUCCESS
         )
-        withdrawn = self.desk.run('key', 'withdraw', '-', stdin='dy-2\n')
+        withdrawn = self.desk.run('key', 'withdraw', '-', stdin='dy-1\n')
         self._ended(
-            withdrawn, ExitStatus.SUCCESS, f'- [key {hash_key("dy-2")}]'
+            withdrawn, ExitStatus.SUCCESS, f'- [key {hash_key("dy-1")}]'
         )
         self._ended(
-            self.desk.run('key', 'withdraw', hash_key('dy-2')),
+            self.desk.run('key', 'withdraw', hash_key('dy-1')),
             ExitStatus.INVALID,
             'No key in force matches',
         )
@@ -301,7 +301,7 @@
         """
         self.desk.run('key', 'issue', 'duka-routes')
         old = self.desk.run('show').output
-        self.desk.run('key', 'withdraw', hash_key('dy-2'))
+        self.desk.run('key', 'withdraw', hash_key('dy-1'))
         self._ended(self.desk.apply(old), ExitStatus.CONFLICT)
         rebased = old.replace('base_revision = 2', 'base_revision = 3')
         self._ended(
@@ -317,5 +317,5 @@
         smaller = RAISED.replace('[organisation mbezi-shops]', '')
         self.desk.apply(smaller)
         shown = self.desk.run('show').output
-        self.assertIn(f'[key {hash_key("dy-2")}]', shown)
-        self.assertNotIn(hash_key('dy-3'), shown)
+        self.assertIn(f'[key {hash_key("dy-1")}]', shown)
+        self.assertNotIn(hash_key('dy-2'), shown)
--- a/tests/operator/test_commands.py
+++ b/tests/operator/test_commands.py
@@ -83,7 +83,7 @@
         self.desk.apply(FLEET)
         self.desk.now_s += 3600
         self.desk.run('key', 'issue', 'mbezi-shops')
-        self.desk.run('key', 'withdraw', hash_key('dy-2')[:8])
+        self.desk.run('key', 'withdraw', hash_key('dy-1')[:8])
         whole = self.desk.run('history', '--format', 'json').fields['changes']
         self.assertEqual([3, 2, 1], [each['revision'] for each in whole])
         for options, revisions in (
