Let key changes go on top of any other change

Issuing a key planned on a revision and planned anew after each lost race, in a loop of its own beside the committer's. A change of one key fits after any other, so it names no base revision and the committer settles the race.

--- a/packages/operator/dandelionyoke_operator/_repository.py
+++ b/packages/operator/dandelionyoke_operator/_repository.py
@@ -60,7 +60,10 @@
 
 @attrs.frozen
 class Intent:
-    """A change as the operator means it."""
+    """A change as the operator means it.
+
+    `base_revision` is what it was planned on; None: it fits after any.
+    """
 
     author: str
     reason: str
--- a/packages/operator/dandelionyoke_operator/commands/_key.py
+++ b/packages/operator/dandelionyoke_operator/commands/_key.py
@@ -1,11 +1,13 @@
-"""Issues and withdraws keys."""
+"""Issues and withdraws keys.
 
-from typing import Protocol
-
-import attrs
+A change of one key is right on top of any other change, so it names no base
+revision: an operator who issues a key does not lose a race against another.
+"""
 
 from dandelionyoke_core import (
     ApiKey,
+    Operation,
+    Organisation,
     OrganisationId,
     Put,
     Remove,
@@ -25,11 +27,6 @@
 from dandelionyoke_operator._repository import Intent
 from dandelionyoke_operator.commands._commit import commit
 
-# A change of one key fits after any other change, so a lost race is run
-# again; the bound keeps a store that always conflicts from holding the
-# operator for good.
-ATTEMPTS = 5
-
 MIN_PREFIX_LENGTH = 8
 
 
@@ -39,104 +36,85 @@
     The key is shown only after the change is known to be in the store: a
     key that the operator reads to a customer must not be one that was lost.
     """
+    platform = invocation.platform()
+    before = invocation.repository(platform).load().snapshot
+    organisation = _find_organisation(invocation, before)
     bearer_key = invocation.environment.new_key()
-    entity = ApiKey(
+    key = ApiKey(
         key_hash=hash_key(bearer_key),
-        organisation_id=OrganisationId(invocation.argument('organisation')),
+        organisation_id=organisation.organisation_id,
         label=invocation.option('label') or '',
     )
-    report = _commit_anyhow(invocation, _Issue(entity))
+    # A label that no file can hold would make the configuration in force
+    # one that `show` cannot print.
+    mistakes = find_mistakes((organisation, key))
+    if mistakes:
+        raise ConfigurationMistakes(mistakes)
+    reason = f'issue a key for {organisation.organisation_id}'
+    intent = _intent(invocation, reason, Put(key))
+    report = commit(invocation, platform, intent, before)
     if isinstance(report, ConflictReport):
         return report
-    return KeyReport(bearer_key, entity.key_hash, report)
+    return KeyReport(bearer_key, key.key_hash, report)
 
 
 def withdraw_key(invocation: Invocation) -> CommitReport | ConflictReport:
     """Withdraw a key, named by the beginning of its hash or by itself."""
+    platform = invocation.platform()
+    before = invocation.repository(platform).load().snapshot
     wanted = invocation.argument('key')
     if wanted == STANDARD_INPUT:
         wanted = invocation.environment.stdin.readline().strip()
-    return _commit_anyhow(invocation, _Withdrawal(wanted))
-
-
-class _KeyStep(Protocol):
-    """A change of one key, planned anew on each revision that it meets."""
-
-    def intent(self, invocation: Invocation, before: Snapshot) -> Intent:
-        """Plan the change on a snapshot."""
-
-
-@attrs.frozen
-class _Issue:
-    key: ApiKey
-
-    def intent(self, invocation: Invocation, before: Snapshot) -> Intent:
-        organisation = self.key.organisation_id
-        if organisation not in before.organisations:
-            known = ', '.join(sorted(before.organisations)) or 'none'
-            raise InvalidError(
-                f'There is no organisation {organisation!r}',
-                f'Name one of these: {known}',
-            )
-        # A label that no file can hold would make the configuration in
-        # force one that `show` cannot print.
-        mistakes = find_mistakes((before.organisations[organisation], self.key))
-        if mistakes:
-            raise ConfigurationMistakes(mistakes)
-        reason = f'issue a key for {organisation}'
-        return Intent(
-            invocation.author,
-            invocation.reason_or(reason),
-            (Put(self.key),),
-            before.revision,
-        )
-
-
-@attrs.frozen
-class _Withdrawal:
-    wanted: str
-
-    def intent(self, invocation: Invocation, before: Snapshot) -> Intent:
-        found = self._find(before)
-        reason = f'withdraw a key of {found.organisation_id}'
-        return Intent(
-            invocation.author,
-            invocation.reason_or(reason),
-            (Remove(Section.KEY, found.key_hash),),
-            before.revision,
-        )
-
-    def _find(self, before: Snapshot) -> ApiKey:
-        own_hash = hash_key(self.wanted)
-        matching = [
-            key
-            for key_hash, key in before.keys.items()
-            if key_hash == own_hash or self._is_prefix_of(key_hash)
-        ]
-        if len(matching) == 1:
-            return matching[0]
-        problem = 'No key in force matches'
-        if matching:
-            problem = f'{len(matching)} keys in force match'
-        raise InvalidError(
-            problem,
-            f'Give at least {MIN_PREFIX_LENGTH} characters of the hash, '
-            'as `show` prints it',
-        )
-
-    def _is_prefix_of(self, key_hash: str) -> bool:
-        long_enough = len(self.wanted) >= MIN_PREFIX_LENGTH
-        return long_enough and key_hash.startswith(self.wanted)
-
-
-def _commit_anyhow(
-    invocation: Invocation, step: _KeyStep
-) -> CommitReport | ConflictReport:
-    platform = invocation.platform()
-    for _ in range(ATTEMPTS):
-        before = invocation.repository(platform).load().snapshot
-        intent = step.intent(invocation, before)
-        report = commit(invocation, platform, intent, before)
-        if isinstance(report, CommitReport):
-            break
-    return report
+    key = _find_key(wanted, before)
+    reason = f'withdraw a key of {key.organisation_id}'
+    removal = Remove(Section.KEY, key.key_hash)
+    intent = _intent(invocation, reason, removal)
+    return commit(invocation, platform, intent, before)
+
+
+def _intent(
+    invocation: Invocation, reason: str, operation: Operation
+) -> Intent:
+    return Intent(
+        author=invocation.author,
+        reason=invocation.reason_or(reason),
+        operations=(operation,),
+    )
+
+
+def _find_organisation(
+    invocation: Invocation, before: Snapshot
+) -> Organisation:
+    name = OrganisationId(invocation.argument('organisation'))
+    organisation = before.organisations.get(name)
+    if organisation is not None:
+        return organisation
+    known = ', '.join(sorted(before.organisations)) or 'none'
+    raise InvalidError(
+        f'There is no organisation {name!r}',
+        f'Name one of these: {known}',
+    )
+
+
+def _find_key(wanted: str, before: Snapshot) -> ApiKey:
+    own_hash = hash_key(wanted)
+    matching = [
+        key
+        for key_hash, key in before.keys.items()
+        if key_hash == own_hash or _is_prefix(wanted, key_hash)
+    ]
+    if len(matching) == 1:
+        return matching[0]
+    problem = 'No key in force matches'
+    if matching:
+        problem = f'{len(matching)} keys in force match'
+    raise InvalidError(
+        problem,
+        f'Give at least {MIN_PREFIX_LENGTH} characters of the hash, '
+        'as `show` prints it',
+    )
+
+
+def _is_prefix(wanted: str, key_hash: str) -> bool:
+    long_enough = len(wanted) >= MIN_PREFIX_LENGTH
+    return long_enough and key_hash.startswith(wanted)
--- a/tests/operator/test_processes.py
+++ b/tests/operator/test_processes.py
@@ -1,5 +1,6 @@
 """The command against the platform's stand-in and real entries."""
 
+import concurrent.futures
 import io
 import signal
 import time
@@ -58,6 +59,17 @@
             self.assertEqual(401, self.answer_status(key, entry))
         self.assertLess(time.monotonic() - begun_s, SECONDS)
 
+    def test_operators_who_race_all_get_their_keys(self) -> None:
+        """Three operators issue keys at the same moment. Each gets one that
+        works, and none is lost to another one's change.
+        """
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            issued = list(pool.map(lambda _: self.issue(), range(3)))
+        shown = self.operate('show').output
+        for key, key_hash in issued:
+            self.assertIn(f'[key {key_hash}]', shown)
+            self.assertEqual(200, self.answer_status(key, 0))
+
     def test_a_paused_entry_is_named_and_catches_up(self) -> None:
         """An entry is paused when a change is committed. The operator reads
         that it has not answered, and later that it has the change.
