Keep a key that stands in place of its hash out of every mistake

Only the mistake about the name hid it; one about an option of the same section, or a second section, wrote the key out in full. The place of a mistake now hides it, whatever the mistake is.

--- a/packages/operator/dandelionyoke_operator/_application.py
+++ b/packages/operator/dandelionyoke_operator/_application.py
@@ -101,7 +101,7 @@
 
 
 def run(environment: Environment) -> ExitStatus:
-    """Run the command that the arguments name; never raises."""
+    """Run the command that the arguments name and tell how it ended."""
     application = Application(PROGRAM)
     application.auto_exits(False)
     application.catch_exceptions(False)
--- a/packages/operator/dandelionyoke_operator/_forms.py
+++ b/packages/operator/dandelionyoke_operator/_forms.py
@@ -18,6 +18,11 @@
 _CALL = re.compile(r'[A-Z]+ /\S*')
 
 
+def is_hash(text: str) -> bool:
+    """Tell whether a text is a SHA-256 in lower-case hex."""
+    return _HASH.fullmatch(text) is not None
+
+
 @attrs.frozen
 class Form:
     """A kind of value: how it is read, printed, and described.
--- a/packages/operator/dandelionyoke_operator/_invocation.py
+++ b/packages/operator/dandelionyoke_operator/_invocation.py
@@ -37,18 +37,13 @@
         """Give an option's value, or None."""
         return self.options.get(name)
 
-    def revision(self, text: str, place: str) -> int:
-        """Read the number of a revision, or a count of them.
+    def revision(self) -> int:
+        """Give the revision that the command names.
 
         Raises:
             UsageError: it is none.
         """
-        if text.isdecimal():
-            return int(text)
-        raise UsageError(
-            f'{place} is {text!r}',
-            'Write a whole number',
-        )
+        return _whole_number(self.argument('revision'), 'REVISION')
 
     @property
     def author(self) -> str:
@@ -88,13 +83,13 @@
     def base_revision(self) -> int | None:
         """The revision that the operator says a file was written against."""
         text = self.option('base')
-        return None if text is None else self.revision(text, '--base')
+        return None if text is None else _whole_number(text, '--base')
 
     @property
     def limit(self) -> int:
         """How many of the last changes to read."""
         text = self.option('limit')
-        return self.revision(text, '--limit') if text else HISTORY_LIMIT
+        return _whole_number(text, '--limit') if text else HISTORY_LIMIT
 
     def configuration(self) -> Configuration:
         """Read the file that the command names; `-` is standard input.
@@ -129,3 +124,9 @@
     if text.isprintable():
         return text
     raise UsageError(f'{place} is {text!r}', 'Write a text on one line')
+
+
+def _whole_number(text: str, place: str) -> int:
+    if text.isdecimal():
+        return int(text)
+    raise UsageError(f'{place} is {text!r}', 'Write a whole number')
--- a/packages/operator/dandelionyoke_operator/_mistake_finder.py
+++ b/packages/operator/dandelionyoke_operator/_mistake_finder.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from dandelionyoke_core import (
-    ApiKey,
     Entity,
     Problem,
     Section,
@@ -21,8 +20,6 @@
 )
 from dandelionyoke_operator._snapshot import snapshot_of
 
-SHOWN_LENGTH = 8
-
 
 def find_mistakes(entities: Iterable[Entity]) -> tuple[Mistake, ...]:
     """Find every wrong name, value and reference."""
@@ -57,28 +54,19 @@
 
 def _wrong_values(entity: Entity) -> Iterator[Mistake]:
     layout = layout_of(entity)
-    title = header(entity)
     if not _reads_back(layout.name_form, entity_name(entity)):
-        shown = _shown_name(entity)
         yield Mistake(
-            layout.section.value,
+            header(entity),
             '',
-            f'the name {shown!r}',
+            'a name of another form',
             layout.name_form.remedy,
         )
-        title = f'{layout.section.value} {shown}'
     for option in layout.options:
         found = getattr(entity, option.field)
         if not _reads_back(option.form, found):
-            yield Mistake(title, option.name, repr(found), option.form.remedy)
-
-
-def _shown_name(entity: Entity) -> str:
-    """Keep a key that stands where its hash should off the screen."""
-    name = entity_name(entity)
-    if isinstance(entity, ApiKey):
-        return f'{name[:SHOWN_LENGTH]}...'
-    return name
+            yield Mistake(
+                header(entity), option.name, repr(found), option.form.remedy
+            )
 
 
 def _dangling(
--- a/packages/operator/dandelionyoke_operator/_mistakes.py
+++ b/packages/operator/dandelionyoke_operator/_mistakes.py
@@ -4,7 +4,22 @@
 
 import attrs
 
-from dandelionyoke_core import ConfigurationError
+from dandelionyoke_core import ConfigurationError, Section
+from dandelionyoke_operator._forms import is_hash
+
+SHOWN_LENGTH = 8
+
+
+def hide_key(header: str) -> str:
+    """Shorten a key that stands where its hash should.
+
+    A report ends up on screens and in tickets. The key would be read there
+    by others, and nobody would notice that it has to be withdrawn.
+    """
+    kind, _, name = header.partition(' ')
+    if kind == Section.KEY.value and name and not is_hash(name):
+        return f'{kind} {name[:SHOWN_LENGTH]}...'
+    return header
 
 
 @attrs.frozen
@@ -15,7 +30,7 @@
     `option` is empty where the mistake is the section itself.
     """
 
-    section: str
+    section: str = attrs.field(converter=hide_key)
     option: str
     found: str
     remedy: str
--- a/packages/operator/dandelionyoke_operator/commands/_change.py
+++ b/packages/operator/dandelionyoke_operator/commands/_change.py
@@ -56,7 +56,7 @@
 
 def undo(invocation: Invocation) -> CommitReport | ConflictReport:
     """Undo one change by a new one."""
-    revision = invocation.revision(invocation.argument('revision'), 'REVISION')
+    revision = invocation.revision()
     platform = invocation.platform()
     loaded = invocation.repository(platform).load(invocation.limit)
     intent = Intent(
--- a/tests/operator/test_configuration.py
+++ b/tests/operator/test_configuration.py
@@ -202,9 +202,13 @@
         the place by a few letters, and does not spread the key further.
         """
         key = 'dy-9rTzQm4vXw2LkPb7'
-        text = f'[organisation o]\n[key {key}]\norganisation = o\n'
-        (mistake,) = self._mistakes(text)
-        self.assertNotIn(key, str(mistake))
+        text = f'[organisation o]\n[key {key}]\nfor = o\n[key {key}]\n'
+        mistakes = self._mistakes(f'{text}\norganisation = x\n')
+        self.assertNotIn(key, str(mistakes))
+        self.assertEqual({'key dy-9rTzQ...'}, {one.section for one in mistakes})
+        (mistake,) = self._mistakes(
+            text.replace('for', 'organisation', 1).rpartition('[')[0]
+        )
         self.assertIn('never the key itself', mistake.remedy)
 
     def test_wrong_objects_are_told_like_a_wrong_file(self) -> None:
@@ -223,7 +227,7 @@
         places = {(each.section, each.option) for each in caught.mistakes}
         self.assertEqual(
             {
-                ('organisation', ''),
+                ('organisation a b', ''),
                 ('organisation a b', 'priority'),
                 ('organisation o', 'weight'),
                 ('organisation o', ''),
