--- a/packages/operator/dandelionyoke_operator/_invocation.py
+++ b/packages/operator/dandelionyoke_operator/_invocation.py
@@ -37,18 +37,13 @@
         """Give an option's value, or None."""
         return self.options.get(name)
 
-    def revision(self, text: str, place: str) -> int:
-        """Read the number of a revision, or a count of them.
+    def revision(self) -> int:
+        """Give the revision that the command names.
 
         Raises:
             UsageError: it is none.
         """
-        if text.isdecimal():
-            return int(text)
-        raise UsageError(
-            f'{place} is {text!r}',
-            'Write a whole number',
-        )
+        return _whole_number(self.argument('revision'), 'REVISION')
 
     @property
     def author(self) -> str:
@@ -63,7 +58,7 @@
             or self.environment.user
         )
         if author:
-            return author
+            return _one_line(author, '--author')
         raise UsageError('Nobody is named as the author', 'Give --author NAME')
 
     @property
@@ -73,24 +68,28 @@
         Raises:
             UsageError: no reason is given.
         """
-        reason = self.option('reason')
+        reason = self.reason_or('')
         if reason:
             return reason
         raise UsageError(
             'No reason is given', 'Give --reason TEXT for the audit trail'
         )
 
+    def reason_or(self, default: str) -> str:
+        """Why a change is made; a default where nobody says."""
+        return _one_line(self.option('reason') or default, '--reason')
+
     @property
     def base_revision(self) -> int | None:
         """The revision that the operator says a file was written against."""
         text = self.option('base')
-        return None if text is None else self.revision(text, '--base')
+        return None if text is None else _whole_number(text, '--base')
 
     @property
     def limit(self) -> int:
         """How many of the last changes to read."""
         text = self.option('limit')
-        return self.revision(text, '--limit') if text else HISTORY_LIMIT
+        return _whole_number(text, '--limit') if text else HISTORY_LIMIT
 
     def configuration(self) -> Configuration:
         """Read the file that the command names; `-` is standard input.
@@ -113,9 +112,21 @@
         if path == STANDARD_INPUT:
             return self.environment.stdin.read()
         try:
-            return pathlib.Path(path).read_text(encoding='utf-8')
+            return pathlib.Path(path).read_text(encoding='utf-8-sig')
         except (OSError, UnicodeDecodeError) as error:
             raise UsageError(
                 f'The file {path} cannot be read: {error}',
                 'Name a readable text file, or - for standard input',
             ) from error
+
+
+def _one_line(text: str, place: str) -> str:
+    if text.isprintable():
+        return text
+    raise UsageError(f'{place} is {text!r}', 'Write a text on one line')
+
+
+def _whole_number(text: str, place: str) -> int:
+    if text.isdecimal():
+        return int(text)
+    raise UsageError(f'{place} is {text!r}', 'Write a whole number')
--- a/packages/operator/dandelionyoke_operator/_repository.py
+++ b/packages/operator/dandelionyoke_operator/_repository.py
@@ -21,6 +21,7 @@
     StoreFailed,
     StoreGet,
     StoreLayoutSettings,
+    StoreList,
     StorePut,
     Unsettled,
 )
@@ -34,6 +35,8 @@
 from dandelionyoke_operator._mistakes import ConfigurationMistakes
 from dandelionyoke_operator._platform import Store
 
+_CALLS = (StoreGet, StoreList, StorePut, StoreDelete)
+
 PAUSE_AFTER_FAILURE_S = 0.2
 
 # The loader starts at a snapshot that is a few changes old. Were it held to
@@ -57,7 +60,10 @@
 
 @attrs.frozen
 class Intent:
-    """A change as the operator means it."""
+    """A change as the operator means it.
+
+    `base_revision` is what it was planned on; None: it fits after any.
+    """
 
     author: str
     reason: str
@@ -127,7 +133,7 @@
         waiting = deque(machine.begin())
         while waiting and machine.outcome is None:
             action = waiting.popleft()
-            if not isinstance(action, StoreGet | StorePut | StoreDelete):
+            if not isinstance(action, _CALLS):
                 raise TypeError(f'{type(action).__name__} is not expected')
             result = self._store.perform(action)
             if isinstance(result, StoreFailed):
--- a/packages/operator/dandelionyoke_operator/output/_text.py
+++ b/packages/operator/dandelionyoke_operator/output/_text.py
@@ -73,6 +73,11 @@
     yield f'Against revision {report.base_revision}:'
     yield from difference_lines(report.differences)
     yield count_differences(report.differences)
+    if report.file_revision not in {None, report.base_revision}:
+        yield (
+            f'The file was written against revision {report.file_revision}; '
+            '`apply` will refuse it.'
+        )
 
 
 @report_lines.register
@@ -80,7 +85,7 @@
     if report.rollout is None:
         yield f'No difference from revision {report.revision}.'
         return
-    yield f'Revision {report.revision} is committed:'
+    yield f'Revision {report.revision}:'
     yield from difference_lines(report.differences)
     yield from rollout_lines(report.rollout)
 
--- a/tests/operator/support.py
+++ b/tests/operator/support.py
@@ -55,7 +55,7 @@
     """Compare-and-swap in memory, with the store's faults.
 
     `before_put` runs before the next write; `lost_answers` writes take
-    effect without an answer; the first `outage_calls` calls are refused.
+    effect without an answer; the next `outage_calls` calls are refused.
     """
 
     content: dict[str, StoreItem] = attrs.field(factory=dict)
@@ -63,13 +63,18 @@
     before_put: Callable[[], object] | None = None
     lost_answers: int = 0
     outage_calls: int = 0
+    refuses_writes: bool = False
+    calls: int = 0
 
     def perform(self, action: Action) -> StoreResult:
+        self.calls += 1
         if self.outage_calls:
             self.outage_calls -= 1
             return StoreFailed('503', may_have_happened=False)
         if isinstance(action, StoreGet):
             return self._present(action.key)
+        if self.refuses_writes:
+            return StoreFailed('429', may_have_happened=False)
         if isinstance(action, StoreDelete):
             return self._delete(action)
         assert isinstance(action, StorePut)
@@ -96,7 +101,7 @@
         if present.revision != action.expected_revision:
             return StoreConflict(present)
         self.revision += 1
-        self.content.pop(action.key)
+        self.content.pop(action.key, None)
         return StoreWritten(action.key, self.revision)
 
     def _present(self, key: str) -> StoreItem:
@@ -112,14 +117,14 @@
     silent: set[str] = attrs.field(factory=set)
     leaving: set[str] = attrs.field(factory=set)
     listed: bool = True
+    names: tuple[str, ...] = ('kurasini-1', 'kurasini-2', 'ubungo-1')
     asked: int = 0
 
     def instances(self) -> tuple[Instance, ...]:
         if not self.listed:
             raise UnavailableError('no list', 'Try again')
         return tuple(
-            _instance(name, name in self.leaving)
-            for name in ('kurasini-1', 'kurasini-2', 'ubungo-1')
+            _instance(name, name in self.leaving) for name in self.names
         )
 
     def entry_status(self, instance: Instance) -> EntryStatus | None:
@@ -136,6 +141,7 @@
             revision=self._head() - (1 if lag else 0),
             knowledge_age_s=0.5,
             in_progress=4,
+            usable_targets=13,
             duties=('control',) if name == 'ubungo-1' else (),
         )
 
@@ -178,11 +184,10 @@
         factory=lambda: {'DANDELIONYOKE_PLATFORM': 'http://platform'}
     )
     connected: list[str] = attrs.field(factory=list)
-    runs: int = 0
+    key_numbers: Iterator[int] = attrs.field(factory=lambda: itertools.count(1))
     change_numbers: Iterator[int] = attrs.field(factory=itertools.count)
 
     def run(self, *arguments: str, stdin: str = '') -> Ended:
-        self.runs += 1
         out, err = io.StringIO(), io.StringIO()
         status = run(
             Environment(
@@ -196,7 +201,7 @@
                 wall_s=lambda: self.now_s,
                 monotonic_s=lambda: self.now_s,
                 sleep=self._sleep,
-                new_key=lambda: f'dy-{self.runs}',
+                new_key=lambda: f'dy-{next(self.key_numbers)}',
                 new_change_id=lambda: f'change-{next(self.change_numbers)}',
             )
         )
--- a/tests/operator/test_changes.py
+++ b/tests/operator/test_changes.py
@@ -5,6 +5,9 @@
 from tests.operator.support import FLEET
 from tests.operator.test_commands import RAISED, DeskTest
 
+# The head, a snapshot, and the changes between that the head has lost.
+MOST_CALLS = 20
+
 
 class ApplyTest(DeskTest):
     def test_apply_waits_until_all_entries_have_it(self) -> None:
@@ -12,7 +15,7 @@
         self._ended(
             self.desk.apply(FLEET),
             ExitStatus.SUCCESS,
-            'Revision 1 is committed',
+            'Revision 1:',
             'kurasini: in force in 2 of 2 instances',
             'ubungo: in force in 1 of 1 instances',
         )
@@ -48,7 +51,7 @@
         self._ended(
             self.desk.apply(FLEET),
             ExitStatus.INTERRUPTED,
-            'Revision 1 is committed',
+            'Committed as revision 1',
         )
 
     def test_without_a_list_of_instances_nobody_claims_it_is_in_force(
@@ -129,10 +132,17 @@
         self._ended(
             self.desk.apply(RAISED), ExitStatus.UNAVAILABLE, 'cannot be read'
         )
+        self.store.outage_calls = 0
+        self.store.refuses_writes = True
+        self._ended(
+            self.desk.apply(RAISED),
+            ExitStatus.UNAVAILABLE,
+            'Nothing was changed',
+        )
 
-    def test_a_change_that_the_core_rejects_names_the_section(self) -> None:
-        """One operator removes a service while another gives it a model,
-        each right by itself. What cannot stand together is refused.
+    def test_values_that_do_not_go_together_name_the_section(self) -> None:
+        """Each value of a file is right by itself, but not together with
+        another. The core judges it, and the report names the section.
         """
         crowded = FLEET.replace('reclaimable', 'min_targets = 99\nreclaimable')
         self._ended(
@@ -162,7 +172,7 @@
         self._ended(
             self.desk.run('undo', '2'),
             ExitStatus.SUCCESS,
-            'Revision 4 is committed',
+            'Revision 4:',
             'priority: 9 -> 7',
             '+ [organisation mbezi-shops]',
         )
@@ -186,6 +196,24 @@
         self._ended(self.desk.run('undo', '9'), ExitStatus.INVALID, 'limit')
         self._ended(self.desk.run('undo', 'x'), ExitStatus.USAGE)
 
+    def test_undo_that_would_leave_a_model_without_service_is_refused(
+        self,
+    ) -> None:
+        """A model was removed, then its service. Undoing only the first
+        would bring a model back that nothing carries; the committer refuses
+        it and names the model.
+        """
+        self.desk.apply(FLEET)
+        without_model = FLEET.partition('[model')[0]
+        self.desk.apply(without_model)
+        self.desk.apply(without_model.partition('[service')[0])
+        self._ended(
+            self.desk.run('undo', '2'),
+            ExitStatus.INVALID,
+            '[model crate-lm]',
+            'route-assistant',
+        )
+
     def test_undo_says_when_it_has_not_read_far_enough(self) -> None:
         """The value before the change was set long ago. Without reading that
         far, undoing would remove the section; it asks for more instead.
@@ -195,6 +223,9 @@
             self.desk.apply(FLEET.replace('= 7', f'= {priority % 2}'))
         removed = FLEET.replace('[organisation mbezi-shops]', '')
         self.desk.apply(removed.replace('= 7', '= 1'))
+        self.store.calls = 0
+        self.desk.run('plan', '-', stdin=FLEET)
+        self.assertLess(self.store.calls, MOST_CALLS)
         self._ended(
             self.desk.run('undo', '82', '--limit', '1'),
             ExitStatus.INVALID,
@@ -219,10 +250,13 @@
 
     def test_a_key_is_printed_once_and_kept_as_a_hash(self) -> None:
         ended = self.desk.run('key', 'issue', 'duka-routes', '--label', 'van 3')
-        self._ended(ended, ExitStatus.SUCCESS, 'key: dy-2\n')
+        self._ended(ended, ExitStatus.SUCCESS, 'key: dy-1\n')
         stored = ''.join(str(item) for item in self.store.content.values())
-        self.assertIn(hash_key('dy-2'), stored)
-        self.assertNotIn('dy-2', stored)
+        self.assertIn(hash_key('dy-1'), stored)
+        self.assertNotIn('dy-1', stored)
+        for wrong in (('--label', 'two\nlines'), ('--reason', 'two\nlines')):
+            ended = self.desk.run('key', 'issue', 'duka-routes', *wrong)
+            self.assertIn('on one line', ended.errors)
         self._ended(
             self.desk.run('key', 'issue', 'nobody'),
             ExitStatus.INVALID,
@@ -241,7 +275,7 @@
         self.store.before_put = go_down
         ended = self.desk.run('key', 'issue', 'duka-routes')
         self._ended(ended, ExitStatus.UNSETTLED)
-        self.assertNotIn('dy-2', ended.output + ended.errors)
+        self.assertNotIn('dy-1', ended.output + ended.errors)
 
     def test_keys_are_issued_and_withdrawn_through_other_changes(self) -> None:
         """Another operator's change lands while a key is issued. One key
@@ -251,12 +285,12 @@
         self._ended(
             self.desk.run('key', 'issue', 'duka-routes'), ExitStatus.SUCCESS
         )
-        withdrawn = self.desk.run('key', 'withdraw', '-', stdin='dy-2\n')
+        withdrawn = self.desk.run('key', 'withdraw', '-', stdin='dy-1\n')
         self._ended(
-            withdrawn, ExitStatus.SUCCESS, f'- [key {hash_key("dy-2")}]'
+            withdrawn, ExitStatus.SUCCESS, f'- [key {hash_key("dy-1")}]'
         )
         self._ended(
-            self.desk.run('key', 'withdraw', hash_key('dy-2')),
+            self.desk.run('key', 'withdraw', hash_key('dy-1')),
             ExitStatus.INVALID,
             'No key in force matches',
         )
@@ -267,7 +301,7 @@
         """
         self.desk.run('key', 'issue', 'duka-routes')
         old = self.desk.run('show').output
-        self.desk.run('key', 'withdraw', hash_key('dy-2'))
+        self.desk.run('key', 'withdraw', hash_key('dy-1'))
         self._ended(self.desk.apply(old), ExitStatus.CONFLICT)
         rebased = old.replace('base_revision = 2', 'base_revision = 3')
         self._ended(
@@ -283,5 +317,5 @@
         smaller = RAISED.replace('[organisation mbezi-shops]', '')
         self.desk.apply(smaller)
         shown = self.desk.run('show').output
-        self.assertIn(f'[key {hash_key("dy-2")}]', shown)
-        self.assertNotIn(hash_key('dy-3'), shown)
+        self.assertIn(f'[key {hash_key("dy-1")}]', shown)
+        self.assertNotIn(hash_key('dy-2'), shown)
--- a/tests/operator/test_configuration.py
+++ b/tests/operator/test_configuration.py
@@ -68,24 +68,16 @@
 def configurations(draw: st.DrawFn) -> Configuration:
     names = st.lists(NAMES, min_size=1, max_size=3, unique=True)
     organisations, services = draw(names), draw(names)
-    engines = [
-        service
-        for service in draw(_all_of([_services(name) for name in services]))
-    ]
-    carriers = [
-        service.service_name
-        for service in engines
-        if service.kind is ServiceKind.ENGINE
-    ]
+    backs = draw(_all_of([_services(name) for name in services]))
     models = [
         Model(
             name,
-            draw(st.sampled_from(carriers)),
+            draw(st.sampled_from(services)),
             version=draw(NAMES),
             adapters=tuple(draw(st.lists(NAMES, max_size=3, unique=True))),
             context_tokens=draw(COUNTS),
         )
-        for name in (draw(names) if carriers else ())
+        for name in draw(names)
     ]
     keys = [
         ApiKey(key_hash, draw(st.sampled_from(organisations)), draw(LABELS))
@@ -93,7 +85,33 @@
     ]
     customers = draw(_all_of([_organisations(name) for name in organisations]))
     base = draw(st.none() | st.integers(0, 10**9))
-    return Configuration((*customers, *keys, *engines, *models), base)
+    return Configuration((*customers, *keys, *backs, *models), base)
+
+
+LINES = st.sampled_from(
+    [
+        '',
+        '# a comment',
+        '[organisation a]',
+        '[service s]',
+        '[organisation a]]',
+        '[key ' + '0' * 64 + ']',
+        '[]',
+        '  [model m]',
+        'priority = 5',
+        'priority',
+        '= 5',
+        'organisation = a',
+        'unrepeatable =',
+        '    POST /a',
+        '    # POST /b',
+        '\tPUT /b',
+        'label = x\r',
+        '[configuration]',
+        'base_revision = 3',
+        '\x0c',
+    ]
+)
 
 
 class RoundTripTest(testtools.TestCase):
@@ -106,6 +124,19 @@
         self.assertEqual(configuration, again)
         self.assertEqual(text, str(again))
 
+    @given(st.lists(LINES | st.text(max_size=12), max_size=12).map('\n'.join))
+    def test_any_text_is_a_configuration_or_a_report(self, text: str) -> None:
+        """An operator hands over the wrong file. What is in it is told as
+        mistakes, or it is a configuration that prints the same again.
+        """
+        try:
+            configuration = parse_configuration(text)
+        except ConfigurationMistakes as caught:
+            self.assertNotEqual((), caught.mistakes)
+            return
+        again = parse_configuration(str(configuration))
+        self.assertEqual(configuration, again)
+
     def test_order_and_comments_do_not_matter(self) -> None:
         text = (
             '# evening shift\n[service s]\nunrepeatable =\n'
@@ -166,6 +197,20 @@
         )
         self.assertEqual('Write weight', places['organisation a', 'Weight'])
 
+    def test_a_key_in_place_of_its_hash_stays_off_the_screen(self) -> None:
+        """An operator writes a key where its hash belongs. The report names
+        the place by a few letters, and does not spread the key further.
+        """
+        key = 'dy-9rTzQm4vXw2LkPb7'
+        text = f'[organisation o]\n[key {key}]\nfor = o\n[key {key}]\n'
+        mistakes = self._mistakes(f'{text}\norganisation = x\n')
+        self.assertNotIn(key, str(mistakes))
+        self.assertEqual({'key dy-9rTzQ...'}, {one.section for one in mistakes})
+        (mistake,) = self._mistakes(
+            text.replace('for', 'organisation', 1).rpartition('[')[0]
+        )
+        self.assertIn('never the key itself', mistake.remedy)
+
     def test_wrong_objects_are_told_like_a_wrong_file(self) -> None:
         """A configuration is built in Python with values that no file could
         hold. It is refused when it is built, before anything is printed.
@@ -182,7 +227,7 @@
         places = {(each.section, each.option) for each in caught.mistakes}
         self.assertEqual(
             {
-                ('organisation', ''),
+                ('organisation a b', ''),
                 ('organisation a b', 'priority'),
                 ('organisation o', 'weight'),
                 ('organisation o', ''),
