End the work for a caller that left while its answer is gathered

Cause: the task of an answer that is not streamed looked for its caller only when no token came for a second; with tokens coming in it never looked, and the engine worked to the end. Ruled out: the streamed answer, whose failed write ends the call. Change: the look is due by the clock.

--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,12 @@
 PACKAGES = core wire entry operator standins
 SOURCES = packages scripts tests
 
-.PHONY: help install format lint test demo serve measure clean
+.PHONY: help install format lint test demo serve clean \
+	measure measure-spread measure-path
 
 help:
-	@echo "make demo | test | serve | lint | format | measure | clean"
+	@echo "make demo | test | serve | lint | format | clean"
+	@echo "make measure | measure-spread | measure-path"
 
 $(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
 	@echo "setting up $(VENV)" >&2
@@ -39,8 +41,17 @@
 serve: install
 	@$(BIN)/python scripts/launch.py serve
 
+# The policy against its naive version; the figures of docs/MEASUREMENTS.md.
 measure: install
-	$(BIN)/python -m dandelionyoke_standins measure
+	$(BIN)/python -W ignore -m dandelionyoke_standins measure policy
+
+# How news spreads at 8, 64 and 410 nodes; the figures of docs/AGREEMENT.md.
+measure-spread: install
+	$(BIN)/python -W ignore -m dandelionyoke_standins measure spread
+
+# What one entry process passes on; the figures of docs/CAPACITY.md.
+measure-path: install
+	$(BIN)/python -W ignore scripts/measure_path.py
 
 clean:
 	rm -rf $(VENV) .ci-venv .mypy_cache .ruff_cache
--- a/packages/standins/dandelionyoke_standins/_command.py
+++ b/packages/standins/dandelionyoke_standins/_command.py
@@ -1,10 +1,12 @@
 """The command line: which stand-in to run, and how."""
 
 import argparse
+import importlib
 import os
 import random
 import sys
 import time
+from types import MappingProxyType
 from typing import Protocol
 
 import attrs
@@ -27,6 +29,13 @@
 
 Options = argparse.Namespace
 
+MEASUREMENTS = MappingProxyType(
+    {
+        'policy': 'dandelionyoke_standins._policy_measure',
+        'spread': 'dandelionyoke_standins._spread',
+    }
+)
+
 ENGINE_NUMBERS = (
     ('--seed', 0),
     ('--kv-blocks', 4000),
@@ -55,6 +64,8 @@
 def main() -> int:
     """Run the stand-in that the arguments ask for."""
     options = _parser().parse_args()
+    if options.kind == 'measure':
+        return _measure(options)
     if options.kind == 'load':
         return report_load(LoadDriver(_load_settings(options)).run())
     if options.kind == 'link':
@@ -64,6 +75,13 @@
     return 0
 
 
+def _measure(options: Options) -> int:
+    """Run a measurement; a measurement imports much that nobody else needs."""
+    module = importlib.import_module(MEASUREMENTS[options.subject])
+    status: int | None = module.main(options.arguments)
+    return status or 0
+
+
 def _serve(shell: Shell) -> None:
     stop = StopSignal()
     shell.start()
@@ -106,6 +124,9 @@
     _add_plain(_long_running(kinds, 'plain'))
     _add_link(_long_running(kinds, 'link'))
     _add_load(kinds.add_parser('load', help='send a load, check the answers'))
+    measure = kinds.add_parser('measure', help='measure in virtual time')
+    measure.add_argument('subject', choices=tuple(MEASUREMENTS))
+    measure.add_argument('arguments', nargs='*')
     return parser
 
 
--- a/packages/wire/dandelionyoke_wire/_callers.py
+++ b/packages/wire/dandelionyoke_wire/_callers.py
@@ -7,6 +7,7 @@
 import json
 import secrets
 import socket
+import time
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any
@@ -265,21 +266,34 @@
         self._environ = environ
         self._box = mailboxes.open(request_id)
         self._open = True
+        self._next_look_s = time.monotonic() + GONE_CHECK_S
 
     def begin(self, event: Event) -> None:
         """Hand the call to the node."""
         self._emit(event)
 
     def next_action(self) -> Action | None:
-        """Wait for the next part of the answer; None: the caller left."""
+        """Wait for the next part of the answer; None: the caller left.
+
+        An answer that is gathered before it is written shows no broken
+        connection while its tokens come in, so the look is due by the
+        clock, not only when nothing comes.
+        """
         while True:
+            if self._is_look_due() and _is_gone(self._environ):
+                return None
             try:
                 action: Action = self._box.get(timeout=GONE_CHECK_S)
             except queue.Empty:
-                if _is_gone(self._environ):
-                    return None
-            else:
-                return action
+                continue
+            return action
+
+    def _is_look_due(self) -> bool:
+        now_s = time.monotonic()
+        if now_s < self._next_look_s:
+            return False
+        self._next_look_s = now_s + GONE_CHECK_S
+        return True
 
     def end(self, *, whole: bool) -> None:
         """Close the mailbox; tell the node if the answer was not taken."""
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -101,6 +101,7 @@
     )
     plain_services: Sequence[str] = ('crate-ledger',)
     entries: int = 2
+    engine_options: Sequence[str] = ()
 
 
 class Fleet:
@@ -158,7 +159,13 @@
         name = f'{service}-{number}'
         model = deployment.models[service]
         running = self.start_standin(
-            name, 'engine', '--engine-id', name, '--model', model
+            name,
+            'engine',
+            '--engine-id',
+            name,
+            '--model',
+            model,
+            *deployment.engine_options,
         )
         running.service = service
         running.domain = deployment.domains[number % len(deployment.domains)]
--- /dev/null
+++ b/scripts/measure_path.py
@@ -0,0 +1,123 @@
+"""What one entry process costs: processor time by call and by token.
+
+Streams go through one entry to engines on loopback. The entry's own
+processor time is read before and after, so that the machine's other work
+does not count. `python scripts/measure_path.py`
+"""
+
+import contextlib
+import os
+import pathlib
+import sys
+import threading
+
+import attrs
+import urllib3
+from demo_configuration import DemoKeys, demo_configuration
+from fleet import Deployment, Fleet, Running
+
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+KIB_PER_MIB = 1024
+STREAMS = 8
+TIMEOUT_S = 120.0
+ENGINES = Deployment(
+    engines={'route-assistant': 2},
+    entries=1,
+    engine_options=(
+        '--stream-tokens-per-s',
+        '60',
+        '--decode-tokens-per-s',
+        '2000',
+    ),
+)
+
+
+@attrs.frozen
+class Load:
+    """Calls one after another in each stream, and tokens in each call."""
+
+    calls: int
+    tokens: int
+
+
+@attrs.frozen
+class Usage:
+    """What the entry process has used so far."""
+
+    processor_s: float
+    memory_mib: float
+
+
+LOADS = (Load(calls=40, tokens=1), Load(calls=2, tokens=400))
+
+
+def main() -> int:
+    """Print the cost of short and of long answers, and the two slopes."""
+    with contextlib.closing(Fleet()) as fleet:
+        keys = DemoKeys()
+        fleet.deploy(ENGINES)
+        fleet.configure(str(demo_configuration(keys)))
+        fleet.await_targets()
+        short, long = (_cost_s(fleet, keys, load) for load in LOADS)
+        _report(short, long, _usage(fleet.entries[0]).memory_mib)
+    return 0
+
+
+def _report(short_s: float, long_s: float, memory_mib: float) -> None:
+    """Solve calls * a + tokens * b = time for both loads."""
+    calls = [STREAMS * load.calls for load in LOADS]
+    tokens = [STREAMS * load.calls * load.tokens for load in LOADS]
+    determinant = calls[0] * tokens[1] - calls[1] * tokens[0]
+    token_s = (calls[0] * long_s - calls[1] * short_s) / determinant
+    call_s = (short_s - tokens[0] * token_s) / calls[0]
+    _print(f'a call costs {call_s * 1000:.2f} ms of the entry')
+    _print(f'a token costs {token_s * 1_000_000:.0f} us of the entry')
+    _print(f'one core passes {1 / token_s:.0f} tokens a second')
+    _print(f'memory {memory_mib:.0f} MiB')
+
+
+def _cost_s(fleet: Fleet, keys: DemoKeys, load: Load) -> float:
+    before = _usage(fleet.entries[0])
+    streams = [
+        threading.Thread(target=_stream, args=(fleet, keys, load, number))
+        for number in range(STREAMS)
+    ]
+    for stream in streams:
+        stream.start()
+    for stream in streams:
+        stream.join(TIMEOUT_S)
+    return _usage(fleet.entries[0]).processor_s - before.processor_s
+
+
+def _stream(fleet: Fleet, keys: DemoKeys, load: Load, number: int) -> None:
+    http = urllib3.PoolManager(timeout=TIMEOUT_S)
+    for call in range(load.calls):
+        prompt = f'{number} {call}: answer {load.tokens} tokens'
+        answer = http.request(
+            'POST',
+            f'{fleet.entries[0].address}/v1/completions',
+            json={'model': 'crate-lm', 'prompt': prompt, 'stream': True},
+            headers={'Authorization': f'Bearer {keys.routes}'},
+        )
+        if b'[DONE]' not in answer.data:
+            raise RuntimeError(f'not whole: {answer.data[-200:]!r}')
+
+
+def _usage(entry: Running) -> Usage:
+    process = pathlib.Path('/proc') / str(entry.process.pid)
+    # The fields after the name, which may itself hold blanks.
+    fields = (process / 'stat').read_text().rpartition(')')[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    status = (process / 'status').read_text()
+    resident = next(
+        line for line in status.splitlines() if line.startswith('VmRSS')
+    )
+    return Usage(ticks / TICKS_PER_S, int(resident.split()[1]) / KIB_PER_MIB)
+
+
+def _print(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/tests/entry/test_failures.py
+++ b/tests/entry/test_failures.py
@@ -1,10 +1,12 @@
 """Kills, freezes and outages against real processes."""
 
+import http.client
 import json
 import signal
 import threading
 import time
 from collections.abc import Callable
+from urllib.parse import urlsplit
 
 import urllib3
 
@@ -221,3 +223,54 @@
             lambda: self.call('/v1/models', method='GET', entry=1).status == 401
         )
         self.assertEqual(401, self.call('/v1/models', method='GET').status)
+
+
+class CallerGoneTest(FailureCase):
+    """Callers that leave before their answer is whole."""
+
+    deployment = Deployment(engines={'route-assistant': 1})
+
+    def test_work_for_a_caller_that_left_is_ended(self) -> None:
+        """A driver loses his network halfway through a long answer. Nobody
+        reads the rest, streamed or not; the engine must not go on with it
+        for long, since each token costs and holds up others."""
+        for stream in (True, False):
+            prompt = f'left {stream}: answer 1000 tokens'
+            self.leave_halfway(prompt, stream=stream)
+            engine = self.running('route-assistant-0')
+            record = f'{engine.address}/standin/record'
+            self.await_true(
+                lambda url=record: all(
+                    attempt['end'] is not None
+                    for attempt in self.fleet.get(url)['attempts']
+                )
+            )
+            last = self.fleet.get(record)['attempts'][-1]
+            self.assertLess(last['output_tokens'], 400)
+
+    def leave_halfway(self, prompt: str, *, stream: bool) -> None:
+        """Ask, wait until the engine works, and close the connection."""
+        parts = urlsplit(self.fleet.entries[0].address)
+        body = json.dumps(
+            {
+                'model': 'crate-lm',
+                'prompt': prompt,
+                'stream': stream,
+                'max_tokens': 2000,
+            }
+        )
+        connection = http.client.HTTPConnection(parts.hostname, parts.port)
+        connection.request(
+            'POST',
+            '/v1/completions',
+            body,
+            {'Authorization': f'Bearer {self.keys.routes}'},
+        )
+        self.await_true(lambda: self.is_anything_running())
+        connection.close()
+
+    def is_anything_running(self) -> bool:
+        """Whether the engine has an attempt in progress."""
+        address = self.running('route-assistant-0').address
+        attempts = self.fleet.get(f'{address}/standin/record')['attempts']
+        return any(attempt['end'] is None for attempt in attempts)
