Judge a silent stream early, and a silent engine late

Cause: before its first token a stream could be silent for 30 s until it was resumed, so a caller whose connection had been forgotten waited that long. Seen in a trial with real processes whose engines were all made silent before the first token: 30 s in the median until the first token.

Ruled out: a short limit for everything. An engine with a full queue is silent too, and to start the work elsewhere makes the wait longer.

Change: any silence of 5 s leads to a resume, which costs an engine nothing. A resumed stream is given up early only where the engine is known to answer before its first token and does not. A claimed call's store cost is asserted.

--- a/packages/core/dandelionyoke_core/_call.py
+++ b/packages/core/dandelionyoke_core/_call.py
@@ -26,7 +26,8 @@
     """A stream of one target that is being read.
 
     The target knows the work by `work_id`: the id of the attempt that
-    started it, which a resumed stream only reads on.
+    started it, which a resumed stream only reads on. `answers_at_once` is
+    whether the target is known to answer a call before its first token.
     """
 
     attempt_id: AttemptId
@@ -34,6 +35,7 @@
     target: Target
     heard_s: float
     accepted: bool = False
+    answers_at_once: bool = False
     progressed: bool = False
 
     @property
@@ -116,6 +118,10 @@
         """Read the same work on, as a new stream."""
         attempt_id = self.next_attempt_id()
         self.attempt = Attempt(
-            attempt_id, attempt.work_id, attempt.target, now_s
+            attempt_id,
+            attempt.work_id,
+            attempt.target,
+            now_s,
+            answers_at_once=attempt.accepted or attempt.answers_at_once,
         )
         return self.attempt
--- a/packages/core/dandelionyoke_core/_model_calls.py
+++ b/packages/core/dandelionyoke_core/_model_calls.py
@@ -191,7 +191,16 @@
         ]
 
     def _limit_s(self, call: Call, attempt: Attempt) -> float:
-        if attempt.resumes and not attempt.accepted:
+        """Tell how long the present stream may be silent.
+
+        A resume costs an engine nothing, so the first silence is judged
+        early. To go elsewhere costs the work that was done, and an engine
+        with a full queue is silent too; so a resumed stream is only given
+        up early where the engine would have answered.
+        """
+        if not attempt.resumes:
+            return self._settings.silence_limit_s
+        if attempt.answers_at_once and not attempt.accepted:
             return self._settings.accept_limit_s
         if call.tokens:
             return self._settings.silence_limit_s
--- a/packages/core/dandelionyoke_core/_request_settings.py
+++ b/packages/core/dandelionyoke_core/_request_settings.py
@@ -7,9 +7,10 @@
 class RequestSettings:
     """How long, how often and how much a call may be tried.
 
-    A stream may stay silent for `first_token_limit_s` before its first
-    token, for `silence_limit_s` between tokens, and for `accept_limit_s`
-    after a resume until the engine answers. A begun answer waits for a
+    A stream that is silent for `silence_limit_s` is resumed, at any point of
+    its answer. One that was resumed may stay silent for `accept_limit_s`
+    until the engine answers, if it had answered before, and then for
+    `first_token_limit_s` before its first token. A begun answer waits for a
     target for `stall_limit_s`. Retries draw on a budget that earns
     `retry_share` for each call and `retry_refill_per_s` for each second, and
     holds `retry_reserve` at most.
--- a/tests/core/test_once.py
+++ b/tests/core/test_once.py
@@ -203,6 +203,8 @@
         self.assertEqual(1, refusal.retry_after_s)
         answer = core.ServiceAnswered('r1', call.attempt_id, 201, 't', b'done')
         self.end(self.first, answer)
+        said = self.first.all(core.StorePut), self.first.all(core.StoreGet)
+        self.assertEqual([2, 0], list(map(len, said)))
         self.assertIsNone(self.send(self.other, 'r3'))
         self.assertEqual(
             [core.AnswerService('r3', 201, 't', b'done')],
--- a/tests/core/test_request.py
+++ b/tests/core/test_request.py
@@ -133,6 +133,25 @@
         entry.tell(end_of('r1.3'))
         self.whole(entry)
 
+    def test_a_full_engine_is_not_taken_for_a_silent_one(self) -> None:
+        """A long prompt waits in the engine's queue and no token comes. To
+        start it elsewhere would only make the wait longer; reading on over
+        a new connection does no harm, and tells whether the engine lives.
+        """
+        for answers in (False, True):
+            entry = asked(Entry())
+            if answers:
+                entry.tell(core.AttemptAccepted('r1', 'r1.1'))
+            entry.wait(5)
+            self.assertEqual(1, len(entry.all(core.ResumeAttempt)))
+            if answers:
+                entry.tell(core.AttemptAccepted('r1', 'r1.2'))
+            entry.wait(25)
+            self.assertEqual(1, len(entry.all(core.StartAttempt)))
+            entry.tell(output('r1.2', 0, 8))
+            entry.tell(end_of('r1.2'))
+            self.whole(entry)
+
     def test_overlaps_are_trimmed_and_gaps_resumed(self) -> None:
         """A resumed stream starts a little early, or a piece of it is lost
         on the way. The caller must see neither a doubled nor a missing
