--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -50,6 +50,7 @@
 )
 from dandelionyoke_core._capacity import (
     CapacityView as CapacityView,
+    Outlook as Outlook,
     ServiceCapacity as ServiceCapacity,
 )
 from dandelionyoke_core._changes import (
@@ -72,16 +73,12 @@
     record_to_json as record_to_json,
 )
 from dandelionyoke_core._commit import (
+    CommitOutcome as CommitOutcome,
     Committed as Committed,
     Committer as Committer,
-    ConfigurationLoader as ConfigurationLoader,
     Conflicted as Conflicted,
-    Head as Head,
-    Loaded as Loaded,
     Proposal as Proposal,
     Rejected as Rejected,
-    StoreLayoutSettings as StoreLayoutSettings,
-    Unsettled as Unsettled,
 )
 from dandelionyoke_core._configuration import (
     ConfigurationPart as ConfigurationPart,
@@ -95,6 +92,9 @@
 from dandelionyoke_core._configuration_reader import (
     ReaderSettings as ReaderSettings,
 )
+from dandelionyoke_core._demand import (
+    DemandShared as DemandShared,
+)
 from dandelionyoke_core._entities import (
     ApiKey as ApiKey,
     Change as Change,
@@ -149,6 +149,22 @@
     UsageAnswered as UsageAnswered,
     Woken as Woken,
 )
+from dandelionyoke_core._fleet import (
+    CONTROL_DUTY as CONTROL_DUTY,
+    FleetPart as FleetPart,
+)
+from dandelionyoke_core._fleet_notices import (
+    RoleWanted as RoleWanted,
+    TargetsWanted as TargetsWanted,
+)
+from dandelionyoke_core._fleet_settings import (
+    FleetSettings as FleetSettings,
+)
+from dandelionyoke_core._fleet_view import (
+    TargetSight as TargetSight,
+    TargetView as TargetView,
+    WorkView as WorkView,
+)
 from dandelionyoke_core._gossip import (
     GossipSettings as GossipSettings,
 )
@@ -168,6 +184,7 @@
 )
 from dandelionyoke_core._load_estimate import (
     EngineSpeed as EngineSpeed,
+    WorkSize as WorkSize,
 )
 from dandelionyoke_core._membership import (
     MembershipPart as MembershipPart,
@@ -220,7 +237,7 @@
     TargetLeaving as TargetLeaving,
 )
 from dandelionyoke_core._observation import (
-    LoadShared as LoadShared,
+    LoadsShared as LoadsShared,
 )
 from dandelionyoke_core._once import (
     OncePart as OncePart,
@@ -297,6 +314,17 @@
 from dandelionyoke_core._routing_settings import (
     RoutingSettings as RoutingSettings,
 )
+from dandelionyoke_core._store_layout import (
+    ConfigurationLoader as ConfigurationLoader,
+    Head as Head,
+    Loaded as Loaded,
+    LoadOutcome as LoadOutcome,
+    StoreLayoutSettings as StoreLayoutSettings,
+    Unsettled as Unsettled,
+)
+from dandelionyoke_core._target_changes import (
+    TargetsShared as TargetsShared,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
@@ -304,4 +332,8 @@
 )
 from dandelionyoke_core._topology import (
     TopologySettings as TopologySettings,
+    choose_links as choose_links,
+)
+from dandelionyoke_core._work_mix import (
+    MixRow as MixRow,
 )
--- a/packages/core/dandelionyoke_core/_fair_queue.py
+++ b/packages/core/dandelionyoke_core/_fair_queue.py
@@ -17,12 +17,13 @@
 
 @attrs.frozen
 class Waiting:
-    """A queued call."""
+    """A queued call; `run_s` is what it is expected to take once it goes."""
 
     ticket: Ticket
     cost: float
     weight: float
     start: float
+    run_s: float
 
 
 @attrs.define
@@ -55,12 +56,26 @@
         flow = self._flows.get(organisation_id)
         return 0 if flow is None else len(flow.calls)
 
-    def push(self, ticket: Ticket, cost: float, weight: float) -> None:
+    def ahead(self, organisation_id: OrganisationId) -> float:
+        """Add up the work that a new call of an organisation waits for."""
+        flow = self._flows.get(organisation_id)
+        finish = 0.0 if flow is None else flow.finish
+        start = max(self._virtual, finish)
+        return sum(
+            call.cost
+            for other in self._flows.values()
+            for call in other.calls
+            if call.start <= start
+        )
+
+    def push(
+        self, ticket: Ticket, cost: float, weight: float, run_s: float
+    ) -> None:
         """Queue a call."""
         flow = self._flow(ticket)
         start = max(self._virtual, flow.finish)
         flow.finish = start + cost / weight
-        flow.calls.append(Waiting(ticket, cost, weight, start))
+        flow.calls.append(Waiting(ticket, cost, weight, start, run_s))
         self._size += 1
         self._cost += cost
 
--- /dev/null
+++ b/packages/operator/dandelionyoke_operator/_difference.py
@@ -0,0 +1,86 @@
+"""Changes in the words of the INI form."""
+
+from collections.abc import Iterable, Iterator
+
+from dandelionyoke_core import (
+    Entity,
+    Operation,
+    Put,
+    Remove,
+    Section,
+    Snapshot,
+)
+from dandelionyoke_operator._options import (
+    Option,
+    layout_of,
+)
+from dandelionyoke_operator._reports import (
+    OptionDifference,
+    SectionDifference,
+)
+from dandelionyoke_operator._snapshot import find_entity, place_of_entity
+
+ADDED = 'added'
+CHANGED = 'changed'
+REMOVED = 'removed'
+SET = 'set'
+
+Place = tuple[Section, str]
+
+
+def describe(
+    operations: Iterable[Operation], before: Snapshot
+) -> tuple[SectionDifference, ...]:
+    """Tell what operations would change in a snapshot."""
+    return tuple(
+        describe_operation(operation, find_entity(before, *place_of(operation)))
+        for operation in operations
+    )
+
+
+def place_of(operation: Operation) -> Place:
+    """Tell which entity an operation is about."""
+    if isinstance(operation, Remove):
+        return operation.section, operation.name
+    return place_of_entity(operation.entity)
+
+
+def describe_operation(
+    operation: Operation, before: Entity | None
+) -> SectionDifference:
+    """Tell what an operation makes of what was there before."""
+    section, name = place_of(operation)
+    after = operation.entity if isinstance(operation, Put) else None
+    action = CHANGED
+    if after is None:
+        action = REMOVED
+    elif before is None:
+        action = ADDED
+    return SectionDifference(
+        action, f'{section.value} {name}', tuple(_options(before, after))
+    )
+
+
+def describe_blindly(operation: Operation) -> SectionDifference:
+    """Tell of an operation where it is not known what was there before."""
+    section, name = place_of(operation)
+    action = SET if isinstance(operation, Put) else REMOVED
+    return SectionDifference(action, f'{section.value} {name}')
+
+
+def _options(
+    before: Entity | None, after: Entity | None
+) -> Iterator[OptionDifference]:
+    either = after or before
+    if either is None:
+        return
+    for option in layout_of(either).options:
+        old = None if before is None else _printed(option, before)
+        new = None if after is None else _printed(option, after)
+        if old != new:
+            yield OptionDifference(option.name, old, new)
+
+
+def _printed(option: Option, entity: Entity) -> str:
+    text = option.form.write(getattr(entity, option.field))
+    return ', '.join(line.strip() for line in text.strip().split('\n'))
--- a/packages/standins/dandelionyoke_standins/__init__.py
+++ b/packages/standins/dandelionyoke_standins/__init__.py
@@ -48,7 +48,11 @@
     answer_plan as answer_plan,
     answer_text as answer_text,
     output_token as output_token,
-    output_tokens as output_tokens,
+)
+from dandelionyoke_standins._plain import (
+    PlainFaults as PlainFaults,
+    PlainModel as PlainModel,
+    PlainRun as PlainRun,
 )
 from dandelionyoke_standins._platform import (
     Instance as Instance,
@@ -69,3 +73,16 @@
     TargetOrderAnswer as TargetOrderAnswer,
     TargetSettings as TargetSettings,
 )
+from dandelionyoke_standins._world import (
+    CallRecord as CallRecord,
+    World as World,
+    WorldSettings as WorldSettings,
+)
+from dandelionyoke_standins._world_setup import (
+    DeploymentPlan as DeploymentPlan,
+    EngineGroup as EngineGroup,
+    add_entry as add_entry,
+    commit as commit,
+    deploy as deploy,
+)
+from dandelionyoke_standins._world_targets import VirtualEngine as VirtualEngine
--- a/packages/standins/dandelionyoke_standins/_engine_http.py
+++ b/packages/standins/dandelionyoke_standins/_engine_http.py
@@ -7,12 +7,17 @@
 import eventlet
 import urllib3
 
-from dandelionyoke_standins._attempt import GenerateRequest, StreamEnd
+from dandelionyoke_standins._attempt import GenerateRequest, Output, StreamEnd
 from dandelionyoke_standins._engine import EngineModel, KvExport
 from dandelionyoke_standins._engine_orders import EngineOrder
-from dandelionyoke_standins._errors import BadCallError, LostAnswerError
+from dandelionyoke_standins._errors import (
+    BadCallError,
+    LostAnswerError,
+    MissingError,
+)
 from dandelionyoke_standins._http import Call, Reply, Route, Server, Signal
 from dandelionyoke_standins._json import Json, build, decode, encode
+from dandelionyoke_standins._record_file import RecordFile
 
 TICK_S = 0.01
 PATIENCE_S = 5.0
@@ -22,8 +27,13 @@
 class EngineShell:
     """Owns an engine model, and gives it the clock and the callers."""
 
-    def __init__(self, model: EngineModel, port: int = 0) -> None:
+    def __init__(
+        self, model: EngineModel, port: int = 0, record_path: str = ''
+    ) -> None:
         self._model = model
+        self._file = RecordFile(
+            record_path, model.settings.engine_id, model.incarnation
+        )
         self._moved = Signal()
         self._pool = urllib3.PoolManager(retries=False)
         self._server = Server(self._routes(), port)
@@ -56,13 +66,22 @@
             outputs = self._model.advance(time.monotonic())
             if self._model.is_crashed or self._model.faults.crash:
                 os._exit(CRASH_STATUS)
+            for output in outputs:
+                self._record_end(output)
             if outputs:
                 self._moved.notify()
 
+    def _record_end(self, output: Output) -> None:
+        if output.end is not None:
+            record = self._model.attempt_record(output.attempt_id)
+            self._file.write('attempt_ended', record)
+
     def _generate(self, call: Call) -> Reply:
         self._enter()
         request = build(GenerateRequest, call.json)
         self._model.generate(request, time.monotonic())
+        record = self._model.attempt_record(request.attempt_id)
+        self._file.write('attempt', record)
         self._lose_answer()
         offset = len(request.resume_tokens)
         silent_after = self._model.faults.silent_after_tokens
@@ -83,6 +102,9 @@
         self, attempt_id: str, offset: int, silent_after: int | None
     ) -> Iterator[bytes]:
         """Stream the output as it comes; perhaps go silent on the way."""
+        # The headers leave with the first line, so an empty one tells at
+        # once that the attempt is accepted, however long it will wait.
+        yield _line({'offset': offset, 'tokens': ()})
         sent = 0
         while True:
             output = self._model.output_from(attempt_id, offset)
@@ -90,7 +112,7 @@
             if silent_after is not None:
                 tokens = tokens[: max(0, silent_after - sent)]
             if tokens:
-                yield encode({'offset': offset, 'tokens': tokens}) + b'\n'
+                yield _line({'offset': offset, 'tokens': tokens})
             sent += len(tokens)
             offset += len(tokens)
             self._stay_silent(is_silent=sent == silent_after)
@@ -101,15 +123,16 @@
 
     def _end_line(self, attempt_id: str, end: StreamEnd, offset: int) -> bytes:
         if end.reason == 'error':
-            return encode({'error': end.cause}) + b'\n'
+            return _line({'error': end.cause})
         record = self._model.attempt_record(attempt_id)
-        line = {
-            'end': end.reason,
-            'offset': offset,
-            'prompt_tokens': record.prompt_tokens,
-            'cached_tokens': record.cached_tokens,
-        }
-        return encode(line) + b'\n'
+        return _line(
+            {
+                'end': end.reason,
+                'offset': offset,
+                'prompt_tokens': record.prompt_tokens,
+                'cached_tokens': record.cached_tokens,
+            }
+        )
 
     def _cancel(self, call: Call) -> Reply:
         self._enter()
@@ -132,6 +155,7 @@
         self._enter()
         order = build(EngineOrder, call.json)
         answer = self._model.order(order, time.monotonic())
+        self._file.write('order', self._model.record.orders[-1])
         self._moved.notify()
         self._lose_answer()
         return Reply(answer)
@@ -159,11 +183,19 @@
         self._enter()
         body = call.json
         url = f'{_text(body, "source")}/kv/{_text(body, "handle")}'
-        answer = self._pool.request('GET', url, timeout=PATIENCE_S)
-        export = build(KvExport, decode(answer.data))
+        export = self._fetch(url)
         self._model.import_kv(export, time.monotonic())
         return Reply({'imported': True})
 
+    def _fetch(self, url: str) -> KvExport:
+        try:
+            answer = self._pool.request('GET', url, timeout=PATIENCE_S)
+        except urllib3.exceptions.HTTPError as error:
+            raise MissingError(imported=False, cause='unreachable') from error
+        if answer.status != 200:
+            raise MissingError(imported=False, cause='unknown_handle')
+        return build(KvExport, decode(answer.data))
+
     def _set_faults(self, call: Call) -> Reply:
         for name, setting in call.json.items():
             if not hasattr(self._model.faults, name):
@@ -189,6 +221,10 @@
             raise LostAnswerError
 
 
+def _line(fields: Json) -> bytes:
+    return encode(fields) + b'\n'
+
+
 def _text(body: Json, name: str) -> str:
     text = body.get(name)
     if not isinstance(text, str):
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -4,13 +4,15 @@
 nothing under `packages/` starts any, and a test sees to that.
 """
 
+import os
 import pathlib
 import queue
 import signal
 import subprocess  # noqa: S404 - see above
 import sys
 import threading
-from collections.abc import Mapping, Sequence
+import time
+from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
 import attrs
@@ -20,6 +22,7 @@
 LOGS = ROOT / '.logs'
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
+POLL_S = 0.05
 SECRET = 'loopback-only-secret-of-the-demo'
 
 ENTRY_SETTINGS = """\
@@ -49,6 +52,14 @@
     )
     address: str = ''
     second_address: str = ''
+    service: str = ''
+    domain: str = ''
+    kind: str = ''
+
+    def await_ready(self) -> str:
+        """Wait until the process listens; return its address."""
+        self.address = self.address or self.await_line('READY ')
+        return self.address
 
     def await_line(self, word: str) -> str:
         """Wait for a line that starts with a word; return the rest."""
@@ -59,6 +70,11 @@
             if not line:
                 raise RuntimeError(f'{self.name} ended; see .logs/')
 
+    def lines_until_end(self) -> Iterator[str]:
+        """Yield each line of output until the process ends it."""
+        while line := self.lines.get():
+            yield line
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, unless the process has ended."""
         if self.process.poll() is None:
@@ -92,7 +108,7 @@
 
     def __init__(self, balancer_notice_s: float = 0.2) -> None:
         self._balancer_notice_s = balancer_notice_s
-        self._running: list[Running] = []
+        self.running: list[Running] = []
         self.platform_url = ''
         self.entries: list[Running] = []
         self.targets: list[dict[str, object]] = []
@@ -102,45 +118,61 @@
     def deploy(self, deployment: Deployment) -> None:
         """Start the platform, the targets and the entries."""
         platform = self.start_standin('platform', 'platform', '--lag-s', '0.2')
-        self.platform_url = platform.address
-        for service, count in deployment.engines.items():
-            for number in range(count):
-                domain = deployment.domains[number % len(deployment.domains)]
-                self.start_engine(
-                    service, number, domain, deployment.models[service]
-                )
-        for service in deployment.plain_services:
-            self.start_plain(service, deployment.domains[0])
+        # All begin before the first is waited for: each start takes a second.
+        targets = [
+            self._begin_engine(service, number, deployment)
+            for service, count in deployment.engines.items()
+            for number in range(count)
+        ]
+        targets.extend(
+            self._begin_plain(service, deployment.domains[0])
+            for service in deployment.plain_services
+        )
+        self.platform_url = platform.await_ready()
+        entries = [
+            self._begin_entry(
+                f'entry-{number + 1}',
+                deployment.domains[number % len(deployment.domains)],
+            )
+            for number in range(deployment.entries)
+        ]
+        for target in targets:
+            self._note_target(target)
         self.list_targets()
-        for number in range(deployment.entries):
-            domain = deployment.domains[number % len(deployment.domains)]
-            self.start_entry(f'entry-{number + 1}', domain)
+        for entry in entries:
+            self._list_entry(entry)
+
+    def start_entry(self, instance_id: str, domain: str) -> Running:
+        """Start an entry and list it at the platform."""
+        running = self._begin_entry(instance_id, domain)
+        self._list_entry(running)
+        return running
+
+    def start_standin(self, name: str, kind: str, *options: str) -> Running:
+        """Start a stand-in."""
+        return self._start(name, 'dandelionyoke_standins', kind, *options)
 
-    def start_engine(
-        self, service: str, number: int, domain: str, model: str, *more: str
+    def _begin_engine(
+        self, service: str, number: int, deployment: Deployment
     ) -> Running:
-        """Start an engine and note it as a target."""
-        target_id = f'{service}-{number}'
+        name = f'{service}-{number}'
+        model = deployment.models[service]
         running = self.start_standin(
-            target_id,
-            'engine',
-            '--engine-id',
-            target_id,
-            '--model',
-            model,
-            *more,
+            name, 'engine', '--engine-id', name, '--model', model
         )
-        self._note_target(running, service, domain, 'engine')
+        running.service = service
+        running.domain = deployment.domains[number % len(deployment.domains)]
+        running.kind = 'engine'
         return running
 
-    def start_plain(self, service: str, domain: str) -> Running:
-        """Start a plain service and note it as a target."""
+    def _begin_plain(self, service: str, domain: str) -> Running:
         running = self.start_standin(f'{service}-0', 'plain')
-        self._note_target(running, service, domain, 'plain')
+        running.service = service
+        running.domain = domain
+        running.kind = 'plain'
         return running
 
-    def start_entry(self, instance_id: str, domain: str) -> Running:
-        """Start an entry and list it at the platform."""
+    def _begin_entry(self, instance_id: str, domain: str) -> Running:
         settings = LOGS / f'{instance_id}.ini'
         settings.write_text(
             ENTRY_SETTINGS.format(
@@ -154,26 +186,76 @@
         running = self._start(
             instance_id, 'dandelionyoke_entry', '--settings', str(settings)
         )
-        running.address = running.await_line('READY ')
+        running.domain = domain
+        return running
+
+    def _list_entry(self, running: Running) -> None:
+        running.await_ready()
         running.second_address = running.await_line('PEERS ')
         self.post(
             f'{self.platform_url}/instances',
             {
-                'instance_id': instance_id,
-                'domain': domain,
+                'instance_id': running.name,
+                'domain': running.domain,
                 'caller_address': running.address,
                 'peer_address': running.second_address,
                 'state': 'live',
             },
         )
         self.entries.append(running)
-        return running
 
-    def start_standin(self, name: str, kind: str, *options: str) -> Running:
-        """Start a stand-in and wait until it listens."""
-        running = self._start(name, 'dandelionyoke_standins', kind, *options)
-        running.address = running.await_line('READY ')
-        return running
+    def _note_target(self, running: Running) -> None:
+        self.targets.append(
+            {
+                'target_id': running.name,
+                'service': running.service,
+                'domain': running.domain,
+                'address': running.await_ready(),
+                'kind': running.kind,
+                'reclaimable': False,
+                'state': 'live',
+            }
+        )
+
+    def start_load(self, *options: str) -> Running:
+        """Start the load driver."""
+        return self._start('load', 'dandelionyoke_standins', 'load', *options)
+
+    def configure(self, text: str, reason: str = 'set up') -> None:
+        """Put a configuration in force by the operator's command."""
+        file = LOGS / 'configuration.ini'
+        file.write_text(text)
+        self.operate('check', str(file))
+        self.operate(
+            'apply', str(file), '--reason', reason, '--author', 'launcher'
+        )
+
+    def operate(self, *arguments: str, statuses: Sequence[int] = (0,)) -> str:
+        """Run the operator's command; return what it printed."""
+        program = pathlib.Path(sys.executable).parent / 'dandelionyoke'
+        ended = subprocess.run(  # noqa: S603 - our own program
+            [str(program), *arguments],
+            check=False,
+            env={**os.environ, 'DANDELIONYOKE_PLATFORM': self.platform_url},
+            capture_output=True,
+            text=True,
+            timeout=READY_TIMEOUT_S,
+        )
+        if ended.returncode not in statuses:
+            raise RuntimeError(f'{arguments}: {ended.stdout}{ended.stderr}')
+        return ended.stdout
+
+    def await_targets(self) -> None:
+        """Wait until every entry reports all targets as usable."""
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        for entry in self.entries:
+            while self._usable_targets(entry) < len(self.targets):
+                if time.monotonic() > deadline_s:
+                    raise RuntimeError(f'{entry.name} sees too few targets')
+                time.sleep(POLL_S)
+
+    def _usable_targets(self, entry: Running) -> int:
+        return int(self.get(f'{entry.address}/status')['usable_targets'])
 
     def list_targets(self) -> None:
         """Tell the platform's stand-in which targets there are."""
@@ -189,21 +271,19 @@
         """Get JSON."""
         return self._pool.request('GET', url).json()
 
-    def stop(self) -> None:
+    def close(self) -> None:
         """End all that was started: entries first, so that they drain."""
         entries = [
-            running for running in self._running if running in self.entries
-        ]
-        others = [
-            running for running in self._running if running not in entries
+            running for running in self.running if running in self.entries
         ]
+        others = [running for running in self.running if running not in entries]
         for group in (entries, others):
             for running in group:
                 running.signal(signal.SIGCONT)
                 running.signal(signal.SIGTERM)
             for running in group:
                 self._end(running)
-        self._running.clear()
+        self.running.clear()
 
     def _end(self, running: Running) -> None:
         try:
@@ -212,21 +292,6 @@
             running.process.kill()
             running.wait()
 
-    def _note_target(
-        self, running: Running, service: str, domain: str, kind: str
-    ) -> None:
-        self.targets.append(
-            {
-                'target_id': running.name,
-                'service': service,
-                'domain': domain,
-                'address': running.address,
-                'kind': kind,
-                'reclaimable': False,
-                'state': 'live',
-            }
-        )
-
     def _start(self, name: str, module: str, *arguments: str) -> Running:
         with (LOGS / f'{name}.log').open('w') as log:
             process = subprocess.Popen(  # noqa: S603 - our own modules
@@ -237,7 +302,7 @@
                 start_new_session=True,
             )
         running = Running(name, process)
-        self._running.append(running)
+        self.running.append(running)
         threading.Thread(target=_pump, args=(running,), daemon=True).start()
         return running
 
