Ask peers in a module of its own, and keep offers within a frame

Questions to peers, the settings of membership and the virtual node have their own modules. A configuration above 960 KB is refused when it is proposed.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -64,6 +64,9 @@
     ConfigurationOffered as ConfigurationOffered,
     ConfigurationWanted as ConfigurationWanted,
 )
+from dandelionyoke_core._configuration_questions import (
+    QuestionSettings as QuestionSettings,
+)
 from dandelionyoke_core._configuration_reader import (
     ReaderSettings as ReaderSettings,
 )
@@ -135,7 +138,6 @@
 )
 from dandelionyoke_core._membership import (
     MembershipPart as MembershipPart,
-    MembershipSettings as MembershipSettings,
 )
 from dandelionyoke_core._membership_messages import (
     Heartbeat as Heartbeat,
@@ -145,6 +147,9 @@
     RecordEntry as RecordEntry,
     RecordSummary as RecordSummary,
 )
+from dandelionyoke_core._membership_settings import (
+    MembershipSettings as MembershipSettings,
+)
 from dandelionyoke_core._names import (
     AttemptId as AttemptId,
     ChangeId as ChangeId,
--- a/packages/core/dandelionyoke_core/_commit.py
+++ b/packages/core/dandelionyoke_core/_commit.py
@@ -20,7 +20,6 @@
 from dandelionyoke_core._store_dialogue import Steps, StoreDialogue
 from dandelionyoke_core._store_layout import (
     HEAD_KEY,
-    MAX_VALUE_BYTES,
     Head,
     Loaded,
     StoreLayoutSettings,
@@ -33,6 +32,8 @@
 # The head holds the whole of the newest change, whatever its size, and has
 # to fit into a value with it.
 MAX_CHANGE_BYTES = 786_432
+# A snapshot also travels between peers, in a frame with a little around it.
+MAX_SNAPSHOT_BYTES = 983_040
 
 
 @attrs.frozen
@@ -231,8 +232,8 @@
     except DandelionyokeError as wrong:
         return (Problem('change', wrong.problem, wrong.remedy),)
     problems = validate(changed)
-    if len(record_to_json(changed)) > MAX_VALUE_BYTES:
-        return (*problems, _too_large('the configuration', MAX_VALUE_BYTES))
+    if len(record_to_json(changed)) > MAX_SNAPSHOT_BYTES:
+        return (*problems, _too_large('the configuration', MAX_SNAPSHOT_BYTES))
     return problems
 
 
--- a/packages/core/dandelionyoke_core/_configuration.py
+++ b/packages/core/dandelionyoke_core/_configuration.py
@@ -18,6 +18,10 @@
     ConfigurationWanted,
     make_news,
 )
+from dandelionyoke_core._configuration_questions import (
+    PeerQuestions,
+    QuestionSettings,
+)
 from dandelionyoke_core._configuration_reader import (
     HeadReader,
     ReaderSettings,
@@ -51,19 +55,11 @@
     """How news of the configuration travels."""
 
     watchers_in_domain: int = 3
-    ask_every_s: float = 10.0
-    ask_timeout_s: float = 3.0
+    questions: QuestionSettings = attrs.field(factory=QuestionSettings)
     reader: ReaderSettings = attrs.field(factory=ReaderSettings)
     knowledge: KnowledgeSettings = attrs.field(factory=KnowledgeSettings)
 
 
-@attrs.frozen
-class _Question:
-    number: int
-    peer_id: InstanceId
-    asked_s: float
-
-
 class ConfigurationPart:
     """Keeps the newest configuration that the node has heard of in force."""
 
@@ -98,10 +94,7 @@
         self._confirmed_s: float | None = None
         self._heard_revision = 0
         self._store_at = 0
-        self._links: dict[InstanceId, None] = {}
-        self._question: _Question | None = None
-        self._asked_count = 0
-        self._ask_due_s: float | None = None
+        self._questions = PeerQuestions(settings.questions, random)
 
     @property
     def snapshot(self) -> Snapshot:
@@ -116,7 +109,10 @@
 
     def next_wakeup_s(self) -> float | None:
         """Tell when this part has to be woken, or None."""
-        wakeups = (self._reader.next_wakeup_s(), self._ask_due_s)
+        wakeups = (
+            self._reader.next_wakeup_s(),
+            self._questions.next_wakeup_s(),
+        )
         return min((at_s for at_s in wakeups if at_s is not None), default=None)
 
     def handle(self, event: Event, now_s: float) -> list[Output]:
@@ -134,14 +130,14 @@
         match event:
             case Started():
                 self._reader.hurry(now_s)
-                self._ask_due_s = now_s + self._settings.ask_every_s
+                self._questions.start(now_s)
             case StoreAnswered():
                 return self._take_answer(event, now_s)
             case PeerConnected(peer_id=peer_id):
-                self._links[peer_id] = None
+                self._questions.linked(peer_id)
                 return self._ask_new_peer(peer_id, now_s)
             case PeerDisconnected(peer_id=peer_id):
-                self._links.pop(peer_id, None)
+                self._questions.unlinked(peer_id)
             case PeersKnown() if self._is_watcher():
                 self._reader.hurry(now_s)
             case PeerMessageArrived():
@@ -232,42 +228,31 @@
             return []
         patience_s = self._random.uniform(0.5, 1) * GAP_PATIENCE_S
         self._reader.hurry(now_s + patience_s)
-        if self._question is not None:
+        if self._questions.is_waiting:
             return []
-        return self._ask(peer_id, now_s)
+        return [self._ask(peer_id, now_s)]
 
     def _ask_new_peer(self, peer_id: InstanceId, now_s: float) -> list[Output]:
-        age_s = self.knowledge_age_s(now_s)
-        if self._question is not None or self._reader.reaches_store:
+        if self._questions.is_waiting or self._reader.reaches_store:
             return []
-        if age_s is not None and age_s < self._settings.ask_every_s:
+        if self._questions.is_fresh(self.knowledge_age_s(now_s)):
             return []
-        return self._ask(peer_id, now_s)
+        return [self._ask(peer_id, now_s)]
 
     def _ask_when_due(self, now_s: float) -> list[Output]:
-        if self._ask_due_s is None or now_s < self._ask_due_s:
-            return []
-        self._question = None
-        self._ask_due_s = now_s + self._ask_pause_s()
+        peer_id = self._questions.choose(now_s)
         age_s = self.knowledge_age_s(now_s)
-        fresh = age_s is not None and age_s < self._settings.ask_every_s
-        if fresh or not self._links:
+        if peer_id is None or self._questions.is_fresh(age_s):
             return []
-        return self._ask(self._random.choice(list(self._links)), now_s)
+        return [self._ask(peer_id, now_s)]
 
-    def _ask(self, peer_id: InstanceId, now_s: float) -> list[Output]:
-        self._asked_count += 1
-        self._question = _Question(self._asked_count, peer_id, now_s)
-        self._ask_due_s = now_s + self._settings.ask_timeout_s
-        wanted = ConfigurationWanted(
-            question_number=self._asked_count,
+    def _ask(self, peer_id: InstanceId, now_s: float) -> SendPeer:
+        return self._questions.ask(
+            peer_id,
             revision=self.snapshot.revision,
             whole=not self._reader.reaches_store,
+            now_s=now_s,
         )
-        return [SendPeer(peer_id, wanted)]
-
-    def _ask_pause_s(self) -> float:
-        return self._settings.ask_every_s * self._random.uniform(0.5, 1.5)
 
     def _offer(
         self, wanted: ConfigurationWanted, now_s: float
@@ -285,30 +270,16 @@
     def _take_offer(
         self, peer_id: InstanceId, offered: ConfigurationOffered, now_s: float
     ) -> list[Output]:
-        question = self._question
-        if question is None or question.peer_id != peer_id:
-            return []
-        if question.number != offered.question_number:
+        asked_s = self._questions.match(peer_id, offered, now_s)
+        if asked_s is None:
             return []
-        self._question = None
-        self._ask_due_s = now_s + self._ask_pause_s()
         outputs = self._take_changes(offered.changes)
         if offered.snapshot is not None:
             outputs.extend(self._knowledge.take_snapshot(offered.snapshot))
-        if offered.revision == self.snapshot.revision:
-            self._confirm_by_peer(question, offered)
+        is_same = offered.revision == self.snapshot.revision
+        if is_same and offered.age_s is not None:
+            self._confirm(asked_s - offered.age_s)
         self._heard_revision = max(self._heard_revision, offered.revision)
         if self._heard_revision > self.snapshot.revision:
             self._reader.hurry(now_s)
         return self._with_news(outputs)
-
-    def _confirm_by_peer(
-        self, question: _Question, offered: ConfigurationOffered
-    ) -> None:
-        """Take the peer's knowledge for as old as it was when asked for it.
-
-        An answer may lie in a buffer while this process is paused; counted
-        from its arrival, it would make old knowledge look fresh.
-        """
-        if offered.age_s is not None:
-            self._confirm(question.asked_s - offered.age_s)
--- a/packages/core/dandelionyoke_core/_knowledge.py
+++ b/packages/core/dandelionyoke_core/_knowledge.py
@@ -22,6 +22,7 @@
     kept_changes: int = 64
     told_changes: int = 4
     told_bytes: int = 16_384
+    offered_bytes: int = 524_288
 
 
 class Knowledge:
@@ -62,12 +63,17 @@
         return self._put_in_force(snapshot, fresh)
 
     def changes_after(self, revision: int) -> tuple[Change, ...] | None:
-        """Give the changes after a revision; None where some are gone."""
+        """Give the changes after a revision.
+
+        None where some are gone, or where they would not fit a frame.
+        """
         newer = tuple(
             change for change in self._recent if change.revision > revision
         )
         if len(newer) != max(0, self.revision - revision):
             return None
+        if sum(map(_size_bytes, newer)) > self._settings.offered_bytes:
+            return None
         return newer
 
     def last_changes(self) -> tuple[Change, ...]:
@@ -75,7 +81,7 @@
         told: list[Change] = []
         size_bytes = 0
         for change in reversed(self._recent):
-            size_bytes += len(record_to_json(change))
+            size_bytes += _size_bytes(change)
             if size_bytes > self._settings.told_bytes:
                 break
             if len(told) >= self._settings.told_changes:
@@ -99,6 +105,10 @@
         return outputs
 
 
+def _size_bytes(change: Change) -> int:
+    return len(record_to_json(change))
+
+
 def _logs(snapshot: Snapshot, changes: list[Change]) -> list[WriteLog]:
     if not changes:
         return [WriteLog(LOG_KIND, str(snapshot.revision), cause='snapshot')]
--- a/packages/core/dandelionyoke_core/_membership.py
+++ b/packages/core/dandelionyoke_core/_membership.py
@@ -3,8 +3,6 @@
 import random as random_module
 from typing import ClassVar
 
-import attrs
-
 from dandelionyoke_core._actions import (
     Action,
     CountMetric,
@@ -24,8 +22,7 @@
     Started,
     Woken,
 )
-from dandelionyoke_core._gossip import GossipSettings
-from dandelionyoke_core._links import Links, LinkSettings
+from dandelionyoke_core._links import Links
 from dandelionyoke_core._members import Members
 from dandelionyoke_core._membership_messages import (
     Heartbeat,
@@ -37,6 +34,7 @@
     next_announcement,
     suspicion_of,
 )
+from dandelionyoke_core._membership_settings import MembershipSettings
 from dandelionyoke_core._names import InstanceId
 from dandelionyoke_core._notices import (
     Leaving,
@@ -46,31 +44,11 @@
 )
 from dandelionyoke_core._ports import Output
 from dandelionyoke_core._records import Instance
-from dandelionyoke_core._topology import TopologySettings, choose_links
+from dandelionyoke_core._topology import choose_links
 
 VERSIONS_PER_INCARNATION = 1 << 20
 
 
-@attrs.frozen
-class MembershipSettings:
-    """How an instance finds its peers, and when it misses one."""
-
-    heartbeat_s: float = 1.0
-    stall_s: float = 2.0
-    grace_s: float = 2.0
-    accuse_again_s: float = 30.0
-    list_every_s: float = 30.0
-    probe_every_s: float = 10.0
-    relink_after_s: float = 0.3
-    announce_every_s: float = 1800.0
-    member_lifetime_s: float = 5400.0
-    max_members: int = 2048
-    seeds: tuple[Instance, ...] = ()
-    links: LinkSettings = attrs.field(factory=LinkSettings)
-    topology: TopologySettings = attrs.field(factory=TopologySettings)
-    gossip: GossipSettings = attrs.field(factory=GossipSettings)
-
-
 class MembershipPart:
     """Knows the live entries, links to a few, and passes records on.
 
--- a/packages/core/dandelionyoke_core/_store_layout.py
+++ b/packages/core/dandelionyoke_core/_store_layout.py
@@ -27,7 +27,6 @@
 HEAD_KEY = 'config/head'
 SNAPSHOT_PREFIX = 'config/snapshot/'
 CHANGE_PREFIX = 'config/change/'
-MAX_VALUE_BYTES = 1_048_576
 
 
 @attrs.frozen
--- a/packages/standins/dandelionyoke_standins/_spread.py
+++ b/packages/standins/dandelionyoke_standins/_spread.py
@@ -33,12 +33,9 @@
     StoreAnswered,
     hash_key,
 )
+from dandelionyoke_standins._spread_node import VirtualNode, WorldSettings
 from dandelionyoke_standins._spread_store import VirtualStore
-from dandelionyoke_standins._spread_world import (
-    VirtualNode,
-    World,
-    WorldSettings,
-)
+from dandelionyoke_standins._spread_world import World
 
 SIZES = (8, 64, 410)
 CHANGES_PER_DAY = 5200
--- a/tests/core/agreement.py
+++ b/tests/core/agreement.py
@@ -22,8 +22,9 @@
     StoreLayoutSettings,
     hash_key,
 )
+from dandelionyoke_standins._spread_node import WorldSettings
 from dandelionyoke_standins._spread_store import VirtualStore
-from dandelionyoke_standins._spread_world import World, WorldSettings
+from dandelionyoke_standins._spread_world import World
 
 DUKA = Organisation(OrganisationId('duka'))
 DUKA_KEY = ApiKey(hash_key('secret'), DUKA.organisation_id)
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -30,7 +30,8 @@
     choose_links,
     message_to_mapping,
 )
-from dandelionyoke_standins._spread_world import World, WorldSettings
+from dandelionyoke_standins._spread_node import WorldSettings
+from dandelionyoke_standins._spread_world import World
 from tests.core.agreement import make_world
 
 REGIONS = (('n1', 3), ('n2', 3), ('s1', 3), ('s2', 3))
