Change the next engine's role without a pause, but not at the start

Cause: after a swing each domain changed one engine in sixteen seconds, of which eight were a pause for the mix to settle; and a role changed at six seconds, on the first few calls. Ruled out: drains (two to four seconds). Change: the mix is that of the demand and needs no pause; nothing is decided before the mix was watched for fifteen seconds.

--- a/packages/core/dandelionyoke_core/_fleet_roles.py
+++ b/packages/core/dandelionyoke_core/_fleet_roles.py
@@ -42,7 +42,10 @@
         self.history.learn(rows, self.settings.speed, now_s)
         if self._change is not None:
             return self._follow(self._change, place, sights, now_s)
-        if now_s < self._quiet_until_s or not rows:
+        if now_s < self._quiet_until_s:
+            return []
+        # The first calls after a start say little of the mix.
+        if self.history.known_s(now_s) < self.settings.known_after_s:
             return []
         wish = self._best(place, rows, sights, now_s)
         if wish is None:
--- a/packages/core/dandelionyoke_core/_fleet_settings.py
+++ b/packages/core/dandelionyoke_core/_fleet_settings.py
@@ -12,7 +12,9 @@
     `change_cost_s` is the time of an engine that a role change takes: its
     drain, the change, and a cache that begins empty. Below
     `comfortable_stress` there is nothing to gain. `gain_factor` is how much
-    the gain has to exceed the cost.
+    the gain has to exceed the cost. Nothing is decided before the mix has
+    been watched for `known_after_s`. `settle_s` is short, since the mix is
+    that of the demand, which a change does not alter.
     """
 
     look_interval_s: float = 2.0
@@ -22,7 +24,8 @@
     min_hold_s: float = 30.0
     max_hold_s: float = 300.0
     shift_threshold: float = 0.15
-    settle_s: float = 8.0
+    settle_s: float = 2.0
+    known_after_s: float = 15.0
     wish_limit_s: float = 60.0
     repeat_s: float = 5.0
     grow_stress: float = 0.85
--- a/packages/core/dandelionyoke_core/_mix_history.py
+++ b/packages/core/dandelionyoke_core/_mix_history.py
@@ -21,11 +21,16 @@
     threshold: float
     _reference: float | None = None
     _since_s: float = 0.0
+    _first_s: float | None = None
 
     def learn(
         self, rows: Sequence[WorkRow], speed: EngineSpeed, now_s: float
     ) -> None:
         """Compare the present mix with what it was."""
+        if not rows:
+            return
+        if self._first_s is None:
+            self._first_s = now_s
         share = prefill_share(rows, speed)
         if self._reference is None:
             self._reference = share
@@ -34,6 +39,10 @@
             self._reference = share
             self._since_s = now_s
 
+    def known_s(self, now_s: float) -> float:
+        """Tell how long the mix has been watched."""
+        return 0 if self._first_s is None else now_s - self._first_s
+
     def held_s(self, now_s: float) -> float:
         """Tell how long the mix has held."""
         return now_s - self._since_s
