--- a/packages/core/dandelionyoke_core/_choice.py
+++ b/packages/core/dandelionyoke_core/_choice.py
@@ -58,7 +58,7 @@
         """Give the best estimate of a small random set for any call."""
         near, far = self._split(usable, now_s)
         states = [usable[target_id] for target_id in self._sampled(near, far)]
-        found = [(self.expected(size, state, 0), state) for state in states]
+        found = [(self._estimate(size, state, 0), state) for state in states]
         return min(found, key=lambda pair: _urgency(pair[0]))
 
     def _split(
@@ -110,12 +110,6 @@
         head = need.blocks[: self._settings.affinity_blocks][-1]
         return list(rendezvous(ids, head, MAX_HOLDERS))
 
-    def expected(
-        self, size: WorkSize, state: TargetState, cached_blocks: int
-    ) -> Estimate:
-        """Estimate what a call would find at a target."""
-        return estimate(size, state.load(), cached_blocks, self._settings.speed)
-
     def _cost(
         self,
         need: RouteNeed,
@@ -126,7 +120,7 @@
         cached = state.prefixes.overlap(need.blocks)
         if need.prefer == state.target.target_id:
             cached = len(need.blocks)
-        found = self.expected(size, state, cached)
+        found = self._estimate(size, state, cached)
         settings = self._settings
         cost = found.total_s + settings.engine_time_weight * found.engine_s
         cost += found.short_blocks * settings.short_block_penalty_s
@@ -158,6 +152,11 @@
             )
         )
 
+    def _estimate(
+        self, size: WorkSize, state: TargetState, cached_blocks: int
+    ) -> Estimate:
+        return estimate(size, state.load(), cached_blocks, self._settings.speed)
+
 
 def _urgency(found: Estimate) -> tuple[bool, float]:
     return found.short_blocks > 0, found.total_s
--- a/packages/core/dandelionyoke_core/_load_estimate.py
+++ b/packages/core/dandelionyoke_core/_load_estimate.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from dandelionyoke_core._pace import Pace
 from dandelionyoke_core._records import Role
 
 MOMENT_S = 0.001
@@ -85,7 +84,6 @@
     total_blocks: int = 0
     block_tokens: int = 16
     prefill_busy: float = 0
-    pace: Pace = attrs.field(factory=Pace)
 
 
 @attrs.frozen
@@ -116,7 +114,7 @@
     rates = ROLE_RATES[load.role]
     fresh = max(0, size.prompt_tokens - cached_blocks * load.block_tokens)
     share = rates.prefill_share if load.calls > 0 else 1
-    prefill_rate = speed.prefill_rate(load.role) * share / load.pace.prefill
+    prefill_rate = speed.prefill_rate(load.role) * share
     queue_s = load.prefill_tokens / prefill_rate
     first_token_s = queue_s + fresh / prefill_rate
     # Prefill takes its share of the time only while prompts are queued.
@@ -124,7 +122,6 @@
     own_part = first_token_s / (first_token_s + decode_s + MOMENT_S)
     busy_share = rates.prefill_share * max(load.prefill_busy, own_part)
     decode_rate = speed.decode_rate(load.role) * (1 - busy_share)
-    decode_rate /= load.pace.decode
     token_s = max(1 / speed.stream_tokens_per_s, (load.calls + 1) / decode_rate)
     return Estimate(
         queue_s=queue_s,
--- a/packages/core/dandelionyoke_core/_routing.py
+++ b/packages/core/dandelionyoke_core/_routing.py
@@ -126,13 +126,7 @@
             return
         cached_blocks = state.prefixes.overlap(need.blocks)
         size = self._size(need)
-        sent = Sent(
-            need,
-            now_s,
-            cached_blocks,
-            size.reserved_tokens,
-            self._chooser.expected(size, state, cached_blocks),
-        )
+        sent = Sent(need, now_s, cached_blocks, size.reserved_tokens)
         self._table.dispatched(attempt_id, target_id, sent)
         self._fresh.learn(sent, state.report.block_tokens)
         self._reuse.learn(need)
--- a/packages/core/dandelionyoke_core/_target_state.py
+++ b/packages/core/dandelionyoke_core/_target_state.py
@@ -4,9 +4,8 @@
 
 import attrs
 
-from dandelionyoke_core._load_estimate import Estimate, Load, call_blocks
+from dandelionyoke_core._load_estimate import Load, call_blocks
 from dandelionyoke_core._names import AttemptId
-from dandelionyoke_core._pace import Pace
 from dandelionyoke_core._ports import RouteNeed
 from dandelionyoke_core._prefix_index import PrefixIndex
 from dandelionyoke_core._records import (
@@ -22,8 +21,6 @@
 MAX_ENDED = 1024
 # Weight of one report in the part of the time with queued prompts.
 BUSY_LEARNING = 0.15
-# Shorter outputs say little of the time between tokens.
-TOKENS_TO_JUDGE_BY = 16
 
 
 @attrs.define
@@ -34,7 +31,6 @@
     sent_s: float
     cached_blocks: int
     final_output_tokens: float
-    expected: Estimate | None = None
     output_tokens: int = 0
     first_s: float | None = None
 
@@ -65,7 +61,6 @@
     ended: deque[tuple[float, Sent]] = attrs.field(
         factory=lambda: deque(maxlen=MAX_ENDED)
     )
-    pace: Pace = attrs.field(factory=Pace)
     prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
     prefill_busy: float = 0.0
     failures: int = 0
@@ -109,7 +104,6 @@
             total_blocks=report.kv_total_blocks,
             block_tokens=report.block_tokens,
             prefill_busy=self.prefill_busy,
-            pace=self.pace,
         )
 
     def take(self, report: LoadReport, taken_s: float) -> None:
@@ -145,10 +139,6 @@
         sent.output_tokens = output_tokens
         if sent.first_s is None:
             sent.first_s = now_s
-            if sent.expected is not None:
-                self.pace.learn_prefill(
-                    sent.expected.first_token_s, now_s - sent.sent_s
-                )
 
     def finish(self, attempt_id: AttemptId, now_s: float) -> Sent | None:
         """Move an attempt from what is in progress to what has ended."""
@@ -157,16 +147,8 @@
         # next report may have been taken while it still ran.
         if sent is not None:
             self.ended.append((now_s, sent))
-            self._learn_decode(sent, now_s)
         return sent
 
-    def _learn_decode(self, sent: Sent, now_s: float) -> None:
-        if sent.first_s is None or sent.expected is None:
-            return
-        if sent.output_tokens >= TOKENS_TO_JUDGE_BY:
-            token_s = (now_s - sent.first_s) / (sent.output_tokens - 1)
-            self.pace.learn_decode(sent.expected.token_s, token_s)
-
     def _gone(self) -> list[Sent]:
         """Give the calls that the report shows and that have ended."""
         return [sent for _, sent in self.ended if not self._is_news(sent)]
