--- a/packages/core/dandelionyoke_core/_assembly.py
+++ b/packages/core/dandelionyoke_core/_assembly.py
@@ -16,10 +16,8 @@
 from dandelionyoke_core._information import InformationPart
 from dandelionyoke_core._keys import KeysPart, KeysSettings
 from dandelionyoke_core._lifecycle import LifecyclePart, LifecycleSettings
-from dandelionyoke_core._membership import (
-    MembershipPart,
-    MembershipSettings,
-)
+from dandelionyoke_core._membership import MembershipPart
+from dandelionyoke_core._membership_settings import MembershipSettings
 from dandelionyoke_core._node import Composition
 from dandelionyoke_core._once import OncePart
 from dandelionyoke_core._quarantine import QuarantinePart
