--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 $(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
 	@echo "setting up $(VENV)" >&2
 	@$(PYTHON) -m venv $(VENV)
-	@$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt >&2
-	@$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+	@$(BIN)/python -m pip install -qq --disable-pip-version-check -r requirements.txt >&2
+	@$(BIN)/python -m pip install -qq --disable-pip-version-check \
 		--no-deps --no-build-isolation $(PACKAGES:%=-e packages/%) >&2
 	@touch $@
 
