Give each fleet a folder of its own for settings and logs

Cause: two fleets at once wrote the same entry-1.ini, so that an entry of one started against the platform of the other; seen as five failures in tests/entry while a measurement ran beside the tests.

--- a/Makefile
+++ b/Makefile
@@ -54,4 +54,4 @@
 	$(BIN)/python -W ignore scripts/measure_path.py
 
 clean:
-	rm -rf $(VENV) .ci-venv .mypy_cache .ruff_cache
+	rm -rf .logs $(VENV) .ci-venv .mypy_cache .ruff_cache
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -10,6 +10,7 @@
 import signal
 import subprocess  # noqa: S404 - see above
 import sys
+import tempfile
 import threading
 import time
 from collections.abc import Iterator, Mapping, Sequence
@@ -115,6 +116,9 @@
         self.targets: list[dict[str, object]] = []
         self._pool = urllib3.PoolManager(timeout=READY_TIMEOUT_S)
         LOGS.mkdir(exist_ok=True)
+        # A folder of its own: two fleets at once would start entries with
+        # each other's settings.
+        self.logs = pathlib.Path(tempfile.mkdtemp(dir=LOGS))
 
     def deploy(self, deployment: Deployment) -> None:
         """Start the platform, the targets and the entries."""
@@ -180,7 +184,7 @@
         return running
 
     def _begin_entry(self, instance_id: str, domain: str) -> Running:
-        settings = LOGS / f'{instance_id}.ini'
+        settings = self.logs / f'{instance_id}.ini'
         settings.write_text(
             ENTRY_SETTINGS.format(
                 instance_id=instance_id,
@@ -230,7 +234,7 @@
 
     def configure(self, text: str, reason: str = 'set up') -> None:
         """Put a configuration in force by the operator's command."""
-        file = LOGS / 'configuration.ini'
+        file = self.logs / 'configuration.ini'
         file.write_text(text)
         self.operate('check', str(file))
         self.operate(
@@ -300,7 +304,7 @@
             running.wait()
 
     def _start(self, name: str, module: str, *arguments: str) -> Running:
-        with (LOGS / f'{name}.log').open('w') as log:
+        with (self.logs / f'{name}.log').open('w') as log:
             process = subprocess.Popen(  # noqa: S603 - our own modules
                 [sys.executable, '-W', 'ignore', '-m', module, *arguments],
                 stdout=subprocess.PIPE,
--- a/tests/entry/test_log.py
+++ b/tests/entry/test_log.py
@@ -4,7 +4,7 @@
 
 import urllib3
 
-from scripts.fleet import LOGS, SECRET, Deployment
+from scripts.fleet import SECRET, Deployment
 from tests.entry.fleet_case import FleetCase
 
 
@@ -13,7 +13,7 @@
 
     def records(self, request_id: str) -> list[dict[str, object]]:
         """Read the log's lines about one request."""
-        lines = (LOGS / 'entry-1.log').read_text().splitlines()
+        lines = (self.fleet.logs / 'entry-1.log').read_text().splitlines()
         records = [json.loads(line) for line in lines]
         return [one for one in records if request_id in json.dumps(one)]
 
@@ -42,13 +42,13 @@
         self.assertEqual(1, len(tasks))
 
     def test_it_tells_who_changed_the_configuration(self) -> None:
-        text = (LOGS / 'entry-1.log').read_text()
+        text = (self.fleet.logs / 'entry-1.log').read_text()
         self.assertIn('configuration.in_force', text)
         self.assertIn('launcher', text)
 
     def test_it_holds_no_secret(self) -> None:
         self.call('/v1/models', method='GET')
-        text = (LOGS / 'entry-1.log').read_text()
+        text = (self.fleet.logs / 'entry-1.log').read_text()
         for secret in (SECRET, self.keys.routes, self.keys.depot):
             self.assertNotIn(secret, text)
 
