--- a/packages/operator/dandelionyoke_operator/__main__.py
+++ b/packages/operator/dandelionyoke_operator/__main__.py
@@ -7,12 +7,12 @@
 # says why it is used. An operator would get that notice with each command.
 warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
 
-import eventlet  # noqa: E402
+import eventlet  # noqa: E402 - see above
 
 eventlet.monkey_patch()
 
-from dandelionyoke_operator._application import run  # noqa: E402
-from dandelionyoke_operator._environment import Environment  # noqa: E402
+from dandelionyoke_operator._application import run  # noqa: E402 - see above
+from dandelionyoke_operator._environment import Environment  # noqa: E402 - see above
 
 
 def main() -> None:
