--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,11 @@
 SOURCES = packages scripts tests
 
 .PHONY: help install format lint test demo serve clean \
-	measure measure-spread measure-path
+	measure measure-nodes measure-spread measure-path
 
 help:
 	@echo "make demo | test | serve | lint | format | clean"
-	@echo "make measure | measure-spread | measure-path"
+	@echo "make measure | measure-nodes | measure-spread | measure-path"
 
 $(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
 	@echo "setting up $(VENV)" >&2
@@ -49,6 +49,10 @@
 measure-spread: install
 	$(BIN)/python -W ignore -m dandelionyoke_standins measure spread
 
+# What a whole idle node costs, by the fleet's size; docs/CAPACITY.md.
+measure-nodes: install
+	$(BIN)/python -W ignore -m dandelionyoke_standins measure nodes
+
 # What one entry process passes on; the figures of docs/CAPACITY.md.
 measure-path: install
 	$(BIN)/python -W ignore scripts/measure_path.py
--- a/packages/standins/dandelionyoke_standins/_command.py
+++ b/packages/standins/dandelionyoke_standins/_command.py
@@ -31,6 +31,7 @@
 
 MEASUREMENTS = MappingProxyType(
     {
+        'nodes': 'dandelionyoke_standins._node_measure',
         'policy': 'dandelionyoke_standins._policy_measure',
         'spread': 'dandelionyoke_standins._spread',
     }
--- a/packages/standins/dandelionyoke_standins/_world_setup.py
+++ b/packages/standins/dandelionyoke_standins/_world_setup.py
@@ -1,7 +1,7 @@
 """A deployment in virtual time: nodes, engines, a configuration."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -22,7 +22,7 @@
 from dandelionyoke_standins._engine import EngineModel, EngineSettings
 from dandelionyoke_standins._plain import PlainModel
 from dandelionyoke_standins._targets import Target
-from dandelionyoke_standins._world import World
+from dandelionyoke_standins._world import Handler, World
 from dandelionyoke_standins._world_store import perform_store
 from dandelionyoke_standins._world_targets import VirtualEngine
 
@@ -50,8 +50,15 @@
     plain_services: Sequence[str] = ()
 
 
-def deploy(world: World, plan: DeploymentPlan) -> tuple[InstanceId, ...]:
-    """Start all of a plan; return the entries' names."""
+def deploy(
+    world: World,
+    plan: DeploymentPlan,
+    wrap: Callable[[Handler], Handler] | None = None,
+) -> tuple[InstanceId, ...]:
+    """Start all of a plan; return the entries' names.
+
+    `wrap` may put something around each node, such as a meter.
+    """
     targets: list[Target] = []
     for group in plan.engines:
         targets.extend(_add_engines(world, group, plan.domains))
@@ -63,7 +70,9 @@
         )
     world.platform.replace_targets(targets, [])
     return tuple(
-        add_entry(world, number, plan.domains[number % len(plan.domains)])
+        add_entry(
+            world, number, plan.domains[number % len(plan.domains)], wrap=wrap
+        )
         for number in range(plan.entries)
     )
 
@@ -73,6 +82,7 @@
     number: int,
     domain: str,
     incarnation: int = FIRST_INCARNATION,
+    wrap: Callable[[Handler], Handler] | None = None,
 ) -> InstanceId:
     """Start one entry."""
     instance_id = InstanceId(f'entry-{number:03}')
@@ -85,7 +95,7 @@
     seed = world.random.getrandbits(64)
     settings = NodeSettings(instance, incarnation)
     node = Node(settings, random.Random(seed))
-    world.add_node(instance, node)
+    world.add_node(instance, node if wrap is None else wrap(node))
     world.send(instance_id, Started(wall_s=0))
     return instance_id
 
--- a/scripts/measure_path.py
+++ b/scripts/measure_path.py
@@ -2,7 +2,7 @@
 
 Streams go through one entry to engines on loopback. The entry's own
 processor time is read before and after, so that the machine's other work
-does not count. `python scripts/measure_path.py`
+does not count. `python scripts/measure_path.py [ENGINES]`
 """
 
 import contextlib
@@ -10,6 +10,7 @@
 import pathlib
 import sys
 import threading
+import time
 
 import attrs
 import urllib3
@@ -19,9 +20,10 @@
 TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 KIB_PER_MIB = 1024
 STREAMS = 8
+DEFAULT_ENGINES = 2
+IDLE_S = 10.0
 TIMEOUT_S = 120.0
 ENGINES = Deployment(
-    engines={'route-assistant': 2},
     entries=1,
     engine_options=(
         '--stream-tokens-per-s',
@@ -51,18 +53,31 @@
 LOADS = (Load(calls=40, tokens=1), Load(calls=2, tokens=400))
 
 
-def main() -> int:
+def main(engines: int) -> int:
     """Print the cost of short and of long answers, and the two slopes."""
     with contextlib.closing(Fleet()) as fleet:
         keys = DemoKeys()
-        fleet.deploy(ENGINES)
+        fleet.deploy(
+            attrs.evolve(ENGINES, engines={'route-assistant': engines})
+        )
         fleet.configure(str(demo_configuration(keys)))
         fleet.await_targets()
+        _report_idle(fleet)
         short, long = (_cost_s(fleet, keys, load) for load in LOADS)
         _report(short, long, _usage(fleet.entries[0]).memory_mib)
     return 0
 
 
+def _report_idle(fleet: Fleet) -> None:
+    """Print what the entry uses while nobody calls."""
+    before_s = _usage(fleet.entries[0]).processor_s
+    time.sleep(IDLE_S)
+    used_s = _usage(fleet.entries[0]).processor_s - before_s
+    share = used_s / IDLE_S
+    targets = len(fleet.targets)
+    _print(f'idle with {targets} targets: {share:.2%} of a core')
+
+
 def _report(short_s: float, long_s: float, memory_mib: float) -> None:
     """Solve calls * a + tokens * b = time for both loads."""
     calls = [STREAMS * load.calls for load in LOADS]
@@ -120,4 +135,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(main(int(sys.argv[1]) if sys.argv[1:] else DEFAULT_ENGINES))
