Let a repeat wait a moment for the end of the first call

Cause: the first caller gets its answer while the end of its call is still on its way to the store. A repeat that came in this moment was told that the call is in progress and to come back in a second. Seen as a failure of test_a_confirmation_runs_once_through_both_entries on a loaded machine.

Ruled out: recording the end before answering. The caller would wait for the store, which can be down for long.

Change: a repeat of a running claim reads again for half a second before it is sent away.

Run: the new test fails when the repeat does not wait.

--- a/packages/core/dandelionyoke_core/_claim_keeper.py
+++ b/packages/core/dandelionyoke_core/_claim_keeper.py
@@ -130,6 +130,10 @@
     def _taken(
         self, claim: Claim, record: ClaimRecord, now_s: float
     ) -> list[Output]:
+        if self._is_worth_waiting(claim, record, now_s):
+            claim.step = Step.READING
+            self._table.retry_later(claim, now_s)
+            return []
         self._table.forget(claim)
         if claim.refused:
             return []
@@ -141,6 +145,18 @@
         )
         return [told]
 
+    def _is_worth_waiting(
+        self, claim: Claim, record: ClaimRecord, now_s: float
+    ) -> bool:
+        # The first caller gets its answer while the end is on its way to
+        # the store. A repeat that comes in this moment would be sent away
+        # for an answer that is there a few milliseconds later.
+        if claim.refused or now_s >= claim.repeat_until_s:
+            return False
+        if record.request_hash != claim.record.request_hash:
+            return False
+        return record.is_running(self._clock.wall_s(now_s))
+
     def _unreadable(self, claim: Claim) -> list[Output]:
         # A record of a newer version, or a damaged one. Writing over it
         # could let a call run again, so it stands.
--- a/packages/core/dandelionyoke_core/_claim_table.py
+++ b/packages/core/dandelionyoke_core/_claim_table.py
@@ -39,6 +39,7 @@
     key: str
     record: ClaimRecord
     patience_until_s: float
+    repeat_until_s: float
     expected_revision: int = 0
     step: Step = Step.CREATING
     operation_id: OperationId | None = None
--- a/packages/core/dandelionyoke_core/_claims.py
+++ b/packages/core/dandelionyoke_core/_claims.py
@@ -36,7 +36,8 @@
     A claim is kept for `retention_s`; `clock_margin_s` is how far apart the
     wall clocks of two entries may be. A claim whose owner has not recorded
     an end `run_limit_s` after it was made is in doubt. A caller waits
-    `patience_s` for the store. Every `sweep_interval_s` a small bucket of
+    `patience_s` for the store. A repeat waits `repeat_wait_s` for the end of
+    the first call before it is told to come back after `repeat_after_s`. Every `sweep_interval_s` a small bucket of
     keys is searched and `sweep_batch` expired claims at most are dropped.
     """
 
@@ -47,6 +48,7 @@
     answer_limit_s: float = 5.0
     pause_s: float = 0.1
     pause_limit_s: float = 5.0
+    repeat_wait_s: float = 0.5
     repeat_after_s: float = 1.0
     kept_answer_bytes: int = 65_536
     max_claims: int = 2_000
@@ -74,6 +76,11 @@
     body_base64: str = ''
     kept: bool = True
 
+    def is_running(self, wall_s: float) -> bool:
+        """Whether its owner may still record an end."""
+        running = self.state is ClaimState.RUNNING
+        return running and wall_s < self.run_until_wall_s
+
     def is_expired(self, wall_s: float, clock_margin_s: float) -> bool:
         """Whether its retention is over by every clock within the margin."""
         return wall_s > self.expires_wall_s + clock_margin_s
@@ -111,7 +118,7 @@
             )
         if self.state is ClaimState.ENDED:
             return ClaimRefused(request_id, _not_kept(self.status))
-        if self.state is ClaimState.RUNNING and wall_s < self.run_until_wall_s:
+        if self.is_running(wall_s):
             return ClaimRefused(request_id, _in_progress(repeat_after_s))
         return ClaimRefused(request_id, in_doubt())
 
--- a/packages/core/dandelionyoke_core/_once.py
+++ b/packages/core/dandelionyoke_core/_once.py
@@ -102,7 +102,8 @@
         )
         key = claim_key(organisation, call.idempotency_key)
         patience_until_s = now_s + self._settings.patience_s
-        claim = Claim(request_id, key, record, patience_until_s)
+        repeat_until_s = now_s + self._settings.repeat_wait_s
+        claim = Claim(request_id, key, record, patience_until_s, repeat_until_s)
         self._table.add(claim)
         self._sweep.saw(organisation, now_s)
         return [self._table.write(claim, now_s)]
--- a/tests/core/test_once.py
+++ b/tests/core/test_once.py
@@ -182,6 +182,8 @@
         self, entry: Entry, name: str, **more: Any
     ) -> core.CallService | None:
         serve(entry, self.store, entry.tell(confirm(name, **more)))
+        for _ in range(4):
+            serve(entry, self.store, entry.wait(0.2))
         calls = entry.all(core.CallService)
         return calls[-1] if calls and calls[-1].request_id == name else None
 
@@ -211,6 +213,20 @@
             self.other.all(core.AnswerService),
         )
 
+    def test_a_repeat_in_the_moment_of_the_answer(self) -> None:
+        """The first answer is lost on its way to the phone, which asks
+        again at once, before the end of the first call is in the store. The
+        repeat waits a moment for it and gets it.
+        """
+        call = self.send(self.first, 'r1')
+        assert call is not None
+        answer = core.ServiceAnswered('r1', call.attempt_id, 200, 't', b'done')
+        on_its_way = self.first.tell(answer)
+        serve(self.other, self.store, self.other.tell(confirm('r2')))
+        serve(self.first, self.store, on_its_way)
+        serve(self.other, self.store, self.other.wait(0.3))
+        self.assertEqual('r2', self.other.last(core.AnswerService).request_id)
+
     def test_an_owner_that_died_leaves_its_claim_in_doubt(self) -> None:
         """The entry is killed while the service works. Nobody can know
         whether the invoice was issued, so each repeat is told so, hours
