--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -89,6 +89,9 @@
     ConfigurationOffered as ConfigurationOffered,
     ConfigurationWanted as ConfigurationWanted,
 )
+from dandelionyoke_core._configuration_questions import (
+    QuestionSettings as QuestionSettings,
+)
 from dandelionyoke_core._configuration_reader import (
     ReaderSettings as ReaderSettings,
 )
@@ -188,7 +191,6 @@
 )
 from dandelionyoke_core._membership import (
     MembershipPart as MembershipPart,
-    MembershipSettings as MembershipSettings,
 )
 from dandelionyoke_core._membership_messages import (
     Heartbeat as Heartbeat,
@@ -198,6 +200,9 @@
     RecordEntry as RecordEntry,
     RecordSummary as RecordSummary,
 )
+from dandelionyoke_core._membership_settings import (
+    MembershipSettings as MembershipSettings,
+)
 from dandelionyoke_core._names import (
     AttemptId as AttemptId,
     ChangeId as ChangeId,
