Choose the watchers once for each list of live peers

Each event of a node, a heartbeat too, hashed and sorted the names of its whole domain to see whether it watches the store. The choice is kept until the list of live peers changes. A fresh instance that reaches nobody is also proved to refuse as "no knowledge", not as a wrong key.

--- a/packages/core/dandelionyoke_core/_configuration.py
+++ b/packages/core/dandelionyoke_core/_configuration.py
@@ -87,6 +87,8 @@
         self._random = random
         self._instance_id = instance_id
         self._watch_topic = f'{WATCH_TOPIC}/{domain}'
+        self._watchers_of: tuple[InstanceId, ...] = ()
+        self._watchers: list[InstanceId] = []
         self._knowledge = Knowledge(settings.knowledge)
         self._reader = HeadReader(
             settings.reader, random, f'config/{instance_id}'
@@ -161,12 +163,13 @@
         return []
 
     def _is_watcher(self) -> bool:
-        watchers = rendezvous(
-            self._watch_topic,
-            self._peers.live_in_domain,
-            self._settings.watchers_in_domain,
-        )
-        return self._instance_id in watchers
+        live = self._peers.live_in_domain
+        if live != self._watchers_of:
+            self._watchers_of = live
+            self._watchers = rendezvous(
+                self._watch_topic, live, self._settings.watchers_in_domain
+            )
+        return self._instance_id in self._watchers
 
     def _take_answer(self, event: StoreAnswered, now_s: float) -> list[Output]:
         actions, reading = self._reader.take(event, self._is_watcher(), now_s)
--- a/tests/core/test_configuration.py
+++ b/tests/core/test_configuration.py
@@ -24,6 +24,7 @@
     Domain,
     Head,
     InstanceId,
+    KeysPart,
     KeyWithdrawn,
     Model,
     ModelName,
@@ -34,6 +35,7 @@
     PeerMessageArrived,
     Put,
     RecordLearned,
+    RefusalKind,
     Rejected,
     Remove,
     Section,
@@ -54,7 +56,9 @@
     record_to_json,
     validate,
 )
+from dandelionyoke_standins._spread_node import WorldSettings
 from dandelionyoke_standins._spread_store import VirtualStore
+from dandelionyoke_standins._spread_world import World
 from tests.core.agreement import (
     ADD_DUKA,
     DUKA,
@@ -526,6 +530,25 @@
         age_s = node.configuration.knowledge_age_s(world.now_s)
         self.assertGreater(age_s, 29)
 
+    def test_a_fresh_instance_that_reaches_nobody(self) -> None:
+        """An instance starts in a cut, with no peer and no platform.
+
+        It knows no key. A caller has to hear that nothing was run and when
+        to come back, and not that its key is wrong.
+        """
+        world = World(1, WorldSettings((('a', 1),)))
+        world.cut('a', 'platform')
+        commit(world.store, 'first')
+        world.run(100)
+        (node,) = world.live_nodes()
+        keys = KeysPart(node.configuration)
+        refusal = keys.authenticate('secret', world.now_s)
+        self.assertEqual(RefusalKind.NO_KNOWLEDGE, refusal.kind)
+        world.heal()
+        world.run(10)
+        identity = keys.authenticate('secret', world.now_s)
+        self.assertEqual(DUKA, identity.organisation)
+
     def test_a_withdrawal_during_a_cut_between_domains(self) -> None:
         """Two domains lose each other and one of them the platform too.
 
