Give each domain its part of all the work when it decides on roles

Cause: a domain judged its roles by the calls of its own entries, though work flows between domains; in a swing one found itself full and another idle, and they changed late and unlike. Change: a domain takes the part of the work that its part of the targets is.

--- a/packages/core/dandelionyoke_core/_admission.py
+++ b/packages/core/dandelionyoke_core/_admission.py
@@ -76,11 +76,9 @@
         due = (self._due_s, self._demand.next_wakeup_s())
         return min((due_s for due_s in due if due_s is not None), default=None)
 
-    def mix(
-        self, service: ServiceName, now_s: float, *, everywhere: bool
-    ) -> tuple[MixRow, ...]:
-        """Estimate the work that entries are asked for, here or everywhere."""
-        return self._demand.mix(service, now_s, everywhere=everywhere)
+    def mix(self, service: ServiceName, now_s: float) -> tuple[MixRow, ...]:
+        """Estimate the work that all entries are asked for."""
+        return self._demand.mix(service, now_s)
 
     # The Admitter port.
 
--- a/packages/core/dandelionyoke_core/_demand.py
+++ b/packages/core/dandelionyoke_core/_demand.py
@@ -144,19 +144,16 @@
             sum(one.calls_per_s for one in found),
         )
 
-    def mix(
-        self, service: ServiceName, now_s: float, *, everywhere: bool
-    ) -> tuple[MixRow, ...]:
-        """Estimate the work that the entries are asked for."""
+    def mix(self, service: ServiceName, now_s: float) -> tuple[MixRow, ...]:
+        """Estimate the work that all entries are asked for."""
         own = self.meter.rows(service, now_s)
-        peers = self._peers
-        asked = peers.live if everywhere else peers.live_in_domain
+        live = self._peers.live
         if not self._is_small():
-            return tuple(row.scaled(len(asked)) for row in own)
+            return tuple(row.scaled(len(live)) for row in own)
         heard = [
             row
             for one in self._fresh(now_s)
-            if one.record.instance_id in asked
+            if one.record.instance_id in live
             for row in one.record.mix
             if row.service == service
         ]
--- a/packages/core/dandelionyoke_core/_fleet.py
+++ b/packages/core/dandelionyoke_core/_fleet.py
@@ -123,8 +123,7 @@
     ) -> list[Output]:
         name = service.service_name
         place = FleetPlace(self._domain, name, duty.fence)
-        mix = self._work.mix(name, now_s, everywhere=False)
-        whole = self._work.mix(name, now_s, everywhere=True)
+        mix = self._work.mix(name, now_s)
         fresh_share = self._targets.fresh_share(name)
         deciders = self._deciders_of(name)
         sights = self._targets.sights(name, now_s)
@@ -132,12 +131,15 @@
         outputs: list[Output] = []
         outputs.extend(
             deciders.roles.decide(
-                place, _fast_rows(mix, fresh_share), here, now_s
+                place,
+                _fast_rows(mix, fresh_share, len(here) / max(1, len(sights))),
+                here,
+                now_s,
             )
         )
         outputs.extend(
             deciders.size.decide(
-                place, service, _slow_rows(whole, fresh_share), sights, now_s
+                place, service, _slow_rows(mix, fresh_share), sights, now_s
             )
         )
         return outputs
@@ -154,9 +156,18 @@
         return deciders
 
 
-def _fast_rows(mix: tuple[MixRow, ...], fresh_share: float) -> list[WorkRow]:
+def _fast_rows(
+    mix: tuple[MixRow, ...], fresh_share: float, part: float
+) -> list[WorkRow]:
+    """Give a domain its part of the work, by its part of the targets.
+
+    Work flows between domains. A domain that took its own entries' calls for
+    its work would change roles for calls that others serve; one that took
+    all the work would change along with every other domain, and back.
+    """
     return [
-        WorkRow(row.prompt_per_s * fresh_share, row.output_per_s) for row in mix
+        WorkRow(row.prompt_per_s * fresh_share * part, row.output_per_s * part)
+        for row in mix
     ]
 
 
--- a/packages/core/dandelionyoke_core/_fleet_view.py
+++ b/packages/core/dandelionyoke_core/_fleet_view.py
@@ -35,10 +35,8 @@
 class WorkView(Protocol):
     """Shows what is asked for."""
 
-    def mix(
-        self, service: ServiceName, now_s: float, *, everywhere: bool
-    ) -> tuple[MixRow, ...]:
-        """Estimate the work that entries are asked for, here or everywhere."""
+    def mix(self, service: ServiceName, now_s: float) -> tuple[MixRow, ...]:
+        """Estimate the work that all entries are asked for."""
 
 
 @attrs.frozen
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -80,13 +80,9 @@
     def fresh_share(self, service: ServiceName) -> float:
         return 1
 
-    def mix(
-        self, service: ServiceName, now_s: float, *, everywhere: bool
-    ) -> tuple[MixRow, ...]:
+    def mix(self, service: ServiceName, now_s: float) -> tuple[MixRow, ...]:
         prompt, output = self.mix_now
-        factor = 1 if everywhere else self.domains.count(HOME) / 4
-        row = MixRow(SERVICE, 0, prompt, output, prompt, output)
-        return (row.scaled(factor),)
+        return (MixRow(SERVICE, 0, prompt, output, prompt, output),)
 
     def carry_out(self, outputs: list[Output], now_s: float) -> None:
         """Take engines away for a change, and bring them back in the role."""
