Bound what is kept of prefixes for all targets together

Nine hundred targets with eight thousand blocks each would take more memory than a node may have for control. Also: plain targets are compared by their calls, as their estimates were all equal; a limit of zero lets nothing through, where it divided by zero.

--- a/packages/core/dandelionyoke_core/_choice.py
+++ b/packages/core/dandelionyoke_core/_choice.py
@@ -117,18 +117,20 @@
         state: TargetState,
         home: TargetId | None,
     ) -> float:
+        settings = self._settings
+        is_far = state.target.domain != self._domain
+        far_s = settings.far_penalty_s if is_far else 0
+        if not state.is_engine:
+            return state.load().calls + far_s
         cached = state.prefixes.overlap(need.blocks)
         if need.prefer == state.target.target_id:
             cached = len(need.blocks)
         found = self._estimate(size, state, cached)
-        settings = self._settings
         cost = found.total_s + settings.engine_time_weight * found.engine_s
         cost += found.short_blocks * settings.short_block_penalty_s
-        if state.target.domain != self._domain:
-            cost += settings.far_penalty_s
         if state.target.target_id == home:
             cost -= self._reuse_s(need, state)
-        return cost
+        return cost + far_s
 
     def _reuse_s(self, need: RouteNeed, state: TargetState) -> float:
         """Time that later calls may save if this one goes to its home.
--- a/packages/core/dandelionyoke_core/_limits.py
+++ b/packages/core/dandelionyoke_core/_limits.py
@@ -17,6 +17,7 @@
 from dandelionyoke_core._refusals import Refusal, RefusalKind
 
 MAX_ORGANISATIONS = 4096
+TINY = 1e-9
 
 
 @attrs.define
@@ -69,10 +70,10 @@
             return _over_limit('calls at once', self._settings.min_retry_s)
         wait_s = allowance.calls.wait_s(shares.calls_per_s)
         if wait_s > 0:
-            return _over_limit('calls a second', wait_s)
+            return _over_limit('calls a second', self._bounded(wait_s))
         wait_s = allowance.tokens.wait_s(shares.tokens_per_s)
         if wait_s > 0:
-            return _over_limit('tokens a second', wait_s)
+            return _over_limit('tokens a second', self._bounded(wait_s))
         return None
 
     def admit(self, ticket: Ticket, output_tokens: float, now_s: float) -> None:
@@ -125,16 +126,22 @@
             calls_per_s,
             organisation.concurrent_requests
             * calls_per_s
-            / organisation.requests_per_s,
+            / max(organisation.requests_per_s, TINY),
         )
 
+    def _bounded(self, wait_s: float) -> float:
+        return min(self._settings.max_retry_s, wait_s)
+
     def _refilled(
         self, ticket: Ticket, shares: Shares, now_s: float
     ) -> Allowance:
         name = ticket.organisation.organisation_id
         burst_s = self._settings.burst_s
         token_burst = shares.tokens_per_s * burst_s
+        # A small part still lets whole calls through; a limit of 0 none.
         call_burst = max(1, shares.calls_per_s * burst_s)
+        if shares.calls_per_s <= 0:
+            call_burst = 0
         allowance = self._allowances.get(name)
         if allowance is None:
             self._make_room()
@@ -166,6 +173,8 @@
     What nobody asks for is shared equally, and so is a reserved part, so
     that an organisation that comes to a new entry finds some room there.
     """
+    if limit <= 0:
+        return 0
     whole = here + there
     spare = max(0, limit - whole) / entries
     by_demand = limit * (here + spare) / max(limit, whole)
--- a/packages/core/dandelionyoke_core/_routing_settings.py
+++ b/packages/core/dandelionyoke_core/_routing_settings.py
@@ -36,6 +36,7 @@
     short_block_penalty_s: float = 0.05
     engine_time_weight: float = 4.0
     affinity_blocks: int = 8
+    prefix_blocks: int = 100_000
     reuse_factor: float = 3.0
     least_reuse_share: float = 0.1
     most_reuse_share: float = 0.8
--- a/packages/core/dandelionyoke_core/_target_state.py
+++ b/packages/core/dandelionyoke_core/_target_state.py
@@ -54,6 +54,7 @@
 
     target: Target
     report: LoadReport
+    prefixes: PrefixIndex
     taken_s: float = NEVER_S
     heard_s: float = NEVER_S
     shared_s: float = NEVER_S
@@ -61,7 +62,6 @@
     ended: deque[tuple[float, Sent]] = attrs.field(
         factory=lambda: deque(maxlen=MAX_ENDED)
     )
-    prefixes: PrefixIndex = attrs.field(factory=PrefixIndex)
     prefill_busy: float = 0.0
     failures: int = 0
     avoid_until_s: float = NEVER_S
--- a/packages/core/dandelionyoke_core/_target_table.py
+++ b/packages/core/dandelionyoke_core/_target_table.py
@@ -17,6 +17,7 @@
 )
 from dandelionyoke_core._observation import LoadsShared
 from dandelionyoke_core._ports import Output
+from dandelionyoke_core._prefix_index import PrefixIndex, PrefixMemory
 from dandelionyoke_core._records import LoadReport, Presence, Target
 from dandelionyoke_core._routing_settings import RoutingSettings
 from dandelionyoke_core._target_changes import (
@@ -36,6 +37,7 @@
     def __init__(self, settings: RoutingSettings) -> None:
         self.changes = RecentChanges()
         self._settings = settings
+        self._prefixes = PrefixMemory(settings.prefix_blocks)
         self._states: dict[TargetId, TargetState] = {}
         self._services: dict[ServiceName, dict[TargetId, TargetState]] = {}
         self._places: dict[AttemptId, TargetId] = {}
@@ -133,7 +135,9 @@
     def _put(self, target: Target, now_s: float) -> list[Output]:
         state = self._states.get(target.target_id)
         if state is None:
-            state = TargetState(target, unknown_report(target))
+            state = TargetState(
+                target, unknown_report(target), PrefixIndex(self._prefixes)
+            )
             self._states[target.target_id] = state
             service = self._services.setdefault(target.service, {})
             service[target.target_id] = state
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -256,6 +256,8 @@
         cases = (
             (FixedCapacity(slots=0), {}, RefusalKind.NO_TARGET),
             (full, {'deadline_s': 1}, RefusalKind.DEADLINE),
+            (full, {'limits': {'tokens_per_s': 0}}, RefusalKind.OVER_LIMIT),
+            (full, {'limits': {'requests_per_s': 0}}, RefusalKind.OVER_LIMIT),
             (full, {'organisation': 'a'}, RefusalKind.OVERLOADED),
         )
         for capacity, fields, kind in cases:
@@ -266,6 +268,7 @@
             self.assertIsInstance(refusal, Refusal)
             self.assertEqual(kind, refusal.kind)
             self.assertGreater(refusal.retry_after_s, 0)
+            self.assertLessEqual(refusal.retry_after_s, 30)
 
     def test_the_time_to_come_back_follows_the_drain_rate(self) -> None:
         waits = []
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -23,6 +23,7 @@
     Target,
     TargetCrashed,
     TargetId,
+    TargetKind,
     TargetLeaving,
     TargetsListed,
     TargetsShared,
@@ -32,7 +33,7 @@
     message_from_mapping,
     message_to_mapping,
 )
-from dandelionyoke_core._prefix_index import PrefixIndex
+from dandelionyoke_core._prefix_index import PrefixIndex, PrefixMemory
 from dandelionyoke_core._target_state import Sent, TargetState
 from tests.core.policy_fakes import (
     AWAY,
@@ -144,12 +145,25 @@
                 else:
                     self.assertIn(found.target_id, allowed)
 
-    @given(st.integers(1, 200), st.integers(2, 12), st.integers(0, 99))
+    def test_what_is_kept_of_prefixes_is_bounded_for_all_targets(self) -> None:
+        memory = PrefixMemory(100)
+        indices = [PrefixIndex(memory) for _ in range(20)]
+        for index in indices:
+            index.add([f'b{number}' for number in range(40)])
+        self.assertEqual(100, len(memory))
+        self.assertEqual(40, indices[-1].overlap([f'b{n}' for n in range(40)]))
+
+    @given(
+        st.integers(1, 200),
+        st.integers(2, 12),
+        st.integers(0, 99),
+        st.sampled_from(TargetKind),
+    )
     @settings(max_examples=60)
     def test_a_few_compared_are_nearly_as_even_as_a_scan(
-        self, calls: int, count: int, seed: int
+        self, calls: int, count: int, seed: int, kind: TargetKind
     ) -> None:
-        part = make_routing(make_targets(count), seed=seed)
+        part = make_routing(make_targets(count, kind=kind), seed=seed)
         sent: Counter[TargetId] = Counter()
         for number in range(calls):
             found = part.choose(make_need(), 0)
@@ -179,7 +193,9 @@
         report, and its callers wait while other engines are idle.
         """
         (target,) = make_targets(1)
-        state = TargetState(target, report(target.target_id))
+        state = TargetState(
+            target, report(target.target_id), PrefixIndex(PrefixMemory())
+        )
         truth: dict[str, Sent] = {}
         past = [(0.0, report(target.target_id))]
         state.take(past[0][1], 0)
@@ -378,7 +394,7 @@
         self, story: list[tuple[bool, int, bool]]
     ) -> None:
         """Cache events get lost; a lost removal would look like a hit."""
-        index = PrefixIndex()
+        index = PrefixIndex(PrefixMemory())
         known: set[str] = set()
         for sequence, (stored, block, lost) in enumerate(story, start=1):
             event = CacheEvent(sequence, stored, f'b{block}')
