--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -2,7 +2,9 @@
 
 from dandelionyoke_core._actions import (
     Action as Action,
+    AnswerModels as AnswerModels,
     AnswerService as AnswerService,
+    AnswerStatus as AnswerStatus,
     CallService as CallService,
     CancelAttempt as CancelAttempt,
     ConnectPeer as ConnectPeer,
@@ -15,6 +17,7 @@
     LeaseRenew as LeaseRenew,
     ListInstances as ListInstances,
     ListTargets as ListTargets,
+    NodeStatus as NodeStatus,
     ObserveLatency as ObserveLatency,
     PollCacheEvents as PollCacheEvents,
     PollLoad as PollLoad,
@@ -35,22 +38,66 @@
     SubmitUsage as SubmitUsage,
     WriteLog as WriteLog,
 )
-from dandelionyoke_core._admission import AdmissionPart as AdmissionPart
+from dandelionyoke_core._admission import (
+    AdmissionPart as AdmissionPart,
+)
 from dandelionyoke_core._admission_settings import (
     AdmissionSettings as AdmissionSettings,
 )
+from dandelionyoke_core._assembly import (
+    Node as Node,
+    NodeSettings as NodeSettings,
+)
 from dandelionyoke_core._capacity import (
     CapacityView as CapacityView,
     Outlook as Outlook,
     ServiceCapacity as ServiceCapacity,
 )
+from dandelionyoke_core._changes import (
+    Problem as Problem,
+    apply_change as apply_change,
+    difference as difference,
+    validate as validate,
+)
+from dandelionyoke_core._chat import (
+    ChatMessage as ChatMessage,
+    chat_prompt as chat_prompt,
+)
+from dandelionyoke_core._claims import (
+    OnceSettings as OnceSettings,
+)
 from dandelionyoke_core._codec import (
     message_from_mapping as message_from_mapping,
     message_to_mapping as message_to_mapping,
     record_from_json as record_from_json,
     record_to_json as record_to_json,
 )
-from dandelionyoke_core._demand import DemandShared as DemandShared
+from dandelionyoke_core._commit import (
+    CommitOutcome as CommitOutcome,
+    Committed as Committed,
+    Committer as Committer,
+    Conflicted as Conflicted,
+    Proposal as Proposal,
+    Rejected as Rejected,
+)
+from dandelionyoke_core._configuration import (
+    ConfigurationPart as ConfigurationPart,
+    ConfigurationSettings as ConfigurationSettings,
+)
+from dandelionyoke_core._configuration_messages import (
+    ConfigurationNews as ConfigurationNews,
+    ConfigurationOffered as ConfigurationOffered,
+    ConfigurationWanted as ConfigurationWanted,
+)
+from dandelionyoke_core._configuration_questions import (
+    QuestionSettings as QuestionSettings,
+)
+from dandelionyoke_core._configuration_reader import (
+    ReaderSettings as ReaderSettings,
+)
+from dandelionyoke_core._demand import (
+    DemandShared as DemandShared,
+)
 from dandelionyoke_core._entities import (
     ApiKey as ApiKey,
     Change as Change,
@@ -84,6 +131,7 @@
     ListingFailed as ListingFailed,
     LoadReported as LoadReported,
     ModelCalled as ModelCalled,
+    ModelsAsked as ModelsAsked,
     Notice as Notice,
     PeerConnected as PeerConnected,
     PeerDisconnected as PeerDisconnected,
@@ -95,6 +143,7 @@
     ShutdownForced as ShutdownForced,
     ShutdownRequested as ShutdownRequested,
     Started as Started,
+    StatusAsked as StatusAsked,
     StoreAnswered as StoreAnswered,
     TargetOrderAnswered as TargetOrderAnswered,
     TargetsListed as TargetsListed,
@@ -111,16 +160,49 @@
     RoleWanted as RoleWanted,
     TargetsWanted as TargetsWanted,
 )
-from dandelionyoke_core._fleet_settings import FleetSettings as FleetSettings
+from dandelionyoke_core._fleet_settings import (
+    FleetSettings as FleetSettings,
+)
 from dandelionyoke_core._fleet_view import (
     TargetSight as TargetSight,
     TargetView as TargetView,
     WorkView as WorkView,
 )
+from dandelionyoke_core._gossip import (
+    GossipSettings as GossipSettings,
+)
+from dandelionyoke_core._keys import (
+    KeysPart as KeysPart,
+    KeysSettings as KeysSettings,
+    hash_key as hash_key,
+)
+from dandelionyoke_core._knowledge import (
+    KnowledgeSettings as KnowledgeSettings,
+)
+from dandelionyoke_core._lifecycle import (
+    LifecycleSettings as LifecycleSettings,
+)
+from dandelionyoke_core._links import (
+    LinkSettings as LinkSettings,
+)
 from dandelionyoke_core._load_estimate import (
     EngineSpeed as EngineSpeed,
     WorkSize as WorkSize,
 )
+from dandelionyoke_core._membership import (
+    MembershipPart as MembershipPart,
+)
+from dandelionyoke_core._membership_messages import (
+    Heartbeat as Heartbeat,
+    MemberRecord as MemberRecord,
+    MemberState as MemberState,
+    RecordBatch as RecordBatch,
+    RecordEntry as RecordEntry,
+    RecordSummary as RecordSummary,
+)
+from dandelionyoke_core._membership_settings import (
+    MembershipSettings as MembershipSettings,
+)
 from dandelionyoke_core._names import (
     AttemptId as AttemptId,
     ChangeId as ChangeId,
@@ -159,7 +241,12 @@
     TargetCrashed as TargetCrashed,
     TargetLeaving as TargetLeaving,
 )
-from dandelionyoke_core._observation import LoadsShared as LoadsShared
+from dandelionyoke_core._observation import (
+    LoadsShared as LoadsShared,
+)
+from dandelionyoke_core._once import (
+    OncePart as OncePart,
+)
 from dandelionyoke_core._ports import (
     Admitted as Admitted,
     Admitter as Admitter,
@@ -177,6 +264,17 @@
     Router as Router,
     Ticket as Ticket,
 )
+from dandelionyoke_core._quarantine import (
+    QuarantinePart as QuarantinePart,
+)
+from dandelionyoke_core._quarantine_messages import (
+    Suspicion as Suspicion,
+    SuspicionShared as SuspicionShared,
+    TrialShared as TrialShared,
+)
+from dandelionyoke_core._quarantine_settings import (
+    QuarantineSettings as QuarantineSettings,
+)
 from dandelionyoke_core._records import (
     CacheEvent as CacheEvent,
     EngineOrder as EngineOrder,
@@ -206,14 +304,41 @@
     RefusalKind as RefusalKind,
     RunState as RunState,
 )
-from dandelionyoke_core._routing import RoutingPart as RoutingPart
+from dandelionyoke_core._rendezvous import (
+    rendezvous as rendezvous,
+)
+from dandelionyoke_core._request import (
+    RequestPart as RequestPart,
+)
+from dandelionyoke_core._request_settings import (
+    RequestSettings as RequestSettings,
+)
+from dandelionyoke_core._routing import (
+    RoutingPart as RoutingPart,
+)
 from dandelionyoke_core._routing_settings import (
     RoutingSettings as RoutingSettings,
 )
-from dandelionyoke_core._target_changes import TargetsShared as TargetsShared
+from dandelionyoke_core._store_layout import (
+    ConfigurationLoader as ConfigurationLoader,
+    Head as Head,
+    Loaded as Loaded,
+    LoadOutcome as LoadOutcome,
+    StoreLayoutSettings as StoreLayoutSettings,
+    Unsettled as Unsettled,
+)
+from dandelionyoke_core._target_changes import (
+    TargetsShared as TargetsShared,
+)
 from dandelionyoke_core._tokens import (
     BLOCK_TOKENS as BLOCK_TOKENS,
     prefix_blocks as prefix_blocks,
     split_tokens as split_tokens,
 )
-from dandelionyoke_core._work_mix import MixRow as MixRow
+from dandelionyoke_core._topology import (
+    TopologySettings as TopologySettings,
+    choose_links as choose_links,
+)
+from dandelionyoke_core._work_mix import (
+    MixRow as MixRow,
+)
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_membership.py
@@ -0,0 +1,320 @@
+"""Who the other entries are, and how shared records reach them."""
+
+import random as random_module
+from typing import ClassVar
+
+from dandelionyoke_core._actions import (
+    Action,
+    CountMetric,
+    ListInstances,
+    SendPeer,
+    WriteLog,
+)
+from dandelionyoke_core._courier import Courier
+from dandelionyoke_core._events import (
+    Event,
+    InstancesListed,
+    ListingFailed,
+    PeerConnected,
+    PeerDisconnected,
+    PeerMessage,
+    PeerMessageArrived,
+    Started,
+    Woken,
+)
+from dandelionyoke_core._links import Links
+from dandelionyoke_core._members import Members
+from dandelionyoke_core._membership_messages import (
+    Heartbeat,
+    MemberRecord,
+    MemberState,
+    RecordBatch,
+    RecordSummary,
+    member_key,
+    next_announcement,
+    suspicion_of,
+)
+from dandelionyoke_core._membership_settings import MembershipSettings
+from dandelionyoke_core._names import InstanceId
+from dandelionyoke_core._notices import (
+    Leaving,
+    PeersKnown,
+    RecordLearned,
+    ShareRecord,
+)
+from dandelionyoke_core._ports import Output
+from dandelionyoke_core._records import Instance
+from dandelionyoke_core._topology import choose_links
+
+VERSIONS_PER_INCARNATION = 1 << 20
+
+
+class MembershipPart:
+    """Knows the live entries, links to a few, and passes records on.
+
+    `incarnation` is higher for each start under one instance id, for
+    example seconds since the epoch.
+    """
+
+    handles: ClassVar[tuple[type[Event], ...]] = (
+        Started,
+        Woken,
+        InstancesListed,
+        ListingFailed,
+        PeerConnected,
+        PeerDisconnected,
+        PeerMessageArrived,
+        ShareRecord,
+        Leaving,
+    )
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        own: Instance,
+        incarnation: int,
+        random: random_module.Random,
+    ) -> None:
+        self._settings = settings
+        self._own = own
+        self._random = random
+        self._version = incarnation * VERSIONS_PER_INCARNATION
+        self._state = MemberState.LIVE
+        self._members = Members(own, settings.grace_s, settings.max_members)
+        self._links = Links(own.instance_id, settings.links)
+        self._courier = Courier(own, settings.gossip)
+        self._accused: dict[InstanceId, float] = {}
+        self._beats = 0
+        self._tick_due_s: float | None = None
+        self._list_due_s = 0.0
+        self._probe_due_s = 0.0
+        self._announce_due_s = 0.0
+        self._relink_due_s: float | None = None
+        self._death_due_s: float | None = None
+        self._is_dirty = False
+
+    @property
+    def live(self) -> tuple[InstanceId, ...]:
+        """Live entries everywhere, this one included, sorted."""
+        return self._members.live
+
+    @property
+    def live_in_domain(self) -> tuple[InstanceId, ...]:
+        """Live entries of this failure domain, this one included, sorted."""
+        return self._members.live_in_domain
+
+    @property
+    def leaving(self) -> tuple[InstanceId, ...]:
+        """Entries that are going; they finish what they have."""
+        return self._members.leaving
+
+    @property
+    def linked(self) -> tuple[InstanceId, ...]:
+        """Peers that a link is up to."""
+        return tuple(self._links.up())
+
+    def next_wakeup_s(self) -> float | None:
+        """Tell when this part has to be woken, or None."""
+        wakeups = (self._tick_due_s, self._relink_due_s, self._death_due_s)
+        return min((at_s for at_s in wakeups if at_s is not None), default=None)
+
+    def handle(self, event: Event, now_s: float) -> list[Output]:
+        """Take an event and say what follows from it."""
+        self._notice_stall(now_s)
+        outputs = self._take(event, now_s)
+        if self._tick_due_s is not None and now_s >= self._tick_due_s:
+            outputs.extend(self._tick(now_s))
+        outputs.extend(self._refresh(now_s))
+        outputs.extend(self._courier.flush(self._links.up()))
+        return outputs
+
+    def _take(self, event: Event, now_s: float) -> list[Output]:
+        match event:
+            case Started():
+                return self._start(now_s)
+            case InstancesListed(instances=instances):
+                self._take_list(instances, now_s)
+            case PeerConnected(peer_id=peer_id):
+                return self._greet(peer_id, now_s)
+            case PeerDisconnected(peer_id=peer_id):
+                self._links.disconnected(peer_id, now_s)
+                self._courier.forget(peer_id)
+            case PeerMessageArrived(peer_id=peer_id, message=message):
+                self._links.heard(peer_id, now_s)
+                return self._take_message(peer_id, message, now_s)
+            case ShareRecord(record=record, everywhere=everywhere):
+                self._courier.share(record, everywhere, now_s)
+            case Leaving():
+                self._state = MemberState.LEAVING
+                self._announce(now_s)
+        return []
+
+    def _notice_stall(self, now_s: float) -> None:
+        due_s = self._tick_due_s
+        if due_s is not None and now_s - due_s > self._settings.stall_s:
+            self._links.excuse(now_s)
+
+    # Time.
+
+    def _start(self, now_s: float) -> list[Output]:
+        self._tick_due_s = now_s
+        self._list_due_s = now_s
+        self._take_list(self._settings.seeds, now_s)
+        return [PeersKnown(self.live, self.live_in_domain)]
+
+    def _tick(self, now_s: float) -> list[Output]:
+        self._tick_due_s = now_s + self._jitter(self._settings.heartbeat_s)
+        self._courier.expire(now_s)
+        outputs: list[Output] = list(self._links.advance(now_s))
+        outputs.extend(self._beat())
+        outputs.extend(self._accuse(now_s))
+        if now_s >= self._announce_due_s:
+            self._announce(now_s)
+        if now_s >= self._list_due_s:
+            self._list_due_s = now_s + self._jitter(self._settings.list_every_s)
+            outputs.append(ListInstances())
+        if now_s >= self._probe_due_s:
+            outputs.extend(self._probe(now_s))
+        return outputs
+
+    def _beat(self) -> list[Action]:
+        self._beats += 1
+        beat = Heartbeat(self._beats)
+        return [SendPeer(peer_id, beat) for peer_id in self._links.up()]
+
+    def _jitter(self, pause_s: float) -> float:
+        return pause_s * self._random.uniform(0.9, 1.1)
+
+    def _probe(self, now_s: float) -> list[Action]:
+        """Try one of the dead: a cut may be over, and no one else would."""
+        self._probe_due_s = now_s + self._jitter(self._settings.probe_every_s)
+        dead = self._members.dead_but_listed()
+        if not dead:
+            return []
+        chosen = self._random.choice(dead)
+        return self._links.probe(chosen.instance_id, chosen.peer_address, now_s)
+
+    # Members.
+
+    def _take_list(self, instances: tuple[Instance, ...], now_s: float) -> None:
+        for instance_id in self._members.take_list(instances):
+            # The list may show again, for a while, what was dropped.
+            record = self._courier.find(member_key(instance_id))
+            if isinstance(record, MemberRecord):
+                self._members.take_record(record, now_s)
+        self._is_dirty = True
+
+    def _refresh(self, now_s: float) -> list[Output]:
+        """Bring the live lists and the links in line with what is known."""
+        outputs: list[Output] = []
+        is_death_due = (
+            self._death_due_s is not None and now_s >= self._death_due_s
+        )
+        if self._is_dirty or is_death_due:
+            self._is_dirty = False
+            if self._members.refresh(now_s):
+                outputs.append(PeersKnown(self.live, self.live_in_domain))
+                self._relink_due_s = now_s + self._settings.relink_after_s
+            self._death_due_s = self._members.next_death_s(now_s)
+        if self._relink_due_s is not None and now_s >= self._relink_due_s:
+            self._relink_due_s = None
+            outputs.extend(self._relink(now_s))
+        return outputs
+
+    def _relink(self, now_s: float) -> list[Action]:
+        live = self._members.live_instances()
+        chosen = choose_links(self._own, live, self._settings.topology)
+        addresses = {
+            instance.instance_id: instance.peer_address
+            for instance in live
+            if instance.instance_id in chosen
+        }
+        return self._links.want(addresses, now_s)
+
+    def _accuse(self, now_s: float) -> list[Output]:
+        outputs: list[Output] = []
+        self._accused = {
+            name: until_s
+            for name, until_s in self._accused.items()
+            if now_s < until_s
+        }
+        for instance_id in self._links.missing(now_s):
+            member = self._members.find(instance_id)
+            if member is None or member.state is MemberState.SUSPECTED:
+                continue
+            if instance_id in self._accused:
+                # It answered an earlier suspicion over other links: only the
+                # way to it is broken, and accusing it each second would
+                # flood the peers with records.
+                continue
+            self._accused[instance_id] = now_s + self._settings.accuse_again_s
+            version = suspicion_of(member.version)
+            suspicion = self._record(
+                member.instance, version, MemberState.SUSPECTED
+            )
+            self._keep_member(suspicion, now_s)
+            outputs.append(WriteLog('membership.suspected', instance_id))
+            outputs.append(CountMetric('membership_suspicions'))
+        return outputs
+
+    def _announce(self, now_s: float) -> None:
+        self._announce_due_s = now_s + self._jitter(
+            self._settings.announce_every_s
+        )
+        self._version = next_announcement(self._version)
+        self._keep_member(
+            self._record(self._own, self._version, self._state), now_s
+        )
+
+    def _record(
+        self, instance: Instance, version: int, state: MemberState
+    ) -> MemberRecord:
+        return MemberRecord(
+            record_key=member_key(instance.instance_id),
+            version=version,
+            lifetime_s=self._settings.member_lifetime_s,
+            instance=instance,
+            state=state,
+            said_by=self._own.instance_id,
+        )
+
+    def _keep_member(self, record: MemberRecord, now_s: float) -> None:
+        self._courier.share(record, everywhere=True, now_s=now_s)
+        self._members.take_record(record, now_s)
+        self._is_dirty = True
+
+    def _take_member(self, record: MemberRecord, now_s: float) -> list[Output]:
+        self._members.take_record(record, now_s)
+        self._is_dirty = True
+        if record.instance.instance_id != self._own.instance_id:
+            return []
+        # Said of this node by a peer that missed it, or by itself before a
+        # restart: unanswered, the others would take it for dead.
+        self._version = max(self._version, record.version)
+        self._announce(now_s)
+        return [
+            WriteLog('membership.refuted', record.said_by, record.state.value)
+        ]
+
+    # Records and links.
+
+    def _greet(self, peer_id: InstanceId, now_s: float) -> list[Output]:
+        refusal = self._links.connected(peer_id, now_s)
+        if refusal:
+            return list(refusal)
+        self._accused.pop(peer_id, None)
+        return [self._courier.greet(peer_id)]
+
+    def _take_message(
+        self, peer_id: InstanceId, message: PeerMessage, now_s: float
+    ) -> list[Output]:
+        if isinstance(message, RecordSummary):
+            return list(self._courier.answer(peer_id, message, now_s))
+        if not isinstance(message, RecordBatch):
+            return []
+        outputs: list[Output] = []
+        for record in self._courier.take(peer_id, message, now_s):
+            outputs.append(RecordLearned(record, peer_id))
+            if isinstance(record, MemberRecord):
+                outputs.extend(self._take_member(record, now_s))
+        return outputs
--- a/packages/core/dandelionyoke_core/_rendezvous.py
+++ b/packages/core/dandelionyoke_core/_rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: everyone picks the same few out of a list."""
+"""Rendezvous hashing: all who know the same names choose the same ones."""
 
 import hashlib
 from collections.abc import Iterable, Sequence
@@ -9,18 +9,19 @@
 DIGEST_BYTES = 8
 
 
-def _score(name: str, subject: str) -> bytes:
-    return hashlib.blake2b(
-        f'{name}\x1f{subject}'.encode(), digest_size=DIGEST_BYTES
-    ).digest()
-
-
 def rendezvous(
     names: Iterable[Name], subject: str, count: int
 ) -> Sequence[Name]:
-    """Pick `count` names for a subject, the best first.
+    """Choose `count` names for a subject, the first choice first.
 
     A name that comes or goes moves only the subjects that it held.
     """
-    ranked = sorted(names, key=lambda name: _score(name, subject), reverse=True)
+    ranked = sorted(names, key=lambda name: hash_of(subject, name))
     return ranked[:count]
+
+
+def hash_of(subject: str, name: str) -> bytes:
+    """Hash a name for a subject, the same in every process."""
+    return hashlib.blake2b(
+        f'{subject}\x1f{name}'.encode(), digest_size=DIGEST_BYTES
+    ).digest()
--- /dev/null
+++ b/packages/operator/dandelionyoke_operator/commands/_key.py
@@ -0,0 +1,120 @@
+"""Issues and withdraws keys.
+
+A change of one key is right on top of any other change, so it names no base
+revision: an operator who issues a key does not lose a race against another.
+"""
+
+from dandelionyoke_core import (
+    ApiKey,
+    Operation,
+    Organisation,
+    OrganisationId,
+    Put,
+    Remove,
+    Section,
+    Snapshot,
+    hash_key,
+)
+from dandelionyoke_operator._errors import InvalidError
+from dandelionyoke_operator._invocation import STANDARD_INPUT, Invocation
+from dandelionyoke_operator._mistake_finder import find_mistakes
+from dandelionyoke_operator._mistakes import ConfigurationMistakes
+from dandelionyoke_operator._reports import (
+    CommitReport,
+    ConflictReport,
+    KeyReport,
+)
+from dandelionyoke_operator._repository import Intent
+from dandelionyoke_operator.commands._commit import commit
+
+MIN_PREFIX_LENGTH = 8
+
+
+def issue_key(invocation: Invocation) -> KeyReport | ConflictReport:
+    """Make a key, keep its hash, and give the key out this once.
+
+    The key is shown only after the change is known to be in the store: a
+    key that the operator reads to a customer must not be one that was lost.
+    """
+    platform = invocation.platform()
+    before = invocation.repository(platform).load().snapshot
+    organisation = _find_organisation(invocation, before)
+    bearer_key = invocation.environment.new_key()
+    key = ApiKey(
+        key_hash=hash_key(bearer_key),
+        organisation_id=organisation.organisation_id,
+        label=invocation.option('label') or '',
+    )
+    # A label that no file can hold would make the configuration in force
+    # one that `show` cannot print.
+    mistakes = find_mistakes((organisation, key))
+    if mistakes:
+        raise ConfigurationMistakes(mistakes)
+    reason = f'issue a key for {organisation.organisation_id}'
+    intent = _intent(invocation, reason, Put(key))
+    report = commit(invocation, platform, intent, before)
+    if isinstance(report, ConflictReport):
+        return report
+    return KeyReport(bearer_key, key.key_hash, report)
+
+
+def withdraw_key(invocation: Invocation) -> CommitReport | ConflictReport:
+    """Withdraw a key, named by the beginning of its hash or by itself."""
+    platform = invocation.platform()
+    before = invocation.repository(platform).load().snapshot
+    wanted = invocation.argument('key')
+    if wanted == STANDARD_INPUT:
+        wanted = invocation.environment.stdin.readline().strip()
+    key = _find_key(wanted, before)
+    reason = f'withdraw a key of {key.organisation_id}'
+    removal = Remove(Section.KEY, key.key_hash)
+    intent = _intent(invocation, reason, removal)
+    return commit(invocation, platform, intent, before)
+
+
+def _intent(
+    invocation: Invocation, reason: str, operation: Operation
+) -> Intent:
+    return Intent(
+        author=invocation.author,
+        reason=invocation.reason_or(reason),
+        operations=(operation,),
+    )
+
+
+def _find_organisation(
+    invocation: Invocation, before: Snapshot
+) -> Organisation:
+    name = OrganisationId(invocation.argument('organisation'))
+    organisation = before.organisations.get(name)
+    if organisation is not None:
+        return organisation
+    known = ', '.join(sorted(before.organisations)) or 'none'
+    raise InvalidError(
+        f'There is no organisation {name!r}',
+        f'Name one of these: {known}',
+    )
+
+
+def _find_key(wanted: str, before: Snapshot) -> ApiKey:
+    own_hash = hash_key(wanted)
+    matching = [
+        key
+        for key_hash, key in before.keys.items()
+        if key_hash == own_hash or _is_prefix(wanted, key_hash)
+    ]
+    if len(matching) == 1:
+        return matching[0]
+    problem = 'No key in force matches'
+    if matching:
+        problem = f'{len(matching)} keys in force match'
+    raise InvalidError(
+        problem,
+        f'Give at least {MIN_PREFIX_LENGTH} characters of the hash, '
+        'as `show` prints it',
+    )
+
+
+def _is_prefix(wanted: str, key_hash: str) -> bool:
+    long_enough = len(wanted) >= MIN_PREFIX_LENGTH
+    return long_enough and key_hash.startswith(wanted)
--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,322 @@
+"""Start the stand-ins and entries as processes, for developers and tests.
+
+This is the one place that starts processes. It is no part of the product:
+nothing under `packages/` starts any, and a test sees to that.
+"""
+
+import os
+import pathlib
+import queue
+import signal
+import subprocess  # noqa: S404 - see above
+import sys
+import threading
+import time
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
+
+import attrs
+import urllib3
+
+ROOT = pathlib.Path(__file__).parent.parent
+LOGS = ROOT / '.logs'
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+POLL_S = 0.05
+SECRET = 'loopback-only-secret-of-the-demo'
+
+ENTRY_SETTINGS = """\
+[entry]
+instance_id = {instance_id}
+domain = {domain}
+
+[platform]
+url = {platform_url}
+
+[peers]
+secret = {secret}
+
+[shutdown]
+balancer_notice_s = {balancer_notice_s}
+"""
+
+
+@attrs.define
+class Running:
+    """One process that this module started, and its first lines."""
+
+    name: str
+    process: 'subprocess.Popen[str]'
+    lines: 'queue.SimpleQueue[str]' = attrs.field(
+        factory=queue.SimpleQueue, repr=False
+    )
+    address: str = ''
+    second_address: str = ''
+    service: str = ''
+    domain: str = ''
+    kind: str = ''
+
+    def await_ready(self) -> str:
+        """Wait until the process listens; return its address."""
+        self.address = self.address or self.await_line('READY ')
+        return self.address
+
+    def await_line(self, word: str) -> str:
+        """Wait for a line that starts with a word; return the rest."""
+        while True:
+            line = self.lines.get(timeout=READY_TIMEOUT_S)
+            if line.startswith(word):
+                return line.removeprefix(word).strip()
+            if not line:
+                raise RuntimeError(f'{self.name} ended; see .logs/')
+
+    def lines_until_end(self) -> Iterator[str]:
+        """Yield each line of output until the process ends it."""
+        while line := self.lines.get():
+            yield line
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for the end; return the exit status."""
+        return self.process.wait(timeout_s)
+
+
+@attrs.frozen
+class Deployment:
+    """What `Fleet.deploy` starts."""
+
+    domains: Sequence[str] = ('kurasini', 'mikocheni')
+    engines: Mapping[str, int] = attrs.field(
+        factory=lambda: {'route-assistant': 3, 'ledger-desk': 2}
+    )
+    models: Mapping[str, str] = attrs.field(
+        factory=lambda: {
+            'route-assistant': 'crate-lm',
+            'ledger-desk': 'ledger-lm',
+        }
+    )
+    plain_services: Sequence[str] = ('crate-ledger',)
+    entries: int = 2
+    engine_options: Sequence[str] = ()
+
+
+class Fleet:
+    """All processes of one deployment on loopback."""
+
+    def __init__(self, balancer_notice_s: float = 0.2) -> None:
+        self._balancer_notice_s = balancer_notice_s
+        self.running: list[Running] = []
+        self.platform_url = ''
+        self.entries: list[Running] = []
+        self.targets: list[dict[str, object]] = []
+        self._pool = urllib3.PoolManager(timeout=READY_TIMEOUT_S)
+        LOGS.mkdir(exist_ok=True)
+
+    def deploy(self, deployment: Deployment) -> None:
+        """Start the platform, the targets and the entries."""
+        platform = self.start_standin('platform', 'platform', '--lag-s', '0.2')
+        # All begin before the first is waited for: each start takes a second.
+        targets = [
+            self._begin_engine(service, number, deployment)
+            for service, count in deployment.engines.items()
+            for number in range(count)
+        ]
+        targets.extend(
+            self._begin_plain(service, deployment.domains[0])
+            for service in deployment.plain_services
+        )
+        self.platform_url = platform.await_ready()
+        entries = [
+            self._begin_entry(
+                f'entry-{number + 1}',
+                deployment.domains[number % len(deployment.domains)],
+            )
+            for number in range(deployment.entries)
+        ]
+        for target in targets:
+            self._note_target(target)
+        self.list_targets()
+        for entry in entries:
+            self._list_entry(entry)
+
+    def start_entry(self, instance_id: str, domain: str) -> Running:
+        """Start an entry and list it at the platform."""
+        running = self._begin_entry(instance_id, domain)
+        self._list_entry(running)
+        return running
+
+    def start_standin(self, name: str, kind: str, *options: str) -> Running:
+        """Start a stand-in."""
+        return self._start(name, 'dandelionyoke_standins', kind, *options)
+
+    def _begin_engine(
+        self, service: str, number: int, deployment: Deployment
+    ) -> Running:
+        name = f'{service}-{number}'
+        model = deployment.models[service]
+        running = self.start_standin(
+            name,
+            'engine',
+            '--engine-id',
+            name,
+            '--model',
+            model,
+            *deployment.engine_options,
+        )
+        running.service = service
+        running.domain = deployment.domains[number % len(deployment.domains)]
+        running.kind = 'engine'
+        return running
+
+    def _begin_plain(self, service: str, domain: str) -> Running:
+        running = self.start_standin(f'{service}-0', 'plain')
+        running.service = service
+        running.domain = domain
+        running.kind = 'plain'
+        return running
+
+    def _begin_entry(self, instance_id: str, domain: str) -> Running:
+        settings = LOGS / f'{instance_id}.ini'
+        settings.write_text(
+            ENTRY_SETTINGS.format(
+                instance_id=instance_id,
+                domain=domain,
+                platform_url=self.platform_url,
+                secret=SECRET,
+                balancer_notice_s=self._balancer_notice_s,
+            )
+        )
+        running = self._start(
+            instance_id, 'dandelionyoke_entry', '--settings', str(settings)
+        )
+        running.domain = domain
+        return running
+
+    def _list_entry(self, running: Running) -> None:
+        running.await_ready()
+        running.second_address = running.await_line('PEERS ')
+        self.post(
+            f'{self.platform_url}/instances',
+            {
+                'instance_id': running.name,
+                'domain': running.domain,
+                'caller_address': running.address,
+                'peer_address': running.second_address,
+                'state': 'live',
+            },
+        )
+        self.entries.append(running)
+
+    def _note_target(self, running: Running) -> None:
+        self.targets.append(
+            {
+                'target_id': running.name,
+                'service': running.service,
+                'domain': running.domain,
+                'address': running.await_ready(),
+                'kind': running.kind,
+                'reclaimable': False,
+                'state': 'live',
+            }
+        )
+
+    def start_load(self, *options: str) -> Running:
+        """Start the load driver."""
+        return self._start('load', 'dandelionyoke_standins', 'load', *options)
+
+    def configure(self, text: str, reason: str = 'set up') -> None:
+        """Put a configuration in force by the operator's command."""
+        file = LOGS / 'configuration.ini'
+        file.write_text(text)
+        self.operate('check', str(file))
+        self.operate(
+            'apply', str(file), '--reason', reason, '--author', 'launcher'
+        )
+
+    def operate(self, *arguments: str, statuses: Sequence[int] = (0,)) -> str:
+        """Run the operator's command; return what it printed."""
+        program = pathlib.Path(sys.executable).parent / 'dandelionyoke'
+        ended = subprocess.run(  # noqa: S603 - our own program
+            [str(program), *arguments],
+            check=False,
+            env={**os.environ, 'DANDELIONYOKE_PLATFORM': self.platform_url},
+            capture_output=True,
+            text=True,
+            timeout=READY_TIMEOUT_S,
+        )
+        if ended.returncode not in statuses:
+            raise RuntimeError(f'{arguments}: {ended.stdout}{ended.stderr}')
+        return ended.stdout
+
+    def await_targets(self) -> None:
+        """Wait until every entry reports all targets as usable."""
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        for entry in self.entries:
+            while self._usable_targets(entry) < len(self.targets):
+                if time.monotonic() > deadline_s:
+                    raise RuntimeError(f'{entry.name} sees too few targets')
+                time.sleep(POLL_S)
+
+    def _usable_targets(self, entry: Running) -> int:
+        return int(self.get(f'{entry.address}/status')['usable_targets'])
+
+    def list_targets(self) -> None:
+        """Tell the platform's stand-in which targets there are."""
+        self.post(
+            f'{self.platform_url}/standin/targets', {'targets': self.targets}
+        )
+
+    def post(self, url: str, body: Mapping[str, object]) -> Any:
+        """Post JSON and return the decoded answer."""
+        return self._pool.request('POST', url, json=dict(body)).json()
+
+    def get(self, url: str) -> Any:
+        """Get JSON."""
+        return self._pool.request('GET', url).json()
+
+    def close(self) -> None:
+        """End all that was started: entries first, so that they drain."""
+        entries = [
+            running for running in self.running if running in self.entries
+        ]
+        others = [running for running in self.running if running not in entries]
+        for group in (entries, others):
+            for running in group:
+                running.signal(signal.SIGCONT)
+                running.signal(signal.SIGTERM)
+            for running in group:
+                self._end(running)
+        self.running.clear()
+
+    def _end(self, running: Running) -> None:
+        try:
+            running.wait()
+        except subprocess.TimeoutExpired:
+            running.process.kill()
+            running.wait()
+
+    def _start(self, name: str, module: str, *arguments: str) -> Running:
+        with (LOGS / f'{name}.log').open('w') as log:
+            process = subprocess.Popen(  # noqa: S603 - our own modules
+                [sys.executable, '-W', 'ignore', '-m', module, *arguments],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+                start_new_session=True,
+            )
+        running = Running(name, process)
+        self.running.append(running)
+        threading.Thread(target=_pump, args=(running,), daemon=True).start()
+        return running
+
+
+def _pump(running: Running) -> None:
+    stdout = running.process.stdout
+    if stdout is not None:
+        for line in stdout:
+            running.lines.put(line)
+    running.lines.put('')
