Hold each duty of a domain under a lease of the store

Engine orders and usage reports of a failure domain must come from one entry at a time, also when answers are lost, clocks differ or the holder is paused. AuthorityPart gets, renews and gives up one duty; the fencing number is the store's revision of the acquisition, and the term counts from before each request left, less a margin for clock rates.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -48,6 +48,17 @@
     Node as Node,
     NodeSettings as NodeSettings,
 )
+from dandelionyoke_core._authority import (
+    REPORT_DUTY as REPORT_DUTY,
+    AuthorityPart as AuthorityPart,
+    DutyRecord as DutyRecord,
+)
+from dandelionyoke_core._authority_settings import (
+    AuthoritySettings as AuthoritySettings,
+)
+from dandelionyoke_core._back_off import (
+    BackOffSettings as BackOffSettings,
+)
 from dandelionyoke_core._capacity import (
     CapacityView as CapacityView,
     Outlook as Outlook,
--- a/packages/core/dandelionyoke_core/_assembly.py
+++ b/packages/core/dandelionyoke_core/_assembly.py
@@ -7,12 +7,15 @@
 from dandelionyoke_core._actions import Action
 from dandelionyoke_core._admission import AdmissionPart
 from dandelionyoke_core._admission_settings import AdmissionSettings
+from dandelionyoke_core._authority import REPORT_DUTY, AuthorityPart
+from dandelionyoke_core._authority_settings import AuthoritySettings
 from dandelionyoke_core._claims import OnceSettings
 from dandelionyoke_core._configuration import (
     ConfigurationPart,
     ConfigurationSettings,
 )
 from dandelionyoke_core._events import Event
+from dandelionyoke_core._fleet import CONTROL_DUTY
 from dandelionyoke_core._information import InformationPart
 from dandelionyoke_core._keys import KeysPart, KeysSettings
 from dandelionyoke_core._lifecycle import LifecyclePart, LifecycleSettings
@@ -49,6 +52,7 @@
     once: OnceSettings = attrs.field(factory=OnceSettings)
     quarantine: QuarantineSettings = attrs.field(factory=QuarantineSettings)
     request: RequestSettings = attrs.field(factory=RequestSettings)
+    authority: AuthoritySettings = attrs.field(factory=AuthoritySettings)
     lifecycle: LifecycleSettings = attrs.field(factory=LifecycleSettings)
 
 
@@ -99,6 +103,12 @@
             self.quarantine,
             random,
         )
+        self.control = AuthorityPart(
+            settings.authority, CONTROL_DUTY, own, random
+        )
+        self.report = AuthorityPart(
+            settings.authority, REPORT_DUTY, own, random
+        )
         self.lifecycle = LifecyclePart(
             settings.lifecycle, lambda: self.request.in_progress
         )
@@ -120,6 +130,8 @@
                 self.once,
                 self.quarantine,
                 self.request,
+                self.control,
+                self.report,
                 self.lifecycle,
                 self.information,
             )
--- /dev/null
+++ b/tests/core/duty_bench.py
@@ -0,0 +1,220 @@
+"""Two or more entries whose every step a test decides.
+
+Nothing happens by itself: a test lets a call of an entry take effect, gives
+or withholds its answer, and lets time pass for the entries that run. So the
+interleavings of a few entries can be gone through one by one.
+"""
+
+import copy
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any
+
+import attrs
+
+from dandelionyoke_core import (
+    Action,
+    Domain,
+    DutyExtended,
+    DutyGained,
+    DutyLost,
+    Event,
+    Instance,
+    InstanceId,
+    Notice,
+    Part,
+    PeersKnown,
+    StoreAnswered,
+    StoreFailed,
+    Woken,
+)
+from dandelionyoke_standins import PlatformModel
+from dandelionyoke_standins._world_store import perform_store
+
+DOMAIN = Domain('ubungo')
+NAMES = (InstanceId('entry-0'), InstanceId('entry-1'))
+LOST = StoreFailed('the answer was lost', may_have_happened=True)
+REFUSED = StoreFailed('unavailable', may_have_happened=False)
+
+
+def instance(name: str) -> Instance:
+    """Make up an entry of the domain."""
+    return Instance(InstanceId(name), DOMAIN, f'http://{name}', f'ws://{name}')
+
+
+@attrs.define
+class Entry:
+    """One entry: its parts, its calls under way, what it was told to be."""
+
+    parts: list[Part]
+    rate: float = 1.0
+    waiting: list[Action] = attrs.field(factory=list)
+    withheld: list[Event] = attrs.field(factory=list)
+    seen: list[Action] = attrs.field(factory=list)
+    fences: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+
+    def take(self, event: Event, now_s: float) -> None:
+        """Give an event to the parts, and their notices to each other."""
+        queue: list[Event] = [event]
+        while queue:
+            self._step(queue.pop(0), now_s * self.rate, queue)
+
+    def believes(self, duty: str, now_s: float) -> int | None:
+        """Give the fencing number that it acts under now, or None."""
+        fence, until_s = self.fences.get(duty, (0, 0.0))
+        return fence if now_s * self.rate < until_s else None
+
+    def _step(self, event: Event, now_s: float, queue: list[Event]) -> None:
+        for part in self.parts:
+            if not isinstance(event, part.handles):
+                continue
+            for output in part.handle(event, now_s):
+                if isinstance(output, Notice):
+                    self._note(output)
+                    queue.append(output)
+                else:
+                    self.seen.append(output)
+                    self.waiting.append(output)
+
+    def _note(self, notice: Notice) -> None:
+        match notice:
+            case DutyGained() | DutyExtended():
+                self.fences[notice.duty] = (notice.fence, notice.until_s)
+            case DutyLost():
+                self.fences.pop(notice.duty, None)
+
+
+class Bench:
+    """The entries, the platform and the clock."""
+
+    def __init__(
+        self,
+        make_parts: Callable[[Instance, Random], list[Part]],
+        names: Iterable[InstanceId] = NAMES,
+    ) -> None:
+        self.platform = PlatformModel()
+        self.now_s = 0.0
+        self.names = tuple(names)
+        self.entries = {
+            name: Entry(make_parts(instance(name), Random(place)))
+            for place, name in enumerate(self.names)
+        }
+        self.perform: Callable[[Bench, str, Action], Event | None] | None = None
+
+    def meet(self) -> None:
+        """Tell every entry that all are alive."""
+        for entry in self.entries.values():
+            entry.take(PeersKnown(self.names, self.names), self.now_s)
+
+    def effect(self, name: str) -> Event | None:
+        """Let the oldest call of an entry take effect; give the answer."""
+        action = self._oldest(name)
+        if action is None:
+            return None
+        operation_id = getattr(action, 'operation_id', None)
+        if operation_id is None:
+            assert self.perform is not None
+            return self.perform(self, name, action)
+        stored = perform_store(self.platform, action, self.now_s)
+        return StoreAnswered(operation_id, stored)
+
+    def answer(self, name: str) -> bool:
+        """Carry out the oldest call, and give its answer."""
+        return self._give(name, self.effect(name))
+
+    def lose(self, name: str) -> bool:
+        """Carry out the oldest call, and lose its answer."""
+        event = self.effect(name)
+        if isinstance(event, StoreAnswered):
+            event = StoreAnswered(event.operation_id, LOST)
+        return self._give(name, event)
+
+    def withhold(self, name: str) -> bool:
+        """Carry out the oldest call while its entry is paused."""
+        event = self.effect(name)
+        if event is not None:
+            self.entries[name].withheld.append(event)
+        return event is not None
+
+    def resume(self, name: str) -> bool:
+        """Give an entry what came while it was paused."""
+        entry = self.entries[name]
+        held = entry.withheld[:]
+        entry.withheld.clear()
+        for event in held:
+            entry.take(event, self.now_s)
+        self.wake(name)
+        return bool(held)
+
+    def wake(self, name: str) -> None:
+        """Let an entry look at its clock."""
+        self.entries[name].take(Woken(), self.now_s)
+
+    def tick(self, elapsed_s: float, running: Iterable[str]) -> bool:
+        """Let time pass; only the running entries notice."""
+        self.now_s += elapsed_s
+        self.platform.store.expire(self.now_s)
+        for name in running:
+            self.wake(name)
+        return True
+
+    def settle(self, until_s: float, running: Iterable[str]) -> None:
+        """Let the running entries work on without any trouble."""
+        running = tuple(running)
+        while self.now_s < until_s:
+            self.tick(0.1, running)
+            while any([self.answer(name) for name in running]):
+                continue
+
+    def _oldest(self, name: str) -> Action | None:
+        waiting = self.entries[name].waiting
+        while waiting:
+            action = waiting.pop(0)
+            is_store = hasattr(action, 'operation_id')
+            if is_store or self._is_performed(action):
+                return action
+        return None
+
+    def _is_performed(self, action: Action) -> bool:
+        return self.perform is not None and hasattr(action, 'not_after_s')
+
+    def _give(self, name: str, event: Event | None) -> bool:
+        if event is not None:
+            self.entries[name].take(event, self.now_s)
+        return event is not None
+
+
+Move = tuple[str, Callable[[Bench], Any]]
+
+
+def explore(
+    bench: Bench,
+    moves: Iterable[Move],
+    depth: int,
+    check: Callable[[Bench, tuple[str, ...]], None],
+    path: tuple[str, ...] = (),
+) -> int:
+    """Go through all sequences of moves up to a depth; count the states."""
+    states = 1
+    check(bench, path)
+    if depth == 0:
+        return states
+    moves = tuple(moves)
+    for name, move in moves:
+        branch = copy.deepcopy(bench)
+        if move(branch) is not False:
+            states += explore(branch, moves, depth - 1, check, (*path, name))
+    return states
+
+
+def trouble(first: str, second: str, step_s: float) -> tuple[Move, ...]:
+    """The moves of two entries, the first of which may be paused."""
+    return (
+        ('first answered', lambda bench: bench.answer(first)),
+        ('first lost', lambda bench: bench.lose(first)),
+        ('first withheld', lambda bench: bench.withhold(first)),
+        ('first resumes', lambda bench: bench.resume(first)),
+        ('second answered', lambda bench: bench.answer(second)),
+        ('time for both', lambda bench: bench.tick(step_s, (first, second))),
+        ('time for the second', lambda bench: bench.tick(step_s, (second,))),
+    )
