--- a/packages/core/dandelionyoke_core/_configuration.py
+++ b/packages/core/dandelionyoke_core/_configuration.py
@@ -7,6 +7,7 @@
 """
 
 import random as random_module
+from collections.abc import Sequence
 from typing import ClassVar
 
 import attrs
@@ -88,7 +89,7 @@
         self._instance_id = instance_id
         self._watch_topic = f'{WATCH_TOPIC}/{domain}'
         self._watchers_of: tuple[InstanceId, ...] = ()
-        self._watchers: list[InstanceId] = []
+        self._watchers: Sequence[InstanceId] = ()
         self._knowledge = Knowledge(settings.knowledge)
         self._reader = HeadReader(
             settings.reader, random, f'config/{instance_id}'
