Wait for the ends that the store has still to hear before leaving

Cause: a graceful stop waited for open requests only; a confirmation that was answered while the store was slow stayed in doubt for whoever repeats it.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -191,6 +191,7 @@
     KnowledgeSettings as KnowledgeSettings,
 )
 from dandelionyoke_core._lifecycle import (
+    LifecyclePart as LifecyclePart,
     LifecycleSettings as LifecycleSettings,
 )
 from dandelionyoke_core._links import (
--- a/packages/core/dandelionyoke_core/_assembly.py
+++ b/packages/core/dandelionyoke_core/_assembly.py
@@ -110,7 +110,9 @@
             settings.authority, REPORT_DUTY, own, random
         )
         self.lifecycle = LifecyclePart(
-            settings.lifecycle, lambda: self.request.in_progress
+            settings.lifecycle,
+            lambda: self.request.in_progress,
+            lambda: self.once.in_progress,
         )
         self.information = InformationPart(
             own,
--- a/packages/core/dandelionyoke_core/_lifecycle.py
+++ b/packages/core/dandelionyoke_core/_lifecycle.py
@@ -24,11 +24,14 @@
     """How long leaving takes.
 
     The balancer goes on sending calls for `balancer_notice_s` after the
-    health check has begun to fail; calls are accepted for that long.
+    health check has begun to fail; calls are accepted for that long. When
+    all are answered, what the store has still to be told is waited for,
+    `record_limit_s` at most: the store may be out for long.
     """
 
     balancer_notice_s: float = 5.0
     check_interval_s: float = 0.1
+    record_limit_s: float = 30.0
 
 
 class LifecyclePart:
@@ -45,9 +48,12 @@
         self,
         settings: LifecycleSettings,
         in_progress: Callable[[], int],
+        unrecorded: Callable[[], int],
     ) -> None:
         self._settings = settings
         self._in_progress = in_progress
+        self._unrecorded = unrecorded
+        self._answered_s: float | None = None
         self._leaving_since_s: float | None = None
         self._wakeup_s: float | None = None
         self._stopped = False
@@ -82,11 +88,23 @@
     def _check(self, now_s: float) -> list[Output]:
         if self._wakeup_s is None or now_s < self._wakeup_s:
             return []
-        if self._in_progress():
+        if self._in_progress() or self._is_recording(now_s):
             self._wakeup_s = now_s + self._settings.check_interval_s
             return []
         return self._stop(clean=True)
 
+    def _is_recording(self, now_s: float) -> bool:
+        """Tell whether the store still has to be told of ends.
+
+        A process that stopped before would leave answered calls in doubt:
+        whoever repeats one would hear that its end is not known.
+        """
+        if self._answered_s is None:
+            self._answered_s = now_s
+        waited_s = now_s - self._answered_s
+        limit_s = self._settings.record_limit_s
+        return waited_s < limit_s and self._unrecorded() > 0
+
     def _stop(self, *, clean: bool) -> list[Output]:
         self._wakeup_s = None
         if self._stopped:
--- a/packages/standins/dandelionyoke_standins/_node_measure.py
+++ b/packages/standins/dandelionyoke_standins/_node_measure.py
@@ -24,9 +24,11 @@
     ModelName,
     Organisation,
     OrganisationId,
+    PeerMessage,
     PollCacheEvents,
     PollLoad,
     Put,
+    RecordBatch,
     SendPeer,
     Service,
     ServiceName,
@@ -82,7 +84,7 @@
             size = len(cbor2.dumps(message_to_mapping(action.message)))
             self.messages += 1
             self.sent_bytes += size
-            self.by_message[type(action.message).__name__] += size
+            self._count_kinds(action.message, size)
         elif isinstance(action, LISTS):
             self.lists += 1
         elif isinstance(action, POLLS):
@@ -90,6 +92,15 @@
         elif hasattr(action, 'operation_id'):
             self.store_calls += 1
 
+    def _count_kinds(self, message: PeerMessage, size: int) -> None:
+        """Divide a batch's bytes among the kinds of its records."""
+        if not isinstance(message, RecordBatch):
+            self.by_message[type(message).__name__] += size
+            return
+        for entry in message.entries:
+            record = dict(entry.record)
+            self.by_message[str(record['type'])] += len(cbor2.dumps(record))
+
 
 class MeteredNode:
     """A node whose handling is timed and whose actions are counted."""
