--- a/packages/core/dandelionyoke_core/_admission.py
+++ b/packages/core/dandelionyoke_core/_admission.py
@@ -2,6 +2,11 @@
 
 from typing import ClassVar
 
+from dandelionyoke_core._admission_refusals import (
+    bounded_retry,
+    no_target,
+    overloaded,
+)
 from dandelionyoke_core._admission_settings import AdmissionSettings
 from dandelionyoke_core._capacity import CapacityView, Outlook
 from dandelionyoke_core._demand import DemandShared, DemandTable
@@ -146,8 +151,9 @@
     def come_back_s(self, service: ServiceName, now_s: float) -> float:
         """Estimate when a refused call would find room, in seconds."""
         found = self._service(service)
-        return self._bounded_retry(
-            found.wait_s(found.queue.cost, now_s, self._settings.min_retry_s)
+        return bounded_retry(
+            self._settings,
+            found.wait_s(found.queue.cost, now_s, self._settings.min_retry_s),
         )
 
     # Decisions.
@@ -163,12 +169,7 @@
         if limited is not None:
             return limited
         if outlook is None:
-            return Refusal(
-                RefusalKind.NO_TARGET,
-                f'no target of {ticket.service} can take work now',
-                'Send the call again after the time given',
-                retry_after_s=self._settings.no_target_retry_s,
-            )
+            return no_target(self._settings, ticket.service)
         return self._queue_refusal(ticket, service, outlook, now_s)
 
     def _queue_refusal(
@@ -184,17 +185,26 @@
         ahead = queue.ahead(name)
         wait_s = service.wait_s(ahead, now_s, settings.min_retry_s)
         if self._is_too_late(ticket, wait_s + outlook.total_s, now_s):
-            return self._overloaded(
-                RefusalKind.DEADLINE, 'the deadline would pass', wait_s
+            return overloaded(
+                self._settings,
+                RefusalKind.DEADLINE,
+                'the deadline would pass',
+                wait_s,
             )
         if len(queue) >= settings.max_queued:
-            return self._overloaded(
-                RefusalKind.OVERLOADED, 'the queue is full', wait_s
+            return overloaded(
+                self._settings,
+                RefusalKind.OVERLOADED,
+                'the queue is full',
+                wait_s,
             )
         share = settings.max_queued * settings.max_queued_share
         if queue.queued_of(name) >= share:
-            return self._overloaded(
-                RefusalKind.OVERLOADED, 'too many calls wait already', wait_s
+            return overloaded(
+                self._settings,
+                RefusalKind.OVERLOADED,
+                'too many calls wait already',
+                wait_s,
             )
         return None
 
@@ -206,20 +216,6 @@
         expected_s = needed_s * self._settings.deadline_margin
         return now_s + expected_s > ticket.deadline_s
 
-    def _overloaded(
-        self, kind: RefusalKind, detail: str, wait_s: float
-    ) -> Refusal:
-        return Refusal(
-            kind,
-            detail,
-            'Send the call again after the time given',
-            retry_after_s=self._bounded_retry(wait_s),
-        )
-
-    def _bounded_retry(self, wait_s: float) -> float:
-        settings = self._settings
-        return min(settings.max_retry_s, max(settings.min_retry_s, wait_s))
-
     def _outlook(
         self, ticket: Ticket, service: ServiceQueue, now_s: float
     ) -> Outlook | None:
@@ -282,7 +278,8 @@
             if now_s < limit_s:
                 continue
             self.withdraw(ticket.request_id, now_s)
-            refusal = self._overloaded(
+            refusal = overloaded(
+                self._settings,
                 RefusalKind.DEADLINE,
                 'the call waited too long',
                 service.wait_s(service.queue.cost, now_s, 0),
