Plan roles for the targets that serve, not for those out of reach

Cause: in a cut a domain counted the far targets of the list when it worked out its part of the work, and planned roles for less than it had to do. Found by reading; a test shows it. Change: count the targets that serve.

--- a/packages/core/dandelionyoke_core/_fleet.py
+++ b/packages/core/dandelionyoke_core/_fleet.py
@@ -5,6 +5,7 @@
 duty of control, so that two nodes do not pull an engine both ways.
 """
 
+from collections.abc import Sequence
 from typing import ClassVar
 
 import attrs
@@ -16,6 +17,7 @@
 from dandelionyoke_core._fleet_size import SizeDecider
 from dandelionyoke_core._fleet_view import (
     FleetPlace,
+    TargetSight,
     TargetView,
     WorkView,
 )
@@ -132,7 +134,7 @@
         outputs.extend(
             deciders.roles.decide(
                 place,
-                _fast_rows(mix, fresh_share, len(here) / max(1, len(sights))),
+                _fast_rows(mix, fresh_share, _part(here, sights)),
                 here,
                 now_s,
             )
@@ -156,6 +158,15 @@
         return deciders
 
 
+def _part(here: Sequence[TargetSight], sights: Sequence[TargetSight]) -> float:
+    """Tell a domain's part of the targets that serve.
+
+    In a cut the far ones do not, and this side has all of its work to do.
+    """
+    usable = sum(sight.is_usable for sight in sights)
+    return sum(sight.is_usable for sight in here) / max(1, usable)
+
+
 def _fast_rows(
     mix: tuple[MixRow, ...], fresh_share: float, part: float
 ) -> list[WorkRow]:
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -188,6 +188,22 @@
         # A change at each swing would be sixty.
         self.assertLess(changes_in(wanted), 10)
 
+    def test_in_a_cut_a_side_has_all_of_its_work_to_do(self) -> None:
+        """A domain is cut off and can not reach the others' engines.
+
+        If it still counted on them it would leave its own in the wrong
+        roles, and callers on its side would wait for the whole cut.
+        """
+        wanted = []
+        for cut in (False, True):
+            fleet = FakeFleet(BALANCED, (HOME, HOME, AWAY, AWAY))
+            fleet.mix_now = (13000.0, 200.0)
+            ready = (FOREVER_S, Role.MIXED)
+            fleet.away = {TargetId(name): ready for name in ('t2', 't3') if cut}
+            part = make_fleet_part(fleet, max_targets=4, min_targets=4)
+            wanted.append(changes_in(pass_time(part, fleet, 60)[0]))
+        self.assertLess(wanted[0], wanted[1])
+
     def test_one_engine_changes_at_a_time_and_some_stay(self) -> None:
         fleet = FakeFleet(LONG_PROMPTS)
         part = make_fleet_part(fleet, max_targets=4, min_targets=4)
