Count a draining target for its domain's part of the work

Cause: the last change left a target out that drains for a role change; its domain's part of the work went to the others, who changed roles for it. Change: count the targets that answer their polls.

--- a/packages/core/dandelionyoke_core/_fleet.py
+++ b/packages/core/dandelionyoke_core/_fleet.py
@@ -159,12 +159,14 @@
 
 
 def _part(here: Sequence[TargetSight], sights: Sequence[TargetSight]) -> float:
-    """Tell a domain's part of the targets that serve.
+    """Tell a domain's part of the targets that answer.
 
     In a cut the far ones do not, and this side has all of its work to do.
+    One that drains for a change still counts: its domain's part would else
+    go to the others, who would change roles for it.
     """
-    usable = sum(sight.is_usable for sight in sights)
-    return sum(sight.is_usable for sight in here) / max(1, usable)
+    reached = sum(sight.is_reached for sight in sights)
+    return sum(sight.is_reached for sight in here) / max(1, reached)
 
 
 def _fast_rows(
--- a/packages/core/dandelionyoke_core/_fleet_view.py
+++ b/packages/core/dandelionyoke_core/_fleet_view.py
@@ -11,13 +11,13 @@
 
 @attrs.frozen
 class TargetSight:
-    """A target as routing sees it; `is_known` once it has reported."""
+    """A target as routing sees it; `is_reached` if it answers its polls."""
 
     target: Target
     role: Role
     calls: float
     is_usable: bool
-    is_known: bool
+    is_reached: bool
 
 
 class TargetView(Protocol):
--- a/packages/core/dandelionyoke_core/_routing.py
+++ b/packages/core/dandelionyoke_core/_routing.py
@@ -191,7 +191,7 @@
                 state.report.role,
                 state.load().calls,
                 state.usable(now_s),
-                state.heard_s > NEVER_S,
+                state.heard_s > NEVER_S and not state.failures,
             )
             for state in self._table.of_service(service).values()
             if state.listed
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -53,6 +53,7 @@
     domains: tuple[Domain, ...] = (HOME, HOME, HOME, HOME)
     reclaimable: tuple[int, ...] = ()
     roles: dict[TargetId, Role] = attrs.field(factory=dict)
+    cut: tuple[str, ...] = ()
     away: dict[TargetId, tuple[float, Role]] = attrs.field(factory=dict)
     now_s: float = 0
 
@@ -69,8 +70,8 @@
                 ),
                 self.roles.get(target.target_id, Role.MIXED),
                 calls=row,
-                is_usable=target.target_id not in self.away,
-                is_known=True,
+                is_usable=target.target_id not in {*self.away, *self.cut},
+                is_reached=target.target_id not in self.cut,
             )
             for row, (target, domain) in enumerate(
                 zip(targets, self.domains, strict=True)
@@ -198,8 +199,7 @@
         for cut in (False, True):
             fleet = FakeFleet(BALANCED, (HOME, HOME, AWAY, AWAY))
             fleet.mix_now = (13000.0, 200.0)
-            ready = (FOREVER_S, Role.MIXED)
-            fleet.away = {TargetId(name): ready for name in ('t2', 't3') if cut}
+            fleet.cut = ('t2', 't3') if cut else ()
             part = make_fleet_part(fleet, max_targets=4, min_targets=4)
             wanted.append(changes_in(pass_time(part, fleet, 60)[0]))
         self.assertLess(wanted[0], wanted[1])
