Count, save and report what callers received

Usage has to be billed once, whoever dies. Each start of an entry has counters that only grow, saved under its own key and copied to two peers; both merge by the higher of each count, so a peer may write for an owner that is alive after all. The holder of the duty of reporting closes windows as a chain of records that are created only if absent, reports the stored figures, and moves a mark on.

Ruled out: one record for a window by a rule of latest write; numbering windows from each holder's own present; higher sequence wins on whole records (a copy that missed rows could replace a fuller one). Counter keys name the domain, so that a reporter lists its own domain's alone.

Counters of dead starts are not removed from the store yet.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -350,6 +350,18 @@
     TopologySettings as TopologySettings,
     choose_links as choose_links,
 )
+from dandelionyoke_core._usage import (
+    UsagePart as UsagePart,
+)
+from dandelionyoke_core._usage_records import (
+    CounterRecord as CounterRecord,
+    ReportedRecord as ReportedRecord,
+    UsageCopied as UsageCopied,
+    WindowRecord as WindowRecord,
+)
+from dandelionyoke_core._usage_settings import (
+    UsageSettings as UsageSettings,
+)
 from dandelionyoke_core._work_mix import (
     MixRow as MixRow,
 )
--- a/packages/core/dandelionyoke_core/_assembly.py
+++ b/packages/core/dandelionyoke_core/_assembly.py
@@ -30,6 +30,8 @@
 from dandelionyoke_core._request_settings import RequestSettings
 from dandelionyoke_core._routing import RoutingPart
 from dandelionyoke_core._routing_settings import RoutingSettings
+from dandelionyoke_core._usage import UsagePart
+from dandelionyoke_core._usage_settings import UsageSettings
 
 
 @attrs.frozen
@@ -53,6 +55,7 @@
     quarantine: QuarantineSettings = attrs.field(factory=QuarantineSettings)
     request: RequestSettings = attrs.field(factory=RequestSettings)
     authority: AuthoritySettings = attrs.field(factory=AuthoritySettings)
+    usage: UsageSettings = attrs.field(factory=UsageSettings)
     lifecycle: LifecycleSettings = attrs.field(factory=LifecycleSettings)
 
 
@@ -109,8 +112,12 @@
         self.report = AuthorityPart(
             settings.authority, REPORT_DUTY, own, random
         )
+        self.usage = UsagePart(
+            settings.usage, own, settings.incarnation, self.membership, random
+        )
         self.lifecycle = LifecyclePart(
-            settings.lifecycle, lambda: self.request.in_progress
+            settings.lifecycle,
+            lambda: self.request.in_progress + self.usage.unsaved,
         )
         self.information = InformationPart(
             own,
@@ -132,6 +139,7 @@
                 self.request,
                 self.control,
                 self.report,
+                self.usage,
                 self.lifecycle,
                 self.information,
             )
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_usage_copies.py
@@ -0,0 +1,135 @@
+"""Copies of peers' counters, saved for a peer whose link has ended."""
+
+from random import Random
+
+from dandelionyoke_core._actions import CountMetric, StoreGet, StorePut
+from dandelionyoke_core._back_off import BackOff
+from dandelionyoke_core._codec import record_from_json, record_to_json
+from dandelionyoke_core._errors import CodecError
+from dandelionyoke_core._names import InstanceId
+from dandelionyoke_core._ports import Output
+from dandelionyoke_core._records import (
+    StoreConflict,
+    StoreItem,
+    StoreResult,
+    StoreWritten,
+)
+from dandelionyoke_core._store_slot import StoreSlot
+from dandelionyoke_core._usage_counter import Copy
+from dandelionyoke_core._usage_records import CounterRecord, UsageCopied
+from dandelionyoke_core._usage_settings import UsageSettings
+
+
+class PeerCopies:
+    """Keeps copies, and writes those whose owner may be dead.
+
+    A write takes the higher of each count, so it does no harm if the owner
+    is alive after all.
+    """
+
+    def __init__(
+        self, settings: UsageSettings, name: str, random: Random
+    ) -> None:
+        self.slot = StoreSlot(name, settings.call_timeout_s, random)
+        self._settings = settings
+        self._back_off = BackOff(settings.back_off, random)
+        self._copies: dict[str, Copy] = {}
+        self._owners: dict[str, InstanceId] = {}
+        self._due: dict[str, float] = {}
+        self._writing: str | None = None
+
+    def next_wakeup_s(self) -> float | None:
+        """Tell when a copy has to be written."""
+        if not self.slot.is_free:
+            return None
+        return min(self._due.values(), default=None)
+
+    def keep(self, owner: InstanceId, message: UsageCopied) -> list[Output]:
+        """Keep rows of a peer."""
+        key = message.counter_key
+        is_full = len(self._copies) >= self._settings.max_copies
+        if is_full and key not in self._copies:
+            return [CountMetric('usage.dropped_copies')]
+        copy = self._copies.setdefault(key, Copy())
+        copy.sequence = max(copy.sequence, message.sequence)
+        copy.table.raise_to(message.figures)
+        self._owners[key] = owner
+        self._due.pop(key, None)
+        return []
+
+    def lost(self, owner: InstanceId, now_s: float) -> None:
+        """A peer's link ended; it may be dead."""
+        for key, its_owner in self._owners.items():
+            if its_owner == owner and key not in self._due:
+                self._due[key] = now_s + self._settings.takeover_after_s
+
+    def due(self, now_s: float) -> list[Output]:
+        """Begin to write the next copy that is due."""
+        if not self.slot.is_free:
+            return []
+        due = [key for key, due_s in self._due.items() if now_s >= due_s]
+        if not due:
+            return []
+        self._writing = due[0]
+        return [StoreGet(self.slot.open(now_s), due[0])]
+
+    def ended(self, result: StoreResult, now_s: float) -> list[Output]:
+        """Take the end of a store call."""
+        key = self._writing
+        copy = self._copies.get(key or '')
+        if key is None or copy is None:
+            return []
+        match result:
+            case StoreWritten():
+                return self._forget(key, now_s)
+            case StoreItem():
+                return self._write(key, copy, result, now_s)
+            case StoreConflict(present=present):
+                return self._write(key, copy, present, now_s)
+        self._writing = None
+        retry_s = now_s + self._back_off.next_s()
+        self._due = {
+            one: retry_s if one == key else due_s
+            for one, due_s in self._due.items()
+        }
+        return []
+
+    def _write(
+        self, key: str, copy: Copy, present: StoreItem, now_s: float
+    ) -> list[Output]:
+        try:
+            record = _record(present)
+        except CodecError:
+            return [
+                CountMetric('usage.unreadable_records'),
+                *self._forget(key, now_s),
+            ]
+        saved = Copy(record.sequence)
+        saved.table.raise_to(record.figures)
+        if not saved.table.raise_to(copy.table.figures()):
+            return self._forget(key, now_s)
+        merged = CounterRecord(
+            max(copy.sequence, saved.sequence), saved.table.figures()
+        )
+        put = StorePut(
+            self.slot.open(now_s),
+            key,
+            record_to_json(merged),
+            present.revision,
+        )
+        return [put]
+
+    def _forget(self, key: str, now_s: float) -> list[Output]:
+        """Drop a copy that is saved, unless its owner has come back."""
+        self._writing = None
+        self._back_off.reset()
+        if key in self._due:
+            for table in (self._due, self._copies, self._owners):
+                table.pop(key, None)
+        return self.due(now_s)
+
+
+def _record(present: StoreItem) -> CounterRecord:
+    if present.value is None:
+        return CounterRecord(0)
+    return record_from_json(present.value, CounterRecord)
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_usage_counter.py
@@ -0,0 +1,181 @@
+"""What this entry has counted: saved in the store and copied to peers."""
+
+from random import Random
+
+import attrs
+
+from dandelionyoke_core._actions import CountMetric, SendPeer, StorePut
+from dandelionyoke_core._back_off import BackOff
+from dandelionyoke_core._codec import record_from_json, record_to_json
+from dandelionyoke_core._errors import CodecError
+from dandelionyoke_core._names import InstanceId
+from dandelionyoke_core._notices import CallDelivered
+from dandelionyoke_core._ports import Output, Peers
+from dandelionyoke_core._records import (
+    StoreConflict,
+    StoreResult,
+    StoreWritten,
+    UsageFigure,
+)
+from dandelionyoke_core._rendezvous import rendezvous
+from dandelionyoke_core._store_slot import StoreSlot
+from dandelionyoke_core._usage_figures import RowName, UsageTable, row_name
+from dandelionyoke_core._usage_records import CounterRecord, UsageCopied
+from dandelionyoke_core._usage_settings import UsageSettings
+
+
+class OwnCounter:
+    """Cumulative counts of one start of this entry."""
+
+    def __init__(
+        self, settings: UsageSettings, key: str, peers: Peers, random: Random
+    ) -> None:
+        self.slot = StoreSlot(f'{key}', settings.call_timeout_s, random)
+        self._settings = settings
+        self._key = key
+        self._peers = peers
+        self._random = random
+        self._back_off = BackOff(settings.back_off, random)
+        self._table = UsageTable()
+        self._sequence = 0
+        self._sent_sequence = 0
+        self._saved_sequence = 0
+        self._revision = 0
+        self._uncopied: set[RowName] = set()
+        self._connected: set[InstanceId] = set()
+        self._holders: tuple[InstanceId, ...] = ()
+        self._flush_s: float | None = None
+        self._copy_s: float | None = None
+
+    @property
+    def is_saved(self) -> bool:
+        """Whether the store has all that was counted."""
+        return self._saved_sequence == self._sequence
+
+    def next_wakeup_s(self) -> float | None:
+        """Tell when the counts are due to be saved or copied."""
+        times = (self._flush_s, self._copy_s)
+        return min((due for due in times if due is not None), default=None)
+
+    def count(self, event: CallDelivered, now_s: float) -> list[Output]:
+        """Count what reached a caller."""
+        figure = UsageFigure(
+            event.organisation,
+            event.service,
+            event.requests,
+            event.prompt_tokens,
+            event.output_tokens,
+        )
+        name = row_name(figure)
+        is_full = len(self._table.rows) >= self._settings.max_rows
+        if is_full and name not in self._table.rows:
+            return [CountMetric('usage.uncounted_calls')]
+        self._table.add(figure)
+        self._sequence += 1
+        self._uncopied.add(name)
+        if self._copy_s is None:
+            self._copy_s = now_s + self._settings.copy_interval_s
+        if self._flush_s is None and self.slot.is_free:
+            interval_s = self._settings.flush_interval_s
+            self._flush_s = now_s + interval_s * self._random.uniform(0.7, 1)
+        return []
+
+    def flush(self, now_s: float) -> list[Output]:
+        """Save now what is not saved."""
+        self._flush_s = None
+        if self.is_saved or not self.slot.is_free:
+            return []
+        self._sent_sequence = self._sequence
+        record = CounterRecord(self._sequence, self._table.figures())
+        return [
+            StorePut(
+                self.slot.open(now_s),
+                self._key,
+                record_to_json(record),
+                self._revision,
+            )
+        ]
+
+    def due(self, now_s: float) -> list[Output]:
+        """Save and copy what is due."""
+        outputs: list[Output] = []
+        if self._flush_s is not None and now_s >= self._flush_s:
+            outputs.extend(self.flush(now_s))
+        if self._copy_s is not None and now_s >= self._copy_s:
+            self._copy_s = None
+            outputs.extend(self._copy())
+        return outputs
+
+    def ended(self, result: StoreResult, now_s: float) -> list[Output]:
+        """Take the end of a write."""
+        match result:
+            case StoreWritten(revision=revision):
+                self._revision = revision
+                self._saved_sequence = self._sent_sequence
+                self._back_off.reset()
+                if not self.is_saved:
+                    self._flush_s = now_s + self._settings.flush_interval_s
+            case StoreConflict(present=present):
+                # A peer wrote its copy, or the answer of an own write was
+                # lost. Both hold no more than this entry has counted.
+                self._revision = present.revision
+                self._learn(present.value)
+                return self.flush(now_s)
+            case _:
+                self._flush_s = now_s + self._back_off.next_s()
+        return []
+
+    # Copies at peers.
+
+    def connected(self, peer_id: InstanceId) -> list[Output]:
+        """Take note of a link."""
+        self._connected.add(peer_id)
+        return self._choose()
+
+    def disconnected(self, peer_id: InstanceId) -> list[Output]:
+        """Forget a link, and let another peer hold the copy."""
+        self._connected.discard(peer_id)
+        return self._choose()
+
+    def _choose(self) -> list[Output]:
+        before = self._holders
+        near = self._connected & set(self._peers.live_in_domain)
+        far = self._connected - near
+        count = self._settings.copies
+        nearest = rendezvous(near, self._key, count)
+        # One copy elsewhere outlives the loss of the whole domain.
+        farthest = rendezvous(far, self._key, count)
+        ranked = [*nearest[:1], *farthest[:1], *nearest[1:], *farthest[1:]]
+        self._holders = tuple(ranked[:count])
+        new = [peer for peer in self._holders if peer not in before]
+        if not self._sequence:
+            return []
+        whole = self._message(self._table.figures())
+        return [SendPeer(peer_id, whole) for peer_id in new]
+
+    def _copy(self) -> list[Output]:
+        rows = self._table.rows
+        changed = tuple(rows[name] for name in sorted(self._uncopied))
+        self._uncopied.clear()
+        message = self._message(changed)
+        return [SendPeer(peer_id, message) for peer_id in self._holders]
+
+    def _message(self, figures: tuple[UsageFigure, ...]) -> UsageCopied:
+        return UsageCopied(self._key, self._sequence, figures)
+
+    def _learn(self, text: str | None) -> None:
+        if text is None:
+            return
+        try:
+            record = record_from_json(text, CounterRecord)
+        except CodecError:
+            return
+        self._table.raise_to(record.figures)
+
+
+@attrs.define
+class Copy:
+    """What a peer has counted, as far as it told."""
+
+    sequence: int = 0
+    table: UsageTable = attrs.field(factory=UsageTable)
--- /dev/null
+++ b/packages/core/dandelionyoke_core/_usage_figures.py
@@ -0,0 +1,94 @@
+"""Sums over usage figures, by organisation and service."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from dandelionyoke_core._names import OrganisationId, ServiceName
+from dandelionyoke_core._records import UsageFigure
+
+RowName = tuple[OrganisationId, ServiceName]
+
+
+def row_name(figure: UsageFigure) -> RowName:
+    """Name the row that a figure belongs to."""
+    return (figure.organisation, figure.service)
+
+
+@attrs.define
+class UsageTable:
+    """One figure for each organisation and service."""
+
+    rows: dict[RowName, UsageFigure] = attrs.field(factory=dict)
+
+    @classmethod
+    def of(cls, figures: Iterable[UsageFigure]) -> 'UsageTable':
+        """Add up figures."""
+        table = cls()
+        for figure in figures:
+            table.add(figure)
+        return table
+
+    def add(self, figure: UsageFigure) -> None:
+        """Add to a row."""
+        present = self._row(figure)
+        self.rows[row_name(figure)] = attrs.evolve(
+            present,
+            requests=present.requests + figure.requests,
+            prompt_tokens=present.prompt_tokens + figure.prompt_tokens,
+            output_tokens=present.output_tokens + figure.output_tokens,
+        )
+
+    def raise_to(self, figures: Iterable[UsageFigure]) -> bool:
+        """Take the higher of each count; tell whether any was higher.
+
+        Cumulative counts only grow, so the higher one is the later one.
+        """
+        is_raised = False
+        for figure in figures:
+            present = self._row(figure)
+            highest = _highest(present, figure)
+            is_raised = is_raised or highest != present
+            self.rows[row_name(figure)] = highest
+        return is_raised
+
+    def since(self, earlier: 'UsageTable') -> tuple[UsageFigure, ...]:
+        """Give what has been added to an earlier state."""
+        changes = (
+            _difference(figure, earlier.rows.get(name))
+            for name, figure in sorted(self.rows.items())
+        )
+        return tuple(change for change in changes if _is_some(change))
+
+    def figures(self) -> tuple[UsageFigure, ...]:
+        """Give all rows in a fixed order."""
+        return tuple(self.rows[name] for name in sorted(self.rows))
+
+    def _row(self, figure: UsageFigure) -> UsageFigure:
+        empty = UsageFigure(figure.organisation, figure.service)
+        return self.rows.get(row_name(figure), empty)
+
+
+def _highest(left: UsageFigure, right: UsageFigure) -> UsageFigure:
+    return attrs.evolve(
+        left,
+        requests=max(left.requests, right.requests),
+        prompt_tokens=max(left.prompt_tokens, right.prompt_tokens),
+        output_tokens=max(left.output_tokens, right.output_tokens),
+    )
+
+
+def _difference(now: UsageFigure, before: UsageFigure | None) -> UsageFigure:
+    if before is None:
+        return now
+    return attrs.evolve(
+        now,
+        requests=now.requests - before.requests,
+        prompt_tokens=now.prompt_tokens - before.prompt_tokens,
+        output_tokens=now.output_tokens - before.output_tokens,
+    )
+
+
+def _is_some(figure: UsageFigure) -> bool:
+    counts = (figure.requests, figure.prompt_tokens, figure.output_tokens)
+    return any(counts)
