--- a/packages/core/dandelionyoke_core/_membership.py
+++ b/packages/core/dandelionyoke_core/_membership.py
@@ -171,12 +171,22 @@
         if now_s >= self._announce_due_s:
             self._announce(now_s)
         if now_s >= self._list_due_s:
-            self._list_due_s = now_s + self._jitter(self._settings.list_every_s)
+            self._list_due_s = now_s + self._jitter(self._list_pause_s())
             outputs.append(ListInstances())
         if now_s >= self._probe_due_s:
             outputs.extend(self._probe(now_s))
         return outputs
 
+    def _list_pause_s(self) -> float:
+        """Ask again soon while no peer is known.
+
+        The list lags: a whole fleet that starts at once reads it before any
+        of it is listed, and would stay strangers until the next reading.
+        """
+        if len(self.live) > 1:
+            return self._settings.list_every_s
+        return self._settings.list_alone_s
+
     def _beat(self) -> list[Action]:
         self._beats += 1
         beat = Heartbeat(self._beats)
--- a/packages/core/dandelionyoke_core/_membership_settings.py
+++ b/packages/core/dandelionyoke_core/_membership_settings.py
@@ -17,6 +17,7 @@
     grace_s: float = 2.0
     accuse_again_s: float = 30.0
     list_every_s: float = 30.0
+    list_alone_s: float = 2.0
     probe_every_s: float = 10.0
     relink_after_s: float = 0.3
     announce_every_s: float = 1800.0
