--- a/packages/core/dandelionyoke_core/_configuration.py
+++ b/packages/core/dandelionyoke_core/_configuration.py
@@ -284,5 +284,6 @@
             self._confirm(asked_s - offered.age_s)
         self._heard_revision = max(self._heard_revision, offered.revision)
         if self._heard_revision > self.snapshot.revision:
-            self._reader.hurry(now_s)
+            patience_s = self._random.uniform(0, 1) * GAP_PATIENCE_S
+            self._reader.hurry(now_s + patience_s)
         return self._with_news(outputs)
