--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -259,6 +259,18 @@
 from dandelionyoke_core._once import (
     OncePart as OncePart,
 )
+from dandelionyoke_core._order_plans import (
+    Goal as Goal,
+    Journal as Journal,
+    Plan as Plan,
+    PlanStep as PlanStep,
+)
+from dandelionyoke_core._orders import (
+    OrdersPart as OrdersPart,
+)
+from dandelionyoke_core._orders_settings import (
+    OrdersSettings as OrdersSettings,
+)
 from dandelionyoke_core._ports import (
     Admitted as Admitted,
     Admitter as Admitter,
--- a/packages/core/dandelionyoke_core/_assembly.py
+++ b/packages/core/dandelionyoke_core/_assembly.py
@@ -23,6 +23,8 @@
 from dandelionyoke_core._membership_settings import MembershipSettings
 from dandelionyoke_core._node import Composition
 from dandelionyoke_core._once import OncePart
+from dandelionyoke_core._orders import OrdersPart
+from dandelionyoke_core._orders_settings import OrdersSettings
 from dandelionyoke_core._quarantine import QuarantinePart
 from dandelionyoke_core._quarantine_settings import QuarantineSettings
 from dandelionyoke_core._records import Instance
@@ -55,6 +57,7 @@
     quarantine: QuarantineSettings = attrs.field(factory=QuarantineSettings)
     request: RequestSettings = attrs.field(factory=RequestSettings)
     authority: AuthoritySettings = attrs.field(factory=AuthoritySettings)
+    orders: OrdersSettings = attrs.field(factory=OrdersSettings)
     usage: UsageSettings = attrs.field(factory=UsageSettings)
     lifecycle: LifecycleSettings = attrs.field(factory=LifecycleSettings)
 
@@ -112,6 +115,9 @@
         self.report = AuthorityPart(
             settings.authority, REPORT_DUTY, own, random
         )
+        self.orders = OrdersPart(
+            settings.orders, own, self.routing.find, random
+        )
         self.usage = UsagePart(
             settings.usage, own, settings.incarnation, self.membership, random
         )
@@ -140,6 +146,7 @@
                 self.request,
                 self.control,
                 self.report,
+                self.orders,
                 self.usage,
                 self.lifecycle,
                 self.information,
--- a/tests/core/duty_bench.py
+++ b/tests/core/duty_bench.py
@@ -99,6 +99,7 @@
             name: Entry(make_parts(instance(name), Random(place)))
             for place, name in enumerate(self.names)
         }
+        self.performed: tuple[type[Action], ...] = ()
         self.perform: Callable[[Bench, str, Action], Event | None] | None = None
 
     def meet(self) -> None:
@@ -176,7 +177,7 @@
         return None
 
     def _is_performed(self, action: Action) -> bool:
-        return self.perform is not None and hasattr(action, 'not_after_s')
+        return isinstance(action, self.performed)
 
     def _give(self, name: str, event: Event | None) -> bool:
         if event is not None:
--- a/tests/core/test_usage.py
+++ b/tests/core/test_usage.py
@@ -125,6 +125,7 @@
 def start(bench: Bench) -> None:
     """Start both entries; the first gets the duty and some usage."""
     bench.perform = submit
+    bench.performed = (SubmitUsage,)
     for entry in bench.entries.values():
         entry.take(Started(wall_s=600), bench.now_s)
     bench.meet()
