Pass each token on at once

A driver who watched an answer grow got its first words 0.45 s late: in a trace of ten streams begun one after the other, each took 0.45 s to begin on idle engines, with 60 tokens a second for each stream. The engine and the way from it were ruled out: the entry logs the dispatch at once, and the wire reads with read1. The cause is the HTTP server, which holds chunks back until it has 4096 bytes of them, about 22 tokens.

The server is now told to write each chunk. PathTest test_tokens_come_as_they_are_made counts the tokens of the first piece: before, 'AssertionError: 22 not less than 10'; after, it passes. What more writes cost an entry in calls a second was not measured.

--- a/packages/entry/dandelionyoke_entry/_process.py
+++ b/packages/entry/dandelionyoke_entry/_process.py
@@ -41,6 +41,8 @@
 # A caller that sends or takes nothing for this long loses its connection.
 SOCKET_TIMEOUT_S = 60.0
 KEEPALIVE_S = 60.0
+# The server would else hold tokens back until it has 4096 bytes of them.
+MIN_CHUNK_BYTES = 1
 MAX_URL_BYTES = 8192
 BACKLOG = 512
 
@@ -141,6 +143,7 @@
             debug=False,
             max_size=self._settings.max_calls,
             keepalive=KEEPALIVE_S,
+            minimum_chunk_size=MIN_CHUNK_BYTES,
             socket_timeout=SOCKET_TIMEOUT_S,
             url_length_limit=MAX_URL_BYTES,
         )
--- a/tests/entry/test_path.py
+++ b/tests/entry/test_path.py
@@ -38,6 +38,23 @@
         )
         self.assertEqual(answer_text(prompt, 64), streamed_text(answer.data))
 
+    def test_tokens_come_as_they_are_made(self) -> None:
+        """A driver watches an answer grow. What the engine has made reaches
+        him at once, and is not held back until there is more of it."""
+        address = self.fleet.entries[0].address
+        body = {'model': 'crate-lm', 'stream': True}
+        answer = self.http.request(
+            'POST',
+            f'{address}/v1/completions',
+            json={**body, 'prompt': 'watched: answer 60 tokens'},
+            headers={'Authorization': f'Bearer {self.keys.routes}'},
+            preload_content=False,
+        )
+        first = answer.read1(65_536)
+        while answer.read1(65_536):
+            continue
+        self.assertLess(first.count(b'data: '), 10)
+
     def test_a_confirmation_runs_once_through_both_entries(self) -> None:
         for entry in (0, 1, 0):
             answer = self.call(
