Let whole nodes decide on roles and numbers of targets

FleetPart was in no node. With it, six nodes in virtual time give idle engines back after two minutes: each is drained, then removed under the fencing number of its domain's holder, one for each domain; a call after that is answered whole (test_idle_targets_are_given_back_drained). The demo keeps the engines that it starts, since its platform has no spares.

--- a/packages/core/dandelionyoke_core/_assembly.py
+++ b/packages/core/dandelionyoke_core/_assembly.py
@@ -15,7 +15,8 @@
     ConfigurationSettings,
 )
 from dandelionyoke_core._events import Event
-from dandelionyoke_core._fleet import CONTROL_DUTY
+from dandelionyoke_core._fleet import CONTROL_DUTY, FleetPart
+from dandelionyoke_core._fleet_settings import FleetSettings
 from dandelionyoke_core._information import InformationPart
 from dandelionyoke_core._keys import KeysPart, KeysSettings
 from dandelionyoke_core._lifecycle import LifecyclePart, LifecycleSettings
@@ -57,6 +58,7 @@
     quarantine: QuarantineSettings = attrs.field(factory=QuarantineSettings)
     request: RequestSettings = attrs.field(factory=RequestSettings)
     authority: AuthoritySettings = attrs.field(factory=AuthoritySettings)
+    fleet: FleetSettings = attrs.field(factory=FleetSettings)
     orders: OrdersSettings = attrs.field(factory=OrdersSettings)
     usage: UsageSettings = attrs.field(factory=UsageSettings)
     lifecycle: LifecycleSettings = attrs.field(factory=LifecycleSettings)
@@ -115,6 +117,13 @@
         self.report = AuthorityPart(
             settings.authority, REPORT_DUTY, own, random
         )
+        self.fleet = FleetPart(
+            settings.fleet,
+            self.configuration,
+            self.routing,
+            self.admission,
+            own.domain,
+        )
         self.orders = OrdersPart(
             settings.orders, own, self.routing.find, random
         )
@@ -146,6 +155,7 @@
                 self.request,
                 self.control,
                 self.report,
+                self.fleet,
                 self.orders,
                 self.usage,
                 self.lifecycle,
--- a/scripts/demo_configuration.py
+++ b/scripts/demo_configuration.py
@@ -32,8 +32,8 @@
         Organisation('depot-clerks'),
         ApiKey(hash_key(keys.routes), 'duka-routes', 'drivers'),
         ApiKey(hash_key(keys.depot), 'depot-clerks', 'office'),
-        Service('route-assistant'),
-        Service('ledger-desk'),
+        Service('route-assistant', min_targets=3),
+        Service('ledger-desk', min_targets=2),
         Service(
             'crate-ledger',
             ServiceKind.PLAIN,
--- a/tests/core/test_node.py
+++ b/tests/core/test_node.py
@@ -10,6 +10,8 @@
     Organisation,
     Put,
     RequestId,
+    SendEngineOrder,
+    SendTargetOrder,
     Service,
     ServiceCalled,
     ServiceKind,
@@ -100,6 +102,30 @@
         world.run(6)
         self.assertEqual({12}, {len(node.membership.live) for node in nodes})
 
+    def test_idle_targets_are_given_back_drained(self) -> None:
+        """Nobody calls for minutes, and each engine costs money. The domains
+        give engines back, each drained first and under its own domain's
+        fencing number, but keep enough to answer the next call."""
+        world = World(seed=5)
+        world.keep_actions = (SendEngineOrder, SendTargetOrder)
+        names = deploy(world, DeploymentPlan(entries=6, engines=(ENGINES,)))
+        commit(world, OPERATIONS)
+        world.run(160)
+        orders = [received.order for received in world.platform.record.orders]
+        self.assertEqual(3, len({order.domain for order in orders}))
+        for order in orders:
+            (removed,) = order.target_ids
+            engine = world.engines[f'engine://{removed}'].model
+            kinds = [one.order.kind for one in engine.record.orders]
+            self.assertEqual(['drain'], kinds)
+        world.send(
+            names[0],
+            ModelCalled(RequestId('late'), KEY, 'crate-lm', prompt('x'), 64),
+        )
+        world.run(170)
+        expected = answer_text(prompt('x'), 64)
+        self.assertEqual(expected, ''.join(world.calls['late'].tokens))
+
     def test_another_seed_is_another_run(self) -> None:
         traces = {run_nodes(seed, entries=4).trace for seed in (1, 2)}
         self.assertEqual(2, len(traces))
