Say after a second signal that requests were cut

Cause: the requests took the second signal before the lifecycle and ended all calls, so that the lifecycle found none open and reported a clean end. The new test had StopProcess(clean=True) before and clean=False after the lifecycle was put first.

--- a/packages/core/dandelionyoke_core/_assembly.py
+++ b/packages/core/dandelionyoke_core/_assembly.py
@@ -144,8 +144,11 @@
             lambda: self.leaving,
             lambda: self.request.in_progress,
         )
+        # The lifecycle comes before the requests: after a second signal they
+        # end all calls, and nothing would seem to have been cut.
         self._parts = Composition(
             (
+                self.lifecycle,
                 self.membership,
                 self.configuration,
                 self.routing,
@@ -158,7 +161,6 @@
                 self.fleet,
                 self.orders,
                 self.usage,
-                self.lifecycle,
                 self.information,
             )
         )
--- a/tests/core/test_node.py
+++ b/tests/core/test_node.py
@@ -15,6 +15,9 @@
     Service,
     ServiceCalled,
     ServiceKind,
+    ShutdownForced,
+    ShutdownRequested,
+    StopProcess,
     hash_key,
 )
 from dandelionyoke_standins import (
@@ -126,6 +129,23 @@
         expected = answer_text(prompt('x'), 64)
         self.assertEqual(expected, ''.join(world.calls['late'].tokens))
 
+    def test_a_second_signal_says_that_it_cut(self) -> None:
+        """An operator loses patience and signals twice while an answer runs.
+        The process must not claim that it left without cutting anything."""
+        world = World(seed=6)
+        world.keep_actions = (StopProcess,)
+        names = deploy(world, DeploymentPlan(entries=2, engines=(ENGINES,)))
+        commit(world, OPERATIONS)
+        world.run(8)
+        call = ModelCalled(RequestId('r'), KEY, 'crate-lm', prompt('y'), 64)
+        world.send(names[0], call)
+        world.run(8.2)
+        world.send(names[0], ShutdownRequested())
+        world.send(names[0], ShutdownForced())
+        self.assertEqual(
+            [StopProcess(clean=False)], [kept[2] for kept in world.actions]
+        )
+
     def test_another_seed_is_another_run(self) -> None:
         traces = {run_nodes(seed, entries=4).trace for seed in (1, 2)}
         self.assertEqual(2, len(traces))
