Let two entries read each target in domains above four entries

Cause, by counting the calls of whole idle nodes: up to 16 entries in a domain each read every target of it, three calls a second for each target; at 48 nodes that is 52 calls a second, and an entry process spends about 0.1 % of a core for each target that it reads (measure-path with 2 and 10 targets). Ruled out: heartbeats and configuration, under 0.3 KB/s. Change: poll_all_below_entries 16 -> 4; today's domains have two or three.

--- a/packages/core/dandelionyoke_core/_routing_settings.py
+++ b/packages/core/dandelionyoke_core/_routing_settings.py
@@ -27,7 +27,7 @@
     far_polls: int = 2
     poll_all_below_far: int = 16
     needed_s: float = 60.0
-    poll_all_below_entries: int = 16
+    poll_all_below_entries: int = 4
     sample: int = 3
     avoid_s: float = 3.0
     crash_failures: int = 3
