--- a/packages/core/dandelionyoke_core/_usage_settings.py
+++ b/packages/core/dandelionyoke_core/_usage_settings.py
@@ -25,7 +25,6 @@
     look_interval_s: float = 1.0
     send_limit_s: float = 1.0
     kept_windows: int = 16
-    max_backlog: int = 64
     max_rows: int = 4096
     max_copies: int = 256
     copies: int = 2
--- a/tests/core/duty_bench.py
+++ b/tests/core/duty_bench.py
@@ -14,21 +14,39 @@
 
 from dandelionyoke_core import (
     Action,
+    ApiKey,
     Domain,
     DutyExtended,
     DutyGained,
     DutyLost,
+    DutyRecord,
     Event,
     Instance,
     InstanceId,
+    Model,
+    ModelCalled,
     Notice,
+    Organisation,
     Part,
     PeersKnown,
+    Put,
+    RequestId,
+    Service,
     StoreAnswered,
     StoreFailed,
     Woken,
+    hash_key,
+    record_from_json,
+)
+from dandelionyoke_standins import (
+    DeploymentPlan,
+    EngineGroup,
+    EngineSettings,
+    PlatformModel,
+    World,
+    commit,
+    deploy,
 )
-from dandelionyoke_standins import PlatformModel
 from dandelionyoke_standins._world_store import perform_store
 
 DOMAIN = Domain('ubungo')
@@ -219,3 +237,41 @@
         ('time for both', lambda bench: bench.tick(step_s, (first, second))),
         ('time for the second', lambda bench: bench.tick(step_s, (second,))),
     )
+
+
+KEY = 'a key of the depot'
+
+
+def small_fleet(
+    seed: int, entries: int, engines: int
+) -> tuple[World, list[InstanceId]]:
+    """Start whole nodes in one domain, and let them find each other."""
+    world = World(seed)
+    settings = EngineSettings(models=('crate-lm',))
+    group = EngineGroup('assistant', engines, settings)
+    plan = DeploymentPlan((DOMAIN,), entries=entries, engines=(group,))
+    names = deploy(world, plan)
+    operations = (
+        Put(Organisation('depot')),
+        Put(ApiKey(hash_key(KEY), 'depot')),
+        Put(Service('assistant')),
+        Put(Model('crate-lm', 'assistant')),
+    )
+    commit(world, operations)
+    world.run(40)
+    return world, list(names)
+
+
+def call_all(world: World, names: Iterable[InstanceId], round_: int) -> None:
+    """Let each entry get one call for 20 tokens."""
+    for name in names:
+        prompt = f'{name} {round_}: answer 20 tokens'
+        request_id = RequestId(f'{name}-{round_}')
+        called = ModelCalled(request_id, KEY, 'crate-lm', prompt, 64)
+        world.send(name, called)
+
+
+def holder_of(world: World, duty: str) -> InstanceId:
+    """Tell who holds a duty by the store's record."""
+    item = world.platform.store.read(f'duty/{DOMAIN}/{duty}')
+    return record_from_json(item.value or '', DutyRecord).instance_id
--- a/tests/core/test_orders.py
+++ b/tests/core/test_orders.py
@@ -10,51 +10,35 @@
 from dandelionyoke_core import (
     CONTROL_DUTY,
     Action,
-    ApiKey,
     AuthorityPart,
     AuthoritySettings,
     DutyGained,
     EngineOrderAnswered,
     Event,
     Instance,
-    InstanceId,
     Journal,
     LoadReport,
     LoadReported,
-    Model,
-    ModelCalled,
     OrdersPart,
     OrdersSettings,
     OrderState,
-    Organisation,
     Output,
     Part,
     PollLoad,
-    Put,
     ReadEngineOrder,
-    RequestId,
     Role,
     RoleWanted,
     SendEngineOrder,
     SendTargetOrder,
-    Service,
     ServiceName,
     Target,
     TargetId,
     TargetOrderAnswered,
     TargetsListed,
     TargetsWanted,
-    hash_key,
     record_from_json,
 )
-from dandelionyoke_standins import (
-    DeploymentPlan,
-    EngineGroup,
-    EngineSettings,
-    World,
-    commit,
-    deploy,
-)
+from dandelionyoke_standins import EngineSettings
 from dandelionyoke_standins._attempt import GenerateRequest
 from dandelionyoke_standins._engine import EngineModel
 from dandelionyoke_standins._targets import TargetOrder
@@ -64,7 +48,10 @@
     NAMES,
     Bench,
     Move,
+    call_all,
     explore,
+    holder_of,
+    small_fleet,
 )
 
 FIRST, SECOND = NAMES
@@ -74,7 +61,6 @@
 ROLES = {FIRST: Role.PREFILL, SECOND: Role.DECODE}
 ENGINE_ID = TargetId('assistant-000')
 DUTY_KEY = f'duty/{DOMAIN}/{CONTROL_DUTY}'
-KEY = 'a key of the depot'
 JOURNAL = f'orders/{DOMAIN}'
 PERFORMED = (SendEngineOrder, ReadEngineOrder, PollLoad, SendTargetOrder)
 
@@ -410,17 +396,17 @@
         Another entry goes on with the change. Callers get whole answers and
         the engine works again in the end.
         """
-        world, names = run_depot(7)
-        holder = _holder(world, names)
+        world, names = small_fleet(7, entries=4, engines=3)
+        holder = holder_of(world, CONTROL_DUTY)
         fence = world.platform.store.read(DUTY_KEY).revision
         wish = RoleWanted(ENGINE_ID, SERVICE, Role.PREFILL, fence, 'test')
-        _call_all(world, names, 1)
+        call_all(world, names, 1)
         world.run(40.2)
         world.send(holder, wish)
         world.run(40.5)
         world.kill(holder)
         for round_ in range(2, 8):
-            _call_all(world, [name for name in names if name != holder], round_)
+            call_all(world, [name for name in names if name != holder], round_)
             world.run(world.now_s + 5)
         engine = world.engines['engine://assistant-000'].model
         kinds = [
@@ -431,33 +417,3 @@
         for request_id, call in world.calls.items():
             if not request_id.startswith(holder):
                 self.assertEqual(20, len(call.tokens), request_id)
-
-
-def run_depot(seed: int) -> tuple[World, list[InstanceId]]:
-    """Start four entries and three engines in one domain."""
-    world = World(seed)
-    engines = EngineGroup('assistant', 3, EngineSettings(models=('crate-lm',)))
-    plan = DeploymentPlan((DOMAIN,), entries=4, engines=(engines,))
-    names = deploy(world, plan)
-    operations = (
-        Put(Organisation('depot')),
-        Put(ApiKey(hash_key(KEY), 'depot')),
-        Put(Service('assistant')),
-        Put(Model('crate-lm', 'assistant')),
-    )
-    commit(world, operations)
-    world.run(40)
-    return world, list(names)
-
-
-def _call_all(world: World, names: list[InstanceId], round_: int) -> None:
-    for name in names:
-        prompt = f'{name} {round_}: answer 20 tokens'
-        request_id = RequestId(f'{name}-{round_}')
-        called = ModelCalled(request_id, KEY, 'crate-lm', prompt, 64)
-        world.send(name, called)
-
-
-def _holder(world: World, names: list[InstanceId]) -> InstanceId:
-    item = world.platform.store.read(DUTY_KEY)
-    return next(name for name in names if f'"{name}"' in str(item.value))
--- a/tests/core/test_usage.py
+++ b/tests/core/test_usage.py
@@ -3,27 +3,21 @@
 from collections import Counter
 from random import Random
 
+import cattrs
 import testtools
 
 from dandelionyoke_core import (
     REPORT_DUTY,
     Action,
-    ApiKey,
     AuthorityPart,
     AuthoritySettings,
     CallDelivered,
     Event,
     Instance,
-    InstanceId,
     Leaving,
-    Model,
-    ModelCalled,
-    Organisation,
     OrganisationId,
     Part,
-    Put,
     RequestId,
-    Service,
     ServiceName,
     ShutdownRequested,
     Started,
@@ -32,29 +26,22 @@
     UsageAnswered,
     UsagePart,
     UsageSettings,
-    hash_key,
-)
-from dandelionyoke_standins import (
-    DeploymentPlan,
-    EngineGroup,
-    EngineSettings,
-    PlatformModel,
-    World,
-    commit,
-    deploy,
 )
+from dandelionyoke_standins import PlatformModel, World
 from dandelionyoke_standins._platform import UsageWindow
 from tests.core.duty_bench import (
     DOMAIN,
     NAMES,
     Bench,
+    call_all,
     explore,
+    holder_of,
+    small_fleet,
     trouble,
 )
 
 FIRST, SECOND = NAMES
 WINDOW_S = 60.0
-KEY = 'a key of the kiosk'
 SETTINGS = UsageSettings(window_s=WINDOW_S)
 
 
@@ -79,20 +66,9 @@
     window = action.window
     if bench.now_s * bench.entries[name].rate >= action.not_after_s:
         return UsageAnswered(window.window_id, None)
-    figures = tuple(
-        {
-            'organisation': figure.organisation,
-            'service': figure.service,
-            'requests': figure.requests,
-            'output_tokens': figure.output_tokens,
-        }
-        for figure in window.figures
-    )
     holder = bench.platform.store.read(f'duty/{DOMAIN}/{REPORT_DUTY}')
     assert window.fence == holder.revision, 'reported by one who lost the duty'
-    raw = UsageWindow(
-        window.window_id, window.domain, window.fence, name, figures
-    )
+    raw = cattrs.structure(cattrs.unstructure(window), UsageWindow)
     bench.platform.report_usage(raw, bench.now_s)
     return UsageAnswered(window.window_id, accepted=True)
 
@@ -270,32 +246,6 @@
     assert total <= 12, (total, path)
 
 
-def run_kiosk(seed: int) -> tuple[World, list[InstanceId]]:
-    """Start a domain of six entries with two engines."""
-    world = World(seed)
-    engines = EngineGroup('assistant', 2, EngineSettings(models=('crate-lm',)))
-    plan = DeploymentPlan(('ubungo',), entries=6, engines=(engines,))
-    names = deploy(world, plan)
-    operations = (
-        Put(Organisation('kiosk')),
-        Put(ApiKey(hash_key(KEY), 'kiosk')),
-        Put(Service('assistant')),
-        Put(Model('crate-lm', 'assistant')),
-    )
-    commit(world, operations)
-    world.run(40)
-    return world, list(names)
-
-
-def call_all(world: World, names: list[InstanceId], round_: int) -> None:
-    """Let each entry get one call."""
-    for name in names:
-        prompt = f'{name} {round_}: answer 20 tokens'
-        request_id = RequestId(f'{name}-{round_}')
-        called = ModelCalled(request_id, KEY, 'crate-lm', prompt, 64)
-        world.send(name, called)
-
-
 def received(world: World) -> int:
     """Count the tokens that callers received."""
     return sum(len(call.tokens) for call in world.calls.values())
@@ -308,12 +258,12 @@
         What callers received before is billed all the same: a peer saves
         it, and another entry reports.
         """
-        world, names = run_kiosk(3)
+        world, names = small_fleet(3, entries=6, engines=2)
         call_all(world, names, 1)
         world.run(44)
         call_all(world, names, 2)
         world.run(45.6)
-        reporter = _reporter(world, names)
+        reporter = holder_of(world, REPORT_DUTY)
         owner = next(name for name in names if name != reporter)
         world.kill(owner)
         world.kill(reporter)
@@ -328,7 +278,7 @@
         At most what it counted since its last write is not billed, and
         nothing is billed twice.
         """
-        world, names = run_kiosk(4)
+        world, names = small_fleet(4, entries=6, engines=2)
         call_all(world, names, 1)
         world.run(50)
         sure = received(world)
@@ -350,7 +300,7 @@
         Peers save its counts meanwhile. When it goes on and saves them
         itself, nothing is billed twice.
         """
-        world, names = run_kiosk(5)
+        world, names = small_fleet(5, entries=6, engines=2)
         call_all(world, names, 1)
         world.run(41.5)
         world.pause(names[0])
@@ -366,7 +316,7 @@
 
         What it counted is in the store before it stops.
         """
-        world, names = run_kiosk(6)
+        world, names = small_fleet(6, entries=6, engines=2)
         call_all(world, names, 1)
         world.run(40.5)
         world.send(names[0], ShutdownRequested())
@@ -374,8 +324,3 @@
         world.kill(names[0])
         world.run(140)
         self.assertEqual(received(world), reported(world.platform)['tokens'])
-
-
-def _reporter(world: World, names: list[InstanceId]) -> InstanceId:
-    item = world.platform.store.read(f'duty/ubungo/{REPORT_DUTY}')
-    return next(name for name in names if f'"{name}"' in str(item.value))
