Leave a target at once when it is taken back early, and return to one that stays

Cause: only the step from live to leaving or reclaimed was told, so streams on a leaving target that was then reclaimed stayed there to be cut; and a target that was listed live again kept the mark of leaving for as long as the entry ran. Seen before: '400 not less than 400' tokens at the reclaimed target, and NoRoute for the live one; both tests pass after. The second SIGTERM has its test against a real process too.

--- a/packages/core/dandelionyoke_core/_target_table.py
+++ b/packages/core/dandelionyoke_core/_target_table.py
@@ -145,6 +145,9 @@
         elif state.target != target:
             self.changes.note(target, now_s)
         leaves = _begins_to_leave(state.target, target)
+        if state.target.state is not target.state is Presence.LIVE:
+            # A target that was to leave stays after all; it is paid for.
+            state.left = False
         state.target = target
         state.listed = True
         if leaves:
@@ -218,4 +221,5 @@
 
 
 def _begins_to_leave(before: Target, after: Target) -> bool:
-    return before.state is Presence.LIVE and after.state is not Presence.LIVE
+    """Tell whether a target leaves, or leaves sooner than it was to."""
+    return before.state is not after.state and after.state is not Presence.LIVE
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -345,6 +345,20 @@
             parts[0].handle(RecordLearned(record, HERE), 9)
         self.assertEqual({7}, set(calls_at(parts[0]).values()))
 
+    def test_a_target_that_stays_after_all_gets_work_again(self) -> None:
+        """An operator takes the removal of a target back, or the platform
+        does. It is live and paid for, but would get no call for as long as
+        the entry runs."""
+        (live,) = make_targets(1)
+        leaving = attrs.evolve(live, state=Presence.LEAVING)
+        part = make_routing((live,))
+        for listed, expected in ((leaving, NoRoute), (live, Target)):
+            told = part.handle(TargetsListed((listed,)), 1)
+            for notice in told:
+                if isinstance(notice, TargetLeaving):
+                    part.handle(notice, 1)
+            self.assertIsInstance(part.choose(make_need(), 1), expected)
+
     def test_two_read_the_list_and_all_learn_of_a_reclaim(self) -> None:
         """A zone's cheap targets are reclaimed on a few seconds' notice.
 
--- a/tests/entry/test_planned.py
+++ b/tests/entry/test_planned.py
@@ -121,6 +121,24 @@
         keys = {f'planned-{number}' for number in range(2, CALLS + 3, 3)}
         self.assertEqual(dict.fromkeys(keys, 1), runs)
 
+    def test_a_second_sigterm_cuts_short(self) -> None:
+        """An operator cannot wait for a long answer and ends the entry a
+        second time. The process goes at once and its status says that it
+        cut calls; the driver sees that his answer is not whole."""
+        leaving, index = self.leaving_entry('entry-cut')
+        with ThreadPoolExecutor(1) as pool:
+            prompt = 'cut: answer 900 tokens'
+            call = pool.submit(self.ask, prompt, entry=index, stream=True)
+            self.await_true(lambda: self.in_progress(leaving) == 1)
+            leaving.signal(signal.SIGTERM)
+            self.await_true(lambda: self.health(leaving) == 503)
+            begun_s = time.monotonic()
+            leaving.signal(signal.SIGTERM)
+            status = leaving.wait()
+            self.assertLess(time.monotonic() - begun_s, 3)
+            self.assertIsNotNone(call.exception())
+        self.assertEqual(ExitStatus.CUT, status)
+
 
 class LeavingTargetTest(PlannedCase):
     """Targets that drain, leave or are taken back while they work."""
@@ -253,6 +271,27 @@
         for attempt_id in cut:
             self.assertLess(attempts[attempt_id]['output_tokens'], LONG_TOKENS)
 
+    def test_a_leaving_target_taken_back_early(self) -> None:
+        """The platform lists a machine as leaving, and then takes it back
+        before the answers there are finished. They must go on elsewhere."""
+        cut: set[str] = set()
+        status = f'{self.fleet.entries[0].address}/status'
+
+        def usable() -> int:
+            return self.fleet.get(status)['usable_targets']
+
+        def take_back(found: str) -> None:
+            before = usable()
+            self.list_as(found, 'leaving')
+            self.await_true(lambda: usable() < before)
+            cut.update(self.long_open(found))
+            self.list_as(found, 'reclaimed')
+
+        attempts = self.attempts(self.leave(take_back, 0, 1))
+        self.assertNotEqual(set(), cut)
+        for attempt_id in cut:
+            self.assertLess(attempts[attempt_id]['output_tokens'], LONG_TOKENS)
+
 
 class SilentConnectionTest(PlannedCase):
     """Connections to engines that something between has forgotten."""
