--- a/packages/core/dandelionyoke_core/_target_table.py
+++ b/packages/core/dandelionyoke_core/_target_table.py
@@ -145,7 +145,7 @@
         elif state.target != target:
             self.changes.note(target, now_s)
         leaves = _begins_to_leave(state.target, target)
-        if state.target.state is not target.state is Presence.LIVE:
+        if _stays_after_all(state.target, target):
             # A target that was to leave stays after all; it is paid for.
             state.left = False
         state.target = target
@@ -220,6 +220,10 @@
     return [TargetCrashed(state.target.target_id, tuple(state.sent))]
 
 
+def _stays_after_all(before: Target, after: Target) -> bool:
+    return before.state is not after.state and after.state is Presence.LIVE
+
+
 def _begins_to_leave(before: Target, after: Target) -> bool:
     """Tell whether a target leaves, or leaves sooner than it was to."""
     return before.state is not after.state and after.state is not Presence.LIVE
