--- a/tests/entry/test_callers.py
+++ b/tests/entry/test_callers.py
@@ -6,7 +6,11 @@
 
 import openai
 
+from dandelionyoke_core import hash_key
+from dandelionyoke_operator import ApiKey, Configuration, Organisation
 from dandelionyoke_standins import answer_text
+from scripts.demo_configuration import demo_configuration
+from scripts.fleet import Deployment
 from tests.entry.fleet_case import TIMEOUT_S, FleetCase
 
 PROMPT = 'crate history of duka-la-juma: answer 12 tokens'
@@ -83,6 +87,40 @@
         self.assertIn('Send a whole number', str(raised))
 
 
+class LoadRefusalTest(FleetCase):
+    """An organisation over its limit."""
+
+    deployment = Deployment(engines={'route-assistant': 1}, entries=1)
+
+    def test_a_client_is_told_when_to_come_back(self) -> None:
+        """A script of a small customer calls in a loop. It must be refused
+        at once, as its client library expects, and told when to come back;
+        the calls of others go on."""
+        key = 'the key of a small customer'
+        configuration = demo_configuration(self.keys)
+        tiny = Configuration.of(
+            *configuration.entities,
+            Organisation('tiny', requests_per_s=1),
+            ApiKey(hash_key(key), 'tiny'),
+        )
+        self.fleet.configure(str(tiny), 'a small customer')
+        client = openai.OpenAI(
+            base_url=self.fleet.entries[0].address, api_key=key, max_retries=0
+        )
+        self.addCleanup(client.close)
+
+        def call_in_a_loop() -> None:
+            for number in range(30):
+                client.completions.create(
+                    model='crate-lm', prompt=f'{number}: answer 1 tokens'
+                )
+
+        refused = self.assertRaises(openai.RateLimitError, call_in_a_loop)
+        self.assertGreaterEqual(int(refused.response.headers['Retry-After']), 1)
+        self.assertEqual('over_limit', refused.code)
+        self.assertEqual(200, self.call('/models', method='GET').status)
+
+
 class WrongInputTest(FleetCase):
     """Whatever comes, the answer is clear and the entry serves on."""
 
