Let an idle entry speak only to stay heard

Cause, by counting bytes by record: in a fleet of up to 16 entries each tells its demand to all each second, also when nobody asks it for anything; at 16 nodes that is 15.4 KB/s for each node, over the 12 KB/s for control. Ruled out: membership (0.1 KB/s) and configuration. Change: an entry with nothing to tell speaks only before the others would take it for unheard. The new test saw 60 shares in a minute before, and passes after; with no share at all the gap would fail it. Under load a small fleet still tells each second.

--- a/packages/core/dandelionyoke_core/_demand.py
+++ b/packages/core/dandelionyoke_core/_demand.py
@@ -107,6 +107,7 @@
         self._version = 0
         self._has_told = False
         self._next_s: float | None = None
+        self._shared_s: float | None = None
 
     def count(self, ticket: Ticket, output_tokens: float, now_s: float) -> None:
         """Count a call that was asked for, whether it is served or not."""
@@ -182,7 +183,9 @@
         mix = self.meter.every_row(now_s) if is_small else ()
         record = self._record(self._told, is_sum=False, mix=mix)
         outputs: list[Output] = []
-        if is_small or self._told or self._has_told:
+        has_news = bool(self._told or self._has_told or mix)
+        if has_news or (is_small and self._is_forgotten_soon(now_s)):
+            self._shared_s = now_s
             outputs.append(ShareRecord(record, is_small))
         # One empty record takes back what was told before it.
         self._has_told = bool(self._told)
@@ -271,6 +274,17 @@
         here = self._peers.live_in_domain
         return self._instance_id in rendezvous(here, 'demand-sum', 1)
 
+    def _is_forgotten_soon(self, now_s: float) -> bool:
+        """Tell whether the others would soon take this entry for unheard.
+
+        An entry that is heard to ask for nothing leaves its part to others;
+        one that is not heard keeps an equal part.
+        """
+        if self._shared_s is None:
+            return True
+        unheard_s = now_s - self._shared_s
+        return unheard_s + 2 * self._interval_s() >= self._lifetime_s()
+
     def _interval_s(self) -> float:
         """Share less often where more share."""
         here = len(self._peers.live_in_domain)
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -2,12 +2,14 @@
 
 import itertools
 from collections import Counter
+from itertools import pairwise
 
 import testtools
 from hypothesis import given, settings, strategies as st
 
 from dandelionyoke_core import (
     AdmissionPart,
+    AdmissionSettings,
     Admitted,
     CallAdmitted,
     CallRejected,
@@ -302,6 +304,22 @@
         ]
         self.assertEqual(RefusalKind.DEADLINE, rejected.refusal.kind)
 
+    def test_an_idle_entry_is_heard_and_says_little(self) -> None:
+        """Nobody calls at one entry. Its peers must go on hearing that it
+        asks for nothing, or they keep its part of a limit free for it and
+        refuse their callers; but each word of it costs every node."""
+        part = make_admission(FixedCapacity())
+        told_s = [
+            now_s
+            for now_s in range(60)
+            for output in part.handle(Woken(), now_s)
+            if isinstance(output, ShareRecord)
+        ]
+        gaps_s = [late - early for early, late in pairwise(told_s)]
+        lifetime_s = AdmissionSettings().demand_lifetime_s
+        self.assertLess(max(gaps_s), lifetime_s)
+        self.assertLessEqual(len(told_s), 60 / (lifetime_s - 2))
+
     def test_a_large_fleet_tells_sums_and_a_small_one_all(self) -> None:
         for count, everywhere in ((8, {True}), (68, {True, False})):
             names = tuple(entry(number) for number in range(count))
