--- a/packages/standins/dandelionyoke_standins/__init__.py
+++ b/packages/standins/dandelionyoke_standins/__init__.py
@@ -76,6 +76,8 @@
 from dandelionyoke_standins._world import (
     CallRecord as CallRecord,
     World as World,
+)
+from dandelionyoke_standins._world_platform import (
     WorldSettings as WorldSettings,
 )
 from dandelionyoke_standins._world_setup import (
--- a/packages/standins/dandelionyoke_standins/_node_measure.py
+++ b/packages/standins/dandelionyoke_standins/_node_measure.py
@@ -36,7 +36,8 @@
     message_to_mapping,
 )
 from dandelionyoke_standins._engine import EngineSettings
-from dandelionyoke_standins._world import Handler, World, WorldSettings
+from dandelionyoke_standins._world import Handler, World
+from dandelionyoke_standins._world_platform import WorldSettings
 from dandelionyoke_standins._world_setup import (
     DeploymentPlan,
     EngineGroup,
--- a/packages/standins/dandelionyoke_standins/_world.py
+++ b/packages/standins/dandelionyoke_standins/_world.py
@@ -10,7 +10,7 @@
 import itertools
 import random
 from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple, Protocol, TypeVar
+from typing import NamedTuple, Protocol
 
 import attrs
 import cattrs
@@ -27,12 +27,8 @@
     FinishCall,
     Instance,
     InstanceId,
-    InstancesListed,
-    ListingFailed,
     ListInstances,
     ListTargets,
-    OperationId,
-    OrderState,
     PeerConnected,
     PeerDisconnected,
     PeerMessageArrived,
@@ -47,24 +43,13 @@
     SendTargetOrder,
     SendTokens,
     StartAttempt,
-    StoreAnswered,
-    StoreFailed,
-    StoreResult,
-    StoreWatch,
     SubmitUsage,
-    Target,
-    TargetOrderAnswered,
-    TargetsListed,
-    UsageAnswered,
     Woken,
 )
 from dandelionyoke_standins import _platform as platform_models
-from dandelionyoke_standins._errors import StandinError
 from dandelionyoke_standins._plain import PlainModel
 from dandelionyoke_standins._platform import PlatformModel
-from dandelionyoke_standins._store import StoreChanges
-from dandelionyoke_standins._targets import TargetOrder
-from dandelionyoke_standins._world_store import listing, perform_store
+from dandelionyoke_standins._world_platform import PlatformDesk, WorldSettings
 from dandelionyoke_standins._world_targets import (
     Delivery,
     VirtualEngine,
@@ -72,10 +57,6 @@
     unreachable,
 )
 
-PLATFORM = 'platform'
-
-Record = TypeVar('Record')
-
 
 class Handler(Protocol):
     """A node, as its driver sees it."""
@@ -87,17 +68,6 @@
         """Tell when the next `Woken` is due, or None."""
 
 
-@attrs.frozen
-class WorldSettings:
-    """Delays one way, in seconds; each has up to `jitter_share` more."""
-
-    store_delay_s: float = 0.002
-    peer_delay_s: float = 0.0005
-    target_delay_s: float = 0.0005
-    jitter_share: float = 0.5
-    engine_step_s: float = 0.05
-
-
 @attrs.define
 class CallRecord:
     """What a caller received."""
@@ -121,12 +91,6 @@
     links: set[InstanceId] = attrs.field(factory=set)
 
 
-@attrs.define(eq=False)
-class _Watch:
-    instance_id: InstanceId
-    action: StoreWatch
-
-
 class _Due(NamedTuple):
     moment_s: float
     order: int
@@ -150,7 +114,7 @@
         self.keep_actions: tuple[type[Action], ...] = ()
         self.peer_messages = 0
         self.target_domains: dict[str, str] = {}
-        self._watches: list[_Watch] = []
+        self._desk = PlatformDesk(self, self.platform)
         self._members: dict[InstanceId, _Member] = {}
         self._queue: list[_Due] = []
         self._order = itertools.count()
@@ -226,13 +190,17 @@
         self._cuts.add(frozenset((left, right)))
         for instance_id, member in self._members.items():
             for peer_id in tuple(member.links):
-                if not self._reaches(instance_id, self._domain(peer_id)):
+                if not self.reaches(instance_id, self._domain(peer_id)):
                     self._unlink(instance_id, peer_id, 'timed out')
 
     def heal(self, left: str, right: str) -> None:
         """End a cut."""
         self._cuts.discard(frozenset((left, right)))
 
+    def tell_watches(self) -> None:
+        """Answer the watches after a write from outside."""
+        self._desk.tell_watches()
+
     @property
     def trace(self) -> str:
         """A digest of all that every node was given and asked for."""
@@ -276,14 +244,14 @@
         if isinstance(thing, self.keep_actions):
             self.actions.append((self.now_s, instance_id, thing))
 
-    def _send_later(
+    def send_later(
         self, instance_id: InstanceId, delay_s: float, event: Event
     ) -> None:
         self.later(
-            self._jittered(delay_s), lambda: self._deliver(instance_id, event)
+            self.jittered(delay_s), lambda: self._deliver(instance_id, event)
         )
 
-    def _jittered(self, delay_s: float) -> float:
+    def jittered(self, delay_s: float) -> float:
         return delay_s * (1 + self.settings.jitter_share * self.random.random())
 
     # Actions of nodes.
@@ -306,10 +274,10 @@
             SendPeer: self._send_peer,
             ConnectPeer: self._connect,
             DisconnectPeer: self._disconnect,
-            ListTargets: self._ask_platform,
-            ListInstances: self._ask_platform,
-            SendTargetOrder: self._ask_platform,
-            SubmitUsage: self._ask_platform,
+            ListTargets: self._desk.ask,
+            ListInstances: self._desk.ask,
+            SendTargetOrder: self._desk.ask,
+            SubmitUsage: self._desk.ask,
         }
 
     def _perform(self, instance_id: InstanceId, action: Action) -> None:
@@ -317,7 +285,7 @@
         if performer is not None:
             performer(instance_id, action)
         elif hasattr(action, 'operation_id'):
-            self._ask_store(instance_id, action)
+            self._desk.ask_store(instance_id, action)
 
     # Callers.
 
@@ -341,133 +309,11 @@
             case RefuseCall():
                 call.refused = action
 
-    # The platform.
-
-    def _ask_platform(self, instance_id: InstanceId, action: Action) -> None:
-        self.later(
-            self._jittered(self.settings.store_delay_s),
-            lambda: self._platform_answers(instance_id, action),
-        )
-
-    def _platform_answers(
-        self, instance_id: InstanceId, action: Action
-    ) -> None:
-        event = self._platform_event(instance_id, action)
-        self._send_later(instance_id, self.settings.store_delay_s, event)
-
-    def _platform_event(self, instance_id: InstanceId, action: Action) -> Event:
-        is_up = self._reaches(instance_id, PLATFORM)
-        is_up = is_up and not self.platform.faults.outage
-        match action:
-            case SendTargetOrder():
-                return self._order_targets(action, is_up=is_up)
-            case SubmitUsage():
-                return self._take_usage(action, is_up=is_up)
-        if not is_up:
-            return ListingFailed('the platform is out')
-        if isinstance(action, ListTargets):
-            targets = self.platform.targets(self.now_s)
-            return TargetsListed(_structured(targets, Target))
-        instances = self.platform.instances(self.now_s)
-        return InstancesListed(_structured(instances, Instance))
-
-    def _order_targets(self, action: SendTargetOrder, *, is_up: bool) -> Event:
-        order = action.order
-        if not is_up or self.now_s >= action.not_after_s:
-            return TargetOrderAnswered(order.order_id, OrderState.UNKNOWN)
-        raw = cattrs.structure(cattrs.unstructure(order), TargetOrder)
-        answer = self.platform.order_targets(raw, self.now_s)
-        return TargetOrderAnswered(
-            order.order_id, OrderState(answer.state), answer.cause
-        )
-
-    def _take_usage(self, action: SubmitUsage, *, is_up: bool) -> Event:
-        window = action.window
-        if not is_up or self.now_s >= action.not_after_s:
-            return UsageAnswered(window.window_id, None)
-        raw = cattrs.structure(
-            cattrs.unstructure(window), platform_models.UsageWindow
-        )
-        try:
-            self.platform.report_usage(raw, self.now_s)
-        except StandinError:
-            return UsageAnswered(window.window_id, None)
-        return UsageAnswered(window.window_id, accepted=True)
-
-    # The store.
-
-    def _ask_store(self, instance_id: InstanceId, action: Action) -> None:
-        delay_s = self._jittered(self.settings.store_delay_s)
-        if isinstance(action, StoreWatch):
-            end_s = self.now_s + action.wait_s
-            self.later(delay_s, lambda: self._watch(instance_id, action, end_s))
-        else:
-            self.later(
-                delay_s, lambda: self._store_answers(instance_id, action)
-            )
-
-    def _store_answers(self, instance_id: InstanceId, action: Action) -> None:
-        if not self._reaches(instance_id, PLATFORM):
-            self._store_failed(instance_id, action)
-            return
-        self.platform.meter.count(type(action).__name__, self.now_s)
-        stored = perform_store(self.platform, action, self.now_s)
-        self._store_answered(instance_id, action, stored)
-
-    def _store_failed(self, instance_id: InstanceId, action: Action) -> None:
-        failed = StoreFailed('the platform is cut off', may_have_happened=False)
-        self._store_answered(instance_id, action, failed)
-
-    def _store_answered(
-        self, instance_id: InstanceId, action: Action, stored: StoreResult
-    ) -> None:
-        event = StoreAnswered(_operation_id(action), stored)
-        delay_s = self.settings.store_delay_s
-        delay_s += self.platform.faults.delay_s
-        self._send_later(instance_id, delay_s, event)
-        self.tell_watches()
-
-    def _watch(
-        self, instance_id: InstanceId, action: StoreWatch, end_s: float
-    ) -> None:
-        if not self._reaches(instance_id, PLATFORM):
-            self._store_failed(instance_id, action)
-            return
-        self.platform.meter.count('StoreWatch', self.now_s)
-        watch = _Watch(instance_id, action)
-        self._watches.append(watch)
-        self.later(max(0, end_s - self.now_s), lambda: self._end_watch(watch))
-        self.tell_watches()
-
-    def tell_watches(self) -> None:
-        """Answer the watches whose keys have changed."""
-        for watch in tuple(self._watches):
-            if self._changes(watch).items:
-                self._end_watch(watch)
-
-    def _end_watch(self, watch: _Watch) -> None:
-        if watch not in self._watches:
-            return
-        self._watches.remove(watch)
-        if not self._reaches(watch.instance_id, PLATFORM):
-            self._store_failed(watch.instance_id, watch.action)
-            return
-        event = StoreAnswered(
-            watch.action.operation_id, listing(self._changes(watch))
-        )
-        delay_s = self.settings.store_delay_s
-        self._send_later(watch.instance_id, delay_s, event)
-
-    def _changes(self, watch: _Watch) -> StoreChanges:
-        return self.platform.store.changes_after(
-            watch.action.prefix, watch.action.after_revision
-        )
-
     # Targets.
 
     def _ask_target(self, instance_id: InstanceId, action: Action) -> None:
         self.later(
-            self._jittered(self.settings.target_delay_s),
+            self.jittered(self.settings.target_delay_s),
             lambda: self._target_takes(instance_id, action),
         )
 
@@ -488,7 +334,7 @@
         event = unreachable(action)
         if event is not None:
             delay_s = self.settings.target_delay_s
-            self._send_later(instance_id, delay_s, event)
+            self.send_later(instance_id, delay_s, event)
 
     def _drop(self, instance_id: InstanceId, action: DropAttempt) -> None:
         for engine in self.engines.values():
@@ -496,7 +342,7 @@
 
     def _hand_out(self, deliveries: Iterable[Delivery]) -> None:
         for delivery in deliveries:
-            self._send_later(
+            self.send_later(
                 InstanceId(delivery.node_id),
                 self.settings.target_delay_s,
                 delivery.event,
@@ -519,16 +365,16 @@
 
     def _connect(self, instance_id: InstanceId, action: ConnectPeer) -> None:
         self.later(
-            self._jittered(self.settings.peer_delay_s),
+            self.jittered(self.settings.peer_delay_s),
             lambda: self._link(instance_id, action.peer_id),
         )
 
     def _link(self, instance_id: InstanceId, peer_id: InstanceId) -> None:
         peer = self._members.get(peer_id)
         is_up = peer is not None and not peer.is_dead and not peer.is_paused
-        if not is_up or not self._reaches(instance_id, self._domain(peer_id)):
+        if not is_up or not self.reaches(instance_id, self._domain(peer_id)):
             event = PeerDisconnected(peer_id, 'no connection')
-            self._send_later(instance_id, self.settings.peer_delay_s, event)
+            self.send_later(instance_id, self.settings.peer_delay_s, event)
             return
         if peer_id in self._members[instance_id].links:
             return
@@ -549,7 +395,7 @@
         for one, other in ((instance_id, peer_id), (peer_id, instance_id)):
             self._members[one].links.discard(other)
             event = PeerDisconnected(other, cause)
-            self._send_later(one, self.settings.peer_delay_s, event)
+            self.send_later(one, self.settings.peer_delay_s, event)
 
     def _send_peer(self, instance_id: InstanceId, action: SendPeer) -> None:
         if action.peer_id not in self._members[instance_id].links:
@@ -557,7 +403,7 @@
         self.peer_messages += 1
         event = PeerMessageArrived(instance_id, action.message)
         self.later(
-            self._jittered(self.settings.peer_delay_s),
+            self.jittered(self.settings.peer_delay_s),
             lambda: self._arrive(instance_id, action.peer_id, event),
         )
 
@@ -572,27 +418,13 @@
 
     # Reachability.
 
-    def _reaches(self, instance_id: InstanceId, place: str) -> bool:
+    def reaches(self, instance_id: InstanceId, place: str) -> bool:
         pair = frozenset((self._domain(instance_id), place))
         return pair not in self._cuts
 
     def _reaches_target(self, instance_id: InstanceId, address: str) -> bool:
         domain = self.target_domains.get(address)
-        return domain is None or self._reaches(instance_id, domain)
+        return domain is None or self.reaches(instance_id, domain)
 
     def _domain(self, instance_id: InstanceId) -> str:
         return self._members[instance_id].instance.domain
-
-
-def _operation_id(action: Action) -> OperationId:
-    operation_id: OperationId = getattr(action, 'operation_id')  # noqa: B009
-    return operation_id
-
-
-def _structured(
-    records: Iterable[Any], record_type: type[Record]
-) -> tuple[Record, ...]:
-    return tuple(
-        cattrs.structure(attrs.asdict(record), record_type)
-        for record in records
-    )
