Find the type of a peer message by a table

Cause: each message that came in walked all classes below PeerMessage to find its type. Change: a table, made anew when a name is missing. Decoding a record of three fields, one after the other on one machine: before 15.3, 17.8, 12.6 us, after 2.9, 3.5, 3.3 us. tests/core/test_codec.py: 5 passed.

--- a/packages/core/dandelionyoke_core/_codec.py
+++ b/packages/core/dandelionyoke_core/_codec.py
@@ -43,6 +43,25 @@
     return found
 
 
+class _MessageTypes:
+    """The message types by name; looked for again when a name is not known.
+
+    A module that is imported later brings further types.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[str, type[PeerMessage]] = {}
+
+    def find(self, name: str) -> type[PeerMessage] | None:
+        """Find a type; None where no module has it."""
+        if name not in self._known:
+            self._known = _message_types(PeerMessage)
+        return self._known.get(name)
+
+
+_MESSAGE_TYPES = _MessageTypes()
+
+
 def record_to_json(record: object) -> str:
     """Write a record as JSON text, the same text for the same record."""
     return json.dumps(
@@ -78,7 +97,7 @@
         CodecError: the type is unknown or a field is wrong.
     """
     name = mapping.get(TYPE_FIELD)
-    message_type = _message_types(PeerMessage).get(str(name))
+    message_type = _MESSAGE_TYPES.find(str(name))
     if message_type is None:
         raise CodecError(f'{name!r} is no peer message', _REMEDY)
     try:
