--- a/packages/standins/dandelionyoke_standins/_engine_orders.py
+++ b/packages/standins/dandelionyoke_standins/_engine_orders.py
@@ -19,7 +19,6 @@
 CAUSE_STALE_FENCE = 'stale_fence'
 CAUSE_BUSY = 'busy'
 CAUSE_ARGUMENT = 'argument'
-CAUSE_KIND = 'kind'
 
 
 @attrs.frozen
