--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
-PACKAGES = core wire entry operator standins
-SOURCES = packages scripts tests
+PACKAGES = core wire entry operator standins dispatch gateway
+PACKAGE_DIRS = $(PACKAGES:%=packages/%) platform
+SOURCES = packages platform scripts tests
 
 .PHONY: help install format lint test demo serve clean \
 	measure measure-nodes measure-spread measure-path
@@ -12,12 +13,12 @@
 	@echo "make demo | test | serve | lint | format | clean"
 	@echo "make measure | measure-nodes | measure-spread | measure-path"
 
-$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	@echo "setting up $(VENV)" >&2
 	@$(PYTHON) -m venv $(VENV)
 	@$(BIN)/python -m pip install -qq --disable-pip-version-check -r requirements.txt >&2
 	@$(BIN)/python -m pip install -qq --disable-pip-version-check \
-		--no-deps --no-build-isolation $(PACKAGES:%=-e packages/%) >&2
+		--no-deps --no-build-isolation $(PACKAGE_DIRS:%=-e ./%) >&2
 	@touch $@
 
 install: $(VENV)/.installed
@@ -30,7 +31,8 @@
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
 	$(BIN)/flake8 $(SOURCES)
-	$(BIN)/mypy $(foreach package,$(PACKAGES),packages/$(package)/dandelionyoke_$(package))
+	$(BIN)/mypy $(foreach package,$(PACKAGES),packages/$(package)/dandelionyoke_$(package)) \
+		platform/dandelionyoke_platform
 
 test: install
 	$(BIN)/python -m pytest
--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -57,6 +57,7 @@
     AuthoritySettings as AuthoritySettings,
 )
 from dandelionyoke_core._back_off import (
+    BackOff as BackOff,
     BackOffSettings as BackOffSettings,
 )
 from dandelionyoke_core._capacity import (
@@ -337,6 +338,9 @@
 from dandelionyoke_core._request_settings import (
     RequestSettings as RequestSettings,
 )
+from dandelionyoke_core._retry_budget import (
+    RetryBudget as RetryBudget,
+)
 from dandelionyoke_core._routing import (
     RoutingPart as RoutingPart,
 )
--- /dev/null
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -0,0 +1,61 @@
+"""Decisions for calls that pass unread, without input or output."""
+
+from dandelionyoke_dispatch._attempts import (
+    Attempts as Attempts,
+    Outcome as Outcome,
+)
+from dandelionyoke_dispatch._calls import (
+    Call as Call,
+    Prompt as Prompt,
+    PromptPart as PromptPart,
+)
+from dandelionyoke_dispatch._configuration import (
+    CallerLimits as CallerLimits,
+    CallKind as CallKind,
+    EngineTraits as EngineTraits,
+    FleetConfiguration as FleetConfiguration,
+    Organisation as Organisation,
+    Route as Route,
+    ScalingRange as ScalingRange,
+    Service as Service,
+    ServiceShare as ServiceShare,
+)
+from dandelionyoke_dispatch._freshness import (
+    Freshness as Freshness,
+    FreshnessSettings as FreshnessSettings,
+)
+from dandelionyoke_dispatch._phase_plan import (
+    PhaseChange as PhaseChange,
+    PhasePlan as PhasePlan,
+    PhasePlanSettings as PhasePlanSettings,
+)
+from dandelionyoke_dispatch._placement import (
+    Placement as Placement,
+)
+from dandelionyoke_dispatch._prefill_gate import (
+    Entry as Entry,
+    GateSettings as GateSettings,
+    GateTicket as GateTicket,
+    PrefillGate as PrefillGate,
+)
+from dandelionyoke_dispatch._refusals import (
+    SOON_S as SOON_S,
+    Cause as Cause,
+    Refusal as Refusal,
+)
+from dandelionyoke_dispatch._registry import (
+    Phase as Phase,
+    RegisteredTarget as RegisteredTarget,
+    RegistrySettings as RegistrySettings,
+    TargetRegistry as TargetRegistry,
+)
+from dandelionyoke_dispatch._target_load import (
+    SuspicionSettings as SuspicionSettings,
+    TargetLoads as TargetLoads,
+)
+from dandelionyoke_dispatch._usage import (
+    TrueTime as TrueTime,
+    UsageCounter as UsageCounter,
+    WindowCounts as WindowCounts,
+    add_up as add_up,
+)
--- /dev/null
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_load.py
@@ -0,0 +1,97 @@
+"""What this node has under way at each target, and which ones misbehave."""
+
+import attrs
+
+# A reported load says nothing about work that came and went since.
+REPORT_LIFETIME_S = 1.0
+
+
+@attrs.frozen
+class SuspicionSettings:
+    """When a target is left alone, and for how long.
+
+    A target that fails calls while its health check passes would swallow a
+    share of the traffic for as long as it lasts. After `failures_in_a_row`
+    it gets nothing for `first_rest_s`, doubled with each further failure.
+    """
+
+    failures_in_a_row: int = 2
+    first_rest_s: float = 0.5
+    longest_rest_s: float = 4.0
+
+
+@attrs.define
+class _Load:
+    own: int = 0
+    reported: int = 0
+    reported_s: float = -REPORT_LIFETIME_S
+    failures: int = 0
+    rests_until_s: float = 0.0
+
+
+class TargetLoads:
+    """Counts dispatches and their ends by target."""
+
+    def __init__(self, settings: SuspicionSettings) -> None:
+        self._settings = settings
+        self._loads: dict[str, _Load] = {}
+
+    def began(self, target_id: str) -> None:
+        """Count a dispatch."""
+        self._of(target_id).own += 1
+
+    def ended(self, target_id: str) -> None:
+        """Count the end of a dispatch, however it went."""
+        load = self._of(target_id)
+        load.own = max(0, load.own - 1)
+
+    def reported(self, target_id: str, busy: int, now_s: float) -> None:
+        """Take what a target said of its running and waiting calls."""
+        load = self._of(target_id)
+        load.reported = busy
+        load.reported_s = now_s
+
+    def succeeded(self, target_id: str) -> None:
+        """Forget the failures of a target."""
+        self._of(target_id).failures = 0
+
+    def failed(self, target_id: str, now_s: float) -> None:
+        """Count a failure; several in a row make the target rest."""
+        load = self._of(target_id)
+        load.failures += 1
+        excess = load.failures - self._settings.failures_in_a_row
+        if excess >= 0:
+            rest_s = self._settings.first_rest_s * 2**excess
+            load.rests_until_s = now_s + min(
+                rest_s, self._settings.longest_rest_s
+            )
+
+    def unreachable(self, target_id: str, now_s: float) -> None:
+        """Leave a target alone that took no connection."""
+        load = self._of(target_id)
+        load.failures = max(load.failures, self._settings.failures_in_a_row)
+        self.failed(target_id, now_s)
+
+    def own(self, target_id: str) -> int:
+        """Tell how many dispatches of this node are under way."""
+        return self._of(target_id).own
+
+    def busy(self, target_id: str, now_s: float) -> int:
+        """Estimate the calls at a target, those of other nodes included."""
+        load = self._of(target_id)
+        if now_s - load.reported_s > REPORT_LIFETIME_S:
+            return load.own
+        return max(load.own, load.reported)
+
+    def rests(self, target_id: str, now_s: float) -> bool:
+        """Whether a target is left alone for now."""
+        return now_s < self._of(target_id).rests_until_s
+
+    def forget(self, known: frozenset[str]) -> None:
+        """Drop targets that are gone and have nothing under way."""
+        for target_id in tuple(self._loads):
+            if target_id not in known and not self._loads[target_id].own:
+                self._loads.pop(target_id)
+
+    def _of(self, target_id: str) -> _Load:
+        return self._loads.setdefault(target_id, _Load())
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -0,0 +1,40 @@
+"""Tasks that own the sockets of calls that pass unread."""
+
+from dandelionyoke_gateway._clock import (
+    clock_s as clock_s,
+)
+from dandelionyoke_gateway._errors import (
+    ExchangeError as ExchangeError,
+)
+from dandelionyoke_gateway._messages import (
+    RequestHead as RequestHead,
+    ResponseHead as ResponseHead,
+    without_connection_headers as without_connection_headers,
+)
+from dandelionyoke_gateway._ports import (
+    AnswerFacts as AnswerFacts,
+    CacheSource as CacheSource,
+    Dialect as Dialect,
+    DutyClient as DutyClient,
+    DutyStamp as DutyStamp,
+    EngineClient as EngineClient,
+    EngineReport as EngineReport,
+    Forwarding as Forwarding,
+    PhaseOrder as PhaseOrder,
+    Store as Store,
+    TargetCount as TargetCount,
+)
+from dandelionyoke_gateway._process import (
+    Adapters as Adapters,
+    Gateway as Gateway,
+)
+from dandelionyoke_gateway._settings import (
+    GatewaySettings as GatewaySettings,
+    read_settings as read_settings,
+)
+from dandelionyoke_gateway._status import (
+    ExitStatus as ExitStatus,
+)
+from dandelionyoke_gateway._target_pool import (
+    TargetPool as TargetPool,
+)
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_duty_tasks.py
@@ -0,0 +1,412 @@
+"""The duty of the fleet: who holds it, and what its holder does."""
+
+from eventlet import sleep, spawn_n
+from eventlet.queue import Empty, LightQueue
+
+from dandelionyoke_core import (
+    Action,
+    AuthorityPart,
+    AuthoritySettings,
+    Domain,
+    DutyExtended,
+    DutyGained,
+    DutyLost,
+    Event,
+    Instance,
+    InstanceId,
+    LeaseGrant,
+    LeaseGranted,
+    LeaseId,
+    Leaving,
+    OperationId,
+    PeersKnown,
+    StoreAnswered,
+    StoreConflict,
+    StoreList,
+    StoreListing,
+    StorePut,
+    StoreResult,
+    StoreWritten,
+    Woken,
+    WriteLog,
+)
+from dandelionyoke_dispatch import (
+    Phase,
+    PhaseChange,
+    PhasePlan,
+    PhasePlanSettings,
+    WindowCounts,
+    add_up,
+)
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._ports import (
+    Dialect,
+    DutyClient,
+    DutyStamp,
+    EngineClient,
+    PhaseOrder,
+    Store,
+)
+
+DUTY = 'fleet'
+EVERYWHERE = Domain('all')
+
+# A former holder must not act again within the time in which two holders
+# may not take turns; the least pause before it looks again is half of this.
+LOOK_TURNS = 3
+
+COUNTS_PREFIX = 'counts/'
+REPORTS_PREFIX = 'reports/'
+# Counts and reports are wanted until their window is reported, which is due
+# within seconds; their leases remove them some windows later.
+RECORDS_TTL_S = 60.0
+LEASE_CHANGE_S = 30.0
+
+# How often changed counts are saved: what a killed process has not saved is
+# missing in the report, and each save has a price.
+SAVE_INTERVAL_S = 1.0
+# A window is closed this long after its end, when all have saved it twice.
+CLOSE_AFTER_S = 2.8
+REPORT_CHECK_S = 0.5
+KEPT_REVISIONS = 8
+# A report has to arrive within the bound; this much is kept for its way.
+LATE_MARGIN_S = 0.5
+
+PHASE_CHECK_S = 0.5
+# An engine that took an order says so in the registry within a heartbeat,
+# the registry's lag and the switch itself.
+ORDER_REST_S = 5.0
+ORDER_RETRY_S = 1.5
+
+
+class DutyTask:
+    """Holds, or waits for, the duty under a lease of the store."""
+
+    def __init__(
+        self, knowledge: Knowledge, store: Store, log: DecisionLog
+    ) -> None:
+        settings = knowledge.settings
+        self._knowledge = knowledge
+        self._store = store
+        self._log = log
+        self._inbox: LightQueue = LightQueue()
+        self._own = InstanceId(settings.instance_id)
+        own = Instance(self._own, EVERYWHERE, '', '')
+        self._part = AuthorityPart(
+            AuthoritySettings(
+                ttl_s=max(4.0, settings.duty_turn_s + 1),
+                renew_interval_s=1.0,
+                renew_retry_s=0.3,
+                look_interval_s=LOOK_TURNS * settings.duty_turn_s,
+                call_timeout_s=1.0,
+            ),
+            DUTY,
+            own,
+            knowledge.random,
+        )
+        self._fence = 0
+        self._until_s = 0.0
+
+    @property
+    def stamp(self) -> DutyStamp | None:
+        """The authority to act right now; None: there is none."""
+        if clock_s() >= self._until_s:
+            return None
+        return DutyStamp(self._own, self._fence)
+
+    def run(self) -> None:
+        """Take part for as long as the process lives."""
+        self._feed(PeersKnown((self._own,), (self._own,)))
+        while True:
+            self._feed(self._next_event())
+
+    def leave(self) -> None:
+        """Hand the duty over."""
+        self._inbox.put(Leaving())
+
+    def _next_event(self) -> Event:
+        wakeup_s = self._part.next_wakeup_s()
+        wait_s = None if wakeup_s is None else max(0, wakeup_s - clock_s())
+        try:
+            event: Event = self._inbox.get(timeout=wait_s)
+        except Empty:
+            return Woken()
+        return event
+
+    def _feed(self, event: Event) -> None:
+        for output in self._part.handle(event, clock_s()):
+            match output:
+                case DutyGained() | DutyExtended():
+                    self._fence = output.fence
+                    self._until_s = output.until_s
+                case DutyLost():
+                    self._until_s = 0.0
+                case WriteLog():
+                    self._log.decide(
+                        output.kind, output.subject, outcome=output.detail
+                    )
+                case Action():
+                    spawn_n(self._perform, output)
+
+    def _perform(self, action: Action) -> None:
+        answer = self._store.perform(action)
+        operation_id = getattr(action, 'operation_id')  # noqa: B009
+        self._inbox.put(StoreAnswered(operation_id, answer))
+
+
+class LeasedRecords:
+    """Writes records that the store removes after a while."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._lease_id: LeaseId | None = None
+        self._granted_s = 0.0
+
+    def write(self, key: str, text: str, expected_revision: int) -> StoreResult:
+        """Write a record at its expected revision; 0 creates it."""
+        answer = self._store.perform(
+            StorePut(
+                OperationId('record'),
+                key,
+                text,
+                expected_revision,
+                self._lease(),
+            )
+        )
+        if not isinstance(answer, StoreWritten | StoreConflict):
+            self._lease_id = None
+        return answer
+
+    def _lease(self) -> LeaseId | None:
+        now_s = clock_s()
+        if self._lease_id and now_s - self._granted_s < LEASE_CHANGE_S:
+            return self._lease_id
+        granted = self._store.perform(
+            LeaseGrant(OperationId('records'), RECORDS_TTL_S)
+        )
+        if isinstance(granted, LeaseGranted):
+            self._lease_id = granted.lease_id
+            self._granted_s = now_s
+        return self._lease_id
+
+
+class CountsTask:
+    """Saves this process's counts, so that they outlive it."""
+
+    def __init__(
+        self, knowledge: Knowledge, dialect: Dialect, store: Store
+    ) -> None:
+        self._knowledge = knowledge
+        self._dialect = dialect
+        self._records = LeasedRecords(store)
+        boot = f'{knowledge.random.getrandbits(48):012x}'
+        self._name = f'{knowledge.settings.instance_id}.{boot}'
+        self._revisions: dict[int, int] = {}
+
+    def run(self) -> None:
+        """Save for as long as the process lives."""
+        random = self._knowledge.random
+        while True:
+            sleep(SAVE_INTERVAL_S * random.uniform(0.8, 1))
+            self.save()
+
+    def save(self) -> None:
+        """Save what changed since the last time."""
+        usage = self._knowledge.usage
+        for counts in usage.take_changed():
+            if not self._save_window(counts):
+                usage.not_saved(counts.window_id)
+        newest = usage.window_at(clock_s())
+        for window_id in tuple(self._revisions):
+            if window_id < newest - KEPT_REVISIONS:
+                self._revisions.pop(window_id)
+
+    def _save_window(self, counts: WindowCounts) -> bool:
+        key = f'{COUNTS_PREFIX}{counts.window_id}/{self._name}'
+        text = self._dialect.write_counts(counts)
+        expected = self._revisions.get(counts.window_id, 0)
+        answer = self._records.write(key, text, expected)
+        match answer:
+            case StoreWritten(revision=revision):
+                self._revisions[counts.window_id] = revision
+                return True
+            case StoreConflict(present=present):
+                # The answer to an earlier save was lost; nobody else writes
+                # this key.
+                self._revisions[counts.window_id] = present.revision
+        return False
+
+
+class UsageTask:
+    """Reports each window once, while this node holds the duty."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        dialect: Dialect,
+        store: Store,
+        duty: DutyTask,
+        client: DutyClient,
+        log: DecisionLog,
+    ) -> None:
+        self._knowledge = knowledge
+        self._dialect = dialect
+        self._store = store
+        self._records = LeasedRecords(store)
+        self._duty = duty
+        self._client = client
+        self._log = log
+        self._reported: set[int] = set()
+
+    def run(self) -> None:
+        """Look for windows to report for as long as the process lives."""
+        while True:
+            sleep(REPORT_CHECK_S)
+            if self._duty.stamp is not None:
+                self._report_due()
+
+    def _report_due(self) -> None:
+        settings, usage = self._knowledge.settings, self._knowledge.usage
+        newest = usage.window_at(clock_s())
+        span = int(settings.usage_late_s // settings.usage_window_s) + 2
+        for window_id in range(newest - span, newest):
+            age_s = usage.age_s(window_id, clock_s())
+            is_due = CLOSE_AFTER_S <= age_s < self._latest_s()
+            if is_due and window_id not in self._reported:
+                self._report(window_id)
+        self._reported = {one for one in self._reported if one > newest - 20}
+
+    def _latest_s(self) -> float:
+        return self._knowledge.settings.usage_late_s - LATE_MARGIN_S
+
+    def _report(self, window_id: int) -> None:
+        counts = self._close(window_id)
+        stamp = self._duty.stamp
+        if counts is None or stamp is None:
+            return
+        accepted = self._client.report_usage(counts, stamp)
+        self._log.decide(
+            'usage.reported',
+            str(window_id),
+            outcome=str(accepted),
+            fence=stamp.fence,
+            total=sum(number for _, number in counts.counts),
+        )
+        if accepted:
+            self._reported.add(window_id)
+
+    def _close(self, window_id: int) -> WindowCounts | None:
+        """Fix the figures of a window for good; None: not yet possible.
+
+        The record is created once. Whoever reports the window, now or after
+        a change of holder, reports what it says, so that no two reports of
+        one window differ.
+        """
+        listing = self._store.perform(
+            StoreList(OperationId('counts'), f'{COUNTS_PREFIX}{window_id}/')
+        )
+        if not isinstance(listing, StoreListing):
+            return None
+        parts = [
+            self._dialect.read_counts(window_id, item.value or '')
+            for item in listing.items
+        ]
+        total = add_up([part for part in parts if part is not None])
+        if not total:
+            return None
+        counts = WindowCounts(window_id, total)
+        key = f'{REPORTS_PREFIX}{window_id}'
+        text = self._dialect.write_counts(counts)
+        answer = self._records.write(key, text, 0)
+        if isinstance(answer, StoreConflict) and answer.present.value:
+            return self._dialect.read_counts(window_id, answer.present.value)
+        return counts if isinstance(answer, StoreWritten) else None
+
+
+class PhaseTask:
+    """Keeps the engines' phases in step with the mix, under the duty."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        duty: DutyTask,
+        client: DutyClient,
+        engines: EngineClient,
+        log: DecisionLog,
+    ) -> None:
+        self._knowledge = knowledge
+        self._duty = duty
+        self._client = client
+        self._engines = engines
+        self._log = log
+        self._plans: dict[str, PhasePlan] = {}
+        self._rest_until_s: dict[str, float] = {}
+
+    def run(self) -> None:
+        """Compare for as long as the process lives."""
+        while True:
+            sleep(PHASE_CHECK_S)
+            if self._duty.stamp is not None:
+                self._compare()
+
+    def _compare(self) -> None:
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            return
+        for service in configuration.services.values():
+            if service.engine is not None:
+                self._compare_service(service.name)
+
+    def _compare_service(self, service: str) -> None:
+        now_s = clock_s()
+        engines = self._knowledge.registry.of_service(service)
+        resting = {
+            target_id
+            for target_id, until_s in self._rest_until_s.items()
+            if now_s < until_s
+        }
+        if any(one.target_id in resting for one in engines):
+            return
+        plan = self._plans.setdefault(service, PhasePlan(PhasePlanSettings()))
+        for change in plan.changes(engines, self._busy_share(service, now_s)):
+            target = change.target
+            self._rest_until_s[target.target_id] = now_s + ORDER_RETRY_S
+            spawn_n(self._send, change)
+
+    def _send(self, change: PhaseChange) -> None:
+        target = change.target
+        report = self._engines.read_report(target)
+        if report is None or report.is_busy_with_order:
+            return
+        if report.phase is change.phase:
+            self._rest_until_s[target.target_id] = clock_s() + ORDER_REST_S
+            return
+        stamp = self._duty.stamp
+        if stamp is None:
+            return
+        order = PhaseOrder(target, change.phase, report.order_count)
+        accepted = self._client.order_phase(order, stamp)
+        if accepted:
+            self._rest_until_s[target.target_id] = clock_s() + ORDER_REST_S
+        self._log.decide(
+            'engine.ordered',
+            target.target_id,
+            outcome=str(accepted),
+            phase=order.phase.value,
+            fence=stamp.fence,
+            order_count=order.expected_order_count,
+        )
+
+    def _busy_share(self, service: str, now_s: float) -> float:
+        decode = [
+            one
+            for one in self._knowledge.registry.of_service(service)
+            if one.phase is Phase.DECODE
+        ]
+        slots = sum(one.slots for one in decode)
+        busy = sum(
+            self._knowledge.loads.busy(one.target_id, now_s) for one in decode
+        )
+        return busy / slots if slots else 0.0
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -0,0 +1,80 @@
+"""What a node believes: configuration, targets, loads, budget, its age."""
+
+from random import Random
+
+import attrs
+
+from dandelionyoke_core import RetryBudget
+from dandelionyoke_dispatch import (
+    FleetConfiguration,
+    Freshness,
+    FreshnessSettings,
+    GateSettings,
+    Placement,
+    PrefillGate,
+    RegistrySettings,
+    SuspicionSettings,
+    TargetLoads,
+    TargetRegistry,
+    TrueTime,
+    UsageCounter,
+)
+from dandelionyoke_gateway._clock import clock_s, wall_s
+from dandelionyoke_gateway._settings import GatewaySettings
+
+# All nodes together may repeat only so much. A node does not know how many
+# there are, so it takes the part it would have among this many, and half of
+# the share, which leaves room for bursts that meet at one window.
+NODES_ASSUMED = 16
+SHARE_KEPT = 0.5
+
+
+@attrs.define
+class Knowledge:
+    """The beliefs of one node, shared by its tasks within one thread."""
+
+    settings: GatewaySettings
+    random: Random
+    freshness: Freshness
+    registry: TargetRegistry
+    loads: TargetLoads
+    placement: Placement
+    gate: PrefillGate
+    budget: RetryBudget
+    usage: UsageCounter
+    configuration: FleetConfiguration | None = None
+    is_leaving: bool = False
+    in_progress: int = 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers are welcome."""
+        return (
+            not self.is_leaving
+            and self.configuration is not None
+            and self.registry.is_known
+            and self.freshness.serves_keys(clock_s())
+        )
+
+
+def new_knowledge(settings: GatewaySettings, random: Random) -> Knowledge:
+    """Begin with no beliefs."""
+    registry = TargetRegistry(RegistrySettings())
+    loads = TargetLoads(SuspicionSettings())
+    clock = TrueTime(wall_s() - clock_s())
+    extra = settings.retry_extra / NODES_ASSUMED
+    return Knowledge(
+        settings=settings,
+        random=random,
+        freshness=Freshness(FreshnessSettings(settings.revocation_s)),
+        registry=registry,
+        loads=loads,
+        placement=Placement(registry, loads, settings.domain),
+        gate=PrefillGate(GateSettings()),
+        budget=RetryBudget(
+            share=settings.retry_share * SHARE_KEPT,
+            reserve=extra,
+            refill_per_s=0,
+        ),
+        usage=UsageCounter(settings.usage_window_s, clock),
+    )
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge_tasks.py
@@ -0,0 +1,172 @@
+"""Tasks that keep what a node believes in step with the store."""
+
+from random import Random
+
+import attrs
+from eventlet import sleep
+
+from dandelionyoke_core import (
+    BackOff,
+    BackOffSettings,
+    OperationId,
+    StoreFailed,
+    StoreList,
+    StoreListing,
+    StoreWatch,
+)
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._ports import Dialect, Store
+
+
+@attrs.frozen
+class PaceSettings:
+    """How often the store is asked; each call has a price.
+
+    A watch that ends after `watch_s` proves that the known configuration is
+    the newest; two in a row stay well below the bound on a withdrawn key.
+    The registry changes with each heartbeat of each target, so a watch on it
+    would return at once all the time; it is read every `registry_s`, which
+    leaves a second of the bound on leaving targets for lost answers.
+    """
+
+    watch_s: float = 1.5
+    registry_s: float = 0.7
+    back_off: BackOffSettings = attrs.field(
+        factory=lambda: BackOffSettings(first_s=0.1, longest_s=0.5)
+    )
+
+
+class ConfigurationTask:
+    """Watches the configuration's key."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        dialect: Dialect,
+        store: Store,
+        log: DecisionLog,
+        pace: PaceSettings,
+    ) -> None:
+        self._knowledge = knowledge
+        self._dialect = dialect
+        self._store = store
+        self._log = log
+        self._pace = pace
+        self._revision: int | None = None
+        self._failing_since_s: float | None = None
+        self._back_off = BackOff(pace.back_off, knowledge.random)
+
+    def run(self) -> None:
+        """Follow the configuration for as long as the process lives."""
+        while True:
+            asked_s = clock_s()
+            answer = self._store.perform(self._question())
+            if isinstance(answer, StoreListing):
+                self._take(answer, asked_s)
+            else:
+                self._fail(answer)
+
+    def _question(self) -> StoreList | StoreWatch:
+        key = self._dialect.configuration_key
+        if self._revision is None:
+            return StoreList(OperationId('configuration'), key)
+        return StoreWatch(
+            OperationId('configuration'),
+            key,
+            self._revision,
+            self._pace.watch_s,
+        )
+
+    def _take(self, listing: StoreListing, asked_s: float) -> None:
+        if self._failing_since_s is not None:
+            away_s = clock_s() - self._failing_since_s
+            self._log.decide('store.regained', 'configuration', away_s=away_s)
+            self._failing_since_s = None
+        self._back_off.reset()
+        self._revision = listing.revision
+        for item in listing.items:
+            if item.key == self._dialect.configuration_key and item.value:
+                self._adopt(item.value, item.revision)
+        self._knowledge.freshness.prove(asked_s)
+
+    def _adopt(self, text: str, revision: int) -> None:
+        configuration = self._dialect.read_configuration(text)
+        if configuration is None:
+            self._log.decide(
+                'configuration.unreadable', str(revision), outcome='kept old'
+            )
+            return
+        known = self._knowledge.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        self._knowledge.configuration = configuration
+        self._log.decide(
+            'configuration.adopted',
+            str(configuration.version),
+            outcome='in force',
+            revision=revision,
+            routes=len(configuration.routes),
+        )
+
+    def _fail(self, answer: object) -> None:
+        # A watch that failed may have lost a change, or the history that it
+        # would go on from is gone: the next question reads all.
+        self._revision = None
+        if self._failing_since_s is None:
+            self._failing_since_s = clock_s()
+            cause = answer.cause if isinstance(answer, StoreFailed) else ''
+            self._log.decide('store.lost', 'configuration', cause=cause)
+        sleep(self._back_off.next_s())
+
+
+class RegistryTask:
+    """Reads the registry of targets again and again."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        dialect: Dialect,
+        store: Store,
+        log: DecisionLog,
+        pace: PaceSettings,
+    ) -> None:
+        self._knowledge = knowledge
+        self._dialect = dialect
+        self._store = store
+        self._log = log
+        self._pace = pace
+        self._known: frozenset[str] = frozenset()
+
+    def run(self) -> None:
+        """Read for as long as the process lives."""
+        random: Random = self._knowledge.random
+        while True:
+            self._read()
+            sleep(self._pace.registry_s * random.uniform(0.9, 1.1))
+
+    def _read(self) -> None:
+        prefix = self._dialect.registry_prefix
+        answer = self._store.perform(StoreList(OperationId('registry'), prefix))
+        if not isinstance(answer, StoreListing):
+            return
+        targets = []
+        for item in answer.items:
+            target = self._dialect.read_target(item.key, item.value or '')
+            if target is not None:
+                targets.append(target)
+        self._knowledge.registry.replace(targets, clock_s())
+        self._tell(frozenset(one.target_id for one in targets))
+
+    def _tell(self, present: frozenset[str]) -> None:
+        if present == self._known:
+            return
+        self._log.decide(
+            'registry.changed',
+            'targets',
+            come=','.join(sorted(present - self._known)),
+            gone=','.join(sorted(self._known - present)),
+        )
+        self._known = present
+        self._knowledge.loads.forget(present)
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -0,0 +1,239 @@
+"""A gateway as a process: its sockets, its tasks, its end."""
+
+import signal
+from collections.abc import Callable
+from random import Random
+from typing import TextIO
+
+import eventlet
+from eventlet import event as green_event
+from eventlet.green import socket
+
+from dandelionyoke_dispatch import CallerLimits
+from dandelionyoke_gateway._call_desk import CallDesk, Tools
+from dandelionyoke_gateway._caller_connection import (
+    CallerConnection,
+    CallerRequest,
+    Handler,
+    Responder,
+)
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._duty_tasks import (
+    CountsTask,
+    DutyTask,
+    PhaseTask,
+    UsageTask,
+)
+from dandelionyoke_gateway._knowledge import new_knowledge
+from dandelionyoke_gateway._knowledge_tasks import (
+    ConfigurationTask,
+    PaceSettings,
+    RegistryTask,
+)
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._messages import ResponseHead
+from dandelionyoke_gateway._plain_call import carry_plain
+from dandelionyoke_gateway._ports import (
+    Dialect,
+    DutyClient,
+    EngineClient,
+    Store,
+)
+from dandelionyoke_gateway._settings import Endpoint, GatewaySettings
+from dandelionyoke_gateway._sockets import listen, set_options
+from dandelionyoke_gateway._status import ExitStatus
+from dandelionyoke_gateway._stream_call import carry_stream
+from dandelionyoke_gateway._target_pool import TargetPool
+
+# The balancer asks once a second and believes two misses in a row; until it
+# has, new callers still come and are served.
+BALANCER_NOTICE_S = 3.2
+# The process must be gone before it is killed, with its last words written.
+GRACE_MARGIN_S = 0.8
+END_CHECK_S = 0.05
+ACCEPT_PAUSE_S = 0.05
+
+
+class Adapters:
+    """What an adapter builds for a gateway out of its settings and pool."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        store: Store,
+        duties: DutyClient | None,
+        engines: EngineClient,
+    ) -> None:
+        self.dialect = dialect
+        self.store = store
+        self.duties = duties
+        self.engines = engines
+
+
+AdapterFactory = Callable[[GatewaySettings, TargetPool], Adapters]
+
+
+class Gateway:
+    """Wires the tasks to their sockets and runs until it is asked to end."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        factory: AdapterFactory,
+        stream: TextIO,
+    ) -> None:
+        self._settings = settings
+        self._log = DecisionLog(stream, settings.instance_id)
+        self._status = green_event.Event()
+        self._leaving_s: float | None = None
+        self._connections: set[CallerConnection] = set()
+        self._random = Random()
+        self._knowledge = new_knowledge(settings, self._random)
+        pool = TargetPool()
+        self._adapters = factory(settings, pool)
+        self._desk = CallDesk(
+            Tools(
+                self._knowledge,
+                self._adapters.dialect,
+                pool,
+                self._adapters.engines,
+                self._log,
+            ),
+            carry_plain,
+            carry_stream,
+        )
+        self._duty = DutyTask(self._knowledge, self._adapters.store, self._log)
+        self._counts = CountsTask(
+            self._knowledge, self._adapters.dialect, self._adapters.store
+        )
+
+    def run(self) -> ExitStatus:
+        """Serve until asked to leave and all is finished."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_leave)
+        signal.signal(signal.SIGHUP, self._on_reload)
+        self._serve(self._settings.health, self._answer_health)
+        self._serve(self._settings.callers, self._desk.handle)
+        self._start_tasks()
+        self._log.decide(
+            'process.started', self._settings.instance_id, outcome='listening'
+        )
+        status: ExitStatus = self._status.wait()
+        return status
+
+    def _start_tasks(self) -> None:
+        parts = self._adapters
+        pace = PaceSettings()
+        knowledge, log = self._knowledge, self._log
+        spawn = eventlet.spawn_n
+        spawn(
+            ConfigurationTask(
+                knowledge, parts.dialect, parts.store, log, pace
+            ).run
+        )
+        spawn(
+            RegistryTask(knowledge, parts.dialect, parts.store, log, pace).run
+        )
+        if parts.duties is None:
+            return
+        spawn(self._duty.run)
+        spawn(self._counts.run)
+        usage = UsageTask(
+            knowledge,
+            parts.dialect,
+            parts.store,
+            self._duty,
+            parts.duties,
+            log,
+        )
+        spawn(usage.run)
+        phases = PhaseTask(
+            knowledge, self._duty, parts.duties, parts.engines, log
+        )
+        spawn(phases.run)
+
+    # Callers.
+
+    def _serve(self, endpoint: Endpoint, handler: Handler) -> None:
+        listener = listen(endpoint.host, endpoint.port)
+        eventlet.spawn_n(self._accept, listener, handler)
+
+    def _accept(self, listener: socket.socket, handler: Handler) -> None:
+        while True:
+            try:
+                sock, _ = listener.accept()
+            except OSError as full:
+                # Out of descriptors, most likely: those in use come back.
+                self._log.decide('accept.failed', 'listener', cause=str(full))
+                eventlet.sleep(ACCEPT_PAUSE_S)
+                continue
+            eventlet.spawn_n(self._serve_connection, sock, handler)
+
+    def _serve_connection(self, sock: socket.socket, handler: Handler) -> None:
+        configuration = self._knowledge.configuration
+        limits = configuration.limits if configuration else CallerLimits()
+        try:
+            set_options(sock)
+        except OSError:
+            # The caller left between its connection and this line.
+            sock.close()
+            return
+        connection = CallerConnection(
+            sock, limits, handler, lambda: self._knowledge.is_leaving
+        )
+        self._connections.add(connection)
+        try:
+            connection.serve()
+        finally:
+            self._connections.discard(connection)
+
+    def _answer_health(
+        self, request: CallerRequest, responder: Responder
+    ) -> None:
+        is_ready = self._knowledge.is_ready
+        responder.answer(ResponseHead(200 if is_ready else 503, ()), b'')
+
+    # Signals and the end.
+
+    def _on_leave(self, number: int, frame: object) -> None:
+        if self._knowledge.is_leaving:
+            self._finish(ExitStatus.CUT)
+            return
+        self._knowledge.is_leaving = True
+        self._leaving_s = clock_s()
+        eventlet.spawn_n(self._leave)
+
+    def _on_reload(self, number: int, frame: object) -> None:
+        # Addresses and bounds of a running process do not change; a new
+        # start reads the file again. Nothing is cut.
+        eventlet.spawn_n(
+            self._log.decide, 'process.reloaded', self._settings.instance_id
+        )
+
+    def _leave(self) -> None:
+        began_s = clock_s()
+        self._log.decide('process.leaving', self._settings.instance_id)
+        self._duty.leave()
+        eventlet.sleep(BALANCER_NOTICE_S)
+        last_s = began_s + self._settings.grace_s - GRACE_MARGIN_S
+        while self._knowledge.in_progress and clock_s() < last_s:
+            self._close_idle()
+            eventlet.sleep(END_CHECK_S)
+        self._close_idle()
+        self._counts.save()
+        is_clean = not self._knowledge.in_progress
+        self._finish(ExitStatus.OK if is_clean else ExitStatus.CUT)
+
+    def _close_idle(self) -> None:
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+
+    def _finish(self, status: ExitStatus) -> None:
+        if not self._status.ready():
+            self._log.decide(
+                'process.stopped',
+                self._settings.instance_id,
+                outcome=status.name,
+                in_progress=self._knowledge.in_progress,
+            )
+            self._status.send(status)
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_sockets.py
@@ -0,0 +1,34 @@
+"""Options of sockets that keep silent connections from hanging."""
+
+from eventlet.green import socket
+
+# Between two ends that have lost track of each other no reset comes. The
+# probes show it after about KEEPALIVE_IDLE_S + KEEPALIVE_PROBES *
+# KEEPALIVE_INTERVAL_S, which lies below the least time limit of a caller.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MS = 2000
+BACKLOG = 1024
+
+
+def set_options(sock: socket.socket) -> None:
+    """Send small writes at once, and notice a peer that is out of reach."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, amount in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, amount)
+
+
+def listen(host: str, port: int) -> socket.socket:
+    """Open a listening socket."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.listen(BACKLOG)
+    return sock
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -0,0 +1,389 @@
+"""A call that is answered by a stream of events."""
+
+from http import HTTPStatus
+
+import attrs
+import eventlet
+from eventlet.event import Event as GreenEvent
+
+from dandelionyoke_dispatch import (
+    SOON_S,
+    Cause,
+    Entry,
+    GateTicket,
+    Refusal,
+    RegisteredTarget,
+)
+from dandelionyoke_gateway._call_desk import OpenCall, RefusedError, Tools
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
+from dandelionyoke_gateway._event_stream import EventSplitter, StreamEvent
+from dandelionyoke_gateway._messages import RequestHead, ResponseHead
+from dandelionyoke_gateway._plain_call import check_answer, note_facts
+from dandelionyoke_gateway._ports import (
+    AnswerFacts,
+    CacheSource,
+    Forwarding,
+)
+from dandelionyoke_gateway._target_connection import TargetConnection
+
+MAX_PREFILL_BYTES = 65536
+MAX_FAILURE_BYTES = 1048576
+MOST_SENDS = 4
+
+# A caller gives up on a stream that has not begun after this long, or four
+# times its goal or eight times its longest pause (from the users' protocol).
+LEAST_PATIENCE_S = 2.0
+PATIENCE_GOALS = 4
+PATIENCE_PAUSES = 8
+
+# A stream that may be resumed is left for another engine when it is silent
+# for this long: half of the least time after which callers give up on it.
+RESUME_AFTER_S = 1.0
+
+
+@attrs.frozen
+class _Prompt:
+    """A prompt that was read, and the engine that keeps its cache."""
+
+    home: RegisteredTarget
+    cache: CacheSource
+
+
+class _NextTryError(Exception):
+    """This send came to nothing; another one may be made."""
+
+    def __init__(self, cause: Cause) -> None:
+        super().__init__(cause.value)
+        self.cause = cause
+
+
+def carry_stream(tools: Tools, opened: OpenCall) -> None:
+    """Have the prompt read, then pass the stream on."""
+    _StreamCall(tools, opened).carry()
+
+
+class _StreamCall:
+    """One streamed call from its prompt to its last event."""
+
+    def __init__(self, tools: Tools, opened: OpenCall) -> None:
+        self._tools = tools
+        self._knowledge = tools.knowledge
+        self._opened = opened
+        self._last_event_id = opened.call.last_event_id
+        self._tried: set[str] = set()
+        self._prefill_tries = 0
+
+    def carry(self) -> None:
+        """Make tries until one has streamed to its end."""
+        cause = Cause.NO_RETRY
+        self._knowledge.budget.earn(clock_s())
+        for number in range(MOST_SENDS):
+            if clock_s() >= self._opened.until_s:
+                cause = Cause.OUT_OF_TIME
+                break
+            if number and not self._may_try_again():
+                break
+            try:
+                self._try()
+            except _NextTryError as ended:
+                cause = ended.cause
+            else:
+                return
+        raise RefusedError(Refusal(cause, SOON_S))
+
+    def _may_try_again(self) -> bool:
+        opened = self._opened
+        if opened.responder.has_begun and not opened.route.is_resumable:
+            return False
+        if not opened.attempts.may_run_again(opened.route.is_repeatable):
+            return False
+        return self._knowledge.budget.spend(clock_s())
+
+    def _try(self) -> None:
+        prompt = self._read_prompt()
+        try:
+            target = self._decode_target(prompt)
+            self._stream(target, prompt)
+        except BaseException:
+            self._release(prompt)
+            raise
+
+    def _decode_target(self, prompt: _Prompt | None) -> RegisteredTarget:
+        near = None if prompt is None else prompt.home.domain
+        target = self._knowledge.placement.decode_target(
+            self._opened.service.name, near, self._tried, clock_s()
+        )
+        if target is not None:
+            return target
+        target = self._knowledge.placement.plain_target(
+            self._opened.service.name, self._tried, clock_s()
+        )
+        if target is None:
+            raise RefusedError(Refusal(Cause.NO_TARGET, SOON_S))
+        return target
+
+    # The prompt.
+
+    def _read_prompt(self) -> _Prompt | None:
+        """Have the prompt read apart; None where no engine does that."""
+        prompt = self._opened.call.prompt
+        if prompt is None or self._opened.service.engine is None:
+            return None
+        homes = self._knowledge.placement.prefill_homes(
+            self._opened.service.name, prompt.shared_key, clock_s()
+        )
+        homes = [home for home in homes if home.target_id not in self._tried]
+        if not homes:
+            return None
+        home = homes[0]
+        # Each try waits under a name of its own.
+        self._prefill_tries += 1
+        self._pass_gate(home)
+        began_s = clock_s()
+        read_s: float | None = None
+        try:
+            cache = self._prefill(home)
+            read_s = clock_s() - began_s
+        finally:
+            self._leave_gate(home, read_s)
+        return _Prompt(home, cache)
+
+    def _pass_gate(self, home: RegisteredTarget) -> None:
+        call_id = self._call_id
+        opened = self._opened
+        now_s = clock_s()
+        ticket = GateTicket(
+            call_id,
+            home.target_id,
+            opened.rank,
+            opened.request.arrived_s,
+            self._useful_until_s(),
+        )
+        entry = self._knowledge.gate.enter(ticket, now_s)
+        if entry is Entry.GO:
+            return
+        if entry is Entry.TOO_LATE:
+            self._too_late(home)
+        turn = GreenEvent()
+        _TURNS[call_id] = turn
+        timer = eventlet.spawn_after(
+            max(0, ticket.useful_until_s - now_s), turn.send, False
+        )
+        try:
+            has_place = turn.wait()
+        except BaseException:
+            self._leave_gate(home, None)
+            raise
+        finally:
+            timer.cancel()
+            _TURNS.pop(call_id, None)
+        if not has_place:
+            self._leave_gate(home, None)
+            self._too_late(home)
+
+    def _too_late(self, home: RegisteredTarget) -> None:
+        wait_s = self._knowledge.gate.retry_after_s(home.target_id)
+        raise RefusedError(Refusal(Cause.TOO_LATE, wait_s))
+
+    def _leave_gate(self, home: RegisteredTarget, read_s: float | None) -> None:
+        following = self._knowledge.gate.leave(
+            home.target_id, self._call_id, read_s
+        )
+        turn = None if following is None else _TURNS.get(following)
+        if turn is not None and not turn.ready():
+            turn.send(True)
+
+    def _prefill(self, home: RegisteredTarget) -> CacheSource:
+        """Have an engine read the prompt; nothing runs by this."""
+        head = self._head(home, is_prefill=True)
+        loads = self._knowledge.loads
+        loads.began(home.target_id)
+        try:
+            handle = self._ask_prefill(home, head)
+        except ExchangeError as error:
+            self._failed(home, error)
+            raise _NextTryError(Cause.BROKEN) from error
+        finally:
+            loads.ended(home.target_id)
+        if handle is None:
+            self._tried.add(home.target_id)
+            loads.failed(home.target_id, clock_s())
+            raise _NextTryError(Cause.NO_RETRY)
+        loads.succeeded(home.target_id)
+        return CacheSource(home.address, handle)
+
+    def _ask_prefill(
+        self, home: RegisteredTarget, head: RequestHead
+    ) -> str | None:
+        until_s = min(self._useful_until_s(), self._opened.until_s)
+        with self._tools.pool.lend(home.address) as connection:
+            connection.send(head, self._opened.request.body)
+            answer = connection.read_head(until_s)
+            body = connection.read_body(until_s, MAX_PREFILL_BYTES)
+            facts = self._tools.dialect.read_answer(answer)
+            note_facts(self._tools, home, facts)
+            if facts.status != HTTPStatus.OK:
+                return None
+            return self._tools.dialect.read_prefill(body)
+
+    def _release(self, prompt: _Prompt | None) -> None:
+        """Free a cache that no engine took, so that its memory serves others."""
+        if prompt is None or self._opened.attempts.may_have_run:
+            return
+        eventlet.spawn_n(self._tools.engines.release_cache, prompt.cache)
+
+    # The stream.
+
+    def _stream(self, target: RegisteredTarget, prompt: _Prompt | None) -> None:
+        loads = self._knowledge.loads
+        loads.began(target.target_id)
+        try:
+            self._exchange(target, prompt)
+        except ExchangeError as error:
+            self._failed(target, error)
+            cause = Cause.BROKEN
+            if isinstance(error, ExchangeTimeoutError):
+                cause = Cause.OUT_OF_TIME
+            raise _NextTryError(cause) from error
+        finally:
+            loads.ended(target.target_id)
+
+    def _exchange(
+        self, target: RegisteredTarget, prompt: _Prompt | None
+    ) -> None:
+        cache = None if prompt is None else prompt.cache
+        head = self._head(target, cache=cache)
+        with self._tools.pool.lend(target.address) as connection:
+            self._opened.attempts.sent(target.target_id)
+            connection.send(head, self._opened.request.body)
+            answer = connection.read_head(self._silence_until_s())
+            facts = self._tools.dialect.read_answer(answer)
+            self._judge(target, answer, facts, connection)
+            if facts.status != HTTPStatus.OK:
+                self._pass_failure(answer, connection)
+                return
+            self._begin(answer)
+            self._relay(connection)
+            self._knowledge.loads.succeeded(target.target_id)
+        self._opened.attempts.ran()
+        self._opened.responder.finish()
+
+    def _judge(
+        self,
+        target: RegisteredTarget,
+        answer: ResponseHead,
+        facts: AnswerFacts,
+        connection: TargetConnection,
+    ) -> None:
+        """Stop unless this is the target's own answer to this call."""
+        note_facts(self._tools, target, facts)
+        if facts.is_not_run:
+            self._opened.attempts.refused()
+            self._tried.add(target.target_id)
+            connection.read_body(self._opened.until_s, MAX_FAILURE_BYTES)
+            raise _NextTryError(Cause.NO_RETRY)
+        check_answer(answer, facts, self._opened)
+
+    def _pass_failure(
+        self, answer: ResponseHead, connection: TargetConnection
+    ) -> None:
+        """Pass an engine's own failure on as it is."""
+        body = connection.read_body(self._opened.until_s, MAX_FAILURE_BYTES)
+        self._opened.attempts.ran()
+        if not self._opened.responder.has_begun:
+            head = self._tools.dialect.answer_head(answer)
+            self._opened.responder.answer(head, body)
+
+    def _begin(self, answer: ResponseHead) -> None:
+        if not self._opened.responder.has_begun:
+            head = self._tools.dialect.answer_head(answer)
+            self._opened.responder.begin(head)
+
+    def _relay(self, connection: TargetConnection) -> None:
+        splitter = EventSplitter()
+        while True:
+            piece = connection.read_piece(self._silence_until_s())
+            if piece is None:
+                break
+            events = splitter.feed(piece)
+            if events:
+                self._pass_on(events)
+        if not splitter.is_between_events:
+            raise ExchangeError('the stream ended within an event', sent=True)
+
+    def _pass_on(self, events: list[StreamEvent]) -> None:
+        if not self._opened.is_counted:
+            self._opened.is_counted = True
+            if self._opened.name is not None:
+                self._knowledge.usage.began(self._opened.name, clock_s())
+        self._opened.responder.pass_on(
+            b''.join(event.content for event in events)
+        )
+        for event in events:
+            if event.event_id is not None:
+                self._last_event_id = event.event_id
+
+    # Limits and notes.
+
+    @property
+    def _call_id(self) -> str:
+        return f'{self._opened.call.attempt_id}.{self._prefill_tries}'
+
+    def _useful_until_s(self) -> float:
+        route = self._opened.route
+        patience_s = max(
+            LEAST_PATIENCE_S,
+            PATIENCE_GOALS * route.goal_s,
+            PATIENCE_PAUSES * route.longest_pause_s,
+        )
+        return min(
+            self._opened.until_s, self._opened.request.arrived_s + patience_s
+        )
+
+    def _silence_until_s(self) -> float:
+        """Tell until when the next bytes of an answer are awaited."""
+        if self._opened.route.is_resumable:
+            return min(self._opened.until_s, clock_s() + RESUME_AFTER_S)
+        return self._opened.until_s
+
+    def _head(
+        self,
+        target: RegisteredTarget,
+        *,
+        is_prefill: bool = False,
+        cache: CacheSource | None = None,
+    ) -> RequestHead:
+        forwarding = Forwarding(
+            target_id=target.target_id,
+            time_left_s=self._opened.until_s - clock_s(),
+            organisation=self._opened.name,
+            priority=self._opened.rank,
+            is_prefill=is_prefill,
+            cache=cache,
+            last_event_id=self._last_event_id,
+        )
+        return self._tools.dialect.call_head(
+            self._opened.request.head, forwarding
+        )
+
+    def _failed(self, target: RegisteredTarget, error: ExchangeError) -> None:
+        self._tried.add(target.target_id)
+        now_s = clock_s()
+        if error.sent:
+            self._knowledge.loads.failed(target.target_id, now_s)
+        else:
+            self._knowledge.loads.unreachable(target.target_id, now_s)
+        self._tools.pool.drop(target.address)
+        self._tools.log.decide(
+            'attempt.failed',
+            self._opened.call.attempt_id,
+            outcome='may have run' if error.sent else 'not sent',
+            cause=error.cause,
+            target=target.target_id,
+        )
+
+
+# Calls that wait at the gate, by the id under which they wait. One node runs
+# in one thread, and each call takes its entry out again when it ends.
+_TURNS: dict[str, GreenEvent] = {}
