Tell a reset from the proper end of an answer

Cause: the green socket's recv answers a reset with no bytes, as it answers a proper end. Ruled out: h11, which tells a missing rest where a length is given. Change: read the socket itself and wait in the hub.

--- a/packages/gateway/dandelionyoke_gateway/_sockets.py
+++ b/packages/gateway/dandelionyoke_gateway/_sockets.py
@@ -1,6 +1,7 @@
 """Options of sockets that keep silent connections from hanging."""
 
 from eventlet.green import socket
+from eventlet.hubs import trampoline
 
 # Between two ends that have lost track of each other no reset comes. The
 # probes show it after about KEEPALIVE_IDLE_S + KEEPALIVE_PROBES *
@@ -32,3 +33,22 @@
     sock.bind((host, port))
     sock.listen(BACKLOG)
     return sock
+
+
+def receive(sock: socket.socket, most_bytes: int, timeout_s: float) -> bytes:
+    """Wait for bytes; an empty answer is the peer's proper end.
+
+    Raises:
+        TimeoutError: nothing came in time.
+        OSError: the connection broke off.
+    """
+    # The green socket's own recv tells a reset as a proper end. An answer
+    # without a length that a crash cuts short would look whole, and the
+    # caller would take half of it for all.
+    while True:
+        try:
+            return sock.fd.recv(most_bytes)
+        except BlockingIOError:
+            trampoline(
+                sock.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError
+            )
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -19,7 +19,7 @@
     ResponseHead,
     decode_headers,
 )
-from dandelionyoke_gateway._sockets import set_options
+from dandelionyoke_gateway._sockets import receive, set_options
 
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 65536
@@ -161,9 +161,8 @@
         left_s = until_s - clock_s()
         if left_s <= 0:
             raise ExchangeTimeoutError('no answer in time', sent=True)
-        self._sock.settimeout(left_s)
         try:
-            self._parser.receive_data(self._sock.recv(READ_BYTES))
+            self._parser.receive_data(receive(self._sock, READ_BYTES, left_s))
         except TimeoutError as late:
             raise ExchangeTimeoutError('no answer in time', sent=True) from late
         except OSError as broken:
--- /dev/null
+++ b/tests/gateway/test_target_connection.py
@@ -0,0 +1,155 @@
+"""One exchange with a target whose connection does not behave."""
+
+import struct
+from collections.abc import Callable
+
+import eventlet
+import testtools
+from eventlet.green import socket
+
+from dandelionyoke_gateway import ExchangeError, RequestHead, clock_s
+from dandelionyoke_gateway._target_connection import TargetConnection, connect
+
+HEAD = RequestHead('POST', '/a/b', (('host', 'h'),))
+LINGER_NOT = struct.pack('ii', 1, 0)
+WAIT_S = 5.0
+
+Script = Callable[[socket.socket], None]
+
+
+def read_request(sock: socket.socket) -> bytes:
+    """Read a request with its body."""
+    content = b''
+    while b'\r\n\r\n' not in content:
+        content += sock.recv(65536)
+    head, _, body = content.partition(b'\r\n\r\n')
+    length = 0
+    for line in head.split(b'\r\n'):
+        if line.lower().startswith(b'content-length:'):
+            length = int(line.split(b':')[1])
+    while len(body) < length:
+        body += sock.recv(65536)
+    return body
+
+
+def reset(sock: socket.socket) -> None:
+    """Close a connection with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+    sock.close()
+
+
+class TargetConnectionTest(testtools.TestCase):
+    def exchange(self, script: Script) -> TargetConnection:
+        """Connect to a server that plays a script on one connection."""
+        listener = eventlet.listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+
+        def serve() -> None:
+            sock, _ = listener.accept()
+            script(sock)
+
+        server = eventlet.spawn(serve)
+        self.addCleanup(server.kill)
+        host, port = listener.getsockname()
+        connection = connect(f'{host}:{port}', 1.0)
+        self.addCleanup(connection.close)
+        return connection
+
+    def body(self, connection: TargetConnection, sent: bytes = b'x') -> bytes:
+        until_s = clock_s() + WAIT_S
+        connection.send(HEAD, sent)
+        connection.read_head(until_s)
+        return connection.read_body(until_s, 1 << 20)
+
+    def test_an_unframed_answer_that_is_reset_is_not_whole(self) -> None:
+        """A target crashes while it sends an answer without a length.
+
+        Its reset is the only sign that the answer is cut. Taken for the end,
+        the caller would get half an answer as a whole one.
+        """
+
+        def script(sock: socket.socket) -> None:
+            read_request(sock)
+            sock.sendall(b'HTTP/1.1 200 OK\r\n\r\nhalf of it')
+            eventlet.sleep(0.05)
+            reset(sock)
+
+        with testtools.ExpectedException(ExchangeError):
+            self.body(self.exchange(script))
+
+    def test_an_unframed_answer_ends_with_its_connection(self) -> None:
+        def script(sock: socket.socket) -> None:
+            read_request(sock)
+            sock.sendall(b'HTTP/1.1 200 OK\r\n\r\nall of it')
+            sock.close()
+
+        self.assertEqual(b'all of it', self.body(self.exchange(script)))
+
+    def test_bytes_behind_an_answer_end_its_connection(self) -> None:
+        """A target sends a second answer that nobody asked for.
+
+        Were the connection used again, the next caller would get it.
+        """
+
+        def script(sock: socket.socket) -> None:
+            read_request(sock)
+            answer = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+            sock.sendall(answer + answer)
+            eventlet.sleep(WAIT_S)
+
+        connection = self.exchange(script)
+        self.assertEqual(b'ok', self.body(connection))
+        self.assertFalse(connection.renew() and connection.is_quiet())
+
+    def test_late_bytes_end_an_idle_connection(self) -> None:
+        """The second answer comes only when the connection is idle."""
+
+        def script(sock: socket.socket) -> None:
+            read_request(sock)
+            answer = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+            sock.sendall(answer)
+            eventlet.sleep(0.05)
+            sock.sendall(answer)
+            eventlet.sleep(WAIT_S)
+
+        connection = self.exchange(script)
+        self.assertEqual(b'ok', self.body(connection))
+        self.assertTrue(connection.renew())
+        self.assertTrue(connection.is_quiet())
+        eventlet.sleep(0.2)
+        self.assertFalse(connection.is_quiet())
+
+    def test_an_early_answer_does_not_leave_half_a_body_behind(self) -> None:
+        """A target answers before it has read a long body.
+
+        The rest of that body is still to be sent; the connection must not
+        take another request in its place.
+        """
+
+        def script(sock: socket.socket) -> None:
+            sock.recv(1000)
+            sock.sendall(b'HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\nno')
+            eventlet.sleep(WAIT_S)
+
+        connection = self.exchange(script)
+        self.assertEqual(b'no', self.body(connection, b'x' * (16 << 20)))
+        self.assertFalse(connection.renew())
+
+    def test_a_silent_target_ends_with_the_time_of_the_call(self) -> None:
+        def script(sock: socket.socket) -> None:
+            read_request(sock)
+            eventlet.sleep(WAIT_S)
+
+        connection = self.exchange(script)
+        connection.send(HEAD, b'')
+        error = self.assertRaises(
+            ExchangeError, connection.read_head, clock_s() + 0.1
+        )
+        self.assertEqual('no answer in time', error.cause)
+
+    def test_a_refused_connection_was_not_sent(self) -> None:
+        listener = eventlet.listen(('127.0.0.1', 0))
+        host, port = listener.getsockname()
+        listener.close()
+        error = self.assertRaises(ExchangeError, connect, f'{host}:{port}', 1.0)
+        self.assertFalse(error.sent)
