Order most engines of the reclaimable kind, a steady one in each domain

Change: EnginePlan (counts by domain and kind) and EngineCountTask under the duty; the phase plan gives token making to steady engines first. Tests for the decisions; the plain call as a class of its own.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -20,6 +20,11 @@
     Service as Service,
     ServiceShare as ServiceShare,
 )
+from dandelionyoke_dispatch._engine_plan import (
+    EnginePlan as EnginePlan,
+    EnginePlanSettings as EnginePlanSettings,
+    WantedCount as WantedCount,
+)
 from dandelionyoke_dispatch._freshness import (
     Freshness as Freshness,
     FreshnessSettings as FreshnessSettings,
--- a/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
@@ -3,6 +3,7 @@
 import math
 from collections import Counter
 from collections.abc import Sequence
+from functools import partial
 
 import attrs
 
@@ -52,15 +53,14 @@
         if len(engines) < 2:
             return []
         wanted = self._wanted_decode(len(engines), busy_share)
-        decode = [one for one in engines if one.phase is Phase.DECODE]
-        prefill = [one for one in engines if one.phase is Phase.PREFILL]
-        if len(decode) > wanted:
-            chosen = _from_crowded_domains(decode, len(decode) - wanted)
-            return [PhaseChange(one, Phase.PREFILL) for one in chosen]
-        if len(decode) < wanted:
-            chosen = _from_crowded_domains(prefill, wanted - len(decode))
-            return [PhaseChange(one, Phase.DECODE) for one in chosen]
-        return []
+        decode = _choose_decode(engines, wanted)
+        found = []
+        for engine in engines:
+            is_chosen = engine.target_id in decode
+            phase = Phase.DECODE if is_chosen else Phase.PREFILL
+            if engine.phase is not phase:
+                found.append(PhaseChange(engine, phase))
+        return found
 
     def _wanted_decode(self, total: int, busy_share: float) -> int:
         if busy_share > self._settings.busy_share:
@@ -73,15 +73,33 @@
         return min(base + self._extra, most)
 
 
-def _from_crowded_domains(
-    engines: list[RegisteredTarget], count: int
-) -> list[RegisteredTarget]:
-    """Choose engines so that the rest stay spread over the domains."""
-    left = sorted(engines, key=lambda one: one.target_id)
-    chosen = []
-    for _ in range(min(count, len(left) - 1)):
-        crowd = Counter(one.domain for one in left)
-        taken = max(left, key=lambda one: (crowd[one.domain], one.target_id))
-        left.remove(taken)
-        chosen.append(taken)
-    return chosen
+def _choose_decode(
+    engines: Sequence[RegisteredTarget], count: int
+) -> frozenset[str]:
+    """Choose the engines that make tokens.
+
+    A stream cannot be moved from an engine that is taken away, a prompt can
+    be read again: so steady engines come first. Spread over the domains they
+    are near to most prompts and not all lost with one; an engine that does
+    it already is left at it.
+    """
+    left = list(engines)
+    crowd: Counter[str] = Counter()
+    names = set()
+    for _ in range(count):
+        best = min(left, key=partial(_suitability, crowd))
+        left.remove(best)
+        crowd[best.domain] += 1
+        names.add(best.target_id)
+    return frozenset(names)
+
+
+def _suitability(
+    crowd: Counter[str], engine: RegisteredTarget
+) -> tuple[bool, int, bool, str]:
+    return (
+        engine.is_reclaimable,
+        crowd[engine.domain],
+        engine.phase is not Phase.DECODE,
+        engine.target_id,
+    )
--- a/packages/dispatch/dandelionyoke_dispatch/_refusals.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_refusals.py
@@ -1,6 +1,7 @@
 """Why the system itself ends a call, and with which answer."""
 
 import enum
+from types import MappingProxyType
 
 import attrs
 
@@ -22,13 +23,10 @@
 
 
 # What is said with a cause while the call is known not to have run.
-STATUS_NOT_RUN = {
-    Cause.NO_ROUTE: 404,
-    Cause.UNKNOWN_KEY: 401,
-}
+STATUS_NOT_RUN = MappingProxyType({Cause.NO_ROUTE: 404, Cause.UNKNOWN_KEY: 401})
 NOT_RUN = 503
 # A call that may have run: these statuses promise nothing.
-STATUS_MAY_HAVE_RUN = {Cause.OUT_OF_TIME: 504}
+STATUS_MAY_HAVE_RUN = MappingProxyType({Cause.OUT_OF_TIME: 504})
 MAY_HAVE_RUN = 502
 
 # When a caller may come back if nothing better is known. The targets enter
--- a/packages/gateway/dandelionyoke_gateway/_call_desk.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_desk.py
@@ -110,13 +110,15 @@
             bad = ResponseHead(HTTPStatus.BAD_REQUEST, ())
             responder.answer(bad, b'the request names no attempt\n')
             return
-        attempts = Attempts(1)
         try:
             opened = self._open(call, request, responder)
-            attempts = opened.attempts
+        except RefusedError as refused:
+            self._refuse(call, responder, refused.refusal, Attempts(1))
+            return
+        try:
             self._carry(opened)
         except RefusedError as refused:
-            self._refuse(call, responder, refused.refusal, attempts)
+            self._refuse(call, responder, refused.refusal, opened.attempts)
 
     def _open(
         self, call: Call, request: CallerRequest, responder: Responder
--- a/packages/gateway/dandelionyoke_gateway/_duty_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_duty_tasks.py
@@ -31,10 +31,6 @@
     WriteLog,
 )
 from dandelionyoke_dispatch import (
-    Phase,
-    PhaseChange,
-    PhasePlan,
-    PhasePlanSettings,
     WindowCounts,
     add_up,
 )
@@ -45,8 +41,6 @@
     Dialect,
     DutyClient,
     DutyStamp,
-    EngineClient,
-    PhaseOrder,
     Store,
 )
 
@@ -74,12 +68,6 @@
 # A report has to arrive within the bound; this much is kept for its way.
 LATE_MARGIN_S = 0.5
 
-PHASE_CHECK_S = 0.5
-# An engine that took an order says so in the registry within a heartbeat,
-# the registry's lag and the switch itself.
-ORDER_REST_S = 5.0
-ORDER_RETRY_S = 1.5
-
 
 class DutyTask:
     """Holds, or waits for, the duty under a lease of the store."""
@@ -323,90 +311,3 @@
         if isinstance(answer, StoreConflict) and answer.present.value:
             return self._dialect.read_counts(window_id, answer.present.value)
         return counts if isinstance(answer, StoreWritten) else None
-
-
-class PhaseTask:
-    """Keeps the engines' phases in step with the mix, under the duty."""
-
-    def __init__(
-        self,
-        knowledge: Knowledge,
-        duty: DutyTask,
-        client: DutyClient,
-        engines: EngineClient,
-        log: DecisionLog,
-    ) -> None:
-        self._knowledge = knowledge
-        self._duty = duty
-        self._client = client
-        self._engines = engines
-        self._log = log
-        self._plans: dict[str, PhasePlan] = {}
-        self._rest_until_s: dict[str, float] = {}
-
-    def run(self) -> None:
-        """Compare for as long as the process lives."""
-        while True:
-            sleep(PHASE_CHECK_S)
-            if self._duty.stamp is not None:
-                self._compare()
-
-    def _compare(self) -> None:
-        configuration = self._knowledge.configuration
-        if configuration is None:
-            return
-        for service in configuration.services.values():
-            if service.engine is not None:
-                self._compare_service(service.name)
-
-    def _compare_service(self, service: str) -> None:
-        now_s = clock_s()
-        engines = self._knowledge.registry.of_service(service)
-        resting = {
-            target_id
-            for target_id, until_s in self._rest_until_s.items()
-            if now_s < until_s
-        }
-        if any(one.target_id in resting for one in engines):
-            return
-        plan = self._plans.setdefault(service, PhasePlan(PhasePlanSettings()))
-        for change in plan.changes(engines, self._busy_share(service, now_s)):
-            target = change.target
-            self._rest_until_s[target.target_id] = now_s + ORDER_RETRY_S
-            spawn_n(self._send, change)
-
-    def _send(self, change: PhaseChange) -> None:
-        target = change.target
-        report = self._engines.read_report(target)
-        if report is None or report.is_busy_with_order:
-            return
-        if report.phase is change.phase:
-            self._rest_until_s[target.target_id] = clock_s() + ORDER_REST_S
-            return
-        stamp = self._duty.stamp
-        if stamp is None:
-            return
-        order = PhaseOrder(target, change.phase, report.order_count)
-        accepted = self._client.order_phase(order, stamp)
-        if accepted:
-            self._rest_until_s[target.target_id] = clock_s() + ORDER_REST_S
-        self._log.decide(
-            'engine.ordered',
-            target.target_id,
-            outcome=str(accepted),
-            phase=order.phase.value,
-            fence=stamp.fence,
-            order_count=order.expected_order_count,
-        )
-
-    def _busy_share(self, service: str, now_s: float) -> float:
-        decode = [
-            one
-            for one in self._knowledge.registry.of_service(service)
-            if one.phase is Phase.DECODE
-        ]
-        slots = sum(one.slots for one in decode)
-        busy = sum(
-            self._knowledge.loads.busy(one.target_id, now_s) for one in decode
-        )
-        return busy / slots if slots else 0.0
--- a/packages/gateway/dandelionyoke_gateway/_event_stream.py
+++ b/packages/gateway/dandelionyoke_gateway/_event_stream.py
@@ -35,7 +35,8 @@
         self._rest += content
         found = []
         while (end := _end_of_first(self._rest)) is not None:
-            whole, self._rest = self._rest[:end], self._rest[end:]
+            whole = self._rest[:end]
+            self._rest = self._rest[end:]
             found.append(StreamEvent(whole, _id_of(whole)))
         return found
 
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -28,87 +28,111 @@
 
 def carry_plain(tools: Tools, opened: OpenCall) -> None:
     """Send a call to targets until one has answered."""
-    answer = _find_answer(tools, opened)
+    answer = _PlainCall(tools, opened).find_answer()
     head = tools.dialect.answer_head(answer.head)
     opened.responder.answer(head, answer.body)
 
 
-def _find_answer(tools: Tools, opened: OpenCall) -> WholeAnswer:
-    tried: set[str] = set()
-    failure: WholeAnswer | None = None
-    cause = Cause.NO_RETRY
-    for number in range(MOST_SENDS):
-        target = _next_target(tools, opened, tried, number)
-        if target is None:
-            break
-        tried.add(target.target_id)
-        try:
-            answer = _exchange(tools, opened, target)
-        except ExchangeError as error:
-            cause = _failed(tools, opened, target, error)
-        else:
-            if _is_final(tools, opened, target, answer):
+class _PlainCall:
+    """One call and the targets that were asked for its answer."""
+
+    def __init__(self, tools: Tools, opened: OpenCall) -> None:
+        self._tools = tools
+        self._knowledge = tools.knowledge
+        self._opened = opened
+        self._tried: set[str] = set()
+        self._cause = Cause.NO_TARGET
+        # A target's own failure, for the case that no other one does better.
+        self._failure: WholeAnswer | None = None
+
+    def find_answer(self) -> WholeAnswer:
+        """Ask targets until one has answered for good.
+
+        Raises:
+            RefusedError: none has.
+        """
+        self._knowledge.budget.earn(clock_s())
+        for _ in range(MOST_SENDS):
+            target = self._next_target()
+            if target is None:
+                break
+            answer = self._try(target)
+            if answer is not None:
                 return answer
-            if answer.facts.is_signed and not answer.facts.is_not_run:
-                failure = answer
+        if self._failure is not None:
+            return self._failure
+        raise RefusedError(Refusal(self._cause, SOON_S))
+
+    def _next_target(self) -> RegisteredTarget | None:
+        opened = self._opened
+        now_s = clock_s()
+        if now_s >= opened.until_s:
+            self._cause = Cause.OUT_OF_TIME
+            return None
         if not opened.attempts.may_run_again(opened.route.is_repeatable):
-            break
-    if failure is not None:
-        return failure
-    raise RefusedError(Refusal(cause, SOON_S))
-
+            return None
+        target = self._knowledge.placement.plain_target(
+            opened.service.name, self._tried, now_s
+        )
+        # A first send is no repetition, whatever connections failed before.
+        is_repeated = bool(opened.attempts.targets)
+        if target is None or not is_repeated:
+            return target
+        return target if self._knowledge.budget.spend(now_s) else None
+
+    def _try(self, target: RegisteredTarget) -> WholeAnswer | None:
+        """Ask one target; None if the next one is to be asked."""
+        self._tried.add(target.target_id)
+        self._knowledge.loads.began(target.target_id)
+        try:
+            answer = self._ask(target)
+        except ExchangeError as error:
+            self._cause = note_failure(self._tools, self._opened, target, error)
+            return None
+        finally:
+            self._knowledge.loads.ended(target.target_id)
+        return self._judge(target, answer)
+
+    def _ask(self, target: RegisteredTarget) -> WholeAnswer:
+        opened = self._opened
+        forwarding = Forwarding(
+            target_id=target.target_id,
+            time_left_s=opened.until_s - clock_s(),
+            organisation=opened.name,
+            last_event_id=opened.call.last_event_id,
+        )
+        head = self._tools.dialect.call_head(opened.request.head, forwarding)
+        with self._tools.pool.lend(target.address) as connection:
+            sent_s = clock_s()
+            opened.attempts.sent(target.target_id)
+            connection.send(head, opened.request.body)
+            answer_head = connection.read_head(opened.until_s)
+            body = connection.read_body(opened.until_s, MAX_ANSWER_BYTES)
+            facts = self._tools.dialect.read_answer(answer_head)
+            check_answer(answer_head, facts, opened)
+        if facts.is_signed and not facts.is_not_run:
+            count_usage(self._tools, opened, sent_s)
+        return WholeAnswer(answer_head, facts, body)
 
-def _next_target(
-    tools: Tools, opened: OpenCall, tried: set[str], number: int
-) -> RegisteredTarget | None:
-    knowledge = tools.knowledge
-    now_s = clock_s()
-    if now_s >= opened.until_s:
-        raise RefusedError(Refusal(Cause.OUT_OF_TIME, SOON_S))
-    target = knowledge.placement.plain_target(opened.service.name, tried, now_s)
-    if target is None:
-        if number == 0:
-            raise RefusedError(Refusal(Cause.NO_TARGET, SOON_S))
-        return None
-    if number == 0:
-        knowledge.budget.earn(now_s)
-    elif opened.attempts.targets and not knowledge.budget.spend(now_s):
+    def _judge(
+        self, target: RegisteredTarget, answer: WholeAnswer
+    ) -> WholeAnswer | None:
+        """Return an answer that goes to the caller as it is."""
+        loads, facts = self._knowledge.loads, answer.facts
+        note_facts(self._tools, target, facts)
+        if facts.is_not_run:
+            self._opened.attempts.refused()
+            self._cause = Cause.NO_RETRY
+            return None
+        self._opened.attempts.ran()
+        if facts.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            loads.succeeded(target.target_id)
+            return answer
+        loads.failed(target.target_id, clock_s())
+        if facts.is_signed:
+            self._failure = answer
+        self._cause = Cause.BROKEN
         return None
-    return target
-
-
-def _exchange(
-    tools: Tools, opened: OpenCall, target: RegisteredTarget
-) -> WholeAnswer:
-    loads = tools.knowledge.loads
-    loads.began(target.target_id)
-    try:
-        return _ask(tools, opened, target)
-    finally:
-        loads.ended(target.target_id)
-
-
-def _ask(
-    tools: Tools, opened: OpenCall, target: RegisteredTarget
-) -> WholeAnswer:
-    call = opened.call
-    forwarding = Forwarding(
-        target_id=target.target_id,
-        time_left_s=opened.until_s - clock_s(),
-        organisation=opened.name,
-        last_event_id=call.last_event_id,
-    )
-    head = tools.dialect.call_head(opened.request.head, forwarding)
-    with tools.pool.lend(target.address) as connection:
-        sent_s = clock_s()
-        opened.attempts.sent(target.target_id)
-        connection.send(head, opened.request.body)
-        answer_head = connection.read_head(opened.until_s)
-        body = connection.read_body(opened.until_s, MAX_ANSWER_BYTES)
-        facts = tools.dialect.read_answer(answer_head)
-        check_answer(answer_head, facts, opened)
-        _count(tools, opened, facts, sent_s)
-        return WholeAnswer(answer_head, facts, body)
 
 
 def check_answer(
@@ -125,36 +149,15 @@
         raise ExchangeError('a success without a signature', sent=True)
 
 
-def _count(
-    tools: Tools, opened: OpenCall, facts: AnswerFacts, began_s: float
-) -> None:
-    if facts.is_not_run or not facts.is_signed or opened.is_counted:
+def count_usage(tools: Tools, opened: OpenCall, began_s: float) -> None:
+    """Count a call once, however often it is repeated."""
+    if opened.is_counted:
         return
     opened.is_counted = True
     if opened.name is not None:
         tools.knowledge.usage.began(opened.name, began_s)
 
 
-def _is_final(
-    tools: Tools,
-    opened: OpenCall,
-    target: RegisteredTarget,
-    answer: WholeAnswer,
-) -> bool:
-    """Whether an answer goes to the caller as it is."""
-    knowledge, facts = tools.knowledge, answer.facts
-    note_facts(tools, target, facts)
-    if facts.is_not_run:
-        opened.attempts.refused()
-        return False
-    opened.attempts.ran()
-    if facts.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-        knowledge.loads.succeeded(target.target_id)
-        return True
-    knowledge.loads.failed(target.target_id, clock_s())
-    return not opened.route.is_repeatable
-
-
 def note_facts(
     tools: Tools, target: RegisteredTarget, facts: AnswerFacts
 ) -> None:
@@ -169,7 +172,7 @@
         knowledge.registry.mark_leaving(target.target_id, target.started_ms)
 
 
-def _failed(
+def note_failure(
     tools: Tools,
     opened: OpenCall,
     target: RegisteredTarget,
@@ -177,10 +180,12 @@
 ) -> Cause:
     """Draw the conclusions from an exchange that failed."""
     now_s = clock_s()
-    if not error.sent:
-        tools.knowledge.loads.unreachable(target.target_id, now_s)
-    else:
+    if error.sent:
         tools.knowledge.loads.failed(target.target_id, now_s)
+    else:
+        tools.knowledge.loads.unreachable(target.target_id, now_s)
+    # The others that are open there may have gone silent as well.
+    tools.pool.drop(target.address)
     tools.log.decide(
         'attempt.failed',
         opened.call.attempt_id,
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -21,9 +21,9 @@
 from dandelionyoke_gateway._duty_tasks import (
     CountsTask,
     DutyTask,
-    PhaseTask,
     UsageTask,
 )
+from dandelionyoke_gateway._fleet_tasks import EngineCountTask, PhaseTask
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._knowledge_tasks import (
     ConfigurationTask,
@@ -151,6 +151,8 @@
             knowledge, self._duty, parts.duties, parts.engines, log
         )
         spawn(phases.run)
+        counts = EngineCountTask(knowledge, self._duty, parts.duties, log)
+        spawn(counts.run)
 
     # Callers.
 
--- a/packages/gateway/dandelionyoke_gateway/_settings.py
+++ b/packages/gateway/dandelionyoke_gateway/_settings.py
@@ -1,7 +1,8 @@
 """The settings of a gateway, checked as a whole."""
 
 import configparser
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
 from typing import Any
 
 import attrs
@@ -117,21 +118,23 @@
 
 _Option = tuple[str, str, Callable[[str], Any]]
 
-_OPTIONS: dict[str, _Option] = {
-    'instance_id': ('gateway', 'instance_id', _name),
-    'domain': ('gateway', 'domain', _name),
-    'callers': ('gateway', 'caller_address', _endpoint),
-    'health': ('gateway', 'health_address', _endpoint),
-    'metrics_port': ('gateway', 'metrics_port', _port),
-    'store_address': ('store', 'address', _address),
-    'duty_address': ('duties', 'address', _optional_address),
-    'revocation_s': ('bounds', 'revocation_ms', _milliseconds),
-    'drain_s': ('bounds', 'drain_ms', _milliseconds),
-    'grace_s': ('bounds', 'grace_s', _number),
-    'retry_share': ('bounds', 'retry_share', _number),
-    'retry_extra': ('bounds', 'retry_extra', _count),
-    'retry_window_s': ('bounds', 'retry_window_s', _number),
-    'duty_turn_s': ('bounds', 'duty_turn_ms', _milliseconds),
-    'usage_window_s': ('bounds', 'usage_window_s', _number),
-    'usage_late_s': ('bounds', 'usage_late_s', _number),
-}
+_OPTIONS: Mapping[str, _Option] = MappingProxyType(
+    {
+        'instance_id': ('gateway', 'instance_id', _name),
+        'domain': ('gateway', 'domain', _name),
+        'callers': ('gateway', 'caller_address', _endpoint),
+        'health': ('gateway', 'health_address', _endpoint),
+        'metrics_port': ('gateway', 'metrics_port', _port),
+        'store_address': ('store', 'address', _address),
+        'duty_address': ('duties', 'address', _optional_address),
+        'revocation_s': ('bounds', 'revocation_ms', _milliseconds),
+        'drain_s': ('bounds', 'drain_ms', _milliseconds),
+        'grace_s': ('bounds', 'grace_s', _number),
+        'retry_share': ('bounds', 'retry_share', _number),
+        'retry_extra': ('bounds', 'retry_extra', _count),
+        'retry_window_s': ('bounds', 'retry_window_s', _number),
+        'duty_turn_s': ('bounds', 'duty_turn_ms', _milliseconds),
+        'usage_window_s': ('bounds', 'usage_window_s', _number),
+        'usage_late_s': ('bounds', 'usage_late_s', _number),
+    }
+)
--- a/packages/gateway/dandelionyoke_gateway/_sockets.py
+++ b/packages/gateway/dandelionyoke_gateway/_sockets.py
@@ -47,7 +47,7 @@
     # caller would take half of it for all.
     while True:
         try:
-            return sock.fd.recv(most_bytes)
+            return bytes(sock.fd.recv(most_bytes))
         except BlockingIOError:
             trampoline(
                 sock.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -16,10 +16,15 @@
 )
 from dandelionyoke_gateway._call_desk import OpenCall, RefusedError, Tools
 from dandelionyoke_gateway._clock import clock_s
-from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
+from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._event_stream import EventSplitter, StreamEvent
 from dandelionyoke_gateway._messages import RequestHead, ResponseHead
-from dandelionyoke_gateway._plain_call import check_answer, note_facts
+from dandelionyoke_gateway._plain_call import (
+    check_answer,
+    count_usage,
+    note_facts,
+    note_failure,
+)
 from dandelionyoke_gateway._ports import (
     AnswerFacts,
     CacheSource,
@@ -79,21 +84,20 @@
         cause = Cause.NO_RETRY
         self._knowledge.budget.earn(clock_s())
         for number in range(MOST_SENDS):
-            if clock_s() >= self._opened.until_s:
-                cause = Cause.OUT_OF_TIME
-                break
             if number and not self._may_try_again():
                 break
             try:
                 self._try()
             except _NextTryError as ended:
                 cause = ended.cause
-            else:
-                return
+                continue
+            return
         raise RefusedError(Refusal(cause, SOON_S))
 
     def _may_try_again(self) -> bool:
         opened = self._opened
+        if clock_s() >= opened.until_s:
+            return False
         if opened.responder.has_begun and not opened.route.is_resumable:
             return False
         if not opened.attempts.may_run_again(opened.route.is_repeatable):
@@ -168,7 +172,7 @@
         turn = GreenEvent()
         _TURNS[call_id] = turn
         timer = eventlet.spawn_after(
-            max(0, ticket.useful_until_s - now_s), turn.send, False
+            max(0, ticket.useful_until_s - now_s), _expire, turn
         )
         try:
             has_place = turn.wait()
@@ -202,8 +206,7 @@
         try:
             handle = self._ask_prefill(home, head)
         except ExchangeError as error:
-            self._failed(home, error)
-            raise _NextTryError(Cause.BROKEN) from error
+            raise self._next_try(home, error) from error
         finally:
             loads.ended(home.target_id)
         if handle is None:
@@ -241,11 +244,7 @@
         try:
             self._exchange(target, prompt)
         except ExchangeError as error:
-            self._failed(target, error)
-            cause = Cause.BROKEN
-            if isinstance(error, ExchangeTimeoutError):
-                cause = Cause.OUT_OF_TIME
-            raise _NextTryError(cause) from error
+            raise self._next_try(target, error) from error
         finally:
             loads.ended(target.target_id)
 
@@ -313,10 +312,7 @@
             raise ExchangeError('the stream ended within an event', sent=True)
 
     def _pass_on(self, events: list[StreamEvent]) -> None:
-        if not self._opened.is_counted:
-            self._opened.is_counted = True
-            if self._opened.name is not None:
-                self._knowledge.usage.began(self._opened.name, clock_s())
+        count_usage(self._tools, self._opened, clock_s())
         self._opened.responder.pass_on(
             b''.join(event.content for event in events)
         )
@@ -324,6 +320,14 @@
             if event.event_id is not None:
                 self._last_event_id = event.event_id
 
+    def _next_try(
+        self, target: RegisteredTarget, error: ExchangeError
+    ) -> _NextTryError:
+        self._tried.add(target.target_id)
+        return _NextTryError(
+            note_failure(self._tools, self._opened, target, error)
+        )
+
     # Limits and notes.
 
     @property
@@ -367,23 +371,13 @@
             self._opened.request.head, forwarding
         )
 
-    def _failed(self, target: RegisteredTarget, error: ExchangeError) -> None:
-        self._tried.add(target.target_id)
-        now_s = clock_s()
-        if error.sent:
-            self._knowledge.loads.failed(target.target_id, now_s)
-        else:
-            self._knowledge.loads.unreachable(target.target_id, now_s)
-        self._tools.pool.drop(target.address)
-        self._tools.log.decide(
-            'attempt.failed',
-            self._opened.call.attempt_id,
-            outcome='may have run' if error.sent else 'not sent',
-            cause=error.cause,
-            target=target.target_id,
-        )
-
 
 # Calls that wait at the gate, by the id under which they wait. One node runs
 # in one thread, and each call takes its entry out again when it ends.
-_TURNS: dict[str, GreenEvent] = {}
+_TURNS: dict[str, GreenEvent] = {}  # noqa: WPS407 - see above
+
+
+def _expire(turn: GreenEvent) -> None:
+    """End a wait, unless a place was given at the same moment."""
+    if not turn.ready():
+        turn.send(False)
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -182,15 +182,17 @@
     """
     host, _, port = address.rpartition(':')
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    set_options(sock)
+    sock.settimeout(timeout_s)
     try:
-        set_options(sock)
-        sock.settimeout(timeout_s)
         sock.connect((host, int(port)))
-    except BaseException as broken:
+    except OSError as broken:
+        sock.close()
+        cause = f'cannot connect: {broken}'
+        raise ExchangeError(cause, sent=False) from broken
+    except BaseException:
+        # The caller left while this waited.
         sock.close()
-        if isinstance(broken, OSError | ValueError):
-            cause = f'cannot connect: {broken}'
-            raise ExchangeError(cause, sent=False) from broken
         raise
     return TargetConnection(address, sock)
 
--- /dev/null
+++ b/tests/dispatch/test_fleet_plans.py
@@ -0,0 +1,110 @@
+"""Numbers and phases of engines."""
+
+import testtools
+
+from dandelionyoke_dispatch import (
+    EnginePlan,
+    EnginePlanSettings,
+    Phase,
+    PhasePlan,
+    PhasePlanSettings,
+    RegisteredTarget,
+    ScalingRange,
+    WantedCount,
+)
+
+SCALING = ScalingRange(1, 5, 4.0, 0.2, {'a': 1.0, 'b': 0.8})
+
+
+def engine(
+    name: str,
+    domain: str,
+    phase: Phase = Phase.PREFILL,
+    *,
+    reclaimable: bool = False,
+) -> RegisteredTarget:
+    return RegisteredTarget(
+        name, 'lm', '10.0.0.1:1', domain, 64, False, phase, reclaimable
+    )
+
+
+class EnginePlanTest(testtools.TestCase):
+    def wanted(self, *engines: RegisteredTarget) -> dict[str, int]:
+        plan = EnginePlan(EnginePlanSettings())
+        return {
+            f'{one.domain} {"cheap" if one.is_reclaimable else "steady"}': (
+                one.count
+            )
+            for one in plan.wanted(SCALING, engines)
+        }
+
+    def test_steady_engines_stay_until_cheap_ones_have_come(self) -> None:
+        """Cheap engines are ordered, and none can be had for a while.
+
+        Had the steady ones been given back at once, callers would be turned
+        away until the cheap ones come.
+        """
+        steady = [engine(f's{n}{d}', d) for n in range(3) for d in 'ab']
+        self.assertEqual(
+            {'a steady': 3, 'a cheap': 2, 'b steady': 3, 'b cheap': 2},
+            self.wanted(*steady),
+        )
+        cheap = [engine(f'c{n}', 'a', reclaimable=True) for n in range(2)]
+        self.assertEqual(1, self.wanted(*steady, *cheap)['a steady'])
+
+    def test_one_domain_without_cheap_engines_is_borne(self) -> None:
+        there = [
+            engine('s1', 'a'),
+            engine('s2', 'b'),
+            engine('c1', 'b', reclaimable=True),
+            engine('c2', 'b', reclaimable=True),
+        ]
+        self.assertEqual(1, self.wanted(*there)['a steady'])
+
+    def test_steady_engines_stand_in_when_few_are_left(self) -> None:
+        self.assertEqual(3, self.wanted(engine('s1', 'a'))['a steady'])
+
+    def test_without_cheap_engines_nothing_is_ordered(self) -> None:
+        scaling = ScalingRange(1, 5, 4.0, None, {'a': 1.0})
+        plan = EnginePlan(EnginePlanSettings())
+        self.assertEqual([], plan.wanted(scaling, [engine('s1', 'a')]))
+
+    def test_a_wanted_count_names_its_kind(self) -> None:
+        self.assertIn(
+            WantedCount('a', True, 2),
+            EnginePlan(EnginePlanSettings()).wanted(SCALING, []),
+        )
+
+
+class PhasePlanTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.plan = PhasePlan(PhasePlanSettings())
+
+    def test_a_fifth_makes_tokens_steady_ones_first(self) -> None:
+        engines = [
+            engine('c1', 'a', Phase.DECODE, reclaimable=True),
+            engine('c2', 'b', reclaimable=True),
+            engine('s1', 'a'),
+            engine('s2', 'b', Phase.DECODE),
+            engine('c3', 'b', reclaimable=True),
+        ]
+        changes = self.plan.changes(engines, 0.1)
+        self.assertEqual(
+            [('c1', Phase.PREFILL)],
+            [(one.target.target_id, one.phase) for one in changes],
+        )
+
+    def test_full_decode_engines_get_help(self) -> None:
+        engines = [engine(f'p{n}', 'a') for n in range(4)]
+        engines.append(engine('d', 'a', Phase.DECODE))
+        changes = self.plan.changes(engines, 0.9)
+        self.assertEqual([Phase.DECODE], [one.phase for one in changes])
+
+    def test_the_last_engines_keep_both_phases(self) -> None:
+        engines = [
+            engine('d1', 'a', Phase.DECODE),
+            engine('d2', 'b', Phase.DECODE),
+        ]
+        self.assertEqual(1, len(self.plan.changes(engines, 0.9)))
+        self.assertEqual([], self.plan.changes(engines[:1], 0.9))
