Spill prompts to less busy engines that fetch the shared part

Cause: while the first engine for a shared part has a line, others stand idle; reading the part again there costs up to half a second, fetching it some milliseconds. Reclaimable engines were ordered only after the registry had settled, four seconds late, and the number of token-making engines swung with each engine that left.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -36,6 +36,7 @@
 )
 from dandelionyoke_dispatch._placement import (
     Placement as Placement,
+    PrefillHome as PrefillHome,
 )
 from dandelionyoke_dispatch._prefill_gate import (
     Entry as Entry,
--- a/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
@@ -52,7 +52,12 @@
         """
         if len(engines) < 2:
             return []
+        present = sum(one.phase is Phase.DECODE for one in engines)
         wanted = self._wanted_decode(len(engines), busy_share)
+        # One too many is left: it would be wanted again when the engines
+        # that are missing now have come back, and each change costs seconds.
+        if present == wanted + 1 and present < len(engines):
+            wanted = present
         decode = _choose_decode(engines, wanted)
         found = []
         for engine in engines:
--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -2,7 +2,10 @@
 
 from collections.abc import Collection, Sequence
 
+import attrs
+
 from dandelionyoke_core import rendezvous
+from dandelionyoke_dispatch._prefill_gate import PrefillGate
 from dandelionyoke_dispatch._registry import (
     Phase,
     RegisteredTarget,
@@ -13,28 +16,74 @@
 NOBODY: frozenset[str] = frozenset()
 
 
+@attrs.frozen
+class PrefillHome:
+    """The engine that reads a prompt, and one that may keep parts of it."""
+
+    target: RegisteredTarget
+    source: RegisteredTarget | None
+
+
 class Placement:
     """Chooses among the targets that take work and are not at rest."""
 
     def __init__(
-        self, registry: TargetRegistry, loads: TargetLoads, domain: str
+        self,
+        registry: TargetRegistry,
+        loads: TargetLoads,
+        gate: PrefillGate,
+        domain: str,
     ) -> None:
         self._registry = registry
         self._loads = loads
+        self._gate = gate
         self._domain = domain
 
-    def prefill_homes(
-        self, service: str, shared_key: str, now_s: float
-    ) -> Sequence[RegisteredTarget]:
-        """Rank the prefill engines for a shared part of a prompt.
+    def prefill_home(
+        self,
+        service: str,
+        shared_key: str,
+        avoid: Collection[str],
+        now_s: float,
+    ) -> PrefillHome | None:
+        """Choose the engine that reads a prompt.
 
-        All nodes rank alike without talk, so that a shared part is read on
-        one engine only and found there again.
+        All nodes rank the engines for a shared part alike, without talk, so
+        that it is read on the first one only and found there again. While
+        that one has a line, another one that has less fetches the part from
+        it, which takes a small part of the time for reading it.
         """
-        found = self._usable(service, Phase.PREFILL, NOBODY, now_s)
-        by_id = {target.target_id: target for target in found}
-        ranked = rendezvous(by_id, shared_key, len(by_id))
-        return [by_id[target_id] for target_id in ranked]
+        found = self._usable(service, Phase.PREFILL, avoid, now_s)
+        if not found:
+            return None
+        first = _first_for(found, shared_key)
+        owner = self._owner(service, shared_key) or first
+        lines = {
+            one.target_id: self._line_s(one.target_id, now_s) for one in found
+        }
+        best = min(found, key=lambda one: (lines[one.target_id], one.target_id))
+        gain_s = lines[first.target_id] - lines[best.target_id]
+        chosen = best if gain_s > WORTH_FETCHING_S else first
+        source = None if owner.target_id == chosen.target_id else owner
+        return PrefillHome(chosen, source)
+
+    def _owner(self, service: str, shared_key: str) -> RegisteredTarget | None:
+        """Find the engine that most likely keeps a shared part.
+
+        One that is leaving keeps its memory until it is gone, and another
+        one can fetch it until then.
+        """
+        engines = [
+            one
+            for one in self._registry.all_of_service(service)
+            if one.phase is Phase.PREFILL
+        ]
+        return _first_for(engines, shared_key) if engines else None
+
+    def _line_s(self, target_id: str, now_s: float) -> float:
+        own_s = self._gate.expected_wait_s(target_id)
+        others = self._loads.busy(target_id, now_s) - self._loads.own(target_id)
+        return own_s + max(0, others) * self._gate.mean_s(target_id)
 
     def decode_target(
         self,
@@ -102,3 +151,15 @@
 # of its slots taken: a share at which a step of the near one takes about as
 # much longer as the cache takes to cross over (from the engines' sheet).
 FAR_PENALTY = 0.3
+
+# The line at the first engine has to be this much longer than elsewhere: the
+# time to fetch the longest shared parts over the engines' links, and as much
+# again for the line that other nodes see shrink at the same moment.
+WORTH_FETCHING_S = 0.1
+
+
+def _first_for(
+    engines: Sequence[RegisteredTarget], shared_key: str
+) -> RegisteredTarget:
+    by_id = {one.target_id: one for one in engines}
+    return by_id[rendezvous(by_id, shared_key, 1)[0]]
--- a/packages/dispatch/dandelionyoke_dispatch/_prefill_gate.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_prefill_gate.py
@@ -88,6 +88,10 @@
         ahead = len(queue.waiting) + 1
         return ahead * queue.mean_s / self._settings.most_at_once
 
+    def mean_s(self, target_id: str) -> float:
+        """Tell how long a prompt took of late at an engine."""
+        return self._of(target_id).mean_s
+
     def retry_after_s(self, target_id: str) -> float:
         """Tell a refused call when half of those ahead of it will be done.
 
--- a/packages/gateway/dandelionyoke_gateway/_fleet_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_fleet_tasks.py
@@ -172,7 +172,7 @@
         """Compare for as long as the process lives."""
         while True:
             sleep(CHECK_S)
-            if self._has_settled() and self._duty.stamp is not None:
+            if self._duty.stamp is not None:
                 self._compare()
 
     def _compare(self) -> None:
@@ -202,7 +202,9 @@
                 for one in engines
             )
             rest_s = self._rest_until_s.get((service.name, wanted), 0)
-            if present != wanted.count and now_s >= rest_s:
+            if present == wanted.count or now_s < rest_s:
+                continue
+            if wanted.is_reclaimable or self._has_settled():
                 self._order(service.name, wanted)
 
     def _order(self, service: str, wanted: WantedCount) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -61,6 +61,7 @@
     """Begin with no beliefs."""
     registry = TargetRegistry(RegistrySettings())
     loads = TargetLoads(SuspicionSettings())
+    gate = PrefillGate(GateSettings())
     clock = TrueTime(wall_s() - clock_s())
     extra = settings.retry_extra / NODES_ASSUMED
     return Knowledge(
@@ -69,8 +70,8 @@
         freshness=Freshness(FreshnessSettings(settings.revocation_s)),
         registry=registry,
         loads=loads,
-        placement=Placement(registry, loads, settings.domain),
-        gate=PrefillGate(GateSettings()),
+        placement=Placement(registry, loads, gate, settings.domain),
+        gate=gate,
         budget=RetryBudget(
             share=settings.retry_share * SHARE_KEPT,
             reserve=extra,
--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -32,6 +32,7 @@
     organisation: str | None = None
     priority: int | None = None
     is_prefill: bool = False
+    fetch_from: str | None = None
     cache: CacheSource | None = None
     last_event_id: str | None = None
 
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -11,6 +11,7 @@
     Cause,
     Entry,
     GateTicket,
+    PrefillHome,
     Refusal,
     RegisteredTarget,
 )
@@ -134,20 +135,22 @@
         prompt = self._opened.call.prompt
         if prompt is None or self._opened.service.engine is None:
             return None
-        homes = self._knowledge.placement.prefill_homes(
-            self._opened.service.name, prompt.shared_key, clock_s()
+        place = self._knowledge.placement.prefill_home(
+            self._opened.service.name,
+            prompt.shared_key,
+            self._tried,
+            clock_s(),
         )
-        homes = [home for home in homes if home.target_id not in self._tried]
-        if not homes:
+        if place is None:
             return None
-        home = homes[0]
+        home = place.target
         # Each try waits under a name of its own.
         self._prefill_tries += 1
         self._pass_gate(home)
         began_s = clock_s()
         read_s: float | None = None
         try:
-            cache = self._prefill(home)
+            cache = self._prefill(place)
             read_s = clock_s() - began_s
         finally:
             self._leave_gate(home, read_s)
@@ -198,9 +201,15 @@
         if turn is not None and not turn.ready():
             turn.send(True)
 
-    def _prefill(self, home: RegisteredTarget) -> CacheSource:
+    def _prefill(self, place: PrefillHome) -> CacheSource:
         """Have an engine read the prompt; nothing runs by this."""
-        head = self._head(home, is_prefill=True)
+        home, source = place.target, place.source
+        forwarding = attrs.evolve(
+            self._forwarding(home),
+            is_prefill=True,
+            fetch_from=None if source is None else source.address,
+        )
+        head = self._head(forwarding)
         loads = self._knowledge.loads
         loads.began(home.target_id)
         try:
@@ -252,7 +261,8 @@
         self, target: RegisteredTarget, prompt: _Prompt | None
     ) -> None:
         cache = None if prompt is None else prompt.cache
-        head = self._head(target, cache=cache)
+        forwarding = attrs.evolve(self._forwarding(target), cache=cache)
+        head = self._head(forwarding)
         with self._tools.pool.lend(target.address) as connection:
             self._opened.attempts.sent(target.target_id)
             connection.send(head, self._opened.request.body)
@@ -351,22 +361,16 @@
             return min(self._opened.until_s, clock_s() + RESUME_AFTER_S)
         return self._opened.until_s
 
-    def _head(
-        self,
-        target: RegisteredTarget,
-        *,
-        is_prefill: bool = False,
-        cache: CacheSource | None = None,
-    ) -> RequestHead:
-        forwarding = Forwarding(
+    def _forwarding(self, target: RegisteredTarget) -> Forwarding:
+        return Forwarding(
             target_id=target.target_id,
             time_left_s=self._opened.until_s - clock_s(),
             organisation=self._opened.name,
             priority=self._opened.rank,
-            is_prefill=is_prefill,
-            cache=cache,
             last_event_id=self._last_event_id,
         )
+
+    def _head(self, forwarding: Forwarding) -> RequestHead:
         return self._tools.dialect.call_head(
             self._opened.request.head, forwarding
         )
