Leave engines alone that refuse, and offer a read prompt again

Cause: an engine that changes its phase refuses for seconds while the registry still shows the old one; each refused call had its prompt read again (1.6 million tokens in vain) and spent the budget. Phases were chosen for engines about to be given back. Other domains did not stand in for one without reclaimable engines.

--- a/packages/core/dandelionyoke_core/_authority.py
+++ b/packages/core/dandelionyoke_core/_authority.py
@@ -271,13 +271,17 @@
 
     def _lose(self, cause: str, now_s: float) -> list[Output]:
         outputs: list[Output] = []
-        if self._step is Step.HOLDING:
+        was_holding = self._step is Step.HOLDING
+        if was_holding:
             detail = f'fence {self._fence}'
             outputs += [
                 DutyLost(self._duty, self._fence),
                 WriteLog('duty.lost', self._duty, detail, cause),
             ]
-        return [*outputs, *self._rest(now_s)]
+        outputs += self._rest(now_s)
+        if was_holding and self._next_s is not None:
+            self._next_s += self._settings.return_pause_s
+        return outputs
 
     def _rest(self, now_s: float) -> list[Output]:
         """Hold nothing; look again later."""
--- a/packages/dispatch/dandelionyoke_dispatch/_engine_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_engine_plan.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 import attrs
 
@@ -26,7 +26,7 @@
     all domains together, steady ones are ordered for those that are missing.
     """
 
-    wanted_share: float = 0.6
+    wanted_share: float = 0.8
     steady_in_domain: int = 1
     scarce_share: float = 0.6
 
@@ -47,9 +47,16 @@
         self._settings = settings
 
     def wanted(
-        self, scaling: ScalingRange, engines: Sequence[RegisteredTarget]
+        self,
+        scaling: ScalingRange,
+        engines: Sequence[RegisteredTarget],
+        refusing: Collection[str] = (),
     ) -> list[WantedCount]:
-        """List the counts wanted, those that are already there included."""
+        """List the counts wanted, those that are already there included.
+
+        `refusing` names the domains in which no reclaimable engines are to
+        be had; the others take their part as far as the range allows.
+        """
         if scaling.reclaimable_price_share is None:
             return []
         total = self._total(scaling)
@@ -57,22 +64,36 @@
         is_scarce = len(engines) < (
             self._settings.scarce_share * total * len(domains)
         )
-        steady = Counter(
-            one.domain for one in engines if not one.is_reclaimable
-        )
-        reclaimable = Counter(
-            one.domain for one in engines if one.is_reclaimable
-        )
+        steady = _by_domain(engines, is_reclaimable=False)
+        reclaimable = _by_domain(engines, is_reclaimable=True)
+        spread = self._spread(scaling, total, domains, refusing)
         found = []
         for domain in domains:
             count = self._steady(
                 total - reclaimable[domain], steady[domain], is_scarce
             )
             found.append(WantedCount(domain, False, count))
-            least = self._settings.steady_in_domain
-            found.append(WantedCount(domain, True, max(0, total - least)))
+            found.append(WantedCount(domain, True, spread[domain]))
         return found
 
+    def _spread(
+        self,
+        scaling: ScalingRange,
+        total: int,
+        domains: Sequence[str],
+        refusing: Collection[str],
+    ) -> dict[str, int]:
+        """Choose the number of reclaimable engines of each domain."""
+        usual = max(0, total - self._settings.steady_in_domain)
+        most = max(0, scaling.most - self._settings.steady_in_domain)
+        giving = [domain for domain in domains if domain not in refusing]
+        missing = usual * (len(domains) - len(giving))
+        more = math.ceil(missing / len(giving)) if giving else 0
+        return {
+            domain: min(most, usual + more) if domain in giving else usual
+            for domain in domains
+        }
+
     def _total(self, scaling: ScalingRange) -> int:
         share = math.ceil(self._settings.wanted_share * scaling.most)
         return max(scaling.least, min(scaling.most, share))
@@ -85,3 +106,11 @@
         if not is_scarce:
             missing = min(missing, present)
         return max(self._settings.steady_in_domain, missing)
+
+
+def _by_domain(
+    engines: Sequence[RegisteredTarget], *, is_reclaimable: bool
+) -> Counter[str]:
+    return Counter(
+        one.domain for one in engines if one.is_reclaimable is is_reclaimable
+    )
--- a/packages/dispatch/dandelionyoke_dispatch/_freshness.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_freshness.py
@@ -14,11 +14,13 @@
     """The bound on a withdrawn key, and the margin kept to it.
 
     `revocation_s` is the users' bound; `margin_s` covers the rate at which
-    two clocks drift within that time and one scheduling delay.
+    two clocks drift within that time and one scheduling delay. Two watches
+    in a row and a slow answer make an age of up to `current_s`.
     """
 
     revocation_s: float = 5.0
     margin_s: float = 0.5
+    current_s: float = 3.0
 
 
 class Freshness:
@@ -40,6 +42,15 @@
         """Tell the age of the last proof; None: there never was one."""
         return None if self._proven_s is None else now_s - self._proven_s
 
+    def is_current(self, now_s: float) -> bool:
+        """Whether the store answers as usual.
+
+        A node that is cut off says so to the balancer while it can still
+        serve those who come until the balancer has believed it.
+        """
+        age_s = self.age_s(now_s)
+        return age_s is not None and age_s < self._settings.current_s
+
     def serves_keys(self, now_s: float) -> bool:
         """Whether a key that is known cannot have been withdrawn too long."""
         age_s = self.age_s(now_s)
--- a/packages/dispatch/dandelionyoke_dispatch/_target_load.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_load.py
@@ -66,6 +66,16 @@
                 rest_s, self._settings.longest_rest_s
             )
 
+    def refused(self, target_id: str, now_s: float) -> None:
+        """Leave a target alone that said it did not run a call.
+
+        It is full, or it is changing its phase, which the registry tells
+        only seconds later; each further refusal doubles the pause.
+        """
+        load = self._of(target_id)
+        load.failures = max(load.failures, self._settings.failures_in_a_row)
+        self.failed(target_id, now_s)
+
     def unreachable(self, target_id: str, now_s: float) -> None:
         """Leave a target alone that took no connection."""
         load = self._of(target_id)
--- a/packages/gateway/dandelionyoke_gateway/_duty_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_duty_tasks.py
@@ -47,9 +47,12 @@
 DUTY = 'fleet'
 EVERYWHERE = Domain('all')
 
-# A former holder must not act again within the time in which two holders
-# may not take turns; the least pause before it looks again is half of this.
-LOOK_TURNS = 3
+# While nobody holds the duty nothing is ordered; a look costs a call of each
+# node.
+LOOK_INTERVAL_S = 2.5
+# A former holder stays away for the time in which two holders may not take
+# turns, and this factor of it.
+RETURN_TURNS = 1.5
 
 COUNTS_PREFIX = 'counts/'
 REPORTS_PREFIX = 'reports/'
@@ -87,7 +90,8 @@
                 ttl_s=max(4.0, settings.duty_turn_s + 1),
                 renew_interval_s=1.0,
                 renew_retry_s=0.3,
-                look_interval_s=LOOK_TURNS * settings.duty_turn_s,
+                look_interval_s=LOOK_INTERVAL_S,
+                return_pause_s=RETURN_TURNS * settings.duty_turn_s,
                 call_timeout_s=1.0,
             ),
             DUTY,
--- a/packages/gateway/dandelionyoke_gateway/_fleet_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_fleet_tasks.py
@@ -37,6 +37,11 @@
 # and a heartbeat; it is ordered again when it then still differs.
 COUNT_REST_S = 8.0
 COUNT_RETRY_S = 2.0
+# A change shows in the registry after a heartbeat and a reading of it.
+NOTICE_S = 2.0
+# A domain that had no reclaimable engines is counted on again after this; it
+# has to outlast the pause between two tries.
+REFUSAL_LIFETIME_S = 3.0
 # Engines enter themselves within three heartbeats of a common start; to count
 # before that would order engines in place of some that are on their way.
 SETTLE_S = 4.0
@@ -50,6 +55,26 @@
     until_s: float
 
 
+class FleetChanges:
+    """Until when the numbers of engines are changing by our own orders.
+
+    Phases that are chosen meanwhile are chosen for engines that the platform
+    is about to take away, and those that stay need seconds to change again.
+    """
+
+    def __init__(self) -> None:
+        self._until_s = 0.0
+
+    def expect(self, for_s: float) -> None:
+        """Note that engines will come or go for so long."""
+        self._until_s = max(self._until_s, clock_s() + for_s)
+
+    @property
+    def under_way(self) -> bool:
+        """Whether engines are still coming or going."""
+        return clock_s() < self._until_s
+
+
 class PhaseTask:
     """Keeps the engines' phases in step with the mix, under the duty."""
 
@@ -59,12 +84,14 @@
         duty: DutyTask,
         client: DutyClient,
         engines: EngineClient,
+        changes: FleetChanges,
         log: DecisionLog,
     ) -> None:
         self._knowledge = knowledge
         self._duty = duty
         self._client = client
         self._engines = engines
+        self._changes = changes
         self._log = log
         self._plans: dict[str, PhasePlan] = {}
         self._assumed: dict[str, _Assumed] = {}
@@ -89,6 +116,10 @@
         engines = self._with_assumed(
             self._knowledge.registry.of_service(service), now_s
         )
+        phases = {engine.phase for engine in engines}
+        has_both = {Phase.PREFILL, Phase.DECODE} <= phases
+        if has_both and self._changes.under_way:
+            return
         plan = self._plans.setdefault(service, PhasePlan(PhasePlanSettings()))
         for change in plan.changes(engines, self._busy_share(engines, now_s)):
             self._assume(change, ORDER_RETRY_S)
@@ -158,15 +189,19 @@
         knowledge: Knowledge,
         duty: DutyTask,
         client: DutyClient,
+        changes: FleetChanges,
         log: DecisionLog,
     ) -> None:
         self._knowledge = knowledge
         self._duty = duty
         self._client = client
+        self._changes = changes
         self._log = log
         self._plan = EnginePlan(EnginePlanSettings())
         self._listed_s: float | None = None
         self._rest_until_s: dict[tuple[str, WantedCount], float] = {}
+        # Domains in which no reclaimable engines were to be had, until when.
+        self._refusing: dict[str, float] = {}
 
     def run(self) -> None:
         """Compare for as long as the process lives."""
@@ -195,7 +230,12 @@
             return
         engines = self._knowledge.registry.of_service(service.name)
         now_s = clock_s()
-        for wanted in self._plan.wanted(service.scaling, engines):
+        refusing = [
+            domain
+            for domain, until_s in self._refusing.items()
+            if now_s < until_s
+        ]
+        for wanted in self._plan.wanted(service.scaling, engines, refusing):
             present = sum(
                 one.domain == wanted.domain
                 and one.is_reclaimable is wanted.is_reclaimable
@@ -205,21 +245,29 @@
             if present == wanted.count or now_s < rest_s:
                 continue
             if wanted.is_reclaimable or self._has_settled():
-                self._order(service.name, wanted)
+                self._order(service, wanted, present)
 
-    def _order(self, service: str, wanted: WantedCount) -> None:
+    def _order(
+        self, service: Service, wanted: WantedCount, present: int
+    ) -> None:
         stamp = self._duty.stamp
         if stamp is None:
             return
         order = TargetCount(
-            service, wanted.domain, wanted.count, wanted.is_reclaimable
+            service.name, wanted.domain, wanted.count, wanted.is_reclaimable
         )
         accepted = self._client.order_targets(order, stamp)
+        if accepted:
+            boot_s = service.scaling.boot_s if service.scaling else 0
+            comes_s = boot_s if wanted.count > present else 0
+            self._changes.expect(comes_s + NOTICE_S)
+        if wanted.is_reclaimable and accepted is False:
+            self._refusing[wanted.domain] = clock_s() + REFUSAL_LIFETIME_S
         pause_s = COUNT_REST_S if accepted else COUNT_RETRY_S
-        self._rest_until_s[service, wanted] = clock_s() + pause_s
+        self._rest_until_s[service.name, wanted] = clock_s() + pause_s
         self._log.decide(
             'engines.ordered',
-            f'{service} in {wanted.domain}',
+            f'{service.name} in {wanted.domain}',
             outcome=str(accepted),
             count=wanted.count,
             reclaimable=str(wanted.is_reclaimable),
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -23,10 +23,10 @@
 from dandelionyoke_gateway._settings import GatewaySettings
 
 # All nodes together may repeat only so much. A node does not know how many
-# there are, so it takes the part it would have among this many, and half of
+# there are, so it takes the part it would have among this many, and less than
 # the share, which leaves room for bursts that meet at one window.
-NODES_ASSUMED = 16
-SHARE_KEPT = 0.5
+NODES_ASSUMED = 12
+SHARE_KEPT = 0.7
 
 
 @attrs.define
@@ -53,7 +53,7 @@
             not self.is_leaving
             and self.configuration is not None
             and self.registry.is_known
-            and self.freshness.serves_keys(clock_s())
+            and self.freshness.is_current(clock_s())
         )
 
 
--- a/packages/gateway/dandelionyoke_gateway/_knowledge_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge_tasks.py
@@ -31,7 +31,7 @@
     leaves a second of the bound on leaving targets for lost answers.
     """
 
-    watch_s: float = 1.5
+    watch_s: float = 1.2
     registry_s: float = 0.7
     back_off: BackOffSettings = attrs.field(
         factory=lambda: BackOffSettings(first_s=0.1, longest_s=0.5)
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -122,6 +122,7 @@
         note_facts(self._tools, target, facts)
         if facts.is_not_run:
             self._opened.attempts.refused()
+            loads.refused(target.target_id, clock_s())
             self._cause = Cause.NO_RETRY
             return None
         self._opened.attempts.ran()
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -23,7 +23,11 @@
     DutyTask,
     UsageTask,
 )
-from dandelionyoke_gateway._fleet_tasks import EngineCountTask, PhaseTask
+from dandelionyoke_gateway._fleet_tasks import (
+    EngineCountTask,
+    FleetChanges,
+    PhaseTask,
+)
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._knowledge_tasks import (
     ConfigurationTask,
@@ -147,11 +151,19 @@
             log,
         )
         spawn(usage.run)
+        changes = FleetChanges()
         phases = PhaseTask(
-            knowledge, self._duty, parts.duties, parts.engines, log
+            knowledge,
+            self._duty,
+            parts.duties,
+            parts.engines,
+            changes,
+            log,
         )
         spawn(phases.run)
-        counts = EngineCountTask(knowledge, self._duty, parts.duties, log)
+        counts = EngineCountTask(
+            knowledge, self._duty, parts.duties, changes, log
+        )
         spawn(counts.run)
 
     # Callers.
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -79,9 +79,17 @@
         self._last_event_id = opened.call.last_event_id
         self._tried: set[str] = set()
         self._prefill_tries = 0
+        # Kept for the next try while no engine has taken its cache.
+        self._prompt: _Prompt | None = None
 
     def carry(self) -> None:
         """Make tries until one has streamed to its end."""
+        try:
+            self._carry()
+        finally:
+            self._release(self._prompt)
+
+    def _carry(self) -> None:
         cause = Cause.NO_RETRY
         self._knowledge.budget.earn(clock_s())
         for number in range(MOST_SENDS):
@@ -106,13 +114,9 @@
         return self._knowledge.budget.spend(clock_s())
 
     def _try(self) -> None:
-        prompt = self._read_prompt()
-        try:
-            target = self._decode_target(prompt)
-            self._stream(target, prompt)
-        except BaseException:
-            self._release(prompt)
-            raise
+        if self._prompt is None:
+            self._prompt = self._read_prompt()
+        self._stream(self._decode_target(self._prompt), self._prompt)
 
     def _decode_target(self, prompt: _Prompt | None) -> RegisteredTarget:
         near = None if prompt is None else prompt.home.domain
@@ -146,6 +150,7 @@
         home = place.target
         # Each try waits under a name of its own.
         self._prefill_tries += 1
+        asked_s = clock_s()
         self._pass_gate(home)
         began_s = clock_s()
         read_s: float | None = None
@@ -154,6 +159,13 @@
             read_s = clock_s() - began_s
         finally:
             self._leave_gate(home, read_s)
+        self._tell(
+            'prompt.read',
+            home,
+            source=place.source.target_id if place.source else None,
+            waited_s=began_s - asked_s,
+            took_s=read_s,
+        )
         return _Prompt(home, cache)
 
     def _pass_gate(self, home: RegisteredTarget) -> None:
@@ -220,7 +232,8 @@
             loads.ended(home.target_id)
         if handle is None:
             self._tried.add(home.target_id)
-            loads.failed(home.target_id, clock_s())
+            loads.refused(home.target_id, clock_s())
+            self._tell('prompt.refused', home)
             raise _NextTryError(Cause.NO_RETRY)
         loads.succeeded(home.target_id)
         return CacheSource(home.address, handle)
@@ -241,7 +254,7 @@
 
     def _release(self, prompt: _Prompt | None) -> None:
         """Free a cache that no engine took, so that its memory serves others."""
-        if prompt is None or self._opened.attempts.may_have_run:
+        if prompt is None:
             return
         eventlet.spawn_n(self._tools.engines.release_cache, prompt.cache)
 
@@ -253,6 +266,8 @@
         try:
             self._exchange(target, prompt)
         except ExchangeError as error:
+            # Nobody knows whether the engine has taken the cache.
+            self._prompt = None
             raise self._next_try(target, error) from error
         finally:
             loads.ended(target.target_id)
@@ -264,11 +279,20 @@
         forwarding = attrs.evolve(self._forwarding(target), cache=cache)
         head = self._head(forwarding)
         with self._tools.pool.lend(target.address) as connection:
+            sent_s = clock_s()
             self._opened.attempts.sent(target.target_id)
             connection.send(head, self._opened.request.body)
             answer = connection.read_head(self._silence_until_s())
             facts = self._tools.dialect.read_answer(answer)
             self._judge(target, answer, facts, connection)
+            self._prompt = None
+            self._tell(
+                'stream.begun',
+                target,
+                status=facts.status,
+                took_s=clock_s() - sent_s,
+                since_arrival_s=clock_s() - self._opened.request.arrived_s,
+            )
             if facts.status != HTTPStatus.OK:
                 self._pass_failure(answer, connection)
                 return
@@ -290,6 +314,8 @@
         if facts.is_not_run:
             self._opened.attempts.refused()
             self._tried.add(target.target_id)
+            self._knowledge.loads.refused(target.target_id, clock_s())
+            self._tell('stream.refused', target, status=facts.status)
             connection.read_body(self._opened.until_s, MAX_FAILURE_BYTES)
             raise _NextTryError(Cause.NO_RETRY)
         check_answer(answer, facts, self._opened)
@@ -338,6 +364,22 @@
             note_failure(self._tools, self._opened, target, error)
         )
 
+    def _tell(
+        self,
+        decision: str,
+        target: RegisteredTarget,
+        **inputs: str | float | None,
+    ) -> None:
+        self._tools.log.decide(
+            decision,
+            self._opened.call.attempt_id,
+            outcome=target.target_id,
+            service=self._opened.service.name,
+            line_s=self._knowledge.gate.expected_wait_s(target.target_id),
+            busy=self._knowledge.loads.busy(target.target_id, clock_s()),
+            **inputs,
+        )
+
     # Limits and notes.
 
     @property
