--- a/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
@@ -84,9 +84,9 @@
     """Choose the engines that make tokens.
 
     A stream cannot be moved from an engine that is taken away, a prompt can
-    be read again: so steady engines come first. Spread over the domains they
-    are near to most prompts and not all lost with one; an engine that does
-    it already is left at it.
+    be read again: so steady engines come first, and among them those that do
+    it already. Spread over the domains they are near to most prompts and not
+    all lost with one.
     """
     left = list(engines)
     crowd: Counter[str] = Counter()
@@ -101,10 +101,10 @@
 
 def _suitability(
     crowd: Counter[str], engine: RegisteredTarget
-) -> tuple[bool, int, bool, str]:
+) -> tuple[bool, bool, int, str]:
     return (
         engine.is_reclaimable,
-        crowd[engine.domain],
         engine.phase is not Phase.DECODE,
+        crowd[engine.domain],
         engine.target_id,
     )
