Send calls in line for a leaving engine elsewhere at once

Change: those in line are woken when the registry shows it, and placed anew; a silent engine gets only a part of the time for a prompt.

--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -20,6 +20,7 @@
     UsageCounter,
 )
 from dandelionyoke_gateway._clock import clock_s, wall_s
+from dandelionyoke_gateway._gate_turns import GateTurns
 from dandelionyoke_gateway._settings import GatewaySettings
 
 # All nodes together may repeat only so much. A node does not know how many
@@ -42,6 +43,7 @@
     gate: PrefillGate
     budget: RetryBudget
     usage: UsageCounter
+    turns: GateTurns = attrs.field(factory=GateTurns)
     configuration: FleetConfiguration | None = None
     is_leaving: bool = False
     in_progress: int = 0
--- a/packages/gateway/dandelionyoke_gateway/_knowledge_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge_tasks.py
@@ -157,7 +157,11 @@
             if target is not None:
                 targets.append(target)
         self._knowledge.registry.replace(targets, clock_s())
-        self._tell(frozenset(one.target_id for one in targets))
+        usable = frozenset(
+            one.target_id for one in targets if not one.is_leaving
+        )
+        self._knowledge.turns.send_away(self._known - usable)
+        self._tell(usable)
 
     def _tell(self, present: frozenset[str]) -> None:
         if present == self._known:
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -4,7 +4,6 @@
 
 import attrs
 import eventlet
-from eventlet.event import Event as GreenEvent
 
 from dandelionyoke_dispatch import (
     SOON_S,
@@ -12,6 +11,7 @@
     Entry,
     GateTicket,
     PrefillHome,
+    Prompt,
     Refusal,
     RegisteredTarget,
 )
@@ -19,6 +19,7 @@
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._event_stream import EventSplitter, StreamEvent
+from dandelionyoke_gateway._gate_turns import Turn
 from dandelionyoke_gateway._messages import RequestHead, ResponseHead
 from dandelionyoke_gateway._plain_call import (
     check_answer,
@@ -43,6 +44,12 @@
 PATIENCE_GOALS = 4
 PATIENCE_PAUSES = 8
 
+# The part of the time in which a first token is of use that one engine may
+# take for a prompt, and the least time for it: the longest prompts take half
+# a second on an idle engine (from the engines' sheet).
+PREFILL_SHARE = 0.6
+LEAST_PREFILL_S = 0.8
+
 # A stream that may be resumed is left for another engine when it is silent
 # for this long: half of the least time after which callers give up on it.
 RESUME_AFTER_S = 1.0
@@ -139,67 +146,66 @@
         prompt = self._opened.call.prompt
         if prompt is None or self._opened.service.engine is None:
             return None
-        place = self._knowledge.placement.prefill_home(
-            self._opened.service.name,
-            prompt.shared_key,
-            self._tried,
-            clock_s(),
-        )
+        asked_s = clock_s()
+        place = self._find_place(prompt)
         if place is None:
             return None
-        home = place.target
-        # Each try waits under a name of its own.
-        self._prefill_tries += 1
-        asked_s = clock_s()
-        self._pass_gate(home)
         began_s = clock_s()
         read_s: float | None = None
         try:
             cache = self._prefill(place)
             read_s = clock_s() - began_s
         finally:
-            self._leave_gate(home, read_s)
+            self._leave_gate(place.target, read_s)
         self._tell(
             'prompt.read',
-            home,
+            place.target,
             source=place.source.target_id if place.source else None,
             waited_s=began_s - asked_s,
             took_s=read_s,
         )
-        return _Prompt(home, cache)
+        return _Prompt(place.target, cache)
 
-    def _pass_gate(self, home: RegisteredTarget) -> None:
-        call_id = self._call_id
-        opened = self._opened
-        now_s = clock_s()
+    def _find_place(self, prompt: Prompt) -> PrefillHome | None:
+        """Get a place at an engine that takes work at this moment."""
+        while True:
+            place = self._knowledge.placement.prefill_home(
+                self._opened.service.name,
+                prompt.shared_key,
+                self._tried,
+                clock_s(),
+            )
+            if place is None or self._pass_gate(place.target):
+                return place
+
+    def _pass_gate(self, home: RegisteredTarget) -> bool:
+        """Wait for a place; False if the engine left meanwhile."""
+        # Each try waits under a name of its own.
+        self._prefill_tries += 1
         ticket = GateTicket(
-            call_id,
+            self._call_id,
             home.target_id,
-            opened.rank,
-            opened.request.arrived_s,
+            self._opened.rank,
+            self._opened.request.arrived_s,
             self._useful_until_s(),
         )
-        entry = self._knowledge.gate.enter(ticket, now_s)
+        entry = self._knowledge.gate.enter(ticket, clock_s())
         if entry is Entry.GO:
-            return
+            return True
         if entry is Entry.TOO_LATE:
             self._too_late(home)
-        turn = GreenEvent()
-        _TURNS[call_id] = turn
-        timer = eventlet.spawn_after(
-            max(0, ticket.useful_until_s - now_s), _expire, turn
-        )
         try:
-            has_place = turn.wait()
+            turn = self._knowledge.turns.wait(
+                ticket.call_id, home.target_id, ticket.useful_until_s
+            )
         except BaseException:
             self._leave_gate(home, None)
             raise
-        finally:
-            timer.cancel()
-            _TURNS.pop(call_id, None)
-        if not has_place:
+        if turn is not Turn.GO:
             self._leave_gate(home, None)
+        if turn is Turn.TOO_LATE:
             self._too_late(home)
+        return turn is Turn.GO
 
     def _too_late(self, home: RegisteredTarget) -> None:
         wait_s = self._knowledge.gate.retry_after_s(home.target_id)
@@ -209,9 +215,8 @@
         following = self._knowledge.gate.leave(
             home.target_id, self._call_id, read_s
         )
-        turn = None if following is None else _TURNS.get(following)
-        if turn is not None and not turn.ready():
-            turn.send(True)
+        if following is not None:
+            self._knowledge.turns.give(following)
 
     def _prefill(self, place: PrefillHome) -> CacheSource:
         """Have an engine read the prompt; nothing runs by this."""
@@ -241,7 +246,10 @@
     def _ask_prefill(
         self, home: RegisteredTarget, head: RequestHead
     ) -> str | None:
-        until_s = min(self._useful_until_s(), self._opened.until_s)
+        # A silent engine must leave the time to have another one read it.
+        now_s = clock_s()
+        left_s = self._useful_until_s() - now_s
+        until_s = now_s + max(LEAST_PREFILL_S, left_s * PREFILL_SHARE)
         with self._tools.pool.lend(home.address) as connection:
             connection.send(head, self._opened.request.body)
             answer = connection.read_head(until_s)
@@ -279,28 +287,37 @@
         forwarding = attrs.evolve(self._forwarding(target), cache=cache)
         head = self._head(forwarding)
         with self._tools.pool.lend(target.address) as connection:
-            sent_s = clock_s()
             self._opened.attempts.sent(target.target_id)
             connection.send(head, self._opened.request.body)
-            answer = connection.read_head(self._silence_until_s())
-            facts = self._tools.dialect.read_answer(answer)
-            self._judge(target, answer, facts, connection)
-            self._prompt = None
-            self._tell(
-                'stream.begun',
-                target,
-                status=facts.status,
-                took_s=clock_s() - sent_s,
-                since_arrival_s=clock_s() - self._opened.request.arrived_s,
-            )
-            if facts.status != HTTPStatus.OK:
-                self._pass_failure(answer, connection)
-                return
-            self._begin(answer)
-            self._relay(connection)
+            is_stream = self._take_head(target, connection)
+            if is_stream:
+                self._relay(connection)
+        if is_stream:
             self._knowledge.loads.succeeded(target.target_id)
-        self._opened.attempts.ran()
-        self._opened.responder.finish()
+            self._opened.attempts.ran()
+            self._opened.responder.finish()
+
+    def _take_head(
+        self, target: RegisteredTarget, connection: TargetConnection
+    ) -> bool:
+        """Take the head of an answer; tell whether a stream follows."""
+        sent_s = clock_s()
+        answer = connection.read_head(self._silence_until_s())
+        facts = self._tools.dialect.read_answer(answer)
+        self._judge(target, answer, facts, connection)
+        self._prompt = None
+        self._tell(
+            'stream.begun',
+            target,
+            status=facts.status,
+            took_s=clock_s() - sent_s,
+            since_arrival_s=clock_s() - self._opened.request.arrived_s,
+        )
+        if facts.status == HTTPStatus.OK:
+            self._begin(answer)
+            return True
+        self._pass_failure(answer, connection)
+        return False
 
     def _judge(
         self,
@@ -416,14 +433,3 @@
         return self._tools.dialect.call_head(
             self._opened.request.head, forwarding
         )
-
-
-# Calls that wait at the gate, by the id under which they wait. One node runs
-# in one thread, and each call takes its entry out again when it ends.
-_TURNS: dict[str, GreenEvent] = {}  # noqa: WPS407 - see above
-
-
-def _expire(turn: GreenEvent) -> None:
-    """End a wait, unless a place was given at the same moment."""
-    if not turn.ready():
-        turn.send(False)
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/test_event_stream.py
@@ -25,6 +25,4 @@
 
     def test_several_events_in_one_piece(self) -> None:
         events = self.splitter.feed(b'id:1\n\nid:2\r\n\r\ndata: x\n\n')
-        self.assertEqual(
-            ['1', '2', None], [event.event_id for event in events]
-        )
+        self.assertEqual(['1', '2', None], [event.event_id for event in events])
