Do not give up prompts that are still of use, nor hold phases needlessly

New engines stayed in the wrong phase for six seconds. Ruled out: the placement, which spread the prompts evenly. Change: wait while of use, a dead engine shows by unacknowledged bytes; phases wait only where engines will be given back; no steady engines are ordered for those on their way; the gate's mean follows faster.

--- a/packages/dispatch/dandelionyoke_dispatch/_prefill_gate.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_prefill_gate.py
@@ -12,7 +12,7 @@
 import attrs
 
 # The share that one more prompt has in the running mean of the times.
-MEAN_WEIGHT = 0.1
+MEAN_WEIGHT = 0.25
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_fleet_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_fleet_tasks.py
@@ -1,5 +1,6 @@
 """What the duty's holder orders: phases of engines, numbers of engines."""
 
+from collections import Counter
 from collections.abc import Sequence
 
 import attrs
@@ -197,7 +198,11 @@
         self._client = client
         self._changes = changes
         self._log = log
-        self._plan = EnginePlan(EnginePlanSettings())
+        plan = EnginePlanSettings()
+        self._plan = EnginePlan(plan)
+        self._steady_in_domain = plan.steady_in_domain
+        # When the reclaimable engines that were ordered last are there.
+        self._due_s = 0.0
         self._listed_s: float | None = None
         self._rest_until_s: dict[tuple[str, WantedCount], float] = {}
         # Domains in which no reclaimable engines were to be had, until when.
@@ -218,6 +223,33 @@
             if service.engine is not None:
                 self._compare_service(service)
 
+    def _expect(
+        self, service: Service, wanted: WantedCount, present: int
+    ) -> None:
+        boot_s = service.scaling.boot_s if service.scaling else 0
+        if wanted.is_reclaimable and wanted.count > present:
+            self._due_s = clock_s() + boot_s + NOTICE_S
+            if self._has_surplus(service):
+                # Those that come are followed by some that go.
+                self._changes.expect(boot_s + NOTICE_S)
+        if not wanted.is_reclaimable and wanted.count < present:
+            self._changes.expect(NOTICE_S)
+
+    def _has_surplus(self, service: Service) -> bool:
+        engines = self._knowledge.registry.of_service(service.name)
+        steady = Counter(
+            one.domain for one in engines if not one.is_reclaimable
+        )
+        return max(steady.values(), default=0) > self._steady_in_domain
+
+    def _may_order(self, wanted: WantedCount, present: int) -> bool:
+        """Whether the time has come for an order."""
+        if wanted.is_reclaimable:
+            return True
+        # Steady engines are not ordered in place of those on their way.
+        is_due = wanted.count > present and clock_s() < self._due_s
+        return self._has_settled() and not is_due
+
     def _has_settled(self) -> bool:
         if not self._knowledge.registry.is_known:
             return False
@@ -244,7 +276,7 @@
             rest_s = self._rest_until_s.get((service.name, wanted), 0)
             if present == wanted.count or now_s < rest_s:
                 continue
-            if wanted.is_reclaimable or self._has_settled():
+            if self._may_order(wanted, present):
                 self._order(service, wanted, present)
 
     def _order(
@@ -258,9 +290,7 @@
         )
         accepted = self._client.order_targets(order, stamp)
         if accepted:
-            boot_s = service.scaling.boot_s if service.scaling else 0
-            comes_s = boot_s if wanted.count > present else 0
-            self._changes.expect(comes_s + NOTICE_S)
+            self._expect(service, wanted, present)
         if wanted.is_reclaimable and accepted is False:
             self._refusing[wanted.domain] = clock_s() + REFUSAL_LIFETIME_S
         pause_s = COUNT_REST_S if accepted else COUNT_RETRY_S
--- a/packages/gateway/dandelionyoke_gateway/_sockets.py
+++ b/packages/gateway/dandelionyoke_gateway/_sockets.py
@@ -5,11 +5,13 @@
 
 # Between two ends that have lost track of each other no reset comes. The
 # probes show it after about KEEPALIVE_IDLE_S + KEEPALIVE_PROBES *
-# KEEPALIVE_INTERVAL_S, which lies below the least time limit of a caller.
+# KEEPALIVE_INTERVAL_S, which lies below the least time limit of a caller. A
+# request that is not acknowledged shows it sooner: after UNACKNOWLEDGED_MS,
+# in which two lost packets in a row are sent again.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-UNACKNOWLEDGED_MS = 2000
+UNACKNOWLEDGED_MS = 1000
 BACKLOG = 1024
 
 
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -44,12 +44,6 @@
 PATIENCE_GOALS = 4
 PATIENCE_PAUSES = 8
 
-# The part of the time in which a first token is of use that one engine may
-# take for a prompt, and the least time for it: the longest prompts take half
-# a second on an idle engine (from the engines' sheet).
-PREFILL_SHARE = 0.6
-LEAST_PREFILL_S = 0.8
-
 # A stream that may be resumed is left for another engine when it is silent
 # for this long: half of the least time after which callers give up on it.
 RESUME_AFTER_S = 1.0
@@ -246,10 +240,7 @@
     def _ask_prefill(
         self, home: RegisteredTarget, head: RequestHead
     ) -> str | None:
-        # A silent engine must leave the time to have another one read it.
-        now_s = clock_s()
-        left_s = self._useful_until_s() - now_s
-        until_s = now_s + max(LEAST_PREFILL_S, left_s * PREFILL_SHARE)
+        until_s = self._useful_until_s()
         with self._tools.pool.lend(home.address) as connection:
             connection.send(head, self._opened.request.body)
             answer = connection.read_head(until_s)
