Answer every call before a leaving process ends, and test the path

Ruled out: the balancer, which may use leaving instances when most of a domain's are not ready. Change: Departure decides whom a leaving instance still serves and until when; late callers are sent elsewhere at once, calls under way are answered in time. Tests run the real path against scripted targets.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -20,6 +20,10 @@
     Service as Service,
     ServiceShare as ServiceShare,
 )
+from dandelionyoke_dispatch._departure import (
+    Departure as Departure,
+    DepartureSettings as DepartureSettings,
+)
 from dandelionyoke_dispatch._engine_plan import (
     EnginePlan as EnginePlan,
     EnginePlanSettings as EnginePlanSettings,
@@ -45,6 +49,7 @@
     PrefillGate as PrefillGate,
 )
 from dandelionyoke_dispatch._refusals import (
+    ELSEWHERE_S as ELSEWHERE_S,
     SOON_S as SOON_S,
     Cause as Cause,
     Refusal as Refusal,
--- a/packages/dispatch/dandelionyoke_dispatch/_refusals.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_refusals.py
@@ -14,6 +14,7 @@
     UNKNOWN_KEY = 'no organisation holds this key'
     NO_CONFIGURATION = 'no configuration is known yet'
     STALE_CONFIGURATION = 'the configuration is too old to trust a key'
+    LEAVING = 'this instance is leaving'
     NO_TARGET = 'no target takes work now'
     TOO_LATE = 'the first token would come too late'
     NO_RETRY = 'the targets refused the call'
@@ -32,6 +33,8 @@
 # When a caller may come back if nothing better is known. The targets enter
 # themselves and nodes read the registry within about this time.
 SOON_S = 0.7
+# Another instance takes the call at once; the pause only parts the retries.
+ELSEWHERE_S = 0.05
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_call_desk.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_desk.py
@@ -7,11 +7,13 @@
 import attrs
 
 from dandelionyoke_dispatch import (
+    ELSEWHERE_S,
     SOON_S,
     Attempts,
     Call,
     CallKind,
     Cause,
+    Departure,
     FleetConfiguration,
     Organisation,
     Refusal,
@@ -49,10 +51,22 @@
     route: Route
     service: Service
     organisation: Organisation | None
-    until_s: float
+    own_until_s: float
     attempts: Attempts
+    departure: Departure
     is_counted: bool = False
 
+    @property
+    def until_s(self) -> float:
+        """When the call must have its answer.
+
+        Its own time, or less where this process ends before.
+        """
+        end_s = self.departure.answer_by_s()
+        if end_s is None:
+            return self.own_until_s
+        return min(self.own_until_s, end_s)
+
     @property
     def name(self) -> str | None:
         """The organisation for which the call runs."""
@@ -110,6 +124,11 @@
             bad = ResponseHead(HTTPStatus.BAD_REQUEST, ())
             responder.answer(bad, b'the request names no attempt\n')
             return
+        departure = self._tools.knowledge.departure
+        if departure.refuses(request.arrived_s):
+            elsewhere = Refusal(Cause.LEAVING, ELSEWHERE_S)
+            self._refuse(call, responder, elsewhere, Attempts(1))
+            return
         try:
             opened = self._open(call, request, responder)
         except RefusedError as refused:
@@ -145,6 +164,7 @@
             organisation,
             request.arrived_s + time_s,
             Attempts(route.max_attempts),
+            self._tools.knowledge.departure,
         )
 
     def _authenticate(
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -6,6 +6,8 @@
 
 from dandelionyoke_core import RetryBudget
 from dandelionyoke_dispatch import (
+    Departure,
+    DepartureSettings,
     FleetConfiguration,
     Freshness,
     FreshnessSettings,
@@ -43,16 +45,16 @@
     gate: PrefillGate
     budget: RetryBudget
     usage: UsageCounter
+    departure: Departure
     turns: GateTurns = attrs.field(factory=GateTurns)
     configuration: FleetConfiguration | None = None
-    is_leaving: bool = False
     in_progress: int = 0
 
     @property
     def is_ready(self) -> bool:
         """Whether new callers are welcome."""
         return (
-            not self.is_leaving
+            not self.departure.is_leaving
             and self.configuration is not None
             and self.registry.is_known
             and self.freshness.is_current(clock_s())
@@ -80,4 +82,5 @@
             refill_per_s=0,
         ),
         usage=UsageCounter(settings.usage_window_s, clock),
+        departure=Departure(DepartureSettings(settings.grace_s)),
     )
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -89,7 +89,6 @@
         self._settings = settings
         self._log = DecisionLog(stream, settings.instance_id)
         self._status = green_event.Event()
-        self._leaving_s: float | None = None
         self._connections: set[CallerConnection] = set()
         self._random = Random()
         self._knowledge = new_knowledge(settings, self._random)
@@ -193,7 +192,7 @@
             sock.close()
             return
         connection = CallerConnection(
-            sock, limits, handler, lambda: self._knowledge.is_leaving
+            sock, limits, handler, lambda: self._knowledge.departure.is_leaving
         )
         self._connections.add(connection)
         try:
@@ -210,11 +209,10 @@
     # Signals and the end.
 
     def _on_leave(self, number: int, frame: object) -> None:
-        if self._knowledge.is_leaving:
+        if self._knowledge.departure.is_leaving:
             self._finish(ExitStatus.CUT)
             return
-        self._knowledge.is_leaving = True
-        self._leaving_s = clock_s()
+        self._knowledge.departure.begin(clock_s())
         eventlet.spawn_n(self._leave)
 
     def _on_reload(self, number: int, frame: object) -> None:
--- /dev/null
+++ b/tests/platform/path.py
@@ -0,0 +1,304 @@
+"""One node's path from caller to targets, with scripted targets.
+
+The node has what it believes from the test instead of the store; the rest is
+the real thing, over real sockets within one process.
+"""
+
+import io
+from collections.abc import Callable, Iterable
+from random import Random
+
+import attrs
+import eventlet
+from eventlet.green import socket
+
+from dandelionyoke_dispatch import (
+    CallKind,
+    EngineTraits,
+    FleetConfiguration,
+    Organisation,
+    Phase,
+    RegisteredTarget,
+    Route,
+    Service,
+    ServiceShare,
+)
+from dandelionyoke_gateway import GatewaySettings, TargetPool, clock_s
+from dandelionyoke_gateway._call_desk import CallDesk, Tools
+from dandelionyoke_gateway._caller_connection import CallerConnection
+from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._plain_call import carry_plain
+from dandelionyoke_gateway._settings import Endpoint
+from dandelionyoke_gateway._sockets import set_options
+from dandelionyoke_gateway._stream_call import carry_stream
+from dandelionyoke_platform._dialect import PlatformDialect
+from dandelionyoke_platform._duties import PlatformDuties
+
+KEY = 'a-key'
+HOST = 'shop.example'
+SIGNED = 'Response-Signature: s\r\nAttempt-Id: a1\r\n'
+
+
+@attrs.frozen
+class Seen:
+    """A request as a target saw it."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Piece = bytes | float | None
+# Bytes are sent, a number is a pause in seconds, None resets the connection.
+Script = Callable[[Seen], Iterable[Piece]]
+
+
+class ScriptedTarget:
+    """A target that answers each request by a script."""
+
+    def __init__(self, script: Script) -> None:
+        self._script = script
+        self._listener = eventlet.listen(('127.0.0.1', 0))
+        self.seen: list[Seen] = []
+        # Requests whose connection the node closed before the answer's end.
+        self.left = 0
+        self._threads = [eventlet.spawn(self._accept)]
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        host, port = self._listener.getsockname()
+        return f'{host}:{port}'
+
+    def close(self) -> None:
+        """End it with all its connections."""
+        for thread in self._threads:
+            thread.kill()
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self._listener.accept()
+            set_options(sock)
+            self._threads.append(eventlet.spawn(self._serve, sock))
+
+    def _serve(self, sock: socket.socket) -> None:
+        with sock:
+            while True:
+                seen = _read(sock)
+                if seen is None:
+                    return
+                self.seen.append(seen)
+                if not self._answer(sock, seen):
+                    return
+
+    def _answer(self, sock: socket.socket, seen: Seen) -> bool:
+        for piece in self._script(seen):
+            if piece is None:
+                linger = b'\x01\x00\x00\x00\x00\x00\x00\x00'
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                return False
+            if isinstance(piece, float):
+                sock.settimeout(piece)
+                try:
+                    gone = not sock.recv(1)
+                except TimeoutError:
+                    gone = False
+                sock.settimeout(None)
+                if gone:
+                    self.left += 1
+                    return False
+                continue
+            sock.sendall(piece)
+        return True
+
+
+def _read(sock: socket.socket) -> Seen | None:
+    content = b''
+    while b'\r\n\r\n' not in content:
+        try:
+            more = sock.recv(65536)
+        except OSError:
+            return None
+        if not more:
+            return None
+        content += more
+    head, _, body = content.partition(b'\r\n\r\n')
+    lines = head.decode().split('\r\n')
+    headers = {}
+    for line in lines[1:]:
+        name, _, text = line.partition(':')
+        headers[name.strip().lower()] = text.strip()
+    while len(body) < int(headers.get('content-length', 0)):
+        body += sock.recv(65536)
+    return Seen(lines[0], headers, body)
+
+
+def answer(
+    status: str = '200 OK', body: bytes = b'ok', extra: str = SIGNED
+) -> bytes:
+    """Write a whole answer."""
+    head = f'HTTP/1.1 {status}\r\n{extra}Content-Length: {len(body)}\r\n\r\n'
+    return head.encode() + body
+
+
+def stream_head() -> bytes:
+    """Write the head of a stream."""
+    return (
+        f'HTTP/1.1 200 OK\r\n{SIGNED}Content-Type: text/event-stream\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
+    ).encode()
+
+
+def chunk(content: bytes) -> bytes:
+    """Write a piece of a stream; an empty one ends it."""
+    return f'{len(content):x}\r\n'.encode() + content + b'\r\n'
+
+
+class Path:
+    """A node that listens, and the targets that it knows."""
+
+    def __init__(self) -> None:
+        settings = GatewaySettings(
+            instance_id='n-1',
+            domain='a',
+            callers=Endpoint('127.0.0.1', 0),
+            health=Endpoint('127.0.0.1', 0),
+            metrics_port=0,
+            store_address='127.0.0.1:1',
+            duty_address=None,
+            revocation_s=5.0,
+            drain_s=2.0,
+            grace_s=8.0,
+            retry_share=0.2,
+            retry_extra=100,
+            retry_window_s=10.0,
+            duty_turn_s=3.0,
+            usage_window_s=5.0,
+            usage_late_s=10.0,
+        )
+        self.output = io.StringIO()
+        self.knowledge: Knowledge = new_knowledge(settings, Random(7))
+        self.knowledge.configuration = configuration()
+        self.knowledge.freshness.prove(clock_s())
+        self.pool = TargetPool()
+        self.targets: list[ScriptedTarget] = []
+        self._registered: list[RegisteredTarget] = []
+        self._desk = CallDesk(
+            Tools(
+                self.knowledge,
+                PlatformDialect(),
+                self.pool,
+                PlatformDuties('', self.pool),
+                DecisionLog(self.output, 'n-1'),
+            ),
+            carry_plain,
+            carry_stream,
+        )
+        self._listener = eventlet.listen(('127.0.0.1', 0))
+        self._accepting = eventlet.spawn(self._accept)
+
+    def add(
+        self, script: Script, service: str = 'ledger', phase: Phase = Phase.ANY
+    ) -> ScriptedTarget:
+        """Start a target and let the node know it."""
+        target = ScriptedTarget(script)
+        self.targets.append(target)
+        self._registered.append(
+            RegisteredTarget(
+                target_id=f'i-{len(self.targets)}',
+                service=service,
+                address=target.address,
+                domain='a',
+                slots=8,
+                is_leaving=False,
+                phase=phase,
+            )
+        )
+        self.knowledge.registry.replace(self._registered, clock_s())
+        return target
+
+    def open(self) -> socket.socket:
+        """Open a caller's connection."""
+        return eventlet.connect(self._listener.getsockname())
+
+    def call(
+        self, path: str = '/confirm/1', key: str = KEY, extra: str = ''
+    ) -> bytes:
+        """Send a request on a connection of its own; read to its end."""
+        with self.open() as sock:
+            sock.sendall(request(path, key, extra))
+            content = b''
+            while more := sock.recv(65536):
+                content += more
+        return content
+
+    def close(self) -> None:
+        """End all."""
+        self._accepting.kill()
+        self._listener.close()
+        for target in self.targets:
+            target.close()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self._listener.accept()
+            connection = CallerConnection(
+                sock,
+                configuration().limits,
+                self._desk.handle,
+                lambda: True,
+            )
+            eventlet.spawn_n(connection.serve)
+
+
+def request(path: str, key: str = KEY, extra: str = '') -> bytes:
+    """Write a caller's request."""
+    return (
+        f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: a1\r\n'
+        f'Deadline-Ms: 3000\r\nX-Api-Key: {key}\r\n{extra}'
+        'Content-Length: 4\r\n\r\nbody'
+    ).encode()
+
+
+def configuration() -> FleetConfiguration:
+    """Three kinds of routes of two services."""
+    return FleetConfiguration(
+        version=1,
+        routes=(
+            _route('/confirm/', CallKind.NON_IDEMPOTENT, 'ledger'),
+            _route('/look/', CallKind.IDEMPOTENT, 'ledger', 2),
+            _route('/ask/', CallKind.STREAM, 'lm'),
+            _route('/resume/', CallKind.STREAM, 'lm', 2, resumable=True),
+        ),
+        services={
+            'ledger': Service('ledger', 10),
+            'lm': Service('lm', 10, EngineTraits(8, 1000, 5.0, 3.0)),
+        },
+        organisations={KEY: Organisation('acme', 1)},
+        has_organisations=True,
+    )
+
+
+def _route(
+    prefix: str,
+    kind: CallKind,
+    service: str,
+    attempts: int = 1,
+    *,
+    resumable: bool = False,
+) -> Route:
+    return Route(
+        name=prefix,
+        host=HOST,
+        path_prefix=prefix,
+        kind=kind,
+        timeout_s=3.0,
+        goal_s=0.5,
+        priority=1,
+        shares=(ServiceShare(service, 1),),
+        max_attempts=attempts,
+        is_resumable=resumable,
+        longest_pause_s=0.3,
+    )
--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,271 @@
+"""Calls over real sockets, to targets that do not behave."""
+
+from collections.abc import Iterator
+
+import eventlet
+import testtools
+
+from dandelionyoke_dispatch import Phase
+from dandelionyoke_gateway import clock_s
+from tests.platform.path import (
+    Path,
+    Piece,
+    Seen,
+    answer,
+    chunk,
+    request,
+    stream_head,
+)
+
+PROMPT = 'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: aa:500,bb:400\r\n'
+
+
+def fine(seen: Seen) -> Iterator[Piece]:
+    yield answer()
+
+
+def resets(seen: Seen) -> Iterator[Piece]:
+    yield None
+
+
+def refuses(seen: Seen) -> Iterator[Piece]:
+    yield answer('503 Busy', b'', 'Not-Executed: 1\r\n')
+
+
+def status(content: bytes) -> int:
+    return int(content.split(b' ')[1])
+
+
+class PathTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.path = Path()
+        self.addCleanup(self.path.close)
+
+    def sends(self) -> int:
+        return sum(len(target.seen) for target in self.path.targets)
+
+
+class PlainCallTest(PathTest):
+    def test_an_answer_reaches_the_caller_whole(self) -> None:
+        target = self.path.add(fine)
+        content = self.path.call()
+        self.assertEqual(200, status(content))
+        self.assertIn(b'response-signature: s', content.lower())
+        self.assertTrue(content.endswith(b'\r\n\r\nok'))
+        seen = target.seen[0]
+        self.assertEqual('POST /confirm/1 HTTP/1.1', seen.line)
+        self.assertEqual(b'body', seen.body)
+        self.assertEqual('acme', seen.headers['tenant'])
+        self.assertNotIn('x-api-key', seen.headers)
+
+    def test_a_confirmation_whose_answer_is_lost_is_sent_once(self) -> None:
+        """A target runs a confirmation, and its answer is lost by a reset.
+
+        Sent to another target, or refused as not run, the customer would be
+        charged twice.
+        """
+        self.path.add(resets)
+        self.path.add(resets)
+        content = self.path.call()
+        self.assertEqual(502, status(content))
+        self.assertNotIn(b'retry-after', content.lower())
+        self.assertEqual(1, self.sends())
+
+    def test_a_lookup_is_repeated_elsewhere(self) -> None:
+        self.path.add(resets)
+        self.path.add(fine)
+        self.assertEqual(200, status(self.path.call('/look/1')))
+
+    def test_a_refusal_of_one_target_leads_to_the_next(self) -> None:
+        self.path.add(refuses)
+        self.path.add(fine)
+        self.assertEqual(200, status(self.path.call()))
+
+    def test_when_all_refuse_the_caller_learns_when_to_come_back(self) -> None:
+        self.path.add(refuses)
+        content = self.path.call()
+        self.assertEqual(503, status(content))
+        self.assertIn(b'retry-after: 0.7', content.lower())
+
+    def test_an_answer_to_another_call_reaches_nobody(self) -> None:
+        """A target answers late, where the next answer is expected.
+
+        Passed on, a caller would read another customer's bill.
+        """
+
+        def crossed(seen: Seen) -> Iterator[Piece]:
+            yield answer(extra='Response-Signature: s\r\nAttempt-Id: other\r\n')
+
+        self.path.add(crossed)
+        self.assertEqual(502, status(self.path.call()))
+
+    def test_a_success_without_signature_is_none(self) -> None:
+        def unsigned(seen: Seen) -> Iterator[Piece]:
+            yield answer(extra='Attempt-Id: a1\r\n')
+
+        self.path.add(unsigned)
+        self.assertEqual(502, status(self.path.call()))
+
+    def test_a_targets_own_failure_is_passed_on(self) -> None:
+        def fails(seen: Seen) -> Iterator[Piece]:
+            yield answer('500 Oops', b'why')
+
+        self.path.add(fails)
+        content = self.path.call()
+        self.assertEqual(500, status(content))
+        self.assertTrue(content.endswith(b'why'))
+
+    def test_a_caller_that_leaves_ends_the_work(self) -> None:
+        """A caller closes its connection while a target works for it.
+
+        The target would go on for nobody, and others would wait for it.
+        """
+
+        def slow(seen: Seen) -> Iterator[Piece]:
+            yield 2.0
+            yield answer()
+
+        target = self.path.add(slow)
+        with self.path.open() as sock:
+            sock.sendall(request('/confirm/1'))
+            eventlet.sleep(0.1)
+        eventlet.sleep(0.2)
+        self.assertEqual(1, target.left)
+
+    def test_at_its_time_a_call_is_answered(self) -> None:
+        def silent(seen: Seen) -> Iterator[Piece]:
+            yield 9.0
+
+        self.path.add(silent)
+        began_s = clock_s()
+        content = self.path.call(extra='')
+        self.assertEqual(504, status(content))
+        self.assertAlmostEqual(3.0, clock_s() - began_s, delta=0.3)
+
+
+class EntranceTest(PathTest):
+    def test_who_is_not_let_in(self) -> None:
+        self.path.add(fine)
+        self.assertEqual(401, status(self.path.call(key='unknown')))
+        self.assertEqual(404, status(self.path.call('/nowhere/')))
+        self.assertEqual(0, self.sends())
+
+    def test_old_knowledge_trusts_no_key(self) -> None:
+        """A node is cut off from the store for longer than the bound."""
+        self.path.add(fine)
+        self.path.knowledge.freshness._proven_s = clock_s() - 4.6
+        content = self.path.call()
+        self.assertEqual(503, status(content))
+        self.assertIn(b'retry-after', content.lower())
+
+    def test_without_any_configuration_nothing_is_denied(self) -> None:
+        self.path.knowledge.configuration = None
+        self.assertEqual(503, status(self.path.call('/nowhere/')))
+
+    def test_late_callers_of_a_leaving_node_go_elsewhere(self) -> None:
+        """A node was asked to leave, and the balancer still sends callers.
+
+        Taken in so late, their calls would be cut when the process ends.
+        """
+        self.path.add(fine)
+        self.path.knowledge.departure.begin(clock_s())
+        self.assertEqual(200, status(self.path.call()))
+        self.path.knowledge.departure._asked_s = clock_s() - 4
+        content = self.path.call()
+        self.assertEqual(503, status(content))
+        self.assertIn(b'connection: close', content.lower())
+        self.assertEqual(1, self.sends())
+
+    def test_every_refusal_is_explained_in_the_log(self) -> None:
+        self.path.call('/nowhere/')
+        line = self.path.output.getvalue()
+        self.assertIn('call.refused', line)
+        self.assertIn('no route matches', line)
+        self.assertNotIn('a-key', line)
+
+
+class StreamCallTest(PathTest):
+    def events(self, *numbers: int) -> bytes:
+        return b''.join(
+            f'id: {number}\ndata: t{number}\n\n'.encode() for number in numbers
+        )
+
+    def reads(self, seen: Seen) -> Iterator[Piece]:
+        body = b'{"kv_handle":"h1","tokens":900,"version":1}'
+        yield answer('200 OK', body, 'Content-Type: application/json\r\n')
+
+    def streams(self, seen: Seen) -> Iterator[Piece]:
+        yield stream_head()
+        yield chunk(self.events(1))
+        yield chunk(self.events(2, 3))
+        yield chunk(b'')
+
+    def test_a_prompt_is_read_apart_and_streamed(self) -> None:
+        reader = self.path.add(self.reads, 'lm', Phase.PREFILL)
+        maker = self.path.add(self.streams, 'lm', Phase.DECODE)
+        content = self.path.call('/ask/1', extra=PROMPT)
+        self.assertEqual(200, status(content))
+        self.assertIn(b'data: t3', content)
+        self.assertTrue(content.endswith(b'0\r\n\r\n'))
+        self.assertEqual('prefill', reader.seen[0].headers['serving-phase'])
+        self.assertEqual(
+            f'{reader.address}/h1', maker.seen[0].headers['kv-source']
+        )
+        self.assertNotIn('serving-phase', maker.seen[0].headers)
+
+    def test_an_engine_that_refuses_leaves_the_cache_to_another(self) -> None:
+        """An engine changes its phase and refuses a stream.
+
+        Were the prompt read again, the engines would read in vain just when
+        one of them is missing.
+        """
+        reader = self.path.add(self.reads, 'lm', Phase.PREFILL)
+        self.path.add(refuses, 'lm', Phase.DECODE)
+        self.path.add(self.streams, 'lm', Phase.DECODE)
+        self.assertEqual(200, status(self.path.call('/ask/1', extra=PROMPT)))
+        self.assertEqual(1, len(reader.seen))
+
+    def test_a_cut_stream_does_not_look_whole(self) -> None:
+        def cut(seen: Seen) -> Iterator[Piece]:
+            yield stream_head()
+            yield chunk(self.events(1) + b'id: 2\nda')
+            yield 0.05
+            yield None
+
+        self.path.add(cut, 'lm', Phase.DECODE)
+        content = self.path.call('/ask/1', extra=PROMPT)
+        self.assertIn(b'data: t1', content)
+        self.assertNotIn(b'id: 2', content)
+        self.assertFalse(content.endswith(b'0\r\n\r\n'))
+
+    def test_a_cut_stream_goes_on_elsewhere_where_it_may(self) -> None:
+        def cut(seen: Seen) -> Iterator[Piece]:
+            if 'last-event-id' in seen.headers:
+                yield stream_head()
+                yield chunk(self.events(2, 3))
+                yield chunk(b'')
+                return
+            yield stream_head()
+            yield chunk(self.events(1) + b'id: 2\nda')
+            yield 0.05
+            yield None
+
+        self.path.add(cut, 'lm', Phase.DECODE)
+        self.path.add(cut, 'lm', Phase.DECODE)
+        content = self.path.call('/resume/1', extra=PROMPT)
+        self.assertEqual(1, content.count(b'HTTP/1.1'))
+        for number in (1, 2, 3):
+            self.assertEqual(1, content.count(f'id: {number}'.encode()))
+        self.assertTrue(content.endswith(b'0\r\n\r\n'))
+
+    def test_a_caller_that_leaves_ends_the_reading(self) -> None:
+        def slow(seen: Seen) -> Iterator[Piece]:
+            yield 2.0
+
+        reader = self.path.add(slow, 'lm', Phase.PREFILL)
+        with self.path.open() as sock:
+            sock.sendall(request('/ask/1', extra=PROMPT))
+            eventlet.sleep(0.1)
+        eventlet.sleep(0.2)
+        self.assertEqual(1, reader.left)
