Watch the registry, count the nodes, and ask the store less often

Change: changes of the registry by a watch, gathered for 0.4 of the bound on leaving targets; nodes enter themselves under a lease and are counted by cheap reads, which bounds the candidates for the duty and sizes each node's part of the retry budget; counts are saved less often by idle nodes.

--- a/packages/core/dandelionyoke_core/_actions.py
+++ b/packages/core/dandelionyoke_core/_actions.py
@@ -252,10 +252,14 @@
 
 @attrs.frozen
 class StoreList(Action):
-    """Read all keys below a prefix: StoreListing or StoreFailed."""
+    """Read all keys below a prefix: StoreListing or StoreFailed.
+
+    `may_be_old` lets the store answer from a copy that is seconds behind.
+    """
 
     operation_id: OperationId
     prefix: str
+    may_be_old: bool = False
 
 
 @attrs.frozen
--- a/packages/core/dandelionyoke_core/_retry_budget.py
+++ b/packages/core/dandelionyoke_core/_retry_budget.py
@@ -17,6 +17,12 @@
         self._balance = reserve
         self._refilled_s: float | None = None
 
+    def resize(self, reserve: float) -> None:
+        """Change what can be saved, when its part of a whole changes."""
+        grown = max(0, reserve - self._reserve)
+        self._reserve = reserve
+        self._balance = min(reserve, self._balance + grown)
+
     def earn(self, now_s: float) -> None:
         """Save the share of one new call."""
         self._refill(now_s)
--- a/packages/dispatch/dandelionyoke_dispatch/_freshness.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_freshness.py
@@ -20,7 +20,7 @@
 
     revocation_s: float = 5.0
     margin_s: float = 0.5
-    current_s: float = 3.0
+    current_s: float = 3.6
 
 
 class Freshness:
--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -56,22 +56,24 @@
     def __init__(self, settings: RegistrySettings) -> None:
         self._settings = settings
         self._entries: dict[str, _Entry] = {}
-        self._listed_s: float | None = None
+        self._is_known = False
+        self._away_since_s: float | None = None
         self._forgive_until_s = 0.0
 
     @property
     def is_known(self) -> bool:
         """Whether there was a listing at all."""
-        return self._listed_s is not None
+        return self._is_known
 
     def replace(
         self, targets: Iterable[RegisteredTarget], now_s: float
     ) -> None:
         """Take a whole listing."""
-        last_s = self._listed_s
-        if last_s is not None and now_s - last_s > self._settings.outage_s:
+        self._is_known = True
+        away_s = self._away_since_s
+        if away_s is not None and now_s - away_s > self._settings.outage_s:
             self._forgive_until_s = now_s + self._settings.return_grace_s
-        self._listed_s = now_s
+        self._away_since_s = None
         missing = dict(self._entries)
         for target in targets:
             missing.pop(target.target_id, None)
@@ -80,6 +82,11 @@
             if now_s >= self._forgive_until_s:
                 self._entries.pop(target_id)
 
+    def store_failed(self, now_s: float) -> None:
+        """Note that the store gave no listing."""
+        if self._away_since_s is None:
+            self._away_since_s = now_s
+
     def mark_leaving(self, target_id: str, started_ms: int | None) -> None:
         """Remember that a target itself said that it leaves."""
         entry = self._entries.get(target_id)
--- a/packages/dispatch/dandelionyoke_dispatch/_usage.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_usage.py
@@ -40,6 +40,7 @@
         self._kept: deque[int] = deque(maxlen=kept_windows)
         self._counts: dict[int, Counter[str]] = {}
         self._changed: set[int] = set()
+        self.unsaved = 0
 
     def window_at(self, now_s: float) -> int:
         """Name the window of a moment."""
@@ -60,11 +61,13 @@
             self._counts[window_id] = Counter()
         self._counts[window_id][organisation] += 1
         self._changed.add(window_id)
+        self.unsaved += 1
 
     def take_changed(self) -> list[WindowCounts]:
         """List the windows that changed since they were last taken."""
         changed = sorted(self._changed & self._counts.keys())
         self._changed.clear()
+        self.unsaved = 0
         return [
             WindowCounts(
                 window_id, tuple(sorted(self._counts[window_id].items()))
--- a/packages/gateway/dandelionyoke_gateway/_duty_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_duty_tasks.py
@@ -14,9 +14,6 @@
     Event,
     Instance,
     InstanceId,
-    LeaseGrant,
-    LeaseGranted,
-    LeaseId,
     Leaving,
     OperationId,
     PeersKnown,
@@ -24,8 +21,6 @@
     StoreConflict,
     StoreList,
     StoreListing,
-    StorePut,
-    StoreResult,
     StoreWritten,
     Woken,
     WriteLog,
@@ -36,6 +31,7 @@
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._leased_records import LeasedRecords
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._ports import (
     Dialect,
@@ -50,6 +46,9 @@
 # While nobody holds the duty nothing is ordered; a look costs a call of each
 # node.
 LOOK_INTERVAL_S = 2.5
+# So many of the nodes try to get the duty, or the looks would grow with the
+# fleet; fewer could all lie in a domain that is lost.
+CANDIDATES = 6
 # A former holder stays away for the time in which two holders may not take
 # turns, and this factor of it.
 RETURN_TURNS = 1.5
@@ -59,13 +58,15 @@
 # Counts and reports are wanted until their window is reported, which is due
 # within seconds; their leases remove them some windows later.
 RECORDS_TTL_S = 60.0
-LEASE_CHANGE_S = 30.0
 
-# How often changed counts are saved: what a killed process has not saved is
-# missing in the report, and each save has a price.
+# What a killed process has not saved is missing in the report, and each save
+# has a price: a busy node, whose counts are a large part of the report, saves
+# each second, one with less than SAVE_CALLS new ones later.
 SAVE_INTERVAL_S = 1.0
+SAVE_CALLS = 4
+SAVE_LATEST_S = 2.0
 # A window is closed this long after its end, when all have saved it twice.
-CLOSE_AFTER_S = 2.8
+CLOSE_AFTER_S = 4.5
 REPORT_CHECK_S = 0.5
 KEPT_REVISIONS = 8
 # A report has to arrive within the bound; this much is kept for its way.
@@ -93,6 +94,7 @@
                 look_interval_s=LOOK_INTERVAL_S,
                 return_pause_s=RETURN_TURNS * settings.duty_turn_s,
                 call_timeout_s=1.0,
+                candidates=CANDIDATES,
             ),
             DUTY,
             own,
@@ -114,6 +116,11 @@
         while True:
             self._feed(self._next_event())
 
+    def take_members(self, members: tuple[str, ...]) -> None:
+        """Take which nodes there are; a few of them try to get the duty."""
+        names = tuple(InstanceId(member) for member in members)
+        self._inbox.put(PeersKnown(names, names))
+
     def leave(self) -> None:
         """Hand the duty over."""
         self._inbox.put(Leaving())
@@ -148,42 +155,6 @@
         self._inbox.put(StoreAnswered(operation_id, answer))
 
 
-class LeasedRecords:
-    """Writes records that the store removes after a while."""
-
-    def __init__(self, store: Store) -> None:
-        self._store = store
-        self._lease_id: LeaseId | None = None
-        self._granted_s = 0.0
-
-    def write(self, key: str, text: str, expected_revision: int) -> StoreResult:
-        """Write a record at its expected revision; 0 creates it."""
-        answer = self._store.perform(
-            StorePut(
-                OperationId('record'),
-                key,
-                text,
-                expected_revision,
-                self._lease(),
-            )
-        )
-        if not isinstance(answer, StoreWritten | StoreConflict):
-            self._lease_id = None
-        return answer
-
-    def _lease(self) -> LeaseId | None:
-        now_s = clock_s()
-        if self._lease_id and now_s - self._granted_s < LEASE_CHANGE_S:
-            return self._lease_id
-        granted = self._store.perform(
-            LeaseGrant(OperationId('records'), RECORDS_TTL_S)
-        )
-        if isinstance(granted, LeaseGranted):
-            self._lease_id = granted.lease_id
-            self._granted_s = now_s
-        return self._lease_id
-
-
 class CountsTask:
     """Saves this process's counts, so that they outlive it."""
 
@@ -192,21 +163,25 @@
     ) -> None:
         self._knowledge = knowledge
         self._dialect = dialect
-        self._records = LeasedRecords(store)
+        self._records = LeasedRecords(store, RECORDS_TTL_S)
         boot = f'{knowledge.random.getrandbits(48):012x}'
         self._name = f'{knowledge.settings.instance_id}.{boot}'
         self._revisions: dict[int, int] = {}
+        self._saved_s = 0.0
 
     def run(self) -> None:
         """Save for as long as the process lives."""
-        random = self._knowledge.random
+        random, usage = self._knowledge.random, self._knowledge.usage
         while True:
             sleep(SAVE_INTERVAL_S * random.uniform(0.8, 1))
-            self.save()
+            late_s = clock_s() - self._saved_s
+            if usage.unsaved >= SAVE_CALLS or late_s >= SAVE_LATEST_S:
+                self.save()
 
     def save(self) -> None:
         """Save what changed since the last time."""
         usage = self._knowledge.usage
+        self._saved_s = clock_s()
         for counts in usage.take_changed():
             if not self._save_window(counts):
                 usage.not_saved(counts.window_id)
@@ -246,7 +221,7 @@
         self._knowledge = knowledge
         self._dialect = dialect
         self._store = store
-        self._records = LeasedRecords(store)
+        self._records = LeasedRecords(store, RECORDS_TTL_S)
         self._duty = duty
         self._client = client
         self._log = log
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -25,10 +25,11 @@
 from dandelionyoke_gateway._gate_turns import GateTurns
 from dandelionyoke_gateway._settings import GatewaySettings
 
-# All nodes together may repeat only so much. A node does not know how many
-# there are, so it takes the part it would have among this many, and less than
-# the share, which leaves room for bursts that meet at one window.
-NODES_ASSUMED = 12
+# All nodes together may repeat only so much, and each spends its own part
+# without a word to the others. Until a node knows how many there are it takes
+# its part among this many; afterwards among half as many again as it knows.
+NODES_ASSUMED = 16
+NODES_MARGIN = 1.5
 SHARE_KEPT = 0.7
 
 
@@ -49,6 +50,13 @@
     turns: GateTurns = attrs.field(factory=GateTurns)
     configuration: FleetConfiguration | None = None
     in_progress: int = 0
+    node_count: int = NODES_ASSUMED
+
+    def take_node_count(self, count: int) -> None:
+        """Take the number of nodes, this one included."""
+        self.node_count = max(1, count)
+        reserve = self.settings.retry_extra / (NODES_MARGIN * self.node_count)
+        self.budget.resize(reserve)
 
     @property
     def is_ready(self) -> bool:
--- a/packages/gateway/dandelionyoke_gateway/_knowledge_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge_tasks.py
@@ -1,7 +1,5 @@
 """Tasks that keep what a node believes in step with the store."""
 
-from random import Random
-
 import attrs
 from eventlet import sleep
 
@@ -10,10 +8,12 @@
     BackOffSettings,
     OperationId,
     StoreFailed,
+    StoreItem,
     StoreList,
     StoreListing,
     StoreWatch,
 )
+from dandelionyoke_dispatch import RegisteredTarget
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
@@ -27,12 +27,13 @@
     A watch that ends after `watch_s` proves that the known configuration is
     the newest; two in a row stay well below the bound on a withdrawn key.
     The registry changes with each heartbeat of each target, so a watch on it
-    would return at once all the time; it is read every `registry_s`, which
-    leaves a second of the bound on leaving targets for lost answers.
+    returns at once whenever it is asked. Its changes are gathered for
+    `registry_share` of the bound on leaving targets, which leaves more than
+    half of it for an answer that is lost and the call that follows.
     """
 
-    watch_s: float = 1.2
-    registry_s: float = 0.7
+    watch_s: float = 1.5
+    registry_share: float = 0.4
     back_off: BackOffSettings = attrs.field(
         factory=lambda: BackOffSettings(first_s=0.1, longest_s=0.5)
     )
@@ -122,7 +123,7 @@
 
 
 class RegistryTask:
-    """Reads the registry of targets again and again."""
+    """Watches the registry of targets."""
 
     def __init__(
         self,
@@ -138,24 +139,42 @@
         self._log = log
         self._pace = pace
         self._known: frozenset[str] = frozenset()
+        self._targets: dict[str, RegisteredTarget] = {}
+        self._revision: int | None = None
+        self._back_off = BackOff(pace.back_off, knowledge.random)
 
     def run(self) -> None:
-        """Read for as long as the process lives."""
-        random: Random = self._knowledge.random
+        """Follow the registry for as long as the process lives."""
         while True:
-            self._read()
-            sleep(self._pace.registry_s * random.uniform(0.9, 1.1))
+            asked_s = clock_s()
+            answer = self._store.perform(self._question())
+            if isinstance(answer, StoreListing):
+                self._take(answer)
+                self._pause(asked_s)
+            else:
+                self._revision = None
+                self._knowledge.registry.store_failed(clock_s())
+                sleep(self._back_off.next_s())
 
-    def _read(self) -> None:
+    def _question(self) -> StoreList | StoreWatch:
         prefix = self._dialect.registry_prefix
-        answer = self._store.perform(StoreList(OperationId('registry'), prefix))
-        if not isinstance(answer, StoreListing):
-            return
-        targets = []
-        for item in answer.items:
-            target = self._dialect.read_target(item.key, item.value or '')
-            if target is not None:
-                targets.append(target)
+        if self._revision is None:
+            return StoreList(OperationId('registry'), prefix)
+        return StoreWatch(
+            OperationId('registry'),
+            prefix,
+            self._revision,
+            self._pace.watch_s,
+        )
+
+    def _take(self, listing: StoreListing) -> None:
+        self._back_off.reset()
+        if self._revision is None:
+            self._targets.clear()
+        self._revision = listing.revision
+        for item in listing.items:
+            self._take_item(item)
+        targets = self._targets.values()
         self._knowledge.registry.replace(targets, clock_s())
         usable = frozenset(
             one.target_id for one in targets if not one.is_leaving
@@ -163,6 +182,21 @@
         self._knowledge.turns.send_away(self._known - usable)
         self._tell(usable)
 
+    def _take_item(self, item: StoreItem) -> None:
+        target = self._dialect.read_target(item.key, item.value or '')
+        if target is None:
+            self._targets.pop(item.key, None)
+        else:
+            self._targets[item.key] = target
+
+    def _pause(self, asked_s: float) -> None:
+        """Gather changes that come one after the other into one answer."""
+        drain_s = self._knowledge.settings.drain_s
+        pause_s = self._pace.registry_share * drain_s
+        left_s = asked_s + pause_s - clock_s()
+        if left_s > 0:
+            sleep(left_s * self._knowledge.random.uniform(0.9, 1))
+
     def _tell(self, present: frozenset[str]) -> None:
         if present == self._known:
             return
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -35,6 +35,7 @@
     RegistryTask,
 )
 from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._member_task import MemberTask
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._plain_call import carry_plain
 from dandelionyoke_gateway._ports import (
@@ -137,6 +138,8 @@
         spawn(
             RegistryTask(knowledge, parts.dialect, parts.store, log, pace).run
         )
+        members = MemberTask(knowledge, parts.store, self._duty.take_members)
+        spawn(members.run)
         if parts.duties is None:
             return
         spawn(self._duty.run)
--- a/tests/dispatch/test_registry.py
+++ b/tests/dispatch/test_registry.py
@@ -41,12 +41,24 @@
         refusals although every target is there and idle.
         """
         self.registry.replace([target('i-1')], 0)
+        self.registry.store_failed(2)
+        self.registry.store_failed(8)
         self.registry.replace([], 10)
         self.assertEqual(['i-1'], self.names())
         for now_s in (11, 12, 12.6):
             self.registry.replace([], now_s)
         self.assertEqual([], self.names())
 
+    def test_a_quiet_registry_is_no_outage(self) -> None:
+        """Nothing changes for a while, then a target is gone.
+
+        Taken for an outage, the target would get work for seconds after it
+        left.
+        """
+        self.registry.replace([target('i-1')], 0)
+        self.registry.replace([], 30)
+        self.assertEqual([], self.names())
+
     def test_an_old_listing_does_not_call_a_leaving_target_back(self) -> None:
         """A target refuses a call since it leaves; the listing lags.
 
