Take the duty up again when the store returns with the lease

Change: the holder stops acting, keeps the lease, renews it first and reads the key; its fence stays the same. Test fails without it.

--- a/packages/core/dandelionyoke_core/_authority.py
+++ b/packages/core/dandelionyoke_core/_authority.py
@@ -67,6 +67,7 @@
     WRITING = 'writing'
     SETTLING = 'settling'
     HOLDING = 'holding'
+    REGAINING = 'regaining'
     HANDING_OVER = 'handing over'
     LEFT = 'left'
 
@@ -142,7 +143,7 @@
 
     def _look_at_clock(self, now_s: float) -> list[Output]:
         if self._step is Step.HOLDING and now_s >= self._until_s:
-            return self._lose('the term ended', now_s)
+            return self._suspend(now_s)
         overdue = self._slot.overdue(now_s)
         if overdue is not None:
             return self._ended(overdue, now_s)
@@ -158,7 +159,8 @@
         if self._step is Step.HANDING_OVER:
             self._step = Step.LEFT
             return self._release()
-        if self._step is Step.HOLDING and lease_id is not None:
+        is_own = self._step in {Step.HOLDING, Step.REGAINING}
+        if is_own and lease_id is not None:
             return [LeaseRenew(self._slot.open(now_s), lease_id)]
         if self._step is Step.SETTLING:
             return [StoreGet(self._slot.open(now_s), self._key)]
@@ -191,7 +193,7 @@
     def _failed(self, failed: StoreFailed, now_s: float) -> list[Output]:
         if self._step is Step.HOLDING:
             if now_s >= self._until_s:
-                return self._lose('the term ended', now_s)
+                return self._suspend(now_s)
             pause_s = self._settings.renew_retry_s
             self._next_s = now_s + pause_s * self._random.uniform(0.5, 1)
             return []
@@ -204,7 +206,7 @@
             self._step = Step.SETTLING
         elif self._step in {Step.LOOKING, Step.GRANTING}:
             self._step = Step.RESTING
-        elif now_s >= self._until_s:
+        elif now_s >= self._until_s and self._step is not Step.REGAINING:
             return self._rest(now_s)
         return []
 
@@ -212,6 +214,9 @@
         self, granted: LeaseGranted, sent_s: float, now_s: float
     ) -> list[Output]:
         self._until_s = self._settings.term_end_s(sent_s, granted.ttl_s)
+        if self._step is Step.REGAINING:
+            self._step = Step.SETTLING
+            return [StoreGet(self._slot.open(now_s), self._key)]
         if self._step is not Step.HOLDING:
             self._lease_id = granted.lease_id
             self._step = Step.WRITING
@@ -269,15 +274,30 @@
             DutyGained(self._duty, revision, self._until_s),
         ]
 
+    def _suspend(self, now_s: float) -> list[Output]:
+        """Stop acting, but keep the lease for the store's return.
+
+        While the store is away its leases may stand still: nobody else can
+        get the duty until this one has run out after the return. Asked for
+        first, it is the old holder's again at once.
+        """
+        self._slot.drop()
+        self._step = Step.REGAINING
+        self._next_s = now_s + self._back_off.next_s()
+        return self._told('the term ended')
+
+    def _told(self, cause: str) -> list[Output]:
+        detail = f'fence {self._fence}'
+        return [
+            DutyLost(self._duty, self._fence),
+            WriteLog('duty.lost', self._duty, detail, cause),
+        ]
+
     def _lose(self, cause: str, now_s: float) -> list[Output]:
+        was_holding = self._step in {Step.HOLDING, Step.REGAINING}
         outputs: list[Output] = []
-        was_holding = self._step is Step.HOLDING
-        if was_holding:
-            detail = f'fence {self._fence}'
-            outputs += [
-                DutyLost(self._duty, self._fence),
-                WriteLog('duty.lost', self._duty, detail, cause),
-            ]
+        if self._step is Step.HOLDING:
+            outputs += self._told(cause)
         outputs += self._rest(now_s)
         if was_holding and self._next_s is not None:
             self._next_s += self._settings.return_pause_s
--- a/packages/gateway/dandelionyoke_gateway/_duty_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_duty_tasks.py
@@ -7,6 +7,7 @@
     Action,
     AuthorityPart,
     AuthoritySettings,
+    BackOffSettings,
     Domain,
     DutyExtended,
     DutyGained,
@@ -95,6 +96,7 @@
                 return_pause_s=RETURN_TURNS * settings.duty_turn_s,
                 call_timeout_s=1.0,
                 candidates=CANDIDATES,
+                back_off=BackOffSettings(first_s=0.2, longest_s=0.8),
             ),
             DUTY,
             own,
@@ -275,6 +277,7 @@
             StoreList(OperationId('counts'), f'{COUNTS_PREFIX}{window_id}/')
         )
         if not isinstance(listing, StoreListing):
+            self._tell_open(window_id, 'the counts cannot be read')
             return None
         parts = [
             self._dialect.read_counts(window_id, item.value or '')
@@ -282,11 +285,20 @@
         ]
         total = add_up([part for part in parts if part is not None])
         if not total:
+            self._tell_open(window_id, 'nothing was counted')
             return None
         counts = WindowCounts(window_id, total)
-        key = f'{REPORTS_PREFIX}{window_id}'
         text = self._dialect.write_counts(counts)
+        key = f'{REPORTS_PREFIX}{window_id}'
         answer = self._records.write(key, text, 0)
         if isinstance(answer, StoreConflict) and answer.present.value:
             return self._dialect.read_counts(window_id, answer.present.value)
-        return counts if isinstance(answer, StoreWritten) else None
+        if isinstance(answer, StoreWritten):
+            return counts
+        self._tell_open(window_id, 'the record cannot be written')
+        return None
+
+    def _tell_open(self, window_id: int, cause: str) -> None:
+        self._log.decide(
+            'usage.open', str(window_id), outcome='tried again', cause=cause
+        )
--- a/tests/core/test_authority.py
+++ b/tests/core/test_authority.py
@@ -1,24 +1,45 @@
 """One entry at a time holds a duty, whatever is lost, slow or paused."""
 
 from random import Random
+from typing import Any
 
 import testtools
 
 from dandelionyoke_core import (
     REPORT_DUTY,
+    Action,
     AuthorityPart,
     AuthoritySettings,
+    DutyGained,
+    Event,
     Instance,
     LeaseGrant,
+    LeaseGranted,
+    LeaseId,
+    LeaseLapsed,
     LeaseRelease,
     LeaseRenew,
     Leaving,
     Part,
+    PeersKnown,
+    StoreAnswered,
+    StoreFailed,
     StoreGet,
+    StoreItem,
     StorePut,
+    StoreResult,
+    StoreWritten,
+    Woken,
 )
 from dandelionyoke_standins import DeploymentPlan, World, deploy
-from tests.core.duty_bench import DOMAIN, NAMES, Bench, explore, trouble
+from tests.core.duty_bench import (
+    DOMAIN,
+    NAMES,
+    Bench,
+    explore,
+    instance,
+    trouble,
+)
 
 FIRST, SECOND = NAMES
 KEY = f'duty/{DOMAIN}/{REPORT_DUTY}'
@@ -199,3 +220,56 @@
         action.operation_id.startswith('duty.')
         for _, _, action in world.actions
     )
+
+
+class ReturnOfTheStoreTest(testtools.TestCase):
+    """A holder whose store was away for longer than its term."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        own = instance(FIRST)
+        self.part = AuthorityPart(
+            AuthoritySettings(), REPORT_DUTY, own, Random(1)
+        )
+        self.now_s = 0.0
+        self.told: list[object] = []
+        self.feed(PeersKnown((FIRST,), (FIRST,)))
+        self.answer(StoreGet, StoreItem(KEY, 0, None))
+        self.answer(LeaseGrant, LeaseGranted(LeaseId('l-1'), 10))
+        self.record = self.answer(StorePut, StoreWritten(KEY, 7)).value
+        for _ in range(40):
+            self.answer(LeaseRenew, StoreFailed('away', True))
+
+    def feed(self, event: Event) -> None:
+        self.told += self.part.handle(event, self.now_s)
+
+    def answer(self, kind: type[Action], result: StoreResult) -> Any:
+        """Wait for a call of the part and answer it."""
+        for _ in range(100):
+            for action in self.told:
+                if isinstance(action, kind):
+                    self.told = []
+                    self.feed(StoreAnswered(action.operation_id, result))
+                    return action
+            self.now_s = self.part.next_wakeup_s() or self.now_s
+            self.feed(Woken())
+        raise AssertionError(f'no {kind.__name__} came')
+
+    def fences(self) -> list[int]:
+        return [one.fence for one in self.told if isinstance(one, DutyGained)]
+
+    def test_the_lease_that_stood_still_is_taken_up_again(self) -> None:
+        """The store was away, and its leases stood still meanwhile.
+
+        Left to run out, the domain would have no holder for a whole term
+        after the store's return, and reports would be late.
+        """
+        self.answer(LeaseRenew, LeaseGranted(LeaseId('l-1'), 10))
+        self.answer(StoreGet, StoreItem(KEY, 7, self.record))
+        self.assertEqual([7], self.fences())
+
+    def test_a_lease_that_ran_out_is_gone(self) -> None:
+        self.answer(LeaseRenew, LeaseLapsed(LeaseId('l-1')))
+        self.assertEqual([], self.fences())
+        self.answer(StoreGet, StoreItem(KEY, 9, 'another'))
+        self.assertEqual([], self.fences())
