--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -20,6 +20,11 @@
     Service as Service,
     ServiceShare as ServiceShare,
 )
+from dandelionyoke_dispatch._crash_guard import (
+    CrashGuard as CrashGuard,
+    CrashSettings as CrashSettings,
+    fingerprint as fingerprint,
+)
 from dandelionyoke_dispatch._departure import (
     Departure as Departure,
     DepartureSettings as DepartureSettings,
--- a/packages/gateway/dandelionyoke_gateway/_call_desk.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_desk.py
@@ -19,6 +19,7 @@
     Refusal,
     Route,
     Service,
+    fingerprint,
 )
 from dandelionyoke_gateway._caller_connection import CallerRequest, Responder
 from dandelionyoke_gateway._clock import clock_s
@@ -39,6 +40,9 @@
     pool: TargetPool
     engines: EngineClient
     log: DecisionLog
+    # Takes the fingerprint of a call, and the id and address of a target
+    # that broke it off.
+    suspect: Callable[[str, str, str], None]
 
 
 @attrs.define
@@ -67,6 +71,11 @@
             return self.own_until_s
         return min(self.own_until_s, end_s)
 
+    @property
+    def fingerprint(self) -> str:
+        """What the call and its repetitions have in common."""
+        return fingerprint(self.name, self.call.path, self.request.body)
+
     @property
     def name(self) -> str | None:
         """The organisation for which the call runs."""
@@ -180,6 +189,10 @@
         return organisation
 
     def _carry(self, opened: OpenCall) -> None:
+        crashes = self._tools.knowledge.crashes
+        if crashes.refuses(opened.fingerprint, clock_s()):
+            refusal = Refusal(Cause.QUARANTINED, crashes.retry_after_s)
+            raise RefusedError(refusal)
         if opened.route.kind is CallKind.STREAM:
             self._carry_stream(self._tools, opened)
         else:
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -0,0 +1,82 @@
+"""Tells the other nodes which call a target died of, and hears of theirs."""
+
+import eventlet
+
+from dandelionyoke_core import (
+    BackOff,
+    BackOffSettings,
+    OperationId,
+    StoreList,
+    StoreListing,
+    StoreWatch,
+)
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._errors import ExchangeError
+from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._leased_records import LeasedRecords
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._ports import Store
+from dandelionyoke_gateway._target_connection import connect
+
+CRASHES_PREFIX = 'crashes/'
+RECORD_TTL_S = 60.0
+# Crashes are rare, so that a long watch costs next to nothing.
+WATCH_S = 10.0
+# A target that is alive takes a connection at once.
+PROBE_TIMEOUT_S = 0.5
+
+
+class CrashTask:
+    """Shares crashes through the store."""
+
+    def __init__(
+        self, knowledge: Knowledge, store: Store, log: DecisionLog
+    ) -> None:
+        self._knowledge = knowledge
+        self._store = store
+        self._log = log
+        self._records = LeasedRecords(store, RECORD_TTL_S)
+        self._revision: int | None = None
+        self._back_off = BackOff(BackOffSettings(), knowledge.random)
+
+    def run(self) -> None:
+        """Listen for as long as the process lives."""
+        while True:
+            answer = self._store.perform(self._question())
+            if isinstance(answer, StoreListing):
+                self._back_off.reset()
+                self._take(answer)
+            else:
+                self._revision = None
+                eventlet.sleep(self._back_off.next_s())
+
+    def suspect(self, name: str, target_id: str, address: str) -> None:
+        """Look whether a target is dead that broke a call off."""
+        eventlet.spawn_n(self._look, name, target_id, address)
+
+    def _look(self, name: str, target_id: str, address: str) -> None:
+        try:
+            connect(address, PROBE_TIMEOUT_S).close()
+        except ExchangeError:
+            self._tell(name, target_id)
+
+    def _tell(self, name: str, target_id: str) -> None:
+        self._knowledge.crashes.crashed(name, target_id, clock_s())
+        self._log.decide(
+            'target.died', target_id, outcome='call suspected', call=name
+        )
+        self._records.write(f'{CRASHES_PREFIX}{name}/{target_id}', '', 0)
+
+    def _question(self) -> StoreList | StoreWatch:
+        operation = OperationId('crashes')
+        if self._revision is None:
+            return StoreList(operation, CRASHES_PREFIX)
+        return StoreWatch(operation, CRASHES_PREFIX, self._revision, WATCH_S)
+
+    def _take(self, listing: StoreListing) -> None:
+        self._revision = listing.revision
+        for item in listing.items:
+            path = item.key.removeprefix(CRASHES_PREFIX)
+            name, _, target_id = path.partition('/')
+            if item.value is not None and target_id:
+                self._knowledge.crashes.crashed(name, target_id, clock_s())
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -6,6 +6,8 @@
 
 from dandelionyoke_core import RetryBudget
 from dandelionyoke_dispatch import (
+    CrashGuard,
+    CrashSettings,
     Departure,
     DepartureSettings,
     FleetConfiguration,
@@ -47,6 +49,7 @@
     budget: RetryBudget
     usage: UsageCounter
     departure: Departure
+    crashes: CrashGuard
     turns: GateTurns = attrs.field(factory=GateTurns)
     configuration: FleetConfiguration | None = None
     in_progress: int = 0
@@ -90,5 +93,6 @@
             refill_per_s=0,
         ),
         usage=UsageCounter(settings.usage_window_s, clock),
+        crashes=CrashGuard(CrashSettings()),
         departure=Departure(DepartureSettings(settings.grace_s)),
     )
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -196,4 +196,6 @@
     )
     if isinstance(error, ExchangeTimeoutError):
         return Cause.OUT_OF_TIME
+    if error.sent:
+        tools.suspect(opened.fingerprint, target.target_id, target.address)
     return Cause.BROKEN
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -18,6 +18,7 @@
     Responder,
 )
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._crash_task import CrashTask
 from dandelionyoke_gateway._duty_tasks import (
     CountsTask,
     DutyTask,
@@ -95,6 +96,9 @@
         self._knowledge = new_knowledge(settings, self._random)
         pool = TargetPool()
         self._adapters = factory(settings, pool)
+        self._crashes = CrashTask(
+            self._knowledge, self._adapters.store, self._log
+        )
         self._desk = CallDesk(
             Tools(
                 self._knowledge,
@@ -102,6 +106,7 @@
                 pool,
                 self._adapters.engines,
                 self._log,
+                self._crashes.suspect,
             ),
             carry_plain,
             carry_stream,
@@ -140,6 +145,7 @@
         )
         members = MemberTask(knowledge, parts.store, self._duty.take_members)
         spawn(members.run)
+        spawn(self._crashes.run)
         if parts.duties is None:
             return
         spawn(self._duty.run)
--- a/tests/platform/path.py
+++ b/tests/platform/path.py
@@ -179,6 +179,7 @@
             usage_late_s=10.0,
         )
         self.output = io.StringIO()
+        self.suspected: list[str] = []
         self.knowledge: Knowledge = new_knowledge(settings, Random(7))
         self.knowledge.configuration = configuration()
         self.knowledge.freshness.prove(clock_s())
@@ -192,6 +193,7 @@
                 self.pool,
                 PlatformDuties('', self.pool),
                 DecisionLog(self.output, 'n-1'),
+                self._suspect,
             ),
             carry_plain,
             carry_stream,
@@ -241,6 +243,10 @@
         for target in self.targets:
             target.close()
 
+    def _suspect(self, name: str, target_id: str, address: str) -> None:
+        self.suspected.append(target_id)
+        self.knowledge.crashes.crashed(name, target_id, clock_s())
+
     def _accept(self) -> None:
         while True:
             sock, _ = self._listener.accept()
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -184,6 +184,26 @@
         self.assertIn('no route matches', line)
         self.assertNotIn('a-key', line)
 
+    def test_a_call_that_crashes_targets_is_kept_from_the_rest(self) -> None:
+        """A call crashes each target that runs it, and comes again.
+
+        Sent on and on, it would take one target after the other away from
+        all callers.
+        """
+        for _ in range(5):
+            self.path.add(resets)
+        for _ in range(3):
+            self.path.call('/look/1')
+        # A target rests after its second failure, so two were tried twice.
+        self.assertEqual(6, self.sends())
+        self.assertEqual(4, len(set(self.path.suspected)))
+        content = self.path.call('/look/1')
+        self.assertEqual(503, status(content))
+        self.assertIn(b'retry-after: 30', content.lower())
+        sent = self.sends()
+        self.path.call('/look/2')
+        self.assertGreater(self.sends(), sent)
+
 
 class StreamCallTest(PathTest):
     def events(self, *numbers: int) -> bytes:
