Explain a request from logs alone; count decisions and times

dandelionyoke explain REQUEST-ID reads the logs of any nodes and prints the trail in the order of events. Metrics move to the core, where both entry and gateway use them, and are served on the address of the settings.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -216,6 +216,9 @@
 from dandelionyoke_core._membership_settings import (
     MembershipSettings as MembershipSettings,
 )
+from dandelionyoke_core._metrics import (
+    Metrics as Metrics,
+)
 from dandelionyoke_core._names import (
     AttemptId as AttemptId,
     ChangeId as ChangeId,
--- a/packages/entry/dandelionyoke_entry/_metrics.py
+++ b/packages/core/dandelionyoke_core/_metrics.py
@@ -4,7 +4,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from dandelionyoke_core import CountMetric, ObserveLatency
+from dandelionyoke_core._actions import CountMetric, ObserveLatency
 
 PREFIX = 'dandelionyoke'
 HIGHEST_MICROSECONDS = 3_600_000_000
--- a/packages/entry/dandelionyoke_entry/_process.py
+++ b/packages/entry/dandelionyoke_entry/_process.py
@@ -15,6 +15,7 @@
     CountMetric,
     Instance,
     LifecycleSettings,
+    Metrics,
     Node,
     NodeSettings,
     ObserveLatency,
@@ -25,7 +26,6 @@
     WriteLog,
 )
 from dandelionyoke_entry._log import Log
-from dandelionyoke_entry._metrics import Metrics
 from dandelionyoke_entry._settings import Endpoint, EntrySettings
 from dandelionyoke_entry._status import ExitStatus
 from dandelionyoke_wire import (
--- a/packages/gateway/dandelionyoke_gateway/_log.py
+++ b/packages/gateway/dandelionyoke_gateway/_log.py
@@ -5,6 +5,7 @@
 
 from eliot import add_destinations, log_message
 
+from dandelionyoke_core import CountMetric, Metrics, ObserveLatency
 from dandelionyoke_gateway._clock import clock_s
 
 # Twice what a node decides at the peak of its load; past it lines are left
@@ -15,7 +16,10 @@
 class DecisionLog:
     """Writes one line for each decision, at most so many a second."""
 
-    def __init__(self, stream: TextIO, instance_id: str) -> None:
+    def __init__(
+        self, stream: TextIO, instance_id: str, metrics: Metrics
+    ) -> None:
+        self._metrics = metrics
         self._stream = stream
         self._instance_id = instance_id
         self._second = 0
@@ -31,7 +35,11 @@
         outcome: str = '',
         **inputs: str | float | None,
     ) -> None:
-        """Write a decision about a call or a belief, with its inputs."""
+        """Write a decision about a call or a belief, with its inputs.
+
+        It is counted even where its line is left out.
+        """
+        self._metrics.count(CountMetric('decisions', label=decision))
         if not self._has_room():
             self._left_out += 1
             return
@@ -45,6 +53,10 @@
         )
         self._left_out = 0
 
+    def observe(self, metric: str, elapsed_s: float) -> None:
+        """Record a duration in a histogram; no line is written."""
+        self._metrics.observe(ObserveLatency(metric, elapsed_s))
+
     def _has_room(self) -> bool:
         second = int(clock_s())
         if second != self._second:
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -119,6 +119,7 @@
     ) -> WholeAnswer | None:
         """Return an answer that goes to the caller as it is."""
         loads, facts = self._knowledge.loads, answer.facts
+        self._tell(target, facts)
         note_facts(self._tools, target, facts)
         if facts.is_not_run:
             self._opened.attempts.refused()
@@ -135,6 +136,20 @@
         self._cause = Cause.BROKEN
         return None
 
+    def _tell(self, target: RegisteredTarget, facts: AnswerFacts) -> None:
+        opened = self._opened
+        since_arrival_s = clock_s() - opened.request.arrived_s
+        self._tools.log.observe('plain.answer', since_arrival_s)
+        self._tools.log.decide(
+            'call.answered',
+            opened.call.attempt_id,
+            outcome=target.target_id,
+            service=opened.service.name,
+            status=facts.status,
+            not_run=str(facts.is_not_run),
+            since_arrival_s=since_arrival_s,
+        )
+
 
 def check_answer(
     head: ResponseHead, facts: AnswerFacts, opened: OpenCall
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -9,6 +9,7 @@
 from eventlet import event as green_event
 from eventlet.green import socket
 
+from dandelionyoke_core import Metrics
 from dandelionyoke_dispatch import CallerLimits
 from dandelionyoke_gateway._call_desk import CallDesk, Tools
 from dandelionyoke_gateway._caller_connection import (
@@ -89,7 +90,8 @@
         stream: TextIO,
     ) -> None:
         self._settings = settings
-        self._log = DecisionLog(stream, settings.instance_id)
+        self._metrics = Metrics()
+        self._log = DecisionLog(stream, settings.instance_id, self._metrics)
         self._status = green_event.Event()
         self._connections: set[CallerConnection] = set()
         self._random = Random()
@@ -122,6 +124,7 @@
             signal.signal(number, self._on_leave)
         signal.signal(signal.SIGHUP, self._on_reload)
         self._serve(self._settings.health, self._answer_health)
+        self._serve(self._settings.metrics, self._answer_metrics)
         self._serve(self._settings.callers, self._desk.handle)
         self._start_tasks()
         self._log.decide(
@@ -215,6 +218,12 @@
         is_ready = self._knowledge.is_ready
         responder.answer(ResponseHead(200 if is_ready else 503, ()), b'')
 
+    def _answer_metrics(
+        self, request: CallerRequest, responder: Responder
+    ) -> None:
+        kind = ('content-type', 'text/plain; version=0.0.4')
+        responder.answer(ResponseHead(200, (kind,)), self._metrics.text())
+
     # Signals and the end.
 
     def _on_leave(self, number: int, frame: object) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_settings.py
+++ b/packages/gateway/dandelionyoke_gateway/_settings.py
@@ -28,7 +28,7 @@
     domain: str
     callers: Endpoint
     health: Endpoint
-    metrics_port: int
+    metrics: Endpoint
     store_address: str
     duty_address: str | None
     revocation_s: float
@@ -109,13 +109,6 @@
     return int(_number(raw))
 
 
-def _port(raw: str) -> int:
-    port = _count(raw or '0')
-    if port > MAX_PORT:
-        raise ValueError('a port is at most 65535')
-    return port
-
-
 _Option = tuple[str, str, Callable[[str], Any]]
 
 _OPTIONS: Mapping[str, _Option] = MappingProxyType(
@@ -124,7 +117,7 @@
         'domain': ('gateway', 'domain', _name),
         'callers': ('gateway', 'caller_address', _endpoint),
         'health': ('gateway', 'health_address', _endpoint),
-        'metrics_port': ('gateway', 'metrics_port', _port),
+        'metrics': ('gateway', 'metrics_address', _endpoint),
         'store_address': ('store', 'address', _address),
         'duty_address': ('duties', 'address', _optional_address),
         'revocation_s': ('bounds', 'revocation_ms', _milliseconds),
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -297,12 +297,14 @@
         facts = self._tools.dialect.read_answer(answer)
         self._judge(target, answer, facts, connection)
         self._prompt = None
+        since_arrival_s = clock_s() - self._opened.request.arrived_s
+        self._tools.log.observe('stream.begin', since_arrival_s)
         self._tell(
             'stream.begun',
             target,
             status=facts.status,
             took_s=clock_s() - sent_s,
-            since_arrival_s=clock_s() - self._opened.request.arrived_s,
+            since_arrival_s=since_arrival_s,
         )
         if facts.status == HTTPStatus.OK:
             self._begin(answer)
--- a/packages/operator/dandelionyoke_operator/_declarations.py
+++ b/packages/operator/dandelionyoke_operator/_declarations.py
@@ -116,6 +116,18 @@
         ),
         _CHANGE,
     ),
+    Declaration(
+        'explain',
+        'Tell what became of a request, from the logs of nodes.',
+        commands.explain,
+        (argument('request', 'The id of the request.'),),
+        (
+            _value(
+                'logs',
+                'Log files, parted by commas; by default standard input.',
+            ),
+        ),
+    ),
     Declaration(
         'status',
         'Tell how far each entry instance is.',
--- a/packages/operator/dandelionyoke_operator/_invocation.py
+++ b/packages/operator/dandelionyoke_operator/_invocation.py
@@ -1,7 +1,7 @@
 """One call of the program: its command's arguments, typed, and its world."""
 
 import pathlib
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 import attrs
 
@@ -37,6 +37,19 @@
         """Give an option's value, or None."""
         return self.options.get(name)
 
+    def log_lines(self) -> Iterator[str]:
+        """Read the logs that the command names, or standard input.
+
+        Raises:
+            UsageError: a file cannot be read.
+        """
+        names = self.option('logs')
+        if names is None:
+            yield from self.environment.stdin
+            return
+        for name in names.split(','):
+            yield from _lines_of(name)
+
     def revision(self) -> int:
         """Give the revision that the command names.
 
@@ -130,3 +143,13 @@
     if text.isdecimal():
         return int(text)
     raise UsageError(f'{place} is {text!r}', 'Write a whole number')
+
+
+def _lines_of(name: str) -> Iterator[str]:
+    try:
+        text = pathlib.Path(name).read_text(errors='replace')
+    except OSError as bad:
+        raise UsageError(
+            f'{name} cannot be read: {bad.strerror}', 'Name log files'
+        ) from bad
+    yield from text.splitlines()
--- a/packages/operator/dandelionyoke_operator/_reports.py
+++ b/packages/operator/dandelionyoke_operator/_reports.py
@@ -6,6 +6,7 @@
 
 from dandelionyoke_core import Entity, InstanceId
 from dandelionyoke_operator._exit import ExitStatus
+from dandelionyoke_operator._lines import DecisionLine
 
 
 @attrs.frozen
@@ -196,3 +197,16 @@
         if self.rollout.revision is None:
             return ExitStatus.UNAVAILABLE
         return self.rollout.exit_status
+
+
+@attrs.frozen
+class ExplainReport(Report):
+    """The decisions about a request, in the order of events."""
+
+    request_id: str
+    lines: tuple[DecisionLine, ...]
+
+    @property
+    def exit_status(self) -> ExitStatus:
+        """Whether the logs hold anything about the request."""
+        return ExitStatus.SUCCESS if self.lines else ExitStatus.INVALID
--- a/packages/operator/dandelionyoke_operator/commands/__init__.py
+++ b/packages/operator/dandelionyoke_operator/commands/__init__.py
@@ -5,6 +5,9 @@
     plan as plan,
     undo as undo,
 )
+from dandelionyoke_operator.commands._explain import (
+    explain as explain,
+)
 from dandelionyoke_operator.commands._key import (
     issue_key as issue_key,
     withdraw_key as withdraw_key,
--- a/packages/operator/dandelionyoke_operator/output/_text.py
+++ b/packages/operator/dandelionyoke_operator/output/_text.py
@@ -10,6 +10,7 @@
     CheckReport,
     CommitReport,
     ConflictReport,
+    ExplainReport,
     HistoryReport,
     KeyReport,
     PlanReport,
@@ -27,6 +28,9 @@
 )
 from dandelionyoke_operator.output._trail import change_lines
 
+MILLISECONDS = 1000
+INPUT_INDENT = ' ' * 13
+
 
 class _TextWriter:
     """Writes plain text."""
@@ -123,4 +127,25 @@
     yield from status_lines(report.rollout)
 
 
+@report_lines.register
+def _explain(report: ExplainReport) -> Iterator[str]:
+    if not report.lines:
+        yield (
+            f'Nothing about {report.request_id} in these logs. Take those of '
+            'all entries in the domain, from before the request on.'
+        )
+        return
+    began_s = report.lines[0].at_s
+    for line in report.lines:
+        after_ms = (line.at_s - began_s) * MILLISECONDS
+        words = [f'{after_ms:8.1f} ms', line.instance_id, line.decision]
+        words.extend(filter(None, (line.outcome, line.cause)))
+        yield '  '.join(words)
+        inputs = ', '.join(f'{one.name} {one.text}' for one in line.inputs)
+        if inputs:
+            yield f'{INPUT_INDENT}{inputs}'
+        if line.left_out:
+            yield f'{INPUT_INDENT}({line.left_out} lines left out before)'
+
+
 text_writer = _TextWriter()
--- a/tests/platform/path.py
+++ b/tests/platform/path.py
@@ -12,6 +12,7 @@
 import eventlet
 from eventlet.green import socket
 
+from dandelionyoke_core import Metrics
 from dandelionyoke_dispatch import (
     CallKind,
     EngineTraits,
@@ -165,7 +166,7 @@
             domain='a',
             callers=Endpoint('127.0.0.1', 0),
             health=Endpoint('127.0.0.1', 0),
-            metrics_port=0,
+            metrics=Endpoint('127.0.0.1', 0),
             store_address='127.0.0.1:1',
             duty_address=None,
             revocation_s=5.0,
@@ -192,7 +193,7 @@
                 PlatformDialect(),
                 self.pool,
                 PlatformDuties('', self.pool),
-                DecisionLog(self.output, 'n-1'),
+                DecisionLog(self.output, 'n-1', Metrics()),
                 self._suspect,
             ),
             carry_plain,
