Reset what is given up, and give no order in the last second of a term

The test for the reset failed before. New: tests of real processes against a store of our own (ready, keys, outage, SIGTERM and SIGHUP, takeover, settings).

--- a/packages/gateway/dandelionyoke_gateway/_duty_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_duty_tasks.py
@@ -54,6 +54,10 @@
 # turns, and this factor of it.
 RETURN_TURNS = 1.5
 
+# An order may be on its way for so long before its connection is reset. It
+# must not arrive after the end of its holder's term.
+SEND_TIME_S = 1.0
+
 COUNTS_PREFIX = 'counts/'
 REPORTS_PREFIX = 'reports/'
 # Counts and reports are wanted until their window is reported, which is due
@@ -108,7 +112,7 @@
     @property
     def stamp(self) -> DutyStamp | None:
         """The authority to act right now; None: there is none."""
-        if clock_s() >= self._until_s:
+        if clock_s() >= self._until_s - SEND_TIME_S:
             return None
         return DutyStamp(self._own, self._fence)
 
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -5,6 +5,7 @@
 both, and a later request would get another one's bytes.
 """
 
+import struct
 from typing import Any
 
 import eventlet
@@ -31,6 +32,9 @@
 # A request has to arrive before the target's own time is over.
 IDLE_MARGIN_S = 0.5
 
+# The option's value that closes with a reset: on, after no time.
+AT_ONCE = struct.pack('ii', 1, 0)
+
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
@@ -134,9 +138,13 @@
         return False
 
     def close(self) -> None:
-        """Close the socket and stop sending."""
+        """Close the socket; what has not arrived yet never will."""
         if self._sender is not None:
             self._sender.kill()
+        # A plain close leaves unsent bytes to the kernel. Behind a cut link
+        # they would arrive seconds later: an order of a holder that has lost
+        # its duty meanwhile, or a call that was given up.
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, AT_ONCE)
         self._sock.close()
 
     def _send_rest(self, rest: bytes) -> None:
--- a/tests/gateway/test_target_connection.py
+++ b/tests/gateway/test_target_connection.py
@@ -147,6 +147,35 @@
         )
         self.assertEqual('no answer in time', error.cause)
 
+    def test_what_was_given_up_never_arrives(self) -> None:
+        """An order waits behind a cut link while its holder loses the duty.
+
+        Closed in the usual way, its bytes would arrive once the link has
+        healed, after an order of the next holder.
+        """
+        received: list[bytes | OSError] = []
+
+        def script(sock: socket.socket) -> None:
+            eventlet.sleep(0.2)
+            sock.settimeout(WAIT_S)
+            while True:
+                try:
+                    received.append(sock.fd.recv(65536))
+                except BlockingIOError:
+                    eventlet.sleep(0.01)
+                    continue
+                except OSError as end:
+                    received.append(end)
+                    return
+                if not received[-1]:
+                    return
+
+        connection = self.exchange(script)
+        connection.send(HEAD, b'x' * (16 << 20))
+        connection.close()
+        eventlet.sleep(0.6)
+        self.assertIsInstance(received[-1], ConnectionResetError)
+
     def test_a_refused_connection_was_not_sent(self) -> None:
         listener = eventlet.listen(('127.0.0.1', 0))
         host, port = listener.getsockname()
--- /dev/null
+++ b/tests/platform/store_standin.py
@@ -0,0 +1,198 @@
+"""A small store and duty API in the platform's dialect, in this process."""
+
+import base64
+import json
+from collections.abc import Callable, Iterable
+from typing import Any
+from urllib.parse import parse_qs
+
+import attrs
+import eventlet
+from eventlet import wsgi
+
+from dandelionyoke_gateway import clock_s
+from dandelionyoke_platform import _words as words
+
+JSON_HEADERS = [('Content-Type', 'application/json')]
+STEP_S = 0.02
+
+
+@attrs.define
+class Item:
+    """A key's content; value None once it was removed."""
+
+    key: str
+    value: str | None
+    revision: int
+    lease: int = 0
+
+    def fields(self) -> dict[str, Any]:
+        """Write it as the store does."""
+        if self.value is None:
+            return {
+                'key': self.key,
+                'revision': self.revision,
+                'tombstone': True,
+            }
+        return {
+            'key': self.key,
+            'value': base64.b64encode(self.value.encode()).decode(),
+            'revision': self.revision,
+            'created': self.revision,
+            'lease': self.lease,
+        }
+
+
+class StoreStandin:
+    """Keeps items, leases and history; can be out, or turn calls away."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.items: dict[str, Item] = {}
+        self.history: list[Item] = []
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.usage: list[tuple[str, int, dict[str, Any]]] = []
+        self.orders: list[dict[str, Any]] = []
+        self.is_out = False
+        listener = eventlet.listen(('127.0.0.1', 0))
+        host, port = listener.getsockname()
+        self.address = f'{host}:{port}'
+        self._listener = listener
+        self._server = eventlet.spawn(
+            wsgi.server, listener, self._app, log_output=False
+        )
+
+    def close(self) -> None:
+        """End it."""
+        self._server.kill()
+        self._listener.close()
+
+    def put(self, key: str, value: str, lease: int = 0) -> int:
+        """Write a key, as the operator or a target does."""
+        self.revision += 1
+        item = Item(key, value, self.revision, lease)
+        self.items[key] = item
+        self.history.append(item)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.history.append(Item(key, None, self.revision))
+
+    def _expire(self) -> None:
+        now_s = clock_s()
+        for lease, (until_s, _) in tuple(self.leases.items()):
+            if now_s >= until_s:
+                self.leases.pop(lease)
+                for item in tuple(self.items.values()):
+                    if item.lease == lease:
+                        self.remove(item.key)
+
+    def _app(
+        self, environ: dict[str, Any], start: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        body = environ['wsgi.input'].read()
+        status, fields = self._answer(environ, json.loads(body) if body else {})
+        start(f'{status} Status', JSON_HEADERS)
+        return [json.dumps(fields).encode()]
+
+    def _answer(
+        self, environ: dict[str, Any], body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        self._expire()
+        path = environ['PATH_INFO']
+        query = {
+            name: found[0]
+            for name, found in parse_qs(environ.get('QUERY_STRING', '')).items()
+        }
+        if path == words.USAGE_CALL:
+            return self._report(environ, body)
+        if path == words.SCALE_CALL:
+            self.orders.append(body)
+            return 200, {}
+        if self.is_out:
+            return 503, {}
+        if path == words.KEY_CALL:
+            item = self.items.get(query['key'])
+            return (200, item.fields()) if item else (404, {})
+        if path == words.RANGE_CALL:
+            return 200, self._range(query['path_prefix'])
+        if path == words.WATCH_CALL:
+            return self._watch(query)
+        if path == words.WRITE_CALL:
+            return self._write(body)
+        return self._lease(environ['REQUEST_METHOD'], path, body)
+
+    def _report(
+        self, environ: dict[str, Any], body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        holder = environ['HTTP_DUTY_HOLDER']
+        fence = int(environ['HTTP_FENCING_TOKEN'])
+        self.usage.append((holder, fence, body))
+        return 200, {}
+
+    def _range(self, prefix: str) -> dict[str, Any]:
+        found = [
+            item.fields()
+            for item in self.items.values()
+            if item.key.startswith(prefix)
+        ]
+        return {
+            'items': found,
+            'has_more': False,
+            'current_rev': self.revision,
+        }
+
+    def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = int(query['after'])
+        until_s = clock_s() + int(query['wait_ms']) / 1000
+        while True:
+            self._expire()
+            if self.is_out:
+                return 503, {}
+            events = [
+                item.fields()
+                for item in self.history
+                if item.revision > after
+                and item.key.startswith(query['path_prefix'])
+            ]
+            if events or clock_s() >= until_s:
+                return 200, {'events': events, 'current_rev': self.revision}
+            eventlet.sleep(STEP_S)
+
+    def _write(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        present = [
+            self.items.get(row['key'], Item(row['key'], None, 0))
+            for row in body['expected_rev']
+        ]
+        wanted = [row['revision'] for row in body['expected_rev']]
+        if [item.revision for item in present] != wanted:
+            return 412, {'items': [item.fields() for item in present]}
+        for put in body['puts']:
+            lease = put.get('lease', 0)
+            if lease and lease not in self.leases:
+                return 404, {}
+            value = base64.b64decode(put['value']).decode()
+            self.put(put['key'], value, lease)
+        return 200, {'revision': self.revision}
+
+    def _lease(
+        self, method: str, path: str, body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        if path == words.LEASE_CALL:
+            self.revision += 1
+            ttl_s = body['ttl_ms'] / 1000
+            self.leases[self.revision] = (clock_s() + ttl_s, ttl_s)
+            return 200, {'lease': self.revision, 'ttl_ms': body['ttl_ms']}
+        lease = int(path.rpartition('/')[2])
+        if lease not in self.leases:
+            return 404, {}
+        _, ttl_s = self.leases[lease]
+        if method == 'DELETE':
+            self.leases[lease] = (0, ttl_s)
+            self._expire()
+            return 200, {}
+        self.leases[lease] = (clock_s() + ttl_s, ttl_s)
+        return 200, {'ttl_ms': int(ttl_s * 1000)}
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,248 @@
+"""Real processes of the platform's program, against stand-ins."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Callable, Iterator
+
+import eventlet
+import testtools
+from eventlet.green import socket
+
+from dandelionyoke_gateway import clock_s
+from tests.platform.path import (
+    HOST,
+    KEY,
+    Piece,
+    ScriptedTarget,
+    Seen,
+    answer,
+    request,
+)
+from tests.platform.store_standin import StoreStandin
+
+WAIT_S = 15.0
+
+
+def free_port() -> int:
+    """Let the kernel choose a port."""
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return int(sock.getsockname()[1])
+
+
+def wait_for(condition: Callable[[], object], what: str) -> None:
+    """Wait for something to come true."""
+    until_s = clock_s() + WAIT_S
+    while not condition():
+        if clock_s() > until_s:
+            raise AssertionError(f'{what} did not come')
+        eventlet.sleep(0.05)
+
+
+def configuration(version: int = 1, keys: tuple[str, ...] = (KEY,)) -> str:
+    route = {
+        'name': 'r',
+        'host': HOST,
+        'path_prefix': '/confirm/',
+        'kind': 'non_idempotent',
+        'timeout_ms': 4000,
+        'service': 'ledger',
+    }
+    return json.dumps(
+        {
+            'version': version,
+            'routes': [route],
+            'services': [{'name': 'ledger', 'max_connections': 9}],
+            'tenants': [{'name': 'acme', 'api_keys': list(keys)}],
+        }
+    )
+
+
+class Program:
+    """One process of the program."""
+
+    def __init__(self, store: StoreStandin, folder: str) -> None:
+        self.port = free_port()
+        self.health = free_port()
+        settings = pathlib.Path(folder) / f'settings-{self.port}.ini'
+        settings.write_text(
+            f'[gateway]\ninstance_id = n-{self.port}\ndomain = a\n'
+            f'caller_address = 127.0.0.1:{self.port}\n'
+            f'health_address = 127.0.0.1:{self.health}\n'
+            f'metrics_address = 127.0.0.1:{free_port()}\n'
+            f'[store]\naddress = {store.address}\n'
+            f'[duties]\naddress = {store.address}\n'
+            '[bounds]\nrevocation_ms = 5000\ndrain_ms = 2000\ngrace_s = 8\n'
+            'retry_share = 0.2\nretry_extra = 50\nretry_window_s = 10\n'
+            'duty_turn_ms = 3000\nusage_window_s = 2\nusage_late_s = 10\n'
+        )
+        self.process = subprocess.Popen(
+            [sys.executable, '-W', 'ignore', '-m', 'dandelionyoke_platform'],
+            env={
+                **os.environ,
+                'DANDELIONYOKE_BOOT': str(settings),
+                'EVENTLET_NO_GREENDNS': 'yes',
+            },
+            stdout=(pathlib.Path(folder) / 'log').open('ab'),
+            stderr=subprocess.STDOUT,
+        )
+
+    def call(self, path: str = '/confirm/1', key: str = KEY) -> bytes:
+        """Send a request on a connection of its own; read its answer."""
+        return self.exchange(self.port, request(path, key))
+
+    def is_ready(self) -> bool:
+        """Whether the balancer would send callers here."""
+        head = b'GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+        return b' 200 ' in self.exchange(self.health, head)
+
+    def exchange(self, port: int, content: bytes) -> bytes:
+        """Send bytes; read until the answer's body is there or the end."""
+        try:
+            sock = eventlet.connect(('127.0.0.1', port))
+        except OSError:
+            return b''
+        received = b''
+        with sock, contextlib.suppress(OSError):
+            sock.settimeout(WAIT_S)
+            sock.sendall(content)
+            while b'\r\n\r\n' not in received:
+                more = sock.recv(65536)
+                if not more:
+                    break
+                received += more
+        return received
+
+    def end(self, number: int) -> None:
+        """Send a signal."""
+        self.process.send_signal(number)
+
+    def has_ended(self) -> bool:
+        """Whether the process is gone."""
+        return self.process.poll() is not None
+
+
+class ProcessTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.store = StoreStandin()
+        self.addCleanup(self.store.close)
+        self.pause_s = 0.0
+        self.target = ScriptedTarget(self.serve)
+        self.addCleanup(self.target.close)
+        self.store.put('op/config', configuration())
+        entry = {
+            'service': 'ledger',
+            'address': self.target.address,
+            'zone': 'a',
+            'slots': 4,
+            'state': 'ready',
+        }
+        self.store.put('servers/i-1', json.dumps(entry))
+        self.store.put('servers/broken', '{"slots": "many"}')
+
+    def serve(self, seen: Seen) -> Iterator[Piece]:
+        if self.pause_s:
+            yield self.pause_s
+        yield answer()
+
+    def start(self) -> Program:
+        program = Program(self.store, self.folder)
+        self.addCleanup(program.process.wait)
+        self.addCleanup(program.process.kill)
+        wait_for(program.is_ready, 'a ready process')
+        return program
+
+    def test_a_call_is_served_and_reported_once_under_a_fence(self) -> None:
+        program = self.start()
+        self.assertIn(b' 200 ', program.call())
+        self.assertIn(b' 401 ', program.call(key='unknown'))
+        wait_for(lambda: self.store.usage, 'a usage report')
+        holder, fence, body = self.store.usage[0]
+        self.assertEqual(f'n-{program.port}', holder)
+        self.assertGreater(fence, 1)
+        self.assertEqual({'acme': 1}, body['counts'])
+
+    def test_a_withdrawn_key_stops_and_a_new_one_works(self) -> None:
+        program = self.start()
+        self.store.put('op/config', configuration(2, ('new',)))
+        wait_for(lambda: b' 401 ' in program.call(), 'a refusal')
+        self.assertIn(b' 200 ', program.call(key='new'))
+
+    def test_without_the_store_keys_are_refused_before_the_bound(self) -> None:
+        """The store is out, and an operator withdraws a key meanwhile.
+
+        Nobody can tell the node, so it must stop to trust keys in time.
+        """
+        program = self.start()
+        self.store.is_out = True
+        began_s = clock_s()
+        wait_for(lambda: b' 503 ' in program.call(), 'a refusal')
+        self.assertLess(clock_s() - began_s, 5)
+        self.assertFalse(program.is_ready())
+        self.store.is_out = False
+        wait_for(lambda: b' 200 ' in program.call(), 'an answer')
+
+    def test_a_process_that_leaves_finishes_what_it_took(self) -> None:
+        """A machine is stopped while it answers a request.
+
+        It is not ready at once, answers the request, takes those that still
+        come, and ends by itself.
+        """
+        program = self.start()
+        self.pause_s = 1.0
+        caller = eventlet.spawn(program.call)
+        wait_for(lambda: self.target.seen, 'a request at the target')
+        program.end(signal.SIGHUP)
+        program.end(signal.SIGTERM)
+        self.assertIn(b' 200 ', caller.wait())
+        self.pause_s = 0.0
+        self.assertFalse(program.is_ready())
+        self.assertIn(b' 200 ', program.call())
+        wait_for(program.has_ended, 'the end')
+        self.assertEqual(0, program.process.returncode)
+
+    def test_another_takes_the_duty_over_with_a_higher_fence(self) -> None:
+        first = self.start()
+        first.call()
+        wait_for(lambda: self.store.usage, 'a usage report')
+        second = self.start()
+        first.end(signal.SIGKILL)
+        fences = {fence for _, fence, _ in self.store.usage}
+
+        def taken_over() -> bool:
+            second.call()
+            holders = {holder for holder, _, _ in self.store.usage}
+            return f'n-{second.port}' in holders
+
+        wait_for(taken_over, 'another holder')
+        newest = [
+            fence
+            for holder, fence, _ in self.store.usage
+            if holder == f'n-{second.port}'
+        ]
+        self.assertGreater(min(newest), max(fences))
+        windows = [body['window_id'] for _, _, body in self.store.usage]
+        self.assertEqual(len(set(windows)), len(windows))
+
+    def test_wrong_settings_are_told_all_at_once(self) -> None:
+        path = pathlib.Path(self.folder) / 'wrong.ini'
+        path.write_text('[gateway]\ndomain = a\ncaller_address = nowhere\n')
+        ended = subprocess.run(
+            [sys.executable, '-W', 'ignore', '-m', 'dandelionyoke_platform'],
+            env={**os.environ, 'DANDELIONYOKE_BOOT': str(path)},
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        self.assertEqual(2, ended.returncode)
+        for name in ('instance_id', 'caller_address', 'address', 'grace_s'):
+            self.assertIn(name, ended.stderr)
+        self.assertIn('Mend the settings file', ended.stderr)
