--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -50,6 +50,7 @@
         self._sender: GreenThread | None = None
         self._idle_s = DEFAULT_IDLE_S
         self._may_stay = True
+        self._is_closed = False
         self.usable_until_s = 0.0
 
     def send(self, head: RequestHead, body: bytes) -> None:
@@ -139,6 +140,9 @@
 
     def close(self) -> None:
         """Close the socket; what has not arrived yet never will."""
+        if self._is_closed:
+            return
+        self._is_closed = True
         if self._sender is not None:
             self._sender.kill()
         # A plain close leaves unsent bytes to the kernel. Behind a cut link
