--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -5,10 +5,7 @@
 from dandelionyoke_core import (
     BackOff,
     BackOffSettings,
-    OperationId,
-    StoreList,
     StoreListing,
-    StoreWatch,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError
@@ -16,6 +13,7 @@
 from dandelionyoke_gateway._leased_records import LeasedRecords
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._ports import Store
+from dandelionyoke_gateway._store_follower import StoreFollower
 from dandelionyoke_gateway._target_connection import connect
 
 CRASHES_PREFIX = 'crashes/'
@@ -33,22 +31,23 @@
         self, knowledge: Knowledge, store: Store, log: DecisionLog
     ) -> None:
         self._knowledge = knowledge
-        self._store = store
         self._log = log
         self._records = LeasedRecords(store, RECORD_TTL_S)
-        self._revision: int | None = None
-        self._back_off = BackOff(BackOffSettings(), knowledge.random)
+        self._follower = StoreFollower(
+            store,
+            CRASHES_PREFIX,
+            WATCH_S,
+            BackOff(BackOffSettings(), knowledge.random),
+        )
 
     def run(self) -> None:
         """Listen for as long as the process lives."""
         while True:
-            answer = self._store.perform(self._question())
+            answer = self._follower.ask()
             if isinstance(answer, StoreListing):
-                self._back_off.reset()
                 self._take(answer)
             else:
-                self._revision = None
-                eventlet.sleep(self._back_off.next_s())
+                self._follower.pause()
 
     def suspect(self, name: str, target_id: str, address: str) -> None:
         """Look whether a target is dead that broke a call off."""
@@ -67,14 +66,7 @@
         )
         self._records.write(f'{CRASHES_PREFIX}{name}/{target_id}', '', 0)
 
-    def _question(self) -> StoreList | StoreWatch:
-        operation = OperationId('crashes')
-        if self._revision is None:
-            return StoreList(operation, CRASHES_PREFIX)
-        return StoreWatch(operation, CRASHES_PREFIX, self._revision, WATCH_S)
-
     def _take(self, listing: StoreListing) -> None:
-        self._revision = listing.revision
         for item in listing.items:
             path = item.key.removeprefix(CRASHES_PREFIX)
             name, _, target_id = path.partition('/')
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_duty_task.py
@@ -0,0 +1,130 @@
+"""The duty of the fleet: who holds it, and until when."""
+
+from eventlet import spawn_n
+from eventlet.queue import Empty, LightQueue
+
+from dandelionyoke_core import (
+    Action,
+    AuthorityPart,
+    AuthoritySettings,
+    BackOffSettings,
+    Domain,
+    DutyExtended,
+    DutyGained,
+    DutyLost,
+    Event,
+    Instance,
+    InstanceId,
+    Leaving,
+    PeersKnown,
+    StoreAnswered,
+    Woken,
+    WriteLog,
+)
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._ports import (
+    DutyStamp,
+    Store,
+)
+
+DUTY = 'fleet'
+EVERYWHERE = Domain('all')
+
+# While nobody holds the duty nothing is ordered; a look costs a call of each
+# node.
+LOOK_INTERVAL_S = 2.5
+# So many of the nodes try to get the duty, or the looks would grow with the
+# fleet; fewer could all lie in a domain that is lost.
+CANDIDATES = 6
+# A former holder stays away for the time in which two holders may not take
+# turns, and this factor of it.
+RETURN_TURNS = 1.5
+
+# An order may be on its way for so long before its connection is reset. It
+# must not arrive after the end of its holder's term.
+SEND_TIME_S = 1.0
+
+
+class DutyTask:
+    """Holds, or waits for, the duty under a lease of the store."""
+
+    def __init__(
+        self, knowledge: Knowledge, store: Store, log: DecisionLog
+    ) -> None:
+        settings = knowledge.settings
+        self._knowledge = knowledge
+        self._store = store
+        self._log = log
+        self._inbox: LightQueue = LightQueue()
+        self._own = InstanceId(settings.instance_id)
+        own = Instance(self._own, EVERYWHERE, '', '')
+        self._part = AuthorityPart(
+            AuthoritySettings(
+                ttl_s=max(4.0, settings.duty_turn_s + 1),
+                renew_interval_s=1.0,
+                renew_retry_s=0.3,
+                look_interval_s=LOOK_INTERVAL_S,
+                return_pause_s=RETURN_TURNS * settings.duty_turn_s,
+                call_timeout_s=1.0,
+                candidates=CANDIDATES,
+                back_off=BackOffSettings(first_s=0.2, longest_s=0.8),
+            ),
+            DUTY,
+            own,
+            knowledge.random,
+        )
+        self._fence = 0
+        self._until_s = 0.0
+
+    @property
+    def stamp(self) -> DutyStamp | None:
+        """The authority to act right now; None: there is none."""
+        if clock_s() >= self._until_s - SEND_TIME_S:
+            return None
+        return DutyStamp(self._own, self._fence)
+
+    def run(self) -> None:
+        """Take part for as long as the process lives."""
+        self._feed(PeersKnown((self._own,), (self._own,)))
+        while True:
+            self._feed(self._next_event())
+
+    def take_members(self, members: tuple[str, ...]) -> None:
+        """Take which nodes there are; a few of them try to get the duty."""
+        names = tuple(InstanceId(member) for member in members)
+        self._inbox.put(PeersKnown(names, names))
+
+    def leave(self) -> None:
+        """Hand the duty over."""
+        self._inbox.put(Leaving())
+
+    def _next_event(self) -> Event:
+        wakeup_s = self._part.next_wakeup_s()
+        wait_s = None if wakeup_s is None else max(0, wakeup_s - clock_s())
+        try:
+            event: Event = self._inbox.get(timeout=wait_s)
+        except Empty:
+            return Woken()
+        return event
+
+    def _feed(self, event: Event) -> None:
+        for output in self._part.handle(event, clock_s()):
+            match output:
+                case DutyGained() | DutyExtended():
+                    self._fence = output.fence
+                    self._until_s = output.until_s
+                case DutyLost():
+                    self._until_s = 0.0
+                case WriteLog():
+                    self._log.decide(
+                        output.kind, output.subject, outcome=output.detail
+                    )
+                case Action():
+                    spawn_n(self._perform, output)
+
+    def _perform(self, action: Action) -> None:
+        answer = self._store.perform(action)
+        operation_id = getattr(action, 'operation_id')  # noqa: B009
+        self._inbox.put(StoreAnswered(operation_id, answer))
--- a/packages/gateway/dandelionyoke_gateway/_knowledge_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge_tasks.py
@@ -6,18 +6,16 @@
 from dandelionyoke_core import (
     BackOff,
     BackOffSettings,
-    OperationId,
     StoreFailed,
     StoreItem,
-    StoreList,
     StoreListing,
-    StoreWatch,
 )
 from dandelionyoke_dispatch import RegisteredTarget
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._ports import Dialect, Store
+from dandelionyoke_gateway._store_follower import StoreFollower
 
 
 @attrs.frozen
@@ -52,41 +50,31 @@
     ) -> None:
         self._knowledge = knowledge
         self._dialect = dialect
-        self._store = store
         self._log = log
-        self._pace = pace
-        self._revision: int | None = None
         self._failing_since_s: float | None = None
-        self._back_off = BackOff(pace.back_off, knowledge.random)
+        self._follower = StoreFollower(
+            store,
+            dialect.configuration_key,
+            pace.watch_s,
+            BackOff(pace.back_off, knowledge.random),
+        )
 
     def run(self) -> None:
         """Follow the configuration for as long as the process lives."""
         while True:
             asked_s = clock_s()
-            answer = self._store.perform(self._question())
+            answer = self._follower.ask()
             if isinstance(answer, StoreListing):
                 self._take(answer, asked_s)
             else:
                 self._fail(answer)
-
-    def _question(self) -> StoreList | StoreWatch:
-        key = self._dialect.configuration_key
-        if self._revision is None:
-            return StoreList(OperationId('configuration'), key)
-        return StoreWatch(
-            OperationId('configuration'),
-            key,
-            self._revision,
-            self._pace.watch_s,
-        )
+                self._follower.pause()
 
     def _take(self, listing: StoreListing, asked_s: float) -> None:
         if self._failing_since_s is not None:
             away_s = clock_s() - self._failing_since_s
             self._log.decide('store.regained', 'configuration', away_s=away_s)
             self._failing_since_s = None
-        self._back_off.reset()
-        self._revision = listing.revision
         for item in listing.items:
             if item.key == self._dialect.configuration_key and item.value:
                 self._adopt(item.value, item.revision)
@@ -112,14 +100,10 @@
         )
 
     def _fail(self, answer: object) -> None:
-        # A watch that failed may have lost a change, or the history that it
-        # would go on from is gone: the next question reads all.
-        self._revision = None
         if self._failing_since_s is None:
             self._failing_since_s = clock_s()
             cause = answer.cause if isinstance(answer, StoreFailed) else ''
             self._log.decide('store.lost', 'configuration', cause=cause)
-        sleep(self._back_off.next_s())
 
 
 class RegistryTask:
@@ -135,43 +119,32 @@
     ) -> None:
         self._knowledge = knowledge
         self._dialect = dialect
-        self._store = store
         self._log = log
         self._pace = pace
         self._known: frozenset[str] = frozenset()
         self._targets: dict[str, RegisteredTarget] = {}
-        self._revision: int | None = None
-        self._back_off = BackOff(pace.back_off, knowledge.random)
+        self._follower = StoreFollower(
+            store,
+            dialect.registry_prefix,
+            pace.watch_s,
+            BackOff(pace.back_off, knowledge.random),
+        )
 
     def run(self) -> None:
         """Follow the registry for as long as the process lives."""
         while True:
             asked_s = clock_s()
-            answer = self._store.perform(self._question())
+            answer = self._follower.ask()
             if isinstance(answer, StoreListing):
                 self._take(answer)
-                self._pause(asked_s)
+                self._gather(asked_s)
             else:
-                self._revision = None
                 self._knowledge.registry.store_failed(clock_s())
-                sleep(self._back_off.next_s())
-
-    def _question(self) -> StoreList | StoreWatch:
-        prefix = self._dialect.registry_prefix
-        if self._revision is None:
-            return StoreList(OperationId('registry'), prefix)
-        return StoreWatch(
-            OperationId('registry'),
-            prefix,
-            self._revision,
-            self._pace.watch_s,
-        )
+                self._follower.pause()
 
     def _take(self, listing: StoreListing) -> None:
-        self._back_off.reset()
-        if self._revision is None:
+        if self._follower.was_whole:
             self._targets.clear()
-        self._revision = listing.revision
         for item in listing.items:
             self._take_item(item)
         targets = self._targets.values()
@@ -189,7 +162,7 @@
         else:
             self._targets[item.key] = target
 
-    def _pause(self, asked_s: float) -> None:
+    def _gather(self, asked_s: float) -> None:
         """Gather changes that come one after the other into one answer."""
         drain_s = self._knowledge.settings.drain_s
         pause_s = self._pace.registry_share * drain_s
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -0,0 +1,164 @@
+"""What the duty's holder orders: which engine does which phase."""
+
+from collections.abc import Sequence
+
+import attrs
+from eventlet import sleep, spawn_n
+
+from dandelionyoke_dispatch import (
+    Phase,
+    PhaseChange,
+    PhasePlan,
+    PhasePlanSettings,
+    RegisteredTarget,
+)
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._duty_task import DutyTask
+from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._ports import (
+    DutyClient,
+    EngineClient,
+    PhaseOrder,
+)
+
+CHECK_S = 0.5
+# An engine that took an order says so in the registry within a heartbeat,
+# the registry's lag and the switch itself; until then its new phase is
+# assumed.
+ORDER_REST_S = 5.0
+ORDER_RETRY_S = 1.5
+
+
+@attrs.frozen
+class _Assumed:
+    """The phase that an engine is taken to have, until when."""
+
+    phase: Phase
+    until_s: float
+
+
+class FleetChanges:
+    """Until when the numbers of engines are changing by our own orders.
+
+    Phases that are chosen meanwhile are chosen for engines that the platform
+    is about to take away, and those that stay need seconds to change again.
+    """
+
+    def __init__(self) -> None:
+        self._until_s = 0.0
+
+    def expect(self, for_s: float) -> None:
+        """Note that engines will come or go for so long."""
+        self._until_s = max(self._until_s, clock_s() + for_s)
+
+    @property
+    def under_way(self) -> bool:
+        """Whether engines are still coming or going."""
+        return clock_s() < self._until_s
+
+
+class PhaseTask:
+    """Keeps the engines' phases in step with the mix, under the duty."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        duty: DutyTask,
+        client: DutyClient,
+        engines: EngineClient,
+        changes: FleetChanges,
+        log: DecisionLog,
+    ) -> None:
+        self._knowledge = knowledge
+        self._duty = duty
+        self._client = client
+        self._engines = engines
+        self._changes = changes
+        self._log = log
+        self._plans: dict[str, PhasePlan] = {}
+        self._assumed: dict[str, _Assumed] = {}
+
+    def run(self) -> None:
+        """Compare for as long as the process lives."""
+        while True:
+            sleep(CHECK_S)
+            if self._duty.stamp is not None:
+                self._compare()
+
+    def _compare(self) -> None:
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            return
+        for service in configuration.services.values():
+            if service.engine is not None:
+                self._compare_service(service.name)
+
+    def _compare_service(self, service: str) -> None:
+        now_s = clock_s()
+        engines = self._with_assumed(
+            self._knowledge.registry.of_service(service), now_s
+        )
+        phases = {engine.phase for engine in engines}
+        has_both = {Phase.PREFILL, Phase.DECODE} <= phases
+        if has_both and self._changes.under_way:
+            return
+        plan = self._plans.setdefault(service, PhasePlan(PhasePlanSettings()))
+        for change in plan.changes(engines, self._busy_share(engines, now_s)):
+            self._assume(change, ORDER_RETRY_S)
+            spawn_n(self._send, change)
+
+    def _with_assumed(
+        self, engines: Sequence[RegisteredTarget], now_s: float
+    ) -> list[RegisteredTarget]:
+        self._assumed = {
+            target_id: assumed
+            for target_id, assumed in self._assumed.items()
+            if now_s < assumed.until_s
+        }
+        found = []
+        for engine in engines:
+            assumed = self._assumed.get(engine.target_id)
+            if assumed is not None:
+                engine = attrs.evolve(engine, phase=assumed.phase)
+            found.append(engine)
+        return found
+
+    def _assume(self, change: PhaseChange, for_s: float) -> None:
+        self._assumed[change.target.target_id] = _Assumed(
+            change.phase, clock_s() + for_s
+        )
+
+    def _send(self, change: PhaseChange) -> None:
+        target = change.target
+        report = self._engines.read_report(target)
+        if report is None or report.is_busy_with_order:
+            return
+        if report.phase is change.phase:
+            self._assume(change, ORDER_REST_S)
+            return
+        stamp = self._duty.stamp
+        if stamp is None:
+            return
+        order = PhaseOrder(target, change.phase, report.order_count)
+        accepted = self._client.order_phase(order, stamp)
+        if accepted:
+            self._assume(change, ORDER_REST_S)
+        self._log.decide(
+            'engine.ordered',
+            target.target_id,
+            outcome=str(accepted),
+            phase=order.phase.value,
+            fence=stamp.fence,
+            order_count=order.expected_order_count,
+        )
+
+    def _busy_share(
+        self, engines: Sequence[RegisteredTarget], now_s: float
+    ) -> float:
+        decode = [one for one in engines if one.phase is Phase.DECODE]
+        slots = sum(one.slots for one in decode)
+        busy = sum(
+            self._knowledge.loads.busy(one.target_id, now_s) for one in decode
+        )
+        return busy / slots if slots else 0.0
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -20,16 +20,8 @@
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._crash_task import CrashTask
-from dandelionyoke_gateway._duty_tasks import (
-    CountsTask,
-    DutyTask,
-    UsageTask,
-)
-from dandelionyoke_gateway._fleet_tasks import (
-    EngineCountTask,
-    FleetChanges,
-    PhaseTask,
-)
+from dandelionyoke_gateway._duty_task import DutyTask
+from dandelionyoke_gateway._engine_count_task import EngineCountTask
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._knowledge_tasks import (
     ConfigurationTask,
@@ -39,6 +31,7 @@
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._member_task import MemberTask
 from dandelionyoke_gateway._messages import ResponseHead
+from dandelionyoke_gateway._phase_task import FleetChanges, PhaseTask
 from dandelionyoke_gateway._plain_call import carry_plain
 from dandelionyoke_gateway._ports import (
     Dialect,
@@ -51,6 +44,7 @@
 from dandelionyoke_gateway._status import ExitStatus
 from dandelionyoke_gateway._stream_call import carry_stream
 from dandelionyoke_gateway._target_pool import TargetPool
+from dandelionyoke_gateway._usage_tasks import CountsTask, UsageTask
 
 # The balancer asks once a second and believes two misses in a row; until it
 # has, new callers still come and are served.
