Remove what nothing reads

Found by reading the whole change: a record round each registered target with two unused fields, a look-up, a way to ask for a fresh connection, a count of nodes that is only passed on, fields of answers and reports, two constants. Two constants of the placement stand at its head, and one name is the field's. Behaviour and tests are as before.

--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -13,7 +13,15 @@
 )
 from dandelionyoke_dispatch._target_load import TargetLoads
 
-NOBODY: frozenset[str] = frozenset()
+# An engine in another domain is chosen once the near one has this much more
+# of its slots taken: a share at which a step of the near one takes about as
+# much longer as the cache takes to cross over (from the engines' sheet).
+FAR_PENALTY = 0.3
+
+# The line at the first engine has to be this much longer than elsewhere:
+# several times the time for fetching the longest shared part over the engines'
+# links, since other nodes see the same short line at the same moment.
+WORTH_FETCHING_S = 0.1
 
 
 @attrs.frozen
@@ -147,17 +155,6 @@
         return awake or found
 
 
-# An engine in another domain is chosen once the near one has this much more
-# of its slots taken: a share at which a step of the near one takes about as
-# much longer as the cache takes to cross over (from the engines' sheet).
-FAR_PENALTY = 0.3
-
-# The line at the first engine has to be this much longer than elsewhere:
-# several times the time for fetching the longest shared part over the engines'
-# links, since other nodes see the same short line at the same moment.
-WORTH_FETCHING_S = 0.1
-
-
 def _first_for(
     engines: Sequence[RegisteredTarget], shared_key: str
 ) -> RegisteredTarget:
--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -43,19 +43,12 @@
     outage_s: float = 1.5
 
 
-@attrs.define
-class _Entry:
-    target: RegisteredTarget
-    is_listed: bool = True
-    left_s: float | None = None
-
-
 class TargetRegistry:
     """The last listing, with what targets themselves have said since."""
 
     def __init__(self, settings: RegistrySettings) -> None:
         self._settings = settings
-        self._entries: dict[str, _Entry] = {}
+        self._targets: dict[str, RegisteredTarget] = {}
         self._is_known = False
         self._away_since_s: float | None = None
         self._forgive_until_s = 0.0
@@ -74,13 +67,13 @@
         if away_s is not None and now_s - away_s > self._settings.outage_s:
             self._forgive_until_s = now_s + self._settings.return_grace_s
         self._away_since_s = None
-        missing = dict(self._entries)
+        missing = dict(self._targets)
         for target in targets:
             missing.pop(target.target_id, None)
             self._take(target)
         for target_id in missing:
             if now_s >= self._forgive_until_s:
-                self._entries.pop(target_id)
+                self._targets.pop(target_id)
 
     def store_failed(self, now_s: float) -> None:
         """Note that the store gave no listing."""
@@ -89,34 +82,26 @@
 
     def mark_leaving(self, target_id: str, started_ms: int | None) -> None:
         """Remember that a target itself said that it leaves."""
-        entry = self._entries.get(target_id)
-        if entry is not None and entry.target.started_ms == started_ms:
-            entry.target = attrs.evolve(entry.target, is_leaving=True)
-
-    def find(self, target_id: str) -> RegisteredTarget | None:
-        """Look a target up; None when it is gone."""
-        entry = self._entries.get(target_id)
-        return None if entry is None else entry.target
+        known = self._targets.get(target_id)
+        if known is not None and known.started_ms == started_ms:
+            left = attrs.evolve(known, is_leaving=True)
+            self._targets[target_id] = left
 
     def of_service(self, service: str) -> list[RegisteredTarget]:
         """List the targets of a service that take new work."""
-        found = (entry.target for entry in self._entries.values())
-        return [
-            target
-            for target in found
-            if target.service == service and not target.is_leaving
-        ]
+        found = self.all_of_service(service)
+        return [target for target in found if not target.is_leaving]
 
     def all_of_service(self, service: str) -> list[RegisteredTarget]:
         """List the targets of a service, with those that are leaving."""
-        found = (entry.target for entry in self._entries.values())
+        found = self._targets.values()
         return [target for target in found if target.service == service]
 
     def _take(self, target: RegisteredTarget) -> None:
-        known = self._entries.get(target.target_id)
+        known = self._targets.get(target.target_id)
         # A late listing must not call back a target that said itself that it
         # leaves; only a new start under the same id does.
-        if known is not None and known.target.started_ms == target.started_ms:
-            if known.target.is_leaving:
+        if known is not None and known.started_ms == target.started_ms:
+            if known.is_leaving:
                 target = attrs.evolve(target, is_leaving=True)
-        self._entries[target.target_id] = _Entry(target)
+        self._targets[target.target_id] = target
--- a/packages/gateway/dandelionyoke_gateway/_event_stream.py
+++ b/packages/gateway/dandelionyoke_gateway/_event_stream.py
@@ -8,7 +8,6 @@
 import attrs
 
 SEPARATORS = (b'\n\n', b'\r\n\r\n')
-MAX_EVENT_BYTES = 1048576
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -53,13 +53,11 @@
     turns: GateTurns = attrs.field(factory=GateTurns)
     configuration: FleetConfiguration | None = None
     in_progress: int = 0
-    node_count: int = NODES_ASSUMED
 
     def take_node_count(self, count: int) -> None:
         """Take the number of nodes, this one included."""
-        self.node_count = max(1, count)
-        reserve = self.settings.retry_extra / (NODES_MARGIN * self.node_count)
-        self.budget.resize(reserve)
+        nodes = NODES_MARGIN * max(1, count)
+        self.budget.resize(self.settings.retry_extra / nodes)
 
     @property
     def is_ready(self) -> bool:
--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -50,7 +50,6 @@
     is_signed: bool
     is_not_run: bool
     is_other_target: bool
-    is_closing: bool
     busy: int | None
 
 
@@ -72,8 +71,6 @@
     phase: Phase
     order_count: int
     is_busy_with_order: bool
-    running: int
-    waiting: int
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_target_pool.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_pool.py
@@ -20,15 +20,9 @@
         self._idle: dict[str, deque[TargetConnection]] = {}
 
     @contextmanager
-    def lend(
-        self, address: str, *, fresh: bool = False
-    ) -> Iterator[TargetConnection]:
-        """Lend a connection until its exchange ends.
-
-        `fresh` opens a new one: of those that are open, all may have gone
-        silent.
-        """
-        connection = None if fresh else self._take(address)
+    def lend(self, address: str) -> Iterator[TargetConnection]:
+        """Lend a connection until its exchange ends."""
+        connection = self._take(address)
         if connection is None:
             connection = connect(address, CONNECT_TIMEOUT_S)
         is_whole = False
--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -53,8 +53,8 @@
         self._knowledge = knowledge
         self._dialect = dialect
         self._records = LeasedRecords(store, RECORDS_TTL_S)
-        boot = f'{knowledge.random.getrandbits(48):012x}'
-        self._name = f'{knowledge.settings.instance_id}.{boot}'
+        incarnation = f'{knowledge.random.getrandbits(48):012x}'
+        self._name = f'{knowledge.settings.instance_id}.{incarnation}'
         self._revisions: dict[int, int] = {}
         self._saved_s = 0.0
 
