--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN = $(VENV)/bin
-PACKAGES = core wire entry operator standins dispatch gateway
+PACKAGES = core links wire entry operator standins dispatch gateway
 PACKAGE_DIRS = $(PACKAGES:%=packages/%) platform
 SOURCES = packages platform scripts tests
 
--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -20,8 +20,14 @@
     Service as Service,
     ServiceShare as ServiceShare,
 )
+from dandelionyoke_dispatch._counts_handover import (
+    CountsParcel as CountsParcel,
+    CountsReceiver as CountsReceiver,
+    CountsSender as CountsSender,
+)
 from dandelionyoke_dispatch._crash_guard import (
     CrashGuard as CrashGuard,
+    CrashNote as CrashNote,
     CrashSettings as CrashSettings,
     fingerprint as fingerprint,
 )
@@ -65,13 +71,25 @@
     RegistrySettings as RegistrySettings,
     TargetRegistry as TargetRegistry,
 )
+from dandelionyoke_dispatch._sources import (
+    Member as Member,
+    SourceChoice as SourceChoice,
+    SourceSettings as SourceSettings,
+)
+from dandelionyoke_dispatch._target_listing import (
+    ListingChanges as ListingChanges,
+    ListingMark as ListingMark,
+    TargetListing as TargetListing,
+)
 from dandelionyoke_dispatch._target_load import (
     SuspicionSettings as SuspicionSettings,
     TargetLoads as TargetLoads,
 )
 from dandelionyoke_dispatch._usage import (
+    ProcessCounts as ProcessCounts,
     TrueTime as TrueTime,
     UsageCounter as UsageCounter,
     WindowCounts as WindowCounts,
+    WindowRecord as WindowRecord,
     add_up as add_up,
 )
--- a/packages/dispatch/dandelionyoke_dispatch/_crash_guard.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_crash_guard.py
@@ -28,6 +28,15 @@
     most_kept: int = 4096
 
 
+@attrs.frozen
+class CrashNote:
+    """A call that was under way when a target died, and how long ago."""
+
+    call: str
+    target_id: str
+    age_s: float
+
+
 def fingerprint(organisation: str | None, path: str, body: bytes) -> str:
     """Name a call by its caller, path and body; nothing of it can be read."""
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
@@ -52,6 +61,15 @@
         while len(self._seen) > self._settings.most_kept:
             self._seen.popitem(last=False)
 
+    def notes(self, now_s: float) -> tuple[CrashNote, ...]:
+        """List what is remembered, for the other nodes."""
+        return tuple(
+            CrashNote(name, target_id, now_s - seen_s)
+            for name, targets in self._seen.items()
+            for target_id, seen_s in targets.items()
+            if now_s - seen_s < self._settings.memory_s
+        )
+
     def refuses(self, name: str, now_s: float) -> bool:
         """Whether a call has crashed too many targets to be sent again."""
         targets = self._seen.get(name)
--- a/packages/dispatch/dandelionyoke_dispatch/_freshness.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_freshness.py
@@ -38,6 +38,11 @@
         if self._proven_s is None or asked_s > self._proven_s:
             self._proven_s = asked_s
 
+    @property
+    def proven_s(self) -> float | None:
+        """The moment of the last proof; None: there never was one."""
+        return self._proven_s
+
     def age_s(self, now_s: float) -> float | None:
         """Tell the age of the last proof; None: there never was one."""
         return None if self._proven_s is None else now_s - self._proven_s
--- /dev/null
+++ b/packages/dispatch/dandelionyoke_dispatch/_sources.py
@@ -0,0 +1,104 @@
+"""Which node of a domain asks the store, and whom the others ask.
+
+Each node that asks the store for itself makes the calls grow with the fleet,
+and each call has a price. So one node of a domain asks, and the others ask
+that node. All nodes rank the members alike, without talk; a node that does
+not answer, or whose knowledge has grown old, is passed over for a while.
+"""
+
+from collections.abc import Iterable, Sequence
+
+import attrs
+
+from dandelionyoke_core import rendezvous
+
+
+@attrs.frozen
+class Member:
+    """A node as it entered itself in the store."""
+
+    instance_id: str
+    domain: str
+    address: str
+
+
+@attrs.frozen
+class SourceSettings:
+    """How long a node that did not answer in time is passed over.
+
+    A killed process is back after about this time, and a node that is gone
+    is dropped from the members within a few such periods.
+    """
+
+    doubt_s: float = 4.0
+
+
+class SourceChoice:
+    """Ranks the members for one node."""
+
+    def __init__(
+        self, own_id: str, domain: str, settings: SourceSettings
+    ) -> None:
+        self._own_id = own_id
+        self._domain = domain
+        self._settings = settings
+        self._near: Sequence[Member] = ()
+        self._far: Sequence[Member] = ()
+        self._doubted_until_s: dict[str, float] = {}
+
+    def take_members(self, members: Iterable[Member]) -> None:
+        """Take which nodes there are."""
+        by_id = {member.instance_id: member for member in members}
+        own = Member(self._own_id, self._domain, '')
+        by_id.setdefault(self._own_id, own)
+        near = [name for name in by_id if by_id[name].domain == self._domain]
+        far = set(by_id) - set(near)
+        self._near = [
+            by_id[name] for name in rendezvous(near, self._domain, len(near))
+        ]
+        # Each node ranks those of other domains differently, so that nodes
+        # in need do not all turn to the same one.
+        self._far = [
+            by_id[name] for name in rendezvous(far, self._own_id, len(far))
+        ]
+        self._doubted_until_s = {
+            name: until_s
+            for name, until_s in self._doubted_until_s.items()
+            if name in by_id
+        }
+
+    def doubt(self, instance_id: str, now_s: float) -> None:
+        """Pass a node over for a while."""
+        self._doubted_until_s[instance_id] = now_s + self._settings.doubt_s
+
+    def is_source(self, now_s: float) -> bool:
+        """Whether this node is the one of its domain that asks the store."""
+        first = self._first(self._near, now_s)
+        return first is None or first.instance_id == self._own_id
+
+    def whom_to_ask(self, now_s: float, *, is_blind: bool) -> Member | None:
+        """Choose the node to ask; None: this one asks the store itself.
+
+        A node is blind that asks the store in vain. The store may turn away
+        some nodes and serve others, also of other domains.
+        """
+        first = self._first(self._near, now_s)
+        if first is not None and first.instance_id != self._own_id:
+            return first
+        if not is_blind:
+            return None
+        return self._first((*self._near, *self._far), now_s, but_own=True)
+
+    def _first(
+        self,
+        members: Sequence[Member],
+        now_s: float,
+        *,
+        but_own: bool = False,
+    ) -> Member | None:
+        for member in members:
+            if but_own and member.instance_id == self._own_id:
+                continue
+            if now_s >= self._doubted_until_s.get(member.instance_id, 0):
+                return member
+        return None
--- a/packages/dispatch/dandelionyoke_dispatch/_usage.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_usage.py
@@ -1,6 +1,7 @@
 """Counts of what began to run, by window of true time and organisation."""
 
 from collections import Counter, deque
+from collections.abc import Iterable
 
 import attrs
 
@@ -13,6 +14,26 @@
     counts: tuple[tuple[str, int], ...]
 
 
+@attrs.frozen
+class ProcessCounts:
+    """What one process, by its name, counted in a window so far."""
+
+    process: str
+    counts: tuple[tuple[str, int], ...]
+
+
+@attrs.frozen
+class WindowRecord:
+    """What is saved of a window: the counts of one or more processes.
+
+    Two records may hold counts of the same process, one of them older. The
+    counts of a process only grow, so that of two the higher one holds.
+    """
+
+    window_id: int
+    parts: tuple[ProcessCounts, ...]
+
+
 @attrs.frozen
 class TrueTime:
     """Wall time as a fixed offset to the steady clock.
@@ -69,20 +90,28 @@
         self._changed.clear()
         self.unsaved = 0
         return [
-            WindowCounts(
-                window_id, tuple(sorted(self._counts[window_id].items()))
-            )
+            WindowCounts(window_id, self.counts_of(window_id))
             for window_id in changed
         ]
 
+    def counts_of(self, window_id: int) -> tuple[tuple[str, int], ...]:
+        """List what was counted in a window so far."""
+        return tuple(sorted(self._counts.get(window_id, {}).items()))
+
     def not_saved(self, window_id: int) -> None:
         """Give a window back whose saving failed."""
         self._changed.add(window_id)
 
 
-def add_up(parts: list[WindowCounts]) -> tuple[tuple[str, int], ...]:
+def add_up(records: Iterable[WindowRecord]) -> tuple[tuple[str, int], ...]:
     """Add the counts of all processes for one window."""
+    highest: dict[tuple[str, str], int] = {}
+    for record in records:
+        for part in record.parts:
+            for organisation, number in part.counts:
+                key = part.process, organisation
+                highest[key] = max(number, highest.get(key, 0))
     total: Counter[str] = Counter()
-    for part in parts:
-        total.update(dict(part.counts))
+    for (_, organisation), number in highest.items():
+        total[organisation] += number
     return tuple(sorted(total.items()))
--- a/packages/entry/dandelionyoke_entry/_process.py
+++ b/packages/entry/dandelionyoke_entry/_process.py
@@ -28,13 +28,13 @@
 from dandelionyoke_entry._log import Log
 from dandelionyoke_entry._settings import Endpoint, EntrySettings
 from dandelionyoke_entry._status import ExitStatus
+from dandelionyoke_links import PeerSettings
 from dandelionyoke_wire import (
     CallerApp,
     CallerSettings,
     Inbox,
     Mailboxes,
     NodeTask,
-    PeerSettings,
     Performer,
 )
 
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_configuration_keeper.py
@@ -0,0 +1,70 @@
+"""Takes configurations, from the store or from another node."""
+
+import zlib
+
+from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._ports import Dialect
+
+
+class ConfigurationKeeper:
+    """Puts the newest configuration in force, and never an older one."""
+
+    def __init__(
+        self, knowledge: Knowledge, dialect: Dialect, log: DecisionLog
+    ) -> None:
+        self._knowledge = knowledge
+        self._dialect = dialect
+        self._log = log
+
+    def adopt(self, text: str, revision: int, source: str) -> None:
+        """Put a configuration in force if it is newer than the known one."""
+        knowledge = self._knowledge
+        if revision <= knowledge.configuration_revision:
+            return
+        knowledge.configuration_revision = revision
+        knowledge.configuration_packed = zlib.compress(text.encode())
+        knowledge.signal.announce()
+        configuration = self._dialect.read_configuration(text)
+        if configuration is None:
+            self._log.decide(
+                'configuration.unreadable', str(revision), outcome='kept old'
+            )
+            return
+        known = knowledge.configuration
+        if known is not None and configuration.version <= known.version:
+            return
+        knowledge.configuration = configuration
+        self._log.decide(
+            'configuration.adopted',
+            str(configuration.version),
+            outcome='in force',
+            revision=revision,
+            routes=len(configuration.routes),
+            source=source,
+        )
+
+    def adopt_packed(self, packed: bytes, revision: int, source: str) -> None:
+        """Put a configuration in force that another node sent."""
+        try:
+            text = zlib.decompress(packed).decode()
+        except (zlib.error, UnicodeDecodeError) as bad:
+            self._log.decide(
+                'configuration.unreadable',
+                str(revision),
+                outcome='kept old',
+                cause=str(bad),
+                source=source,
+            )
+            return
+        self.adopt(text, revision, source)
+
+    def prove(self, revision: int, proven_s: float) -> bool:
+        """Take a proof that a revision was the newest at a moment.
+
+        It proves nothing of an older revision that is in force here.
+        """
+        if revision != self._knowledge.configuration_revision:
+            return False
+        self._knowledge.freshness.prove(proven_s)
+        return True
--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -20,6 +20,7 @@
 RECORD_TTL_S = 60.0
 # Crashes are rare, so that a long watch costs next to nothing.
 WATCH_S = 10.0
+RELIED_S = 2.0
 # A target that is alive takes a connection at once.
 PROBE_TIMEOUT_S = 0.5
 
@@ -36,14 +37,18 @@
         self._follower = StoreFollower(
             store,
             CRASHES_PREFIX,
-            WATCH_S,
             BackOff(BackOffSettings(), knowledge.random),
         )
 
     def run(self) -> None:
         """Listen for as long as the process lives."""
         while True:
-            answer = self._follower.ask()
+            now_s = clock_s()
+            if now_s - self._knowledge.told_s < RELIED_S:
+                # The node that is asked for news tells of crashes as well.
+                eventlet.sleep(RELIED_S)
+                continue
+            answer = self._follower.ask(WATCH_S)
             if isinstance(answer, StoreListing):
                 self._take(answer)
             else:
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -6,6 +6,8 @@
 
 from dandelionyoke_core import RetryBudget
 from dandelionyoke_dispatch import (
+    CountsReceiver,
+    CountsSender,
     CrashGuard,
     CrashSettings,
     Departure,
@@ -17,12 +19,16 @@
     Placement,
     PrefillGate,
     RegistrySettings,
+    SourceChoice,
+    SourceSettings,
     SuspicionSettings,
+    TargetListing,
     TargetLoads,
     TargetRegistry,
     TrueTime,
     UsageCounter,
 )
+from dandelionyoke_gateway._change_signal import ChangeSignal
 from dandelionyoke_gateway._clock import clock_s, wall_s
 from dandelionyoke_gateway._gate_turns import GateTurns
 from dandelionyoke_gateway._settings import GatewaySettings
@@ -34,6 +40,9 @@
 NODES_MARGIN = 1.5
 SHARE_KEPT = 0.7
 
+NEVER_S = float('-inf')
+PROCESS_NAME_BITS = 48
+
 
 @attrs.define
 class Knowledge:
@@ -50,8 +59,21 @@
     usage: UsageCounter
     departure: Departure
     crashes: CrashGuard
+    # This process among all that ever ran under the instance's name.
+    process_name: str
+    listing: TargetListing
+    sources: SourceChoice
+    sender: CountsSender
+    receiver: CountsReceiver = attrs.field(factory=CountsReceiver)
+    signal: ChangeSignal = attrs.field(factory=ChangeSignal)
     turns: GateTurns = attrs.field(factory=GateTurns)
     configuration: FleetConfiguration | None = None
+    configuration_revision: int = 0
+    # As the operator wrote it, compressed, for the nodes that ask this one.
+    configuration_packed: bytes | None = None
+    # When another node last asked this one, and last answered it.
+    asked_s: float = NEVER_S
+    told_s: float = NEVER_S
     in_progress: int = 0
 
     def take_node_count(self, count: int) -> None:
@@ -76,6 +98,9 @@
     loads = TargetLoads(SuspicionSettings())
     gate = PrefillGate(GateSettings())
     clock = TrueTime(wall_s() - clock_s())
+    usage = UsageCounter(settings.usage_window_s, clock)
+    incarnation = f'{random.getrandbits(PROCESS_NAME_BITS):012x}'
+    process_name = f'{settings.instance_id}.{incarnation}'
     extra = settings.retry_extra / NODES_ASSUMED
     return Knowledge(
         settings=settings,
@@ -90,7 +115,13 @@
             reserve=extra,
             refill_per_s=0,
         ),
-        usage=UsageCounter(settings.usage_window_s, clock),
+        usage=usage,
         crashes=CrashGuard(CrashSettings()),
+        process_name=process_name,
+        listing=TargetListing(process_name),
+        sources=SourceChoice(
+            settings.instance_id, settings.domain, SourceSettings()
+        ),
+        sender=CountsSender(process_name, usage),
         departure=Departure(DepartureSettings(settings.grace_s)),
     )
--- a/packages/gateway/dandelionyoke_gateway/_knowledge_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge_tasks.py
@@ -7,14 +7,16 @@
     BackOff,
     BackOffSettings,
     StoreFailed,
-    StoreItem,
     StoreListing,
 )
 from dandelionyoke_dispatch import RegisteredTarget
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._configuration_keeper import ConfigurationKeeper
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._ports import Dialect, Store
+from dandelionyoke_gateway._registry_keeper import RegistryKeeper
+from dandelionyoke_gateway._reliance import Reliance
 from dandelionyoke_gateway._store_follower import StoreFollower
 
 
@@ -22,53 +24,60 @@
 class PaceSettings:
     """How often the store is asked; each call has a price.
 
-    A watch that ends after `watch_s` proves that the known configuration is
-    the newest; two in a row stay well below the bound on a withdrawn key.
     The registry changes with each heartbeat of each target, so a watch on it
     returns at once whenever it is asked. Its changes are gathered for
     `registry_share` of the bound on leaving targets, which leaves more than
-    half of it for an answer that is lost and the call that follows.
+    half of it for an answer that is lost and the call that follows. Where
+    nothing changes, a watch ends before that.
     """
 
-    watch_s: float = 1.5
     registry_share: float = 0.4
+    registry_watch_share: float = 0.1
     back_off: BackOffSettings = attrs.field(
         factory=lambda: BackOffSettings(first_s=0.1, longest_s=0.5)
     )
 
 
 class ConfigurationTask:
-    """Watches the configuration's key."""
+    """Watches the configuration's key, unless another node does."""
 
     def __init__(
         self,
+        keeper: ConfigurationKeeper,
         knowledge: Knowledge,
+        reliance: Reliance,
         dialect: Dialect,
         store: Store,
         log: DecisionLog,
         pace: PaceSettings,
     ) -> None:
+        self._keeper = keeper
         self._knowledge = knowledge
-        self._dialect = dialect
+        self._reliance = reliance
+        self._key = dialect.configuration_key
         self._log = log
         self._failing_since_s: float | None = None
         self._follower = StoreFollower(
-            store,
-            dialect.configuration_key,
-            pace.watch_s,
-            BackOff(pace.back_off, knowledge.random),
+            store, self._key, BackOff(pace.back_off, knowledge.random)
         )
 
     def run(self) -> None:
         """Follow the configuration for as long as the process lives."""
         while True:
-            asked_s = clock_s()
-            answer = self._follower.ask()
-            if isinstance(answer, StoreListing):
-                self._take(answer, asked_s)
-            else:
-                self._fail(answer)
-                self._follower.pause()
+            wait_s = self._reliance.configuration_wait_s(clock_s())
+            if wait_s > 0:
+                sleep(wait_s)
+                continue
+            self._ask()
+
+    def _ask(self) -> None:
+        asked_s = clock_s()
+        answer = self._follower.ask(self._reliance.watch_s)
+        if isinstance(answer, StoreListing):
+            self._take(answer, asked_s)
+        else:
+            self._fail(answer)
+            self._follower.pause()
 
     def _take(self, listing: StoreListing, asked_s: float) -> None:
         if self._failing_since_s is not None:
@@ -76,29 +85,10 @@
             self._log.decide('store.regained', 'configuration', away_s=away_s)
             self._failing_since_s = None
         for item in listing.items:
-            if item.key == self._dialect.configuration_key and item.value:
-                self._adopt(item.value, item.revision)
+            if item.key == self._key and item.value:
+                self._keeper.adopt(item.value, item.revision, 'store')
         self._knowledge.freshness.prove(asked_s)
 
-    def _adopt(self, text: str, revision: int) -> None:
-        configuration = self._dialect.read_configuration(text)
-        if configuration is None:
-            self._log.decide(
-                'configuration.unreadable', str(revision), outcome='kept old'
-            )
-            return
-        known = self._knowledge.configuration
-        if known is not None and configuration.version <= known.version:
-            return
-        self._knowledge.configuration = configuration
-        self._log.decide(
-            'configuration.adopted',
-            str(configuration.version),
-            outcome='in force',
-            revision=revision,
-            routes=len(configuration.routes),
-        )
-
     def _fail(self, answer: object) -> None:
         if self._failing_since_s is None:
             self._failing_since_s = clock_s()
@@ -107,60 +97,73 @@
 
 
 class RegistryTask:
-    """Watches the registry of targets."""
+    """Watches the registry of targets, unless another node does."""
 
     def __init__(
         self,
+        keeper: RegistryKeeper,
         knowledge: Knowledge,
+        reliance: Reliance,
         dialect: Dialect,
         store: Store,
-        log: DecisionLog,
         pace: PaceSettings,
     ) -> None:
+        self._keeper = keeper
         self._knowledge = knowledge
+        self._reliance = reliance
         self._dialect = dialect
-        self._log = log
         self._pace = pace
-        self._known: frozenset[str] = frozenset()
-        self._targets: dict[str, RegisteredTarget] = {}
+        self._watch_s = pace.registry_watch_share * knowledge.settings.drain_s
         self._follower = StoreFollower(
             store,
             dialect.registry_prefix,
-            pace.watch_s,
             BackOff(pace.back_off, knowledge.random),
         )
 
     def run(self) -> None:
         """Follow the registry for as long as the process lives."""
         while True:
-            asked_s = clock_s()
-            answer = self._follower.ask()
-            if isinstance(answer, StoreListing):
-                self._take(answer)
-                self._gather(asked_s)
-            else:
-                self._knowledge.registry.store_failed(clock_s())
-                self._follower.pause()
-
-    def _take(self, listing: StoreListing) -> None:
-        if self._follower.was_whole:
-            self._targets.clear()
-        for item in listing.items:
-            self._take_item(item)
-        targets = self._targets.values()
-        self._knowledge.registry.replace(targets, clock_s())
-        usable = frozenset(
-            one.target_id for one in targets if not one.is_leaving
-        )
-        self._knowledge.turns.send_away(self._known - usable)
-        self._tell(usable)
+            wait_s = self._reliance.registry_wait_s(clock_s())
+            if wait_s > 0:
+                sleep(wait_s)
+                continue
+            self._ask()
+
+    def _ask(self) -> None:
+        asked_s = clock_s()
+        answer = self._follower.ask(self._watch_s)
+        if isinstance(answer, StoreListing):
+            self._take_unless_overtaken(answer, asked_s)
+        else:
+            self._keeper.failed()
+            self._follower.pause()
+
+    def _take_unless_overtaken(
+        self, listing: StoreListing, asked_s: float
+    ) -> None:
+        """Take a listing unless another node told something newer."""
+        proven_s = self._knowledge.listing.proven_s
+        if proven_s is not None and proven_s > asked_s:
+            self._follower.restart()
+            return
+        self._take(listing, asked_s)
+        self._gather(asked_s)
 
-    def _take_item(self, item: StoreItem) -> None:
-        target = self._dialect.read_target(item.key, item.value or '')
-        if target is None:
-            self._targets.pop(item.key, None)
+    def _take(self, listing: StoreListing, asked_s: float) -> None:
+        prefix = self._dialect.registry_prefix
+        # A key may change more than once within one answer; the last holds.
+        newest: dict[str, RegisteredTarget | None] = {
+            item.key.removeprefix(prefix): self._dialect.read_target(
+                item.key, item.value or ''
+            )
+            for item in listing.items
+        }
+        changed = [one for one in newest.values() if one is not None]
+        if self._follower.was_whole:
+            self._keeper.replace(changed, asked_s)
         else:
-            self._targets[item.key] = target
+            gone = [name for name, one in newest.items() if one is None]
+            self._keeper.change(changed, gone, asked_s)
 
     def _gather(self, asked_s: float) -> None:
         """Gather changes that come one after the other into one answer."""
@@ -169,15 +172,3 @@
         left_s = asked_s + pause_s - clock_s()
         if left_s > 0:
             sleep(left_s * self._knowledge.random.uniform(0.9, 1))
-
-    def _tell(self, present: frozenset[str]) -> None:
-        if present == self._known:
-            return
-        self._log.decide(
-            'registry.changed',
-            'targets',
-            come=','.join(sorted(present - self._known)),
-            gone=','.join(sorted(self._known - present)),
-        )
-        self._known = present
-        self._knowledge.loads.forget(present)
--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -127,12 +127,6 @@
     def read_target(self, key: str, text: str) -> RegisteredTarget | None:
         """Read an entry of the registry; None if it names no target."""
 
-    def write_counts(self, counts: WindowCounts) -> str:
-        """Write the counts of a window for the store."""
-
-    def read_counts(self, window_id: int, text: str) -> WindowCounts | None:
-        """Read the counts of a window; None if they cannot be read."""
-
     @property
     def configuration_key(self) -> str:
         """The key that holds the newest configuration."""
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -18,6 +18,7 @@
     Responder,
 )
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._configuration_keeper import ConfigurationKeeper
 from dandelionyoke_gateway._crash_task import CrashTask
 from dandelionyoke_gateway._duty_task import DutyTask
 from dandelionyoke_gateway._engine_count_task import EngineCountTask
@@ -30,6 +31,8 @@
 from dandelionyoke_gateway._log import DecisionLog, LineSink
 from dandelionyoke_gateway._member_task import MemberTask
 from dandelionyoke_gateway._messages import ResponseHead
+from dandelionyoke_gateway._news_links import serve_news
+from dandelionyoke_gateway._news_task import NewsTask
 from dandelionyoke_gateway._phase_task import FleetChanges, PhaseTask
 from dandelionyoke_gateway._plain_call import carry_plain
 from dandelionyoke_gateway._ports import (
@@ -38,12 +41,14 @@
     EngineClient,
     Store,
 )
+from dandelionyoke_gateway._registry_keeper import RegistryKeeper
+from dandelionyoke_gateway._reliance import Reliance, RelianceSettings
 from dandelionyoke_gateway._settings import Endpoint, GatewaySettings
-from dandelionyoke_gateway._sockets import listen, set_options
 from dandelionyoke_gateway._status import ExitStatus
 from dandelionyoke_gateway._stream_call import carry_stream
 from dandelionyoke_gateway._target_pool import TargetPool
 from dandelionyoke_gateway._usage_tasks import CountsTask, UsageTask
+from dandelionyoke_links import listen, set_options
 
 # The balancer asks once a second and believes two misses in a row; until it
 # has, new callers still come and are served.
@@ -107,9 +112,7 @@
             carry_stream,
         )
         self._duty = DutyTask(self._knowledge, self._adapters.store, self._log)
-        self._counts = CountsTask(
-            self._knowledge, self._adapters.dialect, self._adapters.store
-        )
+        self._counts = CountsTask(self._knowledge, self._adapters.store)
 
     def run(self) -> ExitStatus:
         """Serve until asked to leave and all is finished."""
@@ -128,17 +131,9 @@
 
     def _start_tasks(self) -> None:
         parts = self._adapters
-        pace = PaceSettings()
         knowledge, log = self._knowledge, self._log
         spawn = eventlet.spawn_n
-        spawn(
-            ConfigurationTask(
-                knowledge, parts.dialect, parts.store, log, pace
-            ).run
-        )
-        spawn(
-            RegistryTask(knowledge, parts.dialect, parts.store, log, pace).run
-        )
+        self._start_knowledge()
         members = MemberTask(knowledge, parts.store, self._duty.take_members)
         spawn(members.run)
         spawn(self._crashes.run)
@@ -148,7 +143,6 @@
         spawn(self._counts.run)
         usage = UsageTask(
             knowledge,
-            parts.dialect,
             parts.store,
             self._duty,
             parts.duties,
@@ -170,6 +164,27 @@
         )
         spawn(counts.run)
 
+    def _start_knowledge(self) -> None:
+        """Start what reads the store, or asks a node that reads it."""
+        parts, knowledge, log = self._adapters, self._knowledge, self._log
+        dialect, store = parts.dialect, parts.store
+        pace = PaceSettings()
+        reliance = Reliance(knowledge, RelianceSettings())
+        configurations = ConfigurationKeeper(knowledge, dialect, log)
+        registry = RegistryKeeper(knowledge, log)
+        configuration_task = ConfigurationTask(
+            configurations, knowledge, reliance, dialect, store, log, pace
+        )
+        registry_task = RegistryTask(
+            registry, knowledge, reliance, dialect, store, pace
+        )
+        news_task = NewsTask(
+            knowledge, store, dialect, configurations, registry, reliance, log
+        )
+        eventlet.spawn_n(configuration_task.run)
+        eventlet.spawn_n(registry_task.run)
+        eventlet.spawn_n(serve_news, news_task, knowledge, store, log)
+
     # Callers.
 
     def _serve(self, endpoint: Endpoint, handler: Handler) -> None:
@@ -243,7 +258,7 @@
             self._close_idle()
             eventlet.sleep(END_CHECK_S)
         self._close_idle()
-        self._counts.save()
+        self._counts.finish()
         is_clean = not self._knowledge.in_progress
         self._finish(ExitStatus.OK if is_clean else ExitStatus.CUT)
 
--- a/packages/gateway/dandelionyoke_gateway/_settings.py
+++ b/packages/gateway/dandelionyoke_gateway/_settings.py
@@ -29,10 +29,12 @@
     callers: Endpoint
     health: Endpoint
     metrics: Endpoint
+    peers: Endpoint
     store_address: str
     duty_address: str | None
     revocation_s: float
     drain_s: float
+    apply_s: float
     grace_s: float
     retry_share: float
     retry_extra: int
@@ -118,10 +120,12 @@
         'callers': ('gateway', 'caller_address', _endpoint),
         'health': ('gateway', 'health_address', _endpoint),
         'metrics': ('gateway', 'metrics_address', _endpoint),
+        'peers': ('gateway', 'peer_address', _endpoint),
         'store_address': ('store', 'address', _address),
         'duty_address': ('duties', 'address', _optional_address),
         'revocation_s': ('bounds', 'revocation_ms', _milliseconds),
         'drain_s': ('bounds', 'drain_ms', _milliseconds),
+        'apply_s': ('bounds', 'apply_ms', _milliseconds),
         'grace_s': ('bounds', 'grace_s', _number),
         'retry_share': ('bounds', 'retry_share', _number),
         'retry_extra': ('bounds', 'retry_extra', _count),
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -20,7 +20,7 @@
     ResponseHead,
     decode_headers,
 )
-from dandelionyoke_gateway._sockets import receive, set_options
+from dandelionyoke_links import receive, set_options
 
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 65536
--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -3,14 +3,20 @@
 from eventlet import sleep
 
 from dandelionyoke_core import (
+    CodecError,
     OperationId,
     StoreConflict,
+    StoreItem,
     StoreList,
     StoreListing,
     StoreWritten,
+    record_from_json,
+    record_to_json,
 )
 from dandelionyoke_dispatch import (
+    ProcessCounts,
     WindowCounts,
+    WindowRecord,
     add_up,
 )
 from dandelionyoke_gateway._clock import clock_s
@@ -19,7 +25,6 @@
 from dandelionyoke_gateway._leased_records import LeasedRecords
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._ports import (
-    Dialect,
     DutyClient,
     Store,
 )
@@ -36,6 +41,8 @@
 SAVE_INTERVAL_S = 1.0
 SAVE_CALLS = 4
 SAVE_LATEST_S = 2.0
+# Another node takes this one's counts if it answered within this time.
+RELIED_S = 1.5
 # A window is closed this long after its end, when all have saved it twice.
 CLOSE_AFTER_S = 4.5
 REPORT_CHECK_S = 0.5
@@ -47,51 +54,78 @@
 class CountsTask:
     """Saves this process's counts, so that they outlive it."""
 
-    def __init__(
-        self, knowledge: Knowledge, dialect: Dialect, store: Store
-    ) -> None:
+    def __init__(self, knowledge: Knowledge, store: Store) -> None:
         self._knowledge = knowledge
-        self._dialect = dialect
         self._records = LeasedRecords(store, RECORDS_TTL_S)
-        incarnation = f'{knowledge.random.getrandbits(48):012x}'
-        self._name = f'{knowledge.settings.instance_id}.{incarnation}'
+        self._name = knowledge.process_name
         self._revisions: dict[int, int] = {}
         self._saved_s = 0.0
 
     def run(self) -> None:
         """Save for as long as the process lives."""
-        random, usage = self._knowledge.random, self._knowledge.usage
+        random = self._knowledge.random
         while True:
             sleep(SAVE_INTERVAL_S * random.uniform(0.8, 1))
-            late_s = clock_s() - self._saved_s
-            if usage.unsaved >= SAVE_CALLS or late_s >= SAVE_LATEST_S:
+            if self._is_due():
                 self.save()
 
+    def finish(self) -> None:
+        """Save all before the end, what others were to save included."""
+        self._knowledge.sender.take_all_back()
+        self.save()
+
+    def _is_due(self) -> bool:
+        knowledge, now_s = self._knowledge, clock_s()
+        if knowledge.sender.take_back(now_s):
+            return True
+        late_s = now_s - self._saved_s
+        if knowledge.receiver.has_unsaved:
+            return True
+        if now_s - knowledge.told_s < RELIED_S:
+            # The node that is asked for news takes the counts as well.
+            return False
+        is_many = knowledge.usage.unsaved >= SAVE_CALLS
+        return is_many or late_s >= SAVE_LATEST_S
+
     def save(self) -> None:
         """Save what changed since the last time."""
-        usage = self._knowledge.usage
+        usage, receiver = self._knowledge.usage, self._knowledge.receiver
         self._saved_s = clock_s()
-        for counts in usage.take_changed():
-            if not self._save_window(counts):
-                usage.not_saved(counts.window_id)
+        received = receiver.received()
+        own = {one.window_id: one for one in usage.take_changed()}
+        others = receiver.take_changed()
+        failed = [
+            window_id
+            for window_id in sorted({*own, *others})
+            if not self._save_window(window_id)
+        ]
+        for window_id in failed:
+            usage.not_saved(window_id)
+        receiver.not_saved(failed)
+        if not failed:
+            receiver.confirm(received)
         newest = usage.window_at(clock_s())
         for window_id in tuple(self._revisions):
             if window_id < newest - KEPT_REVISIONS:
                 self._revisions.pop(window_id)
 
-    def _save_window(self, counts: WindowCounts) -> bool:
-        key = f'{COUNTS_PREFIX}{counts.window_id}/{self._name}'
-        text = self._dialect.write_counts(counts)
-        expected = self._revisions.get(counts.window_id, 0)
+    def _save_window(self, window_id: int) -> bool:
+        key = f'{COUNTS_PREFIX}{window_id}/{self._name}'
+        own = ProcessCounts(
+            self._name, self._knowledge.usage.counts_of(window_id)
+        )
+        parts = (own, *self._knowledge.receiver.parts(window_id))
+        text = record_to_json(WindowRecord(window_id, parts))
+        expected = self._revisions.get(window_id, 0)
         answer = self._records.write(key, text, expected)
         match answer:
             case StoreWritten(revision=revision):
-                self._revisions[counts.window_id] = revision
+                self._revisions[window_id] = revision
                 return True
             case StoreConflict(present=present):
                 # The answer to an earlier save was lost; nobody else writes
                 # this key.
-                self._revisions[counts.window_id] = present.revision
+                self._revisions[window_id] = present.revision
         return False
 
 
@@ -101,14 +135,12 @@
     def __init__(
         self,
         knowledge: Knowledge,
-        dialect: Dialect,
         store: Store,
         duty: DutyTask,
         client: DutyClient,
         log: DecisionLog,
     ) -> None:
         self._knowledge = knowledge
-        self._dialect = dialect
         self._store = store
         self._records = LeasedRecords(store, RECORDS_TTL_S)
         self._duty = duty
@@ -166,20 +198,20 @@
         if not isinstance(listing, StoreListing):
             self._tell_open(window_id, 'the counts cannot be read')
             return None
-        parts = [
-            self._dialect.read_counts(window_id, item.value or '')
+        total = add_up(
+            record
             for item in listing.items
-        ]
-        total = add_up([part for part in parts if part is not None])
+            if (record := _read_record(item)) is not None
+        )
         if not total:
             self._tell_open(window_id, 'nothing was counted')
             return None
         counts = WindowCounts(window_id, total)
-        text = self._dialect.write_counts(counts)
+        text = record_to_json(counts)
         key = f'{REPORTS_PREFIX}{window_id}'
         answer = self._records.write(key, text, 0)
         if isinstance(answer, StoreConflict) and answer.present.value:
-            return self._dialect.read_counts(window_id, answer.present.value)
+            return record_from_json(answer.present.value, WindowCounts)
         if isinstance(answer, StoreWritten):
             return counts
         self._tell_open(window_id, 'the record cannot be written')
@@ -189,3 +221,13 @@
         self._log.decide(
             'usage.open', str(window_id), outcome='tried again', cause=cause
         )
+
+
+def _read_record(item: StoreItem) -> WindowRecord | None:
+    """Read a saved record; None for one of another form."""
+    try:
+        return record_from_json(item.value or '', WindowRecord)
+    except CodecError:
+        # Another version's record: its counts are missing in the report,
+        # which then shows fewer calls than there were.
+        return None
--- /dev/null
+++ b/packages/links/dandelionyoke_links/__init__.py
@@ -0,0 +1,11 @@
+"""Links between the processes of dandelionyoke, and their sockets."""
+
+from dandelionyoke_links._peers import (
+    PeerHub as PeerHub,
+    PeerSettings as PeerSettings,
+)
+from dandelionyoke_links._sockets import (
+    listen as listen,
+    receive as receive,
+    set_options as set_options,
+)
--- a/packages/wire/dandelionyoke_wire/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import errno
 import hashlib
 import hmac
 import secrets
@@ -14,7 +15,7 @@
 
 import attrs
 import cbor2
-from eventlet import queue, spawn, spawn_n
+from eventlet import queue, sleep, spawn, spawn_n
 from eventlet.green import socket
 from websockets.client import ClientProtocol
 from websockets.exceptions import WebSocketException
@@ -35,13 +36,15 @@
     message_from_mapping,
     message_to_mapping,
 )
+from dandelionyoke_links._sockets import set_options
 
 MAX_FRAME_BYTES = 1_048_576
 READ_BYTES = 65_536
 CONNECT_TIMEOUT_S = 2.0
 HANDSHAKE_TIMEOUT_S = 5.0
 NONCE_BYTES = 16
-BACKLOG = 128
+OUT_OF_ROOM = frozenset((errno.EMFILE, errno.ENFILE, errno.ECONNABORTED))
+ACCEPT_PAUSE_S = 0.05
 
 # Messages waiting for a slow peer. Beyond it they are dropped: everything
 # shared is a versioned record that is offered again on the next link.
@@ -182,7 +185,11 @@
         while True:
             try:
                 sock, _ = listener.accept()
-            except OSError:
+            except OSError as error:
+                if error.errno in OUT_OF_ROOM:
+                    # Descriptors in use come back.
+                    sleep(ACCEPT_PAUSE_S)
+                    continue
                 return
             spawn_n(self._accept, sock)
 
@@ -216,6 +223,7 @@
         channel = _Channel(sock, protocol)
         channel.set_timeout(HANDSHAKE_TIMEOUT_S)
         try:
+            set_options(sock)
             channel.open_server()
         except _BROKEN:
             channel.close()
@@ -301,7 +309,7 @@
     sock = socket.create_connection(
         (parts.hostname, parts.port), timeout=CONNECT_TIMEOUT_S
     )
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    set_options(sock)
     protocol = ClientProtocol(parse_uri(address), max_size=MAX_FRAME_BYTES)
     channel = _Channel(sock, protocol)
     channel.set_timeout(HANDSHAKE_TIMEOUT_S)
--- a/packages/wire/dandelionyoke_wire/__init__.py
+++ b/packages/wire/dandelionyoke_wire/__init__.py
@@ -5,10 +5,6 @@
     CallerSettings as CallerSettings,
 )
 from dandelionyoke_wire._mailboxes import Mailboxes as Mailboxes
-from dandelionyoke_wire._peers import (
-    PeerHub as PeerHub,
-    PeerSettings as PeerSettings,
-)
 from dandelionyoke_wire._platform import PlatformClient as PlatformClient
 from dandelionyoke_wire._runtime import (
     ActionSink as ActionSink,
--- a/packages/wire/dandelionyoke_wire/_runtime.py
+++ b/packages/wire/dandelionyoke_wire/_runtime.py
@@ -44,10 +44,10 @@
     SubmitUsage,
     Woken,
 )
+from dandelionyoke_links import PeerHub, PeerSettings
 from dandelionyoke_wire._engine import EngineClient
 from dandelionyoke_wire._guarded import MaySend
 from dandelionyoke_wire._mailboxes import Mailboxes
-from dandelionyoke_wire._peers import PeerHub, PeerSettings
 from dandelionyoke_wire._plain import PlainClient
 from dandelionyoke_wire._platform import PlatformClient
 from dandelionyoke_wire._pools import TargetPools
--- /dev/null
+++ b/tests/dispatch/test_counts_handover.py
@@ -0,0 +1,55 @@
+"""Counts that one node saves for another."""
+
+import testtools
+
+from dandelionyoke_dispatch import (
+    CountsParcel,
+    CountsReceiver,
+    CountsSender,
+    ProcessCounts,
+    TrueTime,
+    UsageCounter,
+    WindowCounts,
+)
+
+
+class CountsHandoverTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.usage = UsageCounter(5.0, TrueTime(1000.0))
+        self.sender = CountsSender('p', self.usage)
+        self.receiver = CountsReceiver()
+
+    def test_saved_counts_are_confirmed(self) -> None:
+        self.usage.began('acme', 1.0)
+        parcel = self.sender.pack(1.0)
+        self.receiver.take(parcel)
+        received = self.receiver.received()
+        self.assertEqual([200], self.receiver.take_changed())
+        self.assertEqual(0, self.receiver.saved('p'))
+        self.receiver.confirm(received)
+        self.sender.confirm(self.receiver.saved('p'))
+        self.assertFalse(self.sender.take_back(9.0))
+        self.assertIsNone(self.sender.pack(9.0))
+
+    def test_what_is_not_confirmed_in_time_is_saved_here(self) -> None:
+        """The node that took the counts is killed before it saved them.
+
+        The window would be reported without these calls.
+        """
+        self.usage.began('acme', 1.0)
+        self.sender.pack(1.0)
+        self.assertFalse(self.sender.take_back(3.0))
+        self.assertTrue(self.sender.take_back(3.6))
+        self.assertEqual(
+            [WindowCounts(200, (('acme', 1),))], self.usage.take_changed()
+        )
+
+    def test_a_late_parcel_does_not_replace_a_newer_one(self) -> None:
+        newer = CountsParcel('p', 2, (WindowCounts(200, (('acme', 2),)),))
+        older = CountsParcel('p', 1, (WindowCounts(200, (('acme', 1),)),))
+        self.receiver.take(newer)
+        self.receiver.take(older)
+        self.assertEqual(
+            [ProcessCounts('p', (('acme', 2),))], self.receiver.parts(200)
+        )
--- /dev/null
+++ b/tests/dispatch/test_target_listing.py
@@ -0,0 +1,58 @@
+"""A listing that tells others what changed."""
+
+import testtools
+
+from dandelionyoke_dispatch import (
+    ListingMark,
+    RegisteredTarget,
+    TargetListing,
+)
+
+
+def target(name: str, *, leaving: bool = False) -> RegisteredTarget:
+    return RegisteredTarget(name, 'lm', '10.0.0.1:1', 'a', 4, leaving)
+
+
+class TargetListingTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.listing = TargetListing('p')
+        self.listing.replace([target('i-1'), target('i-2')], 1.0)
+
+    def test_a_newcomer_is_told_everything(self) -> None:
+        changes = self.listing.since(None)
+        self.assertTrue(changes.is_whole)
+        self.assertEqual(2, len(changes.changed))
+
+    def test_only_changes_are_told_again(self) -> None:
+        mark = self.listing.mark
+        self.listing.change([target('i-2', leaving=True)], ['i-1'], 2.0)
+        changes = self.listing.since(mark)
+        self.assertFalse(changes.is_whole)
+        self.assertEqual((target('i-2', leaving=True),), changes.changed)
+        self.assertEqual(('i-1',), changes.gone)
+
+    def test_a_heartbeat_changes_nothing(self) -> None:
+        """Each target rewrites its entry each second.
+
+        Told on to every node, that would be a large part of a node's bytes.
+        """
+        mark = self.listing.mark
+        self.listing.change([target('i-1')], (), 2.0)
+        self.assertEqual(mark, self.listing.mark)
+        self.assertEqual(2.0, self.listing.proven_s)
+
+    def test_the_mark_of_another_process_is_worth_nothing(self) -> None:
+        """A node restarts, or another one is asked from now on.
+
+        Its numbers begin anew; taken for the old ones, changes would be
+        missed and a gone target kept.
+        """
+        changes = self.listing.since(ListingMark('q', 2))
+        self.assertTrue(changes.is_whole)
+
+    def test_a_target_that_comes_back_is_not_gone(self) -> None:
+        mark = self.listing.mark
+        self.listing.change((), ['i-1'], 2.0)
+        self.listing.change([target('i-1')], (), 3.0)
+        self.assertEqual((), self.listing.since(mark).gone)
--- a/tests/dispatch/test_usage.py
+++ b/tests/dispatch/test_usage.py
@@ -3,9 +3,11 @@
 import testtools
 
 from dandelionyoke_dispatch import (
+    ProcessCounts,
     TrueTime,
     UsageCounter,
     WindowCounts,
+    WindowRecord,
     add_up,
 )
 
@@ -36,11 +38,28 @@
         )
 
     def test_all_processes_add_up(self) -> None:
-        parts = [
-            WindowCounts(1, (('a', 1), ('b', 2))),
-            WindowCounts(1, (('b', 3),)),
+        records = [
+            WindowRecord(1, (ProcessCounts('p', (('a', 1), ('b', 2))),)),
+            WindowRecord(1, (ProcessCounts('q', (('b', 3),)),)),
         ]
-        self.assertEqual((('a', 1), ('b', 5)), add_up(parts))
+        self.assertEqual((('a', 1), ('b', 5)), add_up(records))
+
+    def test_what_two_nodes_saved_of_one_process_counts_once(self) -> None:
+        """A node hands its counts over, then saves newer ones itself.
+
+        Added up, its calls would be billed twice.
+        """
+        records = [
+            WindowRecord(1, (ProcessCounts('p', (('a', 4),)),)),
+            WindowRecord(
+                1,
+                (
+                    ProcessCounts('q', (('a', 1),)),
+                    ProcessCounts('p', (('a', 3),)),
+                ),
+            ),
+        ]
+        self.assertEqual((('a', 5),), add_up(records))
 
     def test_a_window_ages_from_its_end(self) -> None:
         self.assertAlmostEqual(2.0, self.usage.age_s(200, 7.0))
--- a/tests/platform/path.py
+++ b/tests/platform/path.py
@@ -30,8 +30,8 @@
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._plain_call import carry_plain
 from dandelionyoke_gateway._settings import Endpoint
-from dandelionyoke_gateway._sockets import set_options
 from dandelionyoke_gateway._stream_call import carry_stream
+from dandelionyoke_links import set_options
 from dandelionyoke_platform._dialect import PlatformDialect
 from dandelionyoke_platform._duties import PlatformDuties
 
@@ -177,10 +177,12 @@
             callers=Endpoint('127.0.0.1', 0),
             health=Endpoint('127.0.0.1', 0),
             metrics=Endpoint('127.0.0.1', 0),
+            peers=Endpoint('127.0.0.1', 0),
             store_address='127.0.0.1:1',
             duty_address=None,
             revocation_s=5.0,
             drain_s=2.0,
+            apply_s=2.0,
             grace_s=8.0,
             retry_share=0.2,
             retry_extra=100,
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import parse_qs
@@ -9,6 +10,8 @@
 import attrs
 import eventlet
 from eventlet import wsgi
+from eventlet.green import socket
+from eventlet.greenthread import GreenThread
 
 from dandelionyoke_gateway import clock_s
 from dandelionyoke_platform import _words as words
@@ -54,18 +57,34 @@
         self.usage: list[tuple[str, int, dict[str, Any]]] = []
         self.orders: list[dict[str, Any]] = []
         self.is_out = False
+        # Addresses at which it turns every call away.
+        self.refused: set[str] = set()
+        # How often each call came, by the address at which it came.
+        self.calls: Counter[tuple[str, str]] = Counter()
+        self._listeners: list[socket.socket] = []
+        self._servers: list[GreenThread] = []
+        self.address = self.open_address()
+
+    def open_address(self) -> str:
+        """Listen at one more address, so that nodes can be told apart."""
         listener = eventlet.listen(('127.0.0.1', 0))
-        host, port = listener.getsockname()
-        self.address = f'{host}:{port}'
-        self._listener = listener
-        self._server = eventlet.spawn(
-            wsgi.server, listener, self._app, log_output=False
+        self._listeners.append(listener)
+        self._servers.append(
+            eventlet.spawn(wsgi.server, listener, self._app, log_output=False)
         )
+        host, port = listener.getsockname()
+        return f'{host}:{port}'
 
     def close(self) -> None:
         """End it."""
-        self._server.kill()
-        self._listener.close()
+        for server in self._servers:
+            server.kill()
+        for listener in self._listeners:
+            listener.close()
+
+    def keys(self, prefix: str) -> list[str]:
+        """List the keys below a prefix."""
+        return [key for key in self.items if key.startswith(prefix)]
 
     def put(self, key: str, value: str, lease: int = 0) -> int:
         """Write a key, as the operator or a target does."""
@@ -112,7 +131,8 @@
         if path == words.SCALE_CALL:
             self.orders.append(body)
             return 200, {}
-        if self.is_out:
+        self.calls[_address(environ), path] += 1
+        if self.is_out or _address(environ) in self.refused:
             return 503, {}
         if path == words.KEY_CALL:
             item = self.items.get(query['key'])
@@ -196,3 +216,7 @@
             return 200, {}
         self.leases[lease] = (clock_s() + ttl_s, ttl_s)
         return 200, {'ttl_ms': int(ttl_s * 1000)}
+
+
+def _address(environ: dict[str, Any]) -> str:
+    return f'127.0.0.1:{environ["SERVER_PORT"]}'
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -9,12 +9,14 @@
 import sys
 import tempfile
 from collections.abc import Callable, Iterator
+from functools import partial
 
 import eventlet
 import testtools
 from eventlet.green import socket
 
 from dandelionyoke_gateway import clock_s
+from dandelionyoke_platform import _words as words
 from tests.platform.path import (
     HOST,
     KEY,
@@ -70,15 +72,17 @@
     def __init__(self, store: StoreStandin, folder: str) -> None:
         self.port = free_port()
         self.health = free_port()
+        self.store_address = store.open_address()
         settings = pathlib.Path(folder) / f'settings-{self.port}.ini'
         settings.write_text(
             f'[gateway]\ninstance_id = n-{self.port}\ndomain = a\n'
             f'caller_address = 127.0.0.1:{self.port}\n'
             f'health_address = 127.0.0.1:{self.health}\n'
             f'metrics_address = 127.0.0.1:{free_port()}\n'
-            f'[store]\naddress = {store.address}\n'
+            f'peer_address = 127.0.0.1:{free_port()}\n'
+            f'[store]\naddress = {self.store_address}\n'
             f'[duties]\naddress = {store.address}\n'
-            '[bounds]\nrevocation_ms = 5000\ndrain_ms = 2000\ngrace_s = 8\n'
+            '[bounds]\nrevocation_ms = 5000\ndrain_ms = 2000\napply_ms = 2000\ngrace_s = 8\n'
             'retry_share = 0.2\nretry_extra = 50\nretry_window_s = 10\n'
             'duty_turn_ms = 3000\nusage_window_s = 2\nusage_late_s = 10\n'
         )
@@ -128,6 +132,11 @@
         return self.process.poll() is not None
 
 
+def answers(program: Program, key: str, status: bytes) -> bool:
+    """Whether a call under a key is answered by a status."""
+    return status in program.call(key=key)
+
+
 class ProcessTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -160,6 +169,13 @@
         wait_for(program.is_ready, 'a ready process')
         return program
 
+    def reported(self, organisation: str) -> int:
+        """Add up what was reported of an organisation."""
+        return sum(
+            body['counts'].get(organisation, 0)
+            for _, _, body in self.store.usage
+        )
+
     def test_a_call_is_served_and_reported_once_under_a_fence(self) -> None:
         program = self.start()
         self.assertIn(b' 200 ', program.call())
@@ -232,6 +248,51 @@
         windows = [body['window_id'] for _, _, body in self.store.usage]
         self.assertEqual(len(set(windows)), len(windows))
 
+    def test_one_node_asks_the_store_for_its_domain(self) -> None:
+        """Each node that asked the store would make its calls grow.
+
+        The second node learns of targets, keys and usage from the first, and
+        its calls are counted all the same.
+        """
+        programs = [self.start(), self.start()]
+        wait_for(lambda: len(self.store.keys('members/')) == 2, 'members')
+        eventlet.sleep(8)
+        self.store.calls.clear()
+        eventlet.sleep(4)
+        watches = sorted(
+            self.store.calls[one.store_address, words.WATCH_CALL]
+            for one in programs
+        )
+        self.assertEqual(0, watches[0])
+        self.assertGreater(watches[1], 4)
+        for program in programs:
+            self.assertIn(b' 200 ', program.call())
+        self.store.put('op/config', configuration(2, ('new',)))
+        wait_for(
+            lambda: all(b' 401 ' in one.call() for one in programs), 'refusals'
+        )
+        wait_for(lambda: self.reported('acme') >= 2, 'usage of both')
+
+    def test_a_node_that_the_store_turns_away_asks_another(self) -> None:
+        """The store refuses one node and serves the other one.
+
+        The refused node's callers would get 503 although the other one
+        knows that their keys are good, and a withdrawn key must stop there
+        as well.
+        """
+        programs = [self.start(), self.start()]
+        wait_for(lambda: len(self.store.keys('members/')) == 2, 'members')
+        eventlet.sleep(3)
+        for refused in programs:
+            self.store.refused = {refused.store_address}
+            eventlet.sleep(7)
+            self.assertIn(b' 200 ', refused.call())
+            self.assertTrue(refused.is_ready())
+        self.store.put('op/config', configuration(2, ('new',)))
+        for program in programs:
+            wait_for(partial(answers, program, KEY, b' 401 '), 'a refusal')
+            wait_for(partial(answers, program, 'new', b' 200 '), 'an answer')
+
     def test_wrong_settings_are_told_all_at_once(self) -> None:
         path = pathlib.Path(self.folder) / 'wrong.ini'
         path.write_text('[gateway]\ndomain = a\ncaller_address = nowhere\n')
@@ -243,6 +304,12 @@
             check=False,
         )
         self.assertEqual(2, ended.returncode)
-        for name in ('instance_id', 'caller_address', 'address', 'grace_s'):
+        for name in (
+            'instance_id',
+            'caller_address',
+            'peer_address',
+            'address',
+            'grace_s',
+        ):
             self.assertIn(name, ended.stderr)
         self.assertIn('Mend the settings file', ended.stderr)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -118,6 +118,7 @@
     def test_no_package_starts_a_process(self) -> None:
         for package in (
             'core',
+            'links',
             'wire',
             'entry',
             'operator',
@@ -137,6 +138,7 @@
             (
                 'core',
                 {
+                    'links',
                     'dispatch',
                     'gateway',
                     'wire',
@@ -145,7 +147,21 @@
                     'standins',
                 },
             ),
-            ('dispatch', {'gateway', 'wire', 'entry', 'operator', 'standins'}),
+            (
+                'links',
+                {
+                    'dispatch',
+                    'gateway',
+                    'wire',
+                    'entry',
+                    'operator',
+                    'standins',
+                },
+            ),
+            (
+                'dispatch',
+                {'links', 'gateway', 'wire', 'entry', 'operator', 'standins'},
+            ),
             ('gateway', {'wire', 'entry', 'operator', 'standins'}),
             ('wire', {'entry', 'operator', 'standins'}),
             ('entry', {'operator', 'standins'}),
