Soak real processes under faults from outside

Change: `make soak` plays seeded series of signals, relays between all ends that cut, silence, swallow one way, reset and delay, stores and targets that misbehave, and changes of the operator, and checks eleven promises from what callers, targets and the platform saw. Each check has a test that shows it a broken promise.

--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,17 @@
 PACKAGE_DIRS = $(PACKAGES:%=packages/%) platform
 SOURCES = packages platform scripts tests
 
-.PHONY: help install format lint test demo serve clean \
+# What `make soak` plays: seeds that are kept, and how many new ones.
+SEEDS ?= 1-50
+FRESH ?= 0
+SOAK_SECONDS ?= 20
+
+.PHONY: help install format lint test demo serve soak clean \
 	measure measure-nodes measure-spread measure-path
 
 help:
 	@echo "make demo | test | serve | lint | format | clean"
+	@echo "make soak SEEDS=1-50 FRESH=0 SOAK_SECONDS=20"
 	@echo "make measure | measure-nodes | measure-spread | measure-path"
 
 $(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
@@ -43,6 +49,11 @@
 serve: install
 	@$(BIN)/python scripts/launch.py serve
 
+# Real processes under faults from outside; docs/SOAK.md.
+soak: install
+	$(BIN)/python -W ignore -m tests.soak.soak --seeds "$(SEEDS)" \
+		--fresh $(FRESH) --seconds $(SOAK_SECONDS)
+
 # The policy against its naive version; the figures of docs/MEASUREMENTS.md.
 measure: install
 	$(BIN)/python -W ignore -m dandelionyoke_standins measure policy
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -56,7 +56,16 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.usage: list[tuple[str, int, dict[str, Any]]] = []
         self.orders: list[dict[str, Any]] = []
+        # The same reports with the moment of their arrival.
+        self.reports: list[tuple[float, str, int, dict[str, Any]]] = []
         self.is_out = False
+        # Writes are done, and their answers lost.
+        self.loses = False
+        # Older changes than this are not known any more.
+        self.forgotten = 0
+        # Texts that readers see in place of others, such as the address of a
+        # relay in place of a node's own.
+        self.rewrites: dict[str, str] = {}
         # Addresses at which it turns every call away.
         self.refused: set[str] = set()
         # How often each call came, by the address at which it came.
@@ -94,6 +103,18 @@
         self.history.append(item)
         return self.revision
 
+    def lapse(self) -> None:
+        """End all leases, as after an outage in which they ran on."""
+        for lease, (_, ttl_s) in tuple(self.leases.items()):
+            self.leases[lease] = (0, ttl_s)
+        self._expire()
+
+    def _shown(self, item: Item) -> Item:
+        text = item.value
+        for real, shown in self.rewrites.items():
+            text = text and text.replace(real, shown)
+        return attrs.evolve(item, value=text)
+
     def remove(self, key: str) -> None:
         """Remove a key."""
         if self.items.pop(key, None) is not None:
@@ -142,7 +163,8 @@
         if path == words.WATCH_CALL:
             return self._watch(query)
         if path == words.WRITE_CALL:
-            return self._write(body)
+            done = self._write(body)
+            return (504, {}) if self.loses else done
         return self._lease(environ['REQUEST_METHOD'], path, body)
 
     def _report(
@@ -151,11 +173,12 @@
         holder = environ['HTTP_DUTY_HOLDER']
         fence = int(environ['HTTP_FENCING_TOKEN'])
         self.usage.append((holder, fence, body))
+        self.reports.append((clock_s(), holder, fence, body))
         return 200, {}
 
     def _range(self, prefix: str) -> dict[str, Any]:
         found = [
-            item.fields()
+            self._shown(item).fields()
             for item in self.items.values()
             if item.key.startswith(prefix)
         ]
@@ -167,6 +190,8 @@
 
     def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(query['after'])
+        if after < self.forgotten:
+            return 410, {}
         until_s = clock_s() + int(query['wait_ms']) / 1000
         while True:
             self._expire()
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -1,6 +1,5 @@
 """Real processes of the platform's program, against stand-ins."""
 
-import contextlib
 import json
 import os
 import pathlib
@@ -8,12 +7,11 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from functools import partial
 
 import eventlet
 import testtools
-from eventlet.green import socket
 
 from dandelionyoke_gateway import clock_s
 from dandelionyoke_platform import _words as words
@@ -24,28 +22,10 @@
     ScriptedTarget,
     Seen,
     answer,
-    request,
 )
+from tests.platform.program import Program, wait_for
 from tests.platform.store_standin import StoreStandin
 
-WAIT_S = 15.0
-
-
-def free_port() -> int:
-    """Let the kernel choose a port."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return int(sock.getsockname()[1])
-
-
-def wait_for(condition: Callable[[], object], what: str) -> None:
-    """Wait for something to come true."""
-    until_s = clock_s() + WAIT_S
-    while not condition():
-        if clock_s() > until_s:
-            raise AssertionError(f'{what} did not come')
-        eventlet.sleep(0.05)
-
 
 def configuration(version: int = 1, keys: tuple[str, ...] = (KEY,)) -> str:
     route = {
@@ -66,72 +46,6 @@
     )
 
 
-class Program:
-    """One process of the program."""
-
-    def __init__(self, store: StoreStandin, folder: str) -> None:
-        self.port = free_port()
-        self.health = free_port()
-        self.store_address = store.open_address()
-        settings = pathlib.Path(folder) / f'settings-{self.port}.ini'
-        settings.write_text(
-            f'[gateway]\ninstance_id = n-{self.port}\ndomain = a\n'
-            f'caller_address = 127.0.0.1:{self.port}\n'
-            f'health_address = 127.0.0.1:{self.health}\n'
-            f'metrics_address = 127.0.0.1:{free_port()}\n'
-            f'peer_address = 127.0.0.1:{free_port()}\n'
-            f'[store]\naddress = {self.store_address}\n'
-            f'[duties]\naddress = {store.address}\n'
-            '[bounds]\nrevocation_ms = 5000\ndrain_ms = 2000\napply_ms = 2000\ngrace_s = 8\n'
-            'retry_share = 0.2\nretry_extra = 50\nretry_window_s = 10\n'
-            'duty_turn_ms = 3000\nusage_window_s = 2\nusage_late_s = 10\n'
-        )
-        self.process = subprocess.Popen(
-            [sys.executable, '-W', 'ignore', '-m', 'dandelionyoke_platform'],
-            env={
-                **os.environ,
-                'DANDELIONYOKE_BOOT': str(settings),
-                'EVENTLET_NO_GREENDNS': 'yes',
-            },
-            stdout=(pathlib.Path(folder) / 'log').open('ab'),
-            stderr=subprocess.STDOUT,
-        )
-
-    def call(self, path: str = '/confirm/1', key: str = KEY) -> bytes:
-        """Send a request on a connection of its own; read its answer."""
-        return self.exchange(self.port, request(path, key))
-
-    def is_ready(self) -> bool:
-        """Whether the balancer would send callers here."""
-        head = b'GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
-        return b' 200 ' in self.exchange(self.health, head)
-
-    def exchange(self, port: int, content: bytes) -> bytes:
-        """Send bytes; read until the answer's body is there or the end."""
-        try:
-            sock = eventlet.connect(('127.0.0.1', port))
-        except OSError:
-            return b''
-        received = b''
-        with sock, contextlib.suppress(OSError):
-            sock.settimeout(WAIT_S)
-            sock.sendall(content)
-            while b'\r\n\r\n' not in received:
-                more = sock.recv(65536)
-                if not more:
-                    break
-                received += more
-        return received
-
-    def end(self, number: int) -> None:
-        """Send a signal."""
-        self.process.send_signal(number)
-
-    def has_ended(self) -> bool:
-        """Whether the process is gone."""
-        return self.process.poll() is not None
-
-
 def answers(program: Program, key: str, status: bytes) -> bool:
     """Whether a call under a key is answered by a status."""
     return status in program.call(key=key)
