Keep the figures of a window without a lease

The next holder found no record, fixed other figures from the counts that were left and reported window again: 118 calls, then 62. The logs of the three nodes show the holder's loss at 475.32 and the second report at 475.78.

Ruled out: counts of one process saved twice (the figure fell); a lost answer (both reports were accepted).

Change: the record has no lease; after each report up to four of those that are older than twelve windows are removed, whoever made them.

--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -6,9 +6,11 @@
     CodecError,
     OperationId,
     StoreConflict,
+    StoreDelete,
     StoreItem,
     StoreList,
     StoreListing,
+    StorePut,
     StoreWritten,
     record_from_json,
     record_to_json,
@@ -31,8 +33,8 @@
 
 COUNTS_PREFIX = 'counts/'
 REPORTS_PREFIX = 'reports/'
-# Counts and reports are wanted until their window is reported, which is due
-# within seconds; their leases remove them some windows later.
+# Counts are wanted until their window is reported, which is due within
+# seconds; their leases remove them some windows later.
 RECORDS_TTL_S = 60.0
 
 # What a killed process has not saved is missing in the report, and each save
@@ -47,6 +49,10 @@
 CLOSE_AFTER_S = 4.5
 REPORT_CHECK_S = 0.5
 KEPT_REVISIONS = 8
+# Windows are reported within seconds; older figures than this many windows
+# are removed, a few after each report, those of earlier holders included.
+KEPT_REPORTS = 12
+MOST_REMOVED = 4
 # A report has to arrive within the bound; this much is kept for its way.
 LATE_MARGIN_S = 0.5
 
@@ -142,7 +148,6 @@
     ) -> None:
         self._knowledge = knowledge
         self._store = store
-        self._records = LeasedRecords(store, RECORDS_TTL_S)
         self._duty = duty
         self._client = client
         self._log = log
@@ -184,13 +189,15 @@
         )
         if accepted:
             self._reported.add(window_id)
+            self._remove_old(window_id - KEPT_REPORTS)
 
     def _close(self, window_id: int) -> WindowCounts | None:
         """Fix the figures of a window for good; None: not yet possible.
 
         The record is created once. Whoever reports the window, now or after
         a change of holder, reports what it says, so that no two reports of
-        one window differ.
+        one window differ. It has no lease: were it gone with one, the next
+        holder would fix other figures and report the window again.
         """
         listing = self._store.perform(
             StoreList(OperationId('counts'), f'{COUNTS_PREFIX}{window_id}/')
@@ -209,7 +216,9 @@
         counts = WindowCounts(window_id, total)
         text = record_to_json(counts)
         key = f'{REPORTS_PREFIX}{window_id}'
-        answer = self._records.write(key, text, 0)
+        answer = self._store.perform(
+            StorePut(OperationId('report'), key, text, 0)
+        )
         if isinstance(answer, StoreConflict) and answer.present.value:
             return record_from_json(answer.present.value, WindowCounts)
         if isinstance(answer, StoreWritten):
@@ -217,6 +226,21 @@
         self._tell_open(window_id, 'the record cannot be written')
         return None
 
+    def _remove_old(self, oldest: int) -> None:
+        """Remove the figures of windows that nobody reports any more."""
+        listing = self._store.perform(
+            StoreList(OperationId('reports'), REPORTS_PREFIX, may_be_old=True)
+        )
+        if not isinstance(listing, StoreListing):
+            return
+        for item in listing.items[:MOST_REMOVED]:
+            name = item.key.removeprefix(REPORTS_PREFIX)
+            if name.isdigit() and int(name) < oldest:
+                operation = OperationId('old report')
+                self._store.perform(
+                    StoreDelete(operation, item.key, item.revision)
+                )
+
     def _tell_open(self, window_id: int, cause: str) -> None:
         self._log.decide(
             'usage.open', str(window_id), outcome='tried again', cause=cause
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -221,6 +221,8 @@
                 return 404, {}
             value = base64.b64decode(put['value']).decode()
             self.put(put['key'], value, lease)
+        for key in body['remove']:
+            self.remove(key)
         return 200, {'revision': self.revision}
 
     def _lease(
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -207,6 +207,23 @@
             wait_for(partial(answers, program, KEY, b' 401 '), 'a refusal')
             wait_for(partial(answers, program, 'new', b' 200 '), 'an answer')
 
+    def test_the_figures_of_a_window_outlive_all_leases(self) -> None:
+        """The store ends the leases of a whole fleet, the duty's included.
+
+        Another node takes the duty over while the window may still be
+        reported. Were the figures gone, it would fix others, and the calls
+        of the window would be billed twice.
+        """
+        program = self.start()
+        program.call()
+        wait_for(lambda: self.store.usage, 'a usage report')
+        self.store.lapse()
+        eventlet.sleep(0.5)
+        _, _, body = self.store.usage[0]
+        key = f'reports/{body["window_id"]}'
+        kept = json.loads(self.store.items[key].value or '')
+        self.assertEqual([['acme', 1]], kept['counts'])
+
     def test_wrong_settings_are_told_all_at_once(self) -> None:
         path = pathlib.Path(self.folder) / 'wrong.ini'
         path.write_text('[gateway]\ndomain = a\ncaller_address = nowhere\n')
