Choose the tests' ports where no connection is given one

Cause: a run of the whole tests failed once in the short soak: a node was not ready in 15 s. With the end of its log in the message, 12 loops of the soak's start beside three others showed it: `OSError: [Errno 98] Address already in use`. The kernel chose the port; between that and the program's start it gave the same one to a connection of another test.

Ruled out: load (the process had ended with status 1 at once).

Change: ports are drawn below the range for connections. The message of a process that does not get ready has its status and the end of its log.

--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import subprocess
 import sys
 from collections.abc import Callable
@@ -16,13 +17,26 @@
 from tests.platform.store_standin import StoreStandin
 
 WAIT_S = 15.0
+# Below the range from which the kernel gives ports to connections.
+PORTS = (10_000, 32_000)
+_given: set[int] = set()
 
 
 def free_port() -> int:
-    """Let the kernel choose a port."""
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return int(sock.getsockname()[1])
+    """Choose a port that no outgoing connection is given meanwhile.
+
+    Between the choice and the program's start seconds may pass. One of the
+    kernel's own choosing was taken by a connection of another test by then,
+    and the program ended with its address in use.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _given:
+            continue
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(('127.0.0.1', port))
+            _given.add(port)
+            return port
 
 
 def wait_for(condition: Callable[[], object], what: str) -> None:
@@ -88,6 +102,15 @@
         """Send a request on a connection of its own; read its answer."""
         return self.exchange(self.port, request(path, key))
 
+    def wait_until_ready(self) -> None:
+        """Wait for a ready process; show the end of its log otherwise."""
+        try:
+            wait_for(self.is_ready, 'a ready process')
+        except AssertionError as late:
+            text = self.log.read_text()[-2000:]
+            status = self.process.poll()
+            raise AssertionError(f'{late} ({status}): {text}') from late
+
     def is_ready(self) -> bool:
         """Whether the balancer would send callers here."""
         head = b'GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -80,7 +80,7 @@
         program = Program(self.store, self.folder)
         self.addCleanup(program.process.wait)
         self.addCleanup(program.process.kill)
-        wait_for(program.is_ready, 'a ready process')
+        program.wait_until_ready()
         return program
 
     def reported(self, organisation: str) -> int:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,7 +19,7 @@
 from dandelionyoke_gateway import ExitStatus, clock_s
 from dandelionyoke_standins._relay import Relay
 from tests.platform.path import HOST
-from tests.platform.program import Ports, Program, wait_for
+from tests.platform.program import Ports, Program
 from tests.platform.store_standin import StoreStandin
 from tests.soak.callers import Caller
 from tests.soak.faults import Fault, plan_faults
@@ -100,7 +100,7 @@
         for number, domain in enumerate(DOMAINS):
             self._nodes.append(self._start_node(number, domain))
         for node in self._nodes:
-            wait_for(node.program.is_ready, f'{node.name} ready')
+            node.program.wait_until_ready()
             self._start_callers(node)
         eventlet.spawn_n(self._beat)
         eventlet.spawn_n(self._watch)
