--- a/packages/gateway/dandelionyoke_gateway/_duty_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_duty_task.py
@@ -32,6 +32,17 @@
 DUTY = 'fleet'
 EVERYWHERE = Domain('all')
 
+# The lease outlives three renewals that are lost, one after the other; a
+# holder that is killed is replaced after it, which leaves time to report a
+# window before it is due.
+LEAST_TTL_S = 4.0
+RENEW_S = 1.0
+RENEW_RETRY_S = 0.3
+# The store answers within milliseconds; past this an answer is lost.
+CALL_TIMEOUT_S = 1.0
+FIRST_BACK_OFF_S = 0.2
+LONGEST_BACK_OFF_S = 0.8
+
 # While nobody holds the duty nothing is ordered; a look costs a call of each
 # node.
 LOOK_INTERVAL_S = 2.5
@@ -62,14 +73,16 @@
         own = Instance(self._own, EVERYWHERE, '', '')
         self._part = AuthorityPart(
             AuthoritySettings(
-                ttl_s=max(4.0, settings.duty_turn_s + 1),
-                renew_interval_s=1.0,
-                renew_retry_s=0.3,
+                ttl_s=max(LEAST_TTL_S, settings.duty_turn_s + RENEW_S),
+                renew_interval_s=RENEW_S,
+                renew_retry_s=RENEW_RETRY_S,
                 look_interval_s=LOOK_INTERVAL_S,
                 return_pause_s=RETURN_TURNS * settings.duty_turn_s,
-                call_timeout_s=1.0,
+                call_timeout_s=CALL_TIMEOUT_S,
                 candidates=CANDIDATES,
-                back_off=BackOffSettings(first_s=0.2, longest_s=0.8),
+                back_off=BackOffSettings(
+                    first_s=FIRST_BACK_OFF_S, longest_s=LONGEST_BACK_OFF_S
+                ),
             ),
             DUTY,
             own,
