Let engines make tokens until others have taken their place

Nodes see an engine's new phase a heartbeat later.

Ruled out: full engines (prompts were read at once, decode p50 23 ms).

Change: engines that are to make tokens are ordered first; one that makes them may go only while enough others do it by the registry, those not counted that were only ordered to.

--- a/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
@@ -45,10 +45,13 @@
         self,
         engines: Sequence[RegisteredTarget],
         busy_share: float,
+        settled: frozenset[str] | None = None,
     ) -> list[PhaseChange]:
         """List the changes that are wanted now.
 
-        `busy_share` is the share of the decode engines' slots in use.
+        `busy_share` is the share of the decode engines' slots in use;
+        `settled` names the engines that have the phase they are taken to
+        have, without those that were only ordered to change (None: all).
         """
         if len(engines) < 2:
             return []
@@ -59,13 +62,41 @@
         if present == wanted + 1 and present < len(engines):
             wanted = present
         decode = _choose_decode(engines, wanted)
-        found = []
-        for engine in engines:
-            is_chosen = engine.target_id in decode
-            phase = Phase.DECODE if is_chosen else Phase.PREFILL
-            if engine.phase is not phase:
-                found.append(PhaseChange(engine, phase))
-        return found
+        come = [
+            PhaseChange(one, Phase.DECODE)
+            for one in engines
+            if one.target_id in decode and one.phase is not Phase.DECODE
+        ]
+        go = [
+            PhaseChange(one, Phase.PREFILL)
+            for one in engines
+            if one.target_id not in decode and one.phase is not Phase.PREFILL
+        ]
+        return come + self._those_not_needed(go, engines, wanted, settled)
+
+    def _those_not_needed(
+        self,
+        go: Sequence[PhaseChange],
+        engines: Sequence[RegisteredTarget],
+        wanted: int,
+        settled: frozenset[str] | None,
+    ) -> list[PhaseChange]:
+        """Let a decode engine go once another one has taken its place.
+
+        When engines are exchanged, those that make tokens would all refuse
+        calls before the others do it; the nodes hear of that only with the
+        next heartbeats, and their callers are refused for seconds. An engine
+        of another phase than these two is free to change at any time.
+        """
+        ready = sum(
+            one.phase is Phase.DECODE
+            and (settled is None or one.target_id in settled)
+            for one in engines
+        )
+        free = max(0, ready - wanted)
+        decode = [one for one in go if one.target.phase is Phase.DECODE]
+        others = [one for one in go if one.target.phase is not Phase.DECODE]
+        return others + decode[:free]
 
     def _wanted_decode(self, total: int, busy_share: float) -> int:
         if busy_share > self._settings.busy_share:
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -96,15 +96,20 @@
 
     def _compare_service(self, service: str) -> None:
         now_s = clock_s()
-        engines = self._with_assumed(
-            self._knowledge.registry.of_service(service), now_s
+        registered = self._knowledge.registry.of_service(service)
+        engines = self._with_assumed(registered, now_s)
+        settled = frozenset(
+            one.target_id
+            for one, told in zip(engines, registered, strict=True)
+            if one.phase is told.phase
         )
         phases = {engine.phase for engine in engines}
         has_both = {Phase.PREFILL, Phase.DECODE} <= phases
         if has_both and self._changes.under_way:
             return
         plan = self._plans.setdefault(service, PhasePlan(PhasePlanSettings()))
-        for change in plan.changes(engines, self._busy_share(engines, now_s)):
+        busy_share = self._busy_share(engines, now_s)
+        for change in plan.changes(engines, busy_share, settled):
             self._assume(change, ORDER_RETRY_S)
             spawn_n(self._send, change)
 
