Test what nodes tell each other, and who is heard

The arithmetic on which a withdrawn key rests, news that come late, questions that wait, configurations too large to tell, counts that are not saved yet, and a link to a process that does not know the secret.

--- /dev/null
+++ b/tests/gateway/test_news.py
@@ -0,0 +1,194 @@
+"""What nodes tell each other, and how old that is."""
+
+import zlib
+from random import Random
+
+import eventlet
+import testtools
+
+from dandelionyoke_core import Metrics, PeerMessage
+from dandelionyoke_dispatch import (
+    CountsParcel,
+    ListingChanges,
+    ListingMark,
+    Member,
+    RegisteredTarget,
+    WindowCounts,
+)
+from dandelionyoke_gateway import GatewaySettings, clock_s
+from dandelionyoke_gateway._configuration_keeper import ConfigurationKeeper
+from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._news_desk import MOST_PACKED_BYTES, NewsDesk
+from dandelionyoke_gateway._news_messages import NewsAsked, NewsTold
+from dandelionyoke_gateway._registry_keeper import RegistryKeeper
+from dandelionyoke_gateway._reliance import Reliance, RelianceSettings
+from dandelionyoke_gateway._settings import Endpoint
+from dandelionyoke_platform._dialect import PlatformDialect
+from tests.platform.path import Lines
+from tests.platform.test_process import configuration
+
+NOWHERE = Endpoint('127.0.0.1', 0)
+
+
+def new_settings() -> GatewaySettings:
+    return GatewaySettings(
+        instance_id='n-1',
+        domain='a',
+        callers=NOWHERE,
+        health=NOWHERE,
+        metrics=NOWHERE,
+        peers=NOWHERE,
+        store_address='127.0.0.1:1',
+        duty_address=None,
+        revocation_s=5.0,
+        drain_s=2.0,
+        apply_s=2.0,
+        grace_s=8.0,
+        retry_share=0.2,
+        retry_extra=100,
+        retry_window_s=10.0,
+        duty_turn_s=3.0,
+        usage_window_s=5.0,
+        usage_late_s=10.0,
+    )
+
+
+def target(name: str, *, leaving: bool = False) -> RegisteredTarget:
+    return RegisteredTarget(name, 'lm', '10.0.0.1:1', 'a', 4, leaving)
+
+
+class NewsTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.knowledge: Knowledge = new_knowledge(new_settings(), Random(3))
+        log = DecisionLog(Lines(), 'n-1', Metrics())
+        self.addCleanup(log.close)
+        self.configurations = ConfigurationKeeper(
+            self.knowledge, PlatformDialect(), log
+        )
+        self.registry = RegistryKeeper(self.knowledge, log)
+        self.sent: list[PeerMessage] = []
+        self.desk = NewsDesk(self.knowledge, self.send)
+
+    def send(self, peer_id: str, message: PeerMessage) -> bool:
+        self.sent.append(message)
+        return True
+
+    def ask(self, hold_s: float = 0.0, **fields: object) -> NewsTold:
+        asked = NewsAsked(1, 'n-2.x', hold_s, 0)
+        for name, value in fields.items():
+            object.__setattr__(asked, name, value)
+        self.desk.answer('n-2', asked)
+        told = self.sent[-1]
+        assert isinstance(told, NewsTold)
+        return told
+
+    def test_old_knowledge_is_told_as_old(self) -> None:
+        """The node that is asked lost the store four seconds ago.
+
+        Taken for new, what it says would keep a withdrawn key working past
+        its bound.
+        """
+        self.configurations.adopt(configuration(), 7, 'store')
+        self.configurations.prove(7, clock_s() - 4.0)
+        news = self.ask().configuration
+        self.assertLess(news.proven_after_s, -3.9)
+        self.assertEqual(7, news.revision)
+
+    def test_a_proof_of_another_revision_proves_nothing(self) -> None:
+        self.configurations.adopt(configuration(), 7, 'store')
+        self.assertFalse(self.configurations.prove(8, clock_s()))
+        self.assertIsNone(self.knowledge.freshness.proven_s)
+
+    def test_a_question_waits_for_a_change(self) -> None:
+        self.registry.replace([target('i-1')], clock_s())
+        mark = self.ask().targets.changes.mark
+        began_s = clock_s()
+        eventlet.spawn_after(
+            0.1, self.registry.change, [target('i-2')], (), clock_s()
+        )
+        news = self.ask(1.0, mark=mark).targets
+        self.assertLess(clock_s() - began_s, 0.8)
+        self.assertEqual((target('i-2'),), news.changes.changed)
+
+    def test_a_question_ends_without_a_change(self) -> None:
+        self.registry.replace([target('i-1')], clock_s())
+        began_s = clock_s()
+        self.ask(0.2, mark=self.knowledge.listing.mark)
+        self.assertGreaterEqual(clock_s() - began_s, 0.19)
+
+    def test_older_news_do_not_call_a_leaving_target_back(self) -> None:
+        """This node read the registry; another one tells what was before.
+
+        Work would go to a target that has left.
+        """
+        now_s = clock_s()
+        self.registry.replace([target('i-1', leaving=True)], now_s)
+        changes = ListingChanges(
+            ListingMark('n-2', 3), True, (target('i-1'),), ()
+        )
+        self.assertFalse(self.registry.take_news(changes, now_s - 1, 'n-2'))
+        self.assertEqual([], self.knowledge.registry.of_service('lm'))
+        self.assertTrue(self.registry.take_news(changes, now_s + 1, 'n-2'))
+
+    def test_a_configuration_travels_unless_it_is_large(self) -> None:
+        """A large one sent to all would fill a small machine's link."""
+        self.configurations.adopt(configuration(), 7, 'store')
+        self.configurations.prove(7, clock_s())
+        packed = self.ask().configuration.packed
+        self.assertEqual(configuration(), zlib.decompress(packed).decode())
+        self.assertIsNone(
+            self.ask(configuration_revision=7).configuration.packed
+        )
+        noise = Random(5).randbytes(MOST_PACKED_BYTES).hex()
+        self.configurations.adopt(noise, 8, 'store')
+        self.configurations.prove(8, clock_s())
+        self.assertIsNone(self.ask().configuration.packed)
+        wanted = self.ask(wants_configuration=True).configuration.packed
+        self.assertIsNotNone(wanted)
+
+    def test_counts_are_confirmed_only_when_saved(self) -> None:
+        windows = (WindowCounts(9, (('acme', 1),)),)
+        parcel = CountsParcel('n-2.x', 4, windows)
+        self.assertEqual(0, self.ask(parcel=parcel).saved_parcel)
+        receiver = self.knowledge.receiver
+        receiver.confirm(receiver.received())
+        self.assertEqual(4, self.ask().saved_parcel)
+
+
+class RelianceTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.knowledge: Knowledge = new_knowledge(new_settings(), Random(3))
+        self.reliance = Reliance(self.knowledge, RelianceSettings())
+
+    def test_a_node_that_knows_nothing_asks_the_store(self) -> None:
+        self.assertEqual(0, self.reliance.configuration_wait_s(clock_s()))
+        self.assertEqual(0, self.reliance.registry_wait_s(clock_s()))
+        self.assertTrue(self.reliance.is_blind(clock_s()))
+
+    def test_what_was_told_counts_for_three_quarters_of_its_bound(self) -> None:
+        """The node that is asked falls silent.
+
+        A quarter of the bound is left to ask the store instead, before a
+        leaving target or an old route would get work too late.
+        """
+        sources = self.knowledge.sources
+        other = next(
+            name
+            for name in ('m-1', 'm-2', 'm-3', 'm-4', 'm-5', 'm-6')
+            if self.becomes_first(name)
+        )
+        now_s = clock_s()
+        self.knowledge.freshness.prove(now_s)
+        self.knowledge.listing.replace((), now_s)
+        self.assertAlmostEqual(1.5, self.reliance.registry_wait_s(now_s))
+        self.assertAlmostEqual(1.5, self.reliance.configuration_wait_s(now_s))
+        sources.doubt(other, now_s)
+        self.assertEqual(0, self.reliance.registry_wait_s(now_s))
+
+    def becomes_first(self, name: str) -> bool:
+        sources = self.knowledge.sources
+        sources.take_members([Member(name, 'a', '10.0.0.2:7')])
+        return not sources.is_source(0)
--- /dev/null
+++ b/tests/links/test_peers.py
@@ -0,0 +1,57 @@
+"""Links between two processes."""
+
+import eventlet
+import testtools
+
+from dandelionyoke_core import (
+    Event,
+    InstanceId,
+    PeerConnected,
+    PeerDisconnected,
+    PeerMessageArrived,
+)
+from dandelionyoke_gateway._news_messages import NewsAsked
+from dandelionyoke_links import PeerHub, PeerSettings, listen
+
+
+class PeerHubTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.events: list[Event] = []
+        self.listener = listen('127.0.0.1', 0)
+        self.addCleanup(self.listener.close)
+        self.port = self.listener.getsockname()[1]
+        self.hub = PeerHub(
+            PeerSettings(InstanceId('n-1'), b'one secret'), self.events.append
+        )
+        serving = eventlet.spawn(self.hub.serve, self.listener)
+        self.addCleanup(serving.kill)
+
+    def dial(self, secret: bytes) -> tuple[PeerHub, list[Event]]:
+        events: list[Event] = []
+        hub = PeerHub(PeerSettings(InstanceId('n-2'), secret), events.append)
+        address = f'ws://127.0.0.1:{self.port}/'
+        dialled = eventlet.spawn(hub.connect, InstanceId('n-1'), address)
+        self.addCleanup(dialled.kill)
+        eventlet.sleep(0.3)
+        return hub, events
+
+    def test_messages_pass_between_ends_that_share_a_secret(self) -> None:
+        hub, events = self.dial(b'one secret')
+        self.assertEqual([PeerConnected(InstanceId('n-1'))], events)
+        asked = NewsAsked(3, 'n-2.x', 0.4, 5)
+        self.assertTrue(hub.send(InstanceId('n-1'), asked))
+        eventlet.sleep(0.1)
+        self.assertEqual(
+            PeerMessageArrived(InstanceId('n-2'), asked), self.events[-1]
+        )
+
+    def test_who_does_not_know_the_secret_is_not_heard(self) -> None:
+        """Some other process of the network dials a node's port.
+
+        What it says of targets or keys must not be believed.
+        """
+        hub, events = self.dial(b'another one')
+        self.assertIsInstance(events[-1], PeerDisconnected)
+        self.assertEqual([], self.events)
+        self.assertFalse(hub.send(InstanceId('n-1'), NewsAsked(1, '', 0, 0)))
