Let a notice of new settings come during a start

A second finding of the same runs, in the tests alone: a node did not get ready since its address was in use, although ports are drawn below the range for connections: another test process drew the port of a program between its end and its new start. Each test process has ports of its own now.

--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -1,9 +1,9 @@
 """Processes of the platform's program, started by tests."""
 
 import contextlib
+import itertools
 import os
 import pathlib
-import random
 import subprocess
 import sys
 from collections.abc import Callable
@@ -17,9 +17,18 @@
 from tests.platform.store_standin import StoreStandin
 
 WAIT_S = 15.0
-# Below the range from which the kernel gives ports to connections.
-PORTS = (10_000, 32_000)
-_given: set[int] = set()
+# Each test process has ports of its own, below the range from which the kernel
+# gives ports to connections. One of a program that is just being started again
+# would otherwise be given to another test.
+FIRST_PORT = 10_000
+PORTS_EACH = 400
+SHARES = 55
+_own_ports = itertools.cycle(
+    range(
+        FIRST_PORT + os.getpid() % SHARES * PORTS_EACH,
+        FIRST_PORT + (os.getpid() % SHARES + 1) * PORTS_EACH,
+    )
+)
 
 
 def free_port() -> int:
@@ -29,13 +38,9 @@
     kernel's own choosing was taken by a connection of another test by then,
     and the program ended with its address in use.
     """
-    while True:
-        port = random.randrange(*PORTS)
-        if port in _given:
-            continue
+    for port in _own_ports:
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind(('127.0.0.1', port))
-            _given.add(port)
             return port
 
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -139,6 +139,24 @@
         wait_for(program.has_ended, 'the end')
         self.assertEqual(0, program.process.returncode)
 
+    def test_new_settings_during_a_start_end_nothing(self) -> None:
+        """Settings change while a process loads its libraries.
+
+        Not handled yet, the signal would end the process.
+        """
+        ended = subprocess.run(
+            [
+                sys.executable,
+                '-W',
+                'ignore',
+                '-c',
+                'import os, signal, dandelionyoke_platform.__main__\n'
+                'os.kill(os.getpid(), signal.SIGHUP)',
+            ],
+            check=False,
+        )
+        self.assertEqual(0, ended.returncode)
+
     def test_another_takes_the_duty_over_with_a_higher_fence(self) -> None:
         first = self.start()
         first.call()
