Fill the range with reclaimable engines, and let steady ones stand in

Twelve of fifteen engines were ordered, three of them at the full price; an order that was accepted kept its domain waiting for eight seconds although its engines had been taken away meanwhile; stand-ins were given back one second after the domain gave again, four seconds before the new ones served. Ruled out: the readers' speed (30 prompts a second and engine side by side, as at ease), the duty (held throughout). Change: reclaimable engines fill the range; the two cheapest domains keep a steady one; a domain that gives none is assured of a share of its range by steady ones, more of it while callers wait (Strain), and they go one for each that comes. Engines that make tokens follow the streams of late with a held peak, and are a fifth of all at least; waiting streams count in part.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -38,6 +38,7 @@
 from dandelionyoke_dispatch._engine_plan import (
     EnginePlan as EnginePlan,
     EnginePlanSettings as EnginePlanSettings,
+    FleetNeed as FleetNeed,
     WantedCount as WantedCount,
 )
 from dandelionyoke_dispatch._freshness import (
@@ -76,6 +77,10 @@
     SourceChoice as SourceChoice,
     SourceSettings as SourceSettings,
 )
+from dandelionyoke_dispatch._strain import (
+    Strain as Strain,
+    StrainSettings as StrainSettings,
+)
 from dandelionyoke_dispatch._target_listing import (
     ListingChanges as ListingChanges,
     ListingMark as ListingMark,
--- a/packages/dispatch/dandelionyoke_dispatch/_engine_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_engine_plan.py
@@ -1,9 +1,10 @@
 """How many engines of each kind a service should have, by failure domain.
 
 Reclaimable engines cost a fraction of the others, but all of a domain can be
-taken away on a few seconds' notice. So each domain keeps a few steady engines
-for the work that is hard to move, and the rest are reclaimable, more of them
-than the load needs: when one domain loses its own, the others carry on.
+taken away on a few seconds' notice, and none may be had there for a while. So
+a few steady engines stay for the work that is hard to move, and the range is
+filled with reclaimable ones, more than the load needs: when one domain loses
+its own, the others carry on. Steady engines stand in where too few are left.
 """
 
 import math
@@ -18,17 +19,18 @@
 
 @attrs.frozen
 class EnginePlanSettings:
-    """How far the range is used, and when steady engines stand in.
+    """How many steady engines stay, and when others stand in.
 
-    `wanted_share` of the most that a domain may have, which is about half as
-    many again as the operator starts with: at a fifth to a sixth of the price
-    they cost about six tenths of what those cost. Below `scarce_share` of the engines wanted in
-    all domains together, steady ones are ordered for those that are missing.
+    `steady_domains` is the number of domains, the cheapest ones, that keep a
+    steady engine each. Where a domain has no reclaimable engines to give,
+    steady ones stand in up to `assured_share` of the most it may have, less
+    while callers do not wait. The room above that lets the first reclaimable
+    ones come before those that stood in go.
     """
 
-    wanted_share: float = 0.8
-    steady_in_domain: int = 1
-    scarce_share: float = 0.6
+    steady_domains: int = 2
+    assured_share: float = 0.6
+    assured_share_calm: float = 0.3
 
 
 @attrs.frozen
@@ -40,6 +42,17 @@
     count: int
 
 
+@attrs.frozen
+class FleetNeed:
+    """Whether callers wait too long, and which domains could not give.
+
+    `refusing` names those that had no reclaimable engines of late.
+    """
+
+    is_strained: bool = False
+    refusing: Collection[str] = ()
+
+
 class EnginePlan:
     """Compares the engines of a service with the range it may have."""
 
@@ -50,62 +63,40 @@
         self,
         scaling: ScalingRange,
         engines: Sequence[RegisteredTarget],
-        refusing: Collection[str] = (),
+        need: FleetNeed,
     ) -> list[WantedCount]:
-        """List the counts wanted, those that are already there included.
-
-        `refusing` names the domains in which no reclaimable engines are to
-        be had; the others take their part as far as the range allows.
-        """
+        """List the counts wanted, those that are already there included."""
         if scaling.reclaimable_price_share is None:
             return []
-        total = self._total(scaling)
         domains = sorted(scaling.domain_prices)
-        is_scarce = len(engines) < (
-            self._settings.scarce_share * total * len(domains)
-        )
         steady = _by_domain(engines, is_reclaimable=False)
         reclaimable = _by_domain(engines, is_reclaimable=True)
-        spread = self._spread(scaling, total, domains, refusing)
+        kept = self._kept(scaling)
+        assured = self._assured(scaling, need)
         found = []
         for domain in domains:
-            count = self._steady(
-                total - reclaimable[domain], steady[domain], is_scarce
-            )
-            found.append(WantedCount(domain, False, count))
-            found.append(WantedCount(domain, True, spread[domain]))
+            missing = assured - reclaimable[domain]
+            if domain not in need.refusing:
+                missing = min(missing, steady[domain])
+            found.append(WantedCount(domain, False, max(kept[domain], missing)))
+            # The range holds both kinds, so that reclaimable engines get the
+            # room that steady ones leave.
+            room = max(0, scaling.most - steady[domain])
+            found.append(WantedCount(domain, True, room))
         return found
 
-    def _spread(
-        self,
-        scaling: ScalingRange,
-        total: int,
-        domains: Sequence[str],
-        refusing: Collection[str],
-    ) -> dict[str, int]:
-        """Choose the number of reclaimable engines of each domain."""
-        usual = max(0, total - self._settings.steady_in_domain)
-        most = max(0, scaling.most - self._settings.steady_in_domain)
-        giving = [domain for domain in domains if domain not in refusing]
-        missing = usual * (len(domains) - len(giving))
-        more = math.ceil(missing / len(giving)) if giving else 0
-        return {
-            domain: min(most, usual + more) if domain in giving else usual
-            for domain in domains
-        }
-
-    def _total(self, scaling: ScalingRange) -> int:
-        share = math.ceil(self._settings.wanted_share * scaling.most)
-        return max(scaling.least, min(scaling.most, share))
-
-    def _steady(self, missing: int, present: int, is_scarce: bool) -> int:
-        """Choose the number of steady engines of a domain.
-
-        Those that are there are kept until reclaimable ones have come.
-        """
-        if not is_scarce:
-            missing = min(missing, present)
-        return max(self._settings.steady_in_domain, missing)
+    def _assured(self, scaling: ScalingRange, need: FleetNeed) -> int:
+        settings = self._settings
+        share = settings.assured_share_calm
+        if need.is_strained:
+            share = settings.assured_share
+        return math.ceil(share * scaling.most)
+
+    def _kept(self, scaling: ScalingRange) -> Counter[str]:
+        """Choose the domains that keep a steady engine: the cheapest."""
+        prices = scaling.domain_prices
+        cheapest = sorted(prices, key=lambda domain: (prices[domain], domain))
+        return Counter(cheapest[: self._settings.steady_domains])
 
 
 def _by_domain(
--- a/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
@@ -7,23 +7,24 @@
 
 import attrs
 
+from dandelionyoke_dispatch._peak import Peak
 from dandelionyoke_dispatch._registry import Phase, RegisteredTarget
 
 
 @attrs.frozen
 class PhasePlanSettings:
-    """The share of engines that make tokens, and when it changes.
+    """How many engines make tokens.
 
-    Long prompts and short answers keep most engines busy with prompts: with
-    `decode_share` of a fifth, each decode engine holds a few dozen streams,
-    at which a step takes under twice its least time (from the engines'
-    sheet). Above `busy_share` of its slots a further one is wanted; below
-    `idle_share` it is given back, so that the number does not swing.
+    As many as hold the streams of late with `filled_share` of their slots
+    taken, and no fewer than `least_share` of all engines: each call needs
+    one, so that those left have to carry all when some are lost. A number
+    falls once it has been too high for `hold_s`, a few times the seconds that
+    a change costs.
     """
 
-    decode_share: float = 0.2
-    busy_share: float = 0.5
-    idle_share: float = 0.2
+    filled_share: float = 0.7
+    least_share: float = 0.2
+    hold_s: float = 8.0
 
 
 @attrs.frozen
@@ -39,24 +40,26 @@
 
     def __init__(self, settings: PhasePlanSettings) -> None:
         self._settings = settings
-        self._extra = 0
+        self._peak = Peak(settings.hold_s)
 
     def changes(
         self,
         engines: Sequence[RegisteredTarget],
-        busy_share: float,
+        streams: float,
+        now_s: float,
         settled: frozenset[str] | None = None,
     ) -> list[PhaseChange]:
         """List the changes that are wanted now.
 
-        `busy_share` is the share of the decode engines' slots in use;
-        `settled` names the engines that have the phase they are taken to
-        have, without those that were only ordered to change (None: all).
+        `streams` are those at the engines that make tokens, waiting ones
+        included; `settled` names the engines that have the phase they are
+        taken to have, without those only ordered to change (None: all).
         """
+        peak = self._peak.take(streams, now_s)
         if len(engines) < 2:
             return []
+        wanted = self._wanted_decode(engines, peak)
         present = sum(one.phase is Phase.DECODE for one in engines)
-        wanted = self._wanted_decode(len(engines), busy_share)
         # One too many is left: it would be wanted again when the engines
         # that are missing now have come back, and each change costs seconds.
         if present == wanted + 1 and present < len(engines):
@@ -98,15 +101,13 @@
         others = [one for one in go if one.target.phase is not Phase.DECODE]
         return others + decode[:free]
 
-    def _wanted_decode(self, total: int, busy_share: float) -> int:
-        if busy_share > self._settings.busy_share:
-            self._extra += 1
-        elif busy_share < self._settings.idle_share:
-            self._extra = max(0, self._extra - 1)
-        base = max(1, math.ceil(total * self._settings.decode_share))
-        most = total - 1
-        self._extra = min(self._extra, max(0, most - base))
-        return min(base + self._extra, most)
+    def _wanted_decode(
+        self, engines: Sequence[RegisteredTarget], peak: float
+    ) -> int:
+        slots = sum(one.slots for one in engines) / len(engines)
+        needed = math.ceil(peak / (slots * self._settings.filled_share))
+        least = math.ceil(len(engines) * self._settings.least_share)
+        return min(max(least, needed), len(engines) - 1)
 
 
 def _choose_decode(
@@ -114,10 +115,10 @@
 ) -> frozenset[str]:
     """Choose the engines that make tokens.
 
-    A stream cannot be moved from an engine that is taken away, a prompt can
-    be read again: so steady engines come first, and among them those that do
-    it already. Spread over the domains they are near to most prompts and not
-    all lost with one.
+    A stream is lost with its engine, a prompt can be read again: so steady
+    engines come first, and among them those that do it already, since a
+    change costs seconds. Spread over the domains they are near to most
+    prompts and not all lost with one.
     """
     left = list(engines)
     crowd: Counter[str] = Counter()
--- a/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
@@ -1,12 +1,12 @@
 """What the duty's holder orders: how many engines of each kind."""
 
-from collections import Counter
-
+import attrs
 from eventlet import sleep
 
 from dandelionyoke_dispatch import (
     EnginePlan,
     EnginePlanSettings,
+    FleetNeed,
     Service,
     WantedCount,
 )
@@ -35,6 +35,24 @@
 SETTLE_S = 4.0
 
 
+@attrs.frozen
+class _Rest:
+    """An order that has its time, and the most engines seen since."""
+
+    count: int
+    present: int
+    until_s: float
+
+    def holds(self, wanted: WantedCount, present: int, now_s: float) -> bool:
+        """Whether what was ordered is waited for.
+
+        Once engines are taken away it is not: their domain would be without
+        them for seconds.
+        """
+        is_enough = wanted.count <= self.count and present >= self.present
+        return is_enough and now_s < self.until_s
+
+
 class EngineCountTask:
     """Orders the numbers of engines that are wanted, under the duty."""
 
@@ -51,15 +69,11 @@
         self._client = client
         self._changes = changes
         self._log = log
-        plan = EnginePlanSettings()
-        self._plan = EnginePlan(plan)
-        self._steady_in_domain = plan.steady_in_domain
-        # When the reclaimable engines that were ordered last are there.
-        self._due_s = 0.0
+        self._plan = EnginePlan(EnginePlanSettings())
         self._listed_s: float | None = None
-        self._rest_until_s: dict[tuple[str, WantedCount], float] = {}
+        self._rests: dict[tuple[str, str, bool], _Rest] = {}
         # Domains in which no reclaimable engines were to be had, until when.
-        self._refusing: dict[str, float] = {}
+        self._refusing: dict[tuple[str, str], float] = {}
 
     def run(self) -> None:
         """Compare for as long as the process lives."""
@@ -79,29 +93,25 @@
     def _expect(
         self, service: Service, wanted: WantedCount, present: int
     ) -> None:
-        boot_s = service.scaling.boot_s if service.scaling else 0
-        if wanted.is_reclaimable and wanted.count > present:
-            self._due_s = clock_s() + boot_s + NOTICE_S
-            if self._has_surplus(service):
-                # Those that come are followed by some that go.
-                self._changes.expect(boot_s + NOTICE_S)
-        if not wanted.is_reclaimable and wanted.count < present:
+        if wanted.is_reclaimable and not self._has_settled():
+            # Those that come are followed by some that go.
+            boot_s = service.scaling.boot_s if service.scaling else 0
+            self._changes.expect(boot_s + NOTICE_S)
+        elif not wanted.is_reclaimable and wanted.count < present:
             self._changes.expect(NOTICE_S)
+            # They leave room for more reclaimable ones than were ordered.
+            self._rests.pop((service.name, wanted.domain, True), None)
 
-    def _has_surplus(self, service: Service) -> bool:
-        engines = self._knowledge.registry.of_service(service.name)
-        steady = Counter(
-            one.domain for one in engines if not one.is_reclaimable
+    def _need(self, service: str) -> FleetNeed:
+        now_s = clock_s()
+        refusing = [
+            domain
+            for (name, domain), until_s in self._refusing.items()
+            if name == service and now_s < until_s
+        ]
+        return FleetNeed(
+            self._knowledge.strain_of(service).holds(now_s), refusing
         )
-        return max(steady.values(), default=0) > self._steady_in_domain
-
-    def _may_order(self, wanted: WantedCount, present: int) -> bool:
-        """Whether the time has come for an order."""
-        if wanted.is_reclaimable:
-            return True
-        # Steady engines are not ordered in place of those on their way.
-        is_due = wanted.count > present and clock_s() < self._due_s
-        return self._has_settled() and not is_due
 
     def _has_settled(self) -> bool:
         if not self._knowledge.registry.is_known:
@@ -114,24 +124,31 @@
         if service.scaling is None:
             return
         engines = self._knowledge.registry.of_service(service.name)
-        now_s = clock_s()
-        refusing = [
-            domain
-            for domain, until_s in self._refusing.items()
-            if now_s < until_s
-        ]
-        for wanted in self._plan.wanted(service.scaling, engines, refusing):
+        need = self._need(service.name)
+        for wanted in self._plan.wanted(service.scaling, engines, need):
             present = sum(
                 one.domain == wanted.domain
                 and one.is_reclaimable is wanted.is_reclaimable
                 for one in engines
             )
-            rest_s = self._rest_until_s.get((service.name, wanted), 0)
-            if present == wanted.count or now_s < rest_s:
+            if present == wanted.count:
                 continue
-            if self._may_order(wanted, present):
+            if not self._is_resting(service.name, wanted, present):
                 self._order(service, wanted, present)
 
+    def _is_resting(
+        self, service: str, wanted: WantedCount, present: int
+    ) -> bool:
+        if not wanted.is_reclaimable and not self._has_settled():
+            return True
+        key = (service, wanted.domain, wanted.is_reclaimable)
+        rest = self._rests.get(key)
+        if rest is None or not rest.holds(wanted, present, clock_s()):
+            return False
+        if present > rest.present:
+            self._rests[key] = attrs.evolve(rest, present=present)
+        return True
+
     def _order(
         self, service: Service, wanted: WantedCount, present: int
     ) -> None:
@@ -145,9 +162,12 @@
         if accepted:
             self._expect(service, wanted, present)
         if wanted.is_reclaimable and accepted is False:
-            self._refusing[wanted.domain] = clock_s() + REFUSAL_LIFETIME_S
+            until_s = clock_s() + REFUSAL_LIFETIME_S
+            self._refusing[service.name, wanted.domain] = until_s
         pause_s = COUNT_REST_S if accepted else COUNT_RETRY_S
-        self._rest_until_s[service.name, wanted] = clock_s() + pause_s
+        key = (service.name, wanted.domain, wanted.is_reclaimable)
+        until_s = clock_s() + pause_s
+        self._rests[key] = _Rest(wanted.count, present, until_s)
         self._log.decide(
             'engines.ordered',
             f'{service.name} in {wanted.domain}',
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -21,6 +21,8 @@
     RegistrySettings,
     SourceChoice,
     SourceSettings,
+    Strain,
+    StrainSettings,
     SuspicionSettings,
     TargetListing,
     TargetLoads,
@@ -75,6 +77,11 @@
     asked_s: float = NEVER_S
     told_s: float = NEVER_S
     in_progress: int = 0
+    _strains: dict[str, Strain] = attrs.field(factory=dict)
+
+    def strain_of(self, service: str) -> Strain:
+        """Find what this node saw of the waits for a service."""
+        return self._strains.setdefault(service, Strain(StrainSettings()))
 
     def take_node_count(self, count: int) -> None:
         """Take the number of nodes, this one included."""
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -28,6 +28,9 @@
 # assumed.
 ORDER_REST_S = 5.0
 ORDER_RETRY_S = 1.5
+# Of the calls that wait at an engine, those that count as streams: a share
+# of its slots.
+WAITING_SHARE = 0.25
 
 
 @attrs.frozen
@@ -105,11 +108,12 @@
         )
         phases = {engine.phase for engine in engines}
         has_both = {Phase.PREFILL, Phase.DECODE} <= phases
-        if has_both and self._changes.under_way:
-            return
+        waits = has_both and self._changes.under_way
         plan = self._plans.setdefault(service, PhasePlan(PhasePlanSettings()))
-        busy_share = self._busy_share(engines, now_s)
-        for change in plan.changes(engines, busy_share, settled):
+        streams = self._streams(engines, now_s)
+        for change in plan.changes(engines, streams, now_s, settled):
+            if waits and not change.target.is_reclaimable:
+                continue
             self._assume(change, ORDER_RETRY_S)
             spawn_n(self._send, change)
 
@@ -158,12 +162,19 @@
             order_count=order.expected_order_count,
         )
 
-    def _busy_share(
+    def _streams(
         self, engines: Sequence[RegisteredTarget], now_s: float
     ) -> float:
-        decode = [one for one in engines if one.phase is Phase.DECODE]
-        slots = sum(one.slots for one in decode)
-        busy = sum(
-            self._knowledge.loads.busy(one.target_id, now_s) for one in decode
+        """Count the streams at the engines that make tokens.
+
+        Of those that wait only some count: they grow in number while they
+        wait, and most would be done by the time that an engine has changed.
+        """
+        return sum(
+            min(
+                self._knowledge.loads.busy(one.target_id, now_s),
+                one.slots * (1 + WAITING_SHARE),
+            )
+            for one in engines
+            if one.phase is Phase.DECODE
         )
-        return busy / slots if slots else 0.0
--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -121,6 +121,8 @@
 
     def _too_late(self, home: RegisteredTarget) -> None:
         wait_s = self._knowledge.gate.retry_after_s(home.target_id)
+        service = self._opened.service.name
+        self._knowledge.strain_of(service).turned_away(clock_s())
         raise RefusedError(Refusal(Cause.TOO_LATE, wait_s))
 
     def _leave_gate(self, home: RegisteredTarget, read_s: float | None) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -153,6 +153,9 @@
         self._prompt = None
         since_arrival_s = clock_s() - self._opened.request.arrived_s
         self._tools.log.observe('stream.begin', since_arrival_s)
+        self._knowledge.strain_of(self._opened.service.name).began(
+            since_arrival_s, self._opened.route.goal_s, clock_s()
+        )
         self._tries.tell(
             'stream.begun',
             target,
