Read short prompts where the tokens are made

Cause: marshal-query (220 tokens, goal 0.12 s) waited in the line of heat-reports (9,190 tokens) and went to two engines. Change: where the engine that makes the tokens would have read a prompt within a tenth of the goal, at a pace learned from answers (low quantile of the time for a token), it reads it itself.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -60,6 +60,10 @@
     GateTicket as GateTicket,
     PrefillGate as PrefillGate,
 )
+from dandelionyoke_dispatch._reading_pace import (
+    ReadingPace as ReadingPace,
+    ReadingPaceSettings as ReadingPaceSettings,
+)
 from dandelionyoke_dispatch._refusals import (
     ELSEWHERE_S as ELSEWHERE_S,
     SOON_S as SOON_S,
--- a/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
@@ -110,7 +110,7 @@
             if name == service and now_s < until_s
         ]
         return FleetNeed(
-            self._knowledge.strain_of(service).holds(now_s), refusing
+            self._knowledge.watch_of(service).strain.holds(now_s), refusing
         )
 
     def _has_settled(self) -> bool:
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -18,6 +18,8 @@
     GateSettings,
     Placement,
     PrefillGate,
+    ReadingPace,
+    ReadingPaceSettings,
     RegistrySettings,
     SourceChoice,
     SourceSettings,
@@ -46,6 +48,16 @@
 PROCESS_NAME_BITS = 48
 
 
+@attrs.frozen
+class ServiceWatch:
+    """What this node saw of a service's engines and of the waits for them."""
+
+    strain: Strain = attrs.field(factory=lambda: Strain(StrainSettings()))
+    pace: ReadingPace = attrs.field(
+        factory=lambda: ReadingPace(ReadingPaceSettings())
+    )
+
+
 @attrs.define
 class Knowledge:
     """The beliefs of one node, shared by its tasks within one thread."""
@@ -77,11 +89,11 @@
     asked_s: float = NEVER_S
     told_s: float = NEVER_S
     in_progress: int = 0
-    _strains: dict[str, Strain] = attrs.field(factory=dict)
+    _watches: dict[str, ServiceWatch] = attrs.field(factory=dict)
 
-    def strain_of(self, service: str) -> Strain:
-        """Find what this node saw of the waits for a service."""
-        return self._strains.setdefault(service, Strain(StrainSettings()))
+    def watch_of(self, service: str) -> ServiceWatch:
+        """Find what this node saw of a service."""
+        return self._watches.setdefault(service, ServiceWatch())
 
     def take_node_count(self, count: int) -> None:
         """Take the number of nodes, this one included."""
--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -30,6 +30,11 @@
 PATIENCE_GOALS = 4
 PATIENCE_PAUSES = 8
 
+# A prompt is short if an engine that makes tokens, which reads at half the
+# pace (from the users' protocol), has read it within this share of the goal.
+SHORT_SHARE = 0.1
+WHOLE_SLOWDOWN = 2
+
 
 @attrs.frozen
 class ReadPrompt:
@@ -51,6 +56,7 @@
         self._tools = tries.tools
         self._knowledge = tries.tools.knowledge
         self._opened = tries.opened
+        self._watch = self._knowledge.watch_of(self._opened.service.name)
         self._count = 0
 
     def read(self) -> ReadPrompt | None:
@@ -58,6 +64,8 @@
         prompt = self._opened.call.prompt
         if prompt is None or self._opened.service.engine is None:
             return None
+        if self._is_short(prompt):
+            return None
         asked_s = clock_s()
         place = self._find_place(prompt)
         if place is None:
@@ -67,6 +75,7 @@
         try:
             cache = self._prefill(place)
             read_s = clock_s() - began_s
+            self._watch.pace.took(prompt.token_count, read_s)
         finally:
             self._leave_gate(place.target, read_s)
         self._tries.tell(
@@ -78,6 +87,17 @@
         )
         return ReadPrompt(place.target, cache)
 
+    def _is_short(self, prompt: Prompt) -> bool:
+        """Whether the engine that makes the tokens reads the prompt as well.
+
+        A short prompt apart waits in line behind long ones and goes to two
+        engines, for a reading that hardly holds the second one up.
+        """
+        read_s = self._watch.pace.expected_s(prompt.token_count)
+        if read_s is None:
+            return False
+        return WHOLE_SLOWDOWN * read_s < SHORT_SHARE * self._opened.route.goal_s
+
     def _find_place(self, prompt: Prompt) -> PrefillHome | None:
         """Get a place at an engine that takes work at this moment."""
         while True:
@@ -121,8 +141,7 @@
 
     def _too_late(self, home: RegisteredTarget) -> None:
         wait_s = self._knowledge.gate.retry_after_s(home.target_id)
-        service = self._opened.service.name
-        self._knowledge.strain_of(service).turned_away(clock_s())
+        self._watch.strain.turned_away(clock_s())
         raise RefusedError(Refusal(Cause.TOO_LATE, wait_s))
 
     def _leave_gate(self, home: RegisteredTarget, read_s: float | None) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -153,7 +153,7 @@
         self._prompt = None
         since_arrival_s = clock_s() - self._opened.request.arrived_s
         self._tools.log.observe('stream.begin', since_arrival_s)
-        self._knowledge.strain_of(self._opened.service.name).began(
+        self._knowledge.watch_of(self._opened.service.name).strain.began(
             since_arrival_s, self._opened.route.goal_s, clock_s()
         )
         self._tries.tell(
