--- a/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
@@ -79,6 +79,8 @@
         """Compare for as long as the process lives."""
         while True:
             sleep(CHECK_S)
+            # Known before the duty comes: a new holder acts at once.
+            self._note_listing()
             if self._duty.stamp is not None:
                 self._compare()
 
@@ -113,11 +115,13 @@
             self._knowledge.watch_of(service).strain.holds(now_s), refusing
         )
 
+    def _note_listing(self) -> None:
+        if self._listed_s is None and self._knowledge.registry.is_known:
+            self._listed_s = clock_s()
+
     def _has_settled(self) -> bool:
-        if not self._knowledge.registry.is_known:
-            return False
         if self._listed_s is None:
-            self._listed_s = clock_s()
+            return False
         return clock_s() - self._listed_s >= SETTLE_S
 
     def _compare_service(self, service: Service) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -86,8 +86,9 @@
         """Compare for as long as the process lives."""
         while True:
             sleep(CHECK_S)
-            if self._duty.stamp is not None:
-                self._compare()
+            # Without the duty the plan still follows the streams, so that a
+            # new holder knows how many there were of late.
+            self._compare()
 
     def _compare(self) -> None:
         configuration = self._knowledge.configuration
@@ -112,6 +113,8 @@
         plan = self._plans.setdefault(service, PhasePlan(PhasePlanSettings()))
         streams = self._streams(engines, now_s)
         for change in plan.changes(engines, streams, now_s, settled):
+            if self._duty.stamp is None:
+                break
             if waits and not change.target.is_reclaimable:
                 continue
             self._assume(change, ORDER_RETRY_S)
