Choose the reader with the least to read, in turns

Change: what a node has under way at each engine, at the learned pace, decides; leaving the first engine costs a quarter of the time for the shared part; equals in turns.

--- a/packages/dispatch/dandelionyoke_dispatch/_calls.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_calls.py
@@ -35,6 +35,11 @@
             return self.parts[-2].part_id
         return self.parts[0].part_id if self.parts else ''
 
+    @property
+    def shared_tokens(self) -> int:
+        """Add up the parts that other calls may share."""
+        return sum(part.token_count for part in self.parts[:-1])
+
 
 @attrs.frozen
 class Call:
--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -5,7 +5,9 @@
 import attrs
 
 from dandelionyoke_core import rendezvous
+from dandelionyoke_dispatch._calls import Prompt
 from dandelionyoke_dispatch._prefill_gate import PrefillGate
+from dandelionyoke_dispatch._reading_pace import ReadingPace
 from dandelionyoke_dispatch._registry import (
     Phase,
     RegisteredTarget,
@@ -18,10 +20,10 @@
 # much longer as the cache takes to cross over (from the engines' sheet).
 FAR_PENALTY = 0.3
 
-# The line at the first engine has to be this much longer than elsewhere:
-# several times the time for fetching the longest shared part over the engines'
-# links, since other nodes see the same short line at the same moment.
-WORTH_FETCHING_S = 0.1
+# What leaving the first engine of a shared part costs, as a share of the time
+# for reading that part: another engine fetches it if the first one kept it,
+# and if not, the part is read where later calls do not look for it.
+LEAVING_SHARE = 0.25
 
 
 @attrs.frozen
@@ -50,28 +52,35 @@
     def prefill_home(
         self,
         service: str,
-        shared_key: str,
+        prompt: Prompt,
+        pace: ReadingPace,
         avoid: Collection[str],
         now_s: float,
     ) -> PrefillHome | None:
         """Choose the engine that reads a prompt.
 
         All nodes rank the engines for a shared part alike, without talk, so
-        that it is read on the first one only and found there again. While
-        that one has a line, another one that has less fetches the part from
-        it, which takes a small part of the time for reading it.
+        that it is read on the first one only and found there again. Once
+        that one has more to read than another one, by more than it costs to
+        leave it, the other one fetches the part from it. Among equals the
+        one that was left alone for longest takes the next prompt: in turns,
+        the prompts of many nodes come to each engine more evenly than drawn.
         """
         found = self._usable(service, Phase.PREFILL, avoid, now_s)
         if not found:
             return None
-        first = _first_for(found, shared_key)
-        owner = self._owner(service, shared_key) or first
-        lines = {
-            one.target_id: self._line_s(one.target_id, now_s) for one in found
-        }
-        best = min(found, key=lambda one: (lines[one.target_id], one.target_id))
-        gain_s = lines[first.target_id] - lines[best.target_id]
-        chosen = best if gain_s > WORTH_FETCHING_S else first
+        first = _first_for(found, prompt.shared_key)
+        owner = self._owner(service, prompt.shared_key) or first
+        leaving_s = LEAVING_SHARE * _time_s(pace, prompt.shared_tokens)
+        chosen = min(
+            found,
+            key=lambda one: (
+                _time_s(pace, self._gate.backlog_tokens(one.target_id))
+                + leaving_s * (one is not first),
+                self._gate.begun_s(one.target_id),
+                one.target_id,
+            ),
+        )
         source = None if owner.target_id == chosen.target_id else owner
         return PrefillHome(chosen, source)
 
@@ -88,11 +97,6 @@
         ]
         return _first_for(engines, shared_key) if engines else None
 
-    def _line_s(self, target_id: str, now_s: float) -> float:
-        own_s = self._gate.expected_wait_s(target_id)
-        others = self._loads.busy(target_id, now_s) - self._loads.own(target_id)
-        return own_s + max(0, others) * self._gate.mean_s(target_id)
-
     def decode_target(
         self,
         service: str,
@@ -155,6 +159,12 @@
         return awake or found
 
 
+def _time_s(pace: ReadingPace, tokens: int) -> float:
+    """Tell the time for reading tokens; until it is known, their number."""
+    expected_s = pace.expected_s(tokens)
+    return tokens if expected_s is None else expected_s
+
+
 def _first_for(
     engines: Sequence[RegisteredTarget], shared_key: str
 ) -> RegisteredTarget:
--- a/packages/dispatch/dandelionyoke_dispatch/_prefill_gate.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_prefill_gate.py
@@ -41,6 +41,7 @@
     rank: int
     arrived_s: float
     useful_until_s: float
+    tokens: int = 0
 
 
 @enum.unique
@@ -55,7 +56,8 @@
 @attrs.define
 class _Queue:
     mean_s: float
-    running: set[str] = attrs.field(factory=set)
+    running: dict[str, GateTicket] = attrs.field(factory=dict)
+    begun_s: float = 0.0
     waiting: list[GateTicket] = attrs.field(factory=list)
 
 
@@ -70,7 +72,8 @@
         """Decide on a call on its arrival."""
         queue = self._of(ticket.target_id)
         if len(queue.running) < self._settings.most_at_once:
-            queue.running.add(ticket.call_id)
+            queue.running[ticket.call_id] = ticket
+            queue.begun_s = now_s
             return Entry.GO
         begins_s = now_s + self._wait_s(queue, ticket)
         if begins_s + queue.mean_s > ticket.useful_until_s:
@@ -87,6 +90,16 @@
         ahead = len(queue.waiting) + 1
         return ahead * queue.mean_s / self._settings.most_at_once
 
+    def backlog_tokens(self, target_id: str) -> int:
+        """Add up what this node has under way and in line at an engine."""
+        queue = self._of(target_id)
+        tickets = [*queue.running.values(), *queue.waiting]
+        return sum(ticket.tokens for ticket in tickets)
+
+    def begun_s(self, target_id: str) -> float:
+        """Tell when a prompt last went to an engine without a wait."""
+        return self._of(target_id).begun_s
+
     def mean_s(self, target_id: str) -> float:
         """Tell how long a prompt took of late at an engine."""
         return self._of(target_id).mean_s
@@ -112,13 +125,13 @@
         ]
         if call_id not in queue.running:
             return None
-        queue.running.remove(call_id)
+        queue.running.pop(call_id)
         if read_s is not None:
             queue.mean_s += MEAN_WEIGHT * (read_s - queue.mean_s)
         if not queue.waiting:
             return None
         ticket = queue.waiting.pop(0)
-        queue.running.add(ticket.call_id)
+        queue.running[ticket.call_id] = ticket
         return ticket.call_id
 
     def _wait_s(self, queue: _Queue, ticket: GateTicket) -> float:
--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -103,14 +103,15 @@
         while True:
             place = self._knowledge.placement.prefill_home(
                 self._opened.service.name,
-                prompt.shared_key,
+                prompt,
+                self._watch.pace,
                 self._tries.tried,
                 clock_s(),
             )
-            if place is None or self._pass_gate(place.target):
+            if place is None or self._pass_gate(place.target, prompt):
                 return place
 
-    def _pass_gate(self, home: RegisteredTarget) -> bool:
+    def _pass_gate(self, home: RegisteredTarget, prompt: Prompt) -> bool:
         """Wait for a place; False if the engine left meanwhile."""
         # Each try waits under a name of its own.
         self._count += 1
@@ -120,6 +121,7 @@
             self._opened.rank,
             self._opened.request.arrived_s,
             self._useful_until_s(),
+            prompt.token_count,
         )
         entry = self._knowledge.gate.enter(ticket, clock_s())
         if entry is Entry.GO:
