--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -23,7 +23,7 @@
 # What leaving the first engine of a shared part costs, as a share of the time
 # for reading that part: another engine fetches it if the first one kept it,
 # and if not, the part is read where later calls do not look for it.
-LEAVING_SHARE = 0.25
+LEAVING_SHARE = 2.0
 
 
 @attrs.frozen
