--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -54,11 +54,11 @@
     Placement as Placement,
     PrefillHome as PrefillHome,
 )
-from dandelionyoke_dispatch._prefill_gate import (
+from dandelionyoke_dispatch._reading_line import (
     Entry as Entry,
-    GateSettings as GateSettings,
-    GateTicket as GateTicket,
-    PrefillGate as PrefillGate,
+    LineSettings as LineSettings,
+    LineTicket as LineTicket,
+    ReadingLine as ReadingLine,
 )
 from dandelionyoke_dispatch._reading_pace import (
     ReadingPace as ReadingPace,
--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -6,7 +6,7 @@
 
 from dandelionyoke_core import rendezvous
 from dandelionyoke_dispatch._calls import Prompt
-from dandelionyoke_dispatch._prefill_gate import PrefillGate
+from dandelionyoke_dispatch._reading_line import ReadingLine
 from dandelionyoke_dispatch._reading_pace import ReadingPace
 from dandelionyoke_dispatch._registry import (
     Phase,
@@ -41,12 +41,13 @@
         self,
         registry: TargetRegistry,
         loads: TargetLoads,
-        gate: PrefillGate,
+        fetches: TargetLoads,
         domain: str,
     ) -> None:
         self._registry = registry
         self._loads = loads
-        self._gate = gate
+        # How fetching shared parts from engines went.
+        self._fetches = fetches
         self._domain = domain
 
     def prefill_home(
@@ -54,6 +55,7 @@
         service: str,
         prompt: Prompt,
         pace: ReadingPace,
+        line: ReadingLine,
         avoid: Collection[str],
         now_s: float,
     ) -> PrefillHome | None:
@@ -70,30 +72,44 @@
         if not found:
             return None
         first = _first_for(found, prompt.shared_key)
-        owner = self._owner(service, prompt.shared_key) or first
+        owner = self._owner(service, prompt.shared_key, now_s) or first
         leaving_s = LEAVING_SHARE * _time_s(pace, prompt.shared_tokens)
         chosen = min(
             found,
             key=lambda one: (
-                _time_s(pace, self._gate.backlog_tokens(one.target_id))
+                _time_s(pace, line.backlog_tokens(one.target_id))
                 + leaving_s * (one is not first),
-                self._gate.begun_s(one.target_id),
+                line.placed_s(one.target_id),
                 one.target_id,
             ),
         )
         source = None if owner.target_id == chosen.target_id else owner
+        if source is not None:
+            if self._fetches.rests(source.target_id, now_s):
+                source = None
         return PrefillHome(chosen, source)
 
-    def _owner(self, service: str, shared_key: str) -> RegisteredTarget | None:
+    def readers(
+        self, service: str, avoid: Collection[str], now_s: float
+    ) -> int:
+        """Count the engines that read prompts."""
+        return len(self._usable(service, Phase.PREFILL, avoid, now_s))
+
+    def _owner(
+        self, service: str, shared_key: str, now_s: float
+    ) -> RegisteredTarget | None:
         """Find the engine that most likely keeps a shared part.
 
         One that is leaving keeps its memory until it is gone, and another
-        one can fetch it until then.
+        one can fetch it until then. A fetch from an engine that is gone, or
+        cut off, holds a prompt up many times as long as reading the part, so
+        that one from which it was slow is left out.
         """
         engines = [
             one
             for one in self._registry.all_of_service(service)
             if one.phase is Phase.PREFILL
+            and not self._fetches.rests(one.target_id, now_s)
         ]
         return _first_for(engines, shared_key) if engines else None
 
--- /dev/null
+++ b/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
@@ -0,0 +1,195 @@
+"""How calls wait at a node until an engine reads their prompt.
+
+When more prompts come than the engines read, engines that take them all read
+them side by side, and each first token is late. So a node keeps only so many
+under way as the engines read in good time, and the others wait here: those
+that can still be in time go first, so that a burst makes some calls late and
+not all. A call that will be late and would hardly be served either is turned
+away as soon as that is known, when its caller still has the time to come back.
+"""
+
+import enum
+
+import attrs
+
+# The share that one more prompt has in the running mean of the times.
+MEAN_WEIGHT = 0.25
+
+
+@attrs.frozen
+class LineSettings:
+    """How many prompts of one node are read at once, and how that changes.
+
+    No more than `most_at_engine` for each engine, which keep it busy while an
+    answer travels. Below that the number follows the times of reading: one
+    over the time that its goal allows lowers it by `fall_share`; one within
+    it raises it, all of a turn together by `rise`, while others wait.
+    """
+
+    most_at_engine: int = 2
+    fall_share: float = 0.05
+    rise: float = 0.5
+    least_retry_after_s: float = 0.2
+
+
+@attrs.frozen
+class LineTicket:
+    """A call that asks for an engine; the lower rank goes first.
+
+    Begun after `in_time_until_s` its first token comes later than its goal,
+    after `useful_until_s` too late to be of use. `read_goal_s` is the time
+    for reading that leaves the goal within reach.
+    """
+
+    call_id: str
+    rank: int
+    arrived_s: float
+    in_time_until_s: float
+    useful_until_s: float
+    read_goal_s: float
+    tokens: int
+
+
+@enum.unique
+class Entry(enum.Enum):
+    """What the line says to a call."""
+
+    GO = 'go'
+    WAIT = 'wait'
+    TOO_LATE = 'too late'
+
+
+@attrs.define
+class _Reading:
+    ticket: LineTicket
+    target_id: str = ''
+
+
+class ReadingLine:
+    """The prompts of one node and service: under way, and waiting."""
+
+    def __init__(self, settings: LineSettings) -> None:
+        self._settings = settings
+        self._limit: float | None = None
+        self._most = 1
+        # How long prompts took of late.
+        self.mean_s = 0.0
+        self._reading: dict[str, _Reading] = {}
+        self._waiting: list[LineTicket] = []
+        self._placed_s: dict[str, float] = {}
+
+    def enter(self, ticket: LineTicket, engines: int, now_s: float) -> Entry:
+        """Decide on a call on its arrival; `engines` read prompts now."""
+        self._most = max(1, self._settings.most_at_engine * engines)
+        self._limit = min(self._most, self._limit or self._most)
+        if len(self._reading) < self._limit:
+            self._reading[ticket.call_id] = _Reading(ticket)
+            return Entry.GO
+        ahead = sum(
+            _order(other, now_s) <= _order(ticket, now_s)
+            for other in self._waiting
+        )
+        begins_s = now_s + self._wait_s(ahead + 1)
+        if begins_s > ticket.in_time_until_s and not self._bears(
+            ticket, now_s
+        ):
+            return Entry.TOO_LATE
+        self._waiting.append(ticket)
+        return Entry.WAIT
+
+    def is_reading(self, call_id: str) -> bool:
+        """Whether a call has a place."""
+        return call_id in self._reading
+
+    def stays(self, call_id: str, now_s: float) -> bool:
+        """Whether a call that has become late waits on; else it leaves."""
+        late = [one for one in self._waiting if one.call_id == call_id]
+        self._waiting = [
+            one for one in self._waiting if one.call_id != call_id
+        ]
+        if not late or not self._bears(late[0], now_s):
+            return False
+        self._waiting.extend(late)
+        return True
+
+    def placed(self, call_id: str, target_id: str, now_s: float) -> None:
+        """Note which engine reads a call's prompt."""
+        self._reading[call_id].target_id = target_id
+        self._placed_s[target_id] = now_s
+
+    def leave(
+        self, call_id: str, read_s: float | None, now_s: float
+    ) -> list[str]:
+        """Give a place back; name the waiting calls that have one now.
+
+        `read_s` is how long the prompt took; None if it was not read.
+        """
+        self._waiting = [
+            one for one in self._waiting if one.call_id != call_id
+        ]
+        reading = self._reading.pop(call_id, None)
+        if reading is not None and read_s is not None:
+            self._learn(reading.ticket, read_s)
+        return self._admit(now_s)
+
+    def backlog_tokens(self, target_id: str) -> int:
+        """Add up what this node has under way at an engine."""
+        return sum(
+            one.ticket.tokens
+            for one in self._reading.values()
+            if one.target_id == target_id
+        )
+
+    def placed_s(self, target_id: str) -> float:
+        """Tell when a prompt last went to an engine."""
+        return self._placed_s.get(target_id, 0.0)
+
+    def expected_wait_s(self) -> float:
+        """Estimate how long the last in line waits."""
+        if self._limit is None or len(self._reading) < self._limit:
+            return 0.0
+        return self._wait_s(len(self._waiting) + 1)
+
+    def retry_after_s(self) -> float:
+        """Tell a refused call when the line will be done.
+
+        Those who come back while it is long would only be refused again.
+        """
+        return max(
+            self._settings.least_retry_after_s, self.expected_wait_s()
+        )
+
+    def _bears(self, ticket: LineTicket, now_s: float) -> bool:
+        """Whether a late call would be served while that is of use.
+
+        It waits for all others, and for half as many again that come before
+        it while it waits.
+        """
+        wait_s = 1.5 * self._wait_s(len(self._waiting) + 1)
+        return now_s + wait_s < ticket.useful_until_s
+
+    def _wait_s(self, place: int) -> float:
+        return place * self.mean_s / max(1.0, self._limit or 1.0)
+
+    def _learn(self, ticket: LineTicket, read_s: float) -> None:
+        self.mean_s += MEAN_WEIGHT * (read_s - self.mean_s)
+        limit = self._limit or 1.0
+        if read_s > ticket.read_goal_s:
+            self._limit = max(1.0, limit * (1 - self._settings.fall_share))
+        elif self._waiting:
+            raised = limit + self._settings.rise / limit
+            self._limit = min(self._most, raised)
+
+    def _admit(self, now_s: float) -> list[str]:
+        admitted = []
+        while self._waiting and len(self._reading) < (self._limit or 1.0):
+            ticket = min(self._waiting, key=lambda one: _order(one, now_s))
+            self._waiting.remove(ticket)
+            self._reading[ticket.call_id] = _Reading(ticket)
+            admitted.append(ticket.call_id)
+        return admitted
+
+
+def _order(ticket: LineTicket, now_s: float) -> tuple[bool, int, float]:
+    is_late = now_s > ticket.in_time_until_s
+    return is_late, ticket.rank, ticket.arrived_s
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -15,9 +15,9 @@
     FleetConfiguration,
     Freshness,
     FreshnessSettings,
-    GateSettings,
+    LineSettings,
     Placement,
-    PrefillGate,
+    ReadingLine,
     ReadingPace,
     ReadingPaceSettings,
     RegistrySettings,
@@ -34,7 +34,7 @@
 )
 from dandelionyoke_gateway._change_signal import ChangeSignal
 from dandelionyoke_gateway._clock import clock_s, wall_s
-from dandelionyoke_gateway._gate_turns import GateTurns
+from dandelionyoke_gateway._line_turns import LineTurns
 from dandelionyoke_gateway._settings import GatewaySettings
 
 # All nodes together may repeat only so much, and each spends its own part
@@ -44,6 +44,12 @@
 NODES_MARGIN = 1.5
 SHARE_KEPT = 0.7
 
+# One slow fetch is enough: to do without costs little, and each further one
+# makes a caller late. Engines that are gone leave the registry within seconds.
+FETCH_SUSPICION = SuspicionSettings(
+    failures_in_a_row=1, first_rest_s=2.0, longest_rest_s=8.0
+)
+
 NEVER_S = float('-inf')
 PROCESS_NAME_BITS = 48
 
@@ -56,6 +62,9 @@
     pace: ReadingPace = attrs.field(
         factory=lambda: ReadingPace(ReadingPaceSettings())
     )
+    line: ReadingLine = attrs.field(
+        factory=lambda: ReadingLine(LineSettings())
+    )
 
 
 @attrs.define
@@ -67,8 +76,9 @@
     freshness: Freshness
     registry: TargetRegistry
     loads: TargetLoads
+    # How fetching shared parts of prompts from engines went.
+    fetches: TargetLoads
     placement: Placement
-    gate: PrefillGate
     budget: RetryBudget
     usage: UsageCounter
     departure: Departure
@@ -80,7 +90,7 @@
     sender: CountsSender
     receiver: CountsReceiver = attrs.field(factory=CountsReceiver)
     signal: ChangeSignal = attrs.field(factory=ChangeSignal)
-    turns: GateTurns = attrs.field(factory=GateTurns)
+    turns: LineTurns = attrs.field(factory=LineTurns)
     configuration: FleetConfiguration | None = None
     configuration_revision: int = 0
     # As the operator wrote it, compressed, for the nodes that ask this one.
@@ -115,7 +125,7 @@
     """Begin with no beliefs."""
     registry = TargetRegistry(RegistrySettings())
     loads = TargetLoads(SuspicionSettings())
-    gate = PrefillGate(GateSettings())
+    fetches = TargetLoads(FETCH_SUSPICION)
     clock = TrueTime(wall_s() - clock_s())
     usage = UsageCounter(settings.usage_window_s, clock)
     incarnation = f'{random.getrandbits(PROCESS_NAME_BITS):012x}'
@@ -127,8 +137,8 @@
         freshness=Freshness(FreshnessSettings(settings.revocation_s)),
         registry=registry,
         loads=loads,
-        placement=Placement(registry, loads, gate, settings.domain),
-        gate=gate,
+        fetches=fetches,
+        placement=Placement(registry, loads, fetches, settings.domain),
         budget=RetryBudget(
             share=settings.retry_share * SHARE_KEPT,
             reserve=extra,
--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -7,7 +7,7 @@
 from dandelionyoke_dispatch import (
     Cause,
     Entry,
-    GateTicket,
+    LineTicket,
     PrefillHome,
     Prompt,
     Refusal,
@@ -16,7 +16,7 @@
 from dandelionyoke_gateway._call_desk import RefusedError
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError
-from dandelionyoke_gateway._gate_turns import Turn
+from dandelionyoke_gateway._line_turns import Turn
 from dandelionyoke_gateway._messages import RequestHead
 from dandelionyoke_gateway._plain_call import note_facts
 from dandelionyoke_gateway._ports import CacheSource
@@ -35,6 +35,20 @@
 SHORT_SHARE = 0.1
 WHOLE_SLOWDOWN = 2
 
+# A prompt that is read by this share of the goal has the rest of it for its
+# way to the engine that makes the tokens, and for the first of them.
+BEGUN_SHARE = 0.8
+# Prompts so long that no engine reads them within the goal would come last
+# in each burst; they count as in time for this share of it.
+LARGE_PROMPT_SHARE = 0.3
+# More prompts are read at once until reading takes this share of the goal, or
+# so many times as long as alone.
+READ_SHARE = 0.5
+READ_SLOWDOWN = 2
+# A prompt whose shared part is fetched counts as slow over so many times the
+# mean of the last ones, and over its goal for reading.
+SLOW_FETCH_MEANS = 2.5
+
 
 @attrs.frozen
 class ReadPrompt:
@@ -66,18 +80,29 @@
             return None
         if self._is_short(prompt):
             return None
-        asked_s = clock_s()
-        place = self._find_place(prompt)
-        if place is None:
+        readers = self._knowledge.placement.readers(
+            self._opened.service.name, self._tries.tried, clock_s()
+        )
+        if not readers:
             return None
+        asked_s = clock_s()
+        self._await_turn(prompt, readers)
+        return self._read_in_turn(prompt, asked_s)
+
+    def _read_in_turn(
+        self, prompt: Prompt, asked_s: float
+    ) -> ReadPrompt | None:
         began_s = clock_s()
         read_s: float | None = None
         try:
+            place = self._place(prompt)
+            if place is None:
+                return None
             cache = self._prefill(place)
             read_s = clock_s() - began_s
-            self._watch.pace.took(prompt.token_count, read_s)
+            self._note_time(prompt, place, read_s)
         finally:
-            self._leave_gate(place.target, read_s)
+            self._leave_line(read_s)
         self._tries.tell(
             'prompt.read',
             place.target,
@@ -87,6 +112,20 @@
         )
         return ReadPrompt(place.target, cache)
 
+    def _note_time(
+        self, prompt: Prompt, place: PrefillHome, read_s: float
+    ) -> None:
+        line = self._watch.line
+        if place.source is not None:
+            source_id = place.source.target_id
+            if read_s > max(
+                SLOW_FETCH_MEANS * line.mean_s, self._read_goal_s(prompt)
+            ):
+                self._knowledge.fetches.failed(source_id, clock_s())
+            else:
+                self._knowledge.fetches.succeeded(source_id)
+        self._watch.pace.took(prompt.token_count, read_s)
+
     def _is_short(self, prompt: Prompt) -> bool:
         """Whether the engine that makes the tokens reads the prompt as well.
 
@@ -98,59 +137,90 @@
             return False
         return WHOLE_SLOWDOWN * read_s < SHORT_SHARE * self._opened.route.goal_s
 
-    def _find_place(self, prompt: Prompt) -> PrefillHome | None:
-        """Get a place at an engine that takes work at this moment."""
-        while True:
-            place = self._knowledge.placement.prefill_home(
-                self._opened.service.name,
-                prompt,
-                self._watch.pace,
-                self._tries.tried,
-                clock_s(),
+    def _place(self, prompt: Prompt) -> PrefillHome | None:
+        """Choose the engine when the turn has come.
+
+        One that was chosen before might have left meanwhile.
+        """
+        place = self._knowledge.placement.prefill_home(
+            self._opened.service.name,
+            prompt,
+            self._watch.pace,
+            self._watch.line,
+            self._tries.tried,
+            clock_s(),
+        )
+        if place is not None:
+            self._watch.line.placed(
+                self._call_id, place.target.target_id, clock_s()
             )
-            if place is None or self._pass_gate(place.target, prompt):
-                return place
+        return place
+
+    def _await_turn(self, prompt: Prompt, readers: int) -> None:
+        """Wait until the prompt may be read.
 
-    def _pass_gate(self, home: RegisteredTarget, prompt: Prompt) -> bool:
-        """Wait for a place; False if the engine left meanwhile."""
+        Raises:
+            RefusedError: it would be read too late to be of use.
+        """
         # Each try waits under a name of its own.
         self._count += 1
-        ticket = GateTicket(
-            self._call_id,
-            home.target_id,
-            self._opened.rank,
-            self._opened.request.arrived_s,
-            self._useful_until_s(),
-            prompt.token_count,
-        )
-        entry = self._knowledge.gate.enter(ticket, clock_s())
-        if entry is Entry.GO:
-            return True
+        ticket = self._ticket(prompt)
+        entry = self._watch.line.enter(ticket, readers, clock_s())
         if entry is Entry.TOO_LATE:
-            self._too_late(home)
+            self._too_late()
+        if entry is Entry.GO:
+            return
         try:
-            turn = self._knowledge.turns.wait(
-                ticket.call_id, home.target_id, ticket.useful_until_s
-            )
+            is_given = self._wait(ticket)
         except BaseException:
-            self._leave_gate(home, None)
+            self._leave_line(None)
             raise
-        if turn is not Turn.GO:
-            self._leave_gate(home, None)
-        if turn is Turn.TOO_LATE:
-            self._too_late(home)
-        return turn is Turn.GO
-
-    def _too_late(self, home: RegisteredTarget) -> None:
-        wait_s = self._knowledge.gate.retry_after_s(home.target_id)
+        if not is_given:
+            self._leave_line(None)
+            self._too_late()
+
+    def _wait(self, ticket: LineTicket) -> bool:
+        """Wait in line; False if the call is late and would wait in vain."""
+        line, turns = self._watch.line, self._knowledge.turns
+        if turns.wait(ticket.call_id, ticket.in_time_until_s) is Turn.GO:
+            return True
+        if line.is_reading(ticket.call_id):
+            return True
+        if not line.stays(ticket.call_id, clock_s()):
+            return False
+        turn = turns.wait(ticket.call_id, ticket.useful_until_s)
+        return turn is Turn.GO or line.is_reading(ticket.call_id)
+
+    def _ticket(self, prompt: Prompt) -> LineTicket:
+        goal_s = self._opened.route.goal_s
+        arrived_s = self._opened.request.arrived_s
+        read_s = self._watch.pace.expected_s(prompt.token_count) or 0.0
+        spare_s = max(
+            BEGUN_SHARE * goal_s - read_s, LARGE_PROMPT_SHARE * goal_s
+        )
+        return LineTicket(
+            call_id=self._call_id,
+            rank=self._opened.rank,
+            arrived_s=arrived_s,
+            in_time_until_s=arrived_s + spare_s,
+            useful_until_s=self._useful_until_s(),
+            read_goal_s=self._read_goal_s(prompt),
+            tokens=prompt.token_count,
+        )
+
+    def _read_goal_s(self, prompt: Prompt) -> float:
+        read_s = self._watch.pace.expected_s(prompt.token_count) or 0.0
+        goal_s = self._opened.route.goal_s
+        return max(READ_SHARE * goal_s, READ_SLOWDOWN * read_s)
+
+    def _too_late(self) -> None:
         self._watch.strain.turned_away(clock_s())
+        wait_s = self._watch.line.retry_after_s()
         raise RefusedError(Refusal(Cause.TOO_LATE, wait_s))
 
-    def _leave_gate(self, home: RegisteredTarget, read_s: float | None) -> None:
-        following = self._knowledge.gate.leave(
-            home.target_id, self._call_id, read_s
-        )
-        if following is not None:
+    def _leave_line(self, read_s: float | None) -> None:
+        line = self._watch.line
+        for following in line.leave(self._call_id, read_s, clock_s()):
             self._knowledge.turns.give(following)
 
     def _prefill(self, place: PrefillHome) -> CacheSource:
--- a/packages/gateway/dandelionyoke_gateway/_registry_keeper.py
+++ b/packages/gateway/dandelionyoke_gateway/_registry_keeper.py
@@ -9,7 +9,7 @@
 
 
 class RegistryKeeper:
-    """Keeps the registry, the calls in line and the log in step."""
+    """Keeps the registry and the log in step."""
 
     def __init__(self, knowledge: Knowledge, log: DecisionLog) -> None:
         self._knowledge = knowledge
@@ -69,7 +69,6 @@
         )
         if usable == self._known:
             return
-        self._knowledge.turns.send_away(self._known - usable)
         self._log.decide(
             'registry.changed',
             'targets',
--- a/packages/gateway/dandelionyoke_gateway/_stream_tries.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_tries.py
@@ -42,12 +42,13 @@
         **inputs: str | float | None,
     ) -> None:
         """Write a decision about the call and a target to the log."""
+        watch = self.tools.knowledge.watch_of(self.opened.service.name)
         self.tools.log.decide(
             decision,
             self.opened.call.attempt_id,
             outcome=target.target_id,
             service=self.opened.service.name,
-            line_s=self.tools.knowledge.gate.expected_wait_s(target.target_id),
+            line_s=watch.line.expected_wait_s(),
             busy=self.tools.knowledge.loads.busy(target.target_id, clock_s()),
             **inputs,
         )
--- /dev/null
+++ b/tests/dispatch/test_placement.py
@@ -0,0 +1,119 @@
+"""Which engine reads a prompt."""
+
+import testtools
+
+from dandelionyoke_dispatch import (
+    LineSettings,
+    LineTicket,
+    Phase,
+    Placement,
+    Prompt,
+    PromptPart,
+    ReadingLine,
+    ReadingPace,
+    ReadingPaceSettings,
+    RegisteredTarget,
+    RegistrySettings,
+    SuspicionSettings,
+    TargetLoads,
+    TargetRegistry,
+)
+
+ENGINES = ('e1', 'e2', 'e3', 'e4')
+TOKEN_S = 0.00001
+
+
+def prompt(part: str, shared: int = 6000, own: int = 3000) -> Prompt:
+    parts = (PromptPart(part, shared), PromptPart('own', own))
+    return Prompt('m', shared + own, 10, parts)
+
+
+class PrefillPlacementTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        registry = TargetRegistry(RegistrySettings())
+        registry.replace(
+            [
+                RegisteredTarget(
+                    name, 'lm', f'10.0.0.{n}:1', 'a', 32, False, Phase.PREFILL
+                )
+                for n, name in enumerate(ENGINES)
+            ],
+            0,
+        )
+        loads = TargetLoads(SuspicionSettings())
+        self.placement = Placement(registry, loads, 'a')
+        self.line = ReadingLine(LineSettings(most_at_engine=99))
+        self.pace = ReadingPace(ReadingPaceSettings())
+        self.pace.took(10000, 10000 * TOKEN_S)
+        self.count = 0
+
+    def place(self, asked: Prompt, now_s: float = 0) -> str:
+        home = self.placement.prefill_home(
+            'lm', asked, self.pace, self.line, (), now_s
+        )
+        assert home is not None
+        return home.target.target_id
+
+    def begin(self, asked: Prompt, now_s: float = 0) -> str:
+        chosen = self.place(asked, now_s)
+        self.count += 1
+        name = str(self.count)
+        ticket = LineTicket(name, 0, 0, 1, 1, 1, asked.token_count)
+        self.line.enter(ticket, len(ENGINES), now_s)
+        self.line.placed(name, chosen, now_s)
+        return chosen
+
+    def test_a_shared_part_goes_where_it_was_read(self) -> None:
+        homes = set()
+        for number in range(5):
+            homes.add(self.begin(prompt('x'), number))
+            self.line.leave(str(self.count), 0.1, number)
+        self.assertEqual(1, len(homes))
+
+    def test_a_burst_on_one_part_spreads_over_the_engines(self) -> None:
+        """All callers of a moment ask about the same thing.
+
+        Had they all gone to the engine that keeps it, they would be read
+        one after the other there while the other engines stand idle.
+        """
+        chosen = [self.begin(prompt('x'), number / 1000) for number in range(4)]
+        self.assertEqual(set(ENGINES), set(chosen))
+
+    def test_another_engine_fetches_what_the_first_one_keeps(self) -> None:
+        first = self.begin(prompt('x'))
+        home = self.placement.prefill_home(
+            'lm', prompt('x'), self.pace, self.line, (), 0
+        )
+        assert home is not None and home.source is not None
+        self.assertEqual(first, home.source.target_id)
+
+    def test_little_to_read_is_no_reason_to_leave_a_long_shared_part(
+        self,
+    ) -> None:
+        long = prompt('x', shared=20000, own=100)
+        first = self.place(long)
+        self.line.enter(LineTicket('short', 0, 0, 1, 1, 1, 500), 4, 0)
+        self.line.placed('short', first, 0)
+        self.assertEqual(first, self.place(long))
+
+    def test_equals_take_turns(self) -> None:
+        """Prompts without a shared part come one by one.
+
+        Drawn at random, some engines would have three of many nodes at a
+        time and others none.
+        """
+        chosen = []
+        for number in range(8):
+            alone = Prompt('m', 3000, 10, (PromptPart(f'p{number}', 3000),))
+            chosen.append(self.begin(alone, 1 + number))
+            self.line.leave(str(self.count), 0.03, number)
+        self.assertEqual(
+            {name: 2 for name in ENGINES},
+            {name: chosen.count(name) for name in ENGINES},
+        )
+
+    def test_before_any_answer_the_tokens_under_way_decide(self) -> None:
+        self.pace = ReadingPace(ReadingPaceSettings())
+        chosen = {self.begin(prompt('x'), number) for number in range(4)}
+        self.assertEqual(set(ENGINES), chosen)
