--- a/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
@@ -90,9 +90,7 @@
             for other in self._waiting
         )
         begins_s = now_s + self._wait_s(ahead + 1)
-        if begins_s > ticket.in_time_until_s and not self._bears(
-            ticket, now_s
-        ):
+        if begins_s > ticket.in_time_until_s and not self._bears(ticket, now_s):
             return Entry.TOO_LATE
         self._waiting.append(ticket)
         return Entry.WAIT
@@ -104,9 +102,7 @@
     def stays(self, call_id: str, now_s: float) -> bool:
         """Whether a call that has become late waits on; else it leaves."""
         late = [one for one in self._waiting if one.call_id == call_id]
-        self._waiting = [
-            one for one in self._waiting if one.call_id != call_id
-        ]
+        self._waiting = [one for one in self._waiting if one.call_id != call_id]
         if not late or not self._bears(late[0], now_s):
             return False
         self._waiting.extend(late)
@@ -124,9 +120,7 @@
 
         `read_s` is how long the prompt took; None if it was not read.
         """
-        self._waiting = [
-            one for one in self._waiting if one.call_id != call_id
-        ]
+        self._waiting = [one for one in self._waiting if one.call_id != call_id]
         reading = self._reading.pop(call_id, None)
         if reading is not None and read_s is not None:
             self._learn(reading.ticket, read_s)
@@ -155,9 +149,7 @@
 
         Those who come back while it is long would only be refused again.
         """
-        return max(
-            self._settings.least_retry_after_s, self.expected_wait_s()
-        )
+        return max(self._settings.least_retry_after_s, self.expected_wait_s())
 
     def _bears(self, ticket: LineTicket, now_s: float) -> bool:
         """Whether a late call would be served while that is of use.
@@ -172,6 +164,8 @@
         return place * self.mean_s / max(1.0, self._limit or 1.0)
 
     def _learn(self, ticket: LineTicket, read_s: float) -> None:
+        if not self.mean_s:
+            self.mean_s = read_s
         self.mean_s += MEAN_WEIGHT * (read_s - self.mean_s)
         limit = self._limit or 1.0
         if read_s > ticket.read_goal_s:
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -62,9 +62,7 @@
     pace: ReadingPace = attrs.field(
         factory=lambda: ReadingPace(ReadingPaceSettings())
     )
-    line: ReadingLine = attrs.field(
-        factory=lambda: ReadingLine(LineSettings())
-    )
+    line: ReadingLine = attrs.field(factory=lambda: ReadingLine(LineSettings()))
 
 
 @attrs.define
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -7,6 +7,7 @@
     LineTicket,
     Phase,
     Placement,
+    PrefillHome,
     Prompt,
     PromptPart,
     ReadingLine,
@@ -42,18 +43,22 @@
             0,
         )
         loads = TargetLoads(SuspicionSettings())
-        self.placement = Placement(registry, loads, 'a')
+        self.fetches = TargetLoads(SuspicionSettings(failures_in_a_row=1))
+        self.placement = Placement(registry, loads, self.fetches, 'a')
         self.line = ReadingLine(LineSettings(most_at_engine=99))
         self.pace = ReadingPace(ReadingPaceSettings())
         self.pace.took(10000, 10000 * TOKEN_S)
         self.count = 0
 
-    def place(self, asked: Prompt, now_s: float = 0) -> str:
+    def home(self, asked: Prompt, now_s: float = 0) -> PrefillHome:
         home = self.placement.prefill_home(
             'lm', asked, self.pace, self.line, (), now_s
         )
         assert home is not None
-        return home.target.target_id
+        return home
+
+    def place(self, asked: Prompt, now_s: float = 0) -> str:
+        return self.home(asked, now_s).target.target_id
 
     def begin(self, asked: Prompt, now_s: float = 0) -> str:
         chosen = self.place(asked, now_s)
@@ -77,17 +82,32 @@
         Had they all gone to the engine that keeps it, they would be read
         one after the other there while the other engines stand idle.
         """
-        chosen = [self.begin(prompt('x'), number / 1000) for number in range(4)]
+        chosen = [
+            self.begin(prompt('x'), number / 1000) for number in range(12)
+        ]
         self.assertEqual(set(ENGINES), set(chosen))
 
     def test_another_engine_fetches_what_the_first_one_keeps(self) -> None:
         first = self.begin(prompt('x'))
-        home = self.placement.prefill_home(
-            'lm', prompt('x'), self.pace, self.line, (), 0
-        )
-        assert home is not None and home.source is not None
+        self.begin(prompt('x'))
+        home = self.home(prompt('x'))
+        assert home.source is not None
+        self.assertNotEqual(first, home.target.target_id)
         self.assertEqual(first, home.source.target_id)
 
+    def test_nothing_is_fetched_from_an_engine_that_was_slow(self) -> None:
+        """A domain is cut off, and its engines still stand in the registry.
+
+        Each prompt whose shared part is fetched from one of them waits for
+        the connection, ten times as long as reading the part would take.
+        """
+        first = self.begin(prompt('x'))
+        self.begin(prompt('x'))
+        self.fetches.failed(first, 0)
+        home = self.home(prompt('x'))
+        source_id = home.source.target_id if home.source else None
+        self.assertNotEqual(first, source_id)
+
     def test_little_to_read_is_no_reason_to_leave_a_long_shared_part(
         self,
     ) -> None:
@@ -115,5 +135,5 @@
 
     def test_before_any_answer_the_tokens_under_way_decide(self) -> None:
         self.pace = ReadingPace(ReadingPaceSettings())
-        chosen = {self.begin(prompt('x'), number) for number in range(4)}
+        chosen = {self.begin(prompt('x'), number) for number in range(12)}
         self.assertEqual(set(ENGINES), chosen)
