--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -61,6 +61,7 @@
     ReadingLine as ReadingLine,
 )
 from dandelionyoke_dispatch._reading_pace import (
+    PromptPace as PromptPace,
     ReadingPace as ReadingPace,
     ReadingPaceSettings as ReadingPaceSettings,
 )
--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -7,7 +7,7 @@
 from dandelionyoke_core import rendezvous
 from dandelionyoke_dispatch._calls import Prompt
 from dandelionyoke_dispatch._reading_line import ReadingLine
-from dandelionyoke_dispatch._reading_pace import ReadingPace
+from dandelionyoke_dispatch._reading_pace import PromptPace, ReadingPace
 from dandelionyoke_dispatch._registry import (
     Phase,
     RegisteredTarget,
@@ -23,7 +23,7 @@
 # What leaving the first engine of a shared part costs, as a share of the time
 # for reading that part: another engine fetches it if the first one kept it,
 # and if not, the part is read where later calls do not look for it.
-LEAVING_SHARE = 2.0
+LEAVING_SHARE = 1.0
 
 
 @attrs.frozen
@@ -54,7 +54,7 @@
         self,
         service: str,
         prompt: Prompt,
-        pace: ReadingPace,
+        pace: PromptPace,
         line: ReadingLine,
         avoid: Collection[str],
         now_s: float,
@@ -73,11 +73,11 @@
             return None
         first = _first_for(found, prompt.shared_key)
         owner = self._owner(service, prompt.shared_key, now_s) or first
-        leaving_s = LEAVING_SHARE * _time_s(pace, prompt.shared_tokens)
+        leaving_s = LEAVING_SHARE * _time_s(pace.unkept, prompt.shared_tokens)
         chosen = min(
             found,
             key=lambda one: (
-                _time_s(pace, line.backlog_tokens(one.target_id))
+                _time_s(pace.found, line.backlog_tokens(one.target_id))
                 + leaving_s * (one is not first),
                 line.placed_s(one.target_id),
                 one.target_id,
--- a/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
@@ -177,12 +177,15 @@
     def _admit(self, now_s: float) -> list[str]:
         admitted = []
         while self._waiting and len(self._reading) < (self._limit or 1.0):
-            ticket = min(self._waiting, key=lambda one: _order(one, now_s))
+            ticket = self._next(now_s)
             self._waiting.remove(ticket)
             self._reading[ticket.call_id] = _Reading(ticket)
             admitted.append(ticket.call_id)
         return admitted
 
+    def _next(self, now_s: float) -> LineTicket:
+        return min(self._waiting, key=lambda one: _order(one, now_s))
+
 
 def _order(ticket: LineTicket, now_s: float) -> tuple[bool, int, float]:
     is_late = now_s > ticket.in_time_until_s
--- a/packages/dispatch/dandelionyoke_dispatch/_reading_pace.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_reading_pace.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from dandelionyoke_dispatch._calls import Prompt
+
 
 @attrs.frozen
 class ReadingPaceSettings:
@@ -22,8 +24,7 @@
 class ReadingPace:
     """The time for a token at an engine that reads nothing else.
 
-    Shared parts that the engine kept count as read, so that it is the pace
-    that calls find, not the engine's own. Unknown until a prompt was read.
+    Unknown until a prompt was read.
     """
 
     def __init__(self, settings: ReadingPaceSettings) -> None:
@@ -46,3 +47,20 @@
     def expected_s(self, tokens: int) -> float | None:
         """Tell the time for so many tokens; None: nothing was read yet."""
         return None if self._token_s is None else tokens * self._token_s
+
+
+class PromptPace:
+    """The pace that prompts find, and that of tokens that no engine kept.
+
+    `found` counts the shared parts that an engine kept as read; `unkept`
+    leaves shared parts out, as if all of them were kept.
+    """
+
+    def __init__(self, settings: ReadingPaceSettings) -> None:
+        self.found = ReadingPace(settings)
+        self.unkept = ReadingPace(settings)
+
+    def took(self, prompt: Prompt, took_s: float) -> None:
+        """Take the time of a prompt from its sending to its answer."""
+        self.found.took(prompt.token_count, took_s)
+        self.unkept.took(prompt.token_count - prompt.shared_tokens, took_s)
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -17,8 +17,8 @@
     FreshnessSettings,
     LineSettings,
     Placement,
+    PromptPace,
     ReadingLine,
-    ReadingPace,
     ReadingPaceSettings,
     RegistrySettings,
     SourceChoice,
@@ -59,8 +59,8 @@
     """What this node saw of a service's engines and of the waits for them."""
 
     strain: Strain = attrs.field(factory=lambda: Strain(StrainSettings()))
-    pace: ReadingPace = attrs.field(
-        factory=lambda: ReadingPace(ReadingPaceSettings())
+    pace: PromptPace = attrs.field(
+        factory=lambda: PromptPace(ReadingPaceSettings())
     )
     line: ReadingLine = attrs.field(factory=lambda: ReadingLine(LineSettings()))
 
--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -92,17 +92,18 @@
     def _read_in_turn(
         self, prompt: Prompt, asked_s: float
     ) -> ReadPrompt | None:
+        """Have the prompt read, then give the place in line back."""
         began_s = clock_s()
         read_s: float | None = None
+        place = self._place(prompt)
         try:
-            place = self._place(prompt)
-            if place is None:
-                return None
-            cache = self._prefill(place)
+            cache = None if place is None else self._prefill(place)
             read_s = clock_s() - began_s
-            self._note_time(prompt, place, read_s)
         finally:
-            self._leave_line(read_s)
+            self._leave_line(None if place is None else read_s)
+        if place is None or cache is None:
+            return None
+        self._note_time(prompt, place, read_s)
         self._tries.tell(
             'prompt.read',
             place.target,
@@ -124,7 +125,7 @@
                 self._knowledge.fetches.failed(source_id, clock_s())
             else:
                 self._knowledge.fetches.succeeded(source_id)
-        self._watch.pace.took(prompt.token_count, read_s)
+        self._watch.pace.took(prompt, read_s)
 
     def _is_short(self, prompt: Prompt) -> bool:
         """Whether the engine that makes the tokens reads the prompt as well.
@@ -132,7 +133,7 @@
         A short prompt apart waits in line behind long ones and goes to two
         engines, for a reading that hardly holds the second one up.
         """
-        read_s = self._watch.pace.expected_s(prompt.token_count)
+        read_s = self._watch.pace.found.expected_s(prompt.token_count)
         if read_s is None:
             return False
         return WHOLE_SLOWDOWN * read_s < SHORT_SHARE * self._opened.route.goal_s
@@ -194,7 +195,7 @@
     def _ticket(self, prompt: Prompt) -> LineTicket:
         goal_s = self._opened.route.goal_s
         arrived_s = self._opened.request.arrived_s
-        read_s = self._watch.pace.expected_s(prompt.token_count) or 0.0
+        read_s = self._watch.pace.found.expected_s(prompt.token_count) or 0.0
         spare_s = max(
             BEGUN_SHARE * goal_s - read_s, LARGE_PROMPT_SHARE * goal_s
         )
@@ -209,7 +210,7 @@
         )
 
     def _read_goal_s(self, prompt: Prompt) -> float:
-        read_s = self._watch.pace.expected_s(prompt.token_count) or 0.0
+        read_s = self._watch.pace.found.expected_s(prompt.token_count) or 0.0
         goal_s = self._opened.route.goal_s
         return max(READ_SHARE * goal_s, READ_SLOWDOWN * read_s)
 
--- a/tests/dispatch/test_reading_pace.py
+++ b/tests/dispatch/test_reading_pace.py
@@ -2,7 +2,13 @@
 
 import testtools
 
-from dandelionyoke_dispatch import ReadingPace, ReadingPaceSettings
+from dandelionyoke_dispatch import (
+    Prompt,
+    PromptPace,
+    PromptPart,
+    ReadingPace,
+    ReadingPaceSettings,
+)
 
 
 class ReadingPaceTest(testtools.TestCase):
@@ -32,3 +38,21 @@
     def test_a_clock_that_did_not_move_tells_nothing(self) -> None:
         self.pace.took(2000, 0)
         self.assertIsNone(self.pace.expected_s(1000))
+
+
+class PromptPaceTest(testtools.TestCase):
+    def test_what_engines_kept_is_told_apart_from_what_they_read(self) -> None:
+        """Engines keep nine tenths of each prompt.
+
+        Had the time for a whole prompt been taken for reading all of it, an
+        engine without the shared part would seem as quick as the one that
+        keeps it.
+        """
+        pace = PromptPace(ReadingPaceSettings())
+        parts = (PromptPart('x', 18000), PromptPart('own', 2000))
+        for _ in range(50):
+            pace.took(Prompt('m', 20000, 10, parts), 0.1)
+        found_s = pace.found.expected_s(18000) or 0
+        unkept_s = pace.unkept.expected_s(18000) or 0
+        self.assertLess(abs(found_s - 0.09), 0.02)
+        self.assertLess(abs(unkept_s - 0.9), 0.2)
