--- a/packages/dispatch/dandelionyoke_dispatch/_target_load.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_load.py
@@ -27,6 +27,7 @@
     reported_s: float = -REPORT_LIFETIME_S
     failures: int = 0
     rests_until_s: float = 0.0
+    is_lost: bool = False
 
 
 class TargetLoads:
@@ -53,7 +54,9 @@
 
     def succeeded(self, target_id: str) -> None:
         """Forget the failures of a target."""
-        self._of(target_id).failures = 0
+        load = self._of(target_id)
+        load.failures = 0
+        load.is_lost = False
 
     def failed(self, target_id: str, now_s: float) -> None:
         """Count a failure; several in a row make the target rest."""
@@ -74,14 +77,23 @@
         """
         load = self._of(target_id)
         load.failures = max(load.failures, self._settings.failures_in_a_row)
+        load.is_lost = False
         self.failed(target_id, now_s)
 
     def unreachable(self, target_id: str, now_s: float) -> None:
         """Leave a target alone that took no connection."""
         load = self._of(target_id)
         load.failures = max(load.failures, self._settings.failures_in_a_row)
+        load.is_lost = True
         self.failed(target_id, now_s)
 
+    def is_lost(self, target_id: str, now_s: float) -> bool:
+        """Whether a target took no connection and has not answered since.
+
+        The registry lists one that crashed for some heartbeats more.
+        """
+        return self.rests(target_id, now_s) and self._of(target_id).is_lost
+
     def own(self, target_id: str) -> int:
         """Tell how many dispatches of this node are under way."""
         return self._of(target_id).own
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -100,7 +100,13 @@
 
     def _compare_service(self, service: str) -> None:
         now_s = clock_s()
-        registered = self._knowledge.registry.of_service(service)
+        # Those that crashed make no tokens, although the registry still
+        # lists them: others have to take their place now.
+        registered = [
+            one
+            for one in self._knowledge.registry.of_service(service)
+            if not self._knowledge.loads.is_lost(one.target_id, now_s)
+        ]
         engines = self._with_assumed(registered, now_s)
         settled = frozenset(
             one.target_id
