--- a/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
@@ -41,6 +41,9 @@
     def __init__(self, settings: PhasePlanSettings) -> None:
         self._settings = settings
         self._peak = Peak(settings.hold_s)
+        # What the last plan went by.
+        self.peak_streams = 0.0
+        self.wanted = 0
 
     def changes(
         self,
@@ -55,15 +58,16 @@
         included; `settled` names the engines that have the phase they are
         taken to have, without those only ordered to change (None: all).
         """
-        peak = self._peak.take(streams, now_s)
+        self.peak_streams = self._peak.take(streams, now_s)
         if len(engines) < 2:
             return []
-        wanted = self._wanted_decode(engines, peak)
+        wanted = self._wanted_decode(engines)
         present = sum(one.phase is Phase.DECODE for one in engines)
         # One too many is left: it would be wanted again when the engines
         # that are missing now have come back, and each change costs seconds.
         if present == wanted + 1 and present < len(engines):
             wanted = present
+        self.wanted = wanted
         decode = _choose_decode(engines, wanted)
         come = [
             PhaseChange(one, Phase.DECODE)
@@ -101,11 +105,11 @@
         others = [one for one in go if one.target.phase is not Phase.DECODE]
         return others + decode[:free]
 
-    def _wanted_decode(
-        self, engines: Sequence[RegisteredTarget], peak: float
-    ) -> int:
+    def _wanted_decode(self, engines: Sequence[RegisteredTarget]) -> int:
         slots = sum(one.slots for one in engines) / len(engines)
-        needed = math.ceil(peak / (slots * self._settings.filled_share))
+        needed = math.ceil(
+            self.peak_streams / (slots * self._settings.filled_share)
+        )
         least = math.ceil(len(engines) * self._settings.least_share)
         return min(max(least, needed), len(engines) - 1)
 
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -124,7 +124,7 @@
             if waits and not change.target.is_reclaimable:
                 continue
             self._assume(change, ORDER_RETRY_S)
-            spawn_n(self._send, change)
+            spawn_n(self._send, change, plan)
 
     def _with_assumed(
         self, engines: Sequence[RegisteredTarget], now_s: float
@@ -147,7 +147,7 @@
             change.phase, clock_s() + for_s
         )
 
-    def _send(self, change: PhaseChange) -> None:
+    def _send(self, change: PhaseChange, plan: PhasePlan) -> None:
         target = change.target
         report = self._engines.read_report(target)
         if report is None or report.is_busy_with_order:
@@ -167,6 +167,8 @@
             target.target_id,
             outcome=str(accepted),
             phase=order.phase.value,
+            wanted_decode=plan.wanted,
+            peak_streams=plan.peak_streams,
             fence=stamp.fence,
             order_count=order.expected_order_count,
         )
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -61,20 +61,20 @@
             self._release(self._prompt)
 
     def _carry(self) -> None:
-        cause = Cause.NO_RETRY
         self._knowledge.budget.earn(clock_s())
+        ended = NextTryError(Cause.NO_RETRY, is_free=True)
         for number in range(MOST_SENDS):
-            if number and not self._may_try_again():
+            if number and not self._may_try_again(ended):
                 break
             try:
                 self._try()
-            except NextTryError as ended:
-                cause = ended.cause
+            except NextTryError as failed:
+                ended = failed
                 continue
             return
-        raise RefusedError(Refusal(cause, SOON_S))
+        raise RefusedError(Refusal(ended.cause, SOON_S))
 
-    def _may_try_again(self) -> bool:
+    def _may_try_again(self, ended: NextTryError) -> bool:
         opened = self._opened
         if clock_s() >= opened.until_s:
             return False
@@ -82,7 +82,9 @@
             return False
         if not opened.attempts.may_run_again(opened.route.is_repeatable):
             return False
-        return self._knowledge.budget.spend(clock_s())
+        # Engines that crash refuse connections: were those paid from the
+        # budget as well, it would be empty before the calls reach another.
+        return ended.is_free or self._knowledge.budget.spend(clock_s())
 
     def _try(self) -> None:
         if self._prompt is None:
@@ -119,8 +121,9 @@
         try:
             self._exchange(target, prompt)
         except ExchangeError as error:
-            # Nobody knows whether the engine has taken the cache.
-            self._prompt = None
+            if error.sent:
+                # Nobody knows whether the engine has taken the cache.
+                self._prompt = None
             raise self._tries.next_try(target, error) from error
         finally:
             loads.ended(target.target_id)
--- a/packages/gateway/dandelionyoke_gateway/_stream_tries.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_tries.py
@@ -10,11 +10,15 @@
 
 
 class NextTryError(Exception):
-    """This send came to nothing; another one may be made."""
+    """This send came to nothing; another one may be made.
 
-    def __init__(self, cause: Cause) -> None:
+    `is_free` says that it reached no target: another one repeats nothing.
+    """
+
+    def __init__(self, cause: Cause, *, is_free: bool = False) -> None:
         super().__init__(cause.value)
         self.cause = cause
+        self.is_free = is_free
 
 
 class StreamTries:
@@ -31,9 +35,8 @@
     ) -> NextTryError:
         """Draw the conclusions from a send that failed."""
         self.tried.add(target.target_id)
-        return NextTryError(
-            note_failure(self.tools, self.opened, target, error)
-        )
+        cause = note_failure(self.tools, self.opened, target, error)
+        return NextTryError(cause, is_free=not error.sent)
 
     def tell(
         self,
--- /dev/null
+++ b/tests/dispatch/test_target_load.py
@@ -0,0 +1,40 @@
+"""What is known of targets from calls to them."""
+
+import testtools
+
+from dandelionyoke_dispatch import SuspicionSettings, TargetLoads
+
+
+class LostTargetTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.loads = TargetLoads(SuspicionSettings())
+
+    def test_one_that_takes_no_connection_is_lost(self) -> None:
+        """An engine that makes tokens crashes.
+
+        The registry lists it for some heartbeats more. Counted as there until
+        then, nobody takes its place, and callers wait at the ones left.
+        """
+        self.loads.unreachable('i-1', 0)
+        self.assertTrue(self.loads.is_lost('i-1', 0.1))
+
+    def test_it_is_tried_again_later(self) -> None:
+        self.loads.unreachable('i-1', 0)
+        self.assertFalse(self.loads.is_lost('i-1', 9))
+
+    def test_one_that_answers_is_not_lost(self) -> None:
+        self.loads.unreachable('i-1', 0)
+        self.loads.succeeded('i-1')
+        self.assertFalse(self.loads.is_lost('i-1', 0.1))
+
+    def test_one_that_refuses_is_there(self) -> None:
+        self.loads.unreachable('i-1', 0)
+        self.loads.refused('i-1', 0)
+        self.assertFalse(self.loads.is_lost('i-1', 0.1))
+        self.assertTrue(self.loads.rests('i-1', 0.1))
+
+    def test_one_that_was_slow_is_not_lost(self) -> None:
+        self.loads.failed('i-1', 0)
+        self.loads.failed('i-1', 0)
+        self.assertFalse(self.loads.is_lost('i-1', 0.1))
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -5,7 +5,7 @@
 import eventlet
 import testtools
 
-from dandelionyoke_dispatch import Phase
+from dandelionyoke_dispatch import Phase, Prompt
 from dandelionyoke_gateway import clock_s
 from tests.platform.path import (
     Path,
@@ -246,6 +246,47 @@
         self.assertEqual(200, status(self.path.call('/ask/1', extra=PROMPT)))
         self.assertEqual(1, len(reader.seen))
 
+    def test_engines_that_crashed_do_not_use_up_the_repetitions(self) -> None:
+        """Two of the engines that make tokens crash under load.
+
+        They refuse connections, and no call reaches them. Paid from the
+        budget of repetitions, these would use it up at once, and callers
+        would be refused beside an engine that is sound.
+        """
+        reader = self.path.add(self.reads, 'lm', Phase.PREFILL)
+        for _ in range(2):
+            self.path.add(self.streams, 'lm', Phase.DECODE).close()
+        self.path.add(self.streams, 'lm', Phase.DECODE)
+        while self.path.knowledge.budget.spend(clock_s()):
+            continue
+        self.assertEqual(200, status(self.path.call('/ask/1', extra=PROMPT)))
+        self.assertEqual(1, len(reader.seen))
+
+    def test_a_short_prompt_is_read_where_its_tokens_are_made(self) -> None:
+        """A quick question comes while long prompts wait for the readers.
+
+        In line with them it would wait longer than reading it takes.
+        """
+        reader = self.path.add(self.reads, 'lm', Phase.PREFILL)
+        maker = self.path.add(self.streams, 'lm', Phase.DECODE)
+        pace = self.path.knowledge.watch_of('lm').pace
+        pace.took(Prompt('m', 10000, 1), 0.1)
+        short = 'Model: m\r\nToken-Count: 90,20\r\nPrompt-Prefix: cc:90\r\n'
+        content = self.path.call('/ask/1', extra=short)
+        self.assertEqual(200, status(content))
+        self.assertEqual([], reader.seen)
+        self.assertNotIn('kv-source', maker.seen[0].headers)
+
+    def test_a_long_prompt_is_read_apart_however_quick_engines_are(
+        self,
+    ) -> None:
+        reader = self.path.add(self.reads, 'lm', Phase.PREFILL)
+        self.path.add(self.streams, 'lm', Phase.DECODE)
+        pace = self.path.knowledge.watch_of('lm').pace
+        pace.took(Prompt('m', 1000, 1), 0.1)
+        self.path.call('/ask/1', extra=PROMPT)
+        self.assertEqual(1, len(reader.seen))
+
     def test_a_cut_stream_does_not_look_whole(self) -> None:
         def cut(seen: Seen) -> Iterator[Piece]:
             yield stream_head()
