Fill the range with dear reclaimable engines in need only

A deployment whose reclaimable engines cost half of the others would have paid for a range of idle ones: the share of the price now bounds how far the range is filled while callers do not wait. The log of an order tells what was there, and whether callers waited.

--- a/packages/dispatch/dandelionyoke_dispatch/_engine_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_engine_plan.py
@@ -19,15 +19,18 @@
 
 @attrs.frozen
 class EnginePlanSettings:
-    """How many steady engines stay, and when others stand in.
-
-    `steady_domains` is the number of domains, the cheapest ones, that keep a
-    steady engine each. Where a domain has no reclaimable engines to give,
-    steady ones stand in up to `assured_share` of the most it may have, less
-    while callers do not wait. The room above that lets the first reclaimable
-    ones come before those that stood in go.
+    """How far the range is used, and when steady engines stand in.
+
+    Unless callers wait, reclaimable engines fill the range as far as they
+    cost no more than `afforded_share` of what the whole of it would cost at
+    the full price. `steady_domains` is the number of domains, the cheapest
+    ones, that keep a steady engine each. Where a domain has no reclaimable
+    engines to give, steady ones stand in up to `assured_share` of the most it
+    may have, less while callers do not wait. The room above that lets the
+    first reclaimable ones come before those that stood in go.
     """
 
+    afforded_share: float = 0.25
     steady_domains: int = 2
     assured_share: float = 0.6
     assured_share_calm: float = 0.3
@@ -73,6 +76,7 @@
         reclaimable = _by_domain(engines, is_reclaimable=True)
         kept = self._kept(scaling)
         assured = self._assured(scaling, need)
+        most = self._most(scaling, need)
         found = []
         for domain in domains:
             missing = assured - reclaimable[domain]
@@ -81,7 +85,7 @@
             found.append(WantedCount(domain, False, max(kept[domain], missing)))
             # The range holds both kinds, so that reclaimable engines get the
             # room that steady ones leave.
-            room = max(0, scaling.most - steady[domain])
+            room = max(0, most - steady[domain])
             found.append(WantedCount(domain, True, room))
         return found
 
@@ -92,6 +96,15 @@
             share = settings.assured_share
         return math.ceil(share * scaling.most)
 
+    def _most(self, scaling: ScalingRange, need: FleetNeed) -> int:
+        """Tell how many engines of both kinds a domain is to have."""
+        price_share = scaling.reclaimable_price_share
+        if need.is_strained or not price_share:
+            return scaling.most
+        afforded = self._settings.afforded_share / price_share
+        most = math.ceil(min(1.0, afforded) * scaling.most)
+        return max(scaling.least, most)
+
     def _kept(self, scaling: ScalingRange) -> Counter[str]:
         """Choose the domains that keep a steady engine: the cheapest."""
         prices = scaling.domain_prices
--- a/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
@@ -8,6 +8,7 @@
     EnginePlanSettings,
     FleetNeed,
     Service,
+    Strain,
     WantedCount,
 )
 from dandelionyoke_gateway._clock import clock_s
@@ -111,9 +112,10 @@
             for (name, domain), until_s in self._refusing.items()
             if name == service and now_s < until_s
         ]
-        return FleetNeed(
-            self._knowledge.watch_of(service).strain.holds(now_s), refusing
-        )
+        return FleetNeed(self._strain(service).holds(now_s), refusing)
+
+    def _strain(self, service: str) -> Strain:
+        return self._knowledge.watch_of(service).strain
 
     def _note_listing(self) -> None:
         if self._listed_s is None and self._knowledge.registry.is_known:
@@ -177,6 +179,8 @@
             f'{service.name} in {wanted.domain}',
             outcome=str(accepted),
             count=wanted.count,
+            present=present,
             reclaimable=str(wanted.is_reclaimable),
+            strained=str(self._strain(service.name).holds(clock_s())),
             fence=stamp.fence,
         )
--- a/tests/dispatch/test_fleet_plans.py
+++ b/tests/dispatch/test_fleet_plans.py
@@ -105,6 +105,27 @@
         there = [engine('s1', 'b')]
         self.assertEqual(0, self.wanted(*there, need=strained)['a steady'])
 
+    def test_dear_reclaimable_engines_fill_the_range_in_need_only(
+        self,
+    ) -> None:
+        """Another customer's reclaimable engines cost half of the others.
+
+        As many of them as of cheap ones would stand idle at that price; while
+        callers wait, all that may be had are wanted.
+        """
+        scaling = ScalingRange(1, 8, 4.0, 0.5, {'a': 1.0})
+        plan = EnginePlan(EnginePlanSettings(steady_domains=0))
+        wanted = plan.wanted(scaling, [], FleetNeed())
+        self.assertIn(WantedCount('a', True, 4), wanted)
+        wanted = plan.wanted(scaling, [], FleetNeed(is_strained=True))
+        self.assertIn(WantedCount('a', True, 8), wanted)
+
+    def test_a_price_of_nothing_is_borne(self) -> None:
+        scaling = ScalingRange(1, 8, 4.0, 0.0, {'a': 1.0})
+        plan = EnginePlan(EnginePlanSettings(steady_domains=0))
+        wanted = plan.wanted(scaling, [], FleetNeed())
+        self.assertIn(WantedCount('a', True, 8), wanted)
+
     def test_without_cheap_engines_nothing_is_ordered(self) -> None:
         scaling = ScalingRange(1, 5, 4.0, None, {'a': 1.0})
         plan = EnginePlan(EnginePlanSettings())
