Tell short prompts by the pace of tokens that nobody kept

Readers that keep 13,300 of 17,000 tokens answer at once; at that pace every prompt counted as short and was read from its start beside the streams. Ruled out: the line (no waits), lost engines. Change: short is told by the pace of tokens that were not kept. Test seen failing first.

--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -131,9 +131,11 @@
         """Whether the engine that makes the tokens reads the prompt as well.
 
         A short prompt apart waits in line behind long ones and goes to two
-        engines, for a reading that hardly holds the second one up.
+        engines, for a reading that hardly holds the second one up. That one
+        keeps no parts of prompts: it reads all, at the pace of tokens that
+        were not kept, however quick the readers are with those they keep.
         """
-        read_s = self._watch.pace.found.expected_s(prompt.token_count)
+        read_s = self._watch.pace.unkept.expected_s(prompt.token_count)
         if read_s is None:
             return False
         return WHOLE_SLOWDOWN * read_s < SHORT_SHARE * self._opened.route.goal_s
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -5,7 +5,7 @@
 import eventlet
 import testtools
 
-from dandelionyoke_dispatch import Phase, Prompt
+from dandelionyoke_dispatch import Phase, Prompt, PromptPart
 from dandelionyoke_gateway import clock_s
 from tests.platform.path import (
     Path,
@@ -287,6 +287,22 @@
         self.path.call('/ask/1', extra=PROMPT)
         self.assertEqual(1, len(reader.seen))
 
+    def test_what_readers_keep_makes_no_prompt_short(self) -> None:
+        """The readers keep nearly all of each prompt and answer at once.
+
+        The engines that make the tokens keep nothing. Sent there for that
+        quickness, prompts would be read from their start beside the streams,
+        and soon every stream would wait for them.
+        """
+        reader = self.path.add(self.reads, 'lm', Phase.PREFILL)
+        self.path.add(self.streams, 'lm', Phase.DECODE)
+        pace = self.path.knowledge.watch_of('lm').pace
+        parts = (PromptPart('aa', 49000), PromptPart('bb', 1000))
+        for _ in range(50):
+            pace.took(Prompt('m', 50000, 1, parts), 0.05)
+        self.path.call('/ask/1', extra=PROMPT)
+        self.assertEqual(1, len(reader.seen))
+
     def test_a_cut_stream_does_not_look_whole(self) -> None:
         def cut(seen: Seen) -> Iterator[Piece]:
             yield stream_head()
