Pay for a prompt that is read again beside its stream

Change: a retry is paid by the sends that it repeats; it may begin with enough for one, since a node's part of a large fleet's budget is under two. Test seen failing first.

--- a/packages/core/dandelionyoke_core/_retry_budget.py
+++ b/packages/core/dandelionyoke_core/_retry_budget.py
@@ -28,12 +28,17 @@
         self._refill(now_s)
         self._balance = min(self._reserve, self._balance + self._share)
 
-    def spend(self, now_s: float) -> bool:
-        """Pay for one retry; False when too little was saved."""
+    def spend(self, now_s: float, sends: int = 1) -> bool:
+        """Pay for a retry; False when too little was saved.
+
+        A retry of several sends may begin once there is enough for one, and
+        those that follow wait until it is paid: a small part of a budget
+        that many nodes share would never hold enough for all at once.
+        """
         self._refill(now_s)
-        if self._balance < 1:
+        if sends and self._balance < 1:
             return False
-        self._balance -= 1
+        self._balance -= sends
         return True
 
     def _refill(self, now_s: float) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -72,6 +72,8 @@
         self._opened = tries.opened
         self._watch = self._knowledge.watch_of(self._opened.service.name)
         self._count = 0
+        # Whether an engine was asked to read the prompt.
+        self.has_sent = False
 
     def read(self) -> ReadPrompt | None:
         """Have the prompt read apart; None where no engine does that."""
@@ -256,6 +258,7 @@
     ) -> str | None:
         until_s = self._useful_until_s()
         with self._tools.pool.lend(home.address) as connection:
+            self.has_sent = True
             connection.send(head, self._opened.request.body)
             answer = connection.read_head(until_s)
             body = connection.read_body(until_s, MAX_PREFILL_BYTES)
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -61,20 +61,20 @@
             self._release(self._prompt)
 
     def _carry(self) -> None:
+        cause = Cause.NO_RETRY
         self._knowledge.budget.earn(clock_s())
-        ended = NextTryError(Cause.NO_RETRY, is_free=True)
         for number in range(MOST_SENDS):
-            if number and not self._may_try_again(ended):
+            if number and not self._may_try_again():
                 break
             try:
                 self._try()
-            except NextTryError as failed:
-                ended = failed
+            except NextTryError as ended:
+                cause = ended.cause
                 continue
             return
-        raise RefusedError(Refusal(ended.cause, SOON_S))
+        raise RefusedError(Refusal(cause, SOON_S))
 
-    def _may_try_again(self, ended: NextTryError) -> bool:
+    def _may_try_again(self) -> bool:
         opened = self._opened
         if clock_s() >= opened.until_s:
             return False
@@ -82,9 +82,19 @@
             return False
         if not opened.attempts.may_run_again(opened.route.is_repeatable):
             return False
-        # Engines that crash refuse connections: were those paid from the
-        # budget as well, it would be empty before the calls reach another.
-        return ended.is_free or self._knowledge.budget.spend(clock_s())
+        return self._knowledge.budget.spend(clock_s(), self._repeated_sends())
+
+    def _repeated_sends(self) -> int:
+        """Count what reaches an engine once more with the next try.
+
+        A connection that was refused carried nothing: were it counted, a
+        crash would use up the budget before its calls reach another engine.
+        A prompt that has to be read again counts beside its stream: left
+        out, all nodes together would repeat more than they may.
+        """
+        is_streamed_again = bool(self._opened.attempts.targets)
+        is_read_again = self._prompt is None and self._reader.has_sent
+        return is_streamed_again + is_read_again
 
     def _try(self) -> None:
         if self._prompt is None:
--- a/packages/gateway/dandelionyoke_gateway/_stream_tries.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_tries.py
@@ -10,15 +10,11 @@
 
 
 class NextTryError(Exception):
-    """This send came to nothing; another one may be made.
+    """This send came to nothing; another one may be made."""
 
-    `is_free` says that it reached no target: another one repeats nothing.
-    """
-
-    def __init__(self, cause: Cause, *, is_free: bool = False) -> None:
+    def __init__(self, cause: Cause) -> None:
         super().__init__(cause.value)
         self.cause = cause
-        self.is_free = is_free
 
 
 class StreamTries:
@@ -35,8 +31,9 @@
     ) -> NextTryError:
         """Draw the conclusions from a send that failed."""
         self.tried.add(target.target_id)
-        cause = note_failure(self.tools, self.opened, target, error)
-        return NextTryError(cause, is_free=not error.sent)
+        return NextTryError(
+            note_failure(self.tools, self.opened, target, error)
+        )
 
     def tell(
         self,
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -262,6 +262,26 @@
         self.assertEqual(200, status(self.path.call('/ask/1', extra=PROMPT)))
         self.assertEqual(1, len(reader.seen))
 
+    def test_a_prompt_that_is_read_again_is_paid_for_as_well(self) -> None:
+        """An engine breaks off right after it has taken a prompt's cache.
+
+        The prompt is read again and streamed again, two calls more for the
+        engines. Paid as one, all nodes together would repeat more than they
+        may when many engines break off at once.
+        """
+        self.path.add(self.reads, 'lm', Phase.PREFILL)
+        self.path.add(resets, 'lm', Phase.DECODE)
+        self.path.add(self.streams, 'lm', Phase.DECODE)
+        budget = self.path.knowledge.budget
+        budget.resize(3)
+        while budget.spend(clock_s()):
+            continue
+        for _ in range(100):
+            budget.earn(clock_s())
+        self.assertEqual(200, status(self.path.call('/resume/1', extra=PROMPT)))
+        self.assertTrue(budget.spend(clock_s()))
+        self.assertFalse(budget.spend(clock_s()))
+
     def test_a_short_prompt_is_read_where_its_tokens_are_made(self) -> None:
         """A quick question comes while long prompts wait for the readers.
 
