--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -123,11 +123,19 @@
         """Choose the engine that makes the tokens.
 
         A cache that crosses domains takes twice as long, so an engine near
-        the one that holds it is preferred until it is much busier.
+        the one that holds it is preferred until it is much busier. One that
+        has just come may be about to change its phase: all nodes would find
+        it idle, send it their next streams and have them refused.
         """
         found = self._usable(service, Phase.DECODE, avoid, now_s)
         if not found:
             return None
+        settled = [
+            one
+            for one in found
+            if not self._registry.is_new(one.target_id, now_s)
+        ]
+        found = settled or found
         near = near_domain or self._domain
         return min(
             found,
--- a/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
@@ -18,17 +18,12 @@
 
 @attrs.frozen
 class LineSettings:
-    """How many prompts of one node are read at once, and how that changes.
+    """How many prompts of one node are read at once.
 
-    No more than `most_at_engine` for each engine, which keep it busy while an
-    answer travels. Below that the number follows the times of reading: one
-    over the time that its goal allows lowers it by `fall_share`; one within
-    it raises it, all of a turn together by `rise`, while others wait.
+    `most_at_engine` for each engine keep it busy while an answer travels.
     """
 
     most_at_engine: int = 2
-    fall_share: float = 0.05
-    rise: float = 0.5
     least_retry_after_s: float = 0.2
 
 
@@ -37,8 +32,7 @@
     """A call that asks for an engine; the lower rank goes first.
 
     Begun after `in_time_until_s` its first token comes later than its goal,
-    after `useful_until_s` too late to be of use. `read_goal_s` is the time
-    for reading that leaves the goal within reach.
+    after `useful_until_s` too late to be of use.
     """
 
     call_id: str
@@ -46,7 +40,6 @@
     arrived_s: float
     in_time_until_s: float
     useful_until_s: float
-    read_goal_s: float
     tokens: int
 
 
@@ -70,7 +63,6 @@
 
     def __init__(self, settings: LineSettings) -> None:
         self._settings = settings
-        self._limit: float | None = None
         self._most = 1
         # How long prompts took of late.
         self.mean_s = 0.0
@@ -81,8 +73,7 @@
     def enter(self, ticket: LineTicket, engines: int, now_s: float) -> Entry:
         """Decide on a call on its arrival; `engines` read prompts now."""
         self._most = max(1, self._settings.most_at_engine * engines)
-        self._limit = min(self._most, self._limit or self._most)
-        if len(self._reading) < self._limit:
+        if len(self._reading) < self._most:
             self._reading[ticket.call_id] = _Reading(ticket)
             return Entry.GO
         ahead = sum(
@@ -123,7 +114,7 @@
         self._waiting = [one for one in self._waiting if one.call_id != call_id]
         reading = self._reading.pop(call_id, None)
         if reading is not None and read_s is not None:
-            self._learn(reading.ticket, read_s)
+            self._learn(read_s)
         return self._admit(now_s)
 
     def backlog_tokens(self, target_id: str) -> int:
@@ -140,7 +131,7 @@
 
     def expected_wait_s(self) -> float:
         """Estimate how long the last in line waits."""
-        if self._limit is None or len(self._reading) < self._limit:
+        if len(self._reading) < self._most:
             return 0.0
         return self._wait_s(len(self._waiting) + 1)
 
@@ -161,22 +152,16 @@
         return now_s + wait_s < ticket.useful_until_s
 
     def _wait_s(self, place: int) -> float:
-        return place * self.mean_s / max(1.0, self._limit or 1.0)
+        return place * self.mean_s / self._most
 
-    def _learn(self, ticket: LineTicket, read_s: float) -> None:
+    def _learn(self, read_s: float) -> None:
         if not self.mean_s:
             self.mean_s = read_s
         self.mean_s += MEAN_WEIGHT * (read_s - self.mean_s)
-        limit = self._limit or 1.0
-        if read_s > ticket.read_goal_s:
-            self._limit = max(1.0, limit * (1 - self._settings.fall_share))
-        elif self._waiting:
-            raised = limit + self._settings.rise / limit
-            self._limit = min(self._most, raised)
 
     def _admit(self, now_s: float) -> list[str]:
         admitted = []
-        while self._waiting and len(self._reading) < (self._limit or 1.0):
+        while self._waiting and len(self._reading) < self._most:
             ticket = self._next(now_s)
             self._waiting.remove(ticket)
             self._reading[ticket.call_id] = _Reading(ticket)
--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -36,11 +36,14 @@
 
     Targets need about two seconds to enter themselves again after an outage
     in which their entries lapsed; to take them for gone at once would leave
-    callers without any target.
+    callers without any target. A target is new for `new_s` after it came:
+    the phase of an engine that has just started is often changed at once,
+    which takes the heartbeat, the order and the lag of a listing to show.
     """
 
     return_grace_s: float = 2.5
     outage_s: float = 1.5
+    new_s: float = 5.0
 
 
 class TargetRegistry:
@@ -49,6 +52,8 @@
     def __init__(self, settings: RegistrySettings) -> None:
         self._settings = settings
         self._targets: dict[str, RegisteredTarget] = {}
+        # When the targets came that were not in the first listing.
+        self._came_s: dict[str, float] = {}
         self._is_known = False
         self._away_since_s: float | None = None
         self._forgive_until_s = 0.0
@@ -62,6 +67,7 @@
         self, targets: Iterable[RegisteredTarget], now_s: float
     ) -> None:
         """Take a whole listing."""
+        is_first = not self._is_known
         self._is_known = True
         away_s = self._away_since_s
         if away_s is not None and now_s - away_s > self._settings.outage_s:
@@ -69,11 +75,15 @@
         self._away_since_s = None
         missing = dict(self._targets)
         for target in targets:
-            missing.pop(target.target_id, None)
+            known = missing.pop(target.target_id, None)
+            is_same = known and known.started_ms == target.started_ms
+            if not is_first and not is_same:
+                self._came_s[target.target_id] = now_s
             self._take(target)
         for target_id in missing:
             if now_s >= self._forgive_until_s:
                 self._targets.pop(target_id)
+                self._came_s.pop(target_id, None)
 
     def store_failed(self, now_s: float) -> None:
         """Note that the store gave no listing."""
@@ -87,6 +97,11 @@
             left = attrs.evolve(known, is_leaving=True)
             self._targets[target_id] = left
 
+    def is_new(self, target_id: str, now_s: float) -> bool:
+        """Whether a target came a short while ago."""
+        came_s = self._came_s.get(target_id)
+        return came_s is not None and now_s - came_s < self._settings.new_s
+
     def of_service(self, service: str) -> list[RegisteredTarget]:
         """List the targets of a service that take new work."""
         found = self.all_of_service(service)
--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -41,13 +41,12 @@
 # Prompts so long that no engine reads them within the goal would come last
 # in each burst; they count as in time for this share of it.
 LARGE_PROMPT_SHARE = 0.3
-# More prompts are read at once until reading takes this share of the goal, or
-# so many times as long as alone.
-READ_SHARE = 0.5
-READ_SLOWDOWN = 2
 # A prompt whose shared part is fetched counts as slow over so many times the
-# mean of the last ones, and over its goal for reading.
+# mean of the last ones, this share of the goal, and so many times the time for
+# this one alone.
 SLOW_FETCH_MEANS = 2.5
+SLOW_FETCH_SHARE = 0.5
+SLOW_FETCH_SLOWDOWN = 2
 
 
 @attrs.frozen
@@ -118,17 +117,22 @@
     def _note_time(
         self, prompt: Prompt, place: PrefillHome, read_s: float
     ) -> None:
-        line = self._watch.line
         if place.source is not None:
             source_id = place.source.target_id
-            if read_s > max(
-                SLOW_FETCH_MEANS * line.mean_s, self._read_goal_s(prompt)
-            ):
+            if read_s > self._slow_fetch_s(prompt):
                 self._knowledge.fetches.failed(source_id, clock_s())
             else:
                 self._knowledge.fetches.succeeded(source_id)
         self._watch.pace.took(prompt, read_s)
 
+    def _slow_fetch_s(self, prompt: Prompt) -> float:
+        alone_s = self._watch.pace.found.expected_s(prompt.token_count) or 0.0
+        return max(
+            SLOW_FETCH_MEANS * self._watch.line.mean_s,
+            SLOW_FETCH_SHARE * self._opened.route.goal_s,
+            SLOW_FETCH_SLOWDOWN * alone_s,
+        )
+
     def _is_short(self, prompt: Prompt) -> bool:
         """Whether the engine that makes the tokens reads the prompt as well.
 
@@ -209,15 +213,9 @@
             arrived_s=arrived_s,
             in_time_until_s=arrived_s + spare_s,
             useful_until_s=self._useful_until_s(),
-            read_goal_s=self._read_goal_s(prompt),
             tokens=prompt.token_count,
         )
 
-    def _read_goal_s(self, prompt: Prompt) -> float:
-        read_s = self._watch.pace.found.expected_s(prompt.token_count) or 0.0
-        goal_s = self._opened.route.goal_s
-        return max(READ_SHARE * goal_s, READ_SLOWDOWN * read_s)
-
     def _too_late(self) -> None:
         self._watch.strain.turned_away(clock_s())
         wait_s = self._watch.line.retry_after_s()
