--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -137,3 +137,53 @@
         self.pace = PromptPace(ReadingPaceSettings())
         chosen = {self.begin(prompt('x'), number) for number in range(12)}
         self.assertEqual(set(ENGINES), chosen)
+
+
+class DecodePlacementTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.registry = TargetRegistry(RegistrySettings(new_s=5))
+        loads = TargetLoads(SuspicionSettings())
+        fetches = TargetLoads(SuspicionSettings())
+        self.loads = loads
+        self.placement = Placement(self.registry, loads, fetches, 'a')
+
+    def list(self, *names: str, at_s: float) -> None:
+        self.registry.replace(
+            [
+                RegisteredTarget(
+                    name, 'lm', '10.0.0.1:1', 'a', 32, False, Phase.DECODE
+                )
+                for name in names
+            ],
+            at_s,
+        )
+
+    def chosen(self, at_s: float) -> str:
+        target = self.placement.decode_target('lm', None, (), at_s)
+        assert target is not None
+        return target.target_id
+
+    def test_engines_that_have_just_come_get_no_streams(self) -> None:
+        """A domain gets its engines back; they start with either phase.
+
+        Those that make tokens are told to read prompts at once. Until the
+        nodes hear of it they look idle; all send them their streams, and
+        callers whose prompts were read already are refused.
+        """
+        self.list('old', at_s=0)
+        for _ in range(20):
+            self.loads.began('old')
+        self.list('old', 'new', at_s=10)
+        self.assertEqual('old', self.chosen(at_s=11))
+        self.assertEqual('new', self.chosen(at_s=16))
+
+    def test_a_new_engine_is_better_than_none(self) -> None:
+        self.list('old', at_s=0)
+        self.list('new', at_s=10)
+        self.assertEqual('new', self.chosen(at_s=11))
+
+    def test_engines_of_the_first_listing_are_not_new(self) -> None:
+        """A process starts while the fleet runs; it has seen no engine come."""
+        self.list('e1', 'e2', at_s=100)
+        self.assertFalse(self.registry.is_new('e1', 100))
