--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -246,6 +246,34 @@
         self.assertEqual(200, status(self.path.call('/ask/1', extra=PROMPT)))
         self.assertEqual(1, len(reader.seen))
 
+    def test_a_call_in_line_goes_to_no_engine_that_left_meanwhile(
+        self,
+    ) -> None:
+        """An engine says that it leaves while calls wait for their turn.
+
+        Sent there all the same, they would reach it seconds later, when it
+        takes no more work, and their callers would wait in vain.
+        """
+
+        def slow(seen: Seen) -> Iterator[Piece]:
+            yield 0.3
+            yield from self.reads(seen)
+
+        leaving = self.path.add(slow, 'lm', Phase.PREFILL)
+        self.path.add(self.streams, 'lm', Phase.DECODE)
+        callers = [
+            eventlet.spawn(self.path.call, '/ask/1', extra=PROMPT)
+            for _ in range(3)
+        ]
+        eventlet.sleep(0.1)
+        self.assertEqual(2, len(leaving.seen))
+        other = self.path.add(self.reads, 'lm', Phase.PREFILL)
+        self.path.knowledge.registry.mark_leaving('i-1', None)
+        answers = [status(caller.wait()) for caller in callers]
+        self.assertEqual([200, 200, 200], answers)
+        self.assertEqual(2, len(leaving.seen))
+        self.assertEqual(1, len(other.seen))
+
     def test_engines_that_crashed_do_not_use_up_the_repetitions(self) -> None:
         """Two of the engines that make tokens crash under load.
 
