Give each wait in line an id of its own, and forget engines that are gone

Two attempts of callers under one id shared a place in line: the second took the first one's, which then waited until its time was over. What a node keeps of an engine's turns and fetches goes with the engine's entry.

--- a/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
@@ -14,6 +14,8 @@
 
 # The share that one more prompt has in the running mean of the times.
 MEAN_WEIGHT = 0.25
+# While a late call waits, so many times those ahead of it go before it.
+LATE_WAIT_FACTOR = 1.5
 
 
 @attrs.frozen
@@ -35,7 +37,7 @@
     after `useful_until_s` too late to be of use.
     """
 
-    call_id: str
+    turn_id: str
     rank: int
     arrived_s: float
     in_time_until_s: float
@@ -74,7 +76,7 @@
         """Decide on a call on its arrival; `engines` read prompts now."""
         self._most = max(1, self._settings.most_at_engine * engines)
         if len(self._reading) < self._most:
-            self._reading[ticket.call_id] = _Reading(ticket)
+            self._reading[ticket.turn_id] = _Reading(ticket)
             return Entry.GO
         ahead = sum(
             _order(other, now_s) <= _order(ticket, now_s)
@@ -86,33 +88,33 @@
         self._waiting.append(ticket)
         return Entry.WAIT
 
-    def is_reading(self, call_id: str) -> bool:
+    def is_reading(self, turn_id: str) -> bool:
         """Whether a call has a place."""
-        return call_id in self._reading
+        return turn_id in self._reading
 
-    def stays(self, call_id: str, now_s: float) -> bool:
+    def stays(self, turn_id: str, now_s: float) -> bool:
         """Whether a call that has become late waits on; else it leaves."""
-        late = [one for one in self._waiting if one.call_id == call_id]
-        self._waiting = [one for one in self._waiting if one.call_id != call_id]
+        late = [one for one in self._waiting if one.turn_id == turn_id]
+        self._waiting = [one for one in self._waiting if one.turn_id != turn_id]
         if not late or not self._bears(late[0], now_s):
             return False
         self._waiting.extend(late)
         return True
 
-    def placed(self, call_id: str, target_id: str, now_s: float) -> None:
+    def placed(self, turn_id: str, target_id: str, now_s: float) -> None:
         """Note which engine reads a call's prompt."""
-        self._reading[call_id].target_id = target_id
+        self._reading[turn_id].target_id = target_id
         self._placed_s[target_id] = now_s
 
     def leave(
-        self, call_id: str, read_s: float | None, now_s: float
+        self, turn_id: str, read_s: float | None, now_s: float
     ) -> list[str]:
         """Give a place back; name the waiting calls that have one now.
 
         `read_s` is how long the prompt took; None if it was not read.
         """
-        self._waiting = [one for one in self._waiting if one.call_id != call_id]
-        reading = self._reading.pop(call_id, None)
+        self._waiting = [one for one in self._waiting if one.turn_id != turn_id]
+        reading = self._reading.pop(turn_id, None)
         if reading is not None and read_s is not None:
             self._learn(read_s)
         return self._admit(now_s)
@@ -129,6 +131,14 @@
         """Tell when a prompt last went to an engine."""
         return self._placed_s.get(target_id, 0.0)
 
+    def forget(self, known: frozenset[str]) -> None:
+        """Drop what is kept of engines that are gone."""
+        self._placed_s = {
+            target_id: placed_s
+            for target_id, placed_s in self._placed_s.items()
+            if target_id in known
+        }
+
     def expected_wait_s(self) -> float:
         """Estimate how long the last in line waits."""
         if len(self._reading) < self._most:
@@ -145,10 +155,9 @@
     def _bears(self, ticket: LineTicket, now_s: float) -> bool:
         """Whether a late call would be served while that is of use.
 
-        It waits for all others, and for half as many again that come before
-        it while it waits.
+        It waits for all others, and for some that arrive meanwhile.
         """
-        wait_s = 1.5 * self._wait_s(len(self._waiting) + 1)
+        wait_s = LATE_WAIT_FACTOR * self._wait_s(len(self._waiting) + 1)
         return now_s + wait_s < ticket.useful_until_s
 
     def _wait_s(self, place: int) -> float:
@@ -164,8 +173,8 @@
         while self._waiting and len(self._reading) < self._most:
             ticket = self._next(now_s)
             self._waiting.remove(ticket)
-            self._reading[ticket.call_id] = _Reading(ticket)
-            admitted.append(ticket.call_id)
+            self._reading[ticket.turn_id] = _Reading(ticket)
+            admitted.append(ticket.turn_id)
         return admitted
 
     def _next(self, now_s: float) -> LineTicket:
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -103,6 +103,17 @@
         """Find what this node saw of a service."""
         return self._watches.setdefault(service, ServiceWatch())
 
+    def forget_targets(self, usable: frozenset[str]) -> None:
+        """Drop what is kept of targets that are not listed any more.
+
+        Those that leave are listed until they are gone.
+        """
+        self.loads.forget(usable)
+        listed = frozenset(one.target_id for one in self.listing.targets)
+        self.fetches.forget(listed)
+        for watch in self._watches.values():
+            watch.line.forget(listed)
+
     def take_node_count(self, count: int) -> None:
         """Take the number of nodes, this one included."""
         nodes = NODES_MARGIN * max(1, count)
--- a/packages/gateway/dandelionyoke_gateway/_line_turns.py
+++ b/packages/gateway/dandelionyoke_gateway/_line_turns.py
@@ -22,10 +22,10 @@
     def __init__(self) -> None:
         self._waiters: dict[str, GreenEvent] = {}
 
-    def wait(self, call_id: str, until_s: float) -> Turn:
+    def wait(self, turn_id: str, until_s: float) -> Turn:
         """Wait for a place, until a moment."""
         waiter = GreenEvent()
-        self._waiters[call_id] = waiter
+        self._waiters[turn_id] = waiter
         timer = eventlet.spawn_after(
             max(0, until_s - clock_s()), _end, waiter, Turn.OVER
         )
@@ -33,12 +33,12 @@
             turn: Turn = waiter.wait()
         finally:
             timer.cancel()
-            self._waiters.pop(call_id, None)
+            self._waiters.pop(turn_id, None)
         return turn
 
-    def give(self, call_id: str) -> None:
+    def give(self, turn_id: str) -> None:
         """Tell a call that it has a place now."""
-        waiter = self._waiters.get(call_id)
+        waiter = self._waiters.get(turn_id)
         if waiter is not None:
             _end(waiter, Turn.GO)
 
--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -1,5 +1,6 @@
 """Has a prompt read apart from the stream that follows."""
 
+import itertools
 from http import HTTPStatus
 
 import attrs
@@ -48,6 +49,8 @@
 SLOW_FETCH_SHARE = 0.5
 SLOW_FETCH_SLOWDOWN = 2
 
+_turn_numbers = itertools.count(1)
+
 
 @attrs.frozen
 class ReadPrompt:
@@ -70,7 +73,9 @@
         self._knowledge = tries.tools.knowledge
         self._opened = tries.opened
         self._watch = self._knowledge.watch_of(self._opened.service.name)
-        self._count = 0
+        # Each try waits under an id of its own: callers may send two attempts
+        # under one.
+        self._turn_id = ''
         # Whether an engine was asked to read the prompt.
         self.has_sent = False
 
@@ -95,13 +100,14 @@
     ) -> ReadPrompt | None:
         """Have the prompt read, then give the place in line back."""
         began_s = clock_s()
-        read_s: float | None = None
-        place = self._place(prompt)
         try:
+            place = self._place(prompt)
             cache = None if place is None else self._prefill(place)
-            read_s = clock_s() - began_s
-        finally:
-            self._leave_line(None if place is None else read_s)
+        except BaseException:
+            self._leave_line(None)
+            raise
+        read_s = clock_s() - began_s
+        self._leave_line(None if cache is None else read_s)
         if place is None or cache is None:
             return None
         self._note_time(prompt, place, read_s)
@@ -161,7 +167,7 @@
         )
         if place is not None:
             self._watch.line.placed(
-                self._call_id, place.target.target_id, clock_s()
+                self._turn_id, place.target.target_id, clock_s()
             )
         return place
 
@@ -171,8 +177,8 @@
         Raises:
             RefusedError: it would be read too late to be of use.
         """
-        # Each try waits under a name of its own.
-        self._count += 1
+        number = next(_turn_numbers)
+        self._turn_id = f'{self._opened.call.attempt_id}.{number}'
         ticket = self._ticket(prompt)
         entry = self._watch.line.enter(ticket, readers, clock_s())
         if entry is Entry.TOO_LATE:
@@ -191,14 +197,14 @@
     def _wait(self, ticket: LineTicket) -> bool:
         """Wait in line; False if the call is late and would wait in vain."""
         line, turns = self._watch.line, self._knowledge.turns
-        if turns.wait(ticket.call_id, ticket.in_time_until_s) is Turn.GO:
+        if turns.wait(ticket.turn_id, ticket.in_time_until_s) is Turn.GO:
             return True
-        if line.is_reading(ticket.call_id):
+        if line.is_reading(ticket.turn_id):
             return True
-        if not line.stays(ticket.call_id, clock_s()):
+        if not line.stays(ticket.turn_id, clock_s()):
             return False
-        turn = turns.wait(ticket.call_id, ticket.useful_until_s)
-        return turn is Turn.GO or line.is_reading(ticket.call_id)
+        turn = turns.wait(ticket.turn_id, ticket.useful_until_s)
+        return turn is Turn.GO or line.is_reading(ticket.turn_id)
 
     def _ticket(self, prompt: Prompt) -> LineTicket:
         goal_s = self._opened.route.goal_s
@@ -208,7 +214,7 @@
             BEGUN_SHARE * goal_s - read_s, LARGE_PROMPT_SHARE * goal_s
         )
         return LineTicket(
-            call_id=self._call_id,
+            turn_id=self._turn_id,
             rank=self._opened.rank,
             arrived_s=arrived_s,
             in_time_until_s=arrived_s + spare_s,
@@ -223,7 +229,7 @@
 
     def _leave_line(self, read_s: float | None) -> None:
         line = self._watch.line
-        for following in line.leave(self._call_id, read_s, clock_s()):
+        for following in line.leave(self._turn_id, read_s, clock_s()):
             self._knowledge.turns.give(following)
 
     def _prefill(self, place: PrefillHome) -> CacheSource:
@@ -266,10 +272,6 @@
                 return None
             return self._tools.dialect.read_prefill(body)
 
-    @property
-    def _call_id(self) -> str:
-        return f'{self._opened.call.attempt_id}.{self._count}'
-
     def _useful_until_s(self) -> float:
         route = self._opened.route
         patience_s = max(
--- a/packages/gateway/dandelionyoke_gateway/_registry_keeper.py
+++ b/packages/gateway/dandelionyoke_gateway/_registry_keeper.py
@@ -77,4 +77,4 @@
             source=source,
         )
         self._known = usable
-        self._knowledge.loads.forget(usable)
+        self._knowledge.forget_targets(usable)
--- a/tests/dispatch/test_reading_line.py
+++ b/tests/dispatch/test_reading_line.py
@@ -16,7 +16,7 @@
 
 
 def ticket(
-    call_id: str,
+    turn_id: str,
     *,
     rank: int = 1,
     arrived_s: float = 0,
@@ -24,7 +24,7 @@
     patience_s: float = 2,
 ) -> LineTicket:
     return LineTicket(
-        call_id=call_id,
+        turn_id=turn_id,
         rank=rank,
         arrived_s=arrived_s,
         in_time_until_s=arrived_s + 0.8 * goal_s - READ_S,
@@ -103,6 +103,12 @@
         self.assertGreater(refused, 0.5)
         self.assertLess(self.longest_hold_s, GOAL_S)
 
+    def test_engines_that_are_gone_are_forgotten(self) -> None:
+        self.fill('a')
+        self.line.placed('a', 'i-1', 5)
+        self.line.forget(frozenset(('i-2',)))
+        self.assertEqual(0, self.line.placed_s('i-1'))
+
     def test_a_refused_call_learns_when_the_line_will_be_done(self) -> None:
         self.fill('abcdef')
         for name in 'ab':
