--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -17,7 +17,7 @@
 
 # An engine in another domain is chosen once the near one has this much more
 # of its slots taken: a share at which a step of the near one takes about as
-# much longer as the cache takes to cross over (from the engines' sheet).
+# much longer as the cache takes to cross over.
 FAR_PENALTY = 0.3
 
 # What leaving the first engine of a shared part costs, as a share of the time
