--- a/packages/gateway/dandelionyoke_gateway/_duty_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_duty_task.py
@@ -94,9 +94,10 @@
     @property
     def stamp(self) -> DutyStamp | None:
         """The authority to act right now; None: there is none."""
-        if clock_s() >= self._until_s - SEND_TIME_S:
+        send_until_s = self._until_s - SEND_TIME_S
+        if clock_s() >= send_until_s:
             return None
-        return DutyStamp(self._own, self._fence)
+        return DutyStamp(self._own, self._fence, send_until_s)
 
     def run(self) -> None:
         """Take part for as long as the process lives."""
--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -55,10 +55,14 @@
 
 @attrs.frozen
 class DutyStamp:
-    """Under whose authority an order or a report is sent."""
+    """Under whose authority an order or a report is sent.
+
+    No byte of it may leave after `send_until_s`, a time of `clock_s`.
+    """
 
     holder: str
     fence: int
+    send_until_s: float
 
 
 @attrs.frozen
--- /dev/null
+++ b/tests/platform/test_duties.py
@@ -0,0 +1,50 @@
+"""Orders and reports of a duty's holder."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import eventlet
+import testtools
+
+from dandelionyoke_gateway import (
+    DutyStamp,
+    TargetCount,
+    TargetPool,
+    clock_s,
+)
+from dandelionyoke_platform._duties import PlatformDuties
+from tests.platform.path import ScriptedTarget, answer
+
+ORDER = TargetCount('lm', 'a', 3, True)
+
+
+class PausedPool(TargetPool):
+    """Lends connections to a process that is paused right after connecting."""
+
+    def __init__(self, pause_s: float) -> None:
+        super().__init__()
+        self._pause_s = pause_s
+
+    @contextmanager
+    def lend(self, address: str) -> Iterator:
+        with super().lend(address) as connection:
+            eventlet.sleep(self._pause_s)
+            yield connection
+
+
+class DutyEndTest(testtools.TestCase):
+    def order(self, pause_s: float) -> list[str]:
+        """Send an order in a term of 50 ms; list what the platform got."""
+        target = ScriptedTarget(lambda _: [answer('200 OK', b'{}', '')])
+        self.addCleanup(target.close)
+        duties = PlatformDuties(target.address, PausedPool(pause_s))
+        duties.order_targets(ORDER, DutyStamp('n-1', 9, clock_s() + 0.05))
+        eventlet.sleep(0.05)
+        return [seen.line for seen in target.seen]
+
+    def test_an_order_within_the_term_is_sent(self) -> None:
+        self.assertEqual(1, len(self.order(0)))
+
+    def test_no_order_leaves_after_the_term(self) -> None:
+        """Guards against two holders: paused between connect and send."""
+        self.assertEqual([], self.order(0.1))
