Place the prompts of a failure domain in one queue

So each node chose the first engine of the shared prefix, nothing was ordered by urgency, nothing refused on arrival. Change: the node of a domain that asks the store also places the prompts of the domain's nodes, in its own queue: one question and one message at the end of a prefill. A queued question is confirmed each 0.25 s; a node that is silent for 0.12 s is left alone for a second, and the asker decides itself. Places of nodes that are lost are free with their link, or a second after the prefill is of no use. Tests: tests/gateway/test_prefill_queue.py; two found leaks while it was built (an end that overtakes its question; a wait that is ended before it began).

--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -102,6 +102,10 @@
         came_s = self._came_s.get(target_id)
         return came_s is not None and now_s - came_s < self._settings.new_s
 
+    def find(self, target_id: str) -> RegisteredTarget | None:
+        """Find a target by its id; None if it is not listed."""
+        return self._targets.get(target_id)
+
     def of_service(self, service: str) -> list[RegisteredTarget]:
         """List the targets of a service that take new work."""
         found = self.all_of_service(service)
--- a/packages/dispatch/dandelionyoke_dispatch/_sources.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_sources.py
@@ -73,8 +73,17 @@
 
     def is_source(self, now_s: float) -> bool:
         """Whether this node is the one of its domain that asks the store."""
+        return self.domain_source(now_s) is None
+
+    def domain_source(self, now_s: float) -> Member | None:
+        """Tell which other node asks the store for the domain.
+
+        None: this one does.
+        """
         first = self._first(self._near, now_s)
-        return first is None or first.instance_id == self._own_id
+        if first is None or first.instance_id == self._own_id:
+            return None
+        return first
 
     def whom_to_ask(self, now_s: float, *, is_blind: bool) -> Member | None:
         """Choose the node to ask; None: this one asks the store itself.
@@ -82,11 +91,9 @@
         A node is blind that asks the store in vain. The store may turn away
         some nodes and serve others, also of other domains.
         """
-        first = self._first(self._near, now_s)
-        if first is not None and first.instance_id != self._own_id:
-            return first
-        if not is_blind:
-            return None
+        source = self.domain_source(now_s)
+        if source is not None or not is_blind:
+            return source
         return self._first((*self._near, *self._far), now_s, but_own=True)
 
     def _first(
--- a/packages/gateway/dandelionyoke_gateway/_call_desk.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_desk.py
@@ -28,6 +28,7 @@
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._ports import Dialect, EngineClient
+from dandelionyoke_gateway._prefill_queue import PrefillQueue
 from dandelionyoke_gateway._target_pool import TargetPool
 
 
@@ -39,6 +40,7 @@
     dialect: Dialect
     pool: TargetPool
     engines: EngineClient
+    prefills: PrefillQueue
     log: DecisionLog
     # Takes the fingerprint of a call, and the id and address of a target
     # that broke it off.
--- a/packages/gateway/dandelionyoke_gateway/_news_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_links.py
@@ -21,6 +21,7 @@
 from dandelionyoke_gateway._news_desk import NewsDesk
 from dandelionyoke_gateway._news_task import NewsTask
 from dandelionyoke_gateway._ports import Store
+from dandelionyoke_gateway._prefill_links import PrefillLinks
 from dandelionyoke_links import PeerHub, PeerSettings, listen
 
 # Whoever can write to the store may ask and answer; the first node of a new
@@ -31,7 +32,11 @@
 
 
 def serve_news(
-    task: NewsTask, knowledge: Knowledge, store: Store, log: DecisionLog
+    task: NewsTask,
+    prefills: PrefillLinks,
+    knowledge: Knowledge,
+    store: Store,
+    log: DecisionLog,
 ) -> None:
     """Answer other nodes and ask them, for as long as the process lives."""
     settings = knowledge.settings
@@ -39,10 +44,12 @@
     own_id = InstanceId(settings.instance_id)
 
     def emit(event: Event) -> None:
-        task.take(desk, event)
+        if not prefills.take(event):
+            task.take(desk, event)
 
     hub = PeerHub(PeerSettings(own_id, secret.encode()), emit)
     desk = NewsDesk(knowledge, hub.send)
+    prefills.attach(hub.send)
     listener = listen(settings.peers.host, settings.peers.port)
     eventlet.spawn_n(hub.serve, listener)
     log.decide('links.opened', settings.instance_id)
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_messages.py
@@ -0,0 +1,66 @@
+"""How a node asks another one for an engine that reads a prompt.
+
+Times are told as durations: each node has a clock of its own.
+"""
+
+import enum
+
+import attrs
+
+from dandelionyoke_core import PeerMessage
+
+# A queued question is told again after each such pause, so that its asker
+# need not wait for a node that is gone.
+QUEUED_INTERVAL_S = 0.25
+
+
+@attrs.frozen
+class PrefillAsked(PeerMessage):
+    """A prompt that needs an engine; `number` names the question.
+
+    The call arrived `age_s` before; its first token is due `goal_s` after
+    its arrival and of no use `useful_s` from now.
+    """
+
+    number: int
+    service: str
+    shared_key: str
+    shared_tokens: int
+    token_count: int
+    rank: int
+    age_s: float
+    goal_s: float
+    useful_s: float
+    avoid: tuple[str, ...] = ()
+
+
+@enum.unique
+class PrefillVerdict(enum.Enum):
+    """What became of a question."""
+
+    GRANTED = 'granted'
+    QUEUED = 'queued'
+    TOO_LATE = 'too late'
+    NO_ENGINE = 'no engine'
+
+
+@attrs.frozen
+class PrefillTold(PeerMessage):
+    """The answer; a queued question gets further ones until it is granted.
+
+    A refused caller may come back after `retry_after_s`.
+    """
+
+    number: int
+    verdict: PrefillVerdict
+    target_id: str = ''
+    source_id: str = ''
+    retry_after_s: float = 0.0
+
+
+@attrs.frozen
+class PrefillEnded(PeerMessage):
+    """The place is free again; `read_s` is missing if nothing was read."""
+
+    number: int
+    read_s: float | None = None
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -0,0 +1,206 @@
+"""How prefills wait for an engine, and which engine each one gets."""
+
+import itertools
+from typing import Protocol
+
+import attrs
+
+from dandelionyoke_dispatch import (
+    Entry,
+    LineTicket,
+    PrefillHome,
+    Prompt,
+    ReadingLine,
+)
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._knowledge import Knowledge, ServiceWatch
+from dandelionyoke_gateway._line_turns import Turn
+
+# A prompt that is read by this share of the goal has the rest of it for its
+# way to the engine that makes the tokens, and for the first of them.
+BEGUN_SHARE = 0.8
+# Prompts so long that no engine reads them within the goal would come last
+# in each burst; they count as in time for this share of it.
+LARGE_PROMPT_SHARE = 0.3
+
+
+class TooLateError(Exception):
+    """The prefill would end too late to be of use; come back later."""
+
+    def __init__(self, retry_after_s: float) -> None:
+        super().__init__(f'no place in the queue for {retry_after_s:.2f} s')
+        self.retry_after_s = retry_after_s
+
+
+@attrs.frozen
+class PrefillRequest:
+    """A prompt that needs an engine; the lower rank goes first.
+
+    Its call arrived at `arrived_s`. Its first token is due `goal_s` later and
+    of no use after `useful_until_s`.
+    """
+
+    service: str
+    prompt: Prompt
+    rank: int
+    arrived_s: float
+    goal_s: float
+    useful_until_s: float
+    avoid: frozenset[str] = frozenset()
+
+
+@attrs.frozen
+class PrefillGrant:
+    """The engine that a request got; None where none reads prompts now."""
+
+    request: PrefillRequest
+    turn_id: str
+    home: PrefillHome | None
+
+
+@attrs.frozen
+class PrefillResult:
+    """How long a prefill took; None if the engine did not do it."""
+
+    read_s: float | None = None
+
+
+class PrefillQueue(Protocol):
+    """Gives each prompt an engine when its turn comes."""
+
+    def enter(self, request: PrefillRequest) -> PrefillGrant:
+        """Wait for an engine.
+
+        Raises:
+            TooLateError: none could begin while that is of use.
+        """
+
+    def leave(self, grant: PrefillGrant, result: PrefillResult) -> None:
+        """Give a place back, whatever became of the prefill."""
+
+
+@attrs.frozen
+class QueuedPrefill:
+    """A request in the queue; `entry` says whether it has to wait."""
+
+    request: PrefillRequest
+    ticket: LineTicket
+    entry: Entry
+
+
+class LocalPrefillQueue:
+    """The queue of the prompts that this node places."""
+
+    def __init__(self, knowledge: Knowledge) -> None:
+        self._knowledge = knowledge
+        self._numbers = itertools.count(1)
+
+    def enter(self, request: PrefillRequest) -> PrefillGrant:
+        """Wait for an engine."""
+        return self.await_place(self.join(request))
+
+    def join(self, request: PrefillRequest) -> QueuedPrefill:
+        """Enter the queue, or learn at once that this is of no use.
+
+        Raises:
+            TooLateError: no engine could begin while that is of use.
+        """
+        engines = self._knowledge.placement.readers(
+            request.service, request.avoid, clock_s()
+        )
+        ticket = self._ticket(request)
+        entry = self._line(request).enter(ticket, engines, clock_s())
+        if entry is Entry.TOO_LATE:
+            raise self._too_late(request)
+        return QueuedPrefill(request, ticket, entry)
+
+    def await_place(self, queued: QueuedPrefill) -> PrefillGrant:
+        """Wait for the turn of a request, and choose its engine then.
+
+        One that was chosen before might have left meanwhile.
+
+        Raises:
+            TooLateError: its turn did not come while that was of use.
+        """
+        ticket, request = queued.ticket, queued.request
+        try:
+            is_given = queued.entry is Entry.GO or self._wait(queued)
+        except BaseException:
+            self.withdraw(queued)
+            raise
+        if not is_given:
+            self.withdraw(queued)
+            raise self._too_late(request)
+        return PrefillGrant(request, ticket.turn_id, self._place(queued))
+
+    def withdraw(self, queued: QueuedPrefill) -> None:
+        """Leave the queue without a prefill."""
+        self._give_back(queued.request, queued.ticket.turn_id, None)
+
+    def leave(self, grant: PrefillGrant, result: PrefillResult) -> None:
+        """Give a place back, and learn from the time that it took."""
+        self._give_back(grant.request, grant.turn_id, result.read_s)
+        if result.read_s is not None:
+            pace = self._watch(grant.request).pace
+            pace.took(grant.request.prompt, result.read_s)
+
+    def _wait(self, queued: QueuedPrefill) -> bool:
+        """Wait; False if the request is late and would wait in vain."""
+        ticket, turns = queued.ticket, self._knowledge.turns
+        line = self._line(queued.request)
+        if turns.wait(ticket.turn_id, ticket.in_time_until_s) is Turn.GO:
+            return True
+        if line.is_reading(ticket.turn_id):
+            return True
+        if not line.stays(ticket.turn_id, clock_s()):
+            return False
+        turn = turns.wait(ticket.turn_id, ticket.useful_until_s)
+        return turn is Turn.GO or line.is_reading(ticket.turn_id)
+
+    def _place(self, queued: QueuedPrefill) -> PrefillHome | None:
+        request, watch = queued.request, self._watch(queued.request)
+        home = self._knowledge.placement.prefill_home(
+            request.service,
+            request.prompt,
+            watch.pace,
+            watch.line,
+            request.avoid,
+            clock_s(),
+        )
+        if home is not None:
+            target_id = home.target.target_id
+            watch.line.placed(queued.ticket.turn_id, target_id, clock_s())
+        return home
+
+    def _ticket(self, request: PrefillRequest) -> LineTicket:
+        tokens = request.prompt.token_count
+        pace = self._watch(request).pace
+        read_s = pace.found.expected_s(tokens) or 0.0
+        spare_s = max(
+            BEGUN_SHARE * request.goal_s - read_s,
+            LARGE_PROMPT_SHARE * request.goal_s,
+        )
+        return LineTicket(
+            turn_id=str(next(self._numbers)),
+            rank=request.rank,
+            arrived_s=request.arrived_s,
+            in_time_until_s=request.arrived_s + spare_s,
+            useful_until_s=request.useful_until_s,
+            tokens=tokens,
+        )
+
+    def _give_back(
+        self, request: PrefillRequest, turn_id: str, read_s: float | None
+    ) -> None:
+        line = self._line(request)
+        for following in line.leave(turn_id, read_s, clock_s()):
+            self._knowledge.turns.give(following)
+
+    def _too_late(self, request: PrefillRequest) -> TooLateError:
+        return TooLateError(self._line(request).retry_after_s())
+
+    def _watch(self, request: PrefillRequest) -> ServiceWatch:
+        return self._knowledge.watch_of(request.service)
+
+    def _line(self, request: PrefillRequest) -> ReadingLine:
+        return self._watch(request).line
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -20,6 +20,7 @@
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._configuration_keeper import ConfigurationKeeper
 from dandelionyoke_gateway._crash_task import CrashTask
+from dandelionyoke_gateway._domain_prefill_queue import DomainPrefillQueue
 from dandelionyoke_gateway._duty_task import DutyTask
 from dandelionyoke_gateway._engine_count_task import EngineCountTask
 from dandelionyoke_gateway._knowledge import new_knowledge
@@ -41,6 +42,8 @@
     EngineClient,
     Store,
 )
+from dandelionyoke_gateway._prefill_links import PrefillLinks
+from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
 from dandelionyoke_gateway._registry_keeper import RegistryKeeper
 from dandelionyoke_gateway._reliance import Reliance, RelianceSettings
 from dandelionyoke_gateway._settings import Endpoint, GatewaySettings
@@ -99,12 +102,17 @@
         self._crashes = CrashTask(
             self._knowledge, self._adapters.store, self._log
         )
+        self._local_prefills = LocalPrefillQueue(self._knowledge)
+        self._prefills = DomainPrefillQueue(
+            self._local_prefills, self._knowledge, self._log
+        )
         self._desk = CallDesk(
             Tools(
                 self._knowledge,
                 self._adapters.dialect,
                 pool,
                 self._adapters.engines,
+                self._prefills,
                 self._log,
                 self._crashes.suspect,
             ),
@@ -183,7 +191,19 @@
         )
         eventlet.spawn_n(configuration_task.run)
         eventlet.spawn_n(registry_task.run)
-        eventlet.spawn_n(serve_news, news_task, knowledge, store, log)
+        self._start_links(news_task)
+
+    def _start_links(self, news_task: NewsTask) -> None:
+        """Answer other nodes, and ask them for news and for engines."""
+        prefills = PrefillLinks(self._prefills, self._local_prefills)
+        eventlet.spawn_n(
+            serve_news,
+            news_task,
+            prefills,
+            self._knowledge,
+            self._adapters.store,
+            self._log,
+        )
 
     # Callers.
 
--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -1,14 +1,11 @@
 """Has a prompt read apart from the stream that follows."""
 
-import itertools
 from http import HTTPStatus
 
 import attrs
 
 from dandelionyoke_dispatch import (
     Cause,
-    Entry,
-    LineTicket,
     PrefillHome,
     Prompt,
     Refusal,
@@ -17,10 +14,15 @@
 from dandelionyoke_gateway._call_desk import RefusedError
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError
-from dandelionyoke_gateway._line_turns import Turn
 from dandelionyoke_gateway._messages import RequestHead
 from dandelionyoke_gateway._plain_call import note_facts
 from dandelionyoke_gateway._ports import CacheSource
+from dandelionyoke_gateway._prefill_queue import (
+    PrefillGrant,
+    PrefillRequest,
+    PrefillResult,
+    TooLateError,
+)
 from dandelionyoke_gateway._stream_tries import NextTryError, StreamTries
 
 MAX_PREFILL_BYTES = 65536
@@ -36,12 +38,6 @@
 SHORT_SHARE = 0.1
 WHOLE_SLOWDOWN = 2
 
-# A prompt that is read by this share of the goal has the rest of it for its
-# way to the engine that makes the tokens, and for the first of them.
-BEGUN_SHARE = 0.8
-# Prompts so long that no engine reads them within the goal would come last
-# in each burst; they count as in time for this share of it.
-LARGE_PROMPT_SHARE = 0.3
 # A prompt whose shared part is fetched counts as slow over so many times the
 # mean of the last ones, this share of the goal, and so many times the time for
 # this one alone.
@@ -49,8 +45,6 @@
 SLOW_FETCH_SHARE = 0.5
 SLOW_FETCH_SLOWDOWN = 2
 
-_turn_numbers = itertools.count(1)
-
 
 @attrs.frozen
 class ReadPrompt:
@@ -73,9 +67,6 @@
         self._knowledge = tries.tools.knowledge
         self._opened = tries.opened
         self._watch = self._knowledge.watch_of(self._opened.service.name)
-        # Each try waits under an id of its own: callers may send two attempts
-        # under one.
-        self._turn_id = ''
         # Whether an engine was asked to read the prompt.
         self.has_sent = False
 
@@ -92,25 +83,46 @@
         if not readers:
             return None
         asked_s = clock_s()
-        self._await_turn(prompt, readers)
-        return self._read_in_turn(prompt, asked_s)
+        grant = self._enter(prompt)
+        return self._read_in_turn(prompt, grant, asked_s)
+
+    def _enter(self, prompt: Prompt) -> PrefillGrant:
+        """Wait for an engine.
+
+        Raises:
+            RefusedError: the prompt would be read too late to be of use.
+        """
+        request = PrefillRequest(
+            service=self._opened.service.name,
+            prompt=prompt,
+            rank=self._opened.rank,
+            arrived_s=self._opened.request.arrived_s,
+            goal_s=self._opened.route.goal_s,
+            useful_until_s=self._useful_until_s(),
+            avoid=frozenset(self._tries.tried),
+        )
+        try:
+            return self._tools.prefills.enter(request)
+        except TooLateError as late:
+            self._watch.strain.turned_away(clock_s())
+            refusal = Refusal(Cause.TOO_LATE, late.retry_after_s)
+            raise RefusedError(refusal) from late
 
     def _read_in_turn(
-        self, prompt: Prompt, asked_s: float
+        self, prompt: Prompt, grant: PrefillGrant, asked_s: float
     ) -> ReadPrompt | None:
-        """Have the prompt read, then give the place in line back."""
-        began_s = clock_s()
+        """Have the prompt read, then give the place in the queue back."""
+        began_s, place = clock_s(), grant.home
+        read_s: float | None = None
         try:
-            place = self._place(prompt)
             cache = None if place is None else self._prefill(place)
-        except BaseException:
-            self._leave_line(None)
-            raise
-        read_s = clock_s() - began_s
-        self._leave_line(None if cache is None else read_s)
-        if place is None or cache is None:
+            if cache is not None:
+                read_s = clock_s() - began_s
+        finally:
+            self._tools.prefills.leave(grant, PrefillResult(read_s))
+        if place is None or cache is None or read_s is None:
             return None
-        self._note_time(prompt, place, read_s)
+        self._note_fetch(prompt, place, read_s)
         self._tries.tell(
             'prompt.read',
             place.target,
@@ -120,7 +132,7 @@
         )
         return ReadPrompt(place.target, cache)
 
-    def _note_time(
+    def _note_fetch(
         self, prompt: Prompt, place: PrefillHome, read_s: float
     ) -> None:
         if place.source is not None:
@@ -129,7 +141,6 @@
                 self._knowledge.fetches.failed(source_id, clock_s())
             else:
                 self._knowledge.fetches.succeeded(source_id)
-        self._watch.pace.took(prompt, read_s)
 
     def _slow_fetch_s(self, prompt: Prompt) -> float:
         alone_s = self._watch.pace.found.expected_s(prompt.token_count) or 0.0
@@ -152,86 +163,6 @@
             return False
         return WHOLE_SLOWDOWN * read_s < SHORT_SHARE * self._opened.route.goal_s
 
-    def _place(self, prompt: Prompt) -> PrefillHome | None:
-        """Choose the engine when the turn has come.
-
-        One that was chosen before might have left meanwhile.
-        """
-        place = self._knowledge.placement.prefill_home(
-            self._opened.service.name,
-            prompt,
-            self._watch.pace,
-            self._watch.line,
-            self._tries.tried,
-            clock_s(),
-        )
-        if place is not None:
-            self._watch.line.placed(
-                self._turn_id, place.target.target_id, clock_s()
-            )
-        return place
-
-    def _await_turn(self, prompt: Prompt, readers: int) -> None:
-        """Wait until the prompt may be read.
-
-        Raises:
-            RefusedError: it would be read too late to be of use.
-        """
-        number = next(_turn_numbers)
-        self._turn_id = f'{self._opened.call.attempt_id}.{number}'
-        ticket = self._ticket(prompt)
-        entry = self._watch.line.enter(ticket, readers, clock_s())
-        if entry is Entry.TOO_LATE:
-            self._too_late()
-        if entry is Entry.GO:
-            return
-        try:
-            is_given = self._wait(ticket)
-        except BaseException:
-            self._leave_line(None)
-            raise
-        if not is_given:
-            self._leave_line(None)
-            self._too_late()
-
-    def _wait(self, ticket: LineTicket) -> bool:
-        """Wait in line; False if the call is late and would wait in vain."""
-        line, turns = self._watch.line, self._knowledge.turns
-        if turns.wait(ticket.turn_id, ticket.in_time_until_s) is Turn.GO:
-            return True
-        if line.is_reading(ticket.turn_id):
-            return True
-        if not line.stays(ticket.turn_id, clock_s()):
-            return False
-        turn = turns.wait(ticket.turn_id, ticket.useful_until_s)
-        return turn is Turn.GO or line.is_reading(ticket.turn_id)
-
-    def _ticket(self, prompt: Prompt) -> LineTicket:
-        goal_s = self._opened.route.goal_s
-        arrived_s = self._opened.request.arrived_s
-        read_s = self._watch.pace.found.expected_s(prompt.token_count) or 0.0
-        spare_s = max(
-            BEGUN_SHARE * goal_s - read_s, LARGE_PROMPT_SHARE * goal_s
-        )
-        return LineTicket(
-            turn_id=self._turn_id,
-            rank=self._opened.rank,
-            arrived_s=arrived_s,
-            in_time_until_s=arrived_s + spare_s,
-            useful_until_s=self._useful_until_s(),
-            tokens=prompt.token_count,
-        )
-
-    def _too_late(self) -> None:
-        self._watch.strain.turned_away(clock_s())
-        wait_s = self._watch.line.retry_after_s()
-        raise RefusedError(Refusal(Cause.TOO_LATE, wait_s))
-
-    def _leave_line(self, read_s: float | None) -> None:
-        line = self._watch.line
-        for following in line.leave(self._turn_id, read_s, clock_s()):
-            self._knowledge.turns.give(following)
-
     def _prefill(self, place: PrefillHome) -> CacheSource:
         """Have an engine read the prompt; nothing runs by this."""
         home, source = place.target, place.source
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -15,7 +15,7 @@
     RegisteredTarget,
     WindowCounts,
 )
-from dandelionyoke_gateway import GatewaySettings, clock_s
+from dandelionyoke_gateway import clock_s
 from dandelionyoke_gateway._configuration_keeper import ConfigurationKeeper
 from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
@@ -23,36 +23,11 @@
 from dandelionyoke_gateway._news_messages import NewsAsked, NewsTold
 from dandelionyoke_gateway._registry_keeper import RegistryKeeper
 from dandelionyoke_gateway._reliance import Reliance, RelianceSettings
-from dandelionyoke_gateway._settings import Endpoint
 from dandelionyoke_platform._dialect import PlatformDialect
+from tests.gateway.settings import new_settings
 from tests.platform.path import Lines
 from tests.platform.test_process import configuration
 
-NOWHERE = Endpoint('127.0.0.1', 0)
-
-
-def new_settings() -> GatewaySettings:
-    return GatewaySettings(
-        instance_id='n-1',
-        domain='a',
-        callers=NOWHERE,
-        health=NOWHERE,
-        metrics=NOWHERE,
-        peers=NOWHERE,
-        store_address='127.0.0.1:1',
-        duty_address=None,
-        revocation_s=5.0,
-        drain_s=2.0,
-        apply_s=2.0,
-        grace_s=8.0,
-        retry_share=0.2,
-        retry_extra=100,
-        retry_window_s=10.0,
-        duty_turn_s=3.0,
-        usage_window_s=5.0,
-        usage_late_s=10.0,
-    )
-
 
 def target(name: str, *, leaving: bool = False) -> RegisteredTarget:
     return RegisteredTarget(name, 'lm', '10.0.0.1:1', 'a', 4, leaving)
--- a/tests/platform/path.py
+++ b/tests/platform/path.py
@@ -23,17 +23,18 @@
     Service,
     ServiceShare,
 )
-from dandelionyoke_gateway import GatewaySettings, TargetPool, clock_s
+from dandelionyoke_gateway import TargetPool, clock_s
 from dandelionyoke_gateway._call_desk import CallDesk, Tools
 from dandelionyoke_gateway._caller_connection import CallerConnection
 from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._plain_call import carry_plain
-from dandelionyoke_gateway._settings import Endpoint
+from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
 from dandelionyoke_gateway._stream_call import carry_stream
 from dandelionyoke_links import set_options
 from dandelionyoke_platform._dialect import PlatformDialect
 from dandelionyoke_platform._duties import PlatformDuties
+from tests.gateway.settings import new_settings
 
 KEY = 'a-key'
 HOST = 'shop.example'
@@ -171,29 +172,9 @@
     """A node that listens, and the targets that it knows."""
 
     def __init__(self) -> None:
-        settings = GatewaySettings(
-            instance_id='n-1',
-            domain='a',
-            callers=Endpoint('127.0.0.1', 0),
-            health=Endpoint('127.0.0.1', 0),
-            metrics=Endpoint('127.0.0.1', 0),
-            peers=Endpoint('127.0.0.1', 0),
-            store_address='127.0.0.1:1',
-            duty_address=None,
-            revocation_s=5.0,
-            drain_s=2.0,
-            apply_s=2.0,
-            grace_s=8.0,
-            retry_share=0.2,
-            retry_extra=100,
-            retry_window_s=10.0,
-            duty_turn_s=3.0,
-            usage_window_s=5.0,
-            usage_late_s=10.0,
-        )
         self.output = Lines()
         self.suspected: list[str] = []
-        self.knowledge: Knowledge = new_knowledge(settings, Random(7))
+        self.knowledge: Knowledge = new_knowledge(new_settings(), Random(7))
         self.knowledge.configuration = configuration()
         self.knowledge.freshness.prove(clock_s())
         self.pool = TargetPool()
@@ -206,6 +187,7 @@
                 PlatformDialect(),
                 self.pool,
                 PlatformDuties('', self.pool),
+                LocalPrefillQueue(self.knowledge),
                 self._log,
                 self._suspect,
             ),
