Judge the need for engines by the calls of a whole domain

Change: each question for news carries the asker's streams and how its calls of the last two seconds began; the answer carries the sum of the domain. The holder judges by the sum, and scales the streams by the nodes of the fleet. Weighed: sums exchanged between domains (more messages; a domain is a sample of 39 nodes of 195).

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -41,6 +41,12 @@
     FleetNeed as FleetNeed,
     WantedCount as WantedCount,
 )
+from dandelionyoke_dispatch._fleet_demand import (
+    DemandSample as DemandSample,
+    FleetDemand as FleetDemand,
+    FleetDemandSettings as FleetDemandSettings,
+    ServiceDemand as ServiceDemand,
+)
 from dandelionyoke_dispatch._freshness import (
     Freshness as Freshness,
     FreshnessSettings as FreshnessSettings,
--- a/packages/dispatch/dandelionyoke_dispatch/_strain.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_strain.py
@@ -47,13 +47,21 @@
             return False
         return now_s - self._strained_s < self._settings.hold_s
 
-    def _take(self, is_slow: bool, now_s: float) -> None:
-        self._calls.append((now_s, is_slow))
-        while now_s - self._calls[0][0] > self._settings.span_s:
+    def recent(self, now_s: float) -> tuple[int, int]:
+        """Count the calls of the span, and those of them that were slow."""
+        oldest_s = now_s - self._settings.span_s
+        while self._calls and self._calls[0][0] < oldest_s:
             self._calls.popleft()
-        if len(self._calls) < self._settings.least_calls:
+        return len(self._calls), sum(is_slow for _, is_slow in self._calls)
+
+    def judge(self, calls: int, slow: int, now_s: float) -> None:
+        """Judge by the calls of a span, those of other nodes included."""
+        if calls < self._settings.least_calls:
             return
         self._has_judged = True
-        slow = sum(one for _, one in self._calls)
-        if slow > self._settings.strained_share * len(self._calls):
+        if slow > self._settings.strained_share * calls:
             self._strained_s = now_s
+
+    def _take(self, is_slow: bool, now_s: float) -> None:
+        self._calls.append((now_s, is_slow))
+        self.judge(*self.recent(now_s), now_s)
--- a/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
@@ -112,7 +112,10 @@
             for (name, domain), until_s in self._refusing.items()
             if name == service and now_s < until_s
         ]
-        return FleetNeed(self._strain(service).holds(now_s), refusing)
+        demand = self._knowledge.demand.of_service(service, now_s)
+        strain = self._strain(service)
+        strain.judge(demand.begun, demand.slow, now_s)
+        return FleetNeed(strain.holds(now_s), refusing)
 
     def _strain(self, service: str) -> Strain:
         return self._knowledge.watch_of(service).strain
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -10,17 +10,22 @@
     CountsSender,
     CrashGuard,
     CrashSettings,
+    DemandSample,
     Departure,
     DepartureSettings,
     FleetConfiguration,
+    FleetDemand,
+    FleetDemandSettings,
     Freshness,
     FreshnessSettings,
     LineSettings,
+    Phase,
     Placement,
     PromptPace,
     ReadingLine,
     ReadingPaceSettings,
     RegistrySettings,
+    ServiceDemand,
     SourceChoice,
     SourceSettings,
     Strain,
@@ -89,6 +94,11 @@
     receiver: CountsReceiver = attrs.field(factory=CountsReceiver)
     signal: ChangeSignal = attrs.field(factory=ChangeSignal)
     turns: LineTurns = attrs.field(factory=LineTurns)
+    demand: FleetDemand = attrs.field(
+        factory=lambda: FleetDemand(FleetDemandSettings())
+    )
+    # How many nodes there are, this one included.
+    node_count: int = 1
     configuration: FleetConfiguration | None = None
     configuration_revision: int = 0
     # As the operator wrote it, compressed, for the nodes that ask this one.
@@ -103,6 +113,21 @@
         """Find what this node saw of a service."""
         return self._watches.setdefault(service, ServiceWatch())
 
+    def own_demand(self, now_s: float) -> DemandSample:
+        """Sample the calls of this node."""
+        return DemandSample(
+            1, tuple(self._demand_of(name, now_s) for name in self._watches)
+        )
+
+    def _demand_of(self, service: str, now_s: float) -> ServiceDemand:
+        streams = sum(
+            self.loads.own(one.target_id)
+            for one in self.registry.all_of_service(service)
+            if one.phase is Phase.DECODE
+        )
+        begun, slow = self.watch_of(service).strain.recent(now_s)
+        return ServiceDemand(service, streams, begun, slow)
+
     def forget_targets(self, usable: frozenset[str]) -> None:
         """Drop what is kept of targets that are not listed any more.
 
@@ -116,7 +141,8 @@
 
     def take_node_count(self, count: int) -> None:
         """Take the number of nodes, this one included."""
-        nodes = NODES_MARGIN * max(1, count)
+        self.node_count = max(1, count)
+        nodes = NODES_MARGIN * self.node_count
         self.budget.resize(self.settings.retry_extra / nodes)
 
     @property
--- a/packages/gateway/dandelionyoke_gateway/_news_desk.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_desk.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from dandelionyoke_core import InstanceId, PeerMessage
+from dandelionyoke_dispatch import DemandSample
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._news_messages import (
@@ -36,6 +37,8 @@
         self._knowledge.asked_s = received_s
         if asked.parcel is not None:
             self._knowledge.receiver.take(asked.parcel)
+        if asked.demand is not None:
+            self._knowledge.demand.take(peer_id, asked.demand, received_s)
         until_s = received_s + min(asked.hold_s, LONGEST_HOLD_S)
         while not self._has_news(asked) and clock_s() < until_s:
             self._knowledge.signal.wait(until_s - clock_s())
@@ -55,8 +58,15 @@
             self._targets(asked, received_s),
             knowledge.crashes.notes(clock_s()),
             knowledge.receiver.saved(asked.process),
+            self._demand(),
         )
 
+    def _demand(self) -> DemandSample:
+        knowledge, now_s = self._knowledge, clock_s()
+        own_id = knowledge.settings.instance_id
+        knowledge.demand.take(own_id, knowledge.own_demand(now_s), now_s)
+        return knowledge.demand.total(now_s)
+
     def _configuration(
         self, asked: NewsAsked, received_s: float
     ) -> ConfigurationNews | None:
--- a/packages/gateway/dandelionyoke_gateway/_news_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_messages.py
@@ -11,6 +11,7 @@
 from dandelionyoke_dispatch import (
     CountsParcel,
     CrashNote,
+    DemandSample,
     ListingChanges,
     ListingMark,
 )
@@ -32,6 +33,7 @@
     wants_configuration: bool = False
     mark: ListingMark | None = None
     parcel: CountsParcel | None = None
+    demand: DemandSample | None = None
 
 
 @attrs.frozen
@@ -64,3 +66,4 @@
     targets: TargetNews | None = None
     crashes: tuple[CrashNote, ...] = ()
     saved_parcel: int = 0
+    demand: DemandSample | None = None
--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -145,6 +145,7 @@
             self._wants_configuration,
             self._mark,
             self._knowledge.sender.pack(clock_s()),
+            self._knowledge.own_demand(clock_s()),
         )
         if not hub.send(peer_id, asked):
             return None
@@ -190,6 +191,10 @@
         knowledge = self._knowledge
         knowledge.told_s = clock_s()
         knowledge.sender.confirm(told.saved_parcel)
+        if told.demand is not None:
+            knowledge.demand.take_sum(
+                member.instance_id, told.demand, clock_s()
+            )
         for note in told.crashes:
             seen_s = clock_s() - note.age_s
             knowledge.crashes.crashed(note.call, note.target_id, seen_s)
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -181,7 +181,12 @@
         Of those that wait only some count: they grow in number while they
         wait, and most would be done by the time that an engine has changed.
         """
-        return sum(
+        knowledge = self._knowledge
+        service = engines[0].service if engines else ''
+        expected = knowledge.demand.expected_streams(
+            service, knowledge.node_count, now_s
+        )
+        seen = sum(
             min(
                 self._knowledge.loads.busy(one.target_id, now_s),
                 one.slots * (1 + WAITING_SHARE),
@@ -189,3 +194,4 @@
             for one in engines
             if one.phase is Phase.DECODE
         )
+        return max(expected, seen)
