Tell failures of targets to the node that places for a domain

Change: each failure goes to the placing node, which counts one while a target rests; its answers name the targets that rest, and a prefill that was read clears its engine. Ruled out: two witnesses for each pause (a domain of two nodes has none); a node that is cut off adds a failure per call of its own, and each success of another node clears it.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -99,6 +99,7 @@
 )
 from dandelionyoke_dispatch._target_load import (
     SuspicionSettings as SuspicionSettings,
+    TargetFailure as TargetFailure,
     TargetLoads as TargetLoads,
 )
 from dandelionyoke_dispatch._usage import (
--- a/packages/dispatch/dandelionyoke_dispatch/_target_load.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_load.py
@@ -1,11 +1,26 @@
 """What this node has under way at each target, and which ones misbehave."""
 
+import enum
+from collections.abc import Callable
+
 import attrs
 
 # A reported load says nothing about work that came and went since.
 REPORT_LIFETIME_S = 1.0
 
 
+@enum.unique
+class TargetFailure(enum.Enum):
+    """What a call met at a target instead of an answer."""
+
+    BROKEN = 'broken'
+    REFUSED = 'refused'
+    UNREACHABLE = 'unreachable'
+
+
+FailureListener = Callable[[str, TargetFailure], None]
+
+
 @attrs.frozen
 class SuspicionSettings:
     """When a target is left alone, and for how long.
@@ -13,11 +28,15 @@
     A target that fails calls while its health check passes would swallow a
     share of the traffic for as long as it lasts. After `failures_in_a_row`
     it gets nothing for `first_rest_s`, doubled with each further failure.
+    One that another node suspects gets nothing for `suspected_s`. Failures
+    are forgotten after `forgotten_s` without a further one.
     """
 
     failures_in_a_row: int = 2
     first_rest_s: float = 0.5
     longest_rest_s: float = 4.0
+    suspected_s: float = 0.4
+    forgotten_s: float = 8.0
 
 
 @attrs.define
@@ -26,6 +45,7 @@
     reported: int = 0
     reported_s: float = -REPORT_LIFETIME_S
     failures: int = 0
+    failed_s: float = 0.0
     rests_until_s: float = 0.0
     is_lost: bool = False
 
@@ -36,6 +56,11 @@
     def __init__(self, settings: SuspicionSettings) -> None:
         self._settings = settings
         self._loads: dict[str, _Load] = {}
+        self._listener: FailureListener | None = None
+
+    def listen(self, listener: FailureListener) -> None:
+        """Tell a listener of each failure that this node's calls meet."""
+        self._listener = listener
 
     def began(self, target_id: str) -> None:
         """Count a dispatch."""
@@ -60,14 +85,8 @@
 
     def failed(self, target_id: str, now_s: float) -> None:
         """Count a failure; several in a row make the target rest."""
-        load = self._of(target_id)
-        load.failures += 1
-        excess = load.failures - self._settings.failures_in_a_row
-        if excess >= 0:
-            rest_s = self._settings.first_rest_s * 2**excess
-            load.rests_until_s = now_s + min(
-                rest_s, self._settings.longest_rest_s
-            )
+        self._count(target_id, TargetFailure.BROKEN, now_s)
+        self._tell(target_id, TargetFailure.BROKEN)
 
     def refused(self, target_id: str, now_s: float) -> None:
         """Leave a target alone that said it did not run a call.
@@ -75,17 +94,61 @@
         It is full, or it is changing its phase, which the registry tells
         only seconds later; each further refusal doubles the pause.
         """
-        load = self._of(target_id)
-        load.failures = max(load.failures, self._settings.failures_in_a_row)
-        load.is_lost = False
-        self.failed(target_id, now_s)
+        self._count(target_id, TargetFailure.REFUSED, now_s)
+        self._tell(target_id, TargetFailure.REFUSED)
 
     def unreachable(self, target_id: str, now_s: float) -> None:
         """Leave a target alone that took no connection."""
+        self._count(target_id, TargetFailure.UNREACHABLE, now_s)
+        self._tell(target_id, TargetFailure.UNREACHABLE)
+
+    def told(
+        self, target_id: str, failure: TargetFailure, now_s: float
+    ) -> None:
+        """Count a failure that a call of another node met.
+
+        Calls of many nodes fail at the same moment, which says no more than
+        one of them.
+        """
+        if not self.rests(target_id, now_s):
+            self._count(target_id, failure, now_s)
+
+    def suspected(self, target_id: str, now_s: float) -> None:
+        """Leave a target alone for a moment that another node leaves alone."""
+        load = self._of(target_id)
+        until_s = now_s + self._settings.suspected_s
+        load.rests_until_s = max(load.rests_until_s, until_s)
+
+    def resting(self, now_s: float) -> list[str]:
+        """List the targets that are left alone."""
+        return sorted(
+            target_id
+            for target_id, load in self._loads.items()
+            if now_s < load.rests_until_s
+        )
+
+    def _tell(self, target_id: str, failure: TargetFailure) -> None:
+        if self._listener is not None:
+            self._listener(target_id, failure)
+
+    def _count(
+        self, target_id: str, failure: TargetFailure, now_s: float
+    ) -> None:
         load = self._of(target_id)
-        load.failures = max(load.failures, self._settings.failures_in_a_row)
-        load.is_lost = True
-        self.failed(target_id, now_s)
+        if now_s - load.failed_s > self._settings.forgotten_s:
+            load.failures = 0
+        load.failed_s = now_s
+        if failure is not TargetFailure.BROKEN:
+            # One is enough: the target cannot serve the next call either.
+            load.failures = max(load.failures, self._settings.failures_in_a_row)
+            load.is_lost = failure is TargetFailure.UNREACHABLE
+        load.failures += 1
+        excess = load.failures - self._settings.failures_in_a_row
+        if excess >= 0:
+            rest_s = self._settings.first_rest_s * 2**excess
+            load.rests_until_s = now_s + min(
+                rest_s, self._settings.longest_rest_s
+            )
 
     def is_lost(self, target_id: str, now_s: float) -> bool:
         """Whether a target took no connection and has not answered since.
--- a/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
@@ -7,7 +7,7 @@
 from eventlet.queue import Empty, LightQueue
 
 from dandelionyoke_core import InstanceId, PeerMessage
-from dandelionyoke_dispatch import PrefillHome, RegisteredTarget
+from dandelionyoke_dispatch import PrefillHome, RegisteredTarget, TargetFailure
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
@@ -17,6 +17,7 @@
     PrefillEnded,
     PrefillTold,
     PrefillVerdict,
+    TargetFailed,
 )
 from dandelionyoke_gateway._prefill_queue import (
     LocalPrefillQueue,
@@ -59,6 +60,7 @@
     def attach(self, send: Send) -> None:
         """Take how messages leave, once there are links."""
         self._send = send
+        self._knowledge.loads.listen(self._report)
 
     def enter(self, request: PrefillRequest) -> PrefillGrant:
         """Wait for an engine."""
@@ -128,6 +130,7 @@
             return None
         until_s = clock_s() + ANSWER_TIMEOUT_S
         while (told := _next(question, until_s)) is not None:
+            self._suspect(told)
             match told.verdict:
                 case PrefillVerdict.GRANTED:
                     return self._home(told, request)
@@ -164,6 +167,16 @@
             return None
         return target
 
+    def _suspect(self, told: PrefillTold) -> None:
+        for target_id in told.suspects:
+            self._knowledge.loads.suspected(target_id, clock_s())
+
+    def _report(self, target_id: str, failure: TargetFailure) -> None:
+        """Tell a failure to the node that places calls there."""
+        peer_id = self._placing_node()
+        if peer_id is not None and self._send is not None:
+            self._send(peer_id, TargetFailed(target_id, failure))
+
     def _withdraw(self, turn_id: str) -> None:
         question = self._questions.pop(turn_id, None)
         if question is not None:
--- a/packages/gateway/dandelionyoke_gateway/_prefill_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_links.py
@@ -1,12 +1,14 @@
 """Takes what links bring for the prefill queue of a failure domain."""
 
 from dandelionyoke_core import Event, PeerDisconnected, PeerMessageArrived
+from dandelionyoke_dispatch import TargetLoads
 from dandelionyoke_gateway._domain_prefill_queue import DomainPrefillQueue
 from dandelionyoke_gateway._news_desk import Send
 from dandelionyoke_gateway._prefill_messages import (
     PrefillAsked,
     PrefillEnded,
     PrefillTold,
+    TargetFailed,
 )
 from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
 from dandelionyoke_gateway._prefill_server import PrefillServer
@@ -16,15 +18,19 @@
     """Both ends of the questions for engines."""
 
     def __init__(
-        self, queue: DomainPrefillQueue, local: LocalPrefillQueue
+        self,
+        queue: DomainPrefillQueue,
+        local: LocalPrefillQueue,
+        loads: TargetLoads,
     ) -> None:
         self._queue = queue
         self._local = local
+        self._loads = loads
         self._server: PrefillServer | None = None
 
     def attach(self, send: Send) -> None:
         """Take how messages leave, once there are links."""
-        self._server = PrefillServer(self._local, send)
+        self._server = PrefillServer(self._local, self._loads, send)
         self._queue.attach(send)
 
     def take(self, event: Event) -> bool:
@@ -45,6 +51,8 @@
                 peer_id=peer_id, message=PrefillEnded() as ended
             ):
                 server.ended(peer_id, ended)
+            case PeerMessageArrived(message=TargetFailed() as failed):
+                server.failed(failed)
             case PeerMessageArrived(message=PrefillTold() as told):
                 self._queue.told(told)
             case _:
--- a/packages/gateway/dandelionyoke_gateway/_prefill_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_messages.py
@@ -8,6 +8,7 @@
 import attrs
 
 from dandelionyoke_core import PeerMessage
+from dandelionyoke_dispatch import TargetFailure
 
 # A queued question is told again after each such pause, so that its asker
 # need not wait for a node that is gone.
@@ -48,7 +49,8 @@
 class PrefillTold(PeerMessage):
     """The answer; a queued question gets further ones until it is granted.
 
-    A refused caller may come back after `retry_after_s`.
+    A refused caller may come back after `retry_after_s`. `suspects` are the
+    targets that are left alone for their failures.
     """
 
     number: int
@@ -56,6 +58,7 @@
     target_id: str = ''
     source_id: str = ''
     retry_after_s: float = 0.0
+    suspects: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -64,3 +67,11 @@
 
     number: int
     read_s: float | None = None
+
+
+@attrs.frozen
+class TargetFailed(PeerMessage):
+    """What a call met at a target, for the node that places others."""
+
+    target_id: str
+    failure: TargetFailure
--- a/packages/gateway/dandelionyoke_gateway/_prefill_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_server.py
@@ -9,7 +9,7 @@
 from eventlet.greenthread import GreenThread
 
 from dandelionyoke_core import InstanceId
-from dandelionyoke_dispatch import Entry, Prompt, PromptPart
+from dandelionyoke_dispatch import Entry, Prompt, PromptPart, TargetLoads
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._news_desk import Send
 from dandelionyoke_gateway._prefill_messages import (
@@ -18,6 +18,7 @@
     PrefillEnded,
     PrefillTold,
     PrefillVerdict,
+    TargetFailed,
 )
 from dandelionyoke_gateway._prefill_queue import (
     LocalPrefillQueue,
@@ -31,6 +32,8 @@
 # A place whose end is not told is free again this long after its prefill is
 # of no use: the node that had it is gone or cut off.
 END_MARGIN_S = 1.0
+# More do not fit into the part of a small machine's link that control may use.
+MOST_SUSPECTS = 32
 
 Key = tuple[InstanceId, int]
 
@@ -44,8 +47,11 @@
 class PrefillServer:
     """Answers the questions of other nodes from the local queue."""
 
-    def __init__(self, queue: LocalPrefillQueue, send: Send) -> None:
+    def __init__(
+        self, queue: LocalPrefillQueue, loads: TargetLoads, send: Send
+    ) -> None:
         self._queue = queue
+        self._loads = loads
         self._send = send
         self._granted: dict[Key, PrefillGrant] = {}
         self._waiting: dict[Key, _Waiting] = {}
@@ -111,7 +117,11 @@
         self._granted[key] = grant
         source_id = '' if home.source is None else home.source.target_id
         told = PrefillTold(
-            number, PrefillVerdict.GRANTED, home.target.target_id, source_id
+            number,
+            PrefillVerdict.GRANTED,
+            home.target.target_id,
+            source_id,
+            suspects=self._suspects(),
         )
         if not self._send(peer_id, told):
             self._free(key, PrefillResult())
@@ -121,10 +131,19 @@
             max(0, end_s - clock_s()), self._free, key, PrefillResult()
         )
 
+    def _suspects(self) -> tuple[str, ...]:
+        return tuple(self._loads.resting(clock_s())[:MOST_SUSPECTS])
+
     def _free(self, key: Key, result: PrefillResult) -> None:
         grant = self._granted.pop(key, None)
         if grant is not None:
             self._queue.leave(grant, result)
+        if grant is not None and grant.home and result.read_s is not None:
+            self._loads.succeeded(grant.home.target.target_id)
+
+    def failed(self, failed: TargetFailed) -> None:
+        """Take a failure that a call of another node met."""
+        self._loads.told(failed.target_id, failed.failure, clock_s())
 
     def _refuse(self, key: Key, late: TooLateError) -> None:
         peer_id, number = key
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -195,7 +195,9 @@
 
     def _start_links(self, news_task: NewsTask) -> None:
         """Answer other nodes, and ask them for news and for engines."""
-        prefills = PrefillLinks(self._prefills, self._local_prefills)
+        prefills = PrefillLinks(
+            self._prefills, self._local_prefills, self._knowledge.loads
+        )
         eventlet.spawn_n(
             serve_news,
             news_task,
--- a/tests/dispatch/test_target_load.py
+++ b/tests/dispatch/test_target_load.py
@@ -2,7 +2,11 @@
 
 import testtools
 
-from dandelionyoke_dispatch import SuspicionSettings, TargetLoads
+from dandelionyoke_dispatch import (
+    SuspicionSettings,
+    TargetFailure,
+    TargetLoads,
+)
 
 
 class LostTargetTest(testtools.TestCase):
@@ -38,3 +42,22 @@
         self.loads.failed('i-1', 0)
         self.loads.failed('i-1', 0)
         self.assertFalse(self.loads.is_lost('i-1', 0.1))
+
+    def test_failures_of_many_nodes_at_once_count_once(self) -> None:
+        """Guards against a long pause for one short failure."""
+        for _ in range(39):
+            self.loads.told('i-1', TargetFailure.REFUSED, 0)
+        self.assertTrue(self.loads.rests('i-1', 0.9))
+        self.assertFalse(self.loads.rests('i-1', 1.1))
+
+    def test_old_failures_are_forgotten(self) -> None:
+        """Guards against ever longer pauses for rare failures."""
+        for at_s in range(0, 100, 10):
+            self.loads.told('i-1', TargetFailure.REFUSED, at_s)
+        self.assertFalse(self.loads.rests('i-1', 91.1))
+
+    def test_one_that_others_suspect_is_left_alone_for_a_moment(self) -> None:
+        """Guards against a suspicion that outlasts its reason."""
+        self.loads.suspected('i-1', 0)
+        self.assertEqual(['i-1'], self.loads.resting(0.3))
+        self.assertEqual([], self.loads.resting(0.5))
--- a/tests/gateway/test_prefill_queue.py
+++ b/tests/gateway/test_prefill_queue.py
@@ -60,7 +60,7 @@
         self.local = LocalPrefillQueue(self.knowledge)
         self.log = DecisionLog(Lines(), name, Metrics())
         self.queue = DomainPrefillQueue(self.local, self.knowledge, self.log)
-        self.links = PrefillLinks(self.queue, self.local)
+        self.links = PrefillLinks(self.queue, self.local, self.knowledge.loads)
         self.links.attach(self.send)
 
     def send(self, peer_id: InstanceId, message: PeerMessage) -> bool:
@@ -282,6 +282,34 @@
         self.assertEqual(0, line.expected_wait_s())
         self.assertEqual(0, sum(map(line.backlog_tokens, ('i-0', 'i-1'))))
 
+    def test_one_failure_is_known_to_the_domain(self) -> None:
+        """Guards against each node learning of a dead engine by itself."""
+        network = self.network(nodes=4, engines=2)
+        first, second, _ = network.others
+        first.knowledge.loads.unreachable('i-0', clock_s())
+        eventlet.sleep(0.02)
+        grant = second.queue.enter(request())
+        self.assertEqual('i-1', grant.home.target.target_id)
+        self.assertTrue(second.knowledge.loads.rests('i-0', clock_s()))
+
+    def test_a_node_that_is_cut_off_empties_no_fleet(self) -> None:
+        """Guards against one node's failures that stop all others."""
+        network = self.network(nodes=4, engines=2)
+        cut_off, sound, _ = network.others
+        for name in ('i-0', 'i-1'):
+            cut_off.knowledge.loads.unreachable(name, clock_s())
+        eventlet.sleep(0.02)
+        grant = sound.queue.enter(request())
+        self.assertIsNotNone(grant.home)
+        sound.queue.leave(grant, PrefillResult(READ_S))
+        eventlet.sleep(0.02)
+        loads = network.placing.knowledge.loads
+        target_id = grant.home.target.target_id
+        cut_off.knowledge.loads.unreachable(target_id, clock_s())
+        eventlet.sleep(0.02)
+        loads.succeeded(target_id)
+        self.assertFalse(loads.rests(target_id, clock_s() + 1.1))
+
     def test_an_answer_that_nobody_waits_for_is_dropped(self) -> None:
         """Guards against a late or repeated answer that changes a call."""
         network = self.network(nodes=2, engines=1)
