Spread the streams of many nodes over the decode engines

Cause: among engines with equal load the first by name was chosen. A node of a large fleet knows of hardly any other stream, so that all nodes sent theirs to one engine of each domain (16 decode engines, five of them used). Change: each node ranks equals by rendezvous hashing of its own name; the order stays, so that connections serve again. Tests: test_195_nodes_spread_their_streams (before: 1 engine of 16). Three tests of calls took the first engine by name for granted; they now let whichever engine comes first misbehave, with the same assertions.

--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -43,12 +43,14 @@
         loads: TargetLoads,
         fetches: TargetLoads,
         domain: str,
+        instance_id: str,
     ) -> None:
         self._registry = registry
         self._loads = loads
         # How fetching shared parts from engines went.
         self._fetches = fetches
         self._domain = domain
+        self._instance_id = instance_id
 
     def prefill_home(
         self,
@@ -125,7 +127,11 @@
         A cache that crosses domains takes twice as long, so an engine near
         the one that holds it is preferred until it is much busier. One that
         has just come may be about to change its phase: all nodes would find
-        it idle, send it their next streams and have them refused.
+        it idle, send it their next streams and have them refused. Among
+        equals each node has an order of its own: a node of a large fleet
+        knows of hardly any other stream, and the first engine by name would
+        get those of all nodes. The order stays, so that a node's connections
+        serve it again.
         """
         found = self._usable(service, Phase.DECODE, avoid, now_s)
         if not found:
@@ -137,12 +143,13 @@
         ]
         found = settled or found
         near = near_domain or self._domain
+        by_id = {target.target_id: target for target in found}
+        ranked = rendezvous(by_id, self._instance_id, len(by_id))
         return min(
-            found,
+            (by_id[target_id] for target_id in ranked),
             key=lambda target: (
                 self._loads.busy(target.target_id, now_s) / target.slots
-                + FAR_PENALTY * (target.domain != near),
-                target.target_id,
+                + FAR_PENALTY * (target.domain != near)
             ),
         )
 
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -173,7 +173,9 @@
         registry=registry,
         loads=loads,
         fetches=fetches,
-        placement=Placement(registry, loads, fetches, settings.domain),
+        placement=Placement(
+            registry, loads, fetches, settings.domain, settings.instance_id
+        ),
         budget=RetryBudget(
             share=settings.retry_share * SHARE_KEPT,
             reserve=extra,
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -1,4 +1,6 @@
-"""Which engine reads a prompt."""
+"""Which engine reads a prompt, and which one streams its answer."""
+
+from collections import Counter
 
 import testtools
 
@@ -44,7 +46,7 @@
         )
         loads = TargetLoads(SuspicionSettings())
         self.fetches = TargetLoads(SuspicionSettings(failures_in_a_row=1))
-        self.placement = Placement(registry, loads, self.fetches, 'a')
+        self.placement = Placement(registry, loads, self.fetches, 'a', 'n-1')
         self.line = ReadingLine(LineSettings(most_at_engine=99))
         self.pace = PromptPace(ReadingPaceSettings())
         self.pace.took(prompt('y'), 9000 * TOKEN_S)
@@ -146,7 +148,7 @@
         loads = TargetLoads(SuspicionSettings())
         fetches = TargetLoads(SuspicionSettings())
         self.loads = loads
-        self.placement = Placement(self.registry, loads, fetches, 'a')
+        self.placement = Placement(self.registry, loads, fetches, 'a', 'n-1')
 
     def list(self, *names: str, at_s: float) -> None:
         self.registry.replace(
@@ -187,3 +189,36 @@
         """A process starts while the fleet runs; it has seen no engine come."""
         self.list('e1', 'e2', at_s=100)
         self.assertFalse(self.registry.is_new('e1', 100))
+
+
+class DecodeSpreadTest(testtools.TestCase):
+    def first_choices(self, nodes: int, engines: int) -> list[str]:
+        """Let each node place one stream, knowing of no other."""
+        loads = TargetLoads(SuspicionSettings())
+        registry = TargetRegistry(RegistrySettings())
+        registry.replace(
+            [
+                RegisteredTarget(
+                    f'e{n}', 'lm', '10.0.0.1:1', 'a', 64, False, Phase.DECODE
+                )
+                for n in range(engines)
+            ],
+            0,
+        )
+        chosen = []
+        for node in range(nodes):
+            placement = Placement(registry, loads, loads, 'a', f'n-{node}')
+            target = placement.decode_target('lm', 'a', (), 0)
+            assert target is not None
+            chosen.append(target.target_id)
+        return chosen
+
+    def test_195_nodes_spread_their_streams(self) -> None:
+        """Guards against one engine that gets the streams of all nodes."""
+        crowd = Counter(self.first_choices(nodes=195, engines=16))
+        self.assertEqual(16, len(crowd))
+        self.assertLess(max(crowd.values()), 2.5 * 195 / 16)
+
+    def test_a_node_comes_back_to_its_engine(self) -> None:
+        """Guards against a new connection for each stream."""
+        self.assertEqual(self.first_choices(20, 8), self.first_choices(20, 8))
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -1,15 +1,17 @@
 """Calls over real sockets, to targets that do not behave."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import eventlet
 import testtools
 
+from dandelionyoke_core import rendezvous
 from dandelionyoke_dispatch import Phase, Prompt, PromptPart
 from dandelionyoke_gateway import clock_s
 from tests.platform.path import (
     Path,
     Piece,
+    Script,
     Seen,
     answer,
     chunk,
@@ -32,6 +34,18 @@
     yield answer('503 Busy', b'', 'Not-Executed: 1\r\n')
 
 
+def first(script: Script, then: Script) -> Script:
+    """Play a script for the first request, whichever target it reaches."""
+    seen_before: list[Seen] = []
+
+    def play(seen: Seen) -> Iterable[Piece]:
+        chosen = then if seen_before else script
+        seen_before.append(seen)
+        return chosen(seen)
+
+    return play
+
+
 def status(content: bytes) -> int:
     return int(content.split(b' ')[1])
 
@@ -241,8 +255,9 @@
         one of them is missing.
         """
         reader = self.path.add(self.reads, 'lm', Phase.PREFILL)
-        self.path.add(refuses, 'lm', Phase.DECODE)
-        self.path.add(self.streams, 'lm', Phase.DECODE)
+        script = first(refuses, self.streams)
+        for _ in range(2):
+            self.path.add(script, 'lm', Phase.DECODE)
         self.assertEqual(200, status(self.path.call('/ask/1', extra=PROMPT)))
         self.assertEqual(1, len(reader.seen))
 
@@ -282,9 +297,12 @@
         would be refused beside an engine that is sound.
         """
         reader = self.path.add(self.reads, 'lm', Phase.PREFILL)
-        for _ in range(2):
-            self.path.add(self.streams, 'lm', Phase.DECODE).close()
-        self.path.add(self.streams, 'lm', Phase.DECODE)
+        engines = {
+            f'i-{number}': self.path.add(self.streams, 'lm', Phase.DECODE)
+            for number in (2, 3, 4)
+        }
+        for name in rendezvous(engines, 'n-1', 2):
+            engines[name].close()
         while self.path.knowledge.budget.spend(clock_s()):
             continue
         self.assertEqual(200, status(self.path.call('/ask/1', extra=PROMPT)))
@@ -298,8 +316,9 @@
         may when many engines break off at once.
         """
         self.path.add(self.reads, 'lm', Phase.PREFILL)
-        self.path.add(resets, 'lm', Phase.DECODE)
-        self.path.add(self.streams, 'lm', Phase.DECODE)
+        script = first(resets, self.streams)
+        for _ in range(2):
+            self.path.add(script, 'lm', Phase.DECODE)
         budget = self.path.knowledge.budget
         budget.resize(3)
         while budget.spend(clock_s()):
