--- a/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
@@ -120,7 +120,7 @@
         if home is None:
             self._withdraw(turn_id)
             return None
-        return PrefillGrant(request, turn_id, home)
+        return PrefillGrant(request, turn_id, home, peer_id)
 
     def _await_home(
         self, question: _Question, request: PrefillRequest
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -51,11 +51,15 @@
 
 @attrs.frozen
 class PrefillGrant:
-    """The engine that a request got; None where none reads prompts now."""
+    """The engine that a request got; None where none reads prompts now.
+
+    `placed_by` names the other node that chose it.
+    """
 
     request: PrefillRequest
     turn_id: str
     home: PrefillHome | None
+    placed_by: str | None = None
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -129,6 +129,7 @@
             source=place.source.target_id if place.source else None,
             waited_s=began_s - asked_s,
             took_s=read_s,
+            placed_by=grant.placed_by,
         )
         return ReadPrompt(place.target, cache)
 
