Read the configuration once for a storm of changes

Change: a node waits a fifth of the bound on new configurations between two reads and takes the newest one; the read itself proves how new it is. Weighed: sending large configurations over the links (1 MB for each change at the node of a domain, on a link of 20 Mbit/s).

--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -19,7 +19,7 @@
 from dandelionyoke_dispatch import ListingMark, Member
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._configuration_keeper import ConfigurationKeeper
-from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._knowledge import NEVER_S, Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_desk import NewsDesk
 from dandelionyoke_gateway._news_messages import (
@@ -72,6 +72,7 @@
         self._source = ''
         self._wants_configuration = False
         self._stale_since_s: float | None = None
+        self._fetched_s = NEVER_S
 
     def run(self, hub: PeerHub) -> None:
         """Ask for as long as the process lives."""
@@ -230,6 +231,8 @@
             )
             self._wants_configuration = False
             return
+        self._await_fetch()
+        read_s = clock_s()
         found = self._store.perform(
             StoreGet(
                 OperationId('configuration'), self._dialect.configuration_key
@@ -237,10 +240,21 @@
         )
         if isinstance(found, StoreItem) and found.value:
             self._configurations.adopt(found.value, found.revision, 'store')
+            self._configurations.prove(found.revision, read_s)
             self._wants_configuration = False
         else:
             self._wants_configuration = True
 
+    def _await_fetch(self) -> None:
+        """Wait until the store may be read again.
+
+        In a storm of changes each node would read each of them, and only the
+        newest one counts.
+        """
+        due_s = self._fetched_s + self._reliance.fetch_interval_s
+        eventlet.sleep(max(0, due_s - clock_s()))
+        self._fetched_s = clock_s()
+
     def _judge(self, told: NewsTold, member: Member, asked_s: float) -> None:
         """Pass a node over whose answers stay old."""
         if self._reliance.is_new(told, clock_s() - asked_s):
--- a/packages/gateway/dandelionyoke_gateway/_reliance.py
+++ b/packages/gateway/dandelionyoke_gateway/_reliance.py
@@ -25,6 +25,9 @@
     configuration_share: float = 0.75
     registry_share: float = 0.75
     hold_share: float = 0.2
+    # Configurations that come in quick succession are read from the store
+    # once in this share of the bound on new ones.
+    fetch_share: float = 0.2
     # Two watches in a row and a slow answer make a proof this old.
     blind_s: float = 3.2
     # Asked by others within this time, a node is relied on.
@@ -45,6 +48,7 @@
         self._configuration_s = settings.configuration_share * apply_s
         self._registry_s = settings.registry_share * drain_s
         self.hold_s = settings.hold_share * drain_s
+        self.fetch_interval_s = settings.fetch_share * apply_s
 
     @property
     def watch_s(self) -> float:
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -6,7 +6,13 @@
 import eventlet
 import testtools
 
-from dandelionyoke_core import Metrics, PeerMessage
+from dandelionyoke_core import (
+    Action,
+    Metrics,
+    PeerMessage,
+    StoreItem,
+    StoreResult,
+)
 from dandelionyoke_dispatch import (
     CountsParcel,
     ListingChanges,
@@ -20,7 +26,12 @@
 from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_desk import MOST_PACKED_BYTES, NewsDesk
-from dandelionyoke_gateway._news_messages import NewsAsked, NewsTold
+from dandelionyoke_gateway._news_messages import (
+    ConfigurationNews,
+    NewsAsked,
+    NewsTold,
+)
+from dandelionyoke_gateway._news_task import NewsTask
 from dandelionyoke_gateway._registry_keeper import RegistryKeeper
 from dandelionyoke_gateway._reliance import Reliance, RelianceSettings
 from dandelionyoke_platform._dialect import PlatformDialect
@@ -33,7 +44,7 @@
     return RegisteredTarget(name, 'lm', '10.0.0.1:1', 'a', 4, leaving)
 
 
-class NewsTest(testtools.TestCase):
+class NewsCase(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
         self.knowledge: Knowledge = new_knowledge(new_settings(), Random(3))
@@ -59,6 +70,8 @@
         assert isinstance(told, NewsTold)
         return told
 
+
+class NewsTest(NewsCase):
     def test_old_knowledge_is_told_as_old(self) -> None:
         """The node that is asked lost the store four seconds ago.
 
@@ -132,6 +145,52 @@
         self.assertEqual(4, self.ask().saved_parcel)
 
 
+class FakeStore:
+    """Holds one configuration, and counts how often it is read."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.reads = 0
+
+    def perform(self, action: Action) -> StoreResult:
+        self.reads += 1
+        return StoreItem('configuration', self.revision, configuration())
+
+
+class StormTest(NewsCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = FakeStore()
+        self.task = NewsTask(
+            self.knowledge,
+            self.store,
+            PlatformDialect(),
+            self.configurations,
+            self.registry,
+            Reliance(self.knowledge, RelianceSettings()),
+            DecisionLog(Lines(), 'n-1', Metrics()),
+        )
+
+    def change(self) -> None:
+        """Write a configuration that is too large to be told whole."""
+        self.store.revision += 1
+        news = ConfigurationNews(self.store.revision, 0.0)
+        told = NewsTold(1, news)
+        self.task._take(told, Member('n-2', 'a', '10.0.0.2:7'), clock_s())
+
+    def test_a_storm_of_configurations_is_read_a_few_times(self) -> None:
+        """Guards against store reads that grow with nodes times changes."""
+        until_s = clock_s() + 0.5
+        while clock_s() < until_s:
+            self.change()
+            eventlet.sleep(0.01)
+        self.assertLess(self.store.reads, 4)
+        self.assertEqual(
+            self.store.revision, self.knowledge.configuration_revision
+        )
+        self.assertIsNotNone(self.knowledge.freshness.proven_s)
+
+
 class RelianceTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
