Let the strongest node of a domain work for the others

Change: members tell their processor time; the strongest of a domain comes first. A node that fails again is passed over for twice as long, 16 s at most. An answer has 0.2 s. Tests: test_the_strongest_node_works_for_the_others, test_a_node_that_fails_again_is_passed_over_for_longer.

--- a/packages/dispatch/dandelionyoke_dispatch/_sources.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_sources.py
@@ -15,22 +15,36 @@
 
 @attrs.frozen
 class Member:
-    """A node as it entered itself in the store."""
+    """A node as it entered itself in the store.
+
+    `capacity` is its processor time for each second, in seconds.
+    """
 
     instance_id: str
     domain: str
     address: str
+    capacity: float = 1.0
 
 
 @attrs.frozen
 class SourceSettings:
     """How long a node that did not answer in time is passed over.
 
-    A killed process is back after about this time, and a node that is gone
-    is dropped from the members within a few such periods.
+    A killed process is back after about `doubt_s`, and a node that is gone
+    is dropped from the members within a few such periods. Each further failure
+    within `forgotten_s` of the end of such a period doubles it: a node that
+    the store turns away answers, and would be asked again and again.
     """
 
     doubt_s: float = 4.0
+    longest_doubt_s: float = 16.0
+    forgotten_s: float = 8.0
+
+
+@attrs.frozen
+class _Doubt:
+    for_s: float
+    until_s: float
 
 
 class SourceChoice:
@@ -44,7 +58,7 @@
         self._settings = settings
         self._near: Sequence[Member] = ()
         self._far: Sequence[Member] = ()
-        self._doubted_until_s: dict[str, float] = {}
+        self._doubts: dict[str, _Doubt] = {}
 
     def take_members(self, members: Iterable[Member]) -> None:
         """Take which nodes there are."""
@@ -53,23 +67,28 @@
         by_id.setdefault(self._own_id, own)
         near = [name for name in by_id if by_id[name].domain == self._domain]
         far = set(by_id) - set(near)
-        self._near = [
+        ranked = [
             by_id[name] for name in rendezvous(near, self._domain, len(near))
         ]
+        # The one that is asked works for all others of its domain.
+        self._near = sorted(ranked, key=lambda member: -member.capacity)
         # Each node ranks those of other domains differently, so that nodes
         # in need do not all turn to the same one.
         self._far = [
             by_id[name] for name in rendezvous(far, self._own_id, len(far))
         ]
-        self._doubted_until_s = {
-            name: until_s
-            for name, until_s in self._doubted_until_s.items()
-            if name in by_id
+        self._doubts = {
+            name: doubt for name, doubt in self._doubts.items() if name in by_id
         }
 
     def doubt(self, instance_id: str, now_s: float) -> None:
         """Pass a node over for a while."""
-        self._doubted_until_s[instance_id] = now_s + self._settings.doubt_s
+        settings = self._settings
+        for_s = settings.doubt_s
+        before = self._doubts.get(instance_id)
+        if before and now_s < before.until_s + settings.forgotten_s:
+            for_s = min(2 * before.for_s, settings.longest_doubt_s)
+        self._doubts[instance_id] = _Doubt(for_s, now_s + for_s)
 
     def is_source(self, now_s: float) -> bool:
         """Whether this node is the one of its domain that asks the store."""
@@ -106,6 +125,7 @@
         for member in members:
             if but_own and member.instance_id == self._own_id:
                 continue
-            if now_s >= self._doubted_until_s.get(member.instance_id, 0):
+            doubt = self._doubts.get(member.instance_id)
+            if doubt is None or now_s >= doubt.until_s:
                 return member
         return None
--- a/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
@@ -27,10 +27,11 @@
     TooLateError,
 )
 
-# A sound node of the domain answers within milliseconds.
-ANSWER_TIMEOUT_S = 0.12
+# A sound node of the domain answers within milliseconds, or after it has read
+# a new configuration.
+ANSWER_TIMEOUT_S = 0.2
 # A node that did not answer is not asked for this long.
-COOLDOWN_S = 1.0
+COOLDOWN_S = 0.5
 
 Send = Callable[[InstanceId, PeerMessage], bool]
 
--- a/packages/gateway/dandelionyoke_gateway/_member_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_member_task.py
@@ -50,6 +50,7 @@
             settings.instance_id,
             settings.domain,
             f'{endpoint.host}:{endpoint.port}',
+            settings.processors * settings.processor_share,
         )
         pause_s = FIRST_INTERVAL_S
         while True:
--- a/packages/gateway/dandelionyoke_gateway/_settings.py
+++ b/packages/gateway/dandelionyoke_gateway/_settings.py
@@ -42,6 +42,9 @@
     duty_turn_s: float
     usage_window_s: float
     usage_late_s: float
+    # How many processors there are, and the share of each that is its own.
+    processors: float = 1.0
+    processor_share: float = 1.0
 
 
 def read_settings(text: str) -> GatewaySettings:
@@ -103,6 +106,10 @@
     return number
 
 
+def _number_or_one(raw: str) -> float:
+    return _number(raw) if raw else 1.0
+
+
 def _milliseconds(raw: str) -> float:
     return _number(raw) / 1000
 
@@ -121,6 +128,8 @@
         'health': ('gateway', 'health_address', _endpoint),
         'metrics': ('gateway', 'metrics_address', _endpoint),
         'peers': ('gateway', 'peer_address', _endpoint),
+        'processors': ('gateway', 'processors', _number_or_one),
+        'processor_share': ('gateway', 'processor_share', _number_or_one),
         'store_address': ('store', 'address', _address),
         'duty_address': ('duties', 'address', _optional_address),
         'revocation_s': ('bounds', 'revocation_ms', _milliseconds),
--- a/tests/dispatch/test_sources.py
+++ b/tests/dispatch/test_sources.py
@@ -54,6 +54,34 @@
         asked = {node.whom_to_ask(14.1, is_blind=False) for node in nodes}
         self.assertEqual({first}, {one.instance_id for one in asked if one})
 
+    def test_the_strongest_node_works_for_the_others(self) -> None:
+        """Guards against a small machine that is too slow for its domain."""
+        strong = Member('a-9', 'a', '10.0.0.9:7', capacity=2.15)
+        nodes = [choice(one.instance_id, [*MEMBERS, strong]) for one in MEMBERS]
+        asked = {node.whom_to_ask(0, is_blind=False) for node in nodes[:5]}
+        self.assertEqual({strong}, asked)
+
+    def test_a_node_that_fails_again_is_passed_over_for_longer(self) -> None:
+        """Guards against asking a node that has lost the store in turns."""
+        first = next(
+            member.instance_id
+            for member in MEMBERS[:5]
+            if choice(member.instance_id).is_source(0)
+        )
+        other = 'a-1' if first != 'a-1' else 'a-2'
+        node = choice(other)
+        node.doubt(first, 0)
+        self.assertEqual(first, self.asked(node, 4.1))
+        node.doubt(first, 4.1)
+        self.assertNotEqual(first, self.asked(node, 12.0))
+        self.assertEqual(first, self.asked(node, 12.2))
+        node.doubt(first, 40)
+        self.assertEqual(first, self.asked(node, 44.1))
+
+    def asked(self, node: SourceChoice, now_s: float) -> str:
+        member = node.whom_to_ask(now_s, is_blind=False)
+        return '' if member is None else member.instance_id
+
     def test_who_asks_in_vain_asks_others_also_far_away(self) -> None:
         """The store turns a node away and serves others.
 
