Count streams by the engines' own word where there is one

Cause: the streams of a domain, scaled to the fleet, were counted beside what engines tell of their load. Change: an engine that told its load within a second is counted by it, the others by the scaled demand. Tests: tests/gateway/test_phase_task.py.

--- a/packages/dispatch/dandelionyoke_dispatch/_target_load.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_load.py
@@ -164,10 +164,15 @@
     def busy(self, target_id: str, now_s: float) -> int:
         """Estimate the calls at a target, those of other nodes included."""
         load = self._of(target_id)
-        if now_s - load.reported_s > REPORT_LIFETIME_S:
+        if not self.is_told(target_id, now_s):
             return load.own
         return max(load.own, load.reported)
 
+    def is_told(self, target_id: str, now_s: float) -> bool:
+        """Whether a target has told its load of late."""
+        reported_s = self._of(target_id).reported_s
+        return now_s - reported_s <= REPORT_LIFETIME_S
+
     def rests(self, target_id: str, now_s: float) -> bool:
         """Whether a target is left alone for now."""
         return now_s < self._of(target_id).rests_until_s
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -178,20 +178,29 @@
     ) -> float:
         """Count the streams at the engines that make tokens.
 
-        Of those that wait only some count: they grow in number while they
-        wait, and most would be done by the time that an engine has changed.
+        An engine that has told its load of late is counted by it, all others
+        by the streams that the nodes of a domain have under way. Of those
+        that wait only some count: they grow in number while they wait, and
+        most would be done by the time that an engine has changed.
         """
+        decode = [one for one in engines if one.phase is Phase.DECODE]
+        if not decode:
+            return 0
         knowledge = self._knowledge
-        service = engines[0].service if engines else ''
+        told = [
+            one
+            for one in decode
+            if knowledge.loads.is_told(one.target_id, now_s)
+        ]
         expected = knowledge.demand.expected_streams(
-            service, knowledge.node_count, now_s
+            decode[0].service, knowledge.node_count, now_s
         )
         seen = sum(
             min(
-                self._knowledge.loads.busy(one.target_id, now_s),
+                knowledge.loads.busy(one.target_id, now_s),
                 one.slots * (1 + WAITING_SHARE),
             )
-            for one in engines
-            if one.phase is Phase.DECODE
+            for one in decode
         )
-        return max(expected, seen)
+        untold_share = 1 - len(told) / len(decode)
+        return max(seen, seen + untold_share * (expected - seen))
--- /dev/null
+++ b/tests/gateway/test_phase_task.py
@@ -0,0 +1,69 @@
+"""What the phases of engines follow."""
+
+from random import Random
+
+import testtools
+
+from dandelionyoke_core import Metrics
+from dandelionyoke_dispatch import (
+    DemandSample,
+    Phase,
+    RegisteredTarget,
+    ServiceDemand,
+)
+from dandelionyoke_gateway import TargetPool, clock_s
+from dandelionyoke_gateway._duty_task import DutyTask
+from dandelionyoke_gateway._knowledge import new_knowledge
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._phase_task import FleetChanges, PhaseTask
+from dandelionyoke_platform._duties import PlatformDuties
+from tests.gateway.settings import new_settings
+from tests.platform.path import Lines
+
+
+def engine(name: str) -> RegisteredTarget:
+    return RegisteredTarget(
+        name, 'lm', '10.0.0.1:1', 'a', 32, False, Phase.DECODE
+    )
+
+
+class StreamCountTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.knowledge = new_knowledge(new_settings(), Random(3))
+        log = DecisionLog(Lines(), 'n-1', Metrics())
+        self.addCleanup(log.close)
+        duties = PlatformDuties('127.0.0.1:1', TargetPool())
+        self.task = PhaseTask(
+            self.knowledge,
+            DutyTask(self.knowledge, None, log),
+            duties,
+            duties,
+            FleetChanges(),
+            log,
+        )
+        self.engines = [engine('i-1'), engine('i-2')]
+        self.knowledge.node_count = 12
+        self.knowledge.demand.take_sum(
+            'n-2',
+            DemandSample(4, (ServiceDemand('lm', 20, 0, 0),)),
+            clock_s(),
+        )
+
+    def streams(self) -> float:
+        return self.task._streams(self.engines, clock_s())
+
+    def test_one_call_in_195_counts_by_the_demand(self) -> None:
+        """Guards against too few decode engines in a large fleet."""
+        self.assertEqual(60, self.streams())
+
+    def test_engines_that_tell_their_load_count_by_it(self) -> None:
+        """Guards against prefill engines lost to an estimate too high."""
+        for one in self.engines:
+            self.knowledge.loads.reported(one.target_id, 5, clock_s())
+        self.assertEqual(10, self.streams())
+
+    def test_one_engine_of_two_tells_its_load(self) -> None:
+        """Guards against a jump of the count with each answer."""
+        self.knowledge.loads.reported('i-1', 30, clock_s())
+        self.assertEqual(45, self.streams())
