Keep no places in the queue for prompts at suspected engines

Change: what is under way at engines that are left alone for their failures does not count. Test: test_prompts_at_lost_engines_hold_no_places.

--- a/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
@@ -71,11 +71,20 @@
         self._reading: dict[str, _Reading] = {}
         self._waiting: list[LineTicket] = []
         self._placed_s: dict[str, float] = {}
+        self._suspects: frozenset[str] = frozenset()
+
+    def suspect(self, target_ids: frozenset[str]) -> None:
+        """Take which engines are left alone for their failures.
+
+        Prompts under way there are most likely lost. Were their places kept
+        until that is sure, those of a partition would stop all others.
+        """
+        self._suspects = target_ids
 
     def enter(self, ticket: LineTicket, engines: int, now_s: float) -> Entry:
         """Decide on a call on its arrival; `engines` read prompts now."""
         self._most = max(1, self._settings.most_at_engine * engines)
-        if len(self._reading) < self._most:
+        if self._has_room():
             self._reading[ticket.turn_id] = _Reading(ticket)
             return Entry.GO
         ahead = sum(
@@ -141,7 +150,7 @@
 
     def expected_wait_s(self) -> float:
         """Estimate how long the last in line waits."""
-        if len(self._reading) < self._most:
+        if self._has_room():
             return 0.0
         return self._wait_s(len(self._waiting) + 1)
 
@@ -152,6 +161,13 @@
         """
         return max(self._settings.least_retry_after_s, self.expected_wait_s())
 
+    def _has_room(self) -> bool:
+        under_way = sum(
+            one.target_id not in self._suspects
+            for one in self._reading.values()
+        )
+        return under_way < self._most
+
     def _bears(self, ticket: LineTicket, now_s: float) -> bool:
         """Whether a late call would be served while that is of use.
 
@@ -170,7 +186,7 @@
 
     def _admit(self, now_s: float) -> list[str]:
         admitted = []
-        while self._waiting and len(self._reading) < self._most:
+        while self._waiting and self._has_room():
             ticket = self._next(now_s)
             self._waiting.remove(ticket)
             self._reading[ticket.turn_id] = _Reading(ticket)
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -112,8 +112,9 @@
         engines = self._knowledge.placement.readers(
             request.service, request.avoid, clock_s()
         )
-        ticket = self._ticket(request)
-        entry = self._line(request).enter(ticket, engines, clock_s())
+        ticket, line = self._ticket(request), self._line(request)
+        line.suspect(self._suspects())
+        entry = line.enter(ticket, engines, clock_s())
         if entry is Entry.TOO_LATE:
             raise self._too_late(request)
         return QueuedPrefill(request, ticket, entry)
@@ -197,9 +198,13 @@
         self, request: PrefillRequest, turn_id: str, read_s: float | None
     ) -> None:
         line = self._line(request)
+        line.suspect(self._suspects())
         for following in line.leave(turn_id, read_s, clock_s()):
             self._knowledge.turns.give(following)
 
+    def _suspects(self) -> frozenset[str]:
+        return frozenset(self._knowledge.loads.resting(clock_s()))
+
     def _too_late(self, request: PrefillRequest) -> TooLateError:
         return TooLateError(self._line(request).retry_after_s())
 
--- a/tests/dispatch/test_reading_line.py
+++ b/tests/dispatch/test_reading_line.py
@@ -70,6 +70,16 @@
         self.assertEqual(['fresh'], self.line.leave('a', READ_S, 0.25))
         self.assertEqual(['late'], self.line.leave('b', READ_S, 0.25))
 
+    def test_prompts_at_lost_engines_hold_no_places(self) -> None:
+        """Guards against a partition that stops the prompts of a domain."""
+        self.fill()
+        for name in 'ab':
+            self.line.placed(name, 'lost', 0)
+        self.assertEqual(Entry.WAIT, self.line.enter(ticket('c'), 1, 0))
+        self.line.suspect(frozenset({'lost'}))
+        self.assertEqual(Entry.GO, self.line.enter(ticket('d'), 1, 0.1))
+        self.assertEqual(['c'], self.line.leave('x', None, 0.1))
+
     def test_a_call_that_left_while_waiting_gets_no_place(self) -> None:
         """A caller leaves while its call waits.
 
