--- a/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
@@ -117,12 +117,12 @@
 def _choose_decode(
     engines: Sequence[RegisteredTarget], count: int
 ) -> frozenset[str]:
-    """Choose the engines that make tokens.
+    """Choose the decode engines.
 
-    A stream is lost with its engine, a prompt can be read again: so steady
-    engines come first, and among them those that do it already, since a
-    change costs seconds. Spread over the domains they are near to most
-    prompts and not all lost with one.
+    Those that decode already come first: a change costs seconds, in which
+    the streams of all nodes are refused. Then come steady ones, since a
+    stream is lost with its engine and a prompt can be read again. Spread over
+    the domains they are near to most prompts and not all lost with one.
     """
     left = list(engines)
     crowd: Counter[str] = Counter()
@@ -139,8 +139,8 @@
     crowd: Counter[str], engine: RegisteredTarget
 ) -> tuple[bool, bool, int, str]:
     return (
-        engine.is_reclaimable,
         engine.phase is not Phase.DECODE,
+        engine.is_reclaimable,
         crowd[engine.domain],
         engine.target_id,
     )
