Drop questions for engines whose figures are impossible or that come twice

A node of another version, or one that repeats itself, would take places of the prefill queue that nobody gives back. Dropped with a log line. Test: test_impossible_and_repeated_questions_are_dropped (failed before: two answers, two places).

--- a/packages/gateway/dandelionyoke_gateway/_prefill_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_links.py
@@ -3,6 +3,7 @@
 from dandelionyoke_core import Event, PeerDisconnected, PeerMessageArrived
 from dandelionyoke_dispatch import TargetLoads
 from dandelionyoke_gateway._domain_prefill_queue import DomainPrefillQueue
+from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_desk import Send
 from dandelionyoke_gateway._prefill_messages import (
     PrefillAsked,
@@ -22,15 +23,17 @@
         queue: DomainPrefillQueue,
         local: LocalPrefillQueue,
         loads: TargetLoads,
+        log: DecisionLog,
     ) -> None:
         self._queue = queue
         self._local = local
         self._loads = loads
+        self._log = log
         self._server: PrefillServer | None = None
 
     def attach(self, send: Send) -> None:
         """Take how messages leave, once there are links."""
-        self._server = PrefillServer(self._local, self._loads, send)
+        self._server = PrefillServer(self._local, self._loads, send, self._log)
         self._queue.attach(send)
 
     def take(self, event: Event) -> bool:
--- a/packages/gateway/dandelionyoke_gateway/_prefill_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_messages.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import math
 
 import attrs
 
@@ -34,6 +35,13 @@
     useful_s: float
     avoid: tuple[str, ...] = ()
 
+    @property
+    def is_possible(self) -> bool:
+        """Whether its figures can be those of a prompt."""
+        sizes = (self.shared_tokens, self.token_count - self.shared_tokens)
+        times_s = (self.age_s, self.goal_s, self.useful_s)
+        return min(sizes) >= 0 and all(map(math.isfinite, times_s))
+
 
 @enum.unique
 class PrefillVerdict(enum.Enum):
--- a/packages/gateway/dandelionyoke_gateway/_prefill_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_server.py
@@ -11,6 +11,7 @@
 from dandelionyoke_core import InstanceId
 from dandelionyoke_dispatch import Entry, Prompt, PromptPart, TargetLoads
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_desk import Send
 from dandelionyoke_gateway._prefill_messages import (
     QUEUED_INTERVAL_S,
@@ -48,10 +49,15 @@
     """Answers the questions of other nodes from the local queue."""
 
     def __init__(
-        self, queue: LocalPrefillQueue, loads: TargetLoads, send: Send
+        self,
+        queue: LocalPrefillQueue,
+        loads: TargetLoads,
+        send: Send,
+        log: DecisionLog,
     ) -> None:
         self._queue = queue
         self._loads = loads
+        self._log = log
         self._send = send
         self._granted: dict[Key, PrefillGrant] = {}
         self._waiting: dict[Key, _Waiting] = {}
@@ -59,6 +65,18 @@
     def asked(self, peer_id: InstanceId, asked: PrefillAsked) -> None:
         """Answer a question; one that has to wait is answered again later."""
         key = (peer_id, asked.number)
+        if (
+            not asked.is_possible
+            or key in self._waiting
+            or key in self._granted
+        ):
+            self._log.decide(
+                'placing.dropped',
+                f'{peer_id}.{asked.number}',
+                outcome='not answered',
+                tokens=asked.token_count,
+            )
+            return
         try:
             queued = self._queue.join(_request(asked))
         except TooLateError as late:
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -196,7 +196,10 @@
     def _start_links(self, news_task: NewsTask) -> None:
         """Answer other nodes, and ask them for news and for engines."""
         prefills = PrefillLinks(
-            self._prefills, self._local_prefills, self._knowledge.loads
+            self._prefills,
+            self._local_prefills,
+            self._knowledge.loads,
+            self._log,
         )
         eventlet.spawn_n(
             serve_news,
--- a/tests/gateway/test_prefill_queue.py
+++ b/tests/gateway/test_prefill_queue.py
@@ -1,8 +1,10 @@
 """The prefill queue that the nodes of a failure domain share."""
 
+import math
 from collections import Counter
 from random import Random
 
+import attrs
 import eventlet
 import testtools
 from eventlet.event import Event as GreenEvent
@@ -60,7 +62,9 @@
         self.local = LocalPrefillQueue(self.knowledge)
         self.log = DecisionLog(Lines(), name, Metrics())
         self.queue = DomainPrefillQueue(self.local, self.knowledge, self.log)
-        self.links = PrefillLinks(self.queue, self.local, self.knowledge.loads)
+        self.links = PrefillLinks(
+            self.queue, self.local, self.knowledge.loads, self.log
+        )
         self.links.attach(self.send)
 
     def send(self, peer_id: InstanceId, message: PeerMessage) -> bool:
@@ -310,6 +314,19 @@
         loads.succeeded(target_id)
         self.assertFalse(loads.rests(target_id, clock_s() + 1.1))
 
+    def test_impossible_and_repeated_questions_are_dropped(self) -> None:
+        """Guards against places that another version's figures take up."""
+        network = self.network(nodes=2, engines=1)
+        node, placing = network.others[0], network.placing
+        bad = PrefillAsked(1, 'lm', 'hot', 6000, 5000, 1, 0.0, 1.0, 5.0)
+        endless = attrs.evolve(bad, token_count=9000, useful_s=math.inf)
+        good = attrs.evolve(endless, useful_s=5.0)
+        for asked in (bad, endless, good, good):
+            placing.links.take(PeerMessageArrived(node.name, asked))
+        self.assertEqual(1, network.sent['PrefillTold'])
+        line = placing.knowledge.watch_of('lm').line
+        self.assertEqual(9000, line.backlog_tokens('i-0'))
+
     def test_an_answer_that_nobody_waits_for_is_dropped(self) -> None:
         """Guards against a late or repeated answer that changes a call."""
         network = self.network(nodes=2, engines=1)
