--- a/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
@@ -1,16 +1,16 @@
 """The prefill queue of a failure domain, as each of its nodes sees it."""
 
 import itertools
-from collections.abc import Callable
 
 import attrs
 from eventlet.queue import Empty, LightQueue
 
-from dandelionyoke_core import InstanceId, PeerMessage
+from dandelionyoke_core import InstanceId
 from dandelionyoke_dispatch import PrefillHome, RegisteredTarget, TargetFailure
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._news_desk import Send
 from dandelionyoke_gateway._prefill_messages import (
     QUEUED_INTERVAL_S,
     PrefillAsked,
@@ -32,8 +32,7 @@
 ANSWER_TIMEOUT_S = 0.2
 # A node that did not answer is not asked for this long.
 COOLDOWN_S = 0.5
-
-Send = Callable[[InstanceId, PeerMessage], bool]
+NUMBER_BITS = 48
 
 
 @attrs.frozen
@@ -53,7 +52,9 @@
         self._knowledge = knowledge
         self._log = log
         self._send: Send | None = None
-        self._numbers = itertools.count(1)
+        # Another process of this instance may have places there still.
+        first_number = knowledge.random.getrandbits(NUMBER_BITS)
+        self._numbers = itertools.count(first_number)
         # By the turn id of the grant that may follow.
         self._questions: dict[str, _Question] = {}
         self._cooldown_until_s = 0.0
