--- a/packages/dispatch/dandelionyoke_dispatch/_sources.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_sources.py
@@ -30,19 +30,19 @@
 class SourceSettings:
     """How long a node that did not answer in time is passed over.
 
-    A killed process is back after about `doubt_s`, and a node that is gone
+    A killed process is back after about `suspicion_s`, and a node that is gone
     is dropped from the members within a few such periods. Each further failure
     within `forgotten_s` of the end of such a period doubles it: a node that
     the store turns away answers, and would be asked again and again.
     """
 
-    doubt_s: float = 4.0
-    longest_doubt_s: float = 16.0
+    suspicion_s: float = 4.0
+    longest_suspicion_s: float = 16.0
     forgotten_s: float = 8.0
 
 
 @attrs.frozen
-class _Doubt:
+class _Suspicion:
     for_s: float
     until_s: float
 
@@ -58,7 +58,7 @@
         self._settings = settings
         self._near: Sequence[Member] = ()
         self._far: Sequence[Member] = ()
-        self._doubts: dict[str, _Doubt] = {}
+        self._suspicions: dict[str, _Suspicion] = {}
 
     def take_members(self, members: Iterable[Member]) -> None:
         """Take which nodes there are."""
@@ -77,18 +77,20 @@
         self._far = [
             by_id[name] for name in rendezvous(far, self._own_id, len(far))
         ]
-        self._doubts = {
-            name: doubt for name, doubt in self._doubts.items() if name in by_id
+        self._suspicions = {
+            name: suspicion
+            for name, suspicion in self._suspicions.items()
+            if name in by_id
         }
 
-    def doubt(self, instance_id: str, now_s: float) -> None:
+    def suspect(self, instance_id: str, now_s: float) -> None:
         """Pass a node over for a while."""
         settings = self._settings
-        for_s = settings.doubt_s
-        before = self._doubts.get(instance_id)
+        for_s = settings.suspicion_s
+        before = self._suspicions.get(instance_id)
         if before and now_s < before.until_s + settings.forgotten_s:
-            for_s = min(2 * before.for_s, settings.longest_doubt_s)
-        self._doubts[instance_id] = _Doubt(for_s, now_s + for_s)
+            for_s = min(2 * before.for_s, settings.longest_suspicion_s)
+        self._suspicions[instance_id] = _Suspicion(for_s, now_s + for_s)
 
     def is_source(self, now_s: float) -> bool:
         """Whether this node is the one of its domain that asks the store."""
@@ -125,7 +127,7 @@
         for member in members:
             if but_own and member.instance_id == self._own_id:
                 continue
-            doubt = self._doubts.get(member.instance_id)
-            if doubt is None or now_s >= doubt.until_s:
+            suspicion = self._suspicions.get(member.instance_id)
+            if suspicion is None or now_s >= suspicion.until_s:
                 return member
         return None
--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -113,7 +113,7 @@
         told = self._ask(hub, member)
         now_s = clock_s()
         if told is None:
-            self._knowledge.sources.doubt(member.instance_id, now_s)
+            self._knowledge.sources.suspect(member.instance_id, now_s)
             self._knowledge.sender.take_all_back()
             self._source = ''
             self._log.decide(
@@ -264,7 +264,7 @@
         if self._stale_since_s is None:
             self._stale_since_s = now_s
         elif now_s - self._stale_since_s > STALE_S:
-            self._knowledge.sources.doubt(member.instance_id, now_s)
+            self._knowledge.sources.suspect(member.instance_id, now_s)
             self._knowledge.sender.take_all_back()
             self._log.decide(
                 'peer.stale', member.instance_id, outcome='passed over'
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -16,8 +16,8 @@
 from dandelionyoke_gateway._knowledge import Knowledge, ServiceWatch
 from dandelionyoke_gateway._line_turns import Turn
 
-# A prompt that is read by this share of the goal has the rest of it for its
-# way to the engine that makes the tokens, and for the first of them.
+# A prefill that ends by this share of the goal leaves the rest of it for the
+# transfer of the cache and the first token.
 BEGUN_SHARE = 0.8
 # Prompts so long that no engine reads them within the goal would come last
 # in each burst; they count as in time for this share of it.
@@ -51,7 +51,7 @@
 
 @attrs.frozen
 class PrefillGrant:
-    """The engine that a request got; None where none reads prompts now.
+    """The engine that a request got; None where no engine does prefill now.
 
     `placed_by` names the other node that chose it.
     """
--- a/tests/dispatch/test_sources.py
+++ b/tests/dispatch/test_sources.py
@@ -12,7 +12,7 @@
 
 
 def choice(own_id: str, members: list[Member] = MEMBERS) -> SourceChoice:
-    made = SourceChoice(own_id, own_id[0], SourceSettings(doubt_s=4.0))
+    made = SourceChoice(own_id, own_id[0], SourceSettings(suspicion_s=4.0))
     made.take_members(members)
     return made
 
@@ -49,7 +49,7 @@
             if member.instance_id != first
         ]
         for node in nodes:
-            node.doubt(first, 10.0)
+            node.suspect(first, 10.0)
         self.assertEqual(1, sum(node.is_source(10.1) for node in nodes))
         asked = {node.whom_to_ask(14.1, is_blind=False) for node in nodes}
         self.assertEqual({first}, {one.instance_id for one in asked if one})
@@ -70,12 +70,12 @@
         )
         other = 'a-1' if first != 'a-1' else 'a-2'
         node = choice(other)
-        node.doubt(first, 0)
+        node.suspect(first, 0)
         self.assertEqual(first, self.asked(node, 4.1))
-        node.doubt(first, 4.1)
+        node.suspect(first, 4.1)
         self.assertNotEqual(first, self.asked(node, 12.0))
         self.assertEqual(first, self.asked(node, 12.2))
-        node.doubt(first, 40)
+        node.suspect(first, 40)
         self.assertEqual(first, self.asked(node, 44.1))
 
     def asked(self, node: SourceChoice, now_s: float) -> str:
@@ -96,6 +96,6 @@
         near = source.whom_to_ask(0, is_blind=True)
         self.assertEqual('a', near.domain)
         for member in MEMBERS[:5]:
-            source.doubt(member.instance_id, 0)
+            source.suspect(member.instance_id, 0)
         far = source.whom_to_ask(0, is_blind=True)
         self.assertEqual('b', far.domain)
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -219,7 +219,7 @@
         self.knowledge.listing.replace((), now_s)
         self.assertAlmostEqual(1.5, self.reliance.registry_wait_s(now_s))
         self.assertAlmostEqual(1.5, self.reliance.configuration_wait_s(now_s))
-        sources.doubt(other, now_s)
+        sources.suspect(other, now_s)
         self.assertEqual(0, self.reliance.registry_wait_s(now_s))
 
     def becomes_first(self, name: str) -> bool:
