Count only unreachable engines' places as free

Change: only prompts at engines that take no connection hold no place. Test: test_only_one_that_takes_no_connection_is_listed_as_lost.

--- a/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
@@ -71,15 +71,15 @@
         self._reading: dict[str, _Reading] = {}
         self._waiting: list[LineTicket] = []
         self._placed_s: dict[str, float] = {}
-        self._suspects: frozenset[str] = frozenset()
+        self._lost: frozenset[str] = frozenset()
 
-    def suspect(self, target_ids: frozenset[str]) -> None:
-        """Take which engines are left alone for their failures.
+    def lost(self, target_ids: frozenset[str]) -> None:
+        """Take which engines take no connection.
 
         Prompts under way there are most likely lost. Were their places kept
         until that is sure, those of a partition would stop all others.
         """
-        self._suspects = target_ids
+        self._lost = target_ids
 
     def enter(self, ticket: LineTicket, engines: int, now_s: float) -> Entry:
         """Decide on a call on its arrival; `engines` read prompts now."""
@@ -163,8 +163,7 @@
 
     def _has_room(self) -> bool:
         under_way = sum(
-            one.target_id not in self._suspects
-            for one in self._reading.values()
+            one.target_id not in self._lost for one in self._reading.values()
         )
         return under_way < self._most
 
--- a/packages/dispatch/dandelionyoke_dispatch/_target_load.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_load.py
@@ -127,6 +127,14 @@
             if now_s < load.rests_until_s
         )
 
+    def lost(self, now_s: float) -> list[str]:
+        """List the targets that take no connection."""
+        return [
+            target_id
+            for target_id in self.resting(now_s)
+            if self._of(target_id).is_lost
+        ]
+
     def _tell(self, target_id: str, failure: TargetFailure) -> None:
         if self._listener is not None:
             self._listener(target_id, failure)
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -113,7 +113,7 @@
             request.service, request.avoid, clock_s()
         )
         ticket, line = self._ticket(request), self._line(request)
-        line.suspect(self._suspects())
+        line.lost(self._lost())
         entry = line.enter(ticket, engines, clock_s())
         if entry is Entry.TOO_LATE:
             raise self._too_late(request)
@@ -198,12 +198,12 @@
         self, request: PrefillRequest, turn_id: str, read_s: float | None
     ) -> None:
         line = self._line(request)
-        line.suspect(self._suspects())
+        line.lost(self._lost())
         for following in line.leave(turn_id, read_s, clock_s()):
             self._knowledge.turns.give(following)
 
-    def _suspects(self) -> frozenset[str]:
-        return frozenset(self._knowledge.loads.resting(clock_s()))
+    def _lost(self) -> frozenset[str]:
+        return frozenset(self._knowledge.loads.lost(clock_s()))
 
     def _too_late(self, request: PrefillRequest) -> TooLateError:
         return TooLateError(self._line(request).retry_after_s())
--- a/tests/dispatch/test_reading_line.py
+++ b/tests/dispatch/test_reading_line.py
@@ -76,7 +76,7 @@
         for name in 'ab':
             self.line.placed(name, 'lost', 0)
         self.assertEqual(Entry.WAIT, self.line.enter(ticket('c'), 1, 0))
-        self.line.suspect(frozenset({'lost'}))
+        self.line.lost(frozenset({'lost'}))
         self.assertEqual(Entry.GO, self.line.enter(ticket('d'), 1, 0.1))
         self.assertEqual(['c'], self.line.leave('x', None, 0.1))
 
--- a/tests/dispatch/test_target_load.py
+++ b/tests/dispatch/test_target_load.py
@@ -61,3 +61,9 @@
         self.loads.suspected('i-1', 0)
         self.assertEqual(['i-1'], self.loads.resting(0.3))
         self.assertEqual([], self.loads.resting(0.5))
+
+    def test_only_one_that_takes_no_connection_is_listed_as_lost(self) -> None:
+        """Guards against full engines that get ever more prompts."""
+        self.loads.told('i-1', TargetFailure.REFUSED, 0)
+        self.loads.told('i-2', TargetFailure.UNREACHABLE, 0)
+        self.assertEqual(['i-2'], self.loads.lost(0.1))
