Judge how old an answer is by when it came

Cause, found by reading the change: since a node may wait before it reads a configuration, that wait was counted into the age of the answer that had told of it, so that in a storm of changes a sound node was taken for one that has lost the store. Test: test_reading_a_configuration_makes_no_answer_old, failed before.

--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -125,7 +125,7 @@
             hub.disconnect(InstanceId(member.instance_id))
             return
         self._take(told, member, asked_s)
-        self._judge(told, member, asked_s)
+        self._judge(told, member, now_s - asked_s)
         eventlet.sleep(max(0, asked_s + LEAST_CYCLE_S - clock_s()))
 
     def _ask(self, hub: PeerHub, member: Member) -> NewsTold | None:
@@ -255,9 +255,9 @@
         eventlet.sleep(max(0, due_s - clock_s()))
         self._fetched_s = clock_s()
 
-    def _judge(self, told: NewsTold, member: Member, asked_s: float) -> None:
+    def _judge(self, told: NewsTold, member: Member, took_s: float) -> None:
         """Pass a node over whose answers stay old."""
-        if self._reliance.is_new(told, clock_s() - asked_s):
+        if self._reliance.is_new(told, took_s):
             self._stale_since_s = None
             return
         now_s = clock_s()
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -30,6 +30,7 @@
     ConfigurationNews,
     NewsAsked,
     NewsTold,
+    TargetNews,
 )
 from dandelionyoke_gateway._news_task import NewsTask
 from dandelionyoke_gateway._registry_keeper import RegistryKeeper
@@ -190,6 +191,21 @@
         )
         self.assertIsNotNone(self.knowledge.freshness.proven_s)
 
+    def test_reading_a_configuration_makes_no_answer_old(self) -> None:
+        """Guards against passing a sound node over in a storm of changes."""
+        asked = Member('n-2', 'a', '10.0.0.2:7')
+        changes = ListingChanges(ListingMark('n-2', 1), True, (), ())
+        for _ in range(2):
+            self.store.revision += 1
+            told = NewsTold(
+                1,
+                ConfigurationNews(self.store.revision, 0.0),
+                TargetNews(-1.3, changes),
+            )
+            self.task._ask = lambda hub, member: told  # noqa: B023
+            self.task._ask_member(None, asked)
+        self.assertIsNone(self.task._stale_since_s)
+
 
 class RelianceTest(testtools.TestCase):
     def setUp(self) -> None:
