Send the whole of a long request

What callers saw: a request with a body beyond what the kernel takes at once was never sent whole; the target waited for the rest, and the caller got a failure when the time of the call was over. Cause: the connection is made non-blocking for its first piece, and the task that sends the rest inherited that: its first attempt on a full buffer raised BlockingIOError, which was taken for a broken connection. Ruled out: the target's reading (a reader that takes all at once gets as little), the body's framing. Change: the task that sends the rest waits for room; closing the connection still ends it. Test: test_a_body_beyond_the_kernels_buffer_arrives_whole, failed before with 'no answer in time'; the other tests of the connection pass unchanged.

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -152,6 +152,9 @@
         self._sock.close()
 
     def _send_rest(self, rest: bytes) -> None:
+        # The first piece went out without waiting; the rest has to wait for
+        # room in the kernel. The connection's close ends it.
+        self._sock.settimeout(None)
         try:
             self._sock.sendall(rest)
         except OSError:
--- a/tests/gateway/test_target_connection.py
+++ b/tests/gateway/test_target_connection.py
@@ -135,6 +135,18 @@
         self.assertEqual(b'no', self.body(connection, b'x' * (16 << 20)))
         self.assertFalse(connection.renew())
 
+    def test_a_body_beyond_the_kernels_buffer_arrives_whole(self) -> None:
+        """Guards against long requests that time out half sent."""
+
+        def script(sock: socket.socket) -> None:
+            size = len(read_request(sock))
+            answer = f'HTTP/1.1 200 OK\r\n\r\n{size}'
+            sock.sendall(answer.encode())
+            sock.close()
+
+        connection = self.exchange(script)
+        self.assertEqual(b'16777216', self.body(connection, b'x' * (16 << 20)))
+
     def test_a_silent_target_ends_with_the_time_of_the_call(self) -> None:
         def script(sock: socket.socket) -> None:
             read_request(sock)
