Log why an order was not accepted, and how long it took

Cause: the lines of orders and reports said accepted, refused or in doubt, not why. Change: DutyAnswer carries the cause and the time of the call; the three lines log both. No decision changes. Test: tests/platform/test_duties.py, a refusal and a reset.

--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -19,6 +19,7 @@
     AnswerFacts as AnswerFacts,
     CacheSource as CacheSource,
     Dialect as Dialect,
+    DutyAnswer as DutyAnswer,
     DutyClient as DutyClient,
     DutyStamp as DutyStamp,
     EngineClient as EngineClient,
--- a/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
@@ -167,20 +167,22 @@
         order = TargetCount(
             service.name, wanted.domain, wanted.count, wanted.is_reclaimable
         )
-        accepted = self._client.order_targets(order, stamp)
-        if accepted:
+        answer = self._client.order_targets(order, stamp)
+        if answer.accepted:
             self._expect(service, wanted, present)
-        if wanted.is_reclaimable and accepted is False:
+        if wanted.is_reclaimable and answer.accepted is False:
             until_s = clock_s() + REFUSAL_LIFETIME_S
             self._refusing[service.name, wanted.domain] = until_s
-        pause_s = COUNT_REST_S if accepted else COUNT_RETRY_S
+        pause_s = COUNT_REST_S if answer.accepted else COUNT_RETRY_S
         key = (service.name, wanted.domain, wanted.is_reclaimable)
         until_s = clock_s() + pause_s
         self._rests[key] = _Rest(wanted.count, present, until_s)
         self._log.decide(
             'engines.ordered',
             f'{service.name} in {wanted.domain}',
-            outcome=str(accepted),
+            outcome=str(answer.accepted),
+            cause=answer.cause,
+            elapsed_s=answer.elapsed_s,
             count=wanted.count,
             present=present,
             reclaimable=str(wanted.is_reclaimable),
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -159,13 +159,15 @@
         if stamp is None:
             return
         order = PhaseOrder(target, change.phase, report.order_count)
-        accepted = self._client.order_phase(order, stamp)
-        if accepted:
+        answer = self._client.order_phase(order, stamp)
+        if answer.accepted:
             self._assume(change, ORDER_REST_S)
         self._log.decide(
             'engine.ordered',
             target.target_id,
-            outcome=str(accepted),
+            outcome=str(answer.accepted),
+            cause=answer.cause,
+            elapsed_s=answer.elapsed_s,
             phase=order.phase.value,
             wanted_decode=plan.wanted,
             peak_streams=plan.peak_streams,
--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -65,6 +65,19 @@
     send_until_s: float
 
 
+@attrs.frozen
+class DutyAnswer:
+    """What became of a report or an order.
+
+    `accepted` is None if it may or may not have been accepted. `cause` says
+    why it was not, and `elapsed_s` how long the call took.
+    """
+
+    accepted: bool | None
+    cause: str
+    elapsed_s: float
+
+
 @attrs.frozen
 class EngineReport:
     """What an engine says of itself, as of some hundred milliseconds ago.
@@ -148,22 +161,17 @@
 
 
 class DutyClient(Protocol):
-    """Calls that only the holder of the duty may make.
-
-    Each says whether it was accepted; None: it may or may not have been.
-    """
+    """Calls that only the holder of the duty may make."""
 
     def report_usage(
         self, counts: WindowCounts, stamp: DutyStamp
-    ) -> bool | None:
+    ) -> DutyAnswer:
         """Report a window."""
 
-    def order_targets(
-        self, order: TargetCount, stamp: DutyStamp
-    ) -> bool | None:
+    def order_targets(self, order: TargetCount, stamp: DutyStamp) -> DutyAnswer:
         """Order a number of targets."""
 
-    def order_phase(self, order: PhaseOrder, stamp: DutyStamp) -> bool | None:
+    def order_phase(self, order: PhaseOrder, stamp: DutyStamp) -> DutyAnswer:
         """Order an engine to change its phase."""
 
 
--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -179,15 +179,17 @@
         stamp = self._duty.stamp
         if counts is None or stamp is None:
             return
-        accepted = self._client.report_usage(counts, stamp)
+        answer = self._client.report_usage(counts, stamp)
         self._log.decide(
             'usage.reported',
             str(window_id),
-            outcome=str(accepted),
+            outcome=str(answer.accepted),
+            cause=answer.cause,
+            elapsed_s=answer.elapsed_s,
             fence=stamp.fence,
             total=sum(number for _, number in counts.counts),
         )
-        if accepted:
+        if answer.accepted:
             self._reported.add(window_id)
             self._remove_old(window_id - KEPT_REPORTS)
 
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -7,13 +7,14 @@
 import testtools
 
 from dandelionyoke_gateway import (
+    DutyAnswer,
     DutyStamp,
     TargetCount,
     TargetPool,
     clock_s,
 )
 from dandelionyoke_platform._duties import PlatformDuties
-from tests.platform.path import ScriptedTarget, answer
+from tests.platform.path import Script, ScriptedTarget, answer
 
 ORDER = TargetCount('lm', 'a', 3, True)
 
@@ -48,3 +49,25 @@
     def test_no_order_leaves_after_the_term(self) -> None:
         """Guards against two holders: paused between connect and send."""
         self.assertEqual([], self.order(0.1))
+
+
+class DutyAnswerTest(testtools.TestCase):
+    """What the log is told of an order that was not accepted."""
+
+    def order(self, script: Script) -> DutyAnswer:
+        target = ScriptedTarget(script)
+        self.addCleanup(target.close)
+        duties = PlatformDuties(target.address, TargetPool())
+        stamp = DutyStamp('n-1', 9, clock_s() + 5)
+        return duties.order_targets(ORDER, stamp)
+
+    def test_a_refusal_names_the_status(self) -> None:
+        answer_of = self.order(lambda _: [answer('409 Conflict', b'{}', '')])
+        self.assertEqual(
+            (False, 'answered 409'), (answer_of.accepted, answer_of.cause)
+        )
+
+    def test_an_order_without_an_answer_is_in_doubt(self) -> None:
+        answer_of = self.order(lambda _: [None])
+        self.assertIsNone(answer_of.accepted)
+        self.assertNotEqual('', answer_of.cause)
