End the grace of missing targets on time

What callers saw: after a failure domain was cut off, its nodes went on placing prompts on an engine that had left; such a call fails when the engine ends. Cause: entries that are missing after an outage are kept for 2.5 s, but were dropped only with the next listing, up to 0.8 s later. Change: the registry tells how long the grace lasts, and the keeper ends it then. Test: test_a_grace_ends_without_another_listing, failed before; test_missing_targets_are_gone_when_their_grace_ends and test_a_target_that_is_back_outlives_the_grace for the registry.

--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -57,6 +57,7 @@
         self._is_known = False
         self._away_since_s: float | None = None
         self._forgive_until_s = 0.0
+        self._missing: set[str] = set()
 
     @property
     def is_known(self) -> bool:
@@ -80,10 +81,23 @@
             if not is_first and not is_same:
                 self._came_s[target.target_id] = now_s
             self._take(target)
-        for target_id in missing:
-            if now_s >= self._forgive_until_s:
-                self._targets.pop(target_id)
-                self._came_s.pop(target_id, None)
+        self._missing = set(missing)
+        self.end_grace(now_s)
+
+    def grace_left_s(self, now_s: float) -> float | None:
+        """Tell for how long missing targets stay; None: none is missing."""
+        if not self._missing:
+            return None
+        return max(0, self._forgive_until_s - now_s)
+
+    def end_grace(self, now_s: float) -> None:
+        """Take missing targets for gone once the grace is over."""
+        if now_s < self._forgive_until_s:
+            return
+        for target_id in self._missing:
+            self._targets.pop(target_id, None)
+            self._came_s.pop(target_id, None)
+        self._missing.clear()
 
     def store_failed(self, now_s: float) -> None:
         """Note that the store gave no listing."""
--- a/packages/gateway/dandelionyoke_gateway/_registry_keeper.py
+++ b/packages/gateway/dandelionyoke_gateway/_registry_keeper.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from eventlet import spawn_after
+
 from dandelionyoke_dispatch import ListingChanges, RegisteredTarget
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge
@@ -16,6 +18,7 @@
         self._log = log
         self._known: frozenset[str] = frozenset()
         self._told = knowledge.listing.mark
+        self._awaits_grace_end = False
 
     def replace(
         self, targets: Iterable[RegisteredTarget], proven_s: float
@@ -61,6 +64,7 @@
         listing = self._knowledge.listing
         targets = listing.targets
         self._knowledge.registry.replace(targets, clock_s())
+        self._await_grace_end()
         if listing.mark != self._told:
             self._told = listing.mark
             self._knowledge.signal.announce()
@@ -78,3 +82,19 @@
         )
         self._known = usable
         self._knowledge.forget_targets(usable)
+
+    def _await_grace_end(self) -> None:
+        """End the grace of missing targets on time.
+
+        The next listing may come most of a second later, in which a target
+        that has left would still get work.
+        """
+        left_s = self._knowledge.registry.grace_left_s(clock_s())
+        if left_s is not None and not self._awaits_grace_end:
+            self._awaits_grace_end = True
+            spawn_after(left_s, self._end_grace)
+
+    def _end_grace(self) -> None:
+        self._awaits_grace_end = False
+        self._knowledge.registry.end_grace(clock_s())
+        self._await_grace_end()
--- a/tests/dispatch/test_registry.py
+++ b/tests/dispatch/test_registry.py
@@ -49,6 +49,26 @@
             self.registry.replace([], now_s)
         self.assertEqual([], self.names())
 
+    def test_missing_targets_are_gone_when_their_grace_ends(self) -> None:
+        """Guards against work for a target that left during an outage."""
+        self.registry.replace([target('i-1')], 0)
+        self.registry.store_failed(2)
+        self.registry.replace([], 10)
+        self.assertEqual(2.5, self.registry.grace_left_s(10))
+        self.registry.end_grace(12.4)
+        self.assertEqual(['i-1'], self.names())
+        self.registry.end_grace(12.5)
+        self.assertEqual([], self.names())
+        self.assertIsNone(self.registry.grace_left_s(12.5))
+
+    def test_a_target_that_is_back_outlives_the_grace(self) -> None:
+        self.registry.replace([target('i-1')], 0)
+        self.registry.store_failed(2)
+        self.registry.replace([], 10)
+        self.registry.replace([target('i-1')], 11)
+        self.registry.end_grace(13)
+        self.assertEqual(['i-1'], self.names())
+
     def test_a_quiet_registry_is_no_outage(self) -> None:
         """Nothing changes for a while, then a target is gone.
 
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -19,6 +19,8 @@
     ListingMark,
     Member,
     RegisteredTarget,
+    RegistrySettings,
+    TargetRegistry,
     WindowCounts,
 )
 from dandelionyoke_gateway import clock_s
@@ -121,6 +123,18 @@
         self.assertEqual([], self.knowledge.registry.of_service('lm'))
         self.assertTrue(self.registry.take_news(changes, now_s + 1, 'n-2'))
 
+    def test_a_grace_ends_without_another_listing(self) -> None:
+        """Guards against work for a target that left during an outage."""
+        settings = RegistrySettings(return_grace_s=0.1, outage_s=0)
+        self.knowledge.registry = TargetRegistry(settings)
+        self.registry.replace([target('i-1')], clock_s())
+        self.registry.failed()
+        eventlet.sleep(0.01)
+        self.registry.replace([], clock_s())
+        self.assertEqual(1, len(self.knowledge.registry.of_service('lm')))
+        eventlet.sleep(0.2)
+        self.assertEqual([], self.knowledge.registry.of_service('lm'))
+
     def test_a_configuration_travels_unless_it_is_large(self) -> None:
         """A large one sent to all would fill a small machine's link."""
         self.configurations.adopt(configuration(), 7, 'store')
