Reset connections also when their process is killed

What callers saw: nothing yet; orders for engines are given by one node at a time, and one from a node that was killed could arrive after one of the next holder, seconds late, and undo it. Cause: the reset was asked for only where the program itself closes a connection. When the process is killed, the kernel closes it in the usual way and goes on sending what is not acknowledged. Change: the option is set when the connection is made, so that each end of it, also a kill, is a reset. Test: test_what_a_killed_process_sent_never_arrives, with a process of its own; failed before (the peer read a proper end).

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -32,8 +32,8 @@
 # A request has to arrive before the target's own time is over.
 IDLE_MARGIN_S = 0.5
 
-# The option's value that closes with a reset: on, after no time.
-AT_ONCE = struct.pack('ii', 1, 0)
+# The option's value that ends a connection with a reset: on, after no time.
+RESET = struct.pack('ii', 1, 0)
 
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
@@ -139,16 +139,12 @@
         return False
 
     def close(self) -> None:
-        """Close the socket; what has not arrived yet never will."""
+        """Reset the connection; what has not arrived yet never will."""
         if self._is_closed:
             return
         self._is_closed = True
         if self._sender is not None:
             self._sender.kill()
-        # A plain close leaves unsent bytes to the kernel. Behind a cut link
-        # they would arrive seconds later: an order of a holder that has lost
-        # its duty meanwhile, or a call that was given up.
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, AT_ONCE)
         self._sock.close()
 
     def _send_rest(self, rest: bytes) -> None:
@@ -198,6 +194,10 @@
     host, _, port = address.rpartition(':')
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     set_options(sock)
+    # Any other end leaves unsent bytes to the kernel, also that of a killed
+    # process. Behind a cut link they would arrive seconds later: an order of
+    # a holder that has lost its duty meanwhile, or a call that was given up.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
     sock.settimeout(timeout_s)
     try:
         sock.connect((host, int(port)))
--- a/tests/gateway/test_target_connection.py
+++ b/tests/gateway/test_target_connection.py
@@ -1,6 +1,8 @@
 """One exchange with a target whose connection does not behave."""
 
 import struct
+import subprocess  # noqa: S404 - the sender has to be killed
+import sys
 from collections.abc import Callable
 
 import eventlet
@@ -9,11 +11,23 @@
 
 from dandelionyoke_gateway import ExchangeError, RequestHead, clock_s
 from dandelionyoke_gateway._target_connection import TargetConnection, connect
+from dandelionyoke_links import receive
 
 HEAD = RequestHead('POST', '/a/b', (('host', 'h'),))
 LINGER_NOT = struct.pack('ii', 1, 0)
 WAIT_S = 5.0
 
+# Sends a request and lives on until it is killed.
+SENDER = """
+import sys, time
+from dandelionyoke_gateway import RequestHead
+from dandelionyoke_gateway._target_connection import connect
+connection = connect(sys.argv[1], 5.0)
+connection.send(RequestHead('POST', '/a', (('host', 'h'),)), b'x')
+print('sent', flush=True)
+time.sleep(60)
+"""
+
 Script = Callable[[socket.socket], None]
 
 
@@ -38,6 +52,12 @@
     sock.close()
 
 
+def _read_to_end(sock: socket.socket) -> None:
+    """Read all that comes; raise what broke the connection off."""
+    while receive(sock, 65536, WAIT_S):
+        continue
+
+
 class TargetConnectionTest(testtools.TestCase):
     def exchange(self, script: Script) -> TargetConnection:
         """Connect to a server that plays a script on one connection."""
@@ -188,6 +208,23 @@
         eventlet.sleep(0.6)
         self.assertIsInstance(received[-1], ConnectionResetError)
 
+    def test_what_a_killed_process_sent_never_arrives(self) -> None:
+        """Guards against orders that outlive their killed holder."""
+        listener = eventlet.listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        host, port = listener.getsockname()
+        sender = subprocess.Popen(  # noqa: S603 - our own program
+            [sys.executable, '-W', 'ignore', '-c', SENDER, f'{host}:{port}'],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        with sender:
+            self.assertEqual('sent\n', sender.stdout.readline())
+            sender.kill()
+        sock, _ = listener.accept()
+        self.addCleanup(sock.close)
+        self.assertRaises(ConnectionResetError, _read_to_end, sock)
+
     def test_a_refused_connection_was_not_sent(self) -> None:
         listener = eventlet.listen(('127.0.0.1', 0))
         host, port = listener.getsockname()
