--- a/packages/gateway/dandelionyoke_gateway/_target_pool.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_pool.py
@@ -32,6 +32,19 @@
         finally:
             self._give_back(connection, is_whole)
 
+    @contextmanager
+    def lend_new(self, address: str) -> Iterator[TargetConnection]:
+        """Make a connection for one exchange.
+
+        An idle one may lie behind a partition that nobody has noticed yet,
+        and would hold back what is sent until the partition heals.
+        """
+        connection = connect(address, CONNECT_TIMEOUT_S)
+        try:
+            yield connection
+        finally:
+            connection.close()
+
     def drop(self, address: str) -> None:
         """Close all idle connections to an address."""
         for connection in self._idle.pop(address, ()):
--- a/tests/platform/path.py
+++ b/tests/platform/path.py
@@ -72,6 +72,11 @@
         host, port = self._listener.getsockname()
         return f'{host}:{port}'
 
+    def refuse_connections(self) -> None:
+        """Take no new connections; those that are open stay."""
+        self._threads[0].kill()
+        self._listener.close()
+
     def close(self) -> None:
         """End it with all its connections."""
         for thread in self._threads:
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -32,6 +32,12 @@
             eventlet.sleep(self._pause_s)
             yield connection
 
+    @contextmanager
+    def lend_new(self, address: str) -> Iterator:
+        with super().lend_new(address) as connection:
+            eventlet.sleep(self._pause_s)
+            yield connection
+
 
 class DutyEndTest(testtools.TestCase):
     def order(self, pause_s: float) -> list[str]:
@@ -51,6 +57,21 @@
         self.assertEqual([], self.order(0.1))
 
 
+class PartitionTest(testtools.TestCase):
+    """The platform is out of reach, and open connections do not tell."""
+
+    def test_no_order_waits_behind_a_partition(self) -> None:
+        """Guards against an order that arrives once a partition heals."""
+        target = ScriptedTarget(lambda _: [answer('200 OK', b'{}', '')])
+        self.addCleanup(target.close)
+        duties = PlatformDuties(target.address, TargetPool())
+        stamp = DutyStamp('n-1', 9, clock_s() + 5)
+        self.assertTrue(duties.order_targets(ORDER, stamp).accepted)
+        target.refuse_connections()
+        self.assertIs(False, duties.order_targets(ORDER, stamp).accepted)
+        self.assertEqual(1, len(target.seen))
+
+
 class DutyAnswerTest(testtools.TestCase):
     """What the log is told of an order that was not accepted."""
 
