Print what failed where a known fault shows

Cause: a test of KNOWN-RED.txt that fails is passed over, and its assertion is not printed, so that a fault that shows once in hundreds of runs leaves nothing to trace (test_a_target_listed_as_leaving). Change: the summary prints the test and its traceback. Test: tried with a test that was made to fail and listed; then taken back.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,6 +30,12 @@
 def pytest_terminal_summary(
     terminalreporter: pytest.TerminalReporter,
 ) -> None:
-    """Print each known fault, so that a green run does not hide it."""
+    """Print each known fault, so that a green run does not hide it.
+
+    One that shows is printed with what failed: it may not show again.
+    """
     for line in known_red().values():
         terminalreporter.write_line(f'KNOWN-RED {line}')
+    for report in terminalreporter.getreports('xfailed'):
+        terminalreporter.write_line(f'KNOWN-RED failed: {report.nodeid}')
+        terminalreporter.write_line(report.longreprtext)
