Count long streams once all of them are long

What was seen: test_a_target_listed_as_leaving failed once, in a whole run with nothing else running; its assertion was not kept. Cause: a fault of the test. It begins ten streams, waits until each has brought a byte, and at once chooses the engine with the most streams that are past eight tokens; it asserts that there are any. An engine makes some sixty tokens a second, so that on an idle machine, where ten streams begin within a tenth of a second, there may be none yet. Not shown: that the one failure was this assertion. Change: the test waits until all ten streams are long. Its assertions stand as they were; it is stricter, since a stream that never becomes long fails it now.

--- a/tests/entry/test_planned.py
+++ b/tests/entry/test_planned.py
@@ -22,6 +22,7 @@
 # Keeps the load under the organisation's limit of calls a second.
 PAUSE_S = 0.2
 QUIET_CALLS = 40
+STREAMS = 10
 LONG_TOKENS = 400
 SHORT_TOKENS = 8
 # Higher than any fence of the system's own orders.
@@ -170,6 +171,14 @@
             if not attempt['end'] and attempt['output_tokens'] > SHORT_TOKENS
         }
 
+    def all_long_open(self) -> int:
+        """Count the long attempts in progress at all engines."""
+        return sum(
+            len(self.long_open(one.name))
+            for one in self.fleet.running
+            if one.kind == 'engine'
+        )
+
     def list_as(self, name: str, state: str) -> None:
         """Give a target another state in the platform's list."""
         for target in self.fleet.targets:
@@ -200,7 +209,9 @@
         short ones. All are whole, and soon it gets no new work. Returns its
         name."""
         self.askable = entries
-        streams = self.begin_streams(10, LONG_TOKENS)
+        streams = self.begin_streams(STREAMS, LONG_TOKENS)
+        # A stream counts as long once it is past a short answer's length.
+        self.await_true(lambda: self.all_long_open() == STREAMS)
         names = [
             str(target['target_id'])
             for target in self.fleet.targets
