Take no order that was not sent for a refusal

What callers saw: nothing; a domain could get on-demand engines after a partition although it had reclaimable ones, which costs more. Cause: an order whose connection could not be made was logged and handled as one that the platform refused. Change: DutyOutcome tells accepted, refused, not sent and unknown apart, in the log as well; only a refusal counts. Test: test_an_order_that_was_not_sent_is_no_refusal, failed with the old rule; the two beside it held before.

--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -21,6 +21,7 @@
     Dialect as Dialect,
     DutyAnswer as DutyAnswer,
     DutyClient as DutyClient,
+    DutyOutcome as DutyOutcome,
     DutyStamp as DutyStamp,
     EngineClient as EngineClient,
     EngineReport as EngineReport,
--- a/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
@@ -18,6 +18,7 @@
 from dandelionyoke_gateway._phase_task import FleetChanges
 from dandelionyoke_gateway._ports import (
     DutyClient,
+    DutyOutcome,
     TargetCount,
 )
 
@@ -168,19 +169,19 @@
             service.name, wanted.domain, wanted.count, wanted.is_reclaimable
         )
         answer = self._client.order_targets(order, stamp)
-        if answer.accepted:
+        if answer.is_accepted:
             self._expect(service, wanted, present)
-        if wanted.is_reclaimable and answer.accepted is False:
+        if wanted.is_reclaimable and answer.outcome is DutyOutcome.REFUSED:
             until_s = clock_s() + REFUSAL_LIFETIME_S
             self._refusing[service.name, wanted.domain] = until_s
-        pause_s = COUNT_REST_S if answer.accepted else COUNT_RETRY_S
+        pause_s = COUNT_REST_S if answer.is_accepted else COUNT_RETRY_S
         key = (service.name, wanted.domain, wanted.is_reclaimable)
         until_s = clock_s() + pause_s
         self._rests[key] = _Rest(wanted.count, present, until_s)
         self._log.decide(
             'engines.ordered',
             f'{service.name} in {wanted.domain}',
-            outcome=str(answer.accepted),
+            outcome=answer.outcome.value,
             cause=answer.cause,
             elapsed_s=answer.elapsed_s,
             count=wanted.count,
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -160,12 +160,12 @@
             return
         order = PhaseOrder(target, change.phase, report.order_count)
         answer = self._client.order_phase(order, stamp)
-        if answer.accepted:
+        if answer.is_accepted:
             self._assume(change, ORDER_REST_S)
         self._log.decide(
             'engine.ordered',
             target.target_id,
-            outcome=str(answer.accepted),
+            outcome=answer.outcome.value,
             cause=answer.cause,
             elapsed_s=answer.elapsed_s,
             phase=order.phase.value,
--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -1,5 +1,6 @@
 """What the gateway asks of an adapter: a dialect, a store, duties, orders."""
 
+import enum
 from typing import Protocol
 
 import attrs
@@ -65,18 +66,30 @@
     send_until_s: float
 
 
+@enum.unique
+class DutyOutcome(enum.Enum):
+    """What became of a report or an order."""
+
+    ACCEPTED = 'accepted'
+    REFUSED = 'refused'
+    NOT_SENT = 'not sent'
+    # It may or may not have been accepted.
+    UNKNOWN = 'unknown'
+
+
 @attrs.frozen
 class DutyAnswer:
-    """What became of a report or an order.
+    """An outcome, why it was not accepted, and how long the call took."""
 
-    `accepted` is None if it may or may not have been accepted. `cause` says
-    why it was not, and `elapsed_s` how long the call took.
-    """
-
-    accepted: bool | None
+    outcome: DutyOutcome
     cause: str
     elapsed_s: float
 
+    @property
+    def is_accepted(self) -> bool:
+        """Whether it was accepted for sure."""
+        return self.outcome is DutyOutcome.ACCEPTED
+
 
 @attrs.frozen
 class EngineReport:
--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -183,13 +183,13 @@
         self._log.decide(
             'usage.reported',
             str(window_id),
-            outcome=str(answer.accepted),
+            outcome=answer.outcome.value,
             cause=answer.cause,
             elapsed_s=answer.elapsed_s,
             fence=stamp.fence,
             total=sum(number for _, number in counts.counts),
         )
-        if answer.accepted:
+        if answer.is_accepted:
             self._reported.add(window_id)
             self._remove_old(window_id - KEPT_REPORTS)
 
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -8,6 +8,7 @@
 
 from dandelionyoke_gateway import (
     DutyAnswer,
+    DutyOutcome,
     DutyStamp,
     TargetCount,
     TargetPool,
@@ -66,9 +67,10 @@
         self.addCleanup(target.close)
         duties = PlatformDuties(target.address, TargetPool())
         stamp = DutyStamp('n-1', 9, clock_s() + 5)
-        self.assertTrue(duties.order_targets(ORDER, stamp).accepted)
+        self.assertTrue(duties.order_targets(ORDER, stamp).is_accepted)
         target.refuse_connections()
-        self.assertIs(False, duties.order_targets(ORDER, stamp).accepted)
+        behind = duties.order_targets(ORDER, stamp)
+        self.assertIs(DutyOutcome.NOT_SENT, behind.outcome)
         self.assertEqual(1, len(target.seen))
 
 
@@ -85,10 +87,11 @@
     def test_a_refusal_names_the_status(self) -> None:
         answer_of = self.order(lambda _: [answer('409 Conflict', b'{}', '')])
         self.assertEqual(
-            (False, 'answered 409'), (answer_of.accepted, answer_of.cause)
+            (DutyOutcome.REFUSED, 'answered 409'),
+            (answer_of.outcome, answer_of.cause),
         )
 
     def test_an_order_without_an_answer_is_in_doubt(self) -> None:
         answer_of = self.order(lambda _: [None])
-        self.assertIsNone(answer_of.accepted)
+        self.assertIs(DutyOutcome.UNKNOWN, answer_of.outcome)
         self.assertNotEqual('', answer_of.cause)
