Reset the entry's orders that are given up

What callers saw: nothing; an order of the entry's own interface that had no answer for 5 s could arrive later, after one of the next holder. Cause: the same as of the late order of the gateway, looked for elsewhere: the connection of its own was closed in the usual way, so that the kernel went on sending what a partition held. Ruled out: an idle connection (each order makes its own), a term that ends while connecting (asked before each piece). Change: the connection ends with a reset, by the function that the gateway's connections use; it moved to packages/links. Test: tests/wire/test_guarded.py, failed before (the peer read a proper end).

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -5,7 +5,6 @@
 both, and a later request would get another one's bytes.
 """
 
-import struct
 from typing import Any
 
 import eventlet
@@ -20,7 +19,7 @@
     ResponseHead,
     decode_headers,
 )
-from dandelionyoke_links import receive, set_options
+from dandelionyoke_links import receive, reset_at_end, set_options
 
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 65536
@@ -32,9 +31,6 @@
 # A request has to arrive before the target's own time is over.
 IDLE_MARGIN_S = 0.5
 
-# The option's value that ends a connection with a reset: on, after no time.
-RESET = struct.pack('ii', 1, 0)
-
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
@@ -194,10 +190,7 @@
     host, _, port = address.rpartition(':')
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     set_options(sock)
-    # Any other end leaves unsent bytes to the kernel, also that of a killed
-    # process. Behind a cut link they would arrive seconds later: an order of
-    # a holder that has lost its duty meanwhile, or a call that was given up.
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    reset_at_end(sock)
     sock.settimeout(timeout_s)
     try:
         sock.connect((host, int(port)))
--- a/packages/links/dandelionyoke_links/__init__.py
+++ b/packages/links/dandelionyoke_links/__init__.py
@@ -7,5 +7,6 @@
 from dandelionyoke_links._sockets import (
     listen as listen,
     receive as receive,
+    reset_at_end as reset_at_end,
     set_options as set_options,
 )
--- a/packages/links/dandelionyoke_links/_sockets.py
+++ b/packages/links/dandelionyoke_links/_sockets.py
@@ -1,5 +1,7 @@
 """Options of sockets that keep silent connections from hanging."""
 
+import struct
+
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
@@ -14,6 +16,9 @@
 UNACKNOWLEDGED_MS = 1000
 BACKLOG = 1024
 
+# The option's value that ends a connection with a reset: on, after no time.
+RESET = struct.pack('ii', 1, 0)
+
 
 def set_options(sock: socket.socket) -> None:
     """Send small writes at once, and notice a peer that is out of reach."""
@@ -28,6 +33,16 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, amount)
 
 
+def reset_at_end(sock: socket.socket) -> None:
+    """End a connection with a reset, also when its process is killed.
+
+    Any other end leaves unsent bytes to the kernel. Behind a cut link they
+    would arrive seconds later: an order of a holder that has lost its duty
+    meanwhile, or a call that was given up.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
+
 def listen(host: str, port: int) -> socket.socket:
     """Open a listening socket."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/packages/wire/dandelionyoke_wire/_guarded.py
+++ b/packages/wire/dandelionyoke_wire/_guarded.py
@@ -14,6 +14,7 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from dandelionyoke_links import reset_at_end
 from dandelionyoke_wire._transport import (
     CONNECT_TIMEOUT_S,
     JSON_TYPE,
@@ -42,6 +43,12 @@
         self.may_send = may_send
         self.bytes_left = False
 
+    def connect(self) -> None:
+        """Connect; what has not arrived at the end of the call never will."""
+        super().connect()
+        if self.sock is not None:
+            reset_at_end(self.sock)
+
     def send(self, data: Any) -> None:
         """Send one piece, or raise TermOverError."""
         if not self.may_send():
