--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -1,7 +1,7 @@
 """What the gateway asks of an adapter: a dialect, a store, duties, orders."""
 
 import enum
-from typing import Protocol
+from typing import Protocol, Self
 
 import attrs
 
@@ -13,6 +13,7 @@
     RegisteredTarget,
     WindowCounts,
 )
+from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._messages import RequestHead, ResponseHead
 
 
@@ -85,6 +86,18 @@
     cause: str
     elapsed_s: float
 
+    @classmethod
+    def answered(cls, cause: str, elapsed_s: float) -> Self:
+        """Tell an answer; no cause: it was accepted."""
+        outcome = DutyOutcome.REFUSED if cause else DutyOutcome.ACCEPTED
+        return cls(outcome, cause, elapsed_s)
+
+    @classmethod
+    def failed(cls, error: ExchangeError, elapsed_s: float) -> Self:
+        """Tell an exchange that brought no answer."""
+        outcome = DutyOutcome.UNKNOWN if error.sent else DutyOutcome.NOT_SENT
+        return cls(outcome, error.cause, elapsed_s)
+
     @property
     def is_accepted(self) -> bool:
         """Whether it was accepted for sure."""
