Attach the programs' logs to a failure of a process test

Cause: test_one_node_asks_the_store_for_its_domain failed once in a whole run (both nodes watched the store), and nothing of what the nodes had decided was kept, so that a node passed over as silent could not be told from two nodes that rank the members differently.

Change: a failure of these tests shows the log of each program.

--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -12,6 +12,7 @@
 
 import eventlet
 import testtools
+from testtools.content import text_content
 
 from dandelionyoke_gateway import clock_s
 from dandelionyoke_platform import _words as words
@@ -80,9 +81,15 @@
         program = Program(self.store, self.folder)
         self.addCleanup(program.process.wait)
         self.addCleanup(program.process.kill)
+        self.addOnException(lambda _: self.show_log(program))
         program.wait_until_ready()
         return program
 
+    def show_log(self, program: Program) -> None:
+        """Attach the log of a program to a failure."""
+        name = f'log of n-{program.port}'
+        self.addDetail(name, text_content(program.log.read_text()))
+
     def reported(self, organisation: str) -> int:
         """Add up what was reported of an organisation."""
         return sum(
