Let no stream end before its engine is taken back early

What was seen: once, 400 not less than 400: a stream that the test counted as cut by the platform had all its tokens at the engine that was taken back.

Cause, a fault of the test: the streams make 60 tokens a second and last 6.7 s. Before they are cut come the count of long streams, twenty short calls, a first listing that the entry must have read, and a second one that ends them. With 2.5 s more before the second listing (a stand-in for a slow machine) they had 353 and ended by themselves with 400: the failure that was listed, to the word.

Change: the streams of this test are 1000 tokens long, and none may have made all of them. The same check, as strict; its method is unchanged otherwise.

Run: with the 2.5 s it passes twice, before the change it failed. Its class passed once without them.

--- a/tests/entry/test_planned.py
+++ b/tests/entry/test_planned.py
@@ -24,6 +24,8 @@
 QUIET_CALLS = 40
 STREAMS = 10
 LONG_TOKENS = 400
+# Streams that none ends before two listings, one after the other, are read.
+LONGEST_TOKENS = 1000
 SHORT_TOKENS = 8
 # Higher than any fence of the system's own orders.
 FENCE = 1_000_000_000
@@ -204,12 +206,17 @@
             self.ask(prompt, entry=entry, stream=worker % 2 == 0)
             served.append(number)
 
-    def leave(self, change: Callable[[str], object], *entries: int) -> str:
+    def leave(
+        self,
+        change: Callable[[str], object],
+        *entries: int,
+        tokens: int = LONG_TOKENS,
+    ) -> str:
         """Change an engine that works on long answers, under a load of
         short ones. All are whole, and soon it gets no new work. Returns its
         name."""
         self.askable = entries
-        streams = self.begin_streams(STREAMS, LONG_TOKENS)
+        streams = self.begin_streams(STREAMS, tokens)
         # A stream counts as long once it is past a short answer's length.
         self.await_true(lambda: self.all_long_open() == STREAMS)
         names = [
@@ -309,10 +316,12 @@
             cut.update(self.long_open(found))
             self.list_as(found, 'reclaimed')
 
-        attempts = self.attempts(self.leave(take_back, 0, 1))
+        name = self.leave(take_back, 0, 1, tokens=LONGEST_TOKENS)
+        attempts = self.attempts(name)
         self.assertNotEqual(set(), cut)
         for attempt_id in cut:
-            self.assertLess(attempts[attempt_id]['output_tokens'], LONG_TOKENS)
+            made = attempts[attempt_id]['output_tokens']
+            self.assertLess(made, LONGEST_TOKENS)
 
 
 class SilentConnectionTest(PlannedCase):
