Keep limits of organisations in tokens over the whole fleet

Cause: nothing on the path of the users' platform read rate_per_s, burst, unit and plain_tokens; the adapter dropped them.

Change: RateLimit and the Protocol RateLimiter decide without I/O. One node of a failure domain, the one that also places prompts, keeps one bucket for the whole fleet (FleetLimiter); the others ask it about calls over 1 % of the burst and report smaller ones each 0.2 s. These few nodes tell one another what they let in, at once past 2 % of a burst, else each 0.3 s. A part that hears nothing of the rest gives out its share by nodes, and at most half of its share of what the sheet allows beyond a limit. A call is let in while the bucket is not in debt, whatever its size; a call that no target ran is given back; refused callers come back one after the other. A limit that cannot be kept (negative, not finite, unknown unit, burst under one call, organisation listed twice) makes the configuration unreadable, and the log names organisation and field.

A home node for each organisation was weighed, not built: it needs the same exchange of shares in a partition, and sends each large call across domains.

dandelionyoke_platform._shapes moves to the gateway: it reads mappings of any writer and holds no name of the platform.

A configuration that cannot be read is an error that names its field, where it was None; test_an_unreadable_configuration asserts the error in its place.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -303,6 +303,9 @@
 from dandelionyoke_core._quarantine_settings import (
     QuarantineSettings as QuarantineSettings,
 )
+from dandelionyoke_core._rate import (
+    TokenBucket as TokenBucket,
+)
 from dandelionyoke_core._records import (
     CacheEvent as CacheEvent,
     EngineOrder as EngineOrder,
--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -12,6 +12,7 @@
 from dandelionyoke_dispatch._configuration import (
     CallerLimits as CallerLimits,
     CallKind as CallKind,
+    ConfigurationError as ConfigurationError,
     EngineTraits as EngineTraits,
     FleetConfiguration as FleetConfiguration,
     Organisation as Organisation,
@@ -47,6 +48,11 @@
     FleetDemandSettings as FleetDemandSettings,
     ServiceDemand as ServiceDemand,
 )
+from dandelionyoke_dispatch._fleet_limiter import (
+    FleetLimiter as FleetLimiter,
+    FleetLimiterSettings as FleetLimiterSettings,
+    GroupUse as GroupUse,
+)
 from dandelionyoke_dispatch._freshness import (
     Freshness as Freshness,
     FreshnessSettings as FreshnessSettings,
@@ -60,6 +66,12 @@
     Placement as Placement,
     PrefillHome as PrefillHome,
 )
+from dandelionyoke_dispatch._rate_limit import (
+    LimitUnit as LimitUnit,
+    LimitVerdict as LimitVerdict,
+    RateLimit as RateLimit,
+    RateLimiter as RateLimiter,
+)
 from dandelionyoke_dispatch._reading_line import (
     Entry as Entry,
     LineSettings as LineSettings,
--- a/packages/dispatch/dandelionyoke_dispatch/_configuration.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_configuration.py
@@ -6,6 +6,12 @@
 
 import attrs
 
+from dandelionyoke_dispatch._rate_limit import RateLimit
+
+
+class ConfigurationError(ValueError):
+    """A configuration that cannot be put in force; says which field is bad."""
+
 
 @enum.unique
 class CallKind(enum.Enum):
@@ -89,10 +95,14 @@
 
 @attrs.frozen
 class Organisation:
-    """A customer; its priority goes before that of a route."""
+    """A customer; its priority goes before that of a route.
+
+    `rate_limit` holds over all nodes; None: there is no limit.
+    """
 
     name: str
     priority: int | None = None
+    rate_limit: RateLimit | None = None
 
 
 @attrs.frozen
@@ -131,3 +141,12 @@
     def find_organisation(self, api_key: str | None) -> Organisation | None:
         """Tell whose key this is; None for a key that nobody holds."""
         return self.organisations.get(api_key) if api_key else None
+
+    @property
+    def rate_limits(self) -> dict[str, RateLimit]:
+        """The limits of the organisations that have one, by name."""
+        return {
+            one.name: one.rate_limit
+            for one in self.organisations.values()
+            if one.rate_limit is not None
+        }
--- a/packages/dispatch/dandelionyoke_dispatch/_refusals.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_refusals.py
@@ -20,11 +20,14 @@
     NO_RETRY = 'the targets refused the call'
     OUT_OF_TIME = 'the time for the call is over'
     BROKEN = 'the target broke off or gave no proper answer'
+    OVER_LIMIT = 'the organisation is over its limit'
     QUARANTINED = 'targets that ran this call have crashed'
 
 
 # What is said with a cause while the call is known not to have run.
-STATUS_NOT_RUN = MappingProxyType({Cause.NO_ROUTE: 404, Cause.UNKNOWN_KEY: 401})
+STATUS_NOT_RUN = MappingProxyType(
+    {Cause.NO_ROUTE: 404, Cause.UNKNOWN_KEY: 401, Cause.OVER_LIMIT: 429}
+)
 NOT_RUN = 503
 # A call that may have run: these statuses promise nothing.
 STATUS_MAY_HAVE_RUN = MappingProxyType({Cause.OUT_OF_TIME: 504})
--- a/packages/dispatch/dandelionyoke_dispatch/_sources.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_sources.py
@@ -6,7 +6,7 @@
 not answer, or whose knowledge has grown old, is passed over for a while.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -58,6 +58,7 @@
         self._settings = settings
         self._near: Sequence[Member] = ()
         self._far: Sequence[Member] = ()
+        self._firsts: Sequence[Member] = ()
         self._suspicions: dict[str, _Suspicion] = {}
 
     def take_members(self, members: Iterable[Member]) -> None:
@@ -65,13 +66,12 @@
         by_id = {member.instance_id: member for member in members}
         own = Member(self._own_id, self._domain, '')
         by_id.setdefault(self._own_id, own)
-        near = [name for name in by_id if by_id[name].domain == self._domain]
-        far = set(by_id) - set(near)
-        ranked = [
-            by_id[name] for name in rendezvous(near, self._domain, len(near))
+        far = {name for name in by_id if by_id[name].domain != self._domain}
+        self._near = _ranked(by_id, self._domain)
+        self._firsts = [
+            _ranked(by_id, domain)[0]
+            for domain in sorted({by_id[name].domain for name in far})
         ]
-        # The one that is asked works for all others of its domain.
-        self._near = sorted(ranked, key=lambda member: -member.capacity)
         # Each node ranks those of other domains differently, so that nodes
         # in need do not all turn to the same one.
         self._far = [
@@ -106,6 +106,13 @@
             return None
         return first
 
+    def first_elsewhere(self) -> Sequence[Member]:
+        """Name the first node of each other domain, as its own rank it.
+
+        Nodes of that domain may have passed it over for a while.
+        """
+        return self._firsts
+
     def whom_to_ask(self, now_s: float, *, is_blind: bool) -> Member | None:
         """Choose the node to ask; None: this one asks the store itself.
 
@@ -131,3 +138,14 @@
             if suspicion is None or now_s >= suspicion.until_s:
                 return member
         return None
+
+
+def _ranked(by_id: Mapping[str, Member], domain: str) -> list[Member]:
+    """Rank the nodes of a domain, in the same order on every node.
+
+    The first one works for all others of its domain, so the strongest ones
+    go first.
+    """
+    names = [name for name in by_id if by_id[name].domain == domain]
+    ranked = [by_id[name] for name in rendezvous(names, domain, len(names))]
+    return sorted(ranked, key=lambda member: -member.capacity)
--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -38,6 +38,15 @@
     GatewaySettings as GatewaySettings,
     read_settings as read_settings,
 )
+from dandelionyoke_gateway._shapes import (
+    Fields as Fields,
+    ShapeError as ShapeError,
+    mapping_of as mapping_of,
+    number_of as number_of,
+    objects_of as objects_of,
+    text_of as text_of,
+    whole_of as whole_of,
+)
 from dandelionyoke_gateway._status import (
     ExitStatus as ExitStatus,
 )
--- a/packages/gateway/dandelionyoke_gateway/_call_desk.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_desk.py
@@ -29,6 +29,11 @@
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._ports import Dialect, EngineClient
 from dandelionyoke_gateway._prefill_queue import PrefillQueue
+from dandelionyoke_gateway._rate_limits import (
+    Charge,
+    OverLimitError,
+    RateLimits,
+)
 from dandelionyoke_gateway._target_pool import TargetPool
 
 
@@ -41,6 +46,7 @@
     pool: TargetPool
     engines: EngineClient
     prefills: PrefillQueue
+    limits: RateLimits
     log: DecisionLog
     # Takes the fingerprint of a call, and the id and address of a target
     # that broke it off.
@@ -195,11 +201,36 @@
         if crashes.refuses(opened.fingerprint, clock_s()):
             refusal = Refusal(Cause.QUARANTINED, crashes.retry_after_s)
             raise RefusedError(refusal)
+        charge = self._charge(opened)
+        try:
+            self._carry_by_kind(opened)
+        finally:
+            if charge is not None and not opened.attempts.may_have_run:
+                self._tools.limits.give_back(charge)
+
+    def _carry_by_kind(self, opened: OpenCall) -> None:
         if opened.route.kind is CallKind.STREAM:
             self._carry_stream(self._tools, opened)
         else:
             self._carry_plain(self._tools, opened)
 
+    def _charge(self, opened: OpenCall) -> Charge | None:
+        """Hold a call against its organisation's limit."""
+        organisation = opened.organisation
+        if organisation is None or organisation.rate_limit is None:
+            return None
+        charge = Charge(
+            opened.call.attempt_id,
+            organisation.name,
+            organisation.rate_limit.amount_of(opened.call.prompt),
+        )
+        try:
+            self._tools.limits.take(charge)
+        except OverLimitError as over:
+            refusal = Refusal(Cause.OVER_LIMIT, over.retry_after_s)
+            raise RefusedError(refusal) from over
+        return charge
+
     def _refuse(
         self,
         call: Call,
--- a/packages/gateway/dandelionyoke_gateway/_configuration_keeper.py
+++ b/packages/gateway/dandelionyoke_gateway/_configuration_keeper.py
@@ -2,6 +2,7 @@
 
 import zlib
 
+from dandelionyoke_dispatch import ConfigurationError
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._ports import Dialect
@@ -25,16 +26,22 @@
         knowledge.configuration_revision = revision
         knowledge.configuration_packed = zlib.compress(text.encode())
         knowledge.signal.announce()
-        configuration = self._dialect.read_configuration(text)
-        if configuration is None:
+        try:
+            configuration = self._dialect.read_configuration(text)
+        except ConfigurationError as bad:
             self._log.decide(
-                'configuration.unreadable', str(revision), outcome='kept old'
+                'configuration.unreadable',
+                str(revision),
+                outcome='kept old',
+                cause=str(bad),
+                source=source,
             )
             return
         known = knowledge.configuration
         if known is not None and configuration.version <= known.version:
             return
         knowledge.configuration = configuration
+        knowledge.limiter.take_limits(configuration.rate_limits)
         self._log.decide(
             'configuration.adopted',
             str(configuration.version),
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -16,6 +16,8 @@
     FleetConfiguration,
     FleetDemand,
     FleetDemandSettings,
+    FleetLimiter,
+    FleetLimiterSettings,
     Freshness,
     FreshnessSettings,
     LineSettings,
@@ -91,6 +93,7 @@
     listing: TargetListing
     sources: SourceChoice
     sender: CountsSender
+    limiter: FleetLimiter
     receiver: CountsReceiver = attrs.field(factory=CountsReceiver)
     signal: ChangeSignal = attrs.field(factory=ChangeSignal)
     turns: LineTurns = attrs.field(factory=LineTurns)
@@ -189,5 +192,12 @@
             settings.instance_id, settings.domain, SourceSettings()
         ),
         sender=CountsSender(process_name, usage),
+        limiter=FleetLimiter(
+            FleetLimiterSettings(
+                window_s=settings.limit_window_s,
+                overrun_share=settings.limit_overrun_share,
+                slack=settings.limit_slack,
+            )
+        ),
         departure=Departure(DepartureSettings(settings.grace_s)),
     )
--- a/packages/gateway/dandelionyoke_gateway/_log.py
+++ b/packages/gateway/dandelionyoke_gateway/_log.py
@@ -93,6 +93,10 @@
         """Write no more lines."""
         remove_destination(self._write)
 
+    def count(self, counted: CountMetric) -> None:
+        """Add to a counter; no line is written."""
+        self._metrics.count(counted)
+
     def observe(self, metric: str, elapsed_s: float) -> None:
         """Record a duration in a histogram; no line is written."""
         self._metrics.observe(ObserveLatency(metric, elapsed_s))
--- a/packages/gateway/dandelionyoke_gateway/_news_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_links.py
@@ -17,6 +17,7 @@
     StoreWritten,
 )
 from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._limit_server import LimitServer
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_desk import NewsDesk
 from dandelionyoke_gateway._news_task import NewsTask
@@ -34,6 +35,7 @@
 def serve_news(
     task: NewsTask,
     prefills: PrefillLinks,
+    limits: LimitServer,
     knowledge: Knowledge,
     store: Store,
     log: DecisionLog,
@@ -44,12 +46,14 @@
     own_id = InstanceId(settings.instance_id)
 
     def emit(event: Event) -> None:
-        if not prefills.take(event):
+        if not prefills.take(event) and not limits.take(event):
             task.take(desk, event)
 
     hub = PeerHub(PeerSettings(own_id, secret.encode()), emit)
     desk = NewsDesk(knowledge, hub.send)
     prefills.attach(hub.send)
+    limits.attach(hub.send, hub.connect)
+    eventlet.spawn_n(limits.run)
     listener = listen(settings.peers.host, settings.peers.port)
     eventlet.spawn_n(hub.serve, listener)
     log.decide('links.opened', settings.instance_id)
--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -164,8 +164,12 @@
     def read_prefill(self, body: bytes) -> str | None:
         """Read the handle of a prompt that was read; None if there is none."""
 
-    def read_configuration(self, text: str) -> FleetConfiguration | None:
-        """Read a whole configuration; None if it cannot be read."""
+    def read_configuration(self, text: str) -> FleetConfiguration:
+        """Read a whole configuration.
+
+        Raises:
+            ConfigurationError: it cannot be read; the message names the field.
+        """
 
     def read_target(self, key: str, text: str) -> RegisteredTarget | None:
         """Read an entry of the registry; None if it names no target."""
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -29,6 +29,7 @@
     PaceSettings,
     RegistryTask,
 )
+from dandelionyoke_gateway._limit_server import LimitServer
 from dandelionyoke_gateway._log import DecisionLog, LineSink
 from dandelionyoke_gateway._member_task import MemberTask
 from dandelionyoke_gateway._messages import ResponseHead
@@ -44,6 +45,7 @@
 )
 from dandelionyoke_gateway._prefill_links import PrefillLinks
 from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
+from dandelionyoke_gateway._rate_limits import DomainRateLimits
 from dandelionyoke_gateway._registry_keeper import RegistryKeeper
 from dandelionyoke_gateway._reliance import Reliance, RelianceSettings
 from dandelionyoke_gateway._settings import Endpoint, GatewaySettings
@@ -106,6 +108,7 @@
         self._prefills = DomainPrefillQueue(
             self._local_prefills, self._knowledge, self._log
         )
+        self._limits = DomainRateLimits(self._knowledge, self._log)
         self._desk = CallDesk(
             Tools(
                 self._knowledge,
@@ -113,6 +116,7 @@
                 pool,
                 self._adapters.engines,
                 self._prefills,
+                self._limits,
                 self._log,
                 self._crashes.suspect,
             ),
@@ -205,6 +209,7 @@
             serve_news,
             news_task,
             prefills,
+            LimitServer(self._limits, self._knowledge, self._log),
             self._knowledge,
             self._adapters.store,
             self._log,
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_rate_limits.py
@@ -0,0 +1,228 @@
+"""Holds the calls of a node against the limits of their organisations.
+
+One node of a failure domain keeps the limits for all of it (`LimitServer`).
+The others ask it about calls that are large against a limit, and let small
+ones in themselves and report them a moment later.
+"""
+
+import itertools
+from collections import defaultdict
+from typing import Protocol
+
+import attrs
+import eventlet
+from eventlet.queue import Empty, LightQueue
+
+from dandelionyoke_core import CountMetric, InstanceId
+from dandelionyoke_dispatch import LimitVerdict, RateLimit
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._limit_messages import (
+    ChargeAsked,
+    ChargeTold,
+    OverLimit,
+    UseReported,
+)
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._news_desk import Send
+
+# A sound node of the domain answers within milliseconds.
+ANSWER_TIMEOUT_S = 0.15
+# A node that did not answer is not asked for this long.
+COOLDOWN_S = 0.5
+# A call below this share of the burst is let in without a question.
+ASKED_SHARE = 0.01
+REPORT_INTERVAL_S = 0.2
+NUMBER_BITS = 48
+
+
+@attrs.frozen
+class Charge:
+    """What a call takes of its organisation's limit."""
+
+    attempt_id: str
+    organisation: str
+    amount: float
+
+
+class OverLimitError(Exception):
+    """The call is beyond its organisation's limit; come back later."""
+
+    def __init__(self, charge: Charge, verdict: LimitVerdict) -> None:
+        super().__init__(
+            f'{charge.organisation} is over its limit '
+            f'for {verdict.over_s:.2f} s'
+        )
+        self.retry_after_s = verdict.retry_after_s
+
+
+class RateLimits(Protocol):
+    """Charges calls against the limits of their organisations."""
+
+    def take(self, charge: Charge) -> None:
+        """Charge a call.
+
+        Raises:
+            OverLimitError: it is beyond the limit.
+        """
+
+    def give_back(self, charge: Charge) -> None:
+        """Take the charge of a call back that no target ran."""
+
+
+class DomainRateLimits:
+    """Asks the node that keeps the limits; decides itself without it."""
+
+    def __init__(self, knowledge: Knowledge, log: DecisionLog) -> None:
+        self._knowledge = knowledge
+        self._limiter = knowledge.limiter
+        self._log = log
+        self._send: Send | None = None
+        # Another process of this instance may have open questions there.
+        first_number = knowledge.random.getrandbits(NUMBER_BITS)
+        self._numbers = itertools.count(first_number)
+        self._answers: dict[int, LightQueue] = {}
+        self._unreported: defaultdict[str, float] = defaultdict(float)
+        self._over_until_s: dict[str, float] = {}
+        self._cooldown_until_s = 0.0
+
+    def attach(self, send: Send) -> None:
+        """Take how messages leave, once there are links."""
+        self._send = send
+
+    def take(self, charge: Charge) -> None:
+        """Charge a call.
+
+        Raises:
+            OverLimitError: it is beyond the limit.
+        """
+        limit = self._limiter.limit_of(charge.organisation)
+        if limit is None:
+            return
+        keeper = self._keeper()
+        verdict = self._decide(charge, limit, keeper)
+        outcome = 'admitted' if verdict.is_admitted else 'refused'
+        self._log.count(
+            CountMetric(
+                f'limit.{outcome}', int(charge.amount), charge.organisation
+            )
+        )
+        if not verdict.is_admitted:
+            self._log_refusal(charge, verdict, keeper)
+            raise OverLimitError(charge, verdict)
+
+    def give_back(self, charge: Charge) -> None:
+        """Take the charge of a call back that no target ran."""
+        if self._limiter.limit_of(charge.organisation) is not None:
+            self._note(charge.organisation, -charge.amount)
+
+    def answered(self, told: ChargeTold) -> None:
+        """Take the answer to a question."""
+        answers = self._answers.get(told.number)
+        if answers is not None:
+            answers.put(told.verdict)
+
+    def over(self, told: OverLimit) -> None:
+        """Take which organisations are over their limits."""
+        now_s = clock_s()
+        for organisation, over_s in told.for_s.items():
+            self._over_until_s[organisation] = now_s + over_s
+
+    def run(self) -> None:
+        """Report what was let in here for as long as the process lives."""
+        while True:
+            eventlet.sleep(REPORT_INTERVAL_S)
+            self._report()
+
+    def _decide(
+        self, charge: Charge, limit: RateLimit, keeper: InstanceId | None
+    ) -> LimitVerdict:
+        if keeper is not None:
+            if charge.amount < ASKED_SHARE * limit.burst:
+                return self._let_small_in(charge)
+            verdict = self._ask(keeper, charge)
+            if verdict is not None:
+                return verdict
+        verdict = self._limiter.admit(
+            charge.organisation, charge.amount, clock_s()
+        )
+        if verdict.is_admitted and not self._is_keeper():
+            self._unreported[charge.organisation] += charge.amount
+        return verdict
+
+    def _let_small_in(self, charge: Charge) -> LimitVerdict:
+        over_s = self._over_until_s.get(charge.organisation, 0.0) - clock_s()
+        if over_s > 0:
+            return LimitVerdict(
+                is_admitted=False, retry_after_s=over_s, over_s=over_s
+            )
+        self._over_until_s.pop(charge.organisation, None)
+        self._unreported[charge.organisation] += charge.amount
+        return LimitVerdict(is_admitted=True)
+
+    def _ask(self, keeper: InstanceId, charge: Charge) -> LimitVerdict | None:
+        """Ask a node; None: it did not answer, and this one decides."""
+        number = next(self._numbers)
+        answers = LightQueue()
+        self._answers[number] = answers
+        asked = ChargeAsked(number, charge.organisation, charge.amount)
+        try:
+            if self._send is None or not self._send(keeper, asked):
+                return None
+            verdict: LimitVerdict = answers.get(timeout=ANSWER_TIMEOUT_S)
+        except Empty:
+            self._cooldown_until_s = clock_s() + COOLDOWN_S
+            self._log.decide('limit.silent', keeper, outcome='decided here')
+            return None
+        finally:
+            self._answers.pop(number)
+        if not verdict.is_admitted:
+            self.over(OverLimit({charge.organisation: verdict.over_s}))
+        return verdict
+
+    def _note(self, organisation: str, amount: float) -> None:
+        if self._is_keeper():
+            self._limiter.charge(organisation, amount, clock_s())
+        else:
+            self._unreported[organisation] += amount
+
+    def _report(self) -> None:
+        if not self._unreported:
+            return
+        if self._is_keeper():
+            for organisation, amount in self._unreported.items():
+                self._limiter.charge(organisation, amount, clock_s())
+            self._unreported.clear()
+            return
+        keeper = self._keeper()
+        if keeper is None or self._send is None:
+            return
+        if self._send(keeper, UseReported(dict(self._unreported))):
+            self._unreported.clear()
+
+    def _is_keeper(self) -> bool:
+        return self._knowledge.sources.is_source(clock_s())
+
+    def _keeper(self) -> InstanceId | None:
+        """Name the node to ask; None: this one decides."""
+        now_s = clock_s()
+        if self._send is None or now_s < self._cooldown_until_s:
+            return None
+        member = self._knowledge.sources.domain_source(now_s)
+        return None if member is None else InstanceId(member.instance_id)
+
+    def _log_refusal(
+        self, charge: Charge, verdict: LimitVerdict, keeper: str | None
+    ) -> None:
+        self._log.decide(
+            'limit.reached',
+            charge.attempt_id,
+            outcome='refused',
+            organisation=charge.organisation,
+            amount=charge.amount,
+            level=verdict.level,
+            over_s=verdict.over_s,
+            share=verdict.share,
+            news_age_s=verdict.news_age_s,
+            decided_by=keeper,
+        )
--- a/packages/gateway/dandelionyoke_gateway/_settings.py
+++ b/packages/gateway/dandelionyoke_gateway/_settings.py
@@ -45,6 +45,11 @@
     # How many processors there are, and the share of each that is its own.
     processors: float = 1.0
     processor_share: float = 1.0
+    # Over each window an organisation may use this much beyond its limit, as
+    # a share of it and in the units of the limit; 0 where nobody says.
+    limit_window_s: float = 0.0
+    limit_overrun_share: float = 0.0
+    limit_slack: float = 0.0
 
 
 def read_settings(text: str) -> GatewaySettings:
@@ -110,6 +115,10 @@
     return _number(raw) if raw else 1.0
 
 
+def _number_or_zero(raw: str) -> float:
+    return _number(raw) if raw else 0.0
+
+
 def _milliseconds(raw: str) -> float:
     return _number(raw) / 1000
 
@@ -142,5 +151,8 @@
         'duty_turn_s': ('bounds', 'duty_turn_ms', _milliseconds),
         'usage_window_s': ('bounds', 'usage_window_s', _number),
         'usage_late_s': ('bounds', 'usage_late_s', _number),
+        'limit_window_s': ('limits', 'window_s', _number_or_zero),
+        'limit_overrun_share': ('limits', 'overrun_share', _number_or_zero),
+        'limit_slack': ('limits', 'slack', _number_or_zero),
     }
 )
--- /dev/null
+++ b/tests/gateway/test_rate_limits.py
@@ -0,0 +1,176 @@
+"""Limits of organisations as the nodes of a domain keep them together."""
+
+import math
+from random import Random
+
+import eventlet
+import testtools
+
+from dandelionyoke_core import (
+    InstanceId,
+    Metrics,
+    PeerMessage,
+    PeerMessageArrived,
+)
+from dandelionyoke_dispatch import LimitUnit, Member, RateLimit
+from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway._knowledge import new_knowledge
+from dandelionyoke_gateway._limit_messages import (
+    ChargeAsked,
+    GroupUseTold,
+    UseReported,
+)
+from dandelionyoke_gateway._limit_server import LimitServer
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._rate_limits import (
+    ANSWER_TIMEOUT_S,
+    REPORT_INTERVAL_S,
+    Charge,
+    DomainRateLimits,
+    OverLimitError,
+)
+from tests.gateway.settings import new_settings
+from tests.platform.path import Lines
+
+LIMIT = RateLimit(100.0, 1000.0, LimitUnit.TOKENS)
+LARGE = 100.0
+SMALL = 1.0
+
+
+class Node:
+    """A node of one domain, without sockets."""
+
+    def __init__(self, network: 'Network', name: str) -> None:
+        self.name = InstanceId(name)
+        self._network = network
+        self.lines = Lines()
+        self.knowledge = new_knowledge(new_settings(name), Random(3))
+        self.log = DecisionLog(self.lines, name, Metrics())
+        self.limits = DomainRateLimits(self.knowledge, self.log)
+        self.server = LimitServer(self.limits, self.knowledge, self.log)
+        self.server.attach(self.send, lambda peer_id, url: None)
+        self.knowledge.limiter.take_limits({'acme': LIMIT})
+
+    def send(self, peer_id: InstanceId, message: PeerMessage) -> bool:
+        self._network.deliver(self.name, peer_id, message)
+        return True
+
+    def take(self, amount: float = LARGE) -> bool:
+        """Take a call; tell whether it is within the limit."""
+        try:
+            self.limits.take(Charge('call-1', 'acme', amount))
+        except OverLimitError as over:
+            self.retry_after_s = over.retry_after_s
+            return False
+        return True
+
+    @property
+    def level(self) -> float:
+        """What this node believes that the bucket holds."""
+        verdict = self.knowledge.limiter.admit('acme', 0.0, clock_s())
+        return verdict.level
+
+
+class Network:
+    """Delivers messages between nodes, unless a node is silent."""
+
+    def __init__(self, count: int) -> None:
+        self.nodes = {
+            node.name: node
+            for node in (Node(self, f'n-{one}') for one in range(count))
+        }
+        self.silent: set[str] = set()
+        members = [Member(name, 'a', '10.0.0.2:7') for name in self.nodes]
+        for node in self.nodes.values():
+            node.knowledge.sources.take_members(members)
+
+    @property
+    def keeper(self) -> Node:
+        return next(
+            node
+            for node in self.nodes.values()
+            if node.knowledge.sources.is_source(clock_s())
+        )
+
+    @property
+    def others(self) -> list[Node]:
+        keeper = self.keeper
+        return [node for node in self.nodes.values() if node is not keeper]
+
+    def deliver(
+        self, sender: InstanceId, peer_id: InstanceId, message: PeerMessage
+    ) -> None:
+        if peer_id not in self.silent:
+            event = PeerMessageArrived(sender, message)
+            eventlet.spawn_n(self.nodes[peer_id].server.take, event)
+
+
+class DomainRateLimitsTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.network = Network(4)
+        for node in self.network.nodes.values():
+            self.addCleanup(node.log.close)
+            node.knowledge.limiter.take_nodes(1, 1, clock_s() - 60)
+        self.keeper = self.network.keeper
+        self.first, self.second, self.third = self.network.others
+
+    def test_nodes_share_one_bucket(self) -> None:
+        """Guards against a whole limit, or a small part of it, for each."""
+        nodes = self.network.others
+        let_in = sum(nodes[number % 3].take() for number in range(30))
+        # One of them leaves the debt.
+        self.assertIn(let_in, {10, 11})
+        self.assertGreater(self.first.retry_after_s, 0)
+
+    def test_small_calls_are_reported(self) -> None:
+        """Guards against calls that count nowhere."""
+        eventlet.spawn_n(self.first.limits.run)
+        for _ in range(300):
+            self.assertTrue(self.first.take(SMALL))
+        eventlet.sleep(2 * REPORT_INTERVAL_S)
+        self.assertAlmostEqual(700, self.keeper.level, delta=60)
+
+    def test_small_calls_are_refused_once_the_limit_is_reached(self) -> None:
+        eventlet.spawn_n(self.first.limits.run)
+        while self.second.take():
+            """Use the limit up."""
+        self.assertTrue(self.first.take(SMALL))
+        eventlet.sleep(2 * REPORT_INTERVAL_S)
+        self.assertFalse(self.first.take(SMALL))
+
+    def test_a_call_that_no_target_ran_costs_nothing(self) -> None:
+        eventlet.spawn_n(self.first.limits.run)
+        charge = Charge('call-1', 'acme', 900.0)
+        self.first.limits.take(charge)
+        self.first.limits.give_back(charge)
+        eventlet.sleep(2 * REPORT_INTERVAL_S)
+        self.assertAlmostEqual(1000, self.keeper.level, delta=1)
+
+    def test_a_node_without_an_answer_decides_itself(self) -> None:
+        """Guards against calls refused, or held, for lack of news."""
+        self.network.silent.add(self.keeper.name)
+        began_s = clock_s()
+        self.assertTrue(self.first.take())
+        self.assertLess(clock_s() - began_s, 2 * ANSWER_TIMEOUT_S)
+        self.assertIn('limit.silent', self.first.lines.text)
+
+    def test_a_refusal_names_what_it_went_by(self) -> None:
+        while self.first.take():
+            """Use the limit up."""
+        for field in ('call-1', 'acme', 'level', 'share', 'news_age_s'):
+            self.assertIn(field, self.first.lines.text)
+
+    def test_impossible_messages(self) -> None:
+        """Guards against a peer that opens, or shuts, a limit for all."""
+        for message in (
+            ChargeAsked(1, 'acme', math.nan),
+            ChargeAsked(2, 'acme', -5.0),
+            UseReported({'acme': math.inf}),
+            GroupUseTold('n-9.1', -1, {'acme': 1.0}),
+            GroupUseTold('n-9.1', 1, {'acme': math.nan}),
+        ):
+            event = PeerMessageArrived(self.first.name, message)
+            self.assertTrue(self.keeper.server.take(event))
+        self.assertEqual(5, self.keeper.lines.text.count('limit.dropped'))
+        self.assertAlmostEqual(1000, self.keeper.level, delta=1)
--- a/tests/platform/path.py
+++ b/tests/platform/path.py
@@ -30,6 +30,7 @@
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._plain_call import carry_plain
 from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
+from dandelionyoke_gateway._rate_limits import DomainRateLimits
 from dandelionyoke_gateway._stream_call import carry_stream
 from dandelionyoke_links import set_options
 from dandelionyoke_platform._dialect import PlatformDialect
@@ -193,6 +194,7 @@
                 self.pool,
                 PlatformDuties('', self.pool),
                 LocalPrefillQueue(self.knowledge),
+                DomainRateLimits(self.knowledge, self._log),
                 self._log,
                 self._suspect,
             ),
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -4,7 +4,14 @@
 
 import testtools
 
-from dandelionyoke_dispatch import Phase, PromptPart
+from dandelionyoke_dispatch import (
+    ConfigurationError,
+    FleetConfiguration,
+    LimitUnit,
+    Phase,
+    PromptPart,
+    RateLimit,
+)
 from dandelionyoke_gateway import (
     CacheSource,
     Forwarding,
@@ -127,14 +134,57 @@
         for text in ('', 'null', '[]', '{', '{"slots": 1}'):
             self.assertIsNone(DIALECT.read_target('servers/i-7', text))
 
-    def test_an_unreadable_configuration_is_none(self) -> None:
+    def test_an_unreadable_configuration_is_refused(self) -> None:
         for text in (
             '',
             '[]',
             '{"version": "7"}',
             '{"version": 1, "routes": 3}',
         ):
-            self.assertIsNone(DIALECT.read_configuration(text))
+            self.assertRaises(
+                ConfigurationError, DIALECT.read_configuration, text
+            )
+
+    def limited(self, **fields: object) -> FleetConfiguration:
+        tenant = {'name': 'acme', 'api_keys': ['k'], **fields}
+        return DIALECT.read_configuration(
+            json.dumps({'version': 1, 'tenants': [tenant]})
+        )
+
+    def test_limits_of_organisations(self) -> None:
+        tokens = self.limited(
+            unit='token_stream', rate_per_s=500, burst=900, plain_tokens=200
+        )
+        self.assertEqual(
+            {'acme': RateLimit(500, 900, LimitUnit.TOKENS, 200)},
+            tokens.rate_limits,
+        )
+        calls = self.limited(rate_per_s=5)
+        self.assertEqual({'acme': RateLimit(5, 5)}, calls.rate_limits)
+        self.assertEqual({}, self.limited(rate_per_s=0, burst=3).rate_limits)
+        self.assertEqual({}, self.limited().rate_limits)
+
+    def test_limits_that_cannot_be_kept(self) -> None:
+        """Guards against a limit that is dropped in silence."""
+        for bad, field in (
+            ({'rate_per_s': -1, 'burst': 1}, 'rate_per_s'),
+            ({'rate_per_s': float('nan'), 'burst': 1}, 'rate_per_s'),
+            ({'rate_per_s': 1, 'burst': float('inf')}, 'burst'),
+            ({'rate_per_s': 1, 'burst': 0.1}, 'burst'),
+            ({'rate_per_s': '9'}, 'rate_per_s'),
+            ({'rate_per_s': 9, 'unit': 'bytes'}, 'unit'),
+        ):
+            error = self.assertRaises(ConfigurationError, self.limited, **bad)
+            self.assertIn('acme', str(error))
+            self.assertIn(field, str(error))
+
+    def test_an_organisation_that_is_listed_twice(self) -> None:
+        """Guards against two limits of which one holds by chance."""
+        text = json.dumps({'version': 1, 'tenants': [{'name': 'acme'}] * 2})
+        error = self.assertRaises(
+            ConfigurationError, DIALECT.read_configuration, text
+        )
+        self.assertIn("'acme' is listed twice", str(error))
 
     def test_a_configuration(self) -> None:
         route = {
@@ -155,7 +205,6 @@
             }
         )
         found = DIALECT.read_configuration(text)
-        assert found is not None
         match = found.find_route('h.example', '/a/b/c')
         self.assertEqual('longer', match and match.name)
         self.assertIsNone(found.find_route('h.example', '/x/'))
