Give out the whole of a limit's window, evenly

Cause: the sheet holds a limit over windows of 8 s, in which the rate of the window and the burst may be used; a bucket of the rate and the burst gives out an eighth less while an organisation asks for more than that.

Change: where the settings name a window, a budget lets in the rate and the window's share of the burst, nine tenths of the burst at once, and never more than the whole in a window (LimitBudget: BucketBudget, SteadyWindowBudget). Use is brought up to now before each charge.

--- a/packages/dispatch/dandelionyoke_dispatch/_fleet_limiter.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_fleet_limiter.py
@@ -2,14 +2,13 @@
 
 The nodes of a failure domain ask one of them, so that calls that are large
 against a limit are charged one after the other. Those few tell one another
-what they have let in, and each of them holds a bucket for the whole fleet.
+what they have let in, and each of them holds a budget for the whole fleet.
 A part of the fleet that hears nothing of the rest gives out no more than its
 share of the limit, by its share of the nodes: all parts of a partition
 together stay within the whole.
 
-A call is let in while the bucket is not in debt, whatever the call's size: a
-bucket that waited for the whole amount would starve large calls behind small
-ones.
+A call is let in while the budget is not in debt, whatever the call's size: one
+that waited for the whole amount would starve large calls behind small ones.
 """
 
 from collections import deque
@@ -17,7 +16,11 @@
 
 import attrs
 
-from dandelionyoke_core import TokenBucket
+from dandelionyoke_dispatch._limit_budget import (
+    BucketBudget,
+    LimitBudget,
+    SteadyWindowBudget,
+)
 from dandelionyoke_dispatch._rate_limit import LimitVerdict, RateLimit
 
 
@@ -52,9 +55,9 @@
 
 @attrs.define
 class _Account:
-    """One organisation's bucket and what this node has let in."""
+    """One organisation's budget and what this node has let in."""
 
-    bucket: TokenBucket
+    budget: LimitBudget
     spent: float = 0.0
     told: float = 0.0
     changed_s: float = 0.0
@@ -104,6 +107,11 @@
             if name in limits
         }
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any organisation has a limit."""
+        return bool(self._limits)
+
     def limit_of(self, organisation: str) -> RateLimit | None:
         """Find the limit of an organisation; None: it has none."""
         return self._limits.get(organisation)
@@ -137,7 +145,9 @@
             group.spent.update(known.spent)
         for name, spent in use.spent.items():
             if is_followed and name in self._limits:
-                self._take(name, spent - group.spent.get(name, 0.0), now_s)
+                more = spent - group.spent.get(name, 0.0)
+                account = self._account(name, now_s)
+                account.budget.spend(more, sender, now_s)
             group.spent[name] = spent
         self._groups[sender] = group
 
@@ -158,7 +168,7 @@
         if organisation not in self._limits:
             return LimitVerdict(is_admitted=True)
         account = self._account(organisation, now_s)
-        level = account.bucket.level
+        level = self._level(organisation, now_s)
         if level < -self._allowance(organisation, now_s):
             return self._refuse(organisation, amount, now_s)
         self._spend(account, amount, now_s)
@@ -206,27 +216,41 @@
     ) -> LimitVerdict:
         """Send a caller away until those before it have had their turn."""
         account = self._accounts[organisation]
-        rate_per_s = self._rate_per_s(organisation, now_s)
+        share = self.share(now_s)
         over_s = self._wait_s(organisation, now_s)
         latest_s = now_s + self._settings.longest_retry_s
         turn_s = min(max(account.returns_s, now_s + over_s), latest_s)
+        rate_per_s = self._limits[organisation].rate_per_s * share
         account.returns_s = turn_s + amount / rate_per_s
         return LimitVerdict(
             is_admitted=False,
             retry_after_s=turn_s - now_s,
             over_s=over_s,
-            level=account.bucket.level,
-            share=self.share(now_s),
+            level=self._level(organisation, now_s),
+            share=share,
             news_age_s=self._news_age_s(now_s),
         )
 
+    def _level(self, organisation: str, now_s: float) -> float:
+        return self._accounts[organisation].budget.level(
+            self._limits[organisation],
+            self.share(now_s),
+            self._heard(now_s),
+            now_s,
+        )
+
     def _wait_s(self, organisation: str, now_s: float) -> float:
-        bucket = self._accounts[organisation].bucket
-        missing = -bucket.level - self._allowance(organisation, now_s)
-        return max(0.0, missing) / self._rate_per_s(organisation, now_s)
+        level = self._level(organisation, now_s)
+        return self._accounts[organisation].budget.wait_s(
+            self._limits[organisation],
+            self.share(now_s),
+            -level - self._allowance(organisation, now_s),
+            self._heard(now_s),
+            now_s,
+        )
 
     def _allowance(self, organisation: str, now_s: float) -> float:
-        """Tell how far a bucket may be in debt before calls are refused."""
+        """Tell how far a budget may be in debt before calls are refused."""
         share = self.share(now_s)
         if share >= 1:
             return 0.0
@@ -235,32 +259,33 @@
         allowed = settings.overrun_share * whole + settings.slack
         return settings.cut_off_share * allowed * share
 
-    def _rate_per_s(self, organisation: str, now_s: float) -> float:
-        return self._limits[organisation].rate_per_s * self.share(now_s)
-
     def _spend(self, account: _Account, amount: float, now_s: float) -> None:
-        account.bucket.level -= amount
+        account.budget.spend(amount, '', now_s)
         account.spent += amount
         account.changed_s = now_s
 
-    def _take(self, name: str, amount: float, now_s: float) -> None:
-        self._account(name, now_s).bucket.level -= amount
-
     def _account(self, name: str, now_s: float) -> _Account:
         """Bring the account of an organisation up to now."""
         account = self._accounts.get(name) or self._open(name, now_s)
-        limit, share = self._limits[name], self.share(now_s)
-        account.bucket.refill(
-            limit.rate_per_s * share, limit.burst * share, now_s
-        )
+        self._level(name, now_s)
         return account
 
     def _open(self, name: str, now_s: float) -> _Account:
-        """Begin empty: what the fleet used before is not known here."""
-        account = _Account(TokenBucket(0.0, now_s))
+        window_s = self._settings.window_s
+        budget: LimitBudget = BucketBudget(now_s)
+        if window_s > 0:
+            budget = SteadyWindowBudget(window_s, now_s)
+        account = _Account(budget)
         self._accounts[name] = account
         return account
 
+    def _heard(self, now_s: float) -> frozenset[str]:
+        return frozenset(
+            sender
+            for sender, group in self._groups.items()
+            if now_s - group.heard_s <= self._settings.stale_s
+        )
+
     def _fresh(self, now_s: float) -> list[_Group]:
         self._groups = {
             sender: group
--- a/packages/gateway/dandelionyoke_gateway/_limit_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_limit_server.py
@@ -149,10 +149,8 @@
             known = knowledge.demand.total(now_s).nodes
             own_nodes = max(1, min(known, knowledge.node_count))
         self._limiter.take_nodes(own_nodes, knowledge.node_count, now_s)
-        configuration = knowledge.configuration
-        if configuration is None or not configuration.rate_limits:
-            return
-        if is_source or now_s - self._asked_s < ASKED_S:
+        is_keeping = is_source or now_s - self._asked_s < ASKED_S
+        if is_keeping and self._limiter.has_limits:
             self._tell_if_due(now_s)
 
     def _tell_if_due(self, now_s: float) -> None:
--- a/tests/dispatch/limit_fleet.py
+++ b/tests/dispatch/limit_fleet.py
@@ -34,6 +34,8 @@
 SLACK_TOKENS = 190_000.0
 FAULT_S = 10.0
 CHECK_S = 0.1
+# The nodes run for a while before callers come.
+LEAD_S = 12.0
 HEARTBEAT_S = 0.3
 APPLY_S = 7.0
 
@@ -68,7 +70,7 @@
     offset_s: float
     limiter: RateLimiter
     process: str = ''
-    told_s: float = -1.0
+    told_s: float = -LEAD_S
 
 
 class DemandShares:
@@ -178,7 +180,8 @@
             plan(at_s, 'call', (tokens, number))
         for at_s, domains in self.kills:
             plan(at_s, 'kill', domains)
-        for tick in range(int(self.length_s / CHECK_S)):
+        first = -int(LEAD_S / CHECK_S)
+        for tick in range(first, int(self.length_s / CHECK_S)):
             plan(tick * CHECK_S, 'check')
         while events:
             now_s, _, kind, subject = heapq.heappop(events)
