Plan prefill and decode together, by what both have to do

A queue of two seconds ordered 17 engines in half a second, and its figure was held for eight seconds.

Change: PhaseSplit decides without I/O. BalancedSplit gives streams what they need while the prompts (under way and waiting, told with the demand of the domain) leave it; where both need more than there is, both are short alike. StreamSplit is the form before. Streams that wait count up to a quarter of the slots of engines that decode already. A tenth of all engines changes to decode at a time; what is missing of the least number comes at once.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -62,6 +62,12 @@
     PhasePlan as PhasePlan,
     PhasePlanSettings as PhasePlanSettings,
 )
+from dandelionyoke_dispatch._phase_split import (
+    BalancedSplit as BalancedSplit,
+    PhaseLoad as PhaseLoad,
+    PhaseSplit as PhaseSplit,
+    StreamSplit as StreamSplit,
+)
 from dandelionyoke_dispatch._placement import (
     Placement as Placement,
     PrefillHome as PrefillHome,
--- a/packages/dispatch/dandelionyoke_dispatch/_fleet_demand.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_fleet_demand.py
@@ -5,19 +5,22 @@
 
 import attrs
 
+from dandelionyoke_dispatch._phase_split import PhaseLoad
+
 
 @attrs.frozen
 class ServiceDemand:
     """The streams under way, and how the calls of the last seconds began.
 
     `slow` of the `begun` calls had their first token late, or were refused
-    since it would have been.
+    since it would have been. `prompts` are at prefill engines or wait.
     """
 
     service: str
     streams: int
     begun: int
     slow: int
+    prompts: int = 0
 
 
 @attrs.frozen
@@ -75,19 +78,21 @@
             (one for one in services if one.service == service), nothing
         )
 
-    def expected_streams(
+    def expected(
         self, service: str, fleet_nodes: int, now_s: float
-    ) -> float:
-        """Estimate the streams of the whole fleet from the nodes known."""
+    ) -> PhaseLoad:
+        """Estimate the load of the whole fleet from the nodes known."""
         nodes = self.total(now_s).nodes
         if not nodes:
-            return 0
-        streams = self.of_service(service, now_s).streams
-        return streams * max(1, fleet_nodes / nodes)
+            return PhaseLoad(0.0)
+        known = self.of_service(service, now_s)
+        scale = max(1, fleet_nodes / nodes)
+        return PhaseLoad(known.streams * scale, known.prompts * scale)
 
 
 def _is_possible(demand: ServiceDemand) -> bool:
-    return demand.streams >= 0 and 0 <= demand.slow <= demand.begun
+    counts = (demand.streams, demand.prompts, demand.slow)
+    return min(counts) >= 0 and demand.slow <= demand.begun
 
 
 def _sum(known: ServiceDemand | None, more: ServiceDemand) -> ServiceDemand:
@@ -98,4 +103,5 @@
         known.streams + more.streams,
         known.begun + more.begun,
         known.slow + more.slow,
+        known.prompts + more.prompts,
     )
--- a/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
@@ -8,23 +8,27 @@
 import attrs
 
 from dandelionyoke_dispatch._peak import Peak
+from dandelionyoke_dispatch._phase_split import PhaseLoad, PhaseSplit
 from dandelionyoke_dispatch._registry import Phase, RegisteredTarget
 
+LEAST_COMING = 2
+
 
 @attrs.frozen
 class PhasePlanSettings:
-    """How many engines make tokens.
-
-    As many as hold the streams of late with `filled_share` of their slots
-    taken, and no fewer than `least_share` of all engines: each call needs
-    one, so that those left have to carry all when some are lost. A number
-    falls once it has been too high for `hold_s`, a few times the seconds that
-    a change costs.
+    """How far the phases follow the load, and how fast.
+
+    No fewer than `least_share` of all engines decode: each call needs one, so
+    that those left have to carry all when some are lost. A number falls once
+    it has been too high for `hold_s`, a few times the seconds that a change
+    costs. No more than `coming_share` of all engines, two at least, change to
+    decode at a time: they do no work meanwhile, and a load that was gone
+    before they had changed would have them all change back.
     """
 
-    filled_share: float = 0.7
     least_share: float = 0.2
     hold_s: float = 8.0
+    coming_share: float = 0.1
 
 
 @attrs.frozen
@@ -38,27 +42,31 @@
 class PhasePlan:
     """Compares the engines of a service with the number wanted."""
 
-    def __init__(self, settings: PhasePlanSettings) -> None:
+    def __init__(self, settings: PhasePlanSettings, split: PhaseSplit) -> None:
         self._settings = settings
-        self._peak = Peak(settings.hold_s)
+        self._split = split
+        self._streams = Peak(settings.hold_s)
+        self._prompts = Peak(settings.hold_s)
         # What the last plan went by.
-        self.peak_streams = 0.0
+        self.peak = PhaseLoad(0.0)
         self.wanted = 0
 
     def changes(
         self,
         engines: Sequence[RegisteredTarget],
-        streams: float,
+        load: PhaseLoad,
         now_s: float,
         settled: frozenset[str] | None = None,
     ) -> list[PhaseChange]:
         """List the changes that are wanted now.
 
-        `streams` are those at the engines that make tokens, waiting ones
-        included; `settled` names the engines that have the phase they are
-        taken to have, without those only ordered to change (None: all).
+        `settled` names the engines that have the phase they are taken to
+        have, without those only ordered to change (None: all).
         """
-        self.peak_streams = self._peak.take(streams, now_s)
+        self.peak = PhaseLoad(
+            self._streams.take(load.streams, now_s),
+            self._prompts.take(load.prompts, now_s),
+        )
         if len(engines) < 2:
             return []
         wanted = self._wanted_decode(engines)
@@ -79,7 +87,31 @@
             for one in engines
             if one.target_id not in decode and one.phase is not Phase.PREFILL
         ]
-        return come + self._those_not_needed(go, engines, wanted, settled)
+        leaving = self._those_not_needed(go, engines, wanted, settled)
+        if len({one.phase for one in engines}) < 2:
+            return come + leaving
+        return self._first(come, engines, settled) + leaving
+
+    def _first(
+        self,
+        come: list[PhaseChange],
+        engines: Sequence[RegisteredTarget],
+        settled: frozenset[str] | None,
+    ) -> list[PhaseChange]:
+        """Take as many changes to decode as may be under way.
+
+        What is missing of the least number comes at once: decode engines
+        were lost, and their streams wait.
+        """
+        decode = [one for one in engines if one.phase is Phase.DECODE]
+        coming = sum(
+            settled is not None and one.target_id not in settled
+            for one in decode
+        )
+        most = math.ceil(len(engines) * self._settings.coming_share)
+        more = max(LEAST_COMING, most) - coming
+        missing = self._least(engines) - len(decode)
+        return come[: max(0, more, missing)]
 
     def _those_not_needed(
         self,
@@ -108,10 +140,12 @@
     def _wanted_decode(self, engines: Sequence[RegisteredTarget]) -> int:
         slots = sum(one.slots for one in engines) / len(engines)
         needed = math.ceil(
-            self.peak_streams / (slots * self._settings.filled_share)
+            self._split.decode_count(len(engines), slots, self.peak)
         )
-        least = math.ceil(len(engines) * self._settings.least_share)
-        return min(max(least, needed), len(engines) - 1)
+        return min(max(self._least(engines), needed), len(engines) - 1)
+
+    def _least(self, engines: Sequence[RegisteredTarget]) -> int:
+        return math.ceil(len(engines) * self._settings.least_share)
 
 
 def _choose_decode(
--- a/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
@@ -97,6 +97,11 @@
         self._waiting.append(ticket)
         return Entry.WAIT
 
+    @property
+    def prompt_count(self) -> int:
+        """How many prompts are under way or wait."""
+        return len(self._reading) + len(self._waiting)
+
     def is_reading(self, turn_id: str) -> bool:
         """Whether a call has a place."""
         return turn_id in self._reading
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -128,8 +128,11 @@
             for one in self.registry.all_of_service(service)
             if one.phase is Phase.DECODE
         )
-        begun, slow = self.watch_of(service).strain.recent(now_s)
-        return ServiceDemand(service, streams, begun, slow)
+        watch = self.watch_of(service)
+        begun, slow = watch.strain.recent(now_s)
+        return ServiceDemand(
+            service, streams, begun, slow, watch.line.prompt_count
+        )
 
     def forget_targets(self, usable: frozenset[str]) -> None:
         """Drop what is kept of targets that are not listed any more.
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -6,8 +6,10 @@
 from eventlet import sleep, spawn_n
 
 from dandelionyoke_dispatch import (
+    BalancedSplit,
     Phase,
     PhaseChange,
+    PhaseLoad,
     PhasePlan,
     PhasePlanSettings,
     RegisteredTarget,
@@ -116,9 +118,11 @@
         phases = {engine.phase for engine in engines}
         has_both = {Phase.PREFILL, Phase.DECODE} <= phases
         waits = has_both and self._changes.under_way
-        plan = self._plans.setdefault(service, PhasePlan(PhasePlanSettings()))
-        streams = self._streams(engines, now_s)
-        for change in plan.changes(engines, streams, now_s, settled):
+        plan = self._plans.setdefault(
+            service, PhasePlan(PhasePlanSettings(), BalancedSplit())
+        )
+        load = self._load(service, engines, settled, now_s)
+        for change in plan.changes(engines, load, now_s, settled):
             if self._duty.stamp is None:
                 break
             if waits and not change.target.is_reclaimable:
@@ -170,39 +174,56 @@
             elapsed_s=answer.elapsed_s,
             phase=order.phase.value,
             wanted_decode=plan.wanted,
-            peak_streams=plan.peak_streams,
+            peak_streams=plan.peak.streams,
+            peak_prompts=plan.peak.prompts,
             fence=stamp.fence,
             order_count=order.expected_order_count,
         )
 
+    def _load(
+        self,
+        service: str,
+        engines: Sequence[RegisteredTarget],
+        settled: frozenset[str],
+        now_s: float,
+    ) -> PhaseLoad:
+        """Tell what both phases have to do.
+
+        Streams that wait grow in number while they wait, and most would be
+        done by the time that an engine has changed: they count only up to a
+        share of the slots of the engines that decode already.
+        """
+        expected = self._knowledge.demand.expected(
+            service, self._knowledge.node_count, now_s
+        )
+        decode = [one for one in engines if one.phase is Phase.DECODE]
+        most = (1 + WAITING_SHARE) * sum(
+            one.slots for one in decode if one.target_id in settled
+        )
+        streams = self._streams(decode, expected.streams, now_s)
+        return PhaseLoad(min(streams, most), expected.prompts)
+
     def _streams(
-        self, engines: Sequence[RegisteredTarget], now_s: float
+        self,
+        decode: Sequence[RegisteredTarget],
+        expected: float,
+        now_s: float,
     ) -> float:
-        """Count the streams at the engines that make tokens.
+        """Count the streams at the engines that decode.
 
         An engine that has told its load of late is counted by it, all others
-        by the streams that the nodes of a domain have under way. Of those
-        that wait only some count: they grow in number while they wait, and
-        most would be done by the time that an engine has changed.
+        by the streams that the nodes of a domain have under way.
         """
-        decode = [one for one in engines if one.phase is Phase.DECODE]
         if not decode:
             return 0
-        knowledge = self._knowledge
-        told = [
-            one
-            for one in decode
-            if knowledge.loads.is_told(one.target_id, now_s)
-        ]
-        expected = knowledge.demand.expected_streams(
-            decode[0].service, knowledge.node_count, now_s
-        )
+        loads = self._knowledge.loads
+        told = sum(loads.is_told(one.target_id, now_s) for one in decode)
         seen = sum(
             min(
-                knowledge.loads.busy(one.target_id, now_s),
+                loads.busy(one.target_id, now_s),
                 one.slots * (1 + WAITING_SHARE),
             )
             for one in decode
         )
-        untold_share = 1 - len(told) / len(decode)
+        untold_share = 1 - told / len(decode)
         return max(seen, seen + untold_share * (expected - seen))
--- a/tests/dispatch/test_fleet_demand.py
+++ b/tests/dispatch/test_fleet_demand.py
@@ -46,8 +46,8 @@
         """Guards against engines for the streams of one domain in five."""
         for node in range(39):
             self.demand.take(f'n-{node}', sample(2), 0)
-        self.assertEqual(390, self.demand.expected_streams('lm', 195, 0))
-        self.assertEqual(78, self.demand.expected_streams('lm', 20, 0))
+        self.assertEqual(390, self.demand.expected('lm', 195, 0).streams)
+        self.assertEqual(78, self.demand.expected('lm', 20, 0).streams)
 
     def test_a_newer_sample_replaces_the_older_one(self) -> None:
         """Guards against calls that are counted twice."""
@@ -58,7 +58,7 @@
     def test_samples_of_a_node_that_is_gone_fade(self) -> None:
         """Guards against streams of a node that died long ago."""
         self.demand.take('n-1', sample(4), 0)
-        self.assertEqual(0, self.demand.expected_streams('lm', 9, 2.6))
+        self.assertEqual(0, self.demand.expected('lm', 9, 2.6).streams)
 
     def test_a_sum_replaces_what_it_holds(self) -> None:
         """Guards against counting a node beside the sum that holds it."""
--- a/tests/dispatch/test_fleet_plans.py
+++ b/tests/dispatch/test_fleet_plans.py
@@ -7,10 +7,12 @@
     EnginePlanSettings,
     FleetNeed,
     Phase,
+    PhaseLoad,
     PhasePlan,
     PhasePlanSettings,
     RegisteredTarget,
     ScalingRange,
+    StreamSplit,
     WantedCount,
 )
 
@@ -141,7 +143,7 @@
 class PhasePlanTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.plan = PhasePlan(PhasePlanSettings())
+        self.plan = PhasePlan(PhasePlanSettings(), StreamSplit())
 
     def test_a_steady_engine_decodes_where_one_more_is_needed(self) -> None:
         engines = [
@@ -184,7 +186,7 @@
     ) -> list[tuple[str, Phase]]:
         return [
             (one.target.target_id, one.phase)
-            for one in self.plan.changes(engines, 6.4, 0, settled)
+            for one in self.plan.changes(engines, PhaseLoad(6.4), 0, settled)
         ]
 
     def test_engines_make_tokens_until_others_do(self) -> None:
@@ -203,7 +205,7 @@
             *(engine(f's{n:02}', 'b', Phase.DECODE) for n in range(4)),
             *engines[8:],
         ]
-        still = frozenset(one.target_id for one in engines[:4])
+        still = frozenset(one.target_id for one in (*ordered[:4], *ordered[8:]))
         self.assertEqual([], self.changes(ordered, still))
         half = still | {'s00', 's01'}
         self.assertEqual(2, len(self.changes(ordered, half)))
@@ -217,12 +219,12 @@
         """
         engines = [engine(f'p{n}', 'a') for n in range(7)]
         engines += [engine(f'd{n}', 'b', Phase.DECODE) for n in range(3)]
-        self.assertEqual([], self.plan.changes(engines, 6.4, 0))
+        self.assertEqual([], self.plan.changes(engines, PhaseLoad(6.4), 0))
 
     def test_full_decode_engines_get_help(self) -> None:
         engines = [engine(f'p{n}', 'a') for n in range(4)]
         engines.append(engine('d', 'a', Phase.DECODE))
-        changes = self.plan.changes(engines, 58, 0)
+        changes = self.plan.changes(engines, PhaseLoad(58), 0)
         self.assertEqual([Phase.DECODE], [one.phase for one in changes])
 
     def test_engines_for_tokens_outlast_a_pause_of_the_streams(self) -> None:
@@ -233,21 +235,21 @@
         """
         engines = [engine(f'p{n}', 'a') for n in range(7)]
         engines += [engine(f'd{n}', 'a', Phase.DECODE) for n in range(4)]
-        self.assertEqual([], self.plan.changes(engines, 4 * 40, 0))
-        self.assertEqual([], self.plan.changes(engines, 10, 5))
-        self.assertEqual([], self.plan.changes(engines, 4 * 40, 7))
-        self.assertEqual([], self.plan.changes(engines, 10, 14))
+        self.assertEqual([], self.plan.changes(engines, PhaseLoad(4 * 40), 0))
+        self.assertEqual([], self.plan.changes(engines, PhaseLoad(10), 5))
+        self.assertEqual([], self.plan.changes(engines, PhaseLoad(4 * 40), 7))
+        self.assertEqual([], self.plan.changes(engines, PhaseLoad(10), 14))
 
     def test_a_number_falls_once_it_was_too_high_for_long(self) -> None:
         engines = [engine(f'p{n}', 'a') for n in range(6)]
         engines += [engine(f'd{n}', 'a', Phase.DECODE) for n in range(5)]
-        self.assertEqual([], self.plan.changes(engines, 5 * 40, 0))
-        self.assertEqual(2, len(self.plan.changes(engines, 10, 9)))
+        self.assertEqual([], self.plan.changes(engines, PhaseLoad(5 * 40), 0))
+        self.assertEqual(2, len(self.plan.changes(engines, PhaseLoad(10), 9)))
 
     def test_the_last_engines_keep_both_phases(self) -> None:
         engines = [
             engine('d1', 'a', Phase.DECODE),
             engine('d2', 'b', Phase.DECODE),
         ]
-        self.assertEqual(1, len(self.plan.changes(engines, 115, 0)))
-        self.assertEqual([], self.plan.changes(engines[:1], 115, 0))
+        self.assertEqual(1, len(self.plan.changes(engines, PhaseLoad(115), 0)))
+        self.assertEqual([], self.plan.changes(engines[:1], PhaseLoad(115), 0))
--- a/tests/gateway/test_phase_task.py
+++ b/tests/gateway/test_phase_task.py
@@ -51,7 +51,9 @@
         )
 
     def streams(self) -> float:
-        return self.task._streams(self.engines, clock_s())
+        settled = frozenset(one.target_id for one in self.engines)
+        load = self.task._load('lm', self.engines, settled, clock_s())
+        return load.streams
 
     def test_one_call_in_195_counts_by_the_demand(self) -> None:
         """Guards against too few decode engines in a large fleet."""
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -2,13 +2,22 @@
 
 from collections.abc import Iterable, Iterator
 
+import attrs
 import eventlet
 import testtools
 
 from dandelionyoke_core import rendezvous
-from dandelionyoke_dispatch import Phase, Prompt, PromptPart
+from dandelionyoke_dispatch import (
+    LimitUnit,
+    Organisation,
+    Phase,
+    Prompt,
+    PromptPart,
+    RateLimit,
+)
 from dandelionyoke_gateway import clock_s
 from tests.platform.path import (
+    KEY,
     Path,
     Piece,
     Script,
@@ -165,6 +174,39 @@
         self.assertEqual(404, status(self.path.call('/nowhere/')))
         self.assertEqual(0, self.sends())
 
+    def limit_calls(self, limit: RateLimit) -> None:
+        """Give the organisation a limit, of which the burst is left."""
+        configuration = self.path.knowledge.configuration
+        self.path.knowledge.configuration = attrs.evolve(
+            configuration, organisations={KEY: Organisation('acme', 1, limit)}
+        )
+        limiter = self.path.knowledge.limiter
+        limiter.take_limits({'acme': limit})
+        limiter.take_nodes(1, 1, clock_s() - 60)
+
+    def test_an_organisation_over_its_limit(self) -> None:
+        """Guards against one organisation that takes all there is."""
+        target = self.path.add(fine)
+        self.limit_calls(RateLimit(1.0, 2.0))
+        statuses = [status(self.path.call()) for _ in range(5)]
+        self.assertEqual([200, 200, 200, 429, 429], statuses)
+        self.assertEqual(3, len(target.seen))
+        self.assertIn(b'retry-after', self.path.call().lower())
+        self.assertIn('limit.reached', self.path.output.text)
+
+    def test_a_call_that_no_target_ran_is_not_charged(self) -> None:
+        """Guards against calls refused for load that use a limit up."""
+        self.path.add(refuses)
+        self.limit_calls(RateLimit(1.0, 2.0))
+        statuses = [status(self.path.call()) for _ in range(5)]
+        self.assertEqual([503] * 5, statuses)
+
+    def test_a_call_counts_by_its_tokens(self) -> None:
+        self.path.add(fine)
+        self.limit_calls(RateLimit(100.0, 500.0, LimitUnit.TOKENS, 200.0))
+        statuses = [status(self.path.call()) for _ in range(4)]
+        self.assertEqual([200, 200, 200, 429], statuses)
+
     def test_old_knowledge_trusts_no_key(self) -> None:
         """A node is cut off from the store for longer than the bound."""
         self.path.add(fine)
