Name the part of a limit that a node may give out

The budgets took the limit, the share, the limiters heard and the time each in every call. LimitPart holds them; a rate of 0 is refused in place of a division by it.

--- a/packages/dispatch/dandelionyoke_dispatch/_fleet_limiter.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_fleet_limiter.py
@@ -19,6 +19,7 @@
 from dandelionyoke_dispatch._limit_budget import (
     BucketBudget,
     LimitBudget,
+    LimitPart,
     SteadyWindowBudget,
 )
 from dandelionyoke_dispatch._rate_limit import LimitVerdict, RateLimit
@@ -154,7 +155,7 @@
     def share(self, now_s: float) -> float:
         """Tell the part of a limit that the nodes heard of may give out."""
         heard = self._own_nodes + sum(
-            group.nodes for group in self._fresh(now_s)
+            group.nodes for group in self._fresh(now_s).values()
         )
         total = max(self._totals[0][1], heard)
         return max(1, heard) / total
@@ -168,14 +169,15 @@
         if organisation not in self._limits:
             return LimitVerdict(is_admitted=True)
         account = self._account(organisation, now_s)
-        level = self._level(organisation, now_s)
-        if level < -self._allowance(organisation, now_s):
-            return self._refuse(organisation, amount, now_s)
+        part = self._part(organisation, now_s)
+        level = account.budget.level(part)
+        if level < -self._allowance(part):
+            return self._refuse(account, part, amount)
         self._spend(account, amount, now_s)
         return LimitVerdict(
             is_admitted=True,
             level=level,
-            share=self.share(now_s),
+            share=part.share,
             news_age_s=self._news_age_s(now_s),
         )
 
@@ -188,8 +190,8 @@
         """Tell for how long an organisation stays over its limit."""
         if organisation not in self._limits:
             return 0.0
-        self._account(organisation, now_s)
-        return self._wait_s(organisation, now_s)
+        account = self._account(organisation, now_s)
+        return self._over_s(account, self._part(organisation, now_s))
 
     # What others are told.
 
@@ -212,53 +214,46 @@
         return GroupUse(process, self._own_nodes, spent)
 
     def _refuse(
-        self, organisation: str, amount: float, now_s: float
+        self, account: _Account, part: LimitPart, amount: float
     ) -> LimitVerdict:
         """Send a caller away until those before it have had their turn."""
-        account = self._accounts[organisation]
-        share = self.share(now_s)
-        over_s = self._wait_s(organisation, now_s)
+        now_s = part.now_s
+        over_s = self._over_s(account, part)
         latest_s = now_s + self._settings.longest_retry_s
         turn_s = min(max(account.returns_s, now_s + over_s), latest_s)
-        rate_per_s = self._limits[organisation].rate_per_s * share
-        account.returns_s = turn_s + amount / rate_per_s
+        account.returns_s = turn_s + amount / (
+            part.limit.rate_per_s * part.share
+        )
         return LimitVerdict(
             is_admitted=False,
             retry_after_s=turn_s - now_s,
             over_s=over_s,
-            level=self._level(organisation, now_s),
-            share=share,
+            level=account.budget.level(part),
+            share=part.share,
             news_age_s=self._news_age_s(now_s),
         )
 
-    def _level(self, organisation: str, now_s: float) -> float:
-        return self._accounts[organisation].budget.level(
-            self._limits[organisation],
-            self.share(now_s),
-            self._heard(now_s),
-            now_s,
-        )
+    def _over_s(self, account: _Account, part: LimitPart) -> float:
+        missing = -account.budget.level(part) - self._allowance(part)
+        return account.budget.wait_s(part, missing) if missing > 0 else 0.0
+
+    def _allowance(self, part: LimitPart) -> float:
+        """Tell how far a budget may be in debt before calls are refused."""
+        if part.share >= 1:
+            return 0.0
+        settings = self._settings
+        overrun = settings.overrun_share * part.whole(settings.window_s)
+        slack = settings.slack * part.share
+        return settings.cut_off_share * (overrun + slack)
 
-    def _wait_s(self, organisation: str, now_s: float) -> float:
-        level = self._level(organisation, now_s)
-        return self._accounts[organisation].budget.wait_s(
+    def _part(self, organisation: str, now_s: float) -> LimitPart:
+        return LimitPart(
             self._limits[organisation],
             self.share(now_s),
-            -level - self._allowance(organisation, now_s),
-            self._heard(now_s),
+            frozenset(self._fresh(now_s)),
             now_s,
         )
 
-    def _allowance(self, organisation: str, now_s: float) -> float:
-        """Tell how far a budget may be in debt before calls are refused."""
-        share = self.share(now_s)
-        if share >= 1:
-            return 0.0
-        settings, limit = self._settings, self._limits[organisation]
-        whole = limit.rate_per_s * settings.window_s + limit.burst
-        allowed = settings.overrun_share * whole + settings.slack
-        return settings.cut_off_share * allowed * share
-
     def _spend(self, account: _Account, amount: float, now_s: float) -> None:
         account.budget.spend(amount, '', now_s)
         account.spent += amount
@@ -267,7 +262,7 @@
     def _account(self, name: str, now_s: float) -> _Account:
         """Bring the account of an organisation up to now."""
         account = self._accounts.get(name) or self._open(name, now_s)
-        self._level(name, now_s)
+        account.budget.level(self._part(name, now_s))
         return account
 
     def _open(self, name: str, now_s: float) -> _Account:
@@ -279,24 +274,18 @@
         self._accounts[name] = account
         return account
 
-    def _heard(self, now_s: float) -> frozenset[str]:
-        return frozenset(
-            sender
-            for sender, group in self._groups.items()
-            if now_s - group.heard_s <= self._settings.stale_s
-        )
-
-    def _fresh(self, now_s: float) -> list[_Group]:
+    def _fresh(self, now_s: float) -> dict[str, _Group]:
+        """Name the limiters that are heard, with what they told."""
         self._groups = {
             sender: group
             for sender, group in self._groups.items()
             if now_s - group.heard_s < self._settings.forgotten_s
         }
-        return [
-            group
-            for group in self._groups.values()
+        return {
+            sender: group
+            for sender, group in self._groups.items()
             if now_s - group.heard_s <= self._settings.stale_s
-        ]
+        }
 
     def _news_age_s(self, now_s: float) -> float:
         ages_s = [now_s - group.heard_s for group in self._groups.values()]
--- a/packages/dispatch/dandelionyoke_dispatch/_limit_budget.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_limit_budget.py
@@ -6,7 +6,6 @@
 """
 
 from collections import deque
-from collections.abc import Collection
 from typing import Protocol
 
 import attrs
@@ -17,36 +16,43 @@
 # Of the burst of a limit over windows, what may come at once.
 AT_ONCE_SHARE = 0.9
 SLOTS = 32
-TINY = 1e-9
+
+
+@attrs.frozen
+class LimitPart:
+    """The part of a limit that may be given out here at a moment.
+
+    `heard` names the limiters whose use counts besides this node's own.
+    """
+
+    limit: RateLimit
+    share: float
+    heard: frozenset[str]
+    now_s: float
+
+    def whole(self, window_s: float) -> float:
+        """Tell how much may be used within a window."""
+        limit = self.limit
+        return self.share * (limit.rate_per_s * window_s + limit.burst)
 
 
 class LimitBudget(Protocol):
     """One organisation's use against a part of its limit.
 
-    `sender` names the limiter that let something in, the empty one is this
-    node; `heard` are the senders whose use counts.
+    The level is asked for before each charge, so that what was gained until
+    then is not lost.
     """
 
     def spend(self, amount: float, sender: str, now_s: float) -> None:
-        """Charge an amount; a negative one is a refund."""
+        """Charge an amount; a negative one is a refund.
+
+        `sender` names the limiter that let it in, an empty one this node.
+        """
 
-    def level(
-        self,
-        limit: RateLimit,
-        share: float,
-        heard: Collection[str],
-        now_s: float,
-    ) -> float:
+    def level(self, part: LimitPart) -> float:
         """Tell what is left; negative while the organisation is in debt."""
 
-    def wait_s(
-        self,
-        limit: RateLimit,
-        share: float,
-        missing: float,
-        heard: Collection[str],
-        now_s: float,
-    ) -> float:
+    def wait_s(self, part: LimitPart, missing: float) -> float:
         """Tell how long until the level has risen by what is missing."""
 
 
@@ -66,80 +72,22 @@
         """Charge an amount; a negative one is a refund."""
         self._bucket.level -= amount
 
-    def level(
-        self,
-        limit: RateLimit,
-        share: float,
-        heard: Collection[str],
-        now_s: float,
-    ) -> float:
+    def level(self, part: LimitPart) -> float:
         """Tell what is left; negative while the organisation is in debt."""
-        burst = limit.burst * share
+        burst = part.limit.burst * part.share
         if self._window_s:
             burst *= AT_ONCE_SHARE
-        self._bucket.refill(self._rate_per_s(limit, share), burst, now_s)
+        self._bucket.refill(self._rate_per_s(part), burst, part.now_s)
         return self._bucket.level
 
-    def wait_s(
-        self,
-        limit: RateLimit,
-        share: float,
-        missing: float,
-        heard: Collection[str],
-        now_s: float,
-    ) -> float:
+    def wait_s(self, part: LimitPart, missing: float) -> float:
         """Tell how long until the level has risen by what is missing."""
-        return max(0.0, missing) / self._rate_per_s(limit, share)
+        return max(0.0, missing) / self._rate_per_s(part)
 
-    def _rate_per_s(self, limit: RateLimit, share: float) -> float:
-        rate_per_s = limit.rate_per_s
+    def _rate_per_s(self, part: LimitPart) -> float:
         if self._window_s:
-            rate_per_s += limit.burst / self._window_s
-        return max(rate_per_s * share, TINY)
-
-
-class SteadyWindowBudget:
-    """The whole of each window, given out evenly after a burst."""
-
-    def __init__(self, window_s: float, now_s: float) -> None:
-        self._bucket = BucketBudget(now_s, window_s)
-        self._window = WindowBudget(window_s, now_s)
-
-    def spend(self, amount: float, sender: str, now_s: float) -> None:
-        """Charge an amount; a negative one is a refund."""
-        self._bucket.spend(amount, sender, now_s)
-        self._window.spend(amount, sender, now_s)
-
-    def level(
-        self,
-        limit: RateLimit,
-        share: float,
-        heard: Collection[str],
-        now_s: float,
-    ) -> float:
-        """Tell what is left; negative while the organisation is in debt."""
-        return min(
-            self._bucket.level(limit, share, heard, now_s),
-            self._window.level(limit, share, heard, now_s),
-        )
-
-    def wait_s(
-        self,
-        limit: RateLimit,
-        share: float,
-        missing: float,
-        heard: Collection[str],
-        now_s: float,
-    ) -> float:
-        """Tell how long until the level has risen by what is missing."""
-        level = self.level(limit, share, heard, now_s)
-        waits_s = []
-        for part in (self._bucket, self._window):
-            own = part.level(limit, share, heard, now_s) - level
-            waits_s.append(
-                part.wait_s(limit, share, missing - own, heard, now_s)
-            )
-        return max(waits_s)
+            return part.whole(self._window_s) / self._window_s
+        return part.limit.rate_per_s * part.share
 
 
 @attrs.define
@@ -149,10 +97,10 @@
 
 
 class WindowBudget:
-    """What each sender let in during the last seconds, in short slots.
+    """What each limiter let in during the last seconds, in short slots.
 
-    It begins as if all of the limit had been used evenly until then: what was
-    used before is unknown.
+    It begins as if all of the limit had been used evenly until then: what
+    was used before is unknown.
     """
 
     def __init__(self, window_s: float, now_s: float) -> None:
@@ -168,52 +116,66 @@
             slots.append(_Slot(now_s, 0.0))
         slots[-1].amount += amount
 
-    def level(
-        self,
-        limit: RateLimit,
-        share: float,
-        heard: Collection[str],
-        now_s: float,
-    ) -> float:
+    def level(self, part: LimitPart) -> float:
         """Tell what is left; negative while the organisation is in debt."""
-        used = sum(one.amount for one in self._recent(heard, now_s))
-        known_share = min(1.0, (now_s - self._began_s) / self._window_s)
-        return self._whole(limit) * share * known_share - used
-
-    def wait_s(
-        self,
-        limit: RateLimit,
-        share: float,
-        missing: float,
-        heard: Collection[str],
-        now_s: float,
-    ) -> float:
+        known_s = min(self._window_s, part.now_s - self._began_s)
+        allowed = part.whole(self._window_s) * known_s / self._window_s
+        return allowed - sum(one.amount for one in self._recent(part))
+
+    def wait_s(self, part: LimitPart, missing: float) -> float:
         """Tell how long until the level has risen by what is missing."""
-        # What was let in before the beginning is forgotten evenly.
-        rate_per_s = self._whole(limit) * share / self._window_s
-        if now_s + missing / rate_per_s < self._began_s + self._window_s:
-            return max(0.0, missing / rate_per_s)
+        # What was used before the beginning is forgotten evenly.
+        forgotten_s = missing * self._window_s / part.whole(self._window_s)
+        if part.now_s + forgotten_s < self._began_s + self._window_s:
+            return max(0.0, forgotten_s)
         left_s = 0.0
-        recent = self._recent(heard, now_s)
+        recent = self._recent(part)
         for slot in sorted(recent, key=lambda one: one.begins_s):
             if missing <= 0:
                 break
             missing -= slot.amount
-            left_s = slot.begins_s + self._slot_s + self._window_s - now_s
+            ends_s = slot.begins_s + self._slot_s
+            left_s = ends_s + self._window_s - part.now_s
         return max(0.0, left_s)
 
-    def _whole(self, limit: RateLimit) -> float:
-        return limit.rate_per_s * self._window_s + limit.burst
+    def _recent(self, part: LimitPart) -> list[_Slot]:
+        """List the slots that still count; one counts until its last amount.
 
-    def _recent(self, heard: Collection[str], now_s: float) -> list[_Slot]:
-        """List the slots that still count; a slot ends after its beginning."""
-        oldest_s = now_s - self._window_s - self._slot_s
+        That may have come a slot's length after its beginning.
+        """
+        oldest_s = part.now_s - self._window_s - self._slot_s
         for slots in self._slots.values():
             while slots and slots[0].begins_s < oldest_s:
                 slots.popleft()
         return [
             slot
             for sender, slots in self._slots.items()
-            if not sender or sender in heard
+            if not sender or sender in part.heard
             for slot in slots
         ]
+
+
+class SteadyWindowBudget:
+    """The whole of each window, given out evenly after a burst."""
+
+    def __init__(self, window_s: float, now_s: float) -> None:
+        self._parts: tuple[LimitBudget, ...] = (
+            BucketBudget(now_s, window_s),
+            WindowBudget(window_s, now_s),
+        )
+
+    def spend(self, amount: float, sender: str, now_s: float) -> None:
+        """Charge an amount; a negative one is a refund."""
+        for one in self._parts:
+            one.spend(amount, sender, now_s)
+
+    def level(self, part: LimitPart) -> float:
+        """Tell what is left; negative while the organisation is in debt."""
+        return min(one.level(part) for one in self._parts)
+
+    def wait_s(self, part: LimitPart, missing: float) -> float:
+        """Tell how long until the level has risen by what is missing."""
+        wanted = self.level(part) + missing
+        return max(
+            one.wait_s(part, wanted - one.level(part)) for one in self._parts
+        )
--- a/packages/dispatch/dandelionyoke_dispatch/_rate_limit.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_rate_limit.py
@@ -33,8 +33,8 @@
     count takes `plain_tokens`.
 
     Raises:
-        ValueError: a figure is negative or not finite, or the burst is less
-            than one call.
+        ValueError: a figure is negative or not finite, the rate is 0, or the
+            burst is less than one call.
     """
 
     rate_per_s: float = attrs.field(validator=_check_amount)
@@ -43,6 +43,8 @@
     plain_tokens: float = attrs.field(default=0.0, validator=_check_amount)
 
     def __attrs_post_init__(self) -> None:
+        if not self.rate_per_s:
+            raise ValueError('rate_per_s is 0; leave out a limit of nothing')
         least = 1.0
         if self.unit is LimitUnit.TOKENS:
             least = max(least, self.plain_tokens)
--- a/tests/dispatch/test_fleet_limiter.py
+++ b/tests/dispatch/test_fleet_limiter.py
@@ -29,6 +29,7 @@
         """Guards against a limit that lets nothing, or all, through."""
         for rate_per_s, burst in (
             (-1.0, 1.0),
+            (0.0, 1.0),
             (float('nan'), 1.0),
             (float('inf'), 1.0),
             (1.0, float('inf')),
