Tell who refused a call, and end what is known of a debt that is paid

limit.reached named the node that was asked also where it did not answer and this one decided. Small calls were refused until the end of a debt of which a later answer had said that it was paid. prompt.read tells the tokens, so that a slow prefill can be told from a large one.

--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -127,6 +127,7 @@
             'prompt.read',
             place.target,
             source=place.source.target_id if place.source else None,
+            tokens=prompt.token_count,
             waited_s=began_s - asked_s,
             took_s=read_s,
             placed_by=grant.placed_by,
--- a/packages/gateway/dandelionyoke_gateway/_rate_limits.py
+++ b/packages/gateway/dandelionyoke_gateway/_rate_limits.py
@@ -45,6 +45,14 @@
     amount: float
 
 
+@attrs.frozen
+class _Decision:
+    """A verdict, and the node that was asked for it; None: this one."""
+
+    verdict: LimitVerdict
+    decided_by: InstanceId | None = None
+
+
 class OverLimitError(Exception):
     """The call is beyond its organisation's limit; come back later."""
 
@@ -99,8 +107,8 @@
         limit = self._limiter.limit_of(charge.organisation)
         if limit is None:
             return
-        keeper = self._keeper()
-        verdict = self._decide(charge, limit, keeper)
+        decision = self._decide(charge, limit)
+        verdict = decision.verdict
         outcome = 'admitted' if verdict.is_admitted else 'refused'
         self._log.count(
             CountMetric(
@@ -108,7 +116,7 @@
             )
         )
         if not verdict.is_admitted:
-            self._log_refusal(charge, verdict, keeper)
+            self._log_refusal(charge, decision)
             raise OverLimitError(charge, verdict)
 
     def give_back(self, charge: Charge) -> None:
@@ -134,21 +142,20 @@
             eventlet.sleep(REPORT_INTERVAL_S)
             self._report()
 
-    def _decide(
-        self, charge: Charge, limit: RateLimit, keeper: InstanceId | None
-    ) -> LimitVerdict:
+    def _decide(self, charge: Charge, limit: RateLimit) -> _Decision:
+        keeper = self._keeper()
         if keeper is not None:
             if charge.amount < ASKED_SHARE * limit.burst:
-                return self._let_small_in(charge)
+                return _Decision(self._let_small_in(charge))
             verdict = self._ask(keeper, charge)
             if verdict is not None:
-                return verdict
+                return _Decision(verdict, keeper)
         verdict = self._limiter.admit(
             charge.organisation, charge.amount, clock_s()
         )
         if verdict.is_admitted and not self._is_keeper():
             self._unreported[charge.organisation] += charge.amount
-        return verdict
+        return _Decision(verdict)
 
     def _let_small_in(self, charge: Charge) -> LimitVerdict:
         over_s = self._over_until_s.get(charge.organisation, 0.0) - clock_s()
@@ -176,8 +183,8 @@
             return None
         finally:
             self._answers.pop(number)
-        if not verdict.is_admitted:
-            self.over(OverLimit({charge.organisation: verdict.over_s}))
+        # Ends what was known of a debt that is paid by now.
+        self.over(OverLimit({charge.organisation: verdict.over_s}))
         return verdict
 
     def _note(self, organisation: str, amount: float) -> None:
@@ -211,9 +218,8 @@
         member = self._knowledge.sources.domain_source(now_s)
         return None if member is None else InstanceId(member.instance_id)
 
-    def _log_refusal(
-        self, charge: Charge, verdict: LimitVerdict, keeper: str | None
-    ) -> None:
+    def _log_refusal(self, charge: Charge, decision: _Decision) -> None:
+        verdict = decision.verdict
         self._log.decide(
             'limit.reached',
             charge.attempt_id,
@@ -224,5 +230,5 @@
             over_s=verdict.over_s,
             share=verdict.share,
             news_age_s=verdict.news_age_s,
-            decided_by=keeper,
+            decided_by=decision.decided_by,
         )
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -18,6 +18,7 @@
 from dandelionyoke_gateway._limit_messages import (
     ChargeAsked,
     GroupUseTold,
+    OverLimit,
     UseReported,
 )
 from dandelionyoke_gateway._limit_server import LimitServer
@@ -142,6 +143,13 @@
         eventlet.sleep(2 * REPORT_INTERVAL_S)
         self.assertFalse(self.first.take(SMALL))
 
+    def test_small_calls_are_let_in_once_the_debt_is_paid(self) -> None:
+        """Guards against calls refused for news that has been overtaken."""
+        self.first.limits.over(OverLimit({'acme': 60.0}))
+        self.assertFalse(self.first.take(SMALL))
+        self.assertTrue(self.first.take(LARGE))
+        self.assertTrue(self.first.take(SMALL))
+
     def test_a_call_that_no_target_ran_costs_nothing(self) -> None:
         eventlet.spawn_n(self.first.limits.run)
         charge = Charge('call-1', 'acme', 900.0)
