--- a/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
@@ -1,4 +1,4 @@
-"""How many language engines read prompts and how many make tokens."""
+"""Which language engines prefill and which decode."""
 
 import math
 from collections import Counter
@@ -122,9 +122,9 @@
     ) -> list[PhaseChange]:
         """Let a decode engine go once another one has taken its place.
 
-        When engines are exchanged, those that make tokens would all refuse
-        calls before the others do it; the nodes hear of that only with the
-        next heartbeats, and their callers are refused for seconds. An engine
+        When engines are exchanged, the old decode engines would all refuse
+        streams before the new ones take any; the nodes hear of that only with
+        the next heartbeats, and their callers are refused for seconds. An engine
         of another phase than these two is free to change at any time.
         """
         ready = sum(
--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -28,7 +28,7 @@
 
 @attrs.frozen
 class PrefillHome:
-    """The engine that reads a prompt, and one that may keep parts of it."""
+    """The engine that prefills a prompt, and one that may keep parts of it."""
 
     target: RegisteredTarget
     source: RegisteredTarget | None
@@ -61,12 +61,12 @@
         avoid: Collection[str],
         now_s: float,
     ) -> PrefillHome | None:
-        """Choose the engine that reads a prompt.
+        """Choose the prefill engine of a prompt.
 
         All nodes rank the engines for a shared part alike, without talk, so
-        that it is read on the first one only and found there again. Once
-        that one has more to read than another one, by more than it costs to
-        leave it, the other one fetches the part from it. Among equals the
+        that it is prefilled on the first one only and found there again. Once
+        that one has a longer backlog than another one, by more than it costs
+        to leave it, the other one fetches the part from it. Among equals the
         one that was left alone for longest takes the next prompt: in turns,
         the prompts of many nodes come to each engine more evenly than drawn.
         """
@@ -96,7 +96,7 @@
     def readers(
         self, service: str, avoid: Collection[str], now_s: float
     ) -> int:
-        """Count the engines that read prompts."""
+        """Count the prefill engines that can be used."""
         return len(self._usable(service, Phase.PREFILL, avoid, now_s))
 
     def _owner(
@@ -124,7 +124,7 @@
         avoid: Collection[str],
         now_s: float,
     ) -> RegisteredTarget | None:
-        """Choose the engine that makes the tokens.
+        """Choose the decode engine of a stream.
 
         A cache that crosses domains takes twice as long, so an engine near
         the one that holds it is preferred until it is much busier. One that
--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -33,7 +33,7 @@
 PATIENCE_GOALS = 4
 PATIENCE_PAUSES = 8
 
-# A prompt is short if an engine that makes tokens, which reads at half the
+# A prompt is short if a decode engine, which prefills at half the
 # pace (from the users' protocol), has read it within this share of the goal.
 SHORT_SHARE = 0.1
 WHOLE_SLOWDOWN = 2
@@ -153,7 +153,7 @@
         )
 
     def _is_short(self, prompt: Prompt) -> bool:
-        """Whether the engine that makes the tokens reads the prompt as well.
+        """Whether the decode engine prefills the prompt as well.
 
         A short prompt apart waits in line behind long ones and goes to two
         engines, for a reading that hardly holds the second one up. That one
