--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -134,6 +134,12 @@
         for text in ('', 'null', '[]', '{', '{"slots": 1}'):
             self.assertIsNone(DIALECT.read_target('servers/i-7', text))
 
+    def test_an_entry_with_a_phase_of_another_type(self) -> None:
+        """Guards against a reader that one entry stops."""
+        text = json.dumps(ENTRY | {'phase': ['decode']})
+        target = DIALECT.read_target('servers/i-7', text)
+        self.assertIs(Phase.ANY, target and target.phase)
+
     def test_an_unreadable_configuration_is_refused(self) -> None:
         for text in (
             '',
@@ -173,6 +179,8 @@
             ({'rate_per_s': 1, 'burst': 0.1}, 'burst'),
             ({'rate_per_s': '9'}, 'rate_per_s'),
             ({'rate_per_s': 9, 'unit': 'bytes'}, 'unit'),
+            ({'rate_per_s': 9, 'unit': ['token_stream']}, 'unit'),
+            ({'rate_per_s': 10**400}, 'too large'),
         ):
             error = self.assertRaises(ConfigurationError, self.limited, **bad)
             self.assertIn('acme', str(error))
