Choose decode engines without the square, on the duty's holder only

Change: a node without the duty follows the load only (PhasePlan.observe); the choice takes the first engine of the domain with the fewest, by preference. A test holds it against the naive form, 200 fleets drawn from a seed: the same engines. What is ordered is the same.

--- a/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
@@ -1,9 +1,9 @@
 """Which language engines prefill and which decode."""
 
 import math
-from collections import Counter
-from collections.abc import Sequence
-from functools import partial
+from collections import Counter, deque
+from collections.abc import Iterable, Sequence
+from itertools import groupby
 
 import attrs
 
@@ -51,6 +51,13 @@
         self.peak = PhaseLoad(0.0)
         self.wanted = 0
 
+    def observe(self, load: PhaseLoad, now_s: float) -> None:
+        """Follow the load, so that a plan made later knows its peak."""
+        self.peak = PhaseLoad(
+            self._streams.take(load.streams, now_s),
+            self._prompts.take(load.prompts, now_s),
+        )
+
     def changes(
         self,
         engines: Sequence[RegisteredTarget],
@@ -63,10 +70,7 @@
         `settled` names the engines that have the phase they are taken to
         have, without those only ordered to change (None: all).
         """
-        self.peak = PhaseLoad(
-            self._streams.take(load.streams, now_s),
-            self._prompts.take(load.prompts, now_s),
-        )
+        self.observe(load, now_s)
         if len(engines) < 2:
             return []
         wanted = self._wanted_decode(engines)
@@ -158,23 +162,32 @@
     stream is lost with its engine and a prompt can be read again. Spread over
     the domains they are near to most prompts and not all lost with one.
     """
-    left = list(engines)
     crowd: Counter[str] = Counter()
-    names = set()
-    for _ in range(count):
-        best = min(left, key=partial(_suitability, crowd))
-        left.remove(best)
-        crowd[best.domain] += 1
-        names.add(best.target_id)
+    names: list[str] = []
+    for _, alike in groupby(sorted(engines, key=_preference), _preference):
+        by_domain = _by_domain(alike)
+        while by_domain and len(names) < count:
+            names.append(_take_first(by_domain, crowd))
     return frozenset(names)
 
 
-def _suitability(
-    crowd: Counter[str], engine: RegisteredTarget
-) -> tuple[bool, bool, int, str]:
-    return (
-        engine.phase is not Phase.DECODE,
-        engine.is_reclaimable,
-        crowd[engine.domain],
-        engine.target_id,
-    )
+def _take_first(by_domain: dict[str, deque[str]], crowd: Counter[str]) -> str:
+    """Take the first engine of the domain that has the fewest so far."""
+    domain = min(by_domain, key=lambda one: (crowd[one], by_domain[one][0]))
+    crowd[domain] += 1
+    name = by_domain[domain].popleft()
+    if not by_domain[domain]:
+        by_domain.pop(domain)
+    return name
+
+
+def _preference(engine: RegisteredTarget) -> tuple[bool, bool]:
+    return engine.phase is not Phase.DECODE, engine.is_reclaimable
+
+
+def _by_domain(engines: Iterable[RegisteredTarget]) -> dict[str, deque[str]]:
+    """Name the engines of each domain, in order."""
+    found: dict[str, deque[str]] = {}
+    for engine in sorted(engines, key=lambda one: one.target_id):
+        found.setdefault(engine.domain, deque()).append(engine.target_id)
+    return found
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -88,8 +88,6 @@
         """Compare for as long as the process lives."""
         while True:
             sleep(CHECK_S)
-            # Without the duty the plan still follows the streams, so that a
-            # new holder knows how many there were of late.
             self._compare()
 
     def _compare(self) -> None:
@@ -122,6 +120,10 @@
             service, PhasePlan(PhasePlanSettings(), BalancedSplit())
         )
         load = self._load(service, engines, settled, now_s)
+        if self._duty.stamp is None:
+            # A new holder knows how much there was to do of late.
+            plan.observe(load, now_s)
+            return
         for change in plan.changes(engines, load, now_s, settled):
             if self._duty.stamp is None:
                 break
--- a/tests/dispatch/test_fleet_plans.py
+++ b/tests/dispatch/test_fleet_plans.py
@@ -1,5 +1,8 @@
 """Numbers and phases of engines."""
 
+from collections import Counter
+from random import Random
+
 import testtools
 
 from dandelionyoke_dispatch import (
@@ -15,6 +18,7 @@
     StreamSplit,
     WantedCount,
 )
+from dandelionyoke_dispatch._phase_plan import _choose_decode
 
 SCALING = ScalingRange(1, 5, 4.0, 0.2, {'a': 1.0, 'b': 0.8})
 
@@ -253,3 +257,43 @@
         ]
         self.assertEqual(1, len(self.plan.changes(engines, PhaseLoad(115), 0)))
         self.assertEqual([], self.plan.changes(engines[:1], PhaseLoad(115), 0))
+
+    def test_the_choice_is_that_of_one_engine_after_the_other(self) -> None:
+        """Guards against other engines that decode than the rules name."""
+        random = Random(7)
+        for _ in range(200):
+            engines = [
+                engine(
+                    f'i-{number}',
+                    random.choice('abc'),
+                    random.choice((Phase.PREFILL, Phase.DECODE)),
+                    reclaimable=random.random() < 0.5,
+                )
+                for number in random.sample(range(100), 12)
+            ]
+            count = random.randint(0, len(engines))
+            self.assertEqual(
+                one_after_the_other(engines, count),
+                _choose_decode(engines, count),
+            )
+
+
+def one_after_the_other(
+    engines: list[RegisteredTarget], count: int
+) -> frozenset[str]:
+    """The naive form: each time the best of all that are left."""
+    left = list(engines)
+    crowd: Counter[str] = Counter()
+    for _ in range(count):
+        best = min(
+            left,
+            key=lambda one: (
+                one.phase is not Phase.DECODE,
+                one.is_reclaimable,
+                crowd[one.domain],
+                one.target_id,
+            ),
+        )
+        left.remove(best)
+        crowd[best.domain] += 1
+    return frozenset(one.target_id for one in engines if one not in left)
