Charge a budget with the part of the limit that it is charged against

A budget had to be asked for its level before each charge, or lost what it had gained until then; a call that forgot it would have given too much out. The charge does that itself now, and the caller's second look is gone. The share of a limit and the limiters heard come from one look at the groups in place of two. GroupUseTold carries the GroupUse that it repeated field by field.

--- a/packages/dispatch/dandelionyoke_dispatch/_fleet_limiter.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_fleet_limiter.py
@@ -148,17 +148,13 @@
             if is_followed and name in self._limits:
                 more = spent - group.spent.get(name, 0.0)
                 account = self._account(name, now_s)
-                account.budget.spend(more, sender, now_s)
+                account.budget.spend(more, sender, self._part(name, now_s))
             group.spent[name] = spent
         self._groups[sender] = group
 
     def share(self, now_s: float) -> float:
         """Tell the part of a limit that the nodes heard of may give out."""
-        heard = self._own_nodes + sum(
-            group.nodes for group in self._fresh(now_s).values()
-        )
-        total = max(self._totals[0][1], heard)
-        return max(1, heard) / total
+        return self._share_of(self._fresh(now_s))
 
     # Calls.
 
@@ -173,7 +169,7 @@
         level = account.budget.level(part)
         if level < -self._allowance(part):
             return self._refuse(account, part, amount)
-        self._spend(account, amount, now_s)
+        self._spend(account, part, amount)
         return LimitVerdict(
             is_admitted=True,
             level=level,
@@ -184,7 +180,8 @@
     def charge(self, organisation: str, amount: float, now_s: float) -> None:
         """Charge what was let in elsewhere; a negative amount is a refund."""
         if organisation in self._limits:
-            self._spend(self._account(organisation, now_s), amount, now_s)
+            account = self._account(organisation, now_s)
+            self._spend(account, self._part(organisation, now_s), amount)
 
     def over_s(self, organisation: str, now_s: float) -> float:
         """Tell for how long an organisation stays over its limit."""
@@ -247,23 +244,26 @@
         return settings.cut_off_share * (overrun + slack)
 
     def _part(self, organisation: str, now_s: float) -> LimitPart:
+        fresh = self._fresh(now_s)
         return LimitPart(
             self._limits[organisation],
-            self.share(now_s),
-            frozenset(self._fresh(now_s)),
+            self._share_of(fresh),
+            frozenset(fresh),
             now_s,
         )
 
-    def _spend(self, account: _Account, amount: float, now_s: float) -> None:
-        account.budget.spend(amount, '', now_s)
+    def _share_of(self, fresh: Mapping[str, _Group]) -> float:
+        nodes = (group.nodes for group in fresh.values())
+        heard = self._own_nodes + sum(nodes)
+        return max(1, heard) / max(self._totals[0][1], heard)
+
+    def _spend(self, account: _Account, part: LimitPart, amount: float) -> None:
+        account.budget.spend(amount, '', part)
         account.spent += amount
-        account.changed_s = now_s
+        account.changed_s = part.now_s
 
     def _account(self, name: str, now_s: float) -> _Account:
-        """Bring the account of an organisation up to now."""
-        account = self._accounts.get(name) or self._open(name, now_s)
-        account.budget.level(self._part(name, now_s))
-        return account
+        return self._accounts.get(name) or self._open(name, now_s)
 
     def _open(self, name: str, now_s: float) -> _Account:
         window_s = self._settings.window_s
--- a/packages/dispatch/dandelionyoke_dispatch/_limit_budget.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_limit_budget.py
@@ -37,13 +37,9 @@
 
 
 class LimitBudget(Protocol):
-    """One organisation's use against a part of its limit.
+    """One organisation's use against a part of its limit."""
 
-    The level is asked for before each charge, so that what was gained until
-    then is not lost.
-    """
-
-    def spend(self, amount: float, sender: str, now_s: float) -> None:
+    def spend(self, amount: float, sender: str, part: LimitPart) -> None:
         """Charge an amount; a negative one is a refund.
 
         `sender` names the limiter that let it in, an empty one this node.
@@ -68,8 +64,10 @@
         self._window_s = window_s
         self._bucket = TokenBucket(0.0, now_s)
 
-    def spend(self, amount: float, sender: str, now_s: float) -> None:
+    def spend(self, amount: float, sender: str, part: LimitPart) -> None:
         """Charge an amount; a negative one is a refund."""
+        # What was gained until now counts before the charge.
+        self.level(part)
         self._bucket.level -= amount
 
     def level(self, part: LimitPart) -> float:
@@ -109,11 +107,11 @@
         self._slots: dict[str, deque[_Slot]] = {}
         self._began_s = now_s
 
-    def spend(self, amount: float, sender: str, now_s: float) -> None:
+    def spend(self, amount: float, sender: str, part: LimitPart) -> None:
         """Charge an amount; a negative one is a refund."""
         slots = self._slots.setdefault(sender, deque())
-        if not slots or now_s - slots[-1].begins_s >= self._slot_s:
-            slots.append(_Slot(now_s, 0.0))
+        if not slots or part.now_s - slots[-1].begins_s >= self._slot_s:
+            slots.append(_Slot(part.now_s, 0.0))
         slots[-1].amount += amount
 
     def level(self, part: LimitPart) -> float:
@@ -164,10 +162,10 @@
             WindowBudget(window_s, now_s),
         )
 
-    def spend(self, amount: float, sender: str, now_s: float) -> None:
+    def spend(self, amount: float, sender: str, part: LimitPart) -> None:
         """Charge an amount; a negative one is a refund."""
         for one in self._parts:
-            one.spend(amount, sender, now_s)
+            one.spend(amount, sender, part)
 
     def level(self, part: LimitPart) -> float:
         """Tell what is left; negative while the organisation is in debt."""
--- a/packages/gateway/dandelionyoke_gateway/_limit_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_limit_messages.py
@@ -5,7 +5,7 @@
 import attrs
 
 from dandelionyoke_core import PeerMessage
-from dandelionyoke_dispatch import LimitVerdict
+from dandelionyoke_dispatch import GroupUse, LimitVerdict
 
 
 @attrs.frozen
@@ -51,14 +51,12 @@
 
 @attrs.frozen
 class GroupUseTold(PeerMessage):
-    """What one limiter has let in since its start; see `GroupUse`."""
+    """What one limiter has let in since its start."""
 
-    process: str
-    nodes: int
-    spent: dict[str, float]
+    use: GroupUse
 
     @property
     def is_possible(self) -> bool:
         """Whether the figures can be those of a limiter."""
-        is_finite = all(map(math.isfinite, self.spent.values()))
-        return self.nodes >= 0 and is_finite
+        is_finite = all(map(math.isfinite, self.use.spent.values()))
+        return self.use.nodes >= 0 and is_finite
--- a/packages/gateway/dandelionyoke_gateway/_limit_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_limit_server.py
@@ -7,7 +7,6 @@
 import eventlet
 
 from dandelionyoke_core import Event, InstanceId, PeerMessageArrived
-from dandelionyoke_dispatch import GroupUse
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import NEVER_S, Knowledge
 from dandelionyoke_gateway._limit_messages import (
@@ -104,8 +103,7 @@
             self._drop(peer_id, 'impossible use of a group')
             return
         self._links.heard(peer_id)
-        use = GroupUse(told.process, told.nodes, told.spent)
-        self._limiter.told(peer_id, use, clock_s())
+        self._limiter.told(peer_id, told.use, clock_s())
 
     def _drop(self, peer_id: InstanceId, cause: str) -> None:
         self._log.decide(
@@ -132,5 +130,4 @@
             return
         self._told_s = now_s
         use = self._limiter.use(self._knowledge.process_name, now_s)
-        told = GroupUseTold(use.process, use.nodes, dict(use.spent))
-        self._links.tell(told)
+        self._links.tell(GroupUseTold(use))
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -12,7 +12,12 @@
     PeerMessage,
     PeerMessageArrived,
 )
-from dandelionyoke_dispatch import LimitUnit, Member, RateLimit
+from dandelionyoke_dispatch import (
+    GroupUse,
+    LimitUnit,
+    Member,
+    RateLimit,
+)
 from dandelionyoke_gateway import clock_s
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._limit_messages import (
@@ -178,8 +183,8 @@
             ChargeAsked(1, 'acme', math.nan),
             ChargeAsked(2, 'acme', -5.0),
             UseReported({'acme': math.inf}),
-            GroupUseTold('n-9.1', -1, {'acme': 1.0}),
-            GroupUseTold('n-9.1', 1, {'acme': math.nan}),
+            GroupUseTold(GroupUse('n-9.1', -1, {'acme': 1.0})),
+            GroupUseTold(GroupUse('n-9.1', 1, {'acme': math.nan})),
         ):
             event = PeerMessageArrived(self.first.name, message)
             self.assertTrue(self.keeper.server.take(event))
