Add up the backlog of all engines once for a placement

The placement asked the queue engine by engine, and each answer went through all prompts under way and all that other nodes had told. fleet_backlog adds them up once; backlog and backlog_tokens come from the same sum. The tests ask it in place of fleet_backlog_tokens, with the same assertions.

--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -76,12 +76,11 @@
         first = _first_for(found, prompt.shared_key)
         owner = self._owner(service, prompt.shared_key, now_s) or first
         leaving_s = LEAVING_SHARE * _time_s(pace.unkept, prompt.shared_tokens)
+        backlog = line.fleet_backlog(now_s)
         chosen = min(
             found,
             key=lambda one: (
-                _time_s(
-                    pace.found, line.fleet_backlog_tokens(one.target_id, now_s)
-                )
+                _time_s(pace.found, backlog[one.target_id])
                 + leaving_s * (one is not first),
                 line.placed_s(one.target_id),
                 one.target_id,
--- a/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_reading_line.py
@@ -9,6 +9,7 @@
 """
 
 import enum
+from collections import Counter
 from collections.abc import Mapping
 
 import attrs
@@ -139,19 +140,14 @@
 
     def backlog_tokens(self, target_id: str) -> int:
         """Add up what this node has under way at an engine."""
-        return sum(
-            one.ticket.tokens
-            for one in self._reading.values()
-            if one.target_id == target_id
-        )
+        return self.backlog()[target_id]
 
-    def backlog(self) -> dict[str, int]:
-        """Tell what this node has under way, by engine."""
-        found: dict[str, int] = {}
+    def backlog(self) -> Counter[str]:
+        """Add up what this node has under way, by engine."""
+        found: Counter[str] = Counter()
         for one in self._reading.values():
             if one.target_id:
-                tokens = found.get(one.target_id, 0) + one.ticket.tokens
-                found[one.target_id] = tokens
+                found[one.target_id] += one.ticket.tokens
         return found
 
     def told(
@@ -160,15 +156,14 @@
         """Take what another node has under way, by engine."""
         self._told[sender] = backlog, now_s
 
-    def fleet_backlog_tokens(self, target_id: str, now_s: float) -> int:
-        """Add up what is under way at an engine, other nodes' included."""
+    def fleet_backlog(self, now_s: float) -> Counter[str]:
+        """Add up what all nodes that are heard have under way, by engine."""
         oldest_s = now_s - self._settings.told_lifetime_s
-        others = sum(
-            backlog.get(target_id, 0)
-            for backlog, told_s in self._told.values()
-            if told_s >= oldest_s
-        )
-        return self.backlog_tokens(target_id) + others
+        found = self.backlog()
+        for backlog, told_s in self._told.values():
+            if told_s >= oldest_s:
+                found.update(backlog)
+        return found
 
     def placed_s(self, target_id: str) -> float:
         """Tell when a prompt last went to an engine."""
--- a/tests/gateway/test_backlog_task.py
+++ b/tests/gateway/test_backlog_task.py
@@ -116,25 +116,25 @@
         line = self.second.knowledge.watch_of('lm').line
         busy = [grant.home.target.target_id for grant in grants if grant.home]
         for target_id in busy:
-            tokens = line.fleet_backlog_tokens(target_id, clock_s())
+            tokens = line.fleet_backlog(clock_s())[target_id]
             self.assertEqual(9000, tokens)
         for grant in grants:
             self.first.queue.leave(grant, PrefillResult(0.2))
         self.settle()
         for target_id in busy:
-            tokens = line.fleet_backlog_tokens(target_id, clock_s())
+            tokens = line.fleet_backlog(clock_s())[target_id]
             self.assertEqual(0, tokens)
 
     def test_old_news_fades(self) -> None:
         """Guards against engines left idle for a node that is cut off."""
         line = self.second.knowledge.watch_of('lm').line
         line.told('n-9', {'i-0': 9000}, clock_s() - 0.6)
-        self.assertEqual(0, line.fleet_backlog_tokens('i-0', clock_s()))
+        self.assertEqual(0, line.fleet_backlog(clock_s())['i-0'])
 
     def test_an_impossible_backlog(self) -> None:
         """Guards against a peer that draws all prompts to one engine."""
         told = BacklogTold({'lm': {'i-0': -9000}})
         self.second.task.take(PeerMessageArrived(self.first.name, told))
         line = self.second.knowledge.watch_of('lm').line
-        self.assertEqual(0, line.fleet_backlog_tokens('i-0', clock_s()))
+        self.assertEqual(0, line.fleet_backlog(clock_s())['i-0'])
         self.assertIn('placing.dropped', self.second.lines.text)
