Find the node of the domain in one place

The prefill queue and the limits each looked the domain's node up, kept how messages leave and passed a silent node over, line for line. DomainSource does it; each of them has its own, so that the cooldowns stay apart as they were. A charge is refunded in place of given back.

--- a/packages/gateway/dandelionyoke_gateway/_call_desk.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_desk.py
@@ -206,7 +206,7 @@
             self._carry_by_kind(opened)
         finally:
             if charge is not None and not opened.attempts.may_have_run:
-                self._tools.limits.give_back(charge)
+                self._tools.limits.refund(charge)
 
     def _carry_by_kind(self, opened: OpenCall) -> None:
         if opened.route.kind is CallKind.STREAM:
--- a/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
@@ -8,6 +8,7 @@
 from dandelionyoke_core import InstanceId
 from dandelionyoke_dispatch import PrefillHome, RegisteredTarget, TargetFailure
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._domain_source import DomainSource
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_desk import Send
@@ -30,8 +31,6 @@
 # A sound node of the domain answers within milliseconds, or after it has read
 # a new configuration.
 ANSWER_TIMEOUT_S = 0.2
-# A node that did not answer is not asked for this long.
-COOLDOWN_S = 0.5
 NUMBER_BITS = 48
 
 
@@ -51,22 +50,21 @@
         self._local = local
         self._knowledge = knowledge
         self._log = log
-        self._send: Send | None = None
+        self._source = DomainSource(knowledge)
         # Another process of this instance may have places there still.
         first_number = knowledge.random.getrandbits(NUMBER_BITS)
         self._numbers = itertools.count(first_number)
         # By the turn id of the grant that may follow.
         self._questions: dict[str, _Question] = {}
-        self._cooldown_until_s = 0.0
 
     def attach(self, send: Send) -> None:
         """Take how messages leave, once there are links."""
-        self._send = send
+        self._source.attach(send)
         self._knowledge.loads.listen(self._report)
 
     def enter(self, request: PrefillRequest) -> PrefillGrant:
         """Wait for an engine."""
-        peer_id = self._placing_node()
+        peer_id = self._source.find()
         if peer_id is not None:
             grant = self._ask(peer_id, request)
             if grant is not None:
@@ -96,13 +94,6 @@
             if question.peer_id == peer_id:
                 question.answers.put(None)
 
-    def _placing_node(self) -> InstanceId | None:
-        now_s = clock_s()
-        if self._send is None or now_s < self._cooldown_until_s:
-            return None
-        member = self._knowledge.sources.domain_source(now_s)
-        return None if member is None else InstanceId(member.instance_id)
-
     def _ask(
         self, peer_id: InstanceId, request: PrefillRequest
     ) -> PrefillGrant | None:
@@ -128,7 +119,7 @@
         self, question: _Question, request: PrefillRequest
     ) -> PrefillHome | None:
         asked = _message(question.number, request)
-        if self._send is None or not self._send(question.peer_id, asked):
+        if not self._source.send(question.peer_id, asked):
             return None
         until_s = clock_s() + ANSWER_TIMEOUT_S
         while (told := _next(question, until_s)) is not None:
@@ -175,9 +166,9 @@
 
     def _report(self, target_id: str, failure: TargetFailure) -> None:
         """Tell a failure to the node that places calls there."""
-        peer_id = self._placing_node()
-        if peer_id is not None and self._send is not None:
-            self._send(peer_id, TargetFailed(target_id, failure))
+        peer_id = self._source.find()
+        if peer_id is not None:
+            self._source.send(peer_id, TargetFailed(target_id, failure))
 
     def _withdraw(self, turn_id: str) -> None:
         question = self._questions.pop(turn_id, None)
@@ -185,12 +176,11 @@
             self._tell_end(question, PrefillResult())
 
     def _tell_end(self, question: _Question, result: PrefillResult) -> None:
-        if self._send is not None:
-            ended = PrefillEnded(question.number, result.read_s)
-            self._send(question.peer_id, ended)
+        ended = PrefillEnded(question.number, result.read_s)
+        self._source.send(question.peer_id, ended)
 
     def _pause(self, peer_id: InstanceId) -> None:
-        self._cooldown_until_s = clock_s() + COOLDOWN_S
+        self._source.was_silent()
         self._log.decide('placing.silent', peer_id, outcome='placed here')
 
 
--- a/packages/gateway/dandelionyoke_gateway/_rate_limits.py
+++ b/packages/gateway/dandelionyoke_gateway/_rate_limits.py
@@ -16,6 +16,7 @@
 from dandelionyoke_core import CountMetric, InstanceId
 from dandelionyoke_dispatch import LimitVerdict, RateLimit
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._domain_source import DomainSource
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._limit_messages import (
     ChargeAsked,
@@ -28,8 +29,6 @@
 
 # A sound node of the domain answers within milliseconds.
 ANSWER_TIMEOUT_S = 0.15
-# A node that did not answer is not asked for this long.
-COOLDOWN_S = 0.5
 # A call below this share of the burst is let in without a question.
 ASKED_SHARE = 0.01
 REPORT_INTERVAL_S = 0.2
@@ -74,8 +73,8 @@
             OverLimitError: it is beyond the limit.
         """
 
-    def give_back(self, charge: Charge) -> None:
-        """Take the charge of a call back that no target ran."""
+    def refund(self, charge: Charge) -> None:
+        """Refund the charge of a call that no target ran."""
 
 
 class DomainRateLimits:
@@ -85,18 +84,17 @@
         self._knowledge = knowledge
         self._limiter = knowledge.limiter
         self._log = log
-        self._send: Send | None = None
+        self._source = DomainSource(knowledge)
         # Another process of this instance may have open questions there.
         first_number = knowledge.random.getrandbits(NUMBER_BITS)
         self._numbers = itertools.count(first_number)
         self._answers: dict[int, LightQueue] = {}
         self._unreported: defaultdict[str, float] = defaultdict(float)
         self._over_until_s: dict[str, float] = {}
-        self._cooldown_until_s = 0.0
 
     def attach(self, send: Send) -> None:
         """Take how messages leave, once there are links."""
-        self._send = send
+        self._source.attach(send)
 
     def take(self, charge: Charge) -> None:
         """Charge a call.
@@ -119,8 +117,8 @@
             self._log_refusal(charge, decision)
             raise OverLimitError(charge, verdict)
 
-    def give_back(self, charge: Charge) -> None:
-        """Take the charge of a call back that no target ran."""
+    def refund(self, charge: Charge) -> None:
+        """Refund the charge of a call that no target ran."""
         if self._limiter.limit_of(charge.organisation) is not None:
             self._note(charge.organisation, -charge.amount)
 
@@ -143,7 +141,7 @@
             self._report()
 
     def _decide(self, charge: Charge, limit: RateLimit) -> _Decision:
-        keeper = self._keeper()
+        keeper = self._source.find()
         if keeper is not None:
             if charge.amount < ASKED_SHARE * limit.burst:
                 return _Decision(self._let_small_in(charge))
@@ -174,11 +172,11 @@
         self._answers[number] = answers
         asked = ChargeAsked(number, charge.organisation, charge.amount)
         try:
-            if self._send is None or not self._send(keeper, asked):
+            if not self._source.send(keeper, asked):
                 return None
             verdict: LimitVerdict = answers.get(timeout=ANSWER_TIMEOUT_S)
         except Empty:
-            self._cooldown_until_s = clock_s() + COOLDOWN_S
+            self._source.was_silent()
             self._log.decide('limit.silent', keeper, outcome='decided here')
             return None
         finally:
@@ -201,23 +199,15 @@
                 self._limiter.charge(organisation, amount, clock_s())
             self._unreported.clear()
             return
-        keeper = self._keeper()
-        if keeper is None or self._send is None:
+        keeper = self._source.find()
+        if keeper is None:
             return
-        if self._send(keeper, UseReported(dict(self._unreported))):
+        if self._source.send(keeper, UseReported(dict(self._unreported))):
             self._unreported.clear()
 
     def _is_keeper(self) -> bool:
         return self._knowledge.sources.is_source(clock_s())
 
-    def _keeper(self) -> InstanceId | None:
-        """Name the node to ask; None: this one decides."""
-        now_s = clock_s()
-        if self._send is None or now_s < self._cooldown_until_s:
-            return None
-        member = self._knowledge.sources.domain_source(now_s)
-        return None if member is None else InstanceId(member.instance_id)
-
     def _log_refusal(self, charge: Charge, decision: _Decision) -> None:
         verdict = decision.verdict
         self._log.decide(
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -159,7 +159,7 @@
         eventlet.spawn_n(self.first.limits.run)
         charge = Charge('call-1', 'acme', 900.0)
         self.first.limits.take(charge)
-        self.first.limits.give_back(charge)
+        self.first.limits.refund(charge)
         eventlet.sleep(2 * REPORT_INTERVAL_S)
         self.assertAlmostEqual(1000, self.keeper.level, delta=1)
 
