--- a/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_reader.py
@@ -28,13 +28,13 @@
 MAX_PREFILL_BYTES = 65536
 
 # A caller gives up on a stream that has not begun after this long, or four
-# times its goal or eight times its longest pause (from the users' protocol).
+# times its goal or eight times its longest pause.
 LEAST_PATIENCE_S = 2.0
 PATIENCE_GOALS = 4
 PATIENCE_PAUSES = 8
 
-# A prompt is short if a decode engine, which prefills at half the
-# pace (from the users' protocol), has read it within this share of the goal.
+# A prompt is short if a decode engine, which prefills at half the pace, has
+# read it within this share of the goal.
 SHORT_SHARE = 0.1
 WHOLE_SLOWDOWN = 2
 
--- a/tests/dispatch/limit_fleet.py
+++ b/tests/dispatch/limit_fleet.py
@@ -143,12 +143,12 @@
     policy: str = 'domain'
     seed: int = 1
     length_s: float = 45.0
-    worst_window: float = 0.0
-    offered: float = 0.0
-    let_in: float = 0.0
-    due: float = 0.0
-    _units: list[Unit] = attrs.field(factory=list)
-    _numbers: Iterator[int] = attrs.field(factory=itertools.count)
+    worst_window: float = attrs.field(default=0.0, init=False)
+    offered: float = attrs.field(default=0.0, init=False)
+    let_in: float = attrs.field(default=0.0, init=False)
+    due: float = attrs.field(default=0.0, init=False)
+    _units: list[Unit] = attrs.field(factory=list, init=False)
+    _numbers: Iterator[int] = attrs.field(factory=itertools.count, init=False)
 
     @property
     def allowed(self) -> float:
--- a/tests/dispatch/phase_fleet.py
+++ b/tests/dispatch/phase_fleet.py
@@ -63,12 +63,12 @@
     new_holder_s: float = -1.0
     length_s: float = 40.0
     settings: PhasePlanSettings = attrs.field(factory=PhasePlanSettings)
-    offered: float = 0.0
-    served: float = 0.0
-    orders: int = 0
-    least_prefill: int = 999
-    _fleet: list[Engine] = attrs.field(factory=list)
-    _seen: list[tuple[float, PhaseLoad]] = attrs.field(factory=list)
+    offered: float = attrs.field(default=0.0, init=False)
+    served: float = attrs.field(default=0.0, init=False)
+    orders: int = attrs.field(default=0, init=False)
+    least_prefill: int = attrs.field(default=999, init=False)
+    _fleet: list[Engine] = attrs.field(factory=list, init=False)
+    _seen: list[tuple[float, PhaseLoad]] = attrs.field(factory=list, init=False)
 
     @property
     def served_share(self) -> float:
--- a/tests/dispatch/test_phase_split.py
+++ b/tests/dispatch/test_phase_split.py
@@ -1,5 +1,6 @@
 """Phases of engines under bursts and turns of the mix, in virtual time."""
 
+import attrs
 import testtools
 
 from dandelionyoke_dispatch import (
@@ -8,7 +9,7 @@
     PhasePlanSettings,
     StreamSplit,
 )
-from tests.dispatch.phase_fleet import PhaseDay
+from tests.dispatch.phase_fleet import PhaseDay, Rate
 
 NEWS_S = (0.2, 1.0, 3.0)
 USUAL = 225.0
@@ -42,15 +43,9 @@
     """Each day also by the naive form, which follows streams alone."""
 
     def play(self, day: PhaseDay) -> tuple[PhaseDay, PhaseDay]:
-        naive = PhaseDay(
-            day.rate,
-            StreamSplit(),
-            stream_s=day.stream_s,
-            news_late_s=day.news_late_s,
-            lost=day.lost,
-            loses_decode=day.loses_decode,
-            new_holder_s=day.new_holder_s,
-            length_s=day.length_s,
+        naive = attrs.evolve(
+            day,
+            split=StreamSplit(),
             settings=PhasePlanSettings(coming_share=1.0),
         )
         return day.play(), naive.play()
@@ -86,30 +81,26 @@
             self.assertGreater(day.served_share, 0.99)
             self.assertLess(day.orders, naive.orders)
 
-    def test_a_turn_of_the_mix_that_lasts(self) -> None:
-        """Guards against a plan that damps a true turn away."""
+    def assert_better(self, rate: float, stream_s: Rate) -> None:
+        """More is served than by the streams alone, however late news is."""
         for news_late_s in NEWS_S:
             day, naive = self.play(
                 PhaseDay(
-                    lambda now_s: 200.0,
-                    stream_s=lambda now_s: 0.6 if now_s < 15 else 4.0,
+                    lambda now_s: rate,
+                    stream_s=stream_s,
                     news_late_s=news_late_s,
                     length_s=60,
                 )
             )
             self.assertGreater(day.served_share, naive.served_share)
 
+    def test_a_turn_of_the_mix_that_lasts(self) -> None:
+        """Guards against a plan that damps a true turn away."""
+        self.assert_better(200.0, lambda now_s: 0.6 if now_s < 15 else 4.0)
+
     def test_a_turn_back_to_prompts(self) -> None:
-        for news_late_s in NEWS_S:
-            day, naive = self.play(
-                PhaseDay(
-                    lambda now_s: 250.0,
-                    stream_s=lambda now_s: 3.0 if now_s < 20 else 0.5,
-                    news_late_s=news_late_s,
-                    length_s=60,
-                )
-            )
-            self.assertGreater(day.served_share, naive.served_share)
+        """Guards against decode engines kept for streams that are gone."""
+        self.assert_better(250.0, lambda now_s: 3.0 if now_s < 20 else 0.5)
 
     def test_a_new_holder_of_the_duty_midway(self) -> None:
         """Guards against a holder that knows nothing and turns all back."""
