Share the network of a domain's nodes between the gateway's tests

The tests of the prefill queue and of the limits each had it. Their assertions are the same; what a test calls is named call in place of take, which takes an event of the links.

--- /dev/null
+++ b/tests/gateway/network.py
@@ -0,0 +1,67 @@
+"""The nodes of one failure domain, without sockets."""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Generic, Protocol, TypeVar
+
+import eventlet
+
+from dandelionyoke_core import (
+    Event,
+    InstanceId,
+    PeerMessage,
+    PeerMessageArrived,
+)
+from dandelionyoke_dispatch import Member
+from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway._knowledge import Knowledge
+
+
+class Node(Protocol):
+    """What a network needs of its nodes."""
+
+    name: InstanceId
+    knowledge: Knowledge
+
+    def take(self, event: Event) -> bool: ...
+
+
+AnyNode = TypeVar('AnyNode', bound=Node)
+
+
+class DomainNetwork(Generic[AnyNode]):
+    """Delivers messages between nodes, unless a node is silent."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[InstanceId, AnyNode] = {}
+        self.silent: set[str] = set()
+        self.sent: Counter[str] = Counter()
+
+    def join(self, nodes: Iterable[AnyNode]) -> None:
+        """Take the nodes, and let each of them know the others."""
+        self.nodes.update((node.name, node) for node in nodes)
+        members = [Member(name, 'a', '10.0.0.2:7') for name in self.nodes]
+        for node in self.nodes.values():
+            node.knowledge.sources.take_members(members)
+
+    @property
+    def source(self) -> AnyNode:
+        """The node that works for the domain."""
+        return next(
+            node
+            for node in self.nodes.values()
+            if node.knowledge.sources.is_source(clock_s())
+        )
+
+    @property
+    def others(self) -> list[AnyNode]:
+        source = self.source
+        return [node for node in self.nodes.values() if node is not source]
+
+    def deliver(
+        self, sender: InstanceId, peer_id: InstanceId, message: PeerMessage
+    ) -> None:
+        self.sent[type(message).__name__] += 1
+        if peer_id not in self.silent:
+            event = PeerMessageArrived(sender, message)
+            eventlet.spawn_n(self.nodes[peer_id].take, event)
--- a/tests/gateway/test_prefill_queue.py
+++ b/tests/gateway/test_prefill_queue.py
@@ -10,6 +10,7 @@
 from eventlet.event import Event as GreenEvent
 
 from dandelionyoke_core import (
+    Event,
     InstanceId,
     Metrics,
     PeerDisconnected,
@@ -17,7 +18,6 @@
     PeerMessageArrived,
 )
 from dandelionyoke_dispatch import (
-    Member,
     Phase,
     Prompt,
     PromptPart,
@@ -39,6 +39,7 @@
     PrefillResult,
     TooLateError,
 )
+from tests.gateway.network import DomainNetwork
 from tests.gateway.settings import new_settings
 from tests.platform.path import Lines
 
@@ -67,51 +68,28 @@
         )
         self.links.attach(self.send)
 
+    def take(self, event: Event) -> bool:
+        """Take an event of the links."""
+        return self.links.take(event)
+
     def send(self, peer_id: InstanceId, message: PeerMessage) -> bool:
         self._network.deliver(self.name, peer_id, message)
         return True
 
 
-class Network:
-    """Delivers messages between nodes, unless a node is silent."""
+class Network(DomainNetwork[Node]):
+    """Nodes that place prompts at the same engines."""
 
     def __init__(self, count: int, engines: list[RegisteredTarget]) -> None:
-        self.nodes = {
-            node.name: node
-            for node in (Node(self, f'n-{one}') for one in range(count))
-        }
-        self.silent: set[str] = set()
-        self.sent: Counter[str] = Counter()
-        members = [Member(name, 'a', '10.0.0.2:7') for name in self.nodes]
+        super().__init__()
+        self.join([Node(self, f'n-{one}') for one in range(count)])
         for node in self.nodes.values():
-            node.knowledge.sources.take_members(members)
             node.knowledge.registry.replace(engines, clock_s())
 
-    @property
-    def placing(self) -> Node:
-        return next(
-            node
-            for node in self.nodes.values()
-            if node.knowledge.sources.is_source(clock_s())
-        )
-
-    @property
-    def others(self) -> list[Node]:
-        placing = self.placing
-        return [node for node in self.nodes.values() if node is not placing]
-
-    def deliver(
-        self, sender: InstanceId, peer_id: InstanceId, message: PeerMessage
-    ) -> None:
-        self.sent[type(message).__name__] += 1
-        if peer_id not in self.silent:
-            event = PeerMessageArrived(sender, message)
-            eventlet.spawn_n(self.nodes[peer_id].links.take, event)
-
     def lose(self, name: str) -> None:
         """End all links of a node."""
         for node in self.nodes.values():
-            node.links.take(PeerDisconnected(InstanceId(name), 'cut'))
+            node.take(PeerDisconnected(InstanceId(name), 'cut'))
 
 
 def request(
@@ -140,7 +118,7 @@
 
     def teach(self, network: Network, read_s: float = READ_S) -> None:
         """Let the placing node know how long a prefill takes."""
-        local = network.placing.local
+        local = network.source.local
         for number in range(40):
             grant = local.enter(request(number))
             local.leave(grant, PrefillResult(read_s))
@@ -186,7 +164,7 @@
     def test_a_silent_node_is_replaced_by_an_own_decision(self) -> None:
         """Guards against calls that wait for a frozen node."""
         network = self.network(nodes=3, engines=2)
-        network.silent.add(network.placing.name)
+        network.silent.add(network.source.name)
         node = network.others[0]
         asked_s = clock_s()
         self.assertIsNotNone(node.queue.enter(request()).home)
@@ -224,7 +202,7 @@
     def test_places_without_an_end_are_free_in_time(self) -> None:
         """Guards against places that leak with a link that is cut silently."""
         network = self.network(nodes=2, engines=1)
-        node, placing = network.others[0], network.placing
+        node, placing = network.others[0], network.source
         node.queue.enter(request(patience_s=-0.95))
         tokens = placing.knowledge.watch_of('lm').line.backlog_tokens
         self.assertEqual(9000, tokens('i-0'))
@@ -249,7 +227,7 @@
             node.queue.enter(request())
         waiting = eventlet.spawn(third.queue.enter, request())
         eventlet.sleep(0.02)
-        line = network.placing.knowledge.watch_of('lm').line
+        line = network.source.knowledge.watch_of('lm').line
         before_s = line.expected_wait_s()
         waiting.kill()
         eventlet.sleep(0.02)
@@ -282,7 +260,7 @@
             if not user.dead:
                 user.wait()
         eventlet.sleep(0.05)
-        line = network.placing.knowledge.watch_of('lm').line
+        line = network.source.knowledge.watch_of('lm').line
         self.assertEqual(0, line.expected_wait_s())
         self.assertEqual(0, sum(map(line.backlog_tokens, ('i-0', 'i-1'))))
 
@@ -307,7 +285,7 @@
         self.assertIsNotNone(grant.home)
         sound.queue.leave(grant, PrefillResult(READ_S))
         eventlet.sleep(0.02)
-        loads = network.placing.knowledge.loads
+        loads = network.source.knowledge.loads
         target_id = grant.home.target.target_id
         cut_off.knowledge.loads.unreachable(target_id, clock_s())
         eventlet.sleep(0.02)
@@ -317,7 +295,7 @@
     def test_impossible_and_repeated_questions_are_dropped(self) -> None:
         """Guards against places that another version's figures take up."""
         network = self.network(nodes=2, engines=1)
-        node, placing = network.others[0], network.placing
+        node, placing = network.others[0], network.source
         bad = PrefillAsked(1, 'lm', 'hot', 6000, 5000, 1, 0.0, 1.0, 5.0)
         endless = attrs.evolve(bad, token_count=9000, useful_s=math.inf)
         good = attrs.evolve(endless, useful_s=5.0)
@@ -330,7 +308,7 @@
     def test_an_answer_that_nobody_waits_for_is_dropped(self) -> None:
         """Guards against a late or repeated answer that changes a call."""
         network = self.network(nodes=2, engines=1)
-        node, placing = network.others[0], network.placing
+        node, placing = network.others[0], network.source
         grant = node.queue.enter(request())
         asked = PrefillAsked(77, 'lm', 'hot', 6000, 9000, 1, 0.0, 1.0, 5.0)
         placing.links.take(PeerMessageArrived(node.name, asked))
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -7,6 +7,7 @@
 import testtools
 
 from dandelionyoke_core import (
+    Event,
     InstanceId,
     Metrics,
     PeerMessage,
@@ -15,7 +16,6 @@
 from dandelionyoke_dispatch import (
     GroupUse,
     LimitUnit,
-    Member,
     RateLimit,
 )
 from dandelionyoke_gateway import clock_s
@@ -36,6 +36,7 @@
     OverLimitError,
 )
 from dandelionyoke_gateway._source_links import SourceLinks
+from tests.gateway.network import DomainNetwork
 from tests.gateway.settings import new_settings
 from tests.platform.path import Lines
 
@@ -64,7 +65,11 @@
         self._network.deliver(self.name, peer_id, message)
         return True
 
-    def take(self, amount: float = LARGE) -> bool:
+    def take(self, event: Event) -> bool:
+        """Take an event of the links."""
+        return self.server.take(event)
+
+    def call(self, amount: float = LARGE) -> bool:
         """Take a call; tell whether it is within the limit."""
         try:
             self.limits.take(Charge('call-1', 'acme', amount))
@@ -80,38 +85,12 @@
         return verdict.level
 
 
-class Network:
-    """Delivers messages between nodes, unless a node is silent."""
+class Network(DomainNetwork[Node]):
+    """Nodes that keep limits together."""
 
     def __init__(self, count: int) -> None:
-        self.nodes = {
-            node.name: node
-            for node in (Node(self, f'n-{one}') for one in range(count))
-        }
-        self.silent: set[str] = set()
-        members = [Member(name, 'a', '10.0.0.2:7') for name in self.nodes]
-        for node in self.nodes.values():
-            node.knowledge.sources.take_members(members)
-
-    @property
-    def keeper(self) -> Node:
-        return next(
-            node
-            for node in self.nodes.values()
-            if node.knowledge.sources.is_source(clock_s())
-        )
-
-    @property
-    def others(self) -> list[Node]:
-        keeper = self.keeper
-        return [node for node in self.nodes.values() if node is not keeper]
-
-    def deliver(
-        self, sender: InstanceId, peer_id: InstanceId, message: PeerMessage
-    ) -> None:
-        if peer_id not in self.silent:
-            event = PeerMessageArrived(sender, message)
-            eventlet.spawn_n(self.nodes[peer_id].server.take, event)
+        super().__init__()
+        self.join([Node(self, f'n-{one}') for one in range(count)])
 
 
 class DomainRateLimitsTest(testtools.TestCase):
@@ -121,13 +100,13 @@
         for node in self.network.nodes.values():
             self.addCleanup(node.log.close)
             node.knowledge.limiter.take_nodes(1, 1, clock_s() - 60)
-        self.keeper = self.network.keeper
+        self.keeper = self.network.source
         self.first, self.second, self.third = self.network.others
 
     def test_nodes_share_one_bucket(self) -> None:
         """Guards against a whole limit, or a small part of it, for each."""
         nodes = self.network.others
-        let_in = sum(nodes[number % 3].take() for number in range(30))
+        let_in = sum(nodes[number % 3].call() for number in range(30))
         # One of them leaves the debt.
         self.assertIn(let_in, {10, 11})
         self.assertGreater(self.first.retry_after_s, 0)
@@ -136,24 +115,24 @@
         """Guards against calls that count nowhere."""
         eventlet.spawn_n(self.first.limits.run)
         for _ in range(300):
-            self.assertTrue(self.first.take(SMALL))
+            self.assertTrue(self.first.call(SMALL))
         eventlet.sleep(2 * REPORT_INTERVAL_S)
         self.assertAlmostEqual(700, self.keeper.level, delta=60)
 
     def test_small_calls_are_refused_once_the_limit_is_reached(self) -> None:
         eventlet.spawn_n(self.first.limits.run)
-        while self.second.take():
+        while self.second.call():
             """Use the limit up."""
-        self.assertTrue(self.first.take(SMALL))
+        self.assertTrue(self.first.call(SMALL))
         eventlet.sleep(2 * REPORT_INTERVAL_S)
-        self.assertFalse(self.first.take(SMALL))
+        self.assertFalse(self.first.call(SMALL))
 
     def test_small_calls_are_let_in_once_the_debt_is_paid(self) -> None:
         """Guards against calls refused for news that has been overtaken."""
         self.first.limits.over(OverLimit({'acme': 60.0}))
-        self.assertFalse(self.first.take(SMALL))
-        self.assertTrue(self.first.take(LARGE))
-        self.assertTrue(self.first.take(SMALL))
+        self.assertFalse(self.first.call(SMALL))
+        self.assertTrue(self.first.call(LARGE))
+        self.assertTrue(self.first.call(SMALL))
 
     def test_a_call_that_no_target_ran_costs_nothing(self) -> None:
         eventlet.spawn_n(self.first.limits.run)
@@ -167,12 +146,12 @@
         """Guards against calls refused, or held, for lack of news."""
         self.network.silent.add(self.keeper.name)
         began_s = clock_s()
-        self.assertTrue(self.first.take())
+        self.assertTrue(self.first.call())
         self.assertLess(clock_s() - began_s, 2 * ANSWER_TIMEOUT_S)
         self.assertIn('limit.silent', self.first.lines.text)
 
     def test_a_refusal_names_what_it_went_by(self) -> None:
-        while self.first.take():
+        while self.first.call():
             """Use the limit up."""
         for field in ('call-1', 'acme', 'level', 'share', 'news_age_s'):
             self.assertIn(field, self.first.lines.text)
