Tell a connection that the kernel gave up from a call's own time limit

What was seen: the log of an order without an answer said 'no answer in time' for both ends: the call's limit of 1 s, after which the connection is reset, and the kernel's, after its keepalive probes or unacknowledged bytes, after which no reset can be sent. For the late order of the two are different hypotheses.

Change: the cause names the kernel's end. Behaviour is as before.

Test: test_a_connection_that_the_kernel_gave_up_is_told_apart, failed before ('no answer in time').

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -171,7 +171,9 @@
         try:
             self._parser.receive_data(receive(self._sock, READ_BYTES, left_s))
         except TimeoutError as late:
-            raise ExchangeTimeoutError('no answer in time', sent=True) from late
+            raise ExchangeTimeoutError(
+                _timeout_cause(late), sent=True
+            ) from late
         except OSError as broken:
             raise ExchangeError(f'{broken}', sent=True) from broken
 
@@ -228,6 +230,17 @@
         return 0
 
 
+def _timeout_cause(late: TimeoutError) -> str:
+    """Tell the end of a call's own time from that of its connection.
+
+    The kernel gives up a connection whose peer is out of reach. A reset after
+    that takes nothing back that was sent.
+    """
+    if late.errno is None:
+        return 'no answer in time'
+    return f'the kernel gave the connection up: {late.strerror}'
+
+
 def _idle_time_s(keep_alive: str | None) -> float:
     """Read the idle time of a Keep-Alive header, less a margin."""
     for parameter in (keep_alive or '').split(','):
--- a/tests/gateway/test_target_connection.py
+++ b/tests/gateway/test_target_connection.py
@@ -1,5 +1,7 @@
 """One exchange with a target whose connection does not behave."""
 
+import errno
+import os
 import struct
 import subprocess  # noqa: S404 - the sender has to be killed
 import sys
@@ -52,6 +54,17 @@
     sock.close()
 
 
+class GivenUpSocket:
+    """A socket whose keepalive probes had no answer."""
+
+    def __init__(self) -> None:
+        self.fd = self
+
+    def recv(self, most_bytes: int) -> bytes:
+        """Fail as the kernel does."""
+        raise TimeoutError(errno.ETIMEDOUT, os.strerror(errno.ETIMEDOUT))
+
+
 def _read_to_end(sock: socket.socket) -> None:
     """Read all that comes; raise what broke the connection off."""
     while receive(sock, 65536, WAIT_S):
@@ -179,6 +192,17 @@
         )
         self.assertEqual('no answer in time', error.cause)
 
+    def test_a_connection_that_the_kernel_gave_up_is_told_apart(self) -> None:
+        """Guards against late orders whose log does not tell what ended them."""
+        connection = TargetConnection('127.0.0.1:1', GivenUpSocket())
+        error = self.assertRaises(
+            ExchangeError, connection.read_head, clock_s() + WAIT_S
+        )
+        self.assertEqual(
+            'the kernel gave the connection up: Connection timed out',
+            error.cause,
+        )
+
     def test_what_was_given_up_never_arrives(self) -> None:
         """An order waits behind a cut link while its holder loses the duty.
 
