--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -6,10 +6,12 @@
 import eventlet
 import testtools
 
+from dandelionyoke_dispatch import Phase, RegisteredTarget
 from dandelionyoke_gateway import (
     DutyAnswer,
     DutyOutcome,
     DutyStamp,
+    PhaseOrder,
     TargetCount,
     TargetPool,
     clock_s,
@@ -59,7 +61,7 @@
 
 
 class PartitionTest(testtools.TestCase):
-    """The platform is out of reach, and open connections do not tell."""
+    """Its receiver is out of reach, and open connections do not tell."""
 
     def test_no_order_waits_behind_a_partition(self) -> None:
         """Guards against an order that arrives once a partition heals."""
@@ -73,6 +75,21 @@
         self.assertIs(DutyOutcome.NOT_SENT, behind.outcome)
         self.assertEqual(1, len(target.seen))
 
+    def test_no_engine_order_waits_behind_a_partition(self) -> None:
+        """Guards against two holders' orders at an engine, the old one last."""
+        report = b'{"phase": "prefill", "seq": 0, "busy": false}'
+        target = ScriptedTarget(lambda _: [answer('200 OK', report, '')])
+        self.addCleanup(target.close)
+        duties = PlatformDuties(target.address, TargetPool())
+        engine = RegisteredTarget('i-1', 'lm', target.address, 'a', 4, False)
+        self.assertIsNotNone(duties.read_report(engine))
+        target.refuse_connections()
+        stamp = DutyStamp('n-1', 9, clock_s() + 5)
+        order = PhaseOrder(engine, Phase.DECODE, 0)
+        behind = duties.order_phase(order, stamp)
+        self.assertIs(DutyOutcome.NOT_SENT, behind.outcome)
+        self.assertEqual(1, len(target.seen))
+
 
 class DutyAnswerTest(testtools.TestCase):
     """What the log is told of an order that was not accepted."""
