--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -16,7 +16,12 @@
     TargetPool,
     clock_s,
 )
-from dandelionyoke_platform._duties import PlatformDuties
+from dandelionyoke_links._sockets import (
+    KEEPALIVE_IDLE_S,
+    KEEPALIVE_INTERVAL_S,
+    KEEPALIVE_PROBES,
+)
+from dandelionyoke_platform._duties import CALL_TIMEOUT_S, PlatformDuties
 from tests.platform.path import Script, ScriptedTarget, answer
 
 ORDER = TargetCount('lm', 'a', 3, True)
@@ -75,6 +80,11 @@
         self.assertIs(DutyOutcome.NOT_SENT, behind.outcome)
         self.assertEqual(1, len(target.seen))
 
+    def test_an_orders_limit_ends_before_the_kernels_probes(self) -> None:
+        """Guards against orders whose connection can be reset no more."""
+        probes_s = KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S
+        self.assertLess(CALL_TIMEOUT_S, KEEPALIVE_IDLE_S + probes_s)
+
     def test_no_engine_order_waits_behind_a_partition(self) -> None:
         """Guards against two holders' orders at an engine, the old one last."""
         report = b'{"phase": "prefill", "seq": 0, "busy": false}'
