Write the option of a reset once in the tests

Three places wrote out the bytes of the option that ends a connection with a reset; dandelionyoke_links has them. The streams of engines that tell no load are added without the larger of two sums. Behaviour and checks are as before; the tests of the three modules pass.

--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -228,4 +228,4 @@
             for one in decode
         )
         untold_share = 1 - told / len(decode)
-        return max(seen, seen + untold_share * (expected - seen))
+        return seen + untold_share * max(0, expected - seen)
--- a/tests/gateway/test_target_connection.py
+++ b/tests/gateway/test_target_connection.py
@@ -2,7 +2,6 @@
 
 import errno
 import os
-import struct
 import subprocess  # noqa: S404 - the sender has to be killed
 import sys
 from collections.abc import Callable
@@ -13,10 +12,9 @@
 
 from dandelionyoke_gateway import ExchangeError, RequestHead, clock_s
 from dandelionyoke_gateway._target_connection import TargetConnection, connect
-from dandelionyoke_links import receive
+from dandelionyoke_links import receive, reset_at_end
 
 HEAD = RequestHead('POST', '/a/b', (('host', 'h'),))
-LINGER_NOT = struct.pack('ii', 1, 0)
 WAIT_S = 5.0
 
 # Sends a request and lives on until it is killed.
@@ -50,7 +48,7 @@
 
 def reset(sock: socket.socket) -> None:
     """Close a connection with a reset."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+    reset_at_end(sock)
     sock.close()
 
 
--- a/tests/platform/path.py
+++ b/tests/platform/path.py
@@ -32,7 +32,7 @@
 from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
 from dandelionyoke_gateway._rate_limits import DomainRateLimits
 from dandelionyoke_gateway._stream_call import carry_stream
-from dandelionyoke_links import set_options
+from dandelionyoke_links import reset_at_end, set_options
 from dandelionyoke_platform._dialect import PlatformDialect
 from dandelionyoke_platform._duties import PlatformDuties
 from tests.gateway.settings import new_settings
@@ -103,8 +103,7 @@
     def _answer(self, sock: socket.socket, seen: Seen) -> bool:
         for piece in self._script(seen):
             if piece is None:
-                linger = b'\x01\x00\x00\x00\x00\x00\x00\x00'
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                reset_at_end(sock)
                 return False
             if isinstance(piece, float):
                 sock.settimeout(piece)
