End the start of a node whose peer port is taken

What callers saw: nothing that was reported. A node whose peer port another process held served callers, counted as ready and had no links: the others passed it over, each node asked the store for itself, and it knew nothing of their placements and limits. Cause: the port was opened by the task that serves the links; its error ended that task alone. Found with a taken port while a listed test was traced (8 watches of each node in four seconds). Change: the peer port is opened with the others, before anything starts; a port that cannot be opened is told in one line, with what to do, and ends the start with the status of wrong settings. Test: test_a_taken_peer_port_ends_the_start, failed before (the process went on).

--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -4,6 +4,7 @@
     clock_s as clock_s,
 )
 from dandelionyoke_gateway._errors import (
+    AddressError as AddressError,
     ExchangeError as ExchangeError,
 )
 from dandelionyoke_gateway._log import (
--- a/packages/gateway/dandelionyoke_gateway/_errors.py
+++ b/packages/gateway/dandelionyoke_gateway/_errors.py
@@ -18,6 +18,16 @@
     """The time for the exchange was over before the answer was whole."""
 
 
+class AddressError(Exception):
+    """The gateway cannot listen on an address of its settings."""
+
+    def __init__(self, address: str, cause: OSError) -> None:
+        super().__init__(
+            f'Cannot listen on {address}: {cause.strerror}. End the process '
+            'that holds the address, or name another one in the settings.'
+        )
+
+
 class CallerError(Exception):
     """A caller's bytes are no proper request; `status` says how it is told."""
 
--- a/packages/gateway/dandelionyoke_gateway/_news_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_links.py
@@ -3,6 +3,7 @@
 import secrets
 
 import eventlet
+from eventlet.green import socket
 
 from dandelionyoke_core import (
     BackOff,
@@ -23,7 +24,7 @@
 from dandelionyoke_gateway._ports import Store
 from dandelionyoke_gateway._prefill_links import PrefillLinks
 from dandelionyoke_gateway._source_parts import SourceParts
-from dandelionyoke_links import PeerHub, PeerSettings, listen
+from dandelionyoke_links import PeerHub, PeerSettings
 
 # Whoever can write to the store may ask and answer; the first node of a new
 # fleet chooses the secret.
@@ -33,6 +34,7 @@
 
 
 def serve_news(
+    listener: socket.socket,
     task: NewsTask,
     prefills: PrefillLinks,
     sources: SourceParts,
@@ -53,7 +55,6 @@
     desk = NewsDesk(knowledge, hub.send)
     prefills.attach(hub.send)
     sources.start(hub.send, hub.connect)
-    listener = listen(settings.peers.host, settings.peers.port)
     eventlet.spawn_n(hub.serve, listener)
     log.decide('links.opened', settings.instance_id)
     task.run(hub)
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -23,6 +23,7 @@
 from dandelionyoke_gateway._domain_prefill_queue import DomainPrefillQueue
 from dandelionyoke_gateway._duty_task import DutyTask
 from dandelionyoke_gateway._engine_count_task import EngineCountTask
+from dandelionyoke_gateway._errors import AddressError
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._knowledge_tasks import (
     ConfigurationTask,
@@ -131,21 +132,22 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, self._on_leave)
         signal.signal(signal.SIGHUP, self._on_reload)
+        peers = _listen(self._settings.peers)
         self._serve(self._settings.health, self._answer_health)
         self._serve(self._settings.metrics, self._answer_metrics)
         self._serve(self._settings.callers, self._desk.handle)
-        self._start_tasks()
+        self._start_tasks(peers)
         self._log.decide(
             'process.started', self._settings.instance_id, outcome='listening'
         )
         status: ExitStatus = self._status.wait()
         return status
 
-    def _start_tasks(self) -> None:
+    def _start_tasks(self, peers: socket.socket) -> None:
         parts = self._adapters
         knowledge, log = self._knowledge, self._log
         spawn = eventlet.spawn_n
-        self._start_knowledge()
+        self._start_knowledge(peers)
         members = MemberTask(knowledge, parts.store, self._duty.take_members)
         spawn(members.run)
         spawn(self._crashes.run)
@@ -176,7 +178,7 @@
         )
         spawn(counts.run)
 
-    def _start_knowledge(self) -> None:
+    def _start_knowledge(self, peers: socket.socket) -> None:
         """Start what reads the store, or asks a node that reads it."""
         parts, knowledge, log = self._adapters, self._knowledge, self._log
         dialect, store = parts.dialect, parts.store
@@ -195,9 +197,9 @@
         )
         eventlet.spawn_n(configuration_task.run)
         eventlet.spawn_n(registry_task.run)
-        self._start_links(news_task)
+        self._start_links(peers, news_task)
 
-    def _start_links(self, news_task: NewsTask) -> None:
+    def _start_links(self, peers: socket.socket, news_task: NewsTask) -> None:
         """Answer other nodes, and ask them for news and for engines."""
         prefills = PrefillLinks(
             self._prefills,
@@ -207,6 +209,7 @@
         )
         eventlet.spawn_n(
             serve_news,
+            peers,
             news_task,
             prefills,
             SourceParts(self._limits, self._knowledge, self._log),
@@ -218,7 +221,7 @@
     # Callers.
 
     def _serve(self, endpoint: Endpoint, handler: Handler) -> None:
-        listener = listen(endpoint.host, endpoint.port)
+        listener = _listen(endpoint)
         eventlet.spawn_n(self._accept, listener, handler)
 
     def _accept(self, listener: socket.socket, handler: Handler) -> None:
@@ -305,3 +308,16 @@
                 in_progress=self._knowledge.in_progress,
             )
             self._status.send(status)
+
+
+def _listen(endpoint: Endpoint) -> socket.socket:
+    """Open a listening socket.
+
+    Raises:
+        AddressError: the address is taken, or not one of this machine.
+    """
+    try:
+        return listen(endpoint.host, endpoint.port)
+    except OSError as taken:
+        address = f'{endpoint.host}:{endpoint.port}'
+        raise AddressError(address, taken) from taken
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -24,7 +24,7 @@
     Seen,
     answer,
 )
-from tests.platform.program import Program, wait_for
+from tests.platform.program import Ports, Program, wait_for
 from tests.platform.store_standin import StoreStandin
 
 
@@ -253,6 +253,21 @@
         kept = json.loads(self.store.items[key].value or '')
         self.assertEqual([['acme', 1]], kept['counts'])
 
+    def test_a_taken_peer_port_ends_the_start(self) -> None:
+        """Guards against nodes that serve callers and have no links."""
+        ports = Ports()
+        holder = eventlet.listen(('127.0.0.1', ports.peers))
+        self.addCleanup(holder.close)
+        program = Program(self.store, self.folder, ports)
+        self.addCleanup(program.process.wait)
+        self.addCleanup(program.process.kill)
+        wait_for(program.has_ended, 'the end')
+        self.assertEqual(2, program.process.returncode)
+        self.assertIn(
+            f'Cannot listen on 127.0.0.1:{ports.peers}: Address already in use',
+            program.log.read_text(),
+        )
+
     def test_wrong_settings_are_told_all_at_once(self) -> None:
         path = pathlib.Path(self.folder) / 'wrong.ini'
         path.write_text('[gateway]\ndomain = a\ncaller_address = nowhere\n')
