Check a duty's term right before each write of an order

What callers saw: nothing; bytes of an order could leave after the time in its holder's stamp. Cause: the term was compared before the request was serialised, and the part that does not fit into the send buffer was sent in the background without any comparison. Evidence: tests that force the order of events over real sockets. A pause of 0.1 s between the comparison and the write, with 50 ms of the term left: the order arrived (`[] != ['POST /scale HTTP/1.1']`). A report of 16 MB with a term of 0.4 s, read 0.6 s after its start: it arrived whole (` not less than`). Both failed before and pass now. Change: TargetConnection.send takes the time until which it may write and compares it right before each write. The rest of a request that is too late is not written, so that the receiver never has a whole request. Not closed: a process that is stopped between the comparison and the system call writes when it continues.

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -5,12 +5,14 @@
 urllib3 hides both, and a later request could receive the bytes of another one.
 """
 
+import math
 from typing import Any
 
 import eventlet
 import h11
 from eventlet.green import socket
 from eventlet.greenthread import GreenThread
+from eventlet.hubs import trampoline
 
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
@@ -53,19 +55,28 @@
         self._is_closed = False
         self.idle_deadline_s = 0.0
 
-    def send(self, head: RequestHead, body: bytes) -> None:
+    def send(
+        self, head: RequestHead, body: bytes, until_s: float = math.inf
+    ) -> None:
         """Send a request; its rest is sent in the background.
 
+        No byte is written after `until_s`, a time of `clock_s`.
+
         Raises:
-            ExchangeError: the first write failed.
+            ExchangeError: the first write failed, or it was too late for it.
         """
         data = _request_bytes(self._parser, head, body)
+        # Connecting takes time, and the process may have been paused.
+        if clock_s() >= until_s:
+            raise ExchangeError('too late to send after connecting', sent=False)
         try:
             sent_count = _send_some(self._sock, data)
         except OSError as error:
             raise ExchangeError(f'cannot send: {error}', sent=True) from error
         if sent_count < len(data):
-            self._send_task = eventlet.spawn(self._send_rest, data[sent_count:])
+            self._send_task = eventlet.spawn(
+                self._send_rest, data[sent_count:], until_s
+            )
 
     def read_head(self, deadline_s: float) -> ResponseHead:
         """Read the head of the response.
@@ -152,12 +163,18 @@
             self._send_task.kill()
         self._sock.close()
 
-    def _send_rest(self, rest: bytes) -> None:
+    def _send_rest(self, rest: bytes, until_s: float) -> None:
         # The first part was sent without blocking; the rest waits for space in
         # the send buffer. Closing the connection ends this.
-        self._sock.settimeout(None)
+        unsent = memoryview(rest)
         try:
-            self._sock.sendall(rest)
+            while unsent:
+                trampoline(self._sock.fd, write=True)
+                if clock_s() >= until_s:
+                    # The receiver drops the incomplete request.
+                    self._is_reusable = False
+                    return
+                unsent = unsent[_send_some(self._sock, unsent) :]
         except OSError:
             # Reading the response fails as well and reports the error.
             self._is_reusable = False
@@ -232,7 +249,7 @@
     return bytes(data + parser.send(h11.EndOfMessage()))
 
 
-def _send_some(sock: socket.socket, data: bytes) -> int:
+def _send_some(sock: socket.socket, data: bytes | memoryview) -> int:
     """Send what fits into the send buffer; return the number of bytes."""
     sock.settimeout(0)
     try:
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -1,12 +1,15 @@
 """Orders of a duty's holder, after its term, in partitions, and refused."""
 
+import contextlib
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from unittest import mock
 
 import eventlet
 import testtools
 
-from dandelionyoke_dispatch import Phase, RegisteredTarget
+from dandelionyoke_dispatch import Phase, RegisteredTarget, WindowCounts
 from dandelionyoke_gateway import (
     DutyCallResult,
     DutyOutcome,
@@ -14,6 +17,7 @@
     PhaseOrder,
     TargetCountOrder,
     TargetPool,
+    _target_connection as target_connection,
     clock_s,
 )
 from dandelionyoke_links._sockets import (
@@ -25,6 +29,8 @@
 from tests.platform.node_harness import Script, ScriptedTarget, answer
 
 ORDER = TargetCountOrder('lm', 'a', 3, True)
+# Longer than a send buffer.
+LONG_NAME = 'x' * (16 << 20)
 
 
 class PausedPool(TargetPool):
@@ -67,6 +73,48 @@
         """
         self.assertEqual([], self.order(0.1))
 
+    def test_a_pause_before_the_write_prevents_it(self) -> None:
+        """Guards against an order written after its sender was paused.
+
+        The process is paused after it has connected, while it serialises the
+        order.
+        """
+
+        def pause_and_serialise(*arguments: object) -> bytes:
+            time.sleep(0.1)
+            return serialise(*arguments)
+
+        serialise = target_connection._request_bytes
+        with mock.patch.object(
+            target_connection, '_request_bytes', pause_and_serialise
+        ):
+            self.assertEqual([], self.order(0))
+
+    def test_the_rest_of_a_long_report_is_not_sent_after_the_term(self) -> None:
+        """Guards against a report that its receiver completes after the term.
+
+        The receiver reads nothing for a while, so that the send buffer holds a
+        part of the report only.
+        """
+        listener = eventlet.listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        host, port = listener.getsockname()
+        duties = PlatformDuties(f'{host}:{port}', TargetPool())
+        counts = WindowCounts(7, ((LONG_NAME, 1),))
+        stamp = FencingStamp('n-1', 9, clock_s() + 0.4)
+        report = eventlet.spawn(duties.report_usage, counts, stamp)
+        self.addCleanup(report.kill)
+        sock, _ = listener.accept()
+        self.addCleanup(sock.close)
+        eventlet.sleep(0.6)
+        content = b''
+        sock.settimeout(0.2)
+        with contextlib.suppress(OSError):
+            while data := sock.recv(1 << 20):
+                content += data
+        self.assertIn(b'"window_id": 7', content)
+        self.assertLess(len(content), len(LONG_NAME))
+
 
 class PartitionTest(testtools.TestCase):
     """The receiver is unreachable, but open connections show no error."""
