Let the kernel give up an entry's order behind a partition

What callers saw: nothing; an order of an entry could arrive after the one that its successor sends again. Cause: the connection of a guarded call had no user timeout. A running process reset it after 5 s, for a stopped process the kernel went on retransmitting. A successor waits 2 s for an order of its predecessor (takeover_delay_s). Evidence: the path is cut between the handshake and the order's arrival with the kernel's own socket filter (no privileges), and healed when the successor acts. The order arrived, from a running and from a stopped process (`reference = b'', actual = b'POST /orders HTTP/1.1...`). Change: the connection has the options of all others. Test: CutAfterHandshakeTest, both cases failed before and pass now.

--- a/packages/wire/dandelionyoke_wire/_guarded.py
+++ b/packages/wire/dandelionyoke_wire/_guarded.py
@@ -14,7 +14,7 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
-from dandelionyoke_links import reset_on_close
+from dandelionyoke_links import reset_on_close, set_socket_options
 from dandelionyoke_wire._transport import (
     CONNECT_TIMEOUT_S,
     JSON_TYPE,
@@ -44,9 +44,14 @@
         self.has_sent_bytes = False
 
     def connect(self) -> None:
-        """Connect, and make closing discard all data not yet delivered."""
+        """Connect; the kernel soon discards all data not yet delivered.
+
+        It does so when the connection is closed, and also without a close if
+        the peer does not acknowledge the data.
+        """
         super().connect()
         if self.sock is not None:
+            set_socket_options(self.sock)
             reset_on_close(self.sock)
 
     def send(self, data: Any) -> None:
