Let the kernel drop an order within the time its term reserves

What callers saw: nothing; a holder's term reserves 1.0 s for an order in flight, but the kernel kept one of a stopped process for longer. Cause: only the process itself resets an order after 1.0 s. While it is stopped the user timeout ends the connection, and the kernel counts that from the first retransmission. Evidence: path cut after the handshake with the kernel's socket filter, process stopped, path healed 1.0 s after the write: the connection was alive (a byte sent to it brought no reset, `TimeoutError`). A user timeout of 1,000 ms ended it after 1.42 to 1.44 s, one of 500 ms after 0.93, one of 400 ms after 0.83 s. To the earliest end of the lease it is 1.28 s, less 0.08 s of clock drift. Not shown: an order that arrives that late. On 127.0.0.1 the last retransmission leaves 0.83 s after the write. Change: connections made for orders and reports have a user timeout of 400 ms. Tests: the one of the stopped process failed before. ReservedTimeTest passes; nothing compared these times before.

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -21,7 +21,12 @@
     ResponseHead,
     decode_headers,
 )
-from dandelionyoke_links import receive, reset_on_close, set_socket_options
+from dandelionyoke_links import (
+    USER_TIMEOUT_MS,
+    receive,
+    reset_on_close,
+    set_socket_options,
+)
 
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 65536
@@ -211,7 +216,9 @@
         self._idle_timeout_s = _parse_idle_timeout_s(head.header('keep-alive'))
 
 
-def connect(address: str, timeout_s: float) -> TargetConnection:
+def connect(
+    address: str, timeout_s: float, user_timeout_ms: int = USER_TIMEOUT_MS
+) -> TargetConnection:
     """Open a connection.
 
     Raises:
@@ -219,7 +226,7 @@
     """
     host, _, port = address.rpartition(':')
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    set_socket_options(sock)
+    set_socket_options(sock, user_timeout_ms)
     reset_on_close(sock)
     sock.settimeout(timeout_s)
     try:
--- a/packages/gateway/dandelionyoke_gateway/_target_pool.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_pool.py
@@ -5,6 +5,7 @@
 from contextlib import contextmanager
 
 from dandelionyoke_gateway._target_connection import TargetConnection, connect
+from dandelionyoke_links import URGENT_USER_TIMEOUT_MS
 
 # A healthy target accepts a connection within a few milliseconds. After this
 # timeout the call still has time for another target.
@@ -38,8 +39,10 @@
 
         An idle connection may be cut off by an undetected network partition.
         What is sent on it would then arrive only after the partition ends.
+        The kernel discards what the peer does not acknowledge soon, also
+        while this process is stopped.
         """
-        connection = connect(address, CONNECT_TIMEOUT_S)
+        connection = connect(address, CONNECT_TIMEOUT_S, URGENT_USER_TIMEOUT_MS)
         try:
             yield connection
         finally:
--- a/packages/links/dandelionyoke_links/_sockets.py
+++ b/packages/links/dandelionyoke_links/_sockets.py
@@ -14,13 +14,18 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 1000
+# For data that must not arrive late. The kernel counts this from the first
+# retransmission, about 0.4 s after the data was sent on a fast path.
+URGENT_USER_TIMEOUT_MS = 400
 LISTEN_BACKLOG = 1024
 
 # SO_LINGER value (on, 0 s) that makes closing send a reset.
 LINGER_RESET = struct.pack('ii', 1, 0)
 
 
-def set_socket_options(sock: socket.socket) -> None:
+def set_socket_options(
+    sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
+) -> None:
     """Disable Nagle's algorithm and detect unreachable peers."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -28,7 +33,7 @@
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.TCP_USER_TIMEOUT, user_timeout_ms),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -1,6 +1,9 @@
 """Orders of a duty's holder, after its term, in partitions, and refused."""
 
 import contextlib
+import signal
+import subprocess  # noqa: S404 - the sender has to be stopped
+import sys
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -9,6 +12,7 @@
 import eventlet
 import testtools
 
+from dandelionyoke_core import DutyLeaseSettings
 from dandelionyoke_dispatch import Phase, RegisteredTarget, WindowCounts
 from dandelionyoke_gateway import (
     DutyCallResult,
@@ -20,17 +24,43 @@
     _target_connection as target_connection,
     clock_s,
 )
+from dandelionyoke_gateway._duty_task import MAX_SEND_TIME_S
+from dandelionyoke_links import receive
 from dandelionyoke_links._sockets import (
     KEEPALIVE_IDLE_S,
     KEEPALIVE_INTERVAL_S,
     KEEPALIVE_PROBES,
 )
 from dandelionyoke_platform._duties import CALL_TIMEOUT_S, PlatformDuties
+from tests.links.partition import cut, heal
 from tests.platform.node_harness import Script, ScriptedTarget, answer
 
 ORDER = TargetCountOrder('lm', 'a', 3, True)
 # Longer than a send buffer.
 LONG_NAME = 'x' * (16 << 20)
+# An unacknowledged order is sent again at most this long after the last time.
+RETRANSMIT_S = 2.0
+
+# Connects, waits for a line, sends an order, and tells of each step.
+SENDER = """
+import sys
+from contextlib import contextmanager
+from dandelionyoke_gateway import (
+    FencingStamp, TargetCountOrder, TargetPool, clock_s
+)
+from dandelionyoke_gateway._target_connection import TargetConnection
+from dandelionyoke_platform._duties import PlatformDuties
+write = TargetConnection.send
+def send(connection, *arguments):
+    print('connected', flush=True)
+    sys.stdin.readline()
+    write(connection, *arguments)
+    print('sent', flush=True)
+TargetConnection.send = send
+duties = PlatformDuties(sys.argv[1], TargetPool())
+stamp = FencingStamp('n-1', 9, clock_s() + 60)
+duties.order_targets(TargetCountOrder('lm', 'a', 3, True), stamp)
+"""
 
 
 class PausedPool(TargetPool):
@@ -152,6 +182,70 @@
         self.assertEqual(1, len(target.received_requests))
 
 
+class OrderInFlightTest(testtools.TestCase):
+    """The path is cut between the handshake and the order's arrival."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.listener = eventlet.listen(('127.0.0.1', 0))
+        self.addCleanup(self.listener.close)
+        host, port = self.listener.getsockname()
+        self.sender = subprocess.Popen(  # noqa: S603 - our own program
+            [sys.executable, '-W', 'ignore', '-c', SENDER, f'{host}:{port}'],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        self.addCleanup(self.sender.stdout.close)
+        self.addCleanup(self.sender.stdin.close)
+        self.addCleanup(self.sender.wait)
+        self.addCleanup(self.sender.kill)
+        self.assertEqual(b'connected\n', self.sender.stdout.readline())
+        self.sock, _ = self.listener.accept()
+        self.addCleanup(self.sock.close)
+        cut(self.sock)
+        self.sender.stdin.write(b'\n')
+        self.sender.stdin.flush()
+        self.assertEqual(b'sent\n', self.sender.stdout.readline())
+
+    def test_the_kernel_gives_up_the_order_of_a_stopped_process(self) -> None:
+        """Guards against an order that arrives after its holder's term.
+
+        A stopped process does not reset its connection. The term reserves
+        `MAX_SEND_TIME_S` for an order, after which the kernel must not send it
+        again. A byte that it receives then is answered with a reset.
+        """
+        self.sender.send_signal(signal.SIGSTOP)
+        time.sleep(MAX_SEND_TIME_S)
+        heal(self.sock)
+        self.sock.sendall(b'x')
+        self.assertRaises(ConnectionResetError, self._receive)
+
+    def test_the_kernel_discards_the_order_of_a_killed_process(self) -> None:
+        """Guards against an order that arrives after its sender was killed.
+
+        The reset is lost on the cut path, so that nothing at all arrives.
+        """
+        self.sender.kill()
+        self.sender.wait()
+        heal(self.sock)
+        self.assertRaises(TimeoutError, self._receive)
+
+    def _receive(self) -> bytes:
+        return receive(self.sock, 65536, RETRANSMIT_S)
+
+
+class ReservedTimeTest(testtools.TestCase):
+    """A successor acts when nothing of its predecessor can arrive any more."""
+
+    def test_an_order_ends_before_the_lease_of_its_holder(self) -> None:
+        self.assertLessEqual(CALL_TIMEOUT_S, MAX_SEND_TIME_S)
+
+    def test_an_order_ends_before_its_holder_hands_the_duty_over(self) -> None:
+        """An order may have begun right before its process is told to leave."""
+        handover_delay_s = DutyLeaseSettings().handover_delay_s
+        self.assertLessEqual(CALL_TIMEOUT_S, handover_delay_s)
+
+
 class DutyAnswerTest(testtools.TestCase):
     """Outcome and cause that are logged for an order that is not accepted."""
 
