Send headers with letters beyond ASCII on

A call with a header such as `X-Note: naïve` (in Latin-1 or UTF-8), or of an organisation whose name holds such a letter, got no answer: the connection closed, so that its caller could not know whether it ran. With such a header in the target's answer the call ran and was counted, and the caller got nothing of it.

Shown over sockets: each logged call.fault with `UnicodeEncodeError: 'ascii' codec can't encode character '\xe9' in position 0`, raised by h11 for the request to the target or the response to the caller. Neither a task nor a connection stayed behind.

Cause: headers are decoded as Latin-1 when they are read and were handed to h11 as text when they are sent, which it encodes as ASCII. They are encoded as Latin-1 now, so that their bytes stay as they were.

Both tests failed before (no status line: `IndexError: list index out of range`).

--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -24,6 +24,7 @@
     RequestHead as RequestHead,
     ResponseHead as ResponseHead,
     strip_hop_by_hop_headers as strip_hop_by_hop_headers,
+    utf8_header as utf8_header,
 )
 from dandelionyoke_gateway._ports import (
     CacheSource as CacheSource,
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -20,6 +20,7 @@
     RequestHead,
     ResponseHead,
     decode_headers,
+    encode_headers,
 )
 
 READ_BYTES = 65536
@@ -73,9 +74,9 @@
 
     def _encode_head(self, status: int, headers: HeaderList) -> bytes:
         self.has_started = True
-        all_headers = list(headers)
+        all_headers = encode_headers(headers)
         if self._close_after:
-            all_headers.append(('connection', 'close'))
+            all_headers.append((b'connection', b'close'))
         data = self._parser.send(
             h11.Response(status_code=status, headers=all_headers)
         )
--- a/packages/gateway/dandelionyoke_gateway/_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_messages.py
@@ -89,3 +89,16 @@
     return tuple(
         (name.decode('latin-1'), value.decode('latin-1')) for name, value in raw
     )
+
+
+def encode_headers(headers: HeaderList) -> list[tuple[bytes, bytes]]:
+    """Encode headers as Latin-1, the reverse of `decode_headers`."""
+    return [
+        (name.encode('latin-1'), value.encode('latin-1'))
+        for name, value in headers
+    ]
+
+
+def utf8_header(text: str) -> str:
+    """Return the header value whose bytes are a text in UTF-8."""
+    return text.encode(errors='replace').decode('latin-1')
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -18,6 +18,7 @@
     RequestHead,
     ResponseHead,
     decode_headers,
+    encode_headers,
 )
 from dandelionyoke_links import receive, reset_on_close, set_socket_options
 
@@ -221,9 +222,9 @@
 def _request_bytes(
     parser: h11.Connection, head: RequestHead, body: bytes
 ) -> bytes:
-    headers = list(head.headers)
+    headers = encode_headers(head.headers)
     if body or head.method not in _BODILESS:
-        headers.append(('content-length', str(len(body))))
+        headers.append((b'content-length', str(len(body)).encode()))
     data = parser.send(
         h11.Request(method=head.method, target=head.target, headers=headers)
     )
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -134,7 +134,7 @@
             return None
         content += data
     head, _, body = content.partition(b'\r\n\r\n')
-    lines = head.decode().split('\r\n')
+    lines = head.decode('latin-1').split('\r\n')
     headers = {}
     for line in lines[1:]:
         name, _, text = line.partition(':')
@@ -149,7 +149,7 @@
 ) -> bytes:
     """Build a complete response."""
     head = f'HTTP/1.1 {status}\r\n{extra}Content-Length: {len(body)}\r\n\r\n'
-    return head.encode() + body
+    return head.encode('latin-1') + body
 
 
 def stream_head() -> bytes:
@@ -271,7 +271,7 @@
         f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: a1\r\n'
         f'Deadline-Ms: 3000\r\nX-Api-Key: {key}\r\n{extra}'
         'Content-Length: 4\r\n\r\nbody'
-    ).encode()
+    ).encode('latin-1')
 
 
 def configuration() -> FleetConfiguration:
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -18,6 +18,7 @@
 from dandelionyoke_gateway import clock_s
 from tests.platform.node_harness import (
     API_KEY,
+    SIGNED_HEAD,
     NodeHarness,
     ReceivedRequest,
     Script,
@@ -179,6 +180,34 @@
         self.assertAlmostEqual(3.0, clock_s() - started_s, delta=0.3)
 
 
+class HeaderEncodingTest(CallTestCase):
+    """Guards against calls that end without an answer."""
+
+    def test_header_bytes_beyond_ascii_are_forwarded(self) -> None:
+        def answers_with_note(
+            request: ReceivedRequest,
+        ) -> Iterator[ScriptStep]:
+            yield answer(extra=SIGNED_HEAD + 'X-Note: caf\xe9\r\n')
+
+        target = self.node.add_target(answers_with_note)
+        content = self.node.call(extra='X-Note: na\xefve\r\n')
+        self.assertEqual(200, status(content))
+        self.assertIn(b'x-note: caf\xe9\r\n', content)
+        headers = target.received_requests[0].headers
+        self.assertEqual('na\xefve', headers['x-note'])
+
+    def test_an_organisation_name_is_sent_as_utf_8(self) -> None:
+        target = self.node.add_target(answers_ok)
+        configuration = self.node.knowledge.configuration
+        assert configuration is not None
+        self.node.knowledge.configuration = attrs.evolve(
+            configuration, organisations={API_KEY: Organisation('\u014cmi')}
+        )
+        self.assertEqual(200, status(self.node.call()))
+        sent = target.received_requests[0].headers['tenant']
+        self.assertEqual('\u014cmi', sent.encode('latin-1').decode())
+
+
 class AdmissionTest(CallTestCase):
     def test_unknown_keys_and_paths_are_refused(self) -> None:
         self.node.add_target(answers_ok)
