Take numbers in headers from ASCII digits only, 15 at most

A caller whose Deadline-Ms, Token-Count or Prompt-Prefix held a superscript two or a number of 5,000 digits got no answer: the connection closed. A deadline of 400 digits did the same. Such a number in Server-Load or Keep-Alive of a target's answer lost the answer of a call that had run.

Shown over sockets; each call logged call.fault, with `ValueError: invalid literal for int() with base 10`, `ValueError: Exceeds the limit (4300 digits)` or `OverflowError: integer division result too large for a float` (`int too large to convert to float` for Keep-Alive). No task, connection or count of calls in flight stayed behind.

Cause: isdigit accepts superscripts, which int does not parse; int refuses over 4,300 digits; a number of over 308 digits is no float. One function parses the whole numbers of headers now. What it refuses counts as an absent header, as text did before. Content-Length needs no change: h11 accepts 20 ASCII digits at most. The change for the names of reports has no test of its own.

--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -23,6 +23,7 @@
 from dandelionyoke_gateway._messages import (
     RequestHead as RequestHead,
     ResponseHead as ResponseHead,
+    parse_whole_number as parse_whole_number,
     strip_hop_by_hop_headers as strip_hop_by_hop_headers,
     utf8_header as utf8_header,
 )
--- a/packages/gateway/dandelionyoke_gateway/_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_messages.py
@@ -25,6 +25,10 @@
 )
 
 
+# Every number with as many digits is exact as a float.
+MAX_NUMBER_DIGITS = 15
+
+
 @attrs.frozen
 class RequestHead:
     """The method, target and headers of a request.
@@ -67,6 +71,14 @@
     return values[0] if len(values) == 1 else None
 
 
+def parse_whole_number(text: str | None) -> int | None:
+    """Parse a number of ASCII digits; None if it is none or too long."""
+    digits = (text or '').strip()
+    if not (digits.isascii() and digits.isdecimal()):
+        return None
+    return int(digits) if len(digits) <= MAX_NUMBER_DIGITS else None
+
+
 def strip_hop_by_hop_headers(headers: HeaderList) -> HeaderList:
     """Drop hop-by-hop headers and those that `Connection` lists."""
     listed = {
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -19,6 +19,7 @@
     ResponseHead,
     decode_headers,
     encode_headers,
+    parse_whole_number,
 )
 from dandelionyoke_links import receive, reset_on_close, set_socket_options
 
@@ -257,6 +258,7 @@
     """Return the idle timeout of a Keep-Alive header, less a margin."""
     for parameter in (keep_alive or '').split(','):
         name, _, text = parameter.strip().partition('=')
-        if name.lower() == 'timeout' and text.isdigit():
-            return max(0, int(text) - IDLE_TIMEOUT_MARGIN_S)
+        timeout_s = parse_whole_number(text)
+        if name.lower() == 'timeout' and timeout_s is not None:
+            return max(0, timeout_s - IDLE_TIMEOUT_MARGIN_S)
     return DEFAULT_IDLE_TIMEOUT_S
--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -29,6 +29,7 @@
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._leased_records import LeasedRecords
 from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._messages import parse_whole_number
 from dandelionyoke_gateway._ports import (
     DutyClient,
     Store,
@@ -246,7 +247,8 @@
             return
         for item in listing.items[:MAX_REPORTS_REMOVED]:
             name = item.key.removeprefix(REPORTS_PREFIX)
-            if name.isdigit() and int(name) < oldest:
+            window_id = parse_whole_number(name)
+            if window_id is not None and window_id < oldest:
                 operation = OperationId('old report')
                 self._store.perform(
                     StoreDelete(operation, item.key, item.revision)
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -208,6 +208,70 @@
         self.assertEqual('\u014cmi', sent.encode('latin-1').decode())
 
 
+INVALID_NUMBERS = ('\xb2', '1' * 400, '1' * 5000)
+
+
+class InvalidNumberTest(CallTestCase):
+    """Guards against calls that end without an answer.
+
+    Unlike `int`, `str.isdigit` accepts a superscript two. Numbers of 400 digits
+    do not fit into a float, and `int` refuses those of 5,000 digits.
+    """
+
+    def exchange(self, content: bytes) -> bytes:
+        with self.node.connect() as sock:
+            sock.sendall(content)
+            received = b''
+            while data := sock.recv(65536):
+                received += data
+        return received
+
+    def test_an_invalid_deadline_counts_as_none(self) -> None:
+        self.node.add_target(answers_ok)
+        for number in INVALID_NUMBERS:
+            invalid = f'Deadline-Ms: {number}'.encode('latin-1')
+            content = self.exchange(
+                request_bytes('/confirm/1').replace(
+                    b'Deadline-Ms: 3000', invalid
+                )
+            )
+            self.assertIn(b' 200 ', content[:20])
+
+    def test_an_invalid_token_count_counts_as_none(self) -> None:
+        self.node.add_target(answers_ok, 'lm', Phase.DECODE)
+        for number in INVALID_NUMBERS:
+            headers = f'Model: m\r\nToken-Count: {number},20\r\n'
+            content = self.node.call('/ask/1', extra=headers)
+            self.assertIn(b' 200 ', content[:20])
+
+    def test_an_invalid_prompt_part_is_ignored(self) -> None:
+        self.node.add_target(answers_ok, 'lm', Phase.DECODE)
+        for number in INVALID_NUMBERS:
+            headers = (
+                'Model: m\r\nToken-Count: 900,20\r\n'
+                f'Prompt-Prefix: aa:{number},bb:400\r\n'
+            )
+            content = self.node.call('/ask/1', extra=headers)
+            self.assertIn(b' 200 ', content[:20])
+
+    def test_an_invalid_load_or_idle_timeout_is_ignored(self) -> None:
+        """Guards against running a call without passing on its answer."""
+        for number in INVALID_NUMBERS:
+            for header in (
+                f'Server-Load: {number},1,8\r\n',
+                f'Keep-Alive: timeout={number}\r\n',
+            ):
+
+                def answers_with_header(
+                    request: ReceivedRequest, header: str = header
+                ) -> Iterator[ScriptStep]:
+                    yield answer(extra=SIGNED_HEAD + header)
+
+                target = self.node.add_target(answers_with_header)
+                self.assertIn(b' 200 ', self.node.call()[:20])
+                target.close()
+
+
 class AdmissionTest(CallTestCase):
     def test_unknown_keys_and_paths_are_refused(self) -> None:
         self.node.add_target(answers_ok)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -136,6 +136,13 @@
         for text in ('', 'null', '[]', '{', '{"slots": 1}'):
             self.assertIsNone(DIALECT.read_target('servers/i-7', text))
 
+    def test_an_address_needs_a_port_that_can_be_connected_to(self) -> None:
+        """Guards against calls that end without an answer."""
+        for port in ('\xb2', '0', '65536', '1' * 5000):
+            change = {'address': f'10.0.0.9:{port}'}
+            text = json.dumps(REGISTRY_ENTRY | change)
+            self.assertIsNone(DIALECT.read_target('servers/i-7', text))
+
     def test_a_phase_of_the_wrong_type_is_ignored(self) -> None:
         """Guards against one invalid entry stopping the reader."""
         text = json.dumps(REGISTRY_ENTRY | {'phase': ['decode']})
