Refuse configurations of wrong types, naming the field

After a configuration with `"limits": [1]` a node applied none any more: its old one stayed in force, it dropped out of the rotation 2 s later, and from 5 s on it answered each call that needs a key with 503, `the configuration is too old to trust a key`, until it was restarted. Shown with a node process: a valid configuration 2 s later was not applied in the 8 s that were watched; the output has a traceback with AttributeError and no decision. `engine: 5`, `scaling: [1]`, `zone_prices: [1]` and `api_keys: 5` raise an AttributeError or a TypeError at the same place.

`api_keys: "xy"` was read as the keys x and y, `{"k": 1}` as k, `[5]` as 5, and `anonymous: "false"` as true, which lets callers in without a key. 0, "" and {} counted as missing lists, so that `routes: {}` removed all routes.

Cause: these fields were used without a check of their type, or with `or` in place of one that the field is missing. They are read by checking functions now. An error names the path (`services[0]: scaling: zone_prices is not an object`) and is the reader's own, which the node logs and survives.

--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -10,10 +10,13 @@
 from dandelionyoke_gateway._json_fields import (
     FieldError as FieldError,
     Fields as Fields,
+    get_flag as get_flag,
     get_int as get_int,
     get_number as get_number,
+    get_object as get_object,
     get_objects as get_objects,
     get_text as get_text,
+    get_texts as get_texts,
     parse_object as parse_object,
 )
 from dandelionyoke_gateway._log import (
--- a/packages/gateway/dandelionyoke_gateway/_json_fields.py
+++ b/packages/gateway/dandelionyoke_gateway/_json_fields.py
@@ -48,11 +48,44 @@
     return value
 
 
+def get_flag(fields: Fields, name: str) -> bool:
+    """Return a truth value; a missing field is False."""
+    value = fields.get(name)
+    if value is not None and not isinstance(value, bool):
+        raise FieldError(f'{name} is not true or false')
+    return bool(value)
+
+
+def get_object(fields: Fields, name: str) -> Fields | None:
+    """Return an object; None if the field is missing."""
+    value = fields.get(name)
+    if value is not None and not isinstance(value, dict):
+        raise FieldError(f'{name} is not an object')
+    return value
+
+
 def get_objects(fields: Fields, name: str) -> list[Fields]:
     """Return a list of objects; a missing field is an empty list."""
-    value = fields.get(name) or []
-    if not isinstance(value, list):
-        raise FieldError(f'{name} is not a list')
+    value = _get_list(fields, name)
     if not all(isinstance(item, dict) for item in value):
         raise FieldError(f'{name} contains an item that is not an object')
     return value
+
+
+def get_texts(fields: Fields, name: str) -> list[str]:
+    """Return a list of non-empty strings; a missing field is an empty list."""
+    value = _get_list(fields, name)
+    if not all(isinstance(item, str) and item for item in value):
+        raise FieldError(
+            f'{name} contains an item that is not a non-empty string'
+        )
+    return value
+
+
+def _get_list(fields: Fields, name: str) -> list[Any]:
+    value = fields.get(name)
+    if value is None:
+        return []
+    if not isinstance(value, list):
+        raise FieldError(f'{name} is not a list')
+    return value
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -160,6 +160,65 @@
                 ConfigurationError, DIALECT.read_configuration, text
             )
 
+    def test_a_wrong_type_is_an_error_that_names_the_field(self) -> None:
+        """Guards against the end of the task that reads configurations.
+
+        After an error of another kind it would apply none any more, also no
+        configuration that revokes a key.
+        """
+        route = {
+            'name': 'r',
+            'host': 'h.example',
+            'path_prefix': '/a/',
+            'kind': 'streaming',
+            'timeout_ms': 4000,
+            'service': 'lm',
+        }
+        for section, item, name, values in (
+            ('services', {'name': 'lm'}, 'engine', (5, [1], 'x', 0, '')),
+            ('services', {'name': 'lm'}, 'scaling', (5, [1], 'x', 0, [])),
+            ('routes', route, 'traffic_split', (5, 'x', {}, [5], 0, '')),
+            ('routes', route, 'anonymous', (5, 'false', [1], {}, 0)),
+            ('routes', route, 'allow_resume', (5, 'false', [1], {}, 0)),
+            ('tenants', {'name': 'acme'}, 'api_keys', (5, {'k': 1}, 0, '')),
+            ('tenants', {'name': 'acme'}, 'api_keys', ([5], [None], [''])),
+        ):
+            for value in values:
+                error = self.read_invalid(**{section: [item | {name: value}]})
+                self.assertIn(f'{section}[0]: {name} ', error)
+        for name in ('routes', 'services', 'tenants'):
+            for value in (5, 'x', {}, [5], 0, ''):
+                self.assertIn(f'{name} ', self.read_invalid(**{name: value}))
+        for value in (5, [1], 'x', 0, ''):
+            self.assertIn('limits is not', self.read_invalid(limits=value))
+            scaling = {'name': 'lm', 'scaling': {'zone_prices': value}}
+            self.assertIn(
+                'services[0]: scaling: zone_prices is not an object',
+                self.read_invalid(services=[scaling]),
+            )
+
+    def test_a_text_of_keys_is_not_read_as_one_key_per_letter(self) -> None:
+        """Guards against keys of one letter that anybody can guess."""
+        error = self.read_invalid(tenants=[{'name': 'a', 'api_keys': 'xy'}])
+        self.assertEqual('tenants[0]: api_keys is not a list', error)
+
+    def test_missing_and_null_fields_are_left_out(self) -> None:
+        nulls = dict.fromkeys(('routes', 'services', 'limits'))
+        text = json.dumps({'version': 1, **nulls})
+        self.assertEqual(
+            DIALECT.read_configuration('{"version": 1}'),
+            DIALECT.read_configuration(text),
+        )
+
+    def read_invalid(self, **fields: object) -> str:
+        """Read an invalid configuration; return the error."""
+        text = json.dumps({'version': 1, **fields})
+        return str(
+            self.assertRaises(
+                ConfigurationError, DIALECT.read_configuration, text
+            )
+        )
+
     def read_limited(self, **fields: object) -> FleetConfiguration:
         tenant = {'name': 'acme', 'api_keys': ['k'], **fields}
         return DIALECT.read_configuration(
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -117,6 +117,22 @@
         wait_for(lambda: b' 401 ' in program.call(), 'a refusal')
         self.assertIn(b' 200 ', program.call(key='new'))
 
+    def test_a_configuration_of_wrong_types_is_logged_and_replaced(
+        self,
+    ) -> None:
+        """Guards against a node that applies no configuration any more."""
+        program = self.start_program()
+        invalid = json.loads(configuration(2)) | {'limits': [1]}
+        self.store.put('op/config', json.dumps(invalid))
+        wait_for(
+            lambda: 'limits is not an object' in program.log.read_text(),
+            'a log line',
+        )
+        self.assertIn(b' 200 ', program.call())
+        self.store.put('op/config', configuration(3, ('new',)))
+        wait_for(lambda: b' 401 ' in program.call(), 'a refusal')
+        self.assertIn(b' 200 ', program.call(key='new'))
+
     def test_in_a_store_outage_keys_are_refused_within_the_bound(self) -> None:
         """A key may be revoked while the store is unavailable.
 
