Refuse numbers that are not finite in settings and configurations

`nan` was taken too and lets it accept none. `retry_extra = inf` ended the start with a traceback, `OverflowError: cannot convert float infinity to integer`. In a configuration NaN and Infinity were taken for times, and a time of 400 digits raised OverflowError in the reader, which ends the task that applies configurations.

Cause: float and json parse these, and no comparison with nan is true, so that the check for negative numbers let it pass. Both readers check for finite numbers now and name the field. The settings of the entry and of the operator had that check.

Both new tests failed before (settings and a configuration in place of an error) and pass now; make lint passes.

--- a/packages/gateway/dandelionyoke_gateway/_json_fields.py
+++ b/packages/gateway/dandelionyoke_gateway/_json_fields.py
@@ -1,6 +1,7 @@
 """Validated access to the fields of untrusted JSON objects."""
 
 import json
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -33,10 +34,16 @@
 def get_number(
     fields: Fields, name: str, default: float | None = None
 ) -> float:
-    """Return a number, or the default if the field is missing."""
+    """Return a finite number, or the default if the field is missing."""
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise FieldError(f'{name} is not a number')
+    try:
+        is_finite = math.isfinite(value)
+    except OverflowError as error:
+        raise FieldError(f'{name} is too large') from error
+    if not is_finite:
+        raise FieldError(f'{name} is not a finite number')
     return value
 
 
--- a/packages/gateway/dandelionyoke_gateway/_settings.py
+++ b/packages/gateway/dandelionyoke_gateway/_settings.py
@@ -1,6 +1,7 @@
 """Settings of the gateway, read from INI text and validated."""
 
 import configparser
+import math
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import Any
@@ -106,6 +107,8 @@
         number = float(raw)
     except ValueError:
         raise ValueError('must be a number') from None
+    if not math.isfinite(number):
+        raise ValueError('must be finite')
     if number < 0:
         raise ValueError('must not be negative')
     return number
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -41,6 +41,18 @@
         )
         self.assertIn('processor_share', str(error))
 
+    def test_a_number_that_is_not_finite_is_named_in_the_error(self) -> None:
+        """Guards against a bound on revoked keys that never ends."""
+        for option in ('revocation_ms', 'retry_extra', 'processor_share'):
+            for number in ('nan', 'inf', '1e400'):
+                error = self.assertRaises(
+                    SettingsError,
+                    read_settings,
+                    fill_template(**{option: number}),
+                )
+                self.assertIn(f"{option} = '{number}'", str(error))
+                self.assertIn('must be finite', str(error))
+
     def test_the_default_is_one_full_processor(self) -> None:
         settings = read_settings(
             fill_template(processors='', processor_share='')
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -202,6 +202,13 @@
         error = self.read_invalid(tenants=[{'name': 'a', 'api_keys': 'xy'}])
         self.assertEqual('tenants[0]: api_keys is not a list', error)
 
+    def test_a_number_that_is_not_finite_is_an_error(self) -> None:
+        """Guards against timeouts that never end and calls that are faults."""
+        for number in (float('nan'), float('inf'), 10**400):
+            for name in ('header_timeout_ms', 'idle_timeout_ms'):
+                error = self.read_invalid(limits={name: number})
+                self.assertIn(f'limits: {name} is ', error)
+
     def test_missing_and_null_fields_are_left_out(self) -> None:
         nulls = dict.fromkeys(('routes', 'services', 'limits'))
         text = json.dumps({'version': 1, **nulls})
