Treat a failed interim response as a disconnected caller

A caller that sends Expect: 100-continue and resets its connection made the task of that connection end with ConnectionResetError: a traceback in the output, no call affected.

Cause: the interim response was written without the handling of errors, and with the timeout for reading, unlike all other writes to callers. It uses theirs now.

The new test failed before (`ConnectionResetError: [Errno 104] Connection reset by peer`) and passed three times in a row with tests/platform/test_calls.py; make lint passes.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -84,11 +84,7 @@
         return data or b''
 
     def _write(self, data: bytes) -> None:
-        self._sock.settimeout(WRITE_TIMEOUT_S)
-        try:
-            self._sock.sendall(data)
-        except OSError as error:
-            raise CallerDisconnectedError from error
+        _send_all(self._sock, data)
 
 
 Handler = Callable[[CallerRequest, Responder], None]
@@ -261,7 +257,7 @@
             data = self._parser.send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-            self._sock.sendall(data)
+            _send_all(self._sock, data)
 
     def _check_length(self, head: RequestHead) -> None:
         length = head.header('content-length')
@@ -283,3 +279,11 @@
         body = f'{error.cause}\n'.encode()
         content_type = ('content-type', 'text/plain; charset=utf-8')
         responder.respond(ResponseHead(error.status, (content_type,)), body)
+
+
+def _send_all(sock: socket.socket, data: bytes) -> None:
+    sock.settimeout(WRITE_TIMEOUT_S)
+    try:
+        sock.sendall(data)
+    except OSError as error:
+        raise CallerDisconnectedError from error
--- a/tests/gateway/test_caller_connection.py
+++ b/tests/gateway/test_caller_connection.py
@@ -1,7 +1,7 @@
 """Tests of connections of callers that disconnect at a bad moment."""
 
 import testtools
-from eventlet import listen
+from eventlet import listen, spawn
 from eventlet.green import socket
 
 from dandelionyoke_dispatch import CallerLimits
@@ -12,6 +12,11 @@
 )
 from dandelionyoke_links import reset_on_close
 
+EXPECTING_HEAD = (
+    b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n'
+    b'Expect: 100-continue\r\n\r\n'
+)
+
 
 def never_handles(request: CallerRequest, responder: Responder) -> None:
     raise AssertionError(f'a request came through: {request.head}')
@@ -35,3 +40,10 @@
         """Guards against a drain that ends before the counts are saved."""
         self.caller.close()
         self.connection.close_if_idle()
+
+    def test_a_reset_before_the_continue_ends_the_connection(self) -> None:
+        """Guards against an error that ends the task of a connection."""
+        self.caller.sendall(EXPECTING_HEAD)
+        server = spawn(self.connection.serve)
+        self.caller.close()
+        self.assertIsNone(server.wait())
