--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -10,10 +10,13 @@
 from dandelionyoke_gateway._json_fields import (
     FieldError as FieldError,
     Fields as Fields,
+    get_flag as get_flag,
     get_int as get_int,
     get_number as get_number,
+    get_object as get_object,
     get_objects as get_objects,
     get_text as get_text,
+    get_texts as get_texts,
     parse_object as parse_object,
 )
 from dandelionyoke_gateway._log import (
@@ -23,7 +26,9 @@
 from dandelionyoke_gateway._messages import (
     RequestHead as RequestHead,
     ResponseHead as ResponseHead,
+    parse_whole_number as parse_whole_number,
     strip_hop_by_hop_headers as strip_hop_by_hop_headers,
+    utf8_header as utf8_header,
 )
 from dandelionyoke_gateway._ports import (
     CacheSource as CacheSource,
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server side of a connection: one request at a time."""
 
+import contextlib
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
@@ -20,6 +21,7 @@
     RequestHead,
     ResponseHead,
     decode_headers,
+    encode_headers,
 )
 
 READ_BYTES = 65536
@@ -73,20 +75,16 @@
 
     def _encode_head(self, status: int, headers: HeaderList) -> bytes:
         self.has_started = True
-        all_headers = list(headers)
+        all_headers = encode_headers(headers)
         if self._close_after:
-            all_headers.append(('connection', 'close'))
+            all_headers.append((b'connection', b'close'))
         data = self._parser.send(
             h11.Response(status_code=status, headers=all_headers)
         )
         return data or b''
 
     def _write(self, data: bytes) -> None:
-        self._sock.settimeout(WRITE_TIMEOUT_S)
-        try:
-            self._sock.sendall(data)
-        except OSError as error:
-            raise CallerDisconnectedError from error
+        _send_all(self._sock, data)
 
 
 Handler = Callable[[CallerRequest, Responder], None]
@@ -125,7 +123,9 @@
     def close_if_idle(self) -> None:
         """Close the connection if no request has begun on it."""
         if self.is_idle:
-            self._sock.shutdown(socket.SHUT_RDWR)
+            # The caller may have reset it, which its own task reads next.
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
 
     def _serve_one(self) -> bool:
         try:
@@ -257,7 +257,7 @@
             data = self._parser.send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
-            self._sock.sendall(data)
+            _send_all(self._sock, data)
 
     def _check_length(self, head: RequestHead) -> None:
         length = head.header('content-length')
@@ -279,3 +279,11 @@
         body = f'{error.cause}\n'.encode()
         content_type = ('content-type', 'text/plain; charset=utf-8')
         responder.respond(ResponseHead(error.status, (content_type,)), body)
+
+
+def _send_all(sock: socket.socket, data: bytes) -> None:
+    sock.settimeout(WRITE_TIMEOUT_S)
+    try:
+        sock.sendall(data)
+    except OSError as error:
+        raise CallerDisconnectedError from error
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -20,6 +20,8 @@
     RequestHead,
     ResponseHead,
     decode_headers,
+    encode_headers,
+    parse_whole_number,
 )
 from dandelionyoke_links import (
     USER_TIMEOUT_MS,
@@ -245,9 +247,9 @@
 def _request_bytes(
     parser: h11.Connection, head: RequestHead, body: bytes
 ) -> bytes:
-    headers = list(head.headers)
+    headers = encode_headers(head.headers)
     if body or head.method not in _BODILESS:
-        headers.append(('content-length', str(len(body))))
+        headers.append((b'content-length', str(len(body)).encode()))
     data = parser.send(
         h11.Request(method=head.method, target=head.target, headers=headers)
     )
@@ -280,6 +282,7 @@
     """Return the idle timeout of a Keep-Alive header, less a margin."""
     for parameter in (keep_alive or '').split(','):
         name, _, text = parameter.strip().partition('=')
-        if name.lower() == 'timeout' and text.isdigit():
-            return max(0, int(text) - IDLE_TIMEOUT_MARGIN_S)
+        timeout_s = parse_whole_number(text)
+        if name.lower() == 'timeout' and timeout_s is not None:
+            return max(0, timeout_s - IDLE_TIMEOUT_MARGIN_S)
     return DEFAULT_IDLE_TIMEOUT_S
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -18,6 +18,7 @@
 from dandelionyoke_gateway import clock_s
 from tests.platform.node_harness import (
     API_KEY,
+    SIGNED_HEAD,
     NodeHarness,
     ReceivedRequest,
     Script,
@@ -179,6 +180,98 @@
         self.assertAlmostEqual(3.0, clock_s() - started_s, delta=0.3)
 
 
+class HeaderEncodingTest(CallTestCase):
+    """Guards against calls that end without an answer."""
+
+    def test_header_bytes_beyond_ascii_are_forwarded(self) -> None:
+        def answers_with_note(
+            request: ReceivedRequest,
+        ) -> Iterator[ScriptStep]:
+            yield answer(extra=SIGNED_HEAD + 'X-Note: caf\xe9\r\n')
+
+        target = self.node.add_target(answers_with_note)
+        content = self.node.call(extra='X-Note: na\xefve\r\n')
+        self.assertEqual(200, status(content))
+        self.assertIn(b'x-note: caf\xe9\r\n', content)
+        headers = target.received_requests[0].headers
+        self.assertEqual('na\xefve', headers['x-note'])
+
+    def test_an_organisation_name_is_sent_as_utf_8(self) -> None:
+        target = self.node.add_target(answers_ok)
+        configuration = self.node.knowledge.configuration
+        assert configuration is not None
+        self.node.knowledge.configuration = attrs.evolve(
+            configuration, organisations={API_KEY: Organisation('\u014cmi')}
+        )
+        self.assertEqual(200, status(self.node.call()))
+        sent = target.received_requests[0].headers['tenant']
+        self.assertEqual('\u014cmi', sent.encode('latin-1').decode())
+
+
+INVALID_NUMBERS = ('\xb2', '1' * 400, '1' * 5000)
+
+
+class InvalidNumberTest(CallTestCase):
+    """Guards against calls that end without an answer.
+
+    Unlike `int`, `str.isdigit` accepts a superscript two. Numbers of 400 digits
+    do not fit into a float, and `int` refuses those of 5,000 digits.
+    """
+
+    def exchange(self, content: bytes) -> bytes:
+        with self.node.connect() as sock:
+            sock.sendall(content)
+            received = b''
+            while data := sock.recv(65536):
+                received += data
+        return received
+
+    def test_an_invalid_deadline_counts_as_none(self) -> None:
+        self.node.add_target(answers_ok)
+        for number in INVALID_NUMBERS:
+            invalid = f'Deadline-Ms: {number}'.encode('latin-1')
+            content = self.exchange(
+                request_bytes('/confirm/1').replace(
+                    b'Deadline-Ms: 3000', invalid
+                )
+            )
+            self.assertIn(b' 200 ', content[:20])
+
+    def test_an_invalid_token_count_counts_as_none(self) -> None:
+        self.node.add_target(answers_ok, 'lm', Phase.DECODE)
+        for number in INVALID_NUMBERS:
+            headers = f'Model: m\r\nToken-Count: {number},20\r\n'
+            content = self.node.call('/ask/1', extra=headers)
+            self.assertIn(b' 200 ', content[:20])
+
+    def test_an_invalid_prompt_part_is_ignored(self) -> None:
+        self.node.add_target(answers_ok, 'lm', Phase.DECODE)
+        for number in INVALID_NUMBERS:
+            headers = (
+                'Model: m\r\nToken-Count: 900,20\r\n'
+                f'Prompt-Prefix: aa:{number},bb:400\r\n'
+            )
+            content = self.node.call('/ask/1', extra=headers)
+            self.assertIn(b' 200 ', content[:20])
+
+    def test_an_invalid_load_or_idle_timeout_is_ignored(self) -> None:
+        """Guards against running a call without passing on its answer."""
+        for number in INVALID_NUMBERS:
+            for header in (
+                f'Server-Load: {number},1,8\r\n',
+                f'Keep-Alive: timeout={number}\r\n',
+            ):
+
+                def answers_with_header(
+                    request: ReceivedRequest, header: str = header
+                ) -> Iterator[ScriptStep]:
+                    yield answer(extra=SIGNED_HEAD + header)
+
+                target = self.node.add_target(answers_with_header)
+                self.assertIn(b' 200 ', self.node.call()[:20])
+                target.close()
+
+
 class AdmissionTest(CallTestCase):
     def test_unknown_keys_and_paths_are_refused(self) -> None:
         self.node.add_target(answers_ok)
