Give the load test's entry native locks in every order of imports

What was seen: `pytest -n 2 tests/standins tests/soak tests/test_layout.py` hung after 87 of 90 tests (here three of three times on; reduced: `pytest -n 0 tests/standins/test_load.py tests/soak/test_soak.py -k unreachable`, three of three). test_load.py alone passed.

Cause, a fault of the test: the stack shows closed.shutdown() waiting in eventlet's Semaphore.acquire, although eventlet had patched nothing (already_patched was empty, threading.Lock native). eventlet.wsgi imports a green copy of http.server and restores sys.modules, but not the attribute `server` of the package `http`. test_load.py looked its server class up by that attribute, after the soak had imported eventlet.wsgi. Its server ran in a native thread, and a green lock that is released there never wakes the main thread. With eventlet.wsgi imported first both names are native, as in whole runs, where tests/platform comes before tests/standins.

Ruled out: the product. `dandelionyoke-standins load`, entry and operator patch everything before other imports; the gateway leaves threads native and starts none; no public package imports eventlet.wsgi; a script that compares package attributes with sys.modules after each import found http.server alone outside of dns, and no other test uses http.server.

Change: test_load.py imports the names from http.server, which reads sys.modules. The checks of its three tests are unchanged.

Test: the new one runs the test that hung in a process that imports the soak.

--- a/tests/standins/test_load.py
+++ b/tests/standins/test_load.py
@@ -1,10 +1,11 @@
 """Tests of the load generator against a small entry with faults."""
 
-import http.server
 import json
+import pathlib
 import subprocess
 import sys
 import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
 import attrs
@@ -14,9 +15,18 @@
 from dandelionyoke_standins import answer_text
 
 TIMEOUT_S = 60
+ROOT = pathlib.Path(__file__).parent.parent.parent
+RUN_TEST_BESIDE_SOAK = """
+import unittest
+import tests.standins.test_load
+import tests.soak.soak
 
+name = 'LoadTest.test_an_unreachable_entry_is_skipped'
+unittest.main('tests.standins.test_load', argv=['', name])
+"""
 
-class _Entry(http.server.BaseHTTPRequestHandler):
+
+class _Entry(BaseHTTPRequestHandler):
     """Answers as an entry does, with the fault that the server selects."""
 
     protocol_version = 'HTTP/1.1'
@@ -114,10 +124,23 @@
         result = self._load([closed, self._entry('')], 5)
         self.assertEqual(['demo: 5 of 5 answers whole'], result.lines)
 
-    def _entry(
-        self, fault: str, refuse_call: int = 0
-    ) -> http.server.ThreadingHTTPServer:
-        entry = http.server.ThreadingHTTPServer(('127.0.0.1', 0), _Entry)
+    def test_an_entry_shuts_down_in_a_process_that_imported_the_soak(
+        self,
+    ) -> None:
+        """The soak imports `eventlet.wsgi`, which sets `http.server` to a copy
+        with green locks. A native thread that waits for one never wakes."""
+        result = subprocess.run(
+            [sys.executable, '-W', 'ignore', '-c', RUN_TEST_BESIDE_SOAK],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+        )
+        self.assertEqual(0, result.returncode, result.stderr)
+        self.assertIn('Ran 1 test', result.stderr)
+
+    def _entry(self, fault: str, refuse_call: int = 0) -> ThreadingHTTPServer:
+        entry = ThreadingHTTPServer(('127.0.0.1', 0), _Entry)
         entry.fault = fault
         entry.refuse_call = refuse_call
         entry.calls = 0
@@ -128,7 +151,7 @@
         return entry
 
     def _load(
-        self, entries: list[http.server.ThreadingHTTPServer], count: int
+        self, entries: list[ThreadingHTTPServer], count: int
     ) -> LoadResult:
         command = [sys.executable, '-W', 'ignore', '-m']
         command += ['dandelionyoke_standins', 'load', '--model', 'model']
