Let a refused node poll peers that it has not listed yet

Cause: a node polls only nodes that it has listed in the store, 1.2, 3.6 and 8.4 s after its start and every 5 s from then on. One that starts after the last list before the refusal stays unknown until the store serves the first node again. The refused node logs store.lost and no peer.asked, then call.refused with knowledge_age_s 7.4 and 7.8. Fix: the first news request to a node carries the sender's entry, and the receiver counts it as a member for 15 s or until its next list after that. A source node sends no requests, so it sends one to the node that would be the source without it, unless that one polls it already (IntroductionTask). No store call is added; in steady state no message either. The field has a default, so nodes of both versions run side by side. The age of news is counted as before: no key is trusted for longer. Run: tests/gateway, tests/dispatch, tests/test_layout.py, tests/platform/test_process.py; make lint.

--- a/packages/dispatch/dandelionyoke_dispatch/_sources.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_sources.py
@@ -35,11 +35,15 @@
     is removed from the members within a few such periods. Each further failure
     within `backoff_reset_s` after such a period doubles it: a node that the
     store rejects does respond, and would otherwise be polled again and again.
+
+    A node that introduced itself counts as a member for `introduction_s`, and
+    until the next listing: listings may be seconds old.
     """
 
     suspicion_s: float = 4.0
     max_suspicion_s: float = 16.0
     backoff_reset_s: float = 8.0
+    introduction_s: float = 15.0
 
 
 @attrs.frozen
@@ -48,6 +52,12 @@
     until_s: float
 
 
+@attrs.frozen
+class _Introduction:
+    member: Member
+    until_s: float
+
+
 class SourceChoice:
     """The ranking of the members, as seen by one node."""
 
@@ -60,11 +70,39 @@
         self._own_domain_members: Sequence[Member] = ()
         self._other_members: Sequence[Member] = ()
         self._domain_leaders: Sequence[Member] = ()
+        self._listed: Sequence[Member] = ()
+        self._introductions: dict[str, _Introduction] = {}
         self._suspicions: dict[str, _Suspicion] = {}
 
-    def take_members(self, members: Iterable[Member]) -> None:
-        """Replace the members."""
-        by_id = {member.instance_id: member for member in members}
+    def take_members(self, members: Iterable[Member], now_s: float) -> None:
+        """Replace the listed members."""
+        self._listed = tuple(members)
+        self._introductions = {
+            name: introduction
+            for name, introduction in self._introductions.items()
+            if now_s < introduction.until_s
+        }
+        self._rank_members()
+
+    def introduce(self, member: Member, now_s: float) -> bool:
+        """Add a node that introduced itself; return whether it was unknown."""
+        is_known = member.instance_id == self._own_id or any(
+            member == known
+            for known in (*self._own_domain_members, *self._other_members)
+        )
+        self._introductions[member.instance_id] = _Introduction(
+            member, now_s + self._settings.introduction_s
+        )
+        if not is_known:
+            self._rank_members()
+        return not is_known
+
+    def _rank_members(self) -> None:
+        by_id = {member.instance_id: member for member in self._listed}
+        by_id |= {
+            name: introduction.member
+            for name, introduction in self._introductions.items()
+        }
         own = Member(self._own_id, self._domain, '')
         by_id.setdefault(self._own_id, own)
         other_ids = {
@@ -112,6 +150,17 @@
             return None
         return source
 
+    def node_to_meet(self) -> Member | None:
+        """Return the node to which this node introduces itself as the source.
+
+        It is the source node without this one, which may not know this node
+        yet, or the first node of another domain; None: no other is known.
+        """
+        for member in (*self._own_domain_members, *self._domain_leaders):
+            if member.instance_id != self._own_id:
+                return member
+        return None
+
     def first_of_other_domains(self) -> Sequence[Member]:
         """Return the first node of each other domain, as ranked there.
 
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -22,6 +22,7 @@
     FleetLimiterSettings,
     Freshness,
     FreshnessSettings,
+    Member,
     OverloadDetector,
     OverloadSettings,
     Phase,
@@ -131,6 +132,17 @@
         """The state of each service by name."""
         return self._service_states
 
+    @property
+    def own_member(self) -> Member:
+        """This node's entry among the members."""
+        settings = self.settings
+        return Member(
+            settings.instance_id,
+            settings.domain,
+            f'{settings.peers.host}:{settings.peers.port}',
+            settings.processors * settings.processor_share,
+        )
+
     def own_demand(self, now_s: float) -> DemandSample:
         """Return this node's own demand by service."""
         return DemandSample(
--- a/packages/gateway/dandelionyoke_gateway/_member_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_member_task.py
@@ -14,6 +14,7 @@
     record_to_json,
 )
 from dandelionyoke_dispatch import Member
+from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._leased_records import LeasedRecords
 from dandelionyoke_gateway._ports import Store
@@ -43,15 +44,8 @@
 
     def run(self) -> None:
         """Stay registered until the process exits."""
-        settings = self._knowledge.settings
-        key = f'{MEMBERS_PREFIX}{settings.instance_id}'
-        endpoint = settings.peers
-        own_member = Member(
-            settings.instance_id,
-            settings.domain,
-            f'{endpoint.host}:{endpoint.port}',
-            settings.processors * settings.processor_share,
-        )
+        own_member = self._knowledge.own_member
+        key = f'{MEMBERS_PREFIX}{own_member.instance_id}'
         interval_s = INITIAL_POLL_INTERVAL_S
         while True:
             self._records.keep_alive(key, record_to_json(own_member))
@@ -74,7 +68,7 @@
         }
         members[own_member.instance_id] = own_member
         self._knowledge.take_node_count(len(members))
-        self._knowledge.sources.take_members(members.values())
+        self._knowledge.sources.take_members(members.values(), clock_s())
         self._on_members(tuple(sorted(members)))
 
 
--- a/packages/gateway/dandelionyoke_gateway/_news_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_links.py
@@ -17,6 +17,7 @@
     StorePut,
     StoreWritten,
 )
+from dandelionyoke_gateway._introduction_task import IntroductionTask
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_server import NewsServer
@@ -46,8 +47,10 @@
     settings = knowledge.settings
     secret = _wait_for_secret(store, BackOff(SECRET_BACKOFF, knowledge.random))
     own_id = InstanceId(settings.instance_id)
+    introductions = IntroductionTask(knowledge, log)
 
     def emit(event: Event) -> None:
+        introductions.handle_event(event)
         if not prefill_links.handle_event(
             event
         ) and not source_services.handle_event(event):
@@ -58,6 +61,7 @@
     prefill_links.attach(hub.send)
     source_services.start(hub.send, hub.connect)
     eventlet.spawn_n(hub.serve, listener)
+    eventlet.spawn_n(introductions.run, hub.send, hub.connect)
     log.decide('links.opened', settings.instance_id)
     news_task.run(hub)
 
--- a/packages/gateway/dandelionyoke_gateway/_news_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_messages.py
@@ -14,6 +14,7 @@
     DemandSample,
     ListingChanges,
     ListingMark,
+    Member,
 )
 
 
@@ -24,7 +25,8 @@
     `process` identifies the requesting process as the owner of the usage
     counts that it hands over in `parcel`. `wants_configuration` asks for the
     configuration whatever its size; it is set by a node that failed to read
-    it from the store.
+    it from the store. `member` is the requesting node's own entry, as the
+    receiver may not have listed it yet.
     """
 
     number: int
@@ -35,6 +37,7 @@
     mark: ListingMark | None = None
     parcel: CountsParcel | None = None
     demand: DemandSample | None = None
+    member: Member | None = None
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -134,7 +134,8 @@
         peer_id = InstanceId(member.instance_id)
         if not self._ensure_link(hub, member):
             return None
-        if self._source_id != member.instance_id:
+        is_first = self._source_id != member.instance_id
+        if is_first:
             self._source_id = member.instance_id
             self._stale_since_s = None
             self._log.decide('peer.asked', member.instance_id)
@@ -149,6 +150,7 @@
             self._mark,
             self._knowledge.counts_sender.pack(clock_s()),
             self._knowledge.own_demand(clock_s()),
+            self._knowledge.own_member if is_first else None,
         )
         if not hub.send(peer_id, request):
             return None
--- a/tests/dispatch/test_sources.py
+++ b/tests/dispatch/test_sources.py
@@ -13,7 +13,7 @@
 
 def choice(own_id: str, members: list[Member] = MEMBERS) -> SourceChoice:
     result = SourceChoice(own_id, own_id[0], SourceSettings(suspicion_s=4.0))
-    result.take_members(members)
+    result.take_members(members, 0)
     return result
 
 
@@ -103,3 +103,48 @@
             source.suspect(member.instance_id, 0)
         far = source.node_to_poll(0, has_lost_store=True)
         self.assertEqual('b', far.domain)
+
+
+class IntroductionTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = SourceChoice('a-1', 'a', SourceSettings(introduction_s=15))
+        self.other = Member('a-2', 'a', '10.0.0.2:7')
+
+    def knows_other(self) -> bool:
+        return (
+            self.node.node_to_poll(20, has_lost_store=True) == self.other
+            and self.node.node_to_meet() == self.other
+        )
+
+    def test_an_introduced_node_is_polled_at_once(self) -> None:
+        """Guards against a refused node that knows no other one."""
+        self.node.take_members([], 0)
+        self.assertFalse(self.knows_other())
+        self.assertTrue(self.node.introduce(self.other, 1))
+        self.assertTrue(self.knows_other())
+        self.assertFalse(self.node.introduce(self.other, 1))
+
+    def test_an_introduction_outlives_a_listing_that_is_older(self) -> None:
+        """Guards against a new node forgotten because of a stale read."""
+        self.node.introduce(self.other, 1)
+        self.node.take_members([], 2)
+        self.assertTrue(self.knows_other())
+
+    def test_an_introduced_node_that_is_gone_is_forgotten(self) -> None:
+        self.node.introduce(self.other, 1)
+        self.node.take_members([], 16.1)
+        self.assertFalse(self.knows_other())
+
+    def test_an_introduction_replaces_an_older_address(self) -> None:
+        """Guards against a restarted node dialled at its former address."""
+        self.node.take_members([Member('a-2', 'a', '10.0.0.9:7')], 0)
+        self.assertTrue(self.node.introduce(self.other, 1))
+        self.assertTrue(self.knows_other())
+
+    def test_a_node_alone_in_its_domain_meets_another_domain(self) -> None:
+        far = Member('b-2', 'b', '10.0.0.3:7')
+        self.node.take_members([far], 0)
+        self.assertEqual(far, self.node.node_to_meet())
+        self.node.introduce(self.other, 1)
+        self.assertEqual(self.other, self.node.node_to_meet())
--- a/tests/gateway/network.py
+++ b/tests/gateway/network.py
@@ -42,7 +42,7 @@
         self.nodes.update((node.name, node) for node in nodes)
         members = [Member(name, 'a', '10.0.0.2:7') for name in self.nodes]
         for node in self.nodes.values():
-            node.knowledge.sources.take_members(members)
+            node.knowledge.sources.take_members(members, clock_s())
 
     @property
     def source(self) -> AnyNode:
--- a/tests/gateway/test_backlog_task.py
+++ b/tests/gateway/test_backlog_task.py
@@ -54,7 +54,8 @@
         self.knowledge = new_knowledge(settings, Random(3))
         self.knowledge.sources._domain = domain
         self.knowledge.sources.take_members(
-            Member(f'n-{other}', other, '10.0.0.2:7') for other in 'abc'
+            (Member(f'n-{other}', other, '10.0.0.2:7') for other in 'abc'),
+            clock_s(),
         )
         self.knowledge.registry.replace(ENGINES, clock_s())
         self.lines = LogLines()
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -267,5 +267,5 @@
 
     def is_ranked_first(self, name: str) -> bool:
         sources = self.knowledge.sources
-        sources.take_members([Member(name, 'a', '10.0.0.2:7')])
+        sources.take_members([Member(name, 'a', '10.0.0.2:7')], 0)
         return not sources.is_source(0)
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -14,6 +14,7 @@
 import testtools
 from testtools.content import text_content
 
+from dandelionyoke_core import rendezvous
 from dandelionyoke_gateway import clock_s
 from dandelionyoke_platform import _wire_names as wire
 from tests.platform.node_harness import (
@@ -47,6 +48,12 @@
     )
 
 
+def ranked_ports() -> list[Ports]:
+    """Return the ports of two nodes, those of the source node first."""
+    by_id = {f'n-{ports.callers}': ports for ports in (Ports(), Ports())}
+    return [by_id[name] for name in rendezvous(by_id, 'a', len(by_id))]
+
+
 def answers_with_status(program: Program, key: str, status: bytes) -> bool:
     """Whether a call with a key is answered with a status."""
     return status in program.call(key=key)
@@ -79,8 +86,8 @@
             yield self.pause_s
         yield answer()
 
-    def start_program(self) -> Program:
-        program = Program(self.store, self.folder)
+    def start_program(self, ports: Ports | None = None) -> Program:
+        program = Program(self.store, self.folder, ports)
         self.addCleanup(program.process.wait)
         self.addCleanup(program.process.kill)
         self.addOnException(lambda _: self.show_log(program))
@@ -247,6 +254,39 @@
                 'an answer',
             )
 
+    def test_a_refused_node_asks_a_source_that_started_later(self) -> None:
+        """Guards against 503 at a node that has not listed its peer yet.
+
+        The later node polls the store itself, so it has no news to request
+        from the first one.
+        """
+        source_ports, first_ports = ranked_ports()
+        first = self.start_program(first_ports)
+        eventlet.sleep(3)
+        self.start_program(source_ports)
+        wait_for(lambda: len(self.store.keys('members/')) == 2, 'members')
+        self.store.refused = {first.store_address}
+        eventlet.sleep(6)
+        self.assertIn(b' 200 ', first.call())
+        self.assertTrue(first.is_ready())
+
+    def test_a_refused_node_asks_a_peer_that_starts_now(self) -> None:
+        """Guards against 503 until the store serves a refused node again.
+
+        A key that was revoked meanwhile must not be accepted.
+        """
+        first_ports, peer_ports = ranked_ports()
+        first = self.start_program(first_ports)
+        self.store.refused = {first.store_address}
+        self.store.put('op/config', configuration(2, ('new',)))
+        wait_for(partial(answers_with_status, first, API_KEY, b' 503 '), '503')
+        self.start_program(peer_ports)
+        wait_for(
+            partial(answers_with_status, first, 'new', b' 200 '), 'an answer'
+        )
+        self.assertIn(b' 401 ', first.call())
+        self.assertTrue(first.is_ready())
+
     def test_reported_usage_survives_the_expiry_of_all_leases(self) -> None:
         """The store expires the leases of the whole fleet and of the duty.
 
