Keep a message that arrives with the proof of a link

What callers saw: nothing that was reported. Cause: the dialling end sends its first message right after its proof. An accepting end that found both in one read used the proof and dropped the rest. Fix: the handshake takes one frame at a time; the rest stays for the link's reader.

--- a/packages/links/dandelionyoke_links/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -109,13 +109,20 @@
         Raises:
             LinkError: the link has ended or a frame is not a mapping.
         """
-        while not self._frames:
-            self._receive_data()
-            self.flush()
+        self._await_frames()
         frames = tuple(self._frames)
         self._frames.clear()
         return [_decode_frame(frame) for frame in frames]
 
+    def receive_one(self) -> Mapping[str, Any]:
+        """Wait for one mapping; those that came with it are kept.
+
+        Raises:
+            LinkError: the link has ended or the frame is not a mapping.
+        """
+        self._await_frames()
+        return _decode_frame(self._frames.pop(0))
+
     def flush(self) -> None:
         """Write the pending output of the protocol to the socket."""
         for data in self._protocol.data_to_send():
@@ -139,6 +146,11 @@
         """Set the timeout of each wait on the socket."""
         self._sock.settimeout(timeout_s)
 
+    def _await_frames(self) -> None:
+        while not self._frames:
+            self._receive_data()
+            self.flush()
+
     def _receive_data(self) -> list[Any]:
         data = self._sock.recv(READ_SIZE_BYTES)
         if not data:
@@ -288,11 +300,11 @@
         nonce = secrets.token_bytes(NONCE_BYTES)
         own_id = self._settings.instance_id
         channel.send({'nonce': nonce, 'instance_id': own_id})
-        hello, *rest = channel.receive()
+        hello = channel.receive_one()
         nonces = _join_nonces(nonce, hello.get('nonce'), own_first=dialled)
         peer_id = InstanceId(str(hello.get('instance_id')))
         channel.send({'proof': self._proof(nonces, own_id, dialled=dialled)})
-        answer = rest[0] if rest else channel.receive()[0]
+        answer = channel.receive_one()
         expected = self._proof(nonces, peer_id, dialled=not dialled)
         if not hmac.compare_digest(
             expected, _require_bytes(answer.get('proof'))
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -1,5 +1,6 @@
 """Tests of links between two processes."""
 
+import cbor2
 import eventlet
 import testtools
 
@@ -9,9 +10,11 @@
     PeerConnected,
     PeerDisconnected,
     PeerMessageArrived,
+    message_to_mapping,
 )
 from dandelionyoke_gateway._news_messages import NewsAsked
 from dandelionyoke_links import PeerHub, PeerSettings, listen
+from dandelionyoke_links._peers import NONCE_BYTES, _dial
 
 
 class PeerHubTest(testtools.TestCase):
@@ -46,6 +49,32 @@
             PeerMessageArrived(InstanceId('n-2'), message), self.events[-1]
         )
 
+    def test_a_message_that_comes_with_the_proof_is_delivered(self) -> None:
+        """Guards against a lost first message at a busy node.
+
+        The dialling end sends it right after its proof, so a node that reads
+        late finds both at once.
+        """
+        own_id, nonce = InstanceId('n-2'), b'n' * NONCE_BYTES
+        dialler = PeerHub(PeerSettings(own_id, b'one secret'), self.ignore)
+        channel = _dial(f'ws://127.0.0.1:{self.port}/')
+        self.addCleanup(channel.close)
+        channel.send({'nonce': nonce, 'instance_id': own_id})
+        hello = channel.receive_one()
+        nonces = nonce + hello['nonce']
+        proof = dialler._proof(nonces, own_id, dialled=True)
+        message = NewsAsked(3, 'n-2.x', 0.4, 5)
+        channel._protocol.send_binary(cbor2.dumps({'proof': proof}))
+        channel.send(message_to_mapping(message))
+        eventlet.sleep(0.1)
+        self.assertEqual(
+            [PeerConnected(own_id), PeerMessageArrived(own_id, message)],
+            self.events,
+        )
+
+    def ignore(self, event: Event) -> None:
+        """Take an event that does not matter."""
+
     def test_a_peer_without_the_secret_is_rejected(self) -> None:
         """Another process on the network connects to a node's peer port.
 
