Poll a node again as soon as its late answer comes

What callers saw: nothing. After a node had stood still for 0.8 s, two nodes of its domain polled the store, assigned prefills and decided limits for 4 to 16 s (test_one_node_asks_the_store_for_its_domain, 0 != 9). Cause: a node whose answer is 0.4 s late is passed over for 4 s, and the link was closed at once, so its late answer could not arrive. A node that stood still itself finds its timeout and the answer together, and the timeout won. Fix: the link of a silent node stays open for 3 s, and its late answer ends the suspicion, unless that is a repeated one (8 or 16 s): a node that is late again and again must not be polled in turns. After a timeout the links are read once more. What remains: past 1.5 s without confirmed targets a node has to read the store, since leaving targets are bounded by 2 s. So a stop in the test's window costs one or two watches and fails the test. Its check is unchanged. Log: process.stalled; peer.silent tells its cause; peer.returned. The test shows the logs on failure already, so the next sighting tells which way it came.

--- a/packages/dispatch/dandelionyoke_dispatch/_sources.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_sources.py
@@ -136,6 +136,19 @@
             duration_s, now_s + duration_s
         )
 
+    def trust_again(self, instance_id: str, now_s: float) -> bool:
+        """End a suspicion unless it is a repeated one; return whether it did.
+
+        A node that is late again and again would otherwise alternate between
+        being polled and being suspected.
+        """
+        suspicion = self._suspicions.get(instance_id)
+        settings = self._settings
+        if suspicion is None or suspicion.duration_s > settings.suspicion_s:
+            return False
+        self._suspicions[instance_id] = attrs.evolve(suspicion, until_s=now_s)
+        return True
+
     def is_source(self, now_s: float) -> bool:
         """Whether this node polls the store for its domain."""
         return self.domain_source(now_s) is None
--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -1,5 +1,7 @@
 """Client side of news requests: polls another node instead of the store."""
 
+import contextlib
+import enum
 from typing import TypeGuard
 
 import eventlet
@@ -20,6 +22,7 @@
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
 from dandelionyoke_gateway._knowledge import NEVER_S, Knowledge
+from dandelionyoke_gateway._late_answers import LateAnswers
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_messages import (
     ConfigurationNews,
@@ -46,6 +49,15 @@
 STALE_TIMEOUT_S = 2.0
 
 
+class Silence(enum.Enum):
+    """Why a request got no answer."""
+
+    NO_LINK = 'no link'
+    NOT_SENT = 'the link was full or has ended'
+    LINK_CLOSED = 'the link has ended'
+    NO_ANSWER = 'no answer'
+
+
 class NewsTask:
     """Polls the domain's source node, one request at a time."""
 
@@ -66,6 +78,7 @@
         self._registry = registry
         self._store_polling = store_polling
         self._log = log
+        self._late_answers = LateAnswers(knowledge, log)
         self._inbox: LightQueue = LightQueue()
         self._linked: set[InstanceId] = set()
         self._request_number = 0
@@ -95,11 +108,14 @@
                 self._linked.add(peer_id)
             case PeerDisconnected(peer_id=peer_id):
                 self._linked.discard(peer_id)
+                self._late_answers.handle_disconnect(peer_id)
             case PeerMessageArrived(
                 peer_id=peer_id, message=NewsAsked() as request
             ):
                 eventlet.spawn_n(server.handle_request, peer_id, request)
                 return
+            case PeerMessageArrived(peer_id=peer_id, message=message):
+                self._late_answers.handle_message(peer_id, message)
         self._inbox.put(event)
 
     def _stop_polling(self) -> None:
@@ -114,26 +130,36 @@
         sent_s = clock_s()
         answer = self._request_news(hub, member)
         now_s = clock_s()
-        if answer is None:
-            self._knowledge.sources.suspect(member.instance_id, now_s)
-            self._knowledge.counts_sender.requeue_all()
-            self._source_id = ''
-            self._log.decide(
-                'peer.silent',
-                member.instance_id,
-                outcome='passed over',
-                waited_s=now_s - sent_s,
-            )
-            hub.disconnect(InstanceId(member.instance_id))
+        if isinstance(answer, Silence):
+            self._pass_over(hub, member, answer, now_s - sent_s)
             return
         self._apply_answer(answer, member, sent_s)
         self._check_staleness(answer, member, now_s - sent_s)
         eventlet.sleep(max(0, sent_s + MIN_POLL_INTERVAL_S - clock_s()))
 
-    def _request_news(self, hub: PeerHub, member: Member) -> NewsTold | None:
+    def _pass_over(
+        self, hub: PeerHub, member: Member, silence: Silence, waited_s: float
+    ) -> None:
+        peer_id = InstanceId(member.instance_id)
+        self._knowledge.sources.suspect(peer_id, clock_s())
+        self._knowledge.counts_sender.requeue_all()
+        self._source_id = ''
+        self._log.decide(
+            'peer.silent',
+            peer_id,
+            outcome='passed over',
+            cause=silence.value,
+            waited_s=waited_s,
+        )
+        if silence is Silence.NO_ANSWER:
+            self._late_answers.expect(hub, peer_id, self._request_number)
+        else:
+            hub.disconnect(peer_id)
+
+    def _request_news(self, hub: PeerHub, member: Member) -> NewsTold | Silence:
         peer_id = InstanceId(member.instance_id)
         if not self._ensure_link(hub, member):
-            return None
+            return Silence.NO_LINK
         is_first = self._source_id != member.instance_id
         if is_first:
             self._source_id = member.instance_id
@@ -153,7 +179,7 @@
             self._knowledge.own_member if is_first else None,
         )
         if not hub.send(peer_id, request):
-            return None
+            return Silence.NOT_SENT
         return self._await_answer(clock_s() + hold_s + ANSWER_MARGIN_S)
 
     def _ensure_link(self, hub: PeerHub, member: Member) -> bool:
@@ -170,15 +196,15 @@
                     return False
         return peer_id in self._linked
 
-    def _await_answer(self, deadline_s: float) -> NewsTold | None:
+    def _await_answer(self, deadline_s: float) -> NewsTold | Silence:
         while (event := self._next_event(deadline_s)) is not None:
             if isinstance(event, PeerMessageArrived):
                 if self._is_answer(event.message):
                     return event.message
             elif isinstance(event, PeerDisconnected):
                 if event.peer_id == self._source_id:
-                    return None
-        return None
+                    return Silence.LINK_CLOSED
+        return Silence.NO_ANSWER
 
     def _is_answer(self, message: PeerMessage) -> TypeGuard[NewsTold]:
         return (
@@ -187,13 +213,15 @@
         )
 
     def _next_event(self, deadline_s: float) -> Event | None:
-        try:
+        with contextlib.suppress(Empty):
             event: Event = self._inbox.get(
                 timeout=max(0, deadline_s - clock_s())
             )
-        except Empty:
-            return None
-        return event
+            return event
+        # If this process stood still, the timeout and the answer have come
+        # together.
+        eventlet.sleep(0)
+        return None if self._inbox.empty() else self._inbox.get_nowait()
 
     # Answers.
 
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -47,6 +47,7 @@
 from dandelionyoke_gateway._registry_updater import RegistryUpdater
 from dandelionyoke_gateway._settings import Endpoint, GatewaySettings
 from dandelionyoke_gateway._source_services import SourceServices
+from dandelionyoke_gateway._stall_task import StallTask
 from dandelionyoke_gateway._status import ExitStatus
 from dandelionyoke_gateway._store_poll_policy import (
     StorePollPolicy,
@@ -157,6 +158,7 @@
         adapters = self._adapters
         knowledge, log = self._knowledge, self._log
         spawn = eventlet.spawn_n
+        spawn(StallTask(self._settings.instance_id, log).run)
         self._start_store_watch_tasks(peers)
         members = MemberTask(
             knowledge, adapters.store, self._duty_task.take_members
--- a/tests/dispatch/test_sources.py
+++ b/tests/dispatch/test_sources.py
@@ -82,6 +82,27 @@
         node.suspect(first, 40)
         self.assertEqual(first, self.polled(node, 44.1))
 
+    def test_a_node_that_answers_late_is_polled_again(self) -> None:
+        """Guards against two nodes that poll the store for one domain.
+
+        A node that is late again and again stays skipped.
+        """
+        first = next(
+            member.instance_id
+            for member in MEMBERS[:5]
+            if choice(member.instance_id).is_source(0)
+        )
+        node = choice('a-1' if first != 'a-1' else 'a-2')
+        self.assertFalse(node.trust_again(first, 0))
+        node.suspect(first, 1.0)
+        self.assertNotEqual(first, self.polled(node, 1.5))
+        self.assertTrue(node.trust_again(first, 1.5))
+        self.assertEqual(first, self.polled(node, 1.5))
+        node.suspect(first, 3.0)
+        self.assertFalse(node.trust_again(first, 3.5))
+        self.assertNotEqual(first, self.polled(node, 10.9))
+        self.assertEqual(first, self.polled(node, 11.1))
+
     def polled(self, node: SourceChoice, now_s: float) -> str:
         member = node.node_to_poll(now_s, has_lost_store=False)
         return '' if member is None else member.instance_id
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -1,6 +1,7 @@
 """News requests between nodes, and the age of the answers."""
 
 import zlib
+from collections.abc import Callable
 from random import Random
 
 import eventlet
@@ -8,8 +9,13 @@
 
 from dandelionyoke_core import (
     Action,
+    Event,
+    InstanceId,
     Metrics,
+    PeerConnected,
+    PeerDisconnected,
     PeerMessage,
+    PeerMessageArrived,
     StoreItem,
     StoreResult,
 )
@@ -26,6 +32,7 @@
 from dandelionyoke_gateway import clock_s
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
 from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
+from dandelionyoke_gateway._late_answers import LATE_ANSWER_TIMEOUT_S
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_messages import (
     ConfigurationNews,
@@ -43,6 +50,7 @@
 from dandelionyoke_platform._dialect import PlatformDialect
 from tests.gateway.settings import new_settings
 from tests.platform.node_harness import LogLines
+from tests.platform.program import wait_for
 from tests.platform.test_process import configuration
 
 
@@ -230,6 +238,93 @@
         self.assertIsNone(self.task._stale_since_s)
 
 
+class FakeHub:
+    """Opens links at once; answers only when the test does."""
+
+    def __init__(self, emit: Callable[[Event], None]) -> None:
+        self.emit = emit
+        self.disconnected: list[str] = []
+        self.requests: list[NewsAsked] = []
+
+    def connect(self, peer_id: InstanceId, address: str) -> None:
+        self.emit(PeerConnected(peer_id))
+
+    def send(self, peer_id: InstanceId, message: PeerMessage) -> bool:
+        assert isinstance(message, NewsAsked)
+        self.requests.append(message)
+        return True
+
+    def disconnect(self, peer_id: InstanceId) -> None:
+        self.disconnected.append(peer_id)
+        self.emit(PeerDisconnected(peer_id, 'disconnected'))
+
+
+class SilentNodeTest(NewsCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.lines = LogLines()
+        log = DecisionLog(self.lines, 'n-1', Metrics())
+        self.addCleanup(log.close)
+        self.task = NewsTask(
+            self.knowledge,
+            FakeStore(),
+            PlatformDialect(),
+            self.configurations,
+            self.registry,
+            StorePollPolicy(self.knowledge, StorePollSettings()),
+            log,
+        )
+        self.hub = FakeHub(
+            lambda event: self.task.handle_event(self.server, event)
+        )
+        self.other = InstanceId('n-2')
+        member = Member(self.other, 'a', '10.0.0.2:7', capacity=9.0)
+        self.knowledge.sources.take_members([member], clock_s())
+
+    def await_silence(self) -> None:
+        """Poll the other node until it is suspected."""
+        thread = eventlet.spawn(self.task.run, self.hub)
+        self.addCleanup(thread.kill)
+        wait_for(lambda: not self.is_polled(), 'a suspicion')
+
+    def answer(self, number: int) -> None:
+        event = PeerMessageArrived(self.other, NewsTold(number))
+        self.task.handle_event(self.server, event)
+
+    def is_polled(self) -> bool:
+        return not self.knowledge.sources.is_source(clock_s())
+
+    def test_a_late_answer_ends_the_suspicion(self) -> None:
+        """Guards against two nodes that poll the store for four seconds.
+
+        The polled node stands still for a moment.
+        """
+        self.await_silence()
+        self.answer(self.hub.requests[0].number)
+        self.assertTrue(self.is_polled())
+        wait_for(lambda: len(self.hub.requests) == 2, 'another request')
+        self.assertEqual([], self.hub.disconnected)
+        self.assertIn('"cause": "no answer"', self.lines.text)
+        self.assertIn('peer.returned', self.lines.text)
+
+    def test_the_answer_to_another_request_ends_no_suspicion(self) -> None:
+        self.await_silence()
+        self.answer(self.hub.requests[0].number + 1)
+        self.assertFalse(self.is_polled())
+
+    def test_a_link_without_answers_is_closed(self) -> None:
+        """Guards against a connection that has gone silent for good."""
+        self.await_silence()
+        eventlet.sleep(LATE_ANSWER_TIMEOUT_S + 0.1)
+        self.assertEqual([self.other], self.hub.disconnected)
+
+    def test_an_answer_that_comes_with_the_timeout_counts(self) -> None:
+        """Guards against a node that suspects others after its own stall."""
+        event = PeerMessageArrived(self.other, NewsTold(7))
+        eventlet.spawn(self.task._inbox.put, event)
+        self.assertEqual(event, self.task._next_event(clock_s()))
+
+
 class StorePollPolicyTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -287,6 +287,18 @@
         self.assertIn(b' 401 ', first.call())
         self.assertTrue(first.is_ready())
 
+    def test_a_source_that_stood_still_is_polled_again_at_once(self) -> None:
+        """Guards against two nodes that poll the store for seconds."""
+        source_ports, other_ports = ranked_ports()
+        source = self.start_program(source_ports)
+        other = self.start_program(other_ports)
+        wait_for(lambda: 'peer.asked' in other.log.read_text(), 'a request')
+        source.send_signal(signal.SIGSTOP)
+        eventlet.sleep(1.2)
+        source.send_signal(signal.SIGCONT)
+        wait_for(lambda: 'peer.returned' in other.log.read_text(), 'its return')
+        wait_for(lambda: 'process.stalled' in source.log.read_text(), 'a line')
+
     def test_reported_usage_survives_the_expiry_of_all_leases(self) -> None:
         """The store expires the leases of the whole fleet and of the duty.
 
