--- a/tests/dispatch/test_sources.py
+++ b/tests/dispatch/test_sources.py
@@ -13,7 +13,7 @@
 
 def choice(own_id: str, members: list[Member] = MEMBERS) -> SourceChoice:
     result = SourceChoice(own_id, own_id[0], SourceSettings(suspicion_s=4.0))
-    result.take_members(members)
+    result.take_members(members, 0)
     return result
 
 
@@ -82,6 +82,27 @@
         node.suspect(first, 40)
         self.assertEqual(first, self.polled(node, 44.1))
 
+    def test_a_node_that_answers_late_is_polled_again(self) -> None:
+        """Guards against two nodes that poll the store for one domain.
+
+        A node that is late again and again stays skipped.
+        """
+        first = next(
+            member.instance_id
+            for member in MEMBERS[:5]
+            if choice(member.instance_id).is_source(0)
+        )
+        node = choice('a-1' if first != 'a-1' else 'a-2')
+        self.assertFalse(node.trust_again(first, 0))
+        node.suspect(first, 1.0)
+        self.assertNotEqual(first, self.polled(node, 1.5))
+        self.assertTrue(node.trust_again(first, 1.5))
+        self.assertEqual(first, self.polled(node, 1.5))
+        node.suspect(first, 3.0)
+        self.assertFalse(node.trust_again(first, 3.5))
+        self.assertNotEqual(first, self.polled(node, 10.9))
+        self.assertEqual(first, self.polled(node, 11.1))
+
     def polled(self, node: SourceChoice, now_s: float) -> str:
         member = node.node_to_poll(now_s, has_lost_store=False)
         return '' if member is None else member.instance_id
@@ -103,3 +124,48 @@
             source.suspect(member.instance_id, 0)
         far = source.node_to_poll(0, has_lost_store=True)
         self.assertEqual('b', far.domain)
+
+
+class IntroductionTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = SourceChoice('a-1', 'a', SourceSettings(introduction_s=15))
+        self.other = Member('a-2', 'a', '10.0.0.2:7')
+
+    def knows_other(self) -> bool:
+        return (
+            self.node.node_to_poll(20, has_lost_store=True) == self.other
+            and self.node.node_to_meet() == self.other
+        )
+
+    def test_an_introduced_node_is_polled_at_once(self) -> None:
+        """Guards against a refused node that knows no other one."""
+        self.node.take_members([], 0)
+        self.assertFalse(self.knows_other())
+        self.assertTrue(self.node.introduce(self.other, 1))
+        self.assertTrue(self.knows_other())
+        self.assertFalse(self.node.introduce(self.other, 1))
+
+    def test_an_introduction_outlives_a_listing_that_is_older(self) -> None:
+        """Guards against a new node forgotten because of a stale read."""
+        self.node.introduce(self.other, 1)
+        self.node.take_members([], 2)
+        self.assertTrue(self.knows_other())
+
+    def test_an_introduced_node_that_is_gone_is_forgotten(self) -> None:
+        self.node.introduce(self.other, 1)
+        self.node.take_members([], 16.1)
+        self.assertFalse(self.knows_other())
+
+    def test_an_introduction_replaces_an_older_address(self) -> None:
+        """Guards against a restarted node dialled at its former address."""
+        self.node.take_members([Member('a-2', 'a', '10.0.0.9:7')], 0)
+        self.assertTrue(self.node.introduce(self.other, 1))
+        self.assertTrue(self.knows_other())
+
+    def test_a_node_alone_in_its_domain_meets_another_domain(self) -> None:
+        far = Member('b-2', 'b', '10.0.0.3:7')
+        self.node.take_members([far], 0)
+        self.assertEqual(far, self.node.node_to_meet())
+        self.node.introduce(self.other, 1)
+        self.assertEqual(self.other, self.node.node_to_meet())
