Move JSON calls over the pool into the gateway

Cause: the adapter held code that knows nothing of the platform: JSON calls with limits on time and size over the gateway's pool. Change: that module is dandelionyoke_gateway/_json_call.py now; its function is call_json and its reply JsonReply. No behaviour is changed.

--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -7,6 +7,11 @@
     AddressError as AddressError,
     ExchangeError as ExchangeError,
 )
+from dandelionyoke_gateway._json_call import (
+    CallLimits as CallLimits,
+    JsonReply as JsonReply,
+    call_json as call_json,
+)
 from dandelionyoke_gateway._json_fields import (
     FieldError as FieldError,
     Fields as Fields,
@@ -24,6 +29,7 @@
     LineSink as LineSink,
 )
 from dandelionyoke_gateway._messages import (
+    HeaderList as HeaderList,
     RequestHead as RequestHead,
     ResponseHead as ResponseHead,
     parse_whole_number as parse_whole_number,
--- a/platform/dandelionyoke_platform/_http.py
+++ b/packages/gateway/dandelionyoke_gateway/_json_call.py
@@ -1,4 +1,4 @@
-"""JSON calls to the platform and to engines over the gateway's pool."""
+"""JSON calls over the gateway's pool, with limits on time and size."""
 
 import json
 import math
@@ -7,19 +7,17 @@
 
 import attrs
 
-from dandelionyoke_gateway import (
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._json_fields import (
     FieldError,
     Fields,
-    RequestHead,
-    TargetPool,
-    clock_s,
     parse_object,
 )
+from dandelionyoke_gateway._messages import HeaderList, RequestHead
+from dandelionyoke_gateway._target_pool import TargetPool
 
 MAX_BODY_BYTES = 8388608
 
-Headers = tuple[tuple[str, str], ...]
-
 
 @attrs.frozen
 class CallLimits:
@@ -35,23 +33,23 @@
 
 
 @attrs.frozen
-class Reply:
+class JsonReply:
     """Status and JSON fields of a reply; no fields if the body has none."""
 
     status: int
     fields: Fields
 
 
-def call(
+def call_json(
     pool: TargetPool,
     address: str,
     method: str,
     path: str,
     body: Mapping[str, Any] | None = None,
-    headers: Headers = (),
+    headers: HeaderList = (),
     *,
     limits: CallLimits,
-) -> Reply:
+) -> JsonReply:
     """Make one call.
 
     Raises:
@@ -67,7 +65,7 @@
         connection.send(head, request_body, limits.send_until_s)
         reply_head = connection.read_head(deadline_s)
         reply_body = connection.read_body(deadline_s, MAX_BODY_BYTES)
-    return Reply(reply_head.status, _parse_fields(reply_body))
+    return JsonReply(reply_head.status, _parse_fields(reply_body))
 
 
 def _parse_fields(reply_body: bytes) -> Fields:
