Reset an order soon after its machine was suspended

What callers saw: nothing; an order that was in flight when its machine was suspended stayed so for up to 1 s after that, when a successor may have acted. Cause: the event loop's timers leave the suspension out, unlike the clock of the terms and deadlines. Evidence: a trial with a clock that jumps by 10 s 0.2 s after an order was written. Change: a connection made for an order or a report compares its deadline at least every 0.1 s. Other connections wait as before. Test: SuspensionTest, failed before (`eventlet.timeout.Timeout: 0.5 seconds`).

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -22,6 +22,7 @@
     decode_headers,
 )
 from dandelionyoke_links import (
+    URGENT_USER_TIMEOUT_MS,
     USER_TIMEOUT_MS,
     receive,
     reset_on_close,
@@ -38,6 +39,9 @@
 DEFAULT_IDLE_TIMEOUT_S = 4.0
 # A request must arrive before the idle timeout of the target ends.
 IDLE_TIMEOUT_MARGIN_S = 0.5
+# The event loop's timers leave out the time of a suspended machine. An urgent
+# connection checks its deadline this often, so that it is reset soon after.
+URGENT_MAX_WAIT_S = 0.1
 
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
@@ -48,9 +52,15 @@
     One exchange at a time.
     """
 
-    def __init__(self, address: str, sock: socket.socket) -> None:
+    def __init__(
+        self,
+        address: str,
+        sock: socket.socket,
+        max_wait_s: float = math.inf,
+    ) -> None:
         self.address = address
         self._sock = sock
+        self._max_wait_s = max_wait_s
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -200,15 +210,18 @@
         if remaining_s <= 0:
             raise ExchangeTimeoutError('no response in time', sent=True)
         try:
-            self._parser.receive_data(
-                receive(self._sock, READ_BYTES, remaining_s)
+            received = receive(
+                self._sock, READ_BYTES, min(remaining_s, self._max_wait_s)
             )
         except TimeoutError as timeout:
+            if timeout.errno is None and clock_s() < deadline_s:
+                return
             raise ExchangeTimeoutError(
                 _timeout_cause(timeout), sent=True
             ) from timeout
         except OSError as error:
             raise ExchangeError(f'{error}', sent=True) from error
+        self._parser.receive_data(received)
 
     def _record_keep_alive(self, head: ResponseHead) -> None:
         if 'close' in (head.header('connection') or '').lower():
@@ -217,16 +230,18 @@
 
 
 def connect(
-    address: str, timeout_s: float, user_timeout_ms: int = USER_TIMEOUT_MS
+    address: str, timeout_s: float, *, is_urgent: bool = False
 ) -> TargetConnection:
-    """Open a connection.
+    """Open a connection; what is sent on an urgent one must not arrive late.
 
     Raises:
         ExchangeError: the connection failed or timed out.
     """
     host, _, port = address.rpartition(':')
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    set_socket_options(sock, user_timeout_ms)
+    set_socket_options(
+        sock, URGENT_USER_TIMEOUT_MS if is_urgent else USER_TIMEOUT_MS
+    )
     reset_on_close(sock)
     sock.settimeout(timeout_s)
     try:
@@ -239,7 +254,8 @@
         # For example, the caller disconnected and this task was killed.
         sock.close()
         raise
-    return TargetConnection(address, sock)
+    max_wait_s = URGENT_MAX_WAIT_S if is_urgent else math.inf
+    return TargetConnection(address, sock, max_wait_s)
 
 
 def _request_bytes(
--- a/packages/gateway/dandelionyoke_gateway/_target_pool.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_pool.py
@@ -5,7 +5,6 @@
 from contextlib import contextmanager
 
 from dandelionyoke_gateway._target_connection import TargetConnection, connect
-from dandelionyoke_links import URGENT_USER_TIMEOUT_MS
 
 # A healthy target accepts a connection within a few milliseconds. After this
 # timeout the call still has time for another target.
@@ -42,7 +41,7 @@
         The kernel discards what the peer does not acknowledge soon, also
         while this process is stopped.
         """
-        connection = connect(address, CONNECT_TIMEOUT_S, URGENT_USER_TIMEOUT_MS)
+        connection = connect(address, CONNECT_TIMEOUT_S, is_urgent=True)
         try:
             yield connection
         finally:
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -234,6 +234,29 @@
         return receive(self.sock, 65536, RETRANSMIT_S)
 
 
+class SuspensionTest(testtools.TestCase):
+    def test_an_order_is_reset_soon_after_a_suspension(self) -> None:
+        """Guards against an order that arrives after a suspended holder's term.
+
+        The machine is suspended while the order waits for its answer. The
+        event loop's timer has most of the order's time left afterwards.
+        """
+        target = ScriptedTarget(lambda _: [RETRANSMIT_S, None])
+        self.addCleanup(target.close)
+        duties = PlatformDuties(target.address, TargetPool())
+        stamp = FencingStamp('n-1', 9, clock_s() + 5)
+        order = eventlet.spawn(duties.order_targets, ORDER, stamp)
+        self.addCleanup(order.kill)
+        eventlet.sleep(0.2)
+        with (
+            mock.patch.object(
+                target_connection, 'clock_s', lambda: clock_s() + 10
+            ),
+            eventlet.Timeout(CALL_TIMEOUT_S / 2),
+        ):
+            self.assertIs(DutyOutcome.UNKNOWN, order.wait().outcome)
+
+
 class ReservedTimeTest(testtools.TestCase):
     """A successor acts when nothing of its predecessor can arrive any more."""
 
