Fail the attempt of an engine that sends a line that is no object

An engine that answers with a line or a refusal such as `[1]`, or with an offset of Infinity, left its attempt without an event: the caller waits until the stream counts as stalled. Shown with a server that sends such contents.

Cause: the content was parsed as JSON and used as an object. AttributeError (OverflowError for the offset) is none of the errors that fail an attempt, so its task ended. Lines and refusals go through decode_json now, as other answers of engines do, and these errors fail the attempt.

--- a/packages/wire/dandelionyoke_wire/_engine.py
+++ b/packages/wire/dandelionyoke_wire/_engine.py
@@ -39,6 +39,7 @@
     JsonResponse,
     TransportError,
     call_json,
+    decode_json,
     may_have_been_sent,
     request_timeout,
 )
@@ -56,10 +57,10 @@
 MAX_LINE_BYTES = 1_048_576
 
 _CONNECTION_ERRORS = (urllib3.exceptions.HTTPError, OSError)
-_DECODE_ERRORS = (KeyError, TypeError, ValueError)
+_DECODE_ERRORS = (KeyError, OverflowError, TypeError, ValueError)
 _REPORT_ERRORS = (*_DECODE_ERRORS, BaseValidationError)
 _CALL_ERRORS = (TransportError, *_DECODE_ERRORS)
-_STREAM_ERRORS = (*_CONNECTION_ERRORS, *_DECODE_ERRORS)
+_STREAM_ERRORS = (*_CONNECTION_ERRORS, *_CALL_ERRORS)
 
 
 class EngineClient:
@@ -261,12 +262,14 @@
         attempt_id: AttemptId,
     ) -> None:
         if response.status != HTTPStatus.OK:
-            refusal = json.loads(response.read(MAX_LINE_BYTES) or b'{}')
+            refusal = decode_json(response.read(MAX_LINE_BYTES))
             self._emit(_parse_refusal(request_id, attempt_id, refusal))
             return
         self._emit(AttemptAccepted(request_id, attempt_id))
         for line in _read_lines(response):
-            event = _parse_stream_line(request_id, attempt_id, json.loads(line))
+            event = _parse_stream_line(
+                request_id, attempt_id, decode_json(line)
+            )
             self._emit(event)
             if not isinstance(event, TokensArrived):
                 return
