Write no record without a valid lease

Where the store refused a lease and accepted the write after it (it refuses calls one by one when it is busy), a record of counts or of a crash was written without a lease and stayed for ever. A lease that could not be replaced was used after its time was over; the store refuses such a write.

Cause: a failed write drops the lease, and the next one went on with none where no other was granted; the age of the old lease was compared with the time for its renewal only. Without a lease the write fails now, as if the store had refused it. Counts are then saved a second later; at the end of a process there is one try only, so that they are missing where the write before had failed too and the store then refuses the lease alone.

Two of the three tests failed before (`StoreWritten ... is not an instance of StoreFailed`), the third guards what was right.

--- a/packages/gateway/dandelionyoke_gateway/_leased_records.py
+++ b/packages/gateway/dandelionyoke_gateway/_leased_records.py
@@ -7,6 +7,7 @@
     LeaseRenew,
     OperationId,
     StoreConflict,
+    StoreFailed,
     StorePut,
     StoreResult,
     StoreWritten,
@@ -32,14 +33,20 @@
         self._kept_keys: set[str] = set()
 
     def write(self, key: str, text: str, expected_revision: int) -> StoreResult:
-        """Write a record if it has the expected revision; 0 creates it."""
+        """Write a record if it has the expected revision; 0 creates it.
+
+        Without a lease nothing is written: the record would never expire.
+        """
+        lease_id = self._current_lease()
+        if lease_id is None:
+            return StoreFailed('no lease', may_have_been_applied=False)
         answer = self._store.perform(
             StorePut(
                 OperationId('record'),
                 key,
                 text,
                 expected_revision,
-                self._current_lease(),
+                lease_id,
             )
         )
         if not isinstance(answer, StoreWritten | StoreConflict):
@@ -73,6 +80,8 @@
         if isinstance(granted, LeaseGranted):
             self._lease_id = granted.lease_id
             self._granted_s = now_s
+        elif age_s >= self._ttl_s:
+            self._lease_id = None
         return self._lease_id
 
     def _renew(self, lease_id: LeaseId) -> bool:
