Log when a node reads the store because its news are old

Cause: a node whose targets or configuration were confirmed over 1.5 s ago reads the store itself, whoever it polls; that was not logged. Change: news.aged tells what was how old, and which node is polled for it. The decision itself is unchanged.

--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -210,7 +210,7 @@
             intervals,
         )
         registry_task = RegistryTask(
-            registry, knowledge, store_polling, dialect, store, intervals
+            registry, knowledge, store_polling, dialect, store, log, intervals
         )
         news_task = NewsTask(
             knowledge,
--- a/packages/gateway/dandelionyoke_gateway/_store_watch_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_store_watch_tasks.py
@@ -72,6 +72,8 @@
 
     def _poll_store(self) -> None:
         polled_s = clock_s()
+        age_s = self._knowledge.freshness.age_s(polled_s)
+        _log_aged_news(self._knowledge, self._log, 'configuration', age_s)
         answer = self._watcher.poll(self._store_polling.watch_duration_s)
         if isinstance(answer, StoreListing):
             self._apply(answer, polled_s)
@@ -106,12 +108,14 @@
         store_polling: StorePollPolicy,
         dialect: Dialect,
         store: Store,
+        log: DecisionLog,
         intervals: StorePollIntervals,
     ) -> None:
         self._updater = updater
         self._knowledge = knowledge
         self._store_polling = store_polling
         self._dialect = dialect
+        self._log = log
         self._intervals = intervals
         self._watch_duration_s = (
             intervals.registry_watch_share * knowledge.settings.drain_s
@@ -133,6 +137,9 @@
 
     def _poll_store(self) -> None:
         polled_s = clock_s()
+        confirmed_s = self._knowledge.listing.confirmed_s
+        age_s = None if confirmed_s is None else polled_s - confirmed_s
+        _log_aged_news(self._knowledge, self._log, 'targets', age_s)
         answer = self._watcher.poll(self._watch_duration_s)
         if isinstance(answer, StoreListing):
             self._apply_unless_stale(answer, polled_s)
@@ -174,3 +181,18 @@
         remaining_s = polled_s + interval_s - clock_s()
         if remaining_s > 0:
             sleep(remaining_s * self._knowledge.random.uniform(0.9, 1))
+
+
+def _log_aged_news(
+    knowledge: Knowledge, log: DecisionLog, subject: str, age_s: float | None
+) -> None:
+    """Log that a node polls the store although another one does for it."""
+    source = knowledge.sources.domain_source(clock_s())
+    if source is not None and age_s is not None:
+        log.decide(
+            'news.aged',
+            subject,
+            outcome='store polled',
+            age_s=age_s,
+            source=source.instance_id,
+        )
