Hold a prefill until its engine is draining, in place of a pause

What was seen: test_a_queued_prefill_avoids_an_engine_that_is_draining failed once beside other runs (pytest -n 2, load 24; `2 != 0`) and passed six of six times alone. Cause, a fault of the test's set-up: it gave the three calls 0.1 s to reach the engine, and the engine 0.3 s to answer. The failing run itself was not traced. Change: the test waits for the two prefills that fit, then 0.1 s as before for a third, and the engine answers only once it is marked as leaving. All checks are unchanged; no answer can come before the mark, which was possible after 0.3 s. Without the mark the test fails.

--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -28,6 +28,7 @@
     request_bytes,
     stream_head,
 )
+from tests.platform.program import wait_for
 
 PROMPT_HEADERS = (
     'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: aa:500,bb:400\r\n'
@@ -432,24 +433,30 @@
         work, and their callers would wait for nothing.
         """
 
-        def answers_slowly(request: ReceivedRequest) -> Iterator[ScriptStep]:
-            yield 0.3
+        is_released = eventlet.Event()
+
+        def answers_when_released(
+            request: ReceivedRequest,
+        ) -> Iterator[ScriptStep]:
+            is_released.wait()
             yield from self.answers_prefill(request)
 
         draining_engine = self.node.add_target(
-            answers_slowly, 'lm', Phase.PREFILL
+            answers_when_released, 'lm', Phase.PREFILL
         )
         self.node.add_target(self.streams_tokens, 'lm', Phase.DECODE)
         callers = [
             eventlet.spawn(self.node.call, '/ask/1', extra=PROMPT_HEADERS)
             for _ in range(3)
         ]
+        wait_for(lambda: len(draining_engine.received_requests) > 1, 'prefills')
         eventlet.sleep(0.1)
         self.assertEqual(2, len(draining_engine.received_requests))
         other_engine = self.node.add_target(
             self.answers_prefill, 'lm', Phase.PREFILL
         )
         self.node.knowledge.registry.mark_leaving('i-1', None)
+        is_released.send()
         answers = [status(caller.wait()) for caller in callers]
         self.assertEqual([200, 200, 200], answers)
         self.assertEqual(2, len(draining_engine.received_requests))
