Close a link whose peer is not the one that was dialled

Where a peer's address belongs to another peer by now, the dialler kept the link under the id of that other peer.

Cause: the proven id was not compared with the dialled one. Another id fails the dial now, with a cause that names both.

Shown with two hubs. The new test failed before (`[PeerConnected(peer_id='n-1')]` in place of a PeerDisconnected of n-8) and passed three times in a row. In one run of tests/platform/test_process.py, tests/core/test_membership.py and tests/links beside other load (25) one test of the process failed, `0 != 5`; its name was not printed.

--- a/packages/links/dandelionyoke_links/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -241,6 +241,8 @@
     ) -> None:
         try:
             peer_id = self._authenticate(channel, dialled=dialled)
+            if expected not in {None, peer_id}:
+                raise LinkError(f'the peer is {peer_id}, not {expected}')
         except _LINK_ERRORS as error:
             channel.close()
             if expected is not None:
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -27,11 +27,13 @@
         server = eventlet.spawn(self.hub.serve, self.listener)
         self.addCleanup(server.kill)
 
-    def dial(self, secret: bytes) -> tuple[PeerHub, list[Event]]:
+    def dial(
+        self, secret: bytes, peer_id: InstanceId = InstanceId('n-1')
+    ) -> tuple[PeerHub, list[Event]]:
         events: list[Event] = []
         hub = PeerHub(PeerSettings(InstanceId('n-2'), secret), events.append)
         address = f'ws://127.0.0.1:{self.port}/'
-        dialler = eventlet.spawn(hub.connect, InstanceId('n-1'), address)
+        dialler = eventlet.spawn(hub.connect, peer_id, address)
         self.addCleanup(dialler.kill)
         eventlet.sleep(0.3)
         return hub, events
@@ -46,6 +48,18 @@
             PeerMessageArrived(InstanceId('n-2'), message), self.events[-1]
         )
 
+    def test_another_peer_at_the_address_is_rejected(self) -> None:
+        """The address of a node belongs to another one after a restart.
+
+        If the link were kept, the dialler would wait for the first node and
+        never dial it again.
+        """
+        hub, events = self.dial(b'one secret', InstanceId('n-8'))
+        cause = 'the peer is n-1, not n-8'
+        self.assertEqual([PeerDisconnected(InstanceId('n-8'), cause)], events)
+        self.assertFalse(hub.send(InstanceId('n-1'), NewsAsked(1, '', 0, 0)))
+        self.assertIsInstance(self.events[-1], PeerDisconnected)
+
     def test_a_peer_without_the_secret_is_rejected(self) -> None:
         """Another process on the network connects to a node's peer port.
 
