Refund calls exactly what their limit was charged

A call is charged its prompt and the expected output; at its end the charge is corrected to the tokens served. The expected output was computed anew for that, from an estimate that other calls had changed meanwhile. A call that was not served was refunded less, or more, than it had been charged.

Shown: a call charged for 100 and about 1,000 tokens is withdrawn after a hundred short answers of others; its organisation's next call was refused, `the limit of tokens a second of this organisation is reached`. The limits keep the charge of each call until its end now.

--- a/packages/core/dandelionyoke_core/_admission.py
+++ b/packages/core/dandelionyoke_core/_admission.py
@@ -133,7 +133,7 @@
         service = self._service(service_name)
         queued = service.queue.remove(request_id)
         if queued is not None:
-            self._settle_limits(service, queued.ticket, 0)
+            self._limits.finish(queued.ticket, 0)
             return
         running = service.running.pop(request_id)
         ticket = running.ticket
@@ -143,7 +143,7 @@
             organisation_id, served_cost - running.cost, running.weight
         )
         service.drain_rate.add(served_cost, now_s)
-        self._settle_limits(service, ticket, prompt_tokens + output_tokens)
+        self._limits.finish(ticket, prompt_tokens + output_tokens)
         if output_tokens:
             service.output.learn(output_tokens, ticket.max_output_tokens)
         # finish() cannot return a notice, so an immediate wake-up assigns the
@@ -298,13 +298,6 @@
         if self._next_check_s is None or at_s < self._next_check_s:
             self._next_check_s = at_s
 
-    def _settle_limits(
-        self, service: ServiceQueue, ticket: Ticket, served_tokens: int
-    ) -> None:
-        expected = service.output.mean_tokens(ticket.max_output_tokens)
-        charged = ticket.prompt_tokens + expected
-        self._limits.finish(ticket, served_tokens - charged)
-
     def _service(self, name: ServiceName) -> ServiceQueue:
         service = self._services.get(name)
         if service is None:
--- a/packages/core/dandelionyoke_core/_limits.py
+++ b/packages/core/dandelionyoke_core/_limits.py
@@ -11,7 +11,7 @@
 
 from dandelionyoke_core._admission_settings import AdmissionSettings
 from dandelionyoke_core._demand import DemandTable
-from dandelionyoke_core._names import OrganisationId
+from dandelionyoke_core._names import OrganisationId, RequestId
 from dandelionyoke_core._ports import Ticket
 from dandelionyoke_core._rate import TokenBucket
 from dandelionyoke_core._refusals import Refusal, RefusalKind
@@ -51,6 +51,7 @@
         self._settings = settings
         self._demand = demand
         self._states: dict[OrganisationId, LimitState] = {}
+        self._charges: dict[RequestId, float] = {}
         self._entry_counts: deque[tuple[float, int]] = deque()
 
     def update_entry_count(self, count: int, now_s: float) -> None:
@@ -90,15 +91,18 @@
         state = self._refilled_state(ticket, shares, now_s)
         state.running += 1
         state.calls.level -= 1
-        state.tokens.level -= ticket.prompt_tokens + output_tokens
+        charge = ticket.prompt_tokens + output_tokens
+        state.tokens.level -= charge
+        self._charges[ticket.request_id] = charge
 
-    def finish(self, ticket: Ticket, excess_tokens: float) -> None:
-        """Release a running call and charge the tokens over the estimate."""
+    def finish(self, ticket: Ticket, served_tokens: int) -> None:
+        """Release a call and replace its charge by the tokens served."""
+        charge = self._charges.pop(ticket.request_id, 0)
         organisation_id = ticket.organisation.organisation_id
         state = self._states.get(organisation_id)
         if state is not None:
             state.running = max(0, state.running - 1)
-            state.tokens.level -= excess_tokens
+            state.tokens.level -= served_tokens - charge
 
     def shares(self, ticket: Ticket, now_s: float) -> LimitShares:
         """Compute the shares of this entry in the limits of an organisation."""
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -274,6 +274,30 @@
             self.assertGreater(refusal.retry_after_s, 0)
             self.assertLessEqual(refusal.retry_after_s, 30)
 
+    def test_a_call_that_was_not_served_is_refunded_its_charge(self) -> None:
+        """Guards against a limit that refuses calls for tokens never served.
+
+        The calls of others change the estimate of the output between the
+        charge of a call and its end.
+        """
+        part = make_admission(FixedCapacity())
+
+        def run_calls_of_others(output_tokens: int) -> None:
+            for number in range(100):
+                other = make_ticket(f'{output_tokens}-{number}', 'other')
+                part.offer(other, 0)
+                part.finish(other.request_id, 100, output_tokens, 0)
+
+        limits = {'tokens_per_s': 100}
+        run_calls_of_others(10)
+        ticket = make_ticket('x', limits=limits, max_output_tokens=1000)
+        self.assertIsInstance(part.offer(ticket, 0), Admitted)
+        run_calls_of_others(1)
+        part.withdraw(ticket.request_id, 0)
+        self.assertIsInstance(
+            part.offer(make_ticket('y', limits=limits), 0), Admitted
+        )
+
     def test_the_retry_delay_follows_the_drain_rate(self) -> None:
         waits = []
         for interval_s in (0.1, 1.0):
