Hold the long streams of the planned changes until the change

What was seen: test_streams_of_a_reclaimed_target_continue_elsewhere and test_a_leaving_target_taken_back_early failed now and then on a busy machine, `400 not less than 400`: a stream ended before its engine was reclaimed.

Cause, a fault of the tests' set-up: their streams last 6.7 s (400 tokens) and 16.7 s (1,000), and the wait for ten streams, twenty short calls and a first listing come before the reclaim.

Change: the engine's stand-in has a fault slow_after_tokens; an attempt that has as many tokens makes one a second, so that the entry doesn't take it for silent. change_under_load holds its streams at 200 of 400 tokens. The tests release them at the full rate right before the listing `reclaimed`. A held stream would end by itself after 197 s; the waits before that time out after 20 s each, 80 s in all. The three other tests of the class take the same steps; they release their streams after the change.

Strictness, line by line: - assertNotEqual(set(), reclaimed_attempts) and assertNotEqual({}, tokens_before): unchanged. - assertLess(output_tokens, 400) of the first test: unchanged. A stream of less than 200 tokens at the reclaim is generated as before.

--- a/packages/standins/dandelionyoke_standins/_batch.py
+++ b/packages/standins/dandelionyoke_standins/_batch.py
@@ -11,6 +11,8 @@
 from dandelionyoke_standins._blocks import BlockPool
 
 Role = Literal['prefill', 'decode', 'mixed']
+# The rate of an attempt that has reached `Batch.slow_after_tokens`.
+SLOW_TOKENS_PER_S = 1.0
 
 
 @attrs.frozen
@@ -46,13 +48,17 @@
 
 
 class Batch:
-    """Moves attempts from the queue through prefill and decode."""
+    """Moves attempts from the queue through prefill and decode.
+
+    An attempt decodes slowly from `slow_after_tokens` output tokens on.
+    """
 
     def __init__(self, settings: BatchSettings, pool: BlockPool) -> None:
         self.waiting: list[Attempt] = []
         self.running: list[Attempt] = []
         self.decoded_tokens = 0
         self.preemptions = 0
+        self.slow_after_tokens: int | None = None
         self._settings = settings
         self._pool = pool
         self._prefill_credit: float = 0
@@ -166,11 +172,20 @@
         equal_share = remaining_s * rate / len(decoding)
         credit = min(equal_share, step_s * self._settings.stream_tokens_per_s)
         for attempt in decoding:
-            attempt.decode_credit += credit
+            attempt.decode_credit += self._limit_credit(attempt, credit, step_s)
             # An earlier attempt of this loop may have preempted this one.
             if attempt.state == 'running':
                 self._decode_attempt(attempt, now_s)
 
+    def _limit_credit(
+        self, attempt: Attempt, credit: float, step_s: float
+    ) -> float:
+        """Return the decode credit of an attempt for one time step."""
+        slow_after = self.slow_after_tokens
+        if slow_after is None or len(attempt.output) < slow_after:
+            return credit
+        return min(credit, step_s * SLOW_TOKENS_PER_S)
+
     def _decode_attempt(self, attempt: Attempt, now_s: float) -> None:
         while attempt.decode_credit >= 1 and not attempt.is_complete:
             if not self._ensure_block(attempt, now_s):
--- a/packages/standins/dandelionyoke_standins/_engine.py
+++ b/packages/standins/dandelionyoke_standins/_engine.py
@@ -72,6 +72,7 @@
     crash_on: str = ''
     crash: bool = False
     silent_after_tokens: int | None = None
+    slow_after_tokens: int | None = None
     silent: bool = False
     refuse: str = ''
     lose_answers: int = 0
@@ -242,6 +243,7 @@
         previous_lengths = {
             active: len(active.output) for active in self._batch.in_progress
         }
+        self._batch.slow_after_tokens = self.faults.slow_after_tokens
         self._batch.step(self.serving.role, step_s, self._now_s)
         for attempt, offset in previous_lengths.items():
             self._attempts.record_progress(attempt, offset)
--- a/tests/entry/test_planned.py
+++ b/tests/entry/test_planned.py
@@ -24,8 +24,9 @@
 CALLS_WITHOUT_NEW_WORK = 40
 STREAM_COUNT = 10
 LONG_ANSWER_TOKENS = 400
-# Long enough that no stream ends before two successive listings are read.
-LONGEST_ANSWER_TOKENS = 1000
+# Engines generate long streams slowly from this length on, until the test
+# releases them. No stream then ends before the change, however slow the machine.
+HELD_STREAM_TOKENS = 200
 # Maximum number of tokens that an engine generates for a stream after it was
 # reclaimed, before the stream continues on another engine.
 MAX_TOKENS_AFTER_RECLAIM = 200
@@ -185,6 +186,21 @@
             if each.kind == 'engine'
         )
 
+    def hold_long_streams(self) -> None:
+        """Let engines generate long streams slowly until they are released."""
+        self.set_slow_after_tokens(HELD_STREAM_TOKENS)
+
+    def release_long_streams(self) -> None:
+        """Let engines generate all streams at their full rate."""
+        self.set_slow_after_tokens(None)
+
+    def set_slow_after_tokens(self, tokens: int | None) -> None:
+        """Set from which length on the engines generate streams slowly."""
+        for each in self.fleet.processes:
+            if each.kind == 'engine':
+                faults = f'{each.address}/standin/faults'
+                self.fleet.post(faults, {'slow_after_tokens': tokens})
+
     def set_target_state(self, name: str, state: str) -> None:
         """Change the state of a target in the platform's list."""
         for target in self.fleet.targets:
@@ -211,16 +227,18 @@
             served.append(number)
 
     def change_under_load(
-        self,
-        change: Callable[[str], object],
-        *entries: int,
-        tokens: int = LONG_ANSWER_TOKENS,
+        self, change: Callable[[str], object], *entries: int
     ) -> str:
         """Change the state of an engine with long streams in progress, under a
         load of short requests. Check that all answers are complete and that
-        the engine soon gets no new work. Returns the name of the engine."""
+        the engine soon gets no new work. Returns the name of the engine.
+
+        The long streams are held; they are released after the change, if it
+        has not done so itself."""
         self.serving_entries = entries
-        streams = self.start_streams(STREAM_COUNT, tokens)
+        self.addCleanup(self.release_long_streams)
+        self.hold_long_streams()
+        streams = self.start_streams(STREAM_COUNT, LONG_ANSWER_TOKENS)
         # A stream counts as long once it exceeds the length of a short answer.
         self.await_true(lambda: self.count_long_attempts() == STREAM_COUNT)
         names = [
@@ -240,6 +258,7 @@
             try:
                 self.await_true(lambda: len(served) > 20)
                 change(name)
+                self.release_long_streams()
                 self.assert_no_new_work(name, served)
                 before = set(self.attempts(name))
                 self.assert_complete(*streams)
@@ -310,6 +329,7 @@
 
         def reclaim(target_id: str) -> None:
             reclaimed_attempts.update(self.long_attempts(target_id))
+            self.release_long_streams()
             self.set_target_state(target_id, 'reclaimed')
 
         attempts = self.attempts(self.change_under_load(reclaim, 0, 1))
@@ -338,16 +358,14 @@
                 tokens_before[attempt_id] = attempts[attempt_id][
                     'output_tokens'
                 ]
+            self.release_long_streams()
             self.set_target_state(target_id, 'reclaimed')
 
-        name = self.change_under_load(
-            reclaim, 0, 1, tokens=LONGEST_ANSWER_TOKENS
-        )
-        attempts = self.attempts(name)
+        attempts = self.attempts(self.change_under_load(reclaim, 0, 1))
         self.assertNotEqual({}, tokens_before)
         for attempt_id, before in tokens_before.items():
             generated = attempts[attempt_id]['output_tokens']
-            self.assertLess(generated, LONGEST_ANSWER_TOKENS)
+            self.assertLess(generated, LONG_ANSWER_TOKENS)
             self.assertLess(generated - before, MAX_TOKENS_AFTER_RECLAIM)
 
 
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -68,6 +68,24 @@
         sizes = [len(model.output_from(name, 0).tokens) for name in 'abcd']
         self.assertTrue(all(abs(size - 250) < 10 for size in sizes), sizes)
 
+    def test_a_slowed_stream_does_not_end_until_it_is_released(self) -> None:
+        """A test holds a stream in progress, however long its steps take."""
+        model = engine()
+        model.faults.slow_after_tokens = 50
+        model.generate(request('long', 'answer 400 tokens'), 0)
+        model.generate(request('short', 'answer 8 tokens'), 0)
+        model.advance(50)
+        held = len(model.output_from('long', 0).tokens)
+        self.assertTrue(95 < held < 105, held)
+        self.assertEqual(8, len(model.output_from('short', 0).tokens))
+        model.faults.slow_after_tokens = None
+        model.advance(52)
+        released = len(model.output_from('long', 0).tokens) - held
+        self.assertTrue(110 < released < 125, released)
+        model.advance(60)
+        expected = answer_text('answer 400 tokens', 1024)
+        self.assertEqual(expected, text_of(model, 'long'))
+
     def test_a_cached_prefix_is_not_recomputed(self) -> None:
         model = engine(events=CacheEventSettings(gap_share=0))
         prefix = 'crate ' * 3200
