--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -10,14 +10,17 @@
 from dandelionyoke_gateway._json_fields import (
     FieldError as FieldError,
     Fields as Fields,
+    get_address as get_address,
     get_flag as get_flag,
     get_int as get_int,
     get_number as get_number,
-    get_object as get_object,
+    get_numbers as get_numbers,
     get_objects as get_objects,
     get_text as get_text,
     get_texts as get_texts,
+    parse_items as parse_items,
     parse_object as parse_object,
+    parse_part as parse_part,
 )
 from dandelionyoke_gateway._log import (
     DescriptorSink as DescriptorSink,
@@ -27,6 +30,7 @@
     RequestHead as RequestHead,
     ResponseHead as ResponseHead,
     parse_whole_number as parse_whole_number,
+    parse_whole_numbers as parse_whole_numbers,
     strip_hop_by_hop_headers as strip_hop_by_hop_headers,
     utf8_header as utf8_header,
 )
--- a/packages/gateway/dandelionyoke_gateway/_json_fields.py
+++ b/packages/gateway/dandelionyoke_gateway/_json_fields.py
@@ -2,10 +2,15 @@
 
 import json
 import math
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
+
+from dandelionyoke_gateway._messages import parse_whole_number
+
+MAX_PORT = 65535
 
 Fields = Mapping[str, Any]
+_Parsed = TypeVar('_Parsed')
 
 
 class FieldError(ValueError):
@@ -89,6 +94,51 @@
     return value
 
 
+def get_numbers(fields: Fields, name: str) -> dict[str, float]:
+    """Return an object of numbers; a missing field is an empty one."""
+    return parse_part(fields, name, _parse_numbers) or {}
+
+
+def get_address(fields: Fields, name: str) -> str:
+    """Return a required address of the form host:port."""
+    address = get_text(fields, name)
+    host, _, port_text = address.rpartition(':')
+    port = parse_whole_number(port_text)
+    if not host or port is None or not 0 < port <= MAX_PORT:
+        raise FieldError(f'{name} {address!r} is not a host:port address')
+    return address
+
+
+def parse_items(
+    fields: Fields, name: str, parse: Callable[[Fields], _Parsed]
+) -> list[_Parsed]:
+    """Parse a list of objects; its errors name the index."""
+    items = []
+    for index, item in enumerate(get_objects(fields, name)):
+        try:
+            items.append(parse(item))
+        except FieldError as error:
+            raise FieldError(f'{name}[{index}]: {error}') from error
+    return items
+
+
+def parse_part(
+    fields: Fields, name: str, parse: Callable[[Fields], _Parsed]
+) -> _Parsed | None:
+    """Parse an object, whose errors name it; None if it is missing."""
+    part = get_object(fields, name)
+    if part is None:
+        return None
+    try:
+        return parse(part)
+    except FieldError as error:
+        raise FieldError(f'{name}: {error}') from error
+
+
+def _parse_numbers(fields: Fields) -> dict[str, float]:
+    return {name: get_number(fields, name) for name in fields}
+
+
 def _get_list(fields: Fields, name: str) -> list[Any]:
     value = fields.get(name)
     if value is None:
--- a/packages/gateway/dandelionyoke_gateway/_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_messages.py
@@ -79,6 +79,13 @@
     return int(digits) if len(digits) <= MAX_NUMBER_DIGITS else None
 
 
+def parse_whole_numbers(text: str | None) -> list[int]:
+    """Parse comma-separated numbers; an empty list if any is none."""
+    numbers = [parse_whole_number(item) for item in (text or '').split(',')]
+    valid = [number for number in numbers if number is not None]
+    return valid if len(valid) == len(numbers) else []
+
+
 def strip_hop_by_hop_headers(headers: HeaderList) -> HeaderList:
     """Drop hop-by-hop headers and those that `Connection` lists."""
     listed = {
