Check whose answer it is before a stream or a prefill uses it

What callers saw: nothing that was reported. A call that an engine had begun to run could be answered 503, "not run", or run at a second engine too; a stream could be generated from the prompt of another caller. Cause: a stream applied what an answer says before it checked the attempt id; a prefill did not check it. An extra answer to an earlier call may arrive on a kept connection right after the next call was sent. Calls to plain services check first. Tests: a refusal that names another call (failed before: `502 != 503`) and a prefill that names one (failed before: `False is not true`, its handle went to the decode engine).

--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -172,12 +172,23 @@
     Raises:
         ExchangeError: the response must not reach the caller.
     """
-    if facts.attempt_id not in {None, context.call.attempt_id}:
-        raise ExchangeError('the response belongs to another call', sent=True)
+    validate_attempt_id(facts, context)
     if head.is_success and not (facts.is_signed and facts.attempt_id):
         raise ExchangeError('a success response without a signature', sent=True)
 
 
+def validate_attempt_id(facts: ResponseFacts, context: CallContext) -> None:
+    """Check that a response belongs to this call.
+
+    A target may send an extra response to an earlier call on the connection.
+
+    Raises:
+        ExchangeError: the response names another call.
+    """
+    if facts.attempt_id not in {None, context.call.attempt_id}:
+        raise ExchangeError('the response belongs to another call', sent=True)
+
+
 def count_usage_once(
     deps: CallDependencies, context: CallContext, started_s: float
 ) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -15,7 +15,10 @@
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._messages import RequestHead
-from dandelionyoke_gateway._plain_call import apply_response_facts
+from dandelionyoke_gateway._plain_call import (
+    apply_response_facts,
+    validate_attempt_id,
+)
 from dandelionyoke_gateway._ports import CacheSource
 from dandelionyoke_gateway._prefill_queue import (
     PrefillGrant,
@@ -218,6 +221,7 @@
             response = connection.read_head(deadline_s)
             body = connection.read_body(deadline_s, MAX_PREFILL_BYTES)
             facts = self._deps.dialect.read_response(response)
+            validate_attempt_id(facts, self._context)
             apply_response_facts(self._deps, target, facts)
             if facts.status != HTTPStatus.OK:
                 return None
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -23,6 +23,7 @@
 from dandelionyoke_gateway._plain_call import (
     apply_response_facts,
     count_usage_once,
+    validate_attempt_id,
     validate_response,
 )
 from dandelionyoke_gateway._ports import (
@@ -218,6 +219,7 @@
             RetryableError: the target refused the call.
             ExchangeError: the response must not reach the caller.
         """
+        validate_attempt_id(facts, self._context)
         apply_response_facts(self._deps, target, facts)
         if facts.is_not_run:
             self._context.attempts.refused()
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -424,6 +424,46 @@
         )
         self.assertEqual(1, len(prefill_engine.received_requests))
 
+    def test_a_refusal_of_another_call_does_not_count(self) -> None:
+        """Guards against a call that runs twice, or is refused though it ran.
+
+        An engine that runs the call first sends a late refusal of another one.
+        """
+
+        def refuses_another_call(
+            request: ReceivedRequest,
+        ) -> Iterator[ScriptStep]:
+            extra = 'Not-Executed: 1\r\nAttempt-Id: other\r\n'
+            yield answer('503 Busy', b'', extra)
+
+        for _ in range(2):
+            self.node.add_target(refuses_another_call, 'lm', Phase.DECODE)
+        self.assertEqual(502, status(self.node.call('/ask/1')))
+        self.assertEqual(1, self.count_sends())
+
+    def test_a_prefill_of_another_call_is_discarded(self) -> None:
+        """Guards against tokens that are generated for another caller's prompt.
+
+        An engine sends the answer to an earlier prefill once more.
+        """
+
+        def answers_another_prefill(
+            request: ReceivedRequest,
+        ) -> Iterator[ScriptStep]:
+            body = b'{"kv_handle":"other","tokens":900,"version":1}'
+            yield answer('200 OK', body, 'Attempt-Id: other\r\n')
+
+        script = first_then(answers_another_prefill, self.answers_prefill)
+        for _ in range(2):
+            self.node.add_target(script, 'lm', Phase.PREFILL)
+        decode_engine = self.node.add_target(
+            self.streams_tokens, 'lm', Phase.DECODE
+        )
+        content = self.node.call('/ask/1', extra=PROMPT_HEADERS)
+        self.assertEqual(200, status(content))
+        request = decode_engine.received_requests[0]
+        self.assertTrue(request.headers['kv-source'].endswith('/h1'))
+
     def test_a_queued_prefill_avoids_an_engine_that_is_draining(
         self,
     ) -> None:
