Treat a socket that cannot be created as a failed connection

What callers saw: nothing that was reported. At a shortage of file descriptors the task that reports usage ended for good, and a caller's call ended with a closed connection in place of an answer. Cause: the socket was created outside of the handling of errors, so that callers got an OSError in place of an ExchangeError. Found by a reader of the code, shown by it with a limit on descriptors. Test: failed before (`OSError: [Errno 24] Too many open files`), passes now with the others of its file (16 passed).

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -240,7 +240,12 @@
         ExchangeError: the connection failed or timed out.
     """
     host, _, port = address.rpartition(':')
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        # For example, the process has no file descriptor left.
+        cause = f'cannot open a socket: {error}'
+        raise ExchangeError(cause, sent=False) from error
     set_socket_options(
         sock, URGENT_USER_TIMEOUT_MS if is_urgent else USER_TIMEOUT_MS
     )
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -1,6 +1,7 @@
 """Orders of a duty's holder, after its term, in partitions, and refused."""
 
 import contextlib
+import errno
 import signal
 import subprocess  # noqa: S404 - the sender has to be stopped
 import sys
@@ -290,3 +291,15 @@
         duty_answer = self.order(lambda _: [None])
         self.assertIs(DutyOutcome.UNKNOWN, duty_answer.outcome)
         self.assertNotEqual('', duty_answer.cause)
+
+    def test_an_order_without_a_file_descriptor_is_not_sent(self) -> None:
+        """Guards against a task that ends for good at a shortage."""
+        error = OSError(errno.EMFILE, 'Too many open files')
+        with mock.patch.object(
+            target_connection.socket, 'socket', side_effect=error
+        ):
+            duties = PlatformDuties('127.0.0.1:1', TargetPool())
+            stamp = FencingStamp('n-1', 9, clock_s() + 5)
+            duty_answer = duties.order_targets(ORDER, stamp)
+        self.assertIs(DutyOutcome.NOT_SENT, duty_answer.outcome)
+        self.assertIn('Too many open files', duty_answer.cause)
