Test that an order without an answer in time is reset

A reader of the code found that no test fails where a timed-out order of a living process keeps its connection. With the connection kept this one fails (`TimeoutError`); it passes on the code as it is.

--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -235,6 +235,22 @@
         return receive(self.sock, 65536, RETRANSMIT_S)
 
 
+class OrderTimeoutTest(testtools.TestCase):
+    def test_an_order_without_an_answer_in_time_is_reset(self) -> None:
+        """Guards against an order in flight after the end of its time."""
+        listener = eventlet.listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        host, port = listener.getsockname()
+        duties = PlatformDuties(f'{host}:{port}', TargetPool())
+        stamp = FencingStamp('n-1', 9, clock_s() + 5)
+        order = eventlet.spawn(duties.order_targets, ORDER, stamp)
+        sock, _ = listener.accept()
+        self.addCleanup(sock.close)
+        self.assertIn(b'POST /scale', receive(sock, 65536, CALL_TIMEOUT_S))
+        self.assertIs(DutyOutcome.UNKNOWN, order.wait().outcome)
+        self.assertRaises(ConnectionResetError, receive, sock, 1, 0.1)
+
+
 class SuspensionTest(testtools.TestCase):
     def test_an_order_is_reset_soon_after_a_suspension(self) -> None:
         """Guards against an order that arrives after a suspended holder's term.
