Let the last save of counts wait for the one in progress

What callers saw: nothing; calls of a node that was told to stop were missing from the usage report where a save was in progress at that moment. Cause: both saves expected the same revision, so the last one was a conflict, and nothing came after it.

--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -4,6 +4,7 @@
 """
 
 from eventlet import sleep
+from eventlet.semaphore import Semaphore
 
 from dandelionyoke_core import (
     CodecError,
@@ -72,6 +73,7 @@
         self._process_name = knowledge.process_name
         self._revisions: dict[int, int] = {}
         self._saved_s = 0.0
+        self._is_saving = Semaphore()
 
     def run(self) -> None:
         """Save until the process exits."""
@@ -100,7 +102,15 @@
         return has_enough or since_save_s >= MAX_SAVE_INTERVAL_S
 
     def save(self) -> None:
-        """Save the windows that changed since the last save."""
+        """Save the windows that changed since the last save.
+
+        A save that is in progress ends first. Two of the same window would
+        expect the same revision, and the second one would fail.
+        """
+        with self._is_saving:
+            self._save_changed()
+
+    def _save_changed(self) -> None:
         usage, receiver = self._knowledge.usage, self._knowledge.counts_receiver
         self._saved_s = clock_s()
         received = receiver.received()
