Stop the limiter's clock in a test of a limit

What was seen: test_an_organisation_over_its_limit_is_refused failed once at a load of 20 (`[200, 200, 200, 429, 429] != [200, 200, 200, 200, 200]`). Cause, a fault of the test's set-up: the limit is one call a second, and five calls took so long that it allowed more. Shown with 0.8 s before each call: the same words. Change: the limiter's clock stands still during the calls. All checks are unchanged; the limit can allow no more meanwhile, so that they are as strict. Result: passes with the same 0.8 s, and 10 of 10 without.

--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -1,6 +1,7 @@
 """Calls over real sockets, to targets that fail in various ways."""
 
 from collections.abc import Iterable, Iterator
+from unittest import mock
 
 import attrs
 import eventlet
@@ -15,7 +16,7 @@
     PromptPart,
     RateLimit,
 )
-from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway import _rate_limits, clock_s
 from tests.platform.node_harness import (
     API_KEY,
     SIGNED_HEAD,
@@ -295,6 +296,11 @@
         """Guards against one organisation using up the whole capacity."""
         target = self.node.add_target(answers_ok)
         self.set_rate_limit(RateLimit(1.0, 2.0))
+        # On a slow machine the limit would allow more during the calls.
+        now_s = clock_s()
+        clock = mock.patch.object(_rate_limits, 'clock_s', lambda: now_s)
+        clock.start()
+        self.addCleanup(clock.stop)
         statuses = [status(self.node.call()) for _ in range(5)]
         self.assertEqual([200, 200, 200, 429, 429], statuses)
         self.assertEqual(3, len(target.received_requests))
