--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -73,7 +73,7 @@
         self._process_name = knowledge.process_name
         self._revisions: dict[int, int] = {}
         self._saved_s = 0.0
-        self._is_saving = Semaphore()
+        self._save_lock = Semaphore()
 
     def run(self) -> None:
         """Save until the process exits."""
@@ -107,7 +107,7 @@
         A save that is in progress ends first. Two of the same window would
         expect the same revision, and the second one would fail.
         """
-        with self._is_saving:
+        with self._save_lock:
             self._save_changed()
 
     def _save_changed(self) -> None:
