Log the limit that a target names in its answers

Without a line about it the logs of an incident can't tell a limit that was ignored from one that each node kept to alone (docs/incidents/engine-limit.md). Nothing is decided by it yet.

--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -35,6 +35,7 @@
     HeaderList as HeaderList,
     RequestHead as RequestHead,
     ResponseHead as ResponseHead,
+    parse_decimal as parse_decimal,
     parse_whole_number as parse_whole_number,
     parse_whole_numbers as parse_whole_numbers,
     strip_hop_by_hop_headers as strip_hop_by_hop_headers,
--- a/packages/gateway/dandelionyoke_gateway/_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_messages.py
@@ -1,5 +1,6 @@
 """Heads of HTTP requests and responses, and the handling of headers."""
 
+import re
 from collections.abc import Sequence
 from http import HTTPStatus
 
@@ -27,6 +28,7 @@
 
 # Every number with as many digits is exact as a float.
 MAX_NUMBER_DIGITS = 15
+_DECIMAL = re.compile(r'[0-9]+(?:[.][0-9]+)?')
 
 
 @attrs.frozen
@@ -86,6 +88,14 @@
     return valid if len(valid) == len(numbers) else []
 
 
+def parse_decimal(text: str | None) -> float | None:
+    """Parse a decimal number of ASCII digits; None if it is none or too long."""
+    digits = (text or '').strip()
+    if len(digits) > MAX_NUMBER_DIGITS or not _DECIMAL.fullmatch(digits):
+        return None
+    return float(digits)
+
+
 def strip_hop_by_hop_headers(headers: HeaderList) -> HeaderList:
     """Drop hop-by-hop headers and those that `Connection` lists."""
     listed = {
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -205,6 +205,15 @@
 ) -> None:
     """Record the load and the identity that a target reported."""
     knowledge = deps.knowledge
+    if facts.limit_per_s is not None or facts.invalid_limit:
+        deps.log.decide(
+            'target.limit',
+            target.target_id,
+            outcome='named',
+            status=facts.status,
+            limit_per_s=facts.limit_per_s,
+            invalid_limit=facts.invalid_limit,
+        )
     if facts.busy is not None:
         knowledge.loads.reported(target.target_id, facts.busy, clock_s())
     if facts.is_other_target:
--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -49,7 +49,9 @@
 
     `is_not_run` means that the target states that it did not run the call.
     `is_other_target` means that another target uses the address now.
-    `busy` is the load that the target reports.
+    `busy` is the load that the target reports. `limit_per_s` is the rate of
+    requests that it takes from all nodes together, None if it names none;
+    `invalid_limit` is the text of a rate that is no number.
     """
 
     status: int
@@ -58,6 +60,8 @@
     is_not_run: bool
     is_other_target: bool
     busy: int | None
+    limit_per_s: float | None = None
+    invalid_limit: str = ''
 
 
 @attrs.frozen
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -51,6 +51,39 @@
 }
 
 
+class TargetLimitTest(testtools.TestCase):
+    def read(self, *texts: str) -> tuple[float | None, str]:
+        """Read the limit from the head of a response."""
+        headers = tuple(('server-limit', text) for text in texts)
+        facts = DIALECT.read_response(ResponseHead(200, headers))
+        return facts.limit_per_s, facts.invalid_limit
+
+    def test_the_limit_of_a_target_is_read(self) -> None:
+        """Guards against a target whose limit no node knows."""
+        self.assertEqual((2.7, ''), self.read('2.7'))
+        self.assertEqual((0.25, ''), self.read(' 0.25 '))
+        self.assertEqual((3.0, ''), self.read('3'))
+        self.assertEqual((0.0, ''), self.read('0'))
+        self.assertEqual((None, ''), self.read())
+        self.assertEqual((1.5, ''), self.read('2', '1.5'))
+
+    def test_a_limit_that_is_no_number_is_told_apart(self) -> None:
+        """Guards against a limit that is lost without a trace."""
+        for text in (
+            '',
+            'nan',
+            'inf',
+            '-1',
+            '1e3',
+            '1_0',
+            '1,5',
+            '٣',
+            '9' * 40,
+        ):
+            self.assertEqual((None, text), self.read(text))
+        self.assertEqual((None, '2, many'), self.read('2', 'many'))
+
+
 class CallTest(testtools.TestCase):
     def test_a_call_head_is_parsed(self) -> None:
         call = DIALECT.read_call(HEAD)
