--- a/tests/platform/test_target_limits.py
+++ b/tests/platform/test_target_limits.py
@@ -2,6 +2,7 @@
 
 import bisect
 import json
+import re
 import tempfile
 from collections.abc import Iterator
 
@@ -9,13 +10,28 @@
 import testtools
 from testtools.content import text_content
 
-from dandelionyoke_gateway import clock_s
+from dandelionyoke_dispatch import Phase, RegisteredTarget
+from dandelionyoke_gateway import CacheSource, clock_s
+from dandelionyoke_gateway._limited_engines import (
+    LimitedDutyClient,
+    LimitedEngineClient,
+)
+from dandelionyoke_gateway._ports import (
+    DutyOutcome,
+    FencingStamp,
+    PhaseOrder,
+)
+from dandelionyoke_platform._duties import PlatformDuties
 from tests.platform.node_harness import (
     SIGNED_HEAD,
+    NodeHarness,
     ReceivedRequest,
+    Script,
     ScriptedTarget,
     ScriptStep,
     answer,
+    chunk,
+    stream_head,
 )
 from tests.platform.program import Program, wait_for
 from tests.platform.store_standin import StoreStandin
@@ -138,3 +154,196 @@
         # What the target takes is used, and its answers show the limit's end.
         self.assertGreater(limited.arrivals_since(counted_s), 3)
         self.assertGreater(other.arrivals_since(counted_s), 3)
+
+
+def naming_limit(script: Script, limit: str) -> Script:
+    """Name a limit in each answer of a script."""
+    line_end = b'\r\n'
+    header = f'Server-Limit: {limit}\r\n'.encode()
+
+    def answer_request(request: ReceivedRequest) -> Iterator[ScriptStep]:
+        for step in script(request):
+            if isinstance(step, bytes) and step.startswith(b'HTTP/1.1 '):
+                status_line, _, rest = step.partition(line_end)
+                step = status_line + line_end + header + rest
+            yield step
+
+    return answer_request
+
+
+def answers_ok(request: ReceivedRequest) -> Iterator[ScriptStep]:
+    yield answer()
+
+
+def answers_error(request: ReceivedRequest) -> Iterator[ScriptStep]:
+    yield answer('500 Error', b'no')
+
+
+def refuses_call(request: ReceivedRequest) -> Iterator[ScriptStep]:
+    yield answer('503 Busy', b'', 'Not-Executed: 1\r\n')
+
+
+def answers_prefill(request: ReceivedRequest) -> Iterator[ScriptStep]:
+    yield answer('200 OK', b'{"kv_handle":"h1","tokens":900,"version":1}')
+
+
+def streams_tokens(request: ReceivedRequest) -> Iterator[ScriptStep]:
+    yield stream_head()
+    yield chunk(b'id: 1\ndata: t\n\n')
+    yield chunk(b'')
+
+
+class LimitedRequestTest(testtools.TestCase):
+    """One node, whose limiter has the whole limit."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = NodeHarness()
+        self.addCleanup(self.node.close)
+        for limiter in self.node.knowledge.limiters.values():
+            limiter.take_nodes(1, 1, clock_s() - 60)
+
+    def call(self, path: str, count: int = 1, extra: str = '') -> list[int]:
+        """Make calls one after the other; return their statuses."""
+        return [
+            int(self.node.call(path, extra=extra).split(b' ')[1])
+            for _ in range(count)
+        ]
+
+    def test_calls_go_to_a_target_without_a_limit(self) -> None:
+        """Guards against calls that are refused for one target in need."""
+        limited = self.node.add_target(naming_limit(answers_ok, '0.2'))
+        other = self.node.add_target(answers_ok)
+        self.assertEqual([200] * 40, self.call('/confirm/1', 40))
+        self.assertLessEqual(len(limited.received_requests), 2)
+        self.assertGreaterEqual(len(other.received_requests), 38)
+
+    def test_when_all_targets_are_at_their_limits_a_call_is_refused(
+        self,
+    ) -> None:
+        """Guards against calls that wait for a target that takes none."""
+        targets = [
+            self.node.add_target(naming_limit(answers_ok, '0.5'))
+            for _ in range(2)
+        ]
+        self.call('/confirm/1', 2)
+        sent = sum(len(target.received_requests) for target in targets)
+        started_s = clock_s()
+        content = self.node.call()
+        self.assertLess(clock_s() - started_s, 0.5)
+        self.assertIn(b' 503 ', content)
+        retry_after = re.search(rb'(?i)retry-after: ([0-9.]+)', content)
+        assert retry_after is not None
+        self.assertGreater(float(retry_after.group(1)), 0.5)
+        self.assertLessEqual(float(retry_after.group(1)), 10)
+        self.assertEqual(
+            sent, sum(len(target.received_requests) for target in targets)
+        )
+        self.assertIn('limit.reached', self.node.log_lines.text)
+
+    def test_retries_count(self) -> None:
+        """Guards against retries that a target gets beyond its limit."""
+        limited = self.node.add_target(naming_limit(refuses_call, '0.2'))
+        self.node.add_target(answers_error)
+        self.call('/look/1', 20)
+        self.assertLessEqual(len(limited.received_requests), 2)
+
+    def test_prefills_and_streams_count(self) -> None:
+        """Guards against prefills that a target gets beyond its limit."""
+        limited_prefill, _ = (
+            self.node.add_target(script, 'lm', Phase.PREFILL)
+            for script in (
+                naming_limit(answers_prefill, '0.2'),
+                answers_prefill,
+            )
+        )
+        limited_decode, _ = (
+            self.node.add_target(script, 'lm', Phase.DECODE)
+            for script in (naming_limit(streams_tokens, '0.2'), streams_tokens)
+        )
+        for part in range(12):
+            extra = (
+                'Model: m\r\nToken-Count: 9000,20\r\n'
+                f'Prompt-Prefix: a{part}:5000,bb:4000\r\n'
+            )
+            self.assertEqual([200], self.call('/ask/1', 1, extra))
+        self.assertLessEqual(len(limited_prefill.received_requests), 2)
+        self.assertLessEqual(len(limited_decode.received_requests), 2)
+
+    def test_no_prompt_is_prefilled_for_a_stream_that_cannot_follow(
+        self,
+    ) -> None:
+        """Guards against prefills in vain while all decode engines are full."""
+        prefill = self.node.add_target(answers_prefill, 'lm', Phase.PREFILL)
+        self.node.add_target(
+            naming_limit(streams_tokens, '0.2'), 'lm', Phase.DECODE
+        )
+        extra = 'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: aa:900\r\n'
+        self.assertEqual([200], self.call('/ask/1', 1, extra))
+        # The decode engine is found to be at its limit.
+        self.call('/ask/1', 1, extra)
+        sent = len(prefill.received_requests)
+        self.assertEqual([503] * 3, self.call('/ask/1', 3, extra))
+        self.assertEqual(sent, len(prefill.received_requests))
+
+    def test_reports_orders_and_releases_count(self) -> None:
+        """Guards against requests of our own that a target does not take."""
+        target = self.node.add_target(naming_limit(answers_ok, '0.2'))
+        self.call('/confirm/1')
+        registered = self.node.knowledge.registry.find('i-1')
+        assert registered is not None
+        duties = PlatformDuties('', self.node.pool)
+        gate = self.node.target_gate
+        engines = LimitedEngineClient(duties, gate)
+        for _ in range(5):
+            self.assertIsNone(engines.read_report(registered))
+            engines.release_cache(CacheSource(registered, 'h1'))
+            order = LimitedDutyClient(duties, gate).order_phase(
+                PhaseOrder(registered, Phase.DECODE, 0),
+                FencingStamp('n-1', 1, clock_s() + 1),
+            )
+            self.assertIs(DutyOutcome.NOT_SENT, order.outcome)
+        self.assertEqual(1, len(target.received_requests))
+
+    def test_a_limit_ends_with_the_first_answer_without_one(self) -> None:
+        """Guards against a target that gets little for good."""
+        limits = ['5']
+        limited = self.node.add_target(
+            lambda request: (
+                naming_limit(answers_ok, limits[0])(request)
+                if limits
+                else answers_ok(request)
+            )
+        )
+        self.call('/confirm/1')
+        self.assertIn(503, self.call('/confirm/1', 5))
+        limits.clear()
+        eventlet.sleep(0.5)
+        self.assertEqual([200] * 10, self.call('/confirm/1', 10))
+        self.assertGreaterEqual(len(limited.received_requests), 11)
+        self.assertIn('"ended"', self.node.log_lines.text)
+
+    def test_a_limit_that_is_no_number_is_logged_and_the_answer_delivered(
+        self,
+    ) -> None:
+        """Guards against a call that fails for a header of its target."""
+        target = self.node.add_target(naming_limit(answers_ok, 'few'))
+        self.assertEqual([200] * 5, self.call('/confirm/1', 5))
+        self.assertEqual(5, len(target.received_requests))
+        self.assertIn('not a decimal number', self.node.log_lines.text)
+
+    def test_a_target_that_restarts_gets_calls_at_once(self) -> None:
+        """Guards against a limit that an earlier process had named."""
+        self.node.add_target(naming_limit(answers_ok, '0.1'))
+        self.call('/confirm/1')
+        self.assertEqual([503], self.call('/confirm/1'))
+        registered = self.node.knowledge.registry.find('i-1')
+        assert registered is not None
+        restarted = RegisteredTarget(
+            'i-1', 'ledger', registered.address, 'a', 8, False, started_ms=7
+        )
+        knowledge = self.node.knowledge
+        knowledge.listing.replace([restarted], clock_s())
+        knowledge.registry.replace([restarted], clock_s())
+        knowledge.forget_target_limits()
+        self.assertEqual([200], self.call('/confirm/1'))
