--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,9 @@
 CHANGES = ('withdraw', 'configure')
 
 MAX_FAULT_S = 4.0
+# A limit is checked from some seconds after it was named.
+LIMIT_FAULT_S = (5.0, 9.0)
+SECONDS_PER_LIMIT = 10.0
 
 
 @attrs.frozen
@@ -32,7 +35,22 @@
 def plan_faults(seed: int, duration_s: float) -> list[Fault]:
     """Draw the faults of a soak; the same seed gives the same faults."""
     random = Random(seed)
-    return sorted(_draw(random, duration_s), key=lambda fault: fault.at_s)
+    faults = [*_draw(random, duration_s), *_draw_limits(seed, duration_s)]
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_limits(seed: int, duration_s: float) -> Iterator[Fault]:
+    """Draw apart from the others, whose plan a seed keeps."""
+    random = Random(f'limits {seed}')
+    for _ in range(max(1, int(duration_s / SECONDS_PER_LIMIT))):
+        limit_s = random.uniform(*LIMIT_FAULT_S)
+        yield Fault(
+            at_s=random.uniform(0, max(0, duration_s - limit_s)),
+            duration_s=limit_s,
+            kind='target',
+            action='limit',
+            index=random.randrange(1000),
+        )
 
 
 def _draw(random: Random, duration_s: float) -> Iterator[Fault]:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -1,5 +1,6 @@
 """Checks of the documented guarantees, from what was seen from outside."""
 
+import bisect
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
@@ -23,6 +24,14 @@
 EVENTS_PER_STREAM = 6
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 STATUS_OK = 200
+# From this long after it first named a limit, a target gets at most so many
+# times its limit, and so many requests more, in any window.
+LIMIT_NOTICE_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERRUN = 1.5
+LIMIT_SLACK = 5
+# Faults that keep nodes from hearing of a limit, or end what they know.
+LIMIT_FAULTS = frozenset(('kill', 'pause', 'term', 'peers'))
 
 
 def find_violations(record: SoakRecord) -> list[str]:
@@ -35,6 +44,7 @@
         violations.extend(_check_call(call, runs[call.attempt_id], record))
     violations.extend(_check_runs(record, runs))
     violations.extend(_check_usage(record))
+    violations.extend(_check_limits(record))
     violations.extend(f'RECOVER {node}' for node in record.unrecovered)
     violations.extend(f'EXIT {text}' for text in record.unexpected_exits)
     return violations
@@ -134,6 +144,33 @@
         yield f'DRAIN {run.attempt_id}: {late_s:.2f} s after its target left'
 
 
+def _check_limits(record: SoakRecord) -> Iterator[str]:
+    for limit in record.limits:
+        allowed = (
+            LIMIT_OVERRUN * LIMIT_WINDOW_S * limit.rate_per_s + LIMIT_SLACK
+        )
+        times_s = [
+            arrival.at_s
+            for arrival in record.arrivals
+            if arrival.target_id == limit.target_id
+            and limit.start_s + LIMIT_NOTICE_S <= arrival.at_s <= limit.end_s
+        ]
+        for index, start_s in enumerate(times_s):
+            end_s = start_s + LIMIT_WINDOW_S
+            count = bisect.bisect(times_s, end_s) - index
+            is_disturbed = any(
+                span.kind in LIMIT_FAULTS
+                and span.overlaps(start_s - FAULT_EFFECT_S, end_s)
+                for span in record.spans
+            )
+            if count > allowed and not is_disturbed:
+                yield (
+                    f'LIMIT {limit.target_id}: {count} requests in '
+                    f'{LIMIT_WINDOW_S:g} s at {limit.rate_per_s} a second'
+                )
+                break
+
+
 def _check_usage(record: SoakRecord) -> Iterator[str]:
     by_window: dict[int, set[tuple[tuple[str, int], ...]]] = defaultdict(set)
     for report in record.usage:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -49,6 +49,24 @@
     first_event: int = 1
 
 
+@attrs.frozen
+class Arrival:
+    """The arrival of any request at a target."""
+
+    target_id: str
+    at_s: float
+
+
+@attrs.frozen
+class NamedLimit:
+    """The time during which a target named a limit in its answers."""
+
+    target_id: str
+    rate_per_s: float
+    start_s: float
+    end_s: float
+
+
 @attrs.frozen
 class Span:
     """The time of a fault, on one node or (empty `node`) on all."""
@@ -82,6 +100,8 @@
     calls: list[CallerCall] = attrs.field(factory=list)
     runs: list[Run] = attrs.field(factory=list)
     spans: list[Span] = attrs.field(factory=list)
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    limits: list[NamedLimit] = attrs.field(factory=list)
     usage: list[UsageReport] = attrs.field(factory=list)
     # For each organisation, when the store received the revocation of its
     # key, and when the organisation had a key again.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -24,8 +24,14 @@
 from tests.soak.callers import Caller
 from tests.soak.faults import Fault, plan_faults
 from tests.soak.promises import FAULT_EFFECT_S, find_violations
-from tests.soak.record import CALL_PATHS, SoakRecord, Span, UsageReport
-from tests.soak.targets import SoakTarget
+from tests.soak.record import (
+    CALL_PATHS,
+    NamedLimit,
+    SoakRecord,
+    Span,
+    UsageReport,
+)
+from tests.soak.targets import LIMITS_PER_S, SoakTarget
 
 DOMAINS = ('a', 'a', 'b', 'b')
 CALLERS_PER_NODE = 3
@@ -354,10 +360,25 @@
             eventlet.sleep(fault.duration_s)
             target.return_to_service()
             return
+        if fault.action == 'limit':
+            self._name_limit(target, fault)
+            return
         target.fault = fault.action
         eventlet.sleep(fault.duration_s)
         target.fault = ''
 
+    def _name_limit(self, target: SoakTarget, fault: Fault) -> None:
+        if target.limit_per_s is not None:
+            return
+        start_s = clock_s()
+        rate_per_s = LIMITS_PER_S[fault.index % len(LIMITS_PER_S)]
+        target.limit_per_s = rate_per_s
+        eventlet.sleep(fault.duration_s)
+        target.limit_per_s = None
+        self._record.limits.append(
+            NamedLimit(target.target_id, rate_per_s, start_s, clock_s())
+        )
+
     def _inject_change(self, fault: Fault) -> None:
         if fault.action == 'configure':
             self._configure()
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -14,12 +14,14 @@
 )
 from tests.platform.store_standin import StoreStandin
 from tests.soak.promises import EVENTS_PER_STREAM, plain_body, stream_event
-from tests.soak.record import Run, SoakRecord
+from tests.soak.record import Arrival, Run, SoakRecord
 
 PLAIN_DELAY_S = 0.03
 PREFILL_DELAY_S = 0.05
 EVENT_INTERVAL_S = 0.02
 SLOTS = 8
+# Requests a second that a target in need names.
+LIMITS_PER_S = (0.5, 1.0, 2.7)
 
 
 class SoakTarget:
@@ -46,6 +48,7 @@
         self._store = store
         self._random = random
         self.fault = ''
+        self.limit_per_s: float | None = None
         self._state = 'ready'
         self._handles: set[str] = set()
         self.server = ScriptedTarget(self._serve)
@@ -82,6 +85,19 @@
         self.write_entry()
 
     def _serve(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        self._record.arrivals.append(Arrival(self.target_id, clock_s()))
+        for step in self._steps(request):
+            yield self._with_limit(step)
+
+    def _with_limit(self, step: ScriptStep) -> ScriptStep:
+        """Add the limit to the head of a response."""
+        is_head = isinstance(step, bytes) and step.startswith(b'HTTP/1.1 ')
+        if not is_head or self.limit_per_s is None:
+            return step
+        header = f'\r\nServer-Limit: {self.limit_per_s}'.encode()
+        return step.replace(b'\r\n', header + b'\r\n', 1)
+
+    def _steps(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
         attempt_id = request.headers.get('attempt-id', '')
         path = request.line.split(' ')[1]
         if path.startswith('/-/'):
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -13,7 +13,9 @@
 from tests.soak.record import (
     ASK,
     CONFIRM,
+    Arrival,
     CallerCall,
+    NamedLimit,
     Run,
     SoakRecord,
     Span,
@@ -134,3 +136,26 @@
     def test_a_seed_gives_the_same_faults(self) -> None:
         self.assertEqual(plan_faults(7, 20.0), plan_faults(7, 20.0))
         self.assertNotEqual(plan_faults(7, 20.0), plan_faults(8, 20.0))
+
+
+class LimitTest(testtools.TestCase):
+    def violations(self, interval_s: float, *spans: Span) -> list[str]:
+        """Check requests at an interval to a target that names a limit."""
+        record = SoakRecord()
+        record.limits = [NamedLimit('i-1', 1.0, 10.0, 30.0)]
+        record.arrivals = [
+            Arrival('i-1', 10 + number * interval_s)
+            for number in range(int(20 / interval_s))
+        ]
+        record.spans = list(spans)
+        return find_violations(record)
+
+    def test_a_limit_that_is_kept_is_no_violation(self) -> None:
+        self.assertEqual([], self.violations(0.5))
+
+    def test_a_limit_that_is_exceeded_is_found(self) -> None:
+        self.assertIn('LIMIT i-1', self.violations(0.2)[0])
+
+    def test_a_restart_excuses(self) -> None:
+        span = Span('kill', 'n-1', 9, 31)
+        self.assertEqual([], self.violations(0.2, span))
