Reproduce that callers of a node that reaches no target are not served

The relay learns to hang (a full queue, so that the kernel drops opening packets) and to refuse; the store's stand-in shows each node its own addresses.

--- a/packages/standins/dandelionyoke_standins/_relay.py
+++ b/packages/standins/dandelionyoke_standins/_relay.py
@@ -16,6 +16,8 @@
 
 HOST = '127.0.0.1'
 CHUNK_BYTES = 65_536
+# More connections than fit into the queue of a listener with a backlog of 0.
+QUEUE_FILLERS = 4
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
@@ -26,6 +28,8 @@
     OPEN = 'open'
     CUT = 'cut'
     BLACKHOLE = 'blackhole'
+    REFUSING = 'refusing'
+    HANGING = 'hanging'
 
 
 @attrs.define(eq=False)
@@ -114,6 +118,8 @@
         self._listener = eventlet.listen((HOST, port))
         self._port = self._listener.getsockname()[1]
         self._acceptor: GreenThread | None = None
+        # The listener and the connections that keep its queue full.
+        self._queued: list[socket.socket] = []
         self.address = f'{HOST}:{self._port}'
 
     @property
@@ -166,6 +172,28 @@
         self._state = RelayState.BLACKHOLE
         self.silence()
 
+    def refuse(self) -> None:
+        """Refuse new connections; open ones live on."""
+        self._stop_listening()
+        self._state = RelayState.REFUSING
+
+    def hang(self) -> None:
+        """Drop the bytes on open connections; new ones are never established.
+
+        The kernel drops the opening packets to a listener whose queue is full,
+        as a partition does.
+        """
+        self._stop_listening()
+        self.silence()
+        self._state = RelayState.HANGING
+        full = eventlet.listen((HOST, self._port), backlog=0)
+        self._queued = [full]
+        for _ in range(QUEUE_FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((HOST, self._port))
+            self._queued.append(filler)
+
     def delay(self, delay_s: float) -> None:
         """Delay each chunk on open and new connections."""
         self._delay_s = delay_s
@@ -204,12 +232,19 @@
         server_socket.close()
 
     def _stop_listening(self) -> None:
+        self._drop_queue()
         if self._acceptor is not None:
             self._acceptor.kill()
             self._acceptor = None
             self._listener.close()
 
     def _resume_listening(self) -> None:
+        self._drop_queue()
         if self._acceptor is None:
             self._listener = eventlet.listen((HOST, self._port))
             self._acceptor = eventlet.spawn(self._accept_connections)
+
+    def _drop_queue(self) -> None:
+        for queued in self._queued:
+            queued.close()
+        self._queued.clear()
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -66,6 +66,8 @@
         # Replacements of texts in listed values, for example a node's address
         # by that of a relay.
         self.rewrites: dict[str, str] = {}
+        # The same by own address, for one node's view of the network.
+        self.rewrites_at: dict[str, dict[str, str]] = {}
         # Own addresses at which every store call is refused (503).
         self.refused: set[str] = set()
         # Number of calls by own address and path.
@@ -111,9 +113,10 @@
             self.leases[lease] = (0, ttl_s)
         self._expire()
 
-    def _rewrite(self, item: StoredItem) -> StoredItem:
+    def _rewrite(self, item: StoredItem, address: str) -> StoredItem:
         value = item.value
-        for original, replacement in self.rewrites.items():
+        rewrites = self.rewrites | self.rewrites_at.get(address, {})
+        for original, replacement in rewrites.items():
             value = value and value.replace(original, replacement)
         return attrs.evolve(item, value=value)
 
@@ -163,9 +166,10 @@
             item = self.items.get(query['key'])
             return (200, item.fields()) if item else (404, {})
         if path == wire.RANGE_PATH:
-            return 200, self._list_range(query['path_prefix'])
+            prefix = query['path_prefix']
+            return 200, self._list_range(prefix, _address(environ))
         if path == wire.WATCH_PATH:
-            return self._watch(query)
+            return self._watch(query, _address(environ))
         if path == wire.TRANSACTION_PATH:
             outcome = self._write(body)
             return (504, {}) if self.loses_write_answers else outcome
@@ -180,9 +184,9 @@
         self.reports.append((clock_s(), holder, fence, body))
         return 200, {}
 
-    def _list_range(self, prefix: str) -> dict[str, Any]:
+    def _list_range(self, prefix: str, address: str) -> dict[str, Any]:
         found = [
-            self._rewrite(item).fields()
+            self._rewrite(item, address).fields()
             for item in self.items.values()
             if item.key.startswith(prefix)
         ]
@@ -192,7 +196,9 @@
             'current_rev': self.revision,
         }
 
-    def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+    def _watch(
+        self, query: dict[str, str], address: str
+    ) -> tuple[int, dict[str, Any]]:
         after = int(query['after'])
         if after < self.compacted_revision:
             return 410, {}
@@ -202,7 +208,7 @@
             if self.is_unavailable:
                 return 503, {}
             events = [
-                item.fields()
+                self._rewrite(item, address).fields()
                 for item in self.history
                 if item.revision > after
                 and item.key.startswith(query['path_prefix'])
