Hand calls to another node while this one reaches no target

Cause: a call was sent to targets by the node that took it, and by no other.

A node finds out that it reaches no target of a service by connections: two targets that fail or stay silent start a probe of four, and if none accepts a connection the service is cut off until half of a probe do. Until then its calls go to another node, each over a channel of its own on the peer port (WebSocket, CBOR, the links' proof): whole requests, responses as they come, back pressure and the end of either side by the connection. The other node sends the call as one of its own and hands it no further; limits are charged where the call arrived, usage is counted where it is sent. An exchange that may be repeated is given up once nothing is reached.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -126,6 +126,10 @@
     TargetFailure as TargetFailure,
     TargetLoads as TargetLoads,
 )
+from dandelionyoke_dispatch._target_reach import (
+    TargetReach as TargetReach,
+    TargetReachSettings as TargetReachSettings,
+)
 from dandelionyoke_dispatch._usage import (
     ProcessCounts as ProcessCounts,
     TrueTime as TrueTime,
--- a/packages/dispatch/dandelionyoke_dispatch/_sources.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_sources.py
@@ -18,13 +18,15 @@
 class Member:
     """The entry of a node in the store.
 
-    `capacity` is its processor time in seconds per second.
+    `capacity` is its processor time in seconds per second. `takes_calls` is
+    whether other nodes may hand it calls; earlier versions take none.
     """
 
     instance_id: str
     domain: str
     address: str
     capacity: float = 1.0
+    takes_calls: bool = False
 
 
 @attrs.frozen
@@ -174,6 +176,14 @@
                 return member
         return None
 
+    def others(self) -> Sequence[Member]:
+        """Return all other known members."""
+        return [
+            member
+            for member in (*self._own_domain_members, *self._other_members)
+            if member.instance_id != self._own_id
+        ]
+
     def first_of_other_domains(self) -> Sequence[Member]:
         """Return the first node of each other domain, as ranked there.
 
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -1,7 +1,8 @@
 """Authentication, routing and refusal of the calls of callers."""
 
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from http import HTTPStatus
 
 import attrs
@@ -16,14 +17,14 @@
     FleetConfiguration,
     Organisation,
     Refusal,
+    RegisteredTarget,
     Route,
-    Service,
-    Shutdown,
-    fingerprint,
 )
+from dandelionyoke_gateway._call_context import CallContext
 from dandelionyoke_gateway._caller_connection import CallerRequest, Responder
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import CallerDisconnectedError
+from dandelionyoke_gateway._handover import Handover
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._messages import ResponseHead
@@ -34,6 +35,8 @@
     OverLimitError,
     RateLimits,
 )
+from dandelionyoke_gateway._reach_task import ReachTask
+from dandelionyoke_gateway._target_connection import TargetConnection
 from dandelionyoke_gateway._target_gate import TargetGate
 from dandelionyoke_gateway._target_pool import TargetPool
 
@@ -53,54 +56,27 @@
     # call, and the id and the address of the target.
     probe: Callable[[str, str, str], None]
     target_gate: TargetGate
+    reach: ReachTask
+    handover: Handover
 
+    @contextmanager
+    def connect_to(
+        self, target: RegisteredTarget, *, is_repeatable: bool
+    ) -> Iterator[TargetConnection]:
+        """Acquire a connection to a target for one exchange.
 
-@attrs.define
-class CallContext:
-    """The state of one call from its admission until its response."""
-
-    call: Call
-    request: CallerRequest
-    responder: Responder
-    route: Route
-    service: Service
-    organisation: Organisation | None
-    own_deadline_s: float
-    attempts: Attempts
-    shutdown: Shutdown
-    is_usage_counted: bool = False
-
-    @property
-    def deadline_s(self) -> float:
-        """The time by which the caller must have its response.
-
-        Earlier than the deadline of the call itself if this process shuts
-        down before that.
+        One that may be repeated is given up while it waits for a target, once
+        it is known that no target of its service is reached.
         """
-        shutdown_deadline_s = self.shutdown.response_deadline_s()
-        if shutdown_deadline_s is None:
-            return self.own_deadline_s
-        return min(self.own_deadline_s, shutdown_deadline_s)
-
-    @property
-    def fingerprint(self) -> str:
-        """A hash that the call and its repetitions have in common."""
-        return fingerprint(
-            self.organisation_name, self.call.path, self.request.body
-        )
-
-    @property
-    def organisation_name(self) -> str | None:
-        """The name of the organisation that the call is made for."""
-        return None if self.organisation is None else self.organisation.name
-
-    @property
-    def priority(self) -> int:
-        """The priority of the call; lower values go first."""
-        if self.organisation is not None:
-            if self.organisation.priority is not None:
-                return self.organisation.priority
-        return self.route.priority
+        with self.pool.acquire(target.address) as connection:
+            if connection.is_new:
+                self.reach.connected(target)
+            connection.give_up = lambda: (
+                self.reach.silent(target) and is_repeatable
+            )
+            yield connection
+            connection.give_up = None
+            self.reach.heard(target)
 
 
 class RefusedError(Exception):
@@ -197,6 +173,12 @@
         if service is None:
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
         timeout_s = min(call.time_left_s or route.timeout_s, route.timeout_s)
+        max_attempts, is_usage_counted = route.max_attempts, False
+        handed_over = request.handed_over
+        if handed_over is not None:
+            max_attempts = min(max_attempts, handed_over.attempts_left)
+            is_usage_counted = handed_over.is_usage_counted
+            call = attrs.evolve(call, last_event_id=handed_over.last_event_id)
         return CallContext(
             call,
             request,
@@ -205,8 +187,9 @@
             service,
             organisation,
             request.arrived_s + timeout_s,
-            Attempts(route.max_attempts),
+            Attempts(max_attempts),
             self._deps.knowledge.shutdown,
+            is_usage_counted,
         )
 
     def _authenticate(
@@ -246,6 +229,9 @@
         organisation = context.organisation
         if organisation is None or organisation.rate_limit is None:
             return None
+        if context.request.handed_over is not None:
+            # The node that took the call from its caller has charged it.
+            return None
         charge = Charge(
             context.call.attempt_id,
             organisation.name,
@@ -285,7 +271,11 @@
         if attempts.may_have_run:
             retry_after_s = None
         head = self._deps.dialect.refusal_head(status, retry_after_s)
-        responder.respond(head, f'{refusal.cause.value}\n'.encode())
+        responder.refuse(
+            head,
+            f'{refusal.cause.value}\n'.encode(),
+            may_have_run=attempts.may_have_run,
+        )
 
     def _log_internal_error(self, request: CallerRequest) -> None:
         self._deps.log.decide(
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -3,7 +3,7 @@
 import contextlib
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Protocol
 
 import attrs
 import eventlet
@@ -30,18 +30,60 @@
 WRITE_TIMEOUT_S = 10.0
 
 
+@attrs.frozen
+class HandedOver:
+    """What the node that handed a call to this one knows about it.
+
+    `attempts_left` targets may still run it. `last_event_id` is the last event
+    that its caller has received.
+    """
+
+    peer_id: str
+    attempts_left: int
+    is_usage_counted: bool
+    last_event_id: str | None
+
+
 @attrs.frozen
 class CallerRequest:
-    """A complete request and the time when its head was read."""
+    """A complete request and the time when its head was read.
+
+    `handed_over` is None for a request of a caller of this node.
+    """
 
     head: RequestHead
     body: bytes = attrs.field(repr=False)
     arrived_s: float
+    handed_over: HandedOver | None = None
 
 
-class Responder:
+class Responder(Protocol):
     """Writes the response to one request."""
 
+    is_complete: bool
+    has_started: bool
+
+    def respond(self, head: ResponseHead, body: bytes) -> None:
+        """Write a complete response."""
+
+    def refuse(
+        self, head: ResponseHead, body: bytes, *, may_have_run: bool
+    ) -> None:
+        """Write a response with which this node refuses the call."""
+
+    def start(self, head: ResponseHead) -> None:
+        """Write the head of a response of unknown length."""
+
+    def send_chunk(self, content: bytes) -> None:
+        """Write a part of the response body."""
+
+    def finish(self) -> None:
+        """End the response; the caller takes one that is not ended as cut."""
+
+
+class HttpResponder:
+    """Writes the response to one request to its caller."""
+
     def __init__(
         self, parser: h11.Connection, sock: socket.socket, *, close_after: bool
     ) -> None:
@@ -60,6 +102,15 @@
         self._write(data + (self._parser.send(h11.EndOfMessage()) or b''))
         self.is_complete = True
 
+    def refuse(
+        self, head: ResponseHead, body: bytes, *, may_have_run: bool
+    ) -> None:
+        """Write a response with which this node refuses the call.
+
+        Its status tells the caller whether the call may have run.
+        """
+        self.respond(head, body)
+
     def start(self, head: ResponseHead) -> None:
         """Write the head of a response of unknown length."""
         self._write(self._encode_head(head.status, head.headers))
@@ -135,7 +186,7 @@
             return False
         if request is None:
             return False
-        responder = Responder(
+        responder = HttpResponder(
             self._parser, self._sock, close_after=self._is_leaving()
         )
         self._handle(request, responder)
@@ -275,7 +326,7 @@
         """Respond with the error of an invalid request, then close."""
         if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        responder = Responder(self._parser, self._sock, close_after=True)
+        responder = HttpResponder(self._parser, self._sock, close_after=True)
         body = f'{error.cause}\n'.encode()
         content_type = ('content-type', 'text/plain; charset=utf-8')
         responder.respond(ResponseHead(error.status, (content_type,)), body)
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -0,0 +1,226 @@
+"""Hands calls to other nodes while this one reaches no target."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from dandelionyoke_core import InstanceId, PeerMessage
+from dandelionyoke_dispatch import Member
+from dandelionyoke_gateway._call_context import CallContext
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
+from dandelionyoke_gateway._handover_messages import (
+    BodyPart,
+    CallHanded,
+    ResponseBegun,
+)
+from dandelionyoke_gateway._handover_server import split_body
+from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._messages import ResponseHead
+from dandelionyoke_links import CallChannel, LinkError
+
+# A healthy node accepts a channel within milliseconds.
+OPEN_TIMEOUT_S = 0.4
+# After so many nodes that could not serve it the call is refused.
+MAX_NODES = 3
+# A node that could not serve a call gets none for this long.
+NODE_COOLDOWN_S = 2.0
+# So many connections that failed before a byte was sent show that another
+# node should try, before it is known whether the service is cut off.
+FAILED_CONNECTIONS = 2
+
+OpenCall = Callable[[InstanceId, str, float], CallChannel]
+
+
+class HandedCall:
+    """A call at another node, whose response has begun."""
+
+    def __init__(self, channel: CallChannel, begun: ResponseBegun) -> None:
+        self._channel = channel
+        self.head = ResponseHead(begun.status, begun.headers)
+        self.is_stream = begun.is_stream
+        self.may_have_run = begun.may_have_run
+
+    def read_chunk(self, deadline_s: float) -> bytes | None:
+        """Read a part of the response body; None at its regular end.
+
+        Raises:
+            ExchangeError: the response was cut off.
+        """
+        part = receive_until(self._channel, deadline_s)
+        if not isinstance(part, BodyPart):
+            raise ExchangeError('a message is no part of a body', sent=True)
+        if part.is_last and not part.content:
+            return None
+        return part.content
+
+    def read_body(self, deadline_s: float) -> bytes:
+        """Read the rest of the response body.
+
+        Raises:
+            ExchangeError: the response was cut off.
+        """
+        chunks = []
+        while (chunk := self.read_chunk(deadline_s)) is not None:
+            chunks.append(chunk)
+        return b''.join(chunks)
+
+
+class Handover:
+    """Chooses a node for a call and passes its response back.
+
+    The node that took the call from its caller charges it against its
+    organisation's limit; the one that sends it to a target counts its usage.
+    A call is handed over once: the other node does not hand it on.
+    """
+
+    def __init__(self, knowledge: Knowledge, log: DecisionLog) -> None:
+        self._knowledge = knowledge
+        self._log = log
+        self._open: OpenCall | None = None
+        self._cooldown_until_s: dict[str, float] = {}
+
+    def attach(self, open_call: OpenCall) -> None:
+        """Set the function that opens channels, once links are accepted."""
+        self._open = open_call
+
+    def is_needed(self, context: CallContext) -> bool:
+        """Whether another node should serve a call."""
+        if context.request.handed_over is not None or self._open is None:
+            return False
+        service = context.service.name
+        return (
+            self._knowledge.reach.is_cut_off(service)
+            or context.failed_connections >= FAILED_CONNECTIONS
+        )
+
+    @contextmanager
+    def exchange(
+        self, context: CallContext, last_event_id: str | None
+    ) -> Iterator[HandedCall]:
+        """Hand a call to a node that can serve it.
+
+        Raises:
+            ExchangeError: none can, or the response was cut off.
+        """
+        for member in self._choose_members():
+            channel = self._open_channel(member)
+            if channel is None:
+                continue
+            try:
+                call = self._start(context, channel, member, last_event_id)
+                if call is not None:
+                    yield call
+                    return
+            finally:
+                channel.close()
+        raise ExchangeError('no other node serves the call', sent=False)
+
+    def _choose_members(self) -> list[Member]:
+        """Choose among all nodes alike: those of this domain may be cut off."""
+        now_s = clock_s()
+        members = [
+            member
+            for member in self._knowledge.sources.others()
+            if member.takes_calls
+            and now_s >= self._cooldown_until_s.get(member.instance_id, 0.0)
+        ]
+        count = min(len(members), MAX_NODES)
+        return self._knowledge.random.sample(members, count)
+
+    def _open_channel(self, member: Member) -> CallChannel | None:
+        if self._open is None:
+            return None
+        peer_id = InstanceId(member.instance_id)
+        try:
+            return self._open(peer_id, member.address, OPEN_TIMEOUT_S)
+        except LinkError as error:
+            self._pass_over(member, str(error))
+            return None
+
+    def _start(
+        self,
+        context: CallContext,
+        channel: CallChannel,
+        member: Member,
+        last_event_id: str | None,
+    ) -> HandedCall | None:
+        """Send a call and wait for the response to begin.
+
+        Returns None if the node cannot serve it and another one may.
+        """
+        begun = _exchange_heads(context, channel, last_event_id)
+        self._log.decide(
+            'call.handed',
+            context.call.attempt_id,
+            outcome=member.instance_id,
+            service=context.service.name,
+            status=begun.status,
+            may_have_run=str(begun.may_have_run),
+            since_arrival_s=clock_s() - context.request.arrived_s,
+        )
+        if begun.is_elsewhere:
+            context.attempts.refused()
+            self._pass_over(member, f'answered {begun.status}')
+            return None
+        return HandedCall(channel, begun)
+
+    def _pass_over(self, member: Member, cause: str) -> None:
+        until_s = clock_s() + NODE_COOLDOWN_S
+        self._cooldown_until_s[member.instance_id] = until_s
+        self._log.decide(
+            'handover.refused',
+            member.instance_id,
+            outcome='passed over',
+            cause=cause,
+        )
+
+
+def receive_until(channel: CallChannel, deadline_s: float) -> PeerMessage:
+    """Receive a message.
+
+    Raises:
+        ExchangeError: the channel has ended, or none arrived in time.
+    """
+    remaining_s = deadline_s - clock_s()
+    if remaining_s <= 0:
+        raise ExchangeTimeoutError('no response in time', sent=True)
+    try:
+        return channel.receive(remaining_s)
+    except TimeoutError as timeout:
+        raise ExchangeTimeoutError(
+            'no response in time', sent=True
+        ) from timeout
+    except LinkError as error:
+        raise ExchangeError(str(error), sent=True) from error
+
+
+def _exchange_heads(
+    context: CallContext, channel: CallChannel, last_event_id: str | None
+) -> ResponseBegun:
+    """Send a call; return the head of its response.
+
+    Raises:
+        ExchangeError: the channel has ended; the call may have run.
+    """
+    request = context.request
+    call = CallHanded(
+        request.head.method,
+        request.head.target,
+        request.head.headers,
+        clock_s() - request.arrived_s,
+        max(1, context.route.max_attempts - context.attempts.run_count),
+        context.is_usage_counted,
+        last_event_id,
+    )
+    context.attempts.sent(channel.peer_id)
+    try:
+        channel.send(call)
+        for part in split_body(request.body):
+            channel.send(part)
+    except LinkError as error:
+        raise ExchangeError(str(error), sent=True) from error
+    begun = receive_until(channel, context.deadline_s)
+    if not isinstance(begun, ResponseBegun):
+        raise ExchangeError('the response has no head', sent=True)
+    return begun
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_handover_messages.py
@@ -0,0 +1,59 @@
+"""Messages with which a node hands a call to another one.
+
+Each call has a channel of its own. Times are sent as durations because the
+nodes' clocks are not synchronised.
+"""
+
+import math
+
+import attrs
+
+from dandelionyoke_core import PeerMessage
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@attrs.frozen
+class CallHanded(PeerMessage):
+    """A call whose request arrived `age_s` ago, as its caller sent it.
+
+    The body follows in parts. `last_event_id` is the last event that the
+    caller has received. At most `attempts_left` targets may run the call.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    age_s: float
+    attempts_left: int
+    is_usage_counted: bool = False
+    last_event_id: str | None = None
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether the figures can be those of a call."""
+        is_finite = math.isfinite(self.age_s) and self.age_s >= 0
+        return is_finite and self.attempts_left > 0
+
+
+@attrs.frozen
+class BodyPart(PeerMessage):
+    """A part of the body of a call or of its response."""
+
+    content: bytes
+    is_last: bool
+
+
+@attrs.frozen
+class ResponseBegun(PeerMessage):
+    """The head of the response.
+
+    `may_have_run` is False only if no target ran the call. `is_elsewhere`
+    means that the node could not serve the call although another node may.
+    """
+
+    status: int
+    headers: Headers
+    is_stream: bool = False
+    may_have_run: bool = True
+    is_elsewhere: bool = False
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -46,6 +46,8 @@
     TargetLimitSettings,
     TargetListing,
     TargetLoads,
+    TargetReach,
+    TargetReachSettings,
     TargetRegistry,
     TrueTime,
     UsageCounter,
@@ -116,6 +118,9 @@
     counts_sender: CountsSender
     limiters: Mapping[LimitScope, FleetLimiter]
     target_limits: TargetLimits
+    reach: TargetReach = attrs.field(
+        factory=lambda: TargetReach(TargetReachSettings())
+    )
     counts_receiver: CountsReceiver = attrs.field(factory=CountsReceiver)
     signal: ChangeSignal = attrs.field(factory=ChangeSignal)
     waiters: QueueWaiters = attrs.field(factory=QueueWaiters)
@@ -193,6 +198,7 @@
             settings.domain,
             f'{settings.peers.host}:{settings.peers.port}',
             settings.processors * settings.processor_share,
+            takes_calls=True,
         )
 
     def own_demand(self, now_s: float) -> DemandSample:
--- a/packages/gateway/dandelionyoke_gateway/_news_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_links.py
@@ -2,6 +2,7 @@
 
 import secrets
 
+import attrs
 import eventlet
 from eventlet.green import socket
 
@@ -17,6 +18,8 @@
     StorePut,
     StoreWritten,
 )
+from dandelionyoke_gateway._handover import Handover
+from dandelionyoke_gateway._handover_server import HandoverServer
 from dandelionyoke_gateway._introduction_task import IntroductionTask
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
@@ -34,11 +37,33 @@
 SECRET_BACKOFF = BackOffSettings(initial_s=0.2, max_s=2.0)
 
 
+@attrs.frozen
+class LinkServices:
+    """The parts that send and receive messages over links."""
+
+    news_task: NewsTask
+    prefill_links: PrefillLinks
+    source_services: SourceServices
+    handover: Handover
+    handover_server: HandoverServer
+
+    def attach(self, hub: PeerHub) -> None:
+        """Let all parts send over the links of a hub."""
+        hub.serve_calls(self.handover_server.serve)
+        self.handover.attach(hub.open_call)
+        self.prefill_links.attach(hub.send)
+        self.source_services.start(hub.send, hub.connect)
+
+    def handle_event(self, event: Event) -> bool:
+        """Handle a link event; return whether it was for one of the parts."""
+        return self.prefill_links.handle_event(
+            event
+        ) or self.source_services.handle_event(event)
+
+
 def serve_news(
     listener: socket.socket,
-    news_task: NewsTask,
-    prefill_links: PrefillLinks,
-    source_services: SourceServices,
+    services: LinkServices,
     knowledge: Knowledge,
     store: Store,
     log: DecisionLog,
@@ -51,19 +76,16 @@
 
     def emit(event: Event) -> None:
         introductions.handle_event(event)
-        if not prefill_links.handle_event(
-            event
-        ) and not source_services.handle_event(event):
-            news_task.handle_event(server, event)
+        if not services.handle_event(event):
+            services.news_task.handle_event(server, event)
 
     hub = PeerHub(PeerSettings(own_id, secret.encode()), emit)
     server = NewsServer(knowledge, hub.send)
-    prefill_links.attach(hub.send)
-    source_services.start(hub.send, hub.connect)
+    services.attach(hub)
     eventlet.spawn_n(hub.serve, listener)
     eventlet.spawn_n(introductions.run, hub.send, hub.connect)
     log.decide('links.opened', settings.instance_id)
-    news_task.run(hub)
+    services.news_task.run(hub)
 
 
 def _wait_for_secret(store: Store, back_off: BackOff) -> str:
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_node_links.py
@@ -0,0 +1,67 @@
+"""The parts of a node that talk to other nodes."""
+
+import attrs
+import eventlet
+from eventlet.green import socket
+
+from dandelionyoke_gateway._caller_connection import Handler
+from dandelionyoke_gateway._domain_prefill_queue import DomainPrefillQueue
+from dandelionyoke_gateway._handover import Handover
+from dandelionyoke_gateway._handover_server import HandoverServer
+from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._news_links import LinkServices, serve_news
+from dandelionyoke_gateway._news_task import NewsTask
+from dandelionyoke_gateway._ports import Store
+from dandelionyoke_gateway._prefill_links import PrefillLinks
+from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
+from dandelionyoke_gateway._source_services import SourceServices
+
+
+@attrs.frozen
+class NodeLinks:
+    """What calls need of other nodes, and what this one does for them."""
+
+    knowledge: Knowledge
+    log: DecisionLog
+    handover: Handover
+    sources: SourceServices
+    local_prefill_queue: LocalPrefillQueue
+    prefill_queue: DomainPrefillQueue
+
+    def start(
+        self,
+        listener: socket.socket,
+        news_task: NewsTask,
+        handler: Handler,
+        store: Store,
+    ) -> None:
+        """Serve other nodes and ask them, until the process exits."""
+        services = LinkServices(
+            news_task,
+            PrefillLinks(
+                self.prefill_queue,
+                self.local_prefill_queue,
+                self.knowledge.loads,
+                self.log,
+            ),
+            self.sources,
+            self.handover,
+            HandoverServer(handler, self.log),
+        )
+        eventlet.spawn_n(
+            serve_news, listener, services, self.knowledge, store, self.log
+        )
+
+
+def new_node_links(knowledge: Knowledge, log: DecisionLog) -> NodeLinks:
+    """Create the parts; they decide locally until the links are open."""
+    local_prefill_queue = LocalPrefillQueue(knowledge)
+    return NodeLinks(
+        knowledge,
+        log,
+        Handover(knowledge, log),
+        SourceServices(knowledge, log),
+        local_prefill_queue,
+        DomainPrefillQueue(local_prefill_queue, knowledge, log),
+    )
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -10,8 +10,8 @@
     Refusal,
     RegisteredTarget,
 )
+from dandelionyoke_gateway._call_context import CallContext
 from dandelionyoke_gateway._call_dispatcher import (
-    CallContext,
     CallDependencies,
     RefusedError,
     limited_refusal,
@@ -63,19 +63,50 @@
             RefusedError: no target did.
         """
         self._knowledge.budget.add_call(clock_s())
+        response = self._try_targets()
+        if response is None and self._deps.handover.is_needed(self._context):
+            response = self._hand_over()
+        if response is not None:
+            return response
+        if self._error_response is not None:
+            return self._error_response
+        raise RefusedError(
+            limited_refusal(self._deps, self._context)
+            or Refusal(self._cause, DEFAULT_RETRY_AFTER_S)
+        )
+
+    def _try_targets(self) -> BufferedResponse | None:
+        """Ask targets while one may respond; None if none does."""
         for _ in range(MAX_SENDS):
+            if self._deps.handover.is_needed(self._context):
+                break
             target = self._next_target()
             if target is None:
                 break
             response = self._send_to(target)
             if response is not None:
                 return response
-        if self._error_response is not None:
-            return self._error_response
-        raise RefusedError(
-            limited_refusal(self._deps, self._context)
-            or Refusal(self._cause, DEFAULT_RETRY_AFTER_S)
-        )
+        return None
+
+    def _hand_over(self) -> BufferedResponse | None:
+        """Let another node serve the call; None if none can."""
+        context = self._context
+        if not context.attempts.may_run_again(context.route.is_repeatable):
+            return None
+        try:
+            with self._deps.handover.exchange(context, None) as call:
+                body = call.read_body(context.deadline_s)
+        except ExchangeError as error:
+            self._cause = Cause.BROKEN
+            if isinstance(error, ExchangeTimeoutError):
+                self._cause = Cause.OUT_OF_TIME
+            return None
+        if call.may_have_run:
+            context.attempts.ran()
+        else:
+            context.attempts.refused()
+        facts = self._deps.dialect.read_response(call.head)
+        return BufferedResponse(call.head, facts, body)
 
     def _next_target(self) -> RegisteredTarget | None:
         context = self._context
@@ -133,7 +164,9 @@
             last_event_id=context.call.last_event_id,
         )
         head = self._deps.dialect.call_head(context.request.head, forwarding)
-        with self._deps.pool.acquire(target.address) as connection:
+        with self._deps.connect_to(
+            target, is_repeatable=context.route.is_repeatable
+        ) as connection:
             sent_s = clock_s()
             context.attempts.sent(target.target_id)
             connection.send(head, context.request.body)
@@ -243,9 +276,11 @@
 ) -> Cause:
     """Record a failed exchange and return its cause."""
     now_s = clock_s()
+    deps.reach.failed(target)
     if error.sent:
         deps.knowledge.loads.failed(target.target_id, now_s)
     else:
+        context.failed_connections += 1
         deps.knowledge.loads.unreachable(target.target_id, now_s)
     # Other open connections to the target may have failed as well.
     deps.pool.close_idle(target.address)
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -23,7 +23,6 @@
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
 from dandelionyoke_gateway._crash_task import CrashTask
-from dandelionyoke_gateway._domain_prefill_queue import DomainPrefillQueue
 from dandelionyoke_gateway._duty_task import DutyTask
 from dandelionyoke_gateway._engine_count_task import EngineCountTask
 from dandelionyoke_gateway._errors import AddressError
@@ -35,8 +34,8 @@
 from dandelionyoke_gateway._log import DecisionLog, LineSink
 from dandelionyoke_gateway._member_task import MemberTask
 from dandelionyoke_gateway._messages import ResponseHead
-from dandelionyoke_gateway._news_links import serve_news
 from dandelionyoke_gateway._news_task import NewsTask
+from dandelionyoke_gateway._node_links import new_node_links
 from dandelionyoke_gateway._phase_task import PendingFleetChanges, PhaseTask
 from dandelionyoke_gateway._plain_call import forward_plain_call
 from dandelionyoke_gateway._ports import (
@@ -45,11 +44,9 @@
     EngineClient,
     Store,
 )
-from dandelionyoke_gateway._prefill_links import PrefillLinks
-from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
+from dandelionyoke_gateway._reach_task import ReachTask
 from dandelionyoke_gateway._registry_updater import RegistryUpdater
 from dandelionyoke_gateway._settings import Endpoint, GatewaySettings
-from dandelionyoke_gateway._source_services import SourceServices
 from dandelionyoke_gateway._stall_task import StallTask
 from dandelionyoke_gateway._status import ExitStatus
 from dandelionyoke_gateway._store_poll_policy import (
@@ -115,13 +112,9 @@
         self._crash_task = CrashTask(
             self._knowledge, self._adapters.store, self._log
         )
-        self._local_prefill_queue = LocalPrefillQueue(self._knowledge)
-        self._prefill_queue = DomainPrefillQueue(
-            self._local_prefill_queue, self._knowledge, self._log
-        )
-        self._source_services = SourceServices(self._knowledge, self._log)
+        self._links = new_node_links(self._knowledge, self._log)
         self._engines = LimitedEngineClient(
-            self._adapters.engines, self._source_services.target_gate
+            self._adapters.engines, self._links.sources.target_gate
         )
         self._call_dispatcher = CallDispatcher(
             CallDependencies(
@@ -129,11 +122,13 @@
                 self._adapters.dialect,
                 pool,
                 self._engines,
-                self._prefill_queue,
-                self._source_services.rate_limits,
+                self._links.prefill_queue,
+                self._links.sources.rate_limits,
                 self._log,
                 self._crash_task.probe,
-                self._source_services.target_gate,
+                self._links.sources.target_gate,
+                ReachTask(self._knowledge, self._log),
+                self._links.handover,
             ),
             forward_plain_call,
             forward_stream_call,
@@ -188,9 +183,7 @@
         phases = PhaseTask(
             knowledge,
             self._duty_task,
-            LimitedDutyClient(
-                adapters.duties, self._source_services.target_gate
-            ),
+            LimitedDutyClient(adapters.duties, self._links.sources.target_gate),
             self._engines,
             changes,
             log,
@@ -232,26 +225,7 @@
         )
         eventlet.spawn_n(configuration_task.run)
         eventlet.spawn_n(registry_task.run)
-        self._start_links(peers, news_task)
-
-    def _start_links(self, peers: socket.socket, news_task: NewsTask) -> None:
-        """Serve other nodes and query them for updates and prefill engines."""
-        prefill_links = PrefillLinks(
-            self._prefill_queue,
-            self._local_prefill_queue,
-            self._knowledge.loads,
-            self._log,
-        )
-        eventlet.spawn_n(
-            serve_news,
-            peers,
-            news_task,
-            prefill_links,
-            self._source_services,
-            self._knowledge,
-            self._adapters.store,
-            self._log,
-        )
+        self._links.start(peers, news_task, self._call_dispatcher.handle, store)
 
     # Callers.
 
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -216,7 +216,7 @@
         self, target: RegisteredTarget, head: RequestHead
     ) -> str | None:
         deadline_s = self._deadline_s()
-        with self._deps.pool.acquire(target.address) as connection:
+        with self._deps.connect_to(target, is_repeatable=True) as connection:
             self.has_sent_prefill = True
             connection.send(head, self._context.request.body)
             response = connection.read_head(deadline_s)
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -11,8 +11,8 @@
     Refusal,
     RegisteredTarget,
 )
+from dandelionyoke_gateway._call_context import CallContext
 from dandelionyoke_gateway._call_dispatcher import (
-    CallContext,
     CallDependencies,
     RefusedError,
     limited_refusal,
@@ -20,6 +20,7 @@
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._event_stream import EventSplitter, StreamEvent
+from dandelionyoke_gateway._handover import HandedCall
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._plain_call import (
     apply_response_facts,
@@ -131,6 +132,9 @@
         return is_stream_repeated + is_prefill_repeated
 
     def _send_once(self) -> None:
+        if self._deps.handover.is_needed(self._context):
+            self._hand_over()
+            return
         if self._prompt is None:
             self._prompt = self._prefiller.prefill()
         self._stream_from(
@@ -189,7 +193,9 @@
             self._state.new_forwarding(target), cache=cache
         )
         head = self._state.new_request_head(forwarding)
-        with self._deps.pool.acquire(target.address) as connection:
+        with self._deps.connect_to(
+            target, is_repeatable=self._context.route.is_repeatable
+        ) as connection:
             self._context.attempts.sent(target.target_id)
             connection.send(head, self._context.request.body)
             is_stream = self._read_head(target, connection)
@@ -272,7 +278,7 @@
             head = self._deps.dialect.response_head(response)
             self._context.responder.start(head)
 
-    def _relay(self, connection: TargetConnection) -> None:
+    def _relay(self, connection: TargetConnection | HandedCall) -> None:
         splitter = EventSplitter()
         while True:
             chunk = connection.read_chunk(self._read_deadline_s())
@@ -295,6 +301,43 @@
             if event.event_id is not None:
                 self._state.last_event_id = event.event_id
 
+    # Other nodes.
+
+    def _hand_over(self) -> None:
+        """Let another node serve the call or the rest of its stream.
+
+        Raises:
+            RetryableError: none can, or the response was cut off.
+        """
+        context = self._context
+        exchange = self._deps.handover.exchange(
+            context, self._state.last_event_id
+        )
+        try:
+            with exchange as call:
+                self._relay_handed(call)
+        except ExchangeError as error:
+            cause = Cause.BROKEN if error.sent else Cause.NO_TARGET
+            raise RetryableError(cause) from error
+        if call.may_have_run:
+            context.attempts.ran()
+        else:
+            context.attempts.refused()
+
+    def _relay_handed(self, call: HandedCall) -> None:
+        responder = self._context.responder
+        if not call.is_stream:
+            body = call.read_body(self._context.deadline_s)
+            if not responder.has_started:
+                head = self._deps.dialect.response_head(call.head)
+                responder.respond(head, body)
+            return
+        # The other node counts the usage of the stream.
+        self._context.is_usage_counted = True
+        self._start_response(call.head)
+        self._relay(call)
+        responder.finish()
+
     # Deadlines.
 
     def _read_deadline_s(self) -> float:
--- a/packages/gateway/dandelionyoke_gateway/_stream_call_state.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call_state.py
@@ -1,7 +1,8 @@
 """State that the prefill and the decode phase of a streamed call share."""
 
 from dandelionyoke_dispatch import Cause, RegisteredTarget
-from dandelionyoke_gateway._call_dispatcher import CallContext, CallDependencies
+from dandelionyoke_gateway._call_context import CallContext
+from dandelionyoke_gateway._call_dispatcher import CallDependencies
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._messages import RequestHead
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -44,6 +45,8 @@
 # The event loop's timers leave out the time of a suspended machine. An urgent
 # connection checks its deadline this often, so that it is reset soon after.
 URGENT_MAX_WAIT_S = 0.1
+# A response that takes longer than this to begin or go on may never come.
+SILENCE_S = 0.6
 
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
@@ -71,6 +74,11 @@
         self._is_reusable = True
         self._is_closed = False
         self.idle_deadline_s = 0.0
+        # Whether its first exchange is still to come.
+        self.is_new = True
+        # Asked each time that the peer has been silent for SILENCE_S, whether
+        # to give up the exchange.
+        self.give_up: Callable[[], bool] | None = None
 
     def send(
         self, head: RequestHead, body: bytes, until_s: float = math.inf
@@ -211,12 +219,14 @@
         remaining_s = deadline_s - clock_s()
         if remaining_s <= 0:
             raise ExchangeTimeoutError('no response in time', sent=True)
+        wait_s = min(remaining_s, self._max_wait_s)
+        if self.give_up is not None:
+            wait_s = min(wait_s, SILENCE_S)
         try:
-            received = receive(
-                self._sock, READ_BYTES, min(remaining_s, self._max_wait_s)
-            )
+            received = receive(self._sock, READ_BYTES, wait_s)
         except TimeoutError as timeout:
             if timeout.errno is None and clock_s() < deadline_s:
+                self._check_silence()
                 return
             raise ExchangeTimeoutError(
                 _timeout_cause(timeout), sent=True
@@ -225,6 +235,12 @@
             raise ExchangeError(f'{error}', sent=True) from error
         self._parser.receive_data(received)
 
+    def _check_silence(self) -> None:
+        if self.give_up is not None and self.give_up():
+            raise ExchangeTimeoutError(
+                'no response, and no target is reached', sent=True
+            )
+
     def _record_keep_alive(self, head: ResponseHead) -> None:
         if 'close' in (head.header('connection') or '').lower():
             self._is_reusable = False
--- a/packages/gateway/dandelionyoke_gateway/_target_pool.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_pool.py
@@ -25,6 +25,8 @@
         connection = self._take_idle(address)
         if connection is None:
             connection = connect(address, CONNECT_TIMEOUT_S)
+        else:
+            connection.is_new = False
         is_complete = False
         try:
             yield connection
--- a/packages/links/dandelionyoke_links/__init__.py
+++ b/packages/links/dandelionyoke_links/__init__.py
@@ -1,6 +1,8 @@
 """Authenticated links between processes, and socket helpers."""
 
 from dandelionyoke_links._peers import (
+    CallChannel as CallChannel,
+    LinkError as LinkError,
     PeerHub as PeerHub,
     PeerSettings as PeerSettings,
 )
--- a/packages/links/dandelionyoke_links/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -43,6 +43,8 @@
 CONNECT_TIMEOUT_S = 2.0
 HANDSHAKE_TIMEOUT_S = 5.0
 NONCE_BYTES = 16
+# The path of a connection that carries one call instead of a link's messages.
+CALL_PATH = '/call'
 RETRYABLE_ACCEPT_ERRORS = frozenset(
     (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED)
 )
@@ -75,6 +77,7 @@
     def __init__(self, sock: socket.socket, protocol: Protocol) -> None:
         self._sock = sock
         self._protocol = protocol
+        self.path = ''
         # The read that completes the opening handshake may also contain frames.
         self._frames: list[Frame] = []
 
@@ -95,6 +98,7 @@
                 if isinstance(event, Request) and isinstance(
                     self._protocol, ServerProtocol
                 ):
+                    self.path = event.path
                     self._protocol.send_response(self._protocol.accept(event))
             self.flush()
 
@@ -186,6 +190,57 @@
             self.channel.shut_down()
 
 
+class CallChannel:
+    """Authenticated connection to a peer that carries one call."""
+
+    def __init__(self, peer_id: InstanceId, channel: _Channel) -> None:
+        self.peer_id = peer_id
+        self._channel = channel
+        self._received: list[PeerMessage] = []
+
+    def send(self, message: PeerMessage) -> None:
+        """Send a message; blocks while the peer does not read.
+
+        Raises:
+            LinkError: the channel has ended.
+        """
+        try:
+            self._channel.send(message_to_mapping(message))
+        except _LINK_ERRORS as error:
+            raise LinkError(
+                f'cannot send to {self.peer_id}: {error}'
+            ) from error
+
+    def receive(self, timeout_s: float | None) -> PeerMessage:
+        """Return the next message.
+
+        Raises:
+            LinkError: the channel has ended or a message is unknown.
+            TimeoutError: none arrived within `timeout_s`.
+        """
+        if not self._received:
+            self._channel.set_timeout(timeout_s)
+            try:
+                self._received.extend(
+                    message_from_mapping(mapping)
+                    for mapping in self._channel.receive()
+                )
+            except TimeoutError:
+                raise
+            except _LINK_ERRORS as error:
+                cause = f'the channel to {self.peer_id} ended: {error}'
+                raise LinkError(cause) from error
+        return self._received.pop(0)
+
+    def close(self) -> None:
+        """End the channel; the peer gives up the call."""
+        self._channel.shut_down()
+        self._channel.close()
+
+
+CallHandler = Callable[[CallChannel], None]
+
+
 class PeerHub:
     """Links of this process to its peers, both dialled and accepted."""
 
@@ -193,6 +248,44 @@
         self._settings = settings
         self._emit = emit
         self._links: dict[InstanceId, list[_Link]] = {}
+        self._handle_call: CallHandler | None = None
+
+    def serve_calls(self, handler: CallHandler) -> None:
+        """Set the handler of the channels that peers open for calls."""
+        self._handle_call = handler
+
+    def open_call(
+        self, peer_id: InstanceId, address: str, timeout_s: float
+    ) -> CallChannel:
+        """Open a channel for one call.
+
+        Raises:
+            LinkError: the peer did not accept it in time.
+        """
+        try:
+            channel = _dial(f'ws://{address}{CALL_PATH}', timeout_s, timeout_s)
+            self._meet(channel, peer_id, timeout_s)
+        except _LINK_ERRORS as error:
+            raise LinkError(f'cannot reach {peer_id}: {error}') from error
+        return CallChannel(peer_id, channel)
+
+    def _meet(
+        self, channel: _Channel, peer_id: InstanceId, timeout_s: float
+    ) -> None:
+        """Authenticate as the end that dialled; close the channel on failure.
+
+        Raises:
+            LinkError: another peer is there.
+        """
+        try:
+            found_id = self._authenticate(channel, timeout_s, dialled=True)
+        except BaseException:
+            # For example, the caller disconnected and this task was killed.
+            channel.close()
+            raise
+        if found_id != peer_id:
+            channel.close()
+            raise LinkError(f'the peer is {found_id}')
 
     def serve(self, listener: socket.socket) -> None:
         """Accept links from peers until the listener is closed."""
@@ -242,7 +335,25 @@
         except _LINK_ERRORS:
             channel.close()
             return
-        self._run_link(channel, dialled=False)
+        if channel.path == CALL_PATH:
+            self._serve_call(channel)
+        else:
+            self._run_link(channel, dialled=False)
+
+    def _serve_call(self, channel: _Channel) -> None:
+        try:
+            peer_id = self._authenticate(
+                channel, HANDSHAKE_TIMEOUT_S, dialled=False
+            )
+        except _LINK_ERRORS:
+            channel.close()
+            return
+        call = CallChannel(peer_id, channel)
+        try:
+            if self._handle_call is not None:
+                self._handle_call(call)
+        finally:
+            call.close()
 
     def _run_link(
         self,
@@ -252,7 +363,9 @@
         expected: InstanceId | None = None,
     ) -> None:
         try:
-            peer_id = self._authenticate(channel, dialled=dialled)
+            peer_id = self._authenticate(
+                channel, HANDSHAKE_TIMEOUT_S, dialled=dialled
+            )
             if expected not in {None, peer_id}:
                 raise LinkError(f'the peer is {peer_id}, not {expected}')
         except _LINK_ERRORS as error:
@@ -292,13 +405,15 @@
             self._links.pop(link.peer_id)
             self._emit(PeerDisconnected(link.peer_id, cause))
 
-    def _authenticate(self, channel: _Channel, *, dialled: bool) -> InstanceId:
+    def _authenticate(
+        self, channel: _Channel, timeout_s: float, *, dialled: bool
+    ) -> InstanceId:
         """Authenticate both ends and return the id of the peer.
 
         Each proof covers both nonces, the sender's id and which end dialled,
         so that a proof can be neither replayed nor reflected to its sender.
         """
-        channel.set_timeout(HANDSHAKE_TIMEOUT_S)
+        channel.set_timeout(timeout_s)
         nonce = secrets.token_bytes(NONCE_BYTES)
         own_id = self._settings.instance_id
         channel.send({'nonce': nonce, 'instance_id': own_id})
@@ -322,16 +437,24 @@
         return hmac.digest(self._settings.secret, signed, hashlib.sha256)
 
 
-def _dial(address: str) -> _Channel:
+def _dial(
+    address: str,
+    connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    handshake_timeout_s: float = HANDSHAKE_TIMEOUT_S,
+) -> _Channel:
     parts = urlsplit(address)
     sock = socket.create_connection(
-        (parts.hostname, parts.port), timeout=CONNECT_TIMEOUT_S
+        (parts.hostname, parts.port), timeout=connect_timeout_s
     )
     set_socket_options(sock)
     protocol = ClientProtocol(parse_uri(address), max_size=MAX_FRAME_BYTES)
     channel = _Channel(sock, protocol)
-    channel.set_timeout(HANDSHAKE_TIMEOUT_S)
-    channel.open_client()
+    channel.set_timeout(handshake_timeout_s)
+    try:
+        channel.open_client()
+    except BaseException:
+        channel.close()
+        raise
     return channel
 
 
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -29,11 +29,13 @@
     CallDispatcher,
 )
 from dandelionyoke_gateway._caller_connection import CallerConnection
+from dandelionyoke_gateway._handover import Handover
 from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._plain_call import forward_plain_call
 from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
 from dandelionyoke_gateway._rate_limits import DomainRateLimits
+from dandelionyoke_gateway._reach_task import ReachTask
 from dandelionyoke_gateway._stream_call import forward_stream_call
 from dandelionyoke_gateway._target_gate import TargetGate
 from dandelionyoke_links import reset_on_close, set_socket_options
@@ -202,6 +204,8 @@
                 self._log,
                 self._record_probe,
                 self.target_gate,
+                ReachTask(self.knowledge, self._log),
+                Handover(self.knowledge, self._log),
             ),
             forward_plain_call,
             forward_stream_call,
