Blame no call for a crash while no other target is reached

A node that is partitioned from all engines saw each call that broke off as one whose engine had died, and told the fleet: after three engines every node refused the call for a minute. A crash is now told only if another target of the service accepts a connection.

--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -23,6 +23,7 @@
 NEWS_FRESH_S = 2.0
 # A live target accepts a connection at once.
 PROBE_TIMEOUT_S = 0.5
+PROBED_OTHERS = 2
 
 
 class CrashTask:
@@ -61,11 +62,31 @@
     def _probe_target(
         self, fingerprint: str, target_id: str, address: str
     ) -> None:
-        try:
-            connect(address, PROBE_TIMEOUT_S).close()
-        except ExchangeError:
+        if not _accepts_connections(address) and self._reaches_others(
+            target_id
+        ):
             self._publish_crash(fingerprint, target_id)
 
+    def _reaches_others(self, target_id: str) -> bool:
+        """Whether this node reaches another target of the same service.
+
+        If it reaches none, its own network has failed and not the target.
+        """
+        registry = self._knowledge.registry
+        target = registry.find(target_id)
+        if target is None:
+            return True
+        others = [
+            other
+            for other in registry.of_service(target.service)
+            if other.target_id != target_id
+        ]
+        count = min(len(others), PROBED_OTHERS)
+        return any(
+            _accepts_connections(other.address)
+            for other in self._knowledge.random.sample(others, count)
+        )
+
     def _publish_crash(self, fingerprint: str, target_id: str) -> None:
         self._knowledge.crashes.record_crash(fingerprint, target_id, clock_s())
         self._log.decide(
@@ -81,3 +102,11 @@
                 self._knowledge.crashes.record_crash(
                     fingerprint, target_id, clock_s()
                 )
+
+
+def _accepts_connections(address: str) -> bool:
+    try:
+        connect(address, PROBE_TIMEOUT_S).close()
+    except ExchangeError:
+        return False
+    return True
