Believe a target that responds here before a peer that lost its path

A node that reaches no engine reports each of them as unreachable to the node that places prompts and may assign phases. That node then took engines that answered it a moment ago for crashed, and would have replaced them. Shown by test_a_target_that_responds_here_is_not_lost_to_others, which failed before. That such reports do not take all engines from the prefill queue was shown already (test_failures_of_a_cut_off_node_do_not_exclude_all_engines).

--- a/packages/dispatch/dandelionyoke_dispatch/_target_load.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_load.py
@@ -110,8 +110,14 @@
         """Count a failure of a call from another node.
 
         Failures that many nodes report at the same moment carry no more
-        information than one, so they are ignored during a cooldown.
+        information than one, so they are ignored during a cooldown. A target
+        that responded here a moment ago is not unreachable; the other node may
+        have lost its own path.
         """
+        if failure is TargetFailure.UNREACHABLE and self.has_recent_report(
+            target_id, now_s
+        ):
+            return
         if not self.is_in_cooldown(target_id, now_s):
             self._count_failure(target_id, failure, now_s)
 
--- a/tests/dispatch/test_target_load.py
+++ b/tests/dispatch/test_target_load.py
@@ -70,6 +70,17 @@
         self.assertEqual(['i-1'], self.loads.in_cooldown(0.3))
         self.assertEqual([], self.loads.in_cooldown(0.5))
 
+    def test_a_target_that_responds_here_is_not_lost_to_others(self) -> None:
+        """Guards against engines that count as crashed for a peer's cut.
+
+        The node that assigns phases would replace them by others.
+        """
+        self.loads.reported('i-1', 3, 10)
+        self.loads.record_peer_failure('i-1', TargetFailure.UNREACHABLE, 10.2)
+        self.assertFalse(self.loads.is_unreachable('i-1', 10.3))
+        self.loads.record_peer_failure('i-1', TargetFailure.UNREACHABLE, 11.2)
+        self.assertTrue(self.loads.is_unreachable('i-1', 11.3))
+
     def test_only_unreachable_targets_are_listed_as_lost(self) -> None:
         """Guards against full engines that get more and more prompts."""
         self.loads.record_peer_failure('i-1', TargetFailure.REFUSED, 0)
