--- a/packages/dispatch/dandelionyoke_dispatch/_target_load.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_load.py
@@ -1,6 +1,7 @@
 """The calls of this node in flight per target, and its suspect targets."""
 
 import enum
+import math
 from collections.abc import Callable
 
 import attrs
@@ -45,7 +46,7 @@
 class _Load:
     in_flight: int = 0
     reported: int = 0
-    reported_s: float = -REPORT_LIFETIME_S
+    reported_s: float = -math.inf
     failures: int = 0
     last_failure_s: float = 0.0
     cooldown_until_s: float = 0.0
