Test that a handed call runs once and ends where its caller is

Each promise of a call that another node serves: signature, bodies larger than a message, order and pace of a stream, no second run after a break, resumed streams, the caller's leaving, deadlines, usage and limits counted once, no second hop, no peer at all, wrong secrets and figures. A node that reaches no target itself declines at once; which refusals another node may take is said by their cause, so that a full fleet is not asked three times. Nodes that declined are passed over by service.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -92,6 +92,7 @@
 )
 from dandelionyoke_dispatch._refusals import (
     DEFAULT_RETRY_AFTER_S as DEFAULT_RETRY_AFTER_S,
+    INSTANCE_CAUSES as INSTANCE_CAUSES,
     OTHER_INSTANCE_RETRY_AFTER_S as OTHER_INSTANCE_RETRY_AFTER_S,
     Cause as Cause,
     Refusal as Refusal,
--- a/packages/dispatch/dandelionyoke_dispatch/_refusals.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_refusals.py
@@ -34,6 +34,19 @@
 STATUS_MAY_HAVE_RUN = MappingProxyType({Cause.OUT_OF_TIME: 504})
 DEFAULT_STATUS_MAY_HAVE_RUN = 502
 
+# Causes that lie with the instance: another one may serve the call.
+INSTANCE_CAUSES = frozenset(
+    (
+        Cause.NO_ROUTE,
+        Cause.UNKNOWN_KEY,
+        Cause.NO_CONFIGURATION,
+        Cause.STALE_CONFIGURATION,
+        Cause.LEAVING,
+        Cause.NO_TARGET,
+        Cause.BROKEN,
+    )
+)
+
 # The retry delay if nothing better is known. Targets register and nodes poll
 # the registry within about this time.
 DEFAULT_RETRY_AFTER_S = 0.7
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -9,6 +9,7 @@
 
 from dandelionyoke_dispatch import (
     DEFAULT_RETRY_AFTER_S,
+    INSTANCE_CAUSES,
     OTHER_INSTANCE_RETRY_AFTER_S,
     Attempts,
     Call,
@@ -21,7 +22,11 @@
     Route,
 )
 from dandelionyoke_gateway._call_context import CallContext
-from dandelionyoke_gateway._caller_connection import CallerRequest, Responder
+from dandelionyoke_gateway._caller_connection import (
+    CallerRequest,
+    Responder,
+    Verdict,
+)
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import CallerDisconnectedError
 from dandelionyoke_gateway._handover import Handover
@@ -211,6 +216,7 @@
         if crashes.refuses(context.fingerprint, clock_s()):
             refusal = Refusal(Cause.QUARANTINED, crashes.retry_after_s)
             raise RefusedError(refusal)
+        self._check_reach(context)
         charge = self._charge(context)
         try:
             self._forward_by_kind(context)
@@ -218,6 +224,17 @@
             if charge is not None and not context.attempts.may_have_run:
                 self._deps.rate_limits.refund(charge)
 
+    def _check_reach(self, context: CallContext) -> None:
+        """Decline a handed call at once that another node can serve.
+
+        Raises:
+            RefusedError: this node reaches no target either.
+        """
+        if context.request.handed_over is None:
+            return
+        if self._deps.knowledge.reach.is_cut_off(context.service.name):
+            raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
+
     def _forward_by_kind(self, context: CallContext) -> None:
         if context.route.kind is CallKind.STREAM:
             self._forward_stream(self._deps, context)
@@ -274,7 +291,10 @@
         responder.refuse(
             head,
             f'{refusal.cause.value}\n'.encode(),
-            may_have_run=attempts.may_have_run,
+            Verdict(
+                attempts.may_have_run,
+                not attempts.may_have_run and refusal.cause in INSTANCE_CAUSES,
+            ),
         )
 
     def _log_internal_error(self, request: CallerRequest) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -57,6 +57,17 @@
     handed_over: HandedOver | None = None
 
 
+@attrs.frozen
+class Verdict:
+    """What a refusal says about its call.
+
+    `is_elsewhere` means that another node may still serve it.
+    """
+
+    may_have_run: bool
+    is_elsewhere: bool
+
+
 class Responder(Protocol):
     """Writes the response to one request."""
 
@@ -66,9 +77,7 @@
     def respond(self, head: ResponseHead, body: bytes) -> None:
         """Write a complete response."""
 
-    def refuse(
-        self, head: ResponseHead, body: bytes, *, may_have_run: bool
-    ) -> None:
+    def refuse(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
         """Write a response with which this node refuses the call."""
 
     def start(self, head: ResponseHead) -> None:
@@ -102,9 +111,7 @@
         self._write(data + (self._parser.send(h11.EndOfMessage()) or b''))
         self.is_complete = True
 
-    def refuse(
-        self, head: ResponseHead, body: bytes, *, may_have_run: bool
-    ) -> None:
+    def refuse(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
         """Write a response with which this node refuses the call.
 
         Its status tells the caller whether the call may have run.
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -78,7 +78,8 @@
         self._knowledge = knowledge
         self._log = log
         self._open: OpenCall | None = None
-        self._cooldown_until_s: dict[str, float] = {}
+        # By service and node.
+        self._cooldown_until_s: dict[tuple[str, str], float] = {}
 
     def attach(self, open_call: OpenCall) -> None:
         """Set the function that opens channels, once links are accepted."""
@@ -103,8 +104,9 @@
         Raises:
             ExchangeError: none can, or the response was cut off.
         """
-        for member in self._choose_members():
-            channel = self._open_channel(member)
+        service = context.service.name
+        for member in self._choose_members(service):
+            channel = self._open_channel(member, service)
             if channel is None:
                 continue
             try:
@@ -116,26 +118,27 @@
                 channel.close()
         raise ExchangeError('no other node serves the call', sent=False)
 
-    def _choose_members(self) -> list[Member]:
+    def _choose_members(self, service: str) -> list[Member]:
         """Choose among all nodes alike: those of this domain may be cut off."""
         now_s = clock_s()
         members = [
             member
             for member in self._knowledge.sources.others()
             if member.takes_calls
-            and now_s >= self._cooldown_until_s.get(member.instance_id, 0.0)
+            and now_s
+            >= self._cooldown_until_s.get((service, member.instance_id), 0.0)
         ]
         count = min(len(members), MAX_NODES)
         return self._knowledge.random.sample(members, count)
 
-    def _open_channel(self, member: Member) -> CallChannel | None:
+    def _open_channel(self, member: Member, service: str) -> CallChannel | None:
         if self._open is None:
             return None
         peer_id = InstanceId(member.instance_id)
         try:
             return self._open(peer_id, member.address, OPEN_TIMEOUT_S)
         except LinkError as error:
-            self._pass_over(member, str(error))
+            self._pass_over(member, service, str(error))
             return None
 
     def _start(
@@ -161,17 +164,23 @@
         )
         if begun.is_elsewhere:
             context.attempts.refused()
-            self._pass_over(member, f'answered {begun.status}')
+            self._pass_over(
+                member, context.service.name, f'answered {begun.status}'
+            )
             return None
+        if begun.may_have_run:
+            # The node that sent the call to a target has counted it.
+            context.is_usage_counted = True
         return HandedCall(channel, begun)
 
-    def _pass_over(self, member: Member, cause: str) -> None:
+    def _pass_over(self, member: Member, service: str, cause: str) -> None:
         until_s = clock_s() + NODE_COOLDOWN_S
-        self._cooldown_until_s[member.instance_id] = until_s
+        self._cooldown_until_s[service, member.instance_id] = until_s
         self._log.decide(
             'handover.refused',
             member.instance_id,
             outcome='passed over',
+            service=service,
             cause=cause,
         )
 
--- a/packages/gateway/dandelionyoke_gateway/_handover_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_server.py
@@ -10,6 +10,7 @@
     CallerRequest,
     HandedOver,
     Handler,
+    Verdict,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import CallerDisconnectedError
@@ -42,18 +43,13 @@
         self._begin(ResponseBegun(head.status, head.headers))
         self._write_body(body)
 
-    def refuse(
-        self, head: ResponseHead, body: bytes, *, may_have_run: bool
-    ) -> None:
-        """Write a response with which this node refuses the call.
-
-        Another node may still serve it if it has not run.
-        """
+    def refuse(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
+        """Write a response with which this node refuses the call."""
         begun = ResponseBegun(
             head.status,
             head.headers,
-            may_have_run=may_have_run,
-            is_elsewhere=head.status == 503 and not may_have_run,
+            may_have_run=verdict.may_have_run,
+            is_elsewhere=verdict.is_elsewhere,
         )
         self._begin(begun)
         self._write_body(body)
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -332,8 +332,6 @@
                 head = self._deps.dialect.response_head(call.head)
                 responder.respond(head, body)
             return
-        # The other node counts the usage of the stream.
-        self._context.is_usage_counted = True
         self._start_response(call.head)
         self._relay(call)
         responder.finish()
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -10,12 +10,14 @@
 import attrs
 import eventlet
 from eventlet.green import socket
+from eventlet.greenthread import GreenThread
 
-from dandelionyoke_core import Metrics
+from dandelionyoke_core import InstanceId, Metrics
 from dandelionyoke_dispatch import (
     CallKind,
     EngineTraits,
     FleetConfiguration,
+    Member,
     Organisation,
     Phase,
     RegisteredTarget,
@@ -30,6 +32,7 @@
 )
 from dandelionyoke_gateway._caller_connection import CallerConnection
 from dandelionyoke_gateway._handover import Handover
+from dandelionyoke_gateway._handover_server import HandoverServer
 from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._plain_call import forward_plain_call
@@ -38,7 +41,12 @@
 from dandelionyoke_gateway._reach_task import ReachTask
 from dandelionyoke_gateway._stream_call import forward_stream_call
 from dandelionyoke_gateway._target_gate import TargetGate
-from dandelionyoke_links import reset_on_close, set_socket_options
+from dandelionyoke_links import (
+    PeerHub,
+    PeerSettings,
+    reset_on_close,
+    set_socket_options,
+)
 from dandelionyoke_platform._dialect import PlatformDialect
 from dandelionyoke_platform._duties import PlatformDuties
 from tests.gateway.settings import new_settings
@@ -182,16 +190,20 @@
 class NodeHarness:
     """A listening node and the targets registered at it."""
 
-    def __init__(self) -> None:
+    def __init__(self, instance_id: str = 'n-1') -> None:
         self.log_lines = LogLines()
         self.probed_targets: list[str] = []
-        self.knowledge: Knowledge = new_knowledge(new_settings(), Random(7))
+        self.knowledge: Knowledge = new_knowledge(
+            new_settings(instance_id), Random(7)
+        )
         self.knowledge.configuration = configuration()
         self.knowledge.freshness.confirm(clock_s())
         self.pool = TargetPool()
         self.targets: list[ScriptedTarget] = []
         self._registered: list[RegisteredTarget] = []
-        self._log = DecisionLog(self.log_lines, 'n-1', Metrics())
+        self._log = DecisionLog(self.log_lines, instance_id, Metrics())
+        self.handover = Handover(self.knowledge, self._log)
+        self.rate_limits = DomainRateLimits(self.knowledge, self._log)
         self.target_gate = TargetGate(self.knowledge, self._log)
         self._dispatcher = CallDispatcher(
             CallDependencies(
@@ -200,18 +212,19 @@
                 self.pool,
                 PlatformDuties('', self.pool),
                 LocalPrefillQueue(self.knowledge),
-                DomainRateLimits(self.knowledge, self._log),
+                self.rate_limits,
                 self._log,
                 self._record_probe,
                 self.target_gate,
                 ReachTask(self.knowledge, self._log),
-                Handover(self.knowledge, self._log),
+                self.handover,
             ),
             forward_plain_call,
             forward_stream_call,
         )
         self._listener = eventlet.listen(('127.0.0.1', 0))
         self._accept_thread = eventlet.spawn(self._accept)
+        self._peer_threads: list[GreenThread] = []
 
     def add_target(
         self, script: Script, service: str = 'ledger', phase: Phase = Phase.ANY
@@ -233,6 +246,21 @@
         self.knowledge.registry.replace(self._registered, clock_s())
         return target
 
+    def open_links(self) -> Member:
+        """Take calls from other nodes; return the entry for their members."""
+        instance_id = InstanceId(self.knowledge.settings.instance_id)
+        hub = PeerHub(
+            PeerSettings(instance_id, b'a secret'), lambda event: None
+        )
+        server = HandoverServer(self._dispatcher.handle, self._log)
+        hub.serve_calls(server.serve)
+        self.handover.attach(hub.open_call)
+        listener = eventlet.listen(('127.0.0.1', 0))
+        self._peer_threads.append(eventlet.spawn(hub.serve, listener))
+        host, port = listener.getsockname()
+        address = f'{host}:{port}'
+        return Member(instance_id, 'a', address, takes_calls=True)
+
     def connect(self) -> socket.socket:
         """Open a connection as a caller."""
         return eventlet.connect(self._listener.getsockname())
@@ -251,7 +279,8 @@
     def close(self) -> None:
         """Stop the node and its targets."""
         self._log.close()
-        self._accept_thread.kill()
+        for thread in (self._accept_thread, *self._peer_threads):
+            thread.kill()
         self._listener.close()
         for target in self.targets:
             target.close()
--- /dev/null
+++ b/tests/platform/test_handed_calls.py
@@ -0,0 +1,389 @@
+"""Calls that a node without a path to targets hands to another one."""
+
+import math
+from collections.abc import Iterator
+
+import attrs
+import testtools
+
+from dandelionyoke_core import InstanceId
+from dandelionyoke_dispatch import (
+    LimitUnit,
+    Member,
+    Organisation,
+    Phase,
+    RateLimit,
+)
+from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway._handover_messages import BodyPart, CallHanded
+from dandelionyoke_links import CallChannel, LinkError, PeerHub, PeerSettings
+from dandelionyoke_standins._relay import Relay
+from tests.platform.node_harness import (
+    API_KEY,
+    HOST,
+    NodeHarness,
+    ReceivedRequest,
+    Script,
+    ScriptStep,
+    answer,
+    chunk,
+    request_bytes,
+    stream_head,
+)
+from tests.platform.program import wait_for
+
+SERVICES = ('ledger', 'lm')
+
+
+def answers_ok(request: ReceivedRequest) -> Iterator[ScriptStep]:
+    yield answer()
+
+
+def resets_connection(request: ReceivedRequest) -> Iterator[ScriptStep]:
+    yield None
+
+
+def answers_late(request: ReceivedRequest) -> Iterator[ScriptStep]:
+    yield 1.0
+    yield answer()
+
+
+def status(content: bytes) -> int:
+    return int(content.split(b' ')[1])
+
+
+def event(number: int) -> bytes:
+    return f'id: {number}\ndata: token-{number}\n\n'.encode()
+
+
+def streams_tokens(request: ReceivedRequest) -> Iterator[ScriptStep]:
+    """Stream four tokens, from after the last one that the caller has."""
+    yield stream_head()
+    for number in range(int(request.headers.get('last-event-id', 0)) + 1, 5):
+        yield chunk(event(number))
+        yield 0.05
+    yield chunk(b'')
+
+
+class HandedCallTest(testtools.TestCase):
+    """A cut-off node, and two others that take its calls."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.origin = self.new_node('n-1')
+        self.others = [self.new_node('n-2'), self.new_node('n-3')]
+        self.links: list[Relay] = []
+        self.members = [self.link_to(node) for node in self.others]
+        self.origin.open_links()
+        self.take_members(*self.members)
+        self.cut_off(self.origin)
+
+    def new_node(self, name: str) -> NodeHarness:
+        node = NodeHarness(name)
+        self.addCleanup(node.close)
+        return node
+
+    def link_to(self, node: NodeHarness) -> Member:
+        """Return a node's entry with the address of a relay."""
+        member = node.open_links()
+        host, _, port = member.address.rpartition(':')
+        link = Relay(host, int(port))
+        link.start()
+        self.addCleanup(link.close)
+        self.links.append(link)
+        return attrs.evolve(member, address=link.address)
+
+    def has_handed_on(self, name: str) -> bool:
+        """Whether a node has handed a call to another one."""
+        lines = self.origin.log_lines.text.splitlines()
+        return any(
+            '"call.handed"' in line and f'"instance_id": "{name}"' in line
+            for line in lines
+        )
+
+    def take_members(self, *members: object) -> None:
+        sources = self.origin.knowledge.sources
+        sources.take_members(members, clock_s())
+
+    def cut_off(self, node: NodeHarness) -> None:
+        for service in SERVICES:
+            probed = {'i-1': False, 'i-2': False}
+            node.knowledge.reach.probed(service, probed, clock_s())
+
+    def add_targets(
+        self, script: Script, service: str = 'ledger', phase: Phase = Phase.ANY
+    ) -> None:
+        for node in self.others:
+            node.add_target(script, service, phase)
+
+    def received(self) -> list[ReceivedRequest]:
+        return [
+            request
+            for node in self.others
+            for target in node.targets
+            for request in target.received_requests
+        ]
+
+    def test_a_whole_answer_with_its_signature_reaches_the_caller(
+        self,
+    ) -> None:
+        self.add_targets(answers_ok)
+        content = self.origin.call()
+        self.assertEqual(200, status(content))
+        self.assertIn(b'response-signature: s', content.lower())
+        self.assertTrue(content.endswith(b'\r\n\r\nok'))
+        (request,) = self.received()
+        self.assertEqual('POST /confirm/1 HTTP/1.1', request.line)
+        self.assertEqual(b'body', request.body)
+        self.assertEqual('acme', request.headers['tenant'])
+        self.assertNotIn('x-api-key', request.headers)
+        self.assertLessEqual(int(request.headers['deadline-ms']), 3000)
+        self.assertIn('call.handed', self.origin.log_lines.text)
+
+    def test_large_bodies_pass_whole(self) -> None:
+        """Guards against bodies larger than one message of a link."""
+        large = bytes(range(256)) * 8192
+        self.add_targets(lambda request: iter([answer(body=request.body)]))
+        with self.origin.connect() as sock:
+            head = request_bytes('/look/1').replace(
+                b'Content-Length: 4\r\n\r\nbody',
+                f'Content-Length: {len(large)}\r\n\r\n'.encode(),
+            )
+            sock.sendall(head + large)
+            content = b''
+            while data := sock.recv(65536):
+                content += data
+        self.assertEqual(200, status(content))
+        self.assertTrue(content.endswith(b'\r\n\r\n' + large))
+
+    def test_a_stream_arrives_in_order_and_as_it_is_made(self) -> None:
+        self.add_targets(streams_tokens, 'lm', Phase.DECODE)
+        with self.origin.connect() as sock:
+            sock.sendall(request_bytes('/ask/1'))
+            content = sock.recv(65536)
+            while event(1) not in content:
+                content += sock.recv(65536)
+            self.assertNotIn(event(4), content)
+            while data := sock.recv(65536):
+                content += data
+        positions = [content.index(event(number)) for number in range(1, 5)]
+        self.assertEqual(sorted(positions), positions)
+        self.assertTrue(content.endswith(b'0\r\n\r\n'))
+
+    def test_a_call_that_may_have_run_is_not_sent_again(self) -> None:
+        """Guards against a call that runs twice.
+
+        The node that took it ends after its target has run the call.
+        """
+
+        def closes_links(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            for link in self.links:
+                link.cut()
+            yield answer()
+
+        self.add_targets(closes_links)
+        content = self.origin.call()
+        self.assertEqual(502, status(content))
+        self.assertNotIn(b'retry-after', content.lower())
+        self.assertEqual(1, len(self.received()))
+
+    def test_a_lost_answer_at_the_other_node_stays_unknown(self) -> None:
+        """Guards against a promise that a call did not run."""
+        self.add_targets(resets_connection)
+        self.assertEqual(502, status(self.origin.call()))
+        self.assertEqual(1, len(self.received()))
+
+    def test_a_call_leaves_a_node_that_reaches_no_target_either(self) -> None:
+        """Guards against callers of a domain of which all nodes are cut off."""
+        cut_off, sound = self.others
+        self.cut_off(cut_off)
+        sound.add_target(answers_ok)
+        for _ in range(8):
+            self.assertEqual(200, status(self.origin.call()))
+        self.assertTrue(self.has_handed_on('n-1'))
+        self.assertFalse(self.has_handed_on('n-2'))
+
+    def test_a_handed_call_is_not_handed_on(self) -> None:
+        """Guards against calls that travel between cut-off nodes."""
+        for node in self.others:
+            self.cut_off(node)
+            node.knowledge.sources.take_members(self.members, clock_s())
+        started_s = clock_s()
+        content = self.origin.call()
+        self.assertEqual(503, status(content))
+        self.assertIn(b'retry-after', content.lower())
+        self.assertLess(clock_s() - started_s, 1.0)
+        for name in ('n-2', 'n-3'):
+            self.assertFalse(self.has_handed_on(name))
+
+    def test_without_another_node_a_call_is_refused_at_once(self) -> None:
+        """Guards against callers that wait for their deadline."""
+        unreachable = attrs.evolve(self.members[0], address='127.0.0.1:1')
+        for members in ((), (unreachable,)):
+            self.take_members(*members)
+            started_s = clock_s()
+            self.assertEqual(503, status(self.origin.call()))
+            self.assertLess(clock_s() - started_s, 1.0)
+
+    def test_nodes_of_earlier_versions_get_no_calls(self) -> None:
+        """Guards against calls lost at a node that takes none."""
+        self.add_targets(answers_ok)
+        self.take_members(attrs.evolve(self.members[0], takes_calls=False))
+        self.assertEqual(503, status(self.origin.call()))
+        self.assertEqual([], self.received())
+
+    def test_a_caller_that_leaves_ends_the_call_at_the_target(self) -> None:
+        """Guards against targets that work for nobody."""
+        self.add_targets(answers_late)
+        with self.origin.connect() as sock:
+            sock.sendall(request_bytes('/look/1'))
+            wait_for(self.received, 'a request')
+        targets = [target for node in self.others for target in node.targets]
+        wait_for(
+            lambda: sum(target.abandoned_count for target in targets),
+            'the end of the call',
+        )
+
+    def test_a_call_ends_at_its_deadline(self) -> None:
+        self.add_targets(lambda request: iter([5.0, answer()]))
+        started_s = clock_s()
+        content = self.origin.call()
+        self.assertIn(status(content), {502, 504})
+        self.assertLess(clock_s() - started_s, 3.5)
+
+    def test_a_stream_goes_on_at_another_node(self) -> None:
+        """Guards against a stream that ends with the node that took it."""
+
+        def stops(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield stream_head()
+            yield chunk(event(1))
+            yield chunk(event(2))
+            yield 0.1
+            for link in self.links:
+                link.reset()
+            yield 5.0
+
+        first_or_rest = [stops, streams_tokens]
+        self.add_targets(
+            lambda request: first_or_rest.pop(0)(request),
+            'lm',
+            Phase.DECODE,
+        )
+        content = self.origin.call('/resume/1')
+        self.assertEqual(200, status(content))
+        for number in range(1, 5):
+            self.assertEqual(1, content.count(event(number)), content)
+        resumed = [
+            request.headers.get('last-event-id') for request in self.received()
+        ]
+        self.assertEqual({None, '2'}, set(resumed))
+
+    def test_usage_is_counted_once_where_the_call_was_sent(self) -> None:
+        self.add_targets(answers_ok)
+        self.origin.call()
+        counted = [
+            sum(
+                dict(window.counts).get('acme', 0)
+                for window in node.knowledge.usage.take_changed()
+            )
+            for node in (self.origin, *self.others)
+        ]
+        self.assertEqual(0, counted[0])
+        self.assertEqual(1, sum(counted))
+
+    def test_an_organisations_limit_is_charged_once(self) -> None:
+        """Guards against a limit that is charged at both nodes, or at none."""
+        limit = RateLimit(10.0, 20.0, LimitUnit.CALLS)
+        for node in (self.origin, *self.others):
+            configuration = node.knowledge.configuration
+            assert configuration is not None
+            organisation = Organisation('acme', 1, limit)
+            node.knowledge.configuration = attrs.evolve(
+                configuration, organisations={API_KEY: organisation}
+            )
+            node.knowledge.limiter.take_limits({'acme': limit})
+            node.knowledge.limiter.take_nodes(1, 1, clock_s() - 60)
+        self.add_targets(answers_ok)
+        before = self.levels()
+        self.assertEqual(200, status(self.origin.call()))
+        after = self.levels()
+        self.assertAlmostEqual(1, before[0] - after[0], delta=0.5)
+        self.assertGreaterEqual(after[1:], before[1:])
+        # A call that no target ran is refunded.
+        for node in self.others:
+            self.cut_off(node)
+        before = self.levels()
+        self.assertEqual(503, status(self.origin.call()))
+        self.assertGreaterEqual(self.levels()[0], before[0] - 0.1)
+
+    def levels(self) -> list[float]:
+        return [
+            node.knowledge.limiter.admit('acme', 0.0, clock_s()).level
+            for node in (self.origin, *self.others)
+        ]
+
+    def test_a_call_is_handed_over_after_two_failed_connections(self) -> None:
+        """Guards against callers that wait until a cut is known."""
+        self.origin.knowledge.reach.connected('ledger')
+        self.origin = self.new_node('n-4')
+        self.origin.open_links()
+        self.take_members(*self.members)
+        for _ in range(2):
+            self.origin.add_target(answers_ok).refuse_connections()
+        self.add_targets(answers_ok)
+        self.assertEqual(200, status(self.origin.call()))
+
+
+class CallChannelTest(testtools.TestCase):
+    """What a node does with channels that carry no proper call."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = NodeHarness('n-1')
+        self.addCleanup(self.node.close)
+        self.target = self.node.add_target(answers_ok)
+        self.address = self.node.open_links().address
+
+    def open(self, secret: bytes = b'a secret') -> CallChannel:
+        settings = PeerSettings(InstanceId('n-2'), secret)
+        hub = PeerHub(settings, lambda event: None)
+        channel = hub.open_call(InstanceId('n-1'), self.address, 1.0)
+        self.addCleanup(channel.close)
+        return channel
+
+    def call(self) -> CallHanded:
+        headers = (
+            ('host', HOST),
+            ('attempt-id', 'a1'),
+            ('x-api-key', API_KEY),
+        )
+        return CallHanded('POST', '/confirm/1', headers, 0.0, 1)
+
+    def test_a_peer_without_the_secret_is_rejected(self) -> None:
+        """Guards against calls from outside the fleet."""
+        self.assertRaises(LinkError, self.open, b'another')
+
+    def test_figures_that_cannot_be_a_calls_are_dropped(self) -> None:
+        """Guards against a call without an end."""
+        for changes in (
+            {'age_s': math.nan},
+            {'age_s': -1.0},
+            {'attempts_left': 0},
+        ):
+            channel = self.open()
+            channel.send(attrs.evolve(self.call(), **changes))
+            channel.send(BodyPart(b'', is_last=True))
+            self.assertRaises(LinkError, channel.receive, 2.0)
+        self.assertIn('handover.dropped', self.node.log_lines.text)
+        self.assertEqual([], self.target.received_requests)
+
+    def test_a_call_that_is_cut_off_is_not_run(self) -> None:
+        """Guards against a call that runs with a part of its body."""
+        channel = self.open()
+        channel.send(self.call())
+        channel.send(BodyPart(b'half', is_last=False))
+        channel.close()
+        wait_for(
+            lambda: 'handover.dropped' in self.node.log_lines.text, 'a line'
+        )
+        self.assertEqual([], self.target.received_requests)
