--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -91,7 +91,7 @@
         link.start()
         self.addCleanup(link.close)
         self.links.append(link)
-        return attrs.evolve(member, address=link.address)
+        return attrs.evolve(member, domain='b', address=link.address)
 
     def has_handed_on(self, name: str) -> bool:
         """Whether a node has handed a call to another one."""
