Assign no phases from a node that reaches no engine

Such a node takes engines that it cannot connect to for crashed, and plans phases for the rest; its orders would reach nobody. test_a_cut_off_node_assigns_no_phases failed before.

--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -97,6 +97,10 @@
                 self._reconcile_service(service.name)
 
     def _reconcile_service(self, service: str) -> None:
+        if self._knowledge.reach.is_cut_off(service):
+            # What this node sees of the engines says nothing of them, and
+            # none would get its order.
+            return
         now_s = clock_s()
         # Crashed engines are still listed in the registry but generate no
         # tokens, so others must replace them now.
--- a/tests/gateway/test_phase_task.py
+++ b/tests/gateway/test_phase_task.py
@@ -72,3 +72,14 @@
         """Guards against an estimate that jumps with each load report."""
         self.knowledge.loads.reported('i-1', 30, clock_s())
         self.assertEqual(45, self.streams())
+
+    def test_a_cut_off_node_assigns_no_phases(self) -> None:
+        """Guards against roles chosen for engines that only seem to be gone."""
+        self.knowledge.registry.replace(self.engines, clock_s())
+        self.task._reconcile_service('lm')
+        self.assertEqual(['lm'], list(self.task._plans))
+        self.task._plans.clear()
+        probed = {target.target_id: False for target in self.engines}
+        self.knowledge.reach.probed('lm', probed, clock_s())
+        self.task._reconcile_service('lm')
+        self.assertEqual([], list(self.task._plans))
