Try the remaining targets if no other node takes a call

After two failed connections a call went to another node or was refused, although a target was left here (a fleet of one node, two crashed targets). Shown by test_other_targets_are_tried_if_no_other_node_takes_the_call, which failed before.

--- a/packages/gateway/dandelionyoke_gateway/_call_context.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_context.py
@@ -30,6 +30,8 @@
     is_usage_counted: bool = False
     # Connections to targets that failed before a byte was sent.
     failed_connections: int = 0
+    # Whether no other node could take the call.
+    is_declined_elsewhere: bool = False
 
     @property
     def deadline_s(self) -> float:
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -89,12 +89,18 @@
         """Whether another node should serve a call."""
         if context.request.handed_over is not None or self._open is None:
             return False
-        service = context.service.name
+        if context.is_declined_elsewhere:
+            return False
         return (
-            self._knowledge.reach.is_cut_off(service)
+            self._knowledge.reach.is_cut_off(context.service.name)
             or context.failed_connections >= FAILED_CONNECTIONS
         )
 
+    def is_hopeless(self, context: CallContext) -> bool:
+        """Whether neither this node nor another one can serve a call now."""
+        is_cut_off = self._knowledge.reach.is_cut_off(context.service.name)
+        return is_cut_off and context.is_declined_elsewhere
+
     @contextmanager
     def exchange(
         self, context: CallContext, last_event_id: str | None
@@ -116,6 +122,7 @@
                     return
             finally:
                 channel.close()
+        context.is_declined_elsewhere = True
         raise ExchangeError('no other node serves the call', sent=False)
 
     def _choose_members(self, service: str) -> list[Member]:
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -63,11 +63,16 @@
             RefusedError: no target did.
         """
         self._knowledge.budget.add_call(clock_s())
-        response = self._try_targets()
-        if response is None and self._deps.handover.is_needed(self._context):
-            response = self._hand_over()
-        if response is not None:
-            return response
+        for _ in range(MAX_SENDS):
+            if self._deps.handover.is_needed(self._context):
+                response = self._hand_over()
+            else:
+                target = self._next_target()
+                if target is None:
+                    break
+                response = self._send_to(target)
+            if response is not None:
+                return response
         if self._error_response is not None:
             return self._error_response
         raise RefusedError(
@@ -75,23 +80,10 @@
             or Refusal(self._cause, DEFAULT_RETRY_AFTER_S)
         )
 
-    def _try_targets(self) -> BufferedResponse | None:
-        """Ask targets while one may respond; None if none does."""
-        for _ in range(MAX_SENDS):
-            if self._deps.handover.is_needed(self._context):
-                break
-            target = self._next_target()
-            if target is None:
-                break
-            response = self._send_to(target)
-            if response is not None:
-                return response
-        return None
-
     def _hand_over(self) -> BufferedResponse | None:
         """Let another node serve the call; None if none can."""
         context = self._context
-        if not context.attempts.may_run_again(context.route.is_repeatable):
+        if not self._may_send():
             return None
         try:
             with self._deps.handover.exchange(context, None) as call:
@@ -114,14 +106,21 @@
         if now_s >= context.deadline_s:
             self._cause = Cause.OUT_OF_TIME
             return None
+        if self._deps.handover.is_hopeless(context):
+            return None
         if not context.attempts.may_run_again(context.route.is_repeatable):
             return None
         target = self._choose_target()
+        return None if target is None or not self._may_send() else target
+
+    def _may_send(self) -> bool:
+        """Whether the call may be sent now; charges a retry."""
+        attempts = self._context.attempts
+        if not attempts.may_run_again(self._context.route.is_repeatable):
+            return False
         # The first send is no retry, even if connections failed before it.
-        is_repeated = bool(context.attempts.targets)
-        if target is None or not is_repeated:
-            return target
-        return target if self._knowledge.budget.try_charge(now_s) else None
+        is_repeated = bool(attempts.targets)
+        return not is_repeated or self._knowledge.budget.try_charge(clock_s())
 
     def _choose_target(self) -> RegisteredTarget | None:
         """Choose a target that takes a request now; None if there is none."""
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -135,6 +135,8 @@
         if self._deps.handover.is_needed(self._context):
             self._hand_over()
             return
+        if self._deps.handover.is_hopeless(self._context):
+            raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
         if self._prompt is None:
             self._prompt = self._prefiller.prefill()
         self._stream_from(
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -225,6 +225,17 @@
             self.assertEqual(503, status(self.origin.call()))
             self.assertLess(clock_s() - started_s, 1.0)
 
+    def test_other_targets_are_tried_if_no_other_node_takes_the_call(
+        self,
+    ) -> None:
+        """Guards against a call that is refused beside a sound target."""
+        node = self.new_node('n-4')
+        node.open_links()
+        for _ in range(2):
+            node.add_target(answers_ok).refuse_connections()
+        node.add_target(answers_ok)
+        self.assertEqual(200, status(node.call()))
+
     def test_nodes_of_earlier_versions_get_no_calls(self) -> None:
         """Guards against calls lost at a node that takes none."""
         self.add_targets(answers_ok)
