Check limits less often while there are none

The limiter of targets added 25 wake-ups a second at each node, on every installation. Without a limit each loop now runs once or twice a second, that of organisations too.

--- a/packages/gateway/dandelionyoke_gateway/_limit_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_limit_server.py
@@ -23,6 +23,8 @@
 from dandelionyoke_gateway._target_gate import TargetGate
 
 CHECK_INTERVAL_S = 0.1
+# While no account has a limit.
+IDLE_INTERVAL_S = 0.5
 HEARTBEAT_INTERVAL_S = 0.3
 # After a request, a node acts as its domain's limiter for this long, even if
 # it does not consider itself the source node: the sender may know better.
@@ -83,7 +85,8 @@
     def run(self) -> None:
         """Report use to other limiters until the process exits."""
         while True:
-            eventlet.sleep(CHECK_INTERVAL_S)
+            is_used = self._limiter.has_limits or self._notes()
+            eventlet.sleep(CHECK_INTERVAL_S if is_used else IDLE_INTERVAL_S)
             self._update()
 
     def report_urgent_use(self) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_rate_limits.py
+++ b/packages/gateway/dandelionyoke_gateway/_rate_limits.py
@@ -41,6 +41,8 @@
 # A call below this share of the burst is admitted without asking.
 SMALL_CALL_SHARE = 0.01
 REPORT_INTERVAL_S = 0.2
+# While no account has a limit.
+IDLE_INTERVAL_S = 0.5
 REQUEST_NUMBER_BITS = 48
 _METRICS = MappingProxyType(
     {LimitScope.ORGANISATION: 'limit', LimitScope.TARGET: 'target_limit'}
@@ -169,7 +171,8 @@
     def run(self) -> None:
         """Report locally admitted calls until the process exits."""
         while True:
-            eventlet.sleep(REPORT_INTERVAL_S)
+            is_used = self.limiter.has_limits
+            eventlet.sleep(REPORT_INTERVAL_S if is_used else IDLE_INTERVAL_S)
             self._send_report()
 
     def _decide(self, charge: Charge, limit: RateLimit) -> _Decision:
--- a/packages/gateway/dandelionyoke_gateway/_target_gate.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_gate.py
@@ -19,7 +19,9 @@
 )
 
 # What this node observed is told to the domain's source node this often.
-REPORT_INTERVAL_S = 0.1
+REPORT_INTERVAL_S = 0.2
+# While no target has a limit; the first one is told at once.
+IDLE_INTERVAL_S = 1.0
 # A refused target is passed over for at least this long.
 MIN_WITHHOLD_S = 0.02
 
@@ -110,7 +112,8 @@
         newer than what another node may have observed.
         """
         while True:
-            eventlet.sleep(REPORT_INTERVAL_S)
+            is_used = self.rate_limits.limiter.has_limits
+            eventlet.sleep(REPORT_INTERVAL_S if is_used else IDLE_INTERVAL_S)
             self._report()
 
     def _report(self) -> None:
