Cut domains off from all targets in the soak

All nodes of a domain lose their paths to all targets for some seconds, in the three ways that a partition shows; drawn apart, so that the kept seeds keep their plans. The check follows the stated bound and has tests.

--- a/packages/standins/dandelionyoke_standins/_link.py
+++ b/packages/standins/dandelionyoke_standins/_link.py
@@ -27,8 +27,10 @@
 
     `POST /cut` resets open connections and refuses new ones. `POST /silence`
     permanently drops all bytes on open connections; new ones work. `POST
-    /blackhole` drops the bytes on open and new connections. `POST /restore`
-    relays new connections again. `GET /state` returns the relay's state.
+    /blackhole` drops the bytes on open and new connections. `POST /hang` drops
+    the bytes on open connections and establishes no new ones. `POST /refuse`
+    refuses new connections; open ones live on. `POST /restore` relays new
+    connections again. `GET /state` returns the relay's state.
     """
 
     def __init__(self, settings: LinkSettings) -> None:
@@ -39,6 +41,8 @@
                 Route('POST', '/cut', self._cut),
                 Route('POST', '/silence', self._silence),
                 Route('POST', '/blackhole', self._blackhole),
+                Route('POST', '/hang', self._hang),
+                Route('POST', '/refuse', self._refuse),
                 Route('POST', '/restore', self._restore),
                 Route('GET', '/state', self._state),
             ],
@@ -66,6 +70,14 @@
         self._relay.blackhole()
         return self._state(request)
 
+    def _hang(self, request: Request) -> Response:
+        self._relay.hang()
+        return self._state(request)
+
+    def _refuse(self, request: Request) -> Response:
+        self._relay.refuse()
+        return self._state(request)
+
     def _restore(self, request: Request) -> Response:
         self._relay.restore()
         return self._state(request)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,6 +16,10 @@
 # A limit is checked from some seconds after it was named.
 LIMIT_FAULT_S = (5.0, 9.0)
 SECONDS_PER_LIMIT = 10.0
+# A domain that loses all targets is checked from some seconds on, too.
+REACH_FAULTS = ('hang', 'cut', 'refuse')
+REACH_FAULT_S = (5.0, 8.0)
+SECONDS_PER_REACH = 15.0
 
 
 @attrs.frozen
@@ -35,10 +39,27 @@
 def plan_faults(seed: int, duration_s: float) -> list[Fault]:
     """Draw the faults of a soak; the same seed gives the same faults."""
     random = Random(seed)
-    faults = [*_draw(random, duration_s), *_draw_limits(seed, duration_s)]
+    faults = [
+        *_draw(random, duration_s),
+        *_draw_limits(seed, duration_s),
+        *_draw_reach(seed, duration_s),
+    ]
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def _draw_reach(seed: int, duration_s: float) -> Iterator[Fault]:
+    random = Random(f'reach {seed}')
+    for _ in range(max(1, int(duration_s / SECONDS_PER_REACH))):
+        cut_s = random.uniform(*REACH_FAULT_S)
+        yield Fault(
+            at_s=random.uniform(0, max(0, duration_s - cut_s)),
+            duration_s=cut_s,
+            kind='reach',
+            action=random.choice(REACH_FAULTS),
+            index=random.randrange(1000),
+        )
+
+
 def _draw_limits(seed: int, duration_s: float) -> Iterator[Fault]:
     """Draw apart from the others, whose plan a seed keeps."""
     random = Random(f'limits {seed}')
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -30,6 +30,16 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_OVERRUN = 1.5
 LIMIT_SLACK = 5
+# Callers of nodes that reach no target are served so much of what others are,
+# unless so few of all calls fail there.
+REACH_NOTICE_S = 3.0
+REACH_SERVED_SHARE = 2 / 3
+REACH_FAILED = 10
+REACH_FAILED_SHARE = 1 / 50
+# Faults that keep nodes or targets from serving, or from finding each other.
+REACH_DISTURBANCES = frozenset(
+    ('kill', 'pause', 'term', 'peers', 'callers', 'target', 'store')
+)
 # Faults that keep nodes from hearing of a limit, or end what they know.
 LIMIT_FAULTS = frozenset(('kill', 'pause', 'term', 'peers'))
 
@@ -45,6 +55,7 @@
     violations.extend(_check_runs(record, runs))
     violations.extend(_check_usage(record))
     violations.extend(_check_limits(record))
+    violations.extend(_check_reach(record))
     violations.extend(f'RECOVER {node}' for node in record.unrecovered)
     violations.extend(f'EXIT {text}' for text in record.unexpected_exits)
     return violations
@@ -144,6 +155,48 @@
         yield f'DRAIN {run.attempt_id}: {late_s:.2f} s after its target left'
 
 
+def _check_reach(record: SoakRecord) -> Iterator[str]:
+    cuts = {
+        (span.start_s, span.end_s)
+        for span in record.spans
+        if span.kind == 'reach'
+    }
+    for start_s, end_s in sorted(cuts):
+        cut_nodes = {
+            span.node
+            for span in record.spans
+            if span.kind == 'reach' and span.overlaps(start_s, end_s)
+        }
+        is_disturbed = any(
+            span.kind in REACH_DISTURBANCES
+            and span.overlaps(start_s - FAULT_EFFECT_S, end_s)
+            for span in record.spans
+        )
+        calls = [
+            call
+            for call in record.calls
+            if start_s + REACH_NOTICE_S <= call.sent_s <= end_s
+        ]
+        cut = [call for call in calls if call.node in cut_nodes]
+        others = [call for call in calls if call.node not in cut_nodes]
+        if is_disturbed or not cut or not others:
+            continue
+        served = _served(cut)
+        failed = len(cut) - served
+        is_less = served / len(cut) < (
+            REACH_SERVED_SHARE * _served(others) / len(others)
+        )
+        if is_less and failed > REACH_FAILED + REACH_FAILED_SHARE * len(calls):
+            yield (
+                f'REACH {sorted(cut_nodes)}: served {served} of {len(cut)}, '
+                f'the others {_served(others)} of {len(others)}'
+            )
+
+
+def _served(calls: list[CallerCall]) -> int:
+    return sum(call.status == STATUS_OK and call.is_complete for call in calls)
+
+
 def _check_limits(record: SoakRecord) -> Iterator[str]:
     for limit in record.limits:
         allowed = (
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -83,6 +83,9 @@
         self._relays: list[Relay] = []
         self._targets: list[SoakTarget] = []
         self._target_links: list[Relay] = []
+        # The paths of each domain to the targets.
+        self._domain_links: dict[str, list[Relay]] = {}
+        self._cut_domains: set[str] = set()
         self._callers: list[Caller] = []
         self._nodes: list[SoakNode] = []
         self._is_ended = False
@@ -193,10 +196,22 @@
             target.register(link.address)
             self._targets.append(target)
             self._target_links.append(link)
+        for domain in sorted(set(DOMAINS)):
+            self._domain_links[domain] = [
+                self._start_relay(link.address) for link in self._target_links
+            ]
 
     def _start_node(self, number: int, domain: str) -> SoakNode:
         ports = Ports()
-        store_link = self._start_relay(self._store.open_address())
+        store_address = self._store.open_address()
+        # Each domain has its own paths to the targets.
+        self._store.rewrites_at[store_address] = {
+            f'"{shared.address}"': f'"{own.address}"'
+            for shared, own in zip(
+                self._target_links, self._domain_links[domain], strict=True
+            )
+        }
+        store_link = self._start_relay(store_address)
         peer_link = self._start_relay(f'127.0.0.1:{ports.peers}')
         caller_link = self._start_relay(f'127.0.0.1:{ports.callers}')
         # Other nodes also reach this one through a relay.
@@ -274,6 +289,7 @@
             'store': self._inject_store_fault,
             'target': self._inject_target_fault,
             'change': self._inject_change,
+            'reach': self._inject_reach_fault,
         }.get(fault.kind, self._inject_link_fault)
         inject(fault)
 
@@ -327,6 +343,24 @@
         # A silenced connection stays silent until its endpoints notice.
         self._record_span(fault.kind, node_name, start_s)
 
+    def _inject_reach_fault(self, fault: Fault) -> None:
+        """Cut all nodes of a domain off from all targets."""
+        domains = sorted(self._domain_links)
+        domain = domains[fault.index % len(domains)]
+        if domain in self._cut_domains:
+            return
+        self._cut_domains.add(domain)
+        start_s = clock_s()
+        for link in self._domain_links[domain]:
+            getattr(link, fault.action)()
+        eventlet.sleep(fault.duration_s)
+        for link in self._domain_links[domain]:
+            link.restore()
+        self._cut_domains.discard(domain)
+        for node in self._nodes:
+            if node.domain == domain:
+                self._record_span('reach', node.name, start_s)
+
     def _inject_store_fault(self, fault: Fault) -> None:
         start_s = clock_s()
         if fault.action == 'out':
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -159,3 +159,35 @@
     def test_a_restart_excuses(self) -> None:
         span = Span('kill', 'n-1', 9, 31)
         self.assertEqual([], self.violations(0.2, span))
+
+
+class ReachTest(testtools.TestCase):
+    def violations(self, served: int, *spans: Span) -> list[str]:
+        """Check 40 calls at a cut-off node, of which some are served."""
+        record = SoakRecord()
+        for node in ('n-1', 'n-2'):
+            for number in range(40):
+                is_served = node == 'n-2' or number < served
+                record.calls.append(
+                    new_confirmation(
+                        attempt_id=f'{node}.{number}',
+                        answered_attempt_id=f'{node}.{number}',
+                        body=plain_body(f'{node}.{number}'),
+                        node=node,
+                        sent_s=104.0,
+                        ended_s=104.1,
+                        status=200 if is_served else 503,
+                    )
+                )
+        record.spans = [Span('reach', 'n-1', 100, 107), *spans]
+        return find_violations(record)
+
+    def test_a_node_that_serves_by_others_is_no_violation(self) -> None:
+        self.assertEqual([], self.violations(40))
+
+    def test_a_node_that_serves_nobody_is_found(self) -> None:
+        self.assertIn('REACH', self.violations(0)[0])
+
+    def test_a_restart_beside_it_excuses(self) -> None:
+        span = Span('kill', 'n-1', 102, 103)
+        self.assertEqual([], self.violations(0, span))
--- a/tests/standins/test_engine_http.py
+++ b/tests/standins/test_engine_http.py
@@ -251,5 +251,33 @@
         self._command('restore')
         self.assertEqual(200, self.link.call('GET', '/load').status)
 
+    def test_a_path_hangs_until_restored(self) -> None:
+        self._command('hang')
+        self.assertRaises(
+            urllib3.exceptions.ConnectTimeoutError,
+            urllib3.request,
+            'GET',
+            f'{self.link.address}/load',
+            timeout=0.3,
+            retries=False,
+        )
+        self._command('restore')
+        self.assertEqual(200, self.link.call('GET', '/load').status)
+
+    def test_open_connections_live_on_while_new_ones_are_refused(self) -> None:
+        stream = lines(self.link.stream('/generate', generate_body('a')))
+        skip_to_first_tokens(stream)
+        self._command('refuse')
+        self.assertRaises(
+            urllib3.exceptions.NewConnectionError,
+            urllib3.request,
+            'GET',
+            f'{self.link.address}/load',
+            retries=False,
+        )
+        self.assertTrue(list(stream))
+        self._command('restore')
+        self.assertEqual(200, self.link.call('GET', '/load').status)
+
     def _command(self, name: str) -> dict[str, Any]:
         return self.link.http.request('POST', f'{self.control}/{name}').json()
