Bound the limits of targets that a message tells

With hundreds of targets in need each answer and each heartbeat between domains would have carried all of them; the 64 newest are told at once. A call that may have run is not refused for its targets' limits.

--- a/packages/dispatch/dandelionyoke_dispatch/_target_limits.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_limits.py
@@ -15,12 +15,14 @@
 
     Only an answer shows that a limit has ended, so a target that names less
     than `min_rate_per_s` gets that rate. The end of a limit is told to other
-    nodes for `ended_memory_s`. No caller is told to wait for longer than
+    nodes for `ended_memory_s`. At most `max_notes` observations are told at
+    once, the newest ones. No caller is told to wait for longer than
     `max_retry_after_s`.
     """
 
     min_rate_per_s: float = 0.1
     ended_memory_s: float = 10.0
+    max_notes: int = 64
     max_retry_after_s: float = 10.0
 
 
@@ -92,7 +94,7 @@
     def notes(self, now_s: float) -> tuple[TargetLimitNote, ...]:
         """Return the limits, and the ends of limits, that nodes should know."""
         oldest_s = now_s - self._settings.ended_memory_s
-        return tuple(
+        notes = [
             TargetLimitNote(
                 target_id,
                 observation.started_ms,
@@ -102,7 +104,9 @@
             for target_id, observation in self._observations.items()
             if observation.rate_per_s is not None
             or observation.observed_s >= oldest_s
-        )
+        ]
+        notes.sort(key=lambda note: note.age_s)
+        return tuple(notes[: self._settings.max_notes])
 
     def rate_limits(self) -> Mapping[str, RateLimit]:
         """Return the limits in force by target."""
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -96,6 +96,8 @@
     deps: CallDependencies, context: CallContext
 ) -> Refusal | None:
     """Return the refusal of a call whose targets are all at their limits."""
+    if context.attempts.may_have_run:
+        return None
     knowledge, now_s = deps.knowledge, clock_s()
     service = context.service.name
     targets = knowledge.placement.limited_targets(service, now_s)
--- a/tests/dispatch/test_target_limits.py
+++ b/tests/dispatch/test_target_limits.py
@@ -61,6 +61,15 @@
         )
         self.assertEqual((), self.limits.notes(31))
 
+    def test_the_newest_limits_are_told_first(self) -> None:
+        """Guards against messages that grow with the fleet's targets."""
+        for number in range(100):
+            target = attrs.evolve(TARGET, target_id=f'i-{number}')
+            self.limits.observe(target, 1.0, number)
+        notes = self.limits.notes(100)
+        self.assertEqual(64, len(notes))
+        self.assertEqual('i-99', notes[0].target_id)
+
     def test_invalid_notes_are_ignored(self) -> None:
         """Guards against a node that tells figures that cannot be a limit."""
         for rate, age_s in ((-1.0, 0), (float('nan'), 0), (1.0, float('inf'))):
