Look for limited targets only where there are any

Each streamed call listed all engines of its service once more to find whether all are at their limits, also where no engine ever named one.

--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -192,6 +192,8 @@
 
         Empty if any of them is not at its limit.
         """
+        if not self._limits.has_withheld:
+            return ()
         targets = [
             target
             for target in self._registry.of_service(service)
--- a/packages/dispatch/dandelionyoke_dispatch/_target_limits.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_limits.py
@@ -129,6 +129,11 @@
         if self.rate_of(target_id) is not None:
             self._withheld_until_s[target_id] = until_s
 
+    @property
+    def has_withheld(self) -> bool:
+        """Whether any target was at its limit since it named one."""
+        return bool(self._withheld_until_s)
+
     def is_withheld(self, target_id: str, now_s: float) -> bool:
         """Whether a target takes no request now because of its limit."""
         return now_s < self._withheld_until_s.get(target_id, 0.0)
