--- a/packages/dispatch/dandelionyoke_dispatch/_target_limits.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_limits.py
@@ -175,6 +175,8 @@
 
         A target that started anew under the same id has named no limit yet.
         """
+        if not self._observations:
+            return False
         started_ms = {target.target_id: target.started_ms for target in targets}
         gone = [
             target_id
