Let an address without a port not end the probes of a service

An error other than a failed connection ended the task that probes a service: while cut off it would never be found reached again, and its calls would go to other nodes for good. test_an_invalid_address_does_not_keep_a_service_cut_off failed before. The platform's decoder rejects such addresses; another adapter may not.

--- a/packages/gateway/dandelionyoke_gateway/_reach_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_reach_task.py
@@ -86,6 +86,7 @@
 def _is_reached(target: RegisteredTarget) -> bool:
     try:
         connect(target.address, PROBE_TIMEOUT_S).close()
-    except ExchangeError:
+    except (ExchangeError, ValueError):
+        # The registry may list an address without a valid port.
         return False
     return True
