--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -96,7 +96,7 @@
             or context.failed_connections >= FAILED_CONNECTIONS
         )
 
-    def is_hopeless(self, context: CallContext) -> bool:
+    def cannot_be_served(self, context: CallContext) -> bool:
         """Whether neither this node nor another one can serve a call now."""
         is_cut_off = self._knowledge.reach.is_cut_off(context.service.name)
         return is_cut_off and context.is_declined_elsewhere
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -106,7 +106,7 @@
         if now_s >= context.deadline_s:
             self._cause = Cause.OUT_OF_TIME
             return None
-        if self._deps.handover.is_hopeless(context):
+        if self._deps.handover.cannot_be_served(context):
             return None
         if not context.attempts.may_run_again(context.route.is_repeatable):
             return None
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -135,7 +135,7 @@
         if self._deps.handover.is_needed(self._context):
             self._hand_over()
             return
-        if self._deps.handover.is_hopeless(self._context):
+        if self._deps.handover.cannot_be_served(self._context):
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
         if self._prompt is None:
             self._prompt = self._prefiller.prefill()
