Pass the last event of a handed plain call on

A plain call that another node served lost its Last-Event-Id: the other node took the field that travels beside the call, which a plain call left empty. test_the_last_event_of_a_plain_call_reaches_the_target failed before; 20 of 20 pass.

--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -86,7 +86,9 @@
         if not self._may_send():
             return None
         try:
-            with self._deps.handover.exchange(context, None) as call:
+            with self._deps.handover.exchange(
+                context, context.call.last_event_id
+            ) as call:
                 body = call.read_body(context.deadline_s)
         except ExchangeError as error:
             self._cause = Cause.BROKEN
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -140,6 +140,13 @@
         self.assertLessEqual(int(request.headers['deadline-ms']), 3000)
         self.assertIn('call.handed', self.origin.log_lines.text)
 
+    def test_the_last_event_of_a_plain_call_reaches_the_target(self) -> None:
+        """Guards against a header of the caller that a handed call loses."""
+        self.add_targets(answers_ok)
+        self.origin.call(extra='Last-Event-Id: 12\r\n')
+        (request,) = self.received()
+        self.assertEqual('12', request.headers.get('last-event-id'))
+
     def test_large_bodies_pass_whole(self) -> None:
         """Guards against bodies larger than one message of a link."""
         large = bytes(range(256)) * 8192
