--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -18,6 +18,7 @@
 from dandelionyoke_gateway import (
     DutyCallResult,
     DutyOutcome,
+    ExchangeError,
     FencingStamp,
     PhaseOrder,
     TargetCountOrder,
@@ -250,6 +251,71 @@
         self.assertIs(DutyOutcome.UNKNOWN, order.wait().outcome)
         self.assertRaises(ConnectionResetError, receive, sock, 1, 0.1)
 
+    def test_an_order_written_after_its_time_is_reset_at_once(self) -> None:
+        """Guards against an order that its kernel gives up before its program.
+
+        The process is paused after it has connected. If its time began with
+        the write, the keepalive probes could end the connection before that,
+        and the order could no longer be reset.
+        """
+        listener = eventlet.listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        host, port = listener.getsockname()
+        pause_s = CALL_TIMEOUT_S + 0.2
+        duties = PlatformDuties(f'{host}:{port}', PausedPool(pause_s))
+        stamp = FencingStamp('n-1', 9, clock_s() + 5)
+        order = eventlet.spawn(duties.order_targets, ORDER, stamp)
+        sock, _ = listener.accept()
+        self.addCleanup(sock.close)
+        duty_answer = order.wait()
+        self.assertIs(DutyOutcome.UNKNOWN, duty_answer.outcome)
+        self.assertLess(duty_answer.elapsed_s, pause_s + CALL_TIMEOUT_S)
+        with testtools.ExpectedException(ConnectionResetError):
+            while receive(sock, 65536, 0.1):
+                continue
+
+
+class SingleOrderTest(testtools.TestCase):
+    """An order or report is sent once, on a connection of its own."""
+
+    def received(self, script: Script) -> list[str]:
+        """Send an order and a report; list the requests that arrived."""
+        target = ScriptedTarget(script)
+        self.addCleanup(target.close)
+        duties = PlatformDuties(target.address, TargetPool())
+        stamp = FencingStamp('n-1', 9, clock_s() + 5)
+        duties.order_targets(ORDER, stamp)
+        duties.report_usage(WindowCounts(7, (('acme', 1),)), stamp)
+        eventlet.sleep(0.05)
+        return [request.line for request in target.received_requests]
+
+    def test_an_order_without_an_answer_is_not_sent_again(self) -> None:
+        """Guards against an order that arrives twice, the second time late."""
+        self.assertEqual(
+            ['POST /scale HTTP/1.1', 'POST /usage HTTP/1.1'],
+            self.received(lambda _: [None]),
+        )
+
+    def test_a_refused_order_is_not_sent_again(self) -> None:
+        """Guards against an order that arrives twice, the second time late."""
+        refusal = answer('503 Service Unavailable', b'{}', '')
+        self.assertEqual(
+            ['POST /scale HTTP/1.1', 'POST /usage HTTP/1.1'],
+            self.received(lambda _: [refusal]),
+        )
+
+    def test_the_connection_of_an_order_is_not_kept(self) -> None:
+        """Guards against an order sent on a connection that is cut off."""
+        target = ScriptedTarget(lambda _: [answer('200 OK', b'{}', '')])
+        self.addCleanup(target.close)
+        pool, address = TargetPool(), target.address
+        stamp = FencingStamp('n-1', 9, clock_s() + 5)
+        duties = PlatformDuties(address, pool)
+        self.assertTrue(duties.order_targets(ORDER, stamp).is_accepted)
+        target.refuse_connections()
+        with testtools.ExpectedException(ExchangeError), pool.acquire(address):
+            self.fail('a connection was kept')
+
 
 class SuspensionTest(testtools.TestCase):
     def test_an_order_is_reset_soon_after_a_suspension(self) -> None:
