Test the sequence of the late order with two nodes

The test runs two processes of the program. The holder's order is refused, the path of the holder is cut after a renewal, its order is due again within its term, the other node takes the duty and orders, and the path heals.

--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -73,6 +73,7 @@
         ports: Ports | None = None,
         domain: str = 'a',
         store_address: str = '',
+        duty_address: str = '',
     ) -> None:
         ports = ports or Ports()
         self.port = ports.callers
@@ -87,7 +88,7 @@
             f'metrics_address = 127.0.0.1:{ports.metrics}\n'
             f'peer_address = 127.0.0.1:{ports.peers}\n'
             f'[store]\naddress = {self.store_address}\n'
-            f'[duties]\naddress = {store.address}\n'
+            f'[duties]\naddress = {duty_address or store.address}\n'
             '[bounds]\nrevocation_ms = 5000\ndrain_ms = 2000\napply_ms = 2000\ngrace_s = 8\n'
             'retry_share = 0.2\nretry_extra = 50\nretry_window_s = 10\n'
             'duty_turn_ms = 3000\nusage_window_s = 2\nusage_late_s = 10\n'
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -46,6 +46,16 @@
         }
 
 
+@attrs.frozen
+class TargetOrder:
+    """An order for a number of targets, as it arrived at `arrived_s`."""
+
+    arrived_s: float
+    holder: str
+    fence: int
+    body: dict[str, Any]
+
+
 class StoreStandin:
     """Fake store with leases, watches and injected faults."""
 
@@ -55,7 +65,9 @@
         self.history: list[StoredItem] = []
         self.leases: dict[int, tuple[float, float]] = {}
         self.usage: list[tuple[str, int, dict[str, Any]]] = []
-        self.orders: list[dict[str, Any]] = []
+        self.orders: list[TargetOrder] = []
+        # Orders for numbers of targets are recorded and refused (409).
+        self.refuses_orders = False
         # The same reports with their time of arrival.
         self.reports: list[tuple[float, str, int, dict[str, Any]]] = []
         self.is_unavailable = False
@@ -157,8 +169,7 @@
         if path == wire.USAGE_PATH:
             return self._record_usage(environ, body)
         if path == wire.SCALE_PATH:
-            self.orders.append(body)
-            return 200, {}
+            return self._record_order(environ, body)
         self.calls[_address(environ), path] += 1
         if self.is_unavailable or _address(environ) in self.refused:
             return 503, {}
@@ -184,6 +195,14 @@
         self.reports.append((clock_s(), holder, fence, body))
         return 200, {}
 
+    def _record_order(
+        self, environ: dict[str, Any], body: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
+        holder = environ['HTTP_DUTY_HOLDER']
+        fence = int(environ['HTTP_FENCING_TOKEN'])
+        self.orders.append(TargetOrder(clock_s(), holder, fence, body))
+        return (409 if self.refuses_orders else 200), {}
+
     def _list_range(self, prefix: str, address: str) -> dict[str, Any]:
         found = [
             self._rewrite(item, address).fields()
