Name the test of an order's time limit by what it checks

Its bound is the time limit itself, so that "reset at once" promised more. The bound and the checks are unchanged. Formatter and linter pass.

--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -251,12 +251,12 @@
         self.assertIs(DutyOutcome.UNKNOWN, order.wait().outcome)
         self.assertRaises(ConnectionResetError, receive, sock, 1, 0.1)
 
-    def test_an_order_written_after_its_time_is_reset_at_once(self) -> None:
-        """Guards against an order that its kernel gives up before its program.
+    def test_the_time_of_an_order_begins_before_it_connects(self) -> None:
+        """Guards against an order that can no longer be reset.
 
-        The process is paused after it has connected. If its time began with
-        the write, the keepalive probes could end the connection before that,
-        and the order could no longer be reset.
+        The process is paused after it has connected, and its order is written
+        late. If the time limit began with the write, the kernel's keepalive
+        probes could end the connection before it.
         """
         listener = eventlet.listen(('127.0.0.1', 0))
         self.addCleanup(listener.close)
@@ -297,7 +297,7 @@
         )
 
     def test_a_refused_order_is_not_sent_again(self) -> None:
-        """Guards against an order that arrives twice, the second time late."""
+        """Guards against a client that repeats a refused order by itself."""
         refusal = answer('503 Service Unavailable', b'{}', '')
         self.assertEqual(
             ['POST /scale HTTP/1.1', 'POST /usage HTTP/1.1'],
