Share the accepting of connections between the stand-ins of the platform's tests

The path of test_late_orders.py and the scripted target each had their own listener, threads and end. LocalServer serves both. The address is known after a target refuses connections too.

--- a/tests/platform/held_path.py
+++ b/tests/platform/held_path.py
@@ -5,10 +5,10 @@
 import eventlet
 from eventlet.event import Event
 from eventlet.green import socket
-from eventlet.greenthread import GreenThread
 
 from dandelionyoke_links import reset_on_close
 from tests.links import partition
+from tests.platform.local_server import LocalServer
 
 CHUNK_BYTES = 65_536
 # The client's kernel aborts a connection this long after the client wrote into
@@ -27,35 +27,26 @@
     def __init__(self, to_address: str) -> None:
         to_host, to_port = to_address.rsplit(':', 1)
         self._server_address = (to_host, int(to_port))
-        self._listener = eventlet.listen(('127.0.0.1', 0))
-        host, port = self._listener.getsockname()
-        self.address = f'{host}:{port}'
-        # Set while the path is cut.
+        self._server = LocalServer(self._relay)
+        self.address = self._server.address
+        # While the path is cut, the event of its healing.
         self._healed: Event | None = None
-        self._threads: list[GreenThread] = [eventlet.spawn(self._accept)]
 
     def cut(self) -> None:
         """Cut the path in both directions."""
-        partition.cut(self._listener)
+        partition.cut(self._server.listener)
         self._healed = Event()
 
     def heal(self) -> None:
         """Deliver what is held, and let connections be established again."""
-        partition.heal(self._listener)
+        partition.heal(self._server.listener)
         if self._healed is not None:
             self._healed.send()
             self._healed = None
 
     def close(self) -> None:
         """End all connections."""
-        for thread in self._threads:
-            thread.kill()
-        self._listener.close()
-
-    def _accept(self) -> None:
-        while True:
-            client, _ = self._listener.accept()
-            self._threads.append(eventlet.spawn(self._relay, client))
+        self._server.close()
 
     def _relay(self, client: socket.socket) -> None:
         # Either end may reset its connection.
--- /dev/null
+++ b/tests/platform/local_server.py
@@ -0,0 +1,35 @@
+"""A listening socket of a test and the threads of its connections."""
+
+from collections.abc import Callable
+
+import eventlet
+from eventlet.green import socket
+from eventlet.greenthread import GreenThread
+
+
+class LocalServer:
+    """Accepts connections on the loopback interface, each in a thread."""
+
+    def __init__(self, serve: Callable[[socket.socket], None]) -> None:
+        self._serve = serve
+        self.listener = eventlet.listen(('127.0.0.1', 0))
+        host, port = self.listener.getsockname()
+        self.address = f'{host}:{port}'
+        self._acceptor: GreenThread = eventlet.spawn(self._accept)
+        self._threads: list[GreenThread] = []
+
+    def refuse_connections(self) -> None:
+        """Refuse new connections; open ones stay."""
+        self._acceptor.kill()
+        self.listener.close()
+
+    def close(self) -> None:
+        """Refuse new connections and end the threads of the open ones."""
+        self.refuse_connections()
+        for thread in self._threads:
+            thread.kill()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            self._threads.append(eventlet.spawn(self._serve, sock))
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -50,6 +50,7 @@
 from dandelionyoke_platform._dialect import PlatformDialect
 from dandelionyoke_platform._duties import PlatformDuties
 from tests.gateway.settings import new_settings
+from tests.platform.local_server import LocalServer
 
 API_KEY = 'a-key'
 HOST = 'shop.example'
@@ -75,36 +76,26 @@
 
     def __init__(self, script: Script) -> None:
         self._script = script
-        self._listener = eventlet.listen(('127.0.0.1', 0))
+        self._server = LocalServer(self._serve)
         self.received_requests: list[ReceivedRequest] = []
         # Requests whose connection the node closed before the answer's end.
         self.abandoned_count = 0
-        self._threads = [eventlet.spawn(self._accept)]
 
     @property
     def address(self) -> str:
         """The address at which the target listens."""
-        host, port = self._listener.getsockname()
-        return f'{host}:{port}'
+        return self._server.address
 
     def refuse_connections(self) -> None:
         """Refuse new connections; open ones stay."""
-        self._threads[0].kill()
-        self._listener.close()
+        self._server.refuse_connections()
 
     def close(self) -> None:
         """Stop the target and close all its connections."""
-        for thread in self._threads:
-            thread.kill()
-        self._listener.close()
-
-    def _accept(self) -> None:
-        while True:
-            sock, _ = self._listener.accept()
-            set_socket_options(sock)
-            self._threads.append(eventlet.spawn(self._serve, sock))
+        self._server.close()
 
     def _serve(self, sock: socket.socket) -> None:
+        set_socket_options(sock)
         with sock:
             while True:
                 request = _read(sock)
--- a/tests/platform/test_late_orders.py
+++ b/tests/platform/test_late_orders.py
@@ -18,8 +18,8 @@
 # Time for what was held up to arrive once the path has healed.
 ARRIVAL_S = 1.0
 REPORT = b'{"phase": "prefill", "seq": 0, "busy": false}'
-# Two on-demand engines are wanted and run; the reclaimable one is refused, so
-# that its order is repeated every two seconds.
+# Of three engines at most, two on-demand ones are wanted and run. The third is
+# to be reclaimable; its order is refused and repeated every two seconds.
 CONFIGURATION = json.dumps(
     {
         'version': 1,
