--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -25,7 +25,7 @@
     Service,
     ServiceShare,
 )
-from dandelionyoke_gateway import TargetPool, clock_s
+from dandelionyoke_gateway import GatewaySettings, TargetPool, clock_s
 from dandelionyoke_gateway._call_dispatcher import (
     CallDependencies,
     CallDispatcher,
@@ -78,6 +78,8 @@
         self._script = script
         self._server = LocalServer(self._serve)
         self.received_requests: list[ReceivedRequest] = []
+        # Whether it accepts prefills, which the first of a call is free of.
+        self.is_accepting = True
         # Requests whose connection the node closed before the answer's end.
         self.abandoned_count = 0
 
@@ -181,11 +183,13 @@
 class NodeHarness:
     """A listening node and the targets registered at it."""
 
-    def __init__(self, instance_id: str = 'n-1') -> None:
+    def __init__(
+        self, instance_id: str = 'n-1', settings: GatewaySettings | None = None
+    ) -> None:
         self.log_lines = LogLines()
         self.probed_targets: list[str] = []
         self.knowledge: Knowledge = new_knowledge(
-            new_settings(instance_id), Random(7)
+            settings or new_settings(instance_id), Random(7)
         )
         self.knowledge.configuration = configuration()
         self.knowledge.freshness.confirm(clock_s())
@@ -223,9 +227,20 @@
         """Start a target and register it at the node."""
         target = ScriptedTarget(script)
         self.targets.append(target)
+        self.register(target, service, phase)
+        return target
+
+    def register(
+        self,
+        target: ScriptedTarget,
+        service: str = 'ledger',
+        phase: Phase = Phase.ANY,
+    ) -> str:
+        """Add a target to the registry; return its ID."""
+        target_id = f'i-{len(self._registered) + 1}'
         self._registered.append(
             RegisteredTarget(
-                target_id=f'i-{len(self.targets)}',
+                target_id=target_id,
                 service=service,
                 address=target.address,
                 domain='a',
@@ -235,7 +250,7 @@
             )
         )
         self.knowledge.registry.replace(self._registered, clock_s())
-        return target
+        return target_id
 
     def open_links(self) -> Member:
         """Take calls from other nodes; return the entry for their members."""
@@ -257,11 +272,15 @@
         return eventlet.connect(self._listener.getsockname())
 
     def call(
-        self, path: str = '/confirm/1', key: str = API_KEY, extra: str = ''
+        self,
+        path: str = '/confirm/1',
+        key: str = API_KEY,
+        extra: str = '',
+        attempt_id: str = 'a1',
     ) -> bytes:
         """Send a request on a new connection and return the whole answer."""
         with self.connect() as sock:
-            sock.sendall(request_bytes(path, key, extra))
+            sock.sendall(request_bytes(path, key, extra, attempt_id))
             content = b''
             while data := sock.recv(65536):
                 content += data
@@ -292,10 +311,12 @@
             eventlet.spawn_n(connection.serve)
 
 
-def request_bytes(path: str, key: str = API_KEY, extra: str = '') -> bytes:
+def request_bytes(
+    path: str, key: str = API_KEY, extra: str = '', attempt_id: str = 'a1'
+) -> bytes:
     """Build a caller's request."""
     return (
-        f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: a1\r\n'
+        f'POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {attempt_id}\r\n'
         f'Deadline-Ms: 3000\r\nX-Api-Key: {key}\r\n{extra}'
         'Content-Length: 4\r\n\r\nbody'
     ).encode('latin-1')
