Carry with a handed call what was sent to targets before

Cause: a count that is kept at one node and begins anew at the next. A handed call carried neither that a prefill or the call itself had been sent, so that the first prefill was free again at each node, nor the service chosen for it; and each node that it passed counted it as a call that earns retries.

Change: CallHanded and ResponseBegun tell what was sent. What is sent after that is charged by the node that sends it, at its own budget; a call earns at the node that took it from its caller only, and keeps its service. A retry is charged once until something was sent.

--- a/packages/dispatch/dandelionyoke_dispatch/_attempts.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_attempts.py
@@ -27,12 +27,34 @@
     max_attempts: int
     _outcomes: list[Outcome] = attrs.field(factory=list)
     targets: list[str] = attrs.field(factory=list)
+    # Whether the call, or a prefill for it, was sent to a target by this node
+    # or another one. What is sent after that is a retry.
+    is_sent: bool = False
+    is_prefill_sent: bool = False
+    # What this node has sent.
+    send_count: int = 0
 
     def sent(self, target_id: str) -> None:
         """Record an attempt before any byte of the call is sent to a target."""
-        self.targets.append(target_id)
+        self.is_sent = True
+        self.send_count += 1
+        self.handed(target_id)
+
+    def handed(self, name: str) -> None:
+        """Record an attempt at another node, which may not send the call."""
+        self.targets.append(name)
         self._outcomes.append(Outcome.UNKNOWN)
 
+    def prefill_sent(self) -> None:
+        """Record a prefill before any byte of it is sent to a target."""
+        self.is_prefill_sent = True
+        self.send_count += 1
+
+    def add_sent(self, *, is_sent: bool, is_prefill_sent: bool) -> None:
+        """Add what another node sent."""
+        self.is_sent |= is_sent
+        self.is_prefill_sent |= is_prefill_sent
+
     def refused(self) -> None:
         """Record that the target reported not running the last attempt."""
         self._outcomes[-1] = Outcome.NOT_RUN
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -24,6 +24,7 @@
 from dandelionyoke_gateway._call_context import CallContext
 from dandelionyoke_gateway._caller_connection import (
     CallerRequest,
+    HandedOver,
     Responder,
     Verdict,
 )
@@ -175,15 +176,14 @@
         if route is None:
             raise RefusedError(Refusal(Cause.NO_ROUTE))
         organisation = self._authenticate(call, route, configuration)
-        name = route.choose_service(self._deps.knowledge.random)
-        service = configuration.services.get(name)
+        service = configuration.services.get(self._service_name(route, request))
         if service is None:
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
         timeout_s = min(call.time_left_s or route.timeout_s, route.timeout_s)
-        max_attempts, is_usage_counted = route.max_attempts, False
+        attempts, is_usage_counted = Attempts(route.max_attempts), False
         handed_over = request.handed_over
         if handed_over is not None:
-            max_attempts = min(max_attempts, handed_over.attempts_left)
+            attempts = _attempts_left(route, handed_over)
             is_usage_counted = handed_over.is_usage_counted
             call = attrs.evolve(call, last_event_id=handed_over.last_event_id)
         return CallContext(
@@ -194,11 +194,20 @@
             service,
             organisation,
             request.arrived_s + timeout_s,
-            Attempts(max_attempts),
+            attempts,
             self._deps.knowledge.shutdown,
             is_usage_counted,
         )
 
+    def _service_name(self, route: Route, request: CallerRequest) -> str:
+        """Choose a service; a handed call keeps the one chosen for it."""
+        handed_over = request.handed_over
+        if handed_over is not None:
+            names = {share.service for share in route.shares}
+            if handed_over.service in names:
+                return handed_over.service
+        return route.choose_service(self._deps.knowledge.random)
+
     def _authenticate(
         self, call: Call, route: Route, configuration: FleetConfiguration
     ) -> Organisation | None:
@@ -214,6 +223,9 @@
         return organisation
 
     def _forward(self, context: CallContext) -> None:
+        if context.request.handed_over is None:
+            # The node that took the call from its caller has counted it.
+            self._deps.knowledge.budget.add_call(clock_s())
         crashes = self._deps.knowledge.crashes
         if crashes.refuses(context.fingerprint, clock_s()):
             refusal = Refusal(Cause.QUARANTINED, crashes.retry_after_s)
@@ -296,6 +308,8 @@
             Verdict(
                 attempts.may_have_run,
                 not attempts.may_have_run and refusal.cause in INSTANCE_CAUSES,
+                attempts.is_sent,
+                attempts.is_prefill_sent,
             ),
         )
 
@@ -306,3 +320,13 @@
             outcome='closed',
             cause=traceback.format_exc(),
         )
+
+
+def _attempts_left(route: Route, handed_over: HandedOver) -> Attempts:
+    """Return the attempts of a call after those at the node it came from."""
+    attempts = Attempts(min(route.max_attempts, handed_over.attempts_left))
+    attempts.add_sent(
+        is_sent=handed_over.is_sent,
+        is_prefill_sent=handed_over.is_prefill_sent,
+    )
+    return attempts
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -35,13 +35,18 @@
     """What the node that handed a call to this one knows about it.
 
     `attempts_left` targets may still run it. `last_event_id` is the last event
-    that its caller has received.
+    that its caller has received. `service` was chosen for it. `is_sent` and
+    `is_prefill_sent` tell whether the call, or a prefill for it, was sent to a
+    target before.
     """
 
     peer_id: str
     attempts_left: int
     is_usage_counted: bool
     last_event_id: str | None
+    service: str
+    is_sent: bool
+    is_prefill_sent: bool
 
 
 @attrs.frozen
@@ -61,11 +66,15 @@
 class Verdict:
     """What a refusal says about its call.
 
-    `is_elsewhere` means that another node may still serve it.
+    `is_elsewhere` means that another node may still serve it. `is_sent` and
+    `is_prefill_sent` tell whether the call, or a prefill for it, was sent to a
+    target.
     """
 
     may_have_run: bool
     is_elsewhere: bool
+    is_sent: bool
+    is_prefill_sent: bool
 
 
 class Responder(Protocol):
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -159,7 +159,12 @@
 
         Returns None if the node cannot serve it and another one may.
         """
-        begun = _exchange_heads(context, channel, last_event_id)
+        try:
+            begun = _exchange_heads(context, channel, last_event_id)
+        except ExchangeError:
+            # It is unknown what the other node has sent.
+            context.attempts.add_sent(is_sent=True, is_prefill_sent=True)
+            raise
         self._log.decide(
             'call.handed',
             context.call.attempt_id,
@@ -228,8 +233,11 @@
         max(1, context.route.max_attempts - context.attempts.run_count),
         context.is_usage_counted,
         last_event_id,
+        context.service.name,
+        context.attempts.is_sent,
+        context.attempts.is_prefill_sent,
     )
-    context.attempts.sent(channel.peer_id)
+    context.attempts.handed(channel.peer_id)
     try:
         channel.send(call)
         for part in split_body(request.body):
@@ -239,4 +247,7 @@
     begun = receive_until(channel, context.deadline_s)
     if not isinstance(begun, ResponseBegun):
         raise ExchangeError('the response has no head', sent=True)
+    context.attempts.add_sent(
+        is_sent=begun.is_sent, is_prefill_sent=begun.is_prefill_sent
+    )
     return begun
--- a/packages/gateway/dandelionyoke_gateway/_handover_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_messages.py
@@ -19,6 +19,8 @@
 
     The body follows in parts. `last_event_id` is the last event that the
     caller has received. At most `attempts_left` targets may run the call.
+    `service` was chosen for it. `is_sent` and `is_prefill_sent` tell whether
+    the call, or a prefill for it, was sent to a target before.
     """
 
     method: str
@@ -28,6 +30,9 @@
     attempts_left: int
     is_usage_counted: bool = False
     last_event_id: str | None = None
+    service: str = ''
+    is_sent: bool = False
+    is_prefill_sent: bool = False
 
     @property
     def is_valid(self) -> bool:
@@ -50,6 +55,8 @@
 
     `may_have_run` is False only if no target ran the call. `is_elsewhere`
     means that the node could not serve the call although another node may.
+    `is_sent` and `is_prefill_sent` are False only if no node has sent the
+    call, or a prefill for it, to a target.
     """
 
     status: int
@@ -57,3 +64,5 @@
     is_stream: bool = False
     may_have_run: bool = True
     is_elsewhere: bool = False
+    is_sent: bool = True
+    is_prefill_sent: bool = True
--- a/packages/gateway/dandelionyoke_gateway/_handover_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_server.py
@@ -50,6 +50,8 @@
             head.headers,
             may_have_run=verdict.may_have_run,
             is_elsewhere=verdict.is_elsewhere,
+            is_sent=verdict.is_sent,
+            is_prefill_sent=verdict.is_prefill_sent,
         )
         self._begin(begun)
         self._write_body(body)
@@ -147,6 +149,9 @@
             call.attempts_left,
             call.is_usage_counted,
             call.last_event_id,
+            call.service,
+            call.is_sent,
+            call.is_prefill_sent,
         ),
     )
 
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -62,7 +62,6 @@
         Raises:
             RefusedError: no target did.
         """
-        self._knowledge.budget.add_call(clock_s())
         for _ in range(MAX_SENDS):
             if self._deps.handover.is_needed(self._context):
                 response = self._hand_over()
@@ -83,7 +82,7 @@
     def _hand_over(self) -> BufferedResponse | None:
         """Let another node serve the call; None if none can."""
         context = self._context
-        if not self._may_send():
+        if not context.attempts.may_run_again(context.route.is_repeatable):
             return None
         try:
             with self._deps.handover.exchange(
@@ -117,12 +116,9 @@
 
     def _may_send(self) -> bool:
         """Whether the call may be sent now; charges a retry."""
-        attempts = self._context.attempts
-        if not attempts.may_run_again(self._context.route.is_repeatable):
-            return False
         # The first send is no retry, even if connections failed before it.
-        is_repeated = bool(attempts.targets)
-        return not is_repeated or self._knowledge.budget.try_charge(clock_s())
+        is_retry = self._context.attempts.is_sent
+        return not is_retry or self._knowledge.budget.try_charge(clock_s())
 
     def _choose_target(self) -> RegisteredTarget | None:
         """Choose a target that takes a request now; None if there is none."""
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -76,8 +76,6 @@
         self._service_stats = self._knowledge.service_state(
             self._context.service.name
         )
-        # Whether a prefill request was sent to an engine.
-        self.has_sent_prefill = False
 
     def prefill(self) -> PrefilledPrompt | None:
         """Run the prefill separately; None if the decode engine must do it."""
@@ -217,7 +215,7 @@
     ) -> str | None:
         deadline_s = self._deadline_s()
         with self._deps.connect_to(target, is_repeatable=True) as connection:
-            self.has_sent_prefill = True
+            self._context.attempts.prefill_sent()
             connection.send(head, self._context.request.body)
             response = connection.read_head(deadline_s)
             body = connection.read_body(deadline_s, MAX_PREFILL_BYTES)
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -37,6 +37,7 @@
 )
 from dandelionyoke_gateway._stream_call_state import (
     RetryableError,
+    RetryDeniedError,
     StreamCallState,
 )
 from dandelionyoke_gateway._target_connection import TargetConnection
@@ -66,29 +67,34 @@
         self._prefiller = PromptPrefiller(self._state)
         # Kept for a retry as long as no decode engine has imported its KV cache.
         self._prompt: PrefilledPrompt | None = None
+        self._cause = Cause.NO_RETRY
+        # The number of sends at which a retry was charged.
+        self._charged_at: int | None = None
 
     def run(self) -> None:
         """Send the call until one stream completes; release an unused cache."""
         try:
             self._send_with_retries()
+        except RetryDeniedError as error:
+            raise RefusedError(
+                Refusal(self._cause, DEFAULT_RETRY_AFTER_S)
+            ) from error
         finally:
             self._release_cache(self._prompt)
 
     def _send_with_retries(self) -> None:
         # Not after the prefill, which would be in vain.
         self._refuse_if_limited()
-        cause = Cause.NO_RETRY
-        self._knowledge.budget.add_call(clock_s())
         for attempt_index in range(MAX_SENDS):
             if attempt_index and not self._may_retry():
                 break
             try:
                 self._send_within_limits()
             except RetryableError as error:
-                cause = error.cause
+                self._cause = error.cause
                 continue
             return
-        raise RefusedError(Refusal(cause, DEFAULT_RETRY_AFTER_S))
+        raise RefusedError(Refusal(self._cause, DEFAULT_RETRY_AFTER_S))
 
     def _refuse_if_limited(self) -> None:
         refusal = limited_refusal(self._deps, self._context)
@@ -113,23 +119,34 @@
             return False
         if context.responder.has_started and not context.route.is_resumable:
             return False
-        if not context.attempts.may_run_again(context.route.is_repeatable):
-            return False
-        return self._knowledge.budget.try_charge(clock_s(), self._retry_cost())
+        return context.attempts.may_run_again(context.route.is_repeatable)
+
+    def _charge_retry(self) -> None:
+        """Charge the sends that this try repeats to the retry budget.
+
+        Raises:
+            RetryDeniedError: the budget does not allow it.
+        """
+        send_count = self._context.attempts.send_count
+        if self._charged_at == send_count:
+            # Nothing was sent since.
+            return
+        cost = self._retry_cost()
+        if not self._knowledge.budget.try_charge(clock_s(), cost):
+            raise RetryDeniedError
+        self._charged_at = send_count
 
     def _retry_cost(self) -> int:
-        """Count the sends that the next try repeats, for the retry budget.
+        """Count the sends that this try repeats.
 
         A refused connection carried nothing. If it counted, a crash would
         use up the budget before its calls reach another engine. A repeated
         prefill counts in addition to the stream. Otherwise all nodes together
         would exceed the retry limit.
         """
-        is_stream_repeated = bool(self._context.attempts.targets)
-        is_prefill_repeated = (
-            self._prompt is None and self._prefiller.has_sent_prefill
-        )
-        return is_stream_repeated + is_prefill_repeated
+        attempts = self._context.attempts
+        is_prefill_repeated = self._prompt is None and attempts.is_prefill_sent
+        return attempts.is_sent + is_prefill_repeated
 
     def _send_once(self) -> None:
         if self._deps.handover.is_needed(self._context):
@@ -137,6 +154,7 @@
             return
         if self._deps.handover.cannot_be_served(self._context):
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
+        self._charge_retry()
         if self._prompt is None:
             self._prompt = self._prefiller.prefill()
         self._stream_from(
--- a/packages/gateway/dandelionyoke_gateway/_stream_call_state.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call_state.py
@@ -18,6 +18,10 @@
         self.cause = cause
 
 
+class RetryDeniedError(Exception):
+    """The retry budget of the service does not allow to send a call again."""
+
+
 class StreamCallState:
     """One streamed call and the targets that it was already sent to."""
 
