Hand the KV cache of a prompt over with its call

What callers saw: a second wait for the prefill of their prompt, and engines a second prefill, charged as a retry, where the node that took the call had the prompt prefilled before it lost the decode engines.

Cause: a handed call did not name the KV cache that existed.

Change: CallHanded names the engine and the handle. The other node passes them to its decode engine; the node that had it prefilled keeps it for the next node if that one declines, and releases it if no engine may have imported it.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -37,7 +37,8 @@
     `attempts_left` targets may still run it. `last_event_id` is the last event
     that its caller has received. `service` was chosen for it. `is_sent` and
     `is_prefill_sent` tell whether the call, or a prefill for it, was sent to a
-    target before.
+    target before. The KV cache of its prompt, if any, is at the engine
+    `cache_target_id`; the other node releases it.
     """
 
     peer_id: str
@@ -47,6 +48,8 @@
     service: str
     is_sent: bool
     is_prefill_sent: bool
+    cache_target_id: str
+    cache_handle: str
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -17,6 +17,7 @@
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._messages import ResponseHead
+from dandelionyoke_gateway._ports import CacheSource
 from dandelionyoke_links import CallChannel, LinkError
 
 # A healthy node accepts a channel within milliseconds.
@@ -103,10 +104,15 @@
 
     @contextmanager
     def exchange(
-        self, context: CallContext, last_event_id: str | None
+        self,
+        context: CallContext,
+        last_event_id: str | None,
+        cache: CacheSource | None = None,
     ) -> Iterator[HandedCall]:
         """Hand a call to a node that can serve it.
 
+        That node may use the KV cache of the prompt, but does not release it.
+
         Raises:
             ExchangeError: none can, or the response was cut off.
         """
@@ -116,7 +122,9 @@
             if channel is None:
                 continue
             try:
-                call = self._start(context, channel, member, last_event_id)
+                call = self._start(
+                    context, channel, member, last_event_id, cache
+                )
                 if call is not None:
                     yield call
                     return
@@ -154,13 +162,14 @@
         channel: CallChannel,
         member: Member,
         last_event_id: str | None,
+        cache: CacheSource | None,
     ) -> HandedCall | None:
         """Send a call and wait for the response to begin.
 
         Returns None if the node cannot serve it and another one may.
         """
         try:
-            begun = _exchange_heads(context, channel, last_event_id)
+            begun = _exchange_heads(context, channel, last_event_id, cache)
         except ExchangeError:
             # It is unknown what the other node has sent.
             context.attempts.add_sent(is_sent=True, is_prefill_sent=True)
@@ -217,7 +226,10 @@
 
 
 def _exchange_heads(
-    context: CallContext, channel: CallChannel, last_event_id: str | None
+    context: CallContext,
+    channel: CallChannel,
+    last_event_id: str | None,
+    cache: CacheSource | None,
 ) -> ResponseBegun:
     """Send a call; return the head of its response.
 
@@ -236,6 +248,8 @@
         context.service.name,
         context.attempts.is_sent,
         context.attempts.is_prefill_sent,
+        '' if cache is None else cache.target.target_id,
+        '' if cache is None else cache.handle,
     )
     context.attempts.handed(channel.peer_id)
     try:
--- a/packages/gateway/dandelionyoke_gateway/_handover_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_messages.py
@@ -20,7 +20,8 @@
     The body follows in parts. `last_event_id` is the last event that the
     caller has received. At most `attempts_left` targets may run the call.
     `service` was chosen for it. `is_sent` and `is_prefill_sent` tell whether
-    the call, or a prefill for it, was sent to a target before.
+    the call, or a prefill for it, was sent to a target before. The KV cache
+    of its prompt, if any, is at the engine `cache_target_id`.
     """
 
     method: str
@@ -33,6 +34,8 @@
     service: str = ''
     is_sent: bool = False
     is_prefill_sent: bool = False
+    cache_target_id: str = ''
+    cache_handle: str = ''
 
     @property
     def is_valid(self) -> bool:
--- a/packages/gateway/dandelionyoke_gateway/_handover_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_server.py
@@ -152,6 +152,8 @@
             call.service,
             call.is_sent,
             call.is_prefill_sent,
+            call.cache_target_id,
+            call.cache_handle,
         ),
     )
 
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -55,10 +55,14 @@
 
 @attrs.frozen
 class PrefilledPrompt:
-    """A prefilled prompt and the engine that holds its KV cache."""
+    """A prefilled prompt and the engine that holds its KV cache.
+
+    `is_own` is False if another node had it prefilled and releases the cache.
+    """
 
     target: RegisteredTarget
     cache: CacheSource
+    is_own: bool = True
 
 
 class PromptPrefiller:
@@ -77,6 +81,17 @@
             self._context.service.name
         )
 
+    def find_handed(self) -> PrefilledPrompt | None:
+        """Return the prompt that came prefilled with a handed call, if any."""
+        handed_over = self._context.request.handed_over
+        if handed_over is None or not handed_over.cache_handle:
+            return None
+        target = self._knowledge.registry.find(handed_over.cache_target_id)
+        if target is None:
+            return None
+        cache = CacheSource(target, handed_over.cache_handle)
+        return PrefilledPrompt(target, cache, is_own=False)
+
     def prefill(self) -> PrefilledPrompt | None:
         """Run the prefill separately; None if the decode engine must do it."""
         prompt = self._context.call.prompt
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -66,7 +66,7 @@
         self._state = StreamCallState(deps, context)
         self._prefiller = PromptPrefiller(self._state)
         # Kept for a retry as long as no decode engine has imported its KV cache.
-        self._prompt: PrefilledPrompt | None = None
+        self._prompt = self._prefiller.find_handed()
         self._cause = Cause.NO_RETRY
         # The number of sends at which a retry was charged.
         self._charged_at: int | None = None
@@ -183,7 +183,7 @@
 
     def _release_cache(self, prompt: PrefilledPrompt | None) -> None:
         """Free the memory of a KV cache that no engine has imported."""
-        if prompt is None:
+        if prompt is None or not prompt.is_own:
             return
         eventlet.spawn_n(self._deps.engines.release_cache, prompt.cache)
 
@@ -331,15 +331,21 @@
         """
         context = self._context
         exchange = self._deps.handover.exchange(
-            context, self._state.last_event_id
+            context,
+            self._state.last_event_id,
+            None if self._prompt is None else self._prompt.cache,
         )
         try:
             with exchange as call:
                 self._relay_handed(call)
         except ExchangeError as error:
+            if error.sent:
+                # It is unknown whether an engine has imported the KV cache.
+                self._prompt = None
             cause = Cause.BROKEN if error.sent else Cause.NO_TARGET
             raise RetryableError(cause) from error
         if call.may_have_run:
+            self._prompt = None
             context.attempts.ran()
         else:
             context.attempts.refused()
