Prefill no prompt while no decode engine accepts a connection

What callers saw: 503 after a prefill, for seconds, while each node knew that all decode engines refuse connections; engines prefilled prompts that no decode could follow.

Cause: the prefill came first, and a decode engine was looked for after it. Engines in cooldown were tried all the same.

Change: a call whose service has no decode engine that accepts connections is handed to another node at once, without a prefill, and refused if that is no better off. Such engines are probed twice a second until one accepts, so that a cooldown of up to 4 s does not outlast the crash.

--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -169,6 +169,22 @@
             ),
         )
 
+    def decode_targets(self, service: str) -> list[RegisteredTarget]:
+        """Return the targets that may stream a call of a service."""
+        return [
+            target
+            for target in self._registry.of_service(service)
+            if target.phase is not Phase.PREFILL
+        ]
+
+    def is_decode_unreachable(self, service: str, now_s: float) -> bool:
+        """Whether no target that may stream a call accepts a connection."""
+        targets = self.decode_targets(service)
+        return bool(targets) and all(
+            self._loads.is_unreachable(target.target_id, now_s)
+            for target in targets
+        )
+
     def choose_plain_target(
         self, service: str, avoid: Collection[str], now_s: float
     ) -> RegisteredTarget | None:
@@ -194,11 +210,7 @@
         """
         if not self._limits.has_withheld:
             return ()
-        targets = [
-            target
-            for target in self._registry.of_service(service)
-            if target.phase is not Phase.PREFILL
-        ]
+        targets = self.decode_targets(service)
         if self._limits.are_all_withheld(targets, now_s):
             return targets
         return ()
--- a/packages/dispatch/dandelionyoke_dispatch/_target_load.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_load.py
@@ -86,6 +86,14 @@
         load.failures = 0
         load.is_unreachable = False
 
+    def connected(self, target_id: str) -> None:
+        """Record that an unreachable target accepts connections again."""
+        load = self._load_of(target_id)
+        if load.is_unreachable:
+            load.is_unreachable = False
+            load.failures = 0
+            load.cooldown_until_s = 0.0
+
     def failed(self, target_id: str, now_s: float) -> None:
         """Count a failure; several in a row make the target suspect."""
         self._count_failure(target_id, TargetFailure.BROKEN, now_s)
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -86,14 +86,20 @@
         """Set the function that opens channels, once links are accepted."""
         self._open = open_call
 
-    def is_needed(self, context: CallContext) -> bool:
-        """Whether another node should serve a call."""
+    def is_needed(
+        self, context: CallContext, *, is_reached: bool = True
+    ) -> bool:
+        """Whether another node should serve a call.
+
+        `is_reached` is whether this one reaches a target that can end it.
+        """
         if context.request.handed_over is not None or self._open is None:
             return False
         if context.is_declined_elsewhere:
             return False
         return (
-            self._knowledge.reach.is_cut_off(context.service.name)
+            not is_reached
+            or self._knowledge.reach.is_cut_off(context.service.name)
             or context.failed_connections >= FAILED_CONNECTIONS
         )
 
--- a/packages/gateway/dandelionyoke_gateway/_reach_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_reach_task.py
@@ -1,5 +1,7 @@
 """Probes the targets of a service that this node seems not to reach."""
 
+from collections.abc import Sequence
+
 import eventlet
 
 from dandelionyoke_dispatch import RegisteredTarget
@@ -22,6 +24,7 @@
         self._reach = knowledge.reach
         self._log = log
         self._probed_services: set[str] = set()
+        self._watched_services: set[str] = set()
 
     def connected(self, target: RegisteredTarget) -> None:
         """Record that a new connection to a target was established."""
@@ -49,6 +52,23 @@
             self._start_probe(service)
         return self._reach.is_cut_off(service)
 
+    def watch_decode(self, service: str) -> None:
+        """Probe the decode targets of a service until one is reached."""
+        if service not in self._watched_services:
+            self._watched_services.add(service)
+            eventlet.spawn_n(self._probe_decode, service)
+
+    def _probe_decode(self, service: str) -> None:
+        placement = self._knowledge.placement
+        while placement.is_decode_unreachable(service, clock_s()):
+            targets = placement.decode_targets(service)
+            for target_id, is_reached in self._probe_sample(targets).items():
+                if is_reached:
+                    self._knowledge.loads.connected(target_id)
+                    self._log.decide('target.reached', target_id)
+            eventlet.sleep(PROBE_INTERVAL_S)
+        self._watched_services.discard(service)
+
     def _start_probe(self, service: str) -> None:
         if service not in self._probed_services:
             self._probed_services.add(service)
@@ -66,12 +86,7 @@
 
     def _probe(self, service: str) -> None:
         targets = self._knowledge.registry.of_service(service)
-        count = min(len(targets), self._reach.probed_targets)
-        probes = {
-            target.target_id: eventlet.spawn(_is_reached, target)
-            for target in self._knowledge.random.sample(targets, count)
-        }
-        results = {name: probe.wait() for name, probe in probes.items()}
+        results = self._probe_sample(targets)
         if self._reach.probed(service, results, clock_s()):
             is_cut_off = self._reach.is_cut_off(service)
             self._log.decide(
@@ -82,6 +97,17 @@
                 reached=sum(results.values()),
             )
 
+    def _probe_sample(
+        self, targets: Sequence[RegisteredTarget]
+    ) -> dict[str, bool]:
+        """Connect to some of the targets; return which of them accepted."""
+        count = min(len(targets), self._reach.probed_targets)
+        probes = {
+            target.target_id: eventlet.spawn(_is_reached, target)
+            for target in self._knowledge.random.sample(targets, count)
+        }
+        return {name: probe.wait() for name, probe in probes.items()}
+
 
 def _is_reached(target: RegisteredTarget) -> bool:
     try:
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -149,10 +149,17 @@
         return attempts.is_sent + is_prefill_repeated
 
     def _send_once(self) -> None:
-        if self._deps.handover.is_needed(self._context):
+        handover, service = self._deps.handover, self._context.service.name
+        # A prefill would be in vain, and its caller would wait for it.
+        is_reached = not self._knowledge.placement.is_decode_unreachable(
+            service, clock_s()
+        )
+        if not is_reached:
+            self._deps.reach.watch_decode(service)
+        if handover.is_needed(self._context, is_reached=is_reached):
             self._hand_over()
             return
-        if self._deps.handover.cannot_be_served(self._context):
+        if not is_reached or handover.cannot_be_served(self._context):
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
         self._charge_retry()
         if self._prompt is None:
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -29,6 +29,8 @@
 BURST_SIZE = 24
 BURST_INTERVAL_S = 1.5
 PREFILL_S = 0.03
+# A probe comes twice a second.
+REACHED_S = 0.7
 PROMPT_HEADERS = (
     'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: aa:500,bb:400\r\n'
 )
@@ -189,6 +191,19 @@
         self.assertEqual([503] * 12, self.call_all(12))
         self.assertEqual(before, self.prefill_count())
 
+    def test_a_decode_engine_that_is_back_gets_calls_soon(self) -> None:
+        """Guards against engines that stay unused for seconds after a crash."""
+        self.add_targets(2, answers_prefill, phase=Phase.PREFILL)
+        self.add_targets(1, streams_token, phase=Phase.DECODE)
+        loads = [node.knowledge.loads for node in self.nodes]
+        for load in loads:
+            # Each failure doubles the cooldown, to 4 s here.
+            for _ in range(6):
+                load.unreachable('i-3', clock_s())
+        self.call_all(4)
+        eventlet.sleep(REACHED_S)
+        self.assertEqual([200] * 4, self.call_all(4, '/ask/2'))
+
     def test_the_cache_of_a_handed_call_is_used_by_the_other_node(
         self,
     ) -> None:
