Bound the retries of each service over the window of the rule

What callers saw: calls of a healthy service that were refused after one refusal, because another service had spent the retries of the node. Engines could get more than the bound after restarts of all nodes, or while the list of nodes was incomplete.

Cause: one bucket a node stood for a bound for each service, full at each start, refilled beside what it had let out, with an overdraft for each node, and as large as the nodes listed at that moment told.

Evidence: test_retries_of_a_broken_service_leave_those_of_others failed six of six times.

Change: each node counts its calls and retries of each service in the window and keeps to its part of the same sum, so that the parts add up to the bound. The extra part grows after a start and follows the highest number of nodes of 30 s. Parts under one retry are rounded at random, once a process. A retry of two sends needs both. Each charge is logged (retry.charged) with what was known.

--- a/packages/core/dandelionyoke_core/_retry_budget.py
+++ b/packages/core/dandelionyoke_core/_retry_budget.py
@@ -18,12 +18,6 @@
         self._balance = reserve
         self._refilled_at_s: float | None = None
 
-    def resize(self, reserve: float) -> None:
-        """Change the capacity, when this node's part of a total changes."""
-        growth = max(0, reserve - self._capacity)
-        self._capacity = reserve
-        self._balance = min(reserve, self._balance + growth)
-
     def add_call(self, now_s: float) -> None:
         """Add the share of one new call."""
         self._refill(now_s)
--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -103,6 +103,11 @@
     RegistrySettings as RegistrySettings,
     TargetRegistry as TargetRegistry,
 )
+from dandelionyoke_dispatch._retry_budgets import (
+    RetryBudgets as RetryBudgets,
+    RetryBudgetSettings as RetryBudgetSettings,
+    RetryVerdict as RetryVerdict,
+)
 from dandelionyoke_dispatch._shutdown import (
     Shutdown as Shutdown,
     ShutdownSettings as ShutdownSettings,
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -110,6 +110,29 @@
     return Refusal(Cause.TARGETS_LIMITED, retry_after_s)
 
 
+def charge_retry(
+    deps: CallDependencies, context: CallContext, sends: int
+) -> bool:
+    """Charge what is sent once more; False if the budget does not allow it."""
+    if not sends:
+        return True
+    verdict = deps.knowledge.budget.try_charge(
+        context.service.name, clock_s(), sends
+    )
+    deps.log.decide(
+        'retry.charged',
+        context.call.attempt_id,
+        outcome='allowed' if verdict.is_allowed else 'refused',
+        service=context.service.name,
+        sends=sends,
+        spent=verdict.spent,
+        allowed=verdict.allowed,
+        calls=verdict.calls,
+        nodes=verdict.node_count,
+    )
+    return verdict.is_allowed
+
+
 CallForwarder = Callable[[CallDependencies, CallContext], None]
 
 
@@ -225,7 +248,9 @@
     def _forward(self, context: CallContext) -> None:
         if context.request.handed_over is None:
             # The node that took the call from its caller has counted it.
-            self._deps.knowledge.budget.add_call(clock_s())
+            self._deps.knowledge.budget.add_call(
+                context.service.name, clock_s()
+            )
         crashes = self._deps.knowledge.crashes
         if crashes.refuses(context.fingerprint, clock_s()):
             refusal = Refusal(Cause.QUARANTINED, crashes.retry_after_s)
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -9,7 +9,6 @@
 
 import attrs
 
-from dandelionyoke_core import RetryBudget
 from dandelionyoke_dispatch import (
     CountsReceiver,
     CountsSender,
@@ -35,6 +34,8 @@
     PromptQueueSettings,
     RegisteredTarget,
     RegistrySettings,
+    RetryBudgets,
+    RetryBudgetSettings,
     ServiceDemand,
     Shutdown,
     ShutdownSettings,
@@ -57,13 +58,6 @@
 from dandelionyoke_gateway._queue_waiters import QueueWaiters
 from dandelionyoke_gateway._settings import GatewaySettings
 
-# The limit on retries applies to all nodes together, and each node spends an
-# equal share of it without coordination. A node assumes this many nodes until
-# it knows the number, and 1.5 times the known number afterwards.
-ASSUMED_NODE_COUNT = 16
-NODE_COUNT_MARGIN = 1.5
-RETRY_SHARE_FACTOR = 0.7
-
 # One slow KV cache fetch makes an engine suspect: skipping fetches costs
 # little, but each further slow one delays a caller. Engines that are gone
 # leave the registry within seconds.
@@ -107,7 +101,7 @@
     # Outcomes of KV cache fetches for shared prefixes, by source engine.
     fetches: TargetLoads
     placement: Placement
-    budget: RetryBudget
+    budget: RetryBudgets
     usage: UsageCounter
     shutdown: Shutdown
     crashes: CrashGuard
@@ -238,8 +232,7 @@
     def take_node_count(self, count: int) -> None:
         """Set the number of nodes, including this one."""
         self.node_count = max(1, count)
-        assumed_count = NODE_COUNT_MARGIN * self.node_count
-        self.budget.resize(self.settings.retry_extra / assumed_count)
+        self.budget.take_nodes(self.node_count, clock_s())
 
     @property
     def is_ready(self) -> bool:
@@ -262,7 +255,9 @@
     usage = UsageCounter(settings.usage_window_s, clock)
     incarnation = f'{random.getrandbits(PROCESS_NAME_BITS):012x}'
     process_name = f'{settings.instance_id}.{incarnation}'
-    retry_reserve = settings.retry_extra / ASSUMED_NODE_COUNT
+    retries = RetryBudgetSettings(
+        settings.retry_share, settings.retry_extra, settings.retry_window_s
+    )
     return Knowledge(
         settings=settings,
         random=random,
@@ -278,11 +273,7 @@
             settings.domain,
             settings.instance_id,
         ),
-        budget=RetryBudget(
-            share=settings.retry_share * RETRY_SHARE_FACTOR,
-            reserve=retry_reserve,
-            refill_per_s=0,
-        ),
+        budget=RetryBudgets(retries, random, clock_s()),
         usage=usage,
         crashes=CrashGuard(CrashSettings()),
         process_name=process_name,
--- a/packages/gateway/dandelionyoke_gateway/_member_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_member_task.py
@@ -20,8 +20,7 @@
 from dandelionyoke_gateway._ports import Store
 
 MEMBERS_PREFIX = 'members/'
-# A node that is gone is still counted for this long. Limits that depend on
-# the number of nodes allow for 1.5 times as many.
+# A node that is gone is still counted for this long.
 MEMBER_TTL_S = 15.0
 POLL_INTERVAL_S = 5.0
 # If all nodes start together, the first polls find only some of them.
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -14,6 +14,7 @@
 from dandelionyoke_gateway._call_dispatcher import (
     CallDependencies,
     RefusedError,
+    charge_retry,
     limited_refusal,
 )
 from dandelionyoke_gateway._clock import clock_s
@@ -117,8 +118,9 @@
     def _may_send(self) -> bool:
         """Whether the call may be sent now; charges a retry."""
         # The first send is no retry, even if connections failed before it.
-        is_retry = self._context.attempts.is_sent
-        return not is_retry or self._knowledge.budget.try_charge(clock_s())
+        return charge_retry(
+            self._deps, self._context, int(self._context.attempts.is_sent)
+        )
 
     def _choose_target(self) -> RegisteredTarget | None:
         """Choose a target that takes a request now; None if there is none."""
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -15,6 +15,7 @@
 from dandelionyoke_gateway._call_dispatcher import (
     CallDependencies,
     RefusedError,
+    charge_retry,
     limited_refusal,
 )
 from dandelionyoke_gateway._clock import clock_s
@@ -131,8 +132,7 @@
         if self._charged_at == send_count:
             # Nothing was sent since.
             return
-        cost = self._retry_cost()
-        if not self._knowledge.budget.try_charge(clock_s(), cost):
+        if not charge_retry(self._deps, self._context, self._retry_cost()):
             raise RetryDeniedError
         self._charged_at = send_count
 
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -21,6 +21,8 @@
     Organisation,
     Phase,
     RegisteredTarget,
+    RetryBudgets,
+    RetryBudgetSettings,
     Route,
     Service,
     ServiceShare,
@@ -66,6 +68,8 @@
     body: bytes
 
 
+UPTIME_S = 60.0
+
 ScriptStep = bytes | float | None
 # Bytes are sent, a float is a pause in seconds, None resets the connection.
 Script = Callable[[ReceivedRequest], Iterable[ScriptStep]]
@@ -191,6 +195,18 @@
         self.knowledge: Knowledge = new_knowledge(
             settings or new_settings(instance_id), Random(7)
         )
+        # It has been up for a while and knows the number of nodes.
+        node_settings = self.knowledge.settings
+        self.knowledge.budget = RetryBudgets(
+            RetryBudgetSettings(
+                node_settings.retry_share,
+                node_settings.retry_extra,
+                node_settings.retry_window_s,
+            ),
+            Random(7),
+            clock_s() - UPTIME_S,
+        )
+        self.knowledge.take_node_count(1)
         self.knowledge.configuration = configuration()
         self.knowledge.freshness.confirm(clock_s())
         self.pool = TargetPool()
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -1,6 +1,7 @@
 """Calls over real sockets, to targets that fail in various ways."""
 
 from collections.abc import Iterable, Iterator
+from random import Random
 from unittest import mock
 
 import attrs
@@ -15,6 +16,8 @@
     Prompt,
     PromptPart,
     RateLimit,
+    RetryBudgets,
+    RetryBudgetSettings,
 )
 from dandelionyoke_gateway import _rate_limits, clock_s
 from tests.platform.node_harness import (
@@ -526,7 +529,8 @@
         }
         for name in rendezvous(engines, 'n-1', 2):
             engines[name].close()
-        while self.node.knowledge.budget.try_charge(clock_s()):
+        budget = self.node.knowledge.budget
+        while budget.try_charge('lm', clock_s()).is_allowed:
             continue
         self.assertEqual(
             200, status(self.node.call('/ask/1', extra=PROMPT_HEADERS))
@@ -544,17 +548,17 @@
         script = first_then(resets_connection, self.streams_tokens)
         for _ in range(2):
             self.node.add_target(script, 'lm', Phase.DECODE)
-        budget = self.node.knowledge.budget
-        budget.resize(3)
-        while budget.try_charge(clock_s()):
-            continue
-        for _ in range(100):
-            budget.add_call(clock_s())
+        settings = RetryBudgetSettings(
+            share=0.0, extra=3.0, window_s=10.0, used_extra=1.0
+        )
+        budget = RetryBudgets(settings, Random(7), clock_s() - 60)
+        budget.take_nodes(1, clock_s())
+        self.node.knowledge.budget = budget
         self.assertEqual(
             200, status(self.node.call('/resume/1', extra=PROMPT_HEADERS))
         )
-        self.assertTrue(budget.try_charge(clock_s()))
-        self.assertFalse(budget.try_charge(clock_s()))
+        self.assertTrue(budget.try_charge('lm', clock_s()).is_allowed)
+        self.assertFalse(budget.try_charge('lm', clock_s()).is_allowed)
 
     def test_a_short_prompt_is_prefilled_by_the_decode_engine(self) -> None:
         """A short prompt arrives while long ones wait for prefill engines.
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -303,4 +303,4 @@
 
 def may_retry(node: NodeHarness, service: str) -> bool:
     """Charge one retry; False if the budget does not allow it."""
-    return node.knowledge.budget.try_charge(clock_s())
+    return node.knowledge.budget.try_charge(service, clock_s()).is_allowed
