Read and log that a target leaves, or asks for rest

Change: the dialect reads Server-Leaving and, with a 503, Retry-After; target.leaving and target.rest tell them, and a rest that is no number. Nothing acts on them yet.

--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -56,7 +56,10 @@
     `is_other_target` means that another target uses the address now.
     `busy` is the load that the target reports. `limit_per_s` is the rate of
     requests that it takes from all nodes together, None if it names none;
-    `invalid_limit` is the text of a rate that is no number.
+    `invalid_limit` is the text of a rate that is no number. `is_leaving` means
+    that the target says it leaves. `rest_s` is the time for which it wants no
+    request from this instance; `invalid_rest` is the text of one that is no
+    number.
     """
 
     status: int
@@ -67,6 +70,9 @@
     busy: int | None
     limit_per_s: float | None = None
     invalid_limit: str = ''
+    is_leaving: bool = False
+    rest_s: float | None = None
+    invalid_rest: str = ''
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_target_gate.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_gate.py
@@ -65,6 +65,7 @@
         """Record the limit that an answer of a target names, or its end."""
         if facts.is_other_target:
             return
+        self._log_notices(target, facts)
         if facts.invalid_limit:
             self._log.decide(
                 'target.limit',
@@ -88,6 +89,26 @@
             )
             self._report()
 
+    def _log_notices(
+        self, target: RegisteredTarget, facts: ResponseFacts
+    ) -> None:
+        """Log that a target leaves, or asks for rest."""
+        if facts.is_leaving:
+            self._log.decide(
+                'target.leaving', target.target_id, status=facts.status
+            )
+        if facts.rest_s is not None:
+            self._log.decide(
+                'target.rest', target.target_id, rest_s=facts.rest_s
+            )
+        if facts.invalid_rest:
+            self._log.decide(
+                'target.rest',
+                target.target_id,
+                outcome='ignored',
+                cause=f'{facts.invalid_rest!r} is not a decimal number',
+            )
+
     def take(self, notes: tuple[TargetLimitNote, ...], peer_id: str) -> None:
         """Record what another node observed."""
         if self._knowledge.take_target_limits(notes):
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -17,6 +17,7 @@
     CacheSource,
     Forwarding,
     RequestHead,
+    ResponseFacts,
     ResponseHead,
 )
 from dandelionyoke_platform._dialect import PlatformDialect
@@ -55,6 +56,40 @@
 ENGINE = RegisteredTarget('i-1', 'lm', '10.0.0.1:80', 'a', 8, False)
 
 
+class NoticeTest(testtools.TestCase):
+    def read(self, status: int, *headers: tuple[str, str]) -> ResponseFacts:
+        """Read the facts from the head of a response."""
+        return DIALECT.read_response(ResponseHead(status, headers))
+
+    def test_a_target_that_leaves_is_told(self) -> None:
+        """Guards against a leaving target that goes on getting calls."""
+        for status in (200, 421, 500, 503, 504):
+            facts = self.read(status, ('server-leaving', '1'))
+            self.assertTrue(facts.is_leaving)
+        for text in ('0', '', 'no'):
+            facts = self.read(200, ('server-leaving', text))
+            self.assertFalse(facts.is_leaving)
+        self.assertFalse(self.read(200).is_leaving)
+
+    def test_the_rest_that_a_target_asks_for_is_read(self) -> None:
+        """Guards against a target in need that goes on getting calls."""
+        for text, rest_s in (('3', 3.0), ('0.25', 0.25), ('0', 0.0)):
+            facts = self.read(503, ('retry-after', text))
+            self.assertEqual((rest_s, ''), (facts.rest_s, facts.invalid_rest))
+        facts = self.read(503, ('retry-after', '1'), ('retry-after', '2.5'))
+        self.assertEqual(2.5, facts.rest_s)
+        self.assertIsNone(self.read(200, ('retry-after', '3')).rest_s)
+        self.assertIsNone(self.read(503).rest_s)
+
+    def test_a_rest_that_is_no_number_is_told_apart(self) -> None:
+        """Guards against a rest that is lost without a trace."""
+        date = 'Fri, 04 Dec 2026 00:00:00 GMT'
+        for text in ('-1', 'soon', '', 'inf', 'nan', '1e9', date, '9' * 16):
+            facts = self.read(503, ('retry-after', text))
+            self.assertIsNone(facts.rest_s)
+            self.assertEqual(text, facts.invalid_rest)
+
+
 class TargetLimitTest(testtools.TestCase):
     def read(self, *texts: str) -> tuple[float | None, str]:
         """Read the limit from the head of a response."""
