Send nothing new to a target whose answer says that it leaves

Cause: a word of an answer on which the caller of a target must act was dropped; only the store's entry took a target out, and the store may be away.

The registry keeps the notice with the target's start: no listing ends it, only a new start does, and the target need not be listed. The node that places prompts is told to avoid such engines. A node that passes the answer of a handed call on learns it as well. Calls under way are left to end. One line for each target, target.leaving.

The limit named in an answer to a report, an order or a release is seen as well now.

--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+# Targets that said they leave; far more than leave within minutes.
+MAX_LEAVING_TARGETS = 1024
+
 
 @enum.unique
 class Phase(enum.Enum):
@@ -59,6 +62,8 @@
         self._outage_since_s: float | None = None
         self._grace_until_s = 0.0
         self._missing: set[str] = set()
+        # The starts of the targets that said they leave, the latest last.
+        self._leaving_starts: dict[str, int | None] = {}
 
     @property
     def is_known(self) -> bool:
@@ -108,12 +113,23 @@
         if self._outage_since_s is None:
             self._outage_since_s = now_s
 
-    def mark_leaving(self, target_id: str, started_ms: int | None) -> None:
-        """Record that a target reported that it is leaving."""
+    def mark_leaving(self, target_id: str, started_ms: int | None) -> bool:
+        """Record that a target said it leaves; return whether that is new.
+
+        Only a new start under the same id ends this. The target need not be
+        listed at the moment.
+        """
         known = self._targets.get(target_id)
-        if known is not None and known.started_ms == started_ms:
-            leaving = attrs.evolve(known, is_leaving=True)
-            self._targets[target_id] = leaving
+        if known is not None and known.started_ms != started_ms:
+            return False
+        is_new = target_id not in self._leaving_starts
+        self._leaving_starts.pop(target_id, None)
+        self._leaving_starts[target_id] = started_ms
+        if len(self._leaving_starts) > MAX_LEAVING_TARGETS:
+            self._leaving_starts.pop(next(iter(self._leaving_starts)))
+        if known is not None:
+            self._targets[target_id] = attrs.evolve(known, is_leaving=True)
+        return is_new
 
     def is_new(self, target_id: str, now_s: float) -> bool:
         """Whether a target was added a short while ago."""
@@ -127,6 +143,11 @@
         """Return a target by its id; None if it is not listed."""
         return self._targets.get(target_id)
 
+    def leaving_ids(self, service: str) -> list[str]:
+        """Return the listed targets of a service that leave."""
+        targets = self.all_of_service(service)
+        return [target.target_id for target in targets if target.is_leaving]
+
     def of_service(self, service: str) -> list[RegisteredTarget]:
         """Return the targets of a service that accept new work."""
         targets = self.all_of_service(service)
@@ -144,4 +165,13 @@
         if known is not None and known.started_ms == target.started_ms:
             if known.is_leaving:
                 target = attrs.evolve(target, is_leaving=True)
+        if target.target_id in self._leaving_starts:
+            target = self._with_notice(target)
         self._targets[target.target_id] = target
+
+    def _with_notice(self, target: RegisteredTarget) -> RegisteredTarget:
+        """Apply what a target said itself, unless it has started anew."""
+        if self._leaving_starts[target.target_id] == target.started_ms:
+            return attrs.evolve(target, is_leaving=True)
+        self._leaving_starts.pop(target.target_id)
+        return target
--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -49,6 +49,7 @@
     DutyOutcome as DutyOutcome,
     EngineClient as EngineClient,
     EngineReport as EngineReport,
+    FactsListener as FactsListener,
     FencingStamp as FencingStamp,
     Forwarding as Forwarding,
     PhaseOrder as PhaseOrder,
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -10,7 +10,7 @@
 import h11
 from eventlet.green import socket
 
-from dandelionyoke_dispatch import CallerLimits
+from dandelionyoke_dispatch import CallerLimits, RegisteredTarget
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import (
     CallerDisconnectedError,
@@ -85,6 +85,8 @@
 
     is_complete: bool
     has_started: bool
+    # The target of the last answer, if it said that it leaves.
+    leaving: RegisteredTarget | None
 
     def respond(self, head: ResponseHead, body: bytes) -> None:
         """Write a complete response."""
@@ -113,6 +115,7 @@
         self._close_after = close_after
         self.is_complete = False
         self.has_started = False
+        self.leaving: RegisteredTarget | None = None
 
     def respond(self, head: ResponseHead, body: bytes) -> None:
         """Write a complete response."""
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -18,6 +18,7 @@
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._ports import CacheSource
+from dandelionyoke_gateway._target_gate import TargetGate
 from dandelionyoke_links import CallChannel, LinkError
 
 # A healthy node accepts a channel within milliseconds.
@@ -75,9 +76,12 @@
     A call is handed over once: the other node does not hand it on.
     """
 
-    def __init__(self, knowledge: Knowledge, log: DecisionLog) -> None:
+    def __init__(
+        self, knowledge: Knowledge, log: DecisionLog, gate: TargetGate
+    ) -> None:
         self._knowledge = knowledge
         self._log = log
+        self._gate = gate
         self._open: OpenCall | None = None
         # By service and node.
         self._cooldown_until_s: dict[tuple[str, str], float] = {}
@@ -189,6 +193,10 @@
             may_have_run=str(begun.may_have_run),
             since_arrival_s=clock_s() - context.request.arrived_s,
         )
+        if begun.leaving_id:
+            self._gate.mark_leaving(
+                begun.leaving_id, begun.leaving_started_ms, member.instance_id
+            )
         if begun.is_elsewhere:
             context.attempts.refused()
             self._pass_over(
--- a/packages/gateway/dandelionyoke_gateway/_handover_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_messages.py
@@ -59,7 +59,9 @@
     `may_have_run` is False only if no target ran the call. `is_elsewhere`
     means that the node could not serve the call although another node may.
     `is_sent` and `is_prefill_sent` are False only if no node has sent the
-    call, or a prefill for it, to a target.
+    call, or a prefill for it, to a target. The target `leaving_id`, if any,
+    which has started at `leaving_started_ms`, said in its answer that it
+    leaves.
     """
 
     status: int
@@ -69,3 +71,5 @@
     is_elsewhere: bool = False
     is_sent: bool = True
     is_prefill_sent: bool = True
+    leaving_id: str = ''
+    leaving_started_ms: int | None = None
--- a/packages/gateway/dandelionyoke_gateway/_handover_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_server.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Iterator
 
+import attrs
 import eventlet
 from eventlet.greenthread import GreenThread
 
 from dandelionyoke_core import PeerMessage
+from dandelionyoke_dispatch import RegisteredTarget
 from dandelionyoke_gateway._caller_connection import (
     CallerRequest,
     HandedOver,
@@ -37,6 +39,7 @@
         self._channel = channel
         self.is_complete = False
         self.has_started = False
+        self.leaving: RegisteredTarget | None = None
 
     def respond(self, head: ResponseHead, body: bytes) -> None:
         """Write a complete response."""
@@ -72,6 +75,12 @@
 
     def _begin(self, begun: ResponseBegun) -> None:
         self.has_started = True
+        if self.leaving is not None:
+            begun = attrs.evolve(
+                begun,
+                leaving_id=self.leaving.target_id,
+                leaving_started_ms=self.leaving.started_ms,
+            )
         self._send(begun)
 
     def _write_body(self, body: bytes) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_json_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_json_call.py
@@ -13,7 +13,11 @@
     Fields,
     parse_object,
 )
-from dandelionyoke_gateway._messages import HeaderList, RequestHead
+from dandelionyoke_gateway._messages import (
+    HeaderList,
+    RequestHead,
+    ResponseHead,
+)
 from dandelionyoke_gateway._target_pool import TargetPool
 
 MAX_BODY_BYTES = 8388608
@@ -34,11 +38,16 @@
 
 @attrs.frozen
 class JsonReply:
-    """Status and JSON fields of a reply; no fields if the body has none."""
+    """Head and JSON fields of a reply; no fields if the body has none."""
 
-    status: int
+    head: ResponseHead
     fields: Fields
 
+    @property
+    def status(self) -> int:
+        """The status of the reply."""
+        return self.head.status
+
 
 def call_json(
     pool: TargetPool,
@@ -65,7 +74,7 @@
         connection.send(head, request_body, limits.send_until_s)
         reply_head = connection.read_head(deadline_s)
         reply_body = connection.read_body(deadline_s, MAX_BODY_BYTES)
-    return JsonReply(reply_head.status, _parse_fields(reply_body))
+    return JsonReply(reply_head, _parse_fields(reply_body))
 
 
 def _parse_fields(reply_body: bytes) -> Fields:
--- a/packages/gateway/dandelionyoke_gateway/_limited_engines.py
+++ b/packages/gateway/dandelionyoke_gateway/_limited_engines.py
@@ -8,6 +8,7 @@
     DutyOutcome,
     EngineClient,
     EngineReport,
+    FactsListener,
     FencingStamp,
     PhaseOrder,
     TargetCountOrder,
@@ -22,6 +23,10 @@
         self._engines = engines
         self._gate = gate
 
+    def listen(self, listener: FactsListener) -> None:
+        """Set the listener for what engines say of themselves in answers."""
+        self._engines.listen(listener)
+
     def read_report(self, target: RegisteredTarget) -> EngineReport | None:
         """Fetch the report of an engine; None if that fails."""
         try:
--- a/packages/gateway/dandelionyoke_gateway/_node_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_node_links.py
@@ -57,11 +57,12 @@
 def new_node_links(knowledge: Knowledge, log: DecisionLog) -> NodeLinks:
     """Create the parts; they decide locally until the links are open."""
     local_prefill_queue = LocalPrefillQueue(knowledge)
+    sources = SourceServices(knowledge, log)
     return NodeLinks(
         knowledge,
         log,
-        Handover(knowledge, log),
-        SourceServices(knowledge, log),
+        Handover(knowledge, log, sources.target_gate),
+        sources,
         local_prefill_queue,
         DomainPrefillQueue(local_prefill_queue, knowledge, log),
     )
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -170,8 +170,10 @@
             context.attempts.sent(target.target_id)
             connection.send(head, context.request.body)
             response_head = connection.read_head(context.deadline_s)
-            body = connection.read_body(context.deadline_s, MAX_RESPONSE_BYTES)
             facts = self._deps.dialect.read_response(response_head)
+            # What a target says of itself holds if its body is cut off, too.
+            apply_response_facts(self._deps, context, target, facts)
+            body = connection.read_body(context.deadline_s, MAX_RESPONSE_BYTES)
             validate_response(response_head, facts, context)
         if facts.is_signed and not facts.is_not_run:
             count_usage_once(self._deps, context, sent_s)
@@ -183,7 +185,6 @@
         """Return the response if it goes to the caller, else None."""
         loads, facts = self._knowledge.loads, response.facts
         self._log_response(target, facts)
-        apply_response_facts(self._deps, target, facts)
         if facts.is_not_run:
             self._context.attempts.refused()
             loads.refused(target.target_id, clock_s())
@@ -253,11 +254,16 @@
 
 
 def apply_response_facts(
-    deps: CallDependencies, target: RegisteredTarget, facts: ResponseFacts
+    deps: CallDependencies,
+    context: CallContext,
+    target: RegisteredTarget,
+    facts: ResponseFacts,
 ) -> None:
-    """Record the load and the identity that a target reported."""
+    """Record what a target reported of itself."""
     knowledge = deps.knowledge
     deps.target_gate.observe(target, facts)
+    is_leaving = facts.is_leaving and not facts.is_other_target
+    context.responder.leaving = target if is_leaving else None
     if facts.busy is not None:
         knowledge.loads.reported(target.target_id, facts.busy, clock_s())
     if facts.is_other_target:
--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -1,6 +1,7 @@
 """Interfaces that a platform adapter implements, and their data types."""
 
 import enum
+from collections.abc import Callable
 from typing import Protocol, Self
 
 import attrs
@@ -229,9 +230,15 @@
         """Order an engine to change its phase."""
 
 
+FactsListener = Callable[[RegisteredTarget, ResponseFacts], None]
+
+
 class EngineClient(Protocol):
     """Calls to engines that are not made for a caller."""
 
+    def listen(self, listener: FactsListener) -> None:
+        """Set the listener for what engines say of themselves in answers."""
+
     def read_report(self, target: RegisteredTarget) -> EngineReport | None:
         """Fetch the report of an engine; None if that fails."""
 
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -116,6 +116,7 @@
         self._engines = LimitedEngineClient(
             self._adapters.engines, self._links.sources.target_gate
         )
+        self._engines.listen(self._links.sources.target_gate.observe)
         self._call_dispatcher = CallDispatcher(
             CallDependencies(
                 self._knowledge,
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -121,7 +121,7 @@
             arrived_s=self._context.request.arrived_s,
             goal_s=self._context.route.goal_s,
             deadline_s=self._deadline_s(),
-            avoid=frozenset(self._state.tried_ids),
+            avoid=frozenset(self._state.tried_ids) | self._unavailable_ids(),
         )
         try:
             return self._deps.prefill_queue.acquire(request)
@@ -130,6 +130,11 @@
             refusal = Refusal(Cause.TOO_LATE, error.retry_after_s)
             raise RefusedError(refusal) from error
 
+    def _unavailable_ids(self) -> frozenset[str]:
+        """Return the engines that told this node what others may not know."""
+        service = self._context.service.name
+        return frozenset(self._knowledge.registry.leaving_ids(service))
+
     def _prefill_with_grant(
         self, prompt: Prompt, grant: PrefillGrant, queued_s: float
     ) -> PrefilledPrompt | None:
@@ -233,10 +238,10 @@
             self._context.attempts.prefill_sent()
             connection.send(head, self._context.request.body)
             response = connection.read_head(deadline_s)
-            body = connection.read_body(deadline_s, MAX_PREFILL_BYTES)
             facts = self._deps.dialect.read_response(response)
+            apply_response_facts(self._deps, self._context, target, facts)
+            body = connection.read_body(deadline_s, MAX_PREFILL_BYTES)
             validate_attempt_id(facts, self._context)
-            apply_response_facts(self._deps, target, facts)
             if facts.status != HTTPStatus.OK:
                 return None
             return self._deps.dialect.read_prefill(body)
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -276,7 +276,7 @@
             ExchangeError: the response must not reach the caller.
         """
         validate_attempt_id(facts, self._context)
-        apply_response_facts(self._deps, target, facts)
+        apply_response_facts(self._deps, self._context, target, facts)
         if facts.is_not_run:
             self._context.attempts.refused()
             self._state.tried_ids.add(target.target_id)
--- a/packages/gateway/dandelionyoke_gateway/_target_gate.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_gate.py
@@ -65,7 +65,7 @@
         """Record the limit that an answer of a target names, or its end."""
         if facts.is_other_target:
             return
-        self._log_notices(target, facts)
+        self._take_notices(target, facts)
         if facts.invalid_limit:
             self._log.decide(
                 'target.limit',
@@ -89,14 +89,29 @@
             )
             self._report()
 
-    def _log_notices(
-        self, target: RegisteredTarget, facts: ResponseFacts
+    def mark_leaving(
+        self, target_id: str, started_ms: int | None, peer_id: str = ''
     ) -> None:
-        """Log that a target leaves, or asks for rest."""
-        if facts.is_leaving:
+        """Send no new call to a target that said it leaves.
+
+        `peer_id` is the node that passed its answer on, if any.
+        """
+        registry = self._knowledge.registry
+        if registry.mark_leaving(target_id, started_ms):
             self._log.decide(
-                'target.leaving', target.target_id, status=facts.status
+                'target.leaving',
+                target_id,
+                outcome='left out',
+                started_ms=started_ms,
+                told_by=peer_id,
             )
+
+    def _take_notices(
+        self, target: RegisteredTarget, facts: ResponseFacts
+    ) -> None:
+        """Record that a target leaves, and log that it asks for rest."""
+        if facts.is_leaving:
+            self.mark_leaving(target.target_id, target.started_ms)
         if facts.rest_s is not None:
             self._log.decide(
                 'target.rest', target.target_id, rest_s=facts.rest_s
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -213,9 +213,9 @@
         self.targets: list[ScriptedTarget] = []
         self._registered: list[RegisteredTarget] = []
         self._log = DecisionLog(self.log_lines, instance_id, Metrics())
-        self.handover = Handover(self.knowledge, self._log)
         self.rate_limits = DomainRateLimits(self.knowledge, self._log)
         self.target_gate = TargetGate(self.knowledge, self._log)
+        self.handover = Handover(self.knowledge, self._log, self.target_gate)
         self._dispatcher = CallDispatcher(
             CallDependencies(
                 self.knowledge,
