--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -216,13 +216,14 @@
         self.rate_limits = DomainRateLimits(self.knowledge, self._log)
         self.target_gate = TargetGate(self.knowledge, self._log)
         self.handover = Handover(self.knowledge, self._log, self.target_gate)
+        self.prefill_queue = LocalPrefillQueue(self.knowledge)
         self._dispatcher = CallDispatcher(
             CallDependencies(
                 self.knowledge,
                 PlatformDialect(),
                 self.pool,
                 PlatformDuties('', self.pool),
-                LocalPrefillQueue(self.knowledge),
+                self.prefill_queue,
                 self.rate_limits,
                 self._log,
                 self._record_probe,
