Send nothing to a target for as long as it asks for rest

Cause: Retry-After of a target's 503 was dropped. A cooldown of our own stood in its place, which gives way where all targets are suspect and may outlast the rest.

Evidence: beside a target that answers 500, a resting one got 24 requests within its rest.

Change: a target that rests gets nothing from this node until the time that it named is over or it has started anew: no call, retry, prefill, report or order, and nothing that was connecting; a KV cache is released after the rest. The node that places prompts is told to avoid it. While all targets rest, calls are refused at once with the soonest end; nodes and callers come back spread over a fifth of the rest, one second at most. A time that is no number is logged.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -136,6 +136,10 @@
     TargetReach as TargetReach,
     TargetReachSettings as TargetReachSettings,
 )
+from dandelionyoke_dispatch._target_rests import (
+    TargetRests as TargetRests,
+    TargetRestSettings as TargetRestSettings,
+)
 from dandelionyoke_dispatch._usage import (
     ProcessCounts as ProcessCounts,
     TrueTime as TrueTime,
--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -18,6 +18,7 @@
 )
 from dandelionyoke_dispatch._target_limits import TargetLimits
 from dandelionyoke_dispatch._target_load import TargetLoads
+from dandelionyoke_dispatch._target_rests import TargetRests
 
 # The difference in slot utilisation above which an engine in another domain is
 # preferred. At this difference, the slower decode steps of the near engine cost
@@ -48,6 +49,7 @@
         loads: TargetLoads,
         fetches: TargetLoads,
         limits: TargetLimits,
+        rests: TargetRests,
         domain: str,
         instance_id: str,
     ) -> None:
@@ -56,6 +58,7 @@
         # Failures of fetches of shared prefixes, by engine.
         self._fetches = fetches
         self._limits = limits
+        self._rests = rests
         self._domain = domain
         self._instance_id = instance_id
 
@@ -215,6 +218,36 @@
             return targets
         return ()
 
+    def resting_targets(
+        self, service: str, now_s: float
+    ) -> Sequence[RegisteredTarget]:
+        """Return the targets that run a service's calls if all of them rest.
+
+        One that is at its limit counts as resting beside others that do.
+        """
+        if not self._rests.has_rests:
+            return ()
+        targets = self.decode_targets(service)
+        resting = [
+            target
+            for target in targets
+            if self._rests.is_resting(target, now_s)
+        ]
+        is_any_left = any(
+            target not in resting
+            and not self._limits.is_withheld(target.target_id, now_s)
+            for target in targets
+        )
+        return () if is_any_left else resting
+
+    def unavailable_ids(self, service: str, now_s: float) -> frozenset[str]:
+        """Return the targets that told this node what others may not know."""
+        return frozenset(
+            target.target_id
+            for target in self._registry.all_of_service(service)
+            if target.is_leaving or self._rests.is_resting(target, now_s)
+        )
+
     def _usable(
         self,
         service: str,
@@ -228,6 +261,7 @@
             if target.phase is phase
             and target.target_id not in avoid
             and not self._limits.is_withheld(target.target_id, now_s)
+            and not self._rests.is_resting(target, now_s)
         ]
         healthy = [
             target
--- a/packages/dispatch/dandelionyoke_dispatch/_refusals.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_refusals.py
@@ -22,6 +22,7 @@
     BROKEN = 'the target broke off or gave no proper answer'
     OVER_LIMIT = 'the organisation is over its limit'
     TARGETS_LIMITED = 'all targets get the requests that they take'
+    TARGETS_RESTING = 'all targets asked this instance for rest'
     QUARANTINED = 'targets that ran this call have crashed'
 
 
--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -143,11 +143,6 @@
         """Return a target by its id; None if it is not listed."""
         return self._targets.get(target_id)
 
-    def leaving_ids(self, service: str) -> list[str]:
-        """Return the listed targets of a service that leave."""
-        targets = self.all_of_service(service)
-        return [target.target_id for target in targets if target.is_leaving]
-
     def of_service(self, service: str) -> list[RegisteredTarget]:
         """Return the targets of a service that accept new work."""
         targets = self.all_of_service(service)
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -71,10 +71,15 @@
     ) -> Iterator[TargetConnection]:
         """Acquire a connection to a target for one exchange.
 
+        Raises:
+            TargetLimitedError: the target has asked for rest meanwhile.
+
         One that may be repeated is given up while it waits for a target, once
         it is known that no target of its service is reached.
         """
         with self.pool.acquire(target.address) as connection:
+            # Connecting takes time, in which the target may ask for rest.
+            self.target_gate.check_rest(target)
             if connection.is_new:
                 self.reach.connected(target)
             connection.give_up = lambda: (
@@ -96,20 +101,32 @@
 def limited_refusal(
     deps: CallDependencies, context: CallContext
 ) -> Refusal | None:
-    """Return the refusal of a call whose targets are all at their limits."""
+    """Return the refusal of a call whose targets take no request now.
+
+    They are at their limits, or have asked for rest.
+    """
     if context.attempts.may_have_run:
         return None
     knowledge, now_s = deps.knowledge, clock_s()
     service = context.service.name
     targets = knowledge.placement.limited_targets(service, now_s)
     if not targets:
-        return None
+        return _rest_refusal(knowledge, service)
     retry_after_s = knowledge.target_limits.retry_after_s(
         service, targets, knowledge.node_count, now_s
     )
     return Refusal(Cause.TARGETS_LIMITED, retry_after_s)
 
 
+def _rest_refusal(knowledge: Knowledge, service: str) -> Refusal | None:
+    now_s = clock_s()
+    targets = knowledge.placement.resting_targets(service, now_s)
+    if not targets:
+        return None
+    retry_after_s = knowledge.rests.retry_after_s(targets, now_s)
+    return Refusal(Cause.TARGETS_RESTING, retry_after_s)
+
+
 def charge_retry(
     deps: CallDependencies, context: CallContext, sends: int
 ) -> bool:
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -50,6 +50,8 @@
     TargetReach,
     TargetReachSettings,
     TargetRegistry,
+    TargetRests,
+    TargetRestSettings,
     TrueTime,
     UsageCounter,
 )
@@ -112,6 +114,7 @@
     counts_sender: CountsSender
     limiters: Mapping[LimitScope, FleetLimiter]
     target_limits: TargetLimits
+    rests: TargetRests
     reach: TargetReach = attrs.field(
         factory=lambda: TargetReach(TargetReachSettings())
     )
@@ -226,6 +229,7 @@
         self.loads.forget(usable)
         listed = frozenset(target.target_id for target in self.listing.targets)
         self.fetches.forget(listed)
+        self.rests.forget(self.listing.targets)
         for state in self._service_states.values():
             state.prompt_queue.forget(listed)
 
@@ -251,6 +255,7 @@
     loads = TargetLoads(SuspicionSettings())
     fetches = TargetLoads(FETCH_SUSPICION)
     target_limits = TargetLimits(TargetLimitSettings())
+    rests = TargetRests(TargetRestSettings(), random)
     clock = TrueTime(wall_s() - clock_s())
     usage = UsageCounter(settings.usage_window_s, clock)
     incarnation = f'{random.getrandbits(PROCESS_NAME_BITS):012x}'
@@ -270,6 +275,7 @@
             loads,
             fetches,
             target_limits,
+            rests,
             settings.domain,
             settings.instance_id,
         ),
@@ -284,6 +290,7 @@
         counts_sender=CountsSender(process_name, usage),
         limiters=_new_limiters(settings),
         target_limits=target_limits,
+        rests=rests,
         shutdown=Shutdown(ShutdownSettings(settings.grace_s)),
     )
 
--- a/packages/gateway/dandelionyoke_gateway/_limited_engines.py
+++ b/packages/gateway/dandelionyoke_gateway/_limited_engines.py
@@ -1,5 +1,7 @@
 """Calls to engines that no caller waits for, within the engines' limits."""
 
+from eventlet import sleep
+
 from dandelionyoke_dispatch import RegisteredTarget, WindowCounts
 from dandelionyoke_gateway._ports import (
     CacheSource,
@@ -15,6 +17,9 @@
 )
 from dandelionyoke_gateway._target_gate import TargetGate, TargetLimitedError
 
+# Engines hold a KV cache that nobody takes for a few seconds.
+MAX_RELEASE_DELAY_S = 5.0
+
 
 class LimitedEngineClient:
     """Leaves out calls that an engine would get beyond its limit."""
@@ -38,6 +43,11 @@
 
     def release_cache(self, cache: CacheSource) -> None:
         """Free the KV cache of a prompt that is no longer needed."""
+        rest_left_s = self._gate.rest_left_s(cache.target)
+        if rest_left_s > MAX_RELEASE_DELAY_S:
+            # The engine releases the handle itself when its hold time ends.
+            return
+        sleep(rest_left_s)
         try:
             self._gate.enter(cache.target, 'release')
         except TargetLimitedError:
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -145,6 +145,9 @@
         self._knowledge.loads.call_started(target.target_id)
         try:
             response = self._exchange(target)
+        except TargetLimitedError:
+            # It asked for rest while the connection was made.
+            return None
         except ExchangeError as error:
             self._cause = record_failure(
                 self._deps, self._context, target, error
@@ -187,7 +190,7 @@
         self._log_response(target, facts)
         if facts.is_not_run:
             self._context.attempts.refused()
-            loads.refused(target.target_id, clock_s())
+            record_refusal(self._deps, target, facts)
             self._cause = Cause.NO_RETRY
             return None
         self._context.attempts.ran()
@@ -273,6 +276,18 @@
         knowledge.registry.mark_leaving(target.target_id, target.started_ms)
 
 
+def record_refusal(
+    deps: CallDependencies, target: RegisteredTarget, facts: ResponseFacts
+) -> None:
+    """Record that a target reported not running a call.
+
+    One that asked this node for rest takes calls of others, and its own time
+    goes before a cooldown.
+    """
+    if not facts.rest_s:
+        deps.knowledge.loads.refused(target.target_id, clock_s())
+
+
 def record_failure(
     deps: CallDependencies,
     context: CallContext,
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -17,6 +17,7 @@
 from dandelionyoke_gateway._messages import RequestHead
 from dandelionyoke_gateway._plain_call import (
     apply_response_facts,
+    record_refusal,
     validate_attempt_id,
 )
 from dandelionyoke_gateway._ports import CacheSource
@@ -121,7 +122,9 @@
             arrived_s=self._context.request.arrived_s,
             goal_s=self._context.route.goal_s,
             deadline_s=self._deadline_s(),
-            avoid=frozenset(self._state.tried_ids) | self._unavailable_ids(),
+            avoid=self._knowledge.placement.unavailable_ids(
+                self._context.service.name, clock_s()
+            ).union(self._state.tried_ids),
         )
         try:
             return self._deps.prefill_queue.acquire(request)
@@ -130,11 +133,6 @@
             refusal = Refusal(Cause.TOO_LATE, error.retry_after_s)
             raise RefusedError(refusal) from error
 
-    def _unavailable_ids(self) -> frozenset[str]:
-        """Return the engines that told this node what others may not know."""
-        service = self._context.service.name
-        return frozenset(self._knowledge.registry.leaving_ids(service))
-
     def _prefill_with_grant(
         self, prompt: Prompt, grant: PrefillGrant, queued_s: float
     ) -> PrefilledPrompt | None:
@@ -224,7 +222,6 @@
             loads.call_ended(target.target_id)
         if handle is None:
             self._state.tried_ids.add(target.target_id)
-            loads.refused(target.target_id, clock_s())
             self._state.log_decision('prompt.refused', target)
             raise RetryableError(Cause.NO_RETRY)
         loads.succeeded(target.target_id)
@@ -242,9 +239,12 @@
             apply_response_facts(self._deps, self._context, target, facts)
             body = connection.read_body(deadline_s, MAX_PREFILL_BYTES)
             validate_attempt_id(facts, self._context)
-            if facts.status != HTTPStatus.OK:
-                return None
-            return self._deps.dialect.read_prefill(body)
+            handle = None
+            if facts.status == HTTPStatus.OK:
+                handle = self._deps.dialect.read_prefill(body)
+            if handle is None:
+                record_refusal(self._deps, target, facts)
+            return handle
 
     def _deadline_s(self) -> float:
         route = self._context.route
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -26,6 +26,7 @@
 from dandelionyoke_gateway._plain_call import (
     apply_response_facts,
     count_usage_once,
+    record_refusal,
     validate_attempt_id,
     validate_response,
 )
@@ -280,7 +281,7 @@
         if facts.is_not_run:
             self._context.attempts.refused()
             self._state.tried_ids.add(target.target_id)
-            self._knowledge.loads.refused(target.target_id, clock_s())
+            record_refusal(self._deps, target, facts)
             self._state.log_decision(
                 'stream.refused', target, status=facts.status
             )
--- a/packages/gateway/dandelionyoke_gateway/_target_gate.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_gate.py
@@ -29,8 +29,10 @@
 class TargetLimitedError(Exception):
     """The target takes no further request now; nothing was sent to it."""
 
-    def __init__(self, target_id: str) -> None:
-        super().__init__(f'{target_id} gets all the requests that it takes')
+    def __init__(
+        self, target_id: str, cause: str = 'gets all the requests that it takes'
+    ) -> None:
+        super().__init__(f'{target_id} {cause}')
 
 
 class TargetGate:
@@ -49,6 +51,7 @@
         Raises:
             TargetLimitedError: the target takes none now.
         """
+        self.check_rest(target)
         target_id = target.target_id
         if self._limits.rate_of(target_id) is None:
             return
@@ -61,6 +64,19 @@
             self._limits.withhold(target_id, clock_s() + wait_s)
             raise TargetLimitedError(target_id) from error
 
+    def check_rest(self, target: RegisteredTarget) -> None:
+        """Check that a target has not asked for rest.
+
+        Raises:
+            TargetLimitedError: it has.
+        """
+        if self._knowledge.rests.is_resting(target, clock_s()):
+            raise TargetLimitedError(target.target_id, 'asked for rest')
+
+    def rest_left_s(self, target: RegisteredTarget) -> float:
+        """Return how long a target still rests."""
+        return self._knowledge.rests.left_s(target, clock_s())
+
     def observe(self, target: RegisteredTarget, facts: ResponseFacts) -> None:
         """Record the limit that an answer of a target names, or its end."""
         if facts.is_other_target:
@@ -109,12 +125,16 @@
     def _take_notices(
         self, target: RegisteredTarget, facts: ResponseFacts
     ) -> None:
-        """Record that a target leaves, and log that it asks for rest."""
+        """Record that a target leaves, or asks for rest."""
         if facts.is_leaving:
             self.mark_leaving(target.target_id, target.started_ms)
-        if facts.rest_s is not None:
+        if facts.rest_s:
+            self._knowledge.rests.ask(target, facts.rest_s, clock_s())
             self._log.decide(
-                'target.rest', target.target_id, rest_s=facts.rest_s
+                'target.rest',
+                target.target_id,
+                outcome='left alone',
+                rest_s=facts.rest_s,
             )
         if facts.invalid_rest:
             self._log.decide(
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -1,6 +1,7 @@
 """The choice of the prefill engine and of the decode engine of a call."""
 
 from collections import Counter
+from random import Random
 
 import testtools
 
@@ -22,11 +23,14 @@
     TargetLimitSettings,
     TargetLoads,
     TargetRegistry,
+    TargetRests,
+    TargetRestSettings,
 )
 
 ENGINES = ('e1', 'e2', 'e3', 'e4')
 TOKEN_S = 0.00001
 NO_LIMITS = TargetLimits(TargetLimitSettings())
+NO_RESTS = TargetRests(TargetRestSettings(), Random(1))
 
 
 def prompt(part: str, shared: int = 6000, own: int = 3000) -> Prompt:
@@ -50,7 +54,7 @@
         loads = TargetLoads(SuspicionSettings())
         self.fetches = TargetLoads(SuspicionSettings(failures_in_a_row=1))
         self.placement = Placement(
-            registry, loads, self.fetches, NO_LIMITS, 'a', 'n-1'
+            registry, loads, self.fetches, NO_LIMITS, NO_RESTS, 'a', 'n-1'
         )
         self.queue = PromptQueue(PromptQueueSettings(max_prompts_per_engine=99))
         self.prefill_time = PrefillTimeEstimate(PrefillTimeSettings())
@@ -158,7 +162,7 @@
         fetches = TargetLoads(SuspicionSettings())
         self.loads = loads
         self.placement = Placement(
-            self.registry, loads, fetches, NO_LIMITS, 'a', 'n-1'
+            self.registry, loads, fetches, NO_LIMITS, NO_RESTS, 'a', 'n-1'
         )
 
     def list_engines(self, *names: str, at_s: float) -> None:
@@ -220,7 +224,7 @@
         chosen = []
         for node in range(nodes):
             placement = Placement(
-                registry, loads, loads, NO_LIMITS, 'a', f'n-{node}'
+                registry, loads, loads, NO_LIMITS, NO_RESTS, 'a', f'n-{node}'
             )
             target = placement.choose_decode_target('lm', 'a', (), 0)
             assert target is not None
