Inject notices of targets into the soak, and check them and the retries

Targets say in their answers that they leave, without the store's entry, and start anew after it; or turn calls away and ask for 1 to 3 s of rest. Checked from what callers and targets see: no call sent 2 s after its node has passed such an answer on reaches the target (DRAIN), at most two requests from half a second after the refusal to the end of the rest (BUDGET), and the repeats of each service in any 10 s (BUDGET), where the node and its paths were not disturbed.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -123,3 +123,4 @@
     call.answered_attempt_id = headers.get('attempt-id', '')
     call.is_signed = 'response-signature' in headers
     call.retry_after = headers.get('retry-after', '')
+    call.is_leaving_told = headers.get('server-leaving') == '1'
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,12 +10,17 @@
 LINKS = ('store', 'callers', 'peers', 'target')
 STORE_FAULTS = ('out', 'refuse', 'forget', 'lapse', 'lose')
 TARGET_FAULTS = ('refuse', 'lose', 'extra', 'break', 'leave')
+# What targets say of themselves in their answers.
+NOTICES = ('tell', 'rest')
 CHANGES = ('withdraw', 'configure')
 
 MAX_FAULT_S = 4.0
 # A limit is checked from some seconds after it was named.
 LIMIT_FAULT_S = (5.0, 9.0)
 SECONDS_PER_LIMIT = 10.0
+# A notice is checked from some seconds after it was given.
+NOTICE_FAULT_S = (4.0, 7.0)
+SECONDS_PER_NOTICE = 6.0
 # A domain that loses all targets is checked from some seconds on, too.
 REACH_FAULTS = ('hang', 'cut', 'refuse')
 REACH_FAULT_S = (5.0, 8.0)
@@ -43,6 +48,7 @@
         *_draw(random, duration_s),
         *_draw_limits(seed, duration_s),
         *_draw_reach(seed, duration_s),
+        *_draw_notices(seed, duration_s),
     ]
     return sorted(faults, key=lambda fault: fault.at_s)
 
@@ -60,6 +66,19 @@
         )
 
 
+def _draw_notices(seed: int, duration_s: float) -> Iterator[Fault]:
+    random = Random(f'notices {seed}')
+    for _ in range(max(1, int(duration_s / SECONDS_PER_NOTICE))):
+        notice_s = random.uniform(*NOTICE_FAULT_S)
+        yield Fault(
+            at_s=random.uniform(0, max(0, duration_s - notice_s)),
+            duration_s=notice_s,
+            kind='target',
+            action=random.choice(NOTICES),
+            index=random.randrange(1000),
+        )
+
+
 def _draw_limits(seed: int, duration_s: float) -> Iterator[Fault]:
     """Draw apart from the others, whose plan a seed keeps."""
     random = Random(f'limits {seed}')
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -4,6 +4,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
+from tests.soak.notices import check_notices, check_retries
 from tests.soak.record import (
     CONFIRM,
     RESUME,
@@ -56,6 +57,8 @@
     violations.extend(_check_usage(record))
     violations.extend(_check_limits(record))
     violations.extend(_check_reach(record))
+    violations.extend(check_notices(record))
+    violations.extend(check_retries(record))
     violations.extend(f'RECOVER {node}' for node in record.unrecovered)
     violations.extend(f'EXIT {text}' for text in record.unexpected_exits)
     return violations
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -7,6 +7,7 @@
 ASK = '/ask/'
 RESUME = '/resume/'
 CALL_PATHS = (CONFIRM, LOOK, ASK, RESUME)
+SERVICES = {CONFIRM: 'ledger', LOOK: 'ledger', ASK: 'lm', RESUME: 'lm'}
 
 
 @attrs.define
@@ -30,6 +31,7 @@
     body: bytes = b''
     is_complete: bool = False
     retry_after: str = ''
+    is_leaving_told: bool = False
 
     @property
     def is_stream(self) -> bool:
@@ -49,12 +51,37 @@
     first_event: int = 1
 
 
-@attrs.frozen
+@attrs.define
 class Arrival:
-    """The arrival of any request at a target."""
+    """The arrival of any request at a target.
+
+    `is_free` is set once the target accepts it as a prefill.
+    """
+
+    target_id: str
+    at_s: float
+    attempt_id: str = ''
+    service: str = ''
+    is_free: bool = False
+
+
+@attrs.frozen
+class RestAsked:
+    """A refusal with which a target asked the node of a call for rest."""
 
     target_id: str
+    attempt_id: str
     at_s: float
+    rest_s: float
+
+
+@attrs.frozen
+class LeavingTold:
+    """The time during which a target said in its answers that it leaves."""
+
+    target_id: str
+    start_s: float
+    end_s: float
 
 
 @attrs.frozen
@@ -102,6 +129,8 @@
     spans: list[Span] = attrs.field(factory=list)
     arrivals: list[Arrival] = attrs.field(factory=list)
     limits: list[NamedLimit] = attrs.field(factory=list)
+    rests: list[RestAsked] = attrs.field(factory=list)
+    leavings: list[LeavingTold] = attrs.field(factory=list)
     usage: list[UsageReport] = attrs.field(factory=list)
     # For each organisation, when the store received the revocation of its
     # key, and when the organisation had a key again.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,12 +26,13 @@
 from tests.soak.promises import FAULT_EFFECT_S, find_violations
 from tests.soak.record import (
     CALL_PATHS,
+    LeavingTold,
     NamedLimit,
     SoakRecord,
     Span,
     UsageReport,
 )
-from tests.soak.targets import LIMITS_PER_S, SoakTarget
+from tests.soak.targets import LIMITS_PER_S, RESTS_S, SoakTarget
 
 DOMAINS = ('a', 'a', 'b', 'b')
 CALLERS_PER_NODE = 3
@@ -394,8 +395,13 @@
             eventlet.sleep(fault.duration_s)
             target.return_to_service()
             return
-        if fault.action == 'limit':
-            self._name_limit(target, fault)
+        notices = {
+            'limit': self._name_limit,
+            'tell': self._tell_leave,
+            'rest': self._ask_for_rest,
+        }
+        if fault.action in notices:
+            notices[fault.action](target, fault)
             return
         target.fault = fault.action
         eventlet.sleep(fault.duration_s)
@@ -413,6 +419,23 @@
             NamedLimit(target.target_id, rate_per_s, start_s, clock_s())
         )
 
+    def _tell_leave(self, target: SoakTarget, fault: Fault) -> None:
+        """Let a target say that it leaves, of which the store knows nothing."""
+        if target.is_telling_leave:
+            return
+        start_s = clock_s()
+        target.is_telling_leave = True
+        eventlet.sleep(fault.duration_s)
+        self._record.leavings.append(
+            LeavingTold(target.target_id, start_s, clock_s())
+        )
+        target.start_anew()
+
+    def _ask_for_rest(self, target: SoakTarget, fault: Fault) -> None:
+        target.rest_s = RESTS_S[fault.index % len(RESTS_S)]
+        eventlet.sleep(fault.duration_s)
+        target.rest_s = None
+
     def _inject_change(self, fault: Fault) -> None:
         if fault.action == 'configure':
             self._configure()
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -14,7 +14,7 @@
 )
 from tests.platform.store_standin import StoreStandin
 from tests.soak.promises import EVENTS_PER_STREAM, plain_body, stream_event
-from tests.soak.record import Arrival, Run, SoakRecord
+from tests.soak.record import Arrival, RestAsked, Run, SoakRecord
 
 PLAIN_DELAY_S = 0.03
 PREFILL_DELAY_S = 0.05
@@ -22,6 +22,8 @@
 SLOTS = 8
 # Requests a second that a target in need names.
 LIMITS_PER_S = (0.5, 1.0, 2.7)
+# Rests that it asks for.
+RESTS_S = (1.0, 1.7, 3.0)
 
 
 class SoakTarget:
@@ -49,6 +51,10 @@
         self._random = random
         self.fault = ''
         self.limit_per_s: float | None = None
+        self.rest_s: float | None = None
+        self.is_telling_leave = False
+        # Identifies its start; it starts anew after it has left.
+        self._born = 1
         self._state = 'ready'
         self._handles: set[str] = set()
         self.server = ScriptedTarget(self._serve)
@@ -67,6 +73,7 @@
             'zone': 'a',
             'slots': SLOTS,
             'state': self._state,
+            'born': self._born,
         }
         if self._phase is not None:
             entry['phase'] = self._phase
@@ -84,31 +91,57 @@
         self._record.leaving_since_s.pop(self.target_id, None)
         self.write_entry()
 
+    def start_anew(self) -> None:
+        """End the notice that it leaves, as a restart does."""
+        self.is_telling_leave = False
+        self._born += 1
+        self.write_entry()
+
     def _serve(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
-        self._record.arrivals.append(Arrival(self.target_id, clock_s()))
-        for step in self._steps(request):
-            yield self._with_limit(step)
+        arrival = Arrival(
+            self.target_id,
+            clock_s(),
+            request.headers.get('attempt-id', ''),
+            self._service,
+        )
+        self._record.arrivals.append(arrival)
+        for step in self._steps(request, arrival):
+            yield self._with_notices(step)
 
-    def _with_limit(self, step: ScriptStep) -> ScriptStep:
-        """Add the limit to the head of a response."""
+    def _with_notices(self, step: ScriptStep) -> ScriptStep:
+        """Add what the target says of itself to the head of a response."""
         is_head = isinstance(step, bytes) and step.startswith(b'HTTP/1.1 ')
-        if not is_head or self.limit_per_s is None:
+        if not is_head:
             return step
-        header = f'\r\nServer-Limit: {self.limit_per_s}'.encode()
-        return step.replace(b'\r\n', header + b'\r\n', 1)
-
-    def _steps(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        headers = b''
+        if self.limit_per_s is not None:
+            headers += f'\r\nServer-Limit: {self.limit_per_s}'.encode()
+        if self.is_telling_leave:
+            headers += b'\r\nServer-Leaving: 1'
+        return step.replace(b'\r\n', headers + b'\r\n', 1)
+
+    def _steps(
+        self, request: ReceivedRequest, arrival: Arrival
+    ) -> Iterator[ScriptStep]:
         attempt_id = request.headers.get('attempt-id', '')
         path = request.line.split(' ')[1]
         if path.startswith('/-/'):
             yield answer('200 OK', b'{}', '')
             return
+        if self.rest_s is not None:
+            self._record.rests.append(
+                RestAsked(self.target_id, attempt_id, clock_s(), self.rest_s)
+            )
+            extra = f'Not-Executed: 1\r\nRetry-After: {self.rest_s}\r\n'
+            yield answer('503 Busy', b'', extra)
+            return
         if self._has_fault('refuse') or (
             request.headers.get('target-instance') != self.target_id
         ):
             yield answer('503 Busy', b'', 'Not-Executed: 1\r\n')
             return
         if request.headers.get('serving-phase') == 'prefill':
+            arrival.is_free = True
             yield from self._prefill(attempt_id)
             return
         last_event_id = int(request.headers.get('last-event-id', '0'))
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -15,7 +15,9 @@
     CONFIRM,
     Arrival,
     CallerCall,
+    LeavingTold,
     NamedLimit,
+    RestAsked,
     Run,
     SoakRecord,
     Span,
@@ -191,3 +193,70 @@
     def test_a_restart_beside_it_excuses(self) -> None:
         span = Span('kill', 'n-1', 102, 103)
         self.assertEqual([], self.violations(0, span))
+
+
+class NoticeTest(testtools.TestCase):
+    """Calls each 0.1 s from 100 s on, one node, one target."""
+
+    def record(self, until_s: float, *spans: Span) -> SoakRecord:
+        record = SoakRecord(spans=list(spans))
+        for number in range(int((until_s - 100.0) * 10)):
+            attempt_id = f'n-1.{number}'
+            sent_s = 100.0 + number / 10
+            record.calls.append(
+                new_confirmation(
+                    attempt_id=attempt_id,
+                    answered_attempt_id=attempt_id,
+                    body=plain_body(attempt_id),
+                    sent_s=sent_s,
+                    ended_s=sent_s + 0.05,
+                    is_leaving_told=True,
+                )
+            )
+            record.runs.append(
+                attrs.evolve(RUN, attempt_id=attempt_id, at_s=sent_s + 0.01)
+            )
+            record.arrivals.append(
+                Arrival('i-1', sent_s + 0.01, attempt_id, 'ledger')
+            )
+        return record
+
+    def test_requests_to_a_target_that_told_it_leaves_are_found(self) -> None:
+        for until_s, spans, rules in (
+            (101.9, (), set()),
+            (104.0, (), {'DRAIN'}),
+            (104.0, (Span('kill', 'n-1', 101.0, 102.0),), set()),
+        ):
+            record = self.record(until_s, *spans)
+            record.leavings = [LeavingTold('i-1', 99.0, 106.0)]
+            found = {text.split(' ')[0] for text in find_violations(record)}
+            self.assertEqual(rules, found)
+
+    def test_requests_to_a_resting_target_are_found(self) -> None:
+        for rest_s, spans, rules in (
+            (0.6, (), set()),
+            (1.5, (), {'BUDGET'}),
+            (1.5, (Span('pause', 'n-1', 100.0, 101.0),), set()),
+        ):
+            record = self.record(103.0, *spans)
+            record.rests = [RestAsked('i-1', 'n-1.0', 100.01, rest_s)]
+            found = {text.split(' ')[0] for text in find_violations(record)}
+            self.assertEqual(rules, found)
+
+    def test_more_repeats_than_are_allowed_are_found(self) -> None:
+        """The first prefill that a target accepts is no repeat."""
+        for repeats, rules in ((70, set()), (90, {'BUDGET'})):
+            record = self.record(110.0)
+            for number in range(100):
+                record.arrivals.append(
+                    Arrival(
+                        'i-2', 105.0, f'n-1.{number}', 'ledger', is_free=True
+                    )
+                )
+            for number in range(repeats):
+                attempt_id = f'n-1.{number}'
+                record.arrivals.append(
+                    Arrival('i-2', 109.99, attempt_id, 'ledger')
+                )
+            found = {text.split(' ')[0] for text in find_violations(record)}
+            self.assertEqual(rules, found)
