--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -1,6 +1,7 @@
 """Parsing and building of the platform's headers and documents."""
 
 import json
+import pathlib
 
 import testtools
 
@@ -20,8 +21,10 @@
     ResponseFacts,
     ResponseHead,
 )
+from dandelionyoke_platform import _wire_names
 from dandelionyoke_platform._dialect import PlatformDialect
 
+ROOT = pathlib.Path(__file__).parent.parent.parent
 DIALECT = PlatformDialect()
 HEAD = RequestHead(
     'POST',
@@ -90,6 +93,41 @@
             self.assertEqual(text, facts.invalid_rest)
 
 
+class HeaderTableTest(testtools.TestCase):
+    """The table of headers in docs/PLATFORM.md."""
+
+    def rows(self) -> list[list[str]]:
+        text = (ROOT / 'docs' / 'PLATFORM.md').read_text()
+        _, _, section = text.partition("## Headers of a target's answers")
+        table = section.partition('## ')[0]
+        lines = [line for line in table.splitlines() if line.startswith('| `')]
+        return [
+            [cell.strip() for cell in line.strip('|').split(' | ')]
+            for line in lines
+        ]
+
+    def test_each_header_of_an_answer_is_read_or_left_for_a_reason(
+        self,
+    ) -> None:
+        """Guards against a header of an answer that nobody takes."""
+        constants = {
+            value: name
+            for name, value in vars(_wire_names).items()
+            if name.isupper() and isinstance(value, str)
+        }
+        self.assertGreaterEqual(len(self.rows()), 12)
+        for name, place, action in self.rows():
+            header = name.strip('`').lower()
+            self.assertNotEqual('', action)
+            if place == 'nobody':
+                continue
+            source = (ROOT / place.strip('`')).read_text()
+            # The adapter spells names as constants, others in place.
+            constant = f'wire.{constants.get(header)}'
+            is_read = constant in source or f"'{header}'" in source
+            self.assertTrue(is_read, f'{place} does not read {header}')
+
+
 class TargetLimitTest(testtools.TestCase):
     def read(self, *texts: str) -> tuple[float | None, str]:
         """Read the limit from the head of a response."""
--- a/tests/platform/test_target_limits.py
+++ b/tests/platform/test_target_limits.py
@@ -305,6 +305,28 @@
             self.assertIs(DutyOutcome.NOT_SENT, order.outcome)
         self.assertEqual(1, len(target.received_requests))
 
+    def test_limits_in_answers_to_our_own_requests_are_taken(self) -> None:
+        """Guards against a limit that only a report or a release names."""
+        duties = PlatformDuties('', self.node.pool)
+        duties.listen(self.node.target_gate.observe)
+        for number, send in enumerate(
+            (
+                duties.read_report,
+                lambda target: duties.release_cache(CacheSource(target, 'h1')),
+                lambda target: duties.order_phase(
+                    PhaseOrder(target, Phase.DECODE, 0),
+                    FencingStamp('n-1', 1, clock_s() + 1),
+                ),
+            ),
+            start=1,
+        ):
+            self.node.add_target(naming_limit(answers_ok, '0.5'))
+            target = self.node.knowledge.registry.find(f'i-{number}')
+            assert target is not None
+            send(target)
+            limits = self.node.knowledge.target_limits
+            self.assertEqual(0.5, limits.rate_of(f'i-{number}'))
+
     def test_a_limit_ends_with_the_first_answer_without_one(self) -> None:
         """Guards against a target that gets little for good."""
         limits = ['5']
