Share the scripts of targets between the tests that use them

The same scripts stood in three test files; the one that adds a header to each answer in two of them.

--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -82,7 +82,7 @@
         self._script = script
         self._server = LocalServer(self._serve)
         self.received_requests: list[ReceivedRequest] = []
-        # Whether it accepts prefills, which the first of a call is free of.
+        # Whether it accepts prefills; the first one of a call is no retry.
         self.is_accepting = True
         # Requests whose connection the node closed before the answer's end.
         self.abandoned_count = 0
--- a/tests/platform/test_leaving_targets.py
+++ b/tests/platform/test_leaving_targets.py
@@ -24,38 +24,22 @@
     stream_head,
 )
 from tests.platform.program import Program, wait_for
+from tests.platform.scripts import (
+    PROMPT_HEADERS,
+    answers_error,
+    answers_ok,
+    answers_prefill,
+    refuses_call,
+    status,
+    streams_token,
+    with_header,
+)
 from tests.platform.store_standin import StoreStandin
 from tests.platform.test_process import configuration
 
 # The rule: a request sent so long after a node has passed on an answer that
 # says so does not reach the target from that node.
 DRAIN_S = 2.0
-PROMPT_HEADERS = (
-    'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: aa:500,bb:400\r\n'
-)
-LEAVING = 'Server-Leaving: 1\r\n'
-
-
-def answers_ok(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield answer()
-
-
-def answers_prefill(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield answer(body=b'{"kv_handle":"h1","tokens":900,"version":1}')
-
-
-def streams_token(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield stream_head()
-    yield chunk(b'id: 1\ndata: t\n\n')
-    yield chunk(b'')
-
-
-def refuses_call(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield answer('503 Busy', b'', 'Not-Executed: 1\r\n')
-
-
-def answers_error(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield answer('500 Error', b'no')
 
 
 def is_another(request: ReceivedRequest) -> Iterator[ScriptStep]:
@@ -64,19 +48,7 @@
 
 def leaving(script: Script) -> Script:
     """Say in each answer of a script that the target leaves."""
-
-    def answer_request(request: ReceivedRequest) -> Iterator[ScriptStep]:
-        for step in script(request):
-            if isinstance(step, bytes) and step.startswith(b'HTTP/1.1 '):
-                status_line, _, rest = step.partition(b'\r\n')
-                step = status_line + b'\r\n' + LEAVING.encode() + rest
-            yield step
-
-    return answer_request
-
-
-def status(content: bytes) -> int:
-    return int(content.split(b' ')[1])
+    return with_header(script, 'Server-Leaving: 1')
 
 
 class LeavingTargetTest(testtools.TestCase):
--- a/tests/platform/test_resting_targets.py
+++ b/tests/platform/test_resting_targets.py
@@ -23,37 +23,22 @@
     ScriptedTarget,
     ScriptStep,
     answer,
-    chunk,
-    stream_head,
 )
 from tests.platform.program import wait_for
+from tests.platform.scripts import (
+    PROMPT_HEADERS,
+    answers_error,
+    answers_ok,
+    answers_prefill,
+    status,
+    streams_token,
+)
 
 # The rule: from NOTICE_S after its refusal to the end of the rest, a target
 # gets at most MAX_REQUESTS from a node.
 NOTICE_S = 0.5
 MAX_REQUESTS = 2
 REST_S = 1.6
-PROMPT_HEADERS = (
-    'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: aa:500,bb:400\r\n'
-)
-
-
-def answers_ok(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield answer()
-
-
-def answers_error(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield answer('500 Error', b'no')
-
-
-def answers_prefill(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield answer(body=b'{"kv_handle":"h1","tokens":900,"version":1}')
-
-
-def streams_token(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield stream_head()
-    yield chunk(b'id: 1\ndata: t\n\n')
-    yield chunk(b'')
 
 
 def asks_for(rest: str) -> Script:
@@ -66,10 +51,6 @@
     return answer_request
 
 
-def status(content: bytes) -> int:
-    return int(content.split(b' ')[1])
-
-
 def retry_after_s(content: bytes) -> float:
     found = re.search(rb'(?i)\r\nretry-after: ([0-9.]+)', content)
     assert found is not None
--- a/tests/platform/test_target_limits.py
+++ b/tests/platform/test_target_limits.py
@@ -30,10 +30,16 @@
     ScriptedTarget,
     ScriptStep,
     answer,
-    chunk,
-    stream_head,
 )
 from tests.platform.program import Program, wait_for
+from tests.platform.scripts import (
+    answers_error,
+    answers_ok,
+    answers_prefill,
+    refuses_call,
+    streams_token,
+    with_header,
+)
 from tests.platform.store_standin import StoreStandin
 from tests.platform.test_process import configuration
 
@@ -158,39 +164,7 @@
 
 def naming_limit(script: Script, limit: str) -> Script:
     """Name a limit in each answer of a script."""
-    line_end = b'\r\n'
-    header = f'Server-Limit: {limit}\r\n'.encode()
-
-    def answer_request(request: ReceivedRequest) -> Iterator[ScriptStep]:
-        for step in script(request):
-            if isinstance(step, bytes) and step.startswith(b'HTTP/1.1 '):
-                status_line, _, rest = step.partition(line_end)
-                step = status_line + line_end + header + rest
-            yield step
-
-    return answer_request
-
-
-def answers_ok(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield answer()
-
-
-def answers_error(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield answer('500 Error', b'no')
-
-
-def refuses_call(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield answer('503 Busy', b'', 'Not-Executed: 1\r\n')
-
-
-def answers_prefill(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield answer('200 OK', b'{"kv_handle":"h1","tokens":900,"version":1}')
-
-
-def streams_tokens(request: ReceivedRequest) -> Iterator[ScriptStep]:
-    yield stream_head()
-    yield chunk(b'id: 1\ndata: t\n\n')
-    yield chunk(b'')
+    return with_header(script, f'Server-Limit: {limit}')
 
 
 class LimitedRequestTest(testtools.TestCase):
@@ -259,7 +233,7 @@
         )
         limited_decode, _ = (
             self.node.add_target(script, 'lm', Phase.DECODE)
-            for script in (naming_limit(streams_tokens, '0.2'), streams_tokens)
+            for script in (naming_limit(streams_token, '0.2'), streams_token)
         )
         for part in range(12):
             extra = (
@@ -276,7 +250,7 @@
         """Guards against prefills in vain while all decode engines are full."""
         prefill = self.node.add_target(answers_prefill, 'lm', Phase.PREFILL)
         self.node.add_target(
-            naming_limit(streams_tokens, '0.2'), 'lm', Phase.DECODE
+            naming_limit(streams_token, '0.2'), 'lm', Phase.DECODE
         )
         extra = 'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: aa:900\r\n'
         self.assertEqual([200], self.call('/ask/1', 1, extra))
