--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -13,9 +13,14 @@
     Organisation,
     Phase,
     RateLimit,
+    ServiceShare,
 )
 from dandelionyoke_gateway import clock_s
-from dandelionyoke_gateway._handover_messages import BodyPart, CallHanded
+from dandelionyoke_gateway._handover_messages import (
+    BodyPart,
+    CallHanded,
+    ResponseBegun,
+)
 from dandelionyoke_links import CallChannel, LinkError, PeerHub, PeerSettings
 from dandelionyoke_standins._relay import Relay
 from tests.platform.node_harness import (
@@ -377,6 +382,24 @@
         )
         return CallHanded('POST', '/confirm/1', headers, 0.0, 1)
 
+    def test_a_handed_call_keeps_its_service(self) -> None:
+        """Guards against a call that changes its service on the way."""
+        configuration = self.node.knowledge.configuration
+        assert configuration is not None
+        shares = (ServiceShare('ledger', 1), ServiceShare('lm', 1_000_000))
+        route = attrs.evolve(configuration.routes[0], shares=shares)
+        self.node.knowledge.configuration = attrs.evolve(
+            configuration, routes=(route,)
+        )
+        for _ in range(5):
+            channel = self.open()
+            channel.send(attrs.evolve(self.call(), service='ledger'))
+            channel.send(BodyPart(b'', is_last=True))
+            begun = channel.receive(2.0)
+            assert isinstance(begun, ResponseBegun)
+            self.assertEqual(200, begun.status)
+        self.assertEqual(5, len(self.target.received_requests))
+
     def test_a_peer_without_the_secret_is_rejected(self) -> None:
         """Guards against calls from outside the fleet."""
         self.assertRaises(LinkError, self.open, b'another')
