--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -44,53 +44,42 @@
 def plan_faults(seed: int, duration_s: float) -> list[Fault]:
     """Draw the faults of a soak; the same seed gives the same faults."""
     random = Random(seed)
-    faults = [
-        *_draw(random, duration_s),
-        *_draw_limits(seed, duration_s),
-        *_draw_reach(seed, duration_s),
-        *_draw_notices(seed, duration_s),
-    ]
+    faults = list(_draw(random, duration_s))
+    for series in _SERIES:
+        faults.extend(_draw_series(seed, duration_s, series))
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
-def _draw_reach(seed: int, duration_s: float) -> Iterator[Fault]:
-    random = Random(f'reach {seed}')
-    for _ in range(max(1, int(duration_s / SECONDS_PER_REACH))):
-        cut_s = random.uniform(*REACH_FAULT_S)
-        yield Fault(
-            at_s=random.uniform(0, max(0, duration_s - cut_s)),
-            duration_s=cut_s,
-            kind='reach',
-            action=random.choice(REACH_FAULTS),
-            index=random.randrange(1000),
-        )
-
-
-def _draw_notices(seed: int, duration_s: float) -> Iterator[Fault]:
-    random = Random(f'notices {seed}')
-    for _ in range(max(1, int(duration_s / SECONDS_PER_NOTICE))):
-        notice_s = random.uniform(*NOTICE_FAULT_S)
-        yield Fault(
-            at_s=random.uniform(0, max(0, duration_s - notice_s)),
-            duration_s=notice_s,
-            kind='target',
-            action=random.choice(NOTICES),
-            index=random.randrange(1000),
-        )
-
+@attrs.frozen
+class _Series:
+    """Faults that are drawn apart from the others, whose plan a seed keeps."""
 
-def _draw_limits(seed: int, duration_s: float) -> Iterator[Fault]:
-    """Draw apart from the others, whose plan a seed keeps."""
-    random = Random(f'limits {seed}')
-    for _ in range(max(1, int(duration_s / SECONDS_PER_LIMIT))):
-        limit_s = random.uniform(*LIMIT_FAULT_S)
-        yield Fault(
-            at_s=random.uniform(0, max(0, duration_s - limit_s)),
-            duration_s=limit_s,
-            kind='target',
-            action='limit',
-            index=random.randrange(1000),
-        )
+    name: str
+    kind: str
+    actions: tuple[str, ...]
+    lasts_s: tuple[float, float]
+    seconds_per_fault: float
+
+
+_SERIES = (
+    _Series('limits', 'target', ('limit',), LIMIT_FAULT_S, SECONDS_PER_LIMIT),
+    _Series('reach', 'reach', REACH_FAULTS, REACH_FAULT_S, SECONDS_PER_REACH),
+    _Series('notices', 'target', NOTICES, NOTICE_FAULT_S, SECONDS_PER_NOTICE),
+)
+
+
+def _draw_series(
+    seed: int, duration_s: float, series: _Series
+) -> Iterator[Fault]:
+    random = Random(f'{series.name} {seed}')
+    for _ in range(max(1, int(duration_s / series.seconds_per_fault))):
+        fault_s = random.uniform(*series.lasts_s)
+        at_s = random.uniform(0, max(0, duration_s - fault_s))
+        action = series.actions[0]
+        if len(series.actions) > 1:
+            action = random.choice(series.actions)
+        index = random.randrange(1000)
+        yield Fault(at_s, fault_s, series.kind, action, index)
 
 
 def _draw(random: Random, duration_s: float) -> Iterator[Fault]:
