--- a/packages/dispatch/dandelionyoke_dispatch/_calls.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_calls.py
@@ -44,7 +44,11 @@
 
 @attrs.frozen
 class Call:
-    """One attempt of a caller, under the attempt id that the caller chose."""
+    """One attempt of a caller, under the attempt id that the caller chose.
+
+    `resumed_attempt_id` is the attempt that brought the first event of the
+    stream that this one takes up, if any.
+    """
 
     attempt_id: str
     method: str
@@ -54,3 +58,4 @@
     time_left_s: float | None = None
     prompt: Prompt | None = None
     last_event_id: str | None = None
+    resumed_attempt_id: str | None = None
--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -20,7 +20,10 @@
 
 @attrs.frozen
 class RegisteredTarget:
-    """The registry entry of a target."""
+    """The registry entry of a target.
+
+    `version` is that of its software; empty if the entry names none.
+    """
 
     target_id: str
     service: str
@@ -31,6 +34,7 @@
     phase: Phase = Phase.ANY
     is_reclaimable: bool = False
     started_ms: int | None = None
+    version: str = ''
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -335,6 +335,7 @@
             retry_after_s=refusal.retry_after_s,
             targets=','.join(attempts.targets),
             may_have_run=str(attempts.may_have_run),
+            has_begun=str(responder.has_started),
             version=configuration.version if configuration else None,
             knowledge_age_s=knowledge.freshness.age_s(clock_s()),
         )
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -310,6 +310,8 @@
         outcome='may have run' if error.sent else 'not sent',
         cause=error.cause,
         target=target.target_id,
+        version=target.version,
+        has_begun=str(context.responder.has_started),
     )
     if isinstance(error, ExchangeTimeoutError):
         return Cause.OUT_OF_TIME
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -48,6 +48,7 @@
     'service': 'lm',
     'address': '10.0.0.9:8080',
     'zone': 'limon-a',
+    'version': 'v1.2',
     'slots': 64,
     'state': 'ready',
     'phase': 'decode',
@@ -225,6 +226,7 @@
         self.assertEqual('i-7', target.target_id)
         self.assertIs(Phase.DECODE, target.phase)
         self.assertFalse(target.is_leaving)
+        self.assertEqual('v1.2', target.version)
 
     def test_invalid_registry_entries_are_none(self) -> None:
         """Something else writes invalid values under the targets' prefix.
