Keep the connection of a silent target until another one has answered

Cause: a silence of a second was taken for death, and the first connection was closed before anything else had taken its place: after 1.0 s for a stream that may be resumed, after 0.6 s for any repeatable call of a service of which no target was reached. If the next engine, its connection, the retry budget, max_attempts or the other node then said no, the begun answer ended without its end.

Change: the silent target keeps its connection, and another one is tried beside it; only its accepted head ends the first exchange. The sending of a stream until its head is a module of its own, and attempts are numbered, as two may be under way. A begun stream no longer ends with the error response of the engine that was to go on with it.

--- a/packages/dispatch/dandelionyoke_dispatch/_attempts.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_attempts.py
@@ -34,16 +34,23 @@
     # What this node has sent.
     send_count: int = 0
 
-    def sent(self, target_id: str) -> None:
-        """Record an attempt before any byte of the call is sent to a target."""
+    def sent(self, target_id: str) -> int:
+        """Record an attempt before any byte of the call is sent to a target.
+
+        Returns its number, with which its outcome is recorded.
+        """
         self.is_sent = True
         self.send_count += 1
-        self.handed(target_id)
+        return self.handed(target_id)
+
+    def handed(self, name: str) -> int:
+        """Record an attempt at another node, which may not send the call.
 
-    def handed(self, name: str) -> None:
-        """Record an attempt at another node, which may not send the call."""
+        Returns its number, with which its outcome is recorded.
+        """
         self.targets.append(name)
         self._outcomes.append(Outcome.UNKNOWN)
+        return len(self._outcomes) - 1
 
     def prefill_sent(self) -> None:
         """Record a prefill before any byte of it is sent to a target."""
@@ -55,13 +62,19 @@
         self.is_sent |= is_sent
         self.is_prefill_sent |= is_prefill_sent
 
-    def refused(self) -> None:
-        """Record that the target reported not running the last attempt."""
-        self._outcomes[-1] = Outcome.NOT_RUN
+    def refused(self, number: int = -1) -> None:
+        """Record that the target reported not running an attempt.
+
+        It is the last one if no number is given.
+        """
+        self._outcomes[number] = Outcome.NOT_RUN
+
+    def ran(self, number: int = -1) -> None:
+        """Record that the target reported the end of an attempt.
 
-    def ran(self) -> None:
-        """Record that the target reported the end of the last attempt."""
-        self._outcomes[-1] = Outcome.RAN
+        It is the last one if no number is given.
+        """
+        self._outcomes[number] = Outcome.RAN
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -42,6 +42,7 @@
     RateLimits,
 )
 from dandelionyoke_gateway._reach_task import ReachTask
+from dandelionyoke_gateway._silence import SilenceWatch
 from dandelionyoke_gateway._target_connection import TargetConnection
 from dandelionyoke_gateway._target_gate import TargetGate
 from dandelionyoke_gateway._target_pool import TargetPool
@@ -67,26 +68,25 @@
 
     @contextmanager
     def connect_to(
-        self, target: RegisteredTarget, *, is_repeatable: bool
+        self, target: RegisteredTarget, watch: SilenceWatch
     ) -> Iterator[TargetConnection]:
         """Acquire a connection to a target for one exchange.
 
         Raises:
             TargetLimitedError: the target has asked for rest meanwhile.
-
-        One that may be repeated is given up while it waits for a target, once
-        it is known that no target of its service is reached.
         """
         with self.pool.acquire(target.address) as connection:
             # Connecting takes time, in which the target may ask for rest.
             self.target_gate.check_rest(target)
             if connection.is_new:
                 self.reach.connected(target)
-            connection.give_up = lambda: (
-                self.reach.silent(target) and is_repeatable
+            connection.on_silence = lambda silent_s: watch.silent(
+                target, silent_s, is_cut_off=self.reach.silent(target)
             )
+            connection.on_data = watch.heard
             yield connection
-            connection.give_up = None
+            connection.on_silence = None
+            connection.on_data = None
             self.reach.heard(target)
 
 
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -18,6 +18,7 @@
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._ports import CacheSource
+from dandelionyoke_gateway._silence import SILENCE_S, SilenceWatch
 from dandelionyoke_gateway._target_gate import TargetGate
 from dandelionyoke_links import CallChannel, LinkError
 
@@ -37,8 +38,13 @@
 class HandedCall:
     """A call at another node, whose response has begun."""
 
-    def __init__(self, channel: CallChannel, begun: ResponseBegun) -> None:
+    def __init__(
+        self, channel: CallChannel, begun: ResponseBegun, attempt: int
+    ) -> None:
         self._channel = channel
+        # The number of the attempt that handed it over.
+        self.attempt = attempt
+        self._watch: SilenceWatch | None = None
         self.head = ResponseHead(begun.status, begun.headers)
         self.is_stream = begun.is_stream
         self.may_have_run = begun.may_have_run
@@ -49,7 +55,7 @@
         Raises:
             ExchangeError: the response was cut off.
         """
-        part = receive_until(self._channel, deadline_s)
+        part = self._receive(deadline_s)
         if not isinstance(part, BodyPart):
             raise ExchangeError('a message is no part of a body', sent=True)
         if part.is_last and not part.content:
@@ -67,6 +73,25 @@
             chunks.append(chunk)
         return b''.join(chunks)
 
+    def watch(self, watch: SilenceWatch) -> None:
+        """Let a watch decide while the other node is silent."""
+        self._watch = watch
+
+    def _receive(self, deadline_s: float) -> PeerMessage:
+        if self._watch is None:
+            return receive_until(self._channel, deadline_s)
+        since_s, wait_s = clock_s(), SILENCE_S
+        while clock_s() + wait_s < deadline_s:
+            try:
+                message = receive_until(self._channel, clock_s() + wait_s)
+            except ExchangeTimeoutError:
+                silent_s = clock_s() - since_s
+                wait_s = self._watch.silent(None, silent_s, is_cut_off=False)
+                continue
+            self._watch.heard()
+            return message
+        return receive_until(self._channel, deadline_s)
+
 
 class Handover:
     """Chooses a node for a call and passes its response back.
@@ -178,8 +203,10 @@
 
         Returns None if the node cannot serve it and another one may.
         """
+        attempt = context.attempts.handed(channel.peer_id)
+        call = _new_call(context, last_event_id, cache)
         try:
-            begun = _exchange_heads(context, channel, last_event_id, cache)
+            begun = _exchange_heads(context, channel, call)
         except ExchangeError:
             # It is unknown what the other node has sent.
             context.attempts.add_sent(is_sent=True, is_prefill_sent=True)
@@ -198,7 +225,7 @@
                 begun.leaving_id, begun.leaving_started_ms, member.instance_id
             )
         if begun.is_elsewhere:
-            context.attempts.refused()
+            context.attempts.refused(attempt)
             self._pass_over(
                 member, context.service.name, f'answered {begun.status}'
             )
@@ -206,7 +233,7 @@
         if begun.may_have_run:
             # The node that sent the call to a target has counted it.
             context.is_usage_counted = True
-        return HandedCall(channel, begun)
+        return HandedCall(channel, begun, attempt)
 
     def _pass_over(self, member: Member, service: str, cause: str) -> None:
         until_s = clock_s() + NODE_COOLDOWN_S
@@ -239,36 +266,39 @@
         raise ExchangeError(str(error), sent=True) from error
 
 
-def _exchange_heads(
-    context: CallContext,
-    channel: CallChannel,
-    last_event_id: str | None,
-    cache: CacheSource | None,
-) -> ResponseBegun:
-    """Send a call; return the head of its response.
-
-    Raises:
-        ExchangeError: the channel has ended; the call may have run.
-    """
-    request = context.request
-    call = CallHanded(
+def _new_call(
+    context: CallContext, last_event_id: str | None, cache: CacheSource | None
+) -> CallHanded:
+    request, attempts = context.request, context.attempts
+    # The attempt at the other node is counted already.
+    attempts_left = context.route.max_attempts - attempts.run_count + 1
+    return CallHanded(
         request.head.method,
         request.head.target,
         request.head.headers,
         clock_s() - request.arrived_s,
-        max(1, context.route.max_attempts - context.attempts.run_count),
+        max(1, attempts_left),
         context.is_usage_counted,
         last_event_id,
         context.service.name,
-        context.attempts.is_sent,
-        context.attempts.is_prefill_sent,
+        attempts.is_sent,
+        attempts.is_prefill_sent,
         '' if cache is None else cache.target.target_id,
         '' if cache is None else cache.handle,
     )
-    context.attempts.handed(channel.peer_id)
+
+
+def _exchange_heads(
+    context: CallContext, channel: CallChannel, call: CallHanded
+) -> ResponseBegun:
+    """Send a call; return the head of its response.
+
+    Raises:
+        ExchangeError: the channel has ended; the call may have run.
+    """
     try:
         channel.send(call)
-        for part in split_body(request.body):
+        for part in split_body(context.request.body):
             channel.send(part)
     except LinkError as error:
         raise ExchangeError(str(error), sent=True) from error
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -21,6 +21,13 @@
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._ports import Forwarding, ResponseFacts
+from dandelionyoke_gateway._silence import (
+    SECOND_TRY_POLL_S,
+    SILENCE_S,
+    PatientWatch,
+    SecondTry,
+    SupersededError,
+)
 from dandelionyoke_gateway._target_gate import TargetLimitedError
 
 MAX_RESPONSE_BYTES = 8388608
@@ -54,8 +61,12 @@
         self._context = context
         self._tried_ids: set[str] = set()
         self._cause = Cause.NO_TARGET
+        # The number of the last attempt at a target.
+        self._attempt = -1
         # A 5xx response of a target, used if no other target does better.
         self._error_response: BufferedResponse | None = None
+        # A try at another node, made while this one reaches no target.
+        self._second: SecondTry[BufferedResponse | None] | None = None
 
     def find_response(self) -> BufferedResponse:
         """Ask one target after another until one gives a final response.
@@ -63,6 +74,39 @@
         Raises:
             RefusedError: no target did.
         """
+        try:
+            return self._find_response()
+        finally:
+            self.heard()
+
+    def silent(
+        self,
+        target: RegisteredTarget | None,
+        silent_s: float,
+        *,
+        is_cut_off: bool,
+    ) -> float:
+        """Let another node try while this one reaches no target.
+
+        Raises:
+            SupersededError: the other node has responded.
+        """
+        second = self._second
+        if second is not None and second.has_succeeded:
+            raise SupersededError
+        if not is_cut_off or not self._deps.handover.is_needed(self._context):
+            return SILENCE_S
+        if second is None or second.is_done:
+            self._second = SecondTry(self._try_elsewhere)
+        return SECOND_TRY_POLL_S
+
+    def heard(self) -> None:
+        """End the try at another node."""
+        if self._second is not None:
+            self._second.cancel()
+            self._second = None
+
+    def _find_response(self) -> BufferedResponse:
         for _ in range(MAX_SENDS):
             if self._deps.handover.is_needed(self._context):
                 response = self._hand_over()
@@ -96,12 +140,18 @@
                 self._cause = Cause.OUT_OF_TIME
             return None
         if call.may_have_run:
-            context.attempts.ran()
+            context.attempts.ran(call.attempt)
         else:
-            context.attempts.refused()
+            context.attempts.refused(call.attempt)
         facts = self._deps.dialect.read_response(call.head)
         return BufferedResponse(call.head, facts, body)
 
+    def _try_elsewhere(self) -> BufferedResponse | None:
+        """Let another node serve the call; None unless that succeeds."""
+        response = self._hand_over()
+        is_success = response is not None and response.head.is_success
+        return response if is_success else None
+
     def _next_target(self) -> RegisteredTarget | None:
         context = self._context
         now_s = clock_s()
@@ -148,15 +198,24 @@
         except TargetLimitedError:
             # It asked for rest while the connection was made.
             return None
+        except SupersededError:
+            record_failure(self._deps, self._context, target, superseded())
+            return None if self._second is None else self._second.cancel()
         except ExchangeError as error:
             self._cause = record_failure(
                 self._deps, self._context, target, error
             )
-            return None
+            return self._wait_for_second()
         finally:
             self._knowledge.loads.call_ended(target.target_id)
         return self._evaluate(target, response)
 
+    def _wait_for_second(self) -> BufferedResponse | None:
+        """Return the response of another node that is trying, if any."""
+        if self._second is None:
+            return None
+        return self._second.wait()
+
     def _exchange(self, target: RegisteredTarget) -> BufferedResponse:
         context = self._context
         forwarding = Forwarding(
@@ -166,11 +225,10 @@
             last_event_id=context.call.last_event_id,
         )
         head = self._deps.dialect.call_head(context.request.head, forwarding)
-        with self._deps.connect_to(
-            target, is_repeatable=context.route.is_repeatable
-        ) as connection:
+        watch = self if context.route.is_repeatable else PatientWatch()
+        with self._deps.connect_to(target, watch) as connection:
             sent_s = clock_s()
-            context.attempts.sent(target.target_id)
+            self._attempt = context.attempts.sent(target.target_id)
             connection.send(head, context.request.body)
             response_head = connection.read_head(context.deadline_s)
             facts = self._deps.dialect.read_response(response_head)
@@ -189,11 +247,11 @@
         loads, facts = self._knowledge.loads, response.facts
         self._log_response(target, facts)
         if facts.is_not_run:
-            self._context.attempts.refused()
+            self._context.attempts.refused(self._attempt)
             record_refusal(self._deps, target, facts)
             self._cause = Cause.NO_RETRY
             return None
-        self._context.attempts.ran()
+        self._context.attempts.ran(self._attempt)
         if facts.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             loads.succeeded(target.target_id)
             return response
@@ -288,6 +346,13 @@
         deps.knowledge.loads.refused(target.target_id, clock_s())
 
 
+def superseded() -> ExchangeTimeoutError:
+    """Return the error of an exchange whose place another one took."""
+    return ExchangeTimeoutError(
+        'silent while another target answered', sent=True
+    )
+
+
 def record_failure(
     deps: CallDependencies,
     context: CallContext,
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -27,6 +27,7 @@
     PrefillResult,
     TooLateError,
 )
+from dandelionyoke_gateway._silence import CutOffWatch
 from dandelionyoke_gateway._stream_call_state import (
     RetryableError,
     StreamCallState,
@@ -231,7 +232,7 @@
         self, target: RegisteredTarget, head: RequestHead
     ) -> str | None:
         deadline_s = self._deadline_s()
-        with self._deps.connect_to(target, is_repeatable=True) as connection:
+        with self._deps.connect_to(target, CutOffWatch()) as connection:
             self._context.attempts.prefill_sent()
             connection.send(head, self._context.request.body)
             response = connection.read_head(deadline_s)
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_silence.py
@@ -0,0 +1,147 @@
+"""What a call does while its target is silent.
+
+A silent target may go on after a second or so, or be dead. Its connection is
+kept until another target has answered, or until the deadline of the call.
+"""
+
+from collections.abc import Callable
+from typing import Generic, Protocol, TypeVar
+
+import eventlet
+from eventlet.greenthread import GreenThread
+
+from dandelionyoke_dispatch import RegisteredTarget
+from dandelionyoke_gateway._errors import ExchangeTimeoutError
+
+# A response that takes longer than this to begin or go on may never come.
+SILENCE_S = 0.6
+# How soon a second try that has succeeded takes the place of the first one.
+SECOND_TRY_POLL_S = 0.05
+
+Result = TypeVar('Result')
+
+
+class SilenceWatch(Protocol):
+    """Decides what to do while a target is silent."""
+
+    def silent(
+        self,
+        target: RegisteredTarget | None,
+        silent_s: float,
+        *,
+        is_cut_off: bool,
+    ) -> float:
+        """Return how long to wait before this is called again, in seconds.
+
+        Nothing has arrived for `silent_s` from a target, or from another node
+        if it is None. `is_cut_off` is whether this node reaches no target of
+        the service.
+
+        Raises:
+            ExchangeTimeoutError: the exchange is given up.
+            SupersededError: another target has answered.
+        """
+
+    def heard(self) -> None:
+        """Take note that the target sent something."""
+
+
+class PatientWatch:
+    """Waits until the deadline of the exchange."""
+
+    def silent(
+        self,
+        target: RegisteredTarget | None,
+        silent_s: float,
+        *,
+        is_cut_off: bool,
+    ) -> float:
+        """Wait on."""
+        return SILENCE_S
+
+    def heard(self) -> None:
+        """Do nothing."""
+
+
+class CutOffWatch(PatientWatch):
+    """Gives up what no answer depends on once no target is reached."""
+
+    def silent(
+        self,
+        target: RegisteredTarget | None,
+        silent_s: float,
+        *,
+        is_cut_off: bool,
+    ) -> float:
+        """Wait on while any target is reached."""
+        if is_cut_off:
+            raise ExchangeTimeoutError(
+                'no response, and no target is reached', sent=True
+            )
+        return SILENCE_S
+
+
+class SwitchedWatch:
+    """Waits until another watch is to decide."""
+
+    def __init__(self) -> None:
+        self._watch: SilenceWatch = PatientWatch()
+
+    def follow(self, watch: SilenceWatch) -> None:
+        """Let another watch decide from now on."""
+        self._watch = watch
+
+    def silent(
+        self,
+        target: RegisteredTarget | None,
+        silent_s: float,
+        *,
+        is_cut_off: bool,
+    ) -> float:
+        """Let the watch decide."""
+        return self._watch.silent(target, silent_s, is_cut_off=is_cut_off)
+
+    def heard(self) -> None:
+        """Tell the watch."""
+        self._watch.heard()
+
+
+class SupersededError(Exception):
+    """A second try has succeeded while the target of the first was silent."""
+
+
+class SecondTry(Generic[Result]):
+    """Another try of a call, made while the target of the first is silent."""
+
+    def __init__(self, run: Callable[[], Result]) -> None:
+        self._run = run
+        self.is_done = False
+        self._result: Result | None = None
+        self._error: Exception | None = None
+        self._thread: GreenThread = eventlet.spawn(self._try)
+
+    @property
+    def has_succeeded(self) -> bool:
+        """Whether it has a result."""
+        return self._result is not None
+
+    def wait(self) -> Result | None:
+        """Wait for its end; return its result, if any, or raise its error."""
+        self._thread.wait()
+        if self._error is not None:
+            raise self._error
+        return self._result
+
+    def cancel(self) -> Result | None:
+        """End it; return its result if it has one."""
+        self._thread.kill()
+        return self._result
+
+    def _try(self) -> None:
+        # Its error is for the first try, which may outlast it.
+        try:
+            self._result = self._run()
+        except Exception as error:
+            self._error = error
+        finally:
+            self.is_done = True
--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -0,0 +1,352 @@
+"""Sends a streamed call to a target or another node until its head arrives."""
+
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from http import HTTPStatus
+
+import attrs
+import eventlet
+
+from dandelionyoke_dispatch import (
+    DEFAULT_RETRY_AFTER_S,
+    Cause,
+    Refusal,
+    RegisteredTarget,
+)
+from dandelionyoke_gateway._begun_stream import BegunStream
+from dandelionyoke_gateway._call_context import CallContext
+from dandelionyoke_gateway._call_dispatcher import (
+    CallDependencies,
+    RefusedError,
+    charge_retry,
+    limited_refusal,
+)
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._errors import ExchangeError
+from dandelionyoke_gateway._handover import HandedCall
+from dandelionyoke_gateway._messages import ResponseHead
+from dandelionyoke_gateway._plain_call import (
+    apply_response_facts,
+    record_refusal,
+    validate_attempt_id,
+    validate_response,
+)
+from dandelionyoke_gateway._ports import ResponseFacts
+from dandelionyoke_gateway._prompt_prefiller import (
+    PrefilledPrompt,
+    PromptPrefiller,
+)
+from dandelionyoke_gateway._silence import SilenceWatch
+from dandelionyoke_gateway._stream_call_state import (
+    RetryableError,
+    RetryDeniedError,
+    StreamCallState,
+)
+from dandelionyoke_gateway._target_connection import TargetConnection
+from dandelionyoke_gateway._target_gate import TargetLimitedError
+
+MAX_ERROR_BODY_BYTES = 1048576
+
+
+class ErrorResponseError(Exception):
+    """The call was answered with an error instead of a stream."""
+
+    def __init__(self, head: ResponseHead, body: bytes) -> None:
+        super().__init__(str(head.status))
+        self.head = head
+        self.body = body
+
+
+@attrs.define
+class _PromptUse:
+    """Whether an engine may have imported the KV cache of a prompt."""
+
+    prompt: PrefilledPrompt | None
+    is_spent: bool = False
+
+
+class StreamOpener:
+    """Begins the stream of one call, as often as it is needed."""
+
+    def __init__(self, deps: CallDependencies, context: CallContext) -> None:
+        self._deps = deps
+        self._knowledge = deps.knowledge
+        self._context = context
+        self.state = StreamCallState(deps, context)
+        self._prefiller = PromptPrefiller(self.state)
+        # Kept for a retry as long as no decode engine has imported its KV cache.
+        self._prompt = self._prefiller.find_handed()
+        # The number of sends at which a retry was charged.
+        self._charged_at: int | None = None
+
+    def close(self) -> None:
+        """Release an unused KV cache."""
+        self._release_cache(self._prompt)
+        self._prompt = None
+
+    def refuse_if_limited(self) -> None:
+        """Refuse the call if its targets take no request now.
+
+        Raises:
+            RefusedError: they are at their limits, or have asked for rest.
+        """
+        refusal = limited_refusal(self._deps, self._context)
+        if refusal is not None:
+            raise RefusedError(refusal)
+
+    def begin(self, watch: SilenceWatch) -> BegunStream:
+        """Send the call to targets that take a request now.
+
+        Raises:
+            RetryableError: the try failed.
+            RetryDeniedError: the retry budget does not allow it.
+            RefusedError: the call cannot be served.
+            ErrorResponseError: the call was answered without a stream.
+        """
+        while True:
+            try:
+                return self._begin_once(watch)
+            except TargetLimitedError as error:
+                # It is passed over from now on.
+                if clock_s() >= self._context.deadline_s:
+                    raise RetryableError(Cause.OUT_OF_TIME) from error
+
+    def may_begin(self) -> bool:
+        """Whether a node or a target that was not tried yet may take the call."""
+        if self._deps.handover.is_needed(self._context):
+            return True
+        is_cut_off = self._deps.handover.cannot_be_served(self._context)
+        return not is_cut_off and self._find_decode_target(None) is not None
+
+    # Choice.
+
+    def _begin_once(self, watch: SilenceWatch) -> BegunStream:
+        handover, service = self._deps.handover, self._context.service.name
+        # A prefill would be in vain, and its caller would wait for it.
+        is_reached = not self._knowledge.placement.is_decode_unreachable(
+            service, clock_s()
+        )
+        if not is_reached:
+            self._deps.reach.watch_decode(service)
+        if handover.is_needed(self._context, is_reached=is_reached):
+            return self._begin_elsewhere()
+        if not is_reached or handover.cannot_be_served(self._context):
+            raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
+        self._charge_retry()
+        prompt = self._prompt
+        self._prompt = None
+        if prompt is None:
+            prompt = self._prefiller.prefill()
+        with self._keep_unless_spent(prompt) as use:
+            target = self._choose_decode_target(prompt)
+            return self._begin_at(target, use, watch)
+
+    def _charge_retry(self) -> None:
+        """Charge the sends that this try repeats to the retry budget.
+
+        Raises:
+            RetryDeniedError: the budget does not allow it.
+        """
+        send_count = self._context.attempts.send_count
+        if self._charged_at == send_count:
+            # Nothing was sent since.
+            return
+        if not charge_retry(self._deps, self._context, self._retry_cost()):
+            raise RetryDeniedError
+        self._charged_at = send_count
+
+    def _retry_cost(self) -> int:
+        """Count the sends that this try repeats.
+
+        A refused connection carried nothing. If it counted, a crash would
+        use up the budget before its calls reach another engine. A repeated
+        prefill counts in addition to the stream. Otherwise all nodes together
+        would exceed the retry limit.
+        """
+        attempts = self._context.attempts
+        is_prefill_repeated = self._prompt is None and attempts.is_prefill_sent
+        return attempts.is_sent + is_prefill_repeated
+
+    @contextmanager
+    def _keep_unless_spent(
+        self, prompt: PrefilledPrompt | None
+    ) -> Iterator[_PromptUse]:
+        """Keep a prompt for a retry unless an engine may have imported it."""
+        use = _PromptUse(prompt)
+        try:
+            yield use
+        finally:
+            if prompt is not None and not use.is_spent:
+                self._release_cache(self._prompt)
+                self._prompt = prompt
+
+    def _choose_decode_target(
+        self, prompt: PrefilledPrompt | None
+    ) -> RegisteredTarget:
+        preferred_domain = None if prompt is None else prompt.target.domain
+        target = self._find_decode_target(preferred_domain)
+        if target is None:
+            self.refuse_if_limited()
+            raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
+        return target
+
+    def _find_decode_target(
+        self, preferred_domain: str | None
+    ) -> RegisteredTarget | None:
+        placement, service = (
+            self._knowledge.placement,
+            self._context.service.name,
+        )
+        return placement.choose_decode_target(
+            service, preferred_domain, self.state.tried_ids, clock_s()
+        ) or placement.choose_plain_target(
+            service, self.state.tried_ids, clock_s()
+        )
+
+    def _release_cache(self, prompt: PrefilledPrompt | None) -> None:
+        """Free the memory of a KV cache that no engine has imported."""
+        if prompt is None or not prompt.is_own:
+            return
+        eventlet.spawn_n(self._deps.engines.release_cache, prompt.cache)
+
+    # At a target.
+
+    def _begin_at(
+        self, target: RegisteredTarget, use: _PromptUse, watch: SilenceWatch
+    ) -> BegunStream:
+        self._deps.target_gate.enter(target, self._context.call.attempt_id)
+        loads = self._knowledge.loads
+        with ExitStack() as exchange:
+            loads.call_started(target.target_id)
+            exchange.callback(loads.call_ended, target.target_id)
+            try:
+                return self._send_to(target, use, watch, exchange)
+            except ExchangeError as error:
+                raise self.state.record_failed_send(target, error) from error
+
+    def _send_to(
+        self,
+        target: RegisteredTarget,
+        use: _PromptUse,
+        watch: SilenceWatch,
+        exchange: ExitStack,
+    ) -> BegunStream:
+        cache = None if use.prompt is None else use.prompt.cache
+        forwarding = attrs.evolve(
+            self.state.new_forwarding(target), cache=cache
+        )
+        head = self.state.new_request_head(forwarding)
+        connection = exchange.enter_context(
+            self._deps.connect_to(target, watch)
+        )
+        attempt = self._context.attempts.sent(target.target_id)
+        use.is_spent = True
+        connection.send(head, self._context.request.body)
+        response = self._read_head(target, connection, attempt, use)
+        if response.status == HTTPStatus.OK:
+            return BegunStream(
+                response, connection, attempt, exchange.pop_all(), target
+            )
+        body = connection.read_body(
+            self._context.deadline_s, MAX_ERROR_BODY_BYTES
+        )
+        self._context.attempts.ran(attempt)
+        self.state.tried_ids.add(target.target_id)
+        exchange.close()
+        raise ErrorResponseError(response, body)
+
+    def _read_head(
+        self,
+        target: RegisteredTarget,
+        connection: TargetConnection,
+        attempt: int,
+        use: _PromptUse,
+    ) -> ResponseHead:
+        """Read the head of the response of a target that ran the call."""
+        sent_s = clock_s()
+        response = connection.read_head(self._context.deadline_s)
+        facts = self._deps.dialect.read_response(response)
+        validate_attempt_id(facts, self._context)
+        apply_response_facts(self._deps, self._context, target, facts)
+        if facts.is_not_run:
+            use.is_spent = False
+            self._record_refusal(target, facts, connection, attempt)
+            raise RetryableError(Cause.NO_RETRY)
+        validate_response(response, facts, self._context)
+        self._record_begin(target, facts, sent_s)
+        return response
+
+    def _record_refusal(
+        self,
+        target: RegisteredTarget,
+        facts: ResponseFacts,
+        connection: TargetConnection,
+        attempt: int,
+    ) -> None:
+        self._context.attempts.refused(attempt)
+        self.state.tried_ids.add(target.target_id)
+        record_refusal(self._deps, target, facts)
+        self.state.log_decision('stream.refused', target, status=facts.status)
+        connection.read_body(self._context.deadline_s, MAX_ERROR_BODY_BYTES)
+
+    def _record_begin(
+        self, target: RegisteredTarget, facts: ResponseFacts, sent_s: float
+    ) -> None:
+        since_arrival_s = clock_s() - self._context.request.arrived_s
+        self._deps.log.observe('stream.begin', since_arrival_s)
+        self._knowledge.service_state(
+            self._context.service.name
+        ).overload.record_first_token(
+            since_arrival_s, self._context.route.goal_s, clock_s()
+        )
+        self.state.log_decision(
+            'stream.begun',
+            target,
+            status=facts.status,
+            took_s=clock_s() - sent_s,
+            since_arrival_s=since_arrival_s,
+        )
+
+    # At another node.
+
+    def _begin_elsewhere(self) -> BegunStream:
+        """Let another node serve the call or the rest of its stream.
+
+        Raises:
+            RetryableError: none can, or the response was cut off.
+        """
+        with self._keep_unless_spent(self._prompt) as use:
+            self._prompt = None
+            try:
+                return self._hand_over(use)
+            except ExchangeError as error:
+                # It is unknown whether an engine has imported the KV cache.
+                use.is_spent = error.sent
+                cause = Cause.BROKEN if error.sent else Cause.NO_TARGET
+                raise RetryableError(cause) from error
+
+    def _hand_over(self, use: _PromptUse) -> BegunStream:
+        with ExitStack() as exchange:
+            call = exchange.enter_context(
+                self._deps.handover.exchange(
+                    self._context,
+                    self.state.last_event_id,
+                    None if use.prompt is None else use.prompt.cache,
+                )
+            )
+            use.is_spent = call.may_have_run
+            if call.is_stream:
+                return BegunStream(
+                    call.head, call, call.attempt, exchange.pop_all()
+                )
+            self._forward_error(call)
+        raise RetryableError(Cause.NO_RETRY)
+
+    def _forward_error(self, call: HandedCall) -> None:
+        body = call.read_body(self._context.deadline_s)
+        attempts = self._context.attempts
+        if call.may_have_run:
+            attempts.ran(call.attempt)
+        else:
+            attempts.refused(call.attempt)
+        raise ErrorResponseError(call.head, body)
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -24,6 +24,7 @@
     encode_headers,
     parse_whole_number,
 )
+from dandelionyoke_gateway._silence import SILENCE_S
 from dandelionyoke_links import (
     URGENT_USER_TIMEOUT_MS,
     USER_TIMEOUT_MS,
@@ -45,8 +46,6 @@
 # The event loop's timers leave out the time of a suspended machine. An urgent
 # connection checks its deadline this often, so that it is reset soon after.
 URGENT_MAX_WAIT_S = 0.1
-# A response that takes longer than this to begin or go on may never come.
-SILENCE_S = 0.6
 
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
@@ -76,9 +75,13 @@
         self.idle_deadline_s = 0.0
         # Whether its first exchange is still to come.
         self.is_new = True
-        # Asked each time that the peer has been silent for SILENCE_S, whether
-        # to give up the exchange.
-        self.give_up: Callable[[], bool] | None = None
+        # Takes for how long the peer has been silent; returns how long to wait
+        # before it is called again, or raises to end the exchange.
+        self.on_silence: Callable[[float], float] | None = None
+        # Called when bytes arrive.
+        self.on_data: Callable[[], None] | None = None
+        self._silent_since_s = 0.0
+        self._silence_wait_s = SILENCE_S
 
     def send(
         self, head: RequestHead, body: bytes, until_s: float = math.inf
@@ -91,6 +94,7 @@
             ExchangeError: the first write failed, or it was too late for it.
         """
         data = _request_bytes(self._parser, head, body)
+        self._restart_silence()
         # Connecting takes time, and the process may have been paused.
         if clock_s() >= until_s:
             raise ExchangeError('too late to send after connecting', sent=False)
@@ -220,8 +224,8 @@
         if remaining_s <= 0:
             raise ExchangeTimeoutError('no response in time', sent=True)
         wait_s = min(remaining_s, self._max_wait_s)
-        if self.give_up is not None:
-            wait_s = min(wait_s, SILENCE_S)
+        if self.on_silence is not None:
+            wait_s = min(wait_s, self._silence_wait_s)
         try:
             received = receive(self._sock, READ_BYTES, wait_s)
         except TimeoutError as timeout:
@@ -233,13 +237,19 @@
             ) from timeout
         except OSError as error:
             raise ExchangeError(f'{error}', sent=True) from error
+        self._restart_silence()
+        if self.on_data is not None:
+            self.on_data()
         self._parser.receive_data(received)
 
+    def _restart_silence(self) -> None:
+        self._silent_since_s = clock_s()
+        self._silence_wait_s = SILENCE_S
+
     def _check_silence(self) -> None:
-        if self.give_up is not None and self.give_up():
-            raise ExchangeTimeoutError(
-                'no response, and no target is reached', sent=True
-            )
+        if self.on_silence is not None:
+            silent_s = clock_s() - self._silent_since_s
+            self._silence_wait_s = self.on_silence(silent_s)
 
     def _record_keep_alive(self, head: ResponseHead) -> None:
         if 'close' in (head.header('connection') or '').lower():
--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -90,11 +90,18 @@
 class SilentStreamTest(SilentTargetCase):
     def test_a_stream_survives_a_silence_of_its_only_engine(self) -> None:
         """Guards against a stream that is cut where nothing can go on."""
-        for silence_s in SILENCES_S:
-            self.node.close()
-            self.node = NodeHarness()
-            self.addCleanup(self.node.close)
-            self.stream('first', event_silence_s=silence_s)
+        silence_s = iter(SILENCES_S)
+
+        def script(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield stream_head()
+            for count, content in enumerate(events_after(request), 1):
+                yield content
+                if count == 2:
+                    yield next(silence_s)
+            yield chunk(b'')
+
+        self.node.add_target(script, 'lm')
+        for _ in SILENCES_S:
             self.assert_whole(self.node.call('/resume/1'))
 
     def test_a_stream_survives_a_silence_of_all_engines(self) -> None:
@@ -109,6 +116,16 @@
         self.node.add_target(refuses_call, 'lm')
         self.assert_whole(self.node.call('/resume/1'))
 
+    def test_a_stream_survives_an_error_of_the_next_engine(self) -> None:
+        """Guards against a begun stream that ends with another's error."""
+
+        def answers_error(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield answer('500 Error', b'no')
+
+        self.stream('first', event_silence_s=1.5)
+        self.node.add_target(answers_error, 'lm')
+        self.assert_whole(self.node.call('/resume/1'))
+
     def test_a_stream_survives_without_retry_budget(self) -> None:
         """Guards against a stream given up before its retry is allowed."""
         self.stream('first', event_silence_s=1.5)
