Answer calls that an error of ours ends

What callers saw: a request that had been read whole ended with a closed connection, neither answered nor refused.

Cause: `CallDispatcher.handle` logged every exception as `call.fault` and let the connection close, also where no byte had been written. A handed call ended the same way, so that the node that had handed it over answered 502 where no target had got it.

Change: where nothing was written the call is refused, 503 with Retry-After if `Attempts` knows that it was not sent, else 502, on a parser of its own and with the connection closed; at a handed call another node is tried. A begun answer still ends without its end. A refusal of HEAD has no body. `has_started` is set by the first write, not by the encoding before it.

Run: six new tests, of which five failed before (test_an_error_in_a_begun_stream_leaves_it_without_its_end passed, it guards what must stay); test_calls, test_handed_calls, test_handover, test_dialect, tests/gateway and test_layout pass.

--- a/packages/dispatch/dandelionyoke_dispatch/_refusals.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_refusals.py
@@ -24,6 +24,7 @@
     TARGETS_LIMITED = 'all targets get the requests that they take'
     TARGETS_RESTING = 'all targets asked this instance for rest'
     QUARANTINED = 'targets that ran this call have crashed'
+    FAULT = 'an error within this instance'
 
 
 # Statuses for calls that are known not to have run.
@@ -45,6 +46,7 @@
         Cause.LEAVING,
         Cause.NO_TARGET,
         Cause.BROKEN,
+        Cause.FAULT,
     )
 )
 
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -151,6 +151,7 @@
 
 
 CallForwarder = Callable[[CallDependencies, CallContext], None]
+_WriteRefusal = Callable[[ResponseHead, bytes, Verdict], None]
 
 
 class CallDispatcher:
@@ -172,36 +173,77 @@
         knowledge.in_progress += 1
         try:
             self._serve(request, responder)
-        except CallerDisconnectedError:
-            raise
-        except Exception:
-            # A bug must end one call, not the process. It is logged, and
-            # the connection of the caller closes without a complete
-            # response, which leaves open whether the call ran.
-            self._log_internal_error(request)
         finally:
             knowledge.in_progress -= 1
 
     def _serve(self, request: CallerRequest, responder: Responder) -> None:
+        context: CallContext | None = None
+        with self._answers_errors(request, responder, Attempts(1)):
+            context = self._accept(request, responder)
+        if context is None:
+            return
+        with self._answers_errors(request, responder, context.attempts):
+            self._forward_or_refuse(context)
+
+    @contextmanager
+    def _answers_errors(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        attempts: Attempts,
+    ) -> Iterator[None]:
+        """Refuse a call when its handling fails by an error of ours.
+
+        A bug must end one call, not the process. A response that has begun
+        is left without its end.
+        """
+        try:
+            yield
+        except CallerDisconnectedError:
+            raise
+        except Exception:
+            self._log_internal_error(request, responder, attempts)
+            if not responder.has_started:
+                refusal = Refusal(Cause.FAULT, DEFAULT_RETRY_AFTER_S)
+                self._answer(responder.fail, refusal, attempts)
+
+    def _accept(
+        self, request: CallerRequest, responder: Responder
+    ) -> CallContext | None:
+        """Admit a request; None if it was refused."""
         call = self._deps.dialect.read_call(request.head)
         if call is None:
             bad_request = ResponseHead(HTTPStatus.BAD_REQUEST, ())
             responder.respond(bad_request, b'the request names no attempt\n')
-            return
-        shutdown = self._deps.knowledge.shutdown
-        if shutdown.refuses(request.arrived_s):
-            leaving = Refusal(Cause.LEAVING, OTHER_INSTANCE_RETRY_AFTER_S)
-            self._refuse(call, responder, leaving, Attempts(1))
-            return
+            return None
         try:
-            context = self._admit(call, request, responder)
+            self._check_shutdown(request)
+            return self._admit(call, request, responder)
         except RefusedError as error:
             self._refuse(call, responder, error.refusal, Attempts(1))
-            return
+        return None
+
+    def _check_shutdown(self, request: CallerRequest) -> None:
+        """Refuse what arrives too late to be served before this node ends.
+
+        Raises:
+            RefusedError: it did.
+        """
+        if self._deps.knowledge.shutdown.refuses(request.arrived_s):
+            raise RefusedError(
+                Refusal(Cause.LEAVING, OTHER_INSTANCE_RETRY_AFTER_S)
+            )
+
+    def _forward_or_refuse(self, context: CallContext) -> None:
         try:
             self._forward(context)
         except RefusedError as error:
-            self._refuse(call, responder, error.refusal, context.attempts)
+            self._refuse(
+                context.call,
+                context.responder,
+                error.refusal,
+                context.attempts,
+            )
 
     def _admit(
         self, call: Call, request: CallerRequest, responder: Responder
@@ -339,13 +381,18 @@
             version=configuration.version if configuration else None,
             knowledge_age_s=knowledge.freshness.age_s(clock_s()),
         )
-        if responder.has_started:
-            return
+        if not responder.has_started:
+            self._answer(responder.refuse, refusal, attempts)
+
+    def _answer(
+        self, write: _WriteRefusal, refusal: Refusal, attempts: Attempts
+    ) -> None:
         retry_after_s = refusal.retry_after_s
         if attempts.may_have_run:
             retry_after_s = None
+        status = refusal.status(attempts.may_have_run)
         head = self._deps.dialect.refusal_head(status, retry_after_s)
-        responder.refuse(
+        write(
             head,
             f'{refusal.cause.value}\n'.encode(),
             Verdict(
@@ -356,12 +403,19 @@
             ),
         )
 
-    def _log_internal_error(self, request: CallerRequest) -> None:
+    def _log_internal_error(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        attempts: Attempts,
+    ) -> None:
         self._deps.log.decide(
             'call.fault',
             request.head.target,
-            outcome='closed',
+            outcome='cut' if responder.has_started else 'refused',
             cause=traceback.format_exc(),
+            targets=','.join(attempts.targets),
+            may_have_run=str(attempts.may_have_run),
         )
 
 
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -94,6 +94,9 @@
     def refuse(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
         """Write a response with which this node refuses the call."""
 
+    def fail(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
+        """Write a refusal after an error, if no byte was written before."""
+
     def start(self, head: ResponseHead) -> None:
         """Write the head of a response of unknown length."""
 
@@ -108,11 +111,18 @@
     """Writes the response to one request to its caller."""
 
     def __init__(
-        self, parser: h11.Connection, sock: socket.socket, *, close_after: bool
+        self,
+        parser: h11.Connection,
+        sock: socket.socket,
+        *,
+        close_after: bool,
+        is_bodiless: bool = False,
     ) -> None:
         self._parser = parser
         self._sock = sock
         self._close_after = close_after
+        # Whether the request allows no body in its response.
+        self._is_bodiless = is_bodiless
         self.is_complete = False
         self.has_started = False
         self.leaving: RegisteredTarget | None = None
@@ -121,11 +131,18 @@
         """Write a complete response."""
         length = ('content-length', str(len(body)))
         data = self._encode_head(head.status, (*head.headers, length))
-        if body:
-            data += self._parser.send(h11.Data(data=body)) or b''
+        data += self._encode_body(body)
         self._write(data + (self._parser.send(h11.EndOfMessage()) or b''))
         self.is_complete = True
 
+    def fail(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
+        """Write a refusal after an error, and close the connection."""
+        # The error may have left the parser unable to send anything.
+        self._parser = h11.Connection(h11.SERVER)
+        self._close_after = True
+        self.respond(head, body)
+        self.is_complete = False
+
     def refuse(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
         """Write a response with which this node refuses the call.
 
@@ -139,7 +156,7 @@
 
     def send_chunk(self, content: bytes) -> None:
         """Write a part of the response body."""
-        self._write(self._parser.send(h11.Data(data=content)) or b'')
+        self._write(self._encode_body(content))
 
     def finish(self) -> None:
         """End the response; the caller takes one that is not ended as cut."""
@@ -147,7 +164,6 @@
         self.is_complete = True
 
     def _encode_head(self, status: int, headers: HeaderList) -> bytes:
-        self.has_started = True
         all_headers = encode_headers(headers)
         if self._close_after:
             all_headers.append((b'connection', b'close'))
@@ -156,7 +172,13 @@
         )
         return data or b''
 
+    def _encode_body(self, content: bytes) -> bytes:
+        if self._is_bodiless or not content:
+            return b''
+        return self._parser.send(h11.Data(data=content)) or b''
+
     def _write(self, data: bytes) -> None:
+        self.has_started = True
         _send_all(self._sock, data)
 
 
@@ -181,6 +203,7 @@
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
         self.is_idle = True
+        self._is_bodiless = False
 
     def serve(self) -> None:
         """Serve requests until the connection closes."""
@@ -209,7 +232,10 @@
         if request is None:
             return False
         responder = HttpResponder(
-            self._parser, self._sock, close_after=self._is_leaving()
+            self._parser,
+            self._sock,
+            close_after=self._is_leaving(),
+            is_bodiless=self._is_bodiless,
         )
         self._handle(request, responder)
         return responder.is_complete and self._can_be_reused()
@@ -265,6 +291,7 @@
             event = self._next_event()
             if isinstance(event, h11.Request):
                 self.is_idle = False
+                self._is_bodiless = event.method == b'HEAD'
                 return event
             if event is not h11.NEED_DATA:
                 return None
@@ -348,7 +375,12 @@
         """Respond with the error of an invalid request, then close."""
         if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        responder = HttpResponder(self._parser, self._sock, close_after=True)
+        responder = HttpResponder(
+            self._parser,
+            self._sock,
+            close_after=True,
+            is_bodiless=self._is_bodiless,
+        )
         body = f'{error.cause}\n'.encode()
         content_type = ('content-type', 'text/plain; charset=utf-8')
         responder.respond(ResponseHead(error.status, (content_type,)), body)
--- a/packages/gateway/dandelionyoke_gateway/_handover_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_server.py
@@ -59,6 +59,10 @@
         self._begin(begun)
         self._write_body(body)
 
+    def fail(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
+        """Write a refusal after an error, if no byte was written before."""
+        self.refuse(head, body, verdict)
+
     def start(self, head: ResponseHead) -> None:
         """Write the head of a response of unknown length."""
         self._begin(ResponseBegun(head.status, head.headers, is_stream=True))
@@ -74,7 +78,6 @@
         self.is_complete = True
 
     def _begin(self, begun: ResponseBegun) -> None:
-        self.has_started = True
         if self.leaving is not None:
             begun = attrs.evolve(
                 begun,
@@ -82,6 +85,7 @@
                 leaving_started_ms=self.leaving.started_ms,
             )
         self._send(begun)
+        self.has_started = True
 
     def _write_body(self, body: bytes) -> None:
         self.send_chunk(body)
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -18,6 +18,7 @@
     RateLimit,
     RetryBudgets,
     RetryBudgetSettings,
+    ServiceShare,
 )
 from dandelionyoke_gateway import _rate_limits, clock_s
 from tests.platform.node_harness import (
@@ -185,6 +186,84 @@
         self.assertAlmostEqual(3.0, clock_s() - started_s, delta=0.3)
 
 
+class InternalErrorTest(CallTestCase):
+    """Guards against calls that end without an answer after an error."""
+
+    def replace_routes(self, *shares: ServiceShare) -> None:
+        configuration = self.node.knowledge.configuration
+        assert configuration is not None
+        self.node.knowledge.configuration = attrs.evolve(
+            configuration,
+            routes=tuple(
+                attrs.evolve(route, shares=shares)
+                for route in configuration.routes
+            ),
+        )
+
+    def replace_organisation(self, name: str) -> None:
+        configuration = self.node.knowledge.configuration
+        assert configuration is not None
+        self.node.knowledge.configuration = attrs.evolve(
+            configuration, organisations={API_KEY: Organisation(name)}
+        )
+
+    def test_an_error_before_a_send_is_refused_as_not_run(self) -> None:
+        """Guards against a connection closed by a route of no weight."""
+        self.replace_routes(ServiceShare('ledger', 0), ServiceShare('lm', 0))
+        content = self.node.call()
+        self.assertEqual(503, status(content))
+        self.assertIn(b'retry-after: ', content.lower())
+        self.assertIn('"call.fault"', self.node.log_lines.text)
+
+    def test_an_error_after_a_send_promises_nothing(self) -> None:
+        """Guards against a retry of a call that may have run."""
+        self.replace_organisation('two\nlines')
+        self.node.add_target(answers_ok)
+        content = self.node.call()
+        self.assertEqual(502, status(content))
+        self.assertNotIn(b'retry-after', content.lower())
+
+    def test_an_error_in_the_answer_of_an_engine_is_refused(self) -> None:
+        """Guards against a call lost by a document nested too deep."""
+        nested = b'{"a":' + b'[' * 60_000
+
+        def prefills(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield answer(body=nested, extra='Attempt-Id: a1\r\n')
+
+        self.node.add_target(prefills, 'lm', Phase.PREFILL)
+        self.node.add_target(answers_ok, 'lm', Phase.DECODE)
+        self.assertEqual(
+            503, status(self.node.call('/ask/1', extra=PROMPT_HEADERS))
+        )
+
+    def test_an_error_in_a_begun_stream_leaves_it_without_its_end(
+        self,
+    ) -> None:
+        """Guards against a stream that looks complete."""
+
+        def breaks_off(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield stream_head()
+            # No header can name this event.
+            yield chunk(b'id: 1\x00\ndata: a\n\n')
+            yield None
+
+        for _ in range(2):
+            self.node.add_target(breaks_off, 'lm', Phase.DECODE)
+        content = self.node.call('/resume/1')
+        self.assertIn('"call.fault"', self.node.log_lines.text)
+        self.assertEqual(1, content.count(b'HTTP/1.1'))
+        self.assertTrue(content.endswith(b'data: a\n\n\r\n'), content)
+
+    def test_a_refused_head_request_gets_its_status(self) -> None:
+        """Guards against a refusal that is lost as it allows no body."""
+        request = request_bytes('/unknown/1').replace(b'POST', b'HEAD')
+        with self.node.connect() as sock:
+            sock.sendall(request)
+            content = sock.recv(65536)
+        self.assertEqual(404, status(content))
+        self.assertTrue(content.endswith(b'\r\n\r\n'))
+
+
 class HeaderEncodingTest(CallTestCase):
     """Guards against calls that end without an answer."""
 
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -215,6 +215,21 @@
         self.assertTrue(self.has_handed_on('n-1'))
         self.assertFalse(self.has_handed_on('n-2'))
 
+    def test_a_call_leaves_a_node_that_fails_by_an_error(self) -> None:
+        """Guards against calls lost to an error of another node."""
+        faulty, sound = self.others
+        configuration = faulty.knowledge.configuration
+        assert configuration is not None
+        shares = (ServiceShare('lm', 0), ServiceShare('none', 0))
+        route = attrs.evolve(configuration.routes[0], shares=shares)
+        faulty.knowledge.configuration = attrs.evolve(
+            configuration, routes=(route,)
+        )
+        sound.add_target(answers_ok)
+        for _ in range(8):
+            self.assertEqual(200, status(self.origin.call()))
+        self.assertIn('"call.fault"', faulty.log_lines.text)
+
     def test_a_handed_call_is_not_handed_on(self) -> None:
         """Guards against calls that travel between cut-off nodes."""
         for node in self.others:
