Keep what a handed call was granted at the node that serves it

What callers saw: beside a change of the configuration, a call that its node had accepted was refused (503), ended at another time limit (504), or its begun stream was cut, because the call had been handed to another node.

Cause: the other node admitted a handed call anew by its own version of the configuration: route, kind, shares, time limit, key and organisation.

Change: `CallHanded` carries `CallTerms`. The other node keeps them, and the service, also one that its configuration no longer has. A key is taken on the first node's word if the proof that its configuration was the newest was younger than the bound of revocation at the admission; the call was sent before that, so that no key runs that was withdrawn longer ago than the bound. Otherwise, and for a call of an older program, which sends no terms, the node asks its own configuration as before. The time left counts from the first message, not from the end of the body.

--- a/packages/dispatch/dandelionyoke_dispatch/_freshness.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_freshness.py
@@ -60,5 +60,8 @@
     def may_accept_keys(self, now_s: float) -> bool:
         """Whether the configuration is recent enough to accept keys."""
         age_s = self.age_s(now_s)
-        max_age_s = self._settings.revocation_s - self._settings.margin_s
-        return age_s is not None and age_s < max_age_s
+        return age_s is not None and self.may_accept_keys_of(age_s)
+
+    def may_accept_keys_of(self, age_s: float) -> bool:
+        """Whether a configuration confirmed so long ago may accept keys."""
+        return age_s < self._settings.revocation_s - self._settings.margin_s
--- a/packages/gateway/dandelionyoke_gateway/_call_context.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_context.py
@@ -28,6 +28,9 @@
     attempts: Attempts
     shutdown: Shutdown
     is_usage_counted: bool = False
+    # How old the proof was that the configuration that accepted the key was
+    # the newest.
+    key_age_s: float | None = None
     # Connections to targets that failed before a byte was sent.
     failed_connections: int = 0
     # Whether no other node could take the call.
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -20,6 +20,7 @@
     Refusal,
     RegisteredTarget,
     Route,
+    Service,
 )
 from dandelionyoke_gateway._call_context import CallContext
 from dandelionyoke_gateway._caller_connection import (
@@ -30,6 +31,11 @@
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import CallerDisconnectedError
+from dandelionyoke_gateway._handed_terms import (
+    organisation_of,
+    route_of,
+    service_of,
+)
 from dandelionyoke_gateway._handover import Handover
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
@@ -150,6 +156,17 @@
     return verdict.is_allowed
 
 
+@attrs.frozen
+class _Admission:
+    """What a configuration grants a call."""
+
+    route: Route
+    service: Service
+    organisation: Organisation | None
+    deadline_s: float
+    key_age_s: float | None
+
+
 CallForwarder = Callable[[CallDependencies, CallContext], None]
 _WriteRefusal = Callable[[ResponseHead, bytes, Verdict], None]
 
@@ -254,6 +271,63 @@
             raise RefusedError(
                 Refusal(Cause.NO_CONFIGURATION, DEFAULT_RETRY_AFTER_S)
             )
+        handed_over = request.handed_over
+        if handed_over is not None:
+            call = attrs.evolve(call, last_event_id=handed_over.last_event_id)
+        admission = self._keep_terms(handed_over, configuration)
+        if admission is None:
+            admission = self._grant(call, request, configuration)
+        attempts, is_usage_counted = (
+            Attempts(admission.route.max_attempts),
+            False,
+        )
+        if handed_over is not None:
+            attempts = _attempts_left(admission.route, handed_over)
+            is_usage_counted = handed_over.is_usage_counted
+        return CallContext(
+            call,
+            request,
+            responder,
+            admission.route,
+            admission.service,
+            admission.organisation,
+            admission.deadline_s,
+            attempts,
+            self._deps.knowledge.shutdown,
+            is_usage_counted,
+            admission.key_age_s,
+        )
+
+    def _keep_terms(
+        self, handed_over: HandedOver | None, configuration: FleetConfiguration
+    ) -> _Admission | None:
+        """Admit a handed call as the node that took it did.
+
+        None if an older program sent no terms, or if the key of the call was
+        accepted by a configuration that was too old for this node.
+        """
+        if handed_over is None or handed_over.terms is None:
+            return None
+        terms, service = handed_over.terms, handed_over.service
+        freshness = self._deps.knowledge.freshness
+        if terms.key_age_s is not None:
+            if not freshness.may_accept_keys_of(terms.key_age_s):
+                return None
+        return _Admission(
+            route_of(terms, service, handed_over.attempts_left),
+            service_of(configuration, service),
+            organisation_of(terms),
+            handed_over.received_s + terms.time_left_s,
+            terms.key_age_s,
+        )
+
+    def _grant(
+        self,
+        call: Call,
+        request: CallerRequest,
+        configuration: FleetConfiguration,
+    ) -> _Admission:
+        """Admit a call by the configuration in force."""
         route = configuration.find_route(call.host, call.path)
         if route is None:
             raise RefusedError(Refusal(Cause.NO_ROUTE))
@@ -262,23 +336,15 @@
         if service is None:
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
         timeout_s = min(call.time_left_s or route.timeout_s, route.timeout_s)
-        attempts, is_usage_counted = Attempts(route.max_attempts), False
-        handed_over = request.handed_over
-        if handed_over is not None:
-            attempts = _attempts_left(route, handed_over)
-            is_usage_counted = handed_over.is_usage_counted
-            call = attrs.evolve(call, last_event_id=handed_over.last_event_id)
-        return CallContext(
-            call,
-            request,
-            responder,
+        key_age_s = None
+        if organisation is not None:
+            key_age_s = self._deps.knowledge.freshness.age_s(clock_s())
+        return _Admission(
             route,
             service,
             organisation,
             request.arrived_s + timeout_s,
-            attempts,
-            self._deps.knowledge.shutdown,
-            is_usage_counted,
+            key_age_s,
         )
 
     def _service_name(self, route: Route, request: CallerRequest) -> str:
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -16,6 +16,7 @@
     CallerDisconnectedError,
     InvalidRequestError,
 )
+from dandelionyoke_gateway._handover_messages import CallTerms
 from dandelionyoke_gateway._messages import (
     HeaderList,
     RequestHead,
@@ -38,7 +39,8 @@
     that its caller has received. `service` was chosen for it. `is_sent` and
     `is_prefill_sent` tell whether the call, or a prefill for it, was sent to a
     target before. The KV cache of its prompt, if any, is at the engine
-    `cache_target_id`; the other node releases it.
+    `cache_target_id`; the other node releases it. The call came at
+    `received_s`. `terms` were granted to it, None from an older program.
     """
 
     peer_id: str
@@ -50,6 +52,8 @@
     is_prefill_sent: bool
     cache_target_id: str
     cache_handle: str
+    received_s: float
+    terms: CallTerms | None
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -8,6 +8,7 @@
 from dandelionyoke_gateway._call_context import CallContext
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
+from dandelionyoke_gateway._handed_terms import terms_of
 from dandelionyoke_gateway._handover_messages import (
     BodyPart,
     CallHanded,
@@ -264,6 +265,7 @@
         context.attempts.is_prefill_sent,
         '' if cache is None else cache.target.target_id,
         '' if cache is None else cache.handle,
+        terms_of(context),
     )
     context.attempts.handed(channel.peer_id)
     try:
--- a/packages/gateway/dandelionyoke_gateway/_handover_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_messages.py
@@ -9,10 +9,42 @@
 import attrs
 
 from dandelionyoke_core import PeerMessage
+from dandelionyoke_dispatch import CallKind
 
 Headers = tuple[tuple[str, str], ...]
 
 
+@attrs.frozen
+class CallTerms:
+    """What the configuration granted a call when it was admitted.
+
+    The call must end within `time_left_s`. `key_age_s` is how long before the
+    admission the configuration that accepted its key was known to be the
+    newest; None for a call that needs no key.
+    """
+
+    kind: CallKind
+    time_left_s: float
+    goal_s: float
+    longest_pause_s: float
+    priority: int
+    is_resumable: bool
+    organisation: str | None = None
+    organisation_priority: int | None = None
+    key_age_s: float | None = None
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether the figures can be those of a call."""
+        times_s = (
+            self.time_left_s,
+            self.goal_s,
+            self.longest_pause_s,
+            self.key_age_s or 0.0,
+        )
+        return all(math.isfinite(time_s) for time_s in times_s)
+
+
 @attrs.frozen
 class CallHanded(PeerMessage):
     """A call whose request arrived `age_s` ago, as its caller sent it.
@@ -21,7 +53,8 @@
     caller has received. At most `attempts_left` targets may run the call.
     `service` was chosen for it. `is_sent` and `is_prefill_sent` tell whether
     the call, or a prefill for it, was sent to a target before. The KV cache
-    of its prompt, if any, is at the engine `cache_target_id`.
+    of its prompt, if any, is at the engine `cache_target_id`. An older
+    program sends no `terms`.
     """
 
     method: str
@@ -36,10 +69,13 @@
     is_prefill_sent: bool = False
     cache_target_id: str = ''
     cache_handle: str = ''
+    terms: CallTerms | None = None
 
     @property
     def is_valid(self) -> bool:
         """Whether the figures can be those of a call."""
+        if self.terms is not None and not self.terms.is_valid:
+            return False
         is_finite = math.isfinite(self.age_s) and self.age_s >= 0
         return is_finite and self.attempts_left > 0
 
--- a/packages/gateway/dandelionyoke_gateway/_handover_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_server.py
@@ -143,6 +143,7 @@
     call = channel.receive(CALL_TIMEOUT_S)
     if not isinstance(call, CallHanded) or not call.is_valid:
         raise LinkError('the first message is no valid call')
+    received_s = clock_s()
     body = b''
     is_last = False
     while not is_last:
@@ -156,7 +157,7 @@
     return CallerRequest(
         RequestHead(call.method, call.target, call.headers),
         body,
-        clock_s() - call.age_s,
+        received_s - call.age_s,
         HandedOver(
             channel.peer_id,
             call.attempts_left,
@@ -167,6 +168,8 @@
             call.is_prefill_sent,
             call.cache_target_id,
             call.cache_handle,
+            received_s,
+            call.terms,
         ),
     )
 
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -1,24 +1,35 @@
 """Calls that a node without a path to targets hands to another one."""
 
+import functools
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import Any
+from unittest import mock
 
 import attrs
 import testtools
 
-from dandelionyoke_core import InstanceId
+from dandelionyoke_core import (
+    InstanceId,
+    message_from_mapping,
+    message_to_mapping,
+)
 from dandelionyoke_dispatch import (
+    CallKind,
+    FleetConfiguration,
     LimitUnit,
     Member,
     Organisation,
     Phase,
     RateLimit,
+    Route,
     ServiceShare,
 )
 from dandelionyoke_gateway import clock_s
 from dandelionyoke_gateway._handover_messages import (
     BodyPart,
     CallHanded,
+    CallTerms,
     ResponseBegun,
 )
 from dandelionyoke_links import CallChannel, LinkError, PeerHub, PeerSettings
@@ -32,6 +43,7 @@
     ScriptStep,
     answer,
     chunk,
+    configuration,
     request_bytes,
     stream_head,
 )
@@ -40,6 +52,18 @@
 SERVICES = ('ledger', 'lm')
 
 
+TERMS = CallTerms(
+    CallKind.NON_IDEMPOTENT,
+    time_left_s=3.0,
+    goal_s=0.5,
+    longest_pause_s=0.3,
+    priority=1,
+    is_resumable=False,
+    organisation='acme',
+    key_age_s=0.1,
+)
+
+
 def answers_ok(request: ReceivedRequest) -> Iterator[ScriptStep]:
     yield answer()
 
@@ -70,6 +94,13 @@
     yield chunk(b'')
 
 
+def change_routes(**changes: Any) -> tuple[Route, ...]:
+    """Return the routes of the tests with changed fields."""
+    return tuple(
+        attrs.evolve(route, **changes) for route in configuration().routes
+    )
+
+
 class HandedCallTest(testtools.TestCase):
     """A cut-off node, and two others that take its calls."""
 
@@ -218,18 +249,86 @@
     def test_a_call_leaves_a_node_that_fails_by_an_error(self) -> None:
         """Guards against calls lost to an error of another node."""
         faulty, sound = self.others
-        configuration = faulty.knowledge.configuration
-        assert configuration is not None
-        shares = (ServiceShare('lm', 0), ServiceShare('none', 0))
-        route = attrs.evolve(configuration.routes[0], shares=shares)
-        faulty.knowledge.configuration = attrs.evolve(
-            configuration, routes=(route,)
+        fault = mock.patch.object(
+            faulty.knowledge.placement,
+            'choose_plain_target',
+            side_effect=ValueError,
         )
+        self.enterContext(fault)
         sound.add_target(answers_ok)
         for _ in range(8):
             self.assertEqual(200, status(self.origin.call()))
         self.assertIn('"call.fault"', faulty.log_lines.text)
 
+    def change_others(
+        self, change: Callable[[FleetConfiguration], FleetConfiguration]
+    ) -> None:
+        for node in self.others:
+            node.knowledge.configuration = change(configuration())
+
+    def test_a_handed_call_keeps_what_another_configuration_lacks(
+        self,
+    ) -> None:
+        """Guards against a call that was accepted and then refused."""
+        self.add_targets(answers_ok)
+        self.add_targets(streams_tokens, 'lm', Phase.DECODE)
+        changes: dict[str, dict[str, Any]] = {
+            'a removed route': {'routes': ()},
+            'a moved host': {'routes': change_routes(host='other.example')},
+            'another service': {
+                'routes': change_routes(shares=(ServiceShare('other', 1),))
+            },
+            'another kind': {
+                'routes': change_routes(kind=CallKind.NON_IDEMPOTENT)
+            },
+            'a removed key': {'organisations': {}},
+            'no organisations': {
+                'organisations': {},
+                'has_organisations': False,
+            },
+            'a removed service': {'services': {}},
+        }
+        for name, change in changes.items():
+            self.change_others(
+                functools.partial(attrs.evolve, version=2, **change)
+            )
+            for path in ('/confirm/1', '/look/1', '/ask/1', '/resume/1'):
+                content = self.origin.call(path)
+                self.assertEqual(200, status(content), f'{name} {path}')
+                request = self.received()[-1]
+                self.assertEqual('acme', request.headers['tenant'], name)
+
+    def test_a_handed_call_keeps_its_time(self) -> None:
+        """Guards against the time limit of another configuration."""
+        self.add_targets(answers_ok)
+        for timeout_s in (0.2, 1.0, 9.0):
+            self.change_others(
+                lambda old, timeout_s=timeout_s: attrs.evolve(
+                    old, routes=change_routes(timeout_s=timeout_s)
+                )
+            )
+            self.origin.knowledge.configuration = attrs.evolve(
+                configuration(), routes=change_routes(timeout_s=1.0)
+            )
+            self.origin.call()
+        for request in self.received():
+            left_ms = int(request.headers['deadline-ms'])
+            self.assertTrue(800 <= left_ms <= 1000, left_ms)
+        self.assertEqual(3, len(self.received()))
+
+    def test_a_begun_stream_is_not_cut_by_a_shorter_limit_elsewhere(
+        self,
+    ) -> None:
+        """Guards against a stream that another configuration ends."""
+        self.add_targets(streams_tokens, 'lm', Phase.DECODE)
+        self.change_others(
+            lambda old: attrs.evolve(old, routes=change_routes(timeout_s=0.1))
+        )
+        for path in ('/ask/1', '/resume/1'):
+            content = self.origin.call(path)
+            self.assertTrue(content.endswith(b'\r\n0\r\n\r\n'), content)
+            self.assertEqual(1, content.count(event(4)))
+
     def test_a_handed_call_is_not_handed_on(self) -> None:
         """Guards against calls that travel between cut-off nodes."""
         for node in self.others:
@@ -415,6 +514,42 @@
             self.assertEqual(200, begun.status)
         self.assertEqual(5, len(self.target.received_requests))
 
+    def exchange(self, call: CallHanded) -> ResponseBegun:
+        channel = self.open()
+        channel.send(call)
+        channel.send(BodyPart(b'', is_last=True))
+        begun = channel.receive(2.0)
+        assert isinstance(begun, ResponseBegun)
+        return begun
+
+    def without_key(self) -> None:
+        self.node.knowledge.configuration = attrs.evolve(
+            configuration(), organisations={}
+        )
+
+    def test_a_withdrawn_key_runs_within_the_revocation_bound_only(
+        self,
+    ) -> None:
+        """Guards against a revoked key that another node still trusts."""
+        self.without_key()
+        for key_age_s, expected in ((0.1, 200), (4.4, 200), (4.6, 401)):
+            terms = attrs.evolve(TERMS, key_age_s=key_age_s)
+            begun = self.exchange(
+                attrs.evolve(self.call(), service='ledger', terms=terms)
+            )
+            self.assertEqual(expected, begun.status, key_age_s)
+            self.assertEqual(expected != 200, begun.is_elsewhere)
+
+    def test_a_call_of_an_older_program_is_admitted_anew(self) -> None:
+        """Guards against calls lost or unchecked in a rolling update."""
+        mapping = message_to_mapping(self.call())
+        mapping.pop('terms')
+        call = message_from_mapping(mapping)
+        assert isinstance(call, CallHanded)
+        self.assertEqual(200, self.exchange(call).status)
+        self.without_key()
+        self.assertEqual(401, self.exchange(call).status)
+
     def test_a_peer_without_the_secret_is_rejected(self) -> None:
         """Guards against calls from outside the fleet."""
         self.assertRaises(LinkError, self.open, b'another')
@@ -425,6 +560,8 @@
             {'age_s': math.nan},
             {'age_s': -1.0},
             {'attempts_left': 0},
+            {'terms': attrs.evolve(TERMS, time_left_s=math.inf)},
+            {'terms': attrs.evolve(TERMS, key_age_s=math.nan)},
         ):
             channel = self.open()
             channel.send(attrs.evolve(self.call(), **changes))
