Decline a handed call that may outlast a node that leaves

What callers saw: 504 for a call that another node would have answered in time: it had been handed to a node that ends before it.

Cause: a node that leaves takes calls for its notice, judged by the time of their arrival at the first node, and ends them all at its own end, also those that have more time left.

Change: such a node declines the call as leaving, and the next one gets it. A call that ends in time is still taken, so that a small fleet loses no node sooner.

Run: test_a_leaving_node_declines_what_may_outlast_it failed before; test_handed_calls and test_calls pass.

--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -380,7 +380,7 @@
         if crashes.refuses(context.fingerprint, clock_s()):
             refusal = Refusal(Cause.QUARANTINED, crashes.retry_after_s)
             raise RefusedError(refusal)
-        self._check_reach(context)
+        self._check_handed(context)
         charge = self._charge(context)
         try:
             self._forward_by_kind(context)
@@ -388,14 +388,19 @@
             if charge is not None and not context.attempts.may_have_run:
                 self._deps.rate_limits.refund(charge)
 
-    def _check_reach(self, context: CallContext) -> None:
+    def _check_handed(self, context: CallContext) -> None:
         """Decline a handed call at once that another node can serve.
 
         Raises:
-            RefusedError: this node reaches no target either.
+            RefusedError: this node reaches no target either, or ends before
+                the call must.
         """
         if context.request.handed_over is None:
             return
+        if context.deadline_s < context.own_deadline_s:
+            raise RefusedError(
+                Refusal(Cause.LEAVING, OTHER_INSTANCE_RETRY_AFTER_S)
+            )
         if self._deps.knowledge.reach.is_cut_off(context.service.name):
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
 
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -540,6 +540,23 @@
             self.assertEqual(expected, begun.status, key_age_s)
             self.assertEqual(expected != 200, begun.is_elsewhere)
 
+    def test_a_leaving_node_declines_what_may_outlast_it(self) -> None:
+        """Guards against calls cut by the end of a node that took them."""
+        self.node.knowledge.shutdown.begin(clock_s() - 2.9)
+        for time_left_s, age_s, expected in (
+            (3.0, 0.0, 200),
+            (6.0, 0.0, 503),
+            (6.0, 4.0, 503),
+        ):
+            terms = attrs.evolve(TERMS, time_left_s=time_left_s)
+            begun = self.exchange(
+                attrs.evolve(
+                    self.call(), service='ledger', terms=terms, age_s=age_s
+                )
+            )
+            self.assertEqual(expected, begun.status, time_left_s)
+            self.assertEqual(expected != 200, begun.is_elsewhere)
+
     def test_a_call_of_an_older_program_is_admitted_anew(self) -> None:
         """Guards against calls lost or unchecked in a rolling update."""
         mapping = message_to_mapping(self.call())
