Keep the answer of a caller that reads nothing for a second

What callers saw: a large answer that ends in its middle, as the caller had read nothing for over a second.

Cause: connections of callers had the TCP_USER_TIMEOUT of 1 s that finds dead targets. The kernel counts a closed window too, so that the 10 s which a caller has for reading (WRITE_TIMEOUT_S) never came into force.

Change: the kernel's limit for these connections is WRITE_TIMEOUT_S. A caller that cannot be reached at all is found by it after 10 s too, in place of 2 s; its call is bounded by its deadline, and a close that arrives is seen at once as before.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -24,11 +24,13 @@
     decode_headers,
     encode_headers,
 )
+from dandelionyoke_links import set_socket_options
 
 READ_BYTES = 65536
 # A caller that reads nothing of its response for this long counts as
 # disconnected.
 WRITE_TIMEOUT_S = 10.0
+MS_PER_S = 1000
 
 
 @attrs.frozen
@@ -186,6 +188,16 @@
         _send_all(self._sock, data)
 
 
+def prepare_caller_socket(sock: socket.socket) -> None:
+    """Set the options of a connection that a caller has opened.
+
+    Raises:
+        OSError: the caller has disconnected.
+    """
+    # The kernel also counts the time in which the caller reads nothing.
+    set_socket_options(sock, int(WRITE_TIMEOUT_S * MS_PER_S))
+
+
 Handler = Callable[[CallerRequest, Responder], None]
 
 
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -19,6 +19,7 @@
     CallerRequest,
     Handler,
     Responder,
+    prepare_caller_socket,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
@@ -61,7 +62,7 @@
 from dandelionyoke_gateway._stream_call import forward_stream_call
 from dandelionyoke_gateway._target_pool import TargetPool
 from dandelionyoke_gateway._usage_tasks import CountsTask, UsageTask
-from dandelionyoke_links import listen, set_socket_options
+from dandelionyoke_links import listen
 
 # The load balancer checks the health once a second and removes an instance
 # after two failures in a row. Until then new callers connect and are served.
@@ -250,7 +251,7 @@
         configuration = self._knowledge.configuration
         limits = configuration.limits if configuration else CallerLimits()
         try:
-            set_socket_options(sock)
+            prepare_caller_socket(sock)
         except OSError:
             # The caller disconnected right after the accept.
             sock.close()
--- a/tests/gateway/test_caller_connection.py
+++ b/tests/gateway/test_caller_connection.py
@@ -1,7 +1,7 @@
 """Tests of connections of callers that disconnect at a bad moment."""
 
 import testtools
-from eventlet import listen, spawn
+from eventlet import listen, sleep, spawn
 from eventlet.green import socket
 
 from dandelionyoke_dispatch import CallerLimits
@@ -9,7 +9,9 @@
     CallerConnection,
     CallerRequest,
     Responder,
+    prepare_caller_socket,
 )
+from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_links import reset_on_close
 
 EXPECTING_HEAD = (
@@ -22,6 +24,38 @@
     raise AssertionError(f'a request came through: {request.head}')
 
 
+REQUEST = b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n'
+# More than the buffers of both ends hold.
+LARGE_BODY = b'x' * 8_000_000
+READ_BYTES = 65536
+
+
+class SlowReaderTest(testtools.TestCase):
+    def test_a_caller_that_pauses_gets_the_whole_response(self) -> None:
+        """Guards against an answer that a pause of a second cuts off."""
+        listener = listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        caller = socket.create_connection(listener.getsockname())
+        self.addCleanup(caller.close)
+        sock, _ = listener.accept()
+        prepare_caller_socket(sock)
+        connection = CallerConnection(
+            sock,
+            CallerLimits(),
+            lambda request, responder: responder.respond(
+                ResponseHead(200, ()), LARGE_BODY
+            ),
+            lambda: True,
+        )
+        spawn(connection.serve)
+        caller.sendall(REQUEST)
+        content = caller.recv(READ_BYTES)
+        sleep(2.5)
+        while data := caller.recv(READ_BYTES):
+            content += data
+        self.assertTrue(content.endswith(b'\r\n\r\n' + LARGE_BODY))
+
+
 class DisconnectedCallerTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
