Answer a request that has arrived when idle connections are closed

What callers saw: a connection closed without an answer or a refusal, by a process that shuts down, after they had sent a request on it.

Cause: `close_if_idle` closes a connection of which nothing has been read. Bytes that are there already, or that cross the close, are still read after it, so that the request was handled on a connection that can carry no answer. While a process drains, the handler refuses such calls (notice 3.0 s, first close after 3.2 s), so that mostly the refusal was lost; that one was passed on to an engine was not seen.

Change: a connection with unread bytes is not idle; what is read after the close is dropped unhandled.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -220,6 +220,7 @@
         )
         self.is_idle = True
         self._is_bodiless = False
+        self._is_closing = False
 
     def serve(self) -> None:
         """Serve requests until the connection closes."""
@@ -234,10 +235,19 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if no request has begun on it."""
-        if self.is_idle:
-            # The caller may have reset it, which its own task reads next.
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_RDWR)
+        if not self.is_idle or self._has_input():
+            return
+        self._is_closing = True
+        # The caller may have reset it, which its own task reads next.
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def _has_input(self) -> bool:
+        """Whether bytes of a request have arrived that are not read yet."""
+        try:
+            return bool(self._sock.fd.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
 
     def _serve_one(self) -> bool:
         try:
@@ -313,6 +323,9 @@
                 return None
             if not self._receive(deadline_s, 'the head', is_idle=not has_begun):
                 return None
+            if self._is_closing:
+                # Nothing can be answered any more.
+                return None
             if not has_begun:
                 has_begun = True
                 self.is_idle = False
--- a/tests/gateway/test_caller_connection.py
+++ b/tests/gateway/test_caller_connection.py
@@ -1,5 +1,7 @@
 """Tests of connections of callers that disconnect at a bad moment."""
 
+from unittest import mock
+
 import testtools
 from eventlet import listen, sleep, spawn
 from eventlet.green import socket
@@ -56,6 +58,55 @@
         self.assertTrue(content.endswith(b'\r\n\r\n' + LARGE_BODY))
 
 
+class ClosedIdleConnectionTest(testtools.TestCase):
+    """A request that arrives as the process closes an idle connection."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        listener = listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        self.caller = socket.create_connection(listener.getsockname())
+        self.addCleanup(self.caller.close)
+        self.sock, _ = listener.accept()
+        self.handled: list[str] = []
+        self.connection = CallerConnection(
+            self.sock, CallerLimits(), self.handle, lambda: True
+        )
+        self.server = spawn(self.connection.serve)
+        sleep(0.05)
+
+    def handle(self, request: CallerRequest, responder: Responder) -> None:
+        self.handled.append(request.head.target)
+        sleep(0.05)
+        responder.respond(ResponseHead(200, ()), b'ok')
+
+    def read_all(self) -> bytes:
+        content = b''
+        while data := self.caller.recv(READ_BYTES):
+            content += data
+        return content
+
+    def test_a_request_that_has_arrived_is_answered(self) -> None:
+        """Guards against a request that is read and not even refused."""
+        self.caller.sendall(REQUEST)
+        self.connection.close_if_idle()
+        self.assertTrue(self.read_all().endswith(b'ok'))
+        self.assertEqual(['/a'], self.handled)
+
+    def test_a_request_that_crosses_the_close_does_not_run(self) -> None:
+        """Guards against a call that runs and gets no answer."""
+        shut_down = self.sock.shutdown
+
+        def crossed(how: int) -> None:
+            self.caller.sendall(REQUEST)
+            shut_down(how)
+
+        with mock.patch.object(self.sock, 'shutdown', crossed):
+            self.connection.close_if_idle()
+        self.server.wait()
+        self.assertEqual([], self.handled)
+
+
 class DisconnectedCallerTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
