End the call of a caller that leaves behind a pipelined request

What was seen: an engine worked on to its answer for a caller that had sent its next request early and then closed or reset its connection.

Cause: the watcher waits for input and takes its end for the caller's leaving; the first byte of a next request ends the watch, and hides what is behind it.

Evidence: two requests on one connection, closed or reset 0.1 s later: the handler of 0.6 s ran to its end before; it ends within 0.3 s since.

Change: with unread input the state of the connection is checked each 0.1 s: any state but the one in which both ends may send ends the call, as an end of input does without a next request.

Run: two new tests failed before; test_both_requests_are_answered passed before and passes.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -31,6 +31,10 @@
 # disconnected.
 WRITE_TIMEOUT_S = 10.0
 MS_PER_S = 1000
+# How often a connection with unread input is checked for its end.
+END_CHECK_INTERVAL_S = 0.1
+# The kernel's number of the state in which both ends may send.
+_TCP_ESTABLISHED = 1
 
 
 @attrs.frozen
@@ -291,8 +295,19 @@
             peeked = self._sock.recv(1, socket.MSG_PEEK)
         except OSError:
             peeked = b''
-        if not peeked:
-            handler.kill()
+        # The next request hides the end of input behind it.
+        while peeked and self._is_established():
+            eventlet.sleep(END_CHECK_INTERVAL_S)
+        handler.kill()
+
+    def _is_established(self) -> bool:
+        try:
+            state = self._sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, 1
+            )
+        except OSError:
+            return False
+        return bool(state[0] == _TCP_ESTABLISHED)
 
     # Reading of requests.
 
--- a/tests/gateway/test_caller_connection.py
+++ b/tests/gateway/test_caller_connection.py
@@ -13,6 +13,7 @@
     Responder,
     prepare_caller_socket,
 )
+from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_links import reset_on_close
 
@@ -107,6 +108,56 @@
         self.assertEqual([], self.handled)
 
 
+class PipeliningCallerTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        listener = listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        self.caller = socket.create_connection(listener.getsockname())
+        self.addCleanup(self.caller.close)
+        sock, _ = listener.accept()
+        self.ended_s: list[float] = []
+        self.answered: list[str] = []
+        connection = CallerConnection(
+            sock, CallerLimits(), self.handle, lambda: False
+        )
+        self.server = spawn(connection.serve)
+        for target in (b'/a', b'/b'):
+            self.caller.sendall(REQUEST.replace(b'/a', target))
+            sleep(0.05)
+
+    def handle(self, request: CallerRequest, responder: Responder) -> None:
+        try:
+            sleep(0.6)
+        finally:
+            self.ended_s.append(clock_s())
+        self.answered.append(request.head.target)
+        responder.respond(ResponseHead(200, ()), b'ok')
+
+    def check_that_closing_ends_the_call(self) -> None:
+        left_s = clock_s()
+        self.caller.close()
+        self.server.wait()
+        self.assertEqual([], self.answered)
+        self.assertLess(self.ended_s[0] - left_s, 0.3)
+
+    def test_a_caller_that_closes_ends_its_call(self) -> None:
+        """Guards against targets that work for a caller that has left."""
+        self.check_that_closing_ends_the_call()
+
+    def test_a_caller_that_resets_ends_its_call(self) -> None:
+        """Guards against targets that work for a caller that has left."""
+        reset_on_close(self.caller)
+        self.check_that_closing_ends_the_call()
+
+    def test_both_requests_are_answered(self) -> None:
+        """Guards against a request that counts as its caller's leaving."""
+        content = b''
+        while content.count(b'ok') < 2:
+            content += self.caller.recv(READ_BYTES)
+        self.assertEqual(['/a', '/b'], self.answered)
+
+
 class DisconnectedCallerTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
