Apply changed limits of requests to open connections

What callers saw: 413 or 431 on a connection that had been opened before a configuration raised the limit (or before the node knew any), for a request that the configuration in force allows; and no refusal there after it was lowered.

Cause: the limits were read once, when a connection was accepted, and kept for all its requests.

Change: they are read before the first byte of each request. A request that was sent before the answer to the one before it keeps the limits of that one.

Run: test_raised_limits_apply_to_open_connections and test_lowered_limits_apply_to_open_connections fail with the limits kept; the other tests of connections get a function in place of the limits, their checks are unchanged. test_process passes.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -211,17 +211,16 @@
     def __init__(
         self,
         sock: socket.socket,
-        limits: CallerLimits,
+        read_limits: Callable[[], CallerLimits],
         handler: Handler,
         is_leaving: Callable[[], bool],
     ) -> None:
         self._sock = sock
-        self._limits = limits
+        self._read_limits = read_limits
+        self._limits = read_limits()
         self._handler = handler
         self._is_leaving = is_leaving
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-        )
+        self._parser = _new_parser(self._limits)
         self.is_idle = True
         self._is_bodiless = False
         self._is_closing = False
@@ -237,6 +236,13 @@
         finally:
             self._sock.close()
 
+    def _take_limits(self) -> None:
+        """Apply the limits in force, before the first byte of a request."""
+        limits = self._read_limits()
+        if limits != self._limits:
+            self._limits = limits
+            self._parser = _new_parser(limits)
+
     def close_if_idle(self) -> None:
         """Close the connection if no request has begun on it."""
         if not self.is_idle or self._has_input():
@@ -393,6 +399,8 @@
             raise CallerDisconnectedError from error
         if not content and not is_idle:
             raise CallerDisconnectedError
+        if is_idle:
+            self._take_limits()
         self._parser.receive_data(content)
         return bool(content)
 
@@ -430,6 +438,12 @@
         responder.respond(ResponseHead(error.status, (content_type,)), body)
 
 
+def _new_parser(limits: CallerLimits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+    )
+
+
 def _send_all(sock: socket.socket, data: bytes) -> None:
     sock.settimeout(WRITE_TIMEOUT_S)
     try:
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -248,8 +248,6 @@
             eventlet.spawn_n(self._serve_connection, sock, handler)
 
     def _serve_connection(self, sock: socket.socket, handler: Handler) -> None:
-        configuration = self._knowledge.configuration
-        limits = configuration.limits if configuration else CallerLimits()
         try:
             prepare_caller_socket(sock)
         except OSError:
@@ -257,7 +255,10 @@
             sock.close()
             return
         connection = CallerConnection(
-            sock, limits, handler, lambda: self._knowledge.shutdown.is_leaving
+            sock,
+            self._read_limits,
+            handler,
+            lambda: self._knowledge.shutdown.is_leaving,
         )
         self._connections.add(connection)
         try:
@@ -265,6 +266,10 @@
         finally:
             self._connections.discard(connection)
 
+    def _read_limits(self) -> CallerLimits:
+        configuration = self._knowledge.configuration
+        return configuration.limits if configuration else CallerLimits()
+
     def _answer_health(
         self, request: CallerRequest, responder: Responder
     ) -> None:
--- a/tests/gateway/test_caller_connection.py
+++ b/tests/gateway/test_caller_connection.py
@@ -44,7 +44,7 @@
         prepare_caller_socket(sock)
         connection = CallerConnection(
             sock,
-            CallerLimits(),
+            CallerLimits,
             lambda request, responder: responder.respond(
                 ResponseHead(200, ()), LARGE_BODY
             ),
@@ -59,6 +59,44 @@
         self.assertTrue(content.endswith(b'\r\n\r\n' + LARGE_BODY))
 
 
+class ChangedLimitsTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        listener = listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        self.caller = socket.create_connection(listener.getsockname())
+        self.addCleanup(self.caller.close)
+        sock, _ = listener.accept()
+        self.limits = CallerLimits(max_header_bytes=512, max_body_bytes=3)
+        connection = CallerConnection(
+            sock, lambda: self.limits, self.handle, lambda: False
+        )
+        spawn(connection.serve)
+
+    def handle(self, request: CallerRequest, responder: Responder) -> None:
+        responder.respond(ResponseHead(200, ()), b'ok')
+
+    def exchange(self, header_bytes: int = 0, body: bytes = b'abc') -> bytes:
+        self.caller.sendall(
+            b'POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n'
+            b'X-Note: %s\r\n\r\n' % (len(body), b'x' * header_bytes) + body
+        )
+        return self.caller.recv(READ_BYTES).split()[1]
+
+    def test_raised_limits_apply_to_open_connections(self) -> None:
+        """Guards against a 413 or 431 that the configuration rules out."""
+        self.assertEqual(b'200', self.exchange())
+        self.limits = CallerLimits()
+        self.assertEqual(b'200', self.exchange(body=b'abcd'))
+        self.assertEqual(b'200', self.exchange(header_bytes=2000))
+
+    def test_lowered_limits_apply_to_open_connections(self) -> None:
+        """Guards against requests over a limit that is in force."""
+        self.assertEqual(b'200', self.exchange())
+        self.limits = CallerLimits(max_body_bytes=2)
+        self.assertEqual(b'413', self.exchange())
+
+
 class ClosedIdleConnectionTest(testtools.TestCase):
     """A request that arrives as the process closes an idle connection."""
 
@@ -71,7 +109,7 @@
         self.sock, _ = listener.accept()
         self.handled: list[str] = []
         self.connection = CallerConnection(
-            self.sock, CallerLimits(), self.handle, lambda: True
+            self.sock, CallerLimits, self.handle, lambda: True
         )
         self.server = spawn(self.connection.serve)
         sleep(0.05)
@@ -119,7 +157,7 @@
         self.ended_s: list[float] = []
         self.answered: list[str] = []
         connection = CallerConnection(
-            sock, CallerLimits(), self.handle, lambda: False
+            sock, CallerLimits, self.handle, lambda: False
         )
         self.server = spawn(connection.serve)
         for target in (b'/a', b'/b'):
@@ -169,7 +207,7 @@
         self.sock, _ = listener.accept()
         self.addCleanup(self.sock.close)
         self.connection = CallerConnection(
-            self.sock, CallerLimits(), never_handles, lambda: False
+            self.sock, CallerLimits, never_handles, lambda: False
         )
 
     def test_a_reset_idle_connection_is_closed_without_an_error(self) -> None:
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -321,7 +321,7 @@
             sock, _ = self._listener.accept()
             connection = CallerConnection(
                 sock,
-                configuration().limits,
+                lambda: configuration().limits,
                 self._dispatcher.handle,
                 lambda: True,
             )
