Pass on what another node says of a call that it gave up in time

What callers saw: 502, which promises nothing, for a handed call whose time was over before it was sent: a prefill that did not end. The same call on one node is refused with 503 and Retry-After.

Cause: both nodes end a call at the same time, so that the first one closes the channel a moment before the other one's refusal.

Evidence, engines that never answer or answer 504 at Deadline-Ms, a slow prefill, streams; Deadline-Ms and the route's limit of 1 and 3 s each way: on one node every call ends 0.05 to 0.1 s after the limit (504; 503 after a prefill; a begun stream without its end). Handed: 502 for all 18 streams that had not begun, six of them not run. Since: 504 for twelve, 503 for six, within 0.09 s of the limit.

Change: the first node waits 0.05 s more for the other one's head and for a body that is read whole. A stream ends at the limit as before.

Run: test_a_call_that_did_not_run_in_time_is_refused_as_such failed before.

--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -31,6 +31,9 @@
 # So many connections that failed before a byte was sent show that another
 # node should try, before it is known whether the service is cut off.
 FAILED_CONNECTIONS = 2
+# Both nodes give a call up at the same time. What the other one then says of
+# it arrives this much later at most.
+REFUSAL_DELAY_S = 0.05
 
 OpenCall = Callable[[InstanceId, str, float], CallChannel]
 
@@ -64,7 +67,8 @@
             ExchangeError: the response was cut off.
         """
         chunks = []
-        while (chunk := self.read_chunk(deadline_s)) is not None:
+        until_s = deadline_s + REFUSAL_DELAY_S
+        while (chunk := self.read_chunk(until_s)) is not None:
             chunks.append(chunk)
         return b''.join(chunks)
 
@@ -274,7 +278,7 @@
             channel.send(part)
     except LinkError as error:
         raise ExchangeError(str(error), sent=True) from error
-    begun = receive_until(channel, context.deadline_s)
+    begun = receive_until(channel, context.deadline_s + REFUSAL_DELAY_S)
     if not isinstance(begun, ResponseBegun):
         raise ExchangeError('the response has no head', sent=True)
     context.attempts.add_sent(
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -49,6 +49,9 @@
 )
 from tests.platform.program import wait_for
 
+PROMPT_HEADERS = (
+    'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: aa:500,bb:400\r\n'
+)
 SERVICES = ('ledger', 'lm')
 
 
@@ -316,6 +319,20 @@
             self.assertTrue(800 <= left_ms <= 1000, left_ms)
         self.assertEqual(3, len(self.received()))
 
+    def test_a_call_that_did_not_run_in_time_is_refused_as_such(self) -> None:
+        """Guards against a refusal that is lost as both nodes give up."""
+        self.add_targets(lambda request: iter([5.0]), 'lm', Phase.PREFILL)
+        self.add_targets(streams_tokens, 'lm', Phase.DECODE)
+        self.origin.knowledge.configuration = attrs.evolve(
+            configuration(), routes=change_routes(timeout_s=1.0)
+        )
+        started_s = clock_s()
+        for path in ('/ask/1', '/resume/1'):
+            content = self.origin.call(path, extra=PROMPT_HEADERS)
+            self.assertEqual(503, status(content))
+            self.assertIn(b'retry-after', content.lower())
+        self.assertLess(clock_s() - started_s, 2.4)
+
     def test_a_begun_stream_is_not_cut_by_a_shorter_limit_elsewhere(
         self,
     ) -> None:
