--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -20,6 +20,7 @@
     Refusal,
     RegisteredTarget,
     Route,
+    Service,
 )
 from dandelionyoke_gateway._call_context import CallContext
 from dandelionyoke_gateway._caller_connection import (
@@ -30,6 +31,11 @@
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import CallerDisconnectedError
+from dandelionyoke_gateway._handed_terms import (
+    organisation_of,
+    route_of,
+    service_of,
+)
 from dandelionyoke_gateway._handover import Handover
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
@@ -150,7 +156,19 @@
     return verdict.is_allowed
 
 
+@attrs.frozen
+class _Admission:
+    """What a configuration grants a call."""
+
+    route: Route
+    service: Service
+    organisation: Organisation | None
+    deadline_s: float
+    key_age_s: float | None
+
+
 CallForwarder = Callable[[CallDependencies, CallContext], None]
+_WriteRefusal = Callable[[ResponseHead, bytes, Verdict], None]
 
 
 class CallDispatcher:
@@ -172,36 +190,77 @@
         knowledge.in_progress += 1
         try:
             self._serve(request, responder)
-        except CallerDisconnectedError:
-            raise
-        except Exception:
-            # A bug must end one call, not the process. It is logged, and
-            # the connection of the caller closes without a complete
-            # response, which leaves open whether the call ran.
-            self._log_internal_error(request)
         finally:
             knowledge.in_progress -= 1
 
     def _serve(self, request: CallerRequest, responder: Responder) -> None:
+        context: CallContext | None = None
+        with self._answers_errors(request, responder, Attempts(1)):
+            context = self._accept(request, responder)
+        if context is None:
+            return
+        with self._answers_errors(request, responder, context.attempts):
+            self._forward_or_refuse(context)
+
+    @contextmanager
+    def _answers_errors(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        attempts: Attempts,
+    ) -> Iterator[None]:
+        """Refuse a call when its handling fails by an error of ours.
+
+        A bug must end one call, not the process. A response that has begun
+        is left without its end.
+        """
+        try:
+            yield
+        except CallerDisconnectedError:
+            raise
+        except Exception:
+            self._log_internal_error(request, responder, attempts)
+            if not responder.has_started:
+                refusal = Refusal(Cause.FAULT, DEFAULT_RETRY_AFTER_S)
+                self._answer(responder.fail, refusal, attempts)
+
+    def _accept(
+        self, request: CallerRequest, responder: Responder
+    ) -> CallContext | None:
+        """Admit a request; None if it was refused."""
         call = self._deps.dialect.read_call(request.head)
         if call is None:
             bad_request = ResponseHead(HTTPStatus.BAD_REQUEST, ())
             responder.respond(bad_request, b'the request names no attempt\n')
-            return
-        shutdown = self._deps.knowledge.shutdown
-        if shutdown.refuses(request.arrived_s):
-            leaving = Refusal(Cause.LEAVING, OTHER_INSTANCE_RETRY_AFTER_S)
-            self._refuse(call, responder, leaving, Attempts(1))
-            return
+            return None
         try:
-            context = self._admit(call, request, responder)
+            self._check_shutdown(request)
+            return self._admit(call, request, responder)
         except RefusedError as error:
             self._refuse(call, responder, error.refusal, Attempts(1))
-            return
+        return None
+
+    def _check_shutdown(self, request: CallerRequest) -> None:
+        """Refuse what arrives too late to be served before this node ends.
+
+        Raises:
+            RefusedError: it did.
+        """
+        if self._deps.knowledge.shutdown.refuses(request.arrived_s):
+            raise RefusedError(
+                Refusal(Cause.LEAVING, OTHER_INSTANCE_RETRY_AFTER_S)
+            )
+
+    def _forward_or_refuse(self, context: CallContext) -> None:
         try:
             self._forward(context)
         except RefusedError as error:
-            self._refuse(call, responder, error.refusal, context.attempts)
+            self._refuse(
+                context.call,
+                context.responder,
+                error.refusal,
+                context.attempts,
+            )
 
     def _admit(
         self, call: Call, request: CallerRequest, responder: Responder
@@ -212,6 +271,63 @@
             raise RefusedError(
                 Refusal(Cause.NO_CONFIGURATION, DEFAULT_RETRY_AFTER_S)
             )
+        handed_over = request.handed_over
+        if handed_over is not None:
+            call = attrs.evolve(call, last_event_id=handed_over.last_event_id)
+        admission = self._keep_terms(handed_over, configuration)
+        if admission is None:
+            admission = self._grant(call, request, configuration)
+        attempts, is_usage_counted = (
+            Attempts(admission.route.max_attempts),
+            False,
+        )
+        if handed_over is not None:
+            attempts = _attempts_left(admission.route, handed_over)
+            is_usage_counted = handed_over.is_usage_counted
+        return CallContext(
+            call,
+            request,
+            responder,
+            admission.route,
+            admission.service,
+            admission.organisation,
+            admission.deadline_s,
+            attempts,
+            self._deps.knowledge.shutdown,
+            is_usage_counted,
+            admission.key_age_s,
+        )
+
+    def _keep_terms(
+        self, handed_over: HandedOver | None, configuration: FleetConfiguration
+    ) -> _Admission | None:
+        """Admit a handed call as the node that took it did.
+
+        None if an older program sent no terms, or if the key of the call was
+        accepted by a configuration that was too old for this node.
+        """
+        if handed_over is None or handed_over.terms is None:
+            return None
+        terms, service = handed_over.terms, handed_over.service
+        freshness = self._deps.knowledge.freshness
+        if terms.key_age_s is not None:
+            if not freshness.may_accept_keys_of(terms.key_age_s):
+                return None
+        return _Admission(
+            route_of(terms, service, handed_over.attempts_left),
+            service_of(configuration, service),
+            organisation_of(terms),
+            handed_over.received_s + terms.time_left_s,
+            terms.key_age_s,
+        )
+
+    def _grant(
+        self,
+        call: Call,
+        request: CallerRequest,
+        configuration: FleetConfiguration,
+    ) -> _Admission:
+        """Admit a call by the configuration in force."""
         route = configuration.find_route(call.host, call.path)
         if route is None:
             raise RefusedError(Refusal(Cause.NO_ROUTE))
@@ -220,23 +336,15 @@
         if service is None:
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
         timeout_s = min(call.time_left_s or route.timeout_s, route.timeout_s)
-        attempts, is_usage_counted = Attempts(route.max_attempts), False
-        handed_over = request.handed_over
-        if handed_over is not None:
-            attempts = _attempts_left(route, handed_over)
-            is_usage_counted = handed_over.is_usage_counted
-            call = attrs.evolve(call, last_event_id=handed_over.last_event_id)
-        return CallContext(
-            call,
-            request,
-            responder,
+        key_age_s = None
+        if organisation is not None:
+            key_age_s = self._deps.knowledge.freshness.age_s(clock_s())
+        return _Admission(
             route,
             service,
             organisation,
             request.arrived_s + timeout_s,
-            attempts,
-            self._deps.knowledge.shutdown,
-            is_usage_counted,
+            key_age_s,
         )
 
     def _service_name(self, route: Route, request: CallerRequest) -> str:
@@ -272,7 +380,7 @@
         if crashes.refuses(context.fingerprint, clock_s()):
             refusal = Refusal(Cause.QUARANTINED, crashes.retry_after_s)
             raise RefusedError(refusal)
-        self._check_reach(context)
+        self._check_handed(context)
         charge = self._charge(context)
         try:
             self._forward_by_kind(context)
@@ -280,14 +388,19 @@
             if charge is not None and not context.attempts.may_have_run:
                 self._deps.rate_limits.refund(charge)
 
-    def _check_reach(self, context: CallContext) -> None:
+    def _check_handed(self, context: CallContext) -> None:
         """Decline a handed call at once that another node can serve.
 
         Raises:
-            RefusedError: this node reaches no target either.
+            RefusedError: this node reaches no target either, or ends before
+                the call must.
         """
         if context.request.handed_over is None:
             return
+        if context.deadline_s < context.own_deadline_s:
+            raise RefusedError(
+                Refusal(Cause.LEAVING, OTHER_INSTANCE_RETRY_AFTER_S)
+            )
         if self._deps.knowledge.reach.is_cut_off(context.service.name):
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
 
@@ -339,13 +452,18 @@
             version=configuration.version if configuration else None,
             knowledge_age_s=knowledge.freshness.age_s(clock_s()),
         )
-        if responder.has_started:
-            return
+        if not responder.has_started:
+            self._answer(responder.refuse, refusal, attempts)
+
+    def _answer(
+        self, write: _WriteRefusal, refusal: Refusal, attempts: Attempts
+    ) -> None:
         retry_after_s = refusal.retry_after_s
         if attempts.may_have_run:
             retry_after_s = None
+        status = refusal.status(attempts.may_have_run)
         head = self._deps.dialect.refusal_head(status, retry_after_s)
-        responder.refuse(
+        write(
             head,
             f'{refusal.cause.value}\n'.encode(),
             Verdict(
@@ -356,12 +474,19 @@
             ),
         )
 
-    def _log_internal_error(self, request: CallerRequest) -> None:
+    def _log_internal_error(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+        attempts: Attempts,
+    ) -> None:
         self._deps.log.decide(
             'call.fault',
             request.head.target,
-            outcome='closed',
+            outcome='cut' if responder.has_started else 'refused',
             cause=traceback.format_exc(),
+            targets=','.join(attempts.targets),
+            may_have_run=str(attempts.may_have_run),
         )
 
 
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -16,6 +16,7 @@
     CallerDisconnectedError,
     InvalidRequestError,
 )
+from dandelionyoke_gateway._handover_messages import CallTerms
 from dandelionyoke_gateway._messages import (
     HeaderList,
     RequestHead,
@@ -23,11 +24,17 @@
     decode_headers,
     encode_headers,
 )
+from dandelionyoke_links import set_socket_options
 
 READ_BYTES = 65536
 # A caller that reads nothing of its response for this long counts as
 # disconnected.
 WRITE_TIMEOUT_S = 10.0
+MS_PER_S = 1000
+# How often a connection with unread input is checked for its end.
+END_CHECK_INTERVAL_S = 0.1
+# The kernel's number of the state in which both ends may send.
+_TCP_ESTABLISHED = 1
 
 
 @attrs.frozen
@@ -38,7 +45,8 @@
     that its caller has received. `service` was chosen for it. `is_sent` and
     `is_prefill_sent` tell whether the call, or a prefill for it, was sent to a
     target before. The KV cache of its prompt, if any, is at the engine
-    `cache_target_id`; the other node releases it.
+    `cache_target_id`; the other node releases it. The call came at
+    `received_s`. `terms` were granted to it, None from an older program.
     """
 
     peer_id: str
@@ -50,6 +58,8 @@
     is_prefill_sent: bool
     cache_target_id: str
     cache_handle: str
+    received_s: float
+    terms: CallTerms | None
 
 
 @attrs.frozen
@@ -94,6 +104,9 @@
     def refuse(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
         """Write a response with which this node refuses the call."""
 
+    def fail(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
+        """Write a refusal after an error, if no byte was written before."""
+
     def start(self, head: ResponseHead) -> None:
         """Write the head of a response of unknown length."""
 
@@ -108,11 +121,18 @@
     """Writes the response to one request to its caller."""
 
     def __init__(
-        self, parser: h11.Connection, sock: socket.socket, *, close_after: bool
+        self,
+        parser: h11.Connection,
+        sock: socket.socket,
+        *,
+        close_after: bool,
+        is_bodiless: bool = False,
     ) -> None:
         self._parser = parser
         self._sock = sock
         self._close_after = close_after
+        # Whether the request allows no body in its response.
+        self._is_bodiless = is_bodiless
         self.is_complete = False
         self.has_started = False
         self.leaving: RegisteredTarget | None = None
@@ -121,11 +141,18 @@
         """Write a complete response."""
         length = ('content-length', str(len(body)))
         data = self._encode_head(head.status, (*head.headers, length))
-        if body:
-            data += self._parser.send(h11.Data(data=body)) or b''
+        data += self._encode_body(body)
         self._write(data + (self._parser.send(h11.EndOfMessage()) or b''))
         self.is_complete = True
 
+    def fail(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
+        """Write a refusal after an error, and close the connection."""
+        # The error may have left the parser unable to send anything.
+        self._parser = h11.Connection(h11.SERVER)
+        self._close_after = True
+        self.respond(head, body)
+        self.is_complete = False
+
     def refuse(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
         """Write a response with which this node refuses the call.
 
@@ -139,7 +166,7 @@
 
     def send_chunk(self, content: bytes) -> None:
         """Write a part of the response body."""
-        self._write(self._parser.send(h11.Data(data=content)) or b'')
+        self._write(self._encode_body(content))
 
     def finish(self) -> None:
         """End the response; the caller takes one that is not ended as cut."""
@@ -147,7 +174,6 @@
         self.is_complete = True
 
     def _encode_head(self, status: int, headers: HeaderList) -> bytes:
-        self.has_started = True
         all_headers = encode_headers(headers)
         if self._close_after:
             all_headers.append((b'connection', b'close'))
@@ -156,10 +182,26 @@
         )
         return data or b''
 
+    def _encode_body(self, content: bytes) -> bytes:
+        if self._is_bodiless or not content:
+            return b''
+        return self._parser.send(h11.Data(data=content)) or b''
+
     def _write(self, data: bytes) -> None:
+        self.has_started = True
         _send_all(self._sock, data)
 
 
+def prepare_caller_socket(sock: socket.socket) -> None:
+    """Set the options of a connection that a caller has opened.
+
+    Raises:
+        OSError: the caller has disconnected.
+    """
+    # The kernel also counts the time in which the caller reads nothing.
+    set_socket_options(sock, int(WRITE_TIMEOUT_S * MS_PER_S))
+
+
 Handler = Callable[[CallerRequest, Responder], None]
 
 
@@ -169,18 +211,19 @@
     def __init__(
         self,
         sock: socket.socket,
-        limits: CallerLimits,
+        read_limits: Callable[[], CallerLimits],
         handler: Handler,
         is_leaving: Callable[[], bool],
     ) -> None:
         self._sock = sock
-        self._limits = limits
+        self._read_limits = read_limits
+        self._limits = read_limits()
         self._handler = handler
         self._is_leaving = is_leaving
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
-        )
+        self._parser = _new_parser(self._limits)
         self.is_idle = True
+        self._is_bodiless = False
+        self._is_closing = False
 
     def serve(self) -> None:
         """Serve requests until the connection closes."""
@@ -193,12 +236,28 @@
         finally:
             self._sock.close()
 
+    def _take_limits(self) -> None:
+        """Apply the limits in force, before the first byte of a request."""
+        limits = self._read_limits()
+        if limits != self._limits:
+            self._limits = limits
+            self._parser = _new_parser(limits)
+
     def close_if_idle(self) -> None:
         """Close the connection if no request has begun on it."""
-        if self.is_idle:
-            # The caller may have reset it, which its own task reads next.
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_RDWR)
+        if not self.is_idle or self._has_input():
+            return
+        self._is_closing = True
+        # The caller may have reset it, which its own task reads next.
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
+    def _has_input(self) -> bool:
+        """Whether bytes of a request have arrived that are not read yet."""
+        try:
+            return bool(self._sock.fd.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
 
     def _serve_one(self) -> bool:
         try:
@@ -209,7 +268,10 @@
         if request is None:
             return False
         responder = HttpResponder(
-            self._parser, self._sock, close_after=self._is_leaving()
+            self._parser,
+            self._sock,
+            close_after=self._is_leaving(),
+            is_bodiless=self._is_bodiless,
         )
         self._handle(request, responder)
         return responder.is_complete and self._can_be_reused()
@@ -239,8 +301,19 @@
             peeked = self._sock.recv(1, socket.MSG_PEEK)
         except OSError:
             peeked = b''
-        if not peeked:
-            handler.kill()
+        # The next request hides the end of input behind it.
+        while peeked and self._is_established():
+            eventlet.sleep(END_CHECK_INTERVAL_S)
+        handler.kill()
+
+    def _is_established(self) -> bool:
+        try:
+            state = self._sock.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, 1
+            )
+        except OSError:
+            return False
+        return bool(state[0] == _TCP_ESTABLISHED)
 
     # Reading of requests.
 
@@ -265,11 +338,15 @@
             event = self._next_event()
             if isinstance(event, h11.Request):
                 self.is_idle = False
+                self._is_bodiless = event.method == b'HEAD'
                 return event
             if event is not h11.NEED_DATA:
                 return None
             if not self._receive(deadline_s, 'the head', is_idle=not has_begun):
                 return None
+            if self._is_closing:
+                # Nothing can be answered any more.
+                return None
             if not has_begun:
                 has_begun = True
                 self.is_idle = False
@@ -322,6 +399,8 @@
             raise CallerDisconnectedError from error
         if not content and not is_idle:
             raise CallerDisconnectedError
+        if is_idle:
+            self._take_limits()
         self._parser.receive_data(content)
         return bool(content)
 
@@ -348,12 +427,23 @@
         """Respond with the error of an invalid request, then close."""
         if self._parser.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        responder = HttpResponder(self._parser, self._sock, close_after=True)
+        responder = HttpResponder(
+            self._parser,
+            self._sock,
+            close_after=True,
+            is_bodiless=self._is_bodiless,
+        )
         body = f'{error.cause}\n'.encode()
         content_type = ('content-type', 'text/plain; charset=utf-8')
         responder.respond(ResponseHead(error.status, (content_type,)), body)
 
 
+def _new_parser(limits: CallerLimits) -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+    )
+
+
 def _send_all(sock: socket.socket, data: bytes) -> None:
     sock.settimeout(WRITE_TIMEOUT_S)
     try:
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -19,6 +19,7 @@
     CallerRequest,
     Handler,
     Responder,
+    prepare_caller_socket,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
@@ -61,7 +62,7 @@
 from dandelionyoke_gateway._stream_call import forward_stream_call
 from dandelionyoke_gateway._target_pool import TargetPool
 from dandelionyoke_gateway._usage_tasks import CountsTask, UsageTask
-from dandelionyoke_links import listen, set_socket_options
+from dandelionyoke_links import listen
 
 # The load balancer checks the health once a second and removes an instance
 # after two failures in a row. Until then new callers connect and are served.
@@ -247,16 +248,17 @@
             eventlet.spawn_n(self._serve_connection, sock, handler)
 
     def _serve_connection(self, sock: socket.socket, handler: Handler) -> None:
-        configuration = self._knowledge.configuration
-        limits = configuration.limits if configuration else CallerLimits()
         try:
-            set_socket_options(sock)
+            prepare_caller_socket(sock)
         except OSError:
             # The caller disconnected right after the accept.
             sock.close()
             return
         connection = CallerConnection(
-            sock, limits, handler, lambda: self._knowledge.shutdown.is_leaving
+            sock,
+            self._read_limits,
+            handler,
+            lambda: self._knowledge.shutdown.is_leaving,
         )
         self._connections.add(connection)
         try:
@@ -264,6 +266,10 @@
         finally:
             self._connections.discard(connection)
 
+    def _read_limits(self) -> CallerLimits:
+        configuration = self._knowledge.configuration
+        return configuration.limits if configuration else CallerLimits()
+
     def _answer_health(
         self, request: CallerRequest, responder: Responder
     ) -> None:
