Let a call outlast a silence of its target of 2.5 s

Callers lost calls and streams at targets that were sound but silent for a second or more: the answer ended, although the target would have gone on.

Cause: each connection was given up by the kernel 1.4 s after a write that was not acknowledged (TCP_USER_TIMEOUT 1,000 ms, counted from the first retransmission) and 2.0 s after the last packet while waiting for an answer (with that option Linux ends its probes by the same time).

Change: limits come in three kinds. PATIENT is for connections while they carry a call of a caller: 5,000 ms and 4 probes, twice the longest silence, as each retransmission waits twice as long as the one before. Idle connections and our own requests, which are repeated, keep 1,000 ms and 2 probes (BRIEF); orders and reports keep 400 ms and 2 probes (URGENT).

Leaving a dead target sooner is up to the gateway, which knows what may be repeated.

--- a/packages/gateway/dandelionyoke_gateway/_json_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_json_call.py
@@ -69,7 +69,9 @@
     json_type = () if body is None else (('content-type', 'application/json'),)
     head = RequestHead(method, path, (('host', address), *json_type, *headers))
     deadline_s = clock_s() + limits.timeout_s
-    acquire = pool.acquire_new if limits.needs_new_connection else pool.acquire
+    acquire = (
+        pool.acquire_new if limits.needs_new_connection else pool.acquire_brief
+    )
     with acquire(address) as connection:
         connection.send(head, request_body, limits.send_until_s)
         reply_head = connection.read_head(deadline_s)
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -5,6 +5,7 @@
 urllib3 hides both, and a later request could receive the bytes of another one.
 """
 
+import contextlib
 import math
 from collections.abc import Callable
 from typing import Any
@@ -25,8 +26,10 @@
     parse_whole_number,
 )
 from dandelionyoke_links import (
-    URGENT_USER_TIMEOUT_MS,
-    USER_TIMEOUT_MS,
+    BRIEF,
+    URGENT,
+    SilenceLimits,
+    limit_silence,
     receive,
     reset_on_close,
     set_socket_options,
@@ -166,6 +169,12 @@
         self.idle_deadline_s = clock_s() + self._idle_timeout_s
         return True
 
+    def limit_silence(self, limits: SilenceLimits) -> None:
+        """Set how long the target may be silent from now on."""
+        # The next read reports a connection that has failed.
+        with contextlib.suppress(OSError):
+            limit_silence(self._sock, limits)
+
     def is_healthy(self) -> bool:
         """Whether an idle connection is open, not expired and has no input."""
         if clock_s() >= self.idle_deadline_s:
@@ -262,9 +271,7 @@
         # For example, the process has no file descriptor left.
         cause = f'cannot open a socket: {error}'
         raise ExchangeError(cause, sent=False) from error
-    set_socket_options(
-        sock, URGENT_USER_TIMEOUT_MS if is_urgent else USER_TIMEOUT_MS
-    )
+    set_socket_options(sock, URGENT if is_urgent else BRIEF)
     reset_on_close(sock)
     sock.settimeout(timeout_s)
     try:
--- a/packages/gateway/dandelionyoke_gateway/_target_pool.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_pool.py
@@ -5,6 +5,7 @@
 from contextlib import contextmanager
 
 from dandelionyoke_gateway._target_connection import TargetConnection, connect
+from dandelionyoke_links import BRIEF, PATIENT
 
 # A healthy target accepts a connection within a few milliseconds. After this
 # timeout the call still has time for another target.
@@ -21,7 +22,22 @@
 
     @contextmanager
     def acquire(self, address: str) -> Iterator[TargetConnection]:
-        """Acquire an idle or new connection for one exchange."""
+        """Acquire an idle or new connection for a call of a caller.
+
+        It outlasts a silence of its target. An idle one is given up sooner, so
+        that few calls are sent on a dead one.
+        """
+        with self.acquire_brief(address) as connection:
+            connection.limit_silence(PATIENT)
+            yield connection
+            connection.limit_silence(BRIEF)
+
+    @contextmanager
+    def acquire_brief(self, address: str) -> Iterator[TargetConnection]:
+        """Acquire an idle or new connection for one of our own requests.
+
+        These are repeated, so that a silent peer is given up soon.
+        """
         connection = self._take_idle(address)
         if connection is None:
             connection = connect(address, CONNECT_TIMEOUT_S)
--- a/packages/links/dandelionyoke_links/__init__.py
+++ b/packages/links/dandelionyoke_links/__init__.py
@@ -7,8 +7,11 @@
     PeerSettings as PeerSettings,
 )
 from dandelionyoke_links._sockets import (
-    URGENT_USER_TIMEOUT_MS as URGENT_USER_TIMEOUT_MS,
-    USER_TIMEOUT_MS as USER_TIMEOUT_MS,
+    BRIEF as BRIEF,
+    PATIENT as PATIENT,
+    URGENT as URGENT,
+    SilenceLimits as SilenceLimits,
+    limit_silence as limit_silence,
     listen as listen,
     receive as receive,
     reset_on_close as reset_on_close,
--- a/packages/links/dandelionyoke_links/_sockets.py
+++ b/packages/links/dandelionyoke_links/_sockets.py
@@ -2,29 +2,55 @@
 
 import struct
 
+import attrs
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
-# A connection that is lost without a reset is detected by keepalive probes
-# after about KEEPALIVE_IDLE_S + KEEPALIVE_PROBES * KEEPALIVE_INTERVAL_S, which
-# is below the minimum time limit of a caller. Unacknowledged data detects it
-# sooner, after USER_TIMEOUT_MS, which is long enough to retransmit two
-# consecutive lost packets.
+# A sound peer may be silent for this long and then go on.
+MAX_SILENCE_S = 2.5
+# An idle connection is probed this long after its last packet, and then at
+# this interval. While data is unacknowledged there are no probes.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
+# A connection is given up after KEEPALIVE_IDLE_S + probes *
+# KEEPALIVE_INTERVAL_S without a packet, or after the user timeout with
+# unacknowledged data. The kernel counts the user timeout from the first
+# retransmission, about 0.4 s after the data was sent on a fast path. On Linux
+# it also ends probing, once a probe was sent.
 KEEPALIVE_PROBES = 2
+# Long enough to retransmit two consecutive lost packets.
 USER_TIMEOUT_MS = 1000
-# For data that must not arrive late. The kernel counts this from the first
-# retransmission, about 0.4 s after the data was sent on a fast path.
+# For data that must not arrive late.
 URGENT_USER_TIMEOUT_MS = 400
+# Each retransmission waits twice as long as the one before, so that the first
+# one after a silence may come when the silence has lasted twice as long.
+PATIENT_USER_TIMEOUT_MS = int(2 * MAX_SILENCE_S * 1000)
+# With these, both ends of PATIENT come at the same time.
+PATIENT_KEEPALIVE_PROBES = 4
 LISTEN_BACKLOG = 1024
 
 # SO_LINGER value (on, 0 s) that makes closing send a reset.
 LINGER_RESET = struct.pack('ii', 1, 0)
 
 
+@attrs.frozen
+class SilenceLimits:
+    """How long the kernel keeps a connection whose peer is silent."""
+
+    user_timeout_ms: int
+    keepalive_probes: int
+
+
+# For calls of callers, which a sound peer that goes on must not lose.
+PATIENT = SilenceLimits(PATIENT_USER_TIMEOUT_MS, PATIENT_KEEPALIVE_PROBES)
+# For what is repeated, and for idle connections.
+BRIEF = SilenceLimits(USER_TIMEOUT_MS, KEEPALIVE_PROBES)
+# For what must not arrive late.
+URGENT = SilenceLimits(URGENT_USER_TIMEOUT_MS, KEEPALIVE_PROBES)
+
+
 def set_socket_options(
-    sock: socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
+    sock: socket.socket, limits: SilenceLimits = BRIEF
 ) -> None:
     """Disable Nagle's algorithm and detect unreachable peers."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -32,8 +58,16 @@
     for option, value in (
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, user_timeout_ms),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    limit_silence(sock, limits)
+
+
+def limit_silence(sock: socket.socket, limits: SilenceLimits) -> None:
+    """Set how long the peer of a connection may be silent from now on."""
+    for option, value in (
+        (socket.TCP_KEEPCNT, limits.keepalive_probes),
+        (socket.TCP_USER_TIMEOUT, limits.user_timeout_ms),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -3,12 +3,14 @@
 import contextlib
 import enum
 import itertools
+import math
 
 import attrs
 import eventlet
 import testtools
 from eventlet.event import Event
 from eventlet.green import socket
+from testtools import matchers
 
 from dandelionyoke_gateway import (
     ExchangeError,
@@ -17,6 +19,7 @@
     clock_s,
 )
 from dandelionyoke_gateway._target_connection import TargetConnection
+from dandelionyoke_links import PATIENT, _sockets
 from tests.links import partition
 
 HEAD = RequestHead('POST', '/a/b', (('host', 'h'),))
@@ -25,6 +28,9 @@
 # Between the steps of a target, shorter than any silence.
 STEP_S = 0.2
 SILENCES_S = (1.0, 1.5, 2.5)
+# Probes give an idle connection up this long after its last packet.
+IDLE_LIMIT_S = _sockets.KEEPALIVE_IDLE_S + _sockets.KEEPALIVE_INTERVAL_S
+USER_TIMEOUT_S = PATIENT.user_timeout_ms / 1000
 EVENTS = (b'first', b'second', b'third')
 
 
@@ -61,6 +67,9 @@
         return f'{self.lost.value}, {self.duration_s} s, {age} connection'
 
 
+A_SILENCE = Silence(Moment.REQUEST_SENT, Lost.BOTH, math.inf, True)
+
+
 class StreamingTarget:
     """Accepts one connection and answers each request with a stream."""
 
@@ -102,6 +111,26 @@
         self._target = StreamingTarget()
         self._pool = TargetPool()
 
+    def use_dead_connection(self, idle_s: float) -> tuple[bool, float]:
+        """Make an exchange after the path was cut for good for some time.
+
+        Returns whether a new connection was made for it, and how long it took
+        to fail.
+        """
+        try:
+            self._exchange(None)
+            partition.cut(self._target.sock)
+            eventlet.sleep(idle_s)
+            started_s = clock_s()
+            with self._pool.acquire(self._target.address) as connection:
+                is_new = connection.is_new
+                connection.send(HEAD, BODY)
+                with contextlib.suppress(ExchangeError):
+                    connection.read_head(clock_s() + DEADLINE_S)
+            return is_new, clock_s() - started_s
+        finally:
+            self._target.close()
+
     def run(self) -> str:
         """Return what was read of the answer, or how the exchange failed."""
         try:
@@ -206,3 +235,35 @@
     def test_a_silence_between_events_ends_no_exchange(self) -> None:
         """Guards against a stream cut off by a second's silence."""
         self.assertEqual({}, self.failures_at(Moment.EVENT_READ))
+
+
+class DeadTargetTest(testtools.TestCase):
+    def test_a_dead_idle_connection_is_not_used_for_long(self) -> None:
+        """Guards against calls that wait on connections known to be dead."""
+        exchange = SilentExchange(A_SILENCE)
+        is_new, _ = exchange.use_dead_connection(IDLE_LIMIT_S + STEP_S)
+        self.assertTrue(is_new)
+
+    def test_a_target_that_stays_silent_is_given_up(self) -> None:
+        """Guards against an exchange that only its caller's end ends."""
+        exchange = SilentExchange(A_SILENCE)
+        is_new, elapsed_s = exchange.use_dead_connection(idle_s=0)
+        self.assertFalse(is_new)
+        self.assertThat(elapsed_s, matchers.GreaterThan(USER_TIMEOUT_S))
+        self.assertThat(elapsed_s, matchers.LessThan(USER_TIMEOUT_S + 1))
+
+
+class SilenceLimitsTest(testtools.TestCase):
+    def test_a_call_outlasts_a_retransmission_after_the_longest_silence(
+        self,
+    ) -> None:
+        """Guards against limits that do not fit together."""
+        probing_s = (
+            _sockets.KEEPALIVE_IDLE_S
+            + PATIENT.keepalive_probes * _sockets.KEEPALIVE_INTERVAL_S
+        )
+        self.assertThat(
+            min(probing_s, USER_TIMEOUT_S),
+            matchers.Not(matchers.LessThan(2 * _sockets.MAX_SILENCE_S)),
+        )
+        self.assertEqual(max(SILENCES_S), _sockets.MAX_SILENCE_S)
