Let an answer outlast a silence of its caller of 2.5 s

A sound caller that is silent for a second or more lost its answer: the connection was cut while the answer was awaited or written, and the engine's work thrown away. So did one whose process reads nothing for a second and more while a long answer fills the buffers.

Cause: as for targets, the kernel gave the connection up after 1.4 s with unacknowledged data, 2 s without a packet, and 1 s of a closed window.

Change: connections of callers have the limits PATIENT. The connection sets them itself, so that a test can reach both ends.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -23,6 +23,7 @@
     decode_headers,
     encode_headers,
 )
+from dandelionyoke_links import PATIENT, set_socket_options
 
 READ_BYTES = 65536
 # A caller that reads nothing of its response for this long counts as
@@ -185,6 +186,7 @@
     def serve(self) -> None:
         """Serve requests until the connection closes."""
         try:
+            self._set_options()
             while self._serve_one():
                 self._parser.start_next_cycle()
         except (CallerDisconnectedError, h11.LocalProtocolError):
@@ -200,6 +202,13 @@
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
+    def _set_options(self) -> None:
+        try:
+            set_socket_options(self._sock, PATIENT)
+        except OSError as error:
+            # The caller disconnected right after the accept.
+            raise CallerDisconnectedError from error
+
     def _serve_one(self) -> bool:
         try:
             request = self._read_request()
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -61,7 +61,7 @@
 from dandelionyoke_gateway._stream_call import forward_stream_call
 from dandelionyoke_gateway._target_pool import TargetPool
 from dandelionyoke_gateway._usage_tasks import CountsTask, UsageTask
-from dandelionyoke_links import listen, set_socket_options
+from dandelionyoke_links import listen
 
 # The load balancer checks the health once a second and removes an instance
 # after two failures in a row. Until then new callers connect and are served.
@@ -249,12 +249,6 @@
     def _serve_connection(self, sock: socket.socket, handler: Handler) -> None:
         configuration = self._knowledge.configuration
         limits = configuration.limits if configuration else CallerLimits()
-        try:
-            set_socket_options(sock)
-        except OSError:
-            # The caller disconnected right after the accept.
-            sock.close()
-            return
         connection = CallerConnection(
             sock, limits, handler, lambda: self._knowledge.shutdown.is_leaving
         )
