--- a/packages/links/dandelionyoke_links/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -36,7 +36,12 @@
     message_from_mapping,
     message_to_mapping,
 )
-from dandelionyoke_links._sockets import set_socket_options
+from dandelionyoke_links._sockets import (
+    PATIENT,
+    SilenceLimits,
+    limit_silence,
+    set_socket_options,
+)
 
 MAX_FRAME_BYTES = 1_048_576
 READ_SIZE_BYTES = 65_536
@@ -150,6 +155,12 @@
         """Set the timeout of each wait on the socket."""
         self._sock.settimeout(timeout_s)
 
+    def limit_silence(self, limits: SilenceLimits) -> None:
+        """Set how long the peer may be silent from now on."""
+        # The next read reports a connection that has failed.
+        with contextlib.suppress(OSError):
+            limit_silence(self._sock, limits)
+
     def _await_frames(self) -> None:
         while not self._frames:
             self._receive_data()
@@ -194,6 +205,7 @@
     """Authenticated connection to a peer that carries one call."""
 
     def __init__(self, peer_id: InstanceId, channel: _Channel) -> None:
+        channel.limit_silence(PATIENT)
         self.peer_id = peer_id
         self._channel = channel
         self._received: list[PeerMessage] = []
