Take the kernel's time-out of a call's channel for its end

Behind a cut path a node went on with a call that another node had handed to it, until its own end: its watcher of the channel failed with a traceback (`TimeoutError: [Errno 110] Connection timed out`) and did not end the call. At the other end of the channel the same error read `no response in time`, as if the call's time were over.

Cause: the kernel's ETIMEDOUT is a TimeoutError as the reader's own time-out is, and CallChannel.receive passed both on. Now only one without an error number is the reader's.

Evidence: test_a_dead_channel_has_ended failed before with the TimeoutError; tests/links, test_handed_calls and test_handover pass.

--- a/packages/links/dandelionyoke_links/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -237,9 +237,10 @@
                     message_from_mapping(mapping)
                     for mapping in self._channel.receive()
                 )
-            except TimeoutError:
-                raise
             except _LINK_ERRORS as error:
+                if isinstance(error, TimeoutError) and error.errno is None:
+                    raise
+                # The kernel's own time-out has an error number.
                 cause = f'the channel to {self.peer_id} ended: {error}'
                 raise LinkError(cause) from error
         return self._received.pop(0)
--- a/tests/links/test_silent_peers.py
+++ b/tests/links/test_silent_peers.py
@@ -66,7 +66,7 @@
         yield from itertools.product(LOST, SILENCES_S)
 
 
-class SilentChannelTest(SilentCase):
+class ChannelCase(SilentCase):
     def setUp(self) -> None:
         super().setUp()
         self.accepted: list[CallChannel] = []
@@ -81,6 +81,8 @@
             channel.send(part)
         eventlet.sleep(WAIT_S)
 
+
+class SilentChannelTest(ChannelCase):
     def exchange(self, lost: str, for_s: float, silent_from: int) -> list[str]:
         """Return the parts of an answer, and why it ended before its last.
 
@@ -134,6 +136,20 @@
         self.assertEqual({}, self.failures_from(2))
 
 
+class DeadChannelTest(ChannelCase):
+    def test_a_dead_channel_has_ended(self) -> None:
+        """Guards against a call that goes on after its channel has failed.
+
+        The kernel's time-out was taken for that of the reader, so that the
+        node which runs the call did not give it up.
+        """
+        channel = new_hub(OWN_ID, []).open_call(PEER_ID, self.address, WAIT_S)
+        self.addCleanup(channel.close)
+        eventlet.sleep(STEP_S)
+        cut(channel._channel._sock, self.accepted[0]._channel._sock, 'both', 60)
+        self.assertRaises(LinkError, channel.receive, timeout_s=None)
+
+
 class SilentLinkTest(SilentCase):
     def send_in_silence(self, lost: str, for_s: float, name: str) -> None:
         own_id = InstanceId(name)
