--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -24,7 +24,10 @@
     decode_headers,
     encode_headers,
 )
-from dandelionyoke_links import set_socket_options
+from dandelionyoke_links import (
+    PATIENT,
+    set_socket_options,
+)
 
 READ_BYTES = 65536
 # A caller that reads nothing of its response for this long counts as
@@ -199,7 +202,10 @@
         OSError: the caller has disconnected.
     """
     # The kernel also counts the time in which the caller reads nothing.
-    set_socket_options(sock, int(WRITE_TIMEOUT_S * MS_PER_S))
+    write_timeout_ms = int(WRITE_TIMEOUT_S * MS_PER_S)
+    set_socket_options(
+        sock, attrs.evolve(PATIENT, user_timeout_ms=write_timeout_ms)
+    )
 
 
 Handler = Callable[[CallerRequest, Responder], None]
@@ -228,6 +234,7 @@
     def serve(self) -> None:
         """Serve requests until the connection closes."""
         try:
+            self._set_options()
             while self._serve_one():
                 self._parser.start_next_cycle()
         except (CallerDisconnectedError, h11.LocalProtocolError):
@@ -259,6 +266,13 @@
         except OSError:
             return False
 
+    def _set_options(self) -> None:
+        try:
+            prepare_caller_socket(self._sock)
+        except OSError as error:
+            # The caller disconnected right after the accept.
+            raise CallerDisconnectedError from error
+
     def _serve_one(self) -> bool:
         try:
             request = self._read_request()
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -19,7 +19,6 @@
     CallerRequest,
     Handler,
     Responder,
-    prepare_caller_socket,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
@@ -248,12 +247,6 @@
             eventlet.spawn_n(self._serve_connection, sock, handler)
 
     def _serve_connection(self, sock: socket.socket, handler: Handler) -> None:
-        try:
-            prepare_caller_socket(sock)
-        except OSError:
-            # The caller disconnected right after the accept.
-            sock.close()
-            return
         connection = CallerConnection(
             sock,
             self._read_limits,
