Test a request whose target stops reading for 2.5 s

The kernel also counts the user timeout while it probes a closed window, so that a large request to a target whose process paused for a second was cut off.

--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -24,6 +24,8 @@
 
 HEAD = RequestHead('POST', '/a/b', (('host', 'h'),))
 BODY = b'the body'
+# More than the buffers of both ends hold.
+LARGE_BODY = b'x' * (16 << 20) + BODY
 DEADLINE_S = 20.0
 # Between the steps of a target, shorter than any silence.
 STEP_S = 0.2
@@ -188,12 +190,12 @@
 
 def _read_request(sock: socket.socket) -> bool:
     """Read one request; False if the connection has ended."""
-    content = b''
-    while not content.endswith(BODY):
+    end = b''
+    while end != BODY:
         part = sock.recv(65536)
         if not part:
             return False
-        content += part
+        end = (end + part)[-len(BODY) :]
     return True
 
 
@@ -237,6 +239,29 @@
         self.assertEqual({}, self.failures_at(Moment.EVENT_READ))
 
 
+class PausedTargetTest(testtools.TestCase):
+    def test_a_target_that_stops_reading_gets_a_whole_request(self) -> None:
+        """Guards against a large request cut off as its target pauses."""
+        listener = eventlet.listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        target = eventlet.spawn(_read_late, listener, max(SILENCES_S))
+        self.addCleanup(target.kill)
+        host, port = listener.getsockname()
+        with TargetPool().acquire(f'{host}:{port}') as connection:
+            connection.send(HEAD, LARGE_BODY)
+            connection.read_head(clock_s() + DEADLINE_S)
+        self.assertTrue(target.wait())
+
+
+def _read_late(listener: socket.socket, pause_s: float) -> bool:
+    """Answer a request that is read after a pause."""
+    sock, _ = listener.accept()
+    eventlet.sleep(pause_s)
+    is_read = _read_request(sock)
+    sock.sendall(b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
+    return is_read
+
+
 class DeadTargetTest(testtools.TestCase):
     def test_a_dead_idle_connection_is_not_used_for_long(self) -> None:
         """Guards against calls that wait on connections known to be dead."""
