Silence targets in the soak beside new configurations

What callers saw: calls lost while sound engines were silent for a second or so beside a new configuration; no stand-in of ours could be silent without losing what was sent to it.

Beside each comes a new configuration: time limits, a route, weights, a key. Plain routes are split between two services so that weights can change; the index of a fault of targets selects among nine. ScriptedTarget gets fall_silent and go_on, Relay and the link stand-in hold and release. A request's arrival is the time at which it got to the target's machine, and a rest is asked for once its refusal was written. A pause of a script no longer takes a byte off its connection.

The check of BUDGET for rests excuses held paths as it does other faults of paths to targets; no other check changed.

--- a/packages/standins/dandelionyoke_standins/_link.py
+++ b/packages/standins/dandelionyoke_standins/_link.py
@@ -29,7 +29,8 @@
     permanently drops all bytes on open connections; new ones work. `POST
     /blackhole` drops the bytes on open and new connections. `POST /hang` drops
     the bytes on open connections and establishes no new ones. `POST /refuse`
-    refuses new connections; open ones live on. `POST /restore` relays new
+    refuses new connections; open ones live on. `POST /hold` keeps all bytes
+    back, and `POST /release` delivers them. `POST /restore` relays new
     connections again. `GET /state` returns the relay's state.
     """
 
@@ -43,6 +44,8 @@
                 Route('POST', '/blackhole', self._blackhole),
                 Route('POST', '/hang', self._hang),
                 Route('POST', '/refuse', self._refuse),
+                Route('POST', '/hold', self._hold),
+                Route('POST', '/release', self._release),
                 Route('POST', '/restore', self._restore),
                 Route('GET', '/state', self._state),
             ],
@@ -78,6 +81,14 @@
         self._relay.refuse()
         return self._state(request)
 
+    def _hold(self, request: Request) -> Response:
+        self._relay.hold()
+        return self._state(request)
+
+    def _release(self, request: Request) -> Response:
+        self._relay.release()
+        return self._state(request)
+
     def _restore(self, request: Request) -> Response:
         self._relay.restore()
         return self._state(request)
--- a/packages/standins/dandelionyoke_standins/_relay.py
+++ b/packages/standins/dandelionyoke_standins/_relay.py
@@ -2,7 +2,7 @@
 
 A partition resets connections or drops bytes in one or both directions. A
 middlebox that lost the state of a connection drops its bytes permanently. A
-congested link delays them.
+congested link delays them. A path that stands still for a while holds them.
 """
 
 import contextlib
@@ -12,6 +12,7 @@
 
 import attrs
 import eventlet
+from eventlet.event import Event
 from eventlet.greenthread import GreenThread
 
 HOST = '127.0.0.1'
@@ -40,6 +41,8 @@
     sink: socket.socket
     delay_s: float = 0.0
     is_silent: bool = False
+    # While the path holds all bytes, the event of their delivery.
+    held: Event | None = None
     thread: GreenThread | None = None
 
     def run(self) -> None:
@@ -54,12 +57,18 @@
         while chunk:
             if self.delay_s:
                 eventlet.sleep(self.delay_s)
+            self._wait_while_held()
             if not self.is_silent:
                 self.sink.sendall(chunk)
             chunk = self.source.recv(CHUNK_BYTES)
+        self._wait_while_held()
         if not self.is_silent:
             self.sink.shutdown(socket.SHUT_WR)
 
+    def _wait_while_held(self) -> None:
+        while self.held is not None:
+            self.held.wait()
+
 
 @attrs.define(eq=False)
 class _Connection:
@@ -84,6 +93,11 @@
         self.to_server.is_silent = True
         self.to_client.is_silent = True
 
+    def hold(self, held: Event | None) -> None:
+        """Hold the bytes of both directions, or (None) deliver them."""
+        self.to_server.held = held
+        self.to_client.held = held
+
     def run(self) -> None:
         """Copy in both directions until both have ended."""
         for pump in (self.to_server, self.to_client):
@@ -114,6 +128,7 @@
         self.to_port = to_port
         self._state = RelayState.OPEN
         self._delay_s = 0.0
+        self._held: Event | None = None
         self._connections: set[_Connection] = set()
         self._listener = eventlet.listen((HOST, port))
         self._port = self._listener.getsockname()[1]
@@ -200,6 +215,23 @@
         for connection in self._connections:
             self._apply_delay(connection)
 
+    def hold(self) -> None:
+        """Hold all bytes both ways, without losing any, until `release`.
+
+        New connections are established.
+        """
+        if self._held is None:
+            self._held = Event()
+        self._apply_hold()
+
+    def release(self) -> None:
+        """Deliver all bytes that are held."""
+        held = self._held
+        self._held = None
+        self._apply_hold()
+        if held is not None:
+            held.send()
+
     def restore(self) -> None:
         """Relay new connections again, and remove the delay."""
         self._resume_listening()
@@ -210,6 +242,10 @@
         connection.to_server.delay_s = self._delay_s
         connection.to_client.delay_s = self._delay_s
 
+    def _apply_hold(self) -> None:
+        for connection in self._connections:
+            connection.hold(self._held)
+
     def _accept_connections(self) -> None:
         while True:
             client_socket, _ = self._listener.accept()
@@ -225,6 +261,7 @@
         if self._state is RelayState.BLACKHOLE:
             connection.silence()
         self._apply_delay(connection)
+        connection.hold(self._held)
         self._connections.add(connection)
         connection.run()
         self._connections.discard(connection)
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -4,11 +4,13 @@
 the store. All else is production code, over real sockets in one process.
 """
 
+import contextlib
 from collections.abc import Callable, Iterable
 from random import Random
 
 import attrs
 import eventlet
+from eventlet.event import Event
 from eventlet.green import socket
 from eventlet.greenthread import GreenThread
 
@@ -61,11 +63,12 @@
 
 @attrs.frozen
 class ReceivedRequest:
-    """A request as received by a target."""
+    """A request as received by a target, and when it arrived there."""
 
     line: str
     headers: dict[str, str]
     body: bytes
+    arrived_s: float
 
 
 UPTIME_S = 60.0
@@ -86,6 +89,28 @@
         self.is_accepting = True
         # Requests whose connection the node closed before the answer's end.
         self.abandoned_count = 0
+        # While the target is silent, the event that ends the silence.
+        self._silence: Event | None = None
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether it reads and writes nothing at the moment."""
+        return self._silence is not None
+
+    def fall_silent(self) -> None:
+        """Read and write nothing, as a stopped process, until `go_on`.
+
+        Connections are established, and what arrives is kept.
+        """
+        if self._silence is None:
+            self._silence = Event()
+
+    def go_on(self) -> None:
+        """Go on with all that arrived, and with what was begun."""
+        silence = self._silence
+        self._silence = None
+        if silence is not None:
+            silence.send()
 
     @property
     def address(self) -> str:
@@ -102,9 +127,11 @@
 
     def _serve(self, sock: socket.socket) -> None:
         set_socket_options(sock)
-        with sock:
+        # A node may have closed while the target was silent.
+        with sock, contextlib.suppress(ConnectionError):
             while True:
                 request = _read(sock)
+                self._wait_while_silent()
                 if request is None:
                     return
                 self.received_requests.append(request)
@@ -113,16 +140,13 @@
 
     def _answer(self, sock: socket.socket, request: ReceivedRequest) -> bool:
         for step in self._script(request):
+            self._wait_while_silent()
             if step is None:
                 reset_on_close(sock)
                 return False
             if isinstance(step, float):
-                sock.settimeout(step)
-                try:
-                    is_closed = not sock.recv(1)
-                except TimeoutError:
-                    is_closed = False
-                sock.settimeout(None)
+                is_closed = _is_closed_within(sock, step)
+                self._wait_while_silent()
                 if is_closed:
                     self.abandoned_count += 1
                     return False
@@ -130,6 +154,21 @@
             sock.sendall(step)
         return True
 
+    def _wait_while_silent(self) -> None:
+        while self._silence is not None:
+            self._silence.wait()
+
+
+def _is_closed_within(sock: socket.socket, timeout_s: float) -> bool:
+    """Return whether the node closes the connection; read nothing."""
+    sock.settimeout(timeout_s)
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except TimeoutError:
+        return False
+    finally:
+        sock.settimeout(None)
+
 
 def _read(sock: socket.socket) -> ReceivedRequest | None:
     content = b''
@@ -149,7 +188,7 @@
         headers[name.strip().lower()] = text.strip()
     while len(body) < int(headers.get('content-length', 0)):
         body += sock.recv(65536)
-    return ReceivedRequest(lines[0], headers, body)
+    return ReceivedRequest(lines[0], headers, body, clock_s())
 
 
 def answer(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,9 @@
 # What targets say of themselves in their answers.
 NOTICES = ('tell', 'rest')
 CHANGES = ('withdraw', 'configure')
+# Targets that stop answering and go on: the process stands still, or the path
+# holds all bytes both ways.
+SILENCES = ('stop', 'hold')
 
 MAX_FAULT_S = 4.0
 # A limit is checked from some seconds after it was named.
@@ -25,6 +28,8 @@
 REACH_FAULTS = ('hang', 'cut', 'refuse')
 REACH_FAULT_S = (5.0, 8.0)
 SECONDS_PER_REACH = 15.0
+SILENCE_S = (1.0, 2.5)
+SECONDS_PER_SILENCE = 4.0
 
 
 @attrs.frozen
@@ -65,6 +70,7 @@
     _Series('limits', 'target', ('limit',), LIMIT_FAULT_S, SECONDS_PER_LIMIT),
     _Series('reach', 'reach', REACH_FAULTS, REACH_FAULT_S, SECONDS_PER_REACH),
     _Series('notices', 'target', NOTICES, NOTICE_FAULT_S, SECONDS_PER_NOTICE),
+    _Series('silences', 'silence', SILENCES, SILENCE_S, SECONDS_PER_SILENCE),
 )
 
 
--- a/tests/soak/notices.py
+++ b/tests/soak/notices.py
@@ -28,7 +28,7 @@
 # Faults at a node, or on its paths, after which another one may send its
 # calls, or after which it knows nothing of before.
 DISTURBANCES = frozenset(
-    ('kill', 'pause', 'term', 'reach', 'target', 'peers', 'callers')
+    ('kill', 'pause', 'term', 'reach', 'target', 'held', 'peers', 'callers')
 )
 EFFECT_S = 3.0
 
@@ -128,7 +128,7 @@
     record: SoakRecord, service: str, times_s: list[float]
 ) -> Iterator[str]:
     sent_s = sorted(
-        call.sent_s for call in record.calls if SERVICES[call.path] == service
+        call.sent_s for call in record.calls if service in SERVICES[call.path]
     )
     for start_s in times_s:
         calls = max(
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -7,7 +7,15 @@
 ASK = '/ask/'
 RESUME = '/resume/'
 CALL_PATHS = (CONFIRM, LOOK, ASK, RESUME)
-SERVICES = {CONFIRM: 'ledger', LOOK: 'ledger', ASK: 'lm', RESUME: 'lm'}
+PLAIN_SERVICES = ('ledger', 'ledger-b')
+STREAM_SERVICE = 'lm'
+# The services among which the calls of each route are split.
+SERVICES = {
+    CONFIRM: PLAIN_SERVICES,
+    LOOK: PLAIN_SERVICES,
+    ASK: (STREAM_SERVICE,),
+    RESUME: (STREAM_SERVICE,),
+}
 
 
 @attrs.define
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -4,7 +4,6 @@
 """
 
 import argparse
-import json
 import os
 import pathlib
 import secrets
@@ -18,20 +17,20 @@
 
 from dandelionyoke_gateway import ExitStatus, clock_s
 from dandelionyoke_standins._relay import Relay
-from tests.platform.node_harness import HOST
 from tests.platform.program import Ports, Program
 from tests.platform.store_standin import StoreStandin
 from tests.soak.callers import Caller
+from tests.soak.configuration import SoakConfiguration
 from tests.soak.faults import Fault, plan_faults
 from tests.soak.promises import FAULT_EFFECT_S, find_violations
 from tests.soak.record import (
-    CALL_PATHS,
     LeavingTold,
     NamedLimit,
     SoakRecord,
     Span,
     UsageReport,
 )
+from tests.soak.silences import Silences
 from tests.soak.targets import LIMITS_PER_S, RESTS_S, SoakTarget
 
 DOMAINS = ('a', 'a', 'b', 'b')
@@ -78,9 +77,10 @@
         self._random = Random(seed)
         self._record = SoakRecord()
         self._store = StoreStandin()
-        self._keys = {'acme': 'key-acme', 'beta': 'key-beta'}
-        self._revoked: set[str] = set()
-        self._version = 0
+        self._configuration = SoakConfiguration(
+            {'acme': 'key-acme', 'beta': 'key-beta'}
+        )
+        self._silences = Silences(self._record, self._change)
         self._relays: list[Relay] = []
         self._targets: list[SoakTarget] = []
         self._target_links: list[Relay] = []
@@ -131,48 +131,11 @@
     # Configuration, processes and callers.
 
     def _configure(self) -> None:
-        self._version += 1
-        routes = [
-            {
-                'name': path,
-                'host': HOST,
-                'path_prefix': path,
-                'kind': kind,
-                'timeout_ms': 4000,
-                'target_latency_ms': 500,
-                'service': service,
-                'max_attempts': 3,
-                'allow_resume': path == '/resume/',
-            }
-            for path, kind, service in zip(
-                CALL_PATHS,
-                ('non_idempotent', 'idempotent', 'streaming', 'streaming'),
-                ('ledger', 'ledger', 'lm', 'lm'),
-                strict=True,
-            )
-        ]
-        engine = {
-            'slots': 8,
-            'kv_capacity_tokens': 90000,
-            'kv_hold_s': 5,
-            'role_switch_s': 1,
-        }
-        configuration = {
-            'version': self._version,
-            'routes': routes,
-            'services': [
-                {'name': 'ledger', 'max_connections': 99},
-                {'name': 'lm', 'max_connections': 99, 'engine': engine},
-            ],
-            'tenants': [
-                {
-                    'name': name,
-                    'api_keys': [] if name in self._revoked else [key],
-                }
-                for name, key in self._keys.items()
-            ],
-        }
-        self._store.put('op/config', json.dumps(configuration))
+        self._store.put('op/config', self._configuration.next_version())
+
+    def _change(self, kind: str) -> None:
+        self._configuration.change(kind)
+        self._configure()
 
     def _start_targets(self) -> None:
         kinds = (
@@ -183,6 +146,8 @@
             ('lm', 'prefill'),
             ('lm', 'prefill'),
             ('lm', 'decode'),
+            ('ledger-b', None),
+            ('ledger-b', None),
         )
         for number, (service, phase) in enumerate(kinds):
             target = SoakTarget(
@@ -197,6 +162,7 @@
             target.register(link.address)
             self._targets.append(target)
             self._target_links.append(link)
+            self._silences.add(target, link)
         for domain in sorted(set(DOMAINS)):
             self._domain_links[domain] = [
                 self._start_relay(link.address) for link in self._target_links
@@ -241,7 +207,7 @@
                 f'{node.name}.{number}',
                 node.name,
                 port,
-                lambda name: self._keys[name],
+                lambda name: self._configuration.keys[name],
                 self._record,
                 self._random,
             )
@@ -259,7 +225,8 @@
         while not self._is_ended:
             eventlet.sleep(ENTRY_INTERVAL_S)
             for target in self._targets:
-                if not self._store.is_unavailable:
+                is_silent = target.server.is_silent
+                if not self._store.is_unavailable and not is_silent:
                     target.write_entry()
 
     def _restart_ended_nodes(self) -> None:
@@ -291,6 +258,7 @@
             'target': self._inject_target_fault,
             'change': self._inject_change,
             'reach': self._inject_reach_fault,
+            'silence': self._silences.inject,
         }.get(fault.kind, self._inject_link_fault)
         inject(fault)
 
@@ -444,12 +412,12 @@
 
     def _revoke_key(self) -> None:
         """Revoke a key; after `KEY_RETURN_S` the organisation has one again."""
-        self._revoked.add('beta')
+        self._configuration.revoked.add('beta')
         self._configure()
         revoked_s = clock_s()
         self._record.key_revocations['beta'] = (revoked_s, float('inf'))
         eventlet.sleep(KEY_RETURN_S)
-        self._revoked.discard('beta')
+        self._configuration.revoked.discard('beta')
         self._configure()
         self._record.key_revocations['beta'] = (revoked_s, clock_s())
 
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -44,7 +44,7 @@
         random: Random,
     ) -> None:
         self.target_id = target_id
-        self._service = service
+        self.service = service
         self._phase = phase
         self._record = record
         self._store = store
@@ -68,7 +68,7 @@
     def write_entry(self) -> None:
         """Write the registry entry."""
         entry = {
-            'service': self._service,
+            'service': self.service,
             'address': self.address,
             'zone': 'a',
             'slots': SLOTS,
@@ -100,9 +100,9 @@
     def _serve(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
         arrival = Arrival(
             self.target_id,
-            clock_s(),
+            request.arrived_s,
             request.headers.get('attempt-id', ''),
-            self._service,
+            self.service,
         )
         self._record.arrivals.append(arrival)
         for step in self._steps(request, arrival):
@@ -129,11 +129,7 @@
             yield answer('200 OK', b'{}', '')
             return
         if self.rest_s is not None:
-            self._record.rests.append(
-                RestAsked(self.target_id, attempt_id, clock_s(), self.rest_s)
-            )
-            extra = f'Not-Executed: 1\r\nRetry-After: {self.rest_s}\r\n'
-            yield answer('503 Busy', b'', extra)
+            yield from self._refuse_for_rest(attempt_id, self.rest_s)
             return
         if self._has_fault('refuse') or (
             request.headers.get('target-instance') != self.target_id
@@ -160,6 +156,16 @@
         else:
             yield from self._stream(attempt_id, last_event_id)
 
+    def _refuse_for_rest(
+        self, attempt_id: str, rest_s: float
+    ) -> Iterator[ScriptStep]:
+        extra = f'Not-Executed: 1\r\nRetry-After: {rest_s}\r\n'
+        yield answer('503 Busy', b'', extra)
+        # A target that is silent asks once it goes on.
+        self._record.rests.append(
+            RestAsked(self.target_id, attempt_id, clock_s(), rest_s)
+        )
+
     def _prefill(self, attempt_id: str) -> Iterator[ScriptStep]:
         yield PREFILL_DELAY_S
         handle = json.dumps(
--- a/tests/standins/test_engine_http.py
+++ b/tests/standins/test_engine_http.py
@@ -264,6 +264,22 @@
         self._command('restore')
         self.assertEqual(200, self.link.call('GET', '/load').status)
 
+    def test_a_held_path_delivers_all_bytes_once_released(self) -> None:
+        """Guards against a stand-in that loses what it should only delay."""
+        stream = lines(self.link.stream('/generate', generate_body('a')))
+        begun = next(line for line in stream if line['tokens'])
+        self._command('hold')
+        self.assertRaises(
+            urllib3.exceptions.ReadTimeoutError,
+            self.link.http.request,
+            'GET',
+            f'{self.link.address}/load',
+            timeout=0.3,
+            retries=False,
+        )
+        self._command('release')
+        self.assertEqual(answer_text(PROMPT, 500), text([begun, *stream]))
+
     def test_open_connections_live_on_while_new_ones_are_refused(self) -> None:
         stream = lines(self.link.stream('/generate', generate_body('a')))
         skip_to_first_tokens(stream)
