Allow runs of the soak that begin once a key is back

Cause: the check excused calls by the time at which they were sent, so that a call sent just before the return of its key and admitted after it counted. A configuration that allows the key was acknowledged before the run. The check compares the run with the return now; each run before the return counts as before. A test shows both sides.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -139,14 +139,16 @@
         revoked_s, replaced_s = record.key_revocations.get(
             run.organisation, (0.0, 0.0)
         )
+        # A call that waits when its key comes back may run.
         if (
             revoked_s
-            and revoked_s + MAX_REVOCATION_S < call.sent_s < replaced_s
+            and revoked_s + MAX_REVOCATION_S < call.sent_s
+            and run.at_s < replaced_s
         ):
             yield (
                 f'CONFIG {run.attempt_id}: sent {call.sent_s - revoked_s:.2f} s '
-                f'after its key was revoked, ran {run.at_s - replaced_s:+.3f} s '
-                'after it had one again'
+                f'after its key was revoked, ran {replaced_s - run.at_s:.3f} s '
+                'before it had one again'
             )
         yield from _check_drain(run, record)
 
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -91,6 +91,13 @@
         record.key_revocations['acme'] = (94.9, 200.0)
         self.assertEqual(['CONFIG'], self.rules(record))
 
+    def test_a_run_once_the_key_is_back_is_no_violation(self) -> None:
+        """Guards against calls that cross the return of their key."""
+        record = SoakRecord([new_confirmation()], [RUN])
+        for replaced_s, rules in ((100.04, []), (100.06, ['CONFIG'])):
+            record.key_revocations['acme'] = (90.0, replaced_s)
+            self.assertEqual(rules, self.rules(record))
+
     def test_a_refusal_of_a_valid_key_is_detected(self) -> None:
         record = SoakRecord([new_confirmation(status=401)], [])
         self.assertEqual(['DENIED'], self.rules(record))
