Take the ports of the soak's relays from the process's own range

While it is cut nothing holds its port, which was one that the kernel gives to connections; the soak opens hundreds. Ports of programs come from a range of the test process for the same reason; the relays take theirs from it, too.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,7 +17,7 @@
 
 from dandelionyoke_gateway import ExitStatus, clock_s
 from dandelionyoke_standins._relay import Relay
-from tests.platform.program import Ports, Program
+from tests.platform.program import Ports, Program, free_port
 from tests.platform.store_standin import StoreStandin
 from tests.soak.callers import Caller
 from tests.soak.configuration import SoakConfiguration
@@ -218,7 +218,8 @@
 
     def _start_relay(self, address: str) -> Relay:
         host, _, port = address.rpartition(':')
-        relay = Relay(host, int(port))
+        # The kernel would give the port of a relay that is cut to a connection.
+        relay = Relay(host, int(port), free_port())
         relay.start()
         self._relays.append(relay)
         return relay
