Keep a handed stream whose caller reads nothing for a second

What callers saw: a large stream that another node served ended in its middle, or was made again by a second engine where it may be resumed, as the caller had read nothing for over a second.

Cause: the node that serves the call writes to the other one, which does not read on while its caller reads nothing; the TCP_USER_TIMEOUT of 1 s of a link counts the closed window and ended the channel.

Change: the side of a call's channel that writes the response has 10 s, as a connection of a caller has. A node that vanishes without a reset is noticed by it after 10 s in place of 2 s; the call is bounded by its deadline.

--- a/packages/links/dandelionyoke_links/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -42,6 +42,8 @@
 READ_SIZE_BYTES = 65_536
 CONNECT_TIMEOUT_S = 2.0
 HANDSHAKE_TIMEOUT_S = 5.0
+# A peer stops reading a response while its own caller reads nothing.
+CALL_USER_TIMEOUT_MS = 10000
 NONCE_BYTES = 16
 # The path of a connection that carries one call instead of a link's messages.
 CALL_PATH = '/call'
@@ -336,6 +338,7 @@
             channel.close()
             return
         if channel.path == CALL_PATH:
+            set_socket_options(sock, CALL_USER_TIMEOUT_MS)
             self._serve_call(channel)
         else:
             self._run_link(channel, dialled=False)
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 import attrs
+import eventlet
 import testtools
 
 from dandelionyoke_core import (
@@ -34,6 +35,7 @@
 )
 from dandelionyoke_links import CallChannel, LinkError, PeerHub, PeerSettings
 from dandelionyoke_standins._relay import Relay
+from tests.platform import node_harness
 from tests.platform.node_harness import (
     API_KEY,
     HOST,
@@ -333,6 +335,29 @@
             self.assertIn(b'retry-after', content.lower())
         self.assertLess(clock_s() - started_s, 2.4)
 
+    def test_a_caller_that_pauses_gets_its_whole_stream(self) -> None:
+        """Guards against a stream that a pause of a second cuts off."""
+        # The scripted target must not give up either.
+        self.enterContext(mock.patch.object(node_harness, 'set_socket_options'))
+        large = b'data: ' + b'x' * 200_000 + b'\n\n'
+
+        def streams_much(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield stream_head()
+            for _ in range(40):
+                yield chunk(large)
+            yield chunk(b'')
+
+        self.add_targets(streams_much, 'lm', Phase.DECODE)
+        # A relay would hold what the caller does not read.
+        self.take_members(self.others[0].open_links())
+        with self.origin.connect() as sock:
+            sock.sendall(request_bytes('/ask/1'))
+            content = sock.recv(65536)
+            eventlet.sleep(1.8)
+            while data := sock.recv(65536):
+                content += data
+        self.assertTrue(content.endswith(b'\r\n0\r\n\r\n'))
+
     def test_a_begun_stream_is_not_cut_by_a_shorter_limit_elsewhere(
         self,
     ) -> None:
