--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -24,16 +24,12 @@
     decode_headers,
     encode_headers,
 )
-from dandelionyoke_links import (
-    PATIENT,
-    set_socket_options,
-)
+from dandelionyoke_links import READER, set_socket_options
 
 READ_BYTES = 65536
 # A caller that reads nothing of its response for this long counts as
 # disconnected.
 WRITE_TIMEOUT_S = 10.0
-MS_PER_S = 1000
 # How often a connection with unread input is checked for its end.
 END_CHECK_INTERVAL_S = 0.1
 # The kernel's number of the state in which both ends may send.
@@ -201,11 +197,7 @@
     Raises:
         OSError: the caller has disconnected.
     """
-    # The kernel also counts the time in which the caller reads nothing.
-    write_timeout_ms = int(WRITE_TIMEOUT_S * MS_PER_S)
-    set_socket_options(
-        sock, attrs.evolve(PATIENT, user_timeout_ms=write_timeout_ms)
-    )
+    set_socket_options(sock, READER)
 
 
 Handler = Callable[[CallerRequest, Responder], None]
--- a/packages/links/dandelionyoke_links/__init__.py
+++ b/packages/links/dandelionyoke_links/__init__.py
@@ -9,6 +9,7 @@
 from dandelionyoke_links._sockets import (
     BRIEF as BRIEF,
     PATIENT as PATIENT,
+    READER as READER,
     URGENT as URGENT,
     SilenceLimits as SilenceLimits,
     limit_silence as limit_silence,
--- a/packages/links/dandelionyoke_links/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -38,6 +38,7 @@
 )
 from dandelionyoke_links._sockets import (
     PATIENT,
+    READER,
     SilenceLimits,
     limit_silence,
     set_socket_options,
@@ -362,6 +363,8 @@
             channel.close()
             return
         call = CallChannel(peer_id, channel)
+        # Its peer stops reading while its own caller reads nothing.
+        channel.limit_silence(READER)
         try:
             if self._handle_call is not None:
                 self._handle_call(call)
--- a/packages/links/dandelionyoke_links/_sockets.py
+++ b/packages/links/dandelionyoke_links/_sockets.py
@@ -27,6 +27,8 @@
 PATIENT_USER_TIMEOUT_MS = int(2 * MAX_SILENCE_S * 1000)
 # With these, both ends of PATIENT come at the same time.
 PATIENT_KEEPALIVE_PROBES = 4
+# The kernel also counts the time in which a reader of an answer pauses.
+READER_USER_TIMEOUT_MS = 10_000
 LISTEN_BACKLOG = 1024
 
 # SO_LINGER value (on, 0 s) that makes closing send a reset.
@@ -43,6 +45,8 @@
 
 # For calls of callers, which a sound peer that goes on must not lose.
 PATIENT = SilenceLimits(PATIENT_USER_TIMEOUT_MS, PATIENT_KEEPALIVE_PROBES)
+# For connections on which answers are written.
+READER = SilenceLimits(READER_USER_TIMEOUT_MS, PATIENT_KEEPALIVE_PROBES)
 # For what is repeated, and for idle connections.
 BRIEF = SilenceLimits(USER_TIMEOUT_MS, KEEPALIVE_PROBES)
 # For what must not arrive late.
