--- a/tests/dispatch/test_fleet_plans.py
+++ b/tests/dispatch/test_fleet_plans.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from random import Random
 
+import attrs
 import testtools
 
 from dandelionyoke_dispatch import (
@@ -29,9 +30,18 @@
     phase: Phase = Phase.PREFILL,
     *,
     reclaimable: bool = False,
+    version: str = 'v1',
 ) -> RegisteredTarget:
     return RegisteredTarget(
-        name, 'lm', '10.0.0.1:1', domain, 64, False, phase, reclaimable
+        name,
+        'lm',
+        '10.0.0.1:1',
+        domain,
+        64,
+        False,
+        phase,
+        reclaimable,
+        version=version,
     )
 
 
@@ -264,6 +274,69 @@
         self.assertEqual(1, len(self.plan.changes(engines, PhaseLoad(115), 0)))
         self.assertEqual([], self.plan.changes(engines[:1], PhaseLoad(115), 0))
 
+    def test_each_version_keeps_a_decode_engine(self) -> None:
+        """Guards against streams that no engine of their version resumes."""
+        engines = [engine(f'd{n}', 'a', Phase.DECODE) for n in range(2)]
+        engines += [engine(f'p{n}', 'a') for n in range(2)]
+        engines += [engine(f'q{n}', 'b', version='v2') for n in range(2)]
+        self.assertEqual([('q0', Phase.DECODE)], self.changes(engines))
+
+    def test_a_version_without_decode_engine_comes_first(self) -> None:
+        """Guards against streams that wait while as many as may switch do."""
+        engines = [engine(f'd{n}', 'a', Phase.DECODE) for n in range(5)]
+        engines += [engine(f'p{n}', 'a') for n in range(12)]
+        engines += [engine(f'q{n}', 'b', version='v2') for n in range(2)]
+        changes = self.plan.changes(engines, PhaseLoad(64 * 6), 0)
+        self.assertEqual(2, len(changes))
+        self.assertEqual('v2', changes[0].target.version)
+
+    def test_a_version_keeps_a_prefill_engine(self) -> None:
+        """Guards against prompts that only slow decode engines prefill."""
+        engines = [engine(f'p{n}', 'a') for n in range(2)]
+        engines.append(engine('d0', 'a', Phase.DECODE))
+        engines += [
+            engine(f'e{n}', 'b', Phase.DECODE, version='v2') for n in range(2)
+        ]
+        self.assertEqual([('e1', Phase.PREFILL)], self.changes(engines))
+
+    def test_the_only_engine_of_a_version_decodes(self) -> None:
+        """Guards against an engine that gets neither streams nor prompts."""
+        engines = [engine('d0', 'a', Phase.DECODE), engine('p0', 'a')]
+        only = engine('q0', 'b', version='v2')
+        self.assertEqual([('q0', Phase.DECODE)], self.changes([*engines, only]))
+        pair = [engine('d0', 'a', Phase.DECODE), only]
+        self.assertEqual([('q0', Phase.DECODE)], self.changes(pair))
+
+    def test_the_last_decode_engine_of_a_version_stays_until_replaced(
+        self,
+    ) -> None:
+        """Guards against streams that none resumes while engines switch."""
+        engines = [
+            engine(f'd{n}', 'a', Phase.DECODE, reclaimable=n == 0)
+            for n in range(2)
+        ]
+        engines += [
+            engine(f'e{n}', 'b', Phase.DECODE, version='v2') for n in range(2)
+        ]
+        engines += [engine(f'p{n}', 'b', version='v2') for n in range(6)]
+        changes = self.changes(engines, frozenset(('d0', 'e0', 'e1')))
+        self.assertNotIn(('d0', Phase.PREFILL), changes)
+        self.assertIn(('d0', Phase.PREFILL), self.changes(engines))
+
+    def test_a_version_is_split_like_the_others(self) -> None:
+        """Guards against a version whose decode engines hold up its prompts."""
+        engines = [engine(f'd{n}', 'a', Phase.DECODE) for n in range(8)]
+        engines += [engine(f'p{n}', 'a') for n in range(8)]
+        engines += [engine(f'q{n}', 'b', version='v2') for n in range(16)]
+        decoding = Counter[str]()
+        for _ in range(12):
+            for change in self.plan.changes(engines, PhaseLoad(64 * 5.6), 0):
+                index = engines.index(change.target)
+                engines[index] = attrs.evolve(change.target, phase=change.phase)
+        for one in engines:
+            decoding[one.version] += one.phase is Phase.DECODE
+        self.assertEqual({'v1': 5, 'v2': 3}, decoding)
+
     def test_the_choice_matches_the_reference_implementation(self) -> None:
         """Guards against a choice that deviates from the preference order."""
         random = Random(7)
--- a/tests/dispatch/test_phase_split.py
+++ b/tests/dispatch/test_phase_split.py
@@ -1,15 +1,18 @@
 """Engine phases under bursts and changes of the workload, in simulated time."""
 
+from collections.abc import Iterator
+
 import attrs
 import testtools
 
 from dandelionyoke_dispatch import (
     BalancedSplit,
+    Phase,
     PhaseLoad,
     PhasePlanSettings,
     StreamSplit,
 )
-from tests.dispatch.phase_simulation import PhaseSimulation, Rate
+from tests.dispatch.phase_simulation import PhaseSimulation, Rate, Release
 
 REPORT_DELAYS_S = (0.2, 1.0, 3.0)
 USUAL_CALLS_PER_S = 225.0
@@ -120,3 +123,49 @@
             PhaseSimulation(doubled_rate, leader_change_s=25.0)
         )
         self.assertGreater(simulation.served_share, 0.95)
+
+
+def usual_rate(engines: int) -> Rate:
+    """Return the usual rate of a fleet of some size."""
+    return lambda now_s: USUAL_CALLS_PER_S * engines / 36
+
+
+class ReleaseSimulationTest(testtools.TestCase):
+    """Engines of another version replace all engines, or half of them."""
+
+    def simulations(self) -> Iterator[PhaseSimulation]:
+        """Run releases in fleets of several sizes."""
+        for engines in (4, 6, 12, 36):
+            for replaced in (engines, engines // 2):
+                for phase in (Phase.PREFILL, Phase.DECODE):
+                    release = Release(5.0, 30.0 / engines, replaced, phase)
+                    yield PhaseSimulation(
+                        usual_rate(engines),
+                        engines=engines,
+                        releases=(release,),
+                        duration_s=60,
+                    ).run()
+
+    def test_a_release_costs_hardly_any_calls(self) -> None:
+        """Guards against one phase of a version that holds up the other."""
+        for simulation in self.simulations():
+            self.assertGreater(simulation.served_share, 0.99)
+
+    def test_each_version_has_a_decode_engine_soon(self) -> None:
+        """Guards against streams that no engine of their version resumes."""
+        for simulation in self.simulations():
+            self.assertLess(simulation.stranded_s, 2 * simulation.switch_s)
+
+    def test_a_release_orders_few_engines(self) -> None:
+        """Guards against engines that switch with each one replaced."""
+        for simulation in self.simulations():
+            self.assertLessEqual(simulation.orders, simulation.engines + 4)
+
+    def test_half_of_the_engines_are_new_when_the_load_doubles(self) -> None:
+        """Guards against a split by version that is fixed by its start."""
+        simulation = PhaseSimulation(
+            lambda now_s: doubled_rate(now_s - 10),
+            releases=(Release(5.0, 0.5, 18),),
+            duration_s=60,
+        ).run()
+        self.assertGreater(simulation.served_share, 0.98)
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -154,6 +154,156 @@
         self.assertEqual(set(ENGINES), chosen)
 
 
+class VersionPlacementTest(testtools.TestCase):
+    """Engines of two software versions serve side by side in one service.
+
+    What two versions write does not fit together, and engines do not check it.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.registry = TargetRegistry(RegistrySettings())
+        self.loads = TargetLoads(SuspicionSettings())
+        fetches = TargetLoads(SuspicionSettings())
+        self.placement = Placement(
+            self.registry, self.loads, fetches, NO_LIMITS, NO_RESTS, 'a', 'n-1'
+        )
+        self.queue = PromptQueue(PromptQueueSettings(max_prompts_per_engine=99))
+        self.prefill_time = PrefillTimeEstimate(PrefillTimeSettings())
+        self.prefill_time.add_sample(prompt('y'), 9000 * TOKEN_S)
+
+    def list_engines(self, prefill: str, decode: str) -> None:
+        """Register engines by versions, each named by version and number."""
+        phases = {Phase.PREFILL: prefill, Phase.DECODE: decode}
+        self.registry.replace(
+            [
+                RegisteredTarget(
+                    f'{version}-{phase.value}-{number}',
+                    'lm',
+                    '10.0.0.1:1',
+                    'a',
+                    2,
+                    False,
+                    phase,
+                    version=version,
+                )
+                for phase, versions in phases.items()
+                for number, version in enumerate(versions.split())
+            ],
+            0,
+        )
+
+    def choose(
+        self,
+        request: Prompt,
+        avoid: tuple[str, ...] = (),
+        version: str | None = None,
+    ) -> PrefillPlacement | None:
+        bound = {} if version is None else {'version': version}
+        return self.placement.choose_prefill_engine(
+            'lm',
+            request,
+            self.prefill_time,
+            self.queue,
+            avoid,
+            0,
+            **bound,
+        )
+
+    def start(self, request: Prompt, number: int) -> PrefillPlacement:
+        placement = self.choose(request)
+        assert placement is not None
+        queued = QueuedPrompt(str(number), 0, 0, 1, 1, request.token_count)
+        self.queue.enter(queued, 6, 0)
+        self.queue.assign(str(number), placement.target.target_id, 0)
+        return placement
+
+    def chosen_versions(self) -> set[str]:
+        """Place prompts until each usable engine has some of them."""
+        return {
+            self.start(prompt(f'p{number}'), number).target.version
+            for number in range(24)
+        }
+
+    def test_no_prefix_is_fetched_from_another_version(self) -> None:
+        """Guards against a stream whose cache two versions wrote."""
+        self.list_engines(prefill='v1 v1 v1 v2 v2 v2', decode='v1 v2')
+        fetched = Counter[str]()
+        for number in range(48):
+            placement = self.start(prompt(f'p{number % 4}'), number)
+            if placement.source is not None:
+                fetched[placement.target.version] += 1
+                self.assertEqual(
+                    placement.target.version, placement.source.version
+                )
+        self.assertEqual({'v1', 'v2'}, set(fetched))
+
+    def test_a_version_without_decode_engine_gets_no_prompt(self) -> None:
+        """Guards against prompts that are prefilled in vain."""
+        self.list_engines(prefill='v1 v2 v2', decode='v1')
+        self.assertEqual({'v1'}, self.chosen_versions())
+        self.assertEqual(1, self.placement.count_prefill_engines('lm', (), 0))
+
+    def test_a_version_whose_decode_engine_refused_gets_no_prompt(self) -> None:
+        """Guards against prompts that wait for an engine that is full."""
+        self.list_engines(prefill='v1 v2', decode='v1 v2')
+        self.loads.refused('v2-decode-1', 0)
+        self.assertEqual({'v1'}, self.chosen_versions())
+
+    def test_a_version_with_full_decode_engines_gets_no_prompt(self) -> None:
+        """Guards against refusals by one version while another has room."""
+        self.list_engines(prefill='v1 v2 v2', decode='v1 v2')
+        for _ in range(2):
+            self.loads.call_started('v2-decode-1')
+        self.assertEqual({'v1'}, self.chosen_versions())
+        for _ in range(2):
+            self.loads.call_started('v1-decode-0')
+        self.assertEqual({'v1', 'v2'}, self.chosen_versions())
+
+    def test_no_version_with_both_phases(self) -> None:
+        """Guards against calls that are refused, or mix versions.
+
+        The decode engine prefills their prompts itself.
+        """
+        self.list_engines(prefill='v1', decode='v2')
+        self.assertIsNone(self.choose(prompt('x')))
+        self.assertEqual(0, self.placement.count_prefill_engines('lm', (), 0))
+
+    def test_a_pause_of_all_decode_engines_does_not_stop_prefills(self) -> None:
+        """Guards against calls that are refused before an engine is back."""
+        self.list_engines(prefill='v1 v2', decode='v1 v2')
+        avoid = ('v1-decode-0', 'v2-decode-1')
+        self.assertIsNotNone(self.choose(prompt('x'), avoid))
+
+    def test_a_bound_prompt_is_prefilled_at_its_version(self) -> None:
+        """Guards against a resumed stream that mixes versions."""
+        self.list_engines(prefill='v1 v2 v2 v2', decode='v1 v2 v2')
+        for number in range(12):
+            request = prompt(f'p{number}')
+            placement = self.choose(request, version='v1')
+            assert placement is not None
+            self.assertEqual('v1', placement.target.version)
+            self.assertIsNone(placement.source)
+        self.assertIsNone(self.choose(prompt('x'), version='v3'))
+        count = self.placement.count_prefill_engines('lm', (), 0, version='v2')
+        self.assertEqual(3, count)
+
+    def test_a_bound_stream_is_decoded_at_its_version(self) -> None:
+        """Guards against a stream of one version that goes on at another."""
+        self.list_engines(prefill='', decode='v1 v2 v2 v2')
+        self.loads.refused('v1-decode-0', 0)
+        for bound in ('v1', 'v2'):
+            target = self.placement.choose_decode_target(
+                'lm', None, (), 0, version=bound
+            )
+            assert target is not None
+            self.assertEqual(bound, target.version)
+        unknown = self.placement.choose_decode_target(
+            'lm', None, (), 0, version='v3'
+        )
+        self.assertIsNone(unknown)
+
+
 class DecodePlacementTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
--- a/tests/gateway/test_prefill_queue.py
+++ b/tests/gateway/test_prefill_queue.py
@@ -47,9 +47,22 @@
 HOT = PromptPart('hot', 6000)
 
 
-def engine(name: str, *, leaving: bool = False) -> RegisteredTarget:
+def engine(
+    name: str,
+    *,
+    leaving: bool = False,
+    phase: Phase = Phase.PREFILL,
+    version: str = '',
+) -> RegisteredTarget:
     return RegisteredTarget(
-        name, 'lm', '10.0.0.1:1', 'a', 32, leaving, Phase.PREFILL
+        name,
+        'lm',
+        '10.0.0.1:1',
+        'a',
+        32,
+        leaving,
+        phase,
+        version=version,
     )
 
 
@@ -328,3 +341,83 @@
         eventlet.sleep(0.02)
         node.queue.release(grant, PrefillResult(PREFILL_S))
         self.assertIsNotNone(node.queue.acquire(request()).placement)
+
+
+class VersionPrefillTest(testtools.TestCase):
+    """Engines of two versions, and nodes that do not know of versions."""
+
+    def network(self, *engines: RegisteredTarget) -> Network:
+        network = Network(2, list(engines))
+        for node in network.nodes.values():
+            self.addCleanup(node.log.close)
+        return network
+
+    def acquire(self, node: Node, version: str) -> PrefillGrant:
+        bound = attrs.evolve(request(), version=version)
+        return node.queue.acquire(bound)
+
+    def test_the_placing_node_keeps_the_version_of_a_stream(self) -> None:
+        """Guards against a resumed stream whose prompt goes to any engine."""
+        network = self.network(
+            *(engine(f'i-{number}', version='v1') for number in range(8)),
+            engine('i-9', version='v2'),
+        )
+        node = network.others[0]
+        for _ in range(6):
+            grant = self.acquire(node, 'v2')
+            self.assertEqual('i-9', grant.placement.target.target_id)
+            self.assertIsNotNone(grant.placed_by)
+        self.assertIsNone(self.acquire(node, 'v3').placement)
+
+    def test_a_placing_node_that_knows_no_versions_is_corrected(self) -> None:
+        """Guards against mixed versions while our nodes are updated."""
+        engines = [
+            *(engine(f'i-{number}', version='v1') for number in range(8)),
+            engine('i-9', version='v2'),
+        ]
+        network = self.network(*engines)
+        network.source.knowledge.registry.replace(
+            [attrs.evolve(one, version='') for one in engines], clock_s()
+        )
+        node = network.others[0]
+        for _ in range(6):
+            placement = self.acquire(node, 'v2').placement
+            self.assertEqual('i-9', placement.target.target_id)
+
+    def test_no_prefix_of_another_version_is_fetched(self) -> None:
+        """Guards against a source that a node without versions names."""
+        engines = [
+            engine(f'i-{number}', version=f'v{number}') for number in range(4)
+        ]
+        engines += [
+            engine(f'd-{number}', phase=Phase.DECODE, version=f'v{number}')
+            for number in range(4)
+        ]
+        network = self.network(*engines)
+        network.source.knowledge.registry.replace(
+            [attrs.evolve(one, version='') for one in engines], clock_s()
+        )
+        node = network.others[0]
+        grants = [node.queue.acquire(request()) for _ in range(8)]
+        self.assertEqual(
+            4, len({grant.placement.target.target_id for grant in grants})
+        )
+        for grant in grants:
+            self.assertIsNone(grant.placement.source)
+
+    def test_a_prompt_that_could_not_be_decoded_is_placed_anew(self) -> None:
+        """Guards against prompts that are prefilled in vain."""
+        engines = [
+            *(engine(f'i-{number}', version='v1') for number in range(8)),
+            engine('i-9', version='v2'),
+            engine('d-9', phase=Phase.DECODE, version='v2'),
+        ]
+        network = self.network(*engines)
+        network.source.knowledge.registry.replace(
+            [attrs.evolve(one, version='') for one in engines], clock_s()
+        )
+        node = network.others[0]
+        for _ in range(4):
+            grant = node.queue.acquire(request())
+            self.assertEqual('i-9', grant.placement.target.target_id)
+            node.queue.release(grant, PrefillResult(PREFILL_S))
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -26,6 +26,7 @@
     NodeHarness,
     ReceivedRequest,
     Script,
+    ScriptedTarget,
     ScriptStep,
     answer,
     chunk,
@@ -658,3 +659,77 @@
             eventlet.sleep(0.1)
         eventlet.sleep(0.2)
         self.assertEqual(1, prefill_engine.abandoned_count)
+
+
+class EngineVersionTest(CallTestCase):
+    """Engines of two software versions serve side by side in one service.
+
+    Guards against a KV cache that one version wrote and another one reads:
+    engines do not check it, and the answer would be wrong.
+    """
+
+    def answers_prefill(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        body = b'{"kv_handle":"h1","tokens":900,"version":1}'
+        yield answer('200 OK', body, 'Content-Type: application/json\r\n')
+
+    def streams_token(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        yield stream_head()
+        yield chunk(b'id: 1\ndata: t1\n\n')
+        yield chunk(b'')
+
+    def add_engines(
+        self, count: int, script: Script, phase: Phase, version: str
+    ) -> list[ScriptedTarget]:
+        return [
+            self.node.add_target(script, 'lm', phase, version)
+            for _ in range(count)
+        ]
+
+    def ask(self, attempt: str = 'a1') -> int:
+        return status(
+            self.node.call('/ask/1', extra=PROMPT_HEADERS, attempt_id=attempt)
+        )
+
+    def test_a_cache_is_decoded_at_the_version_that_prefilled_it(self) -> None:
+        prefill = self.add_engines(
+            1, self.answers_prefill, Phase.PREFILL, 'v1.1'
+        )
+        other = self.add_engines(6, self.streams_token, Phase.DECODE, 'v1')
+        same = self.add_engines(1, self.streams_token, Phase.DECODE, 'v1.1')
+        self.assertEqual([200] * 4, [self.ask() for _ in range(4)])
+        self.assertEqual(4, len(prefill[0].received_requests))
+        self.assertEqual(4, len(same[0].received_requests))
+        received = [len(engine.received_requests) for engine in other]
+        self.assertEqual([0] * 6, received)
+
+    def test_no_prompt_goes_to_a_version_without_decode_engine(self) -> None:
+        prefill = self.add_engines(
+            1, self.answers_prefill, Phase.PREFILL, 'v1.1'
+        )
+        decode = self.add_engines(1, self.streams_token, Phase.DECODE, 'v1')
+        self.assertEqual(200, self.ask())
+        self.assertEqual([], prefill[0].received_requests)
+        headers = decode[0].received_requests[0].headers
+        self.assertNotIn('kv-source', headers)
+
+    def test_a_version_that_refuses_its_prompts_is_replaced(self) -> None:
+        """Guards against a call that is refused though others could run it."""
+        released: list[ReceivedRequest] = []
+
+        def prefills_and_releases(
+            request: ReceivedRequest,
+        ) -> Iterator[ScriptStep]:
+            if request.line.startswith('DELETE'):
+                released.append(request)
+                yield answer()
+                return
+            yield from self.answers_prefill(request)
+
+        self.add_engines(1, prefills_and_releases, Phase.PREFILL, 'v1.1')
+        self.add_engines(1, refuses_call, Phase.DECODE, 'v1.1')
+        other = self.add_engines(1, self.streams_token, Phase.DECODE, 'v1')
+        self.assertEqual(200, self.ask())
+        headers = other[0].received_requests[0].headers
+        self.assertNotIn('kv-source', headers)
+        wait_for(lambda: bool(released), 'release of the cache')
+        self.assertIn('prompt.dropped', self.node.log_lines.text)
