Decode a prompt at the software version that prefilled it

Cause: placement did not read RegisteredTarget.version. The decode engine was chosen among all of the service, and a shared prefix was fetched from the engine that all nodes rank first, of whatever version.

Change: choose_decode_target, choose_plain_target, choose_prefill_engine and count_prefill_engines take `version` (None: any). A prompt is decoded at the version of its prefill engine and fetches a prefix from that version only. Prefill engines of a version without a usable decode engine get no prompts, nor do those of a version whose decode engines are full while another has room; if no version has both, the decode engine reads the prompt. If the decode engines of the version refuse, leave or become suspect after the prefill, the cache is freed (`prompt.dropped`) and another version reads the prompt itself: nothing is refused for it. A node corrects a placing node of an older program.

--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -70,8 +70,9 @@
         queue: PromptQueue,
         avoid: Collection[str],
         now_s: float,
+        version: str | None = None,
     ) -> PrefillPlacement | None:
-        """Choose the prefill engine of a prompt.
+        """Choose the prefill engine of a prompt, of any version if None.
 
         All nodes rank the engines for a shared prefix in the same order,
         without communication, so that the prefix is prefilled on the first
@@ -81,14 +82,10 @@
         that has been without a new prompt for longest: taking turns spreads the
         prompts of many nodes more evenly than a random choice.
         """
-        engines = self._usable(service, Phase.PREFILL, avoid, now_s)
+        engines = self._prefill_engines(service, avoid, now_s, version)
         if not engines:
             return None
         preferred = _first_ranked(engines, prompt.shared_key)
-        holder = (
-            self._find_prefix_holder(service, prompt.shared_key, now_s)
-            or preferred
-        )
         move_cost_s = MOVE_COST_SHARE * _prefill_time_s(
             prefill_time.without_cache, prompt.shared_tokens
         )
@@ -104,35 +101,117 @@
                 engine.target_id,
             ),
         )
-        source = None if holder.target_id == chosen.target_id else holder
-        if source is not None:
-            if self._fetches.is_in_cooldown(source.target_id, now_s):
-                source = None
+        source = self._find_prefix_source(chosen, prompt.shared_key, now_s)
         return PrefillPlacement(chosen, source)
 
     def count_prefill_engines(
-        self, service: str, avoid: Collection[str], now_s: float
+        self,
+        service: str,
+        avoid: Collection[str],
+        now_s: float,
+        version: str | None = None,
     ) -> int:
-        """Return the number of usable prefill engines."""
-        return len(self._usable(service, Phase.PREFILL, avoid, now_s))
+        """Return the number of prefill engines that may get a prompt."""
+        return len(self._prefill_engines(service, avoid, now_s, version))
+
+    def may_prefill(
+        self, target: RegisteredTarget, avoid: Collection[str], now_s: float
+    ) -> bool:
+        """Whether a prompt that a prefill engine prefills can be decoded.
+
+        If no decode engine is usable at all, one may be soon.
+        """
+        if len(self._registry.versions(target.service)) < 2:
+            return True
+        decode = self._decode_engines(target.service, avoid, now_s)
+        versions = {engine.version for engine in decode}
+        return not versions or target.version in versions
+
+    def can_decode(
+        self,
+        prefilled_by: RegisteredTarget,
+        avoid: Collection[str],
+        now_s: float,
+    ) -> bool:
+        """Whether to decode a prompt at the version that prefilled it.
+
+        Not at a suspect engine while one of another version is usable, which
+        can prefill the prompt itself.
+        """
+        version, service = prefilled_by.version, prefilled_by.service
+        if self._registry.versions(service) <= {version}:
+            return True
+        for phase in (Phase.DECODE, Phase.ANY):
+            engines = self._usable(service, phase, avoid, now_s)
+            if engines:
+                return version in {engine.version for engine in engines}
+        return True
+
+    def _prefill_engines(
+        self,
+        service: str,
+        avoid: Collection[str],
+        now_s: float,
+        version: str | None,
+    ) -> list[RegisteredTarget]:
+        """Return the prefill engines whose prompts can be decoded.
+
+        A KV cache is decoded only at the version that prefilled it. Versions
+        whose decode engines are all full get no prompts either while another
+        version has room.
+        """
+        engines = self._usable(service, Phase.PREFILL, avoid, now_s, version)
+        if version is not None or len(self._registry.versions(service)) < 2:
+            return engines
+        decode = self._decode_engines(service, avoid, now_s)
+        with_room = [
+            engine
+            for engine in decode
+            if self._loads.busy(engine.target_id, now_s) < engine.slots
+        ]
+        versions = {engine.version for engine in with_room or decode}
+        if not versions:
+            return engines
+        return [engine for engine in engines if engine.version in versions]
+
+    def _decode_engines(
+        self,
+        service: str,
+        avoid: Collection[str],
+        now_s: float,
+        version: str | None = None,
+    ) -> list[RegisteredTarget]:
+        """Return the usable decode engines, without new ones if possible."""
+        engines = self._usable(service, Phase.DECODE, avoid, now_s, version)
+        settled = [
+            engine
+            for engine in engines
+            if not self._registry.is_new(engine.target_id, now_s)
+        ]
+        return settled or engines
 
-    def _find_prefix_holder(
-        self, service: str, shared_key: str, now_s: float
+    def _find_prefix_source(
+        self, target: RegisteredTarget, shared_key: str, now_s: float
     ) -> RegisteredTarget | None:
-        """Return the engine that most likely has a shared prefix in its cache.
+        """Return the engine to fetch a shared prefix from, if any.
 
-        An engine that is leaving keeps its cache until it stops, so others can
-        still fetch from it. A fetch from an engine that is gone or unreachable
-        delays a prompt for many times the prefill time of the prefix, so
-        engines with recent slow fetches are skipped.
+        It is the one of the same version that most likely has the prefix in
+        its cache. An engine that is leaving keeps its cache until it stops, so
+        others can still fetch from it. A fetch from an engine that is gone or
+        unreachable delays a prompt for many times the prefill time of the
+        prefix, so engines with recent slow fetches are skipped.
         """
         engines = [
             engine
-            for engine in self._registry.all_of_service(service)
+            for engine in self._registry.all_of_service(target.service)
             if engine.phase is Phase.PREFILL
+            and engine.version == target.version
             and not self._fetches.is_in_cooldown(engine.target_id, now_s)
         ]
-        return _first_ranked(engines, shared_key) if engines else None
+        if not engines:
+            return None
+        holder = _first_ranked(engines, shared_key)
+        return None if holder.target_id == target.target_id else holder
 
     def choose_decode_target(
         self,
@@ -140,8 +219,9 @@
         near_domain: str | None,
         avoid: Collection[str],
         now_s: float,
+        version: str | None = None,
     ) -> RegisteredTarget | None:
-        """Choose the decode engine of a stream.
+        """Choose the decode engine of a stream, of any version if None.
 
         Transferring a KV cache to another failure domain takes twice as long,
         so an engine close to the one that holds the cache is preferred until it
@@ -152,15 +232,9 @@
         engine by name would receive those of all nodes. The order is stable, so
         that a node reuses its connections.
         """
-        engines = self._usable(service, Phase.DECODE, avoid, now_s)
+        engines = self._decode_engines(service, avoid, now_s, version)
         if not engines:
             return None
-        settled = [
-            engine
-            for engine in engines
-            if not self._registry.is_new(engine.target_id, now_s)
-        ]
-        engines = settled or engines
         preferred_domain = near_domain or self._domain
         by_id = {target.target_id: target for target in engines}
         ranked = rendezvous(by_id, self._instance_id, len(by_id))
@@ -189,10 +263,17 @@
         )
 
     def choose_plain_target(
-        self, service: str, avoid: Collection[str], now_s: float
+        self,
+        service: str,
+        avoid: Collection[str],
+        now_s: float,
+        version: str | None = None,
     ) -> RegisteredTarget | None:
-        """Choose the least busy target of a plain service."""
-        targets = self._usable(service, Phase.ANY, avoid, now_s)
+        """Choose the least busy target of a plain service.
+
+        It is of any version if `version` is None.
+        """
+        targets = self._usable(service, Phase.ANY, avoid, now_s, version)
         if not targets:
             return None
         return min(
@@ -254,10 +335,16 @@
         phase: Phase,
         avoid: Collection[str],
         now_s: float,
+        version: str | None = None,
     ) -> list[RegisteredTarget]:
+        targets = self._registry.of_service(service)
+        if version is not None:
+            targets = [
+                target for target in targets if target.version == version
+            ]
         candidates = [
             target
-            for target in self._registry.of_service(service)
+            for target in targets
             if target.phase is phase
             and target.target_id not in avoid
             and not self._limits.is_withheld(target.target_id, now_s)
--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -68,6 +68,8 @@
         self._missing: set[str] = set()
         # The starts of the targets that said they leave, the latest last.
         self._leaving_starts: dict[str, int | None] = {}
+        # The versions of the targets by service; filled on use.
+        self._versions: dict[str, frozenset[str]] = {}
 
     @property
     def is_known(self) -> bool:
@@ -107,6 +109,7 @@
         """Remove missing targets if the grace period is over."""
         if now_s < self._grace_until_s:
             return
+        self._versions.clear()
         for target_id in self._missing:
             self._targets.pop(target_id, None)
             self._added_s.pop(target_id, None)
@@ -157,6 +160,15 @@
         targets = self._targets.values()
         return [target for target in targets if target.service == service]
 
+    def versions(self, service: str) -> frozenset[str]:
+        """Return the versions of the listed targets of a service."""
+        known = self._versions.get(service)
+        if known is None:
+            targets = self.all_of_service(service)
+            known = frozenset(target.version for target in targets)
+            self._versions[service] = known
+        return known
+
     def _store_target(self, target: RegisteredTarget) -> None:
         known = self._targets.get(target.target_id)
         # An outdated listing must not reactivate a target that reported that it
@@ -166,6 +178,7 @@
                 target = attrs.evolve(target, is_leaving=True)
         if target.target_id in self._leaving_starts:
             target = self._with_notice(target)
+        self._versions.clear()
         self._targets[target.target_id] = target
 
     def _with_notice(self, target: RegisteredTarget) -> RegisteredTarget:
--- a/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
@@ -164,9 +164,10 @@
         target = self._find_usable_target(response.target_id, request)
         if target is None:
             return None
-        return PrefillPlacement(
-            target, self._knowledge.registry.find(response.source_id)
-        )
+        source = self._knowledge.registry.find(response.source_id)
+        if source is not None and source.version != target.version:
+            source = None
+        return PrefillPlacement(target, source)
 
     def _find_usable_target(
         self, target_id: str, request: PrefillRequest
@@ -177,7 +178,10 @@
         is_other = target.service != request.service
         if is_other or target_id in request.avoid:
             return None
-        return target
+        may_prefill = self._knowledge.placement.may_prefill(
+            target, request.avoid, clock_s()
+        )
+        return target if may_prefill else None
 
     def _mark_suspects(self, response: PrefillTold) -> None:
         for target_id in response.suspects:
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 
 import attrs
+import eventlet
 
 from dandelionyoke_dispatch import (
     Cause,
@@ -109,6 +110,22 @@
         grant = self._enter_queue(prompt)
         return self._prefill_with_grant(prompt, grant, queued_s)
 
+    def keep_decodable(
+        self, prompt: PrefilledPrompt | None
+    ) -> PrefilledPrompt | None:
+        """Return the prompt; None if no engine of its version can decode it.
+
+        Its cache is released then, and the decode engine prefills the prompt.
+        """
+        if prompt is None or self._knowledge.placement.can_decode(
+            prompt.target, self._state.tried_ids, clock_s()
+        ):
+            return prompt
+        self._state.log_decision('prompt.dropped', prompt.target)
+        if prompt.is_own:
+            eventlet.spawn_n(self._deps.engines.release_cache, prompt.cache)
+        return None
+
     def _enter_queue(self, prompt: Prompt) -> PrefillGrant:
         """Wait in the prefill queue for an engine.
 
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -165,6 +165,7 @@
         self._charge_retry()
         if self._prompt is None:
             self._prompt = self._prefiller.prefill()
+        self._prompt = self._prefiller.keep_decodable(self._prompt)
         self._stream_from(
             self._choose_decode_target(self._prompt), self._prompt
         )
@@ -173,16 +174,21 @@
         self, prompt: PrefilledPrompt | None
     ) -> RegisteredTarget:
         preferred_domain = None if prompt is None else prompt.target.domain
+        version = None if prompt is None else prompt.target.version
         target = self._knowledge.placement.choose_decode_target(
             self._context.service.name,
             preferred_domain,
             self._state.tried_ids,
             clock_s(),
+            version=version,
         )
         if target is not None:
             return target
         target = self._knowledge.placement.choose_plain_target(
-            self._context.service.name, self._state.tried_ids, clock_s()
+            self._context.service.name,
+            self._state.tried_ids,
+            clock_s(),
+            version=version,
         )
         if target is None:
             self._refuse_if_limited()
--- a/tests/dispatch/test_placement.py
+++ b/tests/dispatch/test_placement.py
@@ -275,6 +275,26 @@
         avoid = ('v1-decode-0', 'v2-decode-1')
         self.assertIsNotNone(self.choose(prompt('x'), avoid))
 
+    def test_a_prompt_is_not_kept_for_a_suspect_engine(self) -> None:
+        """Guards against calls that wait for an engine that is gone."""
+        self.list_engines(prefill='v1 v2', decode='v1 v2')
+        placement = self.choose(prompt('x'), version='v1')
+        assert placement is not None
+        target = placement.target
+        self.assertTrue(self.placement.can_decode(target, (), 0))
+        self.loads.unreachable('v1-decode-0', 0)
+        self.assertFalse(self.placement.can_decode(target, (), 0))
+        self.loads.unreachable('v2-decode-1', 0)
+        self.assertTrue(self.placement.can_decode(target, (), 0))
+
+    def test_a_prompt_of_a_version_that_left_is_not_kept(self) -> None:
+        """Guards against a refusal while engines of another version serve."""
+        self.list_engines(prefill='v1 v2', decode='v1 v2')
+        placement = self.choose(prompt('x'), version='v1')
+        assert placement is not None
+        self.list_engines(prefill='v2', decode='v2')
+        self.assertFalse(self.placement.can_decode(placement.target, (), 0))
+
     def test_a_bound_prompt_is_prefilled_at_its_version(self) -> None:
         """Guards against a resumed stream that mixes versions."""
         self.list_engines(prefill='v1 v2 v2 v2', decode='v1 v2 v2')
