Keep the version of a bound stream when another node places its prompt

A stream that is taken up again has to go on at the version that began it, and so does the prompt that is read again for it. The node that places prompts for a domain chose among the engines of all versions: the question did not name one.

PrefillRequest and PrefillAsked have a version (None and '' for any; questions of older nodes have none), which the placing node's choice respects. The asking node checks it again: an older placing node ignores it, and then the prompt is placed here. PromptPrefiller.prefill takes the version; no caller passes one yet, that comes with the binding of streams.

A bound prompt counts in the one queue of its service, so that a burst of them may put more prompts than usual on the few engines of their version.

--- a/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
@@ -178,6 +178,8 @@
         is_other = target.service != request.service
         if is_other or target_id in request.avoid:
             return None
+        if request.version not in {None, target.version}:
+            return None
         may_prefill = self._knowledge.placement.may_prefill(
             target, request.avoid, clock_s()
         )
@@ -223,6 +225,7 @@
         request.goal_s,
         request.deadline_s - now_s,
         tuple(sorted(request.avoid)),
+        request.version or '',
     )
 
 
--- a/packages/gateway/dandelionyoke_gateway/_prefill_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_messages.py
@@ -21,7 +21,9 @@
     """Request for an engine; `number` identifies the request.
 
     The call arrived `age_s` ago. The goal for its time to first token is
-    `goal_s` after arrival, and its deadline is `useful_s` from now.
+    `goal_s` after arrival, and its deadline is `useful_s` from now. Only an
+    engine of the software `version` may prefill it; empty for any, as from
+    nodes that do not send it.
     """
 
     number: int
@@ -34,6 +36,7 @@
     goal_s: float
     useful_s: float
     avoid: tuple[str, ...] = ()
+    version: str = ''
 
     @property
     def is_valid(self) -> bool:
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -37,7 +37,8 @@
     """A prompt that needs an engine; a lower rank goes first.
 
     Its call arrived at `arrived_s`. The goal for its time to first token is
-    `goal_s`, and its deadline is `deadline_s`.
+    `goal_s`, and its deadline is `deadline_s`. Only an engine of the software
+    `version` may prefill it; None for any.
     """
 
     service: str
@@ -47,6 +48,7 @@
     goal_s: float
     deadline_s: float
     avoid: frozenset[str] = frozenset()
+    version: str | None = None
 
 
 @attrs.frozen
@@ -188,6 +190,7 @@
             state.prompt_queue,
             request.avoid,
             clock_s(),
+            request.version,
         )
         if placement is not None:
             target_id = placement.target.target_id
--- a/packages/gateway/dandelionyoke_gateway/_prefill_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_server.py
@@ -199,4 +199,5 @@
         goal_s=request.goal_s,
         deadline_s=now_s + request.useful_s,
         avoid=frozenset(request.avoid),
+        version=request.version or None,
     )
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -94,20 +94,26 @@
         cache = CacheSource(target, handed_over.cache_handle)
         return PrefilledPrompt(target, cache, is_own=False)
 
-    def prefill(self) -> PrefilledPrompt | None:
-        """Run the prefill separately; None if the decode engine must do it."""
+    def prefill(self, version: str | None = None) -> PrefilledPrompt | None:
+        """Run the prefill separately; None if the decode engine must do it.
+
+        `version` is that of the stream's engines if it is bound to one.
+        """
         prompt = self._context.call.prompt
         if prompt is None or self._context.service.engine is None:
             return None
         if self._is_short(prompt):
             return None
         engines = self._knowledge.placement.count_prefill_engines(
-            self._context.service.name, self._state.tried_ids, clock_s()
+            self._context.service.name,
+            self._state.tried_ids,
+            clock_s(),
+            version,
         )
         if not engines:
             return None
         queued_s = clock_s()
-        grant = self._enter_queue(prompt)
+        grant = self._enter_queue(prompt, version)
         return self._prefill_with_grant(prompt, grant, queued_s)
 
     def keep_decodable(
@@ -126,7 +132,7 @@
             eventlet.spawn_n(self._deps.engines.release_cache, prompt.cache)
         return None
 
-    def _enter_queue(self, prompt: Prompt) -> PrefillGrant:
+    def _enter_queue(self, prompt: Prompt, version: str | None) -> PrefillGrant:
         """Wait in the prefill queue for an engine.
 
         Raises:
@@ -142,6 +148,7 @@
             avoid=self._knowledge.placement.unavailable_ids(
                 self._context.service.name, clock_s()
             ).union(self._state.tried_ids),
+            version=version,
         )
         try:
             return self._deps.prefill_queue.acquire(request)
--- a/tests/gateway/test_prefill_queue.py
+++ b/tests/gateway/test_prefill_queue.py
@@ -16,6 +16,8 @@
     PeerDisconnected,
     PeerMessage,
     PeerMessageArrived,
+    message_from_mapping,
+    message_to_mapping,
 )
 from dandelionyoke_dispatch import (
     Phase,
@@ -384,6 +386,18 @@
             placement = self.acquire(node, 'v2').placement
             self.assertEqual('i-9', placement.target.target_id)
 
+    def test_questions_of_older_and_newer_nodes_are_read(self) -> None:
+        """Guards against questions that are dropped while nodes are updated."""
+        asked = PrefillAsked(1, 'lm', 'hot', 6000, 9000, 1, 0.0, 1.0, 5.0)
+        bound = attrs.evolve(asked, version='v2')
+        mapping = message_to_mapping(bound)
+        self.assertEqual(bound, message_from_mapping(mapping))
+        self.assertEqual(
+            bound, message_from_mapping({**mapping, 'newer_field': 1})
+        )
+        mapping.pop('version')
+        self.assertEqual(asked, message_from_mapping(mapping))
+
     def test_no_prefix_of_another_version_is_fetched(self) -> None:
         """Guards against a source that a node without versions names."""
         engines = [
