Keep a decode engine of each version, and split versions alike

While two versions serve, a stream may go on only at the version that began it. The phase plan didn't look at versions: in a release all decode engines could be of one version. Then nothing goes on with the streams of the other, and its prefill engines get no prompts.

Change: each version keeps a decode engine and, of two or more engines, one that prefills; the only engine of a version decodes. Each phase of a version has at least 0.75 of its proportion, so that one phase doesn't hold up the other. A version without a decode engine gets one at once, and its last one switches only once another one is ready. A surplus that a version can't keep calls for no further engine.

engine.ordered names the version. The reference test of the choice imports it from its new module and gives it bounds that leave it free; its check is the same.

--- a/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_plan.py
@@ -1,12 +1,12 @@
 """The assignment of language engines to the prefill and decode phases."""
 
 import math
-from collections import Counter, deque
-from collections.abc import Iterable, Sequence
-from itertools import groupby
+from collections import Counter
+from collections.abc import Sequence
 
 import attrs
 
+from dandelionyoke_dispatch._decode_choice import choose_decode, decode_bounds
 from dandelionyoke_dispatch._peak import Peak
 from dandelionyoke_dispatch._phase_split import PhaseLoad, PhaseSplit
 from dandelionyoke_dispatch._registry import Phase, RegisteredTarget
@@ -24,12 +24,16 @@
     a few times the seconds that a phase change takes. At most
     `max_switching_share` of all engines, but at least two, switch to decode at
     the same time: they do no work while they switch, and after a burst that
-    ended before then, all of them would have to switch back.
+    ended before then, all of them would have to switch back. A version has at
+    least `min_version_share` of its proportion of each phase: less, and one
+    phase of it would hold up the other; more, and each engine that a release
+    replaces would make others switch.
     """
 
     min_decode_share: float = 0.2
     hold_s: float = 8.0
     max_switching_share: float = 0.1
+    min_version_share: float = 0.75
 
 
 @attrs.frozen
@@ -75,13 +79,19 @@
         if len(engines) < 2:
             return []
         wanted = self._wanted_decode(engines)
-        decoding = sum(engine.phase is Phase.DECODE for engine in engines)
+        bounds = decode_bounds(
+            engines, wanted, self._settings.min_version_share
+        )
+        wanted = bounds.clamp(wanted)
+        decoding = Counter(
+            engine.version for engine in engines if engine.phase is Phase.DECODE
+        )
         # A single surplus engine keeps decoding: it would be needed again when
         # missing engines return, and each switch takes seconds.
-        if decoding == wanted + 1 and decoding < len(engines):
-            wanted = decoding
+        if decoding.total() == wanted + 1 == bounds.count_kept(decoding):
+            wanted += 1
         self.wanted = wanted
-        decode = _choose_decode(engines, wanted)
+        decode = choose_decode(engines, wanted, bounds)
         to_decode = [
             PhaseChange(engine, Phase.DECODE)
             for engine in engines
@@ -107,7 +117,8 @@
         """Return the changes to decode that may start now.
 
         Engines missing from the minimum switch at once: decode engines were
-        lost, and their streams are waiting.
+        lost, and their streams are waiting. So do those of versions that have
+        no decode engine: nothing else can go on with their streams.
         """
         decode = [engine for engine in engines if engine.phase is Phase.DECODE]
         switching = sum(
@@ -119,7 +130,15 @@
         )
         allowed = max(MIN_SWITCHING, max_switching) - switching
         missing = self._min_decode(engines) - len(decode)
-        return to_decode[: max(0, allowed, missing)]
+        versions = {engine.version for engine in decode}
+        # Stable: the changes of versions without a decode engine come first.
+        ordered = sorted(
+            to_decode, key=lambda change: change.target.version in versions
+        )
+        stranded = sum(
+            change.target.version not in versions for change in ordered
+        )
+        return ordered[: max(0, allowed, missing, stranded)]
 
     def _limit_to_prefill(
         self,
@@ -133,15 +152,17 @@
         A decode engine switches only once another one has replaced it.
         Otherwise the old decode engines would all refuse streams before the new
         ones accept any. Nodes learn of the change only from the next
-        heartbeats, and callers would be refused for seconds. An engine in
-        neither of the two phases may switch at any time.
+        heartbeats, and callers would be refused for seconds. The last one of
+        a version stays for its streams. An engine in neither of the two phases
+        may switch at any time.
         """
-        ready = sum(
-            engine.phase is Phase.DECODE
-            and (settled is None or engine.target_id in settled)
+        ready = Counter(
+            engine.version
             for engine in engines
+            if engine.phase is Phase.DECODE
+            and (settled is None or engine.target_id in settled)
         )
-        surplus = max(0, ready - wanted)
+        surplus = max(0, ready.total() - wanted)
         decode = [
             change
             for change in to_prefill
@@ -152,7 +173,13 @@
             for change in to_prefill
             if change.target.phase is not Phase.DECODE
         ]
-        return others + decode[:surplus]
+        released: list[PhaseChange] = []
+        for change in decode:
+            version = change.target.version
+            if len(released) < surplus and ready[version] > 1:
+                ready[version] -= 1
+                released.append(change)
+        return others + released
 
     def _wanted_decode(self, engines: Sequence[RegisteredTarget]) -> int:
         slots = sum(engine.slots for engine in engines) / len(engines)
@@ -163,59 +190,3 @@
 
     def _min_decode(self, engines: Sequence[RegisteredTarget]) -> int:
         return math.ceil(len(engines) * self._settings.min_decode_share)
-
-
-def _choose_decode(
-    engines: Sequence[RegisteredTarget], count: int
-) -> frozenset[str]:
-    """Return the ids of the engines that should decode.
-
-    Engines that decode already are preferred: a switch takes seconds, during
-    which the streams of all nodes are refused. Next come on-demand engines,
-    because a stream is lost with its engine, while a prompt can be prefilled
-    again. The engines are spread over the failure domains, so that they are
-    close to most prompts and not all lost together.
-    """
-    chosen_by_domain: Counter[str] = Counter()
-    target_ids: list[str] = []
-    for _, equivalent in groupby(sorted(engines, key=_sort_key), _sort_key):
-        by_domain = _group_by_domain(equivalent)
-        while by_domain and len(target_ids) < count:
-            target_ids.append(
-                _pop_from_emptiest_domain(by_domain, chosen_by_domain)
-            )
-    return frozenset(target_ids)
-
-
-def _pop_from_emptiest_domain(
-    by_domain: dict[str, deque[str]], chosen_by_domain: Counter[str]
-) -> str:
-    """Remove and return the next engine of the domain with fewest chosen."""
-    domain = min(
-        by_domain,
-        key=lambda candidate: (
-            chosen_by_domain[candidate],
-            by_domain[candidate][0],
-        ),
-    )
-    chosen_by_domain[domain] += 1
-    target_id = by_domain[domain].popleft()
-    if not by_domain[domain]:
-        by_domain.pop(domain)
-    return target_id
-
-
-def _sort_key(engine: RegisteredTarget) -> tuple[bool, bool]:
-    return engine.phase is not Phase.DECODE, engine.is_reclaimable
-
-
-def _group_by_domain(
-    engines: Iterable[RegisteredTarget],
-) -> dict[str, deque[str]]:
-    """Return the sorted engine ids of each domain."""
-    ids_by_domain: dict[str, deque[str]] = {}
-    for engine in sorted(engines, key=lambda member: member.target_id):
-        ids_by_domain.setdefault(engine.domain, deque()).append(
-            engine.target_id
-        )
-    return ids_by_domain
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -176,6 +176,7 @@
             outcome=answer.outcome.value,
             cause=answer.cause,
             elapsed_s=answer.elapsed_s,
+            version=target.version,
             phase=order.phase.value,
             wanted_decode=plan.wanted,
             peak_streams=plan.peak.streams,
--- a/tests/dispatch/test_fleet_plans.py
+++ b/tests/dispatch/test_fleet_plans.py
@@ -19,7 +19,7 @@
     StreamSplit,
     WantedCount,
 )
-from dandelionyoke_dispatch._phase_plan import _choose_decode
+from dandelionyoke_dispatch._decode_choice import DecodeBounds, choose_decode
 
 SCALING = ScalingRange(1, 5, 4.0, 0.2, {'a': 1.0, 'b': 0.8})
 
@@ -337,6 +337,44 @@
             decoding[one.version] += one.phase is Phase.DECODE
         self.assertEqual({'v1': 5, 'v2': 3}, decoding)
 
+    def test_every_mix_of_versions_settles(self) -> None:
+        """Guards against engines that switch back and forth."""
+        random = Random(11)
+        for _ in range(200):
+            engines = [
+                engine(
+                    f'i-{number}',
+                    random.choice('abc'),
+                    random.choice((Phase.PREFILL, Phase.DECODE)),
+                    reclaimable=random.random() < 0.5,
+                    version=random.choice(('v1', 'v1', 'v2', 'v3')),
+                )
+                for number in range(random.randint(2, 24))
+            ]
+            load = PhaseLoad(random.uniform(0, 40 * len(engines)))
+            self.assert_settles(engines, load)
+
+    def assert_settles(
+        self, engines: list[RegisteredTarget], load: PhaseLoad
+    ) -> None:
+        """Apply the plan until it orders nothing more; check each version."""
+        plan = PhasePlan(PhasePlanSettings(), StreamSplit())
+        ordered = Counter[str]()
+        while changes := plan.changes(engines, load, 0):
+            for change in changes:
+                ordered[change.target.target_id] += 1
+                engines[engines.index(change.target)] = attrs.evolve(
+                    change.target, phase=change.phase
+                )
+            self.assertLessEqual(max(ordered.values()), 1)
+        versions = Counter(one.version for one in engines)
+        decoding = Counter(
+            one.version for one in engines if one.phase is Phase.DECODE
+        )
+        for version, count in versions.items():
+            self.assertGreaterEqual(decoding[version], 1)
+            self.assertLessEqual(decoding[version], max(1, count - 1))
+
     def test_the_choice_matches_the_reference_implementation(self) -> None:
         """Guards against a choice that deviates from the preference order."""
         random = Random(7)
@@ -351,9 +389,10 @@
                 for number in random.sample(range(100), 12)
             ]
             count = random.randint(0, len(engines))
+            unbounded = DecodeBounds({'v1': 0}, {'v1': len(engines)})
             self.assertEqual(
                 choose_decode_reference(engines, count),
-                _choose_decode(engines, count),
+                choose_decode(engines, count, unbounded),
             )
 
 
