--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -137,6 +137,7 @@
         self._prompt = None
         if prompt is None:
             prompt = self._prefiller.prefill()
+        prompt = self._prefiller.keep_decodable(prompt)
         with self._keep_unless_spent(prompt) as use:
             target = self._choose_decode_target(prompt)
             return self._begin_at(target, use, watch)
@@ -183,24 +184,25 @@
     def _choose_decode_target(
         self, prompt: PrefilledPrompt | None
     ) -> RegisteredTarget:
-        preferred_domain = None if prompt is None else prompt.target.domain
-        target = self._find_decode_target(preferred_domain)
+        target = self._find_decode_target(prompt)
         if target is None:
             self.refuse_if_limited()
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
         return target
 
     def _find_decode_target(
-        self, preferred_domain: str | None
+        self, prompt: PrefilledPrompt | None
     ) -> RegisteredTarget | None:
-        placement, service = (
-            self._knowledge.placement,
-            self._context.service.name,
-        )
+        placement = self._knowledge.placement
+        service = self._context.service.name
+        domain, version = None, None
+        if prompt is not None:
+            domain, version = prompt.target.domain, prompt.target.version
+        avoid, now_s = self.state.tried_ids, clock_s()
         return placement.choose_decode_target(
-            service, preferred_domain, self.state.tried_ids, clock_s()
+            service, domain, avoid, now_s, version=version
         ) or placement.choose_plain_target(
-            service, self.state.tried_ids, clock_s()
+            service, avoid, now_s, version=version
         )
 
     def _release_cache(self, prompt: PrefilledPrompt | None) -> None:
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -278,12 +278,16 @@
         self._peer_threads: list[GreenThread] = []
 
     def add_target(
-        self, script: Script, service: str = 'ledger', phase: Phase = Phase.ANY
+        self,
+        script: Script,
+        service: str = 'ledger',
+        phase: Phase = Phase.ANY,
+        version: str = '',
     ) -> ScriptedTarget:
         """Start a target and register it at the node."""
         target = ScriptedTarget(script)
         self.targets.append(target)
-        self.register(target, service, phase)
+        self.register(target, service, phase, version)
         return target
 
     def register(
@@ -291,6 +295,7 @@
         target: ScriptedTarget,
         service: str = 'ledger',
         phase: Phase = Phase.ANY,
+        version: str = '',
     ) -> str:
         """Add a target to the registry; return its ID."""
         target_id = f'i-{len(self._registered) + 1}'
@@ -303,6 +308,7 @@
                 slots=8,
                 is_leaving=False,
                 phase=phase,
+                version=version,
             )
         )
         self.knowledge.registry.replace(self._registered, clock_s())
