--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -239,12 +239,16 @@
         self._peer_threads: list[GreenThread] = []
 
     def add_target(
-        self, script: Script, service: str = 'ledger', phase: Phase = Phase.ANY
+        self,
+        script: Script,
+        service: str = 'ledger',
+        phase: Phase = Phase.ANY,
+        version: str = '',
     ) -> ScriptedTarget:
         """Start a target and register it at the node."""
         target = ScriptedTarget(script)
         self.targets.append(target)
-        self.register(target, service, phase)
+        self.register(target, service, phase, version)
         return target
 
     def register(
@@ -252,6 +256,7 @@
         target: ScriptedTarget,
         service: str = 'ledger',
         phase: Phase = Phase.ANY,
+        version: str = '',
     ) -> str:
         """Add a target to the registry; return its ID."""
         target_id = f'i-{len(self._registered) + 1}'
@@ -264,6 +269,7 @@
                 slots=8,
                 is_leaving=False,
                 phase=phase,
+                version=version,
             )
         )
         self.knowledge.registry.replace(self._registered, clock_s())
