Keep streams at the software version that began them

Cause: nothing bound a stream to the version of its first event, and the node that a caller comes back to could not know it.

Change: the version of the first event binds each later choice of a target, also in handed calls (CallHanded and ResponseBegun carry it).

The harness of handed calls registers its nodes as the current program does (keeps_origins): a stream in the middle is no longer handed to earlier versions.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -117,6 +117,11 @@
     SourceChoice as SourceChoice,
     SourceSettings as SourceSettings,
 )
+from dandelionyoke_dispatch._stream_origins import (
+    KeeperRanking as KeeperRanking,
+    StreamOrigins as StreamOrigins,
+    stream_key as stream_key,
+)
 from dandelionyoke_dispatch._target_limits import (
     TargetLimitNote as TargetLimitNote,
     TargetLimits as TargetLimits,
@@ -148,3 +153,7 @@
     WindowRecord as WindowRecord,
     sum_counts as sum_counts,
 )
+from dandelionyoke_dispatch._version_history import (
+    StreamOrigin as StreamOrigin,
+    VersionHistory as VersionHistory,
+)
--- a/packages/dispatch/dandelionyoke_dispatch/_refusals.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_refusals.py
@@ -23,6 +23,8 @@
     OVER_LIMIT = 'the organisation is over its limit'
     TARGETS_LIMITED = 'all targets get the requests that they take'
     TARGETS_RESTING = 'all targets asked this instance for rest'
+    VERSION_UNKNOWN = 'the version that began the stream is not known'
+    VERSION_GONE = 'no target of the version that began the stream'
     QUARANTINED = 'targets that ran this call have crashed'
 
 
@@ -45,6 +47,8 @@
         Cause.LEAVING,
         Cause.NO_TARGET,
         Cause.BROKEN,
+        Cause.VERSION_UNKNOWN,
+        Cause.VERSION_GONE,
     )
 )
 
--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -5,6 +5,11 @@
 
 import attrs
 
+from dandelionyoke_dispatch._version_history import (
+    StreamOrigin,
+    VersionHistory,
+)
+
 # Targets that said they leave; far more than leave within minutes.
 MAX_LEAVING_TARGETS = 1024
 
@@ -63,6 +68,7 @@
         # When each target was added, except those of the first listing.
         self._added_s: dict[str, float] = {}
         self._is_known = False
+        self.versions = VersionHistory()
         self._outage_since_s: float | None = None
         self._grace_until_s = 0.0
         self._missing: set[str] = set()
@@ -95,6 +101,7 @@
                 self._added_s[target.target_id] = now_s
             self._store_target(target)
         self._missing = set(missing)
+        self.versions.observe(self._origins(), now_s)
         self.end_grace(now_s)
 
     def grace_left_s(self, now_s: float) -> float | None:
@@ -157,6 +164,13 @@
         targets = self._targets.values()
         return [target for target in targets if target.service == service]
 
+    def _origins(self) -> list[StreamOrigin]:
+        pairs = {
+            (target.service, target.version)
+            for target in self._targets.values()
+        }
+        return [StreamOrigin(*pair) for pair in pairs]
+
     def _store_target(self, target: RegisteredTarget) -> None:
         known = self._targets.get(target.target_id)
         # An outdated listing must not reactivate a target that reported that it
--- a/packages/dispatch/dandelionyoke_dispatch/_sources.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_sources.py
@@ -20,6 +20,8 @@
 
     `capacity` is its processor time in seconds per second. `takes_calls` is
     whether other nodes may hand it calls; earlier versions take none.
+    `keeps_origins` is whether it keeps where streams of other nodes began, and
+    lets a call that is handed to it go on at its version.
     """
 
     instance_id: str
@@ -27,6 +29,7 @@
     address: str
     capacity: float = 1.0
     takes_calls: bool = False
+    keeps_origins: bool = False
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/dispatch/dandelionyoke_dispatch/_version_history.py
@@ -0,0 +1,51 @@
+"""The versions of their software that targets had lately."""
+
+from collections.abc import Iterable
+
+import attrs
+
+# Far longer than a stream lasts.
+KEPT_S = 3600.0
+# Without a listing for this long, a version may have come and gone unseen.
+MAX_GAP_S = 10.0
+
+
+@attrs.frozen
+class StreamOrigin:
+    """The service and the version of its software that began a stream."""
+
+    service: str
+    version: str
+
+
+class VersionHistory:
+    """When targets of each version of a service were last listed."""
+
+    def __init__(self) -> None:
+        # Listings came without a gap from the first to the second of these.
+        self._since_s: float | None = None
+        self._until_s = 0.0
+        self._last_s: dict[StreamOrigin, float] = {}
+
+    def observe(self, listed: Iterable[StreamOrigin], now_s: float) -> None:
+        """Record the versions of all listed targets."""
+        if self._since_s is None or now_s - self._until_s > MAX_GAP_S:
+            self._since_s = now_s
+        self._until_s = now_s
+        self._last_s.update(dict.fromkeys(listed, now_s))
+        for origin, last_s in tuple(self._last_s.items()):
+            if now_s - last_s > KEPT_S:
+                self._last_s.pop(origin)
+
+    def knows_since(self, since_s: float) -> bool:
+        """Whether targets have been listed all the time since then."""
+        return self._since_s is not None and self._since_s <= since_s
+
+    def only_version(self, service: str, since_s: float) -> str | None:
+        """Return the version of a service; None if it had several or none."""
+        versions = {
+            origin.version
+            for origin, last_s in self._last_s.items()
+            if origin.service == service and last_s >= since_s
+        }
+        return versions.pop() if len(versions) == 1 else None
--- a/packages/gateway/dandelionyoke_gateway/_call_context.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_context.py
@@ -32,6 +32,10 @@
     failed_connections: int = 0
     # Whether no other node could take the call.
     is_declined_elsewhere: bool = False
+    # The version of the targets that may run it; None: any.
+    version: str | None = None
+    # Whether an event was passed on.
+    has_events: bool = False
 
     @property
     def deadline_s(self) -> float:
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -42,6 +42,7 @@
     RateLimits,
 )
 from dandelionyoke_gateway._reach_task import ReachTask
+from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
 from dandelionyoke_gateway._target_connection import TargetConnection
 from dandelionyoke_gateway._target_gate import TargetGate
 from dandelionyoke_gateway._target_pool import TargetPool
@@ -64,6 +65,7 @@
     target_gate: TargetGate
     reach: ReachTask
     handover: Handover
+    origins: StreamOriginKeeper
 
     @contextmanager
     def connect_to(
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -38,7 +38,8 @@
     that its caller has received. `service` was chosen for it. `is_sent` and
     `is_prefill_sent` tell whether the call, or a prefill for it, was sent to a
     target before. The KV cache of its prompt, if any, is at the engine
-    `cache_target_id`; the other node releases it.
+    `cache_target_id`; the other node releases it. Its stream goes on at targets
+    of `version` only; None: at any.
     """
 
     peer_id: str
@@ -50,6 +51,7 @@
     is_prefill_sent: bool
     cache_target_id: str
     cache_handle: str
+    version: str | None = None
 
 
 @attrs.frozen
@@ -87,6 +89,8 @@
     has_started: bool
     # The target of the last answer, if it said that it leaves.
     leaving: RegisteredTarget | None
+    # The version of the target that streams the response.
+    version: str | None
 
     def respond(self, head: ResponseHead, body: bytes) -> None:
         """Write a complete response."""
@@ -116,6 +120,7 @@
         self.is_complete = False
         self.has_started = False
         self.leaving: RegisteredTarget | None = None
+        self.version: str | None = None
 
     def respond(self, head: ResponseHead, body: bytes) -> None:
         """Write a complete response."""
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -42,6 +42,7 @@
         self.head = ResponseHead(begun.status, begun.headers)
         self.is_stream = begun.is_stream
         self.may_have_run = begun.may_have_run
+        self.version = begun.version
 
     def read_chunk(self, deadline_s: float) -> bytes | None:
         """Read a part of the response body; None at its regular end.
@@ -127,7 +128,10 @@
             ExchangeError: none can, or the response was cut off.
         """
         service = context.service.name
-        for member in self._choose_members(service):
+        members = self._choose_members(
+            service, is_bound=context.version is not None
+        )
+        for member in members:
             channel = self._open_channel(member, service)
             if channel is None:
                 continue
@@ -143,13 +147,17 @@
         context.is_declined_elsewhere = True
         raise ExchangeError('no other node serves the call', sent=False)
 
-    def _choose_members(self, service: str) -> list[Member]:
-        """Choose among all nodes alike: those of this domain may be cut off."""
+    def _choose_members(self, service: str, *, is_bound: bool) -> list[Member]:
+        """Choose among all nodes alike: those of this domain may be cut off.
+
+        A stream that is bound to a version goes to nodes that heed it.
+        """
         now_s = clock_s()
         members = [
             member
             for member in self._knowledge.sources.others()
             if member.takes_calls
+            and (member.keeps_origins or not is_bound)
             and now_s
             >= self._cooldown_until_s.get((service, member.instance_id), 0.0)
         ]
@@ -264,6 +272,7 @@
         context.attempts.is_prefill_sent,
         '' if cache is None else cache.target.target_id,
         '' if cache is None else cache.handle,
+        context.version,
     )
     context.attempts.handed(channel.peer_id)
     try:
--- a/packages/gateway/dandelionyoke_gateway/_handover_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_messages.py
@@ -21,7 +21,8 @@
     caller has received. At most `attempts_left` targets may run the call.
     `service` was chosen for it. `is_sent` and `is_prefill_sent` tell whether
     the call, or a prefill for it, was sent to a target before. The KV cache
-    of its prompt, if any, is at the engine `cache_target_id`.
+    of its prompt, if any, is at the engine `cache_target_id`. Its stream goes on
+    at targets of `version` only; None: at any.
     """
 
     method: str
@@ -36,6 +37,7 @@
     is_prefill_sent: bool = False
     cache_target_id: str = ''
     cache_handle: str = ''
+    version: str | None = None
 
     @property
     def is_valid(self) -> bool:
@@ -61,7 +63,8 @@
     `is_sent` and `is_prefill_sent` are False only if no node has sent the
     call, or a prefill for it, to a target. The target `leaving_id`, if any,
     which has started at `leaving_started_ms`, said in its answer that it
-    leaves.
+    leaves. All events of a stream come from targets of `version`; nodes of
+    earlier versions name none.
     """
 
     status: int
@@ -73,3 +76,4 @@
     is_prefill_sent: bool = True
     leaving_id: str = ''
     leaving_started_ms: int | None = None
+    version: str | None = None
--- a/packages/gateway/dandelionyoke_gateway/_handover_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_server.py
@@ -40,6 +40,7 @@
         self.is_complete = False
         self.has_started = False
         self.leaving: RegisteredTarget | None = None
+        self.version: str | None = None
 
     def respond(self, head: ResponseHead, body: bytes) -> None:
         """Write a complete response."""
@@ -61,7 +62,10 @@
 
     def start(self, head: ResponseHead) -> None:
         """Write the head of a response of unknown length."""
-        self._begin(ResponseBegun(head.status, head.headers, is_stream=True))
+        begun = ResponseBegun(
+            head.status, head.headers, is_stream=True, version=self.version
+        )
+        self._begin(begun)
 
     def send_chunk(self, content: bytes) -> None:
         """Write a part of the response body."""
@@ -163,6 +167,7 @@
             call.is_prefill_sent,
             call.cache_target_id,
             call.cache_handle,
+            call.version,
         ),
     )
 
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -196,6 +196,7 @@
             f'{settings.peers.host}:{settings.peers.port}',
             settings.processors * settings.processor_share,
             takes_calls=True,
+            keeps_origins=True,
         )
 
     def own_demand(self, now_s: float) -> DemandSample:
--- a/packages/gateway/dandelionyoke_gateway/_news_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_links.py
@@ -28,6 +28,7 @@
 from dandelionyoke_gateway._ports import Store
 from dandelionyoke_gateway._prefill_links import PrefillLinks
 from dandelionyoke_gateway._source_services import SourceServices
+from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
 from dandelionyoke_links import PeerHub, PeerSettings
 
 # Shared secret that authenticates peers, so access to the store grants access
@@ -46,6 +47,7 @@
     source_services: SourceServices
     handover: Handover
     handover_server: HandoverServer
+    origins: StreamOriginKeeper
 
     def attach(self, hub: PeerHub) -> None:
         """Let all parts send over the links of a hub."""
@@ -53,12 +55,15 @@
         self.handover.attach(hub.open_call)
         self.prefill_links.attach(hub.send)
         self.source_services.start(hub.send, hub.connect)
+        self.origins.attach(hub.send, hub.connect)
 
     def handle_event(self, event: Event) -> bool:
         """Handle a link event; return whether it was for one of the parts."""
-        return self.prefill_links.handle_event(
-            event
-        ) or self.source_services.handle_event(event)
+        return (
+            self.origins.handle_event(event)
+            or self.prefill_links.handle_event(event)
+            or self.source_services.handle_event(event)
+        )
 
 
 def serve_news(
--- a/packages/gateway/dandelionyoke_gateway/_node_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_node_links.py
@@ -16,6 +16,7 @@
 from dandelionyoke_gateway._prefill_links import PrefillLinks
 from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
 from dandelionyoke_gateway._source_services import SourceServices
+from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
 
 
 @attrs.frozen
@@ -28,6 +29,7 @@
     sources: SourceServices
     local_prefill_queue: LocalPrefillQueue
     prefill_queue: DomainPrefillQueue
+    origins: StreamOriginKeeper
 
     def start(
         self,
@@ -48,6 +50,7 @@
             self.sources,
             self.handover,
             HandoverServer(handler, self.log),
+            self.origins,
         )
         eventlet.spawn_n(
             serve_news, listener, services, self.knowledge, store, self.log
@@ -65,4 +68,5 @@
         sources,
         local_prefill_queue,
         DomainPrefillQueue(local_prefill_queue, knowledge, log),
+        StreamOriginKeeper(knowledge),
     )
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -130,6 +130,7 @@
                 self._links.sources.target_gate,
                 ReachTask(self._knowledge, self._log),
                 self._links.handover,
+                self._links.origins,
             ),
             forward_plain_call,
             forward_stream_call,
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -37,6 +37,13 @@
     PrefilledPrompt,
     PromptPrefiller,
 )
+from dandelionyoke_gateway._stream_binding import (
+    bind_at_event,
+    bind_at_head,
+    bind_resumed,
+    ids_to_avoid,
+    is_version_lost,
+)
 from dandelionyoke_gateway._stream_call_state import (
     RetryableError,
     RetryDeniedError,
@@ -55,6 +62,7 @@
 
 def forward_stream_call(deps: CallDependencies, context: CallContext) -> None:
     """Run the prefill, then forward the stream to the caller."""
+    bind_resumed(deps, context)
     _StreamCall(deps, context).run()
 
 
@@ -121,6 +129,8 @@
             return False
         if context.responder.has_started and not context.route.is_resumable:
             return False
+        if is_version_lost(context):
+            return False
         return context.attempts.may_run_again(context.route.is_repeatable)
 
     def _charge_retry(self) -> None:
@@ -173,16 +183,17 @@
         self, prompt: PrefilledPrompt | None
     ) -> RegisteredTarget:
         preferred_domain = None if prompt is None else prompt.target.domain
+        avoid = ids_to_avoid(self._deps, self._context, self._state.tried_ids)
         target = self._knowledge.placement.choose_decode_target(
             self._context.service.name,
             preferred_domain,
-            self._state.tried_ids,
+            avoid,
             clock_s(),
         )
         if target is not None:
             return target
         target = self._knowledge.placement.choose_plain_target(
-            self._context.service.name, self._state.tried_ids, clock_s()
+            self._context.service.name, avoid, clock_s()
         )
         if target is None:
             self._refuse_if_limited()
@@ -228,7 +239,7 @@
             connection.send(head, self._context.request.body)
             is_stream = self._read_head(target, connection)
             if is_stream:
-                self._relay(connection)
+                self._relay(connection, target.version)
         if is_stream:
             self._knowledge.loads.succeeded(target.target_id)
             self._context.attempts.ran()
@@ -258,6 +269,7 @@
             since_arrival_s=since_arrival_s,
         )
         if facts.status == HTTPStatus.OK:
+            bind_at_head(self._context, target)
             self._start_response(response)
             return True
         self._forward_error(response, connection)
@@ -306,7 +318,9 @@
             head = self._deps.dialect.response_head(response)
             self._context.responder.start(head)
 
-    def _relay(self, connection: TargetConnection | HandedCall) -> None:
+    def _relay(
+        self, connection: TargetConnection | HandedCall, version: str | None
+    ) -> None:
         splitter = EventSplitter()
         while True:
             chunk = connection.read_chunk(self._read_deadline_s())
@@ -314,6 +328,12 @@
                 break
             events = splitter.feed(chunk)
             if events:
+                bind_at_event(
+                    self._deps,
+                    self._context,
+                    version,
+                    is_elsewhere=isinstance(connection, HandedCall),
+                )
                 self._forward_events(events)
         if not splitter.is_at_event_boundary:
             raise ExchangeError(
@@ -367,7 +387,7 @@
                 responder.respond(head, body)
             return
         self._start_response(call.head)
-        self._relay(call)
+        self._relay(call, call.version)
         responder.finish()
 
     # Deadlines.
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -42,6 +42,7 @@
 from dandelionyoke_gateway._rate_limits import DomainRateLimits
 from dandelionyoke_gateway._reach_task import ReachTask
 from dandelionyoke_gateway._stream_call import forward_stream_call
+from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
 from dandelionyoke_gateway._target_gate import TargetGate
 from dandelionyoke_links import (
     PeerHub,
@@ -216,6 +217,7 @@
         self.rate_limits = DomainRateLimits(self.knowledge, self._log)
         self.target_gate = TargetGate(self.knowledge, self._log)
         self.handover = Handover(self.knowledge, self._log, self.target_gate)
+        self.origins = StreamOriginKeeper(self.knowledge)
         self.prefill_queue = LocalPrefillQueue(self.knowledge)
         self._dispatcher = CallDispatcher(
             CallDependencies(
@@ -230,6 +232,7 @@
                 self.target_gate,
                 ReachTask(self.knowledge, self._log),
                 self.handover,
+                self.origins,
             ),
             forward_plain_call,
             forward_stream_call,
@@ -288,7 +291,9 @@
         self._peer_threads.append(eventlet.spawn(hub.serve, listener))
         host, port = listener.getsockname()
         address = f'{host}:{port}'
-        return Member(instance_id, 'a', address, takes_calls=True)
+        return Member(
+            instance_id, 'a', address, takes_calls=True, keeps_origins=True
+        )
 
     def connect(self) -> socket.socket:
         """Open a connection as a caller."""
