Test streams taken up after their node was killed, stopped or restarted

Guards against streams that are lost or mixed over a caller's tries: the first node killed (caller back at once and 2 s later), stopped and continued, restarted (it asks), and two nodes at the same time. The reader ends with the response, not with the connection.

--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import json
+import signal
 import tempfile
 
 import eventlet
@@ -15,9 +16,10 @@
     ScriptedTarget,
     request_bytes,
 )
-from tests.platform.program import Program, wait_for
+from tests.platform.program import Ports, Program, wait_for
 from tests.platform.store_standin import StoreStandin
 from tests.platform.versioned_engines import (
+    EVENTS_PER_STREAM,
     events_in,
     streams_version,
     take_up,
@@ -28,6 +30,8 @@
 VERSIONS = ('v1', 'v1', 'v2', 'v2')
 STREAM_COUNT = 12
 MEMBERS_LISTED_S = 4.5
+COME_BACK_S = 2.0
+READ_TIMEOUT_S = 4.0
 
 
 def configuration() -> str:
@@ -73,7 +77,11 @@
         for number, version in enumerate(VERSIONS):
             self._add_engine(f'i-{number}', version)
         self._numbers = itertools.count()
-        self.nodes = [self._start_node(domain) for domain in DOMAINS]
+        self.ports = [Ports() for _ in DOMAINS]
+        self.nodes = [
+            self._start_node(domain, ports)
+            for domain, ports in zip(DOMAINS, self.ports, strict=True)
+        ]
         for node in self.nodes:
             node.wait_until_ready()
         wait_for(
@@ -96,8 +104,8 @@
         }
         self.store.put(f'servers/{name}', json.dumps(entry))
 
-    def _start_node(self, domain: str) -> Program:
-        program = Program(self.store, self.folder, domain=domain)
+    def _start_node(self, domain: str, ports: Ports) -> Program:
+        program = Program(self.store, self.folder, ports, domain=domain)
         self.addCleanup(program.process.wait)
         self.addCleanup(program.process.kill)
         self.addOnException(
@@ -122,13 +130,14 @@
         """Read a stream to its end, or leave after so many events."""
         content = b''
         with eventlet.connect(('127.0.0.1', node.port)) as sock:
+            sock.settimeout(READ_TIMEOUT_S)
             sock.sendall(
                 request_bytes('/resume/1', extra=extra, attempt_id=attempt_id)
             )
             with contextlib.suppress(OSError):
                 while data := sock.recv(65536):
                     content += data
-                    if event_count and events_in(content) >= event_count:
+                    if has_ended(content, event_count):
                         break
         return content
 
@@ -147,6 +156,28 @@
         mixed = [text for text in streams if len(versions_in(text)) > 1]
         self.assertEqual([], mixed)
 
+    def begin_some(self) -> list[tuple[str, bytes]]:
+        """Begin streams at the first node."""
+        return [self.begin(self.nodes[0]) for _ in range(STREAM_COUNT)]
+
+    def go_on_all(
+        self, nodes: list[Program], begun: list[tuple[str, bytes]]
+    ) -> list[bytes]:
+        """Take streams up at some nodes in turn; return all their bytes."""
+        turns = itertools.cycle(nodes)
+        return [
+            content + self.go_on(next(turns), attempt_id, content)
+            for attempt_id, content in begun
+        ]
+
+    def assert_whole(self, streams: list[bytes]) -> None:
+        """All streams reached their ends at their versions."""
+        self.assert_one_version(streams)
+        self.assertEqual(STREAM_COUNT, sum(map(is_whole, streams)), streams[-1])
+        self.assertEqual(
+            [EVENTS_PER_STREAM] * STREAM_COUNT, list(map(events_in, streams))
+        )
+
     def test_streams_taken_up_at_another_node_stay_at_their_version(
         self,
     ) -> None:
@@ -159,6 +190,61 @@
         self.assert_one_version(streams)
         self.assertEqual(STREAM_COUNT, sum(map(is_whole, streams)))
 
+    def test_streams_of_a_killed_node_go_on_at_their_version(self) -> None:
+        """Guards against streams that are lost or mixed with their node."""
+        begun = self.begin_some()
+        self.nodes[0].process.kill()
+        self.assert_whole(self.go_on_all(self.nodes[1:], begun))
+        eventlet.sleep(COME_BACK_S)
+        self.assert_whole(self.go_on_all(self.nodes[1:], begun))
+
+    def test_streams_of_a_stopped_node_go_on_at_their_version(self) -> None:
+        """Guards against a node that stands still and then goes on."""
+        begun = self.begin_some()
+        first = self.nodes[0]
+        first.send_signal(signal.SIGSTOP)
+        try:
+            self.assert_whole(self.go_on_all(self.nodes[1:], begun))
+        finally:
+            first.send_signal(signal.SIGCONT)
+        self.assert_whole(self.go_on_all([first], begun))
+
+    def test_a_restarted_node_asks_for_the_streams_that_it_began(self) -> None:
+        """Guards against a node that forgets its own streams."""
+        begun = self.begin_some()
+        first = self.nodes[0]
+        first.process.kill()
+        first.process.wait()
+        restarted = self._start_node(DOMAINS[0], self.ports[0])
+        restarted.wait_until_ready()
+        eventlet.sleep(MEMBERS_LISTED_S)
+        self.assert_whole(self.go_on_all([restarted], begun))
+        self.assertIn('"outcome": "asked"', restarted.log.read_text())
+
+    def test_two_nodes_at_the_same_time_keep_to_the_version(self) -> None:
+        """Guards against two tries of a caller that go on apart."""
+        begun = self.begin_some()
+        tries = [
+            eventlet.spawn(self.go_on, node, attempt_id, content)
+            for attempt_id, content in begun
+            for node in self.nodes[1:]
+        ]
+        contents = [text for _, text in begun for _ in self.nodes[1:]]
+        streams = [
+            content + each.wait()
+            for content, each in zip(contents, tries, strict=True)
+        ]
+        self.assert_one_version(streams)
+        self.assertEqual(2 * STREAM_COUNT, sum(map(is_whole, streams)))
+
+
+def has_ended(content: bytes, event_count: int | None) -> bool:
+    """Whether a caller reads no more of a response."""
+    if event_count and events_in(content) >= event_count:
+        return True
+    is_refusal = not content.startswith(b'HTTP/1.1 200 ')
+    return is_whole(content) or (is_refusal and b'\r\n\r\n' in content)
+
 
 def is_whole(content: bytes) -> bool:
     """Whether a caller has received the end of a stream."""
