Ask an engine for its start before a bound stream goes there

Callers saw streams of one version go on at an engine that had started again under its id as another one. Cause: Target-Instance guards the id only, and the registry lists the new start and version later; a stream that was sent just then ran at the new version.

Evidence: test_a_stream_does_not_go_on_at_an_engine_that_started_anew got events of v2 in a stream of v1 before this change (version bound, as listed), and passes with it.

Change: born in the engine's report is compared with the listed one before a stream that is bound to a version is sent. Another one: the engine is left alone until it is listed anew; no report: it is passed over for this stream.

--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -129,12 +129,14 @@
 class EngineReport:
     """The state that an engine reports, up to some hundred milliseconds old.
 
-    `order_count` is the number of orders that it accepted since its start.
+    `order_count` is the number of orders that it accepted since its start, at
+    `started_ms`; None if it does not say.
     """
 
     phase: Phase
     order_count: int
     is_busy_with_order: bool
+    started_ms: int | None = None
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -51,6 +51,7 @@
 )
 from dandelionyoke_gateway._target_connection import TargetConnection
 from dandelionyoke_gateway._target_gate import TargetLimitedError
+from dandelionyoke_gateway._target_identity import check_identity
 
 MAX_ERROR_BODY_BYTES = 1048576
 MAX_SENDS = 4
@@ -211,6 +212,7 @@
     def _stream_from(
         self, target: RegisteredTarget, prompt: PrefilledPrompt | None
     ) -> None:
+        check_identity(self._state, target)
         self._deps.target_gate.enter(target, self._context.call.attempt_id)
         loads = self._knowledge.loads
         loads.call_started(target.target_id)
