--- a/packages/gateway/dandelionyoke_gateway/_begun_stream.py
+++ b/packages/gateway/dandelionyoke_gateway/_begun_stream.py
@@ -29,6 +29,13 @@
     exchange: ExitStack
     target: RegisteredTarget | None = None
 
+    @property
+    def version(self) -> str | None:
+        """The version that writes it; None if another node names none."""
+        if isinstance(self.source, HandedCall):
+            return self.source.version
+        return None if self.target is None else self.target.version
+
     def abandon(self) -> None:
         """End the exchange; the target stops working on it."""
         error = StreamAbandonedError()
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -49,6 +49,7 @@
 )
 from dandelionyoke_gateway._reach_task import ReachTask
 from dandelionyoke_gateway._silence import SilenceWatch
+from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
 from dandelionyoke_gateway._target_connection import TargetConnection
 from dandelionyoke_gateway._target_gate import TargetGate
 from dandelionyoke_gateway._target_pool import TargetPool
@@ -71,6 +72,7 @@
     target_gate: TargetGate
     reach: ReachTask
     handover: Handover
+    origins: StreamOriginKeeper
 
     @contextmanager
     def connect_to(
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -45,7 +45,8 @@
     `is_prefill_sent` tell whether the call, or a prefill for it, was sent to a
     target before. The KV cache of its prompt, if any, is at the engine
     `cache_target_id`; the other node releases it. The call came at
-    `received_s`. `terms` were granted to it, None from an older program.
+    `received_s`. `terms` were granted to it, None from an older program. Its
+    stream goes on at targets of `version` only; None: at any.
     """
 
     peer_id: str
@@ -59,6 +60,7 @@
     cache_handle: str
     received_s: float
     terms: CallTerms | None
+    version: str | None = None
 
 
 @attrs.frozen
@@ -96,6 +98,8 @@
     has_started: bool
     # The target of the last answer, if it said that it leaves.
     leaving: RegisteredTarget | None
+    # The version of the target that streams the response.
+    version: str | None
 
     def respond(self, head: ResponseHead, body: bytes) -> None:
         """Write a complete response."""
@@ -135,6 +139,7 @@
         self.is_complete = False
         self.has_started = False
         self.leaving: RegisteredTarget | None = None
+        self.version: str | None = None
 
     def respond(self, head: ResponseHead, body: bytes) -> None:
         """Write a complete response."""
--- a/packages/gateway/dandelionyoke_gateway/_handover_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_messages.py
@@ -54,7 +54,8 @@
     `service` was chosen for it. `is_sent` and `is_prefill_sent` tell whether
     the call, or a prefill for it, was sent to a target before. The KV cache
     of its prompt, if any, is at the engine `cache_target_id`. An older
-    program sends no `terms`.
+    program sends no `terms`. Its stream goes on at targets of `version` only;
+    None: at any.
     """
 
     method: str
@@ -70,6 +71,7 @@
     cache_target_id: str = ''
     cache_handle: str = ''
     terms: CallTerms | None = None
+    version: str | None = None
 
     @property
     def is_valid(self) -> bool:
@@ -97,7 +99,8 @@
     `is_sent` and `is_prefill_sent` are False only if no node has sent the
     call, or a prefill for it, to a target. The target `leaving_id`, if any,
     which has started at `leaving_started_ms`, said in its answer that it
-    leaves.
+    leaves. All events of a stream come from targets of `version`; nodes of
+    earlier versions name none.
     """
 
     status: int
@@ -109,3 +112,4 @@
     is_prefill_sent: bool = True
     leaving_id: str = ''
     leaving_started_ms: int | None = None
+    version: str | None = None
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -24,6 +24,12 @@
     SupersededError,
     SwitchedWatch,
 )
+from dandelionyoke_gateway._stream_binding import (
+    bind_at_event,
+    bind_at_head,
+    bind_resumed,
+    is_version_lost,
+)
 from dandelionyoke_gateway._stream_call_state import (
     RetryableError,
     RetryDeniedError,
@@ -44,6 +50,7 @@
 
 def forward_stream_call(deps: CallDependencies, context: CallContext) -> None:
     """Run the prefill, then forward the stream to the caller."""
+    bind_resumed(deps, context)
     _StreamCall(deps, context).run()
 
 
@@ -107,6 +114,8 @@
             return False
         if context.responder.has_started and not context.route.is_resumable:
             return False
+        if is_version_lost(context):
+            return False
         return context.attempts.may_run_again(context.route.is_repeatable)
 
     def _next_stream(self) -> BegunStream:
@@ -232,6 +241,8 @@
     def _relay(self, stream: BegunStream) -> None:
         if isinstance(stream.source, HandedCall):
             stream.source.watch(self)
+        else:
+            bind_at_head(self._context, stream.version)
         responder = self._context.responder
         if not responder.has_started:
             responder.start(self._deps.dialect.response_head(stream.head))
@@ -240,6 +251,12 @@
         while (chunk := stream.source.read_chunk(deadline_s)) is not None:
             events = splitter.feed(chunk)
             if events:
+                bind_at_event(
+                    self._deps,
+                    self._context,
+                    stream.version,
+                    is_elsewhere=stream.target is None,
+                )
                 self._forward_events(events)
             deadline_s = self._context.deadline_s
         if not splitter.is_at_event_boundary:
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -44,6 +44,7 @@
 )
 from dandelionyoke_gateway._target_connection import TargetConnection
 from dandelionyoke_gateway._target_gate import TargetLimitedError
+from dandelionyoke_gateway._target_identity import check_identity
 
 MAX_ERROR_BODY_BYTES = 1048576
 
@@ -133,11 +134,7 @@
         if not is_reached or handover.cannot_be_served(self._context):
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
         self._charge_retry()
-        prompt = self._prompt
-        self._prompt = None
-        if prompt is None:
-            prompt = self._prefiller.prefill()
-        prompt = self._prefiller.keep_decodable(prompt)
+        prompt = self._take_prompt()
         with self._keep_unless_spent(prompt) as use:
             target = self._choose_decode_target(prompt)
             return self._begin_at(target, use, watch)
@@ -168,6 +165,21 @@
         is_prefill_repeated = self._prompt is None and attempts.is_prefill_sent
         return attempts.is_sent + is_prefill_repeated
 
+    def _take_prompt(self) -> PrefilledPrompt | None:
+        """Return a prompt that the stream can go on from; prefill it if none.
+
+        None if the decode engine must prefill it.
+        """
+        version = self._context.version
+        prompt = self._prompt
+        self._prompt = None
+        if prompt is not None and version not in {None, prompt.target.version}:
+            self._release_cache(prompt)
+            prompt = None
+        if prompt is None:
+            prompt = self._prefiller.prefill(version)
+        return self._prefiller.keep_decodable(prompt)
+
     @contextmanager
     def _keep_unless_spent(
         self, prompt: PrefilledPrompt | None
@@ -195,7 +207,7 @@
     ) -> RegisteredTarget | None:
         placement = self._knowledge.placement
         service = self._context.service.name
-        domain, version = None, None
+        domain, version = None, self._context.version
         if prompt is not None:
             domain, version = prompt.target.domain, prompt.target.version
         avoid, now_s = self.state.tried_ids, clock_s()
@@ -216,6 +228,7 @@
     def _begin_at(
         self, target: RegisteredTarget, use: _PromptUse, watch: SilenceWatch
     ) -> BegunStream:
+        check_identity(self.state, target)
         self._deps.target_gate.enter(target, self._context.call.attempt_id)
         loads = self._knowledge.loads
         with ExitStack() as exchange:
