Hold the port of a test's target that refuses connections

What was seen: test_handed_calls_keep_the_retry_budget_without_decode_engines failed once beside other tests (502 in place of 503), 5 of 72 times with 24 of it at once (502 and 504), once of 16 on (401).

Cause: a target refuses connections by closing its listening socket, and the kernel gives its port to another test process, which answers. The log of a failure, attached now: `a success response without a signature` from the closed target.

Change: the port stays bound while connections are refused.

--- a/tests/platform/local_server.py
+++ b/tests/platform/local_server.py
@@ -17,15 +17,21 @@
         self.address = f'{host}:{port}'
         self._acceptor: GreenThread = eventlet.spawn(self._accept)
         self._threads: list[GreenThread] = []
+        # Keeps the port from other processes while connections are refused.
+        self._port_holder: socket.socket | None = None
 
     def refuse_connections(self) -> None:
         """Refuse new connections; open ones stay."""
         self._acceptor.kill()
         self.listener.close()
+        if self._port_holder is None:
+            self._port_holder = _hold_port(self.address)
 
     def close(self) -> None:
         """Refuse new connections and end the threads of the open ones."""
         self.refuse_connections()
+        if self._port_holder is not None:
+            self._port_holder.close()
         for thread in self._threads:
             thread.kill()
 
@@ -33,3 +39,12 @@
         while True:
             sock, _ = self.listener.accept()
             self._threads.append(eventlet.spawn(self._serve, sock))
+
+
+def _hold_port(address: str) -> socket.socket:
+    """Bind a port without listening, so that its connections are refused."""
+    host, _, port = address.rpartition(':')
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, int(port)))
+    return sock
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -6,6 +6,7 @@
 import attrs
 import eventlet
 import testtools
+from testtools.content import text_content
 
 from dandelionyoke_dispatch import Phase
 from dandelionyoke_gateway import clock_s
@@ -113,6 +114,11 @@
         )
         node = NodeHarness(name, settings)
         self.addCleanup(node.close)
+        self.addOnException(
+            lambda _: self.addDetail(
+                f'log of {name}', text_content(node.log_lines.text)
+            )
+        )
         return node
 
     def add_targets(
