Refuse connections from the moment a process has stopped

Cause: the process had logged process.stopped, but its listening sockets stayed open while the interpreter ended: connections were established, their requests waited unread, and the end of the process reset them.

Change: listeners are closed as soon as the process has stopped, so that a caller is refused at once and tries another node.

--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -105,6 +105,7 @@
         self._log = DecisionLog(sink, settings.instance_id, self._metrics)
         self._exit_status = green_event.Event()
         self._connections: set[CallerConnection] = set()
+        self._listeners: list[socket.socket] = []
         self._random = Random()
         self._knowledge = new_knowledge(settings, self._random)
         pool = TargetPool()
@@ -156,6 +157,7 @@
             'process.started', self._settings.instance_id, outcome='listening'
         )
         status: ExitStatus = self._exit_status.wait()
+        self._close_listeners()
         return status
 
     def _start_tasks(self, peers: socket.socket) -> None:
@@ -233,8 +235,15 @@
 
     def _listen_and_serve(self, endpoint: Endpoint, handler: Handler) -> None:
         listener = _listen(endpoint)
+        self._listeners.append(listener)
         eventlet.spawn_n(self._accept, listener, handler)
 
+    def _close_listeners(self) -> None:
+        """Refuse connections from now on: none would be read any more."""
+        for listener in self._listeners:
+            # The connections that wait to be accepted are reset.
+            listener.close()
+
     def _accept(self, listener: socket.socket, handler: Handler) -> None:
         while True:
             try:
--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -74,6 +74,7 @@
         domain: str = 'a',
         store_address: str = '',
         duty_address: str = '',
+        exit_delay_s: float = 0.0,
     ) -> None:
         ports = ports or Ports()
         self.port = ports.callers
@@ -94,7 +95,7 @@
             'duty_turn_ms = 3000\nusage_window_s = 2\nusage_late_s = 10\n'
         )
         self.process = subprocess.Popen(
-            [sys.executable, '-W', 'ignore', '-m', 'dandelionyoke_platform'],
+            [sys.executable, '-W', 'ignore', *_start_arguments(exit_delay_s)],
             env={
                 **os.environ,
                 'DANDELIONYOKE_BOOT': str(settings),
@@ -146,3 +147,18 @@
     def has_ended(self) -> bool:
         """Whether the process has exited."""
         return self.process.poll() is not None
+
+
+def _start_arguments(exit_delay_s: float) -> list[str]:
+    """Return the arguments that start the program.
+
+    The interpreter may need `exit_delay_s` more to end than it usually does.
+    """
+    if not exit_delay_s:
+        return ['-m', 'dandelionyoke_platform']
+    return [
+        '-c',
+        'import atexit, runpy, time\n'
+        f'atexit.register(time.sleep, {exit_delay_s})\n'
+        "runpy.run_module('dandelionyoke_platform', run_name='__main__')",
+    ]
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -28,6 +28,11 @@
 from tests.platform.program import Ports, Program, wait_for
 from tests.platform.store_standin import StoreStandin
 
+# An interpreter that is slow to end, and the longest time for which it may
+# leave a request unread.
+EXIT_DELAY_S = 3.0
+MAX_UNREAD_S = 1.0
+
 
 def configuration(version: int = 1, keys: tuple[str, ...] = (API_KEY,)) -> str:
     route = {
@@ -86,8 +91,12 @@
             yield self.pause_s
         yield answer()
 
-    def start_program(self, ports: Ports | None = None) -> Program:
-        program = Program(self.store, self.folder, ports)
+    def start_program(
+        self, ports: Ports | None = None, exit_delay_s: float = 0.0
+    ) -> Program:
+        program = Program(
+            self.store, self.folder, ports, exit_delay_s=exit_delay_s
+        )
         self.addCleanup(program.process.wait)
         self.addCleanup(program.process.kill)
         self.addOnException(lambda _: self.show_log(program))
@@ -175,6 +184,19 @@
         wait_for(program.has_ended, 'the end')
         self.assertEqual(0, program.process.returncode)
 
+    def test_a_process_that_ends_keeps_no_request_waiting(self) -> None:
+        """Guards against requests that wait unread for the process's end."""
+        program = self.start_program(exit_delay_s=EXIT_DELAY_S)
+        program.send_signal(signal.SIGTERM)
+        unanswered_s = []
+        while not program.has_ended():
+            sent_s = clock_s()
+            if not program.call():
+                unanswered_s.append(clock_s() - sent_s)
+            eventlet.sleep(0.01)
+        self.assertTrue(unanswered_s)
+        self.assertLess(max(unanswered_s), MAX_UNREAD_S)
+
     def test_sighup_during_startup_does_not_end_the_process(self) -> None:
         """Settings change while a process loads its libraries.
 
