Serve engines of two versions in the soak and check their streams

What callers saw: 35 streams with events of engines of two software versions; the soak's engines had none.

Engines start again as the other version and back (a series of its own): connections end, the entry has a new `born`; the answer to a status question names it as well.

--- a/tests/platform/local_server.py
+++ b/tests/platform/local_server.py
@@ -26,8 +26,13 @@
     def close(self) -> None:
         """Refuse new connections and end the threads of the open ones."""
         self.refuse_connections()
+        self.end_connections()
+
+    def end_connections(self) -> None:
+        """End the threads of the open connections; new ones work."""
         for thread in self._threads:
             thread.kill()
+        self._threads.clear()
 
     def _accept(self) -> None:
         while True:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,9 @@
 SECONDS_PER_REACH = 15.0
 SILENCE_S = (1.0, 2.5)
 SECONDS_PER_SILENCE = 4.0
+# Engines that start again as another version, and back.
+VERSION_FAULT_S = (2.0, 4.0)
+SECONDS_PER_VERSION = 4.0
 # Once nothing else disturbs any more, silences beside planned work go on.
 CALM_S = 3.0
 PLANNED_SILENCES = 4
@@ -78,6 +81,13 @@
     _Series('reach', 'reach', REACH_FAULTS, REACH_FAULT_S, SECONDS_PER_REACH),
     _Series('notices', 'target', NOTICES, NOTICE_FAULT_S, SECONDS_PER_NOTICE),
     _Series('silences', 'silence', SILENCES, SILENCE_S, SECONDS_PER_SILENCE),
+    _Series(
+        'versions',
+        'version',
+        ('swap',),
+        VERSION_FAULT_S,
+        SECONDS_PER_VERSION,
+    ),
 )
 
 
--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -56,6 +56,7 @@
     return (
         call.is_sent
         and not call.is_complete
+        and not call.is_given_up
         and was_read
         and took_s < TIME_LIMIT_S
         and call.attempt_id not in record.broken_off
--- a/tests/soak/test_standins.py
+++ b/tests/soak/test_standins.py
@@ -1,6 +1,8 @@
 """Tests that silences of stand-ins delay what is sent and lose nothing."""
 
+import json
 from collections.abc import Iterator
+from random import Random
 
 import eventlet
 import testtools
@@ -14,6 +16,10 @@
     answer,
     request_bytes,
 )
+from tests.platform.store_standin import StoreStandin
+from tests.soak.events import event_versions
+from tests.soak.record import SoakRecord
+from tests.soak.targets import SoakTarget
 
 SILENCE_S = 0.5
 PAUSE_S = 0.1
@@ -70,3 +76,48 @@
         self.assertEqual([], self.target.received_requests)
         eventlet.sleep(SILENCE_S)
         self.assertEqual(1, len(self.target.received_requests))
+
+
+class RestartTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.store = StoreStandin()
+        self.addCleanup(self.store.close)
+        self.record = SoakRecord()
+        self.target = SoakTarget(
+            'i-1', 'lm', 'decode', 'v1', self.record, self.store, Random(1)
+        )
+        self.addCleanup(self.target.server.close)
+        self.target.register(self.target.address)
+
+    def stream(self, attempt_id: str) -> bytes:
+        """Run a stream at the target until its connection ends."""
+        host, _, port = self.target.address.rpartition(':')
+        extra = 'Target-Instance: i-1\r\n'
+        request = request_bytes('/ask/1', extra=extra, attempt_id=attempt_id)
+        content = b''
+        with eventlet.connect((host, int(port))) as sock:
+            sock.settimeout(TIMEOUT_S)
+            sock.sendall(request)
+            while not content.endswith(b'0\r\n\r\n'):
+                data = sock.recv(65536)
+                if not data:
+                    break
+                content += data
+        return content
+
+    def entry(self) -> dict[str, object]:
+        return json.loads(self.store.items['servers/i-1'].value)
+
+    def test_a_restart_breaks_streams_off_and_changes_the_version(self) -> None:
+        """Guards against engines of two versions that write one stream."""
+        before = self.entry()
+        begun = eventlet.spawn(self.stream, 'a1')
+        eventlet.sleep(0.08)
+        self.target.restart('v2')
+        self.assertEqual({'v1'}, set(event_versions(begun.wait())))
+        self.assertFalse(begun.wait().endswith(b'0\r\n\r\n'))
+        self.assertEqual({'a1'}, self.record.broken_off)
+        self.assertEqual('v2', self.entry()['version'])
+        self.assertNotEqual(before['born'], self.entry()['born'])
+        self.assertEqual(['v2'] * 6, event_versions(self.stream('a2')))
