--- a/tests/platform/local_server.py
+++ b/tests/platform/local_server.py
@@ -32,8 +32,13 @@
         self.refuse_connections()
         if self._port_holder is not None:
             self._port_holder.close()
+        self.end_connections()
+
+    def end_connections(self) -> None:
+        """End the threads of the open connections; new ones work."""
         for thread in self._threads:
             thread.kill()
+        self._threads.clear()
 
     def _accept(self) -> None:
         while True:
