Keep a second try when the silent engine's connection ends

What callers saw: a stream cut in its middle, as its engine was silent for over a second and then closed its connection in order, while another engine was about to go on with it.

Cause: the read of the end of a connection, which has no bytes, was taken for a sign that the target goes on, and ended the second try. It counts as an attempt, so that with `max_attempts` of 2 none was left. A reset did not do so.

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -247,7 +247,8 @@
         except OSError as error:
             raise ExchangeError(f'{error}', sent=True) from error
         self._restart_silence()
-        if self.on_data is not None:
+        # The end of the connection is no sign that the target goes on.
+        if received and self.on_data is not None:
             self.on_data()
         self._parser.receive_data(received)
 
--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -199,6 +199,21 @@
         eventlet.sleep(MAX_OVERLAP_S)
         self.assertEqual(1, second.abandoned_count)
 
+    def test_a_second_try_outlasts_the_end_of_the_silent_engine(self) -> None:
+        """Guards against a stream that loses both engines to the first's end."""
+
+        def ends_in_order(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield stream_head()
+            yield chunk(event(1))
+            yield 1.3
+            # Its connection closes without a reset.
+            raise ConnectionError
+
+        self.node.add_target(ends_in_order, 'lm')
+        self.stream('second', head_silence_s=0.6)
+        self.assert_whole(self.node.call('/resume/1'))
+        self.assertEqual(['second'], self.runs)
+
     def test_both_tries_end_when_the_caller_leaves(self) -> None:
         """Guards against engines at work for a caller that has left."""
         first = self.stream('first', event_silence_s=FOREVER_S)
