Let a large handed call outlast a silence of its node

What callers saw: 502 for a call with a large body that a cut-off node handed to another one, whose process read nothing for over 0.4 s. Where it may not be repeated it was lost, though the other node had not read it whole.

Cause: a channel kept the time-out of its proof, 0.4 s, for each write of the call. Reads set their own.

--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -303,9 +303,8 @@
         ExchangeError: the channel has ended; the call may have run.
     """
     try:
-        channel.send(call)
-        for part in split_body(context.request.body):
-            channel.send(part)
+        for message in (call, *split_body(context.request.body)):
+            channel.send(message, max(0.001, context.deadline_s - clock_s()))
     except LinkError as error:
         raise ExchangeError(str(error), sent=True) from error
     begun = receive_until(channel, context.deadline_s + REFUSAL_DELAY_S)
--- a/packages/links/dandelionyoke_links/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -211,12 +211,17 @@
         self._channel = channel
         self._received: list[PeerMessage] = []
 
-    def send(self, message: PeerMessage) -> None:
+    def send(
+        self, message: PeerMessage, timeout_s: float | None = None
+    ) -> None:
         """Send a message; blocks while the peer does not read.
 
         Raises:
-            LinkError: the channel has ended.
+            LinkError: the channel has ended, or the peer read nothing for
+                `timeout_s`.
         """
+        # That of the proof would end a call whose peer is silent.
+        self._channel.set_timeout(timeout_s)
         try:
             self._channel.send(message_to_mapping(message))
         except _LINK_ERRORS as error:
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -26,7 +26,8 @@
     Route,
     ServiceShare,
 )
-from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway import _handover_server, clock_s
+from dandelionyoke_gateway._caller_connection import CallerRequest
 from dandelionyoke_gateway._handover_messages import (
     BodyPart,
     CallHanded,
@@ -204,6 +205,41 @@
         self.assertEqual(200, status(content))
         self.assertTrue(content.endswith(b'\r\n\r\n' + large))
 
+    def test_a_large_call_outlasts_a_silence_of_its_node(self) -> None:
+        """Guards against a call given up while its node reads nothing."""
+        read_request = _handover_server._read_request
+
+        def read_late(channel: CallChannel) -> CallerRequest:
+            eventlet.sleep(1.0)
+            return read_request(channel)
+
+        self.enterContext(
+            mock.patch.object(_handover_server, '_read_request', read_late)
+        )
+        # More than the buffers of both ends hold.
+        large = bytes(range(256)) * 32768
+        allowed = configuration()
+        limits = attrs.evolve(allowed.limits, max_body_bytes=len(large))
+        self.enterContext(
+            mock.patch.object(
+                node_harness,
+                'configuration',
+                lambda: attrs.evolve(allowed, limits=limits),
+            )
+        )
+        self.add_targets(answers_ok)
+        # A relay would hold what the node does not read.
+        self.take_members(self.others[0].open_links())
+        with self.origin.connect() as sock:
+            head = request_bytes('/confirm/1').replace(
+                b'Content-Length: 4\r\n\r\nbody',
+                f'Content-Length: {len(large)}\r\n\r\n'.encode(),
+            )
+            sock.sendall(head + large)
+            content = sock.recv(65536)
+        self.assertEqual(200, status(content))
+        self.assertEqual([large], [request.body for request in self.received()])
+
     def test_a_stream_arrives_in_order_and_as_it_is_made(self) -> None:
         self.add_targets(streams_tokens, 'lm', Phase.DECODE)
         with self.origin.connect() as sock:
