End a second try that succeeds as its caller leaves

What is seen: an engine works on for a caller that has left, until its connection is collected, and counts as busy for good: a stream's engine ended, the call waited for its second try, and the caller left in the pass of the event loop in which that try got its stream.

Cause: the wait's clean-up asked whether the try was at its end, and it was, with a stream that nobody took.

Evidence: test_a_second_try_that_succeeds_as_the_caller_leaves_ends ends the wait as the end of a call's thread does; the engine stayed busy (1 != 0) before.

--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -124,10 +124,10 @@
             stream = second.wait()
         except (RefusedError, RetryDeniedError) as error:
             raise RetryableError(self._cause) from error
-        finally:
-            if not second.is_done:
-                # The caller left while this waited.
-                _end(second)
+        except BaseException:
+            # For example, the caller left; the second try may have its stream.
+            _end(second)
+            raise
         if stream is None:
             raise RetryableError(self._cause)
         return stream
--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -6,12 +6,15 @@
 """
 
 from collections.abc import Iterator
+from unittest import mock
 
 import eventlet
 import testtools
 from testtools.content import text_content
 
 from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway._begun_stream import BegunStream
+from dandelionyoke_gateway._silence import SecondTry
 from tests.platform.node_harness import (
     NodeHarness,
     ReceivedRequest,
@@ -226,6 +229,33 @@
         self.assertEqual(1, first.abandoned_count)
         self.assertEqual(1, second.abandoned_count)
 
+    def test_a_second_try_that_succeeds_as_the_caller_leaves_ends(
+        self,
+    ) -> None:
+        """Guards against an engine at work for a caller that has left."""
+        wait = SecondTry.wait
+
+        def wait_and_leave(
+            second: SecondTry[BegunStream],
+        ) -> BegunStream | None:
+            wait(second)
+            # As the thread of a call is killed whose caller has left.
+            raise eventlet.greenlet.GreenletExit
+
+        def ends(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield stream_head()
+            yield chunk(event(1))
+            yield 1.3
+            yield None
+
+        self.enterContext(mock.patch.object(SecondTry, 'wait', wait_and_leave))
+        self.node.add_target(ends, 'lm')
+        second = self.stream('second', 0.5, event_silence_s=FOREVER_S)
+        self.node.call('/resume/1')
+        eventlet.sleep(MAX_OVERLAP_S)
+        self.assertEqual(1, second.abandoned_count)
+        self.assertEqual(0, self.node.knowledge.loads.busy('i-2', clock_s()))
+
     def test_a_stream_that_must_not_run_twice_has_one_engine(self) -> None:
         """Guards against a second run of a stream that can't be resumed."""
         self.stream('first', event_silence_s=1.5)
