Give the prefill of a begun stream the time of its call

What callers saw: a stream that had gone on for over two seconds ended in its middle as its engine broke off, while prefill engines were busy, though another decode engine could go on with it (`the first token would come too late`). With a free prefill engine the prefill was sent and given up at once: a sound engine counted as failed, and the stream used one more try and retry.

Cause: a prefill has to end within two seconds or so of the call's arrival, as callers leave who have no first token by then. A begun stream had that limit, too.

Evidence: both tests of LatePrefillTest failed before (a stream without its last event; two prefill requests finished or begun for one that was used) and passed three times since. test_calls, test_handed_calls, test_silent_targets and test_retry_budget pass.

--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -247,7 +247,17 @@
                 record_refusal(self._deps, target, facts)
             return handle
 
+    @property
+    def _is_resumed(self) -> bool:
+        """Whether the caller has a part of the stream already."""
+        if self._context.request.handed_over is not None:
+            return self._state.last_event_id is not None
+        return self._context.responder.has_started
+
     def _deadline_s(self) -> float:
+        if self._is_resumed:
+            # Its caller has had a first token and knows that it goes on.
+            return self._context.deadline_s
         route = self._context.route
         patience_s = max(
             MIN_PATIENCE_S,
--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -12,6 +12,7 @@
 import testtools
 from testtools.content import text_content
 
+from dandelionyoke_dispatch import Phase
 from dandelionyoke_gateway import clock_s
 from dandelionyoke_gateway._begun_stream import BegunStream
 from dandelionyoke_gateway._silence import SecondTry
@@ -25,7 +26,7 @@
     request_bytes,
     stream_head,
 )
-from tests.platform.scripts import refuses_call, status
+from tests.platform.scripts import PROMPT_HEADERS, refuses_call, status
 
 EVENT_COUNT = 4
 SILENCES_S = (1.0, 1.5, 2.2)
@@ -264,6 +265,55 @@
         self.assertEqual(['first'], self.runs)
 
 
+class LatePrefillTest(SilentTargetCase):
+    """A stream whose engine breaks off later than callers wait for a first."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.prefilled: list[str] = []
+        self.node.add_target(self.prefill, 'lm', Phase.PREFILL)
+        self.node.add_target(self.go_on, 'lm', Phase.DECODE)
+        self.node.add_target(self.break_off, 'lm', Phase.DECODE)
+
+    def prefill(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        yield 0.3
+        self.prefilled.append(request.line)
+        yield answer(body=b'{"kv_handle":"h1","tokens":900,"version":1}')
+
+    def go_on(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        yield stream_head()
+        yield from events_after(request)
+        yield chunk(b'')
+
+    def break_off(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        if request.line.startswith('POST /ask/'):
+            yield from self.go_on(request)
+            return
+        self.runs.append('breaks off')
+        yield stream_head()
+        for number, pause_s in ((1, 0.8), (2, 0.6), (3, 0.4)):
+            yield chunk(event(number))
+            yield pause_s
+        yield None
+
+    def call(self, path: str) -> bytes:
+        return self.node.call(path, extra=PROMPT_HEADERS)
+
+    def test_a_late_stream_waits_for_its_next_prefill(self) -> None:
+        """Guards against a begun stream refused as too late to begin."""
+        # Other prefills are in line when it breaks off.
+        for number in range(3):
+            eventlet.spawn_after(1.9 + number / 100, self.call, '/ask/1')
+        self.assert_whole(self.call('/resume/1'))
+        self.assertEqual(['breaks off'], self.runs)
+
+    def test_a_late_stream_sends_no_prefill_in_vain(self) -> None:
+        """Guards against a prefill that is given up as it is sent."""
+        self.assert_whole(self.call('/resume/1'))
+        self.assertEqual(['breaks off'], self.runs)
+        self.assertEqual(2, len(self.prefilled))
+
+
 class SilentPlainTargetTest(SilentTargetCase):
     def pausing(self, silence_s: float) -> ScriptedTarget:
         def script(request: ReceivedRequest) -> Iterator[ScriptStep]:
