Keep a second try when the silent engine refuses the call

What callers saw: 502 for a stream whose engine said after over a second that it had not run it, although another engine was at work on it by then and about to answer; with retry budget left that engine was sent the same call twice.

Cause: any byte of the first engine ended the second try, also those of a refusal. Another try needs the budget and an attempt again.

Change: before its head is accepted an engine's bytes end nothing.

Evidence: test_a_second_try_outlasts_a_refusal_of_the_silent_engine failed before (502) and passes. 50 streams whose first engine goes on 5 ms apart around the head of the second had each event once, before and since. test_silent_targets, test_calls, test_handed_calls, test_retry_budget and test_leaving_targets pass.

--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -264,6 +264,8 @@
     ) -> ResponseHead:
         """Read the head of the response of a target that ran the call."""
         sent_s = clock_s()
+        # A refusal must not end a try at another target.
+        heard, connection.on_data = connection.on_data, None
         response = connection.read_head(self._context.deadline_s)
         facts = self._deps.dialect.read_response(response)
         validate_attempt_id(facts, self._context)
@@ -273,6 +275,9 @@
             self._record_refusal(target, facts, connection, attempt)
             raise RetryableError(Cause.NO_RETRY)
         validate_response(response, facts, self._context)
+        connection.on_data = heard
+        if heard is not None:
+            heard()
         self._record_begin(target, facts, sent_s)
         return response
 
--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -218,6 +218,24 @@
         self.assert_whole(self.node.call('/resume/1'))
         self.assertEqual(['second'], self.runs)
 
+    def test_a_second_try_outlasts_a_refusal_of_the_silent_engine(self) -> None:
+        """Guards against a call that one engine refuses and none may retry."""
+
+        def refuses_late(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield 1.3
+            yield from refuses_call(request)
+
+        def spend_budget() -> None:
+            budget = self.node.knowledge.budget
+            while budget.try_charge('lm', clock_s()).is_allowed:
+                continue
+
+        self.node.add_target(refuses_late, 'lm')
+        self.stream('second', head_silence_s=0.6)
+        eventlet.spawn_after(1.2, spend_budget)
+        self.assert_whole(self.node.call('/resume/1'))
+        self.assertEqual(['second'], self.runs)
+
     def test_both_tries_end_when_the_caller_leaves(self) -> None:
         """Guards against engines at work for a caller that has left."""
         first = self.stream('first', event_silence_s=FOREVER_S)
