--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -466,6 +466,23 @@
         self.assertIn(status(content), {502, 504})
         self.assertLess(clock_s() - started_s, 3.5)
 
+    def test_a_handed_stream_leaves_a_node_that_stays_silent(self) -> None:
+        """Guards against callers that wait for a node that has died."""
+        read_request = _handover_server._read_request
+        pauses_s = iter([30.0])
+
+        def read_late(channel: CallChannel) -> CallerRequest:
+            eventlet.sleep(next(pauses_s, 0.0))
+            return read_request(channel)
+
+        self.enterContext(
+            mock.patch.object(_handover_server, '_read_request', read_late)
+        )
+        self.add_targets(streams_tokens, 'lm', Phase.DECODE)
+        content = self.origin.call('/resume/1')
+        self.assertEqual(200, status(content))
+        self.assertTrue(content.endswith(b'\r\n0\r\n\r\n'), content)
+
     def test_a_stream_goes_on_at_another_node(self) -> None:
         """Guards against a stream that ends with the node that took it."""
 
