--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -6,12 +6,16 @@
 """
 
 from collections.abc import Iterator
+from unittest import mock
 
 import eventlet
 import testtools
 from testtools.content import text_content
 
+from dandelionyoke_dispatch import Phase
 from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway._begun_stream import BegunStream
+from dandelionyoke_gateway._silence import SecondTry
 from tests.platform.node_harness import (
     NodeHarness,
     ReceivedRequest,
@@ -22,7 +26,7 @@
     request_bytes,
     stream_head,
 )
-from tests.platform.scripts import refuses_call, status
+from tests.platform.scripts import PROMPT_HEADERS, refuses_call, status
 
 EVENT_COUNT = 4
 SILENCES_S = (1.0, 1.5, 2.2)
@@ -199,6 +203,39 @@
         eventlet.sleep(MAX_OVERLAP_S)
         self.assertEqual(1, second.abandoned_count)
 
+    def test_a_second_try_outlasts_the_end_of_the_silent_engine(self) -> None:
+        """Guards against a stream that loses both engines to the first's end."""
+
+        def ends_in_order(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield stream_head()
+            yield chunk(event(1))
+            yield 1.3
+            # Its connection closes without a reset.
+            raise ConnectionError
+
+        self.node.add_target(ends_in_order, 'lm')
+        self.stream('second', head_silence_s=0.6)
+        self.assert_whole(self.node.call('/resume/1'))
+        self.assertEqual(['second'], self.runs)
+
+    def test_a_second_try_outlasts_a_refusal_of_the_silent_engine(self) -> None:
+        """Guards against a call that one engine refuses and none may retry."""
+
+        def refuses_late(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield 1.3
+            yield from refuses_call(request)
+
+        def spend_budget() -> None:
+            budget = self.node.knowledge.budget
+            while budget.try_charge('lm', clock_s()).is_allowed:
+                continue
+
+        self.node.add_target(refuses_late, 'lm')
+        self.stream('second', head_silence_s=0.6)
+        eventlet.spawn_after(1.2, spend_budget)
+        self.assert_whole(self.node.call('/resume/1'))
+        self.assertEqual(['second'], self.runs)
+
     def test_both_tries_end_when_the_caller_leaves(self) -> None:
         """Guards against engines at work for a caller that has left."""
         first = self.stream('first', event_silence_s=FOREVER_S)
@@ -211,6 +248,33 @@
         self.assertEqual(1, first.abandoned_count)
         self.assertEqual(1, second.abandoned_count)
 
+    def test_a_second_try_that_succeeds_as_the_caller_leaves_ends(
+        self,
+    ) -> None:
+        """Guards against an engine at work for a caller that has left."""
+        wait = SecondTry.wait
+
+        def wait_and_leave(
+            second: SecondTry[BegunStream],
+        ) -> BegunStream | None:
+            wait(second)
+            # As the thread of a call is killed whose caller has left.
+            raise eventlet.greenlet.GreenletExit
+
+        def ends(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield stream_head()
+            yield chunk(event(1))
+            yield 1.3
+            yield None
+
+        self.enterContext(mock.patch.object(SecondTry, 'wait', wait_and_leave))
+        self.node.add_target(ends, 'lm')
+        second = self.stream('second', 0.5, event_silence_s=FOREVER_S)
+        self.node.call('/resume/1')
+        eventlet.sleep(MAX_OVERLAP_S)
+        self.assertEqual(1, second.abandoned_count)
+        self.assertEqual(0, self.node.knowledge.loads.busy('i-2', clock_s()))
+
     def test_a_stream_that_must_not_run_twice_has_one_engine(self) -> None:
         """Guards against a second run of a stream that can't be resumed."""
         self.stream('first', event_silence_s=1.5)
@@ -219,6 +283,55 @@
         self.assertEqual(['first'], self.runs)
 
 
+class LatePrefillTest(SilentTargetCase):
+    """A stream whose engine breaks off later than callers wait for a first."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.prefilled: list[str] = []
+        self.node.add_target(self.prefill, 'lm', Phase.PREFILL)
+        self.node.add_target(self.go_on, 'lm', Phase.DECODE)
+        self.node.add_target(self.break_off, 'lm', Phase.DECODE)
+
+    def prefill(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        yield 0.3
+        self.prefilled.append(request.line)
+        yield answer(body=b'{"kv_handle":"h1","tokens":900,"version":1}')
+
+    def go_on(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        yield stream_head()
+        yield from events_after(request)
+        yield chunk(b'')
+
+    def break_off(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        if request.line.startswith('POST /ask/'):
+            yield from self.go_on(request)
+            return
+        self.runs.append('breaks off')
+        yield stream_head()
+        for number, pause_s in ((1, 0.8), (2, 0.6), (3, 0.4)):
+            yield chunk(event(number))
+            yield pause_s
+        yield None
+
+    def call(self, path: str) -> bytes:
+        return self.node.call(path, extra=PROMPT_HEADERS)
+
+    def test_a_late_stream_waits_for_its_next_prefill(self) -> None:
+        """Guards against a begun stream refused as too late to begin."""
+        # Other prefills are in line when it breaks off.
+        for number in range(3):
+            eventlet.spawn_after(1.9 + number / 100, self.call, '/ask/1')
+        self.assert_whole(self.call('/resume/1'))
+        self.assertEqual(['breaks off'], self.runs)
+
+    def test_a_late_stream_sends_no_prefill_in_vain(self) -> None:
+        """Guards against a prefill that is given up as it is sent."""
+        self.assert_whole(self.call('/resume/1'))
+        self.assertEqual(['breaks off'], self.runs)
+        self.assertEqual(2, len(self.prefilled))
+
+
 class SilentPlainTargetTest(SilentTargetCase):
     def pausing(self, silence_s: float) -> ScriptedTarget:
         def script(request: ReceivedRequest) -> Iterator[ScriptStep]:
