Refuse the first request of a caller that connects as a process leaves

Cause: at the end of its notice a leaving process closes connections of which nothing has been read. One that a caller has just opened counts as such, though its request is on its way: it is neither answered nor refused. Answers say Connection: close by then, so that hardly any other connection is idle.

Change: a connection is idle once nothing has come for 0.2 s; listeners are closed first, and what arrives in the last 0.2 s is refused with 503.

Result: test_a_caller_that_has_just_connected_is_answered passes (there was no such time before); test_caller_connection and test_process pass.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -225,6 +225,7 @@
         self._is_leaving = is_leaving
         self._parser = _new_parser(self._limits)
         self.is_idle = True
+        self._idle_since_s = clock_s()
         self._is_bodiless = False
         self._is_closing = False
 
@@ -247,9 +248,14 @@
             self._limits = limits
             self._parser = _new_parser(limits)
 
-    def close_if_idle(self) -> None:
-        """Close the connection if no request has begun on it."""
-        if not self.is_idle or self._has_input():
+    def close_if_idle(self, min_idle_s: float = 0.0) -> None:
+        """Close the connection if no request has begun on it for a while.
+
+        A caller that has just connected is about to send its request.
+        """
+        if not self.is_idle or clock_s() < self._idle_since_s + min_idle_s:
+            return
+        if self._has_input():
             return
         self._is_closing = True
         # The caller may have reset it, which its own task reads next.
@@ -289,6 +295,7 @@
 
     def _can_be_reused(self) -> bool:
         self.is_idle = True
+        self._idle_since_s = clock_s()
         states = (self._parser.our_state, self._parser.their_state)
         return states == (h11.DONE, h11.DONE)
 
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -69,6 +69,8 @@
 # The process must write its last records and exit before it is killed.
 GRACE_MARGIN_S = 0.8
 DRAIN_POLL_INTERVAL_S = 0.05
+# A caller that connects sends its request within this time.
+MIN_IDLE_S = 0.2
 ACCEPT_RETRY_DELAY_S = 0.05
 
 
@@ -157,6 +159,7 @@
             'process.started', self._settings.instance_id, outcome='listening'
         )
         status: ExitStatus = self._exit_status.wait()
+        # A second signal ends the process without a drain.
         self._close_listeners()
         return status
 
@@ -240,15 +243,17 @@
 
     def _close_listeners(self) -> None:
         """Refuse connections from now on: none would be read any more."""
-        for listener in self._listeners:
-            # The connections that wait to be accepted are reset.
-            listener.close()
+        # The connections that wait to be accepted are reset.
+        while self._listeners:
+            self._listeners.pop().close()
 
     def _accept(self, listener: socket.socket, handler: Handler) -> None:
         while True:
             try:
                 sock, _ = listener.accept()
             except OSError as error:
+                if listener not in self._listeners:
+                    return
                 # Usually the process is out of file descriptors; they become
                 # free again as connections close.
                 self._log.decide('accept.failed', 'listener', cause=str(error))
@@ -308,18 +313,23 @@
         self._log.decide('process.leaving', self._settings.instance_id)
         self._duty_task.leave()
         eventlet.sleep(BALANCER_NOTICE_S)
-        deadline_s = started_s + self._settings.grace_s - GRACE_MARGIN_S
-        while self._knowledge.in_progress and clock_s() < deadline_s:
-            self._close_idle_connections()
-            eventlet.sleep(DRAIN_POLL_INTERVAL_S)
+        self._await_calls(started_s + self._settings.grace_s - GRACE_MARGIN_S)
+        self._close_listeners()
+        # Refuses what callers send that have connected just before.
+        eventlet.sleep(MIN_IDLE_S)
         self._close_idle_connections()
         self._counts_task.finish()
         is_clean = not self._knowledge.in_progress
         self._stop(ExitStatus.OK if is_clean else ExitStatus.CUT)
 
+    def _await_calls(self, deadline_s: float) -> None:
+        while self._knowledge.in_progress and clock_s() < deadline_s:
+            self._close_idle_connections()
+            eventlet.sleep(DRAIN_POLL_INTERVAL_S)
+
     def _close_idle_connections(self) -> None:
         for connection in tuple(self._connections):
-            connection.close_if_idle()
+            connection.close_if_idle(MIN_IDLE_S)
 
     def _stop(self, status: ExitStatus) -> None:
         if not self._exit_status.ready():
--- a/tests/gateway/test_caller_connection.py
+++ b/tests/gateway/test_caller_connection.py
@@ -132,6 +132,12 @@
         self.assertTrue(self.read_all().endswith(b'ok'))
         self.assertEqual(['/a'], self.handled)
 
+    def test_a_caller_that_has_just_connected_is_answered(self) -> None:
+        """Guards against a close on which a first request is on its way."""
+        self.connection.close_if_idle(min_idle_s=0.2)
+        self.caller.sendall(REQUEST)
+        self.assertTrue(self.read_all().endswith(b'ok'))
+
     def test_a_request_that_crosses_the_close_does_not_run(self) -> None:
         """Guards against a call that runs and gets no answer."""
         shut_down = self.sock.shutdown
