Don't pass a refusal of another node on for a call that may have run here

What callers saw: 503, which promises that a call has not run, for one that a target of the first node had got.

Cause, from the log of the second: the stream's engine reset the connection (`may have run`), two more connections were refused, and the call was handed to another node. That one sent nothing, as its retry budget was spent, and answered 503 for itself; the first node passed this on as the answer. Only calls that may be repeated come there: others are not handed over once they may have run.

Change: such a refusal counts as a failed try, so that the call is tried again or ends with 502.

--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -143,6 +143,10 @@
             context.attempts.ran(call.attempt)
         else:
             context.attempts.refused(call.attempt)
+            if context.attempts.may_have_run:
+                # The other node does not know of the runs at this one.
+                self._cause = Cause.BROKEN
+                return None
         facts = self._deps.dialect.read_response(call.head)
         return BufferedResponse(call.head, facts, body)
 
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -370,4 +370,7 @@
             attempts.ran(call.attempt)
         else:
             attempts.refused(call.attempt)
+            if attempts.may_have_run:
+                # The other node does not know of the runs at this one.
+                raise RetryableError(Cause.BROKEN)
         raise ErrorResponseError(call.head, body)
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -51,6 +51,7 @@
     stream_head,
 )
 from tests.platform.program import wait_for
+from tests.platform.scripts import refuses_call
 
 PROMPT_HEADERS = (
     'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: aa:500,bb:400\r\n'
@@ -277,6 +278,37 @@
         self.assertEqual(502, status(self.origin.call()))
         self.assertEqual(1, len(self.received()))
 
+    def refused_elsewhere_after_a_reset(self, service: str, path: str) -> int:
+        """Return the status of a call that broke off at this node before."""
+
+        def resets_and_is_cut_off(
+            request: ReceivedRequest,
+        ) -> Iterator[ScriptStep]:
+            self.cut_off(self.origin)
+            yield None
+
+        reached = {'i-1': True, 'i-2': True}
+        self.origin.knowledge.reach.probed(service, reached, clock_s() + 2)
+        self.origin.add_target(resets_and_is_cut_off, service)
+        self.add_targets(refuses_call, service)
+        return status(self.origin.call(path))
+
+    def test_a_refusal_elsewhere_hides_no_run_at_this_node(self) -> None:
+        """Guards against a status that says not run of what may have run."""
+        self.assertEqual(
+            502, self.refused_elsewhere_after_a_reset('ledger', '/look/1')
+        )
+
+    def test_a_refusal_elsewhere_hides_no_run_of_a_stream(self) -> None:
+        """Guards against the same status for a stream that has not begun."""
+        for node in self.others:
+            budget = node.knowledge.budget
+            while budget.try_charge('lm', clock_s()).is_allowed:
+                continue
+        self.assertEqual(
+            502, self.refused_elsewhere_after_a_reset('lm', '/resume/1')
+        )
+
     def test_a_call_leaves_a_node_that_reaches_no_target_either(self) -> None:
         """Guards against callers of a domain of which all nodes are cut off."""
         cut_off, sound = self.others
