Pass a silence to its watches as one object

Six signatures repeated the silent target, its time and whether the service is cut off. No behaviour changes: tests of silent targets, handed calls, calls and target connections pass.

--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -48,7 +48,7 @@
     RateLimits,
 )
 from dandelionyoke_gateway._reach_task import ReachTask
-from dandelionyoke_gateway._silence import SilenceWatch
+from dandelionyoke_gateway._silence import Silence, SilenceWatch
 from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
 from dandelionyoke_gateway._target_connection import TargetConnection
 from dandelionyoke_gateway._target_gate import TargetGate
@@ -89,7 +89,7 @@
             if connection.is_new:
                 self.reach.connected(target)
             connection.on_silence = lambda silent_s: watch.silent(
-                target, silent_s, is_cut_off=self.reach.silent(target)
+                Silence(target, silent_s, self.reach.silent(target))
             )
             connection.on_data = watch.heard
             yield connection
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -19,7 +19,7 @@
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._ports import CacheSource
-from dandelionyoke_gateway._silence import SILENCE_S, SilenceWatch
+from dandelionyoke_gateway._silence import SILENCE_S, Silence, SilenceWatch
 from dandelionyoke_gateway._target_gate import TargetGate
 from dandelionyoke_links import CallChannel, LinkError
 
@@ -91,8 +91,8 @@
             try:
                 message = receive_until(self._channel, clock_s() + wait_s)
             except ExchangeTimeoutError:
-                silent_s = clock_s() - since_s
-                wait_s = self._watch.silent(None, silent_s, is_cut_off=False)
+                silence = Silence(None, clock_s() - since_s, is_cut_off=False)
+                wait_s = self._watch.silent(silence)
                 continue
             self._watch.heard()
             return message
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -26,6 +26,7 @@
     SILENCE_S,
     PatientWatch,
     SecondTry,
+    Silence,
     SupersededError,
 )
 from dandelionyoke_gateway._target_gate import TargetLimitedError
@@ -79,13 +80,7 @@
         finally:
             self.heard()
 
-    def silent(
-        self,
-        target: RegisteredTarget | None,
-        silent_s: float,
-        *,
-        is_cut_off: bool,
-    ) -> float:
+    def silent(self, silence: Silence) -> float:
         """Let another node try while this one reaches no target.
 
         Raises:
@@ -94,7 +89,7 @@
         second = self._second
         if second is not None and second.has_succeeded:
             raise SupersededError
-        if not is_cut_off or not self._deps.handover.is_needed(self._context):
+        if not silence.is_cut_off or not self._is_handover_needed():
             return SILENCE_S
         if second is None or second.is_done:
             self._second = SecondTry(self._try_elsewhere)
@@ -108,7 +103,7 @@
 
     def _find_response(self) -> BufferedResponse:
         for _ in range(MAX_SENDS):
-            if self._deps.handover.is_needed(self._context):
+            if self._is_handover_needed():
                 response = self._hand_over()
             else:
                 target = self._next_target()
@@ -124,6 +119,9 @@
             or Refusal(self._cause, DEFAULT_RETRY_AFTER_S)
         )
 
+    def _is_handover_needed(self) -> bool:
+        return self._deps.handover.is_needed(self._context)
+
     def _hand_over(self) -> BufferedResponse | None:
         """Let another node serve the call; None if none can."""
         context = self._context
--- a/packages/gateway/dandelionyoke_gateway/_silence.py
+++ b/packages/gateway/dandelionyoke_gateway/_silence.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
 
+import attrs
 import eventlet
 from eventlet.greenthread import GreenThread
 
@@ -21,22 +22,25 @@
 Result = TypeVar('Result')
 
 
+@attrs.frozen
+class Silence:
+    """The time in which nothing has arrived from a target.
+
+    It is another node that is silent if `target` is None. `is_cut_off` is
+    whether this node reaches no target of the service.
+    """
+
+    target: RegisteredTarget | None
+    duration_s: float
+    is_cut_off: bool
+
+
 class SilenceWatch(Protocol):
     """Decides what to do while a target is silent."""
 
-    def silent(
-        self,
-        target: RegisteredTarget | None,
-        silent_s: float,
-        *,
-        is_cut_off: bool,
-    ) -> float:
+    def silent(self, silence: Silence) -> float:
         """Return how long to wait before this is called again, in seconds.
 
-        Nothing has arrived for `silent_s` from a target, or from another node
-        if it is None. `is_cut_off` is whether this node reaches no target of
-        the service.
-
         Raises:
             ExchangeTimeoutError: the exchange is given up.
             SupersededError: another target has answered.
@@ -49,13 +53,7 @@
 class PatientWatch:
     """Waits until the deadline of the exchange."""
 
-    def silent(
-        self,
-        target: RegisteredTarget | None,
-        silent_s: float,
-        *,
-        is_cut_off: bool,
-    ) -> float:
+    def silent(self, silence: Silence) -> float:
         """Wait on."""
         return SILENCE_S
 
@@ -66,15 +64,9 @@
 class CutOffWatch(PatientWatch):
     """Gives up what no answer depends on once no target is reached."""
 
-    def silent(
-        self,
-        target: RegisteredTarget | None,
-        silent_s: float,
-        *,
-        is_cut_off: bool,
-    ) -> float:
+    def silent(self, silence: Silence) -> float:
         """Wait on while any target is reached."""
-        if is_cut_off:
+        if silence.is_cut_off:
             raise ExchangeTimeoutError(
                 'no response, and no target is reached', sent=True
             )
@@ -91,15 +83,9 @@
         """Let another watch decide from now on."""
         self._watch = watch
 
-    def silent(
-        self,
-        target: RegisteredTarget | None,
-        silent_s: float,
-        *,
-        is_cut_off: bool,
-    ) -> float:
+    def silent(self, silence: Silence) -> float:
         """Let the watch decide."""
-        return self._watch.silent(target, silent_s, is_cut_off=is_cut_off)
+        return self._watch.silent(silence)
 
     def heard(self) -> None:
         """Tell the watch."""
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -21,6 +21,7 @@
     SECOND_TRY_POLL_S,
     SILENCE_S,
     SecondTry,
+    Silence,
     SupersededError,
     SwitchedWatch,
 )
@@ -143,13 +144,7 @@
 
     # Silence of the target of the stream, which the call watches itself.
 
-    def silent(
-        self,
-        target: RegisteredTarget | None,
-        silent_s: float,
-        *,
-        is_cut_off: bool,
-    ) -> float:
+    def silent(self, silence: Silence) -> float:
         """Try another target beside a silent one.
 
         Raises:
@@ -159,16 +154,17 @@
         if second is not None and not second.is_done:
             return SECOND_TRY_POLL_S
         if second is not None and second.has_succeeded:
-            self._log_silence('moved', target, silent_s)
+            self._log_silence('moved', silence)
             raise SupersededError
-        timeout_s = STALL_TIMEOUT_S if target else HANDED_STALL_TIMEOUT_S
-        if silent_s < timeout_s and not is_cut_off:
-            return timeout_s - silent_s
+        is_target = silence.target is not None
+        timeout_s = STALL_TIMEOUT_S if is_target else HANDED_STALL_TIMEOUT_S
+        if silence.duration_s < timeout_s and not silence.is_cut_off:
+            return timeout_s - silence.duration_s
         if second is not None:
             self._second = None
             self._failure_count += 1
             return SILENCE_S
-        return self._try_beside(target, silent_s)
+        return self._try_beside(silence)
 
     def heard(self) -> None:
         """End the second try: the first target goes on."""
@@ -177,16 +173,14 @@
         if second is not None:
             _end(second)
 
-    def _try_beside(
-        self, target: RegisteredTarget | None, silent_s: float
-    ) -> float:
+    def _try_beside(self, silence: Silence) -> float:
         """Try another target, if there is one; return how long to wait."""
-        if target is not None:
-            self._suspect(target)
+        if silence.target is not None:
+            self._suspect(silence.target)
         if not self._may_retry() or not self._opener.may_begin():
-            self._log_silence('waits', target, silent_s)
+            self._log_silence('waits', silence)
             return SILENCE_S
-        self._log_silence('tries another', target, silent_s)
+        self._log_silence('tries another', silence)
         watch = SwitchedWatch()
         self._second_watch = watch
         self._second = SecondTry(lambda: self._opener.begin(watch))
@@ -200,15 +194,14 @@
             # Other open connections to the target may be dead as well.
             self._deps.pool.close_idle(target.address)
 
-    def _log_silence(
-        self, outcome: str, target: RegisteredTarget | None, silent_s: float
-    ) -> None:
+    def _log_silence(self, outcome: str, silence: Silence) -> None:
+        target = silence.target
         self._deps.log.decide(
             'stream.silent',
             self._context.call.attempt_id,
             outcome=outcome,
             target=None if target is None else target.target_id,
-            silent_s=silent_s,
+            silent_s=silence.duration_s,
             has_begun=str(self._context.responder.has_started),
         )
 
