Log why a second try has failed

Result: test_a_second_try_that_fails_by_an_error_is_logged fails without the line and passes; test_silent_targets, test_handed_calls, test_handover and test_calls pass.

--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -87,12 +87,17 @@
             SupersededError: the other node has responded.
         """
         second = self._second
+        if second is not None and not second.is_done:
+            return SECOND_TRY_POLL_S
         if second is not None and second.has_succeeded:
             raise SupersededError
+        if second is not None:
+            self._log_failed_try(second)
+            self._second = None
+            return SILENCE_S
         if not silence.is_cut_off or not self._is_handover_needed():
             return SILENCE_S
-        if second is None or second.is_done:
-            self._second = SecondTry(self._try_elsewhere)
+        self._second = SecondTry(self._try_elsewhere)
         return SECOND_TRY_POLL_S
 
     def heard(self) -> None:
@@ -119,6 +124,16 @@
             or Refusal(self._cause, DEFAULT_RETRY_AFTER_S)
         )
 
+    def _log_failed_try(
+        self, second: SecondTry[BufferedResponse | None]
+    ) -> None:
+        self._deps.log.decide(
+            'plain.silent',
+            self._context.call.attempt_id,
+            outcome='try failed',
+            cause=second.cause,
+        )
+
     def _is_handover_needed(self) -> bool:
         return self._deps.handover.is_needed(self._context)
 
--- a/packages/gateway/dandelionyoke_gateway/_silence.py
+++ b/packages/gateway/dandelionyoke_gateway/_silence.py
@@ -111,6 +111,13 @@
         """Whether it has a result."""
         return self._result is not None
 
+    @property
+    def cause(self) -> str:
+        """Why it has no result; empty while it is under way."""
+        if self._error is not None:
+            return f'{type(self._error).__name__}: {self._error}'
+        return 'no result' if self.is_done else ''
+
     def wait(self) -> Result | None:
         """Wait for its end; return its result, if any, or raise its error."""
         self._thread.wait()
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -163,6 +163,7 @@
         if second is not None:
             self._second = None
             self._failure_count += 1
+            self._log_silence('try failed', silence, second.cause)
             return SILENCE_S
         return self._try_beside(silence)
 
@@ -194,7 +195,9 @@
             # Other open connections to the target may be dead as well.
             self._deps.pool.close_idle(target.address)
 
-    def _log_silence(self, outcome: str, silence: Silence) -> None:
+    def _log_silence(
+        self, outcome: str, silence: Silence, cause: str = ''
+    ) -> None:
         target = silence.target
         self._deps.log.decide(
             'stream.silent',
@@ -202,6 +205,7 @@
             outcome=outcome,
             target=None if target is None else target.target_id,
             silent_s=silence.duration_s,
+            cause=cause,
             has_begun=str(self._context.responder.has_started),
         )
 
--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -5,7 +5,8 @@
 answered itself.
 """
 
-from collections.abc import Iterator
+import itertools
+from collections.abc import Callable, Iterator
 from unittest import mock
 
 import eventlet
@@ -48,6 +49,18 @@
         yield chunk(event(number))
 
 
+def _fail_after_first(function: Callable[..., None]) -> Callable[..., None]:
+    """Return a function whose second call and later ones fail."""
+    calls = itertools.count()
+
+    def call(*arguments: object) -> None:
+        if next(calls):
+            raise ValueError('a bug')
+        function(*arguments)
+
+    return call
+
+
 class SilentTargetCase(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -130,6 +143,16 @@
         self.node.add_target(answers_error, 'lm')
         self.assert_whole(self.node.call('/resume/1'))
 
+    def test_a_second_try_that_fails_by_an_error_is_logged(self) -> None:
+        """Guards against an error of ours that nobody sees."""
+        self.stream('first', event_silence_s=2.2)
+        self.stream('second')
+        self.node.target_gate.enter = _fail_after_first(
+            self.node.target_gate.enter
+        )
+        self.assert_whole(self.node.call('/resume/1'))
+        self.assertIn('ValueError: a bug', self.node.log_lines.text)
+
     def test_a_stream_survives_without_retry_budget(self) -> None:
         """Guards against a stream given up before its retry is allowed."""
         self.stream('first', event_silence_s=1.5)
