Try a third node beside a node that says nothing of a handed call

What callers saw: a call that was handed to a node which has died waited for its limit (504 for a plain call that may be repeated, 502 for a stream that may be resumed, after 3.05 s), though a third node would have served it.

Cause: while a handed call waited for its head nothing watched the silence, only from its first event on. Within the last 0.05 s of the time a message did not end a second try either.

Change: the same watch decides from the sending on; a try beside it goes to a node that does not have the call already. A refusal is no sign that the node goes on.

--- a/packages/gateway/dandelionyoke_gateway/_call_context.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_context.py
@@ -33,6 +33,8 @@
     key_age_s: float | None = None
     # Connections to targets that failed before a byte was sent.
     failed_connections: int = 0
+    # The other nodes at which the call is under way.
+    serving_nodes: set[str] = attrs.field(factory=set)
     # Whether no other node could take the call.
     is_declined_elsewhere: bool = False
     # The version of the targets that may run it; None: any.
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -19,7 +19,12 @@
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._ports import CacheSource
-from dandelionyoke_gateway._silence import SILENCE_S, Silence, SilenceWatch
+from dandelionyoke_gateway._silence import (
+    SILENCE_S,
+    PatientWatch,
+    Silence,
+    SilenceWatch,
+)
 from dandelionyoke_gateway._target_gate import TargetGate
 from dandelionyoke_links import CallChannel, LinkError
 
@@ -48,7 +53,7 @@
         self._channel = channel
         # The number of the attempt that handed it over.
         self.attempt = attempt
-        self._watch: SilenceWatch | None = None
+        self._watch: SilenceWatch = PatientWatch()
         self.head = ResponseHead(begun.status, begun.headers)
         self.is_stream = begun.is_stream
         self.may_have_run = begun.may_have_run
@@ -84,19 +89,9 @@
         self._watch = watch
 
     def _receive(self, deadline_s: float) -> PeerMessage:
-        if self._watch is None:
-            return receive_until(self._channel, deadline_s)
-        since_s, wait_s = clock_s(), SILENCE_S
-        while clock_s() + wait_s < deadline_s:
-            try:
-                message = receive_until(self._channel, clock_s() + wait_s)
-            except ExchangeTimeoutError:
-                silence = Silence(None, clock_s() - since_s, is_cut_off=False)
-                wait_s = self._watch.silent(silence)
-                continue
-            self._watch.heard()
-            return message
-        return receive_until(self._channel, deadline_s)
+        message = _receive_watched(self._channel, deadline_s, self._watch)
+        self._watch.heard()
+        return message
 
 
 class Handover:
@@ -147,53 +142,66 @@
     def exchange(
         self,
         context: CallContext,
+        watch: SilenceWatch,
         last_event_id: str | None,
         cache: CacheSource | None = None,
     ) -> Iterator[HandedCall]:
         """Hand a call to a node that can serve it.
 
         That node may use the KV cache of the prompt, but does not release it.
+        The watch decides while it has not responded.
 
         Raises:
             ExchangeError: none can, or the response was cut off.
         """
-        service = context.service.name
-        members = self._choose_members(
-            service, is_bound=context.version is not None
-        )
-        for member in members:
-            channel = self._open_channel(member, service)
-            if channel is None:
-                continue
-            try:
-                call = self._start(
-                    context, channel, member, last_event_id, cache
-                )
+        for member in self._choose_members(context):
+            with self._open_to(member, context) as channel:
+                if channel is None:
+                    continue
+                handed = _new_call(context, last_event_id, cache)
+                call = self._start(context, channel, member, handed, watch)
                 if call is not None:
                     yield call
                     return
-            finally:
-                channel.close()
         context.is_declined_elsewhere = True
         raise ExchangeError('no other node serves the call', sent=False)
 
-    def _choose_members(self, service: str, *, is_bound: bool) -> list[Member]:
+    def _choose_members(self, context: CallContext) -> list[Member]:
         """Choose among all nodes alike: those of this domain may be cut off.
 
-        A stream that is bound to a version goes to nodes that heed it.
+        A stream that is bound to a version goes to nodes that respect it. A
+        node that has the call already does not get it again.
         """
+        service, is_bound = context.service.name, context.version is not None
         now_s = clock_s()
         members = [
             member
             for member in self._knowledge.sources.others()
             if member.takes_calls
             and (member.keeps_origins or not is_bound)
+            and member.instance_id not in context.serving_nodes
             and now_s
             >= self._cooldown_until_s.get((service, member.instance_id), 0.0)
         ]
         count = min(len(members), MAX_NODES)
         return self._knowledge.random.sample(members, count)
 
+    @contextmanager
+    def _open_to(
+        self, member: Member, context: CallContext
+    ) -> Iterator[CallChannel | None]:
+        """Open a channel for one call; None if the node accepts none."""
+        channel = self._open_channel(member, context.service.name)
+        if channel is None:
+            yield None
+            return
+        context.serving_nodes.add(member.instance_id)
+        try:
+            yield channel
+        finally:
+            context.serving_nodes.discard(member.instance_id)
+            channel.close()
+
     def _open_channel(self, member: Member, service: str) -> CallChannel | None:
         if self._open is None:
             return None
@@ -209,17 +217,16 @@
         context: CallContext,
         channel: CallChannel,
         member: Member,
-        last_event_id: str | None,
-        cache: CacheSource | None,
+        call: CallHanded,
+        watch: SilenceWatch,
     ) -> HandedCall | None:
         """Send a call and wait for the response to begin.
 
         Returns None if the node cannot serve it and another one may.
         """
         attempt = context.attempts.handed(channel.peer_id)
-        call = _new_call(context, last_event_id, cache)
         try:
-            begun = _exchange_heads(context, channel, call)
+            begun = _exchange_heads(context, channel, call, watch)
         except ExchangeError:
             # It is unknown what the other node has sent.
             context.attempts.add_sent(is_sent=True, is_prefill_sent=True)
@@ -244,6 +251,7 @@
             )
             return None
         if begun.may_have_run:
+            watch.heard()
             # The node that sent the call to a target has counted it.
             context.is_usage_counted = True
         return HandedCall(channel, begun, attempt)
@@ -260,6 +268,26 @@
         )
 
 
+def _receive_watched(
+    channel: CallChannel, deadline_s: float, watch: SilenceWatch
+) -> PeerMessage:
+    """Receive a message; a watch decides while none arrives.
+
+    Raises:
+        ExchangeError: the channel has ended, or none arrived in time.
+        SupersededError: another target has answered.
+    """
+    since_s, wait_s = clock_s(), SILENCE_S
+    while True:
+        try:
+            return receive_until(channel, min(deadline_s, clock_s() + wait_s))
+        except ExchangeTimeoutError:
+            silence = Silence(None, clock_s() - since_s, is_cut_off=False)
+            if clock_s() >= deadline_s:
+                raise
+        wait_s = watch.silent(silence)
+
+
 def receive_until(channel: CallChannel, deadline_s: float) -> PeerMessage:
     """Receive a message.
 
@@ -283,8 +311,7 @@
     context: CallContext, last_event_id: str | None, cache: CacheSource | None
 ) -> CallHanded:
     request, attempts = context.request, context.attempts
-    # The attempt at the other node is counted already.
-    attempts_left = context.route.max_attempts - attempts.run_count + 1
+    attempts_left = context.route.max_attempts - attempts.run_count
     return CallHanded(
         request.head.method,
         request.head.target,
@@ -304,7 +331,10 @@
 
 
 def _exchange_heads(
-    context: CallContext, channel: CallChannel, call: CallHanded
+    context: CallContext,
+    channel: CallChannel,
+    call: CallHanded,
+    watch: SilenceWatch,
 ) -> ResponseBegun:
     """Send a call; return the head of its response.
 
@@ -316,7 +346,8 @@
             channel.send(message, max(0.001, context.deadline_s - clock_s()))
     except LinkError as error:
         raise ExchangeError(str(error), sent=True) from error
-    begun = receive_until(channel, context.deadline_s + REFUSAL_DELAY_S)
+    deadline_s = context.deadline_s + REFUSAL_DELAY_S
+    begun = _receive_watched(channel, deadline_s, watch)
     if not isinstance(begun, ResponseBegun):
         raise ExchangeError('the response has no head', sent=True)
     context.attempts.add_sent(
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -22,11 +22,13 @@
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._ports import Forwarding, ResponseFacts
 from dandelionyoke_gateway._silence import (
+    HANDED_STALL_TIMEOUT_S,
     SECOND_TRY_POLL_S,
     SILENCE_S,
     PatientWatch,
     SecondTry,
     Silence,
+    SilenceWatch,
     SupersededError,
 )
 from dandelionyoke_gateway._target_gate import TargetLimitedError
@@ -95,7 +97,7 @@
             self._log_failed_try(second)
             self._second = None
             return SILENCE_S
-        if not silence.is_cut_off or not self._is_handover_needed():
+        if not self._should_try_elsewhere(silence):
             return SILENCE_S
         self._second = SecondTry(self._try_elsewhere)
         return SECOND_TRY_POLL_S
@@ -109,7 +111,7 @@
     def _find_response(self) -> BufferedResponse:
         for _ in range(MAX_SENDS):
             if self._is_handover_needed():
-                response = self._hand_over()
+                response = self._hand_over(self._watch)
             else:
                 target = self._next_target()
                 if target is None:
@@ -134,19 +136,34 @@
             cause=second.cause,
         )
 
+    def _should_try_elsewhere(self, silence: Silence) -> bool:
+        is_node_silent = (
+            silence.target is None
+            and silence.duration_s >= HANDED_STALL_TIMEOUT_S
+        )
+        is_needed = silence.is_cut_off or is_node_silent
+        return is_needed and self._is_handover_needed()
+
     def _is_handover_needed(self) -> bool:
         return self._deps.handover.is_needed(self._context)
 
-    def _hand_over(self) -> BufferedResponse | None:
+    @property
+    def _watch(self) -> SilenceWatch:
+        """What decides while the target of the first try is silent."""
+        return self if self._context.route.is_repeatable else PatientWatch()
+
+    def _hand_over(self, watch: SilenceWatch) -> BufferedResponse | None:
         """Let another node serve the call; None if none can."""
         context = self._context
         if not context.attempts.may_run_again(context.route.is_repeatable):
             return None
         try:
             with self._deps.handover.exchange(
-                context, context.call.last_event_id
+                context, watch, context.call.last_event_id
             ) as call:
                 body = call.read_body(context.deadline_s)
+        except SupersededError:
+            return self._wait_for_second()
         except ExchangeError as error:
             self._cause = Cause.BROKEN
             if isinstance(error, ExchangeTimeoutError):
@@ -165,7 +182,7 @@
 
     def _try_elsewhere(self) -> BufferedResponse | None:
         """Let another node serve the call; None unless that succeeds."""
-        response = self._hand_over()
+        response = self._hand_over(PatientWatch())
         is_success = response is not None and response.head.is_success
         return response if is_success else None
 
@@ -217,7 +234,7 @@
             return None
         except SupersededError:
             record_failure(self._deps, self._context, target, superseded())
-            return None if self._second is None else self._second.cancel()
+            return self._wait_for_second()
         except ExchangeError as error:
             self._cause = record_failure(
                 self._deps, self._context, target, error
@@ -242,8 +259,7 @@
             last_event_id=context.call.last_event_id,
         )
         head = self._deps.dialect.call_head(context.request.head, forwarding)
-        watch = self if context.route.is_repeatable else PatientWatch()
-        with self._deps.connect_to(target, watch) as connection:
+        with self._deps.connect_to(target, self._watch) as connection:
             sent_s = clock_s()
             self._attempt = context.attempts.sent(target.target_id)
             connection.send(head, context.request.body)
--- a/packages/gateway/dandelionyoke_gateway/_silence.py
+++ b/packages/gateway/dandelionyoke_gateway/_silence.py
@@ -16,6 +16,9 @@
 
 # A response that takes longer than this to begin or go on may never come.
 SILENCE_S = 0.6
+# A third node is tried beside another node that is silent for this long; that
+# one tries another engine itself before.
+HANDED_STALL_TIMEOUT_S = 1.6
 # How soon a second try that has succeeded takes the place of the first one.
 SECOND_TRY_POLL_S = 0.05
 
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -18,6 +18,7 @@
 from dandelionyoke_gateway._handover import HandedCall
 from dandelionyoke_gateway._plain_call import count_usage_once
 from dandelionyoke_gateway._silence import (
+    HANDED_STALL_TIMEOUT_S,
     SECOND_TRY_POLL_S,
     SILENCE_S,
     SecondTry,
@@ -45,8 +46,6 @@
 # Another engine is tried beside one that has sent nothing for this long. This
 # is half of the minimum time after which callers give up on a stream.
 STALL_TIMEOUT_S = 1.0
-# The same for another node, which tries another engine itself before that.
-HANDED_STALL_TIMEOUT_S = 1.6
 
 
 def forward_stream_call(deps: CallDependencies, context: CallContext) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -130,7 +130,7 @@
         if not is_reached:
             self._deps.reach.watch_decode(service)
         if handover.is_needed(self._context, is_reached=is_reached):
-            return self._begin_elsewhere()
+            return self._begin_elsewhere(watch)
         if not is_reached or handover.cannot_be_served(self._context):
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
         self._charge_retry()
@@ -330,7 +330,7 @@
 
     # At another node.
 
-    def _begin_elsewhere(self) -> BegunStream:
+    def _begin_elsewhere(self, watch: SilenceWatch) -> BegunStream:
         """Let another node serve the call or the rest of its stream.
 
         Raises:
@@ -339,18 +339,19 @@
         with self._keep_unless_spent(self._prompt) as use:
             self._prompt = None
             try:
-                return self._hand_over(use)
+                return self._hand_over(use, watch)
             except ExchangeError as error:
                 # It is unknown whether an engine has imported the KV cache.
                 use.is_spent = error.sent
                 cause = Cause.BROKEN if error.sent else Cause.NO_TARGET
                 raise RetryableError(cause) from error
 
-    def _hand_over(self, use: _PromptUse) -> BegunStream:
+    def _hand_over(self, use: _PromptUse, watch: SilenceWatch) -> BegunStream:
         with ExitStack() as exchange:
             call = exchange.enter_context(
                 self._deps.handover.exchange(
                     self._context,
+                    watch,
                     self.state.last_event_id,
                     None if use.prompt is None else use.prompt.cache,
                 )
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -515,6 +515,21 @@
         self.assertEqual(200, status(content))
         self.assertTrue(content.endswith(b'\r\n0\r\n\r\n'), content)
 
+    def test_a_handed_plain_call_leaves_a_node_that_stays_silent(self) -> None:
+        """Guards against the same for a call that may be repeated."""
+        read_request = _handover_server._read_request
+        pauses_s = iter([30.0])
+
+        def read_late(channel: CallChannel) -> CallerRequest:
+            eventlet.sleep(next(pauses_s, 0.0))
+            return read_request(channel)
+
+        self.enterContext(
+            mock.patch.object(_handover_server, '_read_request', read_late)
+        )
+        self.add_targets(answers_ok)
+        self.assertEqual(200, status(self.origin.call('/look/1')))
+
     def test_a_stream_goes_on_at_another_node(self) -> None:
         """Guards against a stream that ends with the node that took it."""
 
