Count a handed stream elsewhere only once it is passed on

Change: the count is given away when the other node's stream is passed on, or its answer is read.

Result: test_usage_is_counted_where_the_first_try_goes_on, [0, 0, 0] before, [1, 0, 0] now; test_handed_calls, test_silent_targets and test_handover pass. Left: the other node may have counted an event that is never passed on.

--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -252,8 +252,6 @@
             return None
         if begun.may_have_run:
             watch.heard()
-            # The node that sent the call to a target has counted it.
-            context.is_usage_counted = True
         return HandedCall(channel, begun, attempt)
 
     def _pass_over(self, member: Member, service: str, cause: str) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -170,6 +170,8 @@
                 self._cause = Cause.OUT_OF_TIME
             return None
         if call.may_have_run:
+            # The node that sent the call to a target has counted it.
+            context.is_usage_counted = True
             context.attempts.ran(call.attempt)
         else:
             context.attempts.refused(call.attempt)
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -237,6 +237,8 @@
     def _relay(self, stream: BegunStream) -> None:
         if isinstance(stream.source, HandedCall):
             stream.source.watch(self)
+            # The node that sends the call to a target counts it.
+            self._context.is_usage_counted = True
         else:
             bind_at_head(self._context, stream.version)
         responder = self._context.responder
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -368,6 +368,7 @@
         body = call.read_body(self._context.deadline_s)
         attempts = self._context.attempts
         if call.may_have_run:
+            self._context.is_usage_counted = True
             attempts.ran(call.attempt)
         else:
             attempts.refused(call.attempt)
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -26,7 +26,7 @@
     Route,
     ServiceShare,
 )
-from dandelionyoke_gateway import _handover_server, clock_s
+from dandelionyoke_gateway import _handover_server, _stream_call, clock_s
 from dandelionyoke_gateway._caller_connection import CallerRequest
 from dandelionyoke_gateway._handover_messages import (
     BodyPart,
@@ -560,15 +560,43 @@
     def test_usage_is_counted_once_where_the_call_was_sent(self) -> None:
         self.add_targets(answers_ok)
         self.origin.call()
-        counted = [
+        counted = self.counted_usage()
+        self.assertEqual(0, counted[0])
+        self.assertEqual(1, sum(counted))
+
+    def counted_usage(self) -> list[int]:
+        """Return the calls that each node has counted, the origin first."""
+        return [
             sum(
                 dict(window.counts).get('acme', 0)
                 for window in node.knowledge.usage.take_changed()
             )
             for node in (self.origin, *self.others)
         ]
-        self.assertEqual(0, counted[0])
-        self.assertEqual(1, sum(counted))
+
+    def test_usage_is_counted_where_the_first_try_goes_on(self) -> None:
+        """Guards against a stream that neither of two nodes counts."""
+
+        def goes_on(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            self.cut_off(self.origin)
+            yield 1.2
+            yield from streams_tokens(request)
+
+        def begins(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield stream_head()
+            yield 5.0
+
+        # The first one goes on before the second takes its place.
+        self.enterContext(
+            mock.patch.object(_stream_call, 'SECOND_TRY_POLL_S', 2.0)
+        )
+        reached = {'i-1': True, 'i-2': True}
+        self.origin.knowledge.reach.probed('lm', reached, clock_s() + 2)
+        self.origin.add_target(goes_on, 'lm')
+        self.add_targets(begins, 'lm', Phase.DECODE)
+        self.assertEqual(200, status(self.origin.call('/resume/1')))
+        self.assertEqual(1, len(self.received()))
+        self.assertEqual([1, 0, 0], self.counted_usage())
 
     def test_an_organisations_limit_is_charged_once(self) -> None:
         """Guards against a limit that is charged at both nodes, or at none."""
