Log how long this process stood still beside what it believed

Callers saw answers end; the log said `no response in time` and could not tell whether the engine was silent or this process did not run.

`process.stalled`, `attempt.failed`, `stream.silent` and `peer.silent` tell it. No decision depends on it yet.

--- a/packages/gateway/dandelionyoke_gateway/_clock.py
+++ b/packages/gateway/dandelionyoke_gateway/_clock.py
@@ -1,15 +1,10 @@
-"""The boot-time clock and the wall clock."""
+"""The clocks of this process, and the wall clock."""
 
 import time
 
+from dandelionyoke_links import clock_s, running_s, stalled_s
 
-def clock_s() -> float:
-    """Read a monotonic clock that includes the time of a suspended machine.
-
-    `CLOCK_MONOTONIC` leaves that time out, so that a lease or a revoked key
-    would seem younger than it is and be trusted for too long.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+__all__ = ('clock_s', 'running_s', 'stalled_s', 'wall_s')
 
 
 def wall_s() -> float:
--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -19,7 +19,7 @@
     StoreItem,
 )
 from dandelionyoke_dispatch import ListingMark, Member
-from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
 from dandelionyoke_gateway._knowledge import NEVER_S, Knowledge
 from dandelionyoke_gateway._late_answers import LateAnswers
@@ -151,6 +151,7 @@
             outcome='passed over',
             cause=silence.value,
             waited_s=waited_s,
+            stalled_s=stalled_s(clock_s() - waited_s),
         )
         if silence is Silence.NO_ANSWER:
             self._late_answers.expect(hub, peer_id, self._request_number)
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -17,7 +17,7 @@
     charge_retry,
     limited_refusal,
 )
-from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._ports import Forwarding, ResponseFacts
@@ -412,6 +412,7 @@
         target=target.target_id,
         version=target.version,
         has_begun=str(context.responder.has_started),
+        stalled_s=stalled_s(context.request.arrived_s),
     )
     if isinstance(error, ExchangeTimeoutError):
         return Cause.OUT_OF_TIME
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -12,7 +12,7 @@
     CallDependencies,
     RefusedError,
 )
-from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._event_stream import EventSplitter, StreamEvent
 from dandelionyoke_gateway._handover import HandedCall
@@ -204,6 +204,7 @@
             outcome=outcome,
             target=None if target is None else target.target_id,
             silent_s=silence.duration_s,
+            stalled_s=stalled_s(self._context.request.arrived_s),
             cause=cause,
             has_begun=str(self._context.responder.has_started),
         )
--- a/packages/links/dandelionyoke_links/__init__.py
+++ b/packages/links/dandelionyoke_links/__init__.py
@@ -1,5 +1,14 @@
-"""Authenticated links between processes, and socket helpers."""
+"""Event loop, authenticated links between processes, and socket helpers."""
 
+from dandelionyoke_links._clock import (
+    clock_s as clock_s,
+)
+from dandelionyoke_links._event_loop import (
+    EventLoop as EventLoop,
+    install_event_loop as install_event_loop,
+    running_s as running_s,
+    stalled_s as stalled_s,
+)
 from dandelionyoke_links._peers import (
     CallChannel as CallChannel,
     LinkError as LinkError,
--- a/packages/wire/dandelionyoke_wire/__init__.py
+++ b/packages/wire/dandelionyoke_wire/__init__.py
@@ -12,7 +12,6 @@
     EventHandler as EventHandler,
     EventQueue as EventQueue,
     NodeEventLoop as NodeEventLoop,
-    clock_s as clock_s,
 )
 from dandelionyoke_wire._store import StoreClient as StoreClient
 from dandelionyoke_wire._transport import (
--- a/packages/wire/dandelionyoke_wire/_runtime.py
+++ b/packages/wire/dandelionyoke_wire/_runtime.py
@@ -1,6 +1,5 @@
 """The event loop of a node, and the green threads for its actions."""
 
-import time
 from collections.abc import Callable
 from functools import partial
 from typing import Any, Protocol, get_args
@@ -44,7 +43,7 @@
     SubmitUsage,
     TimerFired,
 )
-from dandelionyoke_links import PeerHub, PeerSettings
+from dandelionyoke_links import PeerHub, PeerSettings, clock_s
 from dandelionyoke_wire._engine import EngineClient
 from dandelionyoke_wire._guarded import MaySend
 from dandelionyoke_wire._plain import PlainClient
@@ -101,15 +100,6 @@
         """Record one action."""
 
 
-def clock_s() -> float:
-    """Return a monotonic time that advances during suspend.
-
-    With a clock that stops while the machine is suspended, a holder would
-    treat a lease as valid that has long expired.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class EventQueue:
     """Queue of events for the node."""
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,9 +5,14 @@
 import pytest
 from hypothesis import settings
 
+from dandelionyoke_links import install_event_loop
+
 ROOT = pathlib.Path(__file__).parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 
+# As the programs do before they start a green thread.
+install_event_loop()
+
 # Deterministic runs: no new random examples and no time limit per example.
 settings.register_profile('dandelionyoke', derandomize=True, deadline=None)
 settings.load_profile('dandelionyoke')
