List what a standstill of a process makes its waits believe

Three waits end though what they wait for has come: a read of a socket, a read of a queue that another thread fills, and a pause after which a task looks at what has arrived. The process computes for 0.8 s in the thread of another connection, then its event loop fires the timers that are due before it looks for input.

--- /dev/null
+++ b/tests/links/test_event_loop.py
@@ -0,0 +1,102 @@
+"""Waits of an event loop whose process stands still meanwhile."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import testtools
+from eventlet import queue
+from eventlet.green import socket
+
+from dandelionyoke_links import receive
+
+WAIT_S = 0.4
+STANDSTILL_S = 0.8
+
+
+class StandstillTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.near, self.far = socket.socketpair()
+        self.addCleanup(self.near.close)
+        self.addCleanup(self.far.close)
+        self.near.settimeout(0)
+
+    def stand_still(self, wait: Callable[[], Any]) -> Any:
+        """Start a wait, stand still beyond its limit, return its result.
+
+        Its data arrives a moment after the standstill begins, which other
+        input causes.
+        """
+        cause_near, cause_far = socket.socketpair()
+        cause_near.settimeout(0)
+
+        def compute() -> None:
+            receive(cause_near, 9, 5.0)
+            self.far.sendall(b'data')
+            time.sleep(STANDSTILL_S)
+
+        eventlet.spawn(compute)
+        waiting = eventlet.spawn(wait)
+        eventlet.sleep(0.05)
+        with cause_near, cause_far:
+            cause_far.sendall(b'go')
+            return waiting.wait()
+
+    def test_data_that_arrived_in_a_standstill_is_received(self) -> None:
+        """Guards against an engine taken for silent by a node that was not."""
+        content = self.stand_still(lambda: receive(self.near, 9, WAIT_S))
+        self.assertEqual(b'data', content)
+
+    def test_a_reply_that_another_thread_reads_is_received(self) -> None:
+        """Guards against a node taken for silent as its link is read late."""
+        replies = queue.LightQueue()
+
+        def read_link() -> None:
+            replies.put(receive(self.near, 9, 5.0))
+
+        eventlet.spawn(read_link)
+        reply = self.stand_still(lambda: replies.get(timeout=WAIT_S))
+        self.assertEqual(b'data', reply)
+
+    def test_a_periodic_task_sees_what_arrived_before_it_runs(self) -> None:
+        """Guards against a decision made on knowledge that is old by a stop."""
+        received = []
+
+        def read() -> None:
+            received.append(receive(self.near, 9, 5.0))
+
+        def look() -> list[bytes]:
+            eventlet.sleep(WAIT_S)
+            return list(received)
+
+        eventlet.spawn(read)
+        self.assertEqual([b'data'], self.stand_still(look))
+
+    def test_a_wait_for_nothing_ends(self) -> None:
+        """Guards against a dead engine that is waited for for ever."""
+
+        def wait() -> None:
+            with testtools.ExpectedException(TimeoutError):
+                receive(self.far, 9, WAIT_S)
+
+        self.far.settimeout(0)
+        self.stand_still(wait)
+
+    def test_waits_end_while_input_never_stops(self) -> None:
+        """Guards against timers that a busy process never fires."""
+        other_near, other_far = socket.socketpair()
+        other_near.settimeout(0)
+        other_far.sendall(b'ball')
+
+        def play() -> None:
+            while True:
+                other_far.sendall(receive(other_near, 9, 5.0))
+                eventlet.sleep(0)
+
+        player = eventlet.spawn(play)
+        self.addCleanup(player.kill)
+        began_s = time.monotonic()
+        self.stand_still(lambda: eventlet.sleep(WAIT_S))
+        self.assertLess(time.monotonic() - began_s, STANDSTILL_S + 0.5)
