Judge the silence of a target by the time in which this process ran

Callers of a node that stood still for over a second had their streams tried at a second engine, all at once: each spent an attempt and a retry of the budget, made its engine suspect for other calls and closed its idle connections.

The silence was the difference of two readings of a clock, so that a standstill of the node counted as one of all its engines. The running clock leaves it out, for exchanges with targets and with other nodes alike. An engine that has died is left as before, after 1.0 s in which this process ran.

--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -6,7 +6,7 @@
 from dandelionyoke_core import InstanceId, PeerMessage
 from dandelionyoke_dispatch import Member
 from dandelionyoke_gateway._call_context import CallContext
-from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._clock import clock_s, running_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._handed_terms import terms_of
 from dandelionyoke_gateway._handover_messages import (
@@ -275,15 +275,19 @@
         ExchangeError: the channel has ended, or none arrived in time.
         SupersededError: another target has answered.
     """
-    since_s, wait_s = clock_s(), SILENCE_S
+    since_s = running_s()
+    due_s = since_s + SILENCE_S
     while True:
+        wait_s = max(0, due_s - running_s())
         try:
             return receive_until(channel, min(deadline_s, clock_s() + wait_s))
         except ExchangeTimeoutError:
-            silence = Silence(None, clock_s() - since_s, is_cut_off=False)
             if clock_s() >= deadline_s:
                 raise
-        wait_s = watch.silent(silence)
+        silent_s = running_s() - since_s
+        if running_s() >= due_s:
+            silence = Silence(None, silent_s, is_cut_off=False)
+            due_s = running_s() + watch.silent(silence)
 
 
 def receive_until(channel: CallChannel, deadline_s: float) -> PeerMessage:
--- a/packages/gateway/dandelionyoke_gateway/_silence.py
+++ b/packages/gateway/dandelionyoke_gateway/_silence.py
@@ -29,7 +29,7 @@
 class Silence:
     """The time in which nothing has arrived from a target.
 
-    It is another node that is silent if `target` is None. `is_cut_off` is
+    A standstill of this process does not count as silence. It is another node that is silent if `target` is None. `is_cut_off` is
     whether this node reaches no target of the service.
     """
 
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -16,7 +16,7 @@
 from eventlet.greenthread import GreenThread
 from eventlet.hubs import trampoline
 
-from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._clock import clock_s, running_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._messages import (
     RequestHead,
@@ -83,8 +83,10 @@
         self.on_silence: Callable[[float], float] | None = None
         # Called when bytes arrive.
         self.on_data: Callable[[], None] | None = None
+        # Times of the running clock: a standstill of this process is no
+        # silence of the peer.
         self._silent_since_s = 0.0
-        self._silence_wait_s = SILENCE_S
+        self._silence_due_s = 0.0
 
     def send(
         self, head: RequestHead, body: bytes, until_s: float = math.inf
@@ -234,7 +236,7 @@
             raise ExchangeTimeoutError('no response in time', sent=True)
         wait_s = min(remaining_s, self._max_wait_s)
         if self.on_silence is not None:
-            wait_s = min(wait_s, self._silence_wait_s)
+            wait_s = min(wait_s, max(0, self._silence_due_s - running_s()))
         try:
             received = receive(self._sock, READ_BYTES, wait_s)
         except TimeoutError as timeout:
@@ -253,13 +255,14 @@
         self._parser.receive_data(received)
 
     def _restart_silence(self) -> None:
-        self._silent_since_s = clock_s()
-        self._silence_wait_s = SILENCE_S
+        self._silent_since_s = running_s()
+        self._silence_due_s = self._silent_since_s + SILENCE_S
 
     def _check_silence(self) -> None:
-        if self.on_silence is not None:
-            silent_s = clock_s() - self._silent_since_s
-            self._silence_wait_s = self.on_silence(silent_s)
+        now_s = running_s()
+        if self.on_silence is not None and now_s >= self._silence_due_s:
+            wait_s = self.on_silence(now_s - self._silent_since_s)
+            self._silence_due_s = running_s() + wait_s
 
     def _record_keep_alive(self, head: ResponseHead) -> None:
         if 'close' in (head.header('connection') or '').lower():
