Read what has arrived before a time limit ends a call

Callers of a node that stood still beyond the time limit of their calls got 504, or a stream without its end, though the engine had answered in time and the answer was in the socket's buffer: each read compares the clock with the limit first, and an answer that needs more than one read was dropped between two of them.

A read now takes what is there also after the limit; only a wait for more ends the call. The same for messages of another node. A target that always has more to read keeps its call going for as long; one that pauses at all does not.

--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -40,6 +40,8 @@
 # Both nodes give a call up at the same time. What the other one then says of
 # it arrives this much later at most.
 REFUSAL_DELAY_S = 0.05
+# A socket with no time to wait would not wait at all.
+MIN_WAIT_S = 0.001
 
 OpenCall = Callable[[InstanceId, str, float], CallChannel]
 
@@ -296,9 +298,8 @@
     Raises:
         ExchangeError: the channel has ended, or none arrived in time.
     """
-    remaining_s = deadline_s - clock_s()
-    if remaining_s <= 0:
-        raise ExchangeTimeoutError('no response in time', sent=True)
+    # What has arrived is read even if the deadline has passed.
+    remaining_s = max(MIN_WAIT_S, deadline_s - clock_s())
     try:
         return channel.receive(remaining_s)
     except TimeoutError as timeout:
@@ -345,7 +346,8 @@
     """
     try:
         for message in (call, *split_body(context.request.body)):
-            channel.send(message, max(0.001, context.deadline_s - clock_s()))
+            remaining_s = max(MIN_WAIT_S, context.deadline_s - clock_s())
+            channel.send(message, remaining_s)
     except LinkError as error:
         raise ExchangeError(str(error), sent=True) from error
     deadline_s = context.deadline_s + REFUSAL_DELAY_S
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -231,9 +231,8 @@
             self._receive(deadline_s)
 
     def _receive(self, deadline_s: float) -> None:
-        remaining_s = deadline_s - clock_s()
-        if remaining_s <= 0:
-            raise ExchangeTimeoutError('no response in time', sent=True)
+        # What has arrived is read even if the deadline has passed.
+        remaining_s = max(0, deadline_s - clock_s())
         wait_s = min(remaining_s, self._max_wait_s)
         if self.on_silence is not None:
             wait_s = min(wait_s, max(0, self._silence_due_s - running_s()))
