Start two programs of tests on the product's event loop

They send requests as a node does, whose program installs the loop before it starts a green thread; without it a connection has no running clock (AttributeError in test_bytes_of_a_killed_process_never_arrive, one of one). Their checks are unchanged.

Run: tests/gateway/test_target_connection.py, tests/platform/test_duties.py pass.

--- a/tests/gateway/test_target_connection.py
+++ b/tests/gateway/test_target_connection.py
@@ -22,6 +22,8 @@
 import sys, time
 from dandelionyoke_gateway import RequestHead
 from dandelionyoke_gateway._target_connection import connect
+from dandelionyoke_links import install_event_loop
+install_event_loop()
 connection = connect(sys.argv[1], 5.0)
 connection.send(RequestHead('POST', '/a', (('host', 'h'),)), b'x')
 print('sent', flush=True)
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -51,7 +51,9 @@
     FencingStamp, TargetCountOrder, TargetPool, clock_s
 )
 from dandelionyoke_gateway._target_connection import TargetConnection
+from dandelionyoke_links import install_event_loop
 from dandelionyoke_platform._duties import PlatformDuties
+install_event_loop()
 write = TargetConnection.send
 def send(connection, *arguments):
     print('connected', flush=True)
