--- a/tests/platform/test_silent_targets.py
+++ b/tests/platform/test_silent_targets.py
@@ -143,6 +143,34 @@
         self.node.add_target(answers_error, 'lm')
         self.assert_whole(self.node.call('/resume/1'))
 
+    def test_a_begun_stream_waits_for_an_engine_with_room(self) -> None:
+        """Guards against a stream cut while its next engine is full."""
+
+        def breaks_off(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield stream_head()
+            yield chunk(event(1))
+            yield 0.1
+            yield None
+
+        refusals = iter([refuses_call])
+
+        def is_full_once(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            refuse = next(refusals, None)
+            if refuse is not None:
+                yield from refuse(request)
+                return
+            yield stream_head()
+            yield from events_after(request)
+            yield chunk(b'')
+
+        first_or_full = iter([breaks_off])
+        for _ in range(2):
+            self.node.add_target(
+                lambda request: next(first_or_full, is_full_once)(request),
+                'lm',
+            )
+        self.assert_whole(self.node.call('/resume/1'))
+
     def test_a_second_try_that_fails_by_an_error_is_logged(self) -> None:
         """Guards against an error of ours that nobody sees."""
         self.stream('first', event_silence_s=2.2)
