Let a begun stream wait for an engine that takes its rest

Callers got a stream without its end when its engine broke off while the others were full, or asked for rest, for a moment: the refusal of the next engine ended the stream at once, though its time was not over.

The node now waits for up to 1.0 s and asks each 0.2 s the engines that have only refused it; one at which the stream has failed is not asked again. A stream that has not begun is still refused at once, as its caller can go elsewhere.

--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -1,5 +1,9 @@
 """Forwards a call that is answered with a stream of events."""
 
+import math
+
+import eventlet
+
 from dandelionyoke_dispatch import (
     DEFAULT_RETRY_AFTER_S,
     Cause,
@@ -43,6 +47,11 @@
 
 MAX_SENDS = 4
 
+# How often a begun stream looks for a target to go on at, if none takes it.
+RESUME_INTERVAL_S = 0.2
+# Its caller may also take it up at another node, so that it waits this long.
+MAX_RESUME_WAIT_S = 1.0
+
 # Another engine is tried beside one that has sent nothing for this long. This
 # is half of the minimum time after which callers give up on a stream.
 STALL_TIMEOUT_S = 1.0
@@ -64,6 +73,8 @@
         self._state = self._opener.state
         self._cause = Cause.NO_RETRY
         self._failure_count = 0
+        # Until when a begun stream may wait for a target to go on at.
+        self._waits_until_s = math.inf
         # A try at another target while the first one is silent.
         self._second: SecondTry[BegunStream] | None = None
         self._second_watch = SwitchedWatch()
@@ -85,10 +96,21 @@
     def _send_with_retries(self) -> None:
         # Not after the prefill, which would be in vain.
         self._opener.refuse_if_limited()
-        while not self._try_once():
+        while not self._try_or_wait():
             if self._second is None and not self._may_retry():
                 raise RefusedError(Refusal(self._cause, DEFAULT_RETRY_AFTER_S))
 
+    def _try_or_wait(self) -> bool:
+        """Try once; wait if no target takes the rest of a begun stream now."""
+        try:
+            return self._try_once()
+        except RefusedError:
+            if not self._may_wait():
+                raise
+        self._state.forget_refusals()
+        eventlet.sleep(RESUME_INTERVAL_S)
+        return False
+
     def _try_once(self) -> bool:
         """Forward one stream; return whether the call has its answer."""
         try:
@@ -108,6 +130,17 @@
         self._failure_count += 1
         return False
 
+    def _may_wait(self) -> bool:
+        """Whether a begun stream should wait for a target to go on at."""
+        if not self._context.responder.has_started or not self._may_retry():
+            return False
+        now_s = clock_s()
+        self._waits_until_s = min(
+            self._waits_until_s, now_s + MAX_RESUME_WAIT_S
+        )
+        until_s = min(self._waits_until_s, self._context.deadline_s)
+        return now_s + RESUME_INTERVAL_S < until_s and self._opener.may_resume()
+
     def _may_retry(self) -> bool:
         context = self._context
         if self._failure_count >= MAX_SENDS or clock_s() >= context.deadline_s:
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -119,6 +119,17 @@
         is_cut_off = self._deps.handover.cannot_be_served(self._context)
         return not is_cut_off and self._find_decode_target(None) is not None
 
+    def may_resume(self) -> bool:
+        """Whether a target is listed that has not failed the stream yet."""
+        targets = self._knowledge.placement.decode_targets(
+            self._context.service.name
+        )
+        return any(
+            target.version == self._context.version
+            and not self.state.has_failed(target)
+            for target in targets
+        )
+
     # Choice.
 
     def _begin_once(self, watch: SilenceWatch) -> BegunStream:
@@ -305,7 +316,7 @@
         attempt: int,
     ) -> None:
         self._context.attempts.refused(attempt)
-        self.state.tried_ids.add(target.target_id)
+        self.state.record_refusal(target)
         record_refusal(self._deps, target, facts)
         self.state.log_decision('stream.refused', target, status=facts.status)
         connection.read_body(self._context.deadline_s, MAX_ERROR_BODY_BYTES)
