--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -6,7 +6,7 @@
 from dandelionyoke_core import InstanceId, PeerMessage
 from dandelionyoke_dispatch import Member
 from dandelionyoke_gateway._call_context import CallContext
-from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._clock import clock_s, running_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._handed_terms import terms_of
 from dandelionyoke_gateway._handover_messages import (
@@ -40,6 +40,8 @@
 # Both nodes give a call up at the same time. What the other one then says of
 # it arrives this much later at most.
 REFUSAL_DELAY_S = 0.05
+# A socket with no time to wait would not wait at all.
+MIN_WAIT_S = 0.001
 
 OpenCall = Callable[[InstanceId, str, float], CallChannel]
 
@@ -275,15 +277,19 @@
         ExchangeError: the channel has ended, or none arrived in time.
         SupersededError: another target has answered.
     """
-    since_s, wait_s = clock_s(), SILENCE_S
+    since_s = running_s()
+    due_s = since_s + SILENCE_S
     while True:
+        wait_s = max(0, due_s - running_s())
         try:
             return receive_until(channel, min(deadline_s, clock_s() + wait_s))
         except ExchangeTimeoutError:
-            silence = Silence(None, clock_s() - since_s, is_cut_off=False)
             if clock_s() >= deadline_s:
                 raise
-        wait_s = watch.silent(silence)
+        silent_s = running_s() - since_s
+        if running_s() >= due_s:
+            silence = Silence(None, silent_s, is_cut_off=False)
+            due_s = running_s() + watch.silent(silence)
 
 
 def receive_until(channel: CallChannel, deadline_s: float) -> PeerMessage:
@@ -292,9 +298,8 @@
     Raises:
         ExchangeError: the channel has ended, or none arrived in time.
     """
-    remaining_s = deadline_s - clock_s()
-    if remaining_s <= 0:
-        raise ExchangeTimeoutError('no response in time', sent=True)
+    # What has arrived is read even if the deadline has passed.
+    remaining_s = max(MIN_WAIT_S, deadline_s - clock_s())
     try:
         return channel.receive(remaining_s)
     except TimeoutError as timeout:
@@ -341,7 +346,8 @@
     """
     try:
         for message in (call, *split_body(context.request.body)):
-            channel.send(message, max(0.001, context.deadline_s - clock_s()))
+            remaining_s = max(MIN_WAIT_S, context.deadline_s - clock_s())
+            channel.send(message, remaining_s)
     except LinkError as error:
         raise ExchangeError(str(error), sent=True) from error
     deadline_s = context.deadline_s + REFUSAL_DELAY_S
