Play standstills of engines and nodes as real processes

Cause why no run of ours showed it: engines were green threads of the test's process, and no node was kept from the processor without a long stop.

Change: `python -m tests.silence.run` starts five nodes and ten engines as processes. Each request that was sent whole gets a whole answer or a truthful refusal. `--product DIR` plays the packages of another checkout. The run logs its own standstills.

--- a/Makefile
+++ b/Makefile
@@ -10,13 +10,18 @@
 SEEDS ?= 1-50
 FRESH ?= 0
 SOAK_SECONDS ?= 20
+# What `make silence` plays: engines, nodes, starved or both.
+SILENCE_SEEDS ?= 1-5
+SILENCE_SECONDS ?= 40
+MODE ?= both
 
-.PHONY: help install format lint test demo serve soak clean \
+.PHONY: help install format lint test demo serve soak silence clean \
 	measure measure-nodes measure-spread measure-path
 
 help:
 	@echo "make demo | test | serve | lint | format | clean"
 	@echo "make soak SEEDS=1-50 FRESH=0 SOAK_SECONDS=20"
+	@echo "make silence SILENCE_SEEDS=1-5 SILENCE_SECONDS=40 MODE=both"
 	@echo "make measure | measure-nodes | measure-spread | measure-path"
 
 $(VENV)/.installed: requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
@@ -54,6 +59,11 @@
 	$(BIN)/python -W ignore -m tests.soak.soak --seeds "$(SEEDS)" \
 		--fresh $(FRESH) --seconds $(SOAK_SECONDS)
 
+# Real processes that stand still; docs/SOAK.md.
+silence: install
+	$(BIN)/python -W ignore -m tests.silence.run \
+		--seeds "$(SILENCE_SEEDS)" --seconds $(SILENCE_SECONDS) --mode $(MODE)
+
 # The policy against its naive version; the figures of docs/MEASUREMENTS.md.
 measure: install
 	$(BIN)/python -W ignore -m dandelionyoke_standins measure policy
--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -64,7 +64,10 @@
 
 
 class Program:
-    """A gateway process with its settings file and log."""
+    """A gateway process with its settings file and log.
+
+    `import_path` names the packages of another checkout to run.
+    """
 
     def __init__(
         self,
@@ -75,6 +78,7 @@
         store_address: str = '',
         duty_address: str = '',
         exit_delay_s: float = 0.0,
+        import_path: str = '',
     ) -> None:
         ports = ports or Ports()
         self.port = ports.callers
@@ -100,6 +104,7 @@
                 **os.environ,
                 'DANDELIONYOKE_BOOT': str(settings),
                 'EVENTLET_NO_GREENDNS': 'yes',
+                **({'PYTHONPATH': import_path} if import_path else {}),
             },
             stdout=self.log.open('ab'),
             stderr=subprocess.STDOUT,
--- /dev/null
+++ b/tests/silence/checks.py
@@ -0,0 +1,116 @@
+"""Checks of what became of each request."""
+
+import re
+from collections import Counter
+from collections.abc import Iterator
+
+from tests.silence.configuration import IDLE_TIMEOUTS_MS, TIMEOUTS_MS
+from tests.silence.record import (
+    ASK,
+    CONFIRM,
+    EVENTS_PER_STREAM,
+    STREAM_PATHS,
+    SentRequest,
+    SilenceRecord,
+)
+
+REFUSALS = frozenset((408, 421, 429, 503))
+FAILURES = frozenset((502, 504))
+STATUS_OK = 200
+STATUS_TIMEOUT = 504
+TIME_LIMIT_S = min(TIMEOUTS_MS) / 1000
+IDLE_LIMIT_S = min(IDLE_TIMEOUTS_MS) / 1000
+# Clocks of caller and node differ by the way between them.
+TIME_SLACK_S = 0.1
+# Events this long before a request may matter to it.
+BESIDE_S = 1.0
+MAX_RUNS = 1
+_EVENT = re.compile(rb'id: (\d+)\ndata: (\S+) v\d\n\n')
+
+
+def outcome_of(request: SentRequest) -> str:
+    """Return what became of a request.
+
+    Without a complete answer, not lost is only what was not sent whole, what
+    had begun to be answered when its time limit was reached, and what was sent
+    after the connection had been idle for too long: it may cross the close.
+    """
+    if not request.is_sent:
+        return 'not sent'
+    if request.is_complete:
+        return _answer_of(request)
+    is_at_limit = request.took_s >= TIME_LIMIT_S - TIME_SLACK_S
+    if request.status is not None and is_at_limit:
+        return 'cut at its time limit'
+    is_idle = request.idle_s >= IDLE_LIMIT_S - TIME_SLACK_S
+    if request.status is None and is_idle and not request.body:
+        return 'sent on an idle connection'
+    return 'LOST'
+
+
+def _answer_of(request: SentRequest) -> str:
+    if request.status == STATUS_OK:
+        return 'whole' if _is_whole(request) else 'DAMAGED'
+    if request.status in REFUSALS:
+        return 'refused'
+    is_at_limit = request.took_s >= TIME_LIMIT_S - TIME_SLACK_S
+    if request.status == STATUS_TIMEOUT and not is_at_limit:
+        return '504 before its limit'
+    return str(request.status) if request.status in FAILURES else 'ODD'
+
+
+def _is_whole(request: SentRequest) -> bool:
+    request_id = request.request_id.encode()
+    if request.path not in STREAM_PATHS:
+        return request.body == request_id
+    events = [
+        (int(event[1]), event[2]) for event in _EVENT.finditer(request.body)
+    ]
+    return events == [
+        (number, request_id) for number in range(1, EVENTS_PER_STREAM + 1)
+    ]
+
+
+def find_violations(record: SilenceRecord) -> Iterator[str]:
+    """Return each violated promise as `RULE evidence`."""
+    for request in record.requests:
+        outcome = outcome_of(request)
+        if outcome.isupper():
+            yield f'{outcome} {describe(request, record)}'
+        runs = record.run_counts.get(request.request_id, 0)
+        if request.path not in {CONFIRM, ASK}:
+            continue
+        if runs > MAX_RUNS:
+            yield f'TWICE {runs} runs: {describe(request, record)}'
+        if outcome == 'refused' and runs:
+            yield f'REFUSED although it ran: {describe(request, record)}'
+    yield from (f'EXIT {text}' for text in record.exits)
+
+
+def count_outcomes(record: SilenceRecord) -> Counter[str]:
+    """Count the requests by what became of them."""
+    return Counter(outcome_of(request) for request in record.requests)
+
+
+def describe(request: SentRequest, record: SilenceRecord) -> str:
+    """Describe a request and what happened beside it."""
+    beside = '; '.join(_beside(request, record))
+    return (
+        f'{request.request_id} {request.path} at {request.node}, sent '
+        f'{request.sent_s:.3f}, ended {request.took_s:.3f} s later '
+        f'({request.end or "complete"}), status {request.status}, '
+        f'{len(_EVENT.findall(request.body))} events, '
+        f'{record.run_counts.get(request.request_id, 0)} runs; beside: {beside}'
+    )
+
+
+def _beside(request: SentRequest, record: SilenceRecord) -> Iterator[str]:
+    for span in record.spans:
+        if span.overlaps(request.sent_s - BESIDE_S, request.ended_s):
+            start_s = span.start_s - request.sent_s
+            end_s = span.end_s - request.sent_s
+            names = ','.join(span.names)
+            yield f'{span.kind} {names} {start_s:+.2f}..{end_s:+.2f} s'
+    for end_s, duration_s in record.standstills:
+        if request.sent_s < end_s and end_s - duration_s < request.ended_s:
+            yield f'the run itself stood still for {duration_s:.2f} s'
--- /dev/null
+++ b/tests/silence/logs.py
@@ -0,0 +1,57 @@
+"""Figures from the logs of nodes."""
+
+import json
+import pathlib
+from collections import Counter
+from collections.abc import Iterable
+
+import attrs
+
+# The decisions that are counted, by these of their fields.
+COUNTED = {
+    'stream.silent': ('outcome',),
+    'plain.silent': ('outcome',),
+    'retry.charged': ('outcome',),
+    'attempt.failed': ('cause',),
+    'call.fault': ('cause',),
+    'call.handed': ('outcome',),
+    'handover.dropped': ('outcome',),
+    'peer.silent': (),
+    'reach.changed': (),
+}
+
+
+@attrs.define
+class LogFigures:
+    """What the nodes of a run logged."""
+
+    counts: Counter[str] = attrs.field(factory=Counter)
+    # Standstills that the nodes noticed themselves.
+    stalls_s: list[float] = attrs.field(factory=list)
+    # Lines that the limit of the log's rate left out.
+    left_out: int = 0
+    unreadable_lines: int = 0
+
+
+def read_logs(paths: Iterable[pathlib.Path]) -> LogFigures:
+    """Count the decisions in logs."""
+    figures = LogFigures()
+    for path in paths:
+        for line in path.read_text().splitlines():
+            _count(line, figures)
+    return figures
+
+
+def _count(line: str, figures: LogFigures) -> None:
+    try:
+        fields = json.loads(line)
+    except ValueError:
+        figures.unreadable_lines += 1
+        return
+    figures.left_out += int(fields.get('left_out', 0))
+    decision = fields.get('message_type', '')
+    if decision == 'process.stalled':
+        figures.stalls_s.append(fields['late_s'])
+    elif decision in COUNTED:
+        values = [str(fields.get(name, '')) for name in COUNTED[decision]]
+        figures.counts[': '.join([decision, *values])] += 1
