--- a/tests/silence/callers.py
+++ b/tests/silence/callers.py
@@ -83,9 +83,9 @@
         )
         self.record.requests.append(request)
         try:
-            sock.sendall(_request_bytes(parser, request))
+            sock.sendall(request_bytes(parser, request))
             request.is_sent = True
-            _read(sock, parser, request)
+            read_answer(sock, parser, request)
         except TimeoutError:
             request.end = 'the caller waited in vain'
         except (OSError, h11.RemoteProtocolError) as error:
@@ -105,7 +105,8 @@
         return True
 
 
-def _request_bytes(parser: h11.Connection, request: SentRequest) -> bytes:
+def request_bytes(parser: h11.Connection, request: SentRequest) -> bytes:
+    """Build a request."""
     headers = [
         ('Host', HOST),
         ('Attempt-Id', request.request_id),
@@ -120,9 +121,15 @@
     return bytes(wire + parser.send(h11.EndOfMessage()))
 
 
-def _read(
+def read_answer(
     sock: socket.socket, parser: h11.Connection, request: SentRequest
 ) -> None:
+    """Read the answer to a request up to the end of its framing.
+
+    Raises:
+        OSError: nothing came for too long, or the connection was reset.
+        h11.RemoteProtocolError: the connection ended within the answer.
+    """
     deadline_s = clock_s() + MAX_WAIT_S
     while not request.is_complete:
         event = parser.next_event()
