Let a leaving process answer the requests that have begun

Callers whose request was being read as a process ended got no answer: after its listeners were closed it slept 0.2 s, closed the idle connections and ended without a look at the others.

A connection is idle, and closed, or its request is read and answered, mostly with the refusal of a leaving process; a caller that sends no more is told so after header_timeout_s. A process that has to leave connections ends as CUT.

--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -313,17 +313,27 @@
         self._log.decide('process.leaving', self._settings.instance_id)
         self._duty_task.leave()
         eventlet.sleep(BALANCER_NOTICE_S)
-        self._await_calls(started_s + self._settings.grace_s - GRACE_MARGIN_S)
+        deadline_s = started_s + self._settings.grace_s - GRACE_MARGIN_S
+        self._await_end(self._has_calls, deadline_s)
         self._close_listeners()
         # Refuses what callers send that have connected just before.
         eventlet.sleep(MIN_IDLE_S)
-        self._close_idle_connections()
+        self._await_end(self._has_callers, deadline_s)
         self._counts_task.finish()
-        is_clean = not self._knowledge.in_progress
+        is_clean = not self._has_callers()
         self._stop(ExitStatus.OK if is_clean else ExitStatus.CUT)
 
-    def _await_calls(self, deadline_s: float) -> None:
-        while self._knowledge.in_progress and clock_s() < deadline_s:
+    def _has_calls(self) -> bool:
+        return self._knowledge.in_progress > 0
+
+    def _has_callers(self) -> bool:
+        return self._has_calls() or bool(self._connections)
+
+    def _await_end(
+        self, is_busy: Callable[[], bool], deadline_s: float
+    ) -> None:
+        """Close connections that are idle until the process is not busy."""
+        while is_busy() and clock_s() < deadline_s:
             self._close_idle_connections()
             eventlet.sleep(DRAIN_POLL_INTERVAL_S)
 
