Take no calls of other nodes once a process ends

A node that hands a call to one whose drain is over waited 0.4 s for it, or sent it to a process that ended: the listener for other nodes stayed open to the end of the process, also while its interpreter ends.

It is closed with the listeners for callers. The other node is refused at once and asks the next one; what has come before is read and awaited.

Evidence: test_calls_of_other_nodes_are_not_accepted_any_more with a process that is stopped after its last look: timed out before, ECONNREFUSED now. That a handed call was cut was read, not shown.

--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -149,6 +149,7 @@
             signal.signal(signal_number, self._on_terminate)
         signal.signal(signal.SIGHUP, self._on_reload)
         peers = _listen(self._settings.peers)
+        self._listeners.append(peers)
         self._listen_and_serve(self._settings.health, self._answer_health)
         self._listen_and_serve(self._settings.metrics, self._answer_metrics)
         self._listen_and_serve(
--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -79,6 +79,7 @@
         ports = ports or Ports()
         self.port = ports.callers
         self.health_port = ports.health
+        self.peer_address = f'127.0.0.1:{ports.peers}'
         self.store_address = store_address or store.open_address()
         self.log = pathlib.Path(folder) / f'log-{self.port}'
         settings = pathlib.Path(folder) / f'settings-{self.port}.ini'
--- a/tests/platform/test_leaving_processes.py
+++ b/tests/platform/test_leaving_processes.py
@@ -1,6 +1,7 @@
 """A process that ends while its callers still send requests."""
 
 import contextlib
+import functools
 import json
 import signal
 import tempfile
@@ -10,6 +11,8 @@
 from eventlet.green import socket
 from testtools.content import text_content
 
+from dandelionyoke_core import InstanceId
+from dandelionyoke_links import LinkError, PeerHub, PeerSettings
 from tests.platform.node_harness import ScriptedTarget, answer, request_bytes
 from tests.platform.program import Program, wait_for
 from tests.platform.store_standin import StoreStandin
@@ -17,6 +20,7 @@
 
 CALLER_COUNT = 3
 STANDSTILL_S = 1.8
+OPEN_TIMEOUT_S = 0.4
 CONNECT_INTERVAL_S = 0.005
 # Of a caller within its request.
 PAUSE_S = 0.5
@@ -103,3 +107,20 @@
             with contextlib.suppress(OSError):
                 caller.sendall(REQUEST[-1:])
         self.check_refusals()
+
+    def test_calls_of_other_nodes_are_not_accepted_any_more(self) -> None:
+        """Guards against handed calls that wait for a node that ends."""
+        secret = self.store.items['links/secret'].value.encode()
+        hub = PeerHub(PeerSettings(InstanceId('n-2'), secret), id)
+        open_call = functools.partial(
+            hub.open_call,
+            InstanceId(f'n-{self.program.port}'),
+            self.program.peer_address,
+            timeout_s=OPEN_TIMEOUT_S,
+        )
+        open_call().close()
+        self.end_until_the_last_look()
+        self.program.send_signal(signal.SIGSTOP)
+        error = self.assertRaises(LinkError, open_call)
+        self.program.send_signal(signal.SIGCONT)
+        self.assertIn('ECONNREFUSED', str(error))
