Show a wait that ends as another due timer takes long

The event loop looks for input before it fires late timers, but not between two timers of one batch. All timers are due together after a standstill; if one of them computes for 0.8 s, a wait behind it times out though its data has come.

--- a/tests/links/test_event_loop.py
+++ b/tests/links/test_event_loop.py
@@ -74,6 +74,23 @@
         eventlet.spawn(read)
         self.assertEqual([b'data'], self.stand_still(look))
 
+    def test_data_that_arrived_between_two_due_timers_is_received(self) -> None:
+        """Guards against a wait that ends as another task computes for long.
+
+        Both timers are due at the same time, as after another standstill.
+        """
+
+        def compute() -> None:
+            eventlet.sleep(WAIT_S / 2)
+            self.far.sendall(b'data')
+            time.sleep(STANDSTILL_S)
+
+        eventlet.spawn(compute)
+        waiting = eventlet.spawn(receive, self.near, 9, WAIT_S)
+        eventlet.sleep(0)
+        time.sleep(STANDSTILL_S)
+        self.assertEqual(b'data', waiting.wait())
+
     def test_a_wait_for_nothing_ends(self) -> None:
         """Guards against a dead engine that is waited for for ever."""
 
