Look for input between due timers if one of them takes long

A wait of a process that has just stood still ended though what it waited for had come: after a standstill all timers are due at once, the loop fired them in one batch, and what arrived while an early one computed was not looked at before the later ones fired.

A batch now ends after 0.1 s. The timers left are late by then, so that the loop handles the input first, as before any late timer. Each batch fires one timer at least and may take half as long as the input handled before it, so that timers of a busy process still fire.

--- a/packages/links/dandelionyoke_links/_event_loop.py
+++ b/packages/links/dandelionyoke_links/_event_loop.py
@@ -21,6 +21,8 @@
 # What has arrived may lead to more input at once. Handling it for longer would
 # keep the timers of a busy process from firing.
 MAX_INPUT_TIME_S = 0.2
+# Timers that take longer make those behind them late.
+MAX_BATCH_TIME_S = 0.1
 
 
 class EventLoop(epolls.Hub):  # type: ignore[misc] # eventlet has no types
@@ -61,7 +63,15 @@
         if when - due_s > MAX_TIMER_DELAY_S:
             self._handle_input()
             self._input_handled_s = self.clock()
-        super().fire_timers(max(when, self._input_handled_s))
+        self._fire_batch(max(when, self._input_handled_s))
+
+    def _fire_batch(self, when: float) -> None:
+        """Fire the timers that are due, the rest later if they take long."""
+        until_s = self.clock() + MAX_BATCH_TIME_S
+        while self.timers and self.timers[0][0] <= when:
+            epolls.Hub.fire_timers(self, self.timers[0][0])
+            if self.clock() > until_s:
+                return
 
     def _handle_input(self) -> None:
         """Handle what has arrived, and what follows from it without a delay."""
