Look at a caller's socket once more before its time is over

A caller whose request arrived as its idle time ended saw its connection close without an answer; the rest of a request that arrived so was answered 408. The wait's timer fires without a look at the socket: timers that are due together run one after the other, and what came meanwhile is in the buffer.

The connection now reads once more, without waiting, before it believes the timer. A request that is on its way as the connection closes is still lost to its caller; it does not run.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -403,9 +403,8 @@
             InvalidRequestError: the bytes were not received in time.
             CallerDisconnectedError: the connection ended within a request.
         """
-        self._sock.settimeout(max(0.001, deadline_s - clock_s()))
         try:
-            content = self._sock.recv(READ_BYTES)
+            content = self._receive_until(deadline_s)
         except TimeoutError as timeout:
             if is_idle:
                 return False
@@ -422,6 +421,22 @@
         self._parser.receive_data(content)
         return bool(content)
 
+    def _receive_until(self, deadline_s: float) -> bytes:
+        """Wait for bytes; return b'' if the caller has closed.
+
+        Raises:
+            TimeoutError: none had arrived when the wait ended.
+            OSError: the connection failed.
+        """
+        self._sock.settimeout(max(0.001, deadline_s - clock_s()))
+        with contextlib.suppress(TimeoutError):
+            return bytes(self._sock.recv(READ_BYTES))
+        # Some may have arrived since the event loop last looked.
+        try:
+            return bytes(self._sock.fd.recv(READ_BYTES))
+        except BlockingIOError:
+            raise TimeoutError from None
+
     def _send_continue(self) -> None:
         if self._parser.they_are_waiting_for_100_continue:
             data = self._parser.send(
