--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -148,8 +148,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(signal_number, self._on_terminate)
         signal.signal(signal.SIGHUP, self._on_reload)
-        peers = _listen(self._settings.peers)
-        self._listeners.append(peers)
+        peers = self._listen(self._settings.peers)
         self._listen_and_serve(self._settings.health, self._answer_health)
         self._listen_and_serve(self._settings.metrics, self._answer_metrics)
         self._listen_and_serve(
@@ -238,9 +237,13 @@
     # Callers.
 
     def _listen_and_serve(self, endpoint: Endpoint, handler: Handler) -> None:
+        listener = self._listen(endpoint)
+        eventlet.spawn_n(self._accept, listener, handler)
+
+    def _listen(self, endpoint: Endpoint) -> socket.socket:
         listener = _listen(endpoint)
         self._listeners.append(listener)
-        eventlet.spawn_n(self._accept, listener, handler)
+        return listener
 
     def _close_listeners(self) -> None:
         """Refuse connections from now on: none would be read any more."""
