Let a raised idle limit hold for open connections

A caller saw its kept connection close after the idle limit of an earlier configuration, though the one in force allows more: the limit was read when the connection became idle. It is read again before the connection is closed. A lowered one holds from the next request, as before.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -407,7 +407,7 @@
             content = self._receive_until(deadline_s)
         except TimeoutError as timeout:
             if is_idle:
-                return False
+                return self._receive_later(deadline_s, part)
             raise InvalidRequestError(
                 f'{part} of the request did not come in time',
                 HTTPStatus.REQUEST_TIMEOUT,
@@ -421,6 +421,15 @@
         self._parser.receive_data(content)
         return bool(content)
 
+    def _receive_later(self, deadline_s: float, part: str) -> bool:
+        """Go on waiting if the idle limit was raised; False if not."""
+        idle_timeout_s = self._limits.idle_timeout_s
+        self._take_limits()
+        raised_s = self._limits.idle_timeout_s - idle_timeout_s
+        if raised_s <= 0:
+            return False
+        return self._receive(deadline_s + raised_s, part, is_idle=True)
+
     def _receive_until(self, deadline_s: float) -> bytes:
         """Wait for bytes; return b'' if the caller has closed.
 
