--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -403,12 +403,11 @@
             InvalidRequestError: the bytes were not received in time.
             CallerDisconnectedError: the connection ended within a request.
         """
-        self._sock.settimeout(max(0.001, deadline_s - clock_s()))
         try:
-            content = self._sock.recv(READ_BYTES)
+            content = self._receive_until(deadline_s)
         except TimeoutError as timeout:
             if is_idle:
-                return False
+                return self._receive_later(deadline_s, part)
             raise InvalidRequestError(
                 f'{part} of the request did not come in time',
                 HTTPStatus.REQUEST_TIMEOUT,
@@ -422,6 +421,31 @@
         self._parser.receive_data(content)
         return bool(content)
 
+    def _receive_later(self, deadline_s: float, part: str) -> bool:
+        """Go on waiting if the idle limit was raised; False if not."""
+        idle_timeout_s = self._limits.idle_timeout_s
+        self._take_limits()
+        raised_s = self._limits.idle_timeout_s - idle_timeout_s
+        if raised_s <= 0:
+            return False
+        return self._receive(deadline_s + raised_s, part, is_idle=True)
+
+    def _receive_until(self, deadline_s: float) -> bytes:
+        """Wait for bytes; return b'' if the caller has closed.
+
+        Raises:
+            TimeoutError: none had arrived when the wait ended.
+            OSError: the connection failed.
+        """
+        self._sock.settimeout(max(0.001, deadline_s - clock_s()))
+        with contextlib.suppress(TimeoutError):
+            return bytes(self._sock.recv(READ_BYTES))
+        # Some may have arrived since the event loop last looked.
+        try:
+            return bytes(self._sock.fd.recv(READ_BYTES))
+        except BlockingIOError:
+            raise TimeoutError from None
+
     def _send_continue(self) -> None:
         if self._parser.they_are_waiting_for_100_continue:
             data = self._parser.send(
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -148,7 +148,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(signal_number, self._on_terminate)
         signal.signal(signal.SIGHUP, self._on_reload)
-        peers = _listen(self._settings.peers)
+        peers = self._listen(self._settings.peers)
         self._listen_and_serve(self._settings.health, self._answer_health)
         self._listen_and_serve(self._settings.metrics, self._answer_metrics)
         self._listen_and_serve(
@@ -237,9 +237,13 @@
     # Callers.
 
     def _listen_and_serve(self, endpoint: Endpoint, handler: Handler) -> None:
+        listener = self._listen(endpoint)
+        eventlet.spawn_n(self._accept, listener, handler)
+
+    def _listen(self, endpoint: Endpoint) -> socket.socket:
         listener = _listen(endpoint)
         self._listeners.append(listener)
-        eventlet.spawn_n(self._accept, listener, handler)
+        return listener
 
     def _close_listeners(self) -> None:
         """Refuse connections from now on: none would be read any more."""
@@ -313,17 +317,27 @@
         self._log.decide('process.leaving', self._settings.instance_id)
         self._duty_task.leave()
         eventlet.sleep(BALANCER_NOTICE_S)
-        self._await_calls(started_s + self._settings.grace_s - GRACE_MARGIN_S)
+        deadline_s = started_s + self._settings.grace_s - GRACE_MARGIN_S
+        self._await_end(self._has_calls, deadline_s)
         self._close_listeners()
         # Refuses what callers send that have connected just before.
         eventlet.sleep(MIN_IDLE_S)
-        self._close_idle_connections()
+        self._await_end(self._has_callers, deadline_s)
         self._counts_task.finish()
-        is_clean = not self._knowledge.in_progress
+        is_clean = not self._has_callers()
         self._stop(ExitStatus.OK if is_clean else ExitStatus.CUT)
 
-    def _await_calls(self, deadline_s: float) -> None:
-        while self._knowledge.in_progress and clock_s() < deadline_s:
+    def _has_calls(self) -> bool:
+        return self._knowledge.in_progress > 0
+
+    def _has_callers(self) -> bool:
+        return self._has_calls() or bool(self._connections)
+
+    def _await_end(
+        self, is_busy: Callable[[], bool], deadline_s: float
+    ) -> None:
+        """Close connections that are idle until the process is not busy."""
+        while is_busy() and clock_s() < deadline_s:
             self._close_idle_connections()
             eventlet.sleep(DRAIN_POLL_INTERVAL_S)
 
