List what a standstill of a machine makes its nodes believe

A machine that stands still stops all its nodes. The one that runs first finds the limit of its wait passed, and nothing there, as the other has not run yet: a limit is decided alone, a prefill is placed beside the queue of the domain, a stream that its caller takes up is refused as of an unknown version, the polled node is passed over for four seconds. The event loop can not know: there is no input to handle first.

--- a/tests/gateway/network.py
+++ b/tests/gateway/network.py
@@ -30,11 +30,15 @@
 
 
 class DomainNetwork(Generic[AnyNode]):
-    """Delivers messages between nodes, except to the ones in `silent`."""
+    """Delivers messages between nodes, except to the ones in `silent`.
+
+    Messages to the ones in `stopped` arrive when they go on.
+    """
 
     def __init__(self) -> None:
         self.nodes: dict[InstanceId, AnyNode] = {}
         self.silent: set[str] = set()
+        self.stopped: dict[str, list[PeerMessageArrived]] = {}
         self.sent: Counter[str] = Counter()
 
     def join(self, nodes: Iterable[AnyNode]) -> None:
@@ -62,6 +66,13 @@
         self, sender: InstanceId, peer_id: InstanceId, message: PeerMessage
     ) -> None:
         self.sent[type(message).__name__] += 1
-        if peer_id not in self.silent:
-            event = PeerMessageArrived(sender, message)
+        event = PeerMessageArrived(sender, message)
+        if peer_id in self.stopped:
+            self.stopped[peer_id].append(event)
+        elif peer_id not in self.silent:
             eventlet.spawn_n(self.nodes[peer_id].handle_event, event)
+
+    def go_on(self, name: InstanceId) -> None:
+        """Let a stopped node handle what has arrived."""
+        for event in self.stopped.pop(name):
+            eventlet.spawn_n(self.nodes[name].handle_event, event)
