Give another node its time again after a standstill

Callers saw calls refused by a part of a limit, prefills at busy engines, and refusals of streams that they took up, after a moment in which the whole machine stood still: the node that ran first found its wait for another node over, and took it for silent before it had run.

A wait for another node that this process stood still in starts again, once, in one place for limits, prefills, origins of streams and news. The last look of the news at what came with the timeout holds for all of them.

--- a/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
@@ -11,6 +11,7 @@
     RegisteredTarget,
     TargetFailure,
 )
+from dandelionyoke_gateway._answer_wait import AnswerWait
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._domain_source import DomainSource
 from dandelionyoke_gateway._knowledge import Knowledge
@@ -139,8 +140,8 @@
         message = _build_request(pending.number, request)
         if not self._source.send(pending.peer_id, message):
             return None
-        deadline_s = clock_s() + ANSWER_TIMEOUT_S
-        while (response := _next_response(pending, deadline_s)) is not None:
+        wait = AnswerWait(ANSWER_TIMEOUT_S)
+        while (response := _next_response(pending, wait)) is not None:
             self._mark_suspects(response)
             match response.verdict:
                 case PrefillVerdict.GRANTED:
@@ -149,7 +150,7 @@
                     raise TooLateError(response.retry_after_s)
                 case PrefillVerdict.NO_ENGINE:
                     return None
-            deadline_s = clock_s() + QUEUED_INTERVAL_S + ANSWER_TIMEOUT_S
+            wait = AnswerWait(QUEUED_INTERVAL_S + ANSWER_TIMEOUT_S)
         self._handle_timeout(pending.peer_id)
         return None
 
@@ -230,12 +231,10 @@
 
 
 def _next_response(
-    pending: _PendingRequest, deadline_s: float
+    pending: _PendingRequest, wait: AnswerWait
 ) -> PrefillTold | None:
     try:
-        response: PrefillTold | None = pending.responses.get(
-            timeout=max(0, deadline_s - clock_s())
-        )
+        response: PrefillTold | None = wait.get(pending.responses)
     except Empty:
         return None
     return response
--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -19,6 +19,7 @@
     StoreItem,
 )
 from dandelionyoke_dispatch import ListingMark, Member
+from dandelionyoke_gateway._answer_wait import AnswerWait
 from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
 from dandelionyoke_gateway._knowledge import NEVER_S, Knowledge
@@ -183,15 +184,15 @@
         )
         if not hub.send(peer_id, request):
             return Silence.NOT_SENT
-        return self._await_answer(clock_s() + hold_s + ANSWER_MARGIN_S)
+        return self._await_answer(AnswerWait(hold_s + ANSWER_MARGIN_S))
 
     def _ensure_link(self, hub: PeerHub, member: Member) -> bool:
         peer_id = InstanceId(member.instance_id)
         if peer_id in self._linked:
             return True
         eventlet.spawn_n(hub.connect, peer_id, f'ws://{member.address}/')
-        deadline_s = clock_s() + LINK_TIMEOUT_S
-        while (event := self._next_event(deadline_s)) is not None:
+        wait = AnswerWait(LINK_TIMEOUT_S)
+        while (event := self._next_event(wait)) is not None:
             if peer_id in self._linked:
                 return True
             if isinstance(event, PeerDisconnected):
@@ -199,8 +200,8 @@
                     return False
         return peer_id in self._linked
 
-    def _await_answer(self, deadline_s: float) -> NewsTold | Silence:
-        while (event := self._next_event(deadline_s)) is not None:
+    def _await_answer(self, wait: AnswerWait) -> NewsTold | Silence:
+        while (event := self._next_event(wait)) is not None:
             if isinstance(event, PeerMessageArrived):
                 if self._is_answer(event.message):
                     return event.message
@@ -215,16 +216,11 @@
             and message.number == self._request_number
         )
 
-    def _next_event(self, deadline_s: float) -> Event | None:
+    def _next_event(self, wait: AnswerWait) -> Event | None:
         with contextlib.suppress(Empty):
-            event: Event = self._inbox.get(
-                timeout=max(0, deadline_s - clock_s())
-            )
+            event: Event = wait.get(self._inbox)
             return event
-        # If this process stood still, the timeout and the answer have come
-        # together.
-        eventlet.sleep(0)
-        return None if self._inbox.empty() else self._inbox.get_nowait()
+        return None
 
     # Answers.
 
--- a/packages/gateway/dandelionyoke_gateway/_rate_limits.py
+++ b/packages/gateway/dandelionyoke_gateway/_rate_limits.py
@@ -24,6 +24,7 @@
     LimitVerdict,
     RateLimit,
 )
+from dandelionyoke_gateway._answer_wait import AnswerWait
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._domain_source import DomainSource
 from dandelionyoke_gateway._knowledge import Knowledge
@@ -213,7 +214,7 @@
         try:
             if not self._source.send(source_id, request):
                 return None
-            verdict: LimitVerdict = responses.get(timeout=ANSWER_TIMEOUT_S)
+            verdict: LimitVerdict = AnswerWait(ANSWER_TIMEOUT_S).get(responses)
         except Empty:
             self._source.start_cooldown()
             self._log.decide('limit.silent', source_id, outcome='decided here')
--- a/packages/gateway/dandelionyoke_gateway/_stream_origin_keeper.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_origin_keeper.py
@@ -20,6 +20,7 @@
     StreamOrigins,
     stream_key,
 )
+from dandelionyoke_gateway._answer_wait import AnswerWait
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._keeper_links import KeeperLinks
 from dandelionyoke_gateway._knowledge import Knowledge
@@ -219,13 +220,10 @@
 
 
 def _first_known(question: _Question) -> StreamOrigin | None:
-    deadline_s = clock_s() + ASK_TIMEOUT_S
+    wait = AnswerWait(ASK_TIMEOUT_S)
     while question.waiting or not question.answers.empty():
-        remaining_s = max(0, deadline_s - clock_s())
         try:
-            origin: StreamOrigin | None = question.answers.get(
-                timeout=remaining_s
-            )
+            origin: StreamOrigin | None = wait.get(question.answers)
         except Empty:
             return None
         if origin is not None:
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -30,6 +30,7 @@
     WindowCounts,
 )
 from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway._answer_wait import AnswerWait
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
 from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
 from dandelionyoke_gateway._late_answers import LATE_ANSWER_TIMEOUT_S
@@ -322,7 +323,7 @@
         """Guards against a node that suspects others after its own stall."""
         event = PeerMessageArrived(self.other, NewsTold(7))
         eventlet.spawn(self.task._inbox.put, event)
-        self.assertEqual(event, self.task._next_event(clock_s()))
+        self.assertEqual(event, self.task._next_event(AnswerWait(0)))
 
 
 class StorePollPolicyTest(testtools.TestCase):
--- a/tests/gateway/test_standstill_waits.py
+++ b/tests/gateway/test_standstill_waits.py
@@ -7,16 +7,19 @@
 
 import eventlet
 import testtools
+from eventlet.queue import Empty, LightQueue
 
 from dandelionyoke_core import Event, InstanceId, Metrics, PeerMessageArrived
 from dandelionyoke_dispatch import Member, StreamOrigin
 from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway._answer_wait import AnswerWait
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_messages import NewsTold
 from dandelionyoke_gateway._news_server import NewsServer
 from dandelionyoke_gateway._news_task import NewsTask
+from dandelionyoke_gateway._rate_limits import ANSWER_TIMEOUT_S
 from dandelionyoke_gateway._registry_updater import RegistryUpdater
 from dandelionyoke_gateway._store_poll_policy import (
     StorePollPolicy,
@@ -59,6 +62,19 @@
         stand_still(other.call, lambda: network.go_on(source.name))
         self.assertNotIn('limit.silent', other.lines.text)
 
+    def test_a_node_that_is_gone_is_waited_for_once_more(self) -> None:
+        """Guards against calls that are held while machines stand still."""
+        wait, answers = AnswerWait(ANSWER_TIMEOUT_S), LightQueue()
+        time.sleep(STANDSTILL_S)
+        began_s = clock_s()
+        waiting = eventlet.spawn(wait.get, answers)
+        eventlet.sleep(0.05)
+        time.sleep(STANDSTILL_S)
+        with testtools.ExpectedException(Empty):
+            waiting.wait()
+        waited_s = clock_s() - began_s - STANDSTILL_S
+        self.assertLess(waited_s, 2 * ANSWER_TIMEOUT_S)
+
     def test_a_prefill_is_not_placed_alone(self) -> None:
         """Guards against prefills sent to engines that are busy."""
         engines = [test_prefill_queue.engine('i-1')]
