Leave standstills out when the store is judged

After a standstill of 1.2 s a node that is the only one of its domain told the balancer for up to 0.6 s that it was not ready; if the machine stood still, no node of it was. After one of 2 s it refused keys at the end of its next watch.

The configuration is confirmed as of the time at which its watch was sent, up to 3 s ago on a sound path. A standstill counted as silence of the store, and a watch of full length followed. Readiness now leaves standstills out (no answer could have been read), but is never told while keys are refused. A watch after a standstill is shortened so that a confirmation comes first. How long a withdrawn key is accepted is still judged by the clock.

A store whose answers take over 0.2 s gets slightly shorter watches than before.

--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -56,7 +56,7 @@
     UsageCounter,
 )
 from dandelionyoke_gateway._change_signal import ChangeSignal
-from dandelionyoke_gateway._clock import clock_s, wall_s
+from dandelionyoke_gateway._clock import clock_s, stalled_s, wall_s
 from dandelionyoke_gateway._queue_waiters import QueueWaiters
 from dandelionyoke_gateway._settings import GatewaySettings
 
@@ -246,9 +246,21 @@
             not self.shutdown.is_leaving
             and self.configuration is not None
             and self.registry.is_known
-            and self.freshness.is_current(clock_s())
+            and self._is_configuration_current
         )
 
+    @property
+    def _is_configuration_current(self) -> bool:
+        """Whether keys are accepted and the store responds.
+
+        The store is not blamed for a standstill of this process.
+        """
+        freshness, now_s = self.freshness, clock_s()
+        if not freshness.may_accept_keys(now_s):
+            return False
+        paused_s = stalled_s(freshness.confirmed_s or now_s)
+        return freshness.is_current(now_s - paused_s)
+
 
 def new_knowledge(settings: GatewaySettings, random: Random) -> Knowledge:
     """Create the initial state of a node that knows nothing yet."""
--- a/packages/gateway/dandelionyoke_gateway/_store_poll_policy.py
+++ b/packages/gateway/dandelionyoke_gateway/_store_poll_policy.py
@@ -28,8 +28,10 @@
     # During a burst of new configurations, the store is read once in this
     # share of `apply_s`.
     fetch_share: float = 0.2
-    # Two watches in a row and a slow answer reach this age.
+    # Two watches in a row and a slow answer reach this age. A watch that would
+    # exceed it is shorter, but takes at least `shortest_watch_s`.
     blind_after_s: float = 3.2
+    shortest_watch_s: float = 0.1
     # Others rely on a node that got a news request within this time.
     relied_within_s: float = 3.0
 
@@ -52,14 +54,17 @@
 
     @property
     def watch_duration_s(self) -> float:
-        """The duration of a watch on the configuration."""
+        """The duration of the next watch on the configuration."""
+        settings, now_s = self._settings, clock_s()
         is_relied_on = (
-            clock_s() - self._knowledge.news_requested_s
-            < self._settings.relied_within_s
+            now_s - self._knowledge.news_requested_s < settings.relied_within_s
         )
-        if is_relied_on:
-            return self._relied_watch_s
-        return self._settings.default_watch_s
+        longest_s = (
+            self._relied_watch_s if is_relied_on else settings.default_watch_s
+        )
+        age_s = self._knowledge.freshness.age_s(now_s) or 0.0
+        remaining_s = settings.blind_after_s - age_s
+        return min(longest_s, max(settings.shortest_watch_s, remaining_s))
 
     def configuration_wait_s(self, now_s: float) -> float:
         """Return the time until the configuration must be polled; 0: now."""
