Keep a limiter from taking its standstill for a partition

Callers of a node that limits for its domain were refused by a share of their limit after a standstill of 1.2 s, with Retry-After of up to 10 s, and limits were exceeded just after it: 1000 tokens were left of 100.

A report of another limiter counts for 0.8 s, by the clock. After a standstill the first call found all reports too old before those in the sockets were read, and what came next counted as a new start, so that the use of the others in the standstill was not charged. The ages of reports now leave standstills out, in one place that all uses of the limiters pass. The budgets themselves go by the clock: a limit is an amount per real time. A limiter that hears nothing while its process runs still keeps to its share after 0.8 s.

--- a/packages/dispatch/dandelionyoke_dispatch/_fleet_limiter.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_fleet_limiter.py
@@ -165,6 +165,11 @@
             group.spent[name] = spent
         self._groups[sender] = group
 
+    def leave_out(self, standstill_s: float) -> None:
+        """Leave a time in which no report could be read out of their ages."""
+        for group in self._groups.values():
+            group.received_s += standstill_s
+
     def share(self, now_s: float) -> float:
         """Return the share of each limit that this side may admit."""
         return self._limit_share(self._fresh_groups(now_s))
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -59,6 +59,7 @@
 from dandelionyoke_gateway._clock import clock_s, stalled_s, wall_s
 from dandelionyoke_gateway._queue_waiters import QueueWaiters
 from dandelionyoke_gateway._settings import GatewaySettings
+from dandelionyoke_gateway._standstills import Standstills
 
 # One slow KV cache fetch makes an engine suspect: skipping fetches costs
 # little, but each further slow one delays a caller. Engines that are gone
@@ -112,7 +113,7 @@
     listing: TargetListing
     sources: SourceChoice
     counts_sender: CountsSender
-    limiters: Mapping[LimitScope, FleetLimiter]
+    _limiters: Mapping[LimitScope, FleetLimiter]
     target_limits: TargetLimits
     rests: TargetRests
     reach: TargetReach = attrs.field(
@@ -136,6 +137,16 @@
     news_received_s: float = NEVER_S
     in_progress: int = 0
     _service_states: dict[str, ServiceState] = attrs.field(factory=dict)
+    _standstills: Standstills = attrs.field(factory=Standstills)
+
+    @property
+    def limiters(self) -> Mapping[LimitScope, FleetLimiter]:
+        """The limiters, which do not take a standstill for a partition."""
+        standstill_s = self._standstills.take_s()
+        if standstill_s:
+            for limiter in self._limiters.values():
+                limiter.leave_out(standstill_s)
+        return self._limiters
 
     @property
     def limiter(self) -> FleetLimiter:
--- a/packages/gateway/dandelionyoke_gateway/_limit_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_limit_server.py
@@ -7,7 +7,7 @@
 import eventlet
 
 from dandelionyoke_core import Event, InstanceId, PeerMessageArrived
-from dandelionyoke_dispatch import TargetLimitNote
+from dandelionyoke_dispatch import FleetLimiter, TargetLimitNote
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import NEVER_S, Knowledge
 from dandelionyoke_gateway._limit_messages import (
@@ -48,13 +48,16 @@
         self._rate_limits = rate_limits
         self._links = links
         self._knowledge = knowledge
-        self._limiter = rate_limits.limiter
         self._scope = rate_limits.scope
         self._log = log
         self._last_request_s = NEVER_S
         self._last_sent_s = NEVER_S
         rate_limits.listen(self.report_urgent_use)
 
+    @property
+    def _limiter(self) -> FleetLimiter:
+        return self._rate_limits.limiter
+
     def handle_event(self, event: Event) -> bool:
         """Handle a link event; return whether it was for this scope."""
         if not isinstance(event, PeerMessageArrived):
--- a/packages/gateway/dandelionyoke_gateway/_rate_limits.py
+++ b/packages/gateway/dandelionyoke_gateway/_rate_limits.py
@@ -103,7 +103,6 @@
     ) -> None:
         self.scope = scope
         self._knowledge = knowledge
-        self.limiter: FleetLimiter = knowledge.limiters[scope]
         self._log = log
         self._metric = _METRICS[scope]
         self._source = DomainSource(knowledge)
@@ -116,6 +115,11 @@
         self._over_until_s: dict[str, float] = {}
         self._on_use: Callable[[], None] | None = None
 
+    @property
+    def limiter(self) -> FleetLimiter:
+        """The limiter of these accounts."""
+        return self._knowledge.limiters[self.scope]
+
     def listen(self, on_use: Callable[[], None]) -> None:
         """Set the listener for calls that this node admits as the limiter."""
         self._on_use = on_use
--- a/tests/dispatch/test_fleet_limiter.py
+++ b/tests/dispatch/test_fleet_limiter.py
@@ -125,6 +125,19 @@
         self.limiter.take_nodes(20, 20, 3)
         self.assertAlmostEqual(1 / 3, self.limiter.share(3))
 
+    def test_a_limiter_that_stood_still_is_not_partitioned(self) -> None:
+        """Guards against a limit that is exceeded after a standstill."""
+        self.limiter.take_nodes(1, 2, 1)
+        self.limiter.update_group_use('b', GroupUse('b.1', 1, {}), 1)
+        self.limiter.admit('acme', 0.0, 1)
+        self.limiter.leave_out(4)
+        self.assertEqual(1.0, self.limiter.share(5.5))
+        self.limiter.update_group_use(
+            'b', GroupUse('b.1', 1, {'acme': 900.0}), 5.5
+        )
+        self.assertFalse(self.limiter.admit('acme', 1.0, 5.5).is_admitted)
+        self.assertEqual(0.5, self.limiter.share(6.5))
+
     def test_an_organisation_without_a_limit_is_always_admitted(self) -> None:
         self.assertTrue(self.limiter.admit('other', 9e9, 1).is_admitted)
         self.limiter.charge('other', 9e9, 1)
