Keep a node that stood still from asking others for the store

The node that polls the store for its domain took the store for lost after a standstill of 1.2 s, as its listing was 1.5 s old by the clock, and polled a node that polls it: shown with real processes (`peer.asked` at the stopped node in one of three stops of 1.2 s). It handed its usage counts over, and replaced the demand of its domain by the sum that the other one had got from it, to which that one then added its own again: read, not shown.

The ages by which the store counts as lost now leave standstills out.

Run: tests/gateway/test_standstill_store.py, the new test of a standstill failed before (three of three times), five pass (three of three times), with test_news.py.

--- a/packages/gateway/dandelionyoke_gateway/_store_poll_policy.py
+++ b/packages/gateway/dandelionyoke_gateway/_store_poll_policy.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._news_messages import NewsTold
 
@@ -109,4 +109,7 @@
 
 
 def _is_within(confirmed_s: float | None, limit_s: float, now_s: float) -> bool:
-    return confirmed_s is not None and now_s - confirmed_s < limit_s
+    """Whether a time is recent enough; standstills of this process are left out."""
+    if confirmed_s is None:
+        return False
+    return now_s - confirmed_s - stalled_s(confirmed_s) < limit_s
--- a/tests/gateway/test_standstill_store.py
+++ b/tests/gateway/test_standstill_store.py
@@ -98,3 +98,33 @@
         time.sleep(2.0)
         self.assertFalse(self.knowledge.freshness.may_accept_keys(clock_s()))
         self.assertFalse(self.knowledge.is_ready)
+
+
+class LostStoreTest(testtools.TestCase):
+    """The node that polls the store for its domain."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.knowledge: Knowledge = new_knowledge(new_settings(), Random(3))
+        self.store_polling = StorePollPolicy(
+            self.knowledge, StorePollSettings()
+        )
+        self.knowledge.freshness.confirm(clock_s())
+        self.knowledge.listing.replace((), clock_s())
+
+    def has_lost_store(self) -> bool:
+        return self.store_polling.has_lost_store(clock_s())
+
+    def test_a_node_that_stood_still_has_not_lost_the_store(self) -> None:
+        """Guards against two nodes that poll each other in place of the store.
+
+        The one that stood still would count the demand of its domain twice.
+        """
+        eventlet.sleep(1.0)
+        time.sleep(1.2)
+        self.assertFalse(self.has_lost_store())
+
+    def test_a_store_that_does_not_answer_is_lost(self) -> None:
+        """Guards against a node that trusts a store it can not reach."""
+        eventlet.sleep(1.6)
+        self.assertTrue(self.has_lost_store())
