--- a/packages/gateway/dandelionyoke_gateway/_rate_limits.py
+++ b/packages/gateway/dandelionyoke_gateway/_rate_limits.py
@@ -24,6 +24,7 @@
     LimitVerdict,
     RateLimit,
 )
+from dandelionyoke_gateway._answer_wait import AnswerWait
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._domain_source import DomainSource
 from dandelionyoke_gateway._knowledge import Knowledge
@@ -102,7 +103,6 @@
     ) -> None:
         self.scope = scope
         self._knowledge = knowledge
-        self.limiter: FleetLimiter = knowledge.limiters[scope]
         self._log = log
         self._metric = _METRICS[scope]
         self._source = DomainSource(knowledge)
@@ -115,6 +115,11 @@
         self._over_until_s: dict[str, float] = {}
         self._on_use: Callable[[], None] | None = None
 
+    @property
+    def limiter(self) -> FleetLimiter:
+        """The limiter of these accounts."""
+        return self._knowledge.limiters[self.scope]
+
     def listen(self, on_use: Callable[[], None]) -> None:
         """Set the listener for calls that this node admits as the limiter."""
         self._on_use = on_use
@@ -213,7 +218,7 @@
         try:
             if not self._source.send(source_id, request):
                 return None
-            verdict: LimitVerdict = responses.get(timeout=ANSWER_TIMEOUT_S)
+            verdict: LimitVerdict = AnswerWait(ANSWER_TIMEOUT_S).get(responses)
         except Empty:
             self._source.start_cooldown()
             self._log.decide('limit.silent', source_id, outcome='decided here')
