Let the soak log its own standstills and run on the product's event loop

The soak's main runs on the event loop that the programs and the tests use. A watch records each time at which the soak ran late by 0.1 s or more, and how long of it the process stood still. Each seed's result shows them; a violation names those beside its calls. They excuse nothing.

--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -129,6 +129,19 @@
         return is_same_node and self.start_s < end_s and start_s < self.end_s
 
 
+@attrs.frozen
+class SoakStall:
+    """A time in which the soak itself ran late.
+
+    `stalled_s` is how long of it the process stood still; in the rest it was
+    busy.
+    """
+
+    start_s: float
+    end_s: float
+    stalled_s: float
+
+
 @attrs.frozen
 class PlannedWork:
     """A SIGTERM, a SIGHUP (`reload`) or a new configuration (of all nodes)."""
@@ -163,6 +176,8 @@
     planned: list[PlannedWork] = attrs.field(factory=list)
     # Attempts whose answer a target broke off or damaged.
     broken_off: set[str] = attrs.field(factory=set)
+    stalls: list[SoakStall] = attrs.field(factory=list)
+    start_s: float = 0.0
     # When the soak ended its processes and callers.
     end_s: float = float('inf')
     usage: list[UsageReport] = attrs.field(factory=list)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,6 +16,7 @@
 import eventlet
 
 from dandelionyoke_gateway import ExitStatus, clock_s
+from dandelionyoke_links import install_event_loop
 from dandelionyoke_standins._relay import Relay
 from tests.platform.program import Ports, Program, free_port
 from tests.platform.store_standin import StoreStandin
@@ -33,6 +34,7 @@
     UsageReport,
 )
 from tests.soak.silences import Silences
+from tests.soak.stalls import describe_stalls, name_stalls, watch_for_stalls
 from tests.soak.targets import LIMITS_PER_S, RESTS_S, SoakTarget
 
 DOMAINS = ('a', 'a', 'b', 'b')
@@ -67,6 +69,7 @@
     calls: int
     served_calls: int
     violations: list[str]
+    notes: list[str]
 
 
 class Soak:
@@ -106,12 +109,21 @@
             call.status == 200 and call.is_complete
             for call in self._record.calls
         )
-        violations = find_violations(self._record)
+        violations = [
+            name_stalls(text, self._record)
+            for text in find_violations(self._record)
+        ]
         return SoakResult(
-            self._seed, len(self._record.calls), served_calls, violations
+            self._seed,
+            len(self._record.calls),
+            served_calls,
+            violations,
+            [describe_stalls(self._record)],
         )
 
     def _run(self) -> None:
+        self._record.start_s = clock_s()
+        eventlet.spawn_n(watch_for_stalls, self._record, lambda: self._is_ended)
         self._configure()
         self._start_targets()
         for number, domain in enumerate(DOMAINS):
@@ -520,6 +532,7 @@
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--logs', default='.logs/soak')
     options = parser.parse_args(arguments)
+    install_event_loop()
     first, _, last = options.seeds.partition('-')
     seeds = list(range(int(first), int(last or first) + 1)) if first else []
     seeds.extend(secrets.randbelow(10**9) for _ in range(options.fresh))
@@ -537,7 +550,7 @@
             f'seed {seed}: {result.served_calls} of {result.calls} served, '
             f'{len(result.violations)} violations\n'
         )
-        for text in result.violations[:20]:
+        for text in (*result.notes, *result.violations[:20]):
             sys.stdout.write(f'  {text}\n')
         sys.stdout.flush()
         if result.violations:
