Count what the callers of a soak got, and what LOST excuses

The check uses the same excuses as the count.

The closed ones are requests to the relay of a node that is down or starting: the relay accepts, finds no listener and closes, and its callers connect again at once, some hundred times a second. That is the load of the soak.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -69,6 +69,7 @@
             try:
                 sock = eventlet.connect(('127.0.0.1', self._port))
             except OSError:
+                self._record.refused_connections_s.append(clock_s())
                 eventlet.sleep(PAUSE_S)
                 continue
             with sock, contextlib.suppress(OSError, h11.RemoteProtocolError):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -65,6 +65,11 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def planned_start_s(faults: list[Fault]) -> float:
+    """Return when a plan's silences beside planned work alone begin."""
+    return faults[-PLANNED_SILENCES - len(PLANNED_SIGNALS)].at_s
+
+
 @attrs.frozen
 class _Series:
     """Faults that are drawn apart from the others, whose plan a seed keeps."""
--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -34,15 +34,20 @@
     calls = [
         call
         for call in record.calls
-        if 0 < call.ended_s < record.end_s and not _is_disturbed(call, record)
+        if 0 < call.ended_s < record.end_s and not is_disturbed(call, record)
+    ]
+    lost = [
+        call
+        for call in calls
+        if not call.is_complete and not find_excuse(call, record, reached)
     ]
-    lost = [call for call in calls if _is_lost(call, record, reached)]
     yield from _check_signals(record, lost)
     yield from _check_configurations(record, calls, lost)
     yield from _check_kept_connections(record, lost, reached)
 
 
-def _is_disturbed(call: CallerCall, record: SoakRecord) -> bool:
+def is_disturbed(call: CallerCall, record: SoakRecord) -> bool:
+    """Return whether a node or path was disturbed beside a call."""
     return any(
         span.kind in DISTURBANCES
         and span.overlaps(call.sent_s - CONTACT_S, call.ended_s)
@@ -50,17 +55,21 @@
     )
 
 
-def _is_lost(call: CallerCall, record: SoakRecord, reached: set[str]) -> bool:
+def find_excuse(call: CallerCall, record: SoakRecord, reached: set[str]) -> str:
+    """Name what excuses a call without a whole answer; empty if nothing."""
     took_s = call.ended_s - call.sent_s
-    was_read = call.attempt_id in reached or took_s > LOSS_SLACK_S
-    return (
-        call.is_sent
-        and not call.is_complete
-        and not call.is_given_up
-        and was_read
-        and took_s < TIME_LIMIT_S
-        and call.attempt_id not in record.broken_off
-    )
+    excuses = {
+        'ended with the soak': not 0 < call.ended_s < record.end_s,
+        'broken off by its caller': call.is_given_up,
+        'not sent whole': not call.is_sent,
+        'closed at once, reached no target': (
+            call.attempt_id not in reached and took_s <= LOSS_SLACK_S
+        ),
+        'broken off by its target': call.attempt_id in record.broken_off,
+        'at its time limit': took_s >= TIME_LIMIT_S,
+        'a node or path was disturbed': is_disturbed(call, record),
+    }
+    return next((name for name, applies in excuses.items() if applies), '')
 
 
 def _check_signals(record: SoakRecord, lost: list[CallerCall]) -> Iterator[str]:
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -129,6 +129,19 @@
         return is_same_node and self.start_s < end_s and start_s < self.end_s
 
 
+@attrs.frozen
+class Part:
+    """A part of the soak, by the time at which its requests are sent."""
+
+    name: str
+    start_s: float
+    end_s: float
+
+    def has(self, at_s: float) -> bool:
+        """Return whether a time is within the part."""
+        return self.start_s <= at_s < self.end_s
+
+
 @attrs.frozen
 class SoakStall:
     """A time in which the soak itself ran late.
@@ -177,6 +190,9 @@
     # Attempts whose answer a target broke off or damaged.
     broken_off: set[str] = attrs.field(factory=set)
     stalls: list[SoakStall] = attrs.field(factory=list)
+    parts: list[Part] = attrs.field(factory=list)
+    # When callers found no listener.
+    refused_connections_s: list[float] = attrs.field(factory=list)
     start_s: float = 0.0
     # When the soak ended its processes and callers.
     end_s: float = float('inf')
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,11 +23,13 @@
 from tests.soak.callers import Caller, Surroundings
 from tests.soak.configuration import SoakConfiguration
 from tests.soak.events import VERSIONS
-from tests.soak.faults import Fault, plan_faults
+from tests.soak.faults import Fault, plan_faults, planned_start_s
+from tests.soak.outcomes import describe_outcomes
 from tests.soak.promises import FAULT_EFFECT_S, find_violations
 from tests.soak.record import (
     LeavingTold,
     NamedLimit,
+    Part,
     PlannedWork,
     SoakRecord,
     Span,
@@ -118,7 +120,7 @@
             len(self._record.calls),
             served_calls,
             violations,
-            [describe_stalls(self._record)],
+            [*describe_outcomes(self._record), describe_stalls(self._record)],
         )
 
     def _run(self) -> None:
@@ -133,16 +135,28 @@
             self._start_callers(node)
         eventlet.spawn_n(self._write_entries)
         eventlet.spawn_n(self._restart_ended_nodes)
+        self._play_faults()
+
+    def _play_faults(self) -> None:
+        plan = plan_faults(self._seed, self._duration_s)
+        begun_s = clock_s()
         faults = [
             eventlet.spawn_after(fault.at_s, self._inject, fault)
-            for fault in plan_faults(self._seed, self._duration_s)
+            for fault in plan
         ]
         for fault in faults:
             fault.wait()
-        start_s = clock_s()
+        ended_s = clock_s()
         for node in self._nodes:
-            self._await_recovery(node, start_s + RECOVERY_S)
+            self._await_recovery(node, ended_s + RECOVERY_S)
         eventlet.sleep(SETTLE_S)
+        planned_s = begun_s + planned_start_s(plan)
+        self._record.parts.extend(
+            (
+                Part('faults', self._record.start_s, planned_s),
+                Part('planned work', planned_s, clock_s()),
+            )
+        )
 
     # Configuration, processes and callers.
 
