Let callers of a soak pause once a node has not answered three times

After that it pauses 0.12 s, as it does where a connection is refused. No check changes; BUDGET allows fewer repeats.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,9 @@
 RESPONSE_TIMEOUT_S = 6.5
 DEADLINE_MS = 4000
 PAUSE_S = 0.12
+# A caller comes back at once so often in a row without an answer; then it
+# pauses each time.
+PROMPT_RETURNS = 3
 CALLS_PER_CONNECTION = 12
 # A caller breaks so many of the streams off that it may take up. It comes back
 # at once or after a pause, so many times, while it has time left.
@@ -60,6 +63,8 @@
         # The last call on the connection, and the event after which the
         # caller breaks its stream off.
         self._last_call: CallerCall | None = None
+        # The connections in a row that brought no answer.
+        self._unanswered = 0
         self._break_after = EVENTS_PER_STREAM
         self.is_ended = False
 
@@ -74,10 +79,18 @@
                 continue
             with sock, contextlib.suppress(OSError, h11.RemoteProtocolError):
                 self._use_connection(sock)
+            self._pause_if_unanswered()
             if self._last_call is not None:
                 self._take_up(self._last_call)
                 self._last_call = None
 
+    def _pause_if_unanswered(self) -> None:
+        call = self._last_call
+        is_answered = call is not None and call.status is not None
+        self._unanswered = 0 if is_answered else self._unanswered + 1
+        if self._unanswered >= PROMPT_RETURNS:
+            eventlet.sleep(PAUSE_S)
+
     def _use_connection(self, sock: socket.socket) -> None:
         parser = h11.Connection(h11.CLIENT)
         for number in range(CALLS_PER_CONNECTION):
