Play a part of a soak in which nearly all requests are served

Once all nodes have recovered, 24 callers that pause, heed Retry-After, keep their connections and go to the next node where theirs refuses play 22 s more: four silences of targets of 1.0 to 2.5 s, one beside each kind of configuration change, SIGHUP in series, a node that is ended and started again, and single nodes that stand still for 1.0 to 1.5 s, once within a silence. Streams last 0.7 s, so that each comes within some.

LOST looks at all of these requests; no disturbance excuses. What is excused: a call at its time limit, and a request that crosses the close of a node that ends.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -228,6 +228,7 @@
         name.decode().lower(): text.decode() for name, text in head.headers
     }
     call.status = head.status_code
+    call.begun_s = clock_s()
     call.answered_attempt_id = headers.get('attempt-id', '')
     call.is_signed = 'response-signature' in headers
     call.retry_after = headers.get('retry-after', '')
--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -72,6 +72,29 @@
     return next((name for name, applies in excuses.items() if applies), '')
 
 
+def find_paced_excuse(
+    call: CallerCall, record: SoakRecord, reached: set[str]
+) -> str:
+    """Name what excuses a call under a paced load; empty if nothing.
+
+    No disturbance excuses: silences of targets and standstills of nodes are
+    shorter than a call's time, and a node that ends answers what it accepted.
+    """
+    took_s = call.ended_s - call.sent_s
+    excuses = {
+        'broken off by its caller': call.is_given_up,
+        'not sent whole': not call.is_sent,
+        'at its time limit': took_s >= TIME_LIMIT_S,
+        'closed at once by a node that ends, reached no target': (
+            call.attempt_id not in reached
+            and call.status is None
+            and took_s <= LOSS_SLACK_S
+            and _is_leaving(call, record)
+        ),
+    }
+    return next((name for name, applies in excuses.items() if applies), '')
+
+
 def _check_signals(record: SoakRecord, lost: list[CallerCall]) -> Iterator[str]:
     for call in lost:
         for work in record.planned:
--- a/tests/soak/outcomes.py
+++ b/tests/soak/outcomes.py
@@ -3,11 +3,12 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from tests.soak.losses import find_excuse, is_disturbed
-from tests.soak.record import CallerCall, Part, SoakRecord
+from tests.soak.losses import find_excuse, find_paced_excuse, is_disturbed
+from tests.soak.record import PACED, CallerCall, Part, SoakRecord
 
 SERVED = 'served whole'
 GIVEN_UP = 'broken off by the caller'
+UNEXCUSED = 'without an excuse'
 STATUS_OK = 200
 
 
@@ -23,7 +24,7 @@
             f'{part.end_s - part.start_s:.1f} s: {_describe(outcomes)}; '
             f'{refused} connections refused'
         )
-        yield _describe_losses(part, calls, record, reached)
+        yield from _describe_losses(part, calls, record, reached)
 
 
 def find_outcome(call: CallerCall, reached: set[str]) -> str:
@@ -42,18 +43,26 @@
 
 def _describe_losses(
     part: Part, calls: list[CallerCall], record: SoakRecord, reached: set[str]
-) -> str:
-    undisturbed = sum(not is_disturbed(call, record) for call in calls)
+) -> Iterator[str]:
+    is_paced = part.name == PACED
+    find = find_paced_excuse if is_paced else find_excuse
+    seen = sum(is_paced or not is_disturbed(call, record) for call in calls)
     cases = [call for call in calls if not call.is_complete]
-    excuses = Counter(
-        find_excuse(call, record, reached) or 'without an excuse'
-        for call in cases
-    )
-    return (
-        f'{part.name}, LOST: {undisturbed} of {len(calls)} requests in '
-        f'undisturbed time; {len(cases)} without a whole answer: '
-        f'{_describe(excuses) or "none"}'
+    excuses = {call.attempt_id: find(call, record, reached) for call in cases}
+    counts = Counter(excuse or UNEXCUSED for excuse in excuses.values())
+    yield (
+        f'{part.name}, LOST: {seen} of {len(calls)} requests looked '
+        f'at; {len(cases)} without a whole answer: '
+        f'{_describe(counts) or "none"}'
     )
+    for call in cases:
+        if not excuses[call.attempt_id]:
+            yield (
+                f'{part.name}, {UNEXCUSED}: {call.attempt_id} {call.path} '
+                f'status {call.status} sent at '
+                f'{call.sent_s - record.start_s:+.2f} s, cut after '
+                f'{call.ended_s - call.sent_s:.2f} s'
+            )
 
 
 def _describe(counts: Counter[str]) -> str:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -7,6 +7,7 @@
 from tests.soak.events import EVENTS_PER_STREAM, event_versions, stream_event
 from tests.soak.losses import check_losses
 from tests.soak.notices import check_notices, check_retries
+from tests.soak.paced_promises import check_paced
 from tests.soak.record import (
     CONFIRM,
     RESUME,
@@ -62,6 +63,7 @@
     violations.extend(check_notices(record))
     violations.extend(check_retries(record))
     violations.extend(check_losses(record))
+    violations.extend(check_paced(record))
     violations.extend(check_versions(record))
     violations.extend(f'RECOVER {node}' for node in record.unrecovered)
     violations.extend(f'EXIT {text}' for text in record.unexpected_exits)
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -9,6 +9,8 @@
 CALL_PATHS = (CONFIRM, LOOK, ASK, RESUME)
 PLAIN_SERVICES = ('ledger', 'ledger-b')
 STREAM_SERVICE = 'lm'
+# The part of a soak in which all requests can be served.
+PACED = 'paced load'
 # The services among which the calls of each route are split.
 SERVICES = {
     CONFIRM: PLAIN_SERVICES,
@@ -30,7 +32,7 @@
     event of the stream that the call takes up, `last_event` the last event of
     it that came, `serving` the smallest number of engines of its version that
     served meanwhile. `is_given_up` tells whether the caller broke the
-    connection off.
+    connection off. `begun_s` is when the head of its response came.
     """
 
     attempt_id: str
@@ -52,6 +54,7 @@
     last_event: int = 0
     serving: int = 0
     is_given_up: bool = False
+    begun_s: float = 0.0
 
     @property
     def is_stream(self) -> bool:
--- a/tests/soak/silences.py
+++ b/tests/soak/silences.py
@@ -13,6 +13,7 @@
 
 # The new configuration comes after this share of the silence.
 CHANGE_SHARE = 0.2
+SERVICES = 3
 
 
 class Silences:
@@ -67,6 +68,12 @@
         ]
 
 
+def index_silence(service: int, extent: int, change: int, first: int) -> int:
+    """Return the index of a fault that selects these by their numbers."""
+    index = first * len(CHANGES) + change
+    return (index * len(_EXTENTS) + extent) * SERVICES + service
+
+
 # Shares of the targets of a service; at least one target.
 _EXTENTS = (0.0, 0.5, 1.0)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,7 @@
 from tests.soak.events import VERSIONS
 from tests.soak.faults import Fault, plan_faults, planned_start_s
 from tests.soak.outcomes import describe_outcomes
+from tests.soak.paced_part import PacedPart, describe_in_flight
 from tests.soak.promises import FAULT_EFFECT_S, find_violations
 from tests.soak.record import (
     LeavingTold,
@@ -120,7 +121,11 @@
             len(self._record.calls),
             served_calls,
             violations,
-            [*describe_outcomes(self._record), describe_stalls(self._record)],
+            [
+                *describe_outcomes(self._record),
+                *describe_in_flight(self._record),
+                describe_stalls(self._record),
+            ],
         )
 
     def _run(self) -> None:
@@ -136,6 +141,7 @@
         eventlet.spawn_n(self._write_entries)
         eventlet.spawn_n(self._restart_ended_nodes)
         self._play_faults()
+        self._play_paced_part()
 
     def _play_faults(self) -> None:
         plan = plan_faults(self._seed, self._duration_s)
@@ -158,6 +164,14 @@
             )
         )
 
+    def _play_paced_part(self) -> None:
+        for caller in self._callers:
+            caller.is_ended = True
+        # Nothing of the platform's paths is harmed any more.
+        addresses = [(node.name, node.ports.callers) for node in self._nodes]
+        part = PacedPart(self._surroundings(addresses), self._targets)
+        part.play(self._seed, self._inject)
+
     # Configuration, processes and callers.
 
     def _configure(self) -> None:
@@ -240,17 +254,20 @@
         port = int(node.caller_link.address.rpartition(':')[2])
         address = node.name, port
         self._caller_addresses.append(address)
-        surroundings = Surroundings(
+        surroundings = self._surroundings(self._caller_addresses)
+        for number in range(CALLERS_PER_NODE):
+            caller = Caller(f'{node.name}.{number}', address, surroundings)
+            self._callers.append(caller)
+            eventlet.spawn_n(caller.run)
+
+    def _surroundings(self, addresses: list[tuple[str, int]]) -> Surroundings:
+        return Surroundings(
             lambda name: self._configuration.keys[name],
-            self._caller_addresses,
+            addresses,
             self._count_serving,
             self._record,
             self._random,
         )
-        for number in range(CALLERS_PER_NODE):
-            caller = Caller(f'{node.name}.{number}', address, surroundings)
-            self._callers.append(caller)
-            eventlet.spawn_n(caller.run)
 
     def _count_serving(self, version: str) -> int:
         return sum(
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -58,6 +58,7 @@
         self.fault = ''
         self.limit_per_s: float | None = None
         self.rest_s: float | None = None
+        self.event_interval_s = EVENT_INTERVAL_S
         self.is_telling_leave = False
         # Identifies its start; it starts anew after it has left.
         self._born = 1
@@ -242,7 +243,7 @@
                 yield None
                 return
             yield chunk(event)
-            yield EVENT_INTERVAL_S
+            yield self.event_interval_s
         yield chunk(b'')
 
     def _has_fault(self, fault: str) -> bool:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -5,15 +5,18 @@
 
 from tests.soak.events import EVENTS_PER_STREAM, stream_event
 from tests.soak.faults import plan_faults
+from tests.soak.paced_plan import plan_paced
 from tests.soak.promises import find_violations, plain_body
 from tests.soak.record import (
     ASK,
     CONFIRM,
+    PACED,
     RESUME,
     Arrival,
     CallerCall,
     LeavingTold,
     NamedLimit,
+    Part,
     PlannedWork,
     RestAsked,
     Run,
@@ -164,6 +167,8 @@
     def test_a_seed_gives_the_same_faults(self) -> None:
         self.assertEqual(plan_faults(7, 20.0), plan_faults(7, 20.0))
         self.assertNotEqual(plan_faults(7, 20.0), plan_faults(8, 20.0))
+        self.assertEqual(plan_paced(7), plan_paced(7))
+        self.assertNotEqual(plan_paced(7), plan_paced(8))
 
 
 class LimitTest(testtools.TestCase):
@@ -396,6 +401,88 @@
             self.assertEqual(rules, [text.split(' ')[0] for text in found])
 
 
+class PacedTest(testtools.TestCase):
+    """A hundred calls of a second at 100 s under a paced load; one is cut."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.record = SoakRecord(parts=[Part(PACED, 90.0, 110.0)])
+        for number in range(100):
+            attempt_id = f'n-1.{number}'
+            self.record.calls.append(
+                new_confirmation(
+                    attempt_id=attempt_id,
+                    answered_attempt_id=attempt_id,
+                    body=plain_body(attempt_id),
+                    ended_s=101.0,
+                    is_sent=True,
+                )
+            )
+            self.record.arrivals.append(
+                Arrival('i-1', 100.1, attempt_id, 'ledger')
+            )
+        self.cut = self.record.calls[-1]
+        self.cut.is_complete = False
+
+    def rules(self) -> list[str]:
+        return [text.split(' ')[0] for text in find_violations(self.record)]
+
+    def test_a_lost_answer_is_found_beside_any_disturbance(self) -> None:
+        """Guards against a LOST check that disturbances keep from looking."""
+        for status in (None, 200):
+            self.cut.status = status
+            self.record.spans = []
+            self.assertEqual(['LOST'], self.rules())
+            for kind in ('pause', 'silence', 'held', 'store', 'target'):
+                self.record.spans.append(Span(kind, 'n-1', 100.5, 101.5))
+            self.assertEqual(['LOST'], self.rules())
+            self.record.broken_off = {self.cut.attempt_id}
+            self.assertEqual(['LOST'], self.rules())
+
+    def test_a_request_that_never_ends_is_found(self) -> None:
+        """Guards against requests that are still open when the part ends."""
+        self.cut.ended_s = 0.0
+        self.assertEqual(['LOST'], self.rules())
+
+    def test_a_lost_answer_of_another_part_is_no_violation(self) -> None:
+        self.cut.sent_s, self.cut.ended_s = 110.0, 111.0
+        self.record.calls.append(
+            attrs.evolve(self.record.calls[0], attempt_id='n-1.100')
+        )
+        self.record.calls[-1].answered_attempt_id = 'n-1.100'
+        self.record.calls[-1].body = plain_body('n-1.100')
+        self.assertEqual([], self.rules())
+
+    def test_a_begun_answer_at_its_time_limit_is_excused(self) -> None:
+        self.cut.ended_s = 103.59
+        self.assertEqual(['LOST'], self.rules())
+        self.cut.ended_s = 103.61
+        self.assertEqual([], self.rules())
+
+    def test_only_the_close_of_a_node_that_ends_excuses(self) -> None:
+        self.cut.status = None
+        self.cut.ended_s = 100.1
+        self.record.arrivals.pop()
+        self.assertEqual(['LOST'], self.rules())
+        self.record.planned = [PlannedWork('term', 'n-1', 97.0)]
+        self.assertEqual([], self.rules())
+        self.cut.ended_s = 100.3
+        self.assertIn('LOST', self.rules())
+
+    def test_too_few_served_requests_are_found(self) -> None:
+        """Guards against a part in which LOST has nothing to look at."""
+        self.cut.is_complete = True
+        for refused, rules in ((5, []), (6, ['SERVED'])):
+            for call in self.record.calls[:refused]:
+                call.status = 503
+            self.assertEqual(rules, self.rules())
+
+    def test_too_few_requests_are_found(self) -> None:
+        """Guards against callers that wait for a connection all the time."""
+        self.record.calls.pop()
+        self.assertEqual(['SERVED'], self.rules())
+
+
 class VersionTest(testtools.TestCase):
     """Streams that break off after an event and are taken up."""
 
