Let LOST know the time that a caller gives a stream it takes up

The check knew the routes' limits of 3.6 s only. A call's time is the shorter of the two now; a cut before that is as much a violation as it was.

Run: test_a_begun_answer_at_the_time_of_its_caller_is_excused failed before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -130,6 +130,7 @@
         call: CallerCall,
         time_ms: int,
     ) -> None:
+        call.time_s = time_ms / 1000
         self._record.calls.append(call)
         try:
             sock.sendall(self._request(parser, call, time_ms))
--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -18,7 +18,7 @@
 GRACE_S = 8.0
 # A node is watched for so long after its SIGTERM, or a configuration.
 AFTER_S = 1.0
-# The shortest time that a call has, and the share from which on a call may be
+# The shortest time that a route gives a call, and the share from which on a call may be
 # lost beside a configuration.
 TIME_LIMIT_S = 3.6
 USED_SHARE = 0.7
@@ -66,7 +66,7 @@
             call.attempt_id not in reached and took_s <= LOSS_SLACK_S
         ),
         'broken off by its target': call.attempt_id in record.broken_off,
-        'at its time limit': took_s >= TIME_LIMIT_S,
+        'at its time limit': took_s >= min(TIME_LIMIT_S, call.time_s),
         'a node or path was disturbed': is_disturbed(call, record),
     }
     return next((name for name, applies in excuses.items() if applies), '')
@@ -84,7 +84,7 @@
     excuses = {
         'broken off by its caller': call.is_given_up,
         'not sent whole': not call.is_sent,
-        'at its time limit': took_s >= TIME_LIMIT_S,
+        'at its time limit': took_s >= min(TIME_LIMIT_S, call.time_s),
         'closed at once by a node that ends, reached no target': (
             call.attempt_id not in reached
             and call.status is None
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -32,7 +32,8 @@
     event of the stream that the call takes up, `last_event` the last event of
     it that came, `serving` the smallest number of engines of its version that
     served meanwhile. `is_given_up` tells whether the caller broke the
-    connection off. `begun_s` is when the head of its response came.
+    connection off. `begun_s` is when the head of its response came, `time_s`
+    the time that the caller gave.
     """
 
     attempt_id: str
@@ -55,6 +56,7 @@
     serving: int = 0
     is_given_up: bool = False
     begun_s: float = 0.0
+    time_s: float = float('inf')
 
     @property
     def is_stream(self) -> bool:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -459,6 +459,13 @@
         self.cut.ended_s = 103.61
         self.assertEqual([], self.rules())
 
+    def test_a_begun_answer_at_the_time_of_its_caller_is_excused(self) -> None:
+        """Guards against streams taken up with little time left."""
+        self.cut.time_s, self.cut.ended_s = 2.4, 102.39
+        self.assertEqual(['LOST'], self.rules())
+        self.cut.ended_s = 102.41
+        self.assertEqual([], self.rules())
+
     def test_only_the_close_of_a_node_that_ends_excuses(self) -> None:
         self.cut.status = None
         self.cut.ended_s = 100.1
