--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -585,12 +585,16 @@
             sys.stdout.write(f'  {text}\n')
         sys.stdout.flush()
         if result.violations:
-            log_folder = pathlib.Path(options.logs) / str(seed)
-            os.makedirs(log_folder, exist_ok=True)
-            for log in pathlib.Path(folder).glob('log-*'):
-                (log_folder / log.name).write_bytes(log.read_bytes())
+            keep_logs(folder, pathlib.Path(options.logs) / str(seed))
     return result
 
 
+def keep_logs(folder: str, log_folder: pathlib.Path) -> None:
+    """Copy the logs of the nodes."""
+    os.makedirs(log_folder, exist_ok=True)
+    for log in pathlib.Path(folder).glob('log-*'):
+        (log_folder / log.name).write_bytes(log.read_bytes())
+
+
 if __name__ == '__main__':
     sys.exit(main(sys.argv[1:]))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,12 +1,15 @@
 """A short soak of real processes with a fixed seed."""
 
+import pathlib
 import tempfile
 
 import testtools
 
-from tests.soak.soak import run_soak
+from tests.soak.soak import keep_logs, run_soak
 
+SEED = 1
 SECONDS = 8.0
+LOGS = pathlib.Path(__file__).parents[2] / '.logs' / 'soak'
 
 
 class SoakTest(testtools.TestCase):
@@ -14,10 +17,12 @@
         """Kill, pause and disconnect nodes while callers send calls.
 
         The soak detects a confirmation that ran twice, a refusal of a call
-        that ran, an answer to another call, a damaged stream, and a node
-        that does not recover.
+        that ran, an answer to another call, a damaged stream, a lost answer,
+        a node that does not recover, and a paced load that isn't served.
         """
         with tempfile.TemporaryDirectory() as folder:
-            result = run_soak(1, SECONDS, folder)
-        self.assertEqual([], result.violations)
+            result = run_soak(SEED, SECONDS, folder)
+            if result.violations:
+                keep_logs(folder, LOGS / f'ci-{SEED}')
+        self.assertEqual([], result.violations, '\n'.join(result.notes))
         self.assertGreater(result.served_calls, 0)
