--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,9 @@
 RESPONSE_TIMEOUT_S = 6.5
 DEADLINE_MS = 4000
 PAUSE_S = 0.12
+# A caller comes back at once so often in a row without an answer; then it
+# pauses each time.
+PROMPT_RETURNS = 3
 CALLS_PER_CONNECTION = 12
 # A caller breaks so many of the streams off that it may take up. It comes back
 # at once or after a pause, so many times, while it has time left.
@@ -60,6 +63,8 @@
         # The last call on the connection, and the event after which the
         # caller breaks its stream off.
         self._last_call: CallerCall | None = None
+        # The connections in a row that brought no answer.
+        self._unanswered = 0
         self._break_after = EVENTS_PER_STREAM
         self.is_ended = False
 
@@ -69,14 +74,23 @@
             try:
                 sock = eventlet.connect(('127.0.0.1', self._port))
             except OSError:
+                self._record.refused_connections_s.append(clock_s())
                 eventlet.sleep(PAUSE_S)
                 continue
             with sock, contextlib.suppress(OSError, h11.RemoteProtocolError):
                 self._use_connection(sock)
+            self._pause_if_unanswered()
             if self._last_call is not None:
                 self._take_up(self._last_call)
                 self._last_call = None
 
+    def _pause_if_unanswered(self) -> None:
+        call = self._last_call
+        is_answered = call is not None and call.status is not None
+        self._unanswered = 0 if is_answered else self._unanswered + 1
+        if self._unanswered >= PROMPT_RETURNS:
+            eventlet.sleep(PAUSE_S)
+
     def _use_connection(self, sock: socket.socket) -> None:
         parser = h11.Connection(h11.CLIENT)
         for number in range(CALLS_PER_CONNECTION):
@@ -116,6 +130,7 @@
         call: CallerCall,
         time_ms: int,
     ) -> None:
+        call.time_s = time_ms / 1000
         self._record.calls.append(call)
         try:
             sock.sendall(self._request(parser, call, time_ms))
@@ -164,12 +179,14 @@
     def _request(
         self, parser: h11.Connection, call: CallerCall, time_ms: int
     ) -> bytes:
+        # Targets that crash beside equal requests make nodes refuse these.
+        body = (call.resumes or call.attempt_id).encode()
         headers = [
             ('Host', HOST),
             ('Attempt-Id', call.attempt_id),
             ('Deadline-Ms', str(time_ms)),
             ('X-Api-Key', self._surroundings.key_of(call.organisation)),
-            ('Content-Length', '4'),
+            ('Content-Length', str(len(body))),
         ]
         if call.resumes:
             headers.append(('Last-Event-Id', str(call.last_event)))
@@ -179,7 +196,7 @@
                 tuple(line.split(': ', 1)) for line in PROMPT.splitlines()
             )
         head = h11.Request(method='POST', target=call.path, headers=headers)
-        wire = parser.send(head) + parser.send(h11.Data(data=b'body'))
+        wire = parser.send(head) + parser.send(h11.Data(data=body))
         return bytes(wire + parser.send(h11.EndOfMessage()))
 
     def _read(
@@ -212,6 +229,7 @@
         name.decode().lower(): text.decode() for name, text in head.headers
     }
     call.status = head.status_code
+    call.begun_s = clock_s()
     call.answered_attempt_id = headers.get('attempt-id', '')
     call.is_signed = 'response-signature' in headers
     call.retry_after = headers.get('retry-after', '')
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -9,6 +9,8 @@
 CALL_PATHS = (CONFIRM, LOOK, ASK, RESUME)
 PLAIN_SERVICES = ('ledger', 'ledger-b')
 STREAM_SERVICE = 'lm'
+# The part of a soak in which all requests can be served.
+PACED = 'paced load'
 # The services among which the calls of each route are split.
 SERVICES = {
     CONFIRM: PLAIN_SERVICES,
@@ -30,7 +32,8 @@
     event of the stream that the call takes up, `last_event` the last event of
     it that came, `serving` the smallest number of engines of its version that
     served meanwhile. `is_given_up` tells whether the caller broke the
-    connection off.
+    connection off. `begun_s` is when the head of its response came, `time_s`
+    the time that the caller gave.
     """
 
     attempt_id: str
@@ -52,6 +55,8 @@
     last_event: int = 0
     serving: int = 0
     is_given_up: bool = False
+    begun_s: float = 0.0
+    time_s: float = float('inf')
 
     @property
     def is_stream(self) -> bool:
@@ -129,6 +134,32 @@
         return is_same_node and self.start_s < end_s and start_s < self.end_s
 
 
+@attrs.frozen
+class Part:
+    """A part of the soak, by the time at which its requests are sent."""
+
+    name: str
+    start_s: float
+    end_s: float
+
+    def has(self, at_s: float) -> bool:
+        """Return whether a time is within the part."""
+        return self.start_s <= at_s < self.end_s
+
+
+@attrs.frozen
+class SoakStall:
+    """A time in which the soak itself ran late.
+
+    `stalled_s` is how long of it the process stood still; in the rest it was
+    busy.
+    """
+
+    start_s: float
+    end_s: float
+    stalled_s: float
+
+
 @attrs.frozen
 class PlannedWork:
     """A SIGTERM, a SIGHUP (`reload`) or a new configuration (of all nodes)."""
@@ -163,6 +194,11 @@
     planned: list[PlannedWork] = attrs.field(factory=list)
     # Attempts whose answer a target broke off or damaged.
     broken_off: set[str] = attrs.field(factory=set)
+    stalls: list[SoakStall] = attrs.field(factory=list)
+    parts: list[Part] = attrs.field(factory=list)
+    # When callers found no listener.
+    refused_connections_s: list[float] = attrs.field(factory=list)
+    start_s: float = 0.0
     # When the soak ended its processes and callers.
     end_s: float = float('inf')
     usage: list[UsageReport] = attrs.field(factory=list)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,23 +16,28 @@
 import eventlet
 
 from dandelionyoke_gateway import ExitStatus, clock_s
+from dandelionyoke_links import install_event_loop
 from dandelionyoke_standins._relay import Relay
 from tests.platform.program import Ports, Program, free_port
 from tests.platform.store_standin import StoreStandin
 from tests.soak.callers import Caller, Surroundings
 from tests.soak.configuration import SoakConfiguration
 from tests.soak.events import VERSIONS
-from tests.soak.faults import Fault, plan_faults
+from tests.soak.faults import Fault, plan_faults, planned_start_s
+from tests.soak.outcomes import describe_outcomes
+from tests.soak.paced_part import PacedPart, describe_in_flight
 from tests.soak.promises import FAULT_EFFECT_S, find_violations
 from tests.soak.record import (
     LeavingTold,
     NamedLimit,
+    Part,
     PlannedWork,
     SoakRecord,
     Span,
     UsageReport,
 )
 from tests.soak.silences import Silences
+from tests.soak.stalls import describe_stalls, name_stalls, watch_for_stalls
 from tests.soak.targets import LIMITS_PER_S, RESTS_S, SoakTarget
 
 DOMAINS = ('a', 'a', 'b', 'b')
@@ -67,6 +72,7 @@
     calls: int
     served_calls: int
     violations: list[str]
+    notes: list[str]
 
 
 class Soak:
@@ -106,12 +112,25 @@
             call.status == 200 and call.is_complete
             for call in self._record.calls
         )
-        violations = find_violations(self._record)
+        violations = [
+            name_stalls(text, self._record)
+            for text in find_violations(self._record)
+        ]
         return SoakResult(
-            self._seed, len(self._record.calls), served_calls, violations
+            self._seed,
+            len(self._record.calls),
+            served_calls,
+            violations,
+            [
+                *describe_outcomes(self._record),
+                *describe_in_flight(self._record),
+                describe_stalls(self._record),
+            ],
         )
 
     def _run(self) -> None:
+        self._record.start_s = clock_s()
+        eventlet.spawn_n(watch_for_stalls, self._record, lambda: self._is_ended)
         self._configure()
         self._start_targets()
         for number, domain in enumerate(DOMAINS):
@@ -121,16 +140,37 @@
             self._start_callers(node)
         eventlet.spawn_n(self._write_entries)
         eventlet.spawn_n(self._restart_ended_nodes)
+        self._play_faults()
+        self._play_paced_part()
+
+    def _play_faults(self) -> None:
+        plan = plan_faults(self._seed, self._duration_s)
+        begun_s = clock_s()
         faults = [
             eventlet.spawn_after(fault.at_s, self._inject, fault)
-            for fault in plan_faults(self._seed, self._duration_s)
+            for fault in plan
         ]
         for fault in faults:
             fault.wait()
-        start_s = clock_s()
+        ended_s = clock_s()
         for node in self._nodes:
-            self._await_recovery(node, start_s + RECOVERY_S)
+            self._await_recovery(node, ended_s + RECOVERY_S)
         eventlet.sleep(SETTLE_S)
+        planned_s = begun_s + planned_start_s(plan)
+        self._record.parts.extend(
+            (
+                Part('faults', self._record.start_s, planned_s),
+                Part('planned work', planned_s, clock_s()),
+            )
+        )
+
+    def _play_paced_part(self) -> None:
+        for caller in self._callers:
+            caller.is_ended = True
+        # Nothing of the platform's paths is harmed any more.
+        addresses = [(node.name, node.ports.callers) for node in self._nodes]
+        part = PacedPart(self._surroundings(addresses), self._targets)
+        part.play(self._seed, self._inject)
 
     # Configuration, processes and callers.
 
@@ -214,17 +254,20 @@
         port = int(node.caller_link.address.rpartition(':')[2])
         address = node.name, port
         self._caller_addresses.append(address)
-        surroundings = Surroundings(
+        surroundings = self._surroundings(self._caller_addresses)
+        for number in range(CALLERS_PER_NODE):
+            caller = Caller(f'{node.name}.{number}', address, surroundings)
+            self._callers.append(caller)
+            eventlet.spawn_n(caller.run)
+
+    def _surroundings(self, addresses: list[tuple[str, int]]) -> Surroundings:
+        return Surroundings(
             lambda name: self._configuration.keys[name],
-            self._caller_addresses,
+            addresses,
             self._count_serving,
             self._record,
             self._random,
         )
-        for number in range(CALLERS_PER_NODE):
-            caller = Caller(f'{node.name}.{number}', address, surroundings)
-            self._callers.append(caller)
-            eventlet.spawn_n(caller.run)
 
     def _count_serving(self, version: str) -> int:
         return sum(
@@ -520,6 +563,7 @@
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--logs', default='.logs/soak')
     options = parser.parse_args(arguments)
+    install_event_loop()
     first, _, last = options.seeds.partition('-')
     seeds = list(range(int(first), int(last or first) + 1)) if first else []
     seeds.extend(secrets.randbelow(10**9) for _ in range(options.fresh))
@@ -537,16 +581,20 @@
             f'seed {seed}: {result.served_calls} of {result.calls} served, '
             f'{len(result.violations)} violations\n'
         )
-        for text in result.violations[:20]:
+        for text in (*result.notes, *result.violations[:20]):
             sys.stdout.write(f'  {text}\n')
         sys.stdout.flush()
         if result.violations:
-            log_folder = pathlib.Path(options.logs) / str(seed)
-            os.makedirs(log_folder, exist_ok=True)
-            for log in pathlib.Path(folder).glob('log-*'):
-                (log_folder / log.name).write_bytes(log.read_bytes())
+            keep_logs(folder, pathlib.Path(options.logs) / str(seed))
     return result
 
 
+def keep_logs(folder: str, log_folder: pathlib.Path) -> None:
+    """Copy the logs of the nodes."""
+    os.makedirs(log_folder, exist_ok=True)
+    for log in pathlib.Path(folder).glob('log-*'):
+        (log_folder / log.name).write_bytes(log.read_bytes())
+
+
 if __name__ == '__main__':
     sys.exit(main(sys.argv[1:]))
