Let calls wait for targets that are only silent

Callers whose engines all stood still for 2.0 s or longer got 503 `no_target`, and begun streams were cancelled and placed again from the start of the rest, with an attempt and the retry budget spent, though the engines went on a moment later.

A poll of the load times out after 2.0 s. It made its target unusable like one that refuses connections, and the third one meant a crash, in a large domain also earlier, as records of peers count too.

A poll that timed out is told apart from one that failed otherwise. While a service has silent targets only, calls are admitted and wait, without an attempt, until one goes on or counts as crashed: 0.75 s after the first such poll at the earliest. That crash is a presumption, logged as `the engine is silent`: a stream moves if another engine can take it, and stays where it is if none can, until its own silence limit of 5 s. A target that refuses or resets is left as before.

--- a/packages/core/dandelionyoke_core/_call_operations.py
+++ b/packages/core/dandelionyoke_core/_call_operations.py
@@ -11,6 +11,7 @@
     WriteLog,
 )
 from dandelionyoke_core._call import Attempt, Call, Phase
+from dandelionyoke_core._call_refusals import no_target
 from dandelionyoke_core._events import CompletionRequested
 from dandelionyoke_core._names import RequestId
 from dandelionyoke_core._notices import UsageDelivered
@@ -170,7 +171,7 @@
     def stall(
         self, call: Call, pause_s: float, cause: str, now_s: float
     ) -> list[Output]:
-        """Pause a call with a partial answer until a target is available."""
+        """Pause a call until a target is available."""
         log = WriteLog('request.waiting', call.request_id, cause=cause)
         outputs: list[Output] = [] if call.phase is Phase.STALLED else [log]
         call.phase = Phase.STALLED
@@ -182,6 +183,14 @@
         )
         return outputs
 
+    def wait_for_silent(
+        self, call: Call, route: NoRoute, now_s: float
+    ) -> list[Output]:
+        """Pause a call until a silent target goes on, or counts as crashed."""
+        if self.has_stall_expired(call, now_s):
+            return self.refuse(call, no_target(route), now_s)
+        return self.stall(call, 0, route.cause, now_s)
+
     def has_stall_expired(self, call: Call, now_s: float) -> bool:
         """Whether a stalled call has waited for `max_stall_s`."""
         if call.stalled_since_s is None:
--- a/packages/core/dandelionyoke_core/_capacity.py
+++ b/packages/core/dandelionyoke_core/_capacity.py
@@ -38,12 +38,15 @@
     """View of the capacity of services and of the expected times of calls."""
 
     def capacity(self, service: ServiceName, now_s: float) -> ServiceCapacity:
-        """Sum the capacity of the usable targets of a service."""
+        """Sum the capacity of the usable targets of a service.
+
+        While there are none, those that may go on after a silence count.
+        """
 
     def forecast(
         self, service: ServiceName, size: WorkSize, now_s: float
     ) -> CallForecast | None:
         """Estimate a call at the best of a sample of targets.
 
-        Returns None while no target is usable.
+        Returns None while no target is usable, or may go on after a silence.
         """
--- a/packages/core/dandelionyoke_core/_events.py
+++ b/packages/core/dandelionyoke_core/_events.py
@@ -181,10 +181,11 @@
 
 @attrs.frozen
 class TargetUnreachable(Event):
-    """Polling a target failed."""
+    """Polling a target failed; `is_silent` if only the time ran out."""
 
     target_id: TargetId
     cause: str
+    is_silent: bool = False
 
 
 @attrs.frozen
--- a/packages/core/dandelionyoke_core/_model_calls.py
+++ b/packages/core/dandelionyoke_core/_model_calls.py
@@ -24,9 +24,11 @@
 )
 from dandelionyoke_core._model_placement import ModelPlacement
 from dandelionyoke_core._notices import UsageDelivered
-from dandelionyoke_core._ports import Output
+from dandelionyoke_core._ports import NoRoute, Output
 from dandelionyoke_core._refusals import Refusal
 
+SILENT = 'the engine is silent'
+
 
 class ModelCalls:
     """Handle the events of model calls and their streams."""
@@ -93,9 +95,18 @@
             *self._placement.place(call, now_s),
         ]
 
-    def on_crashed(self, call: Call, now_s: float) -> list[Output]:
-        """Place the call on another engine; the work is lost."""
-        return self._on_broken(call, 'the engine crashed', now_s)
+    def on_crashed(
+        self, call: Call, now_s: float, *, is_presumed: bool
+    ) -> list[Output]:
+        """Place the call on another engine; the work is lost.
+
+        An engine that may go on is left only for another one.
+        """
+        if not is_presumed:
+            return self._on_broken(call, 'the engine crashed', now_s)
+        if isinstance(self._operations.choose_target(call, now_s), NoRoute):
+            return [_waiting_log(call)]
+        return self._on_broken(call, SILENT, now_s)
 
     def on_reclaimed(self, call: Call, now_s: float) -> list[Output]:
         """Move the call off an engine that the platform is reclaiming.
@@ -269,6 +280,12 @@
     return [ObserveLatency('request.first_token', now_s - call.arrived_s)]
 
 
+def _waiting_log(call: Call) -> WriteLog:
+    return WriteLog(
+        'request.waiting', call.request_id, 'no other engine', SILENT
+    )
+
+
 def _refused_log(call: Call, attempt: Attempt, cause: str) -> WriteLog:
     outcome = 'does not resume' if attempt.is_resumption else 'did not run'
     return WriteLog(
--- a/packages/core/dandelionyoke_core/_model_placement.py
+++ b/packages/core/dandelionyoke_core/_model_placement.py
@@ -49,11 +49,7 @@
             return self._wait_or_refuse(call, refusal, now_s)
         route = self._operations.choose_target(call, now_s)
         if isinstance(route, NoRoute):
-            if self._operations.quarantine.excluded_targets(
-                call.fingerprint, now_s
-            ):
-                return self._wait_for_suspects(call, now_s)
-            return self._wait_or_refuse(call, no_target(route), now_s)
+            return self._wait_for_route(call, route, now_s)
         if call.needs_retry_budget and not self._operations.budget.try_charge(
             now_s
         ):
@@ -85,6 +81,17 @@
             *self._operations.track_attempt(call, attempt, now_s),
         ]
 
+    def _wait_for_route(
+        self, call: Call, route: NoRoute, now_s: float
+    ) -> list[Output]:
+        if self._operations.quarantine.excluded_targets(
+            call.fingerprint, now_s
+        ):
+            return self._wait_for_suspects(call, now_s)
+        if route.is_silent:
+            return self._operations.wait_for_silent(call, route, now_s)
+        return self._wait_or_refuse(call, no_target(route), now_s)
+
     def _wait_or_refuse(
         self, call: Call, refusal: Refusal, now_s: float
     ) -> list[Output]:
--- a/packages/core/dandelionyoke_core/_notices.py
+++ b/packages/core/dandelionyoke_core/_notices.py
@@ -89,10 +89,14 @@
 
 @attrs.frozen
 class TargetCrashed(Notice):
-    """A target died or restarted while these attempts were in progress."""
+    """A target died or restarted while these attempts were in progress.
+
+    `is_presumed` if it only was silent for too long, and may go on.
+    """
 
     target_id: TargetId
     attempt_ids: tuple[AttemptId, ...]
+    is_presumed: bool = False
 
 
 @attrs.frozen
--- a/packages/core/dandelionyoke_core/_ports.py
+++ b/packages/core/dandelionyoke_core/_ports.py
@@ -144,10 +144,14 @@
 
 @attrs.frozen
 class NoRoute:
-    """No target can accept the call now."""
+    """No target can accept the call now.
+
+    `is_silent` if a target could that is silent and may go on.
+    """
 
     cause: str
     retry_after_s: float
+    is_silent: bool = False
 
 
 class Router(Protocol):
--- a/packages/core/dandelionyoke_core/_request.py
+++ b/packages/core/dandelionyoke_core/_request.py
@@ -300,7 +300,7 @@
             attempt = call.attempt
             if attempt is not None and attempt.work_id in lost_ids:
                 outputs += self._call_handlers.handler_for(call).on_crashed(
-                    call, now_s
+                    call, now_s, is_presumed=event.is_presumed
                 )
                 self._call_handlers.schedule(call.request_id)
         return outputs
--- a/packages/core/dandelionyoke_core/_routing.py
+++ b/packages/core/dandelionyoke_core/_routing.py
@@ -108,7 +108,7 @@
         }
         allowed = self._apply_reclaimable_budget(requirements, eligible, now_s)
         if not allowed:
-            return NoRoute('no usable target', self._settings.retry_after_s)
+            return self._no_route(requirements)
         size = self._work_size(requirements)
         return self._chooser.best(requirements, size, allowed, now_s).target
 
@@ -159,8 +159,11 @@
     # CapacityView protocol.
 
     def capacity(self, service: ServiceName, now_s: float) -> ServiceCapacity:
-        """Sum the capacity of the usable targets of a service."""
-        usable = self._usable(service, now_s).values()
+        """Sum the capacity of the usable targets of a service.
+
+        While there are none, those that may go on after a silence count.
+        """
+        usable = self._usable_or_silent(service, now_s).values()
         slots = sum(self._slots(state) for state in usable)
         return ServiceCapacity(len(usable), slots)
 
@@ -169,9 +172,9 @@
     ) -> CallForecast | None:
         """Estimate a call at the best of a sample of targets.
 
-        Returns None while no target is usable.
+        Returns None while no target is usable, or may go on after a silence.
         """
-        usable = self._usable(service, now_s)
+        usable = self._usable_or_silent(service, now_s)
         if not usable:
             return None
         estimate, state = self._chooser.forecast(size, usable, now_s)
@@ -221,6 +224,26 @@
             if state.usable(now_s)
         }
 
+    def _usable_or_silent(
+        self, service: ServiceName, now_s: float
+    ) -> dict[TargetId, TargetState]:
+        return self._usable(service, now_s) or self._silent(service)
+
+    def _silent(self, service: ServiceName) -> dict[TargetId, TargetState]:
+        return {
+            target_id: state
+            for target_id, state in self._table.of_service(service).items()
+            if state.may_go_on()
+        }
+
+    def _no_route(self, requirements: RouteRequirements) -> NoRoute:
+        is_silent = any(
+            _is_eligible(state, requirements)
+            for state in self._silent(requirements.service).values()
+        )
+        cause = 'silent targets' if is_silent else 'no usable target'
+        return NoRoute(cause, self._settings.retry_after_s, is_silent)
+
     def _apply_reclaimable_budget(
         self,
         requirements: RouteRequirements,
--- a/packages/core/dandelionyoke_core/_routing_settings.py
+++ b/packages/core/dandelionyoke_core/_routing_settings.py
@@ -12,7 +12,8 @@
     `sample` random targets are compared with the affinity targets of the
     prefix. An unreachable target gets no calls for `unreachable_cooldown_s`,
     and after `failures_before_crash` consecutive failed polls it counts as
-    crashed. Each round polls `remote_polls` targets of other domains, for the
+    crashed, but not before `silent_polls_s` have passed since the first if all
+    of them timed out. Each round polls `remote_polls` targets of other domains, for the
     services that were requested in the last `service_interest_s`.
     """
 
@@ -31,6 +32,7 @@
     sample: int = 3
     unreachable_cooldown_s: float = 3.0
     failures_before_crash: int = 3
+    silent_polls_s: float = 0.75
     max_report_age_s: float = 6.0
     remote_penalty_s: float = 0.01
     missing_block_penalty_s: float = 0.05
--- a/packages/core/dandelionyoke_core/_service_calls.py
+++ b/packages/core/dandelionyoke_core/_service_calls.py
@@ -143,7 +143,9 @@
             return self._on_not_run(call, event.cause, now_s)
         return self._on_broken(call, event.cause, now_s)
 
-    def on_crashed(self, call: Call, now_s: float) -> list[Output]:
+    def on_crashed(
+        self, call: Call, now_s: float, *, is_presumed: bool
+    ) -> list[Output]:
         """Handle the crash of the target with the call in progress."""
         return self._on_broken(call, 'the target crashed', now_s)
 
@@ -162,6 +164,8 @@
 
     def due_s(self, call: Call) -> float:
         """Return when the call must be checked next."""
+        if call.phase is Phase.STALLED:
+            return min(call.deadline_s, call.retry_at_s)
         if call.attempt is None:
             return call.deadline_s
         limit_s = self._settings.service_timeout_s
@@ -172,7 +176,9 @@
         return min(timeout_at_s, call.deadline_s)
 
     def on_due(self, call: Call, now_s: float) -> list[Output]:
-        """Handle a target that did not answer in time."""
+        """Handle a target that did not answer in time, or place again."""
+        if call.phase is Phase.STALLED:
+            return self._place(call, now_s)
         return self._on_broken(call, 'no answer in time', now_s)
 
     def give_up(
@@ -203,6 +209,8 @@
             )
             return self.give_up(call, refusal, now_s)
         route = self._operations.choose_target(call, now_s)
+        if isinstance(route, NoRoute) and self._may_wait(call, route, now_s):
+            return self._operations.wait_for_silent(call, route, now_s)
         if isinstance(route, NoRoute):
             return self.give_up(call, no_target(route), now_s)
         event = call.event
@@ -225,6 +233,10 @@
             *self._operations.track_attempt(call, attempt, now_s),
         ]
 
+    def _may_wait(self, call: Call, route: NoRoute, now_s: float) -> bool:
+        has_expired = self._operations.has_stall_expired(call, now_s)
+        return route.is_silent and not has_expired
+
     def _on_not_run(self, call: Call, cause: str, now_s: float) -> list[Output]:
         attempt = call.attempt
         if attempt is None:
--- a/packages/core/dandelionyoke_core/_target_state.py
+++ b/packages/core/dandelionyoke_core/_target_state.py
@@ -64,6 +64,9 @@
     )
     prefill_utilisation: float = 0.0
     failures: int = 0
+    first_failure_s: float = NEVER_S
+    is_silent: bool = False
+    is_presumed_crashed: bool = False
     cooldown_until_s: float = NEVER_S
     is_leaving: bool = False
     listed: bool = True
@@ -75,11 +78,12 @@
 
     def usable(self, now_s: float) -> bool:
         """Return whether the target accepts new work."""
-        if self.is_leaving or not self.listed:
-            return False
-        if self.target.state is not Presence.LIVE or self.report.draining:
-            return False
-        return now_s >= self.cooldown_until_s
+        return self._is_serving() and now_s >= self.cooldown_until_s
+
+    def may_go_on(self) -> bool:
+        """Return whether the target is silent and may accept work again."""
+        is_silent = self.is_silent and not self.is_presumed_crashed
+        return is_silent and self._is_serving()
 
     def load(self) -> Load:
         """Estimate the current load from the report and later attempts."""
@@ -123,11 +127,18 @@
     def mark_reachable(self, now_s: float) -> None:
         """Record that the target responded."""
         self.failures = 0
+        self.is_silent = False
+        self.is_presumed_crashed = False
         self.last_response_s = now_s
         self.cooldown_until_s = min(self.cooldown_until_s, now_s)
 
-    def mark_unreachable(self, cooldown_until_s: float) -> None:
+    def mark_unreachable(
+        self, now_s: float, cooldown_until_s: float, *, is_silent: bool
+    ) -> None:
         """Record that the target did not respond."""
+        if not self.failures:
+            self.first_failure_s = now_s
+        self.is_silent = is_silent and (self.is_silent or not self.failures)
         self.failures += 1
         self.cooldown_until_s = cooldown_until_s
 
@@ -156,6 +167,11 @@
             self.ended.append((now_s, sent))
         return sent
 
+    def _is_serving(self) -> bool:
+        if self.is_leaving or not self.listed or self.report.draining:
+            return False
+        return self.target.state is Presence.LIVE
+
     def _ended_in_report(self) -> list[SentAttempt]:
         """Return the ended attempts that the report still includes."""
         return [
--- a/packages/core/dandelionyoke_core/_target_table.py
+++ b/packages/core/dandelionyoke_core/_target_table.py
@@ -49,8 +49,8 @@
                 return self._on_listing(targets, now_s)
             case LoadReported(target_id=target_id, report=report):
                 return self._on_report(target_id, report, now_s)
-            case TargetUnreachable(target_id=target_id):
-                return self._on_unreachable(target_id, now_s)
+            case TargetUnreachable(target_id=target_id, is_silent=is_silent):
+                return self._on_unreachable(target_id, now_s, is_silent)
             case CacheEventsReported():
                 self._on_cache_events(event)
             case TargetLeaving(target_id=target_id):
@@ -176,7 +176,10 @@
                 state.last_shared_report_s = now_s
             outputs.extend(self._on_report(target_id, report, now_s))
         for target_id in shared.unreachable:
-            outputs.extend(self._on_unreachable(target_id, now_s))
+            # The record does not tell why; a silence is the milder cause.
+            outputs.extend(
+                self._on_unreachable(target_id, now_s, is_silent=True)
+            )
         return outputs
 
     def _on_report(
@@ -198,15 +201,26 @@
         return _crash_notices(state)
 
     def _on_unreachable(
-        self, target_id: TargetId, now_s: float
+        self, target_id: TargetId, now_s: float, is_silent: bool
     ) -> list[Output]:
         state = self._states.get(target_id)
         if state is None:
             return []
-        state.mark_unreachable(now_s + self._settings.unreachable_cooldown_s)
-        if state.failures == self._settings.failures_before_crash:
-            return _crash_notices(state)
-        return []
+        state.mark_unreachable(
+            now_s,
+            now_s + self._settings.unreachable_cooldown_s,
+            is_silent=is_silent,
+        )
+        if state.is_presumed_crashed or not self._has_crashed(state, now_s):
+            return []
+        state.is_presumed_crashed = True
+        return _crash_notices(state, is_presumed=state.is_silent)
+
+    def _has_crashed(self, state: TargetState, now_s: float) -> bool:
+        if state.failures < self._settings.failures_before_crash:
+            return False
+        silent_s = now_s - state.first_failure_s
+        return not state.is_silent or silent_s >= self._settings.silent_polls_s
 
     def _on_cache_events(self, event: CacheEventsReported) -> None:
         state = self._states.get(event.target_id)
@@ -221,10 +235,13 @@
             state.is_leaving = True
 
 
-def _crash_notices(state: TargetState) -> list[Output]:
+def _crash_notices(
+    state: TargetState, *, is_presumed: bool = False
+) -> list[Output]:
     if not state.sent:
         return []
-    return [TargetCrashed(state.target.target_id, tuple(state.sent))]
+    attempt_ids = tuple(state.sent)
+    return [TargetCrashed(state.target.target_id, attempt_ids, is_presumed)]
 
 
 def _returns_to_live(before: Target, after: Target) -> bool:
--- a/packages/wire/dandelionyoke_wire/_engine.py
+++ b/packages/wire/dandelionyoke_wire/_engine.py
@@ -117,7 +117,11 @@
             report = structure(dict(response.body), LoadReport)
         except TransportError as error:
             self._pools.replace(action.address)
-            self._emit(TargetUnreachable(action.target_id, error.cause))
+            self._emit(
+                TargetUnreachable(
+                    action.target_id, error.cause, error.timed_out
+                )
+            )
         except _REPORT_ERRORS:
             self._emit(
                 TargetUnreachable(action.target_id, 'invalid load report')
--- a/packages/wire/dandelionyoke_wire/_transport.py
+++ b/packages/wire/dandelionyoke_wire/_transport.py
@@ -22,12 +22,18 @@
 
 
 class TransportError(Exception):
-    """No complete response; `sent` is False if no byte of the call was sent."""
+    """No complete response; `sent` is False if no byte of the call was sent.
 
-    def __init__(self, cause: str, *, sent: bool) -> None:
+    `timed_out` is True if the other side was silent.
+    """
+
+    def __init__(
+        self, cause: str, *, sent: bool, timed_out: bool = False
+    ) -> None:
         super().__init__(cause)
         self.cause = cause
         self.sent = sent
+        self.timed_out = timed_out
 
 
 def new_pool() -> urllib3.PoolManager:
@@ -56,6 +62,14 @@
     )
 
 
+def has_timed_out(error: Exception) -> bool:
+    """Return whether a call failed only because its time ran out."""
+    # The library derives a refused connection from its time-outs.
+    return isinstance(
+        error, urllib3.exceptions.TimeoutError
+    ) and not isinstance(error, urllib3.exceptions.NewConnectionError)
+
+
 def call_json(
     pool: urllib3.PoolManager,
     method: str,
@@ -80,7 +94,9 @@
         )
     except (urllib3.exceptions.HTTPError, OSError) as error:
         raise TransportError(
-            str(error), sent=may_have_been_sent(error)
+            str(error),
+            sent=may_have_been_sent(error),
+            timed_out=has_timed_out(error),
         ) from error
     return JsonResponse(response.status, decode_json(response.data))
 
--- a/tests/core/fakes.py
+++ b/tests/core/fakes.py
@@ -107,6 +107,7 @@
 
     def __init__(self, targets: tuple[core.Target, ...]) -> None:
         self.targets = targets
+        self.is_silent = False
         self.running: dict[str, core.TargetId] = {}
         self.requirements: list[core.RouteRequirements] = []
 
@@ -118,7 +119,7 @@
             allowed = target.target_id not in requirements.excluded_targets
             if allowed and target.service == requirements.service:
                 return target
-        return core.NoRoute('all targets are avoided', 2)
+        return core.NoRoute('all targets are avoided', 2, self.is_silent)
 
     def find(self, target_id: core.TargetId) -> core.Target | None:
         return next(
--- a/tests/core/test_request.py
+++ b/tests/core/test_request.py
@@ -229,6 +229,67 @@
         entry.tell(end_of('r1.2'))
         self.check_whole_answer(entry)
 
+    def test_a_silent_engine_is_left_only_for_another_one(self) -> None:
+        """All engines are silent for some seconds, and then go on.
+
+        The work would be thrown away though nothing else can do it.
+        """
+        entry = Entry()
+        entry.router.targets = (engine('a'),)
+        entry_with_call(entry).tell(output('r1.1', 0, 3))
+        entry.router.targets = ()
+        silent = core.TargetCrashed(core.TargetId('a'), ('r1.1',), True)
+        entry.tell(silent)
+        self.assertEqual([], entry.all(core.CancelAttempt))
+        entry.tell(output('r1.1', 3, 8))
+        entry.tell(end_of('r1.1'))
+        self.check_whole_answer(entry)
+
+    def test_a_silent_engine_is_left_for_another_one(self) -> None:
+        """The engine is cut off for good, and others can do the work."""
+        entry = entry_with_call(Entry())
+        entry.tell(output('r1.1', 0, 3))
+        entry.tell(core.TargetCrashed(core.TargetId('a'), ('r1.1',), True))
+        self.assertEqual(
+            core.TargetId('b'), entry.last(core.StartAttempt).target_id
+        )
+
+    def test_calls_wait_for_silent_targets(self) -> None:
+        """All targets are silent when a call arrives, and then go on.
+
+        The call would be refused, or use up its attempts.
+        """
+        for call in (ask(), confirm()):
+            entry, store = Entry(), Store()
+            targets = entry.router.targets
+            entry.router.targets = ()
+            entry.router.is_silent = True
+            serve(entry, store, entry.tell(call))
+            entry.wait(1)
+            entry.router.targets = targets
+            entry.wait(1)
+            self.assertIsNone(entry.refusal('r1'))
+            routed = core.StartAttempt | core.CallService
+            self.assertEqual(
+                1, sum(isinstance(action, routed) for action in entry.said)
+            )
+
+    def test_a_call_is_refused_when_silent_targets_are_gone(self) -> None:
+        """The silent targets do not go on. The caller would wait for them."""
+        for call in (ask(), confirm()):
+            entry, store = Entry(), Store()
+            entry.router.targets = ()
+            entry.router.is_silent = True
+            serve(entry, store, entry.tell(call))
+            self.assertIsNone(entry.refusal('r1'))
+            entry.router.is_silent = False
+            entry.wait(1)
+            refusal = entry.refusal('r1')
+            assert refusal is not None
+            self.assertEqual(
+                (core.RefusalKind.NO_TARGET, NO), (refusal.kind, refusal.run)
+            )
+
     @given(
         strategies.lists(
             strategies.tuples(strategies.integers(0, 8), strategies.integers()),
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -320,6 +320,62 @@
                 [TargetCrashed(target.target_id, ('a1',))], outputs
             )
 
+    def test_a_silent_engine_does_not_count_as_crashed_at_once(self) -> None:
+        """A sound engine stands still for 2.5 s, and polls of it time out.
+
+        Its calls would be repeated elsewhere, and suspected of the crash.
+        """
+        (target,) = make_targets(1)
+        part = make_routing((target,))
+        part.dispatched('a1', target.target_id, make_requirements(), 1)
+        silence = TargetUnreachable(target.target_id, 'timed out', True)
+        for at_s in (3, 3.1, 3.2, 3.5):
+            self.assertEqual([], part.handle(silence, at_s))
+        self.assertEqual(
+            [TargetCrashed(target.target_id, ('a1',), is_presumed=True)],
+            part.handle(silence, 3.8),
+        )
+        self.assertEqual([], part.handle(silence, 4.2))
+
+    def test_calls_wait_for_targets_that_are_silent(self) -> None:
+        """All targets of a service are silent, and may go on.
+
+        A call that arrives meanwhile would be refused.
+        """
+        targets = make_targets(2)
+        part = make_routing(targets)
+        service = make_requirements().service
+        silences = [
+            TargetUnreachable(target.target_id, 'timed out', True)
+            for target in targets
+        ]
+        for at_s in (3, 3.4):
+            for silence in silences:
+                part.handle(silence, at_s)
+            route = part.choose(make_requirements(), at_s)
+            self.assertTrue(route.is_silent)
+            self.assertEqual(2, part.capacity(service, at_s).targets)
+            self.assertIsNotNone(
+                part.forecast(service, WorkSize(1, 1, 1), at_s)
+            )
+        for silence in silences:
+            part.handle(silence, 3.8)
+        self.assertFalse(part.choose(make_requirements(), 3.8).is_silent)
+        self.assertIsNone(part.forecast(service, WorkSize(1, 1, 1), 3.8))
+
+    def test_a_target_that_refuses_after_a_silence_is_gone(self) -> None:
+        """The process of a silent target ends, and nothing listens there.
+
+        Calls would wait for it.
+        """
+        (target,) = make_targets(1)
+        part = make_routing((target,))
+        for is_silent in (True, False, True):
+            part.handle(
+                TargetUnreachable(target.target_id, 'test', is_silent), 3
+            )
+        self.assertFalse(part.choose(make_requirements(), 3).is_silent)
+
     def test_an_unreachable_target_gets_no_calls_until_it_responds(
         self,
     ) -> None:
--- a/tests/entry/test_silent_engines.py
+++ b/tests/entry/test_silent_engines.py
@@ -93,7 +93,7 @@
         crashed = [
             record
             for record in self.records('request.routed')
-            if record['cause'] == 'the engine crashed'
+            if record['cause'].startswith('the engine ')
         ]
         self.assertEqual([], crashed)
 
--- a/tests/wire/test_engine_client.py
+++ b/tests/wire/test_engine_client.py
@@ -11,9 +11,11 @@
     AttemptId,
     Event,
     ModelName,
+    PollLoad,
     RequestId,
     StartAttempt,
     TargetId,
+    TargetUnreachable,
 )
 from dandelionyoke_wire._engine import EngineClient
 from dandelionyoke_wire._pools import TargetPools
@@ -86,3 +88,27 @@
         for content in INVALID_CONTENTS:
             events = self.start_attempt(b'503 Busy', content)
             self.assertEqual([AttemptFailed], list(map(type, events)))
+
+
+class LoadPollTest(testtools.TestCase):
+    """Guards against an engine that stands still and counts as gone."""
+
+    def poll(self, listener: socket.socket) -> TargetUnreachable:
+        host, port = listener.getsockname()
+        events: list[Event] = []
+        EngineClient(TargetPools(), events.append).poll_load(
+            PollLoad(TargetId('t'), f'http://{host}:{port}')
+        )
+        (event,) = events
+        assert isinstance(event, TargetUnreachable)
+        return event
+
+    def test_an_engine_that_does_not_answer_is_silent(self) -> None:
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            self.assertTrue(self.poll(listener).is_silent)
+
+    def test_an_engine_that_refuses_connections_is_not_silent(self) -> None:
+        # Bound but not listening, so that no other process takes the port.
+        with socket.socket() as unused:
+            unused.bind(('127.0.0.1', 0))
+            self.assertFalse(self.poll(unused).is_silent)
