Take back a crash when the engine answers again

A caller whose engines stood still for 3 s one after the other, and went on, was refused with 422 `quarantined` for 24 hours; after one of them it waited behind `other suspects of a crash`.

An engine that is silent, cut off or resets a connection looks like one that crashed. Quarantine counted a crash against all requests there, and only a whole answer of the request took that back.

A run keeps the incarnation that its engine had. A report that the engine makes after the crash was counted, under the same incarnation, disproves it: the suspicion is cleared at all entries, a quarantine that it caused ends, the runs lost there are forgotten, so that their request need not wait for news. Another incarnation, or a report from before, disproves nothing, and a suspicion by a peer stays until the peer clears it.

--- a/packages/core/dandelionyoke_core/_quarantine.py
+++ b/packages/core/dandelionyoke_core/_quarantine.py
@@ -4,14 +4,16 @@
 Each suspect is then run again on an engine without another suspect, as a
 trial. Harmless requests complete and are cleared. The request that caused
 the crash crashes a second engine as the only suspect there, and is refused
-from then on.
+from then on. An engine that answers again under its incarnation was silent
+and did not crash, so that this crash is taken back.
 """
 
 from typing import ClassVar
 
 import attrs
 
-from dandelionyoke_core._events import Event
+from dandelionyoke_core._crash_evidence import CrashEvidence
+from dandelionyoke_core._events import Event, LoadReported
 from dandelionyoke_core._incidents import Incident, Incidents
 from dandelionyoke_core._names import AttemptId, TargetId
 from dandelionyoke_core._notices import (
@@ -19,6 +21,7 @@
     ReplicateRecord,
     TargetCrashed,
 )
+from dandelionyoke_core._observation import LoadsShared
 from dandelionyoke_core._ports import Output
 from dandelionyoke_core._quarantine_messages import (
     Suspicion,
@@ -28,7 +31,7 @@
 from dandelionyoke_core._quarantine_settings import QuarantineSettings
 from dandelionyoke_core._refusals import Refusal, RefusalKind
 from dandelionyoke_core._runs import Run, Runs
-from dandelionyoke_core._suspects import SuspectTable
+from dandelionyoke_core._suspects import Suspect, SuspectTable
 
 
 class QuarantinePart:
@@ -37,13 +40,18 @@
     Other requests that were in progress on the same engine are retried.
     """
 
-    handles: ClassVar[tuple[type[Event], ...]] = (TargetCrashed, RecordReceived)
+    handles: ClassVar[tuple[type[Event], ...]] = (
+        TargetCrashed,
+        LoadReported,
+        RecordReceived,
+    )
 
     def __init__(self, settings: QuarantineSettings) -> None:
         self._settings = settings
         self._suspects = SuspectTable(settings)
         self._runs = Runs(settings)
         self._incidents = Incidents(settings)
+        self._evidence = CrashEvidence(settings)
         self._version = 0
 
     def handle(self, event: Event, now_s: float) -> list[Output]:
@@ -51,6 +59,11 @@
         match event:
             case TargetCrashed():
                 return self._on_target_crashed(event, now_s)
+            case LoadReported(target_id=target_id, report=report):
+                taken_s = now_s - report.age_s
+                return self._on_report(target_id, report.incarnation, taken_s)
+            case RecordReceived(record=LoadsShared() as loads):
+                return self._on_loads_shared(loads, now_s)
             case RecordReceived(record=SuspicionShared() as suspicion):
                 return self._apply_suspicion(suspicion, now_s)
             case RecordReceived(record=TrialShared() as trial):
@@ -96,7 +109,8 @@
     ) -> list[Output]:
         """Record an attempt in progress; announce it if it is a trial."""
         trial = self._suspects.find(fingerprint, now_s) is not None
-        run = Run(attempt_id, target_id, fingerprint, now_s, trial)
+        incarnation = self._evidence.incarnation(target_id)
+        run = Run(attempt_id, target_id, fingerprint, now_s, incarnation, trial)
         self._runs.start(run)
         return [self._announce_trial(run)] if trial else []
 
@@ -131,8 +145,7 @@
         self._runs.add_lost(run, now_s)
         if self._is_suspected(run, now_s):
             return []
-        self._suspects.suspect(run.fingerprint, now_s)
-        return [self._share_suspicion(run.fingerprint, Suspicion.SUSPECT)]
+        return self._suspect(run, now_s)
 
     def attempt_failed(
         self, attempt_id: AttemptId, now_s: float
@@ -166,13 +179,13 @@
         fingerprint = run.fingerprint
         suspect = self._suspects.find(fingerprint, now_s)
         if suspect is None:
-            self._suspects.suspect(fingerprint, now_s)
-            return [self._share_suspicion(fingerprint, Suspicion.SUSPECT)]
+            return self._suspect(run, now_s)
         if not run.trial or suspect.quarantined_s is not None:
             # This copy was already running when the first engine crashed. A
             # prompt sent by many callers runs on many engines at once, and
             # any two unrelated crashes would quarantine it.
             return []
+        self._count_crash(suspect, run, now_s)
         if incident.suspects - {fingerprint}:
             suspect.shared_crashes += 1
             if suspect.shared_crashes < self._settings.shared_crash_limit:
@@ -180,6 +193,39 @@
         self._suspects.quarantine(fingerprint, now_s)
         return [self._share_suspicion(fingerprint, Suspicion.CONVICTED)]
 
+    def _suspect(self, run: Run, now_s: float) -> list[Output]:
+        suspect = self._suspects.suspect(run.fingerprint, now_s)
+        self._count_crash(suspect, run, now_s)
+        return [self._share_suspicion(run.fingerprint, Suspicion.SUSPECT)]
+
+    def _count_crash(self, suspect: Suspect, run: Run, now_s: float) -> None:
+        suspect.crashed.add(run.target_id)
+        self._evidence.add(run, now_s)
+
+    def _on_loads_shared(
+        self, loads: LoadsShared, now_s: float
+    ) -> list[Output]:
+        shared_s = now_s - self._settings.max_shared_report_age_s
+        return [
+            output
+            for target_id, report in loads.reports()
+            for output in self._on_report(
+                target_id, report.incarnation, shared_s - report.age_s
+            )
+        ]
+
+    def _on_report(
+        self, target_id: TargetId, incarnation: str, taken_s: float
+    ) -> list[Output]:
+        """Take back the crashes that a report disproves."""
+        self._runs.remove_lost(target_id, incarnation, taken_s)
+        disproved = self._evidence.learn(target_id, incarnation, taken_s)
+        return [
+            self._share_suspicion(run.fingerprint, Suspicion.CLEARED)
+            for run in disproved
+            if self._suspects.withdraw_crash(run.fingerprint, target_id)
+        ]
+
     def _find_or_open_incident(self, run: Run, now_s: float) -> Incident:
         """Return the incident that a failed run belongs to, or open one.
 
@@ -239,9 +285,9 @@
             case Suspicion.CLEARED:
                 self._suspects.clear(fingerprint)
             case Suspicion.CONVICTED:
-                self._suspects.quarantine(fingerprint, now_s)
+                self._suspects.quarantine(fingerprint, now_s).by_peer = True
             case Suspicion.SUSPECT:
-                self._suspects.suspect(fingerprint, now_s)
+                self._suspects.suspect(fingerprint, now_s).by_peer = True
                 return list(
                     map(self._announce_trial, self._runs.copies(fingerprint))
                 )
--- a/packages/core/dandelionyoke_core/_quarantine_settings.py
+++ b/packages/core/dandelionyoke_core/_quarantine_settings.py
@@ -14,7 +14,8 @@
     to be an outage and not a request. A request is also quarantined after
     `shared_crash_limit` further crashes with other suspects on the engine.
     A suspect on an engine that fell silent waits `lost_window_s` for a
-    report about the engine.
+    report about the engine. A report that a peer shared may be older by
+    `max_shared_report_age_s` than it says.
     """
 
     suspect_lifetime_s: float = 600.0
@@ -29,3 +30,5 @@
     max_trials: int = 1_024
     max_incidents: int = 64
     max_lost: int = 1_024
+    max_engines: int = 8_192
+    max_shared_report_age_s: float = 25.0
--- a/packages/core/dandelionyoke_core/_runs.py
+++ b/packages/core/dandelionyoke_core/_runs.py
@@ -13,6 +13,7 @@
 class Run:
     """A request in progress on an engine.
 
+    `incarnation` is that of the engine as it was known at the start, or ''.
     `trial` tells whether its fingerprint was a suspect when it started.
     `announced` tells whether peers know of the run, in which case they must
     also be told when it ends.
@@ -22,6 +23,7 @@
     target_id: TargetId
     fingerprint: str
     started_s: float
+    incarnation: str = ''
     trial: bool = False
     announced: bool = False
 
@@ -73,6 +75,19 @@
             if lost_s >= window_start_s:
                 yield run
 
+    def remove_lost(
+        self, target_id: TargetId, incarnation: str, until_s: float
+    ) -> None:
+        """Remove the runs lost at an engine that has answered since."""
+        window_start_s = until_s - self._settings.lost_window_s
+        while self._lost_runs and self._lost_runs[0][0] < window_start_s:
+            self._lost_runs.popleft()
+        for entry in tuple(self._lost_runs):
+            lost_s, run = entry
+            is_alive = run.incarnation == incarnation and lost_s < until_s
+            if run.target_id == target_id and is_alive:
+                self._lost_runs.remove(entry)
+
     def add_peer_trial(self, run: Run, now_s: float) -> None:
         """Add a trial of a peer; it expires after `trial_lifetime_s`."""
         expires_s = now_s + self._settings.trial_lifetime_s
--- a/packages/core/dandelionyoke_core/_suspects.py
+++ b/packages/core/dandelionyoke_core/_suspects.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from dandelionyoke_core._names import TargetId
 from dandelionyoke_core._quarantine_settings import QuarantineSettings
 
 
@@ -14,11 +15,15 @@
 
     `shared_crashes` counts further crashes of engines that ran other
     suspects too, which do not prove that this request is the cause.
+    `crashed` holds the engines whose crashes were counted by this entry;
+    `by_peer` tells whether a peer suspects, or has quarantined, the request.
     """
 
     suspected_s: float
     shared_crashes: int = 0
     quarantined_s: float | None = None
+    by_peer: bool = False
+    crashed: set[TargetId] = attrs.field(factory=set)
 
 
 class SuspectTable:
@@ -41,22 +46,44 @@
             return None
         return suspect
 
-    def suspect(self, fingerprint: str, now_s: float) -> None:
-        """Add a request as a suspect, unless it is one already."""
-        if self.find(fingerprint, now_s) is not None:
-            return
-        self._suspects[fingerprint] = Suspect(now_s)
+    def suspect(self, fingerprint: str, now_s: float) -> Suspect:
+        """Return the suspect, added if it is none yet."""
+        existing = self.find(fingerprint, now_s)
+        if existing is not None:
+            return existing
+        suspect = Suspect(now_s)
+        self._suspects[fingerprint] = suspect
         # Bounds the table during a flood of crashes. The oldest suspicion is
         # the least likely to matter.
         while len(self._suspects) > self._settings.max_suspects:
             self._suspects.popitem(last=False)
+        return suspect
 
-    def quarantine(self, fingerprint: str, now_s: float) -> None:
+    def quarantine(self, fingerprint: str, now_s: float) -> Suspect:
         """Mark a request as the cause of its crashes and quarantine it."""
-        self.suspect(fingerprint, now_s)
-        suspect = self._suspects[fingerprint]
+        suspect = self.suspect(fingerprint, now_s)
         if suspect.quarantined_s is None:
             suspect.quarantined_s = now_s
+        return suspect
+
+    def withdraw_crash(self, fingerprint: str, target_id: TargetId) -> bool:
+        """Take back a counted crash; return whether that changes a verdict.
+
+        A request without another crash is no suspect any more, and one that
+        was quarantined is only a suspect.
+        """
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or target_id not in suspect.crashed:
+            return False
+        suspect.crashed.remove(target_id)
+        if suspect.by_peer:
+            return False
+        if not suspect.crashed:
+            return self.clear(fingerprint)
+        suspect.shared_crashes = max(0, suspect.shared_crashes - 1)
+        was_quarantined = suspect.quarantined_s is not None
+        suspect.quarantined_s = None
+        return was_quarantined
 
     def clear(self, fingerprint: str) -> bool:
         """Remove a suspect; return False if there was none."""
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -257,6 +257,27 @@
         self.assertEqual(422, refusal.kind.status)
         self.assertEqual(2, len(entry.all(core.StartAttempt)))
 
+    def test_silent_engines_that_answer_again(self) -> None:
+        """Two engines stand still in turn and go on.
+
+        The request must not be blamed for crashes that did not happen.
+        """
+        entry = Entry()
+        for name in 'ab':
+            entry.tell(answer_of(name))
+        entry.tell(ask())
+        for name, attempt in (('a', 'r1.1'), ('b', 'r1.2')):
+            entry.tell(core.AttemptAccepted('r1', attempt))
+            entry.wait(3)
+            entry.tell(
+                core.TargetCrashed(core.TargetId(name), (attempt,), True)
+            )
+            entry.wait(1)
+            entry.tell(answer_of(name))
+        entry.wait(4)
+        self.assertIsNone(entry.refusal('r1'))
+        self.assertEqual(3, len(entry.all(core.StartAttempt)))
+
     def test_a_prompt_sent_by_many_callers_is_not_quarantined(self) -> None:
         """Many callers send the same prompt, which runs on all engines.
 
@@ -304,6 +325,15 @@
         self.check_outcomes(fleet, engines=8)
 
 
+def answer_of(
+    name: str, incarnation: str = 'first', age_s: float = 0
+) -> core.LoadReported:
+    """Return the load report of an engine."""
+    target_id = core.TargetId(name)
+    report = core.LoadReport(target_id, incarnation, 0, age_s)
+    return core.LoadReported(target_id, report)
+
+
 class QuarantinePartTest(testtools.TestCase):
     def crash(
         self, part: core.QuarantinePart, number: int, prompt: str
@@ -332,6 +362,62 @@
         self.assertIsNotNone(part.refusal('p', 110))
         self.assertIsNone(part.refusal('p', 110 + settings.quarantine_s))
 
+    def quarantined_part(self) -> core.QuarantinePart:
+        """Return a part that quarantines `p` after crashes of e1 and e2."""
+        part = core.QuarantinePart(core.QuarantineSettings())
+        for number in (1, 2):
+            part.handle(answer_of(f'e{number}'), 0)
+            self.crash(part, number, 'p')
+        return part
+
+    def test_a_quarantine_ends_with_the_crash_that_caused_it(self) -> None:
+        """The second of the two engines was only silent.
+
+        The request is a suspect of the first crash again, no less: its next
+        crash quarantines it.
+        """
+        part = self.quarantined_part()
+        (shared,) = part.handle(answer_of('e2'), 110)
+        self.assertEqual('cleared', shared.record.suspicion.value)
+        self.assertIsNone(part.refusal('p', 110))
+        self.crash(part, 3, 'p')
+        refusal = part.refusal('p', 160)
+        assert refusal is not None
+        self.assertEqual(core.RefusalKind.QUARANTINED, refusal.kind)
+
+    def test_a_report_from_before_the_crash_disproves_nothing(self) -> None:
+        """The engine crashed after it made the report, or has restarted.
+
+        The request would crash one engine after the other.
+        """
+        part = self.quarantined_part()
+        for report in (answer_of('e2', age_s=10), answer_of('e2', 'second')):
+            self.assertEqual([], part.handle(report, 110))
+        self.assertEqual([], part.handle(answer_of('e2'), 111))
+        self.assertIsNotNone(part.refusal('p', 111))
+
+    def test_a_report_that_a_peer_shares_may_be_old(self) -> None:
+        """A peer relays a report that the engine made before it crashed."""
+        part = self.quarantined_part()
+        loads = core.LoadsShared(
+            'loads/x',
+            1,
+            20,
+            (core.TargetId('e2'),),
+            ('first',),
+            (0,),
+            (core.Role.MIXED,),
+            (0,),
+            (0,),
+            (0,),
+            (0,),
+        )
+        received = core.RecordReceived(loads, core.InstanceId('x'))
+        part.handle(received, 110)
+        self.assertIsNotNone(part.refusal('p', 110))
+        part.handle(received, 130)
+        self.assertIsNone(part.refusal('p', 130))
+
     def test_the_suspect_table_is_bounded(self) -> None:
         """Engines crash continuously, each with a different prompt.
 
