--- a/tests/entry/test_silent_engines.py
+++ b/tests/entry/test_silent_engines.py
@@ -17,13 +17,13 @@
 CALL_INTERVAL_S = 0.05
 MAX_CALLERS = 20
 LONG_ANSWER_TOKENS = 1000
+# Longer than a stream may be silent.
+STANDSTILL_S = 5.6
 ENGINES = 3
 
 
-class SilentEnginesTest(FailureCase):
-    """The processes of engines are stopped and continued."""
-
-    deployment = Deployment(engines={'route-assistant': ENGINES}, entries=1)
+class SilentCase(FailureCase):
+    """Steps of the tests that stop processes."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -48,10 +48,6 @@
             each for each in found if each.get('message_type') in message_types
         ]
 
-    def start_numbered_stream(self, number: int) -> Stream:
-        """Start a short stream."""
-        return Stream(self, f'{self.id()} new {number}: answer 20 tokens')
-
     def routed_to(self) -> list[str]:
         """Return the engines of the attempts so far, in order."""
         return [
@@ -60,6 +56,16 @@
             if record['cause'].startswith('attempt ')
         ]
 
+
+class SilentEnginesTest(SilentCase):
+    """The processes of engines are stopped and continued."""
+
+    deployment = Deployment(engines={'route-assistant': ENGINES}, entries=1)
+
+    def start_numbered_stream(self, number: int) -> Stream:
+        """Start a short stream."""
+        return Stream(self, f'{self.id()} new {number}: answer 20 tokens')
+
     def has_moved(self, moves: int) -> bool:
         """Return whether a stream has moved often enough, or has ended."""
         ended = self.records('request.refused', 'request.finished')
@@ -116,3 +122,22 @@
         self.assertEqual([], self.records('request.refused'))
         self.assert_complete(stream)
         self.assertEqual(ENGINES, len(self.routed_to()))
+
+
+class StoppedEntryTest(SilentCase):
+    """The process of an entry is stopped and continued."""
+
+    deployment = Deployment(engines={'route-assistant': ENGINES}, entries=1)
+
+    def test_an_entry_that_stood_still_does_not_blame_its_engines(
+        self,
+    ) -> None:
+        """The engines stream on while the entry stands still for longer than
+        they may be silent."""
+        streams = self.start_streams(12, LONG_ANSWER_TOKENS)
+        self.stop(self.fleet.entries)
+        time.sleep(STANDSTILL_S)
+        self.fleet.entries[0].signal(signal.SIGCONT)
+        self.assert_complete(*streams)
+        self.assertEqual([], self.records('request.resumed', 'request.waiting'))
+        self.assertEqual(len(streams), len(self.routed_to()))
