Leave a standstill of the entry out of the silence of its streams

How long this process stood still is now told to the core as an event before the next one. The silence of each stream may last that much longer. Deadlines of calls, leases and the terms of orders stay with the real clock, as callers, the store and engines count on them. The log has `process.stalled`.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -149,6 +149,7 @@
     PeerDisconnected as PeerDisconnected,
     PeerMessage as PeerMessage,
     PeerMessageArrived as PeerMessageArrived,
+    ProcessStalled as ProcessStalled,
     ServiceAnswered as ServiceAnswered,
     ServiceCallRequested as ServiceCallRequested,
     SharedRecord as SharedRecord,
--- a/packages/core/dandelionyoke_core/_call.py
+++ b/packages/core/dandelionyoke_core/_call.py
@@ -116,6 +116,11 @@
             self.attempt.accepted = True
             self.attempt.last_activity_s = now_s
 
+    def extend_silence(self, stalled_s: float) -> None:
+        """Allow the target of the current attempt to be silent for longer."""
+        if self.attempt is not None:
+            self.attempt.last_activity_s += stalled_s
+
     def resume_attempt(self, attempt: Attempt, now_s: float) -> Attempt:
         """Start a new stream that resumes the work of an attempt."""
         attempt_id = self.next_attempt_id()
--- a/packages/core/dandelionyoke_core/_events.py
+++ b/packages/core/dandelionyoke_core/_events.py
@@ -300,6 +300,13 @@
     """The process must drain and stop without cutting calls off."""
 
 
+@attrs.frozen
+class ProcessStalled(Event):
+    """This process stood still, and could not hear anyone meanwhile."""
+
+    stalled_s: float
+
+
 @attrs.frozen
 class ShutdownForced(Event):
     """A second stop request: the process ends and cuts calls off."""
--- a/packages/core/dandelionyoke_core/_lifecycle.py
+++ b/packages/core/dandelionyoke_core/_lifecycle.py
@@ -8,6 +8,7 @@
 from dandelionyoke_core._actions import StopProcess, WriteLog
 from dandelionyoke_core._events import (
     Event,
+    ProcessStalled,
     ShutdownForced,
     ShutdownRequested,
     Started,
@@ -39,6 +40,7 @@
 
     handles: ClassVar[tuple[type[Event], ...]] = (
         Started,
+        ProcessStalled,
         ShutdownRequested,
         ShutdownForced,
         TimerFired,
@@ -68,6 +70,9 @@
         match event:
             case Started():
                 return [WriteLog('process.started', LOG_SUBJECT)]
+            case ProcessStalled(stalled_s=stalled_s):
+                detail = f'{stalled_s:.3f} s'
+                return [WriteLog('process.stalled', LOG_SUBJECT, detail)]
             case ShutdownRequested():
                 return self._begin_shutdown(now_s)
             case ShutdownForced():
--- a/packages/core/dandelionyoke_core/_request.py
+++ b/packages/core/dandelionyoke_core/_request.py
@@ -26,6 +26,7 @@
     CallerDisconnected,
     CompletionRequested,
     Event,
+    ProcessStalled,
     ServiceAnswered,
     ServiceCallRequested,
     ShutdownForced,
@@ -86,6 +87,7 @@
         TargetCrashed,
         TargetLeaving,
         ShutdownForced,
+        ProcessStalled,
         TimerFired,
     )
 
@@ -153,6 +155,7 @@
             TargetCrashed: self._on_target_crashed,
             TargetLeaving: self._on_target_leaving,
             ShutdownForced: self._on_shutdown_forced,
+            ProcessStalled: self._on_stalled,
             TimerFired: self._on_timer_fired,
             **dict.fromkeys(_ATTEMPT_EVENTS, self._on_attempt_event),
         }
@@ -267,6 +270,12 @@
     def _on_timer_fired(self, event: TimerFired, now_s: float) -> list[Output]:
         return self._call_handlers.handle_due(now_s)
 
+    def _on_stalled(self, event: ProcessStalled, now_s: float) -> list[Output]:
+        # Deadlines stay, as callers count on them.
+        for call in self._operations.calls.values():
+            call.extend_silence(event.stalled_s)
+        return []
+
     # Events that end or move several calls at once.
 
     def _on_key_withdrawn(
--- a/packages/wire/dandelionyoke_wire/_runtime.py
+++ b/packages/wire/dandelionyoke_wire/_runtime.py
@@ -23,6 +23,7 @@
     ListTargets,
     PollCacheEvents,
     PollLoad,
+    ProcessStalled,
     ReadEngineOrder,
     RefuseCall,
     RespondModels,
@@ -43,7 +44,7 @@
     SubmitUsage,
     TimerFired,
 )
-from dandelionyoke_links import PeerHub, PeerSettings, clock_s
+from dandelionyoke_links import PeerHub, PeerSettings, clock_s, running_s
 from dandelionyoke_wire._engine import EngineClient
 from dandelionyoke_wire._guarded import MaySend
 from dandelionyoke_wire._plain import PlainClient
@@ -88,6 +89,10 @@
 _ATTEMPT_ACTIONS: tuple[type[Action], ...] = get_args(AttemptAction)
 
 
+# A shorter standstill changes no decision.
+MIN_STANDSTILL_S = 0.1
+
+
 class EventHandler(Protocol):
     """Interface of a node to the runtime."""
 
@@ -127,6 +132,22 @@
         return event
 
 
+class Stopwatch:
+    """Measures for how long this process stood still."""
+
+    def __init__(self) -> None:
+        self._read_s = clock_s()
+        self._running_s = running_s()
+
+    def take_stalled_s(self) -> float:
+        """Return how long the process stood still since the last call."""
+        elapsed_s = clock_s() - self._read_s
+        ran_s = running_s() - self._running_s
+        self._read_s += elapsed_s
+        self._running_s += ran_s
+        return elapsed_s - ran_s
+
+
 class NodeEventLoop:
     """Event loop of a node, and its only caller."""
 
@@ -139,6 +160,7 @@
         self._node = node
         self._event_queue = event_queue
         self._perform = perform
+        self._stopwatch = Stopwatch()
 
     def run(self) -> None:
         """Handle events and wake-ups until the process ends."""
@@ -173,6 +195,12 @@
     def _handle(self, event: Event | None) -> None:
         if event is None:
             return
+        stalled_s = self._stopwatch.take_stalled_s()
+        if stalled_s >= MIN_STANDSTILL_S:
+            self._pass_on(ProcessStalled(stalled_s))
+        self._pass_on(event)
+
+    def _pass_on(self, event: Event) -> None:
         for action in self._node.handle(event, clock_s()):
             self._perform(action)
 
--- a/tests/core/test_request.py
+++ b/tests/core/test_request.py
@@ -113,6 +113,21 @@
         self.check_whole_answer(entry)
         self.assertEqual(1, len(entry.all(core.StartAttempt)))
 
+    def test_a_standstill_of_the_entry_is_no_silence(self) -> None:
+        """The entry stands still for longer than a stream may be silent.
+
+        What arrived meanwhile is read late, and would be taken for missing.
+        """
+        entry = entry_with_call(Entry())
+        entry.tell(output('r1.1', 0, 3))
+        silence_timeout_s = core.RequestSettings().silence_timeout_s
+        entry.now_s += silence_timeout_s
+        entry.tell(core.ProcessStalled(silence_timeout_s))
+        entry.wait(silence_timeout_s - 1)
+        self.assertEqual([], entry.all(core.ResumeAttempt))
+        entry.wait(1)
+        self.assertEqual(1, len(entry.all(core.ResumeAttempt)))
+
     def test_an_engine_becomes_permanently_silent(self) -> None:
         """The engine is paused or cut off, and a new connection is silent too.
 
