Leave a standstill of the entry out of the silence of its peers

An entry that stood still for 2 s closes the links to peers that had sent all the while: the last message was up to 1.1 s old before it, the limit is 3.0 s, and the periodic work runs before the messages that wait are heard. Only a standstill of over three seconds was noticed, by the late wake-up.

No peer is taken for dead by it: that needs 5.0 s without a message on a wanted link, and a simulated pause of 4 s causes no suspicion (test_a_short_pause_causes_no_suspicion).

The silence of each link may last longer by the standstill.

Run: test_a_standstill_of_this_entry_closes_no_link failed before and passes; tests/core/test_membership.py passed.

--- a/packages/core/dandelionyoke_core/_links.py
+++ b/packages/core/dandelionyoke_core/_links.py
@@ -142,6 +142,11 @@
         for link in self._links.values():
             link.last_heard_s = now_s
 
+    def extend_silence(self, stalled_s: float, now_s: float) -> None:
+        """Allow every peer to be silent for longer."""
+        for link in self._links.values():
+            link.last_heard_s = min(now_s, link.last_heard_s + stalled_s)
+
     def _new_link(self, name: InstanceId, address: str, now_s: float) -> _Link:
         # Two peers that want each other would open two links, so the one
         # with the higher instance id waits for the other to dial.
--- a/packages/core/dandelionyoke_core/_membership.py
+++ b/packages/core/dandelionyoke_core/_membership.py
@@ -18,6 +18,7 @@
     PeerDisconnected,
     PeerMessage,
     PeerMessageArrived,
+    ProcessStalled,
     Started,
     TimerFired,
 )
@@ -64,6 +65,7 @@
         PeerConnected,
         PeerDisconnected,
         PeerMessageArrived,
+        ProcessStalled,
         ReplicateRecord,
         Leaving,
     )
@@ -126,7 +128,7 @@
 
     def handle(self, event: Event, now_s: float) -> list[Output]:
         """Handle an event and return the resulting outputs."""
-        self._check_stall(now_s)
+        self._check_stall(event, now_s)
         outputs = self._dispatch(event, now_s)
         if self._tick_due_s is not None and now_s >= self._tick_due_s:
             outputs.extend(self._tick(now_s))
@@ -155,7 +157,9 @@
                 self._announce(now_s)
         return []
 
-    def _check_stall(self, now_s: float) -> None:
+    def _check_stall(self, event: Event, now_s: float) -> None:
+        if isinstance(event, ProcessStalled):
+            self._links.extend_silence(event.stalled_s, now_s)
         due_s = self._tick_due_s
         if (
             due_s is not None
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -7,8 +7,10 @@
 from hypothesis import given, settings, strategies
 
 from dandelionyoke_core import (
+    DisconnectPeer,
     Domain,
     GossipSettings,
+    Heartbeat,
     Instance,
     InstanceId,
     Leaving,
@@ -17,6 +19,7 @@
     MembershipSettings,
     PeerConnected,
     PeerMessageArrived,
+    ProcessStalled,
     RecordBatch,
     RecordEntry,
     RecordReceived,
@@ -157,6 +160,26 @@
         simulation.run(30)
         self.assertEqual([], suspected_ids(simulation))
 
+    def test_a_standstill_of_this_entry_closes_no_link(self) -> None:
+        """This entry stands still for 2 s after a second without a message.
+
+        Its peer went on, and its messages wait to be read.
+        """
+        part = MembershipPart(
+            MembershipSettings(), instances(1)[0], 1, random.Random(1)
+        )
+        peer = InstanceId('p')
+        part.handle(Started(0), 0)
+        part.handle(PeerConnected(peer), 0.1)
+        for tick in range(11):
+            part.handle(TimerFired(), 0.2 + tick / 10)
+        stalled = part.handle(ProcessStalled(2), 3.2)
+        heard = part.handle(PeerMessageArrived(peer, Heartbeat(1)), 3.2)
+        self.assertNotIn(DisconnectPeer(peer), stalled + heard)
+        for tick in range(40):
+            heard += part.handle(TimerFired(), 3.2 + tick / 10)
+        self.assertIn(DisconnectPeer(peer), heard)
+
     def test_partitioned_regions_reconnect(self) -> None:
         """Two regions are partitioned for an hour.
 
