Keep what others reported through a standstill

Prefills went to engines that are busy with those of other domains, and the demand of other nodes counted as none, after a standstill: a backlog is kept for 0.5 s and a sample of demand for 2.5 s, by the clock, and whichever green thread ran first found them expired before newer ones were read. A prefill behind another one delays the first token of both; demand of none lets the holder of the duty plan for no callers, and a limiter count one node in its domain.

The ages of both leave standstills out, where those of the limiters do. What a node does not hear while it runs expires as before.

--- a/packages/dispatch/dandelionyoke_dispatch/_fleet_demand.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_fleet_demand.py
@@ -56,6 +56,13 @@
         self._samples.clear()
         self.take(sender, sample, now_s)
 
+    def leave_out(self, standstill_s: float) -> None:
+        """Leave a time in which no sample could be read out of their ages."""
+        self._samples = {
+            sender: (sample, received_s + standstill_s)
+            for sender, (sample, received_s) in self._samples.items()
+        }
+
     def total(self, now_s: float) -> DemandSample:
         """Return the sum of all samples that have not expired."""
         self._samples = {
--- a/packages/dispatch/dandelionyoke_dispatch/_prompt_queue.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_prompt_queue.py
@@ -174,6 +174,13 @@
         """Record the tokens that another node has in flight, by engine."""
         self._peer_backlogs[sender] = backlog, now_s
 
+    def leave_out(self, standstill_s: float) -> None:
+        """Leave a time in which no backlog could be read out of their ages."""
+        self._peer_backlogs = {
+            sender: (backlog, received_s + standstill_s)
+            for sender, (backlog, received_s) in self._peer_backlogs.items()
+        }
+
     def fleet_backlog(self, now_s: float) -> Counter[str]:
         """Return the tokens in flight from all known nodes, by engine."""
         oldest_s = now_s - self._settings.backlog_lifetime_s
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -122,7 +122,7 @@
     counts_receiver: CountsReceiver = attrs.field(factory=CountsReceiver)
     signal: ChangeSignal = attrs.field(factory=ChangeSignal)
     waiters: QueueWaiters = attrs.field(factory=QueueWaiters)
-    demand: FleetDemand = attrs.field(
+    _demand: FleetDemand = attrs.field(
         factory=lambda: FleetDemand(FleetDemandSettings())
     )
     # The number of nodes, including this one.
@@ -141,11 +141,8 @@
 
     @property
     def limiters(self) -> Mapping[LimitScope, FleetLimiter]:
-        """The limiters, which do not take a standstill for a partition."""
-        standstill_s = self._standstills.take_s()
-        if standstill_s:
-            for limiter in self._limiters.values():
-                limiter.leave_out(standstill_s)
+        """The limiters by what they limit."""
+        self._leave_out_standstills()
         return self._limiters
 
     @property
@@ -153,6 +150,23 @@
         """The limiter of the organisations' calls."""
         return self.limiters[LimitScope.ORGANISATION]
 
+    @property
+    def demand(self) -> FleetDemand:
+        """The demand that the nodes of the domain observe."""
+        self._leave_out_standstills()
+        return self._demand
+
+    def _leave_out_standstills(self) -> None:
+        """Keep the reports of others from expiring before they can be read."""
+        standstill_s = self._standstills.take_s()
+        if not standstill_s:
+            return
+        self._demand.leave_out(standstill_s)
+        for limiter in self._limiters.values():
+            limiter.leave_out(standstill_s)
+        for state in self._service_states.values():
+            state.prompt_queue.leave_out(standstill_s)
+
     def observe_target_limit(
         self, target: RegisteredTarget, rate_per_s: float | None
     ) -> bool:
@@ -190,11 +204,13 @@
 
     def service_state(self, service: str) -> ServiceState:
         """Return the state of a service, created on first use."""
+        self._leave_out_standstills()
         return self._service_states.setdefault(service, ServiceState())
 
     @property
     def service_states(self) -> Mapping[str, ServiceState]:
         """The state of each service by name."""
+        self._leave_out_standstills()
         return self._service_states
 
     @property
--- a/tests/gateway/test_backlog_task.py
+++ b/tests/gateway/test_backlog_task.py
@@ -1,5 +1,6 @@
 """Source nodes of several domains that assign prefills to the same engines."""
 
+import time
 from random import Random
 
 import eventlet
@@ -36,6 +37,8 @@
 from tests.gateway.settings import new_settings
 from tests.platform.node_harness import LogLines
 
+# Longer than a backlog lasts that is not told again.
+STANDSTILL_S = 1.2
 ENGINES = [
     RegisteredTarget(
         f'i-{number}', 'lm', '10.0.0.1:1', 'a', 32, False, Phase.PREFILL
@@ -130,6 +133,16 @@
             tokens = prompt_queue.fleet_backlog(clock_s())[target_id]
             self.assertEqual(0, tokens)
 
+    def test_a_backlog_outlasts_a_standstill(self) -> None:
+        """Guards against prefills at busy engines after a standstill."""
+        others = (self.first, self.third)
+        busy = []
+        for node in others * 3:
+            busy.append(node.assign_engine())
+            self.wait_for_messages()
+        time.sleep(STANDSTILL_S)
+        self.assertNotIn(self.second.assign_engine(), busy)
+
     def test_an_old_backlog_expires(self) -> None:
         """Guards against engines left idle because of a node that is cut off."""
         prompt_queue = self.second.knowledge.service_state('lm').prompt_queue
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -1,5 +1,6 @@
 """News requests between nodes, and the age of the answers."""
 
+import time
 import zlib
 from collections.abc import Callable
 from random import Random
@@ -21,6 +22,8 @@
 )
 from dandelionyoke_dispatch import (
     CountsParcel,
+    DemandSample,
+    FleetDemandSettings,
     ListingChanges,
     ListingMark,
     Member,
@@ -54,6 +57,8 @@
 from tests.platform.program import wait_for
 from tests.platform.test_process import configuration
 
+DEMAND_LIFETIME_S = FleetDemandSettings().lifetime_s
+
 
 def target(name: str, *, leaving: bool = False) -> RegisteredTarget:
     return RegisteredTarget(name, 'lm', '10.0.0.1:1', 'a', 4, leaving)
@@ -167,6 +172,18 @@
         wanted = self.ask(wants_configuration=True).configuration.packed
         self.assertIsNotNone(wanted)
 
+    def test_demand_outlasts_a_standstill(self) -> None:
+        """Guards against engines ordered away by a node that stood still."""
+        self.ask(demand=DemandSample(4, ()))
+        time.sleep(DEMAND_LIFETIME_S)
+        self.assertEqual(5, self.ask().demand.nodes)
+
+    def test_demand_of_a_silent_node_expires(self) -> None:
+        """Guards against engines for the callers of a node that is gone."""
+        self.ask(demand=DemandSample(4, ()))
+        eventlet.sleep(DEMAND_LIFETIME_S)
+        self.assertEqual(1, self.ask().demand.nodes)
+
     def test_counts_are_confirmed_only_when_saved(self) -> None:
         windows = (WindowCounts(9, (('acme', 1),)),)
         parcel = CountsParcel('n-2.x', 4, windows)
