Keep what targets reported through a standstill

A node that had heard from an engine a moment ago ignores another node that can not reach it, as that one may have lost its own path. After a standstill of 1.2 s it believed the other node, as the report was over 1.0 s old, and placed nothing at the engine in its cooldown. An engine that had reported its calls counted as idle but for those of this node until its next answer.

The ages of the reports of targets leave standstills out, where those of the reports of nodes do. Cooldowns and rests go by the clock: the target has had its time.

--- a/packages/dispatch/dandelionyoke_dispatch/_target_load.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_load.py
@@ -80,6 +80,11 @@
         load.reported = busy
         load.reported_s = now_s
 
+    def leave_out(self, standstill_s: float) -> None:
+        """Leave a time in which no report could be read out of their ages."""
+        for load in self._loads.values():
+            load.reported_s += standstill_s
+
     def succeeded(self, target_id: str) -> None:
         """Reset the failures of a target."""
         load = self._load_of(target_id)
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -100,10 +100,10 @@
     random: Random
     freshness: Freshness
     registry: TargetRegistry
-    loads: TargetLoads
+    _loads: TargetLoads
     # Outcomes of KV cache fetches for shared prefixes, by source engine.
     fetches: TargetLoads
-    placement: Placement
+    _placement: Placement
     budget: RetryBudgets
     usage: UsageCounter
     shutdown: Shutdown
@@ -150,6 +150,18 @@
         """The limiter of the organisations' calls."""
         return self.limiters[LimitScope.ORGANISATION]
 
+    @property
+    def loads(self) -> TargetLoads:
+        """The calls in flight and the failures by target."""
+        self._leave_out_standstills()
+        return self._loads
+
+    @property
+    def placement(self) -> Placement:
+        """The choice of targets, by their loads among others."""
+        self._leave_out_standstills()
+        return self._placement
+
     @property
     def demand(self) -> FleetDemand:
         """The demand that the nodes of the domain observe."""
@@ -162,6 +174,7 @@
         if not standstill_s:
             return
         self._demand.leave_out(standstill_s)
+        self._loads.leave_out(standstill_s)
         for limiter in self._limiters.values():
             limiter.leave_out(standstill_s)
         for state in self._service_states.values():
@@ -237,8 +250,9 @@
         )
 
     def _service_demand(self, service: str, now_s: float) -> ServiceDemand:
+        loads = self.loads
         streams = sum(
-            self.loads.own(target.target_id)
+            loads.own(target.target_id)
             for target in self.registry.all_of_service(service)
             if target.phase is Phase.DECODE
         )
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -102,13 +102,7 @@
             # none would get its order.
             return
         now_s = clock_s()
-        # Crashed engines are still listed in the registry but generate no
-        # tokens, so others must replace them now.
-        registered = [
-            target
-            for target in self._knowledge.registry.of_service(service)
-            if not self._knowledge.loads.is_unreachable(target.target_id, now_s)
-        ]
+        registered = self._reachable_engines(service, now_s)
         engines = self._with_assumed_phases(registered, now_s)
         settled = frozenset(
             target.target_id
@@ -134,6 +128,21 @@
             self._assume(change, ORDER_RETRY_INTERVAL_S)
             spawn_n(self._send_order, change, plan)
 
+    def _reachable_engines(
+        self, service: str, now_s: float
+    ) -> list[RegisteredTarget]:
+        """Return the listed engines that have not crashed.
+
+        Crashed engines are still listed but generate no tokens, so others must
+        replace them now.
+        """
+        loads = self._knowledge.loads
+        return [
+            target
+            for target in self._knowledge.registry.of_service(service)
+            if not loads.is_unreachable(target.target_id, now_s)
+        ]
+
     def _with_assumed_phases(
         self, engines: Sequence[RegisteredTarget], now_s: float
     ) -> list[RegisteredTarget]:
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -11,6 +11,7 @@
     PromptQueue,
     QueueDecision,
     QueuedPrompt,
+    TargetFailure,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge, ServiceState
@@ -163,6 +164,12 @@
             prefill_time = self._service_state(grant.request).prefill_time
             prefill_time.add_sample(grant.request.prompt, result.prefill_s)
 
+    def record_peer_failure(
+        self, target_id: str, failure: TargetFailure
+    ) -> None:
+        """Record a target failure reported by another node."""
+        self._knowledge.loads.record_peer_failure(target_id, failure, clock_s())
+
     def _await_turn(self, queued: QueuedPrefill) -> bool:
         """Wait; return False if the turn will not come before the deadline."""
         queued_prompt, waiters = queued.queued_prompt, self._knowledge.waiters
--- a/packages/gateway/dandelionyoke_gateway/_prefill_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_server.py
@@ -172,9 +172,7 @@
 
     def handle_failure(self, message: TargetFailed) -> None:
         """Record a target failure reported by another node."""
-        self._loads.record_peer_failure(
-            message.target_id, message.failure, clock_s()
-        )
+        self._queue.record_peer_failure(message.target_id, message.failure)
 
     def _refuse(self, key: RequestKey, error: TooLateError) -> None:
         peer_id, number = key
--- a/tests/gateway/test_prefill_queue.py
+++ b/tests/gateway/test_prefill_queue.py
@@ -1,6 +1,7 @@
 """The prefill queue that the nodes of a failure domain share."""
 
 import math
+import time
 from collections import Counter
 from random import Random
 
@@ -24,6 +25,7 @@
     Prompt,
     PromptPart,
     RegisteredTarget,
+    TargetFailure,
 )
 from dandelionyoke_gateway import clock_s
 from dandelionyoke_gateway._domain_prefill_queue import (
@@ -33,7 +35,7 @@
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._prefill_links import PrefillLinks
-from dandelionyoke_gateway._prefill_messages import PrefillAsked
+from dandelionyoke_gateway._prefill_messages import PrefillAsked, TargetFailed
 from dandelionyoke_gateway._prefill_queue import (
     LocalPrefillQueue,
     PrefillGrant,
@@ -46,6 +48,8 @@
 from tests.platform.node_harness import LogLines
 
 PREFILL_S = 0.05
+# Longer than a report of a target counts.
+STANDSTILL_S = 1.2
 HOT = PromptPart('hot', 6000)
 
 
@@ -320,6 +324,32 @@
         loads.succeeded(target_id)
         self.assertFalse(loads.is_in_cooldown(target_id, clock_s() + 1.1))
 
+    def test_an_engine_that_responded_before_a_standstill_is_not_excluded(
+        self,
+    ) -> None:
+        """Guards against engines passed over for what a cut-off node says."""
+        network = self.network(nodes=2, engines=1)
+        node, source = network.others[0], network.source
+        source.knowledge.loads.reported('i-0', 3, clock_s())
+        time.sleep(STANDSTILL_S)
+        failure = TargetFailed('i-0', TargetFailure.UNREACHABLE)
+        source.links.handle_event(PeerMessageArrived(node.name, failure))
+        loads = source.knowledge.loads
+        self.assertFalse(loads.is_in_cooldown('i-0', clock_s()))
+        self.assertEqual(3, loads.busy('i-0', clock_s()))
+
+    def test_an_engine_that_is_not_heard_while_running_is_excluded(
+        self,
+    ) -> None:
+        """Guards against prefills at an engine that is gone."""
+        network = self.network(nodes=2, engines=1)
+        node, source = network.others[0], network.source
+        source.knowledge.loads.reported('i-0', 3, clock_s())
+        eventlet.sleep(STANDSTILL_S)
+        failure = TargetFailed('i-0', TargetFailure.UNREACHABLE)
+        source.links.handle_event(PeerMessageArrived(node.name, failure))
+        self.assertTrue(source.knowledge.loads.is_in_cooldown('i-0', clock_s()))
+
     def test_invalid_and_repeated_requests_are_dropped(self) -> None:
         """Guards against grants for invalid figures of another version."""
         network = self.network(nodes=2, engines=1)
