Judge the age of news without standstills

After two standstills of 2.2 s in a row the node that polls the store was passed over for four seconds as one with stale answers, although its answers had waited in the socket of the node that stood still: their age counted the time until they were read. Two nodes then poll the store, place prefills and decide on limits.

The age of an answer, and the time for which answers are stale, now count the time in which this process ran. When a configuration or a target counts as confirmed is still the time at which the request was sent.

--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -131,12 +131,13 @@
     def _poll_member(self, hub: PeerHub, member: Member) -> None:
         sent_s = clock_s()
         answer = self._request_news(hub, member)
-        now_s = clock_s()
         if isinstance(answer, Silence):
-            self._pass_over(hub, member, answer, now_s - sent_s)
+            self._pass_over(hub, member, answer, clock_s() - sent_s)
             return
+        # An answer that waited for this process was not stale when it came.
+        elapsed_s = _running_age_s(sent_s)
         self._apply_answer(answer, member, sent_s)
-        self._check_staleness(answer, member, now_s - sent_s)
+        self._check_staleness(answer, member, elapsed_s)
         eventlet.sleep(max(0, sent_s + MIN_POLL_INTERVAL_S - clock_s()))
 
     def _pass_over(
@@ -319,12 +320,16 @@
         if self._store_polling.is_fresh(answer, elapsed_s):
             self._stale_since_s = None
             return
-        now_s = clock_s()
         if self._stale_since_s is None:
-            self._stale_since_s = now_s
-        elif now_s - self._stale_since_s > STALE_TIMEOUT_S:
-            self._knowledge.sources.suspect(member.instance_id, now_s)
+            self._stale_since_s = clock_s()
+        elif _running_age_s(self._stale_since_s) > STALE_TIMEOUT_S:
+            self._knowledge.sources.suspect(member.instance_id, clock_s())
             self._knowledge.counts_sender.requeue_all()
             self._log.decide(
                 'peer.stale', member.instance_id, outcome='passed over'
             )
+
+
+def _running_age_s(since_s: float) -> float:
+    """Return how long this process has run since a time of `clock_s`."""
+    return clock_s() - since_s - stalled_s(since_s)
--- a/tests/gateway/test_standstill_waits.py
+++ b/tests/gateway/test_standstill_waits.py
@@ -10,13 +10,22 @@
 from eventlet.queue import Empty, LightQueue
 
 from dandelionyoke_core import Event, InstanceId, Metrics, PeerMessageArrived
-from dandelionyoke_dispatch import Member, StreamOrigin
+from dandelionyoke_dispatch import (
+    ListingChanges,
+    ListingMark,
+    Member,
+    StreamOrigin,
+)
 from dandelionyoke_gateway import clock_s
 from dandelionyoke_gateway._answer_wait import AnswerWait
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
-from dandelionyoke_gateway._news_messages import NewsTold
+from dandelionyoke_gateway._news_messages import (
+    ConfigurationNews,
+    NewsTold,
+    TargetNews,
+)
 from dandelionyoke_gateway._news_server import NewsServer
 from dandelionyoke_gateway._news_task import NewsTask
 from dandelionyoke_gateway._rate_limits import ANSWER_TIMEOUT_S
@@ -112,14 +121,18 @@
         found = stand_still(lambda: asking.find(1), go_on)
         self.assertEqual(ORIGIN, found.origin)
 
-    def test_the_polled_node_is_not_passed_over(self) -> None:
-        """Guards against a domain whose store is polled by two nodes."""
+
+class NewsStandstillTest(testtools.TestCase):
+    """A node that polls the source of its domain."""
+
+    def setUp(self) -> None:
+        super().setUp()
         knowledge = new_knowledge(new_settings(), Random(3))
-        lines = LogLines()
-        log = DecisionLog(lines, 'n-1', Metrics())
+        self.lines = LogLines()
+        log = DecisionLog(self.lines, 'n-1', Metrics())
         self.addCleanup(log.close)
-        server = NewsServer(knowledge, lambda peer_id, message: True)
-        task = NewsTask(
+        self.server = NewsServer(knowledge, lambda peer_id, message: True)
+        self.task = NewsTask(
             knowledge,
             FakeStore(),
             PlatformDialect(),
@@ -128,14 +141,34 @@
             StorePollPolicy(knowledge, StorePollSettings()),
             log,
         )
-        hub = FakeHub(lambda event: task.handle_event(server, event))
-        other = InstanceId('n-2')
-        member = Member(other, 'a', '10.0.0.2:7', capacity=9.0)
-        knowledge.sources.take_members([member], clock_s())
+        self.other = InstanceId('n-2')
+        self.member = Member(self.other, 'a', '10.0.0.2:7', capacity=9.0)
+        knowledge.sources.take_members([self.member], clock_s())
+
+    def test_the_polled_node_is_not_passed_over(self) -> None:
+        """Guards against a domain whose store is polled by two nodes."""
+        hub = FakeHub(lambda event: self.task.handle_event(self.server, event))
 
         def go_on() -> None:
             answer = NewsTold(hub.requests[0].number)
-            task.handle_event(server, PeerMessageArrived(other, answer))
+            event = PeerMessageArrived(self.other, answer)
+            self.task.handle_event(self.server, event)
+
+        stand_still(lambda: self.task._poll_member(hub, self.member), go_on)
+        self.assertNotIn('peer.silent', self.lines.text)
+
+    def test_answers_that_wait_for_this_node_are_not_stale(self) -> None:
+        """Guards against a source passed over for standstills of its domain."""
+        changes = ListingChanges(ListingMark('n-2', 1), True, (), ())
+        answer = NewsTold(
+            1, ConfigurationNews(0, -0.1), TargetNews(-0.1, changes)
+        )
+
+        def request_news(hub: object, member: Member) -> NewsTold:
+            time.sleep(2.2)
+            return answer
 
-        stand_still(lambda: task._poll_member(hub, member), go_on)
-        self.assertNotIn('peer.silent', lines.text)
+        self.task._request_news = request_news
+        for _ in range(2):
+            self.task._poll_member(None, self.member)
+        self.assertNotIn('peer.stale', self.lines.text)
