Check duties and orders of a node that stands still

An order whose sender stands still while it connects is written within its term and not after it.

A lease has to end by the clock: the store counts it whether the holder runs or not.

--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -27,6 +27,7 @@
     clock_s,
 )
 from dandelionyoke_gateway._duty_task import MAX_SEND_TIME_S
+from dandelionyoke_gateway._target_pool import CONNECT_TIMEOUT_S
 from dandelionyoke_links import receive
 from dandelionyoke_links._sockets import (
     KEEPALIVE_IDLE_S,
@@ -122,6 +123,26 @@
         ):
             self.assertEqual([], self.order(0))
 
+    def order_in_standstill(self, term_s: float) -> list[str]:
+        """Stand still while an order connects; list what arrived."""
+        target = ScriptedTarget(lambda _: [answer('200 OK', b'{}', '')])
+        self.addCleanup(target.close)
+        duties = PlatformDuties(target.address, TargetPool())
+        stamp = FencingStamp('n-1', 9, clock_s() + term_s)
+        order = eventlet.spawn(duties.order_targets, ORDER, stamp)
+        eventlet.sleep(0)
+        time.sleep(CONNECT_TIMEOUT_S * 1.1)
+        order.wait()
+        return [request.line for request in target.received_requests]
+
+    def test_a_standstill_within_the_term_prevents_no_order(self) -> None:
+        """Guards against an order given up as its sender stood still."""
+        self.assertEqual(1, len(self.order_in_standstill(5)))
+
+    def test_a_standstill_over_the_end_of_the_term_prevents_it(self) -> None:
+        """Guards against an order written after its sender stood still."""
+        self.assertEqual([], self.order_in_standstill(CONNECT_TIMEOUT_S / 2))
+
     def test_the_rest_of_a_long_report_is_not_sent_after_the_term(self) -> None:
         """Guards against a report that its receiver completes after the term.
 
