Show connections that a leaving process resets before it accepts them

The kernel establishes a connection before the process accepts it, so that its caller has sent a request when the process closes its listener and resets it.

--- a/tests/platform/test_leaving_processes.py
+++ b/tests/platform/test_leaving_processes.py
@@ -18,9 +18,10 @@
 from tests.platform.store_standin import StoreStandin
 from tests.platform.test_process import configuration
 
-CALLER_COUNT = 3
+CALLER_COUNT = 8
 STANDSTILL_S = 1.8
 OPEN_TIMEOUT_S = 0.4
+BEFORE_THE_END_S = 3.1
 CONNECT_INTERVAL_S = 0.005
 # Of a caller within its request.
 PAUSE_S = 0.5
@@ -28,6 +29,13 @@
 TARGET = {'service': 'ledger', 'zone': 'a', 'slots': 4, 'state': 'ready'}
 
 
+def exchange(sock: socket.socket) -> bytes:
+    """Send a request; return what came of its answer."""
+    with contextlib.suppress(OSError):
+        sock.sendall(REQUEST)
+    return read_answer(sock)
+
+
 def read_answer(sock: socket.socket) -> bytes:
     """Read an answer whose body is short; return what came of it."""
     content = b''
@@ -124,3 +132,30 @@
         error = self.assertRaises(LinkError, open_call)
         self.program.send_signal(signal.SIGCONT)
         self.assertIn('ECONNREFUSED', str(error))
+
+    def call_until_refused(self) -> list[bytes]:
+        """Send requests on new connections; list the statuses."""
+        statuses = []
+        while True:
+            try:
+                caller = eventlet.connect(('127.0.0.1', self.program.port))
+            except ConnectionError:
+                return statuses
+            with caller:
+                statuses.append(exchange(caller)[9:12])
+
+    def test_connections_that_wait_to_be_accepted_are_refused(self) -> None:
+        """Guards against callers whose connection a closed listener resets.
+
+        After a standstill many have to be accepted.
+        """
+        self.program.send_signal(signal.SIGTERM)
+        eventlet.sleep(BEFORE_THE_END_S)
+        self.program.send_signal(signal.SIGSTOP)
+        callers = [
+            eventlet.spawn(self.call_until_refused) for _ in range(CALLER_COUNT)
+        ]
+        eventlet.sleep(STANDSTILL_S)
+        self.program.send_signal(signal.SIGCONT)
+        statuses = {status for caller in callers for status in caller.wait()}
+        self.assertEqual({b'503'}, statuses)
