--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -18,8 +18,8 @@
 GRACE_S = 8.0
 # A node is watched for so long after its SIGTERM, or a configuration.
 AFTER_S = 1.0
-# The shortest time that a route gives a call, and the share from which on a call may be
-# lost beside a configuration.
+# The shortest time that a route gives a call, and the share from which on a
+# call may be lost beside a configuration.
 TIME_LIMIT_S = 3.6
 USED_SHARE = 0.7
 # Beside a configuration, a node loses calls this much more often.
--- a/tests/soak/outcomes.py
+++ b/tests/soak/outcomes.py
@@ -13,7 +13,7 @@
 
 
 def describe_outcomes(record: SoakRecord) -> Iterator[str]:
-    """Describe what the requests of each part got, in two lines each."""
+    """Describe what the requests of each part got, and what excuses them."""
     reached = {arrival.attempt_id for arrival in record.arrivals}
     for part in record.parts:
         calls = [call for call in record.calls if part.has(call.sent_s)]
--- a/tests/soak/paced_part.py
+++ b/tests/soak/paced_part.py
@@ -33,11 +33,12 @@
             for home, (name, _) in enumerate(surroundings.nodes)
             for number in range(CALLERS_PER_NODE)
         ]
-        for target in targets:
-            target.event_interval_s = EVENT_INTERVAL_S
+        self._targets = targets
 
     def play(self, seed: int, inject: Callable[[Fault], None]) -> None:
         """Play the part, and wait for the answer to each of its requests."""
+        for target in self._targets:
+            target.event_interval_s = EVENT_INTERVAL_S
         threads = [eventlet.spawn(caller.run) for caller in self._callers]
         eventlet.sleep(WARM_S)
         start_s = clock_s()
