Send where a stream began before its caller has an event

A caller whose node was killed right after its stream began could not take it up: `the version that began the stream is not known`. Seen once, in a whole run of the tests beside five others (load 25): of twelve streams the last, at whose first event the node was killed, was known at neither of the two other nodes, while the eleven before it were (`own`).

The note to the other nodes was only queued when the event was written to the caller, and the thread that writes the link runs after that. The stream now gives it its turn first; it still does not wait for an answer.

--- a/packages/gateway/dandelionyoke_gateway/_stream_origin_keeper.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_origin_keeper.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 
 import attrs
+import eventlet
 from eventlet.queue import Empty, LightQueue
 
 from dandelionyoke_core import (
@@ -93,12 +94,15 @@
     ) -> None:
         """Record the origin of a stream, and tell it to its other keepers.
 
-        The stream does not wait for them.
+        The stream does not wait for them to get it.
         """
         key = stream_key(attempt_id)
         self._keep(key, origin)
         if is_told:
             self._tell(key, origin)
+            # Lets the links write it before the caller has an event: this
+            # process may be killed right then.
+            eventlet.sleep(0)
 
     def find(self, attempt_id: str, service: str) -> FoundOrigin:
         """Find the origin of a stream; asks other nodes if necessary."""
--- a/tests/gateway/test_stream_origin_keeper.py
+++ b/tests/gateway/test_stream_origin_keeper.py
@@ -119,6 +119,14 @@
         self.first.close()
         self.assert_found(self.others, STREAM_COUNT)
 
+    def test_copies_are_sent_before_the_stream_goes_on(self) -> None:
+        """Guards against a node killed as its caller gets the first event."""
+        self.begin()
+        self.first.keeper.record('a-40', ORIGIN)
+        for member in self.others:
+            self.first.hub.disconnect(InstanceId(member.name))
+        wait_for(lambda: len(self.copies(STREAM_COUNT)) >= 2, 'copies')
+
     def test_copies_lie_in_two_failure_domains(self) -> None:
         """Guards against streams that are lost with a failure domain."""
         self.begin()
