End a quarantine whose crash was none after a suspicion of a peer

A request that a peer suspects, and that this entry quarantined because of an engine that was only silent, stayed quarantined when the engine answered: a peer that suspects was not told from one that quarantined.

Run: test_a_quarantine_after_the_suspicion_of_a_peer_ends_too failed before and passes; tests/core/test_quarantine.py and test_request.py, 39 passed.

--- a/packages/core/dandelionyoke_core/_quarantine.py
+++ b/packages/core/dandelionyoke_core/_quarantine.py
@@ -285,9 +285,11 @@
             case Suspicion.CLEARED:
                 self._suspects.clear(fingerprint)
             case Suspicion.CONVICTED:
-                self._suspects.quarantine(fingerprint, now_s).by_peer = True
+                suspect = self._suspects.quarantine(fingerprint, now_s)
+                suspect.by_peer = Suspicion.CONVICTED
             case Suspicion.SUSPECT:
-                self._suspects.suspect(fingerprint, now_s).by_peer = True
+                suspect = self._suspects.suspect(fingerprint, now_s)
+                suspect.by_peer = suspect.by_peer or Suspicion.SUSPECT
                 return list(
                     map(self._announce_trial, self._runs.copies(fingerprint))
                 )
--- a/packages/core/dandelionyoke_core/_suspects.py
+++ b/packages/core/dandelionyoke_core/_suspects.py
@@ -6,6 +6,7 @@
 import attrs
 
 from dandelionyoke_core._names import TargetId
+from dandelionyoke_core._quarantine_messages import Suspicion
 from dandelionyoke_core._quarantine_settings import QuarantineSettings
 
 
@@ -16,13 +17,13 @@
     `shared_crashes` counts further crashes of engines that ran other
     suspects too, which do not prove that this request is the cause.
     `crashed` holds the engines whose crashes were counted by this entry;
-    `by_peer` tells whether a peer suspects, or has quarantined, the request.
+    `by_peer` is the verdict of peers, if there is one.
     """
 
     suspected_s: float
     shared_crashes: int = 0
     quarantined_s: float | None = None
-    by_peer: bool = False
+    by_peer: Suspicion | None = None
     crashed: set[TargetId] = attrs.field(factory=set)
 
 
@@ -76,9 +77,9 @@
         if suspect is None or target_id not in suspect.crashed:
             return False
         suspect.crashed.remove(target_id)
-        if suspect.by_peer:
+        if suspect.by_peer is Suspicion.CONVICTED:
             return False
-        if not suspect.crashed:
+        if not suspect.crashed and suspect.by_peer is None:
             return self.clear(fingerprint)
         suspect.shared_crashes = max(0, suspect.shared_crashes - 1)
         was_quarantined = suspect.quarantined_s is not None
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -385,6 +385,19 @@
         assert refusal is not None
         self.assertEqual(core.RefusalKind.QUARANTINED, refusal.kind)
 
+    def test_a_quarantine_after_the_suspicion_of_a_peer_ends_too(self) -> None:
+        """The crash of the peer's engine was one, that of this entry not."""
+        part = core.QuarantinePart(core.QuarantineSettings())
+        suspicion = core.SuspicionShared(
+            'suspicion/p', 1, 600, 'p', core.Suspicion.SUSPECT
+        )
+        part.handle(core.RecordReceived(suspicion, core.InstanceId('x')), 0)
+        part.handle(answer_of('e2'), 0)
+        self.crash(part, 2, 'p')
+        self.assertIsNotNone(part.refusal('p', 110))
+        part.handle(answer_of('e2'), 110)
+        self.assertIsNone(part.refusal('p', 110))
+
     def test_a_report_from_before_the_crash_disproves_nothing(self) -> None:
         """The engine crashed after it made the report, or has restarted.
 
