Accept the connections that wait before a listener is closed

Callers that had just connected to a leaving process sent a request and got a reset: closing the listener resets the connections that the kernel has established and the process has not accepted, many after a standstill, as all callers connect anew.

They are accepted first, and refused with the answer of a leaving process. A connection established between the last accept and the close, two system calls later, is still reset.

--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -1,5 +1,6 @@
 """The gateway process: listening sockets, background tasks, shutdown."""
 
+import contextlib
 import signal
 from collections.abc import Callable
 from random import Random
@@ -107,7 +108,7 @@
         self._log = DecisionLog(sink, settings.instance_id, self._metrics)
         self._exit_status = green_event.Event()
         self._connections: set[CallerConnection] = set()
-        self._listeners: list[socket.socket] = []
+        self._listeners: dict[socket.socket, Handler | None] = {}
         self._random = Random()
         self._knowledge = new_knowledge(settings, self._random)
         pool = TargetPool()
@@ -237,19 +238,35 @@
     # Callers.
 
     def _listen_and_serve(self, endpoint: Endpoint, handler: Handler) -> None:
-        listener = self._listen(endpoint)
+        listener = self._listen(endpoint, handler)
         eventlet.spawn_n(self._accept, listener, handler)
 
-    def _listen(self, endpoint: Endpoint) -> socket.socket:
+    def _listen(
+        self, endpoint: Endpoint, handler: Handler | None = None
+    ) -> socket.socket:
         listener = _listen(endpoint)
-        self._listeners.append(listener)
+        self._listeners[listener] = handler
         return listener
 
     def _close_listeners(self) -> None:
         """Refuse connections from now on: none would be read any more."""
-        # The connections that wait to be accepted are reset.
         while self._listeners:
-            self._listeners.pop().close()
+            listener, handler = self._listeners.popitem()
+            if handler is not None:
+                self._accept_waiting(listener, handler)
+            listener.close()
+
+    def _accept_waiting(
+        self, listener: socket.socket, handler: Handler
+    ) -> None:
+        """Accept the connections that closing their listener would reset."""
+        listener.settimeout(0)
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = listener.accept()
+                eventlet.spawn_n(
+                    self._serve_connection, socket.socket(sock), handler
+                )
 
     def _accept(self, listener: socket.socket, handler: Handler) -> None:
         while True:
