--- a/tests/platform/test_leaving_processes.py
+++ b/tests/platform/test_leaving_processes.py
@@ -12,6 +12,7 @@
 from testtools.content import text_content
 
 from dandelionyoke_core import InstanceId
+from dandelionyoke_gateway import ExitStatus, clock_s
 from dandelionyoke_links import LinkError, PeerHub, PeerSettings
 from tests.platform.node_harness import ScriptedTarget, answer, request_bytes
 from tests.platform.program import Program, wait_for
@@ -20,6 +21,8 @@
 
 CALLER_COUNT = 8
 STANDSTILL_S = 1.8
+# As in the settings of the program.
+GRACE_S = 8.0
 OPEN_TIMEOUT_S = 0.4
 BEFORE_THE_END_S = 3.1
 CONNECT_INTERVAL_S = 0.005
@@ -116,6 +119,15 @@
                 caller.sendall(REQUEST[-1:])
         self.check_refusals()
 
+    def test_a_request_that_never_ends_is_not_awaited_for_ever(self) -> None:
+        """Guards against a process that is killed at the end of its grace."""
+        began_s = clock_s()
+        self.end_until_the_last_look()
+        self.callers[0].sendall(REQUEST[:-1])
+        wait_for(self.program.has_ended, 'the end')
+        self.assertLess(clock_s() - began_s, GRACE_S)
+        self.assertEqual(ExitStatus.CUT, self.program.process.returncode)
+
     def test_calls_of_other_nodes_are_not_accepted_any_more(self) -> None:
         """Guards against handed calls that wait for a node that ends."""
         secret = self.store.items['links/secret'].value.encode()
