Fire no timer by a look for input from before a standstill

Cause: after a late timer the event loop handles input for 0.2 s at most and then fires the timers that are due by then. If the process stood still in the last step of that time, what arrived in the standstill has not been looked for, and its timers are due all the same. A loaded node spends much of its time there.

Change: only timers fire that were due when the last look began.

--- a/packages/links/dandelionyoke_links/_event_loop.py
+++ b/packages/links/dandelionyoke_links/_event_loop.py
@@ -32,6 +32,7 @@
         super().__init__(clock)
         self.running_clock = RunningClock()
         self._has_found_input = False
+        self._looked_s = 0.0
         self._input_handled_s = 0.0
 
     @classmethod
@@ -49,6 +50,7 @@
     def do_poll(self, seconds: float) -> Any:
         """Wait for input; return the descriptors that have some."""
         wait_s = min(seconds, MAX_WAIT_S)
+        self._looked_s = self.clock()
         self.running_clock.begin_step(wait_s)
         found = super().do_poll(wait_s)
         self.running_clock.begin_step()
@@ -60,7 +62,8 @@
         due_s = max(self.sleep_until() or when, self._input_handled_s)
         if when - due_s > MAX_TIMER_DELAY_S:
             self._handle_input()
-            self._input_handled_s = self.clock()
+            # Another standstill may have come after the last look.
+            self._input_handled_s = self._looked_s
         super().fire_timers(max(when, self._input_handled_s))
 
     def _handle_input(self) -> None:
--- a/tests/links/test_event_loop.py
+++ b/tests/links/test_event_loop.py
@@ -13,6 +13,8 @@
 
 WAIT_S = 0.4
 STANDSTILL_S = 0.8
+# Longer than the longest step of a loop that does not stand still.
+BUSY_S = 0.11
 
 
 class StandstillTest(testtools.TestCase):
@@ -49,6 +51,31 @@
         content = self.stand_still(lambda: receive(self.near, 9, WAIT_S))
         self.assertEqual(b'data', content)
 
+    def test_data_that_arrived_in_a_second_standstill_is_received(self) -> None:
+        """Guards against timers that fire by a look before that standstill.
+
+        It comes as the input of the first one is handled.
+        """
+
+        def tick() -> None:
+            while True:
+                eventlet.sleep(0.01)
+
+        def compute() -> None:
+            eventlet.sleep(0.05)
+            # The first makes the tick late; with what follows the time for
+            # input ends within the standstill.
+            for busy_s in (BUSY_S, BUSY_S, BUSY_S / 2):
+                time.sleep(busy_s)
+                eventlet.sleep(0)
+            self.far.sendall(b'data')
+            time.sleep(STANDSTILL_S)
+
+        for work in (tick, compute):
+            self.addCleanup(eventlet.spawn(work).kill)
+        content = receive(self.near, 9, STANDSTILL_S)
+        self.assertEqual(b'data', content)
+
     def test_a_reply_that_another_thread_reads_is_received(self) -> None:
         """Guards against a node taken for silent as its link is read late."""
         replies = queue.LightQueue()
