Leave a node's own standstill out of the time of a prefill

Cause: a node measured a prefill by its own clock. The time in which it stood still counted as the engine's, for the queue's mean, the expected time of a prefill and the sources of a KV cache.

Result: the new test failed before (1.80 s for a prefill of 0.4 s) and passes.

--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -13,7 +13,7 @@
     RegisteredTarget,
 )
 from dandelionyoke_gateway._call_dispatcher import RefusedError
-from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._messages import RequestHead
 from dandelionyoke_gateway._plain_call import (
@@ -167,7 +167,8 @@
         try:
             cache = None if placement is None else self._prefill_on(placement)
             if cache is not None:
-                prefill_s = clock_s() - started_s
+                # The engine did not need the time that this process lost.
+                prefill_s = clock_s() - started_s - stalled_s(started_s)
         finally:
             self._deps.prefill_queue.release(grant, PrefillResult(prefill_s))
         if placement is None or cache is None or prefill_s is None:
--- a/tests/silence/test_stopped_node.py
+++ b/tests/silence/test_stopped_node.py
@@ -14,7 +14,7 @@
 from tests.silence.callers import read_answer, request_bytes
 from tests.silence.checks import outcome_of
 from tests.silence.configuration import IDLE_TIMEOUTS_MS, SilenceConfiguration
-from tests.silence.logs import read_logs
+from tests.silence.logs import read_decisions, read_logs
 from tests.silence.processes import (
     EngineProcess,
     EngineTraits,
@@ -25,6 +25,8 @@
 
 # Longer than the idle timeout, and than an engine may be silent.
 STANDSTILL_S = min(IDLE_TIMEOUTS_MS) / 1000 + 0.4
+# How long an engine needs for a prefill before its node stands still.
+PREFILL_S = 0.4
 # A node may happen to look for input before its timers.
 STANDSTILLS = 4
 ENGINES = (
@@ -101,3 +103,22 @@
         runs = [run for engine in self.engines for run in engine.runs()]
         self.assertEqual([request.request_id], runs)
         self.assertEqual({}, dict(read_logs([self.program.log]).counts))
+
+    def test_a_standstill_is_not_part_of_the_time_of_a_prefill(self) -> None:
+        """Calls were refused after it: an engine was taken for this slow."""
+        prefill_engine = self.engines[0]
+        prefill_engine.stop()
+        request = self.send('a.1', RESUME)
+        eventlet.sleep(PREFILL_S)
+        self.program.send_signal(signal.SIGSTOP)
+        prefill_engine.go_on()
+        eventlet.sleep(STANDSTILL_S)
+        self.program.send_signal(signal.SIGCONT)
+        self.read(request)
+        self.assertEqual('whole', outcome_of(request), request)
+        (prefill_s,) = (
+            fields['took_s']
+            for fields in read_decisions(self.program.log)
+            if fields.get('message_type') == 'prompt.read'
+        )
+        self.assertLess(prefill_s, STANDSTILL_S)
