--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -337,6 +337,19 @@
         wait_for(lambda: 'peer.returned' in other.log.read_text(), 'its return')
         wait_for(lambda: 'process.stalled' in source.log.read_text(), 'a line')
 
+    def test_a_node_that_stood_still_is_ready(self) -> None:
+        """Guards against a machine whose nodes are all given up at once."""
+        program = self.start_program()
+        eventlet.sleep(3)
+        for _ in range(4):
+            program.send_signal(signal.SIGSTOP)
+            eventlet.sleep(1.2)
+            program.send_signal(signal.SIGCONT)
+            until_s = clock_s() + 2.0
+            while clock_s() < until_s:
+                self.assertTrue(program.is_ready())
+                eventlet.sleep(0.05)
+
     def test_reported_usage_survives_the_expiry_of_all_leases(self) -> None:
         """The store expires the leases of the whole fleet and of the duty.
 
