End calls whose bytes never run out at their time limit

A caller that reads more slowly than its engine sends kept its stream beyond its time: what has arrived is read after the deadline, and more arrived meanwhile. Only what had arrived by the deadline is read now.

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -6,7 +6,10 @@
 """
 
 import contextlib
+import fcntl
 import math
+import sys
+import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -87,6 +90,9 @@
         # silence of the peer.
         self._silent_since_s = 0.0
         self._silence_due_s = 0.0
+        # Bytes to read of those that had arrived at the deadline, once it has
+        # passed.
+        self._late_bytes: int | None = None
 
     def send(
         self, head: RequestHead, body: bytes, until_s: float = math.inf
@@ -233,6 +239,7 @@
     def _receive(self, deadline_s: float) -> None:
         # What has arrived is read even if the deadline has passed.
         remaining_s = max(0, deadline_s - clock_s())
+        self._check_late_bytes(is_late=not remaining_s)
         wait_s = min(remaining_s, self._max_wait_s)
         if self.on_silence is not None:
             wait_s = min(wait_s, max(0, self._silence_due_s - running_s()))
@@ -248,11 +255,23 @@
         except OSError as error:
             raise ExchangeError(f'{error}', sent=True) from error
         self._restart_silence()
+        if self._late_bytes is not None:
+            self._late_bytes -= len(received)
         # The end of the connection is no sign that the target goes on.
         if received and self.on_data is not None:
             self.on_data()
         self._parser.receive_data(received)
 
+    def _check_late_bytes(self, *, is_late: bool) -> None:
+        """End a late exchange once what arrived in time has been read."""
+        if not is_late:
+            self._late_bytes = None
+        elif self._late_bytes is None:
+            self._late_bytes = _count_arrived(self._sock)
+        # At 0 the end of the connection may have arrived as well.
+        elif self._late_bytes < 0:
+            raise ExchangeTimeoutError('no response in time', sent=True)
+
     def _restart_silence(self) -> None:
         self._silent_since_s = running_s()
         self._silence_due_s = self._silent_since_s + SILENCE_S
@@ -343,3 +362,9 @@
         if name.lower() == 'timeout' and timeout_s is not None:
             return max(0, timeout_s - IDLE_TIMEOUT_MARGIN_S)
     return DEFAULT_IDLE_TIMEOUT_S
+
+
+def _count_arrived(sock: socket.socket) -> int:
+    """Return how many bytes can be read without waiting."""
+    content = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+    return int.from_bytes(content, sys.byteorder)
--- a/tests/gateway/test_target_connection.py
+++ b/tests/gateway/test_target_connection.py
@@ -1,5 +1,6 @@
 """Tests of exchanges with targets that fail or misbehave."""
 
+import contextlib
 import errno
 import os
 import subprocess  # noqa: S404 - the sender has to be killed
@@ -11,6 +12,7 @@
 from eventlet.green import socket
 
 from dandelionyoke_gateway import ExchangeError, RequestHead, clock_s
+from dandelionyoke_gateway._errors import ExchangeTimeoutError
 from dandelionyoke_gateway._target_connection import TargetConnection, connect
 from dandelionyoke_links import receive, reset_on_close
 
@@ -185,6 +187,31 @@
         connection = self.exchange(script)
         self.assertEqual(b'16777216', self.body(connection, b'x' * (16 << 20)))
 
+    def test_a_response_that_is_read_slowly_ends_at_the_deadline(self) -> None:
+        """Guards against calls that outlast their time as bytes never run out.
+
+        Their caller reads more slowly than the target sends.
+        """
+        chunk = b'400\r\n' + bytes(1024) + b'\r\n'
+
+        def script(sock: socket.socket) -> None:
+            read_request(sock)
+            head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+            sock.sendall(head)
+            with contextlib.suppress(OSError):
+                while True:
+                    sock.sendall(chunk)
+                    eventlet.sleep(0.01)
+
+        connection = self.exchange(script)
+        connection.send(HEAD, b'x')
+        deadline_s = clock_s() + 0.5
+        connection.read_head(deadline_s)
+        with testtools.ExpectedException(ExchangeTimeoutError):
+            while clock_s() < deadline_s + 2.0:
+                connection.read_chunk(deadline_s)
+                eventlet.sleep(0.012)
+
     def test_a_silent_target_times_out_at_the_deadline(self) -> None:
         def script(sock: socket.socket) -> None:
             read_request(sock)
