Keep the timers if a green thread raises an exit

Waits never ended after a SystemExit in a green thread that ran as the loop handled late input: the timers with a delay were set aside, and lost with the exception.

--- a/packages/links/dandelionyoke_links/_event_loop.py
+++ b/packages/links/dandelionyoke_links/_event_loop.py
@@ -94,9 +94,12 @@
         delayed = [item for item in self.timers if item[1].seconds > 0]
         self.timers = undelayed
         # They are due in any case.
-        epolls.Hub.fire_timers(self, max(map(itemgetter(0), undelayed)))
-        self.timers.extend(delayed)
-        heapq.heapify(self.timers)
+        due_s = max(map(itemgetter(0), undelayed))
+        try:
+            epolls.Hub.fire_timers(self, due_s)
+        finally:
+            self.timers.extend(delayed)
+            heapq.heapify(self.timers)
         return True
 
 
--- a/tests/links/test_event_loop.py
+++ b/tests/links/test_event_loop.py
@@ -144,3 +144,20 @@
         began_s = time.monotonic()
         self.stand_still(lambda: eventlet.sleep(WAIT_S))
         self.assertLess(time.monotonic() - began_s, STANDSTILL_S + 0.5)
+
+    def test_timers_outlast_an_exit_in_a_green_thread(self) -> None:
+        """Guards against waits that never end as an exit is caught."""
+
+        def leave() -> None:
+            raise SystemExit
+
+        def compute() -> None:
+            eventlet.spawn_n(leave)
+            time.sleep(STANDSTILL_S)
+
+        waiting = eventlet.spawn(eventlet.sleep, STANDSTILL_S + 0.2)
+        eventlet.spawn_n(compute)
+        with testtools.ExpectedException(SystemExit):
+            eventlet.sleep(0.01)
+        with eventlet.Timeout(2.0):
+            waiting.wait()
