Look once for input that recurs before a late timer fires

A node whose passes take over 20 ms, with callers that send again at once, fired each of its timers 0.2 s late without any standstill: the handling of input before late timers always found more and used its whole time.

What had arrived when the timers came due is handled once: the loop stops looking when each descriptor found was handled before, then runs the work without a delay that is left. Data beyond one read of a descriptor may stay; judgments of others do not depend on it.

--- a/packages/links/dandelionyoke_links/_event_loop.py
+++ b/packages/links/dandelionyoke_links/_event_loop.py
@@ -33,7 +33,8 @@
     def __init__(self, clock: Any = None) -> None:
         super().__init__(clock)
         self.running_clock = RunningClock()
-        self._has_found_input = False
+        # The descriptors that the last look found.
+        self._found_ids: set[int] = set()
         self._looked_s = 0.0
         self._input_handled_s = 0.0
 
@@ -56,7 +57,7 @@
         self.running_clock.begin_step(wait_s)
         found = super().do_poll(wait_s)
         self.running_clock.begin_step()
-        self._has_found_input = bool(found)
+        self._found_ids = {fileno for fileno, _ in found}
         return found
 
     def fire_timers(self, when: float) -> None:
@@ -80,10 +81,17 @@
         """Handle what has arrived, and what follows from it without a delay."""
         # Another standstill must not end this.
         until_s = self.running_clock.now_s() + MAX_INPUT_TIME_S
+        handled: set[int] = set()
+        is_looking = True
         while self.running_clock.now_s() < until_s:
-            self.wait()
-            if not self._fire_undelayed() and not self._has_found_input:
+            if is_looking:
+                self.wait()
+                # Input that comes again and again is not waited for.
+                is_looking = not self._found_ids <= handled
+                handled |= self._found_ids
+            if not self._fire_undelayed() and not is_looking:
                 return
+            self.running_clock.begin_step()
 
     def _fire_undelayed(self) -> bool:
         """Fire the timers without a delay; return whether there were any."""
--- a/tests/links/test_event_loop.py
+++ b/tests/links/test_event_loop.py
@@ -15,6 +15,9 @@
 STANDSTILL_S = 0.8
 # Longer than the longest step of a loop that does not stand still.
 BUSY_S = 0.11
+# How long a busy process handles the input of one look.
+PASS_S = 0.025
+CALLERS = 25
 
 
 class StandstillTest(testtools.TestCase):
@@ -161,3 +164,34 @@
             eventlet.sleep(0.01)
         with eventlet.Timeout(2.0):
             waiting.wait()
+
+    def test_a_busy_process_fires_its_timers_soon(self) -> None:
+        """Guards against timers that wait for input which keeps coming.
+
+        Each of many callers sends its next request when it has its answer.
+        """
+
+        def answer(sock: socket.socket) -> None:
+            while True:
+                content = receive(sock, 9, WAIT_S)
+                time.sleep(PASS_S / CALLERS)
+                sock.sendall(content)
+
+        def call(sock: socket.socket) -> None:
+            while True:
+                sock.sendall(b'call')
+                receive(sock, 9, WAIT_S)
+
+        for _ in range(CALLERS):
+            pair = socket.socketpair()
+            for sock, work in zip(pair, (answer, call), strict=True):
+                sock.settimeout(0)
+                self.addCleanup(sock.close)
+                self.addCleanup(eventlet.spawn(work, sock).kill)
+        eventlet.sleep(0.5)
+        late_s = []
+        for _ in range(10):
+            due_s = time.monotonic() + 0.01
+            eventlet.sleep(0.01)
+            late_s.append(time.monotonic() - due_s)
+        self.assertLess(sorted(late_s)[5], 4 * PASS_S)
