Leave a dead engine also from a process that is always busy

Each step counts for 0.1 s at most on the running clock.

Standstills are now left out of a silence as far as 2.5 s, the time for which a sound target may be silent. One timer serves targets and nodes.

--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -6,7 +6,7 @@
 from dandelionyoke_core import InstanceId, PeerMessage
 from dandelionyoke_dispatch import Member
 from dandelionyoke_gateway._call_context import CallContext
-from dandelionyoke_gateway._clock import clock_s, running_s
+from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._handed_terms import terms_of
 from dandelionyoke_gateway._handover_messages import (
@@ -20,9 +20,9 @@
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._ports import CacheSource
 from dandelionyoke_gateway._silence import (
-    SILENCE_S,
     PatientWatch,
     Silence,
+    SilenceTimer,
     SilenceWatch,
 )
 from dandelionyoke_gateway._target_gate import TargetGate
@@ -277,19 +277,17 @@
         ExchangeError: the channel has ended, or none arrived in time.
         SupersededError: another target has answered.
     """
-    since_s = running_s()
-    due_s = since_s + SILENCE_S
+    timer = SilenceTimer()
     while True:
-        wait_s = max(0, due_s - running_s())
+        until_s = min(deadline_s, clock_s() + timer.remaining_s)
         try:
-            return receive_until(channel, min(deadline_s, clock_s() + wait_s))
+            return receive_until(channel, until_s)
         except ExchangeTimeoutError:
             if clock_s() >= deadline_s:
                 raise
-        silent_s = running_s() - since_s
-        if running_s() >= due_s:
-            silence = Silence(None, silent_s, is_cut_off=False)
-            due_s = running_s() + watch.silent(silence)
+        if not timer.remaining_s:
+            silence = Silence(None, timer.duration_s, is_cut_off=False)
+            timer.wait(watch.silent(silence))
 
 
 def receive_until(channel: CallChannel, deadline_s: float) -> PeerMessage:
--- a/packages/gateway/dandelionyoke_gateway/_silence.py
+++ b/packages/gateway/dandelionyoke_gateway/_silence.py
@@ -12,7 +12,9 @@
 from eventlet.greenthread import GreenThread
 
 from dandelionyoke_dispatch import RegisteredTarget
+from dandelionyoke_gateway._clock import clock_s, running_s
 from dandelionyoke_gateway._errors import ExchangeTimeoutError
+from dandelionyoke_links import MAX_SILENCE_S
 
 # A response that takes longer than this to begin or go on may never come.
 SILENCE_S = 0.6
@@ -22,9 +24,40 @@
 # How soon a second try that has succeeded takes the place of the first one.
 SECOND_TRY_POLL_S = 0.05
 
+# So much of a silence is left out at most if this process stood still. A
+# process that is busy all the time must leave a dead target as well.
+MAX_LEFT_OUT_S = MAX_SILENCE_S
+
 Result = TypeVar('Result')
 
 
+class SilenceTimer:
+    """Measures a silence, and when its watch is to be called next.
+
+    Standstills of this process are left out, as far as `MAX_LEFT_OUT_S`.
+    """
+
+    def __init__(self) -> None:
+        self._since_s = clock_s()
+        self._running_since_s = running_s()
+        self._due_s = SILENCE_S
+
+    @property
+    def duration_s(self) -> float:
+        """How long the silence has lasted."""
+        ran_s = running_s() - self._running_since_s
+        return max(ran_s, clock_s() - self._since_s - MAX_LEFT_OUT_S)
+
+    @property
+    def remaining_s(self) -> float:
+        """The time until the watch is to be called; 0: now."""
+        return max(0, self._due_s - self.duration_s)
+
+    def wait(self, wait_s: float) -> None:
+        """Set the time until the watch is to be called next."""
+        self._due_s = self.duration_s + wait_s
+
+
 @attrs.frozen
 class Silence:
     """The time in which nothing has arrived from a target.
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -19,7 +19,7 @@
 from eventlet.greenthread import GreenThread
 from eventlet.hubs import trampoline
 
-from dandelionyoke_gateway._clock import clock_s, running_s
+from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._messages import (
     RequestHead,
@@ -28,7 +28,7 @@
     encode_headers,
     parse_whole_number,
 )
-from dandelionyoke_gateway._silence import SILENCE_S
+from dandelionyoke_gateway._silence import SilenceTimer
 from dandelionyoke_links import (
     BRIEF,
     URGENT,
@@ -86,10 +86,7 @@
         self.on_silence: Callable[[float], float] | None = None
         # Called when bytes arrive.
         self.on_data: Callable[[], None] | None = None
-        # Times of the running clock: a standstill of this process is no
-        # silence of the peer.
-        self._silent_since_s = 0.0
-        self._silence_due_s = 0.0
+        self._silence = SilenceTimer()
         # Bytes to read of those that had arrived at the deadline, once it has
         # passed.
         self._late_bytes: int | None = None
@@ -105,7 +102,7 @@
             ExchangeError: the first write failed, or it was too late for it.
         """
         data = _request_bytes(self._parser, head, body)
-        self._restart_silence()
+        self._silence = SilenceTimer()
         # Connecting takes time, and the process may have been paused.
         if clock_s() >= until_s:
             raise ExchangeError('too late to send after connecting', sent=False)
@@ -242,7 +239,7 @@
         self._check_late_bytes(is_late=not remaining_s)
         wait_s = min(remaining_s, self._max_wait_s)
         if self.on_silence is not None:
-            wait_s = min(wait_s, max(0, self._silence_due_s - running_s()))
+            wait_s = min(wait_s, self._silence.remaining_s)
         try:
             received = receive(self._sock, READ_BYTES, wait_s)
         except TimeoutError as timeout:
@@ -254,7 +251,7 @@
             ) from timeout
         except OSError as error:
             raise ExchangeError(f'{error}', sent=True) from error
-        self._restart_silence()
+        self._silence = SilenceTimer()
         if self._late_bytes is not None:
             self._late_bytes -= len(received)
         # The end of the connection is no sign that the target goes on.
@@ -272,15 +269,10 @@
         elif self._late_bytes < 0:
             raise ExchangeTimeoutError('no response in time', sent=True)
 
-    def _restart_silence(self) -> None:
-        self._silent_since_s = running_s()
-        self._silence_due_s = self._silent_since_s + SILENCE_S
-
     def _check_silence(self) -> None:
-        now_s = running_s()
-        if self.on_silence is not None and now_s >= self._silence_due_s:
-            wait_s = self.on_silence(now_s - self._silent_since_s)
-            self._silence_due_s = running_s() + wait_s
+        silence = self._silence
+        if self.on_silence is not None and not silence.remaining_s:
+            silence.wait(self.on_silence(silence.duration_s))
 
     def _record_keep_alive(self, head: ResponseHead) -> None:
         if 'close' in (head.header('connection') or '').lower():
--- a/packages/links/dandelionyoke_links/__init__.py
+++ b/packages/links/dandelionyoke_links/__init__.py
@@ -17,6 +17,7 @@
 )
 from dandelionyoke_links._sockets import (
     BRIEF as BRIEF,
+    MAX_SILENCE_S as MAX_SILENCE_S,
     PATIENT as PATIENT,
     READER as READER,
     URGENT as URGENT,
