Let a call read for half a second at most after its time limit

By FIONREAD an answer of 300 kB that had come in a standstill was cut again: what the kernel of the target still holds does not count as arrived, though it comes without a wait.

Reading goes on while bytes are there, for 0.5 s.

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -6,10 +6,7 @@
 """
 
 import contextlib
-import fcntl
 import math
-import sys
-import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -52,6 +49,9 @@
 # The event loop's timers leave out the time of a suspended machine. An urgent
 # connection checks its deadline this often, so that it is reset soon after.
 URGENT_MAX_WAIT_S = 0.1
+# What has arrived at a deadline is read within this time. A caller that reads
+# more slowly than its target sends would keep its call for ever.
+MAX_LATE_READ_S = 0.5
 
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
@@ -87,9 +87,8 @@
         # Called when bytes arrive.
         self.on_data: Callable[[], None] | None = None
         self._silence = SilenceTimer()
-        # Bytes to read of those that had arrived at the deadline, once it has
-        # passed.
-        self._late_bytes: int | None = None
+        # The end of reading after the deadline, once that has passed.
+        self._late_until_s = math.inf
 
     def send(
         self, head: RequestHead, body: bytes, until_s: float = math.inf
@@ -236,7 +235,7 @@
     def _receive(self, deadline_s: float) -> None:
         # What has arrived is read even if the deadline has passed.
         remaining_s = max(0, deadline_s - clock_s())
-        self._check_late_bytes(is_late=not remaining_s)
+        self._limit_late_reads(is_late=not remaining_s)
         wait_s = min(remaining_s, self._max_wait_s)
         if self.on_silence is not None:
             wait_s = min(wait_s, self._silence.remaining_s)
@@ -252,21 +251,18 @@
         except OSError as error:
             raise ExchangeError(f'{error}', sent=True) from error
         self._silence = SilenceTimer()
-        if self._late_bytes is not None:
-            self._late_bytes -= len(received)
         # The end of the connection is no sign that the target goes on.
         if received and self.on_data is not None:
             self.on_data()
         self._parser.receive_data(received)
 
-    def _check_late_bytes(self, *, is_late: bool) -> None:
-        """End a late exchange once what arrived in time has been read."""
+    def _limit_late_reads(self, *, is_late: bool) -> None:
+        """End a late exchange whose bytes never run out."""
         if not is_late:
-            self._late_bytes = None
-        elif self._late_bytes is None:
-            self._late_bytes = _count_arrived(self._sock)
-        # At 0 the end of the connection may have arrived as well.
-        elif self._late_bytes < 0:
+            self._late_until_s = math.inf
+        elif math.isinf(self._late_until_s):
+            self._late_until_s = clock_s() + MAX_LATE_READ_S
+        elif clock_s() >= self._late_until_s:
             raise ExchangeTimeoutError('no response in time', sent=True)
 
     def _check_silence(self) -> None:
@@ -354,9 +350,3 @@
         if name.lower() == 'timeout' and timeout_s is not None:
             return max(0, timeout_s - IDLE_TIMEOUT_MARGIN_S)
     return DEFAULT_IDLE_TIMEOUT_S
-
-
-def _count_arrived(sock: socket.socket) -> int:
-    """Return how many bytes can be read without waiting."""
-    content = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
-    return int.from_bytes(content, sys.byteorder)
