--- a/packages/links/dandelionyoke_links/_event_loop.py
+++ b/packages/links/dandelionyoke_links/_event_loop.py
@@ -33,8 +33,7 @@
     def __init__(self, clock: Any = None) -> None:
         super().__init__(clock)
         self.running_clock = RunningClock()
-        # The descriptors that the last look found.
-        self._found_ids: set[int] = set()
+        self._has_found_input = False
         self._looked_s = 0.0
         self._input_handled_s = 0.0
 
@@ -57,7 +56,7 @@
         self.running_clock.begin_step(wait_s)
         found = super().do_poll(wait_s)
         self.running_clock.begin_step()
-        self._found_ids = {fileno for fileno, _ in found}
+        self._has_found_input = bool(found)
         return found
 
     def fire_timers(self, when: float) -> None:
@@ -81,17 +80,10 @@
         """Handle what has arrived, and what follows from it without a delay."""
         # Another standstill must not end this.
         until_s = self.running_clock.now_s() + MAX_INPUT_TIME_S
-        handled: set[int] = set()
-        is_looking = True
         while self.running_clock.now_s() < until_s:
-            if is_looking:
-                self.wait()
-                # Input that comes again and again is not waited for.
-                is_looking = not self._found_ids <= handled
-                handled |= self._found_ids
-            if not self._fire_undelayed() and not is_looking:
+            self.wait()
+            if not self._fire_undelayed() and not self._has_found_input:
                 return
-            self.running_clock.begin_step()
 
     def _fire_undelayed(self) -> bool:
         """Fire the timers without a delay; return whether there were any."""
