--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -16,7 +16,7 @@
 from eventlet.greenthread import GreenThread
 from eventlet.hubs import trampoline
 
-from dandelionyoke_gateway._clock import clock_s, running_s
+from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._messages import (
     RequestHead,
@@ -25,7 +25,7 @@
     encode_headers,
     parse_whole_number,
 )
-from dandelionyoke_gateway._silence import SILENCE_S
+from dandelionyoke_gateway._silence import SilenceTimer
 from dandelionyoke_links import (
     BRIEF,
     URGENT,
@@ -49,6 +49,9 @@
 # The event loop's timers leave out the time of a suspended machine. An urgent
 # connection checks its deadline this often, so that it is reset soon after.
 URGENT_MAX_WAIT_S = 0.1
+# What has arrived at a deadline is read within this time. A caller that reads
+# more slowly than its target sends would keep its call for ever.
+MAX_LATE_READ_S = 0.5
 
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
@@ -83,10 +86,9 @@
         self.on_silence: Callable[[float], float] | None = None
         # Called when bytes arrive.
         self.on_data: Callable[[], None] | None = None
-        # Times of the running clock: a standstill of this process is no
-        # silence of the peer.
-        self._silent_since_s = 0.0
-        self._silence_due_s = 0.0
+        self._silence = SilenceTimer()
+        # The end of reading after the deadline, once that has passed.
+        self._late_until_s = math.inf
 
     def send(
         self, head: RequestHead, body: bytes, until_s: float = math.inf
@@ -99,7 +101,7 @@
             ExchangeError: the first write failed, or it was too late for it.
         """
         data = _request_bytes(self._parser, head, body)
-        self._restart_silence()
+        self._silence = SilenceTimer()
         # Connecting takes time, and the process may have been paused.
         if clock_s() >= until_s:
             raise ExchangeError('too late to send after connecting', sent=False)
@@ -233,9 +235,10 @@
     def _receive(self, deadline_s: float) -> None:
         # What has arrived is read even if the deadline has passed.
         remaining_s = max(0, deadline_s - clock_s())
+        self._limit_late_reads(is_late=not remaining_s)
         wait_s = min(remaining_s, self._max_wait_s)
         if self.on_silence is not None:
-            wait_s = min(wait_s, max(0, self._silence_due_s - running_s()))
+            wait_s = min(wait_s, self._silence.remaining_s)
         try:
             received = receive(self._sock, READ_BYTES, wait_s)
         except TimeoutError as timeout:
@@ -247,21 +250,25 @@
             ) from timeout
         except OSError as error:
             raise ExchangeError(f'{error}', sent=True) from error
-        self._restart_silence()
+        self._silence = SilenceTimer()
         # The end of the connection is no sign that the target goes on.
         if received and self.on_data is not None:
             self.on_data()
         self._parser.receive_data(received)
 
-    def _restart_silence(self) -> None:
-        self._silent_since_s = running_s()
-        self._silence_due_s = self._silent_since_s + SILENCE_S
+    def _limit_late_reads(self, *, is_late: bool) -> None:
+        """End a late exchange whose bytes never run out."""
+        if not is_late:
+            self._late_until_s = math.inf
+        elif math.isinf(self._late_until_s):
+            self._late_until_s = clock_s() + MAX_LATE_READ_S
+        elif clock_s() >= self._late_until_s:
+            raise ExchangeTimeoutError('no response in time', sent=True)
 
     def _check_silence(self) -> None:
-        now_s = running_s()
-        if self.on_silence is not None and now_s >= self._silence_due_s:
-            wait_s = self.on_silence(now_s - self._silent_since_s)
-            self._silence_due_s = running_s() + wait_s
+        silence = self._silence
+        if self.on_silence is not None and not silence.remaining_s:
+            silence.wait(self.on_silence(silence.duration_s))
 
     def _record_keep_alive(self, head: ResponseHead) -> None:
         if 'close' in (head.header('connection') or '').lower():
