List repeats that two tries of one call at the same time don't charge

A call that waits at another node for 1.6 s is handed to a second one. Both are told that nothing was sent, and each takes its prefill and its send for the first.

--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -1,15 +1,23 @@
 """What nodes that share their calls send to targets more than once."""
 
+import json
 from collections import Counter
 from collections.abc import Iterator
+from unittest import mock
 
 import attrs
 import eventlet
 import testtools
+from eventlet.event import Event
 from testtools.content import text_content
 
 from dandelionyoke_dispatch import Phase
 from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway._prefill_queue import (
+    LocalPrefillQueue,
+    PrefillGrant,
+    PrefillRequest,
+)
 from tests.gateway.settings import new_settings
 from tests.platform.node_harness import (
     NodeHarness,
@@ -32,6 +40,9 @@
 PREFILL_S = 0.03
 # A probe comes twice a second.
 REACHED_S = 0.7
+# Another node that is silent for 1.6 s is not the only one with the call.
+BOTH_TRY_S = 2.0
+BEGIN_S = 0.3
 PROMPT_HEADERS = (
     'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: aa:500,bb:400\r\n'
 )
@@ -161,6 +172,33 @@
         allowed = RETRY_SHARE * call_count + RETRY_EXTRA
         self.assertLessEqual(repeat_count(self.targets), allowed)
 
+    def charged_count(self) -> int:
+        """Count the sends that the nodes' budgets have allowed."""
+        lines = [
+            json.loads(line)
+            for node in self.nodes
+            for line in node.log_lines.text.splitlines()
+        ]
+        return sum(
+            line['sends']
+            for line in lines
+            if line['message_type'] == 'retry.charged'
+            and line['outcome'] == 'allowed'
+        )
+
+    def assert_all_charged(self, repeats: int) -> None:
+        """Check the number of repeats, and that all were charged."""
+        self.assertEqual(repeats, repeat_count(self.targets))
+        self.assertGreaterEqual(self.charged_count(), repeats)
+
+    def cut_off(self, node: NodeHarness, service: str) -> None:
+        """Let a node believe that it reaches no target of a service."""
+        probed = {
+            target.target_id: False
+            for target in node.knowledge.registry.of_service(service)
+        }
+        node.knowledge.reach.probed(service, probed, clock_s())
+
     def prefill_count(self) -> int:
         return sum(
             request.headers.get('serving-phase') == 'prefill'
@@ -263,8 +301,7 @@
         """Guards against a call that counts at each node that it passes."""
         self.add_targets(1, answers_ok, 'ledger')
         origin = self.nodes[0]
-        probed = {'i-1': False}
-        origin.knowledge.reach.probed('ledger', probed, clock_s())
+        self.cut_off(origin, 'ledger')
         for node in self.nodes:
             spend_budget(node, 'ledger')
         for number in range(80):
@@ -277,6 +314,67 @@
         self.assertEqual([False] * 3, others)
 
 
+class SecondTryBudgetTest(FleetTestCase):
+    """Calls that two other nodes have at the same time."""
+
+    def test_two_nodes_that_wait_to_prefill_a_call_charge_its_repeat(
+        self,
+    ) -> None:
+        """Guards against two tries that each take their sends for the first."""
+
+        def streams_late(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield BEGIN_S
+            yield from streams_token(request)
+
+        self.add_targets(2, answers_prefill, phase=Phase.PREFILL)
+        self.add_targets(2, streams_late, phase=Phase.DECODE)
+        self.cut_off(self.nodes[0], 'lm')
+        self.assertEqual(200, self.call_with_late_prefills())
+        self.assert_all_charged(2)
+
+    def test_a_second_node_sends_nothing_without_retry_budget(self) -> None:
+        """Guards against second tries that no budget bounds."""
+        self.add_targets(1, answers_prefill, phase=Phase.PREFILL)
+        self.add_targets(1, refuses_call, phase=Phase.DECODE)
+        self.cut_off(self.nodes[0], 'lm')
+        for node in self.nodes:
+            spend_budget(node, 'lm')
+        self.assertEqual(503, self.call_with_late_prefills())
+        self.assertEqual(0, repeat_count(self.targets))
+
+    def test_two_nodes_with_a_plain_call_charge_its_repeat(self) -> None:
+        """Guards against a second node that takes its send for the first."""
+
+        def answers_late(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield BOTH_TRY_S
+            yield answer(extra=signed_head(request))
+
+        self.add_targets(2, answers_late, 'ledger')
+        self.cut_off(self.nodes[0], 'ledger')
+        content = self.nodes[0].call('/look/1')
+        self.assertEqual(200, status(content))
+        self.assert_all_charged(1)
+
+    def call_with_late_prefills(self) -> int:
+        """Call the first node; prefills are placed when two others wait.
+
+        Return the status.
+        """
+        turn: Event = Event()
+        acquire = LocalPrefillQueue.acquire
+
+        def acquire_late(
+            queue: LocalPrefillQueue, request: PrefillRequest
+        ) -> PrefillGrant:
+            turn.wait()
+            return acquire(queue, request)
+
+        eventlet.spawn_after(BOTH_TRY_S, turn.send)
+        with mock.patch.object(LocalPrefillQueue, 'acquire', acquire_late):
+            content = self.nodes[0].call('/resume/1', extra=PROMPT_HEADERS)
+        return status(content)
+
+
 class ServiceBudgetTest(FleetTestCase):
     def test_retries_of_a_broken_service_leave_those_of_others(self) -> None:
         """Guards against a budget that one service spends for all."""
