Charge the sends of two tries of one call as repeats

Callers saw a service answer 503 for lack of retries while engines got more repeats than all nodes together may send.

Cause: whether a send is a repeat was decided as a try began, from what was known to have been sent, and held for true after the try had waited for an engine. A call that waited at another node for 1.6 s was handed to a second one with 'not sent', and both sent a prefill and the call for free. Class: a count that is looked at before a wait and relied on after it.

Change: RetryAccount decides as a send is made and charges what was not reserved; a call that another node has counts as sent until that node has reported.

--- a/packages/dispatch/dandelionyoke_dispatch/_attempts.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_attempts.py
@@ -28,39 +28,54 @@
     _outcomes: list[Outcome] = attrs.field(factory=list)
     targets: list[str] = attrs.field(factory=list)
     # Whether the call, or a prefill for it, was sent to a target by this node
-    # or another one. What is sent after that is a retry.
-    is_sent: bool = False
-    is_prefill_sent: bool = False
-    # What this node has sent.
-    send_count: int = 0
+    # or by another one that has reported it.
+    _is_sent: bool = False
+    _is_prefill_sent: bool = False
+    # How many other nodes have the call and have not reported what they sent.
+    _unreported_count: int = 0
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether any node may have sent the call; the next one is a retry."""
+        return self._is_sent or bool(self._unreported_count)
+
+    @property
+    def is_prefill_sent(self) -> bool:
+        """Whether any node may have sent a prefill of the call."""
+        return self._is_prefill_sent or bool(self._unreported_count)
 
     def sent(self, target_id: str) -> int:
         """Record an attempt before any byte of the call is sent to a target.
 
         Returns its number, with which its outcome is recorded.
         """
-        self.is_sent = True
-        self.send_count += 1
-        return self.handed(target_id)
+        self._is_sent = True
+        return self._begin(target_id)
 
     def handed(self, name: str) -> int:
         """Record an attempt at another node, which may not send the call.
 
-        Returns its number, with which its outcome is recorded.
+        Until `handover_reported`, the node may send it at any moment. Returns
+        its number, with which its outcome is recorded.
         """
-        self.targets.append(name)
-        self._outcomes.append(Outcome.UNKNOWN)
-        return len(self._outcomes) - 1
+        self._unreported_count += 1
+        return self._begin(name)
+
+    def handover_reported(
+        self, *, is_sent: bool, is_prefill_sent: bool
+    ) -> None:
+        """Record what another node has sent, or may have if it is unknown."""
+        self._unreported_count -= 1
+        self.add_sent(is_sent=is_sent, is_prefill_sent=is_prefill_sent)
 
     def prefill_sent(self) -> None:
         """Record a prefill before any byte of it is sent to a target."""
-        self.is_prefill_sent = True
-        self.send_count += 1
+        self._is_prefill_sent = True
 
     def add_sent(self, *, is_sent: bool, is_prefill_sent: bool) -> None:
         """Add what another node sent."""
-        self.is_sent |= is_sent
-        self.is_prefill_sent |= is_prefill_sent
+        self._is_sent |= is_sent
+        self._is_prefill_sent |= is_prefill_sent
 
     def refused(self, number: int = -1) -> None:
         """Record that the target reported not running an attempt.
@@ -91,3 +106,8 @@
         if not self.may_have_run:
             return True
         return is_repeatable and self.run_count < self.max_attempts
+
+    def _begin(self, name: str) -> int:
+        self.targets.append(name)
+        self._outcomes.append(Outcome.UNKNOWN)
+        return len(self._outcomes) - 1
--- a/packages/dispatch/dandelionyoke_dispatch/_retry_budgets.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_retry_budgets.py
@@ -72,6 +72,11 @@
         self._windows: dict[str, _Window] = {}
         self._node_counts: deque[tuple[float, int]] = deque()
 
+    @property
+    def arrival_s(self) -> float:
+        """How long a retry that was charged may take to arrive."""
+        return self._settings.arrival_s
+
     def take_nodes(self, count: int, now_s: float) -> None:
         """Record the number of nodes, including this one.
 
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -135,29 +135,6 @@
     return Refusal(Cause.TARGETS_RESTING, retry_after_s)
 
 
-def charge_retry(
-    deps: CallDependencies, context: CallContext, sends: int
-) -> bool:
-    """Charge what is sent once more; False if the budget does not allow it."""
-    if not sends:
-        return True
-    verdict = deps.knowledge.budget.try_charge(
-        context.service.name, clock_s(), sends
-    )
-    deps.log.decide(
-        'retry.charged',
-        context.call.attempt_id,
-        outcome='allowed' if verdict.is_allowed else 'refused',
-        service=context.service.name,
-        sends=sends,
-        spent=verdict.spent,
-        allowed=verdict.allowed,
-        calls=verdict.calls,
-        nodes=verdict.node_count,
-    )
-    return verdict.is_allowed
-
-
 @attrs.frozen
 class _Admission:
     """What a configuration grants a call."""
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -229,10 +229,15 @@
         attempt = context.attempts.handed(channel.peer_id)
         try:
             begun = _exchange_heads(context, channel, call, watch)
-        except ExchangeError:
+        except BaseException:
             # It is unknown what the other node has sent.
-            context.attempts.add_sent(is_sent=True, is_prefill_sent=True)
+            context.attempts.handover_reported(
+                is_sent=True, is_prefill_sent=True
+            )
             raise
+        context.attempts.handover_reported(
+            is_sent=begun.is_sent, is_prefill_sent=begun.is_prefill_sent
+        )
         self._log.decide(
             'call.handed',
             context.call.attempt_id,
@@ -352,7 +357,4 @@
     begun = _receive_watched(channel, deadline_s, watch)
     if not isinstance(begun, ResponseBegun):
         raise ExchangeError('the response has no head', sent=True)
-    context.attempts.add_sent(
-        is_sent=begun.is_sent, is_prefill_sent=begun.is_prefill_sent
-    )
     return begun
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -14,13 +14,16 @@
 from dandelionyoke_gateway._call_dispatcher import (
     CallDependencies,
     RefusedError,
-    charge_retry,
     limited_refusal,
 )
 from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._ports import Forwarding, ResponseFacts
+from dandelionyoke_gateway._retry_account import (
+    RetryAccount,
+    RetryDeniedError,
+)
 from dandelionyoke_gateway._silence import (
     HANDED_STALL_TIMEOUT_S,
     SECOND_TRY_POLL_S,
@@ -62,6 +65,7 @@
         self._deps = deps
         self._knowledge = deps.knowledge
         self._context = context
+        self._retries = RetryAccount(deps, context)
         self._tried_ids: set[str] = set()
         self._cause = Cause.NO_TARGET
         # The number of the last attempt at a target.
@@ -204,9 +208,11 @@
     def _may_send(self) -> bool:
         """Whether the call may be sent now; charges a retry."""
         # The first send is no retry, even if connections failed before it.
-        return charge_retry(
-            self._deps, self._context, int(self._context.attempts.is_sent)
-        )
+        try:
+            self._retries.reserve(int(self._context.attempts.is_sent))
+        except RetryDeniedError:
+            return False
+        return True
 
     def _choose_target(self) -> RegisteredTarget | None:
         """Choose a target that takes a request now; None if there is none."""
@@ -231,8 +237,9 @@
         self._knowledge.loads.call_started(target.target_id)
         try:
             response = self._exchange(target)
-        except TargetLimitedError:
-            # It asked for rest while the connection was made.
+        except (TargetLimitedError, RetryDeniedError):
+            # It asked for rest, or another try sent the call, while the
+            # connection was made.
             return None
         except SupersededError:
             record_failure(self._deps, self._context, target, superseded())
@@ -263,7 +270,7 @@
         head = self._deps.dialect.call_head(context.request.head, forwarding)
         with self._deps.connect_to(target, self._watch) as connection:
             sent_s = clock_s()
-            self._attempt = context.attempts.sent(target.target_id)
+            self._attempt = self._retries.call_sent(target.target_id)
             connection.send(head, context.request.body)
             response_head = connection.read_head(context.deadline_s)
             facts = self._deps.dialect.read_response(response_head)
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -258,7 +258,7 @@
     ) -> str | None:
         deadline_s = self._deadline_s()
         with self._deps.connect_to(target, CutOffWatch()) as connection:
-            self._context.attempts.prefill_sent()
+            self._state.retries.prefill_sent()
             connection.send(head, self._context.request.body)
             response = connection.read_head(deadline_s)
             facts = self._deps.dialect.read_response(response)
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -21,6 +21,7 @@
 from dandelionyoke_gateway._event_stream import EventSplitter, StreamEvent
 from dandelionyoke_gateway._handover import HandedCall
 from dandelionyoke_gateway._plain_call import count_usage_once
+from dandelionyoke_gateway._retry_account import RetryDeniedError
 from dandelionyoke_gateway._silence import (
     HANDED_STALL_TIMEOUT_S,
     SECOND_TRY_POLL_S,
@@ -36,10 +37,7 @@
     bind_resumed,
     is_version_lost,
 )
-from dandelionyoke_gateway._stream_call_state import (
-    RetryableError,
-    RetryDeniedError,
-)
+from dandelionyoke_gateway._stream_call_state import RetryableError
 from dandelionyoke_gateway._stream_opener import (
     ErrorResponseError,
     StreamOpener,
--- a/packages/gateway/dandelionyoke_gateway/_stream_call_state.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call_state.py
@@ -8,6 +8,7 @@
 from dandelionyoke_gateway._messages import RequestHead
 from dandelionyoke_gateway._plain_call import record_failure
 from dandelionyoke_gateway._ports import Forwarding
+from dandelionyoke_gateway._retry_account import RetryAccount
 
 
 class RetryableError(Exception):
@@ -18,16 +19,13 @@
         self.cause = cause
 
 
-class RetryDeniedError(Exception):
-    """The retry budget of the service does not allow to send a call again."""
-
-
 class StreamCallState:
     """One streamed call and the targets that it was already sent to."""
 
     def __init__(self, deps: CallDependencies, context: CallContext) -> None:
         self.deps = deps
         self.context = context
+        self.retries = RetryAccount(deps, context)
         self.tried_ids: set[str] = set()
         # Those of them that said that they did not run the call.
         self._refusing_ids: set[str] = set()
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -18,7 +18,6 @@
 from dandelionyoke_gateway._call_dispatcher import (
     CallDependencies,
     RefusedError,
-    charge_retry,
     limited_refusal,
 )
 from dandelionyoke_gateway._clock import clock_s
@@ -39,7 +38,6 @@
 from dandelionyoke_gateway._silence import SilenceWatch
 from dandelionyoke_gateway._stream_call_state import (
     RetryableError,
-    RetryDeniedError,
     StreamCallState,
 )
 from dandelionyoke_gateway._target_connection import TargetConnection
@@ -77,8 +75,6 @@
         self._prefiller = PromptPrefiller(self.state)
         # Kept for a retry as long as no decode engine has imported its KV cache.
         self._prompt = self._prefiller.find_handed()
-        # The number of sends at which a retry was charged.
-        self._charged_at: int | None = None
 
     def close(self) -> None:
         """Release an unused KV cache."""
@@ -144,26 +140,12 @@
             return self._begin_elsewhere(watch)
         if not is_reached or handover.cannot_be_served(self._context):
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
-        self._charge_retry()
+        self.state.retries.reserve(self._retry_cost())
         prompt = self._take_prompt()
         with self._keep_unless_spent(prompt) as use:
             target = self._choose_decode_target(prompt)
             return self._begin_at(target, use, watch)
 
-    def _charge_retry(self) -> None:
-        """Charge the sends that this try repeats to the retry budget.
-
-        Raises:
-            RetryDeniedError: the budget does not allow it.
-        """
-        send_count = self._context.attempts.send_count
-        if self._charged_at == send_count:
-            # Nothing was sent since.
-            return
-        if not charge_retry(self._deps, self._context, self._retry_cost()):
-            raise RetryDeniedError
-        self._charged_at = send_count
-
     def _retry_cost(self) -> int:
         """Count the sends that this try repeats.
 
@@ -265,7 +247,7 @@
         connection = exchange.enter_context(
             self._deps.connect_to(target, watch)
         )
-        attempt = self._context.attempts.sent(target.target_id)
+        attempt = self.state.retries.call_sent(target.target_id)
         use.is_spent = True
         connection.send(head, self._context.request.body)
         response = self._read_head(target, connection, attempt, use)
--- a/tests/dispatch/test_attempts.py
+++ b/tests/dispatch/test_attempts.py
@@ -44,3 +44,31 @@
         self.assertTrue(attempts.may_run_again(is_repeatable=True))
         attempts.sent('i-2')
         self.assertFalse(attempts.may_run_again(is_repeatable=True))
+
+
+class RepeatTest(testtools.TestCase):
+    """Which sends of a call are repeats."""
+
+    def test_a_call_counts_as_sent_while_another_node_has_it(self) -> None:
+        """Guards against two tries that each take their sends for the first."""
+        attempts = Attempts(2)
+        attempts.handed('n-2')
+        self.assertTrue(attempts.is_sent)
+        self.assertTrue(attempts.is_prefill_sent)
+
+    def test_a_node_that_reports_no_send_leaves_the_first_one_free(
+        self,
+    ) -> None:
+        attempts = Attempts(2)
+        attempts.handed('n-2')
+        attempts.handover_reported(is_sent=False, is_prefill_sent=False)
+        self.assertFalse(attempts.is_sent)
+        self.assertFalse(attempts.is_prefill_sent)
+
+    def test_a_report_does_not_answer_for_another_node(self) -> None:
+        """Guards against a second node that hides what the first may send."""
+        attempts = Attempts(2)
+        attempts.handed('n-2')
+        attempts.handed('n-3')
+        attempts.handover_reported(is_sent=False, is_prefill_sent=False)
+        self.assertTrue(attempts.is_sent)
--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -106,6 +106,8 @@
 class FleetTestCase(testtools.TestCase):
     """Nodes that know each other and the same targets."""
 
+    retry_extra = RETRY_EXTRA
+
     def setUp(self) -> None:
         super().setUp()
         self.nodes = [self.new_node(f'n-{n}') for n in range(NODE_COUNT)]
@@ -121,7 +123,7 @@
         settings = attrs.evolve(
             new_settings(name),
             retry_share=RETRY_SHARE,
-            retry_extra=RETRY_EXTRA,
+            retry_extra=self.retry_extra,
         )
         node = NodeHarness(name, settings)
         self.addCleanup(node.close)
@@ -317,6 +319,9 @@
 class SecondTryBudgetTest(FleetTestCase):
     """Calls that two other nodes have at the same time."""
 
+    # Each node may repeat some calls.
+    retry_extra = 10 * RETRY_EXTRA
+
     def test_two_nodes_that_wait_to_prefill_a_call_charge_its_repeat(
         self,
     ) -> None:
