--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -380,6 +380,37 @@
         return status(content)
 
 
+class RefusedPrefillBudgetTest(FleetTestCase):
+    """Calls whose prefill no engine accepts, sent to decode engines alone."""
+
+    def test_a_call_after_a_refused_prefill_is_charged(self) -> None:
+        """Guards against a first send that is free after a refused prefill."""
+        self.add_targets(1, refuses_call, phase=Phase.PREFILL)
+        self.add_targets(1, streams_token, phase=Phase.DECODE)
+        content = self.nodes[0].call('/ask/1', extra=PROMPT_HEADERS)
+        self.assertEqual(200, status(content))
+        self.assert_all_charged(1)
+
+    def test_another_node_charges_a_call_after_a_refused_prefill(self) -> None:
+        """Guards against a refused prefill that the next node forgets."""
+        self.add_targets(1, refuses_call, phase=Phase.PREFILL)
+        origin, *others = self.nodes
+        for _ in range(2):
+            engine = ScriptedTarget(streams_token)
+            self.addCleanup(engine.close)
+            engine.refuse_connections()
+            origin.register(engine, 'lm', Phase.DECODE)
+        decode = ScriptedTarget(streams_token)
+        self.addCleanup(decode.close)
+        self.targets.append(decode)
+        for node in others:
+            node.register(decode, 'lm', Phase.DECODE)
+            node.knowledge.registry.mark_leaving('i-1', None)
+        content = origin.call('/ask/1', extra=PROMPT_HEADERS)
+        self.assertEqual(200, status(content))
+        self.assert_all_charged(1)
+
+
 class ServiceBudgetTest(FleetTestCase):
     def test_retries_of_a_broken_service_leave_those_of_others(self) -> None:
         """Guards against a budget that one service spends for all."""
