--- a/packages/dispatch/dandelionyoke_dispatch/_attempts.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_attempts.py
@@ -31,6 +31,8 @@
     # or by another one that has reported it.
     _is_sent: bool = False
     _is_prefill_sent: bool = False
+    # Whether this node knows of a prefill of the call that an engine accepted.
+    is_prefill_accepted: bool = False
     # How many other nodes have the call and have not reported what they sent.
     _unreported_count: int = 0
 
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -89,6 +89,7 @@
         handed_over = self._context.request.handed_over
         if handed_over is None or not handed_over.cache_handle:
             return None
+        self._context.attempts.is_prefill_accepted = True
         target = self._knowledge.registry.find(handed_over.cache_target_id)
         if target is None:
             return None
@@ -251,6 +252,7 @@
             self._state.log_decision('prompt.refused', target)
             raise RetryableError(Cause.NO_RETRY)
         loads.succeeded(target.target_id)
+        self._context.attempts.is_prefill_accepted = True
         return CacheSource(target, handle)
 
     def _exchange(
--- a/packages/gateway/dandelionyoke_gateway/_retry_account.py
+++ b/packages/gateway/dandelionyoke_gateway/_retry_account.py
@@ -40,19 +40,21 @@
         self._charge(missing)
         self._reserved_s.extend(repeat(clock_s(), missing))
 
-    def call_sent(self, target_id: str, *, has_cache: bool = False) -> int:
+    def call_sent(self, target_id: str) -> int:
         """Record the call before any byte of it is sent to a target.
 
-        The first one is free, and so is a prefill whose KV cache it uses; it
-        is a repeat of a prefill that was in vain. Returns the number of the
-        attempt.
+        Only a prefill that an engine accepted is free beside the first call.
+        Returns the number of the attempt.
 
         Raises:
             RetryDeniedError: it is a repeat that the budget does not allow.
         """
-        is_prefill_lost = self._attempts.is_prefill_sent and not has_cache
-        self._settle(is_repeat=self._attempts.is_sent or is_prefill_lost)
-        return self._attempts.sent(target_id)
+        attempts = self._attempts
+        is_prefill_lost = (
+            attempts.is_prefill_sent and not attempts.is_prefill_accepted
+        )
+        self._settle(is_repeat=attempts.is_sent or is_prefill_lost)
+        return attempts.sent(target_id)
 
     def prefill_sent(self) -> None:
         """Record a prefill before any byte of it is sent to a target.
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -247,9 +247,7 @@
         connection = exchange.enter_context(
             self._deps.connect_to(target, watch)
         )
-        attempt = self.state.retries.call_sent(
-            target.target_id, has_cache=use.prompt is not None
-        )
+        attempt = self.state.retries.call_sent(target.target_id)
         use.is_spent = True
         connection.send(head, self._context.request.body)
         response = self._read_head(target, connection, attempt, use)
