--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -380,6 +380,47 @@
         return status(content)
 
 
+class RefusingTargetTest(FleetTestCase):
+    """Targets that refused a call before it was handed over."""
+
+    retry_extra = 10 * RETRY_EXTRA
+
+    def test_no_other_node_asks_an_engine_that_refused_the_call(self) -> None:
+        """Guards against an engine that is asked again by each node."""
+        self.add_targets(2, answers_prefill, phase=Phase.PREFILL)
+        (engine,) = self.add_targets(1, refuses_call, phase=Phase.DECODE)
+        self.add_unreachable(2, 'lm', Phase.DECODE)
+        content = self.nodes[0].call('/ask/1', extra=PROMPT_HEADERS)
+        self.assertEqual(503, status(content))
+        self.assertEqual(1, len(engine.received_requests))
+
+    def test_no_other_node_asks_a_target_that_refused_a_plain_call(
+        self,
+    ) -> None:
+        """Guards against a target that is asked again by each node."""
+        (target,) = self.add_targets(1, refuses_call, 'ledger')
+        self.add_unreachable(2, 'ledger', Phase.ANY)
+        self.assertEqual(503, status(self.nodes[0].call('/confirm/1')))
+        self.assertEqual(1, len(target.received_requests))
+
+    def test_no_node_asks_an_engine_that_refused_the_call_elsewhere(
+        self,
+    ) -> None:
+        """Guards against a refusal that the node before doesn't learn of."""
+        (engine,) = self.add_targets(1, refuses_call, phase=Phase.DECODE)
+        self.cut_off(self.nodes[0], 'lm')
+        self.assertEqual(503, status(self.nodes[0].call('/ask/1')))
+        self.assertEqual(1, len(engine.received_requests))
+
+    def add_unreachable(self, count: int, service: str, phase: Phase) -> None:
+        """Register targets at the first node that accept no connection."""
+        for _ in range(count):
+            target = ScriptedTarget(answers_ok)
+            self.addCleanup(target.close)
+            target.refuse_connections()
+            self.nodes[0].register(target, service, phase)
+
+
 class RefusedPrefillBudgetTest(FleetTestCase):
     """Calls whose prefill no engine accepts, sent to decode engines alone."""
 
