Name the targets that refused a call to the node that gets it next

Cause: the targets that refused were known only to the node that had asked them. They travel with CallHanded and back with ResponseBegun now; an older program names none. A node that reaches a target which another one could not connect to still tries it.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -145,6 +145,9 @@
     TargetRests as TargetRests,
     TargetRestSettings as TargetRestSettings,
 )
+from dandelionyoke_dispatch._tried_targets import (
+    TriedTargets as TriedTargets,
+)
 from dandelionyoke_dispatch._usage import (
     ProcessCounts as ProcessCounts,
     TrueTime as TrueTime,
--- a/packages/dispatch/dandelionyoke_dispatch/_attempts.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_attempts.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from dandelionyoke_dispatch._tried_targets import TriedTargets
+
 
 @enum.unique
 class Outcome(enum.Enum):
@@ -27,6 +29,7 @@
     max_attempts: int
     _outcomes: list[Outcome] = attrs.field(factory=list)
     targets: list[str] = attrs.field(factory=list)
+    tried: TriedTargets = attrs.field(factory=TriedTargets)
     # Whether the call, or a prefill for it, was sent to a target by this node
     # or by another one that has reported it.
     _is_sent: bool = False
--- a/packages/gateway/dandelionyoke_gateway/_call_context.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_context.py
@@ -9,6 +9,7 @@
     Route,
     Service,
     Shutdown,
+    TriedTargets,
     fingerprint,
 )
 from dandelionyoke_gateway._caller_connection import CallerRequest, Responder
@@ -54,6 +55,11 @@
             return self.own_deadline_s
         return min(self.own_deadline_s, shutdown_deadline_s)
 
+    @property
+    def tried(self) -> TriedTargets:
+        """The targets that the call should not be sent to again."""
+        return self.attempts.tried
+
     @property
     def fingerprint(self) -> str:
         """A hash that the call and its repetitions have in common."""
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -450,6 +450,7 @@
                 not attempts.may_have_run and refusal.cause in INSTANCE_CAUSES,
                 attempts.is_sent,
                 attempts.is_prefill_sent,
+                tuple(sorted(attempts.tried.refusing_ids)),
             ),
         )
 
@@ -476,4 +477,5 @@
         is_sent=handed_over.is_sent,
         is_prefill_sent=handed_over.is_prefill_sent,
     )
+    attempts.tried.add_refusing(handed_over.refusing_ids)
     return attempts
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -46,7 +46,8 @@
     target before. The KV cache of its prompt, if any, is at the engine
     `cache_target_id`; the other node releases it. The call came at
     `received_s`. `terms` were granted to it, None from an older program. Its
-    stream goes on at targets of `version` only; None: at any.
+    stream goes on at targets of `version` only; None: at any. The targets
+    `refusing_ids` did not run it.
     """
 
     peer_id: str
@@ -61,6 +62,7 @@
     received_s: float
     terms: CallTerms | None
     version: str | None = None
+    refusing_ids: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -82,13 +84,14 @@
 
     `is_elsewhere` means that another node may still serve it. `is_sent` and
     `is_prefill_sent` tell whether the call, or a prefill for it, was sent to a
-    target.
+    target. The targets `refusing_ids` did not run it.
     """
 
     may_have_run: bool
     is_elsewhere: bool
     is_sent: bool
     is_prefill_sent: bool
+    refusing_ids: tuple[str, ...] = ()
 
 
 class Responder(Protocol):
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -238,6 +238,7 @@
         context.attempts.handover_reported(
             is_sent=begun.is_sent, is_prefill_sent=begun.is_prefill_sent
         )
+        context.tried.add_refusing(begun.refusing_ids)
         self._log.decide(
             'call.handed',
             context.call.attempt_id,
@@ -333,6 +334,7 @@
         '' if cache is None else cache.handle,
         terms_of(context),
         context.version,
+        tuple(sorted(context.tried.refusing_ids)),
     )
 
 
--- a/packages/gateway/dandelionyoke_gateway/_handover_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_messages.py
@@ -55,7 +55,7 @@
     the call, or a prefill for it, was sent to a target before. The KV cache
     of its prompt, if any, is at the engine `cache_target_id`. An older
     program sends no `terms`. Its stream goes on at targets of `version` only;
-    None: at any.
+    None: at any. The targets `refusing_ids` did not run it.
     """
 
     method: str
@@ -72,6 +72,7 @@
     cache_handle: str = ''
     terms: CallTerms | None = None
     version: str | None = None
+    refusing_ids: tuple[str, ...] = ()
 
     @property
     def is_valid(self) -> bool:
@@ -100,7 +101,8 @@
     call, or a prefill for it, to a target. The target `leaving_id`, if any,
     which has started at `leaving_started_ms`, said in its answer that it
     leaves. All events of a stream come from targets of `version`; nodes of
-    earlier versions name none.
+    earlier versions name none. The targets `refusing_ids` did not run the
+    call.
     """
 
     status: int
@@ -113,3 +115,4 @@
     leaving_id: str = ''
     leaving_started_ms: int | None = None
     version: str | None = None
+    refusing_ids: tuple[str, ...] = ()
--- a/packages/gateway/dandelionyoke_gateway/_handover_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_server.py
@@ -56,6 +56,7 @@
             is_elsewhere=verdict.is_elsewhere,
             is_sent=verdict.is_sent,
             is_prefill_sent=verdict.is_prefill_sent,
+            refusing_ids=verdict.refusing_ids,
         )
         self._begin(begun)
         self._write_body(body)
@@ -175,6 +176,7 @@
             received_s,
             call.terms,
             call.version,
+            call.refusing_ids,
         ),
     )
 
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -66,7 +66,6 @@
         self._knowledge = deps.knowledge
         self._context = context
         self._retries = RetryAccount(deps, context)
-        self._tried_ids: set[str] = set()
         self._cause = Cause.NO_TARGET
         # The number of the last attempt at a target.
         self._attempt = -1
@@ -219,7 +218,7 @@
         context = self._context
         while clock_s() < context.deadline_s:
             target = self._knowledge.placement.choose_plain_target(
-                context.service.name, self._tried_ids, clock_s()
+                context.service.name, context.tried.ids, clock_s()
             )
             if target is None:
                 return None
@@ -233,7 +232,7 @@
 
     def _send_to(self, target: RegisteredTarget) -> BufferedResponse | None:
         """Send the call to one target; None to go on with the next target."""
-        self._tried_ids.add(target.target_id)
+        self._context.tried.ids.add(target.target_id)
         self._knowledge.loads.call_started(target.target_id)
         try:
             response = self._exchange(target)
@@ -290,6 +289,7 @@
         self._log_response(target, facts)
         if facts.is_not_run:
             self._context.attempts.refused(self._attempt)
+            self._context.tried.add_refusing([target.target_id])
             record_refusal(self._deps, target, facts)
             self._cause = Cause.NO_RETRY
             return None
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -248,7 +248,7 @@
         finally:
             loads.call_ended(target.target_id)
         if handle is None:
-            self._state.record_refusal(target)
+            self._context.tried.add_refusing([target.target_id])
             self._state.log_decision('prompt.refused', target)
             raise RetryableError(Cause.NO_RETRY)
         loads.succeeded(target.target_id)
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -105,7 +105,7 @@
         except RefusedError:
             if not self._may_wait():
                 raise
-        self._state.forget_refusals()
+        self._context.tried.forget_refusals()
         eventlet.sleep(RESUME_INTERVAL_S)
         return False
 
--- a/packages/gateway/dandelionyoke_gateway/_stream_call_state.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call_state.py
@@ -26,25 +26,12 @@
         self.deps = deps
         self.context = context
         self.retries = RetryAccount(deps, context)
-        self.tried_ids: set[str] = set()
-        # Those of them that said that they did not run the call.
-        self._refusing_ids: set[str] = set()
         self.last_event_id = context.call.last_event_id
 
-    def record_refusal(self, target: RegisteredTarget) -> None:
-        """Avoid a target that did not run the call."""
-        self.tried_ids.add(target.target_id)
-        self._refusing_ids.add(target.target_id)
-
-    def has_failed(self, target: RegisteredTarget) -> bool:
-        """Whether a try at a target failed otherwise than by a refusal."""
-        failed_ids = self.tried_ids - self._refusing_ids
-        return target.target_id in failed_ids
-
-    def forget_refusals(self) -> None:
-        """Try targets again that did not run the call before."""
-        self.tried_ids -= self._refusing_ids
-        self._refusing_ids.clear()
+    @property
+    def tried_ids(self) -> set[str]:
+        """The targets that were tried."""
+        return self.context.tried.ids
 
     def record_failed_send(
         self, target: RegisteredTarget, error: ExchangeError
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -122,7 +122,7 @@
         )
         return any(
             target.version == self._context.version
-            and not self.state.has_failed(target)
+            and not self._context.tried.has_failed(target.target_id)
             for target in targets
         )
 
@@ -298,7 +298,7 @@
         attempt: int,
     ) -> None:
         self._context.attempts.refused(attempt)
-        self.state.record_refusal(target)
+        self._context.tried.add_refusing([target.target_id])
         record_refusal(self._deps, target, facts)
         self.state.log_decision('stream.refused', target, status=facts.status)
         connection.read_body(self._context.deadline_s, MAX_ERROR_BODY_BYTES)
