Check in the soak that each repeat was charged

The soak counted the repeats of a service in ten seconds, which hides a few that nobody charged. It now reads what the nodes charged from their logs and compares it for each attempt.

--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -4,6 +4,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
+from tests.soak.charges import check_charges
 from tests.soak.events import EVENTS_PER_STREAM, event_versions, stream_event
 from tests.soak.losses import check_losses
 from tests.soak.notices import check_notices, check_retries
@@ -62,6 +63,7 @@
     violations.extend(_check_reach(record))
     violations.extend(check_notices(record))
     violations.extend(check_retries(record))
+    violations.extend(check_charges(record))
     violations.extend(check_losses(record))
     violations.extend(check_paced(record))
     violations.extend(check_versions(record))
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -1,5 +1,7 @@
 """What callers, targets and the platform observed during a soak."""
 
+from collections import Counter
+
 import attrs
 
 CONFIRM = '/confirm/'
@@ -190,6 +192,9 @@
     arrivals: list[Arrival] = attrs.field(factory=list)
     limits: list[NamedLimit] = attrs.field(factory=list)
     rests: list[RestAsked] = attrs.field(factory=list)
+    # The repeats that the nodes charged, by attempt, as their logs say.
+    charges: Counter[str] = attrs.field(factory=Counter)
+    left_out_lines: int = 0
     leavings: list[LeavingTold] = attrs.field(factory=list)
     planned: list[PlannedWork] = attrs.field(factory=list)
     # Attempts whose answer a target broke off or damaged.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,6 +21,7 @@
 from tests.platform.program import Ports, Program, free_port
 from tests.platform.store_standin import StoreStandin
 from tests.soak.callers import Caller, Surroundings
+from tests.soak.charges import read_charges
 from tests.soak.configuration import SoakConfiguration
 from tests.soak.events import VERSIONS
 from tests.soak.faults import Fault, plan_faults, planned_start_s
@@ -108,6 +109,7 @@
         finally:
             self._shut_down()
         self._record_usage()
+        read_charges(self._folder, self._record)
         served_calls = sum(
             call.status == 200 and call.is_complete
             for call in self._record.calls
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -289,6 +289,21 @@
                 record.arrivals.append(
                     Arrival('i-2', 109.99, attempt_id, 'ledger')
                 )
+            record.charges.update(
+                {f'n-1.{number}': 1 for number in range(repeats)}
+            )
+            found = {text.split(' ')[0] for text in find_violations(record)}
+            self.assertEqual(rules, found)
+
+    def test_a_repeat_that_no_node_charged_is_found(self) -> None:
+        """Guards against tries of a call that take their sends for the first."""
+        for charged, rules in ((2, set()), (1, {'UNCHARGED'})):
+            record = self.record(110.0)
+            for is_free in (True, True, False):
+                record.arrivals.append(
+                    Arrival('i-2', 105.0, 'n-1.0', 'ledger', is_free=is_free)
+                )
+            record.charges['n-1.0'] = charged
             found = {text.split(' ')[0] for text in find_violations(record)}
             self.assertEqual(rules, found)
 
