List a stream that two nodes send to more engines than it may run at

The number of attempts that are left is looked at as a call is handed over and relied on by both nodes, the same class of fault as the uncharged repeats.

--- a/tests/platform/test_retry_budget.py
+++ b/tests/platform/test_retry_budget.py
@@ -43,6 +43,8 @@
 # Another node that is silent for 1.6 s is not the only one with the call.
 BOTH_TRY_S = 2.0
 BEGIN_S = 0.3
+# Past the time limit of the call.
+STAYS_SILENT_S = 4.0
 PROMPT_HEADERS = (
     'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: aa:500,bb:400\r\n'
 )
@@ -360,6 +362,18 @@
         self.assertEqual(200, status(content))
         self.assert_all_charged(1)
 
+    def test_two_nodes_with_a_call_keep_its_number_of_attempts(self) -> None:
+        """Guards against a stream that runs at more engines than it may."""
+
+        def stays_silent(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield STAYS_SILENT_S
+
+        engines = self.add_targets(4, stays_silent, phase=Phase.DECODE)
+        self.cut_off(self.nodes[0], 'lm')
+        self.nodes[0].call('/resume/1')
+        sends = sum(len(engine.received_requests) for engine in engines)
+        self.assertLessEqual(sends, 2)
+
     def call_with_late_prefills(self) -> int:
         """Call the first node; prefills are placed when two others wait.
 
