Keep the number of targets at which a call may run with two nodes

A stream that may run at two engines was sent to three: the node that got it first had been granted both, and tried a second engine beside a silent one; the node that was tried beside it was granted one more. Now a node is granted all that is left but one, and what it was granted counts as run until it reports.

--- a/packages/dispatch/dandelionyoke_dispatch/_attempts.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_attempts.py
@@ -28,6 +28,8 @@
 
     max_attempts: int
     _outcomes: list[Outcome] = attrs.field(factory=list)
+    # At how many targets each attempt may run the call.
+    _weights: list[int] = attrs.field(factory=list)
     targets: list[str] = attrs.field(factory=list)
     tried: TriedTargets = attrs.field(factory=TriedTargets)
     # Whether the call, or a prefill for it, was sent to a target by this node
@@ -55,16 +57,17 @@
         Returns its number, with which its outcome is recorded.
         """
         self._is_sent = True
-        return self._begin(target_id)
+        return self._begin(target_id, 1)
 
-    def handed(self, name: str) -> int:
+    def handed(self, name: str, granted: int = 1) -> int:
         """Record an attempt at another node, which may not send the call.
 
-        Until `handover_reported`, the node may send it at any moment. Returns
-        its number, with which its outcome is recorded.
+        It may run it at `granted` targets. Until `handover_reported`, it may
+        send it at any moment. Returns its number, with which its outcome is
+        recorded.
         """
         self._unreported_count += 1
-        return self._begin(name)
+        return self._begin(name, granted)
 
     def handover_reported(
         self, *, is_sent: bool, is_prefill_sent: bool
@@ -103,8 +106,22 @@
 
     @property
     def run_count(self) -> int:
-        """The number of attempts that may have run."""
-        return sum(outcome is not Outcome.NOT_RUN for outcome in self._outcomes)
+        """The number of targets that may have run the call."""
+        return sum(
+            weight
+            for weight, outcome in zip(
+                self._weights, self._outcomes, strict=True
+            )
+            if outcome is not Outcome.NOT_RUN
+        )
+
+    @property
+    def handover_grant(self) -> int:
+        """At how many targets the next node may run the call.
+
+        One is kept for a node that is tried beside it, if there are more.
+        """
+        return max(1, self.max_attempts - self.run_count - 1)
 
     def may_run_again(self, is_repeatable: bool) -> bool:
         """Whether the call may be sent to another target."""
@@ -112,7 +129,8 @@
             return True
         return is_repeatable and self.run_count < self.max_attempts
 
-    def _begin(self, name: str) -> int:
+    def _begin(self, name: str, weight: int) -> int:
         self.targets.append(name)
+        self._weights.append(weight)
         self._outcomes.append(Outcome.UNKNOWN)
         return len(self._outcomes) - 1
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -226,7 +226,7 @@
 
         Returns None if the node cannot serve it and another one may.
         """
-        attempt = context.attempts.handed(channel.peer_id)
+        attempt = context.attempts.handed(channel.peer_id, call.attempts_left)
         try:
             begun = _exchange_heads(context, channel, call, watch)
         except BaseException:
@@ -318,13 +318,12 @@
     context: CallContext, last_event_id: str | None, cache: CacheSource | None
 ) -> CallHanded:
     request, attempts = context.request, context.attempts
-    attempts_left = context.route.max_attempts - attempts.run_count
     return CallHanded(
         request.head.method,
         request.head.target,
         request.head.headers,
         clock_s() - request.arrived_s,
-        max(1, attempts_left),
+        attempts.handover_grant,
         context.is_usage_counted,
         last_event_id,
         context.service.name,
--- a/tests/dispatch/test_attempts.py
+++ b/tests/dispatch/test_attempts.py
@@ -72,3 +72,11 @@
         attempts.handed('n-3')
         attempts.handover_reported(is_sent=False, is_prefill_sent=False)
         self.assertTrue(attempts.is_sent)
+
+    def test_a_node_gets_all_attempts_but_one(self) -> None:
+        """Guards against a call that runs at more targets than it may."""
+        for max_attempts, granted, left in ((1, 1, 0), (2, 1, 1), (4, 3, 1)):
+            attempts = Attempts(max_attempts)
+            self.assertEqual(granted, attempts.handover_grant)
+            attempts.handed('n-2', attempts.handover_grant)
+            self.assertEqual(left, max_attempts - attempts.run_count)
