--- /dev/null
+++ b/tests/platform/test_crashing_parts.py
@@ -0,0 +1,90 @@
+"""Calls with a part in their prompts that crashes engines."""
+
+from collections.abc import Iterator
+
+import testtools
+
+from dandelionyoke_dispatch import Phase
+from tests.platform.node_harness import (
+    NodeHarness,
+    ReceivedRequest,
+    ScriptedTarget,
+    ScriptStep,
+    chunk,
+)
+from tests.platform.scripts import status
+
+ENGINE_COUNT = 14
+# More engines than this must not crash under one part, and more requests than
+# that must not reach engines afterwards.
+MAX_CRASHES = 5
+MAX_LATE_REQUESTS = 3
+CRASHING_PART = 'dead'
+
+
+def prompt_headers(*parts: str) -> str:
+    text = ','.join(f'{part}:300' for part in parts)
+    return f'Model: m\r\nToken-Count: 900,20\r\nPrompt-Prefix: {text}\r\n'
+
+
+class CrashingPartTest(testtools.TestCase):
+    """A node whose engines crash as they begin to answer on one part."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = NodeHarness()
+        self.addCleanup(self.node.close)
+        self.engines: list[ScriptedTarget] = []
+        for _ in range(ENGINE_COUNT):
+            engine = self.node.add_target(self.run_call, 'lm', Phase.DECODE)
+            self.engines.append(engine)
+        self.crashes = 0
+        self.late_requests = 0
+
+    def run_call(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        is_crashing = CRASHING_PART in request.headers['prompt-prefix']
+        if is_crashing and self.crashes >= MAX_CRASHES:
+            self.late_requests += 1
+        attempt_id = request.headers['attempt-id']
+        yield (
+            'HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n'
+            f'Attempt-Id: {attempt_id}\r\n'
+            'Content-Type: text/event-stream\r\n'
+            'Transfer-Encoding: chunked\r\n\r\n'
+        ).encode()
+        if is_crashing:
+            self.crashes += 1
+            yield None
+        yield chunk(b'id: 1\ndata: t\n\n') + chunk(b'')
+
+    def ask(self, number: int, *parts: str) -> int:
+        """Call with a prompt of these parts and one of its own."""
+        content = self.node.call(
+            f'/ask/{number}',
+            extra=prompt_headers(*parts, f'own{number}'),
+            attempt_id=f'a{number}',
+        )
+        return status(content)
+
+    def test_a_part_that_crashed_engines_reaches_no_more(self) -> None:
+        """Guards against calls that are all different and crash all engines."""
+        for number in range(20):
+            self.ask(number, 'first', CRASHING_PART)
+        self.assertLessEqual(self.crashes, MAX_CRASHES)
+        self.assertLessEqual(self.late_requests, MAX_LATE_REQUESTS)
+
+    def test_a_refused_part_is_refused_as_not_run(self) -> None:
+        """Guards against callers that wait for what can't be served."""
+        for number in range(8):
+            self.ask(number, 'first', CRASHING_PART)
+        self.assertEqual(503, self.ask(9, 'first', CRASHING_PART))
+        self.assertEqual(503, self.ask(10, 'second', CRASHING_PART))
+
+    def test_sound_calls_with_the_same_first_part_are_served(self) -> None:
+        """Guards against a part that is refused as it was beside another."""
+        statuses = []
+        for number in range(20):
+            self.ask(number, 'first', CRASHING_PART)
+            statuses.append(self.ask(100 + number, 'first', 'sound'))
+        self.assertEqual([200] * 20, statuses)
+        self.assertLessEqual(self.crashes, MAX_CRASHES)
