Refuse calls by a part of their prompts that crashes engines

Cause: CrashGuard counted crashes by a hash of organisation, path and body. Class: a limit whose key is finer than the cause it is to bound.

Change: a call stands for its fingerprint and for the parts of its prompt but the last. A crash names the keys of all calls that broke off with the engine before or just after their answer began; an answer that begins well takes back the crashes before it. A key without answers is blamed after three engines, one with answers after five in two rounds, the least proven key first, and its crashes count for no other key then. One record for each node and crash, told at once by the news; a quarantine of a minute, then one trial of one node. Calls under suspicion are not sent again.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -27,11 +27,21 @@
     CountsSender as CountsSender,
 )
 from dandelionyoke_dispatch._crash_guard import (
+    BlamedKey as BlamedKey,
     CrashGuard as CrashGuard,
-    CrashNote as CrashNote,
+    CrashReport as CrashReport,
     CrashSettings as CrashSettings,
+    KeyAnswer as KeyAnswer,
+)
+from dandelionyoke_dispatch._crash_keys import (
+    CrashKeys as CrashKeys,
+    crash_keys as crash_keys,
     fingerprint as fingerprint,
 )
+from dandelionyoke_dispatch._crash_quarantine import (
+    CrashVerdict as CrashVerdict,
+    QuarantineSettings as QuarantineSettings,
+)
 from dandelionyoke_dispatch._engine_plan import (
     EnginePlan as EnginePlan,
     EnginePlanSettings as EnginePlanSettings,
--- a/packages/gateway/dandelionyoke_gateway/_begun_stream.py
+++ b/packages/gateway/dandelionyoke_gateway/_begun_stream.py
@@ -28,6 +28,8 @@
     attempt: int
     exchange: ExitStack
     target: RegisteredTarget | None = None
+    # Whether its answer counts as begun well.
+    is_settled: bool = False
 
     @property
     def version(self) -> str | None:
--- a/packages/gateway/dandelionyoke_gateway/_call_context.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_context.py
@@ -5,12 +5,12 @@
 from dandelionyoke_dispatch import (
     Attempts,
     Call,
+    CrashKeys,
     Organisation,
     Route,
     Service,
     Shutdown,
     TriedTargets,
-    fingerprint,
 )
 from dandelionyoke_gateway._caller_connection import CallerRequest, Responder
 
@@ -28,6 +28,7 @@
     own_deadline_s: float
     attempts: Attempts
     shutdown: Shutdown
+    crash_keys: CrashKeys
     is_usage_counted: bool = False
     # How old the proof was that the configuration that accepted the key was
     # the newest.
@@ -42,6 +43,10 @@
     version: str | None = None
     # Whether an event was passed on.
     has_events: bool = False
+    # Whether it is sent to learn whether it crashes targets.
+    is_trial: bool = False
+    # When the answer of a target began, by target.
+    begun_s: dict[str, float] = attrs.field(factory=dict)
 
     @property
     def deadline_s(self) -> float:
@@ -60,12 +65,18 @@
         """The targets that the call should not be sent to again."""
         return self.attempts.tried
 
-    @property
-    def fingerprint(self) -> str:
-        """A hash that the call and its repetitions have in common."""
-        return fingerprint(
-            self.organisation_name, self.call.path, self.request.body
-        )
+    def suspect_keys(
+        self, target_id: str, settled_s: float, now_s: float
+    ) -> tuple[str, ...]:
+        """Return the keys that may have crashed a target.
+
+        The parts of the prompt crash it as the answer begins, so that they
+        are not suspect once it has been written for `settled_s`.
+        """
+        begun_s = self.begun_s.get(target_id, now_s)
+        if now_s - begun_s >= settled_s:
+            return (self.crash_keys.fingerprint,)
+        return self.crash_keys.all
 
     @property
     def organisation_name(self) -> str | None:
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -21,6 +21,7 @@
     RegisteredTarget,
     Route,
     Service,
+    crash_keys,
 )
 from dandelionyoke_gateway._call_context import CallContext
 from dandelionyoke_gateway._caller_connection import (
@@ -30,6 +31,7 @@
     Verdict,
 )
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._crash_task import CrashReports
 from dandelionyoke_gateway._errors import CallerDisconnectedError
 from dandelionyoke_gateway._handed_terms import (
     organisation_of,
@@ -66,9 +68,7 @@
     prefill_queue: PrefillQueue
     rate_limits: RateLimits
     log: DecisionLog
-    # Reports that a target broke a call off. Takes the fingerprint of the
-    # call, and the id and the address of the target.
-    probe: Callable[[str, str, str], None]
+    crash_reports: CrashReports
     target_gate: TargetGate
     reach: ReachTask
     handover: Handover
@@ -135,6 +135,30 @@
     return Refusal(Cause.TARGETS_RESTING, retry_after_s)
 
 
+def check_crashes(deps: CallDependencies, context: CallContext) -> None:
+    """Check that a call is not known to crash targets; call before each send.
+
+    Raises:
+        RefusedError: it is, or may have crashed one and is suspected.
+    """
+    knowledge, now_s = deps.knowledge, clock_s()
+    may_have_run = context.attempts.may_have_run
+    refused_s: float | None = None
+    if not context.is_trial:
+        verdict = knowledge.crashes.admit(
+            context.crash_keys, now_s, knowledge.tries_key
+        )
+        context.is_trial = verdict.is_trial
+        refused_s = verdict.refused_s
+    elif may_have_run:
+        refused_s = DEFAULT_RETRY_AFTER_S
+    if refused_s is None and may_have_run:
+        if not knowledge.crashes.may_repeat(context.crash_keys, now_s):
+            refused_s = DEFAULT_RETRY_AFTER_S
+    if refused_s is not None:
+        raise RefusedError(Refusal(Cause.QUARANTINED, refused_s))
+
+
 @attrs.frozen
 class _Admission:
     """What a configuration grants a call."""
@@ -263,6 +287,8 @@
         if handed_over is not None:
             attempts = _attempts_left(admission.route, handed_over)
             is_usage_counted = handed_over.is_usage_counted
+        organisation = admission.organisation
+        organisation_name = None if organisation is None else organisation.name
         return CallContext(
             call,
             request,
@@ -273,6 +299,12 @@
             admission.deadline_s,
             attempts,
             self._deps.knowledge.shutdown,
+            crash_keys(
+                call,
+                organisation_name,
+                admission.service.name,
+                request.body,
+            ),
             is_usage_counted,
             admission.key_age_s,
         )
@@ -355,10 +387,7 @@
             self._deps.knowledge.budget.add_call(
                 context.service.name, clock_s()
             )
-        crashes = self._deps.knowledge.crashes
-        if crashes.refuses(context.fingerprint, clock_s()):
-            refusal = Refusal(Cause.QUARANTINED, crashes.retry_after_s)
-            raise RefusedError(refusal)
+        check_crashes(self._deps, context)
         self._check_handed(context)
         charge = self._charge(context)
         try:
--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -1,11 +1,23 @@
-"""Shares with other nodes which calls were running when a target crashed."""
+"""Shares with other nodes which calls broke off when a target crashed."""
+
+import itertools
+from typing import Protocol
 
 import eventlet
 
 from dandelionyoke_core import (
     BackOff,
     BackOffSettings,
+    CodecError,
     StoreListing,
+    record_from_json,
+    record_to_json,
+)
+from dandelionyoke_dispatch import (
+    BlamedKey,
+    CrashKeys,
+    CrashReport,
+    RegisteredTarget,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError
@@ -24,6 +36,22 @@
 # A live target accepts a connection at once.
 PROBE_TIMEOUT_S = 0.5
 PROBED_OTHERS = 2
+# All calls of a target that crashes break off within this time.
+GATHER_S = 0.05
+# Keeps a record within the size that the store takes.
+MAX_REPORT_KEYS = 256
+
+
+class CrashReports(Protocol):
+    """Takes what calls show of the crashes of targets."""
+
+    def broke_off(
+        self, target: RegisteredTarget, keys: tuple[str, ...]
+    ) -> None:
+        """Report that a target broke off a call with these keys."""
+
+    def answered(self, keys: CrashKeys, begun_s: float) -> None:
+        """Report that an answer to a call began well."""
 
 
 class CrashTask:
@@ -40,6 +68,9 @@
             CRASHES_PREFIX,
             BackOff(BackOffSettings(), knowledge.random),
         )
+        # The keys of the calls that broke off, by target, until it is probed.
+        self._broken: dict[str, list[str]] = {}
+        self._report_numbers = itertools.count(1)
 
     def run(self) -> None:
         """Follow crashes until the process exits."""
@@ -51,35 +82,55 @@
                 continue
             answer = self._watcher.poll(WATCH_DURATION_S)
             if isinstance(answer, StoreListing):
-                self._record_crashes(answer)
+                self._take_records(answer)
             else:
                 self._watcher.back_off()
 
-    def probe(self, fingerprint: str, target_id: str, address: str) -> None:
-        """Probe a target that aborted a call; publish a crash if it is dead."""
-        eventlet.spawn_n(self._probe_target, fingerprint, target_id, address)
-
-    def _probe_target(
-        self, fingerprint: str, target_id: str, address: str
+    def broke_off(
+        self, target: RegisteredTarget, keys: tuple[str, ...]
     ) -> None:
-        if not _accepts_connections(address) and self._reaches_others(
-            target_id
-        ):
-            self._publish_crash(fingerprint, target_id)
+        """Probe a target that broke off a call; report it if it is dead."""
+        broken = self._broken.get(target.target_id)
+        if broken is not None:
+            broken.extend(keys)
+            return
+        self._broken[target.target_id] = list(keys)
+        eventlet.spawn_n(self._probe_target, target)
+
+    def answered(self, keys: CrashKeys, begun_s: float) -> None:
+        """Take note of an answer; tell all nodes if it ends a quarantine."""
+        cleared = self._knowledge.crashes.record_answer(keys, begun_s)
+        if not cleared:
+            return
+        for key in cleared:
+            self._log.decide('key.cleared', key, outcome='served again')
+        self._publish('', cleared)
+
+    def _probe_target(self, target: RegisteredTarget) -> None:
+        eventlet.sleep(GATHER_S)
+        keys = self._broken.pop(target.target_id, [])
+        if not _accepts_connections(target.address):
+            if self._reaches_others(target):
+                self._log.decide(
+                    'target.died',
+                    target.target_id,
+                    outcome='calls suspected',
+                    keys=','.join(sorted(set(keys))[:MAX_REPORT_KEYS]),
+                )
+                self._publish(_start_name(target), keys[:MAX_REPORT_KEYS])
 
-    def _reaches_others(self, target_id: str) -> bool:
+    def _reaches_others(self, target: RegisteredTarget) -> bool:
         """Whether this node reaches another target of the same service.
 
         If it reaches none, its own network has failed and not the target.
         """
         registry = self._knowledge.registry
-        target = registry.find(target_id)
-        if target is None:
+        if registry.find(target.target_id) is None:
             return True
         others = [
             other
             for other in registry.of_service(target.service)
-            if other.target_id != target_id
+            if other.target_id != target.target_id
         ]
         count = min(len(others), PROBED_OTHERS)
         return any(
@@ -87,21 +138,63 @@
             for other in self._knowledge.random.sample(others, count)
         )
 
-    def _publish_crash(self, fingerprint: str, target_id: str) -> None:
-        self._knowledge.crashes.record_crash(fingerprint, target_id, clock_s())
-        self._log.decide(
-            'target.died', target_id, outcome='call suspected', call=fingerprint
+    def _publish(
+        self, target_name: str, keys: list[str] | tuple[str, ...]
+    ) -> None:
+        """Take a report, and write it for the other nodes."""
+        crashes, now_s = self._knowledge.crashes, clock_s()
+        reporter = (
+            f'{self._knowledge.process_name}.{next(self._report_numbers)}'
+        )
+        report = CrashReport(
+            target_name,
+            reporter,
+            0.0,
+            tuple(keys) if target_name else (),
+            crashes.answers_to(keys, now_s),
         )
-        self._records.write(f'{CRASHES_PREFIX}{fingerprint}/{target_id}', '', 0)
+        self._take(report)
+        key = f'{CRASHES_PREFIX}{target_name}/{reporter}'
+        self._records.write(key, record_to_json(report), 0)
 
-    def _record_crashes(self, listing: StoreListing) -> None:
+    def _take_records(self, listing: StoreListing) -> None:
         for item in listing.items:
-            path = item.key.removeprefix(CRASHES_PREFIX)
-            fingerprint, _, target_id = path.partition('/')
-            if item.value is not None and target_id:
-                self._knowledge.crashes.record_crash(
-                    fingerprint, target_id, clock_s()
+            if not item.value:
+                # Gone, or of an older program that names no keys.
+                continue
+            try:
+                report = record_from_json(item.value, CrashReport)
+            except CodecError as error:
+                self._log.decide(
+                    'crash.unreadable',
+                    item.key,
+                    outcome='left out',
+                    cause=str(error),
                 )
+                continue
+            self._take(report)
+
+    def _take(self, report: CrashReport) -> None:
+        blamed = self._knowledge.take_crash(report)
+        log_blamed(self._log, blamed)
+
+
+def log_blamed(log: DecisionLog, blamed: tuple[BlamedKey, ...]) -> None:
+    """Log which keys are refused from now on, and why."""
+    for key in blamed:
+        log.decide(
+            'key.blamed',
+            key.key,
+            outcome='refused',
+            targets=','.join(key.targets),
+        )
+
+
+def _start_name(target: RegisteredTarget) -> str:
+    """Name one start of a target, which may start again under its id."""
+    if target.started_ms is None:
+        return target.target_id
+    return f'{target.target_id}.{target.started_ms}'
 
 
 def _accepts_connections(address: str) -> bool:
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -9,10 +9,13 @@
 
 import attrs
 
+from dandelionyoke_core import rendezvous
 from dandelionyoke_dispatch import (
+    BlamedKey,
     CountsReceiver,
     CountsSender,
     CrashGuard,
+    CrashReport,
     CrashSettings,
     DemandSample,
     FleetConfiguration,
@@ -275,6 +278,33 @@
         for state in self._service_states.values():
             state.prompt_queue.forget(listed)
 
+    def take_crash(self, report: CrashReport) -> tuple[BlamedKey, ...]:
+        """Take a report of a crash and pass it on; return what is blamed."""
+        count = self.crashes.report_count
+        blamed = self.crashes.take_report(report, clock_s())
+        if self.crashes.report_count > count:
+            self.signal.notify()
+        return blamed
+
+    @property
+    def crash_mark(self) -> str:
+        """What this process knows of crashes, as a mark for other nodes."""
+        return f'{self.process_name}:{self.crashes.report_count}'
+
+    def crashes_since(self, mark: str | None) -> tuple[CrashReport, ...]:
+        """Return the reports of crashes after a mark; all if it is another's."""
+        process, _, count = (mark or '').rpartition(':')
+        is_own = process == self.process_name and count.isdigit()
+        return self.crashes.reports_since(
+            int(count) if is_own else 0, clock_s()
+        )
+
+    def tries_key(self, key: str) -> bool:
+        """Whether this node is the one that tries calls with a refused key."""
+        own_id = self.settings.instance_id
+        others = (member.instance_id for member in self.sources.others())
+        return rendezvous([own_id, *others], key, 1)[0] == own_id
+
     def take_node_count(self, count: int) -> None:
         """Set the number of nodes, including this one."""
         self.node_count = max(1, count)
--- a/packages/gateway/dandelionyoke_gateway/_news_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_messages.py
@@ -10,7 +10,7 @@
 from dandelionyoke_core import PeerMessage
 from dandelionyoke_dispatch import (
     CountsParcel,
-    CrashNote,
+    CrashReport,
     DemandSample,
     ListingChanges,
     ListingMark,
@@ -28,7 +28,8 @@
     configuration whatever its size; it is set by a node that failed to read
     it from the store. `member` is the requesting node's own entry, as the
     receiver may not have listed it yet. `limits_version` is that of the last
-    answer, None from a node that knows no limits of targets.
+    answer, None from a node that knows no limits of targets. `crash_mark` is
+    that of the last answer, None from a node that has had none.
     """
 
     number: int
@@ -41,6 +42,7 @@
     demand: DemandSample | None = None
     member: Member | None = None
     limits_version: int | None = None
+    crash_mark: str | None = None
 
 
 @attrs.frozen
@@ -70,13 +72,15 @@
     """Answer to a `NewsAsked`; fields that the sender lacks are None.
 
     `limits_version` changes with the limits of targets at the sender.
+    `crash_reports` are those after the mark of the request.
     """
 
     number: int
     configuration: ConfigurationNews | None = None
     targets: TargetNews | None = None
-    crashes: tuple[CrashNote, ...] = ()
     saved_parcel: int = 0
     demand: DemandSample | None = None
     limits: tuple[TargetLimitNote, ...] = ()
     limits_version: int = 0
+    crash_reports: tuple[CrashReport, ...] = ()
+    crash_mark: str | None = None
--- a/packages/gateway/dandelionyoke_gateway/_news_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_server.py
@@ -56,6 +56,8 @@
         limits_version = knowledge.target_limits.version
         if request.limits_version not in {None, limits_version}:
             return True
+        if request.crash_mark not in {None, knowledge.crash_mark}:
+            return True
         return request.mark != knowledge.listing.mark
 
     def _build_answer(self, request: NewsAsked, received_s: float) -> NewsTold:
@@ -64,11 +66,12 @@
             request.number,
             self._configuration_news(request, received_s),
             self._target_news(request, received_s),
-            knowledge.crashes.notes(clock_s()),
             knowledge.counts_receiver.saved(request.process),
             self._fleet_demand(),
             knowledge.target_limits.notes(clock_s()),
             knowledge.target_limits.version,
+            knowledge.crashes_since(request.crash_mark),
+            knowledge.crash_mark,
         )
 
     def _fleet_demand(self) -> DemandSample:
--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -22,6 +22,7 @@
 from dandelionyoke_gateway._answer_wait import AnswerWait
 from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
+from dandelionyoke_gateway._crash_task import log_blamed
 from dandelionyoke_gateway._knowledge import NEVER_S, Knowledge
 from dandelionyoke_gateway._late_answers import LateAnswers
 from dandelionyoke_gateway._log import DecisionLog
@@ -85,6 +86,7 @@
         self._request_number = 0
         self._mark: ListingMark | None = None
         self._limits_version = 0
+        self._crash_mark: str | None = None
         self._source_id = ''
         self._wants_configuration = False
         self._stale_since_s: float | None = None
@@ -182,6 +184,7 @@
             self._knowledge.own_demand(clock_s()),
             self._knowledge.own_member if is_first else None,
             self._limits_version,
+            self._crash_mark,
         )
         if not hub.send(peer_id, request):
             return Silence.NOT_SENT
@@ -235,9 +238,9 @@
             knowledge.demand.take_sum(
                 member.instance_id, answer.demand, clock_s()
             )
-        for note in answer.crashes:
-            seen_s = clock_s() - note.age_s
-            knowledge.crashes.record_crash(note.call, note.target_id, seen_s)
+        for report in answer.crash_reports:
+            log_blamed(self._log, knowledge.take_crash(report))
+        self._crash_mark = answer.crash_mark
         if answer.targets is not None:
             is_applied = self._registry.apply_peer_changes(
                 answer.targets.changes,
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -14,6 +14,7 @@
 from dandelionyoke_gateway._call_dispatcher import (
     CallDependencies,
     RefusedError,
+    check_crashes,
     limited_refusal,
 )
 from dandelionyoke_gateway._clock import clock_s, stalled_s
@@ -69,6 +70,7 @@
         self._cause = Cause.NO_TARGET
         # The number of the last attempt at a target.
         self._attempt = -1
+        self._sent_s = 0.0
         # A 5xx response of a target, used if no other target does better.
         self._error_response: BufferedResponse | None = None
         # A try at another node, made while this one reaches no target.
@@ -214,7 +216,12 @@
         return True
 
     def _choose_target(self) -> RegisteredTarget | None:
-        """Choose a target that takes a request now; None if there is none."""
+        """Choose a target that takes a request now; None if there is none.
+
+        Raises:
+            RefusedError: the call is known to crash targets.
+        """
+        check_crashes(self._deps, self._context)
         context = self._context
         while clock_s() < context.deadline_s:
             target = self._knowledge.placement.choose_plain_target(
@@ -269,6 +276,7 @@
         head = self._deps.dialect.call_head(context.request.head, forwarding)
         with self._deps.connect_to(target, self._watch) as connection:
             sent_s = clock_s()
+            self._sent_s = sent_s
             self._attempt = self._retries.call_sent(target.target_id)
             connection.send(head, context.request.body)
             response_head = connection.read_head(context.deadline_s)
@@ -296,6 +304,9 @@
         self._context.attempts.ran(self._attempt)
         if facts.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             loads.succeeded(target.target_id)
+            self._deps.crash_reports.answered(
+                self._context.crash_keys, self._sent_s
+            )
             return response
         loads.failed(target.target_id, clock_s())
         if facts.is_signed:
@@ -424,5 +435,8 @@
     if isinstance(error, ExchangeTimeoutError):
         return Cause.OUT_OF_TIME
     if error.sent:
-        deps.probe(context.fingerprint, target.target_id, target.address)
+        settled_s = deps.knowledge.crashes.settings.settled_s
+        deps.crash_reports.broke_off(
+            target, context.suspect_keys(target.target_id, settled_s, now_s)
+        )
     return Cause.BROKEN
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -130,7 +130,7 @@
                 self._links.prefill_queue,
                 self._links.sources.rate_limits,
                 self._log,
-                self._crash_task.probe,
+                self._crash_task,
                 self._links.sources.target_gate,
                 ReachTask(self._knowledge, self._log),
                 self._links.handover,
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -12,7 +12,10 @@
     Refusal,
     RegisteredTarget,
 )
-from dandelionyoke_gateway._call_dispatcher import RefusedError
+from dandelionyoke_gateway._call_dispatcher import (
+    RefusedError,
+    check_crashes,
+)
 from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._messages import RequestHead
@@ -231,6 +234,8 @@
 
     def _prefill_on(self, placement: PrefillPlacement) -> CacheSource:
         """Send the prefill request to an engine; this does not run the call."""
+        # It may have waited for its turn.
+        check_crashes(self._deps, self._context)
         target, source = placement.target, placement.source
         forwarding = attrs.evolve(
             self._state.new_forwarding(target),
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -102,8 +102,9 @@
         """Try once; wait if no target takes the rest of a begun stream now."""
         try:
             return self._try_once()
-        except RefusedError:
-            if not self._may_wait():
+        except RefusedError as error:
+            is_final = error.refusal.cause is Cause.QUARANTINED
+            if is_final or not self._may_wait():
                 raise
         self._context.tried.forget_refusals()
         eventlet.sleep(RESUME_INTERVAL_S)
@@ -288,11 +289,31 @@
                     is_elsewhere=stream.target is None,
                 )
                 self._forward_events(events)
+                self._report_answer(stream)
             deadline_s = self._context.deadline_s
         if not splitter.is_at_event_boundary:
             raise ExchangeError(
                 'the stream ended in the middle of an event', sent=True
             )
+        self._report_answer(stream, is_whole=True)
+
+    def _report_answer(
+        self, stream: BegunStream, *, is_whole: bool = False
+    ) -> None:
+        """Report once that an answer began well or has ended whole.
+
+        The node that sends the call to a target reports it.
+        """
+        if stream.target is None or stream.is_settled:
+            return
+        begun_s = self._context.begun_s.get(stream.target.target_id)
+        crashes = self._deps.knowledge.crashes
+        settled_s = crashes.settings.settled_s
+        if begun_s is None:
+            return
+        if is_whole or clock_s() - begun_s >= settled_s:
+            stream.is_settled = True
+            self._deps.crash_reports.answered(self._context.crash_keys, begun_s)
 
     def _forward_events(self, events: list[StreamEvent]) -> None:
         count_usage_once(self._deps, self._context, clock_s())
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -18,6 +18,7 @@
 from dandelionyoke_gateway._call_dispatcher import (
     CallDependencies,
     RefusedError,
+    check_crashes,
     limited_refusal,
 )
 from dandelionyoke_gateway._clock import clock_s
@@ -130,6 +131,7 @@
 
     def _begin_once(self, watch: SilenceWatch) -> BegunStream:
         handover, service = self._deps.handover, self._context.service.name
+        check_crashes(self._deps, self._context)
         # A prefill would be in vain, and its caller would wait for it.
         is_reached = not self._knowledge.placement.is_decode_unreachable(
             service, clock_s()
@@ -222,6 +224,8 @@
         self, target: RegisteredTarget, use: _PromptUse, watch: SilenceWatch
     ) -> BegunStream:
         check_identity(self.state, target)
+        # It may have waited for its prefill.
+        check_crashes(self._deps, self._context)
         self._deps.target_gate.enter(target, self._context.call.attempt_id)
         loads = self._knowledge.loads
         with ExitStack() as exchange:
@@ -249,6 +253,7 @@
         )
         attempt = self.state.retries.call_sent(target.target_id)
         use.is_spent = True
+        self._context.begun_s.pop(target.target_id, None)
         connection.send(head, self._context.request.body)
         response = self._read_head(target, connection, attempt, use)
         if response.status == HTTPStatus.OK:
@@ -306,6 +311,7 @@
     def _record_begin(
         self, target: RegisteredTarget, facts: ResponseFacts, sent_s: float
     ) -> None:
+        self._context.begun_s[target.target_id] = clock_s()
         since_arrival_s = clock_s() - self._context.request.arrived_s
         self._deps.log.observe('stream.begin', since_arrival_s)
         self._knowledge.service_state(
--- a/tests/gateway/test_news.py
+++ b/tests/gateway/test_news.py
@@ -22,6 +22,7 @@
 )
 from dandelionyoke_dispatch import (
     CountsParcel,
+    CrashReport,
     DemandSample,
     FleetDemandSettings,
     ListingChanges,
@@ -104,6 +105,21 @@
         self.assertLess(news.proven_after_s, -3.9)
         self.assertEqual(7, news.revision)
 
+    def test_a_crash_is_told_at_once(self) -> None:
+        """Guards against a node that sends crashing calls for a hold time."""
+        mark = self.ask().crash_mark
+        report = CrashReport('i-1', 'n-1.1', 0.0, ('a-part',))
+        eventlet.spawn_after(0.1, self.knowledge.take_crash, report)
+        asked_s = clock_s()
+        listing_mark = self.knowledge.listing.mark
+        answer = self.ask(5.0, crash_mark=mark, mark=listing_mark)
+        self.assertLess(clock_s() - asked_s, 1.0)
+        self.assertEqual(
+            ['i-1'], [told.target for told in answer.crash_reports]
+        )
+        again = self.ask(crash_mark=answer.crash_mark)
+        self.assertEqual((), again.crash_reports)
+
     def test_a_proof_of_another_revision_is_ignored(self) -> None:
         self.configurations.apply(configuration(), 7, 'store')
         self.assertFalse(self.configurations.confirm(8, clock_s()))
