--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -77,7 +77,8 @@
 UPTIME_S = 60.0
 
 ScriptStep = bytes | float | None
-# Bytes are sent, a float is a pause in seconds, None resets the connection.
+# Bytes are sent, empty ones close the connection in order, a float is a pause
+# in seconds, None resets the connection.
 Script = Callable[[ReceivedRequest], Iterable[ScriptStep]]
 
 
@@ -162,6 +163,8 @@
                     self.abandoned_count += 1
                     return False
                 continue
+            if not step:
+                return False
             sock.sendall(step)
         return True
 
