End a call at a target that sends interim responses without end

Callers waited until their time limit and got 504 while other targets were free: interim responses were skipped, as many as came. After sixteen the target counts as broken off now, so that the call goes on elsewhere and the target is suspect.

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -38,6 +38,8 @@
 
 READ_BYTES = 65536
 MAX_HEAD_BYTES = 65536
+# A target that sends more of them before its response never responds.
+MAX_INTERIM_RESPONSES = 16
 
 # A target closes idle connections after a timeout, which it may announce.
 # Without an announcement an idle connection is not reused after this time: a
@@ -121,7 +123,11 @@
             ExchangeError: the response was cut off or is not HTTP.
         """
         event = self._next_event(deadline_s)
+        interim_count = 0
         while isinstance(event, h11.InformationalResponse):
+            interim_count += 1
+            if interim_count > MAX_INTERIM_RESPONSES:
+                raise ExchangeError('too many interim responses', sent=True)
             event = self._next_event(deadline_s)
         if not isinstance(event, h11.Response):
             raise ExchangeError('the response has no head', sent=True)
