--- a/packages/dispatch/dandelionyoke_dispatch/_crash_quarantine.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_crash_quarantine.py
@@ -25,11 +25,13 @@
 class CrashVerdict:
     """Whether a call may be sent: for how long it is refused, None if not.
 
-    A trial is sent once, to learn whether it still crashes targets.
+    A trial is sent once, to learn whether it still crashes targets. `key` is
+    the one that it is refused or tried for.
     """
 
     refused_s: float | None = None
     is_trial: bool = False
+    key: str = ''
 
 
 @attrs.define
@@ -99,12 +101,12 @@
         if entry is None or now_s >= entry.forgotten_s:
             return CrashVerdict()
         if now_s < entry.until_s:
-            return CrashVerdict(entry.until_s - now_s)
+            return CrashVerdict(entry.until_s - now_s, key=key)
         trial_s = entry.trial_s
         is_trying = (
             trial_s is not None and now_s < trial_s + self._settings.trial_s
         )
         if is_trying or not may_try(key):
-            return CrashVerdict(self._settings.trial_poll_s)
+            return CrashVerdict(self._settings.trial_poll_s, key=key)
         entry.trial_s = now_s
-        return CrashVerdict(is_trial=True)
+        return CrashVerdict(is_trial=True, key=key)
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -141,24 +141,41 @@
     Raises:
         RefusedError: it is, or may have crashed one and is suspected.
     """
-    knowledge, now_s = deps.knowledge, clock_s()
-    may_have_run = context.attempts.may_have_run
-    refused_s: float | None = None
-    if not context.is_trial:
-        verdict = knowledge.crashes.admit(
-            context.crash_keys, now_s, knowledge.tries_key
-        )
-        context.is_trial = verdict.is_trial
-        refused_s = verdict.refused_s
-    elif may_have_run:
-        refused_s = DEFAULT_RETRY_AFTER_S
-    if refused_s is None and may_have_run:
-        if not knowledge.crashes.may_repeat(context.crash_keys, now_s):
-            refused_s = DEFAULT_RETRY_AFTER_S
+    refused_s = _admit_beside_crashes(deps, context)
     if refused_s is not None:
         raise RefusedError(Refusal(Cause.QUARANTINED, refused_s))
 
 
+def _admit_beside_crashes(
+    deps: CallDependencies, context: CallContext
+) -> float | None:
+    """Return for how long a call is refused; None if it may be sent."""
+    knowledge, now_s = deps.knowledge, clock_s()
+    crashes, may_have_run = knowledge.crashes, context.attempts.may_have_run
+    if context.is_trial:
+        return DEFAULT_RETRY_AFTER_S if may_have_run else None
+    verdict = crashes.admit(context.crash_keys, now_s, knowledge.tries_key)
+    context.is_trial = verdict.is_trial
+    if verdict.key:
+        deps.log.decide(
+            'call.quarantined',
+            context.call.attempt_id,
+            outcome='tried' if verdict.is_trial else 'refused',
+            key=verdict.key,
+            refused_s=verdict.refused_s,
+        )
+        return verdict.refused_s
+    if may_have_run and not crashes.may_repeat(context.crash_keys, now_s):
+        deps.log.decide(
+            'call.quarantined',
+            context.call.attempt_id,
+            outcome='not repeated',
+            key=','.join(context.crash_keys.all),
+        )
+        return DEFAULT_RETRY_AFTER_S
+    return None
+
+
 @attrs.frozen
 class _Admission:
     """What a configuration grants a call."""
