Take a crash back when the same start of the target answers after it

A target that begins an answer after its reported crash has not crashed: the node that gets the answer takes the crash back and tells the others, and a key with too few crashes left is served again.

A plain call that is not repeated for its crashes gets the answer of a target that is ready, as before this issue.

--- a/packages/dispatch/dandelionyoke_dispatch/_crash_guard.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_crash_guard.py
@@ -55,7 +55,8 @@
     """What a node knows of the crash of a target, and how long ago it was.
 
     `keys` are those of the calls that broke off, each as often as calls had
-    it. A report of answers alone names no target.
+    it. A report of answers alone names no target. The target `alive`, if any,
+    has answered after its crash was reported.
     """
 
     target: str
@@ -63,6 +64,7 @@
     age_s: float
     keys: tuple[str, ...] = ()
     answers: tuple[KeyAnswer, ...] = ()
+    alive: str = ''
 
 
 @attrs.frozen
@@ -128,6 +130,8 @@
         self._keep_report(report, reported_s, now_s)
         for answer in report.answers:
             self._take_answer(answer.key, now_s - answer.age_s)
+        if report.alive:
+            self.disprove_crash(report.alive, reported_s)
         if not report.target:
             return ()
         self._add_crash(report, reported_s)
@@ -139,6 +143,20 @@
         named = keys.all if self._crashes else keys.parts
         return tuple(key for key in named if self._take_answer(key, begun_s))
 
+    def disprove_crash(self, target: str, begun_s: float) -> bool:
+        """Take a crash back if an answer of the target began after it.
+
+        A path that is cut looks like a crash. Returns whether it did.
+        """
+        crash = self._crashes.get(target)
+        if crash is None or begun_s <= crash.crashed_s:
+            return False
+        self._crashes.pop(target)
+        for key in crash.calls:
+            if self._crash_count(key) < self.settings.crashes:
+                self._quarantine.lift(key)
+        return True
+
     def admit(
         self, keys: CrashKeys, now_s: float, may_try: Callable[[str], bool]
     ) -> CrashVerdict:
@@ -228,6 +246,9 @@
             self._answers_s.popitem(last=False)
         return self._quarantine.answered(key, begun_s)
 
+    def _crash_count(self, key: str) -> int:
+        return sum(key in crash.calls for crash in self._crashes.values())
+
     # Verdicts.
 
     def _extend(
--- a/packages/dispatch/dandelionyoke_dispatch/_crash_quarantine.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_crash_quarantine.py
@@ -90,6 +90,10 @@
         self._entries.pop(key)
         return True
 
+    def lift(self, key: str) -> None:
+        """End the quarantine of a key whose crashes were none."""
+        self._entries.pop(key, None)
+
     def admit(
         self, key: str, now_s: float, may_try: Callable[[str], bool]
     ) -> CrashVerdict:
--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -50,8 +50,10 @@
     ) -> None:
         """Report that a target broke off a call with these keys."""
 
-    def answered(self, keys: CrashKeys, begun_s: float) -> None:
-        """Report that an answer to a call began well."""
+    def answered(
+        self, target: RegisteredTarget, keys: CrashKeys, begun_s: float
+    ) -> None:
+        """Report that a target's answer to a call began well."""
 
 
 class CrashTask:
@@ -97,14 +99,19 @@
         self._broken[target.target_id] = list(keys)
         eventlet.spawn_n(self._probe_target, target)
 
-    def answered(self, keys: CrashKeys, begun_s: float) -> None:
-        """Take note of an answer; tell all nodes if it ends a quarantine."""
-        cleared = self._knowledge.crashes.record_answer(keys, begun_s)
-        if not cleared:
-            return
+    def answered(
+        self, target: RegisteredTarget, keys: CrashKeys, begun_s: float
+    ) -> None:
+        """Take note of an answer; tell all nodes what it disproves."""
+        crashes, target_name = self._knowledge.crashes, _start_name(target)
+        cleared = crashes.record_answer(keys, begun_s)
+        is_alive = crashes.disprove_crash(target_name, begun_s)
+        if is_alive:
+            self._log.decide('target.alive', target.target_id, outcome='told')
         for key in cleared:
             self._log.decide('key.cleared', key, outcome='served again')
-        self._publish('', cleared)
+        if is_alive or cleared:
+            self._publish('', cleared, target_name if is_alive else '')
 
     def _probe_target(self, target: RegisteredTarget) -> None:
         eventlet.sleep(GATHER_S)
@@ -139,7 +146,10 @@
         )
 
     def _publish(
-        self, target_name: str, keys: list[str] | tuple[str, ...]
+        self,
+        target_name: str,
+        keys: list[str] | tuple[str, ...],
+        alive: str = '',
     ) -> None:
         """Take a report, and write it for the other nodes."""
         crashes, now_s = self._knowledge.crashes, clock_s()
@@ -152,6 +162,7 @@
             0.0,
             tuple(keys) if target_name else (),
             crashes.answers_to(keys, now_s),
+            alive,
         )
         self._take(report)
         key = f'{CRASHES_PREFIX}{target_name}/{reporter}'
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -203,6 +203,12 @@
             return None
         if not context.attempts.may_run_again(context.route.is_repeatable):
             return None
+        try:
+            check_crashes(self._deps, context)
+        except RefusedError as error:
+            # A response that is ready still goes to the caller.
+            self._cause = error.refusal.cause
+            return None
         target = self._choose_target()
         return None if target is None or not self._may_send() else target
 
@@ -216,12 +222,7 @@
         return True
 
     def _choose_target(self) -> RegisteredTarget | None:
-        """Choose a target that takes a request now; None if there is none.
-
-        Raises:
-            RefusedError: the call is known to crash targets.
-        """
-        check_crashes(self._deps, self._context)
+        """Choose a target that takes a request now; None if there is none."""
         context = self._context
         while clock_s() < context.deadline_s:
             target = self._knowledge.placement.choose_plain_target(
@@ -305,7 +306,7 @@
         if facts.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             loads.succeeded(target.target_id)
             self._deps.crash_reports.answered(
-                self._context.crash_keys, self._sent_s
+                target, self._context.crash_keys, self._sent_s
             )
             return response
         loads.failed(target.target_id, clock_s())
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -313,7 +313,9 @@
             return
         if is_whole or clock_s() - begun_s >= settled_s:
             stream.is_settled = True
-            self._deps.crash_reports.answered(self._context.crash_keys, begun_s)
+            self._deps.crash_reports.answered(
+                stream.target, self._context.crash_keys, begun_s
+            )
 
     def _forward_events(self, events: list[StreamEvent]) -> None:
         count_usage_once(self._deps, self._context, clock_s())
--- a/tests/dispatch/test_crash_guard.py
+++ b/tests/dispatch/test_crash_guard.py
@@ -196,6 +196,39 @@
             self.assertFalse(self.is_sent(calls_with(part), 6))
 
 
+class DisprovedCrashTest(GuardTestCase):
+    """Targets that answer after a node has reported their crash."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        for number in range(3):
+            self.crash(number, calls_with('rare', number=number))
+        self.call = calls_with('rare', number=9)
+
+    def test_an_answer_of_a_target_disproves_its_crash(self) -> None:
+        """Guards against a path that is cut and taken for crashes."""
+        self.assertFalse(self.is_sent(self.call, 3))
+        self.assertTrue(self.guard.disprove_crash('i-2', 3.5))
+        self.assertTrue(self.is_sent(self.call, 4))
+
+    def test_an_answer_that_began_before_disproves_nothing(self) -> None:
+        """Guards against a late answer of a target that has crashed."""
+        self.assertFalse(self.guard.disprove_crash('i-2', 0.9))
+        self.assertFalse(self.guard.disprove_crash('i-9', 3.5))
+        self.assertFalse(self.is_sent(self.call, 4))
+
+    def test_other_crashes_go_on_to_count(self) -> None:
+        self.crash(3, calls_with('rare', number=4))
+        self.guard.disprove_crash('i-2', 3.5)
+        self.assertFalse(self.is_sent(self.call, 4))
+
+    def test_another_node_hears_of_it(self) -> None:
+        """Guards against a node that is cut off and blames sound calls."""
+        report = CrashReport('', 'n-2.1', 0.5, alive='i-2')
+        self.guard.take_report(report, 4)
+        self.assertTrue(self.is_sent(self.call, 4))
+
+
 class QuarantineTest(GuardTestCase):
     def setUp(self) -> None:
         super().setUp()
--- a/tests/gateway/test_crash_task.py
+++ b/tests/gateway/test_crash_task.py
@@ -120,10 +120,19 @@
             self.task._take_records(StoreListing(1, (item,)))
         self.assertEqual(0, self.knowledge.crashes.report_count)
 
+    def test_an_answer_of_a_target_is_told_to_all_nodes(self) -> None:
+        """Guards against a path that is cut and taken for crashes."""
+        self.crash_three_targets()
+        target = self.knowledge.registry.find('i-1')
+        self.task.answered(target, CrashKeys('another'), clock_s())
+        self.assertFalse(self.is_refused())
+        self.assertEqual(4, len(self.store.items))
+
     def test_an_answer_to_a_trial_is_told_to_all_nodes(self) -> None:
         """Guards against a part that stays refused at all nodes but one."""
         self.crash_three_targets()
-        self.task.answered(CALL, clock_s())
+        target = RegisteredTarget('i-9', 'lm', CLOSED_ADDRESS, 'a', 8, False)
+        self.task.answered(target, CALL, clock_s())
         self.assertFalse(self.is_refused())
         self.assertEqual(4, len(self.store.items))
 
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -388,7 +388,9 @@
             CrashReport(target.target_id, reporter, 0.0, keys, answers)
         )
 
-    def answered(self, keys: CrashKeys, begun_s: float) -> None:
+    def answered(
+        self, target: RegisteredTarget, keys: CrashKeys, begun_s: float
+    ) -> None:
         self.knowledge.crashes.record_answer(keys, begun_s)
 
     def _accept(self) -> None:
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from dandelionyoke_dispatch import Phase
+from dandelionyoke_dispatch import CrashReport, Phase, fingerprint
 from tests.platform.node_harness import (
     NodeHarness,
     ReceivedRequest,
@@ -13,7 +13,7 @@
     ScriptStep,
     chunk,
 )
-from tests.platform.scripts import status
+from tests.platform.scripts import answers_error, status
 
 ENGINE_COUNT = 14
 # More engines than this must not crash under one part, and more requests than
@@ -93,3 +93,19 @@
             statuses.append(self.ask(100 + number, 'first', 'sound'))
         self.assertEqual([200] * 20, statuses)
         self.assertLessEqual(self.crashes, MAX_CRASHES)
+
+
+class ReadyAnswerTest(testtools.TestCase):
+    def test_an_answer_that_is_ready_goes_to_the_caller(self) -> None:
+        """Guards against a refusal in place of an answer of a target."""
+        node = NodeHarness()
+        self.addCleanup(node.close)
+        for _ in range(2):
+            node.add_target(answers_error)
+        keys = (fingerprint('acme', '/look/1', b'body'),)
+        for target in ('i-8', 'i-9'):
+            node.knowledge.take_crash(CrashReport(target, 'n-2', 0.0, keys))
+        self.assertEqual(500, status(node.call('/look/1')))
+        # It is not sent to the other one.
+        sends = sum(len(target.received_requests) for target in node.targets)
+        self.assertEqual(1, sends)
