--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -63,6 +63,10 @@
     Freshness as Freshness,
     FreshnessSettings as FreshnessSettings,
 )
+from dandelionyoke_dispatch._load_report import (
+    LoadReport as LoadReport,
+    LoadReportError as LoadReportError,
+)
 from dandelionyoke_dispatch._overload import (
     OverloadDetector as OverloadDetector,
     OverloadSettings as OverloadSettings,
@@ -155,6 +159,10 @@
     TargetRests as TargetRests,
     TargetRestSettings as TargetRestSettings,
 )
+from dandelionyoke_dispatch._target_speed import (
+    TargetSpeeds as TargetSpeeds,
+    TargetSpeedSettings as TargetSpeedSettings,
+)
 from dandelionyoke_dispatch._tried_targets import (
     TriedTargets as TriedTargets,
 )
--- a/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
@@ -204,7 +204,9 @@
     def _send_end(
         self, pending: _PendingRequest, result: PrefillResult
     ) -> None:
-        message = PrefillEnded(pending.number, result.prefill_s)
+        message = PrefillEnded(
+            pending.number, result.prefill_s, result.is_slow_fetch
+        )
         self._source.send(pending.peer_id, message)
 
     def _handle_timeout(self, peer_id: InstanceId) -> None:
@@ -227,6 +229,10 @@
         request.deadline_s - now_s,
         tuple(sorted(request.avoid)),
         request.version or '',
+        request.organisation,
+        request.route,
+        request.call_key,
+        prompt.max_output_tokens,
     )
 
 
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -55,6 +55,8 @@
     TargetRegistry,
     TargetRests,
     TargetRestSettings,
+    TargetSpeeds,
+    TargetSpeedSettings,
     TrueTime,
     UsageCounter,
 )
@@ -119,6 +121,9 @@
     _limiters: Mapping[LimitScope, FleetLimiter]
     target_limits: TargetLimits
     rests: TargetRests
+    speeds: TargetSpeeds = attrs.field(
+        factory=lambda: TargetSpeeds(TargetSpeedSettings())
+    )
     reach: TargetReach = attrs.field(
         factory=lambda: TargetReach(TargetReachSettings())
     )
@@ -274,6 +279,7 @@
         self.loads.forget(usable)
         listed = frozenset(target.target_id for target in self.listing.targets)
         self.fetches.forget(listed)
+        self.speeds.forget(listed)
         self.rests.forget(self.listing.targets)
         for state in self._service_states.values():
             state.prompt_queue.forget(listed)
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -379,8 +379,7 @@
     deps.target_gate.observe(target, facts)
     is_leaving = facts.is_leaving and not facts.is_other_target
     context.responder.leaving = target if is_leaving else None
-    if facts.busy is not None:
-        knowledge.loads.reported(target.target_id, facts.busy, clock_s())
+    _apply_load(deps, target, facts)
     if facts.is_other_target:
         deps.log.decide(
             'target.replaced', target.target_id, outcome='left alone'
@@ -388,6 +387,25 @@
         knowledge.registry.mark_leaving(target.target_id, target.started_ms)
 
 
+def _apply_load(
+    deps: CallDependencies, target: RegisteredTarget, facts: ResponseFacts
+) -> None:
+    """Record the load that a target reported, unless another one answered."""
+    if facts.invalid_load:
+        deps.log.decide(
+            'target.load',
+            target.target_id,
+            outcome='left out',
+            cause=facts.invalid_load,
+        )
+    if facts.load is None or facts.is_other_target:
+        return
+    knowledge, now_s = deps.knowledge, clock_s()
+    knowledge.loads.reported(target.target_id, facts.load.busy, now_s)
+    if facts.load.slowness is not None:
+        knowledge.speeds.observe(target, facts.load.slowness, now_s)
+
+
 def record_refusal(
     deps: CallDependencies, target: RegisteredTarget, facts: ResponseFacts
 ) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -10,6 +10,7 @@
 from dandelionyoke_dispatch import (
     Call,
     FleetConfiguration,
+    LoadReport,
     Phase,
     RegisteredTarget,
     WindowCounts,
@@ -55,7 +56,8 @@
 
     `is_not_run` means that the target states that it did not run the call.
     `is_other_target` means that another target uses the address now.
-    `busy` is the load that the target reports. `limit_per_s` is the rate of
+    `load` is the load that the target reports; `invalid_load` is the text of
+    one that cannot be read, with the reason. `limit_per_s` is the rate of
     requests that it takes from all nodes together, None if it names none;
     `invalid_limit` is the text of a rate that is no number. `is_leaving` means
     that the target says it leaves. `rest_s` is the time for which it wants no
@@ -68,13 +70,19 @@
     is_signed: bool
     is_not_run: bool
     is_other_target: bool
-    busy: int | None
+    load: LoadReport | None = None
+    invalid_load: str = ''
     limit_per_s: float | None = None
     invalid_limit: str = ''
     is_leaving: bool = False
     rest_s: float | None = None
     invalid_rest: str = ''
 
+    @property
+    def busy(self) -> int | None:
+        """The calls at the target; None if it does not say."""
+        return None if self.load is None else self.load.busy
+
 
 @attrs.frozen
 class FencingStamp:
--- a/packages/gateway/dandelionyoke_gateway/_prefill_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_messages.py
@@ -23,7 +23,9 @@
     The call arrived `age_s` ago. The goal for its time to first token is
     `goal_s` after arrival, and its deadline is `useful_s` from now. Only an
     engine of the software `version` may prefill it; empty for any, as from
-    nodes that do not send it.
+    nodes that do not send it. The call is made for an `organisation`, on a
+    `route`; `call_key` is the same in each attempt of its caller. At most
+    `output_tokens` are expected in its answer.
     """
 
     number: int
@@ -37,11 +39,19 @@
     useful_s: float
     avoid: tuple[str, ...] = ()
     version: str = ''
+    organisation: str = ''
+    route: str = ''
+    call_key: str = ''
+    output_tokens: int = 0
 
     @property
     def is_valid(self) -> bool:
         """Whether the sizes are not negative and the times are finite."""
-        sizes = (self.shared_tokens, self.token_count - self.shared_tokens)
+        sizes = (
+            self.shared_tokens,
+            self.token_count - self.shared_tokens,
+            self.output_tokens,
+        )
         times_s = (self.age_s, self.goal_s, self.useful_s)
         return min(sizes) >= 0 and all(map(math.isfinite, times_s))
 
@@ -75,10 +85,15 @@
 
 @attrs.frozen
 class PrefillEnded(PeerMessage):
-    """End of a prefill; `read_s` is its duration, None if it did not run."""
+    """End of a prefill; `read_s` is its duration, None if it did not run.
+
+    `is_slow_fetch` is whether the engine took far longer than expected for a
+    prompt whose shared prefix it had to fetch.
+    """
 
     number: int
     read_s: float | None = None
+    is_slow_fetch: bool = False
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -39,7 +39,9 @@
 
     Its call arrived at `arrived_s`. The goal for its time to first token is
     `goal_s`, and its deadline is `deadline_s`. Only an engine of the software
-    `version` may prefill it; None for any.
+    `version` may prefill it; None for any. `call_key` is the same in each
+    attempt of a caller; it is empty if unknown, like the `organisation` and the
+    name of the `route`.
     """
 
     service: str
@@ -50,6 +52,9 @@
     deadline_s: float
     avoid: frozenset[str] = frozenset()
     version: str | None = None
+    organisation: str = ''
+    route: str = ''
+    call_key: str = ''
 
 
 @attrs.frozen
@@ -67,9 +72,13 @@
 
 @attrs.frozen
 class PrefillResult:
-    """The duration of a prefill; None if it did not run."""
+    """The duration of a prefill; None if it did not run.
+
+    `is_slow_fetch` is whether it waited for the fetch of a shared prefix.
+    """
 
     prefill_s: float | None = None
+    is_slow_fetch: bool = False
 
 
 class PrefillQueue(Protocol):
--- a/packages/gateway/dandelionyoke_gateway/_prefill_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_server.py
@@ -102,7 +102,8 @@
         if waiting is not None:
             waiting.thread.kill()
             self._queue.cancel(waiting.queued)
-        self._release(key, PrefillResult(message.read_s))
+        result = PrefillResult(message.read_s, message.is_slow_fetch)
+        self._release(key, result)
 
     def handle_disconnect(self, peer_id: InstanceId) -> None:
         """Release all grants and requests of a node that is disconnected."""
@@ -191,11 +192,14 @@
     )
     return PrefillRequest(
         service=request.service,
-        prompt=Prompt('', request.token_count, 0, parts),
+        prompt=Prompt('', request.token_count, request.output_tokens, parts),
         rank=request.rank,
         arrived_s=now_s - request.age_s,
         goal_s=request.goal_s,
         deadline_s=now_s + request.useful_s,
         avoid=frozenset(request.avoid),
         version=request.version or None,
+        organisation=request.organisation,
+        route=request.route,
+        call_key=request.call_key,
     )
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -154,6 +154,9 @@
                 self._context.service.name, clock_s()
             ).union(self._state.tried_ids),
             version=version,
+            organisation=self._context.organisation_name or '',
+            route=self._context.route.name,
+            call_key=self._context.crash_keys.fingerprint,
         )
         try:
             return self._deps.prefill_queue.acquire(request)
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -9,6 +9,7 @@
     ConfigurationError,
     FleetConfiguration,
     LimitUnit,
+    LoadReport,
     Phase,
     PromptPart,
     RateLimit,
@@ -410,3 +411,31 @@
         organisation = found.find_organisation('k')
         self.assertEqual('acme', organisation and organisation.name)
         self.assertIsNone(found.find_organisation('unknown'))
+
+
+class LoadReportTest(testtools.TestCase):
+    def read(self, text: str) -> ResponseFacts:
+        head = ResponseHead(200, (('server-load', text),))
+        return DIALECT.read_response(head)
+
+    def test_a_report_may_tell_how_slow_the_target_is(self) -> None:
+        """Guards against losing the whole report for one more figure."""
+        facts = self.read('3,4,8,150')
+        self.assertEqual(LoadReport(3, 4, 8, 1.5), facts.load)
+        self.assertEqual(7, facts.busy)
+        self.assertIsNone(LoadReport(3, 4, 8).slowness)
+
+    def test_an_odd_report_is_left_out_with_its_reason(self) -> None:
+        """Guards against figures that no target can have."""
+        for text in ('', '3,4', '3,4,8,100,1', '3,x,8', '-3,4,8', '3,4,0'):
+            facts = self.read(text)
+            self.assertIsNone(facts.load, text)
+            self.assertTrue(facts.invalid_load, text)
+        for text in ('3,4,8,0', '3,4,8,99999', '99999999,4,8'):
+            self.assertIn(text, self.read(text).invalid_load)
+
+    def test_an_answer_without_a_report_is_nothing_odd(self) -> None:
+        """Guards against a log line for each answer of a silent service."""
+        facts = DIALECT.read_response(ResponseHead(200, ()))
+        self.assertIsNone(facts.load)
+        self.assertEqual('', facts.invalid_load)
