--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -27,6 +27,7 @@
     parse_object as parse_object,
     parse_part as parse_part,
 )
+from dandelionyoke_gateway._load_text import parse_load as parse_load
 from dandelionyoke_gateway._log import (
     DescriptorSink as DescriptorSink,
     LineSink as LineSink,
