Take a failure domain out of use while its targets accept no connections

Cause: failures are kept by target; nothing concluded from several targets of one domain to the others.

Change: the placing node probes a sample of a domain's targets after two of them accepted no connection. If none accepts one, all targets of the service there are suspect until a probe reaches half of a sample, and the answers to the domain's nodes name the domain. Only for services whose targets tell how slow they are. ReachTask and the new task share the probe.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -42,6 +42,9 @@
     CrashVerdict as CrashVerdict,
     QuarantineSettings as QuarantineSettings,
 )
+from dandelionyoke_dispatch._domain_reach import (
+    DomainReach as DomainReach,
+)
 from dandelionyoke_dispatch._engine_plan import (
     EnginePlan as EnginePlan,
     EnginePlanSettings as EnginePlanSettings,
--- a/packages/dispatch/dandelionyoke_dispatch/_target_load.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_load.py
@@ -137,8 +137,11 @@
 
     def suspected(self, target_id: str, now_s: float) -> None:
         """Make a target suspect briefly because another node suspects it."""
+        self.suspect_until(target_id, now_s + self._settings.peer_suspicion_s)
+
+    def suspect_until(self, target_id: str, until_s: float) -> None:
+        """Make a target suspect until a time, for another reason than calls."""
         load = self._load_of(target_id)
-        until_s = now_s + self._settings.peer_suspicion_s
         load.cooldown_until_s = max(load.cooldown_until_s, until_s)
 
     def in_cooldown(self, now_s: float) -> list[str]:
--- a/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_domain_prefill_queue.py
@@ -13,6 +13,7 @@
 )
 from dandelionyoke_gateway._answer_wait import AnswerWait
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._domain_reach_task import DomainReachTask
 from dandelionyoke_gateway._domain_source import DomainSource
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
@@ -58,7 +59,9 @@
         local_queue: LocalPrefillQueue,
         knowledge: Knowledge,
         log: DecisionLog,
+        domain_reach: DomainReachTask,
     ) -> None:
+        self._domain_reach = domain_reach
         self._local_queue = local_queue
         self._knowledge = knowledge
         self._log = log
@@ -142,7 +145,7 @@
             return None
         wait = AnswerWait(ANSWER_TIMEOUT_S)
         while (response := _next_response(pending, wait)) is not None:
-            self._mark_suspects(response)
+            self._mark_suspects(response, request.service)
             match response.verdict:
                 case PrefillVerdict.GRANTED:
                     return self._resolve_placement(response, request)
@@ -186,14 +189,21 @@
         )
         return target if may_prefill else None
 
-    def _mark_suspects(self, response: PrefillTold) -> None:
+    def _mark_suspects(self, response: PrefillTold, service: str) -> None:
         for target_id in response.suspects:
             self._knowledge.loads.suspected(target_id, clock_s())
+        if not response.cut_domains:
+            return
+        for target in self._knowledge.registry.of_service(service):
+            if target.domain in response.cut_domains:
+                self._knowledge.loads.suspected(target.target_id, clock_s())
 
     def _report_failure(self, target_id: str, failure: TargetFailure) -> None:
         """Report a target's failure to the domain's source node."""
         peer_id = self._source.find()
-        if peer_id is not None:
+        if peer_id is None:
+            self._domain_reach.failed(target_id, failure)
+        else:
             self._source.send(peer_id, TargetFailed(target_id, failure))
 
     def _cancel(self, ticket_id: str) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -18,6 +18,7 @@
     CrashReport,
     CrashSettings,
     DemandSample,
+    DomainReach,
     FleetConfiguration,
     FleetDemand,
     FleetDemandSettings,
@@ -127,6 +128,10 @@
     reach: TargetReach = attrs.field(
         factory=lambda: TargetReach(TargetReachSettings())
     )
+    # The failure domains that the nodes of this one do not reach.
+    domain_reach: DomainReach = attrs.field(
+        factory=lambda: DomainReach(TargetReachSettings())
+    )
     counts_receiver: CountsReceiver = attrs.field(factory=CountsReceiver)
     signal: ChangeSignal = attrs.field(factory=ChangeSignal)
     waiters: QueueWaiters = attrs.field(factory=QueueWaiters)
--- a/packages/gateway/dandelionyoke_gateway/_node_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_node_links.py
@@ -6,6 +6,7 @@
 
 from dandelionyoke_gateway._caller_connection import Handler
 from dandelionyoke_gateway._domain_prefill_queue import DomainPrefillQueue
+from dandelionyoke_gateway._domain_reach_task import DomainReachTask
 from dandelionyoke_gateway._handover import Handover
 from dandelionyoke_gateway._handover_server import HandoverServer
 from dandelionyoke_gateway._knowledge import Knowledge
@@ -30,6 +31,7 @@
     local_prefill_queue: LocalPrefillQueue
     prefill_queue: DomainPrefillQueue
     origins: StreamOriginKeeper
+    domain_reach: DomainReachTask
 
     def start(
         self,
@@ -46,6 +48,7 @@
                 self.local_prefill_queue,
                 self.knowledge.loads,
                 self.log,
+                self.domain_reach,
             ),
             self.sources,
             self.handover,
@@ -61,12 +64,14 @@
     """Create the parts; they decide locally until the links are open."""
     local_prefill_queue = LocalPrefillQueue(knowledge)
     sources = SourceServices(knowledge, log)
+    domain_reach = DomainReachTask(knowledge, log)
     return NodeLinks(
         knowledge,
         log,
         Handover(knowledge, log, sources.target_gate),
         sources,
         local_prefill_queue,
-        DomainPrefillQueue(local_prefill_queue, knowledge, log),
+        DomainPrefillQueue(local_prefill_queue, knowledge, log, domain_reach),
         StreamOriginKeeper(knowledge),
+        domain_reach,
     )
--- a/packages/gateway/dandelionyoke_gateway/_prefill_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_links.py
@@ -3,6 +3,7 @@
 from dandelionyoke_core import Event, PeerDisconnected, PeerMessageArrived
 from dandelionyoke_dispatch import TargetLoads
 from dandelionyoke_gateway._domain_prefill_queue import DomainPrefillQueue
+from dandelionyoke_gateway._domain_reach_task import DomainReachTask
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_server import Send
 from dandelionyoke_gateway._prefill_messages import (
@@ -24,7 +25,9 @@
         local_queue: LocalPrefillQueue,
         loads: TargetLoads,
         log: DecisionLog,
+        domain_reach: DomainReachTask,
     ) -> None:
+        self._domain_reach = domain_reach
         self._queue = queue
         self._local_queue = local_queue
         self._loads = loads
@@ -34,7 +37,11 @@
     def attach(self, send: Send) -> None:
         """Set the function that sends messages, once the links are open."""
         self._server = PrefillServer(
-            self._local_queue, self._loads, send, self._log
+            self._local_queue,
+            self._loads,
+            send,
+            self._log,
+            self._domain_reach,
         )
         self._queue.attach(send)
 
--- a/packages/gateway/dandelionyoke_gateway/_prefill_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_messages.py
@@ -72,7 +72,8 @@
 
     A refused caller may retry after `retry_after_s`. `source_id` is the engine
     to fetch the KV cache of a shared prefix from. `suspects` are the targets
-    that get no calls at present because of failures.
+    that get no calls at present because of failures; in `cut_domains` no
+    target of the service is reached.
     """
 
     number: int
@@ -81,6 +82,7 @@
     source_id: str = ''
     retry_after_s: float = 0.0
     suspects: tuple[str, ...] = ()
+    cut_domains: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_prefill_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_server.py
@@ -17,6 +17,7 @@
     TargetLoads,
 )
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._domain_reach_task import DomainReachTask
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_server import Send
 from dandelionyoke_gateway._prefill_messages import (
@@ -61,7 +62,9 @@
         loads: TargetLoads,
         send: Send,
         log: DecisionLog,
+        domain_reach: DomainReachTask,
     ) -> None:
+        self._domain_reach = domain_reach
         self._queue = queue
         self._loads = loads
         self._log = log
@@ -148,6 +151,9 @@
             placement.target.target_id,
             source_id,
             suspects=self._suspected_targets(),
+            cut_domains=tuple(
+                self._domain_reach.reach.cut_domains(grant.request.service)
+            ),
         )
         if not self._send(peer_id, response):
             self._release(key, PrefillResult())
@@ -174,6 +180,7 @@
     def handle_failure(self, message: TargetFailed) -> None:
         """Record a target failure reported by another node."""
         self._queue.record_peer_failure(message.target_id, message.failure)
+        self._domain_reach.failed(message.target_id, message.failure)
 
     def _refuse(self, key: RequestKey, error: TooLateError) -> None:
         peer_id, number = key
--- a/packages/gateway/dandelionyoke_gateway/_reach_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_reach_task.py
@@ -6,14 +6,9 @@
 
 from dandelionyoke_dispatch import RegisteredTarget
 from dandelionyoke_gateway._clock import clock_s
-from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
-from dandelionyoke_gateway._target_connection import connect
-
-# A live target on a sound path accepts a connection within milliseconds.
-PROBE_TIMEOUT_S = 0.4
-PROBE_INTERVAL_S = 0.5
+from dandelionyoke_gateway._target_probe import PROBE_INTERVAL_S, probe_sample
 
 
 class ReachTask:
@@ -101,18 +96,6 @@
         self, targets: Sequence[RegisteredTarget]
     ) -> dict[str, bool]:
         """Connect to some of the targets; return which of them accepted."""
-        count = min(len(targets), self._reach.probed_targets)
-        probes = {
-            target.target_id: eventlet.spawn(_is_reached, target)
-            for target in self._knowledge.random.sample(targets, count)
-        }
-        return {name: probe.wait() for name, probe in probes.items()}
-
-
-def _is_reached(target: RegisteredTarget) -> bool:
-    try:
-        connect(target.address, PROBE_TIMEOUT_S).close()
-    except (ExchangeError, ValueError):
-        # The registry may list an address without a valid port.
-        return False
-    return True
+        return probe_sample(
+            targets, self._reach.probed_targets, self._knowledge.random
+        )
--- a/tests/gateway/test_prefill_queue.py
+++ b/tests/gateway/test_prefill_queue.py
@@ -32,6 +32,7 @@
     ANSWER_TIMEOUT_S,
     DomainPrefillQueue,
 )
+from dandelionyoke_gateway._domain_reach_task import DomainReachTask
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._prefill_links import PrefillLinks
@@ -81,11 +82,16 @@
         self.knowledge = new_knowledge(new_settings(name), Random(3))
         self.local_queue = LocalPrefillQueue(self.knowledge)
         self.log = DecisionLog(LogLines(), name, Metrics())
+        domain_reach = DomainReachTask(self.knowledge, self.log)
         self.queue = DomainPrefillQueue(
-            self.local_queue, self.knowledge, self.log
+            self.local_queue, self.knowledge, self.log, domain_reach
         )
         self.links = PrefillLinks(
-            self.queue, self.local_queue, self.knowledge.loads, self.log
+            self.queue,
+            self.local_queue,
+            self.knowledge.loads,
+            self.log,
+            domain_reach,
         )
         self.links.attach(self.send)
 
