Leave a target that accepts no connection after 0.3 s

Cause: one time limit for all connections, chosen for calls that have seconds. A healthy target accepts within milliseconds, and an opening packet that was lost is sent again only after a second, so that nothing is gained by waiting longer.

Change: 0.3 s for services whose targets tell how slow they are.

--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -54,7 +54,11 @@
 from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
 from dandelionyoke_gateway._target_connection import TargetConnection
 from dandelionyoke_gateway._target_gate import TargetGate
-from dandelionyoke_gateway._target_pool import TargetPool
+from dandelionyoke_gateway._target_pool import (
+    BRIEF_CONNECT_TIMEOUT_S,
+    CONNECT_TIMEOUT_S,
+    TargetPool,
+)
 
 
 @attrs.frozen
@@ -83,7 +87,10 @@
         Raises:
             TargetLimitedError: the target has asked for rest meanwhile.
         """
-        with self.pool.acquire(target.address) as connection:
+        timeout_s = CONNECT_TIMEOUT_S
+        if self.knowledge.speeds.is_reported(target.service):
+            timeout_s = BRIEF_CONNECT_TIMEOUT_S
+        with self.pool.acquire(target.address, timeout_s) as connection:
             # Connecting takes time, in which the target may ask for rest.
             self.target_gate.check_rest(target)
             if connection.is_new:
--- a/packages/gateway/dandelionyoke_gateway/_target_pool.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_pool.py
@@ -10,6 +10,8 @@
 # A healthy target accepts a connection within a few milliseconds. After this
 # timeout the call still has time for another target.
 CONNECT_TIMEOUT_S = 0.8
+# An opening packet that was lost is sent again only after a second.
+BRIEF_CONNECT_TIMEOUT_S = 0.3
 # More would use up connections of a target that other nodes need.
 MAX_IDLE_PER_TARGET = 8
 
@@ -21,26 +23,30 @@
         self._idle: dict[str, deque[TargetConnection]] = {}
 
     @contextmanager
-    def acquire(self, address: str) -> Iterator[TargetConnection]:
+    def acquire(
+        self, address: str, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> Iterator[TargetConnection]:
         """Acquire an idle or new connection for a call of a caller.
 
         It outlasts a silence of its target. An idle one is given up sooner, so
         that few calls are sent on a dead one.
         """
-        with self.acquire_brief(address) as connection:
+        with self.acquire_brief(address, connect_timeout_s) as connection:
             connection.limit_silence(PATIENT)
             yield connection
             connection.limit_silence(BRIEF)
 
     @contextmanager
-    def acquire_brief(self, address: str) -> Iterator[TargetConnection]:
+    def acquire_brief(
+        self, address: str, connect_timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> Iterator[TargetConnection]:
         """Acquire an idle or new connection for one of our own requests.
 
         These are repeated, so that a silent peer is given up soon.
         """
         connection = self._take_idle(address)
         if connection is None:
-            connection = connect(address, CONNECT_TIMEOUT_S)
+            connection = connect(address, connect_timeout_s)
         else:
             connection.is_new = False
         is_complete = False
