Prefill a prompt where it is expected to end first

What callers saw: prompts of 1,460 tokens whose prefix of 350 was fetched from engines that were gone waited 0.34 to 0.5 s (docs/design/hard-load.md), and prompts stood in line at slow engines beside idle fast ones.

Cause: the placing node compared tokens, fetched each prefix whatever its size, took the first-ranked engine as its holder though it had crashed or started anew, and did not learn of slow fetches at other nodes.

Change, where targets report their slowness: the engine with the earliest expected end, by backlog, what the engine should hold, its measured slowness and the learned time of a fetch. A prefix is fetched only from a holder that answers and if that saves time. A slow fetch that another node tells makes its source be passed over, unless the prefill took as long as forecast. The choice by tokens is moved to TokenBacklogChoice unchanged and serves all other services.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -84,8 +84,15 @@
 )
 from dandelionyoke_dispatch._placement import (
     Placement as Placement,
+)
+from dandelionyoke_dispatch._prefill_choice import (
+    PrefillForecast as PrefillForecast,
     PrefillPlacement as PrefillPlacement,
 )
+from dandelionyoke_dispatch._prefill_hints import (
+    PrefillHints as PrefillHints,
+    PrefillOutcome as PrefillOutcome,
+)
 from dandelionyoke_dispatch._prefill_time import (
     PrefillTimeEstimate as PrefillTimeEstimate,
     PrefillTimeSettings as PrefillTimeSettings,
--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -1,15 +1,19 @@
 """The choice of a target for each call."""
 
+import math
 from collections.abc import Collection, Sequence
 
-import attrs
-
 from dandelionyoke_core import rendezvous
 from dandelionyoke_dispatch._calls import Prompt
-from dandelionyoke_dispatch._prefill_time import (
-    PrefillTimeEstimate,
-    TokenTimeEstimate,
+from dandelionyoke_dispatch._expected_end import ExpectedEndChoice
+from dandelionyoke_dispatch._prefill_choice import (
+    PrefillChoice,
+    PrefillPlacement,
+    PrefillQuestion,
+    TokenBacklogChoice,
 )
+from dandelionyoke_dispatch._prefill_hints import PrefillHints
+from dandelionyoke_dispatch._prefill_time import PrefillTimeEstimate
 from dandelionyoke_dispatch._prompt_queue import PromptQueue
 from dandelionyoke_dispatch._registry import (
     Phase,
@@ -19,26 +23,16 @@
 from dandelionyoke_dispatch._target_limits import TargetLimits
 from dandelionyoke_dispatch._target_load import TargetLoads
 from dandelionyoke_dispatch._target_rests import TargetRests
+from dandelionyoke_dispatch._target_speed import (
+    TargetSpeeds,
+    TargetSpeedSettings,
+)
 
 # The difference in slot utilisation above which an engine in another domain is
 # preferred. At this difference, the slower decode steps of the near engine cost
 # about as much as the transfer of the KV cache.
 CROSS_DOMAIN_PENALTY = 0.3
 
-# The cost of not using the first engine of a shared prefix, as a share of the
-# prefill time of that prefix. Another engine fetches the prefix if the first
-# one has it cached; if not, the prefix is prefilled where later calls do not
-# look for it.
-MOVE_COST_SHARE = 1.0
-
-
-@attrs.frozen
-class PrefillPlacement:
-    """The prefill engine of a prompt, and one that may hold its prefix."""
-
-    target: RegisteredTarget
-    source: RegisteredTarget | None
-
 
 class Placement:
     """Chooses among the targets that accept work and are not suspect."""
@@ -55,12 +49,16 @@
     ) -> None:
         self._registry = registry
         self._loads = loads
-        # Failures of fetches of shared prefixes, by engine.
-        self._fetches = fetches
         self._limits = limits
         self._rests = rests
         self._domain = domain
         self._instance_id = instance_id
+        self.prefill_hints = PrefillHints(TargetSpeeds(TargetSpeedSettings()))
+        # `fetches` has the failures of fetches of shared prefixes, by engine.
+        self._token_backlog = TokenBacklogChoice(fetches)
+        self._expected_end = ExpectedEndChoice(
+            self.prefill_hints, loads, fetches
+        )
 
     def choose_prefill_engine(
         self,
@@ -72,37 +70,38 @@
         now_s: float,
         version: str | None = None,
     ) -> PrefillPlacement | None:
-        """Choose the prefill engine of a prompt, of any version if None.
-
-        All nodes rank the engines for a shared prefix in the same order,
-        without communication, so that the prefix is prefilled on the first
-        engine only, and later prompts find it in its KV cache. Once the backlog
-        of that engine is longer than that of another one by more than it costs
-        to move, the other one fetches the prefix from it. Ties go to the engine
-        that has been without a new prompt for longest: taking turns spreads the
-        prompts of many nodes more evenly than a random choice.
-        """
+        """Choose the prefill engine of a prompt, of any version if None."""
         engines = self._prefill_engines(service, avoid, now_s, version)
         if not engines:
             return None
-        preferred = _first_ranked(engines, prompt.shared_key)
-        move_cost_s = MOVE_COST_SHARE * _prefill_time_s(
-            prefill_time.without_cache, prompt.shared_tokens
+        listed = [
+            engine
+            for engine in self._registry.all_of_service(service)
+            if engine.phase is Phase.PREFILL
+        ]
+        choice: PrefillChoice = self._token_backlog
+        if self._expected_end.is_possible(service, prefill_time):
+            choice = self._expected_end
+        return choice.choose(
+            PrefillQuestion(prompt, prefill_time, queue, engines, listed, now_s)
         )
-        backlog = queue.fleet_backlog(now_s)
-        chosen = min(
-            engines,
-            key=lambda engine: (
-                _prefill_time_s(
-                    prefill_time.with_cache, backlog[engine.target_id]
-                )
-                + move_cost_s * (engine is not preferred),
-                queue.placed_s(engine.target_id),
-                engine.target_id,
-            ),
+
+    def prefill_capacity(
+        self,
+        service: str,
+        avoid: Collection[str],
+        now_s: float,
+        version: str | None = None,
+    ) -> float:
+        """Return the prefill engines that may get a prompt, each by its speed.
+
+        One that takes twice as long as usual counts as half an engine.
+        """
+        engines = self._prefill_engines(service, avoid, now_s, version)
+        paces = self.prefill_hints.paces
+        return math.fsum(
+            1 / paces.slowness(engine, now_s) for engine in engines
         )
-        source = self._find_prefix_source(chosen, prompt.shared_key, now_s)
-        return PrefillPlacement(chosen, source)
 
     def count_prefill_engines(
         self,
@@ -190,29 +189,6 @@
         ]
         return settled or engines
 
-    def _find_prefix_source(
-        self, target: RegisteredTarget, shared_key: str, now_s: float
-    ) -> RegisteredTarget | None:
-        """Return the engine to fetch a shared prefix from, if any.
-
-        It is the one of the same version that most likely has the prefix in
-        its cache. An engine that is leaving keeps its cache until it stops, so
-        others can still fetch from it. A fetch from an engine that is gone or
-        unreachable delays a prompt for many times the prefill time of the
-        prefix, so engines with recent slow fetches are skipped.
-        """
-        engines = [
-            engine
-            for engine in self._registry.all_of_service(target.service)
-            if engine.phase is Phase.PREFILL
-            and engine.version == target.version
-            and not self._fetches.is_in_cooldown(engine.target_id, now_s)
-        ]
-        if not engines:
-            return None
-        holder = _first_ranked(engines, shared_key)
-        return None if holder.target_id == target.target_id else holder
-
     def choose_decode_target(
         self,
         service: str,
@@ -357,16 +333,3 @@
         ]
         # If all targets are suspect, one of them is still better than none.
         return healthy or candidates
-
-
-def _prefill_time_s(estimate: TokenTimeEstimate, tokens: int) -> float:
-    """Return the prefill time; the token count while the time is unknown."""
-    expected_s = estimate.expected_s(tokens)
-    return tokens if expected_s is None else expected_s
-
-
-def _first_ranked(
-    engines: Sequence[RegisteredTarget], shared_key: str
-) -> RegisteredTarget:
-    by_id = {engine.target_id: engine for engine in engines}
-    return by_id[rendezvous(by_id, shared_key, 1)[0]]
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -280,6 +280,7 @@
         listed = frozenset(target.target_id for target in self.listing.targets)
         self.fetches.forget(listed)
         self.speeds.forget(listed)
+        self.placement.prefill_hints.forget(listed)
         self.rests.forget(self.listing.targets)
         for state in self._service_states.values():
             state.prompt_queue.forget(listed)
@@ -346,6 +347,15 @@
     fetches = TargetLoads(FETCH_SUSPICION)
     target_limits = TargetLimits(TargetLimitSettings())
     rests = TargetRests(TargetRestSettings(), random)
+    placement = Placement(
+        registry,
+        loads,
+        fetches,
+        target_limits,
+        rests,
+        settings.domain,
+        settings.instance_id,
+    )
     clock = TrueTime(wall_s() - clock_s())
     usage = UsageCounter(settings.usage_window_s, clock)
     incarnation = f'{random.getrandbits(PROCESS_NAME_BITS):012x}'
@@ -360,15 +370,7 @@
         registry=registry,
         loads=loads,
         fetches=fetches,
-        placement=Placement(
-            registry,
-            loads,
-            fetches,
-            target_limits,
-            rests,
-            settings.domain,
-            settings.instance_id,
-        ),
+        placement=placement,
         budget=RetryBudgets(retries, random, clock_s()),
         usage=usage,
         crashes=CrashGuard(CrashSettings()),
@@ -381,6 +383,7 @@
         limiters=_new_limiters(settings),
         target_limits=target_limits,
         rests=rests,
+        speeds=placement.prefill_hints.speeds,
         shutdown=Shutdown(ShutdownSettings(settings.grace_s)),
     )
 
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -6,6 +6,7 @@
 import attrs
 
 from dandelionyoke_dispatch import (
+    PrefillOutcome,
     PrefillPlacement,
     Prompt,
     PromptQueue,
@@ -167,7 +168,15 @@
         self._release(queued.request, queued.queued_prompt.ticket_id, None)
 
     def release(self, grant: PrefillGrant, result: PrefillResult) -> None:
-        """Release a grant, and record how long the prefill took."""
+        """Release a grant, and learn from how long the prefill took."""
+        if grant.placement is not None:
+            self._knowledge.placement.prefill_hints.prefill_ended(
+                grant.ticket_id,
+                grant.request.prompt,
+                grant.placement,
+                PrefillOutcome(result.prefill_s, result.is_slow_fetch),
+                clock_s(),
+            )
         self._release(grant.request, grant.ticket_id, result.prefill_s)
         if result.prefill_s is not None:
             prefill_time = self._service_state(grant.request).prefill_time
@@ -179,6 +188,25 @@
         """Record a target failure reported by another node."""
         self._knowledge.loads.record_peer_failure(target_id, failure, clock_s())
 
+    def record_peer_fetch(
+        self, grant: PrefillGrant, result: PrefillResult
+    ) -> bool:
+        """Record how a fetch went at another node; return whether it was slow.
+
+        A prefill that took as long as forecast waited for other prompts.
+        """
+        placement, took_s = grant.placement, result.prefill_s
+        if placement is None or placement.source is None or took_s is None:
+            return False
+        if not self._knowledge.speeds.is_reported(grant.request.service):
+            return False
+        source_id, fetches = placement.source.target_id, self._knowledge.fetches
+        if result.is_slow_fetch and placement.is_far_exceeded(took_s):
+            fetches.failed(source_id, clock_s())
+            return True
+        fetches.succeeded(source_id)
+        return False
+
     def _await_turn(self, queued: QueuedPrefill) -> bool:
         """Wait; return False if the turn will not come before the deadline."""
         queued_prompt, waiters = queued.queued_prompt, self._knowledge.waiters
@@ -209,9 +237,12 @@
             request.version,
         )
         if placement is not None:
-            target_id = placement.target.target_id
+            ticket_id = queued.queued_prompt.ticket_id
             state.prompt_queue.assign(
-                queued.queued_prompt.ticket_id, target_id, clock_s()
+                ticket_id, placement.target.target_id, clock_s()
+            )
+            self._knowledge.placement.prefill_hints.prefill_placed(
+                ticket_id, request.prompt, placement, clock_s()
             )
         return placement
 
--- a/packages/gateway/dandelionyoke_gateway/_prefill_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_server.py
@@ -19,6 +19,11 @@
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_server import Send
+from dandelionyoke_gateway._placement_log import (
+    count_prefix_use,
+    forecast_facts,
+    log_slow_fetch,
+)
 from dandelionyoke_gateway._prefill_messages import (
     QUEUED_INTERVAL_S,
     PrefillAsked,
@@ -139,6 +144,7 @@
             self._send(peer_id, PrefillTold(number, verdict))
             return
         self._granted[key] = grant
+        self._log_placed(key, grant)
         source_id = (
             '' if placement.source is None else placement.source.target_id
         )
@@ -162,14 +168,29 @@
 
     def _release(self, key: RequestKey, result: PrefillResult) -> None:
         grant = self._granted.pop(key, None)
-        if grant is not None:
-            self._queue.release(grant, result)
-        if (
-            grant is not None
-            and grant.placement
-            and result.prefill_s is not None
-        ):
-            self._loads.succeeded(grant.placement.target.target_id)
+        if grant is None:
+            return
+        self._queue.release(grant, result)
+        placement, prefill_s = grant.placement, result.prefill_s
+        if placement is None or prefill_s is None:
+            return
+        self._loads.succeeded(placement.target.target_id)
+        if self._queue.record_peer_fetch(grant, result):
+            log_slow_fetch(self._log, placement, prefill_s)
+
+    def _log_placed(self, key: RequestKey, grant: PrefillGrant) -> None:
+        placement, (peer_id, number) = grant.placement, key
+        if placement is None or placement.forecast is None:
+            return
+        count_prefix_use(self._log, placement)
+        self._log.decide(
+            'prompt.placed',
+            f'{peer_id}.{number}',
+            outcome=placement.target.target_id,
+            call_key=grant.request.call_key,
+            tokens=grant.request.prompt.token_count,
+            **forecast_facts(placement),
+        )
 
     def handle_failure(self, message: TargetFailed) -> None:
         """Record a target failure reported by another node."""
