Tell the placing node of a slow fetch

What callers saw: the placing node named an engine that was gone as the source of a prefix to one node after the other; each learned it by itself, with a prompt that waited.

Cause: the node of the call judged the fetch only for its own choices.

Change: PromptPrefiller sets PrefillResult.is_slow_fetch for services whose targets report their slowness, by the judgement that it had; a prefill that took as long as forecast is none. The line prompt.read has the forecast, fetch.slow the source that is passed over.

--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -19,6 +19,11 @@
 from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._messages import RequestHead
+from dandelionyoke_gateway._placement_log import (
+    count_prefix_use,
+    forecast_facts,
+    log_slow_fetch,
+)
 from dandelionyoke_gateway._plain_call import (
     apply_response_facts,
     record_refusal,
@@ -171,25 +176,29 @@
         """Run the prefill, then release the grant."""
         started_s, placement = clock_s(), grant.placement
         prefill_s: float | None = None
+        is_slow = False
         try:
             cache = None if placement is None else self._prefill_on(placement)
             if cache is not None:
                 # The engine did not need the time that this process lost.
                 prefill_s = clock_s() - started_s - stalled_s(started_s)
+                is_slow = self._is_told_slow(prompt, grant, prefill_s)
         finally:
-            self._deps.prefill_queue.release(grant, PrefillResult(prefill_s))
+            result = PrefillResult(prefill_s, is_slow)
+            self._deps.prefill_queue.release(grant, result)
         if placement is None or cache is None or prefill_s is None:
             return None
         self._record_fetch(prompt, placement, prefill_s)
         self._state.log_decision(
             'prompt.read',
             placement.target,
-            source=placement.source.target_id if placement.source else None,
             tokens=prompt.token_count,
             waited_s=started_s - queued_s,
             took_s=prefill_s,
             placed_by=grant.placed_by,
+            **forecast_facts(placement),
         )
+        count_prefix_use(self._deps.log, placement)
         return PrefilledPrompt(placement.target, cache)
 
     def _record_fetch(
@@ -197,11 +206,33 @@
     ) -> None:
         if placement.source is not None:
             source_id = placement.source.target_id
-            if prefill_s > self._slow_fetch_s(prompt):
+            if self._is_slow_fetch(prompt, placement, prefill_s):
                 self._knowledge.fetches.failed(source_id, clock_s())
+                log_slow_fetch(self._deps.log, placement, prefill_s)
             else:
                 self._knowledge.fetches.succeeded(source_id)
 
+    def _is_told_slow(
+        self, prompt: Prompt, grant: PrefillGrant, prefill_s: float
+    ) -> bool:
+        """Whether to tell the placing node that a fetch was slow."""
+        if not self._knowledge.speeds.is_reported(grant.request.service):
+            return False
+        placement = grant.placement
+        return placement is not None and self._is_slow_fetch(
+            prompt, placement, prefill_s
+        )
+
+    def _is_slow_fetch(
+        self, prompt: Prompt, placement: PrefillPlacement, prefill_s: float
+    ) -> bool:
+        """Whether a prefill waited for the fetch of its shared prefix."""
+        return (
+            placement.source is not None
+            and prefill_s > self._slow_fetch_s(prompt)
+            and placement.is_far_exceeded(prefill_s)
+        )
+
     def _slow_fetch_s(self, prompt: Prompt) -> float:
         expected_s = (
             self._service_stats.prefill_time.with_cache.expected_s(
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -13,6 +13,7 @@
     LimitUnit,
     Organisation,
     Phase,
+    PrefillPlacement,
     Prompt,
     PromptPart,
     RateLimit,
@@ -21,6 +22,7 @@
     ServiceShare,
 )
 from dandelionyoke_gateway import _rate_limits, clock_s
+from dandelionyoke_gateway._prefill_queue import PrefillGrant
 from tests.platform.node_harness import (
     API_KEY,
     SIGNED_HEAD,
@@ -593,6 +595,35 @@
         self.assertEqual(2, len(draining_engine.received_requests))
         self.assertEqual(1, len(other_engine.received_requests))
 
+    def test_the_placing_node_is_told_of_a_slow_fetch(self) -> None:
+        """Guards against a placing node that never learns what it caused.
+
+        It is told where targets report their slowness.
+        """
+
+        def fetches_slowly(request: ReceivedRequest) -> Iterator[ScriptStep]:
+            yield 0.3
+            yield from self.answers_prefill(request)
+
+        self.node.add_target(fetches_slowly, 'lm', Phase.PREFILL)
+        self.node.add_target(self.streams_tokens, 'lm', Phase.DECODE)
+        self.node.add_target(self.answers_prefill, 'lm', Phase.PREFILL)
+        queue, find = self.node.prefill_queue, self.node.knowledge.registry.find
+        placement = PrefillPlacement(find('i-1'), find('i-3'))
+        told: list[bool] = []
+        self.patch(
+            queue,
+            'acquire',
+            lambda request: PrefillGrant(request, '1', placement, 'n-2'),
+        )
+        self.patch(
+            queue, 'release', lambda _, end: told.append(end.is_slow_fetch)
+        )
+        self.node.call('/ask/1', extra=PROMPT_HEADERS)
+        self.node.knowledge.speeds.observe(find('i-2'), 1.0, clock_s())
+        self.node.call('/ask/1', extra=PROMPT_HEADERS)
+        self.assertEqual([False, True], told)
+
     def test_refused_connections_do_not_spend_the_retry_budget(self) -> None:
         """Two decode engines crash under load and refuse connections.
 
