Limit and share the engine time of prompts that wait for prefill

Callers whose prompts came in a burst were late together: two prompts for each engine at each placing node, whatever their size, let so many into the engines that nothing waited here, so that urgency never decided. Where something waited, the strict order by rank left the least urgent nothing until they were late, and an organisation with many calls went before all others of its rank.

PromptQueue now has a window and an order behind protocols. Prompts are counted and ranked as before until share_engine_time() is called, which replaces both in place: engine time in flight from all placing nodes is limited by engine, and shared among organisations and routes by start-time fair queueing, with more weight for urgent routes and a share for late calls. Forecasts use the work ahead of a call in this order and the measured rate of work. FirstArrivals keeps the order of callers who return, choose_retry_delay_s spreads them.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -48,6 +48,10 @@
     FleetNeed as FleetNeed,
     WantedCount as WantedCount,
 )
+from dandelionyoke_dispatch._first_arrivals import (
+    FirstArrivals as FirstArrivals,
+    FirstArrivalSettings as FirstArrivalSettings,
+)
 from dandelionyoke_dispatch._fleet_demand import (
     DemandSample as DemandSample,
     FleetDemand as FleetDemand,
@@ -94,6 +98,11 @@
 from dandelionyoke_dispatch._prompt_queue import (
     PromptQueue as PromptQueue,
     PromptQueueSettings as PromptQueueSettings,
+)
+from dandelionyoke_dispatch._queue_window import (
+    PrefillCapacity as PrefillCapacity,
+)
+from dandelionyoke_dispatch._queued_prompt import (
     QueueDecision as QueueDecision,
     QueuedPrompt as QueuedPrompt,
 )
--- a/packages/dispatch/dandelionyoke_dispatch/_prompt_queue.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_prompt_queue.py
@@ -2,21 +2,31 @@
 
 When prompts arrive faster than the engines can prefill them, engines that
 accept them all process them concurrently, and every first token is late. A node
-therefore limits the number of prompts in flight to what the engines can prefill
-in time, and queues the others. Calls that can still meet their goal go first,
-so that a burst delays some calls but not all. A call that would be late and
-could hardly be served at all is refused as soon as that is known, while its
-caller still has time to retry.
+therefore limits the prompts in flight to what the engines can prefill in time,
+and queues the others. Calls that can still meet their goal go first, so that a
+burst delays some calls but not all. A call that would be late and could hardly
+be served at all is refused as soon as that is known, while its caller still has
+time to retry.
 """
 
-import enum
 from collections import Counter
 from collections.abc import Mapping
 
 import attrs
 
-# The weight of a new prompt in the moving average of prefill times.
-PREFILL_MEAN_WEIGHT = 0.25
+from dandelionyoke_dispatch._fair_order import FairOrder
+from dandelionyoke_dispatch._prompts_in_flight import PromptsInFlight
+from dandelionyoke_dispatch._queue_order import QueueOrder, RankOrder
+from dandelionyoke_dispatch._queue_window import (
+    CountWindow,
+    EngineTimeSettings,
+    EngineTimeWindow,
+    PrefillCapacity,
+    QueueWindow,
+)
+from dandelionyoke_dispatch._queued_prompt import QueueDecision, QueuedPrompt
+from dandelionyoke_dispatch._retry_delay import choose_retry_delay_s
+
 # A late call waits this many times the time needed for the calls ahead of it,
 # because calls that are in time overtake it.
 LATE_WAIT_FACTOR = 1.5
@@ -28,95 +38,107 @@
 
     `max_prompts_per_engine` in flight keep an engine busy during the round trip
     of a response. The backlog of another node expires after
-    `backlog_lifetime_s`.
+    `backlog_lifetime_s`. `engine_time` applies once engine time is shared.
     """
 
     max_prompts_per_engine: int = 2
     min_retry_after_s: float = 0.2
     backlog_lifetime_s: float = 0.5
+    engine_time: EngineTimeSettings = attrs.field(factory=EngineTimeSettings)
 
 
-@attrs.frozen
-class QueuedPrompt:
-    """A call that requests an engine; a lower rank has precedence.
+class PromptQueue:
+    """The prompts of one node and service, in flight and queued.
 
-    If it starts after `in_time_until_s`, its first token misses its goal. After
-    `deadline_s`, the first token is too late to be of use.
+    It counts prompts and orders them by rank until engine time is shared.
     """
 
-    ticket_id: str
-    rank: int
-    arrived_s: float
-    in_time_until_s: float
-    deadline_s: float
-    tokens: int
-
-
-@enum.unique
-class QueueDecision(enum.Enum):
-    """The decision of the queue on an arriving call."""
-
-    START = 'go'
-    WAIT = 'wait'
-    TOO_LATE = 'too late'
-
-
-@attrs.define
-class _InFlight:
-    queued_prompt: QueuedPrompt
-    target_id: str = ''
-
-
-class PromptQueue:
-    """The prompts of one node and service, in flight and queued."""
-
     def __init__(self, settings: PromptQueueSettings) -> None:
         self._settings = settings
-        self._max_in_flight = 1
-        # The moving average of recent prefill times.
-        self.mean_prefill_s = 0.0
-        self._in_flight: dict[str, _InFlight] = {}
-        self._queued: list[QueuedPrompt] = []
+        self._in_flight = PromptsInFlight(settings.backlog_lifetime_s)
+        self._count_window = CountWindow(
+            settings.max_prompts_per_engine, self._in_flight
+        )
+        self._window: QueueWindow = self._count_window
+        self._order: QueueOrder = RankOrder()
+        self._engine_time: EngineTimeWindow | None = None
         self._placed_s: dict[str, float] = {}
-        self._unreachable: frozenset[str] = frozenset()
-        self._peer_backlogs: dict[str, tuple[Mapping[str, int], float]] = {}
+
+    @property
+    def mean_prefill_s(self) -> float:
+        """The moving average of recent prefill times."""
+        return self._count_window.mean_prefill_s
+
+    @property
+    def shares_engine_time(self) -> bool:
+        """Whether engine time is limited and shared, instead of prompts."""
+        return self._engine_time is not None
+
+    def share_engine_time(self) -> None:
+        """Limit the engine time in flight, and share it among flows."""
+        if self._engine_time is not None:
+            return
+        self._engine_time = EngineTimeWindow(
+            self._settings.engine_time, self._in_flight, self._count_window
+        )
+        self._window = self._engine_time
+        queued = self._order.prompts
+        self._order = FairOrder()
+        for queued_prompt in queued:
+            self._order.add(queued_prompt)
 
     def update_unreachable(self, target_ids: frozenset[str]) -> None:
         """Set the engines that accept no connection.
 
-        Prompts in flight there are most likely lost. If they counted against
-        the limit until that is certain, prompts lost in a partition would block
-        all others.
+        Prompts in flight there do not count against the limit.
         """
-        self._unreachable = target_ids
+        self._in_flight.update_unreachable(target_ids)
 
     def enter(
         self, queued_prompt: QueuedPrompt, engines: int, now_s: float
     ) -> QueueDecision:
         """Decide on an arriving call, with `engines` available for prefill."""
-        self._max_in_flight = max(
-            1, self._settings.max_prompts_per_engine * engines
+        return self.enter_for(
+            queued_prompt, PrefillCapacity(engines, engines), now_s
         )
-        if self._has_capacity():
-            self._in_flight[queued_prompt.ticket_id] = _InFlight(queued_prompt)
+
+    def enter_for(
+        self,
+        queued_prompt: QueuedPrompt,
+        capacity: PrefillCapacity,
+        now_s: float,
+    ) -> QueueDecision:
+        """Decide on an arriving call, with some capacity for prefill.
+
+        If engine time is shared, it waits behind others while any wait, and
+        `admit` may let it start at once.
+        """
+        self._window.update(capacity)
+        if self._engine_time is not None:
+            self._engine_time.observe_arrival(queued_prompt.work_s)
+        if self._window.has_room(now_s) and not self._must_queue():
+            self._in_flight.add(queued_prompt)
             return QueueDecision.START
-        ahead = sum(
-            _priority(other, now_s) <= _priority(queued_prompt, now_s)
-            for other in self._queued
+        wait_s = self._window.wait_s(
+            self._order.ahead(queued_prompt, now_s), now_s
         )
-        start_s = now_s + self._wait_s(ahead + 1)
         if (
-            start_s > queued_prompt.in_time_until_s
+            now_s + wait_s > queued_prompt.in_time_until_s
             and not self._is_worth_queueing(queued_prompt, now_s)
         ):
             return QueueDecision.TOO_LATE
-        self._queued.append(queued_prompt)
+        self._order.add(queued_prompt)
         return QueueDecision.WAIT
 
     @property
     def prompt_count(self) -> int:
         """The number of prompts in flight or queued."""
-        return len(self._in_flight) + len(self._queued)
+        return len(self._in_flight) + self.queued_count
+
+    @property
+    def queued_count(self) -> int:
+        """The number of queued prompts."""
+        return len(self._order.prompts)
 
     def is_in_flight(self, ticket_id: str) -> bool:
         """Whether the prompt of a call is in flight."""
@@ -124,20 +146,26 @@
 
     def keep_waiting(self, ticket_id: str, now_s: float) -> bool:
         """Whether a call that is now late stays queued; if not, remove it."""
-        matching = [
-            queued for queued in self._queued if queued.ticket_id == ticket_id
-        ]
-        self._queued = [
-            queued for queued in self._queued if queued.ticket_id != ticket_id
-        ]
-        if not matching or not self._is_worth_queueing(matching[0], now_s):
+        queued_prompt = self._order.remove(ticket_id)
+        if queued_prompt is None or not self._is_worth_queueing(
+            queued_prompt, now_s
+        ):
             return False
-        self._queued.extend(matching)
+        self._order.add(queued_prompt)
         return True
 
+    def can_start(self, ticket_id: str, now_s: float) -> bool:
+        """Whether the turn of a queued call may come before its deadline."""
+        for queued_prompt in self._order.prompts:
+            if queued_prompt.ticket_id == ticket_id:
+                ahead = self._order.ahead(queued_prompt, now_s)
+                wait_s = self._window.wait_s(ahead, now_s)
+                return now_s + wait_s < queued_prompt.deadline_s
+        return False
+
     def assign(self, ticket_id: str, target_id: str, now_s: float) -> None:
         """Record the engine that prefills the prompt of a call."""
-        self._in_flight[ticket_id].target_id = target_id
+        self._in_flight.assign(ticket_id, target_id)
         self._placed_s[target_id] = now_s
 
     def leave(
@@ -148,13 +176,28 @@
         `prefill_s` is the prefill time of its prompt; None if it was not
         prefilled.
         """
-        self._queued = [
-            queued for queued in self._queued if queued.ticket_id != ticket_id
-        ]
-        in_flight = self._in_flight.pop(ticket_id, None)
-        if in_flight is not None and prefill_s is not None:
-            self._update_mean(prefill_s)
-        return self._admit_queued(now_s)
+        self._order.remove(ticket_id)
+        queued_prompt = self._in_flight.remove(ticket_id)
+        if queued_prompt is not None and prefill_s is not None:
+            self._count_window.add_sample(prefill_s)
+            if self._engine_time is not None:
+                self._engine_time.observe_end(
+                    queued_prompt.work_s,
+                    now_s,
+                    has_waiting=bool(self._order.prompts),
+                )
+        return self.admit(now_s)
+
+    def admit(self, now_s: float) -> list[str]:
+        """Return the ids of queued calls that may start now."""
+        admitted = []
+        while self._window.has_room(now_s):
+            queued_prompt = self._order.take_next(now_s)
+            if queued_prompt is None:
+                break
+            self._in_flight.add(queued_prompt)
+            admitted.append(queued_prompt.ticket_id)
+        return admitted
 
     def backlog_tokens(self, target_id: str) -> int:
         """Return the tokens that this node has in flight at an engine."""
@@ -162,33 +205,21 @@
 
     def backlog(self) -> Counter[str]:
         """Return the tokens that this node has in flight, by engine."""
-        tokens: Counter[str] = Counter()
-        for prompt in self._in_flight.values():
-            if prompt.target_id:
-                tokens[prompt.target_id] += prompt.queued_prompt.tokens
-        return tokens
+        return self._in_flight.backlog()
 
     def set_peer_backlog(
         self, sender: str, backlog: Mapping[str, int], now_s: float
     ) -> None:
         """Record the tokens that another node has in flight, by engine."""
-        self._peer_backlogs[sender] = backlog, now_s
+        self._in_flight.set_peer_backlog(sender, backlog, now_s)
 
     def leave_out(self, standstill_s: float) -> None:
         """Leave a time in which no backlog could be read out of their ages."""
-        self._peer_backlogs = {
-            sender: (backlog, received_s + standstill_s)
-            for sender, (backlog, received_s) in self._peer_backlogs.items()
-        }
+        self._in_flight.leave_out(standstill_s)
 
     def fleet_backlog(self, now_s: float) -> Counter[str]:
         """Return the tokens in flight from all known nodes, by engine."""
-        oldest_s = now_s - self._settings.backlog_lifetime_s
-        total = self.backlog()
-        for backlog, received_s in self._peer_backlogs.values():
-            if received_s >= oldest_s:
-                total.update(backlog)
-        return total
+        return self._in_flight.fleet_backlog(now_s)
 
     def placed_s(self, target_id: str) -> float:
         """Return the time when an engine last received a prompt; 0 if never."""
@@ -202,65 +233,56 @@
             if target_id in known
         }
 
-    def expected_wait_s(self) -> float:
-        """Estimate the time that a call queued now would wait."""
-        if self._has_capacity():
+    def expected_wait_s(self, now_s: float = 0) -> float:
+        """Estimate the time that a call queued now would wait.
+
+        The time of the question matters only if engine time is shared.
+        """
+        if self._window.has_room(now_s):
             return 0.0
-        return self._wait_s(len(self._queued) + 1)
+        return self._window.wait_s(self._order.total(), now_s)
 
-    def retry_after_s(self) -> float:
+    def retry_after_s(self, now_s: float = 0) -> float:
         """Return the retry delay for a refused call: when the queue is empty.
 
         An earlier retry would only be refused again.
         """
-        return max(self._settings.min_retry_after_s, self.expected_wait_s())
+        return max(
+            self._settings.min_retry_after_s, self.expected_wait_s(now_s)
+        )
 
-    def _has_capacity(self) -> bool:
-        in_flight = sum(
-            prompt.target_id not in self._unreachable
-            for prompt in self._in_flight.values()
+    def spread_retry_after_s(
+        self, time_left_s: float, random_share: float, now_s: float
+    ) -> float:
+        """Return a retry delay that differs between calls refused at once."""
+        return choose_retry_delay_s(
+            self.expected_wait_s(now_s),
+            time_left_s,
+            self._settings.min_retry_after_s,
+            random_share,
         )
-        return in_flight < self._max_in_flight
+
+    def inputs(self, now_s: float) -> dict[str, float]:
+        """Return what decisions of this queue are based on, for the log."""
+        engine_time = self._engine_time
+        return {
+            'queued': self.queued_count,
+            'in_flight': len(self._in_flight),
+            'expected_wait_s': self.expected_wait_s(now_s),
+            'rate': 0.0 if engine_time is None else engine_time.rate(now_s),
+        }
+
+    def _must_queue(self) -> bool:
+        return self.shares_engine_time and bool(self._order.prompts)
 
     def _is_worth_queueing(
         self, queued_prompt: QueuedPrompt, now_s: float
     ) -> bool:
         """Whether a late call would be served before it is of no use.
 
-        It waits for all other queued calls, and for some that arrive in the
+        It waits for other queued calls, and for some that arrive in the
         meantime.
         """
-        wait_s = LATE_WAIT_FACTOR * self._wait_s(len(self._queued) + 1)
+        ahead = self._order.ahead_if_late(queued_prompt, now_s)
+        wait_s = LATE_WAIT_FACTOR * self._window.wait_s(ahead, now_s)
         return now_s + wait_s < queued_prompt.deadline_s
-
-    def _wait_s(self, position: int) -> float:
-        return position * self.mean_prefill_s / self._max_in_flight
-
-    def _update_mean(self, prefill_s: float) -> None:
-        if not self.mean_prefill_s:
-            self.mean_prefill_s = prefill_s
-        self.mean_prefill_s += PREFILL_MEAN_WEIGHT * (
-            prefill_s - self.mean_prefill_s
-        )
-
-    def _admit_queued(self, now_s: float) -> list[str]:
-        admitted = []
-        while self._queued and self._has_capacity():
-            queued_prompt = self._next_queued(now_s)
-            self._queued.remove(queued_prompt)
-            self._in_flight[queued_prompt.ticket_id] = _InFlight(queued_prompt)
-            admitted.append(queued_prompt.ticket_id)
-        return admitted
-
-    def _next_queued(self, now_s: float) -> QueuedPrompt:
-        return min(
-            self._queued,
-            key=lambda queued_prompt: _priority(queued_prompt, now_s),
-        )
-
-
-def _priority(
-    queued_prompt: QueuedPrompt, now_s: float
-) -> tuple[bool, int, float]:
-    is_late = now_s > queued_prompt.in_time_until_s
-    return is_late, queued_prompt.rank, queued_prompt.arrived_s
