Share engine time where targets report how slow they are

Callers of a service that is full waited at engines, all alike, while the queue of the placing node was empty; a node whose placing node was silent admitted a whole window by itself; and refused callers were told one time and returned behind those that came later.

LocalPrefillQueue switches the queue of a service to engine time once a target has reported its slowness. The placing node decides on the whole window, a node that decides alone on one node's part. A waiting call is refused when its turn can no longer come in time. A refusal remembers the first arrival of the call and tells a time of its own. Room that another domain leaves is used when its backlog is told, or has expired. Refusals, waits and the engine time of each organisation are logged and counted.

A call that was admitted before it began to wait for its turn is now noticed at once; it waited until it was late.

--- a/packages/dispatch/dandelionyoke_dispatch/_prompt_queue.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_prompt_queue.py
@@ -160,13 +160,18 @@
         self._order.add(queued_prompt)
         return True
 
+    def is_forecast_due(self, now_s: float) -> bool:
+        """Whether the forecast for the queued calls is too old."""
+        age_s = now_s - self._forecast_at_s
+        return age_s > self._settings.forecast_lifetime_s
+
     def can_start(self, queued_prompt: QueuedPrompt, now_s: float) -> bool:
         """Whether the turn of a queued call may come before its deadline.
 
         All calls that wait ask, so one forecast serves those that ask soon
         after. A call that came later has just had a forecast of its own.
         """
-        if now_s - self._forecast_at_s > self._settings.forecast_lifetime_s:
+        if self.is_forecast_due(now_s):
             self._forecast_at_s = now_s
             self._forecast = self._order.all_ahead(now_s)
         ahead = self._forecast.get(queued_prompt.ticket_id, 0.0)
--- a/packages/dispatch/dandelionyoke_dispatch/_queue_window.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_queue_window.py
@@ -38,10 +38,11 @@
     """Limits on the engine time in flight.
 
     `answer_round_trip_s` passes between the end of a prefill and the arrival of
-    the next prompt at its engine.
+    the next prompt at its engine: an answer to one node, a message to another,
+    and a long prompt over its link.
     """
 
-    answer_round_trip_s: float = 0.02
+    answer_round_trip_s: float = 0.04
 
 
 class QueueWindow(Protocol):
@@ -153,7 +154,7 @@
     def rate(self, now_s: float) -> float:
         """Return the engine seconds that are done for this node in a second."""
         measured = self._drain_rate.rate(now_s)
-        if measured is not None:
+        if measured:
             return measured
         capacity = self._capacity
         return self._part(now_s) * capacity.share * capacity.speed
--- a/packages/gateway/dandelionyoke_gateway/_backlog_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_backlog_task.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from dandelionyoke_core import Event, InstanceId, PeerMessageArrived
+from dandelionyoke_dispatch import PromptQueue
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import NEVER_S, Knowledge
 from dandelionyoke_gateway._log import DecisionLog
@@ -82,3 +83,10 @@
         for service, state in self._knowledge.service_states.items():
             backlog = message.tokens.get(service, {})
             state.prompt_queue.set_peer_backlog(peer_id, backlog, clock_s())
+            if state.prompt_queue.shares_engine_time:
+                self._admit(state.prompt_queue)
+
+    def _admit(self, queue: PromptQueue) -> None:
+        """Start queued calls in the room that another node has left."""
+        for ticket_id in queue.admit(clock_s()):
+            self._knowledge.waiters.admit(ticket_id)
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -18,6 +18,8 @@
     CrashReport,
     CrashSettings,
     DemandSample,
+    FirstArrivals,
+    FirstArrivalSettings,
     FleetConfiguration,
     FleetDemand,
     FleetDemandSettings,
@@ -95,6 +97,9 @@
     prompt_queue: PromptQueue = attrs.field(
         factory=lambda: PromptQueue(PromptQueueSettings())
     )
+    first_arrivals: FirstArrivals = attrs.field(
+        factory=lambda: FirstArrivals(FirstArrivalSettings())
+    )
 
 
 @attrs.define
--- a/packages/gateway/dandelionyoke_gateway/_node_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_node_links.py
@@ -60,6 +60,7 @@
 def new_node_links(knowledge: Knowledge, log: DecisionLog) -> NodeLinks:
     """Create the parts; they decide locally until the links are open."""
     local_prefill_queue = LocalPrefillQueue(knowledge)
+    local_prefill_queue.attach_log(log)
     sources = SourceServices(knowledge, log)
     return NodeLinks(
         knowledge,
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -6,6 +6,7 @@
 import attrs
 
 from dandelionyoke_dispatch import (
+    PrefillCapacity,
     PrefillPlacement,
     Prompt,
     PromptQueue,
@@ -15,6 +16,9 @@
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge, ServiceState
+from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._placing_share import PlacingShare
+from dandelionyoke_gateway._prefill_log import PrefillLog, RefusalTime
 from dandelionyoke_gateway._queue_waiters import WaitResult
 
 # A prefill should end by this share of the time-to-first-token goal. The rest
@@ -23,6 +27,9 @@
 # A prompt too long for any engine to read within the goal would come last in
 # each burst. It counts as in time for this share of the goal.
 LARGE_PROMPT_GOAL_SHARE = 0.3
+# A call that waits is refused within this time of the moment when it is certain
+# that its turn would come too late.
+FORECAST_INTERVAL_S = 0.25
 
 
 class TooLateError(Exception):
@@ -102,6 +109,7 @@
     request: PrefillRequest
     queued_prompt: QueuedPrompt
     decision: QueueDecision
+    entered_s: float = attrs.field(factory=clock_s)
 
 
 class LocalPrefillQueue:
@@ -109,34 +117,30 @@
 
     def __init__(self, knowledge: Knowledge) -> None:
         self._knowledge = knowledge
+        self._share = PlacingShare(knowledge)
+        self._log = PrefillLog()
         self._ticket_numbers = itertools.count(1)
 
+    def attach_log(self, log: DecisionLog) -> None:
+        """Set the log of this process."""
+        self._log.attach(log)
+
     def acquire(self, request: PrefillRequest) -> PrefillGrant:
         """Wait for an engine.
 
         Raises:
             TooLateError: no engine could start before the deadline.
         """
-        return self.await_grant(self.enqueue(request))
+        return self.await_grant(self._enqueue(request))
 
     def enqueue(self, request: PrefillRequest) -> QueuedPrefill:
-        """Enter the queue, or fail at once if the wait would be too long.
+        """Enter the queue for another node, or fail if it would be too late.
 
         Raises:
             TooLateError: no engine could start before the deadline.
         """
-        engines = self._knowledge.placement.count_prefill_engines(
-            request.service, request.avoid, clock_s()
-        )
-        queued_prompt, queue = (
-            self._build_queued_prompt(request),
-            self._queue(request),
-        )
-        queue.update_unreachable(self._unreachable_targets())
-        decision = queue.enter(queued_prompt, engines, clock_s())
-        if decision is QueueDecision.TOO_LATE:
-            raise self._too_late(request)
-        return QueuedPrefill(request, queued_prompt, decision)
+        self._share.mark_asked()
+        return self._enqueue(request)
 
     def await_grant(self, queued: QueuedPrefill) -> PrefillGrant:
         """Wait for a request's turn, then choose its engine.
@@ -157,7 +161,8 @@
             raise
         if not is_admitted:
             self.cancel(queued)
-            raise self._too_late(request)
+            raise self._refuse(request, queued_prompt, RefusalTime.WAITING)
+        self._record_grant(queued)
         return PrefillGrant(
             request, queued_prompt.ticket_id, self._choose_engine(queued)
         )
@@ -179,10 +184,46 @@
         """Record a target failure reported by another node."""
         self._knowledge.loads.record_peer_failure(target_id, failure, clock_s())
 
+    def _enqueue(self, request: PrefillRequest) -> QueuedPrefill:
+        """Enter the queue, or fail at once if the wait would be too long.
+
+        Raises:
+            TooLateError: no engine could start before the deadline.
+        """
+        queue = self._queue(request)
+        if self._knowledge.speeds.is_reported(request.service):
+            queue.share_engine_time()
+        queue.update_unreachable(self._unreachable_targets())
+        queued_prompt = self._build_queued_prompt(request)
+        decision = queue.enter_for(
+            queued_prompt, self._capacity(request), clock_s()
+        )
+        if decision is QueueDecision.TOO_LATE:
+            raise self._refuse(request, queued_prompt, RefusalTime.ARRIVAL)
+        if queue.shares_engine_time:
+            self._admit(queue)
+        return QueuedPrefill(request, queued_prompt, decision)
+
+    def _capacity(self, request: PrefillRequest) -> PrefillCapacity:
+        engines = self._knowledge.placement.count_prefill_engines(
+            request.service, request.avoid, clock_s()
+        )
+        prefill_time = self._service_state(request).prefill_time
+        return PrefillCapacity(
+            engines,
+            max(1, engines),
+            prefill_time.with_cache.expected_s(1),
+            self._share.share,
+        )
+
     def _await_turn(self, queued: QueuedPrefill) -> bool:
         """Wait; return False if the turn will not come before the deadline."""
         queued_prompt, waiters = queued.queued_prompt, self._knowledge.waiters
         queue = self._queue(queued.request)
+        if queue.is_in_flight(queued_prompt.ticket_id):
+            return True
+        if queue.shares_engine_time:
+            return self._await_forecast(queued_prompt, queue)
         if (
             waiters.wait(queued_prompt.ticket_id, queued_prompt.in_time_until_s)
             is WaitResult.ADMITTED
@@ -197,6 +238,24 @@
             queued_prompt.ticket_id
         )
 
+    def _await_forecast(
+        self, queued_prompt: QueuedPrompt, queue: PromptQueue
+    ) -> bool:
+        """Wait while the turn may still come before the deadline.
+
+        Checks also admit calls: no message tells that another node's backlog
+        has expired.
+        """
+        ticket_id, waiters = queued_prompt.ticket_id, self._knowledge.waiters
+        while queue.can_start(queued_prompt, clock_s()):
+            check_s = clock_s() + FORECAST_INTERVAL_S
+            waiters.wait(ticket_id, min(check_s, queued_prompt.deadline_s))
+            if queue.is_forecast_due(clock_s()):
+                self._admit(queue)
+            if queue.is_in_flight(ticket_id):
+                return True
+        return False
+
     def _choose_engine(self, queued: QueuedPrefill) -> PrefillPlacement | None:
         request, state = queued.request, self._service_state(queued.request)
         placement = self._knowledge.placement.choose_prefill_engine(
@@ -217,8 +276,8 @@
 
     def _build_queued_prompt(self, request: PrefillRequest) -> QueuedPrompt:
         tokens = request.prompt.token_count
-        prefill_time = self._service_state(request).prefill_time
-        prefill_s = prefill_time.with_cache.expected_s(tokens) or 0.0
+        state = self._service_state(request)
+        prefill_s = state.prefill_time.with_cache.expected_s(tokens) or 0.0
         max_wait_s = max(
             PREFILL_GOAL_SHARE * request.goal_s - prefill_s,
             LARGE_PROMPT_GOAL_SHARE * request.goal_s,
@@ -226,10 +285,15 @@
         return QueuedPrompt(
             ticket_id=str(next(self._ticket_numbers)),
             rank=request.rank,
-            arrived_s=request.arrived_s,
+            arrived_s=state.first_arrivals.find(
+                request.call_key, request.arrived_s, clock_s()
+            ),
             in_time_until_s=request.arrived_s + max_wait_s,
             deadline_s=request.deadline_s,
             tokens=tokens,
+            work_s=prefill_s or state.prompt_queue.mean_prefill_s,
+            organisation=request.organisation,
+            route=request.route,
         )
 
     def _release(
@@ -240,11 +304,41 @@
         for admitted_id in queue.leave(ticket_id, prefill_s, clock_s()):
             self._knowledge.waiters.admit(admitted_id)
 
+    def _admit(self, queue: PromptQueue) -> None:
+        for admitted_id in queue.admit(clock_s()):
+            self._knowledge.waiters.admit(admitted_id)
+
+    def _record_grant(self, queued: QueuedPrefill) -> None:
+        state = self._service_state(queued.request)
+        if state.prompt_queue.shares_engine_time:
+            state.first_arrivals.forget(queued.request.call_key)
+            waited_s = clock_s() - queued.entered_s
+            self._log.granted(queued.queued_prompt, waited_s)
+
     def _unreachable_targets(self) -> frozenset[str]:
         return frozenset(self._knowledge.loads.unreachable_ids(clock_s()))
 
-    def _too_late(self, request: PrefillRequest) -> TooLateError:
-        return TooLateError(self._queue(request).retry_after_s())
+    def _refuse(
+        self,
+        request: PrefillRequest,
+        queued_prompt: QueuedPrompt,
+        refused_at: RefusalTime,
+    ) -> TooLateError:
+        """Return the error that refuses a call, and record the refusal."""
+        state, now_s = self._service_state(request), clock_s()
+        queue = state.prompt_queue
+        if not queue.shares_engine_time:
+            return TooLateError(queue.retry_after_s())
+        state.first_arrivals.remember(
+            request.call_key, queued_prompt.arrived_s, now_s
+        )
+        retry_after_s = queue.spread_retry_after_s(
+            queued_prompt.deadline_s - now_s,
+            self._knowledge.random.random(),
+            now_s,
+        )
+        self._log.refused(queued_prompt, refused_at, queue, retry_after_s)
+        return TooLateError(retry_after_s)
 
     def _service_state(self, request: PrefillRequest) -> ServiceState:
         return self._knowledge.service_state(request.service)
--- a/packages/gateway/dandelionyoke_gateway/_stream_call_state.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call_state.py
@@ -58,7 +58,7 @@
             version=target.version,
             resumes=self.context.call.resumed_attempt_id,
             last_event_id=self.last_event_id,
-            line_s=stats.prompt_queue.expected_wait_s(),
+            line_s=stats.prompt_queue.expected_wait_s(clock_s()),
             busy=self.deps.knowledge.loads.busy(target.target_id, clock_s()),
             **inputs,
         )
--- a/tests/dispatch/test_shared_engine_time.py
+++ b/tests/dispatch/test_shared_engine_time.py
@@ -16,7 +16,7 @@
 )
 
 TOKEN_S = 0.00001
-SHORT, LONG = 1000, 16000
+SHORT, LONG = 1000, 17000
 SHORT_S, LONG_S = SHORT * TOKEN_S, LONG * TOKEN_S
 
 
