--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -19,6 +19,8 @@
     CrashSettings,
     DemandSample,
     DomainReach,
+    FirstArrivals,
+    FirstArrivalSettings,
     FleetConfiguration,
     FleetDemand,
     FleetDemandSettings,
@@ -96,6 +98,9 @@
     prompt_queue: PromptQueue = attrs.field(
         factory=lambda: PromptQueue(PromptQueueSettings())
     )
+    first_arrivals: FirstArrivals = attrs.field(
+        factory=lambda: FirstArrivals(FirstArrivalSettings())
+    )
 
 
 @attrs.define
