Balance by capacity where a deployment's settings ask for it

Change: [balancing] of the settings names what is in force at the deployment and which of that asks for it; the platform's template fills in its list. All services are balanced then, others where their targets tell a slowness.

Run: tests/gateway/test_settings.py passes.

--- a/packages/dispatch/dandelionyoke_dispatch/_target_speed.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_speed.py
@@ -43,6 +43,11 @@
         self._settings = settings
         self._slowness: dict[str, _Slowness] = {}
         self._services: set[str] = set()
+        self._is_everywhere = False
+
+    def balance_all(self) -> None:
+        """Balance every service by capacity, whatever its targets say."""
+        self._is_everywhere = True
 
     def observe(
         self, target: RegisteredTarget, slowness: float, now_s: float
@@ -58,8 +63,11 @@
         self._slowness[target.target_id] = _Slowness(mean, now_s)
 
     def is_reported(self, service: str) -> bool:
-        """Whether any target of a service has told its slowness."""
-        return service in self._services
+        """Whether to balance a service by the capacity of its targets.
+
+        It is if any of them has told its slowness, or if all services are.
+        """
+        return self._is_everywhere or service in self._services
 
     def slowness(self, target_id: str, now_s: float) -> float:
         """Return how long work takes at a target, as a multiple of usual.
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -366,6 +366,8 @@
         settings.domain,
         settings.instance_id,
     )
+    if settings.balances_by_capacity:
+        placement.prefill_hints.speeds.balance_all()
     clock = TrueTime(wall_s() - clock_s())
     usage = UsageCounter(settings.usage_window_s, clock)
     incarnation = f'{random.getrandbits(PROCESS_NAME_BITS):012x}'
--- a/packages/gateway/dandelionyoke_gateway/_settings.py
+++ b/packages/gateway/dandelionyoke_gateway/_settings.py
@@ -51,6 +51,18 @@
     limit_window_s: float = 0.0
     limit_overrun_share: float = 0.0
     limit_slack: float = 0.0
+    # What is in force at the deployment, and which of that asks to balance all
+    # services by the capacity of their targets; empty if nothing does.
+    features: frozenset[str] = frozenset()
+    capacity_feature: str = ''
+
+    @property
+    def balances_by_capacity(self) -> bool:
+        """Whether all services are balanced by capacity.
+
+        If not, those are whose targets tell how slow they are.
+        """
+        return self.capacity_feature in self.features
 
 
 def read_settings(text: str) -> GatewaySettings:
@@ -126,6 +138,13 @@
     return _parse_number(raw) / 1000
 
 
+def _parse_names(raw: str) -> frozenset[str]:
+    names = [name.strip() for name in raw.split(',')]
+    if raw and not all(names):
+        raise ValueError('must be names with commas between them')
+    return frozenset(name for name in names if name)
+
+
 def _parse_count(raw: str) -> int:
     return int(_parse_number(raw))
 
@@ -161,5 +180,7 @@
             _parse_number_or_zero,
         ),
         'limit_slack': ('limits', 'slack', _parse_number_or_zero),
+        'features': ('balancing', 'features', _parse_names),
+        'capacity_feature': ('balancing', 'capacity_feature', str.strip),
     }
 )
--- a/tests/dispatch/test_target_speed.py
+++ b/tests/dispatch/test_target_speed.py
@@ -39,3 +39,8 @@
         self.speeds.observe(SLOW, 1.0, 0.0)
         self.assertTrue(self.speeds.is_reported('lm'))
         self.assertFalse(self.speeds.is_reported('app'))
+
+    def test_all_services_are_balanced_where_settings_ask(self) -> None:
+        """Guards against a setting that acts only after a report."""
+        self.speeds.balance_all()
+        self.assertTrue(self.speeds.is_reported('app'))
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -60,3 +60,25 @@
         self.assertEqual(
             (1, 1), (settings.processors, settings.processor_share)
         )
+
+    def test_a_feature_of_the_deployment_asks_for_balancing(self) -> None:
+        """Guards against new decisions at deployments that don't ask."""
+        for features, is_asked in (
+            ('base, room', True),
+            ('', False),
+            ('base,stream', False),
+        ):
+            settings = read_settings(
+                fill_template(features=features, capacity_feature='room')
+            )
+            self.assertIs(is_asked, settings.balances_by_capacity, features)
+        unset = read_settings(
+            fill_template(features='base', capacity_feature='')
+        )
+        self.assertFalse(unset.balances_by_capacity)
+
+    def test_an_empty_feature_is_named_in_the_error(self) -> None:
+        error = self.assertRaises(
+            SettingsError, read_settings, fill_template(features='base,,x')
+        )
+        self.assertIn('[balancing] features', str(error))
