Choose plain targets by expected time, and spread equal ones

Cause: a target was chosen by this node's own calls and the last report at its word, ties by target id. Of 59 to 91 nodes with few calls each nearly all know of no other calls, so that all nodes of a domain chose the same target, and a slow target counted like a fast one.

Change: what is believed of a target is this node's own calls and the reported calls of others, which fade; the choice goes by the time that a call would take there, with slowness and calls beyond the slots, draws among equals, crosses to another domain only for more than a round trip, and keeps a few calls at a slower target. A weighted fair queue and the spread of Retry-After come with it. Nothing uses them yet; the old choice is LeastBusyChoice, unchanged.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -86,6 +86,21 @@
     Placement as Placement,
     PrefillPlacement as PrefillPlacement,
 )
+from dandelionyoke_dispatch._plain_choice import (
+    ExpectedTimeChoice as ExpectedTimeChoice,
+    LeastBusyChoice as LeastBusyChoice,
+    PlainChoice as PlainChoice,
+    PlainChoiceSettings as PlainChoiceSettings,
+)
+from dandelionyoke_dispatch._plain_load import (
+    PlainLoads as PlainLoads,
+    PlainLoadSettings as PlainLoadSettings,
+)
+from dandelionyoke_dispatch._plain_queue import (
+    PlainQueue as PlainQueue,
+    PlainQueueSettings as PlainQueueSettings,
+    WaitingCall as WaitingCall,
+)
 from dandelionyoke_dispatch._prefill_time import (
     PrefillTimeEstimate as PrefillTimeEstimate,
     PrefillTimeSettings as PrefillTimeSettings,
@@ -122,6 +137,10 @@
     RetryBudgetSettings as RetryBudgetSettings,
     RetryVerdict as RetryVerdict,
 )
+from dandelionyoke_dispatch._retry_spread import (
+    RetrySpreadSettings as RetrySpreadSettings,
+    spread_retry_s as spread_retry_s,
+)
 from dandelionyoke_dispatch._shutdown import (
     Shutdown as Shutdown,
     ShutdownSettings as ShutdownSettings,
--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -6,6 +6,7 @@
 
 from dandelionyoke_core import rendezvous
 from dandelionyoke_dispatch._calls import Prompt
+from dandelionyoke_dispatch._plain_choice import LeastBusyChoice
 from dandelionyoke_dispatch._prefill_time import (
     PrefillTimeEstimate,
     TokenTimeEstimate,
@@ -60,6 +61,7 @@
         self._limits = limits
         self._rests = rests
         self._domain = domain
+        self._plain_choice = LeastBusyChoice(loads, domain)
         self._instance_id = instance_id
 
     def choose_prefill_engine(
@@ -273,17 +275,20 @@
 
         It is of any version if `version` is None.
         """
-        targets = self._usable(service, Phase.ANY, avoid, now_s, version)
+        targets = self.plain_targets(service, avoid, now_s, version)
         if not targets:
             return None
-        return min(
-            targets,
-            key=lambda target: (
-                self._loads.busy(target.target_id, now_s) / target.slots,
-                target.domain != self._domain,
-                target.target_id,
-            ),
-        )
+        return self._plain_choice.choose(targets, now_s)
+
+    def plain_targets(
+        self,
+        service: str,
+        avoid: Collection[str],
+        now_s: float,
+        version: str | None = None,
+    ) -> list[RegisteredTarget]:
+        """Return the targets of a plain service that may get a call."""
+        return self._usable(service, Phase.ANY, avoid, now_s, version)
 
     def limited_targets(
         self, service: str, now_s: float
--- a/packages/dispatch/dandelionyoke_dispatch/_refusals.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_refusals.py
@@ -17,6 +17,7 @@
     LEAVING = 'this instance is leaving'
     NO_TARGET = 'no target takes work now'
     TOO_LATE = 'the first token would come too late'
+    NO_ROOM = 'no target has room before it is too late'
     NO_RETRY = 'the targets refused the call'
     OUT_OF_TIME = 'the time for the call is over'
     BROKEN = 'the target broke off or gave no proper answer'
