Let plain calls wait for a target with room, in order

What callers saw: a call that a full target refused was answered 503 with time left; all refused callers were told 0.7 s.

Cause: plain calls were sent on at once to targets that were full, where they waited in a queue without order, and each target was asked once.

Change: for services whose targets tell their slowness a node sends beyond the believed free slots only its part of them; other calls wait here, by urgency with a share for each organisation, and are refused at arrival or later as soon as they would be answered too late. A call that a full target refused takes a turn again, with a charged repeat; the target is left until its queue would be worked off, without a cooldown that others are told. Retry-After is the forecast, spread, a third of the caller's time at most.

--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -31,6 +31,10 @@
     OverloadSettings,
     Phase,
     Placement,
+    PlainLoads,
+    PlainLoadSettings,
+    PlainQueue,
+    PlainQueueSettings,
     PrefillTimeEstimate,
     PrefillTimeSettings,
     PromptQueue,
@@ -121,9 +125,8 @@
     _limiters: Mapping[LimitScope, FleetLimiter]
     target_limits: TargetLimits
     rests: TargetRests
-    speeds: TargetSpeeds = attrs.field(
-        factory=lambda: TargetSpeeds(TargetSpeedSettings())
-    )
+    speeds: TargetSpeeds
+    plain_loads: PlainLoads
     reach: TargetReach = attrs.field(
         factory=lambda: TargetReach(TargetReachSettings())
     )
@@ -145,6 +148,7 @@
     news_received_s: float = NEVER_S
     in_progress: int = 0
     _service_states: dict[str, ServiceState] = attrs.field(factory=dict)
+    _plain_queues: dict[str, PlainQueue] = attrs.field(factory=dict)
     _standstills: Standstills = attrs.field(factory=Standstills)
 
     @property
@@ -164,6 +168,14 @@
         self._leave_out_standstills()
         return self._loads
 
+    def plain_queue(self, service: str) -> PlainQueue:
+        """Return the queue of a plain service, created on first use."""
+        queue = self._plain_queues.get(service)
+        if queue is None:
+            queue = PlainQueue(service, PlainQueueSettings())
+            self._plain_queues[service] = queue
+        return queue
+
     @property
     def placement(self) -> Placement:
         """The choice of targets, by their loads among others."""
@@ -280,6 +292,7 @@
         listed = frozenset(target.target_id for target in self.listing.targets)
         self.fetches.forget(listed)
         self.speeds.forget(listed)
+        self.plain_loads.forget(listed)
         self.rests.forget(self.listing.targets)
         for state in self._service_states.values():
             state.prompt_queue.forget(listed)
@@ -346,6 +359,7 @@
     fetches = TargetLoads(FETCH_SUSPICION)
     target_limits = TargetLimits(TargetLimitSettings())
     rests = TargetRests(TargetRestSettings(), random)
+    speeds = TargetSpeeds(TargetSpeedSettings())
     clock = TrueTime(wall_s() - clock_s())
     usage = UsageCounter(settings.usage_window_s, clock)
     incarnation = f'{random.getrandbits(PROCESS_NAME_BITS):012x}'
@@ -381,6 +395,8 @@
         limiters=_new_limiters(settings),
         target_limits=target_limits,
         rests=rests,
+        speeds=speeds,
+        plain_loads=PlainLoads(PlainLoadSettings(), loads, speeds),
         shutdown=Shutdown(ShutdownSettings(settings.grace_s)),
     )
 
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -5,7 +5,6 @@
 import attrs
 
 from dandelionyoke_dispatch import (
-    DEFAULT_RETRY_AFTER_S,
     Cause,
     Refusal,
     RegisteredTarget,
@@ -20,6 +19,7 @@
 from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._messages import ResponseHead
+from dandelionyoke_gateway._plain_turns import NoRoomError, turns_of
 from dandelionyoke_gateway._ports import Forwarding, ResponseFacts
 from dandelionyoke_gateway._retry_account import (
     RetryAccount,
@@ -67,6 +67,7 @@
         self._knowledge = deps.knowledge
         self._context = context
         self._retries = RetryAccount(deps, context)
+        self._turns = turns_of(deps, context)
         self._cause = Cause.NO_TARGET
         # The number of the last attempt at a target.
         self._attempt = -1
@@ -115,20 +116,18 @@
 
     def _find_response(self) -> BufferedResponse:
         for _ in range(MAX_SENDS):
-            if self._is_handover_needed():
-                response = self._hand_over(self._watch)
-            else:
-                target = self._next_target()
-                if target is None:
-                    break
-                response = self._send_to(target)
+            target = self._next_target()
+            # It may be needed by now if the call has waited.
+            if target is None and not self._is_handover_needed():
+                break
+            response = self._send_once(target)
             if response is not None:
                 return response
         if self._error_response is not None:
             return self._error_response
         raise RefusedError(
             limited_refusal(self._deps, self._context)
-            or Refusal(self._cause, DEFAULT_RETRY_AFTER_S)
+            or Refusal(self._cause, self._turns.retry_after_s(self._cause))
         )
 
     def _log_failed_try(
@@ -194,7 +193,10 @@
         return response if is_success else None
 
     def _next_target(self) -> RegisteredTarget | None:
+        """Return the target for the next send; None if another node serves."""
         context = self._context
+        if self._is_handover_needed():
+            return None
         now_s = clock_s()
         if now_s >= context.deadline_s:
             self._cause = Cause.OUT_OF_TIME
@@ -203,14 +205,25 @@
             return None
         if not context.attempts.may_run_again(context.route.is_repeatable):
             return None
+        if not self._is_sound() or not self._may_take_turn():
+            return None
+        target = self._choose_target()
+        is_sound = not self._turns.has_waited or self._is_sound()
+        return target if target and is_sound and self._may_send() else None
+
+    def _is_sound(self) -> bool:
+        """Whether the call is not known to crash targets."""
         try:
-            check_crashes(self._deps, context)
+            check_crashes(self._deps, self._context)
         except RefusedError as error:
             # A response that is ready still goes to the caller.
             self._cause = error.refusal.cause
-            return None
-        target = self._choose_target()
-        return None if target is None or not self._may_send() else target
+            return False
+        return True
+
+    def _may_take_turn(self) -> bool:
+        """Whether the call may wait; charges a retry before it does."""
+        return not self._turns.is_queued or self._may_send()
 
     def _may_send(self) -> bool:
         """Whether the call may be sent now; charges a retry."""
@@ -225,9 +238,11 @@
         """Choose a target that takes a request now; None if there is none."""
         context = self._context
         while clock_s() < context.deadline_s:
-            target = self._knowledge.placement.choose_plain_target(
-                context.service.name, context.tried.ids, clock_s()
-            )
+            try:
+                target = self._turns.take()
+            except NoRoomError:
+                self._cause = Cause.NO_ROOM
+                return None
             if target is None:
                 return None
             try:
@@ -238,6 +253,18 @@
             return target
         return None
 
+    def _send_once(
+        self, target: RegisteredTarget | None
+    ) -> BufferedResponse | None:
+        """Send the call to a target, or to another node if there is none."""
+        if target is None:
+            return self._hand_over(self._watch)
+        # Another call may have its place afterwards.
+        try:
+            return self._send_to(target)
+        finally:
+            self._turns.ended()
+
     def _send_to(self, target: RegisteredTarget) -> BufferedResponse | None:
         """Send the call to one target; None to go on with the next target."""
         self._context.tried.ids.add(target.target_id)
@@ -298,13 +325,13 @@
         self._log_response(target, facts)
         if facts.is_not_run:
             self._context.attempts.refused(self._attempt)
-            self._context.tried.add_refusing([target.target_id])
-            record_refusal(self._deps, target, facts)
+            self._record_refusal(target, facts)
             self._cause = Cause.NO_RETRY
             return None
         self._context.attempts.ran(self._attempt)
         if facts.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             loads.succeeded(target.target_id)
+            self._turns.answered(target, clock_s() - self._sent_s)
             self._deps.crash_reports.answered(
                 target, self._context.crash_keys, self._sent_s
             )
@@ -315,6 +342,17 @@
         self._cause = Cause.BROKEN
         return None
 
+    def _record_refusal(
+        self, target: RegisteredTarget, facts: ResponseFacts
+    ) -> None:
+        tried = self._context.tried
+        if self._turns.refused(target, facts):
+            # Another call may have its place, and this one its turn later.
+            tried.ids.discard(target.target_id)
+            return
+        tried.add_refusing([target.target_id])
+        record_refusal(self._deps, target, facts)
+
     def _log_response(
         self, target: RegisteredTarget, facts: ResponseFacts
     ) -> None:
@@ -329,6 +367,7 @@
             status=facts.status,
             not_run=str(facts.is_not_run),
             since_arrival_s=since_arrival_s,
+            **self._turns.log_inputs(target),
         )
 
 
@@ -402,6 +441,7 @@
         return
     knowledge, now_s = deps.knowledge, clock_s()
     knowledge.loads.reported(target.target_id, facts.load.busy, now_s)
+    knowledge.plain_loads.reported(target, facts.load, now_s)
     if facts.load.slowness is not None:
         knowledge.speeds.observe(target, facts.load.slowness, now_s)
 
