Keep some plain calls in time while the targets are overloaded

Cause: with more nodes than slots, a window of one call at each target lets the targets' queues fill up, and calls waited here first come, first served.

Change: the window counts the calls of a node at all targets of the service, and calls that can still meet their goal go first. A target that refused without a queue is left for the time of a call. Lines of call.answered tell what was believed as the target was chosen.

--- a/packages/dispatch/dandelionyoke_dispatch/_plain_load.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_plain_load.py
@@ -75,10 +75,15 @@
     def refused(
         self, target: RegisteredTarget, report: LoadReport, now_s: float
     ) -> None:
-        """Send nothing to a full target until its queue is worked off."""
-        queue_s = self._queue_s(target, report, now_s)
+        """Send nothing to a full target until its queue is worked off.
+
+        One without a queue is left for the time of a call.
+        """
+        full_s = max(
+            self.run_s(target, now_s), self._queue_s(target, report, now_s)
+        )
         self._beliefs[target.target_id] = attrs.evolve(
-            self._belief(target.target_id), full_until_s=now_s + queue_s
+            self._belief(target.target_id), full_until_s=now_s + full_s
         )
 
     def answered(
@@ -119,24 +124,31 @@
         waiting = max(0, calls - target.slots)
         return self.run_s(target, now_s) * (1 + waiting / target.slots)
 
-    def window(self, target: RegisteredTarget, node_count: int) -> int:
-        """Return how many calls this node may have at a target that is full.
+    def window(
+        self, targets: Sequence[RegisteredTarget], node_count: int
+    ) -> int:
+        """Return how many calls this node may have at targets that are full.
 
-        It is this node's part of the slots and of a short queue.
+        It is this node's part of their slots and of short queues.
         """
-        calls = target.slots * (1 + self._settings.queue_share)
+        slots = sum(target.slots for target in targets)
+        calls = slots * (1 + self._settings.queue_share)
         return max(1, int(calls / node_count))
 
-    def has_room(
-        self, target: RegisteredTarget, node_count: int, now_s: float
-    ) -> bool:
-        """Whether a call may be sent to a target rather than wait here."""
-        target_id = target.target_id
-        if self.full_s(target, now_s):
-            return False
-        if self._loads.own(target_id) < self.window(target, node_count):
-            return True
-        return self.believed(target_id, now_s) < target.slots
+    def with_room(
+        self, targets: Sequence[RegisteredTarget], node_count: int, now_s: float
+    ) -> list[RegisteredTarget]:
+        """Return the targets of a service to which a call may be sent.
+
+        They have a free slot, or this node has fewer calls than its window.
+        """
+        is_within_window = self._own(targets) < self.window(targets, node_count)
+        return [
+            target
+            for target in targets
+            if not self.full_s(target, now_s)
+            and (is_within_window or self._has_free_slot(target, now_s))
+        ]
 
     def full_s(self, target: RegisteredTarget, now_s: float) -> float:
         """Return for how long a target that refused a call stays full."""
@@ -150,15 +162,9 @@
 
         They have as many as this node may send them.
         """
-        ends_per_s = sum(
-            max(
-                self.window(target, node_count),
-                self._loads.own(target.target_id),
-            )
-            / self.expected_s(target, now_s)
-            for target in targets
-        )
-        return 1 / ends_per_s
+        calls = max(self.window(targets, node_count), self._own(targets))
+        expected_s = [self.expected_s(target, now_s) for target in targets]
+        return sum(expected_s) / len(expected_s) / calls
 
     def describe(
         self, targets: Sequence[RegisteredTarget], now_s: float
@@ -186,6 +192,12 @@
             if target_id in known
         }
 
+    def _own(self, targets: Sequence[RegisteredTarget]) -> int:
+        return sum(self._loads.own(target.target_id) for target in targets)
+
+    def _has_free_slot(self, target: RegisteredTarget, now_s: float) -> bool:
+        return self.believed(target.target_id, now_s) < target.slots
+
     def _belief(self, target_id: str) -> _Belief:
         return self._beliefs.get(target_id, _Belief())
 
--- a/packages/dispatch/dandelionyoke_dispatch/_plain_queue.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_plain_queue.py
@@ -2,9 +2,9 @@
 
 Load: a burst of calls to targets that are all full. Sent on, they wait in the
 targets' queues, which know neither urgency nor organisations, and are refused
-once these are full. Here more urgent calls go first, each organisation has a
-share, and a call whose turn comes too late is refused while its caller still
-has time.
+once these are full. Here calls that can still meet their goal go first, so that
+a burst delays some calls but not all; among them the more urgent ones, with a
+share for each organisation.
 """
 
 import itertools
@@ -30,13 +30,15 @@
 class WaitingCall:
     """A call in the queue; a lower `rank` is more urgent.
 
-    It goes to no target in `avoid`, which may grow while it waits. `turn` is
-    its place in the virtual time of the queue.
+    It goes to no target in `avoid`, which may grow while it waits. If it is
+    sent after `in_time_until_s`, it misses its goal. `turn` is its place in the
+    virtual time of the queue.
     """
 
     ticket_id: str
     flow: tuple[str, int]
     avoid: Collection[str]
+    in_time_until_s: float
     start: float
     turn: float
 
@@ -67,25 +69,34 @@
         return len(self._waiting) > self._settings.max_calls
 
     def enter(
-        self, organisation: str, rank: int, avoid: Collection[str]
+        self,
+        organisation: str,
+        rank: int,
+        avoid: Collection[str],
+        in_time_until_s: float,
     ) -> WaitingCall:
         """Add a call."""
         flow = organisation, min(MAX_RANK, max(0, rank))
         start = max(self._virtual_time, self._flow_ends.get(flow, 0.0))
         turn = start + RANK_COST ** flow[1]
         ticket_id = f'plain/{self._service}/{next(self._numbers)}'
-        call = WaitingCall(ticket_id, flow, avoid, start, turn)
+        call = WaitingCall(ticket_id, flow, avoid, in_time_until_s, start, turn)
         self._flow_ends[flow] = turn
         self._waiting[ticket_id] = call
         return call
 
-    def in_order(self) -> list[WaitingCall]:
+    def in_order(self, now_s: float) -> list[WaitingCall]:
         """Return the waiting calls, the next one first."""
-        return sorted(self._waiting.values(), key=lambda call: call.turn)
+        return sorted(
+            self._waiting.values(), key=lambda call: _precedence(call, now_s)
+        )
 
-    def count_ahead(self, call: WaitingCall) -> int:
+    def count_ahead(self, call: WaitingCall, now_s: float) -> int:
         """Return how many calls go before a waiting one."""
-        return sum(other.turn < call.turn for other in self._waiting.values())
+        own = _precedence(call, now_s)
+        return sum(
+            _precedence(other, now_s) < own for other in self._waiting.values()
+        )
 
     def assign(self, call: WaitingCall, target: RegisteredTarget) -> None:
         """End the wait of a call with a target."""
@@ -111,3 +122,7 @@
             for flow, end in self._flow_ends.items()
             if end > self._virtual_time
         }
+
+
+def _precedence(call: WaitingCall, now_s: float) -> tuple[bool, float]:
+    return now_s > call.in_time_until_s, call.turn
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -367,7 +367,7 @@
             status=facts.status,
             not_run=str(facts.is_not_run),
             since_arrival_s=since_arrival_s,
-            **self._turns.log_inputs(target),
+            **self._turns.log_inputs,
         )
 
 
--- a/packages/gateway/dandelionyoke_gateway/_plain_turns.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_turns.py
@@ -1,6 +1,7 @@
 """Which target a plain call goes to, and whether it waits for one."""
 
 from collections.abc import Collection, Mapping, Sequence
+from types import MappingProxyType
 from typing import Protocol
 
 import attrs
@@ -64,8 +65,9 @@
     def retry_after_s(self, cause: Cause) -> float:
         """Return when the caller may return after a refusal."""
 
-    def log_inputs(self, target: RegisteredTarget) -> LogInputs:
-        """Return what was believed of a target."""
+    @property
+    def log_inputs(self) -> LogInputs:
+        """What was believed of the target as it was chosen."""
 
 
 class DirectTurns:
@@ -73,6 +75,7 @@
 
     has_waited = False
     is_queued = False
+    log_inputs: LogInputs = MappingProxyType({})
 
     def __init__(self, deps: CallDependencies, context: CallContext) -> None:
         self._placement = deps.knowledge.placement
@@ -99,10 +102,6 @@
         """Return the delay if nothing better is known."""
         return DEFAULT_RETRY_AFTER_S
 
-    def log_inputs(self, target: RegisteredTarget) -> LogInputs:
-        """Return nothing."""
-        return {}
-
 
 class QueuedTurns:
     """Lets a call wait here while all targets are believed full."""
@@ -123,6 +122,7 @@
             deps.knowledge.random,
         )
         self.has_waited = False
+        self.log_inputs: LogInputs = {}
 
     def take(self) -> RegisteredTarget | None:
         """Wait for a target with room; None if no target may get the call.
@@ -135,6 +135,7 @@
             context.organisation_name or '',
             context.priority,
             context.tried.ids,
+            self._in_time_until_s,
         )
         try:
             return self._await_target(call)
@@ -183,25 +184,26 @@
             self._knowledge.random,
         )
 
-    def log_inputs(self, target: RegisteredTarget) -> LogInputs:
-        """Return what is believed of a target."""
-        return {'believed': self._loads.describe([target], clock_s())}
-
     def _await_target(self, call: WaitingCall) -> RegisteredTarget | None:
         self._admit()
         if not self._is_over(call):
             self._wait(call)
         target = self._queue.assigned(call)
         if target is not None:
-            self._count_send(target)
+            self._record_turn(target)
         return target
 
     def _admit(self) -> None:
         """Give the targets with room to the calls that are next."""
-        for call in self._queue.in_order():
-            if not self._has_any_room():
+        for call in self._queue.in_order(clock_s()):
+            with_room = self._with_room()
+            if not with_room:
                 return
-            open_targets = self._open_targets(call.avoid)
+            open_targets = [
+                target
+                for target in self._usable(call.avoid)
+                if target.target_id in with_room
+            ]
             if open_targets:
                 self._assign(call, open_targets)
 
@@ -226,7 +228,7 @@
         Raises:
             NoRoomError: its turn would come too late.
         """
-        wait = _Wait(clock_s(), self._queue.count_ahead(call))
+        wait = _Wait(clock_s(), self._queue.count_ahead(call, clock_s()))
         forecast_s = self._forecast_s(self._targets(), wait.ahead)
         if self._queue.is_full or not self._is_in_time(forecast_s):
             self._log_wait(wait, 'refused at arrival', forecast_s)
@@ -243,7 +245,9 @@
         while not self._is_over(call):
             if not self._is_in_time(0):
                 raise NoRoomError
-            recheck_s = RECHECK_S * (1 + self._queue.count_ahead(call))
+            recheck_s = RECHECK_S * (
+                1 + self._queue.count_ahead(call, clock_s())
+            )
             self._knowledge.waiters.wait(
                 call.ticket_id, clock_s() + min(MAX_RECHECK_S, recheck_s)
             )
@@ -278,32 +282,39 @@
         full_s = min(self._loads.full_s(target, now_s) for target in targets)
         return full_s + (ahead + 1) * turn_s
 
+    @property
+    def _in_time_until_s(self) -> float:
+        """When the call must be sent to meet its goal."""
+        context = self._context
+        goal_s = context.request.arrived_s + context.route.goal_s
+        return goal_s - self._loads.usual_s(self._service)
+
     def _targets(self) -> list[RegisteredTarget]:
         """Return the targets that may get the call, full or not."""
-        return self._knowledge.placement.plain_targets(
-            self._service, self._context.tried.ids, clock_s()
-        )
-
-    def _has_any_room(self) -> bool:
-        targets = self._knowledge.registry.of_service(self._service)
-        return any(self._has_room(target) for target in targets)
+        return self._usable(self._context.tried.ids)
 
-    def _open_targets(self, avoid: Collection[str]) -> list[RegisteredTarget]:
-        targets = self._knowledge.placement.plain_targets(
+    def _usable(self, avoid: Collection[str]) -> list[RegisteredTarget]:
+        return self._knowledge.placement.plain_targets(
             self._service, avoid, clock_s()
         )
-        return [target for target in targets if self._has_room(target)]
 
-    def _has_room(self, target: RegisteredTarget) -> bool:
-        return self._loads.has_room(
-            target, self._knowledge.node_count, clock_s()
+    def _with_room(self) -> frozenset[str]:
+        """Return the targets with room for any call."""
+        with_room = self._loads.with_room(
+            self._knowledge.registry.of_service(self._service),
+            self._knowledge.node_count,
+            clock_s(),
+        )
+        return frozenset(target.target_id for target in with_room)
+
+    def _record_turn(self, target: RegisteredTarget) -> None:
+        loads, log, now_s = self._loads, self._deps.log, clock_s()
+        self.log_inputs = {'believed': loads.describe([target], now_s)}
+        believed = loads.believed(target.target_id, now_s)
+        log.count(CountMetric('plain.sent', label=target.target_id))
+        log.count(
+            CountMetric('plain.believed', round(believed), target.target_id)
         )
-
-    def _count_send(self, target: RegisteredTarget) -> None:
-        believed = self._loads.believed(target.target_id, clock_s())
-        label, log = target.target_id, self._deps.log
-        log.count(CountMetric('plain.sent', label=label))
-        log.count(CountMetric('plain.believed', round(believed), label))
 
     def _log_wait(self, wait: '_Wait', outcome: str, forecast_s: float) -> None:
         now_s, targets = clock_s(), self._targets()[:MAX_LOGGED_TARGETS]
--- a/tests/dispatch/test_plain_choice.py
+++ b/tests/dispatch/test_plain_choice.py
@@ -48,6 +48,10 @@
         self.plain_loads.reported(target, report(0, told), now_s)
         return target.target_id
 
+    def has_room(self, target: RegisteredTarget, now_s: float) -> bool:
+        """Whether a call may be sent to the only target of a service."""
+        return target in self.plain_loads.with_room([target], 60, now_s)
+
 
 def report(busy: int, slowness: float = 1.0) -> LoadReport:
     return LoadReport(min(SLOTS, busy), max(0, busy - SLOTS), SLOTS, slowness)
@@ -94,8 +98,8 @@
         node, target = Node(), TARGETS[0]
         node.loads.call_started(target.target_id)
         node.plain_loads.reported(target, report(4 * SLOTS), 0.0)
-        self.assertFalse(node.plain_loads.has_room(target, 60, 0.0))
-        self.assertTrue(node.plain_loads.has_room(target, 60, 3.0))
+        self.assertFalse(node.has_room(target, 0.0))
+        self.assertTrue(node.has_room(target, 3.0))
 
     def test_a_target_that_refused_is_left_until_its_queue_ends(self) -> None:
         """Guards against sends that are refused again at once."""
@@ -103,5 +107,5 @@
         node.plain_loads.answered(target, 0.06, 0.0)
         node.plain_loads.refused(target, report(5 * SLOTS), 0.0)
         node.plain_loads.reported(target, report(5 * SLOTS), 0.1)
-        self.assertFalse(node.plain_loads.has_room(target, 60, 0.2))
-        self.assertTrue(node.plain_loads.has_room(target, 60, 0.25))
+        self.assertFalse(node.has_room(target, 0.2))
+        self.assertTrue(node.has_room(target, 0.25))
--- a/tests/platform/test_plain_turns.py
+++ b/tests/platform/test_plain_turns.py
@@ -128,3 +128,18 @@
         self.assertIn(b' 503 ', call.wait())
         self.assertLess(clock_s() - begun_s, LEAVE_S)
         self.assertEqual(SLOTS, len(target.received_requests))
+
+    def test_a_waiting_call_leaves_a_node_that_is_cut_off(self) -> None:
+        """Guards against calls that wait for targets that are not reached."""
+        other = NodeHarness('n-2')
+        self.addCleanup(other.close)
+        other.add_target(lambda request: [answered(request)])
+        self.node.open_links()
+        knowledge = self.node.knowledge
+        knowledge.sources.take_members([other.open_links()], clock_s())
+        target = self.fill()
+        call = eventlet.spawn(self.node.call)
+        self.wait_for_queued(1)
+        knowledge.reach.probed('ledger', {'i-1': False}, clock_s())
+        self.assertIn(b' 200 ', call.wait())
+        self.assertEqual(SLOTS, len(target.received_requests))
