Split the turns of queued plain calls from those sent at once

Change: _plain_turns.py keeps the protocol and the turns of services as before, _queued_turns.py the queue.

--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -19,8 +19,13 @@
 from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._messages import ResponseHead
-from dandelionyoke_gateway._plain_turns import NoRoomError, turns_of
+from dandelionyoke_gateway._plain_turns import (
+    DirectTurns,
+    NoRoomError,
+    PlainTurns,
+)
 from dandelionyoke_gateway._ports import Forwarding, ResponseFacts
+from dandelionyoke_gateway._queued_turns import QueuedTurns
 from dandelionyoke_gateway._retry_account import (
     RetryAccount,
     RetryDeniedError,
@@ -67,7 +72,7 @@
         self._knowledge = deps.knowledge
         self._context = context
         self._retries = RetryAccount(deps, context)
-        self._turns = turns_of(deps, context)
+        self._turns = _new_turns(deps, context)
         self._cause = Cause.NO_TARGET
         # The number of the last attempt at a target.
         self._attempt = -1
@@ -371,6 +376,16 @@
         )
 
 
+def _new_turns(deps: CallDependencies, context: CallContext) -> PlainTurns:
+    """Return how a call gets its turns.
+
+    Targets that tell how slow they are ask to be balanced by it.
+    """
+    if deps.knowledge.speeds.is_reported(context.service.name):
+        return QueuedTurns(deps, context)
+    return DirectTurns(deps, context)
+
+
 def validate_response(
     head: ResponseHead, facts: ResponseFacts, context: CallContext
 ) -> None:
