--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -92,6 +92,21 @@
 from dandelionyoke_dispatch._placement import (
     Placement as Placement,
 )
+from dandelionyoke_dispatch._plain_choice import (
+    ExpectedTimeChoice as ExpectedTimeChoice,
+    LeastBusyChoice as LeastBusyChoice,
+    PlainChoice as PlainChoice,
+    PlainChoiceSettings as PlainChoiceSettings,
+)
+from dandelionyoke_dispatch._plain_load import (
+    PlainLoads as PlainLoads,
+    PlainLoadSettings as PlainLoadSettings,
+)
+from dandelionyoke_dispatch._plain_queue import (
+    PlainQueue as PlainQueue,
+    PlainQueueSettings as PlainQueueSettings,
+    WaitingCall as WaitingCall,
+)
 from dandelionyoke_dispatch._prefill_choice import (
     PrefillForecast as PrefillForecast,
     PrefillPlacement as PrefillPlacement,
@@ -141,6 +156,10 @@
     RetryBudgetSettings as RetryBudgetSettings,
     RetryVerdict as RetryVerdict,
 )
+from dandelionyoke_dispatch._retry_spread import (
+    RetrySpreadSettings as RetrySpreadSettings,
+    spread_retry_s as spread_retry_s,
+)
 from dandelionyoke_dispatch._shutdown import (
     Shutdown as Shutdown,
     ShutdownSettings as ShutdownSettings,
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -34,6 +34,10 @@
     OverloadSettings,
     Phase,
     Placement,
+    PlainLoads,
+    PlainLoadSettings,
+    PlainQueue,
+    PlainQueueSettings,
     PrefillTimeEstimate,
     PrefillTimeSettings,
     PromptQueue,
@@ -127,9 +131,8 @@
     _limiters: Mapping[LimitScope, FleetLimiter]
     target_limits: TargetLimits
     rests: TargetRests
-    speeds: TargetSpeeds = attrs.field(
-        factory=lambda: TargetSpeeds(TargetSpeedSettings())
-    )
+    speeds: TargetSpeeds
+    plain_loads: PlainLoads
     reach: TargetReach = attrs.field(
         factory=lambda: TargetReach(TargetReachSettings())
     )
@@ -155,6 +158,7 @@
     news_received_s: float = NEVER_S
     in_progress: int = 0
     _service_states: dict[str, ServiceState] = attrs.field(factory=dict)
+    _plain_queues: dict[str, PlainQueue] = attrs.field(factory=dict)
     _standstills: Standstills = attrs.field(factory=Standstills)
 
     @property
@@ -174,6 +178,14 @@
         self._leave_out_standstills()
         return self._loads
 
+    def plain_queue(self, service: str) -> PlainQueue:
+        """Return the queue of a plain service, created on first use."""
+        queue = self._plain_queues.get(service)
+        if queue is None:
+            queue = PlainQueue(service, PlainQueueSettings())
+            self._plain_queues[service] = queue
+        return queue
+
     @property
     def placement(self) -> Placement:
         """The choice of targets, by their loads among others."""
@@ -291,6 +303,7 @@
         self.fetches.forget(listed)
         self.speeds.forget(listed)
         self.placement.prefill_hints.forget(listed)
+        self.plain_loads.forget(listed)
         self.rests.forget(self.listing.targets)
         for state in self._service_states.values():
             state.prompt_queue.forget(listed)
@@ -366,8 +379,9 @@
         settings.domain,
         settings.instance_id,
     )
+    speeds = placement.prefill_hints.speeds
     if settings.balances_by_capacity:
-        placement.prefill_hints.speeds.balance_all()
+        speeds.balance_all()
     clock = TrueTime(wall_s() - clock_s())
     usage = UsageCounter(settings.usage_window_s, clock)
     incarnation = f'{random.getrandbits(PROCESS_NAME_BITS):012x}'
@@ -395,7 +409,8 @@
         limiters=_new_limiters(settings),
         target_limits=target_limits,
         rests=rests,
-        speeds=placement.prefill_hints.speeds,
+        speeds=speeds,
+        plain_loads=PlainLoads(PlainLoadSettings(), loads, speeds),
         shutdown=Shutdown(ShutdownSettings(settings.grace_s)),
     )
 
