Suspect the engine whose KV cache is lost, not the one that decodes

Cause: a decode engine that cannot get a KV cache (its handle has lapsed, or the engine that holds it is not reached) answers as if it were full. It was put into cooldown, and the call was repeated with the same lost cache elsewhere until the retry budget denied it; the engine without handles went on to prefill.

Change, for services whose targets report their slowness: if the refusing engine has room by the report in that answer, the call goes to it once more without the cache, as one repeat. If it takes it, the engine that holds the cache is suspect, here and at the placing node, and the cache is freed; also if that repeat is denied. If it refuses again (it changes its phase, for example), it is suspect itself and the cache goes to the next engine.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -63,6 +63,10 @@
     Freshness as Freshness,
     FreshnessSettings as FreshnessSettings,
 )
+from dandelionyoke_dispatch._import_refusal import (
+    ImportRefusal as ImportRefusal,
+    is_full as is_full,
+)
 from dandelionyoke_dispatch._load_report import (
     LoadReport as LoadReport,
     LoadReportError as LoadReportError,
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -133,10 +133,14 @@
         ):
             return prompt
         self._state.log_decision('prompt.dropped', prompt.target)
-        if prompt.is_own:
-            eventlet.spawn_n(self._deps.engines.release_cache, prompt.cache)
+        self.release(prompt)
         return None
 
+    def release(self, prompt: PrefilledPrompt | None) -> None:
+        """Free the memory of a KV cache that no engine has imported."""
+        if prompt is not None and prompt.is_own:
+            eventlet.spawn_n(self._deps.engines.release_cache, prompt.cache)
+
     def _enter_queue(self, prompt: Prompt, version: str | None) -> PrefillGrant:
         """Wait in the prefill queue for an engine.
 
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -5,7 +5,6 @@
 from http import HTTPStatus
 
 import attrs
-import eventlet
 
 from dandelionyoke_dispatch import (
     DEFAULT_RETRY_AFTER_S,
@@ -24,6 +23,7 @@
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._handover import HandedCall
+from dandelionyoke_gateway._import_check import ImportCheck, PromptUse
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_gateway._plain_call import (
     apply_response_facts,
@@ -57,14 +57,6 @@
         self.body = body
 
 
-@attrs.define
-class _PromptUse:
-    """Whether an engine may have imported the KV cache of a prompt."""
-
-    prompt: PrefilledPrompt | None
-    is_spent: bool = False
-
-
 class StreamOpener:
     """Begins the stream of one call, as often as it is needed."""
 
@@ -76,10 +68,12 @@
         self._prefiller = PromptPrefiller(self.state)
         # Kept for a retry as long as no decode engine has imported its KV cache.
         self._prompt = self._prefiller.find_handed()
+        self._imports = ImportCheck(self._prefiller, self.state)
 
     def close(self) -> None:
         """Release an unused KV cache."""
-        self._release_cache(self._prompt)
+        self._imports.settle()
+        self._prefiller.release(self._prompt)
         self._prompt = None
 
     def refuse_if_limited(self) -> None:
@@ -157,7 +151,11 @@
         would exceed the retry limit.
         """
         attempts = self._context.attempts
-        is_prefill_repeated = self._prompt is None and attempts.is_prefill_sent
+        is_prefill_repeated = (
+            self._prompt is None
+            and attempts.is_prefill_sent
+            and not self._imports.is_pending
+        )
         return attempts.is_sent + is_prefill_repeated
 
     def _take_prompt(self) -> PrefilledPrompt | None:
@@ -169,8 +167,10 @@
         prompt = self._prompt
         self._prompt = None
         if prompt is not None and version not in {None, prompt.target.version}:
-            self._release_cache(prompt)
+            self._prefiller.release(prompt)
             prompt = None
+        if prompt is None and self._imports.is_pending:
+            return None
         if prompt is None:
             prompt = self._prefiller.prefill(version)
         return self._prefiller.keep_decodable(prompt)
@@ -178,20 +178,21 @@
     @contextmanager
     def _keep_unless_spent(
         self, prompt: PrefilledPrompt | None
-    ) -> Iterator[_PromptUse]:
+    ) -> Iterator[PromptUse]:
         """Keep a prompt for a retry unless an engine may have imported it."""
-        use = _PromptUse(prompt)
+        use = PromptUse(prompt)
         try:
             yield use
         finally:
-            if prompt is not None and not use.is_spent:
-                self._release_cache(self._prompt)
-                self._prompt = prompt
+            if use.prompt is not None and not use.is_spent:
+                self._prefiller.release(self._prompt)
+                self._prompt = use.prompt
 
     def _choose_decode_target(
         self, prompt: PrefilledPrompt | None
     ) -> RegisteredTarget:
-        target = self._find_decode_target(prompt)
+        target = self._imports.take_target()
+        target = target or self._find_decode_target(prompt)
         if target is None:
             self.refuse_if_limited()
             raise RefusedError(Refusal(Cause.NO_TARGET, DEFAULT_RETRY_AFTER_S))
@@ -212,16 +213,10 @@
             service, avoid, now_s, version=version
         )
 
-    def _release_cache(self, prompt: PrefilledPrompt | None) -> None:
-        """Free the memory of a KV cache that no engine has imported."""
-        if prompt is None or not prompt.is_own:
-            return
-        eventlet.spawn_n(self._deps.engines.release_cache, prompt.cache)
-
     # At a target.
 
     def _begin_at(
-        self, target: RegisteredTarget, use: _PromptUse, watch: SilenceWatch
+        self, target: RegisteredTarget, use: PromptUse, watch: SilenceWatch
     ) -> BegunStream:
         check_identity(self.state, target)
         # It may have waited for its prefill.
@@ -239,7 +234,7 @@
     def _send_to(
         self,
         target: RegisteredTarget,
-        use: _PromptUse,
+        use: PromptUse,
         watch: SilenceWatch,
         exchange: ExitStack,
     ) -> BegunStream:
@@ -273,7 +268,7 @@
         target: RegisteredTarget,
         connection: TargetConnection,
         attempt: int,
-        use: _PromptUse,
+        use: PromptUse,
     ) -> ResponseHead:
         """Read the head of the response of a target that ran the call."""
         sent_s = clock_s()
@@ -285,13 +280,14 @@
         validate_attempt_id(facts, self._context)
         apply_response_facts(self._deps, self._context, target, facts)
         if facts.is_not_run:
-            use.is_spent = False
-            self._record_refusal(target, facts, connection, attempt)
+            self._context.attempts.refused(attempt)
+            self._record_refusal(target, facts, use, connection)
             raise RetryableError(Cause.NO_RETRY)
         validate_response(response, facts, self._context)
         connection.on_data = heard
         if heard is not None:
             heard()
+        self._imports.settle()
         self._record_begin(target, facts, sent_s)
         return response
 
@@ -299,12 +295,13 @@
         self,
         target: RegisteredTarget,
         facts: ResponseFacts,
+        use: PromptUse,
         connection: TargetConnection,
-        attempt: int,
     ) -> None:
-        self._context.attempts.refused(attempt)
-        self._context.tried.add_refusing([target.target_id])
-        record_refusal(self._deps, target, facts)
+        use.is_spent = False
+        if not self._imports.take_refusal(target, facts, use):
+            self._context.tried.add_refusing([target.target_id])
+            record_refusal(self._deps, target, facts)
         self.state.log_decision('stream.refused', target, status=facts.status)
         connection.read_body(self._context.deadline_s, MAX_ERROR_BODY_BYTES)
 
@@ -345,7 +342,7 @@
                 cause = Cause.BROKEN if error.sent else Cause.NO_TARGET
                 raise RetryableError(cause) from error
 
-    def _hand_over(self, use: _PromptUse, watch: SilenceWatch) -> BegunStream:
+    def _hand_over(self, use: PromptUse, watch: SilenceWatch) -> BegunStream:
         with ExitStack() as exchange:
             call = exchange.enter_context(
                 self._deps.handover.exchange(
