Choose decode engines by memory and pace, and refuse before a vain prefill

A node took the engine with the fewest calls, whatever their size: memory and slowness were read by nothing. An engine that is over its memory preempts streams, and calls were prefilled for engines at which they then waited until their callers left.

Change, for services whose targets report their slowness: each node counts the tokens of its own calls by engine and estimates those of others from the last report, faded within a second. Engines without room for the call are left out while another one has it; of the rest the least full, by slots or memory, times its slowness is taken; domains and ties as before. If calls wait at all decode engines for longer than the caller does, by recent reports, the call waits for up to a quarter of its goal and is refused as not run, before its prefill. The old choice stays for all others, behind DecodeChoice.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -42,12 +42,22 @@
     CrashVerdict as CrashVerdict,
     QuarantineSettings as QuarantineSettings,
 )
+from dandelionyoke_dispatch._decode_target import (
+    DecodeChoice as DecodeChoice,
+    LeastBusyChoice as LeastBusyChoice,
+    PaceChoice as PaceChoice,
+)
 from dandelionyoke_dispatch._engine_plan import (
     EnginePlan as EnginePlan,
     EnginePlanSettings as EnginePlanSettings,
     FleetNeed as FleetNeed,
     WantedCount as WantedCount,
 )
+from dandelionyoke_dispatch._engine_room import (
+    DecodeCall as DecodeCall,
+    EngineRoom as EngineRoom,
+    EngineRoomSettings as EngineRoomSettings,
+)
 from dandelionyoke_dispatch._fleet_demand import (
     DemandSample as DemandSample,
     FleetDemand as FleetDemand,
--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -6,6 +6,8 @@
 
 from dandelionyoke_core import rendezvous
 from dandelionyoke_dispatch._calls import Prompt
+from dandelionyoke_dispatch._decode_target import DecodeChoice, LeastBusyChoice
+from dandelionyoke_dispatch._engine_room import DecodeCall
 from dandelionyoke_dispatch._prefill_time import (
     PrefillTimeEstimate,
     TokenTimeEstimate,
@@ -20,11 +22,6 @@
 from dandelionyoke_dispatch._target_load import TargetLoads
 from dandelionyoke_dispatch._target_rests import TargetRests
 
-# The difference in slot utilisation above which an engine in another domain is
-# preferred. At this difference, the slower decode steps of the near engine cost
-# about as much as the transfer of the KV cache.
-CROSS_DOMAIN_PENALTY = 0.3
-
 # The cost of not using the first engine of a shared prefix, as a share of the
 # prefill time of that prefix. Another engine fetches the prefix if the first
 # one has it cached; if not, the prefix is prefilled where later calls do not
@@ -61,6 +58,11 @@
         self._rests = rests
         self._domain = domain
         self._instance_id = instance_id
+        self._decode_choice: DecodeChoice = LeastBusyChoice(loads)
+
+    def choose_decode_by(self, choice: DecodeChoice) -> None:
+        """Set the choice among the usable decode engines."""
+        self._decode_choice = choice
 
     def choose_prefill_engine(
         self,
@@ -220,6 +222,7 @@
         avoid: Collection[str],
         now_s: float,
         version: str | None = None,
+        call: DecodeCall | None = None,
     ) -> RegisteredTarget | None:
         """Choose the decode engine of a stream, of any version if None.
 
@@ -235,17 +238,25 @@
         engines = self._decode_engines(service, avoid, now_s, version)
         if not engines:
             return None
-        preferred_domain = near_domain or self._domain
         by_id = {target.target_id: target for target in engines}
         ranked = rendezvous(by_id, self._instance_id, len(by_id))
-        return min(
-            (by_id[target_id] for target_id in ranked),
-            key=lambda target: (
-                self._loads.busy(target.target_id, now_s) / target.slots
-                + CROSS_DOMAIN_PENALTY * (target.domain != preferred_domain)
-            ),
+        return self._decode_choice.choose(
+            [by_id[target_id] for target_id in ranked],
+            near_domain or self._domain,
+            call or DecodeCall(),
+            now_s,
         )
 
+    def usable_decode_engines(
+        self,
+        service: str,
+        avoid: Collection[str],
+        now_s: float,
+        version: str | None = None,
+    ) -> list[RegisteredTarget]:
+        """Return the decode engines that a stream may be sent to now."""
+        return self._decode_engines(service, avoid, now_s, version)
+
     def decode_targets(self, service: str) -> list[RegisteredTarget]:
         """Return the targets that may stream a call of a service."""
         return [
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -18,6 +18,8 @@
     CrashReport,
     CrashSettings,
     DemandSample,
+    EngineRoom,
+    EngineRoomSettings,
     FleetConfiguration,
     FleetDemand,
     FleetDemandSettings,
@@ -25,10 +27,12 @@
     FleetLimiterSettings,
     Freshness,
     FreshnessSettings,
+    LeastBusyChoice,
     LimitScope,
     Member,
     OverloadDetector,
     OverloadSettings,
+    PaceChoice,
     Phase,
     Placement,
     PrefillTimeEstimate,
@@ -124,6 +128,9 @@
     speeds: TargetSpeeds = attrs.field(
         factory=lambda: TargetSpeeds(TargetSpeedSettings())
     )
+    room: EngineRoom = attrs.field(
+        factory=lambda: EngineRoom(EngineRoomSettings())
+    )
     reach: TargetReach = attrs.field(
         factory=lambda: TargetReach(TargetReachSettings())
     )
@@ -183,6 +190,7 @@
             return
         self._demand.leave_out(standstill_s)
         self._loads.leave_out(standstill_s)
+        self.room.leave_out(standstill_s)
         for limiter in self._limiters.values():
             limiter.leave_out(standstill_s)
         for state in self._service_states.values():
@@ -280,6 +288,7 @@
         listed = frozenset(target.target_id for target in self.listing.targets)
         self.fetches.forget(listed)
         self.speeds.forget(listed)
+        self.room.forget(listed)
         self.rests.forget(self.listing.targets)
         for state in self._service_states.values():
             state.prompt_queue.forget(listed)
@@ -353,7 +362,7 @@
     retries = RetryBudgetSettings(
         settings.retry_share, settings.retry_extra, settings.retry_window_s
     )
-    return Knowledge(
+    knowledge = Knowledge(
         settings=settings,
         random=random,
         freshness=Freshness(FreshnessSettings(settings.revocation_s)),
@@ -383,6 +392,10 @@
         rests=rests,
         shutdown=Shutdown(ShutdownSettings(settings.grace_s)),
     )
+    knowledge.placement.choose_decode_by(
+        PaceChoice(knowledge.room, knowledge.speeds, LeastBusyChoice(loads))
+    )
+    return knowledge
 
 
 def _new_limiters(
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -402,6 +402,7 @@
         return
     knowledge, now_s = deps.knowledge, clock_s()
     knowledge.loads.reported(target.target_id, facts.load.busy, now_s)
+    knowledge.room.reported(target, facts.load, now_s)
     if facts.load.slowness is not None:
         knowledge.speeds.observe(target, facts.load.slowness, now_s)
 
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -141,6 +141,23 @@
         if prompt is not None and prompt.is_own:
             eventlet.spawn_n(self._deps.engines.release_cache, prompt.cache)
 
+    @property
+    def deadline_s(self) -> float:
+        """The time at which the caller gives up on its first token."""
+        if self._is_resumed:
+            # Its caller has had a first token and knows that it goes on.
+            return self._context.deadline_s
+        route = self._context.route
+        patience_s = max(
+            MIN_PATIENCE_S,
+            PATIENCE_PER_GOAL * route.goal_s,
+            PATIENCE_PER_PAUSE * route.longest_pause_s,
+        )
+        return min(
+            self._context.deadline_s,
+            self._context.request.arrived_s + patience_s,
+        )
+
     def _enter_queue(self, prompt: Prompt, version: str | None) -> PrefillGrant:
         """Wait in the prefill queue for an engine.
 
@@ -153,7 +170,7 @@
             rank=self._context.priority,
             arrived_s=self._context.request.arrived_s,
             goal_s=self._context.route.goal_s,
-            deadline_s=self._deadline_s(),
+            deadline_s=self.deadline_s,
             avoid=self._knowledge.placement.unavailable_ids(
                 self._context.service.name, clock_s()
             ).union(self._state.tried_ids),
@@ -270,7 +287,7 @@
     def _exchange(
         self, target: RegisteredTarget, head: RequestHead
     ) -> str | None:
-        deadline_s = self._deadline_s()
+        deadline_s = self.deadline_s
         with self._deps.connect_to(target, CutOffWatch()) as connection:
             self._state.retries.prefill_sent()
             connection.send(head, self._context.request.body)
@@ -292,18 +309,3 @@
         if self._context.request.handed_over is not None:
             return self._state.last_event_id is not None
         return self._context.responder.has_started
-
-    def _deadline_s(self) -> float:
-        if self._is_resumed:
-            # Its caller has had a first token and knows that it goes on.
-            return self._context.deadline_s
-        route = self._context.route
-        patience_s = max(
-            MIN_PATIENCE_S,
-            PATIENCE_PER_GOAL * route.goal_s,
-            PATIENCE_PER_PAUSE * route.longest_pause_s,
-        )
-        return min(
-            self._context.deadline_s,
-            self._context.request.arrived_s + patience_s,
-        )
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -9,6 +9,7 @@
 from dandelionyoke_dispatch import (
     DEFAULT_RETRY_AFTER_S,
     Cause,
+    DecodeCall,
     Refusal,
     RegisteredTarget,
 )
@@ -36,6 +37,7 @@
     PrefilledPrompt,
     PromptPrefiller,
 )
+from dandelionyoke_gateway._room_wait import RoomWait
 from dandelionyoke_gateway._silence import SilenceWatch
 from dandelionyoke_gateway._stream_call_state import (
     RetryableError,
@@ -69,6 +71,7 @@
         # Kept for a retry as long as no decode engine has imported its KV cache.
         self._prompt = self._prefiller.find_handed()
         self._imports = ImportCheck(self._prefiller, self.state)
+        self._room_wait = RoomWait(self._prefiller, self.state)
 
     def close(self) -> None:
         """Release an unused KV cache."""
@@ -172,6 +175,7 @@
         if prompt is None and self._imports.is_pending:
             return None
         if prompt is None:
+            self._room_wait.wait()
             prompt = self._prefiller.prefill(version)
         return self._prefiller.keep_decodable(prompt)
 
@@ -208,11 +212,40 @@
             domain, version = prompt.target.domain, prompt.target.version
         avoid, now_s = self.state.tried_ids, clock_s()
         return placement.choose_decode_target(
-            service, domain, avoid, now_s, version=version
+            service,
+            domain,
+            avoid,
+            now_s,
+            version=version,
+            call=self._decode_call,
         ) or placement.choose_plain_target(
             service, avoid, now_s, version=version
         )
 
+    @property
+    def _decode_call(self) -> DecodeCall:
+        prompt, engine = self._context.call.prompt, self._context.service.engine
+        tokens = 0
+        if prompt is not None:
+            tokens = prompt.token_count + prompt.max_output_tokens
+        capacity_tokens = 0 if engine is None else engine.cache_capacity_tokens
+        return DecodeCall(tokens, capacity_tokens)
+
+    def _count_call(
+        self, target: RegisteredTarget, exchange: ExitStack
+    ) -> None:
+        """Count the call at a target until its exchange ends."""
+        room, tokens = self._knowledge.room, self._decode_call.tokens
+        room.call_started(target, tokens)
+        begun_s = self._context.begun_s
+
+        def end() -> None:
+            since_s = begun_s.get(target.target_id)
+            stream_s = None if since_s is None else clock_s() - since_s
+            room.call_ended(target, tokens, stream_s)
+
+        exchange.callback(end)
+
     # At a target.
 
     def _begin_at(
@@ -226,6 +259,7 @@
         with ExitStack() as exchange:
             loads.call_started(target.target_id)
             exchange.callback(loads.call_ended, target.target_id)
+            self._count_call(target, exchange)
             try:
                 return self._send_to(target, use, watch, exchange)
             except ExchangeError as error:
--- a/tests/platform/test_lost_prompts.py
+++ b/tests/platform/test_decode_engines.py
@@ -1,8 +1,9 @@
-"""KV caches that a decode engine cannot get."""
+"""Decode engines that cannot get a KV cache, or have no room."""
 
 from collections.abc import Iterator
 
 import attrs
+import eventlet
 import testtools
 
 from dandelionyoke_dispatch import Phase
@@ -26,6 +27,9 @@
 CALL_COUNT = 12
 IDLE = 'Server-Load: 0,0,8,100'
 FULL = 'Server-Load: 8,3,8,100'
+# 50 turns of the slots, each of a stream's time.
+OVERFULL = 'Server-Load: 8,400,8,100'
+STREAM_S = 0.1
 
 
 def cannot_import(load: str = IDLE) -> Script:
@@ -39,6 +43,13 @@
     return answer_request
 
 
+def streams_slowly(request: ReceivedRequest) -> Iterator[ScriptStep]:
+    head, *rest = with_header(streams_token, OVERFULL)(request)
+    yield head
+    yield STREAM_S
+    yield from rest
+
+
 class LostPromptTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
@@ -99,3 +110,19 @@
         self.assertEqual(503, self.call())
         self.assertEqual(['i-1'], self.suspects)
         self.assertEqual(1, len(self.node.targets[1].received_requests))
+
+    def test_calls_that_cannot_begin_in_time_are_refused_at_once(self) -> None:
+        """Guards against prefills in vain, and trust in an old report."""
+        self.add(answers_prefill, Phase.PREFILL)
+        self.add(streams_slowly, Phase.DECODE)
+        self.assertEqual(200, self.call())
+        started_s = clock_s()
+        content = self.node.call('/ask/1', extra=PROMPT_HEADERS)
+        self.assertLess(clock_s() - started_s, 0.3)
+        self.assertEqual(503, status(content))
+        self.assertIn(b'retry-after', content.lower())
+        counts = [len(each.received_requests) for each in self.node.targets]
+        self.assertEqual([1, 1], counts)
+        self.assertIn('"stream.no_room"', self.node.log_lines.text)
+        eventlet.sleep(1.1)
+        self.assertEqual(200, self.call())
