--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -42,6 +42,11 @@
     CrashVerdict as CrashVerdict,
     QuarantineSettings as QuarantineSettings,
 )
+from dandelionyoke_dispatch._decode_target import (
+    DecodeChoice as DecodeChoice,
+    LeastBusyDecode as LeastBusyDecode,
+    PaceChoice as PaceChoice,
+)
 from dandelionyoke_dispatch._domain_reach import (
     DomainReach as DomainReach,
 )
@@ -51,6 +56,11 @@
     FleetNeed as FleetNeed,
     WantedCount as WantedCount,
 )
+from dandelionyoke_dispatch._engine_room import (
+    DecodeCall as DecodeCall,
+    EngineRoom as EngineRoom,
+    EngineRoomSettings as EngineRoomSettings,
+)
 from dandelionyoke_dispatch._first_arrivals import (
     FirstArrivals as FirstArrivals,
     FirstArrivalSettings as FirstArrivalSettings,
@@ -70,6 +80,10 @@
     Freshness as Freshness,
     FreshnessSettings as FreshnessSettings,
 )
+from dandelionyoke_dispatch._import_refusal import (
+    ImportRefusal as ImportRefusal,
+    is_full as is_full,
+)
 from dandelionyoke_dispatch._load_report import (
     LoadReport as LoadReport,
     LoadReportError as LoadReportError,
--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -5,6 +5,8 @@
 
 from dandelionyoke_core import rendezvous
 from dandelionyoke_dispatch._calls import Prompt
+from dandelionyoke_dispatch._decode_target import DecodeChoice, LeastBusyDecode
+from dandelionyoke_dispatch._engine_room import DecodeCall
 from dandelionyoke_dispatch._expected_end import ExpectedEndChoice
 from dandelionyoke_dispatch._plain_choice import LeastBusyChoice
 from dandelionyoke_dispatch._prefill_choice import (
@@ -29,11 +31,6 @@
     TargetSpeedSettings,
 )
 
-# The difference in slot utilisation above which an engine in another domain is
-# preferred. At this difference, the slower decode steps of the near engine cost
-# about as much as the transfer of the KV cache.
-CROSS_DOMAIN_PENALTY = 0.3
-
 
 class Placement:
     """Chooses among the targets that accept work and are not suspect."""
@@ -61,6 +58,11 @@
         self._expected_end = ExpectedEndChoice(
             self.prefill_hints, loads, fetches
         )
+        self._decode_choice: DecodeChoice = LeastBusyDecode(loads)
+
+    def choose_decode_by(self, choice: DecodeChoice) -> None:
+        """Set the choice among the usable decode engines."""
+        self._decode_choice = choice
 
     def choose_prefill_engine(
         self,
@@ -198,6 +200,7 @@
         avoid: Collection[str],
         now_s: float,
         version: str | None = None,
+        call: DecodeCall | None = None,
     ) -> RegisteredTarget | None:
         """Choose the decode engine of a stream, of any version if None.
 
@@ -213,17 +216,25 @@
         engines = self._decode_engines(service, avoid, now_s, version)
         if not engines:
             return None
-        preferred_domain = near_domain or self._domain
         by_id = {target.target_id: target for target in engines}
         ranked = rendezvous(by_id, self._instance_id, len(by_id))
-        return min(
-            (by_id[target_id] for target_id in ranked),
-            key=lambda target: (
-                self._loads.busy(target.target_id, now_s) / target.slots
-                + CROSS_DOMAIN_PENALTY * (target.domain != preferred_domain)
-            ),
+        return self._decode_choice.choose(
+            [by_id[target_id] for target_id in ranked],
+            near_domain or self._domain,
+            call or DecodeCall(),
+            now_s,
         )
 
+    def usable_decode_engines(
+        self,
+        service: str,
+        avoid: Collection[str],
+        now_s: float,
+        version: str | None = None,
+    ) -> list[RegisteredTarget]:
+        """Return the decode engines that a stream may be sent to now."""
+        return self._decode_engines(service, avoid, now_s, version)
+
     def decode_targets(self, service: str) -> list[RegisteredTarget]:
         """Return the targets that may stream a call of a service."""
         return [
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -19,6 +19,8 @@
     CrashSettings,
     DemandSample,
     DomainReach,
+    EngineRoom,
+    EngineRoomSettings,
     FirstArrivals,
     FirstArrivalSettings,
     FleetConfiguration,
@@ -28,10 +30,12 @@
     FleetLimiterSettings,
     Freshness,
     FreshnessSettings,
+    LeastBusyDecode,
     LimitScope,
     Member,
     OverloadDetector,
     OverloadSettings,
+    PaceChoice,
     Phase,
     Placement,
     PlainLoads,
@@ -63,7 +67,6 @@
     TargetRests,
     TargetRestSettings,
     TargetSpeeds,
-    TargetSpeedSettings,
     TrueTime,
     UsageCounter,
 )
@@ -133,6 +136,7 @@
     rests: TargetRests
     speeds: TargetSpeeds
     plain_loads: PlainLoads
+    room: EngineRoom
     reach: TargetReach = attrs.field(
         factory=lambda: TargetReach(TargetReachSettings())
     )
@@ -205,6 +209,7 @@
             return
         self._demand.leave_out(standstill_s)
         self._loads.leave_out(standstill_s)
+        self.room.leave_out(standstill_s)
         for limiter in self._limiters.values():
             limiter.leave_out(standstill_s)
         for state in self._service_states.values():
@@ -304,6 +309,7 @@
         self.speeds.forget(listed)
         self.placement.prefill_hints.forget(listed)
         self.plain_loads.forget(listed)
+        self.room.forget(listed)
         self.rests.forget(self.listing.targets)
         for state in self._service_states.values():
             state.prompt_queue.forget(listed)
@@ -386,9 +392,8 @@
     usage = UsageCounter(settings.usage_window_s, clock)
     incarnation = f'{random.getrandbits(PROCESS_NAME_BITS):012x}'
     process_name = f'{settings.instance_id}.{incarnation}'
-    retries = RetryBudgetSettings(
-        settings.retry_share, settings.retry_extra, settings.retry_window_s
-    )
+    room = EngineRoom(EngineRoomSettings())
+    placement.choose_decode_by(PaceChoice(room, speeds, LeastBusyDecode(loads)))
     return Knowledge(
         settings=settings,
         random=random,
@@ -397,7 +402,7 @@
         loads=loads,
         fetches=fetches,
         placement=placement,
-        budget=RetryBudgets(retries, random, clock_s()),
+        budget=_new_retry_budgets(settings, random),
         usage=usage,
         crashes=CrashGuard(CrashSettings()),
         process_name=process_name,
@@ -411,10 +416,20 @@
         rests=rests,
         speeds=speeds,
         plain_loads=PlainLoads(PlainLoadSettings(), loads, speeds),
+        room=room,
         shutdown=Shutdown(ShutdownSettings(settings.grace_s)),
     )
 
 
+def _new_retry_budgets(
+    settings: GatewaySettings, random: Random
+) -> RetryBudgets:
+    retries = RetryBudgetSettings(
+        settings.retry_share, settings.retry_extra, settings.retry_window_s
+    )
+    return RetryBudgets(retries, random, clock_s())
+
+
 def _new_limiters(
     settings: GatewaySettings,
 ) -> Mapping[LimitScope, FleetLimiter]:
