Measure the engine time that callers ask for

What callers saw: nothing yet; the numbers and phases of engines followed the streams and prompts in flight and the share of late first tokens, which say little of engines when kinds of calls differ by ten times in their work.

Change: the node that assigns a prompt adds up its expected prefill time as it arrives, also if it waits or is refused, and the node of a call the prompts that decode engines prefill. ServiceDemand carries both as rates over 2 s, and whether a target reported its slowness; a node that does not send them makes the sum unknown. A sum of less than half of a domain's nodes is left out, as the node that assigns the prompts of many is no measure of the others. Nothing is planned with it yet.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -42,6 +42,12 @@
     CrashVerdict as CrashVerdict,
     QuarantineSettings as QuarantineSettings,
 )
+from dandelionyoke_dispatch._engine_need import (
+    EngineDemand as EngineDemand,
+    EngineNeed as EngineNeed,
+    EngineNeedEstimate as EngineNeedEstimate,
+    EngineNeedSettings as EngineNeedSettings,
+)
 from dandelionyoke_dispatch._engine_plan import (
     EnginePlan as EnginePlan,
     EnginePlanSettings as EnginePlanSettings,
@@ -91,6 +97,11 @@
     PrefillTimeSettings as PrefillTimeSettings,
     TokenTimeEstimate as TokenTimeEstimate,
 )
+from dandelionyoke_dispatch._prefill_work import (
+    PrefillWork as PrefillWork,
+    PrefillWorkSettings as PrefillWorkSettings,
+    prefill_work_s as prefill_work_s,
+)
 from dandelionyoke_dispatch._prompt_queue import (
     PromptQueue as PromptQueue,
     PromptQueueSettings as PromptQueueSettings,
--- a/packages/dispatch/dandelionyoke_dispatch/_fleet_demand.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_fleet_demand.py
@@ -3,8 +3,11 @@
 A node of a large fleet sees too few calls to tell how many engines they need.
 """
 
+import math
+
 import attrs
 
+from dandelionyoke_dispatch._engine_need import EngineDemand
 from dandelionyoke_dispatch._phase_split import PhaseLoad
 
 
@@ -14,7 +17,10 @@
 
     Of the `begun` calls of the last seconds, `slow` had a late first token or
     were refused because it would have been late. `prompts` are queued or in
-    flight at prefill engines.
+    flight at prefill engines. `prefill_s_per_s` and `decode_s_per_s` are the
+    engine seconds that arriving prompts need in a second, at prefill engines
+    and at decode engines that prefill; None if a node does not measure them.
+    `has_slowness` is whether a target told a node how slow its machine is.
     """
 
     service: str
@@ -22,6 +28,9 @@
     begun: int
     slow: int
     prompts: int = 0
+    prefill_s_per_s: float | None = None
+    decode_s_per_s: float | None = None
+    has_slowness: bool = False
 
 
 @attrs.frozen
@@ -100,10 +109,43 @@
         scale = max(1, fleet_nodes / nodes)
         return PhaseLoad(known.streams * scale, known.prompts * scale)
 
+    def expected_engines(
+        self, service: str, fleet_nodes: int, min_nodes: float, now_s: float
+    ) -> EngineDemand | None:
+        """Extrapolate the engine time that the whole fleet asks for.
+
+        None if fewer than `min_nodes` are known, or if one of these does not
+        measure it. A node that assigns the prompts of many others is no
+        measure of nodes that assign none.
+        """
+        nodes = self.total(now_s).nodes
+        known = self.of_service(service, now_s)
+        prefill, decode = known.prefill_s_per_s, known.decode_s_per_s
+        if not nodes or nodes < min_nodes or prefill is None or decode is None:
+            return None
+        scale = max(1, fleet_nodes / nodes)
+        return EngineDemand(
+            prefill * scale, decode * scale, known.streams * scale
+        )
+
+    def age_s(self, now_s: float) -> float | None:
+        """Return the age of the oldest sample in use; None if there is none."""
+        self.total(now_s)
+        ages_s = [now_s - taken_s for _, taken_s in self._samples.values()]
+        return max(ages_s, default=None)
+
 
 def _is_valid(demand: ServiceDemand) -> bool:
-    counts = (demand.streams, demand.prompts, demand.slow)
-    return min(counts) >= 0 and demand.slow <= demand.begun
+    figures = (
+        demand.streams,
+        demand.prompts,
+        demand.slow,
+        demand.prefill_s_per_s or 0.0,
+        demand.decode_s_per_s or 0.0,
+    )
+    if not all(math.isfinite(figure) for figure in figures):
+        return False
+    return min(figures) >= 0 and demand.slow <= demand.begun
 
 
 def _add_demand(
@@ -117,4 +159,12 @@
         total.begun + added.begun,
         total.slow + added.slow,
         total.prompts + added.prompts,
+        _add_known(total.prefill_s_per_s, added.prefill_s_per_s),
+        _add_known(total.decode_s_per_s, added.decode_s_per_s),
+        total.has_slowness or added.has_slowness,
     )
+
+
+def _add_known(total: float | None, added: float | None) -> float | None:
+    """Return the sum; None if either is unknown."""
+    return None if total is None or added is None else total + added
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -18,6 +18,8 @@
     CrashReport,
     CrashSettings,
     DemandSample,
+    EngineNeedEstimate,
+    EngineNeedSettings,
     FleetConfiguration,
     FleetDemand,
     FleetDemandSettings,
@@ -33,6 +35,8 @@
     Placement,
     PrefillTimeEstimate,
     PrefillTimeSettings,
+    PrefillWork,
+    PrefillWorkSettings,
     PromptQueue,
     PromptQueueSettings,
     RegisteredTarget,
@@ -84,7 +88,11 @@
 
 @attrs.frozen
 class ServiceState:
-    """One service's prefill queue, prefill speed and overload signals."""
+    """One service's prefill queue, engine time and overload signals.
+
+    `prefill_work` is of the prompts that this node assigns to engines, and
+    `decode_work` of those that decode engines prefill for it.
+    """
 
     overload: OverloadDetector = attrs.field(
         factory=lambda: OverloadDetector(OverloadSettings())
@@ -95,6 +103,15 @@
     prompt_queue: PromptQueue = attrs.field(
         factory=lambda: PromptQueue(PromptQueueSettings())
     )
+    prefill_work: PrefillWork = attrs.field(
+        factory=lambda: PrefillWork(PrefillWorkSettings())
+    )
+    decode_work: PrefillWork = attrs.field(
+        factory=lambda: PrefillWork(PrefillWorkSettings())
+    )
+    engine_need: EngineNeedEstimate = attrs.field(
+        factory=lambda: EngineNeedEstimate(EngineNeedSettings())
+    )
 
 
 @attrs.define
@@ -267,7 +284,14 @@
         state = self.service_state(service)
         begun, slow = state.overload.recent(now_s)
         return ServiceDemand(
-            service, streams, begun, slow, state.prompt_queue.prompt_count
+            service,
+            streams,
+            begun,
+            slow,
+            state.prompt_queue.prompt_count,
+            state.prefill_work.rate(now_s),
+            state.decode_work.rate(now_s),
+            self.speeds.is_reported(service),
         )
 
     def forget_targets(self, usable: frozenset[str]) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -12,6 +12,7 @@
     QueueDecision,
     QueuedPrompt,
     TargetFailure,
+    prefill_work_s,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge, ServiceState
@@ -132,6 +133,7 @@
             self._build_queued_prompt(request),
             self._queue(request),
         )
+        self._record_work(request)
         queue.update_unreachable(self._unreachable_targets())
         decision = queue.enter(queued_prompt, engines, clock_s())
         if decision is QueueDecision.TOO_LATE:
@@ -243,6 +245,12 @@
     def _unreachable_targets(self) -> frozenset[str]:
         return frozenset(self._knowledge.loads.unreachable_ids(clock_s()))
 
+    def _record_work(self, request: PrefillRequest) -> None:
+        """Record the engine time for a prompt, also if it is refused."""
+        state = self._service_state(request)
+        work_s = prefill_work_s(request.prompt, state.prefill_time)
+        state.prefill_work.add(work_s, clock_s())
+
     def _too_late(self, request: PrefillRequest) -> TooLateError:
         return TooLateError(self._queue(request).retry_after_s())
 
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -11,6 +11,7 @@
     Prompt,
     Refusal,
     RegisteredTarget,
+    prefill_work_s,
 )
 from dandelionyoke_gateway._call_dispatcher import (
     RefusedError,
@@ -108,6 +109,7 @@
         if prompt is None or self._context.service.engine is None:
             return None
         if self._is_short(prompt):
+            self._record_decode_work(prompt)
             return None
         engines = self._knowledge.placement.count_prefill_engines(
             self._context.service.name,
@@ -116,6 +118,7 @@
             version,
         )
         if not engines:
+            self._record_decode_work(prompt)
             return None
         queued_s = clock_s()
         grant = self._enter_queue(prompt, version)
@@ -216,6 +219,13 @@
             SLOW_FETCH_PREFILL_FACTOR * expected_s,
         )
 
+    def _record_decode_work(self, prompt: Prompt) -> None:
+        """Record the time that a decode engine needs to prefill a prompt."""
+        work_s = prefill_work_s(prompt, self._service_stats.prefill_time)
+        self._service_stats.decode_work.add(
+            DECODE_ENGINE_SLOWDOWN * work_s, clock_s()
+        )
+
     def _is_short(self, prompt: Prompt) -> bool:
         """Whether the decode engine should prefill the prompt itself.
 
