Order engines by the engine time that callers ask for

Change: services whose targets report their slowness are planned by CapacityPlan: the peak of 30 s over 0.6 of an engine's time (0.4 while first tokens are late) and enough engines left without the fullest domain. More are ordered at once, fewer two a domain every two seconds after the need was lower for the whole time. The other domains get the engines of one that refuses, and on-demand engines stand in only below what callers need in all domains. A holder without history keeps what runs; after 30 s without a need it orders the whole range, as before. `engines.planned` and `engines.ordered` tell the inputs. EnginePlan is as it was for all other services.

Shown: test_late_first_tokens_order_no_idle_engines replays 2 engine seconds a second with late first tokens: EnginePlan, the code before, orders 60 engines, CapacityPlan at most 20.

Run: tests/dispatch/test_capacity_plan.py 9 passed, test_engine_count_task.py 5 passed; the existing tests in it are unchanged, FakePlatform keeps its orders.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -9,6 +9,12 @@
     Prompt as Prompt,
     PromptPart as PromptPart,
 )
+from dandelionyoke_dispatch._capacity_plan import (
+    CapacityPlan as CapacityPlan,
+    CapacityPlanSettings as CapacityPlanSettings,
+    PlanBasis as PlanBasis,
+    PlannedEngines as PlannedEngines,
+)
 from dandelionyoke_dispatch._configuration import (
     CallerLimits as CallerLimits,
     CallKind as CallKind,
@@ -49,6 +55,7 @@
     EngineNeedSettings as EngineNeedSettings,
 )
 from dandelionyoke_dispatch._engine_plan import (
+    EngineCountPlan as EngineCountPlan,
     EnginePlan as EnginePlan,
     EnginePlanSettings as EnginePlanSettings,
     FleetNeed as FleetNeed,
--- a/packages/dispatch/dandelionyoke_dispatch/_engine_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_engine_plan.py
@@ -11,10 +11,12 @@
 import math
 from collections import Counter
 from collections.abc import Collection, Sequence
+from typing import Protocol
 
 import attrs
 
 from dandelionyoke_dispatch._configuration import ScalingRange
+from dandelionyoke_dispatch._engine_need import EngineNeed
 from dandelionyoke_dispatch._registry import RegisteredTarget
 
 
@@ -52,10 +54,27 @@
     """Whether a service is overloaded, and where engines are unavailable.
 
     `unavailable_domains` names the domains that recently had no reclaimable engines.
+    `engine_need` is known at `now_s` of services that are planned by capacity;
+    the engines that run have `mean_speed` times the usual speed.
     """
 
     is_overloaded: bool = False
     unavailable_domains: Collection[str] = ()
+    engine_need: EngineNeed | None = None
+    mean_speed: float = 1.0
+    now_s: float = 0.0
+
+
+class EngineCountPlan(Protocol):
+    """A strategy for the numbers of engines of a service."""
+
+    def wanted(
+        self,
+        scaling: ScalingRange,
+        engines: Sequence[RegisteredTarget],
+        need: FleetNeed,
+    ) -> list[WantedCount]:
+        """Return the wanted counts, including the engines that already run."""
 
 
 class EnginePlan:
--- a/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
@@ -6,7 +6,11 @@
 import attrs
 from eventlet import sleep
 
+from dandelionyoke_core import CountMetric
 from dandelionyoke_dispatch import (
+    CapacityPlan,
+    CapacityPlanSettings,
+    EngineCountPlan,
     EnginePlan,
     EnginePlanSettings,
     FleetNeed,
@@ -16,6 +20,10 @@
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._duty_task import DutyTask
+from dandelionyoke_gateway._engine_capacity import (
+    EngineCapacities,
+    EngineCapacity,
+)
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._phase_task import PendingFleetChanges
@@ -77,6 +85,10 @@
         self._changes = changes
         self._log = log
         self._plan = EnginePlan(EnginePlanSettings())
+        self._capacities = EngineCapacities(knowledge)
+        self._capacity_plans: dict[str, CapacityPlan] = {}
+        # The latest planned numbers that were logged, by service.
+        self._logged: dict[str, list[WantedCount]] = {}
         self._first_listed_s: float | None = None
         self._pending_orders: dict[tuple[str, str, bool], _PendingOrder] = {}
         # By service and domain, when a refusal of reclaimable engines expires.
@@ -99,6 +111,10 @@
             if service.engine is not None:
                 self._reconcile_service(service)
 
+    def _count_engines(self, service: str, added: int) -> None:
+        metric = 'engines_added' if added > 0 else 'engines_removed'
+        self._log.count(CountMetric(metric, abs(added), service))
+
     def _announce_changes(
         self, service: Service, wanted: WantedCount, present: int
     ) -> None:
@@ -121,7 +137,9 @@
         demand = self._knowledge.demand.of_service(service, now_s)
         overload = self._overload(service)
         overload.update(demand.begun, demand.slow, now_s)
-        return FleetNeed(overload.is_overloaded(now_s), unavailable_domains)
+        return FleetNeed(
+            overload.is_overloaded(now_s), unavailable_domains, now_s=now_s
+        )
 
     def _overload(self, service: str) -> OverloadDetector:
         return self._knowledge.service_state(service).overload
@@ -140,7 +158,17 @@
             return
         engines = self._knowledge.registry.of_service(service.name)
         need = self._fleet_need(service.name)
-        for wanted in self._plan.wanted(service.scaling, engines, need):
+        capacity = self._read_capacity(service.name)
+        plan: EngineCountPlan = self._plan
+        if capacity is not None:
+            plan = self._capacity_plan(service.name)
+            need = attrs.evolve(
+                need, engine_need=capacity.need, mean_speed=capacity.mean_speed
+            )
+        counts = plan.wanted(service.scaling, engines, need)
+        if capacity is not None:
+            self._log_planned(service.name, counts, capacity)
+        for wanted in counts:
             present = sum(
                 engine.domain == wanted.domain
                 and engine.is_reclaimable is wanted.is_reclaimable
@@ -149,7 +177,47 @@
             if present == wanted.count:
                 continue
             if not self._is_pending(service.name, wanted, present):
-                self._send_order(service, wanted, present)
+                self._send_order(service, wanted, present, capacity)
+
+    def _read_capacity(self, service: str) -> EngineCapacity | None:
+        """Return what is planned with; None if capacity is not reported."""
+        now_s = clock_s()
+        if not self._capacities.is_planned(service, now_s):
+            return None
+        return self._capacities.read(service, now_s)
+
+    def _capacity_plan(self, service: str) -> CapacityPlan:
+        return self._capacity_plans.setdefault(
+            service, CapacityPlan(CapacityPlanSettings(), self._plan)
+        )
+
+    def _log_planned(
+        self,
+        service: str,
+        counts: list[WantedCount],
+        capacity: EngineCapacity,
+    ) -> None:
+        """Log the planned numbers if they differ from the ones before."""
+        if self._logged.get(service) == counts:
+            return
+        self._logged[service] = counts
+        planned = self._capacity_plan(service).planned
+        by_domain = {
+            f'{"spot" if wanted.is_reclaimable else "on_demand"}'
+            f'.{wanted.domain}': wanted.count
+            for wanted in counts
+        }
+        self._log.decide(
+            'engines.planned',
+            service,
+            outcome=planned.basis.value,
+            needed=planned.needed,
+            reserve=planned.reserve,
+            least=planned.least,
+            present=planned.present,
+            **capacity.log_fields(),
+            **by_domain,
+        )
 
     def _is_pending(
         self, service: str, wanted: WantedCount, present: int
@@ -169,7 +237,11 @@
         return True
 
     def _send_order(
-        self, service: Service, wanted: WantedCount, present: int
+        self,
+        service: Service,
+        wanted: WantedCount,
+        present: int,
+        capacity: EngineCapacity | None = None,
     ) -> None:
         stamp = self._duty.stamp
         if stamp is None:
@@ -180,6 +252,8 @@
         answer = self._client.order_targets(order, stamp)
         if answer.is_accepted:
             self._announce_changes(service, wanted, present)
+            if capacity is not None:
+                self._count_engines(service.name, wanted.count - present)
         if wanted.is_reclaimable and answer.outcome is DutyOutcome.REFUSED:
             expires_s = clock_s() + REFUSAL_TTL_S
             self._refused_until_s[service.name, wanted.domain] = expires_s
@@ -204,4 +278,5 @@
             reclaimable=str(wanted.is_reclaimable),
             strained=str(self._overload(service.name).is_overloaded(clock_s())),
             fence=stamp.fence,
+            **({} if capacity is None else capacity.log_fields()),
         )
--- a/tests/gateway/test_engine_count_task.py
+++ b/tests/gateway/test_engine_count_task.py
@@ -5,7 +5,14 @@
 import testtools
 
 from dandelionyoke_core import Metrics
-from dandelionyoke_dispatch import Service, WantedCount
+from dandelionyoke_dispatch import (
+    DemandSample,
+    RegisteredTarget,
+    ScalingRange,
+    Service,
+    ServiceDemand,
+    WantedCount,
+)
 from dandelionyoke_gateway import (
     DutyCallResult,
     DutyOutcome,
@@ -34,10 +41,12 @@
 
     def __init__(self, outcome: DutyOutcome) -> None:
         self._outcome = outcome
+        self.orders: list[TargetCountOrder] = []
 
     def order_targets(
         self, order: TargetCountOrder, stamp: FencingStamp
     ) -> DutyCallResult:
+        self.orders.append(order)
         return DutyCallResult(self._outcome, 'as the test says', 0.001)
 
 
@@ -65,3 +74,36 @@
 
     def test_an_order_with_unknown_outcome_is_no_refusal(self) -> None:
         self.assertEqual([], self.refusing_domains(DutyOutcome.UNKNOWN))
+
+
+class CapacityOrderTest(testtools.TestCase):
+    def ordered_spot(self, *, has_slowness: bool) -> set[int]:
+        """Return the numbers of reclaimable engines that are ordered."""
+        log = DecisionLog(LogLines(), 'n-1', Metrics())
+        self.addCleanup(log.close)
+        knowledge = new_knowledge(new_settings(), Random(3))
+        platform = FakePlatform(DutyOutcome.ACCEPTED)
+        task = EngineCountTask(
+            knowledge, HeldDuty(), platform, PendingFleetChanges(), log
+        )
+        targets = [
+            RegisteredTarget(
+                f'i-{n}', 'lm', '', 'ab'[n % 2], 128, False, is_reclaimable=True
+            )
+            for n in range(14)
+        ]
+        knowledge.registry.replace(targets, clock_s())
+        demand = ServiceDemand('lm', 8, 9, 0, 4, 3.0, 0.5, has_slowness)
+        sample = DemandSample(1, (demand,))
+        knowledge.demand.take_sum('n-2', sample, clock_s())
+        scaling = ScalingRange(1, 20, 4.0, 0.2, {'a': 1.0, 'b': 1.0})
+        task._reconcile_service(Service('lm', 9, scaling=scaling))
+        return {one.count for one in platform.orders if one.is_reclaimable}
+
+    def test_a_new_holder_without_history_keeps_what_runs(self) -> None:
+        """Guards against the whole range, ordered by a node just started."""
+        self.assertEqual(set(), self.ordered_spot(has_slowness=True))
+
+    def test_services_without_slowness_are_planned_as_before(self) -> None:
+        """Guards against a plan by capacity for those that did not ask."""
+        self.assertEqual({20}, self.ordered_spot(has_slowness=False))
