Change phases only for a phase that lacks capacity

Cause: PhasePlan counts streams over slots and prompts in flight, all engines as equal, and forgets its peak after 8 s, less than the time between two bursts.

Change: services whose targets report their slowness are planned by CapacityPhasePlan: both needs are peaks of 30 s, each engine counts by its speed, and engines switch only as long as the phase that lacks more gains, by a tenth of its need at least. Each phase keeps two engines in two domains. The choice of engines and the limits on switches move to PhaseSwitch, which both plans use; PhasePlan decides as before.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -84,8 +84,12 @@
     OverloadDetector as OverloadDetector,
     OverloadSettings as OverloadSettings,
 )
+from dandelionyoke_dispatch._phase_capacity import (
+    CapacityPhasePlan as CapacityPhasePlan,
+    CapacityPhaseSettings as CapacityPhaseSettings,
+    PhaseCapacity as PhaseCapacity,
+)
 from dandelionyoke_dispatch._phase_plan import (
-    PhaseChange as PhaseChange,
     PhasePlan as PhasePlan,
     PhasePlanSettings as PhasePlanSettings,
 )
@@ -95,6 +99,10 @@
     PhaseSplit as PhaseSplit,
     StreamSplit as StreamSplit,
 )
+from dandelionyoke_dispatch._phase_switch import (
+    PhaseChange as PhaseChange,
+    PhaseSwitchSettings as PhaseSwitchSettings,
+)
 from dandelionyoke_dispatch._placement import (
     Placement as Placement,
     PrefillPlacement as PrefillPlacement,
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -1,21 +1,28 @@
 """Assigns the prefill or decode phase to engines, under the duty."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 from eventlet import sleep, spawn_n
 
 from dandelionyoke_dispatch import (
     BalancedSplit,
+    CapacityPhasePlan,
+    CapacityPhaseSettings,
     Phase,
     PhaseChange,
     PhaseLoad,
     PhasePlan,
     PhasePlanSettings,
+    PhaseSwitchSettings,
     RegisteredTarget,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._duty_task import DutyTask
+from dandelionyoke_gateway._engine_capacity import (
+    WAITING_STREAM_SHARE,
+    EngineCapacities,
+)
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._ports import (
@@ -29,8 +36,16 @@
 # and the switch itself. Until then the new phase is assumed.
 ORDER_EFFECT_TIMEOUT_S = 5.0
 ORDER_RETRY_INTERVAL_S = 1.5
-# Calls that wait at an engine count as streams up to this share of its slots.
-WAITING_STREAM_SHARE = 0.25
+
+LogFields = Mapping[str, str | float | None]
+
+
+@attrs.frozen
+class _PlannedChanges:
+    """The phase changes wanted now, and what they are based on."""
+
+    changes: Sequence[PhaseChange]
+    inputs: LogFields
 
 
 @attrs.frozen
@@ -80,6 +95,8 @@
         self._changes = changes
         self._log = log
         self._plans: dict[str, PhasePlan] = {}
+        self._capacities = EngineCapacities(knowledge)
+        self._capacity_plans: dict[str, CapacityPhasePlan] = {}
         self._assumed_phases: dict[str, _AssumedPhase] = {}
 
     def run(self) -> None:
@@ -112,21 +129,65 @@
         phases = {engine.phase for engine in engines}
         has_both = {Phase.PREFILL, Phase.DECODE} <= phases
         is_deferring = has_both and self._changes.in_progress
+        if self._capacities.is_planned(service, now_s):
+            self._capacities.observe(service, now_s)
+            planned = self._plan_by_capacity(service, engines, settled, now_s)
+        else:
+            planned = self._plan_by_load(service, engines, settled, now_s)
+        for change in planned.changes:
+            if self._duty.stamp is None:
+                break
+            if is_deferring and not change.target.is_reclaimable:
+                continue
+            self._assume(change, ORDER_RETRY_INTERVAL_S)
+            spawn_n(self._send_order, change, planned.inputs)
+
+    def _plan_by_load(
+        self,
+        service: str,
+        engines: Sequence[RegisteredTarget],
+        settled: frozenset[str],
+        now_s: float,
+    ) -> _PlannedChanges:
         plan = self._plans.setdefault(
             service, PhasePlan(PhasePlanSettings(), BalancedSplit())
         )
         load = self._phase_load(service, engines, settled, now_s)
+        changes: Sequence[PhaseChange] = ()
         if self._duty.stamp is None:
             # Keep the load history current in case this node gains the duty.
             plan.observe(load, now_s)
-            return
-        for change in plan.changes(engines, load, now_s, settled):
-            if self._duty.stamp is None:
-                break
-            if is_deferring and not change.target.is_reclaimable:
-                continue
-            self._assume(change, ORDER_RETRY_INTERVAL_S)
-            spawn_n(self._send_order, change, plan)
+        else:
+            changes = plan.changes(engines, load, now_s, settled)
+        inputs = {
+            'wanted_decode': plan.wanted,
+            'peak_streams': plan.peak.streams,
+            'peak_prompts': plan.peak.prompts,
+        }
+        return _PlannedChanges(changes, inputs)
+
+    def _plan_by_capacity(
+        self,
+        service: str,
+        engines: Sequence[RegisteredTarget],
+        settled: frozenset[str],
+        now_s: float,
+    ) -> _PlannedChanges:
+        if self._duty.stamp is None:
+            return _PlannedChanges((), {})
+        plan = self._capacity_plans.setdefault(
+            service,
+            CapacityPhasePlan(CapacityPhaseSettings(), PhaseSwitchSettings()),
+        )
+        capacity = self._capacities.read(service, now_s)
+        changes = plan.changes(engines, capacity.need, capacity.speeds, settled)
+        inputs = {
+            **capacity.log_fields(),
+            'wanted_decode': plan.wanted,
+            'capacity_prefill': plan.capacity.prefill,
+            'capacity_decode': plan.capacity.decode,
+        }
+        return _PlannedChanges(changes, inputs)
 
     def _reachable_engines(
         self, service: str, now_s: float
@@ -164,7 +225,7 @@
             change.phase, clock_s() + duration_s
         )
 
-    def _send_order(self, change: PhaseChange, plan: PhasePlan) -> None:
+    def _send_order(self, change: PhaseChange, inputs: LogFields) -> None:
         target = change.target
         report = self._engines.read_report(target)
         if report is None or report.is_busy_with_order:
@@ -187,11 +248,9 @@
             elapsed_s=answer.elapsed_s,
             version=target.version,
             phase=order.phase.value,
-            wanted_decode=plan.wanted,
-            peak_streams=plan.peak.streams,
-            peak_prompts=plan.peak.prompts,
             fence=stamp.fence,
             order_count=order.expected_order_count,
+            **inputs,
         )
 
     def _phase_load(
