Take the typical prefill time for the need, and test its limits

What callers would have seen: on engines of unequal speed the estimate of PrefillTimeEstimate follows the idle and fast ones (the fifth lowest of the times), so that the need came out lower than most engines can serve.

Change: the node that assigns prompts keeps a second estimate, the median of the times divided by the slowness of their engine, without slow fetches, in which the engine is idle. The phase plan loses a guard without effect.

--- a/packages/dispatch/dandelionyoke_dispatch/_phase_capacity.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_capacity.py
@@ -110,8 +110,6 @@
             others + decoding
         )
         best, best_served = 0, self.capacity.served(need)
-        if best_served >= 1:
-            return 0
         prefill_served = _share(self.capacity.prefill, need.prefill)
         step = 1 if prefill_served > best_served else -1
         for added in range(step, step * (others + decoding), step):
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -82,6 +82,10 @@
 TARGET_BURST_S = 0.5
 TARGET_URGENT_SHARE = 0.1
 
+# Half of all prompts take longer. Engines differ in speed by a factor of two,
+# and the time of the fastest ones says too little of what the others need.
+TYPICAL_PREFILL_TIME = PrefillTimeSettings(quantile=0.5, max_step_share=0.02)
+
 NEVER_S = float('-inf')
 PROCESS_NAME_BITS = 48
 
@@ -91,7 +95,9 @@
     """One service's prefill queue, engine time and overload signals.
 
     `prefill_work` is of the prompts that this node assigns to engines, and
-    `decode_work` of those that decode engines prefill for it.
+    `decode_work` of those that decode engines prefill for it. `prefill_time`
+    is that of an idle engine, `typical_prefill_time` that of most engines, as
+    if their machines were as fast as usual.
     """
 
     overload: OverloadDetector = attrs.field(
@@ -100,6 +106,9 @@
     prefill_time: PrefillTimeEstimate = attrs.field(
         factory=lambda: PrefillTimeEstimate(PrefillTimeSettings())
     )
+    typical_prefill_time: PrefillTimeEstimate = attrs.field(
+        factory=lambda: PrefillTimeEstimate(TYPICAL_PREFILL_TIME)
+    )
     prompt_queue: PromptQueue = attrs.field(
         factory=lambda: PromptQueue(PromptQueueSettings())
     )
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -174,6 +174,8 @@
         if result.prefill_s is not None:
             prefill_time = self._service_state(grant.request).prefill_time
             prefill_time.add_sample(grant.request.prompt, result.prefill_s)
+            if not result.is_slow_fetch:
+                self._record_typical_time(grant, result.prefill_s)
 
     def record_peer_failure(
         self, target_id: str, failure: TargetFailure
@@ -248,9 +250,21 @@
     def _record_work(self, request: PrefillRequest) -> None:
         """Record the engine time for a prompt, also if it is refused."""
         state = self._service_state(request)
-        work_s = prefill_work_s(request.prompt, state.prefill_time)
+        work_s = prefill_work_s(request.prompt, state.typical_prefill_time)
         state.prefill_work.add(work_s, clock_s())
 
+    def _record_typical_time(
+        self, grant: PrefillGrant, prefill_s: float
+    ) -> None:
+        if grant.placement is None:
+            return
+        slowness = self._knowledge.speeds.slowness(
+            grant.placement.target.target_id, clock_s()
+        )
+        self._service_state(grant.request).typical_prefill_time.add_sample(
+            grant.request.prompt, prefill_s / slowness
+        )
+
     def _too_late(self, request: PrefillRequest) -> TooLateError:
         return TooLateError(self._queue(request).retry_after_s())
 
