--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -9,6 +9,12 @@
     Prompt as Prompt,
     PromptPart as PromptPart,
 )
+from dandelionyoke_dispatch._capacity_plan import (
+    CapacityPlan as CapacityPlan,
+    CapacityPlanSettings as CapacityPlanSettings,
+    PlanBasis as PlanBasis,
+    PlannedEngines as PlannedEngines,
+)
 from dandelionyoke_dispatch._configuration import (
     CallerLimits as CallerLimits,
     CallKind as CallKind,
@@ -50,7 +56,14 @@
 from dandelionyoke_dispatch._domain_reach import (
     DomainReach as DomainReach,
 )
+from dandelionyoke_dispatch._engine_need import (
+    EngineDemand as EngineDemand,
+    EngineNeed as EngineNeed,
+    EngineNeedEstimate as EngineNeedEstimate,
+    EngineNeedSettings as EngineNeedSettings,
+)
 from dandelionyoke_dispatch._engine_plan import (
+    EngineCountPlan as EngineCountPlan,
     EnginePlan as EnginePlan,
     EnginePlanSettings as EnginePlanSettings,
     FleetNeed as FleetNeed,
@@ -92,8 +105,12 @@
     OverloadDetector as OverloadDetector,
     OverloadSettings as OverloadSettings,
 )
+from dandelionyoke_dispatch._phase_capacity import (
+    CapacityPhasePlan as CapacityPhasePlan,
+    CapacityPhaseSettings as CapacityPhaseSettings,
+    PhaseCapacity as PhaseCapacity,
+)
 from dandelionyoke_dispatch._phase_plan import (
-    PhaseChange as PhaseChange,
     PhasePlan as PhasePlan,
     PhasePlanSettings as PhasePlanSettings,
 )
@@ -103,6 +120,10 @@
     PhaseSplit as PhaseSplit,
     StreamSplit as StreamSplit,
 )
+from dandelionyoke_dispatch._phase_switch import (
+    PhaseChange as PhaseChange,
+    PhaseSwitchSettings as PhaseSwitchSettings,
+)
 from dandelionyoke_dispatch._placement import (
     Placement as Placement,
 )
@@ -134,6 +155,11 @@
     PrefillTimeSettings as PrefillTimeSettings,
     TokenTimeEstimate as TokenTimeEstimate,
 )
+from dandelionyoke_dispatch._prefill_work import (
+    PrefillWork as PrefillWork,
+    PrefillWorkSettings as PrefillWorkSettings,
+    prefill_work_s as prefill_work_s,
+)
 from dandelionyoke_dispatch._prompt_queue import (
     PromptQueue as PromptQueue,
     PromptQueueSettings as PromptQueueSettings,
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -19,6 +19,8 @@
     CrashSettings,
     DemandSample,
     DomainReach,
+    EngineNeedEstimate,
+    EngineNeedSettings,
     EngineRoom,
     EngineRoomSettings,
     FirstArrivals,
@@ -44,6 +46,8 @@
     PlainQueueSettings,
     PrefillTimeEstimate,
     PrefillTimeSettings,
+    PrefillWork,
+    PrefillWorkSettings,
     PromptQueue,
     PromptQueueSettings,
     RegisteredTarget,
@@ -88,13 +92,23 @@
 TARGET_BURST_S = 0.5
 TARGET_URGENT_SHARE = 0.1
 
+# Half of all prompts take longer. Engines differ in speed by a factor of two,
+# and the time of the fastest ones says too little of what the others need.
+TYPICAL_PREFILL_TIME = PrefillTimeSettings(quantile=0.5, max_step_share=0.02)
+
 NEVER_S = float('-inf')
 PROCESS_NAME_BITS = 48
 
 
 @attrs.frozen
 class ServiceState:
-    """One service's prefill queue, prefill speed and overload signals."""
+    """One service's prefill queue, engine time and overload signals.
+
+    `prefill_work` is of the prompts that this node assigns to engines, and
+    `decode_work` of those that decode engines prefill for it. `prefill_time`
+    is that of an idle engine, `typical_prefill_time` that of most engines, as
+    if their machines were as fast as usual.
+    """
 
     overload: OverloadDetector = attrs.field(
         factory=lambda: OverloadDetector(OverloadSettings())
@@ -102,12 +116,24 @@
     prefill_time: PrefillTimeEstimate = attrs.field(
         factory=lambda: PrefillTimeEstimate(PrefillTimeSettings())
     )
+    typical_prefill_time: PrefillTimeEstimate = attrs.field(
+        factory=lambda: PrefillTimeEstimate(TYPICAL_PREFILL_TIME)
+    )
     prompt_queue: PromptQueue = attrs.field(
         factory=lambda: PromptQueue(PromptQueueSettings())
     )
     first_arrivals: FirstArrivals = attrs.field(
         factory=lambda: FirstArrivals(FirstArrivalSettings())
     )
+    prefill_work: PrefillWork = attrs.field(
+        factory=lambda: PrefillWork(PrefillWorkSettings())
+    )
+    decode_work: PrefillWork = attrs.field(
+        factory=lambda: PrefillWork(PrefillWorkSettings())
+    )
+    engine_need: EngineNeedEstimate = attrs.field(
+        factory=lambda: EngineNeedEstimate(EngineNeedSettings())
+    )
 
 
 @attrs.define
@@ -294,7 +320,14 @@
         state = self.service_state(service)
         begun, slow = state.overload.recent(now_s)
         return ServiceDemand(
-            service, streams, begun, slow, state.prompt_queue.prompt_count
+            service,
+            streams,
+            begun,
+            slow,
+            state.prompt_queue.prompt_count,
+            state.prefill_work.rate(now_s),
+            state.decode_work.rate(now_s),
+            self.speeds.is_reported(service),
         )
 
     def forget_targets(self, usable: frozenset[str]) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -14,6 +14,7 @@
     QueueDecision,
     QueuedPrompt,
     TargetFailure,
+    prefill_work_s,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge, ServiceState
@@ -186,6 +187,8 @@
         if result.prefill_s is not None:
             prefill_time = self._service_state(grant.request).prefill_time
             prefill_time.add_sample(grant.request.prompt, result.prefill_s)
+            if not result.is_slow_fetch:
+                self._record_typical_time(grant, result.prefill_s)
 
     def record_peer_failure(
         self, target_id: str, failure: TargetFailure
@@ -223,6 +226,7 @@
             queue.share_engine_time()
         queue.update_unreachable(self._unreachable_targets())
         queued_prompt = self._build_queued_prompt(request)
+        self._record_work(request)
         decision = queue.enter_for(
             queued_prompt, self._capacity(request), clock_s()
         )
@@ -375,6 +379,24 @@
         self._log.refused(queued_prompt, refused_at, queue, retry_after_s)
         return TooLateError(retry_after_s)
 
+    def _record_work(self, request: PrefillRequest) -> None:
+        """Record the engine time for a prompt, also if it is refused."""
+        state = self._service_state(request)
+        work_s = prefill_work_s(request.prompt, state.typical_prefill_time)
+        state.prefill_work.add(work_s, clock_s())
+
+    def _record_typical_time(
+        self, grant: PrefillGrant, prefill_s: float
+    ) -> None:
+        if grant.placement is None:
+            return
+        slowness = self._knowledge.speeds.slowness(
+            grant.placement.target.target_id, clock_s()
+        )
+        self._service_state(grant.request).typical_prefill_time.add_sample(
+            grant.request.prompt, prefill_s / slowness
+        )
+
     def _service_state(self, request: PrefillRequest) -> ServiceState:
         return self._knowledge.service_state(request.service)
 
