Set the capacity of engine time apart from the entry of a call

PromptQueue had two ways to enter, of which the one with a number of engines served tests only. share_engine_time() takes the capacity now, and each call enters with the number of engines, as before the change. A test shows that calls that wait are kept when the strategies change.

Run: tests/dispatch/test_shared_engine_time.py and the tests of the prefill queue and of backlogs in tests/gateway: passed.

--- a/packages/dispatch/dandelionyoke_dispatch/_prompt_queue.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_prompt_queue.py
@@ -80,18 +80,14 @@
         """Whether engine time is limited and shared, instead of prompts."""
         return self._engine_time is not None
 
-    def share_engine_time(self) -> None:
-        """Limit the engine time in flight, and share it among flows."""
-        if self._engine_time is not None:
-            return
-        self._engine_time = EngineTimeWindow(
-            self._settings.engine_time, self._in_flight, self._count_window
-        )
-        self._window = self._engine_time
-        queued = self._order.prompts
-        self._order = FairOrder()
-        for queued_prompt in queued:
-            self._order.add(queued_prompt)
+    def share_engine_time(self, capacity: PrefillCapacity) -> None:
+        """Limit the engine time in flight, and share it among flows.
+
+        Further calls only update the capacity.
+        """
+        if self._engine_time is None:
+            self._engine_time = self._replace_window()
+        self._engine_time.update(capacity)
 
     def update_unreachable(self, target_ids: frozenset[str]) -> None:
         """Set the engines that accept no connection.
@@ -103,23 +99,12 @@
     def enter(
         self, queued_prompt: QueuedPrompt, engines: int, now_s: float
     ) -> QueueDecision:
-        """Decide on an arriving call, with `engines` available for prefill."""
-        return self.enter_for(
-            queued_prompt, PrefillCapacity(engines, engines), now_s
-        )
-
-    def enter_for(
-        self,
-        queued_prompt: QueuedPrompt,
-        capacity: PrefillCapacity,
-        now_s: float,
-    ) -> QueueDecision:
-        """Decide on an arriving call, with some capacity for prefill.
+        """Decide on an arriving call, with `engines` available for prefill.
 
         If engine time is shared, it waits behind others while any wait, and
         `admit` may let it start at once.
         """
-        self._window.update(capacity)
+        self._count_window.update(engines)
         if self._engine_time is not None:
             self._engine_time.observe_arrival(queued_prompt.work_s)
         if self._window.has_room(now_s) and not self._must_queue():
@@ -288,6 +273,17 @@
             'rate': 0.0 if engine_time is None else engine_time.rate(now_s),
         }
 
+    def _replace_window(self) -> EngineTimeWindow:
+        engine_time = EngineTimeWindow(
+            self._settings.engine_time, self._in_flight, self._count_window
+        )
+        self._window = engine_time
+        queued = self._order.prompts
+        self._order = FairOrder()
+        for queued_prompt in queued:
+            self._order.add(queued_prompt)
+        return engine_time
+
     def _must_queue(self) -> bool:
         return self.shares_engine_time and bool(self._order.prompts)
 
--- a/packages/dispatch/dandelionyoke_dispatch/_queue_window.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_queue_window.py
@@ -48,9 +48,6 @@
 class QueueWindow(Protocol):
     """Decides whether another prompt may be in flight."""
 
-    def update(self, capacity: PrefillCapacity) -> None:
-        """Set the engines that are usable at present."""
-
     def has_room(self, now_s: float) -> bool:
         """Whether another prompt may be in flight."""
 
@@ -78,11 +75,9 @@
             prefill_s - self.mean_prefill_s
         )
 
-    def update(self, capacity: PrefillCapacity) -> None:
-        """Set the engines that are usable at present."""
-        self._max_in_flight = max(
-            1, self._max_prompts_per_engine * capacity.engines
-        )
+    def update(self, engines: int) -> None:
+        """Set the number of engines that are usable at present."""
+        self._max_in_flight = max(1, self._max_prompts_per_engine * engines)
 
     def has_room(self, now_s: float) -> bool:
         """Whether another prompt may be in flight."""
@@ -117,7 +112,6 @@
     def update(self, capacity: PrefillCapacity) -> None:
         """Set the engines that are usable at present."""
         self._capacity = capacity
-        self._fallback.update(capacity)
 
     def observe_arrival(self, work_s: float) -> None:
         """Add an arriving prompt to the mean work of a prompt."""
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -190,14 +190,12 @@
         Raises:
             TooLateError: no engine could start before the deadline.
         """
-        queue = self._queue(request)
+        queue, capacity = self._queue(request), self._capacity(request)
         if self._knowledge.speeds.is_reported(request.service):
-            queue.share_engine_time()
+            queue.share_engine_time(capacity)
         queue.update_unreachable(self._unreachable_targets())
         queued_prompt = self._build_queued_prompt(request)
-        decision = queue.enter_for(
-            queued_prompt, self._capacity(request), clock_s()
-        )
+        decision = queue.enter(queued_prompt, capacity.engines, clock_s())
         if decision is QueueDecision.TOO_LATE:
             raise self._refuse(request, queued_prompt, RefusalTime.ARRIVAL)
         if queue.shares_engine_time:
--- a/tests/dispatch/test_shared_engine_time.py
+++ b/tests/dispatch/test_shared_engine_time.py
@@ -48,7 +48,6 @@
     def setUp(self) -> None:
         super().setUp()
         self.queue = PromptQueue(PromptQueueSettings())
-        self.queue.share_engine_time()
         self.placed = 0
         self.running: list[str] = []
 
@@ -56,8 +55,10 @@
         self, queued: QueuedPrompt, engines: int = 1, share: float = 1
     ) -> QueueDecision:
         """Enter at the arrival; a call that may start gets an engine."""
-        capacity = PrefillCapacity(engines, engines, TOKEN_S, share)
-        decision = self.queue.enter_for(queued, capacity, queued.arrived_s)
+        self.queue.share_engine_time(
+            PrefillCapacity(engines, engines, TOKEN_S, share)
+        )
+        decision = self.queue.enter(queued, engines, queued.arrived_s)
         if decision is QueueDecision.START:
             target_id = f'i-{self.placed % engines}'
             self.queue.assign(queued.ticket_id, target_id, queued.arrived_s)
@@ -95,7 +96,6 @@
         sizes = {SHORT: 0, LONG: 0}
         for tokens in sizes:
             self.queue = PromptQueue(PromptQueueSettings())
-            self.queue.share_engine_time()
             decisions = [
                 self.enter(prompt(f'{number}', tokens=tokens), engines=4)
                 for number in range(40)
@@ -141,6 +141,15 @@
         ].count(QueueDecision.START)
         self.assertIn(started, (1, 2))
 
+    def test_calls_that_wait_are_kept_when_engine_time_is_shared(self) -> None:
+        """Guards against calls that are lost as a target tells its speed."""
+        names = ['a', 'b', 'c', 'd']
+        for name in names:
+            self.queue.enter(prompt(name), 1, 0)
+        self.queue.share_engine_time(PrefillCapacity(1, 1, TOKEN_S))
+        self.assertEqual(2, self.queue.queued_count)
+        self.assertEqual(['c', 'd'], self.queue.admit(0))
+
     def test_a_flood_of_one_organisation_delays_itself(self) -> None:
         """Guards against one organisation whose calls go before all others."""
         self.fill()
