Send a late call where no call is known to wait

Found in review of: a call whose caller's patience was over was refused for want of room although no engine had reported a queue, also at services whose targets report no slowness.

Change: without an expected wait the call is sent, as before.

Run: the new test fails on (503), and passes with the five others of tests/platform/test_decode_engines.py. make lint clean.

--- a/packages/gateway/dandelionyoke_gateway/_room_wait.py
+++ b/packages/gateway/dandelionyoke_gateway/_room_wait.py
@@ -60,7 +60,7 @@
             self._refuse(wait_s)
 
     def _is_soon(self, wait_s: float) -> bool:
-        return clock_s() + wait_s < self._prefiller.deadline_s
+        return not wait_s or clock_s() + wait_s < self._prefiller.deadline_s
 
     def _expected_s(self) -> float:
         """Return how long a call waits at the engine that is free first."""
--- a/tests/platform/test_decode_engines.py
+++ b/tests/platform/test_decode_engines.py
@@ -1,6 +1,7 @@
 """Decode engines that cannot get a KV cache, or have no room."""
 
 from collections.abc import Iterator
+from unittest import mock
 
 import attrs
 import eventlet
@@ -8,6 +9,7 @@
 
 from dandelionyoke_dispatch import Phase
 from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway._prompt_prefiller import PromptPrefiller
 from tests.gateway.settings import new_settings
 from tests.platform.node_harness import (
     NodeHarness,
@@ -126,3 +128,9 @@
         self.assertIn('"stream.no_room"', self.node.log_lines.text)
         eventlet.sleep(1.1)
         self.assertEqual(200, self.call())
+
+    def test_a_late_call_is_sent_where_no_call_is_known_to_wait(self) -> None:
+        """Guards against refusals at engines that report no queue."""
+        self.add(streams_token, Phase.DECODE)
+        with mock.patch.object(PromptPrefiller, 'deadline_s', 0.0):
+            self.assertEqual(200, self.call())
