Replace the engines that a fleet starts with before the need is known

Cause, by reading the merged plan: while the need was not settled (30 s), the level of a domain rose with every engine that was there, so that 10 on-demand engines and the 9 reclaimable ones ordered in their place were all kept, at the full price.

Change: the level is what ran before the first plan; while engines register, those of one kind count once with those that replace them.

Run: tests/dispatch/test_capacity_plan.py (the new test fails on the plan before: 30 on-demand engines kept), test_phase_capacity.py, test_fleet_plans.py, test_engine_count_task.py, test_phase_task.py pass.

--- a/packages/dispatch/dandelionyoke_dispatch/_capacity_plan.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_capacity_plan.py
@@ -39,7 +39,8 @@
     is kept for `keep_s`. Each of the `on_demand_domains` cheapest domains keeps
     an on-demand engine. A domain that gets no reclaimable engines may have
     on-demand engines up to `fallback_share` of its maximum. If the plan was not
-    asked for `max_gap_s`, other nodes may have ordered meanwhile.
+    asked for `max_gap_s`, other nodes may have ordered meanwhile. Engines that
+    register within `registration_s` of the first plan ran before it.
     """
 
     removed: int = 2
@@ -49,6 +50,7 @@
     on_demand_domains: int = 2
     fallback_share: float = 0.6
     max_gap_s: float = 5.0
+    registration_s: float = 4.0
 
 
 @enum.unique
@@ -93,6 +95,7 @@
         self._goals: dict[str, Peak] = {}
         self._unknown_since_s: float | None = None
         self._asked_s: float | None = None
+        self._started_s = 0.0
         self._removed_s = -math.inf
         self.planned = PlannedEngines(PlanBasis.KEPT)
 
@@ -107,13 +110,13 @@
             return []
         present = Counter(engine.domain for engine in engines)
         self._start_anew_after_gap(need.now_s)
+        self._keep_running(scaling, engines, need.now_s)
         if need.engine_need is None:
             if not self._keeps_unknown(need.now_s):
                 return self._whole_range(scaling, engines, need)
             self.planned = PlannedEngines(
                 PlanBasis.KEPT, present=present.total()
             )
-            self._keep(scaling, present)
             return self._by_kind(scaling, engines, need)
         self._unknown_since_s = None
         self.planned = _plan_numbers(
@@ -126,6 +129,7 @@
         asked_s = self._asked_s
         self._asked_s = now_s
         if asked_s is None or now_s - asked_s > self._settings.max_gap_s:
+            self._started_s = now_s
             self._levels.clear()
             self._goals.clear()
             self._unknown_since_s = None
@@ -149,9 +153,29 @@
         blind = attrs.evolve(need, is_overloaded=True)
         return self._without_need.wanted(scaling, engines, blind)
 
-    def _keep(self, scaling: ScalingRange, present: Counter[str]) -> None:
+    def _keep_running(
+        self,
+        scaling: ScalingRange,
+        engines: Sequence[RegisteredTarget],
+        now_s: float,
+    ) -> None:
+        """Set the levels to the engines that ran before the first plan.
+
+        While they register, those of one kind may be there in place of the
+        other already, and count once.
+        """
+        if now_s - self._started_s > self._settings.registration_s:
+            return
+        on_demand = _count_by_domain(engines, is_reclaimable=False)
+        reclaimable = _count_by_domain(engines, is_reclaimable=True)
+        kept = self._kept_on_demand(scaling)
         for domain in scaling.domain_prices:
-            level = max(self._levels.get(domain, 0), present[domain])
+            known = self._levels.get(domain)
+            level = on_demand[domain] + reclaimable[domain]
+            if known is not None:
+                staying = min(kept[domain], on_demand[domain])
+                replaced = max(on_demand[domain], reclaimable[domain] + staying)
+                level = max(known, replaced)
             self._levels[domain] = min(level, scaling.max_targets)
 
     def _follow(
@@ -172,9 +196,7 @@
             goal = goals[domain]
             peak = self._goals.setdefault(domain, Peak(settings.hold_s))
             held = int(peak.update(goal, need.now_s))
-            level = self._levels.get(domain, present[domain])
-            if not is_settled:
-                level = max(level, present[domain])
+            level = self._levels[domain]
             if may_remove and level - settings.removed >= held:
                 self._removed_s = need.now_s
                 level -= settings.removed
--- a/tests/dispatch/test_capacity_plan.py
+++ b/tests/dispatch/test_capacity_plan.py
@@ -183,6 +183,16 @@
         replay.run(20, EngineDemand(1.0))
         self.assertEqual((23, []), (replay.total, replay.removed))
 
+    def test_reclaimable_engines_replace_those_that_a_fleet_starts_with(
+        self,
+    ) -> None:
+        """Guards against engines at the full price until the need is known."""
+        replay = Replay(new_plan())
+        replay.on_demand = Counter(a=10, b=10, c=10)
+        replay.run(20, EngineDemand(2.0))
+        self.assertEqual(Counter(a=1, b=1, c=0), replay.on_demand)
+        self.assertEqual(30, replay.total)
+
     def test_unknown_demand_orders_the_whole_range(self) -> None:
         """Guards against a fleet that shrinks because its nodes say nothing."""
         replay = Replay(new_plan(), a=7, b=7, c=7).run(40, None)
