--- a/packages/dispatch/dandelionyoke_dispatch/_phase_capacity.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_phase_capacity.py
@@ -58,8 +58,7 @@
     ) -> None:
         self._settings = settings
         self._switch = PhaseSwitch(switch)
-        # The inputs and result of the latest plan.
-        self.need: EngineNeed | None = None
+        # The input and result of the latest plan.
         self.capacity = PhaseCapacity(0.0, 0.0)
         self.wanted = 0
 
@@ -77,7 +76,6 @@
         None means all. If the need is unknown, each phase only keeps its least
         number of engines.
         """
-        self.need = need
         if len(engines) < 2:
             return []
         decoding = [one for one in engines if one.phase is Phase.DECODE]
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -82,8 +82,8 @@
 TARGET_BURST_S = 0.5
 TARGET_URGENT_SHARE = 0.1
 
-# Half of all prompts take longer. Engines differ in speed by a factor of two,
-# and the time of the fastest ones says too little of what the others need.
+# The median: engines differ in speed, and the times of the fastest ones are too
+# short for the others.
 TYPICAL_PREFILL_TIME = PrefillTimeSettings(quantile=0.5, max_step_share=0.02)
 
 NEVER_S = float('-inf')
