--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -315,7 +315,8 @@
         tokens = request.prompt.token_count
         state = self._service_state(request)
         estimate = state.prefill_time.with_cache
-        prefill_s = work_s = estimate.expected_s(tokens) or 0.0
+        prefill_s = estimate.expected_s(tokens) or 0.0
+        work_s = prefill_s
         if state.prompt_queue.shares_engine_time:
             work_s = estimate.marginal_s(tokens) or 0.0
             prefill_s = estimate.fixed_s + work_s
