--- a/packages/dispatch/dandelionyoke_dispatch/_prefill_time.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_prefill_time.py
@@ -75,11 +75,15 @@
             return self.expected_s(tokens)
         return self._line.slope * tokens
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether there are enough times to tell the work of a prompt."""
+        return self._line.count >= self._settings.min_line_samples
+
     @property
     def _has_line(self) -> bool:
         line = self._line
-        is_enough = line.count >= self._settings.min_line_samples
-        return is_enough and line.has_slope and line.slope > 0
+        return self.is_settled and line.has_slope and line.slope > 0
 
     def _fit(self, tokens: int, took_s: float) -> None:
         settings = self._settings
