--- a/packages/dispatch/dandelionyoke_dispatch/_decode_target.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_decode_target.py
@@ -78,7 +78,7 @@
         now_s: float,
     ) -> RegisteredTarget:
         """Choose an engine, if possible in a domain; the first one at a tie."""
-        if not self._speeds.is_reported(engines[0].service):
+        if not self._speeds.is_balanced(engines[0].service):
             return self._otherwise.choose(engines, domain, call, now_s)
         with_room = [
             target
--- a/packages/dispatch/dandelionyoke_dispatch/_expected_end.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_expected_end.py
@@ -79,7 +79,7 @@
     ) -> bool:
         """Whether targets tell their slowness, and prefill times are known."""
         return (
-            self._hints.speeds.is_reported(service)
+            self._hints.speeds.is_balanced(service)
             and prefill_time.with_cache.expected_s(1) is not None
         )
 
--- a/packages/dispatch/dandelionyoke_dispatch/_prefill_hints.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_prefill_hints.py
@@ -76,7 +76,7 @@
         """Learn from the end of a prompt; nothing if it did not run."""
         fetched_tokens = self.running_fetches.end(ticket_id)
         took_s, target = outcome.prefill_s, placement.target
-        if took_s is None or not self.speeds.is_reported(target.service):
+        if took_s is None or not self.speeds.is_balanced(target.service):
             return
         if prompt.shared_tokens:
             self.holders.record(prompt.shared_key, target)
--- a/packages/dispatch/dandelionyoke_dispatch/_target_speed.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_target_speed.py
@@ -62,7 +62,7 @@
             mean = kept * known.mean + (1 - kept) * slowness
         self._slowness[target.target_id] = _Slowness(mean, now_s)
 
-    def is_reported(self, service: str) -> bool:
+    def is_balanced(self, service: str) -> bool:
         """Whether to balance a service by the capacity of its targets.
 
         It is if any of them has told its slowness, or if all services are.
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -88,7 +88,7 @@
             TargetLimitedError: the target has asked for rest meanwhile.
         """
         timeout_s = CONNECT_TIMEOUT_S
-        if self.knowledge.speeds.is_reported(target.service):
+        if self.knowledge.speeds.is_balanced(target.service):
             timeout_s = BRIEF_CONNECT_TIMEOUT_S
         with self.pool.acquire(target.address, timeout_s) as connection:
             # Connecting takes time, in which the target may ask for rest.
--- a/packages/gateway/dandelionyoke_gateway/_domain_reach_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_domain_reach_task.py
@@ -42,7 +42,7 @@
         target = self._knowledge.registry.find(target_id)
         if target is None or failure is not TargetFailure.UNREACHABLE:
             return
-        if not self._knowledge.speeds.is_reported(target.service):
+        if not self._knowledge.speeds.is_balanced(target.service):
             return
         count = len(self._targets(target.service, target.domain))
         if self._reach.failed(target, count, clock_s()):
--- a/packages/gateway/dandelionyoke_gateway/_engine_capacity.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_capacity.py
@@ -64,7 +64,7 @@
         targets report their slowness.
         """
         knowledge = self._knowledge
-        if knowledge.speeds.is_reported(service):
+        if knowledge.speeds.is_balanced(service):
             return True
         return knowledge.demand.of_service(service, now_s).has_slowness
 
--- a/packages/gateway/dandelionyoke_gateway/_import_check.py
+++ b/packages/gateway/dandelionyoke_gateway/_import_check.py
@@ -101,7 +101,7 @@
 
     def _has_room(self, facts: ResponseFacts) -> bool:
         service = self._state.context.service.name
-        if not self._knowledge.speeds.is_reported(service):
+        if not self._knowledge.speeds.is_balanced(service):
             return False
         is_answer = not facts.is_other_target and not facts.rest_s
         return is_answer and not is_full(facts.load)
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -327,7 +327,7 @@
             state.prompt_queue.prompt_count,
             state.prefill_work.rate(now_s),
             state.decode_work.rate(now_s),
-            self.speeds.is_reported(service),
+            self.speeds.is_balanced(service),
         )
 
     def forget_targets(self, usable: frozenset[str]) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -381,7 +381,7 @@
 
     Targets that tell how slow they are ask to be balanced by it.
     """
-    if deps.knowledge.speeds.is_reported(context.service.name):
+    if deps.knowledge.speeds.is_balanced(context.service.name):
         return QueuedTurns(deps, context)
     return DirectTurns(deps, context)
 
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -206,7 +206,7 @@
         placement, took_s = grant.placement, result.prefill_s
         if placement is None or placement.source is None or took_s is None:
             return False
-        if not self._knowledge.speeds.is_reported(grant.request.service):
+        if not self._knowledge.speeds.is_balanced(grant.request.service):
             return False
         source_id, fetches = placement.source.target_id, self._knowledge.fetches
         if result.is_slow_fetch and placement.is_far_exceeded(took_s):
@@ -222,7 +222,7 @@
             TooLateError: no engine could start before the deadline.
         """
         queue, capacity = self._queue(request), self._capacity(request)
-        if self._knowledge.speeds.is_reported(request.service):
+        if self._knowledge.speeds.is_balanced(request.service):
             queue.share_engine_time(capacity)
         queue.update_unreachable(self._unreachable_targets())
         queued_prompt = self._build_queued_prompt(request)
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -240,7 +240,7 @@
         self, prompt: Prompt, grant: PrefillGrant, prefill_s: float
     ) -> bool:
         """Whether to tell the placing node that a fetch was slow."""
-        if not self._knowledge.speeds.is_reported(grant.request.service):
+        if not self._knowledge.speeds.is_balanced(grant.request.service):
             return False
         placement = grant.placement
         return placement is not None and self._is_slow_fetch(
--- a/packages/gateway/dandelionyoke_gateway/_room_wait.py
+++ b/packages/gateway/dandelionyoke_gateway/_room_wait.py
@@ -65,7 +65,7 @@
     def _expected_s(self) -> float:
         """Return how long a call waits at the engine that is free first."""
         speeds, now_s = self._knowledge.speeds, clock_s()
-        if not speeds.is_reported(self._state.context.service.name):
+        if not speeds.is_balanced(self._state.context.service.name):
             return 0
         waits_s = (
             self._knowledge.room.wait_s(
--- a/tests/dispatch/test_target_speed.py
+++ b/tests/dispatch/test_target_speed.py
@@ -37,10 +37,10 @@
     def test_a_service_without_reports_is_told_apart(self) -> None:
         """Guards against new decisions where no target asks for them."""
         self.speeds.observe(SLOW, 1.0, 0.0)
-        self.assertTrue(self.speeds.is_reported('lm'))
-        self.assertFalse(self.speeds.is_reported('app'))
+        self.assertTrue(self.speeds.is_balanced('lm'))
+        self.assertFalse(self.speeds.is_balanced('app'))
 
     def test_all_services_are_balanced_where_settings_ask(self) -> None:
         """Guards against a setting that acts only after a report."""
         self.speeds.balance_all()
-        self.assertTrue(self.speeds.is_reported('app'))
+        self.assertTrue(self.speeds.is_balanced('app'))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -44,6 +44,8 @@
 DOMAINS = ('a', 'a', 'b', 'b')
 CALLERS_PER_NODE = 3
 ENTRY_INTERVAL_S = 1.2
+# What targets say of their speed, in turns, in seeds with an even number.
+SLOWNESS_PERCENT = (70, 100, 170)
 RESTART_S = 0.3
 # Every node must answer callers again within this time after the last fault.
 RECOVERY_S = 12.0
@@ -210,6 +212,10 @@
                 self._store,
                 self._random,
             )
+            if self._seed % 2 == 0:
+                target.slowness_percent = SLOWNESS_PERCENT[
+                    number % len(SLOWNESS_PERCENT)
+                ]
             link = self._start_relay(target.address)
             target.register(link.address)
             self._targets.append(target)
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -60,6 +60,8 @@
         self.rest_s: float | None = None
         self.event_interval_s = EVENT_INTERVAL_S
         self.is_telling_leave = False
+        # How long its work takes, in percent of usual; None: it does not say.
+        self.slowness_percent: int | None = None
         # Identifies its start; it starts anew after it has left.
         self._born = 1
         self._state = 'ready'
@@ -149,6 +151,12 @@
             headers += f'\r\nServer-Limit: {self.limit_per_s}'.encode()
         if self.is_telling_leave:
             headers += b'\r\nServer-Leaving: 1'
+        if self.slowness_percent is not None:
+            running = sum(self._working.values())
+            headers += (
+                f'\r\nServer-Load: {min(running, SLOTS)},'
+                f'{max(0, running - SLOTS)},{SLOTS},{self.slowness_percent}'
+            ).encode()
         return step.replace(b'\r\n', headers + b'\r\n', 1)
 
     def _steps(
