Order engines as before until the need of a service is known

Cause: while the need was being learned the plan kept the 30 engines that the fleet had started with, and exchanged them for reclaimable ones meanwhile.

Change: until the demand was observed for its hold time the older plan holds.

--- a/packages/gateway/dandelionyoke_gateway/_engine_capacity.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_capacity.py
@@ -32,6 +32,11 @@
     known_nodes: int
     age_s: float | None
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the need was observed for the whole hold time."""
+        return self.need is not None and self.need.is_settled
+
     def log_fields(self) -> dict[str, str | float | None]:
         """Return the inputs of a decision for its log line."""
         need = self.need
--- a/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_count_task.py
@@ -180,11 +180,15 @@
                 self._send_order(service, wanted, present, capacity)
 
     def _read_capacity(self, service: str) -> EngineCapacity | None:
-        """Return what is planned with; None if capacity is not reported."""
+        """Return what is planned with; None to plan without the need.
+
+        Callers would wait for engines while their need is being learned.
+        """
         now_s = clock_s()
         if not self._capacities.is_planned(service, now_s):
             return None
-        return self._capacities.read(service, now_s)
+        capacity = self._capacities.read(service, now_s)
+        return capacity if capacity.is_settled else None
 
     def _capacity_plan(self, service: str) -> CapacityPlan:
         return self._capacity_plans.setdefault(
