Take the fitted engine time out of queue and placement, plan by need on request

The plans of numbers and phases by need act only where [balancing] plans_by_need is yes. The fitted slope serves them alone.

--- a/packages/dispatch/dandelionyoke_dispatch/_expected_end.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_expected_end.py
@@ -144,8 +144,7 @@
         self._is_known = holders.is_known
         self._holder_ids = {holder.target_id for holder in holders.engines}
         self._backlog: Mapping[str, int] = question.queue.fleet_backlog(now_s)
-        self._whole_s = question.prefill_time.without_cache.fixed_s
-        self._whole_s += self._uncached_s(prompt.token_count)
+        self._whole_s = self._uncached_s(prompt.token_count)
         self._prefix_s = self._uncached_s(prompt.shared_tokens)
         self._sources = [
             holder
@@ -227,10 +226,10 @@
     def _wait_s(self, engine: RegisteredTarget) -> float:
         """Return the usual time of the prompts that an engine has."""
         tokens = self._backlog[engine.target_id]
-        return self._prefill_time.with_cache.marginal_s(tokens) or 0.0
+        return self._prefill_time.with_cache.expected_s(tokens) or 0.0
 
     def _uncached_s(self, tokens: int) -> float:
-        uncached_s = self._prefill_time.without_cache.marginal_s(tokens)
+        uncached_s = self._prefill_time.without_cache.expected_s(tokens)
         if uncached_s is None:
-            return self._prefill_time.with_cache.marginal_s(tokens) or 0.0
+            return self._prefill_time.with_cache.expected_s(tokens) or 0.0
         return uncached_s
--- a/packages/dispatch/dandelionyoke_dispatch/_prefill_time.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_prefill_time.py
@@ -61,11 +61,6 @@
         """Return the expected time for some tokens; None if unknown."""
         return None if self._token_s is None else tokens * self._token_s
 
-    @property
-    def fixed_s(self) -> float:
-        """The time of a prompt without a token, with the round trip."""
-        return self._line.intercept if self._has_line else 0.0
-
     def marginal_s(self, tokens: int) -> float | None:
         """Return by how much some tokens prolong a prefill; None if unknown.
 
--- a/packages/dispatch/dandelionyoke_dispatch/_prefill_work.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_prefill_work.py
@@ -50,14 +50,9 @@
 def prefill_work_s(prompt: Prompt, prefill_time: PrefillTimeEstimate) -> float:
     """Return the engine time that a prompt needs; 0 while it is unknown.
 
-    The first times are mostly round trips, and a need that is too high would
-    be held.
-
     Both estimates are of prompts whose shared prefix is mostly cached, so that
     each is too low for prompts of another kind. The longer time counts.
     """
-    if not prefill_time.with_cache.is_settled:
-        return 0.0
     with_cache_s = prefill_time.with_cache.marginal_s(prompt.token_count)
     without_cache_s = prefill_time.without_cache.marginal_s(
         prompt.token_count - prompt.shared_tokens
--- a/packages/gateway/dandelionyoke_gateway/_engine_capacity.py
+++ b/packages/gateway/dandelionyoke_gateway/_engine_capacity.py
@@ -65,10 +65,12 @@
     def is_planned(self, service: str, now_s: float) -> bool:
         """Whether engines of a service are planned by their capacity.
 
-        A node that has just started learns from the samples of others that
+        Only if the settings ask for it. A node that has just started learns from the samples of others that
         targets report their slowness.
         """
         knowledge = self._knowledge
+        if not knowledge.settings.plans_by_need:
+            return False
         if knowledge.speeds.is_balanced(service):
             return True
         return knowledge.demand.of_service(service, now_s).has_slowness
--- a/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
+++ b/packages/gateway/dandelionyoke_gateway/_prefill_queue.py
@@ -246,7 +246,7 @@
         return PrefillCapacity(
             engines,
             speed or 1.0,
-            prefill_time.with_cache.marginal_s(1),
+            prefill_time.with_cache.expected_s(1),
             self._share.share,
         )
 
@@ -314,12 +314,7 @@
     def _build_queued_prompt(self, request: PrefillRequest) -> QueuedPrompt:
         tokens = request.prompt.token_count
         state = self._service_state(request)
-        estimate = state.prefill_time.with_cache
-        prefill_s = estimate.expected_s(tokens) or 0.0
-        work_s = prefill_s
-        if state.prompt_queue.shares_engine_time:
-            work_s = estimate.marginal_s(tokens) or 0.0
-            prefill_s = estimate.fixed_s + work_s
+        prefill_s = state.prefill_time.with_cache.expected_s(tokens) or 0.0
         max_wait_s = max(
             PREFILL_GOAL_SHARE * request.goal_s - prefill_s,
             LARGE_PROMPT_GOAL_SHARE * request.goal_s,
@@ -333,7 +328,7 @@
             in_time_until_s=request.arrived_s + max_wait_s,
             deadline_s=request.deadline_s,
             tokens=tokens,
-            work_s=work_s or state.prompt_queue.mean_prefill_s,
+            work_s=prefill_s or state.prompt_queue.mean_prefill_s,
             organisation=request.organisation,
             route=request.route,
         )
--- a/packages/gateway/dandelionyoke_gateway/_settings.py
+++ b/packages/gateway/dandelionyoke_gateway/_settings.py
@@ -55,6 +55,8 @@
     # services by the capacity of their targets; empty if nothing does.
     features: frozenset[str] = frozenset()
     capacity_feature: str = ''
+    # Whether engines and phases of such services follow what callers use.
+    plans_by_need: bool = False
 
     @property
     def balances_by_capacity(self) -> bool:
@@ -145,6 +147,12 @@
     return frozenset(name for name in names if name)
 
 
+def _parse_flag(raw: str) -> bool:
+    if raw not in {'', 'yes', 'no'}:
+        raise ValueError('must be yes or no')
+    return raw == 'yes'
+
+
 def _parse_count(raw: str) -> int:
     return int(_parse_number(raw))
 
@@ -182,5 +190,6 @@
         'limit_slack': ('limits', 'slack', _parse_number_or_zero),
         'features': ('balancing', 'features', _parse_names),
         'capacity_feature': ('balancing', 'capacity_feature', str.strip),
+        'plans_by_need': ('balancing', 'plans_by_need', _parse_flag),
     }
 )
--- a/tests/dispatch/test_prefill_time.py
+++ b/tests/dispatch/test_prefill_time.py
@@ -66,7 +66,6 @@
             for tokens in (1400, 26000):
                 estimate.add_sample(tokens, 0.04 + tokens * 0.000004)
         self.assertAlmostEqual(0.004, estimate.marginal_s(1000) or 0, 4)
-        self.assertAlmostEqual(0.04, estimate.fixed_s, 3)
 
     def test_prompts_that_waited_for_something_else_count_little(self) -> None:
         """Guards against a slope from prompts that were held up."""
--- a/tests/gateway/settings.py
+++ b/tests/gateway/settings.py
@@ -13,6 +13,11 @@
     return attrs.evolve(_SETTINGS, instance_id=instance_id)
 
 
+def planned_by_need() -> GatewaySettings:
+    """Return settings that ask to plan engines by what callers use."""
+    return attrs.evolve(_SETTINGS, plans_by_need=True)
+
+
 _SETTINGS = GatewaySettings(
     instance_id='n-1',
     domain='a',
--- a/tests/gateway/test_engine_capacity.py
+++ b/tests/gateway/test_engine_capacity.py
@@ -30,7 +30,7 @@
     PrefillRequest,
     PrefillResult,
 )
-from tests.gateway.settings import new_settings
+from tests.gateway.settings import planned_by_need
 from tests.platform.node_harness import LogLines
 
 MEASURED = ServiceDemand('lm', 8, 9, 0, 4, 3.0, 0.5, has_slowness=True)
@@ -39,7 +39,7 @@
 class EngineCapacityTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.knowledge = new_knowledge(new_settings(), Random(3))
+        self.knowledge = new_knowledge(planned_by_need(), Random(3))
         self.knowledge.node_count = 30
         self.capacities = EngineCapacities(self.knowledge)
 
@@ -108,7 +108,8 @@
 class CapacityPhaseTaskTest(testtools.TestCase):
     def test_an_order_tells_the_need_behind_it(self) -> None:
         """Guards against a log that does not tell why engines switched."""
-        lines, knowledge = LogLines(), new_knowledge(new_settings(), Random(3))
+        lines = LogLines()
+        knowledge = new_knowledge(planned_by_need(), Random(3))
         log = DecisionLog(lines, 'n-1', Metrics())
         self.addCleanup(log.close)
         targets = [
--- a/tests/gateway/test_engine_count_task.py
+++ b/tests/gateway/test_engine_count_task.py
@@ -24,7 +24,7 @@
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._phase_task import PendingFleetChanges
-from tests.gateway.settings import new_settings
+from tests.gateway.settings import new_settings, planned_by_need
 from tests.platform.node_harness import LogLines
 
 
@@ -81,7 +81,7 @@
         """Return the numbers of reclaimable engines that are ordered."""
         log = DecisionLog(LogLines(), 'n-1', Metrics())
         self.addCleanup(log.close)
-        knowledge = new_knowledge(new_settings(), Random(3))
+        knowledge = new_knowledge(planned_by_need(), Random(3))
         platform = FakePlatform(DutyOutcome.ACCEPTED)
         task = EngineCountTask(
             knowledge, HeldDuty(), platform, PendingFleetChanges(), log
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -82,3 +82,20 @@
             SettingsError, read_settings, fill_template(features='base,,x')
         )
         self.assertIn('[balancing] features', str(error))
+
+    def test_a_flag_is_yes_or_no(self) -> None:
+        """Guards against engines planned by need where nobody asked."""
+        filled = fill_template()
+        for text, is_asked in (('yes', True), ('no', False), ('', False)):
+            settings = read_settings(
+                filled.replace(
+                    '[balancing]', f'[balancing]\nplans_by_need = {text}'
+                )
+            )
+            self.assertIs(is_asked, settings.plans_by_need, text)
+        error = self.assertRaises(
+            SettingsError,
+            read_settings,
+            filled.replace('[balancing]', '[balancing]\nplans_by_need = 1'),
+        )
+        self.assertIn('must be yes or no', str(error))
