Log when and from where a node hears of a crash, and reports that are lost

Nodes that blame different calls were told apart by key.blamed alone: whether a node had heard of a crash, when, and through the store or another node, was not in the logs. crash.taken says so once for each report; crash.unwritten and target.unreached name reports that the store did not take and crashes that were taken for a cut.

--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -9,17 +9,14 @@
     BackOff,
     BackOffSettings,
     CodecError,
+    StoreFailed,
     StoreListing,
     record_from_json,
     record_to_json,
 )
-from dandelionyoke_dispatch import (
-    BlamedKey,
-    CrashKeys,
-    CrashReport,
-    RegisteredTarget,
-)
+from dandelionyoke_dispatch import CrashKeys, CrashReport, RegisteredTarget
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._crash_intake import CrashIntake
 from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._leased_records import LeasedRecords
@@ -33,6 +30,9 @@
 # Crashes are rare, so a long watch causes few store calls.
 WATCH_DURATION_S = 10.0
 NEWS_FRESH_S = 2.0
+# Where a report came from, in the log.
+OWN_SOURCE = 'own'
+STORE_SOURCE = 'store'
 # A live target accepts a connection at once.
 PROBE_TIMEOUT_S = 0.5
 PROBED_OTHERS = 2
@@ -64,6 +64,7 @@
     ) -> None:
         self._knowledge = knowledge
         self._log = log
+        self._intake = CrashIntake(knowledge, log)
         self._records = LeasedRecords(store, RECORD_TTL_S)
         self._watcher = PrefixWatcher(
             store,
@@ -116,15 +117,17 @@
     def _probe_target(self, target: RegisteredTarget) -> None:
         eventlet.sleep(GATHER_S)
         keys = self._broken.pop(target.target_id, [])
-        if not _accepts_connections(target.address):
-            if self._reaches_others(target):
-                self._log.decide(
-                    'target.died',
-                    target.target_id,
-                    outcome='calls suspected',
-                    keys=','.join(sorted(set(keys))[:MAX_REPORT_KEYS]),
-                )
-                self._publish(_start_name(target), keys[:MAX_REPORT_KEYS])
+        if _accepts_connections(target.address):
+            return
+        is_crash = self._reaches_others(target)
+        self._log.decide(
+            'target.died' if is_crash else 'target.unreached',
+            target.target_id,
+            outcome='calls suspected' if is_crash else 'no crash: cut off',
+            keys=','.join(sorted(set(keys))[:MAX_REPORT_KEYS]),
+        )
+        if is_crash:
+            self._publish(_start_name(target), keys[:MAX_REPORT_KEYS])
 
     def _reaches_others(self, target: RegisteredTarget) -> bool:
         """Whether this node reaches another target of the same service.
@@ -164,9 +167,13 @@
             crashes.answers_to(keys, now_s),
             alive,
         )
-        self._take(report)
+        self._intake.take(report, OWN_SOURCE)
         key = f'{CRASHES_PREFIX}{target_name}/{reporter}'
-        self._records.write(key, record_to_json(report), 0)
+        answer = self._records.write(key, record_to_json(report), 0)
+        if isinstance(answer, StoreFailed):
+            self._log.decide(
+                'crash.unwritten', key, outcome='lost', cause=answer.cause
+            )
 
     def _take_records(self, listing: StoreListing) -> None:
         for item in listing.items:
@@ -183,22 +190,7 @@
                     cause=str(error),
                 )
                 continue
-            self._take(report)
-
-    def _take(self, report: CrashReport) -> None:
-        blamed = self._knowledge.take_crash(report)
-        log_blamed(self._log, blamed)
-
-
-def log_blamed(log: DecisionLog, blamed: tuple[BlamedKey, ...]) -> None:
-    """Log which keys are refused from now on, and why."""
-    for key in blamed:
-        log.decide(
-            'key.blamed',
-            key.key,
-            outcome='refused',
-            targets=','.join(key.targets),
-        )
+            self._intake.take(report, STORE_SOURCE)
 
 
 def _start_name(target: RegisteredTarget) -> str:
--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -22,7 +22,7 @@
 from dandelionyoke_gateway._answer_wait import AnswerWait
 from dandelionyoke_gateway._clock import clock_s, stalled_s
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
-from dandelionyoke_gateway._crash_task import log_blamed
+from dandelionyoke_gateway._crash_intake import CrashIntake
 from dandelionyoke_gateway._knowledge import NEVER_S, Knowledge
 from dandelionyoke_gateway._late_answers import LateAnswers
 from dandelionyoke_gateway._log import DecisionLog
@@ -80,6 +80,7 @@
         self._registry = registry
         self._store_polling = store_polling
         self._log = log
+        self._crash_intake = CrashIntake(knowledge, log)
         self._late_answers = LateAnswers(knowledge, log)
         self._inbox: LightQueue = LightQueue()
         self._linked: set[InstanceId] = set()
@@ -239,7 +240,7 @@
                 member.instance_id, answer.demand, clock_s()
             )
         for report in answer.crash_reports:
-            log_blamed(self._log, knowledge.take_crash(report))
+            self._crash_intake.take(report, member.instance_id)
         self._crash_mark = answer.crash_mark
         if answer.targets is not None:
             is_applied = self._registry.apply_peer_changes(
