--- a/tests/dispatch/test_crash_guard.py
+++ b/tests/dispatch/test_crash_guard.py
@@ -1,5 +1,8 @@
 """Refusal of calls that crash the targets running them."""
 
+import itertools
+from collections.abc import Iterable
+
 import testtools
 
 from dandelionyoke_dispatch import (
@@ -196,6 +199,68 @@
             self.assertFalse(self.is_sent(calls_with(part), 6))
 
 
+class OrderTest(testtools.TestCase):
+    """Nodes that hear of the same crashes in another order."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.dead = CrashKeys('dead', ('first', 'middle'))
+        self.beside = CrashKeys('beside', ('first', 'another'))
+        # Both calls were sent again together, each by its own node.
+        self.reports = [
+            CrashReport(f'i-{number}', f'{node}.{number}', 0.0, call.all)
+            for number in range(3)
+            for node, call in (('n-1', self.dead), ('n-2', self.beside))
+        ]
+
+    def hear(self, reports: Iterable[CrashReport]) -> CrashGuard:
+        guard = CrashGuard(CrashSettings())
+        for report in reports:
+            guard.take_report(report, 1.0)
+        return guard
+
+    def refused(self, guard: CrashGuard) -> set[str]:
+        return {
+            call.fingerprint
+            for call in (self.dead, self.beside)
+            if guard.admit(call, 1.5, lambda key: False) != SENT
+        }
+
+    def test_nodes_refuse_the_same_calls_in_any_order(self) -> None:
+        """Guards against nodes that blame the call that they hear of first."""
+        refused = [
+            self.refused(self.hear(order))
+            for order in itertools.permutations(self.reports)
+        ]
+        self.assertEqual([refused[0]] * len(refused), refused)
+
+    def test_a_call_in_the_same_crashes_is_refused_too(self) -> None:
+        """Guards against a call that goes on behind one that was blamed."""
+        guard = self.hear(self.reports)
+        self.assertEqual({'dead', 'beside'}, self.refused(guard))
+
+    def test_a_call_of_fewer_crashes_is_served_again(self) -> None:
+        """Guards against a verdict that later reports don't revise."""
+        late = CrashReport('i-3', 'n-1.3', 0.0, self.dead.all)
+        for order in itertools.permutations([*self.reports, late], 7):
+            if order[-1] is late:
+                self.assertEqual({'dead'}, self.refused(self.hear(order)))
+
+    def test_another_crash_ends_what_a_refused_call_explains(self) -> None:
+        """Guards against three more engines for a call beside a refused one.
+
+        Here the call that crashes engines is in fewer crashes at first.
+        """
+        beside = [
+            CrashReport(f'i-{number}', f'n-3.{number}', 0.0, ('beside',))
+            for number in range(7, 9)
+        ]
+        guard = self.hear([*self.reports, *beside])
+        self.assertEqual({'beside'}, self.refused(guard))
+        guard.take_report(CrashReport('i-9', 'n-1.9', 0.0, ('dead',)), 1.0)
+        self.assertEqual({'dead', 'beside'}, self.refused(guard))
+
+
 class DisprovedCrashTest(GuardTestCase):
     """Targets that answer after a node has reported their crash."""
 
