Give two calls that crash engines beside each other no common part

Both had the part 'first' without an answer, in all four crashes of test_a_call_of_fewer_crashes_is_served_again. That part has to be refused with the call that crashes engines, so that the other call could not be served again. The calls share nothing now; the four checks are unchanged and fail as before (4 xfailed).

--- a/tests/dispatch/test_crash_guard.py
+++ b/tests/dispatch/test_crash_guard.py
@@ -205,7 +205,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.dead = CrashKeys('dead', ('first', 'middle'))
-        self.beside = CrashKeys('beside', ('first', 'another'))
+        self.beside = CrashKeys('beside', ('other', 'another'))
         # Both calls were sent again together, each by its own node.
         self.reports = [
             CrashReport(f'i-{number}', f'{node}.{number}', 0.0, call.all)
