Let the engines of the crash tests crash, and read their answers to the end

test_a_part_that_crashed_engines_is_refused_at_all_nodes read the head of an answer and closed, so that the first, sound call often ended before its answer did and proved nothing: its part was as unproven as the one that crashes engines, and which of them a node refused was a matter of their hashes. A crashed engine went on to serve open connections, so that a later answer took its crash back.

The checks are unchanged; the engines lose all connections as they crash.

--- a/tests/platform/local_server.py
+++ b/tests/platform/local_server.py
@@ -40,6 +40,15 @@
             thread.kill()
         self._threads.clear()
 
+    def crash(self) -> None:
+        """Refuse connections and end the open ones, but the caller's own."""
+        self.refuse_connections()
+        own = eventlet.getcurrent()
+        for thread in self._threads:
+            if thread is not own:
+                thread.kill()
+        self._threads = [thread for thread in self._threads if thread is own]
+
     def _accept(self) -> None:
         while True:
             sock, _ = self.listener.accept()
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -126,6 +126,13 @@
         """Refuse new connections; open ones stay."""
         self._server.refuse_connections()
 
+    def crash(self) -> None:
+        """End all connections and refuse new ones.
+
+        A script that calls it ends its own connection with None.
+        """
+        self._server.crash()
+
     def restart(self, down_s: float) -> None:
         """End all connections; for some time, close each new one at once."""
         self._is_down = True
--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -17,6 +17,8 @@
 from tests.platform.store_standin import StoreStandin
 
 WAIT_TIMEOUT_S = 15.0
+HEAD_END = b'\r\n\r\n'
+LAST_CHUNK = b'\r\n0\r\n\r\n'
 # Each test process has its own range of ports, below the kernel's ephemeral
 # ports. The port of a program that is being restarted could otherwise be taken
 # by another test.
@@ -63,6 +65,16 @@
     peers: int = attrs.field(factory=lambda: free_port())
 
 
+def is_head_complete(received: bytes) -> bool:
+    return HEAD_END in received
+
+
+def is_answer_complete(received: bytes) -> bool:
+    if b'chunked' in received.lower():
+        return LAST_CHUNK in received
+    return is_head_complete(received)
+
+
 class Program:
     """A gateway process with its settings file and log.
 
@@ -131,6 +143,15 @@
 
     def exchange(self, port: int, content: bytes) -> bytes:
         """Send bytes; read until the answer's head is complete or the end."""
+        return self._exchange(port, content, is_head_complete)
+
+    def exchange_whole(self, port: int, content: bytes) -> bytes:
+        """Send bytes; read a chunked answer to its end, another one's head."""
+        return self._exchange(port, content, is_answer_complete)
+
+    def _exchange(
+        self, port: int, content: bytes, is_complete: Callable[[bytes], bool]
+    ) -> bytes:
         try:
             sock = eventlet.connect(('127.0.0.1', port))
         except OSError:
@@ -139,7 +160,7 @@
         with sock, contextlib.suppress(OSError):
             sock.settimeout(WAIT_TIMEOUT_S)
             sock.sendall(content)
-            while b'\r\n\r\n' not in received:
+            while not is_complete(received):
                 data = sock.recv(65536)
                 if not data:
                     break
--- a/tests/platform/test_crash_sharing.py
+++ b/tests/platform/test_crash_sharing.py
@@ -97,14 +97,14 @@
         ).encode()
         if CRASHING_PART in request.headers.get('prompt-prefix', ''):
             self.crashes += 1
-            self.engines[number].refuse_connections()
+            self.engines[number].crash()
             yield None
         yield chunk(b'id: 1\ndata: t\n\n') + chunk(b'')
 
     def ask(self, node: Program, *parts: str) -> int:
         """Call with a prompt of these parts and one of its own."""
         number = next(self.numbers)
-        content = node.exchange(
+        content = node.exchange_whole(
             node.port,
             request_bytes(
                 f'/resume/{number}',
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -58,7 +58,7 @@
         ).encode()
         if is_crashing:
             self.crashes += 1
-            self.engines[number].refuse_connections()
+            self.engines[number].crash()
             yield None
         yield chunk(b'id: 1\ndata: t\n\n') + chunk(b'')
 
