Judge crashes by the set of reports, and refuse all keys that tie

What callers saw: a request under which three engines had crashed was sent to five more, ten in all (BUDGET); with each engine all of its streams end.

Cause: CrashGuard blamed one key at the report that made three, and its crashes counted for no other key from then on. Calls that are sent again together are in the same crashes, so that the key a node blamed depended on the order of reports, its own first; nodes blamed different keys, and the call that crashes engines needed three new ones at the others. Nothing revised that. Class: a decision by the order of arrival where the set of facts decides.

Change: reports make up CrashEvidence; the verdict is a function of it, worked out again with each report (_crash_verdicts). Of keys in equally many crashes all are refused; a key whose crashes are all explained by refused keys of more crashes is served, and refused again with the first crash that no other key explains. Answers of a node that the verdict of others lacks are told to them. A call is tried only if none of its other keys is refused.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -32,13 +32,7 @@
     CountsReceiver as CountsReceiver,
     CountsSender as CountsSender,
 )
-from dandelionyoke_dispatch._crash_guard import (
-    BlamedKey as BlamedKey,
-    CrashGuard as CrashGuard,
-    CrashReport as CrashReport,
-    CrashSettings as CrashSettings,
-    KeyAnswer as KeyAnswer,
-)
+from dandelionyoke_dispatch._crash_guard import CrashGuard as CrashGuard
 from dandelionyoke_dispatch._crash_keys import (
     CrashKeys as CrashKeys,
     crash_keys as crash_keys,
@@ -48,6 +42,14 @@
     CrashVerdict as CrashVerdict,
     QuarantineSettings as QuarantineSettings,
 )
+from dandelionyoke_dispatch._crash_reports import (
+    BlamedKey as BlamedKey,
+    CrashFindings as CrashFindings,
+    CrashReport as CrashReport,
+    CrashSettings as CrashSettings,
+    KeyAnswer as KeyAnswer,
+    UntoldAnswers as UntoldAnswers,
+)
 from dandelionyoke_dispatch._decode_target import (
     DecodeChoice as DecodeChoice,
     LeastBusyDecode as LeastBusyDecode,
--- a/packages/dispatch/dandelionyoke_dispatch/_crash_guard.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_crash_guard.py
@@ -2,105 +2,33 @@
 
 Such calls are sent again, through any node, and would take one engine after
 the other out of service. The nodes tell each other which calls broke off when
-a target crashed. A key that is in the calls of several crashes, and with which
-no answer began well since, is refused by all nodes.
+a target crashed. Nodes that know the same reports refuse the same keys, in
+whatever order they heard.
 """
 
-from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable
 
 import attrs
 
+from dandelionyoke_dispatch._crash_evidence import CrashEvidence, KeyCrashes
 from dandelionyoke_dispatch._crash_keys import CrashKeys
 from dandelionyoke_dispatch._crash_quarantine import (
     CrashQuarantine,
     CrashVerdict,
-    QuarantineSettings,
 )
-
-
-@attrs.frozen
-class CrashSettings:
-    """What counts against a key and for it, and what is remembered.
-
-    A key counts in a crash while its call has not begun or has begun less
-    than `settled_s` before; an answer that lasted longer began well. A key
-    without an answer in the last `memory_s` is refused after `crashes`
-    targets, another one after `proven_crashes` in rounds that are `round_s`
-    apart: targets that crash at once may share a rack. Calls with a key in
-    `suspect_crashes` are not sent again.
-    """
-
-    crashes: int = 3
-    proven_crashes: int = 5
-    suspect_crashes: int = 2
-    round_s: float = 1.0
-    settled_s: float = 1.0
-    memory_s: float = 60.0
-    max_crashes: int = 256
-    max_answers: int = 8192
-    quarantine: QuarantineSettings = attrs.field(factory=QuarantineSettings)
-
-
-@attrs.frozen
-class KeyAnswer:
-    """How long ago the last answer to a call with a key began."""
-
-    key: str
-    age_s: float
-
-
-@attrs.frozen
-class CrashReport:
-    """What a node knows of the crash of a target, and how long ago it was.
-
-    `keys` are those of the calls that broke off, each as often as calls had
-    it. A report of answers alone names no target. The target `alive`, if any,
-    has answered after its crash was reported.
-    """
-
-    target: str
-    reporter: str
-    age_s: float
-    keys: tuple[str, ...] = ()
-    answers: tuple[KeyAnswer, ...] = ()
-    alive: str = ''
-
-
-@attrs.frozen
-class BlamedKey:
-    """A key that is refused from now on, and the crashes that show it."""
-
-    key: str
-    targets: tuple[str, ...]
-
-
-@attrs.define
-class _Crash:
-    """The crash of a target: how many broken calls had each key."""
-
-    crashed_s: float
-    calls: Counter[str] = attrs.field(factory=Counter)
-
-
-@attrs.frozen
-class _Suspicion:
-    """The unexplained crashes of a key."""
-
-    key: str
-    is_proven: bool
-    times_s: tuple[float, ...]
-    call_count: int
-
-    @property
-    def rank(self) -> tuple[bool, int, int, str]:
-        """The order in which keys are blamed; the first one is the cause."""
-        return (
-            self.is_proven,
-            -len(self.times_s),
-            self.call_count,
-            self.key,
-        )
+from dandelionyoke_dispatch._crash_reports import (
+    BlamedKey,
+    CrashFindings,
+    CrashReport,
+    CrashSettings,
+    KeyAnswer,
+    UntoldAnswers,
+)
+from dandelionyoke_dispatch._crash_verdicts import (
+    Verdicts,
+    is_sufficient,
+    judge,
+)
 
 
 class CrashGuard:
@@ -108,54 +36,64 @@
 
     def __init__(self, settings: CrashSettings) -> None:
         self.settings = settings
-        self._crashes: OrderedDict[str, _Crash] = OrderedDict()
-        # When the last answer began that speaks for a key.
-        self._answers_s: OrderedDict[str, float] = OrderedDict()
+        self._evidence = CrashEvidence(settings)
         self._quarantine = CrashQuarantine(settings.quarantine)
+        # Keys that were in enough crashes to be blamed.
+        self._suspects: dict[str, KeyCrashes] = {}
+        self._verdicts = Verdicts()
+        # What other nodes may blame or take for dead, as they lack answers of
+        # this node; targets with the time of their report.
+        self._untold_keys: set[str] = set()
+        self._untold_targets: dict[str, float] = {}
         # Reports for the other nodes, with the time of each, the oldest first.
         self._reports: list[tuple[float, CrashReport]] = []
         # The number of reports so far; those that were dropped count.
         self.report_count = 0
 
-    def take_report(
-        self, report: CrashReport, now_s: float
-    ) -> tuple[BlamedKey, ...]:
-        """Take a report of this node or another one; return what is blamed.
+    def take_report(self, report: CrashReport, now_s: float) -> CrashFindings:
+        """Take a report of this node or another one.
 
         A report that is known already changes nothing.
         """
         reported_s = now_s - report.age_s
         if self._is_known(report) or report.age_s > self.settings.memory_s:
-            return ()
+            return CrashFindings()
         self._keep_report(report, reported_s, now_s)
+        changed = set(report.keys)
         for answer in report.answers:
-            self._take_answer(answer.key, now_s - answer.age_s)
+            begun_s = now_s - answer.age_s
+            self._evidence.add_answer(answer.key, begun_s, told=True)
+            changed.add(answer.key)
         if report.alive:
-            self.disprove_crash(report.alive, reported_s)
-        if not report.target:
-            return ()
-        self._add_crash(report, reported_s)
+            changed |= self._evidence.add_target_answer(
+                report.alive, reported_s, told=True
+            )
+        if report.target:
+            if not self._evidence.add_crash(report, reported_s):
+                self._untold_targets[report.target] = reported_s
         extended = self._extend(report, reported_s)
-        return extended + self._judge(frozenset(report.keys), now_s)
-
-    def record_answer(self, keys: CrashKeys, begun_s: float) -> tuple[str, ...]:
-        """Record an answer that began well; return the keys it cleared."""
-        named = keys.all if self._crashes else keys.parts
-        return tuple(key for key in named if self._take_answer(key, begun_s))
-
-    def disprove_crash(self, target: str, begun_s: float) -> bool:
+        findings = self._review(changed, now_s)
+        return attrs.evolve(findings, blamed=extended + findings.blamed)
+
+    def record_answer(self, keys: CrashKeys, begun_s: float) -> CrashFindings:
+        """Record an answer that began well."""
+        named = keys.parts if self._evidence.is_empty else keys.all
+        for key in named:
+            self._evidence.add_answer(key, begun_s, told=False)
+        suspected = self._suspects.keys() & set(named)
+        findings = self._review(suspected, begun_s)
+        cleared = suspected - self._suspects.keys()
+        return attrs.evolve(findings, cleared=tuple(sorted(cleared)))
+
+    def disprove_crash(
+        self, target: str, begun_s: float
+    ) -> CrashFindings | None:
         """Take a crash back if an answer of the target began after it.
 
-        A path that is cut looks like a crash. Returns whether it did.
+        A path that is cut looks like a crash. Returns None if there is none.
         """
-        crash = self._crashes.get(target)
-        if crash is None or begun_s <= crash.crashed_s:
-            return False
-        self._crashes.pop(target)
-        for key in crash.calls:
-            if self._crash_count(key) < self.settings.crashes:
-                self._quarantine.lift(key)
-        return True
+        keys = self._evidence.add_target_answer(target, begun_s, told=False)
+        return self._review(keys, begun_s) if keys else None
 
     def admit(
         self, keys: CrashKeys, now_s: float, may_try: Callable[[str], bool]
@@ -165,31 +103,47 @@
         `may_try` tells whether this node tries calls with a key whose
         quarantine is over.
         """
-        for key in keys.all:
-            verdict = self._quarantine.admit(key, now_s, may_try)
-            if verdict != CrashVerdict():
-                return verdict
-        return CrashVerdict()
+        return self._quarantine.admit(keys.all, now_s, may_try)
 
     def may_repeat(self, keys: CrashKeys, now_s: float) -> bool:
         """Whether a call may be sent again that a target may have run."""
-        if not self._crashes:
+        if self._evidence.is_empty:
             return True
-        return not any(
-            not suspicion.is_proven
-            and len(suspicion.times_s) >= self.settings.suspect_crashes
-            for suspicion in self._suspicions(frozenset(keys.all), now_s)
-        )
+        return not any(self._is_suspect(key, now_s) for key in keys.all)
 
     def answers_to(
         self, keys: Iterable[str], now_s: float
     ) -> tuple[KeyAnswer, ...]:
         """Return when the last answers with some keys began, if any did."""
+        answers = ((key, self._evidence.answered_s(key)) for key in set(keys))
         return tuple(
-            KeyAnswer(key, now_s - self._answers_s[key])
-            for key in sorted(set(keys))
-            if key in self._answers_s
+            KeyAnswer(key, now_s - begun_s)
+            for key, begun_s in sorted(answers)
+            if begun_s is not None
+        )
+
+    @property
+    def has_untold(self) -> bool:
+        """Whether this node may have something to tell the others."""
+        return bool(self._untold_keys or self._untold_targets)
+
+    def take_untold(self, now_s: float) -> UntoldAnswers:
+        """Return once what this node has to tell the others."""
+        untold = UntoldAnswers(
+            tuple(
+                key
+                for key in sorted(self._untold_keys)
+                if self._is_untold(key, now_s)
+            ),
+            tuple(
+                target
+                for target, reported_s in self._untold_targets.items()
+                if self._evidence.is_untold(target, reported_s)
+            ),
         )
+        self._untold_keys.clear()
+        self._untold_targets.clear()
+        return untold
 
     def reports_since(
         self, count: int, now_s: float
@@ -213,7 +167,7 @@
             if reported_s >= oldest_s
         )
 
-    # Evidence.
+    # Reports.
 
     def _is_known(self, report: CrashReport) -> bool:
         return any(
@@ -231,100 +185,92 @@
         self._reports.append((reported_s, report))
         self.report_count += 1
 
-    def _add_crash(self, report: CrashReport, crashed_s: float) -> None:
-        crash = self._crashes.setdefault(report.target, _Crash(crashed_s))
-        crash.crashed_s = min(crash.crashed_s, crashed_s)
-        crash.calls.update(report.keys)
-        while len(self._crashes) > self.settings.max_crashes:
-            self._crashes.popitem(last=False)
-
-    def _take_answer(self, key: str, begun_s: float) -> bool:
-        """Record an answer; return whether it ends a quarantine."""
-        known_s = self._answers_s.pop(key, begun_s)
-        self._answers_s[key] = max(known_s, begun_s)
-        while len(self._answers_s) > self.settings.max_answers:
-            self._answers_s.popitem(last=False)
-        return self._quarantine.answered(key, begun_s)
-
-    def _crash_count(self, key: str) -> int:
-        return sum(key in crash.calls for crash in self._crashes.values())
-
     # Verdicts.
 
     def _extend(
         self, report: CrashReport, crashed_s: float
     ) -> tuple[BlamedKey, ...]:
         """Refuse keys longer whose trial crashed a target."""
+        if not report.target:
+            return ()
         return tuple(
             BlamedKey(key, (report.target,))
             for key in sorted(set(report.keys))
             if self._quarantine.crashed(key, crashed_s)
         )
 
-    def _judge(
-        self, keys: frozenset[str], now_s: float
-    ) -> tuple[BlamedKey, ...]:
-        """Blame the most likely of some keys until none is left to blame."""
-        blamed = []
-        while (cause := self._find_cause(keys, now_s)) is not None:
-            targets = tuple(
-                target
-                for target, crash in self._crashes.items()
-                if cause in crash.calls
-            )
-            self._quarantine.add(cause, now_s)
-            blamed.append(BlamedKey(cause, targets))
-        return tuple(blamed)
-
-    def _find_cause(self, keys: frozenset[str], now_s: float) -> str | None:
-        likely = [
-            suspicion
-            for suspicion in self._suspicions(keys, now_s)
-            if self._is_sufficient(suspicion)
-        ]
-        if not likely:
-            return None
-        return min(likely, key=lambda suspicion: suspicion.rank).key
-
-    def _is_sufficient(self, suspicion: _Suspicion) -> bool:
-        times_s = suspicion.times_s
-        if not suspicion.is_proven:
-            return len(times_s) >= self.settings.crashes
-        if len(times_s) < self.settings.proven_crashes:
-            return False
-        return max(times_s) - min(times_s) >= self.settings.round_s
+    def _review(self, keys: Iterable[str], now_s: float) -> CrashFindings:
+        """Judge again after the evidence about some keys has changed."""
+        changed = [key for key in keys if self._update_suspect(key, now_s)]
+        expired = [key for key in self._suspects if self._is_over(key, now_s)]
+        for key in expired:
+            self._suspects.pop(key)
+        if not changed and not expired:
+            return CrashFindings()
+        before = self._verdicts.keys
+        self._verdicts = judge(self._suspects.values(), self.settings)
+        released = sorted(before - self._verdicts.keys)
+        for key in released:
+            self._quarantine.lift(key)
+        blamed = sorted(self._verdicts.keys - before)
+        for key in blamed:
+            self._quarantine.add(key, now_s)
+        return CrashFindings(
+            tuple(
+                BlamedKey(key, tuple(self._suspects[key].times_s))
+                for key in blamed
+            ),
+            tuple(key for key in released if key not in expired),
+        )
 
-    def _suspicions(
-        self, keys: frozenset[str], now_s: float
-    ) -> list[_Suspicion]:
-        """Look for keys in the crashes that no refused key explains."""
+    def _update_suspect(self, key: str, now_s: float) -> bool:
+        """Count the crashes of a key again; return whether that matters."""
+        known = self._suspects.get(key)
+        crashes = self._evidence.crashes_of(key, now_s)
+        if known is not None:
+            crashes = self._keep_expired(crashes, known, now_s)
+        if is_sufficient(crashes, self.settings):
+            self._suspects[key] = crashes
+            return crashes != known
+        self._suspects.pop(key, None)
+        if self._is_untold(key, now_s):
+            self._untold_keys.add(key)
+        return known is not None
+
+    def _keep_expired(
+        self, crashes: KeyCrashes, known: KeyCrashes, now_s: float
+    ) -> KeyCrashes:
+        """Keep crashes that are too old to blame a key, but have blamed it."""
         oldest_s = now_s - self.settings.memory_s
-        unexplained = [
-            crash
-            for crash in self._crashes.values()
-            if crash.crashed_s >= oldest_s
-            and not self._is_explained(crash, now_s)
-        ]
-        return [self._suspicion(key, unexplained, oldest_s) for key in keys]
+        answered_s = self._evidence.answered_s(crashes.key)
+        expired = {
+            target: crashed_s
+            for target, crashed_s in known.times_s.items()
+            if crashed_s < oldest_s
+            and (answered_s is None or answered_s <= crashed_s)
+        }
+        return attrs.evolve(crashes, times_s=expired | crashes.times_s)
+
+    def _is_over(self, key: str, now_s: float) -> bool:
+        """Whether a key is neither refused nor in a recent crash."""
+        if self._quarantine.is_refused(key, now_s):
+            return False
+        newest_s = max(self._suspects[key].times_s.values())
+        return newest_s < now_s - self.settings.memory_s
 
-    def _suspicion(
-        self, key: str, unexplained: Iterable[_Crash], oldest_s: float
-    ) -> _Suspicion:
-        """Count the crashes after the last answer to a call with a key."""
-        answered_s = self._answers_s.get(key, oldest_s)
-        crashes = [
-            crash
-            for crash in unexplained
-            if key in crash.calls and crash.crashed_s >= answered_s
-        ]
-        return _Suspicion(
-            key,
-            answered_s > oldest_s,
-            tuple(crash.crashed_s for crash in crashes),
-            sum(crash.calls[key] for crash in crashes),
+    def _is_suspect(self, key: str, now_s: float) -> bool:
+        """Whether a key was in some crashes that no refused one explains."""
+        crashes = self._evidence.crashes_of(key, now_s)
+        unexplained = crashes.times_s.keys() - self._verdicts.explained
+        return (
+            not crashes.is_proven
+            and len(unexplained) >= self.settings.suspect_crashes
         )
 
-    def _is_explained(self, crash: _Crash, now_s: float) -> bool:
-        return any(
-            self._quarantine.is_refused(key, now_s) for key in crash.calls
+    def _is_untold(self, key: str, now_s: float) -> bool:
+        """Whether only answers of this node keep a key from being blamed."""
+        told = self._evidence.crashes_of(key, now_s, told_only=True)
+        own = self._evidence.crashes_of(key, now_s)
+        return is_sufficient(told, self.settings) and not is_sufficient(
+            own, self.settings
         )
--- a/packages/dispatch/dandelionyoke_dispatch/_crash_quarantine.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_crash_quarantine.py
@@ -1,7 +1,7 @@
 """Keys of calls that are refused, and when one of their calls is tried."""
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -82,35 +82,42 @@
         self.add(key, crashed_s)
         return True
 
-    def answered(self, key: str, begun_s: float) -> bool:
-        """End the quarantine of a key whose trial got its answer."""
-        entry = self._entries.get(key)
-        if entry is None or begun_s < entry.since_s:
-            return False
-        self._entries.pop(key)
-        return True
-
     def lift(self, key: str) -> None:
-        """End the quarantine of a key whose crashes were none."""
+        """End the quarantine of a key."""
         self._entries.pop(key, None)
 
     def admit(
-        self, key: str, now_s: float, may_try: Callable[[str], bool]
+        self,
+        keys: Iterable[str],
+        now_s: float,
+        may_try: Callable[[str], bool],
     ) -> CrashVerdict:
-        """Decide whether a call with a key may be sent.
+        """Decide whether a call with some keys may be sent.
 
-        `may_try` tells whether this node tries calls with a key.
+        `may_try` tells whether this node tries calls with a key. A trial is
+        only one if no other key of the call is refused.
         """
-        entry = self._entries.get(key)
-        if entry is None or now_s >= entry.forgotten_s:
+        refused = [key for key in keys if self.is_refused(key, now_s)]
+        if not refused:
             return CrashVerdict()
+        for key in refused:
+            refused_s = self._refused_s(key, now_s)
+            if refused_s is not None:
+                return CrashVerdict(refused_s, key=key)
+        # Calls that share their last key are tried by the same node.
+        if not may_try(refused[-1]):
+            return CrashVerdict(self._settings.trial_poll_s, key=refused[-1])
+        for key in refused:
+            self._entries[key].trial_s = now_s
+        return CrashVerdict(is_trial=True, key=refused[-1])
+
+    def _refused_s(self, key: str, now_s: float) -> float | None:
+        """Return for how long a key is refused; None if it may be tried."""
+        entry = self._entries[key]
         if now_s < entry.until_s:
-            return CrashVerdict(entry.until_s - now_s, key=key)
-        trial_s = entry.trial_s
-        is_trying = (
-            trial_s is not None and now_s < trial_s + self._settings.trial_s
-        )
-        if is_trying or not may_try(key):
-            return CrashVerdict(self._settings.trial_poll_s, key=key)
-        entry.trial_s = now_s
-        return CrashVerdict(is_trial=True, key=key)
+            return entry.until_s - now_s
+        if entry.trial_s is None:
+            return None
+        if now_s < entry.trial_s + self._settings.trial_s:
+            return self._settings.trial_poll_s
+        return None
--- a/packages/gateway/dandelionyoke_gateway/_crash_intake.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_intake.py
@@ -1,6 +1,6 @@
 """Takes reports of crashes from any source and logs what follows from them."""
 
-from dandelionyoke_dispatch import CrashReport
+from dandelionyoke_dispatch import CrashFindings, CrashReport
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 
@@ -16,7 +16,7 @@
         """Take a report that came from a source: a node, or the store."""
         crashes = self._knowledge.crashes
         known_count = crashes.report_count
-        blamed = self._knowledge.take_crash(report)
+        findings = self._knowledge.take_crash(report)
         if crashes.report_count > known_count:
             self._log.decide(
                 'crash.taken',
@@ -27,10 +27,16 @@
                 age_s=report.age_s,
                 keys=len(set(report.keys)),
             )
-        for key in blamed:
+        self.log_findings(findings)
+
+    def log_findings(self, findings: CrashFindings) -> None:
+        """Log which keys are refused or served again from now on, and why."""
+        for blamed in findings.blamed:
             self._log.decide(
                 'key.blamed',
-                key.key,
+                blamed.key,
                 outcome='refused',
-                targets=','.join(key.targets),
+                targets=','.join(blamed.targets),
             )
+        for key in findings.released:
+            self._log.decide('key.cleared', key, outcome='served again')
--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -105,14 +105,23 @@
     ) -> None:
         """Take note of an answer; tell all nodes what it disproves."""
         crashes, target_name = self._knowledge.crashes, _start_name(target)
-        cleared = crashes.record_answer(keys, begun_s)
-        is_alive = crashes.disprove_crash(target_name, begun_s)
-        if is_alive:
+        answered = crashes.record_answer(keys, begun_s)
+        self._intake.log_findings(answered)
+        disproved = crashes.disprove_crash(target_name, begun_s)
+        if disproved is not None:
             self._log.decide('target.alive', target.target_id, outcome='told')
-        for key in cleared:
-            self._log.decide('key.cleared', key, outcome='served again')
-        if is_alive or cleared:
-            self._publish('', cleared, target_name if is_alive else '')
+            self._intake.log_findings(disproved)
+            self._publish('', answered.cleared, target_name)
+        elif answered.cleared:
+            self._publish('', answered.cleared)
+
+    def tell_untold(self) -> None:
+        """Tell answers without which other nodes reach other verdicts."""
+        untold = self._knowledge.crashes.take_untold(clock_s())
+        for target_name in untold.targets:
+            self._publish('', (), target_name)
+        if untold.keys:
+            self._publish('', untold.keys[:MAX_REPORT_KEYS])
 
     def _probe_target(self, target: RegisteredTarget) -> None:
         eventlet.sleep(GATHER_S)
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -11,9 +11,9 @@
 
 from dandelionyoke_core import rendezvous
 from dandelionyoke_dispatch import (
-    BlamedKey,
     CountsReceiver,
     CountsSender,
+    CrashFindings,
     CrashGuard,
     CrashReport,
     CrashSettings,
@@ -347,13 +347,13 @@
         for state in self._service_states.values():
             state.prompt_queue.forget(listed)
 
-    def take_crash(self, report: CrashReport) -> tuple[BlamedKey, ...]:
-        """Take a report of a crash and pass it on; return what is blamed."""
+    def take_crash(self, report: CrashReport) -> CrashFindings:
+        """Take a report of a crash and pass it on; return what it changes."""
         count = self.crashes.report_count
-        blamed = self.crashes.take_report(report, clock_s())
+        findings = self.crashes.take_report(report, clock_s())
         if self.crashes.report_count > count:
             self.signal.notify()
-        return blamed
+        return findings
 
     @property
     def crash_mark(self) -> str:
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -23,6 +23,7 @@
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
+from dandelionyoke_gateway._crash_answers_task import CrashAnswersTask
 from dandelionyoke_gateway._crash_task import CrashTask
 from dandelionyoke_gateway._duty_task import DutyTask
 from dandelionyoke_gateway._engine_count_task import EngineCountTask
@@ -174,7 +175,7 @@
             knowledge, adapters.store, self._duty_task.take_members
         )
         spawn(members.run)
-        spawn(self._crash_task.run)
+        self._start_crash_tasks()
         if adapters.duties is None:
             return
         spawn(self._duty_task.run)
@@ -202,6 +203,11 @@
         )
         spawn(engine_counts.run)
 
+    def _start_crash_tasks(self) -> None:
+        answers = CrashAnswersTask(self._knowledge, self._crash_task)
+        eventlet.spawn_n(self._crash_task.run)
+        eventlet.spawn_n(answers.run)
+
     def _start_store_watch_tasks(self, peers: socket.socket) -> None:
         """Start the tasks that read the store or ask a node that reads it."""
         adapters, knowledge, log = self._adapters, self._knowledge, self._log
