--- a/tests/gateway/test_crash_task.py
+++ b/tests/gateway/test_crash_task.py
@@ -9,6 +9,7 @@
     LeaseGranted,
     LeaseId,
     Metrics,
+    StoreFailed,
     StoreItem,
     StoreListing,
     StorePut,
@@ -29,15 +30,22 @@
 CALL = CrashKeys('a-fingerprint', ('a-part',))
 # Nothing listens on this port.
 CLOSED_ADDRESS = '127.0.0.1:1'
+# Leaves a third of the time in which nodes must agree to the other nodes.
+WRITTEN_AFTER_S = 2.0
 
 
 class NoStore:
-    """A store that takes every write."""
+    """A store that takes every write, unless it is away."""
 
     def __init__(self) -> None:
         self.items: list[StoreItem] = []
+        self.is_away = False
 
-    def perform(self, action: object) -> StoreWritten | LeaseGranted:
+    def perform(
+        self, action: object
+    ) -> StoreWritten | LeaseGranted | StoreFailed:
+        if self.is_away:
+            return StoreFailed('away', may_have_been_applied=False)
         if isinstance(action, StorePut):
             self.items.append(StoreItem(action.key, 1, action.value))
             return StoreWritten('', 1)
@@ -113,6 +121,24 @@
         self.assertEqual((), self.knowledge.crashes_since(mark))
         self.assertEqual(3, len(self.knowledge.crashes_since('n-9.x:7')))
 
+    def test_reports_are_written_once_the_store_is_back(self) -> None:
+        """Guards against crashes that other nodes never hear of."""
+        self.store.is_away = True
+        self.crash_three_targets()
+        self.assertEqual([], self.store.items)
+        self.store.is_away = False
+        eventlet.sleep(WRITTEN_AFTER_S)
+        self.assertEqual(3, len(self.store.items))
+
+    def test_a_crash_beside_other_crashes_is_reported(self) -> None:
+        """Guards against a crash that is taken for a cut, as most are down."""
+        listener = eventlet.listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        host, port = listener.getsockname()
+        self.list_targets(*[CLOSED_ADDRESS] * 9, f'{host}:{port}')
+        self.break_off_everywhere(3)
+        self.assertTrue(self.is_refused())
+
     def test_a_record_that_is_no_report_is_left_out(self) -> None:
         """Guards against a record of another program that ends the task."""
         for text in ('', '{}', '[', '{"target": 1}'):
