Write reports of crashes until the store has taken them

What callers saw: nothing in a record yet.

Cause: the answer of the store to the one write of a report was ignored. Class: a fact that is told once, without an acknowledgement.

Change: CrashRecords keeps each report until the store takes it, for as long as a record lives (a minute), 256 at most, and writes with the age that it has by then. It waits 0.9 s at most between two tries, and so does the reader, so that a report is known within the time in which nodes have to agree. The write no longer holds up the call that shows a target to be alive; two tests let it run before they look for the record.

--- a/packages/dispatch/dandelionyoke_dispatch/_crash_guard.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_crash_guard.py
@@ -152,17 +152,7 @@
         first = self.report_count - len(self._reports)
         oldest_s = now_s - self.settings.memory_s
         return tuple(
-            attrs.evolve(
-                report,
-                age_s=now_s - reported_s,
-                answers=tuple(
-                    attrs.evolve(
-                        answer,
-                        age_s=answer.age_s + now_s - reported_s - report.age_s,
-                    )
-                    for answer in report.answers
-                ),
-            )
+            report.grown_older(now_s - reported_s - report.age_s)
             for reported_s, report in self._reports[max(0, count - first) :]
             if reported_s >= oldest_s
         )
--- a/packages/dispatch/dandelionyoke_dispatch/_crash_reports.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_crash_reports.py
@@ -1,5 +1,7 @@
 """What nodes tell each other of crashes, and what follows from it."""
 
+from typing import Self
+
 import attrs
 
 from dandelionyoke_dispatch._crash_quarantine import QuarantineSettings
@@ -52,6 +54,17 @@
     answers: tuple[KeyAnswer, ...] = ()
     alive: str = ''
 
+    def grown_older(self, by_s: float) -> Self:
+        """Return the report some time later."""
+        return attrs.evolve(
+            self,
+            age_s=self.age_s + by_s,
+            answers=tuple(
+                attrs.evolve(answer, age_s=answer.age_s + by_s)
+                for answer in self.answers
+            ),
+        )
+
 
 @attrs.frozen
 class BlamedKey:
--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -7,26 +7,25 @@
 
 from dandelionyoke_core import (
     BackOff,
-    BackOffSettings,
     CodecError,
-    StoreFailed,
     StoreListing,
     record_from_json,
-    record_to_json,
 )
 from dandelionyoke_dispatch import CrashKeys, CrashReport, RegisteredTarget
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._crash_intake import CrashIntake
+from dandelionyoke_gateway._crash_records import (
+    CRASH_BACK_OFF,
+    CRASHES_PREFIX,
+    CrashRecords,
+)
 from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._knowledge import Knowledge
-from dandelionyoke_gateway._leased_records import LeasedRecords
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._ports import Store
 from dandelionyoke_gateway._prefix_watcher import PrefixWatcher
 from dandelionyoke_gateway._target_connection import connect
 
-CRASHES_PREFIX = 'crashes/'
-RECORD_TTL_S = 60.0
 # Crashes are rare, so a long watch causes few store calls.
 WATCH_DURATION_S = 10.0
 NEWS_FRESH_S = 2.0
@@ -65,11 +64,9 @@
         self._knowledge = knowledge
         self._log = log
         self._intake = CrashIntake(knowledge, log)
-        self._records = LeasedRecords(store, RECORD_TTL_S)
+        self._records = CrashRecords(knowledge, store, log)
         self._watcher = PrefixWatcher(
-            store,
-            CRASHES_PREFIX,
-            BackOff(BackOffSettings(), knowledge.random),
+            store, CRASHES_PREFIX, BackOff(CRASH_BACK_OFF, knowledge.random)
         )
         # The keys of the calls that broke off, by target, until it is probed.
         self._broken: dict[str, list[str]] = {}
@@ -163,7 +160,7 @@
         keys: list[str] | tuple[str, ...],
         alive: str = '',
     ) -> None:
-        """Take a report, and write it for the other nodes."""
+        """Take a report, and tell the other nodes of it."""
         crashes, now_s = self._knowledge.crashes, clock_s()
         reporter = (
             f'{self._knowledge.process_name}.{next(self._report_numbers)}'
@@ -177,12 +174,7 @@
             alive,
         )
         self._intake.take(report, OWN_SOURCE)
-        key = f'{CRASHES_PREFIX}{target_name}/{reporter}'
-        answer = self._records.write(key, record_to_json(report), 0)
-        if isinstance(answer, StoreFailed):
-            self._log.decide(
-                'crash.unwritten', key, outcome='lost', cause=answer.cause
-            )
+        self._records.write(report)
 
     def _take_records(self, listing: StoreListing) -> None:
         for item in listing.items:
--- a/tests/gateway/test_crash_task.py
+++ b/tests/gateway/test_crash_task.py
@@ -152,6 +152,7 @@
         target = self.knowledge.registry.find('i-1')
         self.task.answered(target, CrashKeys('another'), clock_s())
         self.assertFalse(self.is_refused())
+        eventlet.sleep(0)
         self.assertEqual(4, len(self.store.items))
 
     def test_an_answer_to_a_trial_is_told_to_all_nodes(self) -> None:
@@ -160,6 +161,7 @@
         target = RegisteredTarget('i-9', 'lm', CLOSED_ADDRESS, 'a', 8, False)
         self.task.answered(target, CALL, clock_s())
         self.assertFalse(self.is_refused())
+        eventlet.sleep(0)
         self.assertEqual(4, len(self.store.items))
 
     def test_a_cut_that_breaks_calls_off_blames_none_of_them(self) -> None:
