Ask many targets whether a crash is a cut of this node's network

What callers saw: nothing in a record yet.

Cause: a crash was taken for a cut if two other targets of the service, taken at random, accepted no connection. Where a call ends one engine after the other, these are often down as well, and the more so the worse it gets. The crash of a service's only target was never reported. Class: a sample that is drawn from what the fault itself has changed.

Change: twelve others are asked at the same time, those of all services where the service has no other.

--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -1,6 +1,7 @@
 """Shares with other nodes which calls broke off when a target crashed."""
 
 import itertools
+from collections.abc import Iterable
 from typing import Protocol
 
 import eventlet
@@ -19,12 +20,11 @@
     CRASHES_PREFIX,
     CrashRecords,
 )
-from dandelionyoke_gateway._errors import ExchangeError
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._ports import Store
 from dandelionyoke_gateway._prefix_watcher import PrefixWatcher
-from dandelionyoke_gateway._target_connection import connect
+from dandelionyoke_gateway._target_probe import is_reached, probe_sample
 
 # Crashes are rare, so a long watch causes few store calls.
 WATCH_DURATION_S = 10.0
@@ -32,9 +32,7 @@
 # Where a report came from, in the log.
 OWN_SOURCE = 'own'
 STORE_SOURCE = 'store'
-# A live target accepts a connection at once.
-PROBE_TIMEOUT_S = 0.5
-PROBED_OTHERS = 2
+PROBED_OTHERS = 12
 # All calls of a target that crashes break off within this time.
 GATHER_S = 0.05
 # Keeps a record within the size that the store takes.
@@ -123,7 +121,7 @@
     def _probe_target(self, target: RegisteredTarget) -> None:
         eventlet.sleep(GATHER_S)
         keys = self._broken.pop(target.target_id, [])
-        if _accepts_connections(target.address):
+        if is_reached(target):
             return
         is_crash = self._reaches_others(target)
         self._log.decide(
@@ -136,23 +134,19 @@
             self._publish(_start_name(target), keys[:MAX_REPORT_KEYS])
 
     def _reaches_others(self, target: RegisteredTarget) -> bool:
-        """Whether this node reaches another target of the same service.
+        """Whether this node reaches another target, of the same service first.
 
         If it reaches none, its own network has failed and not the target.
+        Others may have crashed as well, so that many are asked.
         """
-        registry = self._knowledge.registry
-        if registry.find(target.target_id) is None:
+        knowledge = self._knowledge
+        if knowledge.registry.find(target.target_id) is None:
             return True
-        others = [
-            other
-            for other in registry.of_service(target.service)
-            if other.target_id != target.target_id
-        ]
-        count = min(len(others), PROBED_OTHERS)
-        return any(
-            _accepts_connections(other.address)
-            for other in self._knowledge.random.sample(others, count)
-        )
+        others = _without(
+            target, knowledge.registry.of_service(target.service)
+        ) or _without(target, knowledge.listing.targets)
+        results = probe_sample(others, PROBED_OTHERS, knowledge.random)
+        return any(results.values())
 
     def _publish(
         self,
@@ -201,9 +195,7 @@
     return f'{target.target_id}.{target.started_ms}'
 
 
-def _accepts_connections(address: str) -> bool:
-    try:
-        connect(address, PROBE_TIMEOUT_S).close()
-    except ExchangeError:
-        return False
-    return True
+def _without(
+    target: RegisteredTarget, targets: Iterable[RegisteredTarget]
+) -> list[RegisteredTarget]:
+    return [other for other in targets if other.target_id != target.target_id]
--- a/packages/gateway/dandelionyoke_gateway/_target_probe.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_probe.py
@@ -19,13 +19,14 @@
 ) -> dict[str, bool]:
     """Connect to `count` of the targets; return which of them accepted."""
     probes = {
-        target.target_id: eventlet.spawn(_is_reached, target)
+        target.target_id: eventlet.spawn(is_reached, target)
         for target in random.sample(targets, min(len(targets), count))
     }
     return {name: probe.wait() for name, probe in probes.items()}
 
 
-def _is_reached(target: RegisteredTarget) -> bool:
+def is_reached(target: RegisteredTarget) -> bool:
+    """Connect to a target; return whether it accepted."""
     try:
         connect(target.address, PROBE_TIMEOUT_S).close()
     except (ExchangeError, ValueError):
--- a/tests/gateway/test_crash_task.py
+++ b/tests/gateway/test_crash_task.py
@@ -21,9 +21,10 @@
     RegisteredTarget,
 )
 from dandelionyoke_gateway import clock_s
-from dandelionyoke_gateway._crash_task import PROBE_TIMEOUT_S, CrashTask
+from dandelionyoke_gateway._crash_task import CrashTask
 from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._target_probe import PROBE_TIMEOUT_S
 from tests.gateway.settings import new_settings
 from tests.platform.node_harness import LogLines
 
@@ -139,6 +140,30 @@
         self.break_off_everywhere(3)
         self.assertTrue(self.is_refused())
 
+    def test_the_crash_of_a_single_target_is_reported(self) -> None:
+        """Guards against a service of one target that may crash for ever."""
+        listener = eventlet.listen(('127.0.0.1', 0))
+        self.addCleanup(listener.close)
+        host, port = listener.getsockname()
+        self.list_targets(CLOSED_ADDRESS)
+        other = RegisteredTarget(
+            'i-9', 'other', f'{host}:{port}', 'a', 8, False
+        )
+        self.knowledge.listing.replace([other], clock_s())
+        for started_ms in range(3):
+            target = RegisteredTarget(
+                'i-0',
+                'lm',
+                CLOSED_ADDRESS,
+                'a',
+                8,
+                False,
+                started_ms=started_ms,
+            )
+            self.task.broke_off(target, CALL.all)
+            eventlet.sleep(PROBE_TIMEOUT_S)
+        self.assertTrue(self.is_refused())
+
     def test_a_record_that_is_no_report_is_left_out(self) -> None:
         """Guards against a record of another program that ends the task."""
         for text in ('', '{}', '[', '{"target": 1}'):
