--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -17,6 +17,7 @@
 from dandelionyoke_platform import _wire_names as wire
 
 JSON_HEADERS = [('Content-Type', 'application/json')]
+ERA_HEADER = 'Store-Era'
 POLL_INTERVAL_S = 0.02
 
 
@@ -46,6 +47,16 @@
         }
 
 
+@attrs.frozen
+class StoreCopy:
+    """What a store held at some time, with the terms of its leases."""
+
+    revision: int
+    items: dict[str, StoredItem]
+    history: list[StoredItem]
+    lease_ttls_s: dict[int, float]
+
+
 @attrs.frozen
 class TargetOrder:
     """An order for a number of targets, as it arrived."""
@@ -60,6 +71,8 @@
 
     def __init__(self) -> None:
         self.revision = 1
+        # Rises each time that the store comes back from a copy.
+        self.era = 1
         self.items: dict[str, StoredItem] = {}
         self.history: list[StoredItem] = []
         self.leases: dict[int, tuple[float, float]] = {}
@@ -124,6 +137,30 @@
             self.leases[lease] = (0, ttl_s)
         self._expire()
 
+    def take_copy(self) -> StoreCopy:
+        """Copy what the store holds now."""
+        return StoreCopy(
+            self.revision,
+            dict(self.items),
+            list(self.history),
+            {lease: ttl_s for lease, (_, ttl_s) in self.leases.items()},
+        )
+
+    def return_from(self, copy: StoreCopy) -> None:
+        """Lose all that was written since a copy was taken.
+
+        The revisions and leases given out since are given out again. Leases of
+        the copy begin anew.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self.items = dict(copy.items)
+        self.history = list(copy.history)
+        self.leases = {
+            lease: (clock_s() + ttl_s, ttl_s)
+            for lease, ttl_s in copy.lease_ttls_s.items()
+        }
+
     def _rewrite(self, item: StoredItem, address: str) -> StoredItem:
         value = item.value
         rewrites = self.rewrites | self.rewrites_at.get(address, {})
@@ -153,7 +190,8 @@
         status, fields = self._route_request(
             environ, json.loads(body) if body else {}
         )
-        start(f'{status} Status', JSON_HEADERS)
+        era = (ERA_HEADER, str(self.era))
+        start(f'{status} Status', [*JSON_HEADERS, era])
         return [json.dumps(fields).encode()]
 
     def _route_request(
@@ -218,12 +256,13 @@
         self, query: dict[str, str], address: str
     ) -> tuple[int, dict[str, Any]]:
         after = int(query['after'])
-        if after < self.compacted_revision:
+        if not self.compacted_revision <= after <= self.revision:
             return 410, {}
+        era = self.era
         until_s = clock_s() + int(query['wait_ms']) / 1000
         while True:
             self._expire()
-            if self.is_unavailable:
+            if self.is_unavailable or era != self.era:
                 return 503, {}
             events = [
                 self._rewrite(item, address).fields()
