Order revisions by the era of the store, which may come back from a copy

What callers saw: a key that had been revoked was served 2.3 s later at two nodes (CONFIG), and with it each change until the store's revision passed the last one.

Cause: a store that comes back from a copy gives out lower revisions again. ConfigurationUpdater left out what was not above the last revision; the task recorded the time as confirmed all the same, so that keys were trusted. A watch from a revision that is given out again misses the changes before it. Class: a number that is compared outside the sequence in which it was given out.

Change: StoreEra makes one number of Store-Era and the store's revision at the platform's adapter, so that all that keeps or compares a revision orders by both; fences rise with it. An older configuration of the copy is not put in force nor passed on. A time is confirmed only for the revision that a node has. News name the era in a field of its own, so that nodes of both versions can run side by side.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -354,6 +354,13 @@
 from dandelionyoke_core._routing_settings import (
     RoutingSettings as RoutingSettings,
 )
+from dandelionyoke_core._store_era import (
+    EraListener as EraListener,
+    StoreEra as StoreEra,
+    era_of as era_of,
+    number_of as number_of,
+    revision_in as revision_in,
+)
 from dandelionyoke_core._store_layout import (
     ConfigurationLoader as ConfigurationLoader,
     Head as Head,
--- a/packages/gateway/dandelionyoke_gateway/_configuration_updater.py
+++ b/packages/gateway/dandelionyoke_gateway/_configuration_updater.py
@@ -2,6 +2,7 @@
 
 import zlib
 
+from dandelionyoke_core import era_of, number_of
 from dandelionyoke_dispatch import ConfigurationError
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
@@ -24,11 +25,11 @@
         if revision <= knowledge.configuration_revision:
             return
         knowledge.configuration_revision = revision
-        knowledge.configuration_packed = zlib.compress(text.encode())
         knowledge.signal.notify()
         try:
             configuration = self._dialect.read_configuration(text)
         except ConfigurationError as error:
+            knowledge.configuration_packed = zlib.compress(text.encode())
             self._log.decide(
                 'configuration.unreadable',
                 str(revision),
@@ -39,14 +40,27 @@
             return
         current = knowledge.configuration
         if current is not None and configuration.version <= current.version:
+            # A store that came back from a copy may hold an older one.
+            if configuration.version < current.version:
+                self._log.decide(
+                    'configuration.outdated',
+                    str(configuration.version),
+                    outcome='kept newer',
+                    revision=number_of(revision),
+                    era=era_of(revision),
+                    in_force=current.version,
+                    source=source,
+                )
             return
+        knowledge.configuration_packed = zlib.compress(text.encode())
         knowledge.configuration = configuration
         knowledge.limiter.take_limits(configuration.rate_limits)
         self._log.decide(
             'configuration.adopted',
             str(configuration.version),
             outcome='in force',
-            revision=revision,
+            revision=number_of(revision),
+            era=era_of(revision),
             routes=len(configuration.routes),
             source=source,
         )
--- a/packages/gateway/dandelionyoke_gateway/_introduction_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_introduction_task.py
@@ -12,6 +12,8 @@
     PeerConnected,
     PeerDisconnected,
     PeerMessageArrived,
+    era_of,
+    number_of,
 )
 from dandelionyoke_dispatch import Member
 from dandelionyoke_gateway._clock import clock_s
@@ -72,12 +74,14 @@
         if peer_id in self._acquainted:
             return
         if peer_id in self._linked:
+            revision = self._knowledge.configuration_revision
             introduction = NewsAsked(
                 INTRODUCTION_NUMBER,
                 self._knowledge.process_name,
                 hold_s=0,
-                configuration_revision=self._knowledge.configuration_revision,
+                configuration_revision=number_of(revision),
                 member=self._knowledge.own_member,
+                configuration_era=era_of(revision),
             )
             if send(peer_id, introduction):
                 self._acquainted.add(peer_id)
--- a/packages/gateway/dandelionyoke_gateway/_news_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_messages.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from dandelionyoke_core import PeerMessage
+from dandelionyoke_core import PeerMessage, revision_in
 from dandelionyoke_dispatch import (
     CountsParcel,
     CrashReport,
@@ -30,6 +30,7 @@
     receiver may not have listed it yet. `limits_version` is that of the last
     answer, None from a node that knows no limits of targets. `crash_mark` is
     that of the last answer, None from a node that has had none.
+    `configuration_revision` is the store's number in `configuration_era`.
     """
 
     number: int
@@ -43,12 +44,20 @@
     member: Member | None = None
     limits_version: int | None = None
     crash_mark: str | None = None
+    configuration_era: int = 0
+
+    @property
+    def held_revision(self) -> int:
+        """The revision of the configuration that the requesting node has."""
+        return revision_in(self.configuration_era, self.configuration_revision)
 
 
 @attrs.frozen
 class ConfigurationNews:
     """The latest revision, and when it was last confirmed to be the latest.
 
+    `revision` is the store's number in `era`, 0 from a node that knows none.
+
     `proven_after_s` is the time of the confirmation and may be negative.
     `packed` is the compressed text: a few hundred organisations and routes
     take a few KB.
@@ -57,6 +66,12 @@
     revision: int
     proven_after_s: float
     packed: bytes | None = None
+    era: int = 0
+
+    @property
+    def told_revision(self) -> int:
+        """The revision of the configuration at the node that answers."""
+        return revision_in(self.era, self.revision)
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_news_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_server.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-from dandelionyoke_core import InstanceId, PeerMessage
+from dandelionyoke_core import InstanceId, PeerMessage, era_of, number_of
 from dandelionyoke_dispatch import DemandSample
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge
@@ -51,7 +51,7 @@
 
     def _has_news(self, request: NewsAsked) -> bool:
         knowledge = self._knowledge
-        if knowledge.configuration_revision > request.configuration_revision:
+        if knowledge.configuration_revision > request.held_revision:
             return True
         limits_version = knowledge.target_limits.version
         if request.limits_version not in {None, limits_version}:
@@ -88,9 +88,14 @@
             return None
         revision = self._knowledge.configuration_revision
         packed = None
-        if request.configuration_revision < revision:
+        if request.held_revision < revision:
             packed = self._packed_configuration(request.wants_configuration)
-        return ConfigurationNews(revision, confirmed_s - received_s, packed)
+        return ConfigurationNews(
+            number_of(revision),
+            confirmed_s - received_s,
+            packed,
+            era_of(revision),
+        )
 
     def _packed_configuration(self, is_requested: bool) -> bytes | None:
         packed = self._knowledge.configuration_packed
--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -17,6 +17,8 @@
     PeerMessageArrived,
     StoreGet,
     StoreItem,
+    era_of,
+    number_of,
 )
 from dandelionyoke_dispatch import ListingMark, Member
 from dandelionyoke_gateway._answer_wait import AnswerWait
@@ -178,7 +180,7 @@
             self._request_number,
             self._knowledge.process_name,
             hold_s,
-            self._knowledge.configuration_revision,
+            number_of(self._knowledge.configuration_revision),
             self._wants_configuration,
             self._mark,
             self._knowledge.counts_sender.pack(clock_s()),
@@ -186,6 +188,7 @@
             self._knowledge.own_member if is_first else None,
             self._limits_version,
             self._crash_mark,
+            era_of(self._knowledge.configuration_revision),
         )
         if not hub.send(peer_id, request):
             return Silence.NOT_SENT
@@ -273,10 +276,10 @@
         news = answer.configuration
         if news is None:
             return
-        if news.revision > self._knowledge.configuration_revision:
+        if news.told_revision > self._knowledge.configuration_revision:
             self._fetch_configuration(news, member.instance_id)
         self._configurations.confirm(
-            news.revision, sent_s + news.proven_after_s
+            news.told_revision, sent_s + news.proven_after_s
         )
 
     def _fetch_configuration(
@@ -289,7 +292,7 @@
         """
         if news.packed is not None:
             self._configurations.apply_compressed(
-                news.packed, news.revision, source
+                news.packed, news.told_revision, source
             )
             self._wants_configuration = False
             return
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -9,7 +9,7 @@
 from eventlet import event as green_event
 from eventlet.green import socket
 
-from dandelionyoke_core import Metrics
+from dandelionyoke_core import Metrics, StoreEra
 from dandelionyoke_dispatch import CallerLimits
 from dandelionyoke_gateway._call_dispatcher import (
     CallDependencies,
@@ -55,6 +55,7 @@
     StorePollPolicy,
     StorePollSettings,
 )
+from dandelionyoke_gateway._store_returns import StoreReturns
 from dandelionyoke_gateway._store_watch_tasks import (
     ConfigurationTask,
     RegistryTask,
@@ -85,11 +86,13 @@
         store: Store,
         duties: DutyClient | None,
         engines: EngineClient,
+        store_era: StoreEra,
     ) -> None:
         self.dialect = dialect
         self.store = store
         self.duties = duties
         self.engines = engines
+        self.store_era = store_era
 
 
 AdapterFactory = Callable[[GatewaySettings, TargetPool], Adapters]
@@ -114,6 +117,8 @@
         self._knowledge = new_knowledge(settings, self._random)
         pool = TargetPool()
         self._adapters = factory(settings, pool)
+        self._store_returns = StoreReturns(self._log)
+        self._adapters.store_era.listen(self._store_returns)
         self._crash_task = CrashTask(
             self._knowledge, self._adapters.store, self._log
         )
--- a/packages/gateway/dandelionyoke_gateway/_store_watch_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_store_watch_tasks.py
@@ -86,10 +86,12 @@
             away_s = clock_s() - self._failing_since_s
             self._log.decide('store.regained', 'configuration', away_s=away_s)
             self._failing_since_s = None
+        newest = self._knowledge.configuration_revision
         for item in listing.items:
             if item.key == self._key and item.value:
                 self._updater.apply(item.value, item.revision, 'store')
-        self._knowledge.freshness.confirm(polled_s)
+                newest = item.revision
+        self._updater.confirm(newest, polled_s)
 
     def _record_failure(self, answer: object) -> None:
         if self._failing_since_s is None:
