--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -356,6 +356,8 @@
 )
 from dandelionyoke_core._store_era import (
     EraListener as EraListener,
+    EraStore as EraStore,
+    Exchange as Exchange,
     StoreEra as StoreEra,
     era_of as era_of,
     number_of as number_of,
--- a/packages/core/dandelionyoke_core/_store_era.py
+++ b/packages/core/dandelionyoke_core/_store_era.py
@@ -5,6 +5,7 @@
 so that it rises from one era to the next. A lease carries its era in its id.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -165,6 +166,34 @@
         return attrs.evolve(action, expected_revision=number)
 
 
+class Exchange(Protocol):
+    """Performs one action in the store's own revisions and leases."""
+
+    era_text: str | None
+
+    def perform(self, action: Action) -> StoreResult:
+        """Return the result; `era_text` is the era that the answer names."""
+
+
+class EraStore:
+    """Performs store actions in revisions and leases that carry their era."""
+
+    def __init__(
+        self, era: StoreEra, new_exchange: Callable[[], Exchange]
+    ) -> None:
+        self.era = era
+        self._new_exchange = new_exchange
+
+    def perform(self, action: Action) -> StoreResult:
+        """Perform a store action."""
+        sent = self.era.translate(action)
+        if not isinstance(sent, Action):
+            return sent
+        exchange = self._new_exchange()
+        result = exchange.perform(sent)
+        return self.era.interpret(action, result, exchange.era_text)
+
+
 def _basis(action: Action) -> int | None:
     """Return the era that an action depends on, if any."""
     match action:
--- a/packages/gateway/dandelionyoke_gateway/__init__.py
+++ b/packages/gateway/dandelionyoke_gateway/__init__.py
@@ -69,6 +69,11 @@
 from dandelionyoke_gateway._status import (
     ExitStatus as ExitStatus,
 )
+from dandelionyoke_gateway._store_exchange import (
+    StoreCall as StoreCall,
+    StoreEndpoint as StoreEndpoint,
+    StoreExchange as StoreExchange,
+)
 from dandelionyoke_gateway._target_pool import (
     TargetPool as TargetPool,
 )
