Keep targets as they were when the store comes back from a copy

What callers saw: nothing in a record. With three processes, calls went to a target that had left and was removed, as the copy listed it as ready again (tests/platform/test_store_copies.py failed as listed).

Cause: the registry forgot a target with its entry, so that an entry of the copy was a new one. Targets that had registered in the lost seconds were dropped at once, as only an outage of 1.5 s or longer gave them time to register again. Class: a later listing taken for a later state.

Change: the start of a target that leaves is remembered when its entry goes, as that of a target that said so itself; only a new start ends it. A new era begins the grace period of missing targets.

--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -10,7 +10,7 @@
     VersionHistory,
 )
 
-# Targets that said they leave; far more than leave within minutes.
+# Targets that leave or left; far more than leave within minutes.
 MAX_LEAVING_TARGETS = 1024
 
 
@@ -72,7 +72,7 @@
         self._outage_since_s: float | None = None
         self._grace_until_s = 0.0
         self._missing: set[str] = set()
-        # The starts of the targets that said they leave, the latest last.
+        # The starts of the targets that leave or left, the latest last.
         self._leaving_starts: dict[str, int | None] = {}
         # The versions of the targets by service; filled on use.
         self._versions: dict[str, frozenset[str]] = {}
@@ -118,10 +118,13 @@
             return
         self._versions.clear()
         for target_id in self._missing:
-            self._targets.pop(target_id, None)
-            self._added_s.pop(target_id, None)
+            self._remove(target_id)
         self._missing.clear()
 
+    def store_replaced(self, now_s: float) -> None:
+        """Record that the store came back from a copy that may lack targets."""
+        self._grace_until_s = now_s + self._settings.return_grace_s
+
     def store_failed(self, now_s: float) -> None:
         """Record that the store returned no listing."""
         if self._outage_since_s is None:
@@ -137,10 +140,7 @@
         if known is not None and known.started_ms != started_ms:
             return False
         is_new = target_id not in self._leaving_starts
-        self._leaving_starts.pop(target_id, None)
-        self._leaving_starts[target_id] = started_ms
-        if len(self._leaving_starts) > MAX_LEAVING_TARGETS:
-            self._leaving_starts.pop(next(iter(self._leaving_starts)))
+        self._remember_leaving(target_id, started_ms)
         if known is not None:
             self._targets[target_id] = attrs.evolve(known, is_leaving=True)
         return is_new
@@ -176,6 +176,20 @@
             self._versions[service] = known
         return known
 
+    def _remove(self, target_id: str) -> None:
+        self._added_s.pop(target_id, None)
+        target = self._targets.pop(target_id, None)
+        # A store that comes back from a copy may list it as usable again.
+        if target is not None and target.is_leaving:
+            if target.started_ms is not None:
+                self._remember_leaving(target_id, target.started_ms)
+
+    def _remember_leaving(self, target_id: str, started_ms: int | None) -> None:
+        self._leaving_starts.pop(target_id, None)
+        self._leaving_starts[target_id] = started_ms
+        if len(self._leaving_starts) > MAX_LEAVING_TARGETS:
+            self._leaving_starts.pop(next(iter(self._leaving_starts)))
+
     def _origins(self) -> list[StreamOrigin]:
         pairs = {
             (target.service, target.version)
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -330,6 +330,10 @@
             self.speeds.is_balanced(service),
         )
 
+    def store_replaced(self) -> None:
+        """Keep targets for a while that the copy of the store may lack."""
+        self.registry.store_replaced(clock_s())
+
     def forget_targets(self, usable: frozenset[str]) -> None:
         """Drop the state of targets that are no longer usable.
 
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -119,6 +119,7 @@
         self._adapters = factory(settings, pool)
         self._store_returns = StoreReturns(self._log)
         self._adapters.store_era.listen(self._store_returns)
+        self._store_returns.follow(self._knowledge.store_replaced)
         self._crash_task = CrashTask(
             self._knowledge, self._adapters.store, self._log
         )
--- a/tests/dispatch/test_registry.py
+++ b/tests/dispatch/test_registry.py
@@ -69,6 +69,24 @@
         self.registry.end_grace(13)
         self.assertEqual(['i-1'], self.target_ids())
 
+    def test_targets_that_a_copy_lacks_are_kept(self) -> None:
+        """Guards against 503 until targets have registered again."""
+        self.registry.replace([target('i-1'), target('i-2')], 0)
+        self.registry.store_replaced(5)
+        self.registry.replace([target('i-1')], 5)
+        self.assertEqual(['i-1', 'i-2'], self.target_ids())
+        self.registry.end_grace(7.5)
+        self.assertEqual(['i-1'], self.target_ids())
+
+    def test_a_target_that_left_is_not_used_again(self) -> None:
+        """Guards against a copy of the store that lists it as usable."""
+        self.registry.replace([target('i-1', leaving=True)], 0)
+        self.registry.replace([], 1)
+        self.registry.replace([target('i-1')], 2)
+        self.assertEqual([], self.target_ids())
+        self.registry.replace([target('i-1', started_ms=2)], 3)
+        self.assertEqual(['i-1'], self.target_ids())
+
     def test_a_registry_without_changes_is_no_outage(self) -> None:
         """Nothing changes for a while, then a target is gone.
 
