Register again as soon as the store came back from a copy

What callers saw: nothing in a record.

Cause: a record that had been written once was kept by its lease alone, which is renewed after half of its time; a record of the copy was left to expire with a lease that nobody renews. Class: state that is written once and taken to last.

Change: the task registers at once in a new era, under a new lease, takes a record with its own text over, and lists the others 2.5 s later, when they have done the same.

--- a/packages/gateway/dandelionyoke_gateway/_leased_records.py
+++ b/packages/gateway/dandelionyoke_gateway/_leased_records.py
@@ -56,15 +56,24 @@
     def keep_alive(self, key: str, text: str) -> None:
         """Write a record once and keep its lease alive; call this regularly.
 
-        A record that an earlier process left under the key must first expire
-        with its lease.
+        A record with the same text is taken over, as it may be of a copy of
+        the store, with a lease that nobody renews. Another one that an earlier
+        process left under the key must first expire with its lease.
         """
         lease_id = self._current_lease()
         if key in self._kept_keys or lease_id is None:
             return
-        if isinstance(self.write(key, text, 0), StoreWritten):
+        answer = self.write(key, text, 0)
+        if isinstance(answer, StoreConflict) and answer.present.value == text:
+            answer = self.write(key, text, answer.present.revision)
+        if isinstance(answer, StoreWritten):
             self._kept_keys.add(key)
 
+    def forget_lease(self) -> None:
+        """Use a new lease from now on: the store may have lost the last one."""
+        self._lease_id = None
+        self._kept_keys.clear()
+
     def _current_lease(self) -> LeaseId | None:
         now_s = clock_s()
         age_s = now_s - self._granted_s
--- a/packages/gateway/dandelionyoke_gateway/_member_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_member_task.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-from eventlet import sleep
-
 from dandelionyoke_core import (
     CodecError,
     OperationId,
@@ -14,6 +12,7 @@
     record_to_json,
 )
 from dandelionyoke_dispatch import Member
+from dandelionyoke_gateway._change_signal import ChangeSignal
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._leased_records import LeasedRecords
@@ -25,6 +24,9 @@
 POLL_INTERVAL_S = 5.0
 # If all nodes start together, the first polls find only some of them.
 INITIAL_POLL_INTERVAL_S = 1.2
+# All nodes have registered again this long after the store came back from a
+# copy that lacks them. Fewer nodes would share a larger part of each limit.
+RETURN_GRACE_S = 2.5
 
 
 class MemberTask:
@@ -40,6 +42,11 @@
         self._store = store
         self._on_members = on_members
         self._records = LeasedRecords(store, MEMBER_TTL_S, renews=True)
+        self._returned = ChangeSignal()
+        # While one of its own calls learns of the return, the task is not
+        # waiting for the signal.
+        self._must_register = False
+        self._listable_s = 0.0
 
     def run(self) -> None:
         """Stay registered until the process exits."""
@@ -49,9 +56,19 @@
         while True:
             self._records.keep_alive(key, record_to_json(own_member))
             self._refresh_members(own_member)
-            sleep(interval_s * self._knowledge.random.uniform(0.8, 1.2))
+            if not self._must_register:
+                factor = self._knowledge.random.uniform(0.8, 1.2)
+                self._returned.wait(interval_s * factor)
+            self._must_register = False
             interval_s = min(POLL_INTERVAL_S, 2 * interval_s)
 
+    def store_replaced(self) -> None:
+        """Register again, and list the others when they have done so."""
+        self._records.forget_lease()
+        self._must_register = True
+        self._listable_s = clock_s() + RETURN_GRACE_S
+        self._returned.notify()
+
     def _refresh_members(self, own_member: Member) -> None:
         # The list may be seconds old; a stale read costs a tenth of a
         # consistent one.
@@ -60,6 +77,8 @@
         )
         if not isinstance(answer, StoreListing):
             return
+        if clock_s() < self._listable_s:
+            return
         members = {
             member.instance_id: member
             for item in answer.items
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -177,10 +177,7 @@
         spawn = eventlet.spawn_n
         spawn(StallTask(self._settings.instance_id, log).run)
         self._start_store_watch_tasks(peers)
-        members = MemberTask(
-            knowledge, adapters.store, self._duty_task.take_members
-        )
-        spawn(members.run)
+        self._start_member_task()
         self._start_crash_tasks()
         if adapters.duties is None:
             return
@@ -209,6 +206,15 @@
         )
         spawn(engine_counts.run)
 
+    def _start_member_task(self) -> None:
+        members = MemberTask(
+            self._knowledge,
+            self._adapters.store,
+            self._duty_task.take_members,
+        )
+        self._store_returns.follow(members.store_replaced)
+        eventlet.spawn_n(members.run)
+
     def _start_crash_tasks(self) -> None:
         answers = CrashAnswersTask(self._knowledge, self._crash_task)
         eventlet.spawn_n(self._crash_task.run)
--- a/tests/gateway/test_leased_records.py
+++ b/tests/gateway/test_leased_records.py
@@ -7,7 +7,9 @@
     LeaseGrant,
     LeaseGranted,
     LeaseId,
+    StoreConflict,
     StoreFailed,
+    StoreItem,
     StorePut,
     StoreResult,
     StoreWritten,
@@ -20,11 +22,16 @@
 
     def __init__(self) -> None:
         self.grants_leases = True
+        # What it holds under any key, which a write must expect.
+        self.present: StoreItem | None = None
         self.lease_ids: list[LeaseId | None] = []
 
     def perform(self, action: Action) -> StoreResult:
         """Perform an action."""
         if isinstance(action, StorePut):
+            present = self.present
+            if present and action.expected_revision != present.revision:
+                return StoreConflict(present)
             self.lease_ids.append(action.lease_id)
             return StoreWritten(action.key, 1)
         if isinstance(action, LeaseGrant) and self.grants_leases:
@@ -58,3 +65,26 @@
         self.store.grants_leases = False
         self.assertIsInstance(records.write('k', 'x', 1), StoreWritten)
         self.assertEqual(['7', '7'], self.store.lease_ids)
+
+    def test_a_kept_record_of_a_copy_is_taken_over(self) -> None:
+        """Guards against a record that expires as nobody renews its lease."""
+        records = LeasedRecords(self.store, 60.0)
+        self.store.present = StoreItem('k', 5, 'x')
+        records.keep_alive('k', 'x')
+        self.assertEqual(['7'], self.store.lease_ids)
+        records.keep_alive('k', 'x')
+        self.assertEqual(['7'], self.store.lease_ids)
+
+    def test_a_record_of_an_earlier_process_is_left_to_expire(self) -> None:
+        records = LeasedRecords(self.store, 60.0)
+        self.store.present = StoreItem('k', 5, 'another')
+        records.keep_alive('k', 'x')
+        self.assertEqual([], self.store.lease_ids)
+
+    def test_a_kept_record_is_written_again_under_a_new_lease(self) -> None:
+        """Guards against a record that is lost with the store's last writes."""
+        records = LeasedRecords(self.store, 60.0)
+        records.keep_alive('k', 'x')
+        records.forget_lease()
+        records.keep_alive('k', 'x')
+        self.assertEqual(['7', '7'], self.store.lease_ids)
