Give the duty up when the store comes back from a copy

What callers saw: nothing in a record.

Cause: a lease id of the copy may be another node's, and renewing it looks like holding the duty; a key that was lost is free at once while the term of its holder still runs. Class: a claim whose proof was lost.

Change: in a new era a holder stops acting at once and competes again after the time that its orders may be on their way, by a new lease; it takes its own key of the copy over, whose lease nobody renews. The others wait until the last term has ended. A node that starts after the return does not know of it and does not wait; that is left.

Result: five tests of DutyLeasePart (tests/core/test_duty_lease.py).

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -257,6 +257,7 @@
     LivePeersChanged as LivePeersChanged,
     RecordReceived as RecordReceived,
     ReplicateRecord as ReplicateRecord,
+    StoreReplaced as StoreReplaced,
     TargetCrashed as TargetCrashed,
     TargetLeaving as TargetLeaving,
     UsageDelivered as UsageDelivered,
--- a/packages/core/dandelionyoke_core/_duty_lease.py
+++ b/packages/core/dandelionyoke_core/_duty_lease.py
@@ -31,6 +31,7 @@
     DutyLost,
     Leaving,
     LivePeersChanged,
+    StoreReplaced,
 )
 from dandelionyoke_core._ports import Output
 from dandelionyoke_core._records import (
@@ -80,6 +81,7 @@
         StoreResponded,
         TimerFired,
         Leaving,
+        StoreReplaced,
     )
 
     def __init__(
@@ -103,6 +105,12 @@
         self._term_end_s = 0.0
         self._fence = 0
         self._next_call_s: float | None = None
+        # Until then another holder's term may run that the store has lost.
+        self._free_from_s = 0.0
+        # Whether this entry held the duty when the store lost its last writes.
+        self._takes_over = False
+        # The revision of its own key that a copy of the store still has.
+        self._own_revision = 0
 
     def handle(self, event: Event, now_s: float) -> list[Output]:
         """Handle an event and return the resulting outputs."""
@@ -117,6 +125,8 @@
                 self._update_candidacy(event, now_s)
             case Leaving():
                 return self._start_handover(now_s)
+            case StoreReplaced():
+                return self._handle_store_return(now_s)
         return self._check_timers(now_s)
 
     def next_wakeup_s(self) -> float | None:
@@ -152,6 +162,9 @@
             return []
         if not self._slot.is_free:
             return []
+        if self._state is DutyState.IDLE and now_s < self._free_from_s:
+            self._next_call_s = self._free_from_s
+            return []
         self._next_call_s = None
         return self._start_next_call(now_s)
 
@@ -244,13 +257,16 @@
                 self._slot.begin_call(now_s),
                 self._key,
                 record_to_json(record),
-                expected_revision=0,
+                expected_revision=self._own_revision,
                 lease_id=lease_id,
             )
         ]
 
     def _handle_key(self, item: StoreItem, now_s: float) -> list[Output]:
-        if self._state is DutyState.CHECKING and item.value is None:
+        is_free = item.value is None or self._may_take_over(item)
+        if self._state is DutyState.CHECKING and is_free:
+            self._own_revision = 0 if item.value is None else item.revision
+            self._takes_over = False
             self._state = DutyState.REQUESTING_LEASE
             return [
                 LeaseGrant(self._slot.begin_call(now_s), self._settings.ttl_s)
@@ -263,13 +279,22 @@
         return self._become_idle(now_s)
 
     def _is_own_record(self, item: StoreItem) -> bool:
-        if item.value is None or self._lease_id is None:
-            return False
-        try:
-            record = record_from_json(item.value, DutyRecord)
-        except CodecError:
+        if self._lease_id is None:
             return False
-        return record == DutyRecord(self._own.instance_id, self._lease_id)
+        own = DutyRecord(self._own.instance_id, self._lease_id)
+        return _read_record(item) == own
+
+    def _may_take_over(self, item: StoreItem) -> bool:
+        """Whether the key is this entry's from before the store's return.
+
+        Its lease is of the copy, and nobody renews it.
+        """
+        record = _read_record(item)
+        return (
+            self._takes_over
+            and record is not None
+            and record.instance_id == self._own.instance_id
+        )
 
     # Changes of state.
 
@@ -277,6 +302,7 @@
         if now_s >= self._term_end_s:
             return self._become_idle(now_s)
         self._state = DutyState.HOLDING
+        self._own_revision = 0
         self._fence = revision
         self._schedule_renewal(now_s)
         return [
@@ -313,10 +339,33 @@
             self._next_call_s += self._settings.reacquire_delay_s
         return outputs
 
+    def _handle_store_return(self, now_s: float) -> list[Output]:
+        """Stop acting: the key and the lease may be lost, or another's.
+
+        The last holder competes again when its orders have arrived, the
+        others when its term has ended.
+        """
+        if self._state is DutyState.HANDING_OVER:
+            return []
+        outputs: list[Output] = []
+        held = {DutyState.HOLDING, DutyState.RECOVERING}
+        self._takes_over = self._state in held
+        delay_s = self._settings.ttl_s
+        if self._state is DutyState.HOLDING:
+            outputs = self._loss_outputs('the store came back from a copy')
+            delay_s = self._settings.handover_delay_s
+        self._slot.drop()
+        self._state = DutyState.IDLE
+        self._lease_id = None
+        self._free_from_s = now_s + delay_s
+        self._next_call_s = self._free_from_s
+        return outputs
+
     def _become_idle(self, now_s: float) -> list[Output]:
         """Release the lease and check the key again later."""
         self._slot.drop()
         self._state = DutyState.IDLE
+        self._own_revision = 0
         interval_s = self._settings.check_interval_s
         self._next_call_s = now_s + interval_s * self._random.uniform(0.5, 1.5)
         return self._release_lease()
@@ -350,3 +399,13 @@
     def _schedule_renewal(self, now_s: float) -> None:
         interval_s = self._settings.renew_interval_s
         self._next_call_s = now_s + interval_s * self._random.uniform(0.8, 1)
+
+
+def _read_record(item: StoreItem) -> DutyRecord | None:
+    """Read the record of a duty's key; None if there is no valid one."""
+    if item.value is None:
+        return None
+    try:
+        return record_from_json(item.value, DutyRecord)
+    except CodecError:
+        return None
--- a/packages/core/dandelionyoke_core/_notices.py
+++ b/packages/core/dandelionyoke_core/_notices.py
@@ -157,6 +157,11 @@
     live_in_domain: tuple[InstanceId, ...]
 
 
+@attrs.frozen
+class StoreReplaced(Notice):
+    """The store came back from a copy that may lack its last writes."""
+
+
 @attrs.frozen
 class Leaving(Notice):
     """This node is draining: it hands duties over and cuts no call off."""
--- a/packages/gateway/dandelionyoke_gateway/_duty_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_duty_task.py
@@ -20,6 +20,7 @@
     InstanceId,
     Leaving,
     LivePeersChanged,
+    StoreReplaced,
     StoreResponded,
     TimerFired,
     WriteLog,
@@ -118,6 +119,10 @@
         member_ids = tuple(InstanceId(member) for member in members)
         self._inbox.put(LivePeersChanged(member_ids, member_ids))
 
+    def store_replaced(self) -> None:
+        """Give the duty up, as the store may have lost it."""
+        self._inbox.put(StoreReplaced())
+
     def leave(self) -> None:
         """Release the duty so that another node can take it."""
         self._inbox.put(Leaving())
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -149,6 +149,7 @@
         self._duty_task = DutyTask(
             self._knowledge, self._adapters.store, self._log
         )
+        self._store_returns.follow(self._duty_task.store_replaced)
         self._counts_task = CountsTask(self._knowledge, self._adapters.store)
 
     def run(self) -> ExitStatus:
--- a/tests/core/test_duty_lease.py
+++ b/tests/core/test_duty_lease.py
@@ -11,6 +11,7 @@
     DutyGained,
     DutyLeasePart,
     DutyLeaseSettings,
+    DutyLost,
     Event,
     Instance,
     LeaseExpired,
@@ -26,6 +27,7 @@
     StoreGet,
     StoreItem,
     StorePut,
+    StoreReplaced,
     StoreResponded,
     StoreResult,
     StoreWritten,
@@ -231,8 +233,8 @@
     )
 
 
-class StoreOutageTest(testtools.TestCase):
-    """A holder during a store outage that is longer than its term."""
+class HolderTestCase(testtools.TestCase):
+    """A holder after a store outage that is longer than its term."""
 
     def setUp(self) -> None:
         super().setUp()
@@ -273,6 +275,8 @@
             if isinstance(output, DutyGained)
         ]
 
+
+class StoreOutageTest(HolderTestCase):
     def test_a_lease_that_survived_an_outage_is_renewed(self) -> None:
         """The store did not expire leases during its outage.
 
@@ -288,3 +292,65 @@
         self.assertEqual([], self.fences())
         self.answer(StoreGet, StoreItem(KEY, 9, 'another'))
         self.assertEqual([], self.fences())
+
+
+class StoreReturnTest(HolderTestCase):
+    """A holder whose store comes back from a copy."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.returned_s = 0.0
+
+    def hold_again(self) -> None:
+        """Get the duty back after the outage."""
+        self.answer(LeaseRenew, LeaseGranted(LeaseId('l-1'), 10))
+        self.answer(StoreGet, StoreItem(KEY, 7, self.record))
+
+    def return_store(self) -> None:
+        self.outputs = []
+        self.returned_s = self.now_s
+        self.handle_event(StoreReplaced())
+
+    def lost_count(self) -> int:
+        return sum(isinstance(output, DutyLost) for output in self.outputs)
+
+    def test_a_holder_gives_the_duty_up_at_once(self) -> None:
+        """Guards against two holders, as the store has lost the first one."""
+        self.hold_again()
+        self.return_store()
+        self.assertEqual(1, self.lost_count())
+
+    def test_the_last_holder_gets_it_back_under_a_new_fence(self) -> None:
+        """Guards against seconds without a holder, and a fence that goes back."""
+        self.hold_again()
+        self.return_store()
+        self.answer(StoreGet, StoreItem(KEY, 0, None))
+        self.assertGreaterEqual(self.now_s, self.returned_s + 1.0)
+        self.answer(LeaseGrant, LeaseGranted(LeaseId('l-2'), 10))
+        self.answer(StorePut, StoreWritten(KEY, 20))
+        self.assertEqual([20], self.fences())
+
+    def test_the_last_holder_takes_its_key_of_the_copy_over(self) -> None:
+        """Guards against a wait for a lease that nobody renews."""
+        self.hold_again()
+        self.return_store()
+        self.answer(StoreGet, StoreItem(KEY, 17, self.record))
+        self.answer(LeaseGrant, LeaseGranted(LeaseId('l-2'), 10))
+        put = self.answer(StorePut, StoreWritten(KEY, 20))
+        self.assertEqual(17, put.expected_revision)
+        self.assertEqual([20], self.fences())
+
+    def test_a_key_of_another_node_is_not_taken_over(self) -> None:
+        self.hold_again()
+        self.return_store()
+        other = self.record.replace(FIRST, 'another')
+        self.answer(StoreGet, StoreItem(KEY, 17, other))
+        self.answer(StoreGet, StoreItem(KEY, 17, other))
+        self.assertEqual([], self.fences())
+
+    def test_another_node_waits_until_the_last_term_has_ended(self) -> None:
+        """Guards against two holders where the first one cannot hear."""
+        self.return_store()
+        self.answer(StoreGet, StoreItem(KEY, 0, None))
+        waited_s = self.now_s - self.returned_s
+        self.assertGreaterEqual(waited_s, DutyLeaseSettings().ttl_s)
