Save counts and totals again when the store came back from a copy

What callers saw: nothing in a record.

Cause: a window that was saved is not saved again; the totals of a reported window are kept in the store alone, so that the next holder fixes others and reports it again. Class: state that is written once and taken to last.

Change: in a new era each node saves the windows that it keeps again, its own and those of its peers, and each former holder the totals of its closed windows. What a holder reported that ended with the store's lost writes leaves no trace; that is left.

--- a/packages/dispatch/dandelionyoke_dispatch/_counts_handover.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_counts_handover.py
@@ -121,6 +121,10 @@
         """Requeue windows that could not be saved."""
         self._changed.update(set(window_ids) & self._windows.keys())
 
+    def requeue_all(self) -> None:
+        """Requeue all windows that are kept, as what was saved may be lost."""
+        self._changed.update(self._windows)
+
     def parts(self, window_id: int) -> list[ProcessCounts]:
         """Return the counts of other processes in a window."""
         window = self._windows.get(window_id, {})
--- a/packages/dispatch/dandelionyoke_dispatch/_usage.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_usage.py
@@ -102,6 +102,10 @@
         """Requeue a window that could not be saved."""
         self._changed.add(window_id)
 
+    def requeue_all(self) -> None:
+        """Requeue all windows that are kept, as what was saved may be lost."""
+        self._changed.update(self._counts)
+
 
 def sum_counts(records: Iterable[WindowRecord]) -> tuple[tuple[str, int], ...]:
     """Sum the counts of all processes for one window."""
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -151,6 +151,7 @@
         )
         self._store_returns.follow(self._duty_task.store_replaced)
         self._counts_task = CountsTask(self._knowledge, self._adapters.store)
+        self._store_returns.follow(self._counts_task.store_replaced)
 
     def run(self) -> ExitStatus:
         """Serve until a signal stops the process and all calls have ended."""
@@ -184,14 +185,7 @@
             return
         spawn(self._duty_task.run)
         spawn(self._counts_task.run)
-        usage = UsageTask(
-            knowledge,
-            adapters.store,
-            self._duty_task,
-            adapters.duties,
-            log,
-        )
-        spawn(usage.run)
+        self._start_usage_task(adapters.duties)
         changes = PendingFleetChanges()
         phases = PhaseTask(
             knowledge,
@@ -207,6 +201,17 @@
         )
         spawn(engine_counts.run)
 
+    def _start_usage_task(self, duties: DutyClient) -> None:
+        usage = UsageTask(
+            self._knowledge,
+            self._adapters.store,
+            self._duty_task,
+            duties,
+            self._log,
+        )
+        self._store_returns.follow(usage.store_replaced)
+        eventlet.spawn_n(usage.run)
+
     def _start_member_task(self) -> None:
         members = MemberTask(
             self._knowledge,
--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -11,10 +11,12 @@
     OperationId,
     StoreConflict,
     StoreDelete,
+    StoreFailed,
     StoreItem,
     StoreList,
     StoreListing,
     StorePut,
+    StoreResult,
     StoreWritten,
     record_from_json,
     record_to_json,
@@ -73,6 +75,7 @@
         self._process_name = knowledge.process_name
         self._revisions: dict[int, int] = {}
         self._saved_s = 0.0
+        self._must_save = False
         self._save_lock = Semaphore()
 
     def run(self) -> None:
@@ -88,9 +91,17 @@
         self._knowledge.counts_sender.requeue_all()
         self.save()
 
+    def store_replaced(self) -> None:
+        """Save again what the store may have lost, under a new lease."""
+        self._records.forget_lease()
+        self._revisions.clear()
+        self._knowledge.usage.requeue_all()
+        self._knowledge.counts_receiver.requeue_all()
+        self._must_save = True
+
     def _is_due(self) -> bool:
         knowledge, now_s = self._knowledge, clock_s()
-        if knowledge.counts_sender.requeue_overdue(now_s):
+        if knowledge.counts_sender.requeue_overdue(now_s) or self._must_save:
             return True
         since_save_s = now_s - self._saved_s
         if knowledge.counts_receiver.has_unsaved:
@@ -113,6 +124,7 @@
     def _save_changed(self) -> None:
         usage, receiver = self._knowledge.usage, self._knowledge.counts_receiver
         self._saved_s = clock_s()
+        self._must_save = False
         received = receiver.received()
         own = {window.window_id: window for window in usage.take_changed()}
         others = receiver.take_changed()
@@ -168,14 +180,34 @@
         self._client = client
         self._log = log
         self._reported: set[int] = set()
+        # The totals of closed windows, and those that the store may lack.
+        self._closed: dict[int, str] = {}
+        self._unwritten: set[int] = set()
 
     def run(self) -> None:
         """Report windows that are due until the process exits."""
         while True:
             sleep(REPORT_CHECK_INTERVAL_S)
+            self._write_closed()
             if self._duty.stamp is not None:
                 self._report_due()
 
+    def store_replaced(self) -> None:
+        """Write the totals again that the store may have lost."""
+        self._unwritten.update(self._closed)
+
+    def _write_closed(self) -> None:
+        """Write totals that the store may lack.
+
+        The next holder would fix others and report the window again.
+        """
+        for window_id in sorted(self._unwritten & self._closed.keys()):
+            answer = self._create_record(window_id, self._closed[window_id])
+            if isinstance(answer, StoreFailed):
+                return
+            self._unwritten.discard(window_id)
+        self._unwritten &= self._closed.keys()
+
     def _report_due(self) -> None:
         settings, usage = self._knowledge.settings, self._knowledge.usage
         newest = usage.window_at(clock_s())
@@ -190,6 +222,9 @@
             for reported_id in self._reported
             if reported_id > newest - 20
         }
+        for window_id in tuple(self._closed):
+            if window_id < newest - KEPT_REPORT_WINDOWS:
+                self._closed.pop(window_id)
 
     def _report_deadline_s(self) -> float:
         return self._knowledge.settings.usage_late_s - LATE_MARGIN_S
@@ -235,18 +270,21 @@
         if not totals:
             self._log_open(window_id, 'nothing was counted')
             return None
-        counts = WindowCounts(window_id, totals)
-        text = record_to_json(counts)
+        text = record_to_json(WindowCounts(window_id, totals))
+        answer = self._create_record(window_id, text)
+        if isinstance(answer, StoreConflict) and answer.present.value:
+            text = answer.present.value
+        elif not isinstance(answer, StoreWritten):
+            self._log_open(window_id, 'the record cannot be written')
+            return None
+        self._closed[window_id] = text
+        return record_from_json(text, WindowCounts)
+
+    def _create_record(self, window_id: int, text: str) -> StoreResult:
         key = f'{REPORTS_PREFIX}{window_id}'
-        answer = self._store.perform(
+        return self._store.perform(
             StorePut(OperationId('report'), key, text, 0)
         )
-        if isinstance(answer, StoreConflict) and answer.present.value:
-            return record_from_json(answer.present.value, WindowCounts)
-        if isinstance(answer, StoreWritten):
-            return counts
-        self._log_open(window_id, 'the record cannot be written')
-        return None
 
     def _remove_old_reports(self, oldest: int) -> None:
         """Remove the totals of windows that are no longer reported."""
