Write the secret of the links again when the store came back from a copy

What callers saw: nothing in a record. With three processes the secret was gone from the store (tests/platform/test_store_copies.py failed as listed), so that a node that starts creates another one and cannot link to those that run.

Cause: a node reads the secret once and takes the store to keep it.

Change: LinkSecret, taken out of _news_links, writes it again in a new era, until the store answers. Where a node that started in between has created another one, `links.secret` says so; the two cannot link until one of them is started again, which is left.

--- a/packages/gateway/dandelionyoke_gateway/_news_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_links.py
@@ -1,42 +1,23 @@
 """Opens the links between nodes and dispatches their messages."""
 
-import secrets
-
 import attrs
 import eventlet
 from eventlet.green import socket
 
-from dandelionyoke_core import (
-    BackOff,
-    BackOffSettings,
-    Event,
-    InstanceId,
-    OperationId,
-    StoreConflict,
-    StoreGet,
-    StoreItem,
-    StorePut,
-    StoreWritten,
-)
+from dandelionyoke_core import Event, InstanceId
 from dandelionyoke_gateway._handover import Handover
 from dandelionyoke_gateway._handover_server import HandoverServer
 from dandelionyoke_gateway._introduction_task import IntroductionTask
 from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._link_secret import LinkSecret
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_server import NewsServer
 from dandelionyoke_gateway._news_task import NewsTask
-from dandelionyoke_gateway._ports import Store
 from dandelionyoke_gateway._prefill_links import PrefillLinks
 from dandelionyoke_gateway._source_services import SourceServices
 from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
 from dandelionyoke_links import PeerHub, PeerSettings
 
-# Shared secret that authenticates peers, so access to the store grants access
-# to the links. The first node of a new fleet generates it.
-SECRET_KEY = 'links/secret'
-SECRET_BYTES = 24
-SECRET_BACKOFF = BackOffSettings(initial_s=0.2, max_s=2.0)
-
 
 @attrs.frozen
 class LinkServices:
@@ -70,12 +51,12 @@
     listener: socket.socket,
     services: LinkServices,
     knowledge: Knowledge,
-    store: Store,
+    link_secret: LinkSecret,
     log: DecisionLog,
 ) -> None:
     """Serve and poll other nodes until the process exits."""
     settings = knowledge.settings
-    secret = _wait_for_secret(store, BackOff(SECRET_BACKOFF, knowledge.random))
+    secret = link_secret.wait()
     own_id = InstanceId(settings.instance_id)
     introductions = IntroductionTask(knowledge, log)
 
@@ -91,30 +72,3 @@
     eventlet.spawn_n(introductions.run, hub.send, hub.connect)
     log.decide('links.opened', settings.instance_id)
     services.news_task.run(hub)
-
-
-def _wait_for_secret(store: Store, back_off: BackOff) -> str:
-    while True:
-        secret = _load_or_create_secret(store)
-        if secret:
-            return secret
-        eventlet.sleep(back_off.next_s())
-
-
-def _load_or_create_secret(store: Store) -> str | None:
-    """Read the secret or create it; None if the store did not answer."""
-    operation = OperationId('secret')
-    item = store.perform(StoreGet(operation, SECRET_KEY))
-    if not isinstance(item, StoreItem):
-        return None
-    if item.value:
-        return item.value
-    created = secrets.token_hex(SECRET_BYTES)
-    written = store.perform(
-        StorePut(operation, SECRET_KEY, created, item.revision)
-    )
-    if isinstance(written, StoreWritten):
-        return created
-    if isinstance(written, StoreConflict):
-        return written.present.value
-    return None
--- a/packages/gateway/dandelionyoke_gateway/_node_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_node_links.py
@@ -10,6 +10,7 @@
 from dandelionyoke_gateway._handover import Handover
 from dandelionyoke_gateway._handover_server import HandoverServer
 from dandelionyoke_gateway._knowledge import Knowledge
+from dandelionyoke_gateway._link_secret import LinkSecret
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._news_links import LinkServices, serve_news
 from dandelionyoke_gateway._news_task import NewsTask
@@ -17,6 +18,7 @@
 from dandelionyoke_gateway._prefill_links import PrefillLinks
 from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
 from dandelionyoke_gateway._source_services import SourceServices
+from dandelionyoke_gateway._store_returns import StoreReturns
 from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
 
 
@@ -39,6 +41,7 @@
         news_task: NewsTask,
         handler: Handler,
         store: Store,
+        returns: StoreReturns,
     ) -> None:
         """Serve other nodes and ask them, until the process exits."""
         services = LinkServices(
@@ -55,8 +58,10 @@
             HandoverServer(handler, self.log),
             self.origins,
         )
+        secret = LinkSecret(store, self.knowledge.random, self.log)
+        returns.follow(secret.store_replaced)
         eventlet.spawn_n(
-            serve_news, listener, services, self.knowledge, store, self.log
+            serve_news, listener, services, self.knowledge, secret, self.log
         )
 
 
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -257,7 +257,13 @@
         )
         eventlet.spawn_n(configuration_task.run)
         eventlet.spawn_n(registry_task.run)
-        self._links.start(peers, news_task, self._call_dispatcher.handle, store)
+        self._links.start(
+            peers,
+            news_task,
+            self._call_dispatcher.handle,
+            store,
+            self._store_returns,
+        )
 
     # Callers.
 
