Write reports of crashes again when the store came back from a copy

Cause: as for the other records, a report that was written is not written again; the watch for the reports of other nodes lasts up to 10 s, so that a node may hear of none for that long. In a new era each node writes its reports of the last minute again and lists those of the others at once.

--- a/packages/gateway/dandelionyoke_gateway/_crash_records.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_records.py
@@ -22,11 +22,11 @@
 RECORD_TTL_S = 60.0
 # The other nodes have to hear within a second or two of the store's return.
 CRASH_BACK_OFF = BackOffSettings(max_s=0.6)
-MAX_UNWRITTEN = 256
+MAX_RECORDS = 256
 
 
 @attrs.frozen
-class _Unwritten:
+class _Record:
     report: CrashReport
     reported_s: float
 
@@ -40,16 +40,28 @@
         self._log = log
         self._records = LeasedRecords(store, RECORD_TTL_S)
         self._back_off = BackOff(CRASH_BACK_OFF, knowledge.random)
-        self._unwritten: OrderedDict[str, _Unwritten] = OrderedDict()
+        self._unwritten: OrderedDict[str, _Record] = OrderedDict()
+        self._written: OrderedDict[str, _Record] = OrderedDict()
         self._is_writing = False
 
     def write(self, report: CrashReport) -> None:
         """Write a report; returns at once."""
         key = f'{CRASHES_PREFIX}{report.target}/{report.reporter}'
-        self._unwritten[key] = _Unwritten(report, clock_s())
-        while len(self._unwritten) > MAX_UNWRITTEN:
+        self._unwritten[key] = _Record(report, clock_s())
+        while len(self._unwritten) > MAX_RECORDS:
             dropped_key, _ = self._unwritten.popitem(last=False)
             self._log.decide('crash.unwritten', dropped_key, outcome='dropped')
+        self._start_writing()
+
+    def store_replaced(self) -> None:
+        """Write the reports again that the store may have lost."""
+        self._records.forget_lease()
+        self._unwritten = self._written | self._unwritten
+        self._written = OrderedDict()
+        if self._unwritten:
+            self._start_writing()
+
+    def _start_writing(self) -> None:
         if not self._is_writing:
             self._is_writing = True
             eventlet.spawn_n(self._write_all)
@@ -62,12 +74,18 @@
                 if self._write(key, waiting):
                     self._back_off.reset()
                     self._unwritten.pop(key, None)
+                    self._keep(key, waiting)
                 else:
                     eventlet.sleep(self._back_off.next_s())
         finally:
             self._is_writing = False
 
-    def _write(self, key: str, waiting: _Unwritten) -> bool:
+    def _keep(self, key: str, written: _Record) -> None:
+        self._written[key] = written
+        while len(self._written) > MAX_RECORDS:
+            self._written.popitem(last=False)
+
+    def _write(self, key: str, waiting: _Record) -> bool:
         """Write a report; return whether it need not be written again."""
         age_s = clock_s() - waiting.reported_s
         if age_s > RECORD_TTL_S:
--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -1,15 +1,19 @@
 """Shares with other nodes which calls broke off when a target crashed."""
 
+import contextlib
 import itertools
 from collections.abc import Iterable
 from typing import Protocol
 
 import eventlet
+from eventlet.greenthread import GreenThread
+from greenlet import GreenletExit
 
 from dandelionyoke_core import (
     BackOff,
     CodecError,
     StoreListing,
+    StoreResult,
     record_from_json,
 )
 from dandelionyoke_dispatch import CrashKeys, CrashReport, RegisteredTarget
@@ -69,6 +73,7 @@
         # The keys of the calls that broke off, by target, until it is probed.
         self._broken: dict[str, list[str]] = {}
         self._report_numbers = itertools.count(1)
+        self._poll: GreenThread | None = None
 
     def run(self) -> None:
         """Follow crashes until the process exits."""
@@ -78,11 +83,22 @@
                 # The node that answers news requests reports crashes too.
                 eventlet.sleep(NEWS_FRESH_S)
                 continue
-            answer = self._watcher.poll(WATCH_DURATION_S)
-            if isinstance(answer, StoreListing):
-                self._take_records(answer)
-            else:
-                self._watcher.back_off()
+            self._poll = eventlet.spawn(self._watcher.poll, WATCH_DURATION_S)
+            with contextlib.suppress(GreenletExit):
+                self._take_answer(self._poll.wait())
+
+    def store_replaced(self) -> None:
+        """Write reports again, and list them without waiting for a watch."""
+        self._records.store_replaced()
+        self._watcher.restart()
+        if self._poll is not None and self._poll is not eventlet.getcurrent():
+            self._poll.kill()
+
+    def _take_answer(self, answer: StoreResult) -> None:
+        if isinstance(answer, StoreListing):
+            self._take_records(answer)
+        else:
+            self._watcher.back_off()
 
     def broke_off(
         self, target: RegisteredTarget, keys: tuple[str, ...]
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -223,6 +223,7 @@
 
     def _start_crash_tasks(self) -> None:
         answers = CrashAnswersTask(self._knowledge, self._crash_task)
+        self._store_returns.follow(self._crash_task.store_replaced)
         eventlet.spawn_n(self._crash_task.run)
         eventlet.spawn_n(answers.run)
 
--- a/tests/gateway/test_crash_task.py
+++ b/tests/gateway/test_crash_task.py
@@ -11,8 +11,10 @@
     Metrics,
     StoreFailed,
     StoreItem,
+    StoreList,
     StoreListing,
     StorePut,
+    StoreWatch,
     StoreWritten,
 )
 from dandelionyoke_dispatch import (
@@ -41,12 +43,18 @@
     def __init__(self) -> None:
         self.items: list[StoreItem] = []
         self.is_away = False
+        self.watches = 0
 
     def perform(
         self, action: object
-    ) -> StoreWritten | LeaseGranted | StoreFailed:
+    ) -> StoreWritten | LeaseGranted | StoreListing | StoreFailed:
         if self.is_away:
             return StoreFailed('away', may_have_been_applied=False)
+        if isinstance(action, StoreWatch):
+            self.watches += 1
+            eventlet.sleep(action.wait_s)
+        if isinstance(action, StoreList | StoreWatch):
+            return StoreListing(1, tuple(self.items))
         if isinstance(action, StorePut):
             self.items.append(StoreItem(action.key, 1, action.value))
             return StoreWritten('', 1)
@@ -131,6 +139,24 @@
         eventlet.sleep(WRITTEN_AFTER_S)
         self.assertEqual(3, len(self.store.items))
 
+    def test_reports_that_the_store_has_lost_are_written_again(self) -> None:
+        """Guards against crashes that only nodes that run already know of."""
+        self.crash_three_targets()
+        self.store.items.clear()
+        self.task.store_replaced()
+        eventlet.sleep(0)
+        self.assertEqual(3, len(self.store.items))
+
+    def test_a_watch_ends_when_the_store_was_replaced(self) -> None:
+        """Guards against a node that hears of no crash for a whole watch."""
+        runner = eventlet.spawn(self.task.run)
+        self.addCleanup(runner.kill)
+        eventlet.sleep(0.1)
+        self.assertEqual(1, self.store.watches)
+        self.task.store_replaced()
+        eventlet.sleep(0.1)
+        self.assertEqual(2, self.store.watches)
+
     def test_a_crash_beside_other_crashes_is_reported(self) -> None:
         """Guards against a crash that is taken for a cut, as most are down."""
         listener = eventlet.listen(('127.0.0.1', 0))
