--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -33,6 +33,9 @@
 # Engines that start again as another version, and back.
 VERSION_FAULT_S = (2.0, 4.0)
 SECONDS_PER_VERSION = 4.0
+# The store is away for a moment and comes back from a copy.
+COPY_FAULT_S = (0.1, 1.5)
+SECONDS_PER_COPY = 8.0
 # Once nothing else disturbs any more, silences beside planned work go on.
 CALM_S = 3.0
 PLANNED_SILENCES = 4
@@ -93,6 +96,7 @@
         VERSION_FAULT_S,
         SECONDS_PER_VERSION,
     ),
+    _Series('copies', 'copy', ('return',), COPY_FAULT_S, SECONDS_PER_COPY),
 )
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import tempfile
+from collections import deque
 from random import Random
 
 import attrs
@@ -19,7 +20,7 @@
 from dandelionyoke_links import install_event_loop
 from dandelionyoke_standins._relay import Relay
 from tests.platform.program import Ports, Program, free_port
-from tests.platform.store_standin import StoreStandin
+from tests.platform.store_standin import StoreCopy, StoreStandin
 from tests.soak.callers import Caller, Surroundings
 from tests.soak.charges import read_charges
 from tests.soak.configuration import SoakConfiguration
@@ -51,6 +52,11 @@
 RECOVERY_S = 12.0
 SETTLE_S = 3.0
 KEY_RETURN_S = 8.0
+# A copy of the store is taken so often, and the oldest of so many comes back.
+COPY_INTERVAL_S = 1.0
+KEPT_COPIES = 5
+# The operator and the targets write again what a copy lacks after this time.
+REWRITE_S = 0.3
 
 
 @attrs.define
@@ -99,6 +105,8 @@
         self._domain_links: dict[str, list[Relay]] = {}
         self._cut_domains: set[str] = set()
         self._swapped: list[SoakTarget] = []
+        # What the store held in the last seconds, the oldest first.
+        self._copies: deque[StoreCopy] = deque(maxlen=KEPT_COPIES)
         self._callers: list[Caller] = []
         self._caller_addresses: list[tuple[str, int]] = []
         self._nodes: list[SoakNode] = []
@@ -142,6 +150,7 @@
         for node in self._nodes:
             node.program.wait_until_ready()
             self._start_callers(node)
+        eventlet.spawn_n(self._take_copies)
         eventlet.spawn_n(self._write_entries)
         eventlet.spawn_n(self._restart_ended_nodes)
         self._play_faults()
@@ -331,6 +340,7 @@
             'reach': self._inject_reach_fault,
             'silence': self._silences.inject,
             'version': self._inject_version,
+            'copy': self._inject_copy,
         }.get(fault.kind, self._inject_link_fault)
         inject(fault)
 
@@ -429,6 +439,32 @@
             self._store.loses_write_answers = False
         self._record_span('store', '', start_s)
 
+    def _inject_copy(self, fault: Fault) -> None:
+        """Let the store come back from a copy that is some seconds old.
+
+        The operator and the targets write again what they had written.
+        """
+        start_s = clock_s()
+        self._store.is_unavailable = True
+        eventlet.sleep(fault.duration_s)
+        lost = self._store.items['op/config']
+        self._store.return_from(self._copies[0])
+        restored = self._store.items['op/config']
+        self._store.is_unavailable = False
+        eventlet.sleep(REWRITE_S)
+        for target in self._targets:
+            if not target.server.is_silent:
+                target.write_entry()
+        if self._store.items['op/config'] is restored:
+            self._store.put('op/config', lost.value or '')
+        self._record_span('store', '', start_s)
+
+    def _take_copies(self) -> None:
+        while not self._is_ended:
+            if not self._store.is_unavailable:
+                self._copies.append(self._store.take_copy())
+            eventlet.sleep(COPY_INTERVAL_S)
+
     def _store_port(self, index: int) -> int:
         node = self._nodes[index % len(self._nodes)]
         return node.store_link.to_port
