--- a/packages/standins/dandelionyoke_standins/__init__.py
+++ b/packages/standins/dandelionyoke_standins/__init__.py
@@ -35,6 +35,7 @@
 from dandelionyoke_standins._errors import (
     BadCallError as BadCallError,
     ConflictError as ConflictError,
+    GoneError as GoneError,
     LostAnswerError as LostAnswerError,
     MissingError as MissingError,
     NotRunError as NotRunError,
--- a/packages/standins/dandelionyoke_standins/_errors.py
+++ b/packages/standins/dandelionyoke_standins/_errors.py
@@ -31,6 +31,12 @@
     status = 409
 
 
+class GoneError(StandinError):
+    """The store does not have the revision; list the keys again."""
+
+    status = 410
+
+
 class TooLargeError(StandinError):
     """The value exceeds the size limit; split it over several keys."""
 
--- a/packages/standins/dandelionyoke_standins/_http.py
+++ b/packages/standins/dandelionyoke_standins/_http.py
@@ -28,6 +28,7 @@
         400: 'Bad Request',
         404: 'Not Found',
         409: 'Conflict',
+        410: 'Gone',
         413: 'Content Too Large',
         429: 'Too Many Requests',
         500: 'Internal Server Error',
@@ -64,6 +65,7 @@
 
 
 Handler = Callable[..., Response]
+HeaderList = list[tuple[str, str]]
 
 
 @attrs.frozen
@@ -99,8 +101,15 @@
 class Server:
     """Serves routes on a port of the loopback interface."""
 
-    def __init__(self, routes: Iterable[Route], port: int = 0) -> None:
+    def __init__(
+        self,
+        routes: Iterable[Route],
+        port: int = 0,
+        facts: Callable[[], HeaderList] = list,
+    ) -> None:
         self._routes = tuple(routes)
+        # Headers of all answers.
+        self._facts = facts
         self._listener = listen((HOST, port))
         self.address = listener_address(self._listener)
 
@@ -128,13 +137,14 @@
             response = Response(error.answer, error.status)
         status = f'{response.status} {STATUS_TEXT[response.status]}'
         if response.lines is not None:
-            headers = [('Content-Type', 'application/x-ndjson')]
+            headers = [('Content-Type', 'application/x-ndjson'), *self._facts()]
             start_response(status, headers)
             return response.lines
         body = encode(response.body)
         headers = [
             ('Content-Type', 'application/json'),
             ('Content-Length', str(len(body))),
+            *self._facts(),
         ]
         start_response(status, headers)
         return [body]
--- a/packages/standins/dandelionyoke_standins/_platform_http.py
+++ b/packages/standins/dandelionyoke_standins/_platform_http.py
@@ -10,6 +10,7 @@
 from dandelionyoke_standins._errors import BadCallError
 from dandelionyoke_standins._http import (
     ChangeNotifier,
+    HeaderList,
     Request,
     Response,
     Route,
@@ -26,6 +27,7 @@
 
 LEASE_CHECK_S = 0.02
 MAX_WAIT_S = 60.0
+ERA_HEADER = 'Store-Era'
 
 Result = TypeVar('Result')
 
@@ -36,7 +38,8 @@
     def __init__(self, model: PlatformModel, port: int = 0) -> None:
         self._model = model
         self._changed = ChangeNotifier()
-        self._server = Server(self._routes(), port)
+        self._server = Server(self._routes(), port, self._facts)
+        self._copy = model.store.take_copy()
         self.address = self._server.address
 
     def start(self) -> None:
@@ -44,6 +47,9 @@
         self._server.start()
         eventlet.spawn(self._expire_leases)
 
+    def _facts(self) -> HeaderList:
+        return [(ERA_HEADER, str(self._model.store.era))]
+
     def _routes(self) -> list[Route]:
         return [
             Route('GET', '/store/value/(.+)', self._read),
@@ -63,6 +69,8 @@
             Route('POST', '/standin/faults', self._set_faults),
             Route('POST', '/standin/targets', self._set_targets),
             Route('POST', '/standin/reclaim', self._reclaim),
+            Route('POST', '/standin/copy', self._take_copy),
+            Route('POST', '/standin/return', self._return_from_copy),
             Route('GET', '/standin/counts', self._counts),
             Route('GET', '/standin/record', self._record),
         ]
@@ -197,6 +205,16 @@
         self._model.reclaim_targets(domain, notice_s, time.monotonic())
         return Response({'domain': domain})
 
+    def _take_copy(self, request: Request) -> Response:
+        self._copy = self._model.store.take_copy()
+        return Response({'revision': self._copy.revision})
+
+    def _return_from_copy(self, request: Request) -> Response:
+        store = self._model.store
+        store.return_from(self._copy, time.monotonic())
+        self._changed.notify()
+        return Response({'revision': store.revision, 'era': store.era})
+
     def _counts(self, request: Request) -> Response:
         return Response(self._model.meter.counts)
 
--- a/packages/standins/dandelionyoke_standins/_store.py
+++ b/packages/standins/dandelionyoke_standins/_store.py
@@ -1,5 +1,6 @@
 """A pure model of the platform's store: revisions, leases and changes."""
 
+import copy
 import math
 from collections import OrderedDict
 from collections.abc import Iterator
@@ -9,6 +10,7 @@
 
 from dandelionyoke_standins._errors import (
     ConflictError,
+    GoneError,
     MissingError,
     TooLargeError,
 )
@@ -75,11 +77,24 @@
     keys: set[str] = attrs.field(factory=set)
 
 
+@attrs.frozen
+class StoreCopy:
+    """What a store held, to come back from."""
+
+    revision: int
+    lease_count: int
+    entries: OrderedDict[str, StoreEntry]
+    leases: dict[str, _Lease]
+    lease_of: dict[str, str]
+
+
 class StoreModel:
     """An in-memory store; leases expire only when it is called."""
 
     def __init__(self) -> None:
         self.revision = 0
+        # Rises each time that the store comes back from a copy.
+        self.era = 1
         self._entries: OrderedDict[str, StoreEntry] = OrderedDict()
         self._tombstone_count = 0
         self._leases: dict[str, _Lease] = {}
@@ -133,6 +148,8 @@
 
     def changes_after(self, prefix: str, revision: int) -> StoreChanges:
         """Return the changes to keys with a prefix after a revision."""
+        if revision > self.revision:
+            raise GoneError(revision=revision, cause='unknown_revision')
         changed = [
             entry
             for entry in self._newest_first(revision)
@@ -175,6 +192,32 @@
             self._end_lease(lease_id)
         self._next_check_s = self.next_expiry_s or math.inf
 
+    def take_copy(self) -> StoreCopy:
+        """Copy what the store holds."""
+        return StoreCopy(
+            self.revision,
+            self._lease_count,
+            self._entries.copy(),
+            copy.deepcopy(self._leases),
+            self._lease_of.copy(),
+        )
+
+    def return_from(self, held: StoreCopy, now_s: float) -> None:
+        """Lose all changes since a copy; its leases begin anew.
+
+        The revisions and leases since are given out again.
+        """
+        self.era += 1
+        self.revision = held.revision
+        self._lease_count = held.lease_count
+        self._entries = held.entries.copy()
+        self._leases = copy.deepcopy(held.leases)
+        self._lease_of = held.lease_of.copy()
+        for lease in self._leases.values():
+            lease.expires_s = now_s + lease.ttl_s
+        self._tombstone_count = sum(map(_is_tombstone, self._entries.values()))
+        self._next_check_s = self.next_expiry_s or math.inf
+
     @property
     def next_expiry_s(self) -> float | None:
         """When the next lease expires, or None without leases."""
--- a/packages/wire/dandelionyoke_wire/_runtime.py
+++ b/packages/wire/dandelionyoke_wire/_runtime.py
@@ -39,10 +39,12 @@
     StoreGet,
     StoreList,
     StorePut,
+    StoreReplaced,
     StoreResponded,
     StoreWatch,
     SubmitUsage,
     TimerFired,
+    WriteLog,
 )
 from dandelionyoke_links import PeerHub, PeerSettings, clock_s, running_s
 from dandelionyoke_wire._engine import EngineClient
@@ -222,6 +224,7 @@
         self._engines = EngineClient(pools, event_queue.put)
         self._plain = PlainClient(pools, event_queue.put)
         self._store = StoreClient(platform_url)
+        self._store.era.listen(self)
         self._event_queue = event_queue
         self._response_queues = response_queues
         self._sink = sink
@@ -234,6 +237,15 @@
         handler = self._handlers.get(type(action), self._sink.record)
         handler(action)
 
+    def era_began(self, era: int) -> None:
+        """Tell the node that the store came back from a copy."""
+        self._sink.record(WriteLog('store.returned', 'store', f'era {era}'))
+        self._event_queue.put(StoreReplaced())
+
+    def era_unreadable(self, text: str) -> None:
+        """Log an era that is no number; it is ignored."""
+        self._sink.record(WriteLog('store.era', 'store', 'ignored', text))
+
     def _handlers_by_type(self) -> dict[type[Action], Callable[[Any], None]]:
         spawn = self._green_threads.spawn_n
         engines, platform, peers = self._engines, self.platform, self.peers
--- a/packages/wire/dandelionyoke_wire/_store.py
+++ b/packages/wire/dandelionyoke_wire/_store.py
@@ -10,6 +10,7 @@
 
 from dandelionyoke_core import (
     Action,
+    EraStore,
     LeaseExpired,
     LeaseGrant,
     LeaseGranted,
@@ -18,6 +19,7 @@
     LeaseRenew,
     StoreConflict,
     StoreDelete,
+    StoreEra,
     StoreFailed,
     StoreGet,
     StoreItem,
@@ -40,10 +42,13 @@
 # Added to the wait of a watch to allow for network delay.
 WATCH_MARGIN_S = 5.0
 
+# Rises each time that the store comes back from a copy.
+ERA_HEADER = 'Store-Era'
+
 _EMPTY_BODY: Mapping[str, Any] = MappingProxyType({})
 
 
-class StoreClient:
+class StoreClient(EraStore):
     """Client that performs store actions and returns their results.
 
     `perform` blocks; an entry runs each call in its own green thread.
@@ -55,9 +60,25 @@
         pool: urllib3.PoolManager | None = None,
         read_timeout_s: float = READ_TIMEOUT_S,
     ) -> None:
-        self._base_url = base_url.rstrip('/')
-        self._pool = pool or new_pool()
+        calls_pool = pool or new_pool()
+        super().__init__(
+            StoreEra(),
+            lambda: _StoreExchange(
+                base_url.rstrip('/'), calls_pool, read_timeout_s
+            ),
+        )
+
+
+class _StoreExchange:
+    """Performs one action in the store's own revisions and leases."""
+
+    def __init__(
+        self, base_url: str, pool: urllib3.PoolManager, read_timeout_s: float
+    ) -> None:
+        self._base_url = base_url
+        self._pool = pool
         self._read_timeout_s = read_timeout_s
+        self.era_text: str | None = None
 
     def perform(self, action: Action) -> StoreResult:
         """Perform a store action; a failed call returns StoreFailed."""
@@ -152,13 +173,15 @@
         body: Mapping[str, Any] | None = None,
         read_timeout_s: float | None = None,
     ) -> JsonResponse:
-        return call_json(
+        response = call_json(
             self._pool,
             method,
             f'{self._base_url}{path}',
             body,
             read_timeout_s=read_timeout_s or self._read_timeout_s,
         )
+        self.era_text = response.headers.get(ERA_HEADER)
+        return response
 
 
 def _value_path(key: str) -> str:
--- a/packages/wire/dandelionyoke_wire/_transport.py
+++ b/packages/wire/dandelionyoke_wire/_transport.py
@@ -19,6 +19,7 @@
 
     status: int
     body: Mapping[str, Any]
+    headers: Mapping[str, str] = attrs.field(factory=dict)
 
 
 class TransportError(Exception):
@@ -98,7 +99,9 @@
             sent=may_have_been_sent(error),
             timed_out=has_timed_out(error),
         ) from error
-    return JsonResponse(response.status, decode_json(response.data))
+    return JsonResponse(
+        response.status, decode_json(response.data), response.headers
+    )
 
 
 def decode_json(raw: bytes) -> Mapping[str, Any]:
--- a/tests/standins/test_store.py
+++ b/tests/standins/test_store.py
@@ -6,6 +6,7 @@
 
 from dandelionyoke_standins import (
     ConflictError,
+    GoneError,
     MissingError,
     Store,
     StoreModel,
@@ -110,3 +111,39 @@
         self.assertRaises(
             MissingError, store.write, 'duty', 'late', 0, lease_id
         )
+
+
+class StoreCopyTest(testtools.TestCase):
+    """A store that comes back from a copy."""
+
+    def test_what_came_after_the_copy_is_lost_and_given_out_again(self) -> None:
+        store = StoreModel()
+        store.write('kept', 'a', 0)
+        held = store.take_copy()
+        lost = store.write('lost', 'b', 0)
+        lease_id = store.grant_lease(10.0, 0.0)
+        store.return_from(held, 1.0)
+        self.assertEqual(2, store.era)
+        self.assertEqual(0, store.read('lost').revision)
+        self.assertEqual('a', store.read('kept').value)
+        self.assertEqual(lost.revision, store.write('x', 'c', 0).revision)
+        self.assertEqual(lease_id, store.grant_lease(10.0, 1.0))
+
+    def test_leases_of_the_copy_begin_anew(self) -> None:
+        store = StoreModel()
+        lease_id = store.grant_lease(10.0, 0.0)
+        store.write('k', 'a', 0, lease_id)
+        held = store.take_copy()
+        store.expire(20.0)
+        store.return_from(held, 20.0)
+        store.expire(29.0)
+        self.assertEqual('a', store.read('k').value)
+        store.expire(30.0)
+        self.assertIsNone(store.read('k').value)
+
+    def test_a_watch_from_a_lost_revision_is_refused(self) -> None:
+        store = StoreModel()
+        held = store.take_copy()
+        lost = store.write('k', 'a', 0)
+        store.return_from(held, 0.0)
+        self.assertRaises(GoneError, store.changes_after, 'k', lost.revision)
