Keep the later start of a target whose store lists an earlier one

A store that comes back from a copy lists a target that has started anew in the lost seconds by its start before, with the version that it had then. The registry took that for the latest entry, so that streams could be taken up at another version, and a target that leaves would be usable again.

An entry of an earlier start is left out. test_an_earlier_start_does_not_ replace_a_later_one failed without it.

--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -199,6 +199,9 @@
 
     def _store_target(self, target: RegisteredTarget) -> None:
         known = self._targets.get(target.target_id)
+        if known is not None and _is_earlier_start(target, known):
+            # Of a store that came back from a copy, or of a late listing.
+            return
         # An outdated listing must not reactivate a target that reported that it
         # is leaving; only a restart under the same id does.
         if known is not None and known.started_ms == target.started_ms:
@@ -215,3 +218,12 @@
             return attrs.evolve(target, is_leaving=True)
         self._leaving_starts.pop(target.target_id)
         return target
+
+
+def _is_earlier_start(
+    target: RegisteredTarget, known: RegisteredTarget
+) -> bool:
+    """Whether an entry is of a start before the known one."""
+    if target.started_ms is None or known.started_ms is None:
+        return False
+    return target.started_ms < known.started_ms
--- a/tests/dispatch/test_registry.py
+++ b/tests/dispatch/test_registry.py
@@ -1,5 +1,6 @@
 """Targets that register, leave, and expire during an outage of the store."""
 
+import attrs
 import testtools
 
 from dandelionyoke_dispatch import (
@@ -78,6 +79,15 @@
         self.registry.end_grace(7.5)
         self.assertEqual(['i-1'], self.target_ids())
 
+    def test_an_earlier_start_does_not_replace_a_later_one(self) -> None:
+        """Guards against a copy of the store that lists the version before."""
+        later = attrs.evolve(target('i-1', started_ms=2), version='v2')
+        self.registry.replace([later], 0)
+        earlier = attrs.evolve(target('i-1', started_ms=1), version='v1')
+        self.registry.replace([earlier], 1)
+        self.assertEqual(later, self.registry.find('i-1'))
+        self.assertEqual({'v2'}, self.registry.versions('lm'))
+
     def test_a_target_that_left_is_not_used_again(self) -> None:
         """Guards against a copy of the store that lists it as usable."""
         self.registry.replace([target('i-1', leaving=True)], 0)
