Let the planned-work tests order with a fence above all eras

Since the platform's stand-in names its era, so that a fence of an entry is over 2 ** 40, and an engine that an entry had ordered before refuses the test's order. The fence is now above those of all eras; the checks are unchanged.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -356,6 +356,7 @@
     RoutingSettings as RoutingSettings,
 )
 from dandelionyoke_core._store_era import (
+    MAX_ERA as MAX_ERA,
     EraListener as EraListener,
     EraStore as EraStore,
     Exchange as Exchange,
--- a/tests/entry/test_planned.py
+++ b/tests/entry/test_planned.py
@@ -8,6 +8,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Any
 
+from dandelionyoke_core import MAX_ERA, revision_in
 from dandelionyoke_entry._exit_status import ExitStatus
 from dandelionyoke_standins import answer_text
 from scripts.fleet import Deployment, RunningProcess
@@ -32,7 +33,7 @@
 MAX_TOKENS_AFTER_RECLAIM = 200
 SHORT_ANSWER_TOKENS = 8
 # Higher than any fencing token of the system's own orders.
-HIGHEST_FENCE = 1_000_000_000
+HIGHEST_FENCE = revision_in(MAX_ERA, 1_000_000_000)
 
 
 class PlannedCase(FailureCase):
