--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -434,9 +434,12 @@
 
 
 class Node:
-    """A machine of the system: the program of the deploy file."""
+    """A machine of the system: the program of the deploy file.
 
-    def __init__(self, record, store, name, zone, folder):
+    `path` is the address at which it reaches the store, if not its own.
+    """
+
+    def __init__(self, record, store, name, zone, folder, path=''):
         self.record, self.name = record, name
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         self._role = deploy['roles']['gateway']
@@ -451,7 +454,7 @@
             },
             'internal_ports': [metrics, peers],
             'limits': {'cores': 2, 'cpu_share': 0.537},
-            'platform': {'address': store.address},
+            'platform': {'address': path or store.address},
             'cloud_api': {'address': store.address},
             'bounds': BOUNDS,
             'contracts': (
