--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,8 @@
-"""A request that crashes its engines is let through after a rolling restart."""
+"""An engine that leaves between two pages of a listing stays in use."""
 
+import json
 import pathlib
+import socket
 import sys
 import threading
 import time
@@ -8,9 +10,9 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'common'))
 
-from crashing import CrashingEngine, CrashSettings  # noqa: E402
 from standins import (  # noqa: E402
     BOUNDS,
+    Engine,
     Node,
     Requester,
     Store,
@@ -19,108 +21,119 @@
     run_case,
 )
 
-ENGINES = 4
-DOWN_S = 3.0
-WORK_S = 0.03
-ORDINARY_PER_S = 13
-POISON = b'the body that crashes each engine'
-# The crashing request comes each 3 s, at two machines at a time.
-AGAIN_S = 3.0
-# The machines are stopped and started in turn this long after the first crash.
-RESTART_AFTER_S = 68.0
-RESTART_GAP_S = 1.3
+# The store's pages, and entries of another service that fill the first one.
+PAGE_ITEMS = 50
+OTHER_ENTRIES = 57
+# A packet that was lost is sent again after this time.
+RESENT_S = 0.4
+# The engine leaves this long after the first page was read.
+LEAVES_AFTER_S = 0.15
+SERVES_ON_S = 9.0
+
+
+class LossyPath:
+    """Forwards channels to the store; may delay the second page once."""
+
+    def __init__(self, record, address, is_lossy):
+        host, _, port = address.partition(':')
+        self._store = host, int(port)
+        self._record, self._is_lossy = record, is_lossy
+        self.healed_s = 0.0
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self.address = '127.0.0.1:%d' % self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            sock, _ = self._listener.accept()
+            other = socket.create_connection(self._store)
+            for one in (sock, other):
+                one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for pair in ((sock, other), (other, sock)):
+                threading.Thread(
+                    target=self._forward, args=pair, daemon=True
+                ).start()
+
+    def _forward(self, source, sink):
+        try:
+            while data := source.recv(65536):
+                if self._is_lossy and b'kv-range' in data and b'after=' in data:
+                    self._is_lossy = False
+                    self._record.write(
+                        'path: a packet of the second page is lost, and sent '
+                        f'again {RESENT_S} s later'
+                    )
+                    time.sleep(RESENT_S)
+                    self.healed_s = now_s()
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            source.close()
+            sink.close()
 
 
 def play(record, scratch, is_troubled, nodes):
-    store = Store(record)
+    store = Store(record, page_items=PAGE_ITEMS)
     store.put('op/config', configuration())
-    crashes = []
-    zones = ('kurasini', 'mikocheni', 'ubungo')
-    settings = CrashSettings(POISON, DOWN_S, WORK_S, keeps_id=False)
-    for number in range(ENGINES):
-        zone = zones[number % 3]
-        CrashingEngine(record, store, f'i-{number}', zone, settings, crashes)
-    for number, zone in enumerate(zones):
-        nodes.append(Node(record, store, f'front-{number}', zone, scratch))
-    for node in nodes:
-        if not node.wait_until_ready():
-            raise RuntimeError(f'{node.name} is not ready')
-    time.sleep(4)
-    is_over = threading.Event()
-    for node in nodes:
-        threading.Thread(
-            target=send_ordinary, args=(record, node, is_over), daemon=True
-        ).start()
-    began_s = now_s()
-    for number in range(4):
-        send_pair(record, nodes, f'first.{number}')
-    time.sleep(max(0, began_s + RESTART_AFTER_S - now_s()))
-    if is_troubled:
-        restart_in_turn(record, nodes)
-    else:
-        time.sleep(8)
-    time.sleep(BOUNDS['contact_ms'] / 1000 + 0.5)
-    for number in range(4):
-        send_pair(record, nodes, f'later.{number}')
-    is_over.set()
-    record.write(f'{len(crashes)} sends reached engines: {crashes}')
-    if len(crashes) < 3:
-        return []
-    bound_s = crashes[2] + BOUNDS['contact_ms'] / 1000
-    late = [crashed_s for crashed_s in crashes if crashed_s > bound_s]
-    if len(late) <= 3:
-        return []
-    return [
-        f'BUDGET: {len(late)} retries reached engines later than 3 s after the '
-        f'request had crashed the third ({len(crashes)} crashes in all)'
+    engines = [
+        Engine(record, store, f'i-{number}', 'ledger-desk', 'kurasini')
+        for number in range(3)
     ]
-
-
-def restart_in_turn(record, nodes):
-    """Stop and start the machines in turn, as planned work does."""
-    for node in nodes:
-        threading.Thread(target=restart, args=(record, node)).start()
-        time.sleep(RESTART_GAP_S)
-    time.sleep(4.5)
-    for node in nodes:
-        if not node.wait_until_ready():
-            raise RuntimeError(f'{node.name} is not ready again')
-
-
-def restart(record, node):
-    record.write(f'{node.name}: SIGTERM')
-    node.process.terminate()
-    node.process.wait(12)
-    node.start()
-
-
-def send_pair(record, nodes, name):
-    """Send the crashing request at two machines at the same time."""
-    threads = [
-        threading.Thread(target=send_one, args=(record, node, name))
-        for node in nodes[:2]
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    time.sleep(AGAIN_S)
-
-
-def send_one(record, node, name):
-    requester = Requester(record, f'poison at {node.name}', node.port)
-    requester.send('/credit/poison', f'{name}.{node.name}', POISON)
-    requester.close()
-
-
-def send_ordinary(record, node, is_over):
-    requester = Requester(record, f'requester of {node.name}', node.port)
+    for number in range(OTHER_ENTRIES):
+        entry = {
+            'service': 'route-assistant',
+            'address': f'127.0.0.1:{9000 + number}',
+            'zone': 'kurasini',
+            'version': 'v1',
+            'slots': 64,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            'seq': 1,
+            'born': 1,
+        }
+        store.put(f'servers/j-{number:03}', json.dumps(entry).encode())
+    leaving = engines[0]
+    acks = []
+
+    def leave():
+        leaving.is_listed = False
+        acks.append(store.remove(f'servers/{leaving.name}'))
+        record.write(f'{leaving.name}: its entry is removed at {acks[0]:.3f}')
+
+    def after_page(prefix, after, reply):
+        if prefix == 'servers/':
+            record.write(
+                f'store: page after {after!r}, {len(reply["items"])} entries'
+            )
+            if not after and not acks:
+                store.after_page = None
+                threading.Timer(LEAVES_AFTER_S, leave).start()
+
+    store.after_page = after_page
+    path = LossyPath(record, store.address, is_troubled)
+    node = Node(record, store, 'front-0', 'kurasini', scratch, path.address)
+    nodes.append(node)
+    if not node.wait_until_ready():
+        raise RuntimeError(f'{node.name} is not ready')
+    requester = Requester(record, 'requester', node.port)
     number = 0
-    while not is_over.is_set():
-        attempt_id = f'{node.name}.{number}'
-        requester.send('/credit/1', attempt_id, attempt_id.encode())
+    until_s = now_s() + SERVES_ON_S
+    while now_s() < until_s:
+        requester.send('/credit/1', f'a.{number}')
         number += 1
-        time.sleep(3 / ORDINARY_PER_S)
+        time.sleep(0.05)
+    # The machine is in touch again `contact_ms` after the loss.
+    in_touch_s = max(acks[0], path.healed_s) + BOUNDS['contact_ms'] / 1000
+    bound_s = max(acks[0] + BOUNDS['drain_ms'] / 1000, in_touch_s)
+    late = [one for one in leaving.requests if one.arrived_s > bound_s]
+    record.write(f'{len(late)} requests reached {leaving.name} too late')
+    if not late:
+        return []
+    return [
+        f'DRAIN: {len(late)} requests reached {leaving.name} later than 2,000 ms '
+        f'after its entry was removed, the last {late[-1].arrived_s - acks[0]:.1f}'
+        ' s after it'
+    ]
 
 
 run_case(FOLDER, play)
