--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,6 @@
-"""An engine that leaves between two pages of a listing stays in use."""
+"""A request that crashes its engines is sent on after engines started again."""
 
-import json
 import pathlib
-import socket
 import sys
 import threading
 import time
@@ -10,9 +8,9 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'common'))
 
+from crashing import CrashingEngine, CrashSettings  # noqa: E402
 from standins import (  # noqa: E402
     BOUNDS,
-    Engine,
     Node,
     Requester,
     Store,
@@ -21,119 +19,85 @@
     run_case,
 )
 
-# The store's pages, and entries of another service that fill the first one.
-PAGE_ITEMS = 50
-OTHER_ENTRIES = 57
-# A packet that was lost is sent again after this time.
-RESENT_S = 0.4
-# The engine leaves this long after the first page was read.
-LEAVES_AFTER_S = 0.15
-SERVES_ON_S = 9.0
-
-
-class LossyPath:
-    """Forwards channels to the store; may delay the second page once."""
-
-    def __init__(self, record, address, is_lossy):
-        host, _, port = address.partition(':')
-        self._store = host, int(port)
-        self._record, self._is_lossy = record, is_lossy
-        self.healed_s = 0.0
-        self._listener = socket.create_server(('127.0.0.1', 0))
-        self.address = '127.0.0.1:%d' % self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            sock, _ = self._listener.accept()
-            other = socket.create_connection(self._store)
-            for one in (sock, other):
-                one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            for pair in ((sock, other), (other, sock)):
-                threading.Thread(
-                    target=self._forward, args=pair, daemon=True
-                ).start()
-
-    def _forward(self, source, sink):
-        try:
-            while data := source.recv(65536):
-                if self._is_lossy and b'kv-range' in data and b'after=' in data:
-                    self._is_lossy = False
-                    self._record.write(
-                        'path: a packet of the second page is lost, and sent '
-                        f'again {RESENT_S} s later'
-                    )
-                    time.sleep(RESENT_S)
-                    self.healed_s = now_s()
-                sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
-        except OSError:
-            source.close()
-            sink.close()
+ENGINES = 4
+# The engine is back after some seconds.
+DOWN_S = 3.0
+# The crashing request comes again this often, at one machine after the other.
+AGAIN_S = 2.0
+PLAY_S = 45.0
+# Ordinary requests a second, at all machines together.
+ORDINARY_PER_S = 13
+# The work of an ordinary request, as the sheet gives it.
+WORK_S = 0.09
+# Ordinary requesters at each machine.
+REQUESTERS = 2
+POISON = b'the body that crashes each engine'
 
 
 def play(record, scratch, is_troubled, nodes):
-    store = Store(record, page_items=PAGE_ITEMS)
+    store = Store(record)
     store.put('op/config', configuration())
-    engines = [
-        Engine(record, store, f'i-{number}', 'ledger-desk', 'kurasini')
-        for number in range(3)
-    ]
-    for number in range(OTHER_ENTRIES):
-        entry = {
-            'service': 'route-assistant',
-            'address': f'127.0.0.1:{9000 + number}',
-            'zone': 'kurasini',
-            'version': 'v1',
-            'slots': 64,
-            'state': 'ready',
-            'cold_left_ms': 0,
-            'seq': 1,
-            'born': 1,
-        }
-        store.put(f'servers/j-{number:03}', json.dumps(entry).encode())
-    leaving = engines[0]
-    acks = []
-
-    def leave():
-        leaving.is_listed = False
-        acks.append(store.remove(f'servers/{leaving.name}'))
-        record.write(f'{leaving.name}: its entry is removed at {acks[0]:.3f}')
-
-    def after_page(prefix, after, reply):
-        if prefix == 'servers/':
-            record.write(
-                f'store: page after {after!r}, {len(reply["items"])} entries'
-            )
-            if not after and not acks:
-                store.after_page = None
-                threading.Timer(LEAVES_AFTER_S, leave).start()
-
-    store.after_page = after_page
-    path = LossyPath(record, store.address, is_troubled)
-    node = Node(record, store, 'front-0', 'kurasini', scratch, path.address)
-    nodes.append(node)
-    if not node.wait_until_ready():
-        raise RuntimeError(f'{node.name} is not ready')
-    requester = Requester(record, 'requester', node.port)
+    crashes = []
+    zones = ('kurasini', 'mikocheni', 'ubungo')
+    settings = CrashSettings(POISON, DOWN_S, WORK_S, keeps_id=is_troubled)
+    for number in range(ENGINES):
+        zone = zones[number % 3]
+        CrashingEngine(record, store, f'i-{number}', zone, settings, crashes)
+    for number, zone in enumerate(zones):
+        nodes.append(Node(record, store, f'front-{number}', zone, scratch))
+    for node in nodes:
+        if not node.wait_until_ready():
+            raise RuntimeError(f'{node.name} is not ready')
+    time.sleep(4)
+    is_over = threading.Event()
+    ordinary = []
+    for number in range(REQUESTERS * len(nodes)):
+        threading.Thread(
+            target=send_ordinary,
+            args=(record, number, nodes, is_over, ordinary),
+            daemon=True,
+        ).start()
+    time.sleep(2)
+    began_s = now_s()
     number = 0
-    until_s = now_s() + SERVES_ON_S
-    while now_s() < until_s:
-        requester.send('/credit/1', f'a.{number}')
+    while now_s() < began_s + PLAY_S:
+        node = nodes[number % len(nodes)]
+        requester = Requester(record, f'poison at {node.name}', node.port)
+        requester.send('/credit/poison', f'poison.{number}', POISON)
+        requester.close()
         number += 1
-        time.sleep(0.05)
-    # The machine is in touch again `contact_ms` after the loss.
-    in_touch_s = max(acks[0], path.healed_s) + BOUNDS['contact_ms'] / 1000
-    bound_s = max(acks[0] + BOUNDS['drain_ms'] / 1000, in_touch_s)
-    late = [one for one in leaving.requests if one.arrived_s > bound_s]
-    record.write(f'{len(late)} requests reached {leaving.name} too late')
-    if not late:
+        time.sleep(AGAIN_S)
+    is_over.set()
+    record.write(f'{number} sent, {len(crashes)} reached engines')
+    lost = [status for status in ordinary if status != 200]
+    record.write(
+        f'ordinary requests: {len(ordinary)}, not answered 200: {len(lost)}'
+    )
+    if len(crashes) < 3:
+        return []
+    bound_s = crashes[2] + BOUNDS['contact_ms'] / 1000
+    late = [crashed_s for crashed_s in crashes if crashed_s > bound_s]
+    if len(late) <= 3:
         return []
     return [
-        f'DRAIN: {len(late)} requests reached {leaving.name} later than 2,000 ms '
-        f'after its entry was removed, the last {late[-1].arrived_s - acks[0]:.1f}'
-        ' s after it'
+        f'BUDGET: {len(late)} retries reached engines later than 3 s after the '
+        f'request had crashed the third ({len(crashes)} crashes in all)'
     ]
 
 
+def send_ordinary(record, name, nodes, is_over, ordinary):
+    node = nodes[name % len(nodes)]
+    requester = Requester(record, f'requester {name}', node.port)
+    number = 0
+    period_s = REQUESTERS * len(nodes) / ORDINARY_PER_S
+    while not is_over.is_set():
+        sent_s = now_s()
+        attempt_id = f'ordinary.{name}.{number}'
+        ordinary.append(
+            requester.send('/credit/1', attempt_id, attempt_id.encode())
+        )
+        number += 1
+        time.sleep(max(0.01, sent_s + period_s - now_s()))
+
+
 run_case(FOLDER, play)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -88,12 +88,17 @@
         self.delay_s = delay_s
         self.after_page = None
         self.reports = []
+        self.on_report = None
+        # Answers to all calls but those of duties: 503 while it is away.
+        self.is_away = False
+        # Rises each time that it comes back from a copy.
+        self.era = 1
         self._lock = threading.Condition()
         self._revision = 1
         self._items = {}
         self._history = []
         self._leases = {}
-        self._server = _serve(self._handle)
+        self._server = _serve(self._handle, lambda: {'Store-Era': str(self.era)})
         self.address = '127.0.0.1:%d' % self._server.server_address[1]
         threading.Thread(target=self._expire_always, daemon=True).start()
 
@@ -109,6 +114,26 @@
             self._remove(key)
         return now_s()
 
+    def copy(self):
+        """Return a copy of what it holds, with the ends of its leases."""
+        with self._lock:
+            return (
+                self._revision,
+                dict(self._items),
+                list(self._history),
+                dict(self._leases),
+            )
+
+    def return_from(self, copied):
+        """Come back from a copy; what was written since is gone."""
+        with self._lock:
+            revision, items, history, leases = copied
+            self._revision, self._items = revision, dict(items)
+            self._history, self._leases = list(history), dict(leases)
+            self.era += 1
+            self.is_away = False
+            self._lock.notify_all()
+
     def _put(self, key, value, lease):
         self._revision += 1
         created = self._items.get(key, {}).get('created', self._revision)
@@ -152,11 +177,16 @@
         path = parts.path
         time.sleep(self.delay_s)
         if path == '/usage':
-            self.reports.append(fields)
-            self.record.write(f'platform: usage report {fields}')
+            report = (headers['Duty-Holder'], headers['Fencing-Token'], fields)
+            self.reports.append(report)
+            self.record.write(f'platform: usage report {report}')
+            if self.on_report is not None:
+                self.on_report(report)
             return 200, {}
         if path == '/scale':
             return 409, {}
+        if self.is_away:
+            return 503, {}
         if path == '/-/kv-watch':
             return self._watch(query)
         if path == '/-/kv-range':
@@ -193,7 +223,12 @@
         prefix, after = query['path_prefix'], int(query['after'])
         until_s = now_s() + int(query['wait_ms']) / 1000
         with self._lock:
+            era = self.era
+            if after > self._revision:
+                return 410, {}
             while True:
+                if self.is_away or era != self.era:
+                    return 503, {}
                 events = [
                     item
                     for item in self._history
@@ -204,7 +239,7 @@
                 if events or left_s <= 0:
                     reply = {'events': events, 'current_rev': self._revision}
                     return 200, reply
-                self._lock.wait(left_s)
+                self._lock.wait(min(left_s, 0.1))
 
     def _write(self, fields):
         present = []
@@ -242,7 +277,7 @@
         return 200, {'ttl_ms': int(ttl_s * 1000)}
 
 
-def _serve(handle):
+def _serve(handle, extra_headers):
     class Handler(BaseHTTPRequestHandler):
         protocol_version = 'HTTP/1.1'
         disable_nagle_algorithm = True
@@ -257,6 +292,8 @@
             self.send_response(status)
             self.send_header('Content-Type', 'application/json')
             self.send_header('Content-Length', str(len(data)))
+            for name, found in extra_headers().items():
+                self.send_header(name, found)
             self.end_headers()
             self.wfile.write(data)
 
