--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -88,8 +88,7 @@
         self.delay_s = delay_s
         self.after_page = None
         self.reports = []
-        self.on_report = None
-        # Answers to all calls but those of duties: 503 while it is away.
+        # While it is away it closes channels without an answer.
         self.is_away = False
         # Rises each time that it comes back from a copy.
         self.era = 1
@@ -180,13 +179,11 @@
             report = (headers['Duty-Holder'], headers['Fencing-Token'], fields)
             self.reports.append(report)
             self.record.write(f'platform: usage report {report}')
-            if self.on_report is not None:
-                self.on_report(report)
             return 200, {}
         if path == '/scale':
             return 409, {}
         if self.is_away:
-            return 503, {}
+            return None
         if path == '/-/kv-watch':
             return self._watch(query)
         if path == '/-/kv-range':
@@ -228,7 +225,7 @@
                 return 410, {}
             while True:
                 if self.is_away or era != self.era:
-                    return 503, {}
+                    return None
                 events = [
                     item
                     for item in self._history
@@ -285,9 +282,11 @@
         def _answer(self):
             size = int(self.headers.get('Content-Length') or 0)
             body = self.rfile.read(size)
-            status, fields = handle(
-                self.command, self.path, self.headers, body
-            )
+            reply = handle(self.command, self.path, self.headers, body)
+            if reply is None:
+                self.close_connection = True
+                return
+            status, fields = reply
             data = json.dumps(fields).encode()
             self.send_response(status)
             self.send_header('Content-Type', 'application/json')
