Leave a usage window whose record the store may have lost

Cause: the record `reports/WINDOW` alone keeps two holders from fixing different totals. A store that comes back from a copy lacks the last ones, and only the process that had created a record wrote it again, from memory. A holder that finds no record took that for a window that nobody has reported.

Change: a holder closes a window without a record only if no other holder can have reported it. What it knows of begins when it got the duty it held as the store came back, else with the return or its own first answer of the store; with no limit in an era that is recorded as settled (`eras/settled`, written once no window from before the era is due). Other windows without a record are left and logged once (`usage.left`). Totals that a process has fixed are not summed again, and a record that was created just after a return is removed unreported. Wall clocks may differ by 5 s.

--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -12,6 +12,7 @@
     StoreConflict,
     StoreDelete,
     StoreFailed,
+    StoreGet,
     StoreItem,
     StoreList,
     StoreListing,
@@ -32,6 +33,7 @@
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._leased_records import LeasedRecords
 from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._lost_reports import LostReports
 from dandelionyoke_gateway._messages import parse_whole_number
 from dandelionyoke_gateway._ports import (
     DutyClient,
@@ -183,18 +185,34 @@
         # The totals of closed windows, and those that the store may lack.
         self._closed: dict[int, str] = {}
         self._unwritten: set[int] = set()
+        self._lost = LostReports(store, knowledge.settings.usage_late_s)
+        self._left: set[int] = set()
 
     def run(self) -> None:
         """Report windows that are due until the process exits."""
+        self.begin()
         while True:
             sleep(REPORT_CHECK_INTERVAL_S)
-            self._write_closed()
-            if self._duty.stamp is not None:
-                self._report_due()
+            self.report_due()
+
+    def begin(self) -> None:
+        """Wait for the store and read what it may have lost before."""
+        self._lost.begin()
+
+    def report_due(self) -> None:
+        """Report the windows that are due if this node holds the duty."""
+        self._write_closed()
+        stamp = self._duty.stamp
+        if stamp is None:
+            return
+        self._lost.hold(stamp)
+        self._report_due()
+        self._lost.settle()
 
     def store_replaced(self) -> None:
         """Write the totals again that the store may have lost."""
         self._unwritten.update(self._closed)
+        self._lost.store_replaced(self._duty.stamp)
 
     def _write_closed(self) -> None:
         """Write totals that the store may lack.
@@ -225,6 +243,11 @@
         for window_id in tuple(self._closed):
             if window_id < newest - KEPT_REPORT_WINDOWS:
                 self._closed.pop(window_id)
+        self._left = {
+            left_id
+            for left_id in self._left
+            if left_id >= newest - KEPT_REPORT_WINDOWS
+        }
 
     def _report_deadline_s(self) -> float:
         return self._knowledge.settings.usage_late_s - LATE_MARGIN_S
@@ -256,6 +279,45 @@
         window differ. It has no lease: if it expired, the next holder would
         fix other totals and report the window again.
         """
+        own_text = self._closed.get(window_id)
+        if own_text is not None:
+            return self._fix_totals(window_id, own_text)
+        totals = self._sum_window(window_id)
+        if totals is None:
+            return None
+        if self._may_be_reported(window_id):
+            return self._read_closed(window_id)
+        counts = WindowCounts(window_id, totals)
+        return self._fix_totals(window_id, record_to_json(counts))
+
+    def _may_be_reported(self, window_id: int) -> bool:
+        """Whether another holder may have reported it without a record left."""
+        now_s = clock_s()
+        age_s = self._knowledge.usage.age_s(window_id, now_s)
+        return self._lost.may_include(now_s - age_s + CLOSE_DELAY_S)
+
+    def _read_closed(self, window_id: int) -> WindowCounts | None:
+        """Return the totals that are stored; None if there is no record.
+
+        A missing report costs less than a second one with other totals.
+        """
+        key = f'{REPORTS_PREFIX}{window_id}'
+        item = self._store.perform(StoreGet(OperationId('report'), key))
+        if isinstance(item, StoreItem) and item.value:
+            self._closed[window_id] = item.value
+            return record_from_json(item.value, WindowCounts)
+        if window_id not in self._left:
+            self._left.add(window_id)
+            self._log.decide(
+                'usage.left',
+                str(window_id),
+                outcome='no report without a record',
+                cause='the store may have lost that of an earlier report',
+            )
+        return None
+
+    def _sum_window(self, window_id: int) -> tuple[tuple[str, int], ...] | None:
+        """Sum the counts that all nodes have saved; None if there are none."""
         listing = self._store.perform(
             StoreList(OperationId('counts'), f'{COUNTS_PREFIX}{window_id}/')
         )
@@ -270,16 +332,33 @@
         if not totals:
             self._log_open(window_id, 'nothing was counted')
             return None
-        text = record_to_json(WindowCounts(window_id, totals))
+        return totals
+
+    def _fix_totals(self, window_id: int, text: str) -> WindowCounts | None:
+        """Create a window's record, or take over the one that exists."""
         answer = self._create_record(window_id, text)
         if isinstance(answer, StoreConflict) and answer.present.value:
             text = answer.present.value
         elif not isinstance(answer, StoreWritten):
             self._log_open(window_id, 'the record cannot be written')
             return None
-        self._closed[window_id] = text
+        elif self._is_uncertain(window_id):
+            # The store came back just before the write.
+            self._remove_record(window_id, answer.revision)
+            return None
+        if self._closed.setdefault(window_id, text) != text:
+            self._log_open(window_id, 'another record than the one of before')
+            return None
         return record_from_json(text, WindowCounts)
 
+    def _is_uncertain(self, window_id: int) -> bool:
+        is_own = window_id in self._closed
+        return not is_own and self._may_be_reported(window_id)
+
+    def _remove_record(self, window_id: int, revision: int) -> None:
+        key = f'{REPORTS_PREFIX}{window_id}'
+        self._store.perform(StoreDelete(OperationId('report'), key, revision))
+
     def _create_record(self, window_id: int, text: str) -> StoreResult:
         key = f'{REPORTS_PREFIX}{window_id}'
         return self._store.perform(
@@ -297,10 +376,7 @@
             name = item.key.removeprefix(REPORTS_PREFIX)
             window_id = parse_whole_number(name)
             if window_id is not None and window_id < oldest:
-                operation = OperationId('old report')
-                self._store.perform(
-                    StoreDelete(operation, item.key, item.revision)
-                )
+                self._remove_record(window_id, item.revision)
 
     def _log_open(self, window_id: int, cause: str) -> None:
         self._log.decide(
--- a/tests/platform/test_store_copies.py
+++ b/tests/platform/test_store_copies.py
@@ -1,5 +1,6 @@
 """Nodes whose store comes back from a copy that is some seconds old."""
 
+import contextlib
 import json
 import tempfile
 from collections.abc import Iterator
@@ -16,7 +17,7 @@
     ScriptStep,
     answer,
 )
-from tests.platform.program import Program, wait_for
+from tests.platform.program import Ports, Program, wait_for
 from tests.platform.store_standin import StoreCopy, StoreStandin
 from tests.platform.test_process import configuration
 
@@ -35,6 +36,11 @@
 CALLS_S = 9.0
 # The holder's lease has expired and all windows are due.
 REPORTED_S = 14.0
+# A copy this old lacks the record of the last report and some counts of its
+# window, which ended 4.5 s before.
+COPY_AGE_S = 4.8
+COPY_INTERVAL_S = 0.2
+AWAY_S = 1.0
 
 
 class StoreCopyTest(testtools.TestCase):
@@ -50,7 +56,11 @@
         self.put_target('i-1', self.targets[0])
         # Holds nothing that the nodes have written.
         self.early_copy = self.store.take_copy()
-        self.nodes = [self.start_node(domain) for domain in DOMAINS]
+        self.ports = [Ports() for _ in DOMAINS]
+        self.nodes = [
+            self.start_node(domain, ports)
+            for domain, ports in zip(DOMAINS, self.ports, strict=True)
+        ]
         for node in self.nodes:
             node.wait_until_ready()
 
@@ -76,8 +86,8 @@
         }
         self.store.put(f'servers/{name}', json.dumps(entry))
 
-    def start_node(self, domain: str) -> Program:
-        program = Program(self.store, self.folder, domain=domain)
+    def start_node(self, domain: str, ports: Ports | None = None) -> Program:
+        program = Program(self.store, self.folder, ports, domain)
         self.addCleanup(program.process.wait)
         self.addCleanup(program.process.kill)
         self.addOnException(lambda _: self.show_log(program))
@@ -229,3 +239,55 @@
             body['counts'].get('acme', 0) for _, _, body in self.store.usage
         )
         self.assertEqual(calls, reported)
+
+    def take_copies(self, copies: list[tuple[float, StoreCopy]]) -> None:
+        while True:
+            copies.append((clock_s(), self.store.take_copy()))
+            eventlet.sleep(COPY_INTERVAL_S)
+
+    def call_always(self, number: int) -> None:
+        while True:
+            with contextlib.suppress(OSError):
+                self.nodes[number].call()
+            eventlet.sleep(0.1)
+
+    def start_calls(self) -> None:
+        for number, _ in enumerate(DOMAINS):
+            task = eventlet.spawn(self.call_always, number)
+            self.addCleanup(task.kill)
+
+    def restart(self, name: str) -> None:
+        """Kill a node and start it again."""
+        names = [f'n-{node.port}' for node in self.nodes]
+        number = names.index(name)
+        self.nodes[number].process.kill()
+        self.nodes[number] = self.start_node(
+            DOMAINS[number], self.ports[number]
+        )
+
+    def test_a_window_of_a_killed_holder_is_not_reported_again(self) -> None:
+        """Guards against a second report after the first one's record is lost."""
+        copies: list[tuple[float, StoreCopy]] = []
+        copying = eventlet.spawn(self.take_copies, copies)
+        self.addCleanup(copying.kill)
+        self.start_calls()
+        wait_for(lambda: self.store.usage, 'a report')
+        count = len(self.store.usage)
+        wait_for(lambda: len(self.store.usage) > count, 'another report')
+        reported_s, holder, _, _ = self.store.reports[-1]
+        copy = [one for at_s, one in copies if at_s < reported_s - COPY_AGE_S][
+            -1
+        ]
+        self.store.is_unavailable = True
+        self.restart(holder)
+        self.drill(copy, AWAY_S)
+        # The lease of the killed holder ends in the copy too.
+        self.store.expire_leases()
+        eventlet.sleep(REPORTED_S)
+        reports = [
+            (body['window_id'], json.dumps(body['counts'], sort_keys=True))
+            for _, _, body in self.store.usage
+        ]
+        windows = [window_id for window_id, _ in reports]
+        self.assertEqual(len(set(windows)), len(set(reports)), reports)
+        self.assertGreater(max(windows), windows[count] + 2)
