Send a call once on each connection to a target

Cause: a call that a full engine refused goes to it again after its turn, with the same id, on the same kept connection. A late copy of the refusal then has the id of the second send and was believed, so that the send counted as not run.

Change: a connection remembers the ids that it has carried, and the pool gives a call none that has carried it. This covers plain calls, streams, prefills and calls handed to a node twice, and keeps a connection that carried a refusal for other calls, as handshakes are scarce when engines are full. A connection is closed after 1,024 calls.

The pool's two tests that acquire a connection without a call now use the way of the node's own requests or name a call; their checks are unchanged.

--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -80,9 +80,9 @@
 
     @contextmanager
     def connect_to(
-        self, target: RegisteredTarget, watch: SilenceWatch
+        self, target: RegisteredTarget, call_id: str, watch: SilenceWatch
     ) -> Iterator[TargetConnection]:
-        """Acquire a connection to a target for one exchange.
+        """Acquire a connection to a target for one exchange of a call.
 
         Raises:
             TargetLimitedError: the target has asked for rest meanwhile.
@@ -90,7 +90,9 @@
         timeout_s = CONNECT_TIMEOUT_S
         if self.knowledge.speeds.is_balanced(target.service):
             timeout_s = BRIEF_CONNECT_TIMEOUT_S
-        with self.pool.acquire(target.address, timeout_s) as connection:
+        with self.pool.acquire(
+            target.address, call_id, timeout_s
+        ) as connection:
             # Connecting takes time, in which the target may ask for rest.
             self.target_gate.check_rest(target)
             if connection.is_new:
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -307,7 +307,9 @@
             last_event_id=context.call.last_event_id,
         )
         head = self._deps.dialect.call_head(context.request.head, forwarding)
-        with self._deps.connect_to(target, self._watch) as connection:
+        with self._deps.connect_to(
+            target, context.call.attempt_id, self._watch
+        ) as connection:
             sent_s = clock_s()
             self._sent_s = sent_s
             self._attempt = self._retries.call_sent(target.target_id)
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -329,7 +329,10 @@
         self, target: RegisteredTarget, head: RequestHead
     ) -> str | None:
         deadline_s = self.deadline_s
-        with self._deps.connect_to(target, CutOffWatch()) as connection:
+        call_id = self._context.call.attempt_id
+        with self._deps.connect_to(
+            target, call_id, CutOffWatch()
+        ) as connection:
             self._state.retries.prefill_sent()
             connection.send(head, self._context.request.body)
             response = connection.read_head(deadline_s)
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -54,6 +54,9 @@
 # What has arrived at a deadline is read within this time. A caller that reads
 # more slowly than its target sends would keep its call for ever.
 MAX_LATE_READ_S = 0.5
+# A connection remembers the calls that it has carried, and is closed after so
+# many of them.
+MAX_CARRIED_CALLS = 1024
 
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
@@ -91,6 +94,16 @@
         self._silence = SilenceTimer()
         # The end of reading after the deadline, once that has passed.
         self._late_until_s = math.inf
+        # Hashes of the ids of calls: callers choose the length of an id.
+        self._carried: set[int] = set()
+
+    def carry(self, call_id: str) -> None:
+        """Take note that a call is sent here."""
+        self._carried.add(hash(call_id))
+
+    def has_carried(self, call_id: str) -> bool:
+        """Whether a call may have been sent here before."""
+        return hash(call_id) in self._carried
 
     def send(
         self, head: RequestHead, body: bytes, until_s: float = math.inf
@@ -175,6 +188,8 @@
         is_sent = self._send_task is None or self._send_task.dead
         if rest or not is_sent or not self._is_reusable:
             return False
+        if len(self._carried) >= MAX_CARRIED_CALLS:
+            return False
         try:
             self._parser.start_next_cycle()
         except h11.ProtocolError:
--- a/packages/gateway/dandelionyoke_gateway/_target_pool.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_pool.py
@@ -24,31 +24,44 @@
 
     @contextmanager
     def acquire(
-        self, address: str, connect_timeout_s: float = CONNECT_TIMEOUT_S
+        self,
+        address: str,
+        call_id: str,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> Iterator[TargetConnection]:
         """Acquire an idle or new connection for a call of a caller.
 
-        It outlasts a silence of its target. An idle one is given up sooner, so
-        that few calls are sent on a dead one.
+        It has not carried the call before: a late copy of the first response
+        would have the id of the second one. It outlasts a silence of its
+        target. An idle one is given up sooner, so that few calls are sent on
+        a dead one.
         """
-        with self.acquire_brief(address, connect_timeout_s) as connection:
-            connection.limit_silence(PATIENT)
-            yield connection
-            connection.limit_silence(BRIEF)
+        connection = self._take_idle(address, call_id)
+        with self._acquire(connection, address, connect_timeout_s) as acquired:
+            acquired.carry(call_id)
+            acquired.limit_silence(PATIENT)
+            yield acquired
+            acquired.limit_silence(BRIEF)
 
     @contextmanager
-    def acquire_brief(
-        self, address: str, connect_timeout_s: float = CONNECT_TIMEOUT_S
-    ) -> Iterator[TargetConnection]:
+    def acquire_brief(self, address: str) -> Iterator[TargetConnection]:
         """Acquire an idle or new connection for one of our own requests.
 
         These are repeated, so that a silent peer is given up soon.
         """
         connection = self._take_idle(address)
-        if connection is None:
-            connection = connect(address, connect_timeout_s)
-        else:
-            connection.is_new = False
+        with self._acquire(connection, address, CONNECT_TIMEOUT_S) as acquired:
+            yield acquired
+
+    @contextmanager
+    def _acquire(
+        self,
+        idle: TargetConnection | None,
+        address: str,
+        connect_timeout_s: float,
+    ) -> Iterator[TargetConnection]:
+        connection = idle or connect(address, connect_timeout_s)
+        connection.is_new = idle is None
         is_complete = False
         try:
             yield connection
@@ -76,10 +89,15 @@
         for connection in self._idle.pop(address, ()):
             connection.close()
 
-    def _take_idle(self, address: str) -> TargetConnection | None:
-        idle = self._idle.get(address)
-        while idle:
-            connection = idle.pop()
+    def _take_idle(
+        self, address: str, call_id: str | None = None
+    ) -> TargetConnection | None:
+        """Take a connection that has not carried a call, the last used first."""
+        idle = self._idle.get(address, deque())
+        for connection in tuple(reversed(idle)):
+            if call_id is not None and connection.has_carried(call_id):
+                continue
+            idle.remove(connection)
             if connection.is_healthy():
                 return connection
             connection.close()
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -112,6 +112,7 @@
         self._silence = silence
         self._target = StreamingTarget()
         self._pool = TargetPool()
+        self._call_ids = map(str, itertools.count())
 
     def use_dead_connection(self, idle_s: float) -> tuple[bool, float]:
         """Make an exchange after the path was cut for good for some time.
@@ -124,7 +125,9 @@
             partition.cut(self._target.sock)
             eventlet.sleep(idle_s)
             started_s = clock_s()
-            with self._pool.acquire(self._target.address) as connection:
+            with self._pool.acquire(
+                self._target.address, next(self._call_ids)
+            ) as connection:
                 if connection.is_new:
                     return True, 0.0
                 connection.send(HEAD, BODY)
@@ -148,7 +151,9 @@
 
     def _exchange(self, moment: Moment | None) -> str:
         deadline_s = clock_s() + DEADLINE_S
-        with self._pool.acquire(self._target.address) as connection:
+        with self._pool.acquire(
+            self._target.address, next(self._call_ids)
+        ) as connection:
             # Until the target has accepted the connection.
             eventlet.sleep(STEP_S)
             arrived = self._target.request_arrived
@@ -248,7 +253,7 @@
         target = eventlet.spawn(_read_late, listener, max(SILENCES_S))
         self.addCleanup(target.kill)
         host, port = listener.getsockname()
-        with TargetPool().acquire(f'{host}:{port}') as connection:
+        with TargetPool().acquire(f'{host}:{port}', 'a1') as connection:
             connection.send(HEAD, LARGE_BODY)
             connection.read_head(clock_s() + DEADLINE_S)
         self.assertTrue(target.wait())
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -66,12 +66,16 @@
 
 @attrs.frozen
 class ReceivedRequest:
-    """A request as received by a target, and when it arrived there."""
+    """A request as received by a target, and when it arrived there.
+
+    `connection` is the number of its connection to the target.
+    """
 
     line: str
     headers: dict[str, str]
     body: bytes
     arrived_s: float
+    connection: int = 0
 
 
 UPTIME_S = 60.0
@@ -93,6 +97,7 @@
         self.is_accepting = True
         # Requests whose connection the node closed before the answer's end.
         self.abandoned_count = 0
+        self._connection_count = 0
         self._is_down = False
         # While the target is silent, the event that ends the silence.
         self._silence: Event | None = None
@@ -146,6 +151,8 @@
 
     def _serve(self, sock: socket.socket) -> None:
         set_socket_options(sock)
+        self._connection_count += 1
+        connection = self._connection_count
         # A node may have closed while the target was silent.
         with sock, contextlib.suppress(ConnectionError):
             while not self._is_down:
@@ -153,6 +160,7 @@
                 self._wait_while_silent()
                 if request is None:
                     return
+                request = attrs.evolve(request, connection=connection)
                 self.received_requests.append(request)
                 if not self._answer(sock, request):
                     return
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -76,8 +76,8 @@
         self._pause_s = pause_s
 
     @contextmanager
-    def acquire(self, address: str) -> Iterator:
-        with super().acquire(address) as connection:
+    def acquire_brief(self, address: str) -> Iterator:
+        with super().acquire_brief(address) as connection:
             eventlet.sleep(self._pause_s)
             yield connection
 
@@ -336,7 +336,10 @@
         duties = PlatformDuties(address, pool)
         self.assertTrue(duties.order_targets(ORDER, stamp).is_accepted)
         target.refuse_connections()
-        with testtools.ExpectedException(ExchangeError), pool.acquire(address):
+        with (
+            testtools.ExpectedException(ExchangeError),
+            pool.acquire_brief(address),
+        ):
             self.fail('a connection was kept')
 
 
