Tell late answers to calls and to requests of the node's own apart

What callers would see: a caller gets the 404 that an engine sent to a report or a release of this node, and a report is read from a caller's answer.

Cause: requests of the node's own have no id and share kept connections with calls. An answer without an id was accepted for any call, and one with an id for any such request.

Change: where a connection has carried a request without an id, an answer without one belongs to no call. What an answer says of its target is applied after that check, not before.

--- a/packages/gateway/dandelionyoke_gateway/_json_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_json_call.py
@@ -38,10 +38,14 @@
 
 @attrs.frozen
 class JsonReply:
-    """Head and JSON fields of a reply; no fields if the body has none."""
+    """Head and JSON fields of a reply; no fields if the body has none.
+
+    `is_first` is whether nothing else was sent on its connection before.
+    """
 
     head: ResponseHead
     fields: Fields
+    is_first: bool = True
 
     @property
     def status(self) -> int:
@@ -76,7 +80,8 @@
         connection.send(head, request_body, limits.send_until_s)
         reply_head = connection.read_head(deadline_s)
         reply_body = connection.read_body(deadline_s, MAX_BODY_BYTES)
-    return JsonReply(reply_head, _parse_fields(reply_body))
+        is_first = connection.is_new
+    return JsonReply(reply_head, _parse_fields(reply_body), is_first)
 
 
 def _parse_fields(reply_body: bytes) -> Fields:
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -40,6 +40,7 @@
     SilenceWatch,
     SupersededError,
 )
+from dandelionyoke_gateway._target_connection import TargetConnection
 from dandelionyoke_gateway._target_gate import TargetLimitedError
 
 MAX_RESPONSE_BYTES = 8388608
@@ -316,10 +317,11 @@
             connection.send(head, context.request.body)
             response_head = connection.read_head(context.deadline_s)
             facts = self._deps.dialect.read_response(response_head)
+            validate_attempt_id(facts, context, connection)
             # What a target says of itself holds if its body is cut off, too.
             apply_response_facts(self._deps, context, target, facts)
             body = connection.read_body(context.deadline_s, MAX_RESPONSE_BYTES)
-            validate_response(response_head, facts, context)
+            validate_response(response_head, facts, context, connection)
         if facts.is_signed and not facts.is_not_run:
             count_usage_once(self._deps, context, sent_s)
         return BufferedResponse(response_head, facts, body)
@@ -389,28 +391,39 @@
 
 
 def validate_response(
-    head: ResponseHead, facts: ResponseFacts, context: CallContext
+    head: ResponseHead,
+    facts: ResponseFacts,
+    context: CallContext,
+    connection: TargetConnection,
 ) -> None:
     """Check that a response belongs to this call and comes from a target.
 
     Raises:
         ExchangeError: the response must not reach the caller.
     """
-    validate_attempt_id(facts, context)
+    validate_attempt_id(facts, context, connection)
     if head.is_success and not (facts.is_signed and facts.attempt_id):
         raise ExchangeError('a success response without a signature', sent=True)
 
 
-def validate_attempt_id(facts: ResponseFacts, context: CallContext) -> None:
+def validate_attempt_id(
+    facts: ResponseFacts, context: CallContext, connection: TargetConnection
+) -> None:
     """Check that a response belongs to this call.
 
-    A target may send an extra response to an earlier call on the connection.
+    A target may send an extra response to an earlier call or request on the
+    connection.
 
     Raises:
-        ExchangeError: the response names another call.
+        ExchangeError: the response names another call, or none where it may
+            be that to a request of our own.
     """
-    if facts.attempt_id not in {None, context.call.attempt_id}:
+    if facts.attempt_id == context.call.attempt_id:
+        return
+    if facts.attempt_id is not None:
         raise ExchangeError('the response belongs to another call', sent=True)
+    if connection.has_carried_unnamed:
+        raise ExchangeError('the response belongs to no call', sent=True)
 
 
 def count_usage_once(
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -337,9 +337,9 @@
             connection.send(head, self._context.request.body)
             response = connection.read_head(deadline_s)
             facts = self._deps.dialect.read_response(response)
+            validate_attempt_id(facts, self._context, connection)
             apply_response_facts(self._deps, self._context, target, facts)
             body = connection.read_body(deadline_s, MAX_PREFILL_BYTES)
-            validate_attempt_id(facts, self._context)
             handle = None
             if facts.status == HTTPStatus.OK:
                 handle = self._deps.dialect.read_prefill(body)
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -311,13 +311,13 @@
         connection.on_data = None
         response = connection.read_head(self._context.deadline_s)
         facts = self._deps.dialect.read_response(response)
-        validate_attempt_id(facts, self._context)
+        validate_attempt_id(facts, self._context, connection)
         apply_response_facts(self._deps, self._context, target, facts)
         if facts.is_not_run:
             self._context.attempts.refused(attempt)
             self._record_refusal(target, facts, use, connection)
             raise RetryableError(Cause.NO_RETRY)
-        validate_response(response, facts, self._context)
+        validate_response(response, facts, self._context, connection)
         connection.on_data = heard
         if heard is not None:
             heard()
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -96,6 +96,8 @@
         self._late_until_s = math.inf
         # Hashes of the ids of calls: callers choose the length of an id.
         self._carried: set[int] = set()
+        # Whether it has carried requests of our own, which have no id.
+        self.has_carried_unnamed = False
 
     def carry(self, call_id: str) -> None:
         """Take note that a call is sent here."""
--- a/tests/platform/test_late_copies.py
+++ b/tests/platform/test_late_copies.py
@@ -13,6 +13,7 @@
     _target_connection,
     clock_s,
 )
+from dandelionyoke_platform._duties import PlatformDuties
 from tests.gateway.settings import new_settings
 from tests.platform.node_harness import (
     SIGNED_HEAD,
@@ -35,6 +36,7 @@
 RUN_S = 0.05
 FULL = f'{SIGNED_HEAD}Not-Executed: 1\r\nServer-Load: 8,8,8,100\r\n'
 IDLE = 'Server-Load: 0,0,8,100'
+REPORT = b'{"phase": "decode", "busy": false, "seq": 2, "born": 1}'
 
 
 class CopyingTarget:
@@ -130,6 +132,44 @@
         return {request.connection for request in target.received_requests}
 
 
+class OwnRequestTest(testtools.TestCase):
+    """Calls of callers and requests of this node on one connection."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.node = NodeHarness()
+        self.addCleanup(self.node.close)
+        self.scripted = self.node.add_target(CopyingTarget(self.answer))
+        target = self.node.knowledge.registry.find('i-1')
+        assert target is not None
+        self.target = target
+        self.duties = PlatformDuties('', self.node.pool)
+
+    def answer(self, request: ReceivedRequest) -> Iterator[ScriptStep]:
+        """Answer a call, or a request of this node, which has no id."""
+        if 'attempt-id' in request.headers:
+            yield answer(body=REPORT)
+        else:
+            yield answer('404 Not Found', b'{}', '')
+
+    def assert_one_connection(self) -> None:
+        received = self.scripted.received_requests
+        self.assertEqual([1, 1], [request.connection for request in received])
+
+    def test_a_late_answer_to_a_call_is_no_report(self) -> None:
+        """Guards against a caller's answer that is read as a report."""
+        self.node.call('/confirm/1')
+        self.assertIsNone(self.duties.read_report(self.target))
+        self.assert_one_connection()
+
+    def test_a_late_report_is_no_answer_to_a_call(self) -> None:
+        """Guards against an answer to this node that its caller gets."""
+        self.duties.read_report(self.target)
+        content = self.node.call('/confirm/1')
+        self.assertNotEqual(404, status(content))
+        self.assert_one_connection()
+
+
 class PoolTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
