Parse JSON of others in one place that fails with its own error

Cause: json.loads raises RecursionError for about 1,000 nested brackets. `parse_object` caught ValueError only, so that the error passed the dialect and ended the green thread of RegistryTask at all nodes.

Change: `parse_json` of the core raises ValueError for what json does not parse, and all readers of JSON of others use it, also those of the product's own entry, the operator and the stand-ins. Numbers that overflow in a record or a message are a CodecError.

--- a/packages/core/dandelionyoke_core/__init__.py
+++ b/packages/core/dandelionyoke_core/__init__.py
@@ -187,6 +187,7 @@
 from dandelionyoke_core._idempotency import (
     IdempotencyPart as IdempotencyPart,
 )
+from dandelionyoke_core._json import parse_json as parse_json
 from dandelionyoke_core._keys import (
     KeysPart as KeysPart,
     KeysSettings as KeysSettings,
--- a/packages/core/dandelionyoke_core/_codec.py
+++ b/packages/core/dandelionyoke_core/_codec.py
@@ -15,11 +15,18 @@
 from dandelionyoke_core._entities import Entity, Operation
 from dandelionyoke_core._errors import CodecError
 from dandelionyoke_core._events import PeerMessage
+from dandelionyoke_core._json import parse_json
 
 Record = TypeVar('Record')
 
 TYPE_FIELD = 'type'
-_DECODE_ERRORS = (ValueError, TypeError, KeyError, cattrs.BaseValidationError)
+_DECODE_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    OverflowError,
+    cattrs.BaseValidationError,
+)
 _REMEDY = 'Run the same version of dandelionyoke on both ends'
 
 
@@ -77,7 +84,7 @@
         CodecError: the text is not a valid record of this type.
     """
     try:
-        return _CONVERTER.structure(json.loads(text), record_type)
+        return _CONVERTER.structure(parse_json(text), record_type)
     except _DECODE_ERRORS as error:
         raise CodecError(
             f'{text[:80]!r} is not a valid {record_type.__name__}', _REMEDY
--- a/packages/gateway/dandelionyoke_gateway/_json_fields.py
+++ b/packages/gateway/dandelionyoke_gateway/_json_fields.py
@@ -1,10 +1,10 @@
 """Validated access to the fields of untrusted JSON objects."""
 
-import json
 import math
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
+from dandelionyoke_core import parse_json
 from dandelionyoke_gateway._messages import parse_whole_number
 
 MAX_PORT = 65535
@@ -20,7 +20,7 @@
 def parse_object(text: str | bytes) -> Fields:
     """Parse a JSON object."""
     try:
-        value = json.loads(text)
+        value = parse_json(text)
     except ValueError as error:
         raise FieldError('not valid JSON') from error
     if not isinstance(value, dict):
--- a/packages/operator/dandelionyoke_operator/_decision_log.py
+++ b/packages/operator/dandelionyoke_operator/_decision_log.py
@@ -1,11 +1,12 @@
 """Reads the decisions about one request from the logs of nodes."""
 
-import json
 from collections.abc import Iterable, Iterator
 from typing import Any
 
 import attrs
 
+from dandelionyoke_core import parse_json
+
 # Fields of each log line that are not inputs of the decision.
 _STANDARD_FIELDS = frozenset(
     (
@@ -68,7 +69,7 @@
         if start < 0:
             continue
         try:
-            fields = json.loads(line[start:])
+            fields = parse_json(line[start:])
         except ValueError:
             continue
         if isinstance(fields, dict):
--- a/packages/standins/dandelionyoke_standins/_json.py
+++ b/packages/standins/dandelionyoke_standins/_json.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from dandelionyoke_core import parse_json
 from dandelionyoke_standins._errors import BadCallError
 
 Json = dict[str, Any]
@@ -20,7 +21,7 @@
 def decode(body: bytes) -> Json:
     """Parse a JSON object; an empty body counts as an empty object."""
     try:
-        parsed = json.loads(body or b'{}')
+        parsed = parse_json(body or b'{}')
     except ValueError as error:
         raise BadCallError(cause=f'not JSON: {error}') from error
     if not isinstance(parsed, dict):
--- a/packages/wire/dandelionyoke_wire/_openai.py
+++ b/packages/wire/dandelionyoke_wire/_openai.py
@@ -14,6 +14,7 @@
     ModelName,
     RequestId,
     chat_prompt,
+    parse_json,
 )
 
 DEFAULT_MAX_OUTPUT_TOKENS = 1024
@@ -130,8 +131,8 @@
 
 def _parse_object(raw: bytes) -> Mapping[str, Any]:
     try:
-        body = json.loads(raw.decode())
-    except (ValueError, RecursionError) as error:
+        body = parse_json(raw.decode())
+    except ValueError as error:
         raise InvalidBodyError(
             'The body is not JSON in UTF-8', 'Send a JSON object'
         ) from error
--- a/packages/wire/dandelionyoke_wire/_plain.py
+++ b/packages/wire/dandelionyoke_wire/_plain.py
@@ -4,10 +4,8 @@
 """
 
 import contextlib
-import json
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
 
 import urllib3
 
@@ -17,6 +15,7 @@
     CallService,
     Event,
     ServiceAnswered,
+    parse_json,
 )
 from dandelionyoke_wire._pools import TargetPools
 from dandelionyoke_wire._transport import may_have_been_sent, request_timeout
@@ -100,7 +99,7 @@
     if status != HTTPStatus.SERVICE_UNAVAILABLE:
         return None
     try:
-        refusal: Any = json.loads(body)
+        refusal = parse_json(body)
     except ValueError:
         return None
     if not isinstance(refusal, dict) or refusal.get('ran') is not False:
--- a/packages/wire/dandelionyoke_wire/_transport.py
+++ b/packages/wire/dandelionyoke_wire/_transport.py
@@ -7,6 +7,8 @@
 import attrs
 import urllib3
 
+from dandelionyoke_core import parse_json
+
 MAX_BODY_BYTES = 4 * 1024 * 1024
 CONNECT_TIMEOUT_S = 2.0
 POOL_SIZE = 32
@@ -113,7 +115,7 @@
     if not raw:
         return {}
     try:
-        decoded = json.loads(raw)
+        decoded = parse_json(raw)
     except ValueError as error:
         raise TransportError('the answer is not JSON', sent=True) from error
     if not isinstance(decoded, dict):
