Report the windows that end after a start of the process

The call right after the start of a fleet was not reported: in tests/platform/test_process.py two tests failed in each of two runs (`a usage report: timed out`; test_a_call_is_served_and_reported_once_with_a_fencing_token, test_reported_usage_survives_the_expiry_of_all_leases, test_a_takeover_of_the_duty_raises_the_fencing_token).

Cause: allowed for clocks that differ by 5 s, half a second more than holders wait after a window's end, and so left windows that ended in the first half second of a process, a quarter of all windows of 2 s.

Change: a window is left only if it ended before this node's knowledge begins. Holders close it 4.5 s after its end, so that none whose clock is less than that ahead reported it before.

Test: test_a_window_that_ends_after_a_start_is_reported failed before.

--- a/packages/gateway/dandelionyoke_gateway/_lost_reports.py
+++ b/packages/gateway/dandelionyoke_gateway/_lost_reports.py
@@ -26,8 +26,6 @@
 ERAS_PREFIX = 'eras/'
 SETTLED_KEY = 'eras/settled'
 OPERATION = OperationId('settled era')
-# The wall clocks of two nodes differ by less than this.
-MAX_CLOCK_DIFFERENCE_S = 5.0
 RETRY_INTERVAL_S = 0.5
 
 
@@ -60,11 +58,16 @@
     A process hears of each return of the store after its first call to it. Of
     earlier ones it knows by the record of the last settled era: the store's
     era is higher after a return, and the record is older.
+
+    Holders close a window `close_delay_s` after its end, by their own clocks,
+    which differ by less than that.
     """
 
-    def __init__(self, store: Store, usage_late_s: float) -> None:
+    def __init__(
+        self, store: Store, usage_late_s: float, close_delay_s: float
+    ) -> None:
         self._store = store
-        self._settled_after_s = usage_late_s + MAX_CLOCK_DIFFERENCE_S
+        self._settled_after_s = usage_late_s + close_delay_s
         self._known_from_s = float('inf')
         self._era_seen_s = float('inf')
         self._is_recorded = False
@@ -99,12 +102,9 @@
             self._held_from_s if is_same_term else self._era_seen_s
         )
 
-    def may_include(self, closable_s: float) -> bool:
-        """Whether another holder may have reported a window.
-
-        `closable_s` is from when on holders report it, by this node's clock.
-        """
-        return closable_s - MAX_CLOCK_DIFFERENCE_S < self._known_from_s
+    def may_include(self, ended_s: float) -> bool:
+        """Whether another holder may have reported a window that has ended."""
+        return ended_s < self._known_from_s
 
     def settle(self) -> None:
         """Record the era as settled once no window before it is due."""
--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -185,7 +185,9 @@
         # The totals of closed windows, and those that the store may lack.
         self._closed: dict[int, str] = {}
         self._unwritten: set[int] = set()
-        self._lost = LostReports(store, knowledge.settings.usage_late_s)
+        self._lost = LostReports(
+            store, knowledge.settings.usage_late_s, CLOSE_DELAY_S
+        )
         self._left: set[int] = set()
 
     def run(self) -> None:
@@ -294,7 +296,7 @@
         """Whether another holder may have reported it without a record left."""
         now_s = clock_s()
         age_s = self._knowledge.usage.age_s(window_id, now_s)
-        return self._lost.may_include(now_s - age_s + CLOSE_DELAY_S)
+        return self._lost.may_include(now_s - age_s)
 
     def _read_closed(self, window_id: int) -> WindowCounts | None:
         """Return the totals that are stored; None if there is no record.
--- a/tests/gateway/test_usage_task.py
+++ b/tests/gateway/test_usage_task.py
@@ -223,6 +223,17 @@
         self.process.hold(7)
         self.assertEqual([FULL], self.process.report())
 
+    def test_a_window_that_ends_after_a_start_is_reported(self) -> None:
+        """Guards against calls right after a start that nobody reports."""
+        self.process.contact_store()
+        self.process.hold(7)
+        lost = self.process.task._lost
+        ended_s = clock_s() - AGE_S
+        lost._known_from_s = ended_s + 0.2
+        self.assertEqual([], self.process.report())
+        lost._known_from_s = ended_s - 0.2
+        self.assertEqual([FULL], self.process.report())
+
     def test_a_record_is_reported_again_unchanged(self) -> None:
         """Guards against a window that is left although its record is there."""
         self.process.contact_store()
