Start a task again that an error ends, and tell it

Cause: tasks were started with spawn_n, and an error that nobody foresaw ended the green thread for good. A listing that was read and not applied was lost. A message that failed at its handler left its link open and unread.

Change: TaskGuard logs the traceback, counts the failure, waits and starts the task again; the watches list all again when they start. A registry entry that fails leaves out itself. A link ends if a message fails.

--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -77,6 +77,8 @@
 
     def run(self) -> None:
         """Follow crashes until the process exits."""
+        # What was read before an error may not have been applied.
+        self._watcher.restart()
         while True:
             now_s = clock_s()
             if now_s - self._knowledge.news_received_s < NEWS_FRESH_S:
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -389,8 +389,8 @@
         return (
             not self.shutdown.is_leaving
             and self.configuration is not None
-            and self.registry.is_known
             and self._is_configuration_current
+            and self._is_registry_current
         )
 
     @property
@@ -405,6 +405,17 @@
         paused_s = stalled_s(freshness.confirmed_s or now_s)
         return freshness.is_current(now_s - paused_s)
 
+    @property
+    def _is_registry_current(self) -> bool:
+        """Whether the targets are known and still followed."""
+        if not self.registry.is_known:
+            return False
+        confirmed_s = self.listing.confirmed_s
+        if confirmed_s is None:
+            return True
+        age_s = clock_s() - confirmed_s - stalled_s(confirmed_s)
+        return self.freshness.may_accept_keys_of(age_s)
+
 
 def new_knowledge(settings: GatewaySettings, random: Random) -> Knowledge:
     """Create the initial state of a node that knows nothing yet."""
--- a/packages/gateway/dandelionyoke_gateway/_news_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_links.py
@@ -1,7 +1,8 @@
 """Opens the links between nodes and dispatches their messages."""
 
+from functools import partial
+
 import attrs
-import eventlet
 from eventlet.green import socket
 
 from dandelionyoke_core import Event, InstanceId
@@ -16,6 +17,7 @@
 from dandelionyoke_gateway._prefill_links import PrefillLinks
 from dandelionyoke_gateway._source_services import SourceServices
 from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
+from dandelionyoke_gateway._task_guard import TaskGuard
 from dandelionyoke_links import PeerHub, PeerSettings
 
 
@@ -30,12 +32,12 @@
     handover_server: HandoverServer
     origins: StreamOriginKeeper
 
-    def attach(self, hub: PeerHub) -> None:
+    def attach(self, hub: PeerHub, tasks: TaskGuard) -> None:
         """Let all parts send over the links of a hub."""
         hub.serve_calls(self.handover_server.serve)
         self.handover.attach(hub.open_call)
         self.prefill_links.attach(hub.send)
-        self.source_services.start(hub.send, hub.connect)
+        self.source_services.start(hub.send, hub.connect, tasks)
         self.origins.attach(hub.send, hub.connect)
 
     def handle_event(self, event: Event) -> bool:
@@ -53,8 +55,9 @@
     knowledge: Knowledge,
     link_secret: LinkSecret,
     log: DecisionLog,
+    tasks: TaskGuard,
 ) -> None:
-    """Serve and poll other nodes until the process exits."""
+    """Start to serve and poll other nodes, once there is a secret."""
     settings = knowledge.settings
     secret = link_secret.wait()
     own_id = InstanceId(settings.instance_id)
@@ -67,8 +70,10 @@
 
     hub = PeerHub(PeerSettings(own_id, secret.encode()), emit)
     server = NewsServer(knowledge, hub.send)
-    services.attach(hub)
-    eventlet.spawn_n(hub.serve, listener)
-    eventlet.spawn_n(introductions.run, hub.send, hub.connect)
+    services.attach(hub, tasks)
+    tasks.start('link_server', partial(hub.serve, listener))
+    tasks.start(
+        'introductions', partial(introductions.run, hub.send, hub.connect)
+    )
+    tasks.start('news', partial(services.news_task.run, hub))
     log.decide('links.opened', settings.instance_id)
-    services.news_task.run(hub)
--- a/packages/gateway/dandelionyoke_gateway/_node_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_node_links.py
@@ -1,7 +1,8 @@
 """The parts of a node that talk to other nodes."""
 
+from functools import partial
+
 import attrs
-import eventlet
 from eventlet.green import socket
 
 from dandelionyoke_gateway._caller_connection import Handler
@@ -20,6 +21,7 @@
 from dandelionyoke_gateway._source_services import SourceServices
 from dandelionyoke_gateway._store_returns import StoreReturns
 from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
+from dandelionyoke_gateway._task_guard import TaskGuard
 
 
 @attrs.frozen
@@ -42,6 +44,7 @@
         handler: Handler,
         store: Store,
         returns: StoreReturns,
+        tasks: TaskGuard,
     ) -> None:
         """Serve other nodes and ask them, until the process exits."""
         services = LinkServices(
@@ -60,8 +63,17 @@
         )
         secret = LinkSecret(store, self.knowledge.random, self.log)
         returns.follow(secret.store_replaced)
-        eventlet.spawn_n(
-            serve_news, listener, services, self.knowledge, secret, self.log
+        tasks.start(
+            'links',
+            partial(
+                serve_news,
+                listener,
+                services,
+                self.knowledge,
+                secret,
+                self.log,
+                tasks,
+            ),
         )
 
 
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -3,6 +3,7 @@
 import contextlib
 import signal
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import eventlet
@@ -22,7 +23,6 @@
     Responder,
 )
 from dandelionyoke_gateway._clock import clock_s
-from dandelionyoke_gateway._configuration_updater import ConfigurationUpdater
 from dandelionyoke_gateway._crash_answers_task import CrashAnswersTask
 from dandelionyoke_gateway._crash_task import CrashTask
 from dandelionyoke_gateway._duty_task import DutyTask
@@ -47,22 +47,14 @@
     Store,
 )
 from dandelionyoke_gateway._reach_task import ReachTask
-from dandelionyoke_gateway._registry_updater import RegistryUpdater
 from dandelionyoke_gateway._settings import Endpoint, GatewaySettings
 from dandelionyoke_gateway._stall_task import StallTask
 from dandelionyoke_gateway._status import ExitStatus
-from dandelionyoke_gateway._store_poll_policy import (
-    StorePollPolicy,
-    StorePollSettings,
-)
 from dandelionyoke_gateway._store_returns import StoreReturns
-from dandelionyoke_gateway._store_watch_tasks import (
-    ConfigurationTask,
-    RegistryTask,
-    StorePollIntervals,
-)
+from dandelionyoke_gateway._store_watch_tasks import new_store_watch
 from dandelionyoke_gateway._stream_call import forward_stream_call
 from dandelionyoke_gateway._target_pool import TargetPool
+from dandelionyoke_gateway._task_guard import TaskGuard
 from dandelionyoke_gateway._usage_tasks import CountsTask, UsageTask
 from dandelionyoke_links import listen
 
@@ -115,6 +107,7 @@
         self._listeners: dict[socket.socket, Handler | None] = {}
         self._random = Random()
         self._knowledge = new_knowledge(settings, self._random)
+        self._tasks = TaskGuard(self._log, self._random)
         pool = TargetPool()
         self._adapters = factory(settings, pool)
         self._store_returns = StoreReturns(self._log)
@@ -176,15 +169,15 @@
     def _start_tasks(self, peers: socket.socket) -> None:
         adapters = self._adapters
         knowledge, log = self._knowledge, self._log
-        spawn = eventlet.spawn_n
-        spawn(StallTask(self._settings.instance_id, log).run)
+        start = self._tasks.start
+        start('stalls', StallTask(self._settings.instance_id, log).run)
         self._start_store_watch_tasks(peers)
         self._start_member_task()
         self._start_crash_tasks()
         if adapters.duties is None:
             return
-        spawn(self._duty_task.run)
-        spawn(self._counts_task.run)
+        start('duty', self._duty_task.run)
+        start('counts', self._counts_task.run)
         self._start_usage_task(adapters.duties)
         changes = PendingFleetChanges()
         phases = PhaseTask(
@@ -195,11 +188,11 @@
             changes,
             log,
         )
-        spawn(phases.run)
+        start('phases', phases.run)
         engine_counts = EngineCountTask(
             knowledge, self._duty_task, adapters.duties, changes, log
         )
-        spawn(engine_counts.run)
+        start('engine_counts', engine_counts.run)
 
     def _start_usage_task(self, duties: DutyClient) -> None:
         usage = UsageTask(
@@ -210,7 +203,7 @@
             self._log,
         )
         self._store_returns.follow(usage.store_replaced)
-        eventlet.spawn_n(usage.run)
+        self._tasks.start('usage', usage.run)
 
     def _start_member_task(self) -> None:
         members = MemberTask(
@@ -219,58 +212,44 @@
             self._duty_task.take_members,
         )
         self._store_returns.follow(members.store_replaced)
-        eventlet.spawn_n(members.run)
+        self._tasks.start('members', members.run)
 
     def _start_crash_tasks(self) -> None:
         answers = CrashAnswersTask(self._knowledge, self._crash_task)
         self._store_returns.follow(self._crash_task.store_replaced)
-        eventlet.spawn_n(self._crash_task.run)
-        eventlet.spawn_n(answers.run)
+        self._tasks.start('crashes', self._crash_task.run)
+        self._tasks.start('crash_answers', answers.run)
 
     def _start_store_watch_tasks(self, peers: socket.socket) -> None:
         """Start the tasks that read the store or ask a node that reads it."""
         adapters, knowledge, log = self._adapters, self._knowledge, self._log
         dialect, store = adapters.dialect, adapters.store
-        intervals = StorePollIntervals()
-        store_polling = StorePollPolicy(knowledge, StorePollSettings())
-        configurations = ConfigurationUpdater(knowledge, dialect, log)
-        registry = RegistryUpdater(knowledge, log)
-        configuration_task = ConfigurationTask(
-            configurations,
-            knowledge,
-            store_polling,
-            dialect,
-            store,
-            log,
-            intervals,
-        )
-        registry_task = RegistryTask(
-            registry, knowledge, store_polling, dialect, store, log, intervals
-        )
+        watch = new_store_watch(knowledge, dialect, store, log)
         news_task = NewsTask(
             knowledge,
             store,
             dialect,
-            configurations,
-            registry,
-            store_polling,
+            watch.configurations,
+            watch.targets,
+            watch.polling,
             log,
         )
-        eventlet.spawn_n(configuration_task.run)
-        eventlet.spawn_n(registry_task.run)
+        self._tasks.start('configuration', watch.configuration_task.run)
+        self._tasks.start('registry', watch.registry_task.run)
         self._links.start(
             peers,
             news_task,
             self._call_dispatcher.handle,
             store,
             self._store_returns,
+            self._tasks,
         )
 
     # Callers.
 
     def _listen_and_serve(self, endpoint: Endpoint, handler: Handler) -> None:
         listener = self._listen(endpoint, handler)
-        eventlet.spawn_n(self._accept, listener, handler)
+        self._tasks.start('accept', partial(self._accept, listener, handler))
 
     def _listen(
         self, endpoint: Endpoint, handler: Handler | None = None
--- a/packages/gateway/dandelionyoke_gateway/_source_services.py
+++ b/packages/gateway/dandelionyoke_gateway/_source_services.py
@@ -1,6 +1,6 @@
 """Services that the source nodes of the failure domains provide jointly."""
 
-import eventlet
+from typing import Protocol
 
 from dandelionyoke_core import Event, PeerDisconnected
 from dandelionyoke_gateway._backlog_task import BacklogTask
@@ -11,6 +11,14 @@
 from dandelionyoke_gateway._rate_limits import DomainRateLimits
 from dandelionyoke_gateway._source_links import Connect, SourceLinks
 from dandelionyoke_gateway._target_gate import TargetGate
+from dandelionyoke_gateway._task_guard import TaskGuard
+
+
+class SourceTask(Protocol):
+    """A task of a source node."""
+
+    def run(self) -> None:
+        """Run until the process exits."""
 
 
 class SourceServices:
@@ -32,21 +40,22 @@
         )
         self._backlog_task = BacklogTask(self._links, knowledge, log)
 
-    def start(self, send: Send, connect: Connect) -> None:
+    def start(self, send: Send, connect: Connect, guard: TaskGuard) -> None:
         """Start the tasks, once the links are open."""
         self._links.attach(send, connect)
         limits = (self.rate_limits, self.target_gate.rate_limits)
         for rate_limits in limits:
             rate_limits.attach(send)
-        tasks = (
-            *limits,
-            self.target_gate,
-            self._limit_server,
-            self._target_limit_server,
-            self._backlog_task,
-        )
-        for task in tasks:
-            eventlet.spawn_n(task.run)
+        tasks: dict[str, SourceTask] = {
+            'organisation_limits': self.rate_limits,
+            'target_limits': self.target_gate.rate_limits,
+            'target_gate': self.target_gate,
+            'organisation_limit_server': self._limit_server,
+            'target_limit_server': self._target_limit_server,
+            'backlog': self._backlog_task,
+        }
+        for name, task in tasks.items():
+            guard.start(name, task.run)
 
     def handle_event(self, event: Event) -> bool:
         """Handle a link event; return whether it was for one of the tasks."""
--- a/packages/gateway/dandelionyoke_gateway/_store_watch_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_store_watch_tasks.py
@@ -7,6 +7,7 @@
     BackOff,
     BackOffSettings,
     StoreFailed,
+    StoreItem,
     StoreListing,
 )
 from dandelionyoke_dispatch import RegisteredTarget
@@ -17,7 +18,10 @@
 from dandelionyoke_gateway._ports import Dialect, Store
 from dandelionyoke_gateway._prefix_watcher import PrefixWatcher
 from dandelionyoke_gateway._registry_updater import RegistryUpdater
-from dandelionyoke_gateway._store_poll_policy import StorePollPolicy
+from dandelionyoke_gateway._store_poll_policy import (
+    StorePollPolicy,
+    StorePollSettings,
+)
 
 
 @attrs.frozen
@@ -63,6 +67,8 @@
 
     def run(self) -> None:
         """Follow the configuration until the process exits."""
+        # What was read before an error may not have been applied.
+        self._watcher.restart()
         while True:
             wait_s = self._store_polling.configuration_wait_s(clock_s())
             if wait_s > 0:
@@ -130,6 +136,8 @@
 
     def run(self) -> None:
         """Follow the registry until the process exits."""
+        # What was read before an error may not have been applied.
+        self._watcher.restart()
         while True:
             wait_s = self._store_polling.registry_wait_s(clock_s())
             if wait_s > 0:
@@ -164,9 +172,7 @@
         prefix = self._dialect.registry_prefix
         # A key may occur more than once in an answer; its last change wins.
         newest: dict[str, RegisteredTarget | None] = {
-            item.key.removeprefix(prefix): self._dialect.read_target(
-                item.key, item.value or ''
-            )
+            item.key.removeprefix(prefix): self._read(item)
             for item in listing.items
         }
         changed = [target for target in newest.values() if target is not None]
@@ -176,6 +182,16 @@
             gone = [name for name, target in newest.items() if target is None]
             self._updater.change(changed, gone, polled_s)
 
+    def _read(self, item: StoreItem) -> RegisteredTarget | None:
+        """Read an entry; an error leaves out this entry alone."""
+        try:
+            return self._dialect.read_target(item.key, item.value or '')
+        except Exception as error:
+            self._log.decide(
+                'entry.failed', item.key, outcome='left out', cause=repr(error)
+            )
+            return None
+
     def _wait_for_batch(self, polled_s: float) -> None:
         """Sleep so that the next poll returns several changes at once."""
         drain_s = self._knowledge.settings.drain_s
@@ -185,6 +201,35 @@
             sleep(remaining_s * self._knowledge.random.uniform(0.9, 1))
 
 
+@attrs.frozen
+class StoreWatch:
+    """The tasks that follow the store, and what they share with the news."""
+
+    configurations: ConfigurationUpdater
+    targets: RegistryUpdater
+    polling: StorePollPolicy
+    configuration_task: ConfigurationTask
+    registry_task: RegistryTask
+
+
+def new_store_watch(
+    knowledge: Knowledge, dialect: Dialect, store: Store, log: DecisionLog
+) -> StoreWatch:
+    """Create the tasks that follow the configuration and the targets."""
+    intervals = StorePollIntervals()
+    polling = StorePollPolicy(knowledge, StorePollSettings())
+    configurations = ConfigurationUpdater(knowledge, dialect, log)
+    targets = RegistryUpdater(knowledge, log)
+    shared = (knowledge, polling, dialect, store, log, intervals)
+    return StoreWatch(
+        configurations,
+        targets,
+        polling,
+        ConfigurationTask(configurations, *shared),
+        RegistryTask(targets, *shared),
+    )
+
+
 def _log_aged_news(
     knowledge: Knowledge, log: DecisionLog, subject: str, age_s: float | None
 ) -> None:
--- a/packages/links/dandelionyoke_links/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -17,6 +17,7 @@
 import cbor2
 from eventlet import queue, sleep, spawn, spawn_n
 from eventlet.green import socket
+from eventlet.greenthread import GreenThread
 from websockets.client import ClientProtocol
 from websockets.exceptions import WebSocketException
 from websockets.frames import Frame, Opcode
@@ -397,9 +398,15 @@
         link = _Link(peer_id, channel)
         self._add(link)
         writer = spawn(link.send_queued)
-        cause = self._emit_messages(link)
+        cause = 'a message could not be handled'
+        try:
+            cause = self._emit_messages(link)
+        finally:
+            self._end_link(link, writer, cause)
+
+    def _end_link(self, link: _Link, writer: GreenThread, cause: str) -> None:
         writer.kill()
-        channel.close()
+        link.channel.close()
         self._remove(link, cause)
 
     def _emit_messages(self, link: _Link) -> str:
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -74,6 +74,21 @@
             self.events,
         )
 
+    def test_a_message_that_fails_at_its_handler_ends_the_link(self) -> None:
+        """Guards against a link that nobody reads and that counts as open."""
+        hub, events = self.dial(b'one secret')
+        self.hub._emit = self.fail_at_messages
+        hub.send(InstanceId('n-1'), NewsAsked(3, 'n-2.x', 0.4, 5))
+        eventlet.sleep(0.2)
+        self.assertIsInstance(events[-1], PeerDisconnected)
+        self.assertFalse(
+            self.hub.send(InstanceId('n-2'), NewsAsked(1, 'x', 0, 0))
+        )
+
+    def fail_at_messages(self, event: Event) -> None:
+        if isinstance(event, PeerMessageArrived):
+            raise RuntimeError('a message that nobody foresaw')
+
     def ignore(self, event: Event) -> None:
         """Take an event that does not matter."""
 
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -47,6 +47,7 @@
     'state': 'ready',
     'born': 17,
 }
+ENTRY_TEXT = json.dumps(ENTRY)
 # More than the parser's own limit, around a thousand.
 nested = strategies.builds(
     ''.join,
@@ -118,7 +119,7 @@
         self.addCleanup(log.close)
         items = {
             'servers/a-note': '[' * 4096,
-            'servers/i-1': json.dumps(ENTRY),
+            'servers/i-1': ENTRY_TEXT,
             'servers/z-note': '{"x":' * 4096,
         }
         task = RegistryTask(
