Take a crash back only on evidence of the start that crashed

Cause: an engine that starts again under its id is listed 1.2 s later. Until then its answers were taken for answers of the start that had crashed, the crash was taken back as a cut path, and all nodes were told so. A report that came after such an answer was dropped.

Change: an answer counts for the listed start only on a connection that was open 3 s before the crash was reported, as reports come late by up to that, or after the engine's own report has named that start (`born`); such an engine is asked once a second at most. Nodes tell each other the span in which a start was alive, so that no node takes back more than the one that knows. Without such evidence the crash stands (`target.unproven`).

The tests of CrashTask that let a target answer now say since when its connection is open; their checks are unchanged.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -43,6 +43,7 @@
     QuarantineSettings as QuarantineSettings,
 )
 from dandelionyoke_dispatch._crash_reports import (
+    MAX_ALIVE_AGE_S as MAX_ALIVE_AGE_S,
     BlamedKey as BlamedKey,
     CrashFindings as CrashFindings,
     CrashReport as CrashReport,
@@ -216,6 +217,10 @@
     StreamOrigins as StreamOrigins,
     stream_key as stream_key,
 )
+from dandelionyoke_dispatch._target_answers import (
+    NEVER_S as NEVER_S,
+    AliveSpan as AliveSpan,
+)
 from dandelionyoke_dispatch._target_limits import (
     TargetLimitNote as TargetLimitNote,
     TargetLimits as TargetLimits,
--- a/packages/dispatch/dandelionyoke_dispatch/_crash_evidence.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_crash_evidence.py
@@ -9,6 +9,7 @@
 import attrs
 
 from dandelionyoke_dispatch._crash_reports import CrashReport, CrashSettings
+from dandelionyoke_dispatch._target_answers import AliveSpan, TargetAnswers
 
 
 @attrs.define
@@ -25,16 +26,18 @@
     def keys(self) -> frozenset[str]:
         return frozenset().union(*(keys for _, keys in self.reports))
 
-    def disprove(self, begun_s: float) -> bool:
-        """Drop the reports from before an answer; return whether any was."""
-        kept = [report for report in self.reports if report[0] >= begun_s]
+    def disprove(self, span: AliveSpan) -> bool:
+        """Drop the reports from while it lived; return whether any was."""
+        kept = [
+            report for report in self.reports if not span.includes(report[0])
+        ]
         is_disproved = len(kept) < len(self.reports)
         self.reports = kept
         return is_disproved
 
 
 class _Answers:
-    """When the last answer with a key, or of a target, began.
+    """When the last answer with a key began.
 
     This node's own answers are kept apart from those in reports, which all
     nodes know.
@@ -89,7 +92,7 @@
         self._crashes: OrderedDict[str, _Crash] = OrderedDict()
         self._targets_of: dict[str, set[str]] = {}
         self._answers = _Answers(settings.max_answers)
-        self._target_answers = _Answers(settings.max_answers)
+        self._target_answers = TargetAnswers(settings.max_answers)
 
     @property
     def is_empty(self) -> bool:
@@ -97,9 +100,8 @@
         return not self._crashes
 
     def add_crash(self, report: CrashReport, reported_s: float) -> bool:
-        """Add a report; False if its target has answered after it."""
-        answered_s = self._target_answers.last_s(report.target)
-        if answered_s is not None and reported_s < answered_s:
+        """Add a report; False if its target was alive then."""
+        if self._target_answers.was_alive(report.target, reported_s):
             return False
         keys = frozenset(report.keys)
         crash = self._crashes.setdefault(report.target, _Crash())
@@ -110,29 +112,36 @@
             self._forget_crash(next(iter(self._crashes)))
         return True
 
+    def has_crash(self, target: str, before_s: float) -> bool:
+        """Whether a crash of a target was reported before a time."""
+        crash = self._crashes.get(target)
+        return crash is not None and crash.crashed_s < before_s
+
     def add_target_answer(
-        self, target: str, begun_s: float, *, told: bool
+        self, target: str, span: AliveSpan, *, told: bool
     ) -> frozenset[str]:
-        """Take back what was reported before an answer of a target began.
+        """Take back the crashes that were reported while a target lived.
 
         Returns the keys that this speaks for.
         """
-        self._target_answers.take(target, begun_s, told=told)
+        self._target_answers.take(target, span, told=told)
         crash = self._crashes.get(target)
         if crash is None:
             return frozenset()
         keys = crash.keys
-        if not crash.disprove(begun_s):
+        if not crash.disprove(span):
             return frozenset()
         self._drop_target(target, keys - crash.keys)
         if not crash.reports:
             self._crashes.pop(target)
         return keys
 
-    def is_untold(self, target: str, reported_s: float) -> bool:
-        """Whether only this node knows that a target was not dead."""
-        told_s = self._target_answers.last_s(target, told_only=True)
-        return told_s is None or told_s <= reported_s
+    def untold_span(self, target: str, reported_s: float) -> AliveSpan | None:
+        """Return the span of a target that only this node knows, if any."""
+        answers = self._target_answers
+        if answers.was_alive(target, reported_s, told_only=True):
+            return None
+        return answers.own_span(target, reported_s)
 
     def add_answer(self, key: str, begun_s: float, *, told: bool) -> None:
         """Add an answer to a call with a key; `told` if it is in a report."""
--- a/packages/dispatch/dandelionyoke_dispatch/_crash_guard.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_crash_guard.py
@@ -29,6 +29,7 @@
     is_sufficient,
     judge,
 )
+from dandelionyoke_dispatch._target_answers import NEVER_S, AliveSpan
 
 
 class CrashGuard:
@@ -65,8 +66,9 @@
             self._evidence.add_answer(answer.key, begun_s, told=True)
             changed.add(answer.key)
         if report.alive:
+            span = AliveSpan(now_s - report.alive_since_age_s, reported_s)
             changed |= self._evidence.add_target_answer(
-                report.alive, reported_s, told=True
+                report.alive, span, told=True
             )
         if report.target:
             if not self._evidence.add_crash(report, reported_s):
@@ -86,15 +88,22 @@
         return attrs.evolve(findings, cleared=tuple(sorted(cleared)))
 
     def disprove_crash(
-        self, target: str, begun_s: float
+        self, target: str, begun_s: float, since_s: float = NEVER_S
     ) -> CrashFindings | None:
-        """Take a crash back if an answer of the target began after it.
+        """Take a crash back that was reported while the target was alive.
 
-        A path that is cut looks like a crash. Returns None if there is none.
+        A path that is cut looks like a crash. `target` names one start of it,
+        which was alive from `since_s` until an answer began at `begun_s`.
+        Returns None if there is none.
         """
-        keys = self._evidence.add_target_answer(target, begun_s, told=False)
+        span = AliveSpan(since_s, begun_s)
+        keys = self._evidence.add_target_answer(target, span, told=False)
         return self._review(keys, begun_s) if keys else None
 
+    def has_crash(self, target: str, before_s: float) -> bool:
+        """Whether a start of a target is taken for dead since before a time."""
+        return self._evidence.has_crash(target, before_s)
+
     def admit(
         self, keys: CrashKeys, now_s: float, may_try: Callable[[str], bool]
     ) -> CrashVerdict:
@@ -129,17 +138,19 @@
 
     def take_untold(self, now_s: float) -> UntoldAnswers:
         """Return once what this node has to tell the others."""
+        spans = {
+            target: span
+            for target, reported_s in self._untold_targets.items()
+            if (span := self._evidence.untold_span(target, reported_s))
+        }
         untold = UntoldAnswers(
             tuple(
                 key
                 for key in sorted(self._untold_keys)
                 if self._is_untold(key, now_s)
             ),
-            tuple(
-                target
-                for target, reported_s in self._untold_targets.items()
-                if self._evidence.is_untold(target, reported_s)
-            ),
+            tuple(spans),
+            tuple(spans.values()),
         )
         self._untold_keys.clear()
         self._untold_targets.clear()
--- a/packages/dispatch/dandelionyoke_dispatch/_crash_reports.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_crash_reports.py
@@ -5,6 +5,10 @@
 import attrs
 
 from dandelionyoke_dispatch._crash_quarantine import QuarantineSettings
+from dandelionyoke_dispatch._target_answers import AliveSpan
+
+# A start that is identified lived since long before any crash is remembered.
+MAX_ALIVE_AGE_S = 1e9
 
 
 @attrs.frozen
@@ -44,7 +48,8 @@
 
     `keys` are those of the calls that broke off, each as often as calls had
     it. A report of answers alone names no target. The target `alive`, if any,
-    has answered after its crash was reported.
+    has answered after its crash was reported; it lived since
+    `alive_since_age_s` ago at least.
     """
 
     target: str
@@ -53,12 +58,14 @@
     keys: tuple[str, ...] = ()
     answers: tuple[KeyAnswer, ...] = ()
     alive: str = ''
+    alive_since_age_s: float = MAX_ALIVE_AGE_S
 
     def grown_older(self, by_s: float) -> Self:
         """Return the report some time later."""
         return attrs.evolve(
             self,
             age_s=self.age_s + by_s,
+            alive_since_age_s=self.alive_since_age_s + by_s,
             answers=tuple(
                 attrs.evolve(answer, age_s=answer.age_s + by_s)
                 for answer in self.answers
@@ -92,8 +99,9 @@
     """Answers of this node that other nodes need to reach its verdicts.
 
     The keys that they may blame without them, and the targets that they may
-    take for dead.
+    take for dead, with the spans in which these were alive.
     """
 
     keys: tuple[str, ...] = ()
     targets: tuple[str, ...] = ()
+    spans: tuple[AliveSpan, ...] = ()
--- a/packages/gateway/dandelionyoke_gateway/_begun_stream.py
+++ b/packages/gateway/dandelionyoke_gateway/_begun_stream.py
@@ -1,5 +1,6 @@
 """A stream whose head has arrived, from a target or through another node."""
 
+import math
 from contextlib import ExitStack
 
 import attrs
@@ -38,6 +39,12 @@
             return self.source.version
         return None if self.target is None else self.target.version
 
+    @property
+    def alive_since_s(self) -> float:
+        """Since when its target has run at least, by its connection."""
+        source = self.source
+        return math.inf if isinstance(source, HandedCall) else source.opened_s
+
     def abandon(self) -> None:
         """End the exchange; the target stops working on it."""
         error = StreamAbandonedError()
--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -16,7 +16,14 @@
     StoreResult,
     record_from_json,
 )
-from dandelionyoke_dispatch import CrashKeys, CrashReport, RegisteredTarget
+from dandelionyoke_dispatch import (
+    MAX_ALIVE_AGE_S,
+    NEVER_S,
+    AliveSpan,
+    CrashKeys,
+    CrashReport,
+    RegisteredTarget,
+)
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._crash_intake import CrashIntake
 from dandelionyoke_gateway._crash_records import (
@@ -26,7 +33,7 @@
 )
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
-from dandelionyoke_gateway._ports import Store
+from dandelionyoke_gateway._ports import EngineClient, Store
 from dandelionyoke_gateway._prefix_watcher import PrefixWatcher
 from dandelionyoke_gateway._target_probe import is_reached, probe_sample
 
@@ -39,6 +46,11 @@
 PROBED_OTHERS = 12
 # All calls of a target that crashes break off within this time.
 GATHER_S = 0.05
+# A report through the store seems later than its crash by up to this much. A
+# connection must be older to show that its target is not a new start.
+MAX_REPORT_DELAY_S = 3.0
+# A target that is taken for dead and answers is asked this often.
+ASK_INTERVAL_S = 1.0
 # Keeps a record within the size that the store takes.
 MAX_REPORT_KEYS = 256
 
@@ -52,17 +64,27 @@
         """Report that a target broke off a call with these keys."""
 
     def answered(
-        self, target: RegisteredTarget, keys: CrashKeys, begun_s: float
+        self, target: RegisteredTarget, keys: CrashKeys, span: AliveSpan
     ) -> None:
-        """Report that a target's answer to a call began well."""
+        """Report that a target's answer to a call began well.
+
+        `span` is from when its connection was opened until the answer began.
+        """
 
 
 class CrashTask:
     """Publishes crashes to the store and follows those of other nodes."""
 
     def __init__(
-        self, knowledge: Knowledge, store: Store, log: DecisionLog
+        self,
+        knowledge: Knowledge,
+        store: Store,
+        engines: EngineClient,
+        log: DecisionLog,
     ) -> None:
+        self._engines = engines
+        # When the report of a start that is taken for dead was last read.
+        self._asked_s: dict[str, float] = {}
         self._knowledge = knowledge
         self._log = log
         self._intake = CrashIntake(knowledge, log)
@@ -114,25 +136,80 @@
         eventlet.spawn_n(self._probe_target, target)
 
     def answered(
-        self, target: RegisteredTarget, keys: CrashKeys, begun_s: float
+        self, target: RegisteredTarget, keys: CrashKeys, span: AliveSpan
     ) -> None:
-        """Take note of an answer; tell all nodes what it disproves."""
-        crashes, target_name = self._knowledge.crashes, _start_name(target)
-        answered = crashes.record_answer(keys, begun_s)
+        """Take note of an answer; tell all nodes what it disproves.
+
+        The id of the target does not tell its starts apart. A connection that
+        was open before a crash does; on a newer one the target is asked which
+        start it is.
+        """
+        crashes = self._knowledge.crashes
+        answered = crashes.record_answer(keys, span.until_s)
         self._intake.log_findings(answered)
-        disproved = crashes.disprove_crash(target_name, begun_s)
-        if disproved is not None:
-            self._log.decide('target.alive', target.target_id, outcome='told')
-            self._intake.log_findings(disproved)
-            self._publish('', answered.cleared, target_name)
-        elif answered.cleared:
-            self._publish('', answered.cleared)
+        certain = AliveSpan(span.since_s + MAX_REPORT_DELAY_S, span.until_s)
+        if not self._disprove(target, certain, 'connection', answered.cleared):
+            if answered.cleared:
+                self._publish('', answered.cleared)
+            self._ask_if_dead(target)
+
+    def _disprove(
+        self,
+        target: RegisteredTarget,
+        span: AliveSpan,
+        evidence: str,
+        cleared: tuple[str, ...] = (),
+    ) -> bool:
+        """Take a crash back; return whether there was one to take back."""
+        name = _start_name(target)
+        disproved = self._knowledge.crashes.disprove_crash(
+            name, span.until_s, span.since_s
+        )
+        if disproved is None:
+            return False
+        self._log.decide(
+            'target.alive',
+            target.target_id,
+            outcome='told',
+            evidence=evidence,
+            started_ms=target.started_ms,
+        )
+        self._intake.log_findings(disproved)
+        self._publish_alive(name, span, cleared)
+        return True
+
+    def _ask_if_dead(self, target: RegisteredTarget) -> None:
+        """Ask a target which start it is, if its start is taken for dead."""
+        now_s, name = clock_s(), _start_name(target)
+        if target.started_ms is None:
+            return
+        if not self._knowledge.crashes.has_crash(name, now_s):
+            self._asked_s.pop(name, None)
+            return
+        if now_s - self._asked_s.get(name, NEVER_S) < ASK_INTERVAL_S:
+            return
+        self._asked_s[name] = now_s
+        eventlet.spawn_n(self._ask_start, target)
+
+    def _ask_start(self, target: RegisteredTarget) -> None:
+        asked_s = clock_s()
+        report = self._engines.read_report(target)
+        if report is not None and report.started_ms == target.started_ms:
+            self._disprove(target, AliveSpan(NEVER_S, asked_s), 'report')
+            return
+        self._log.decide(
+            'target.unproven',
+            target.target_id,
+            outcome='started anew' if report else 'no report',
+            started_ms=report.started_ms if report else None,
+            listed_ms=target.started_ms,
+        )
 
     def tell_untold(self) -> None:
         """Tell answers without which other nodes reach other verdicts."""
         untold = self._knowledge.crashes.take_untold(clock_s())
-        for target_name in untold.targets:
-            self._publish('', (), target_name)
+        for target_name, span in zip(untold.targets, untold.spans, strict=True):
+            self._publish_alive(target_name, span)
         if untold.keys:
             self._publish('', untold.keys[:MAX_REPORT_KEYS])
 
@@ -167,24 +244,42 @@
         return any(results.values())
 
     def _publish(
-        self,
-        target_name: str,
-        keys: list[str] | tuple[str, ...],
-        alive: str = '',
+        self, target_name: str, keys: list[str] | tuple[str, ...]
     ) -> None:
-        """Take a report, and tell the other nodes of it."""
+        """Tell all nodes of a crash, or of answers alone."""
         crashes, now_s = self._knowledge.crashes, clock_s()
-        reporter = (
-            f'{self._knowledge.process_name}.{next(self._report_numbers)}'
+        self._tell(
+            CrashReport(
+                target_name,
+                self._next_reporter(),
+                0.0,
+                tuple(keys) if target_name else (),
+                crashes.answers_to(keys, now_s),
+            )
         )
-        report = CrashReport(
-            target_name,
-            reporter,
-            0.0,
-            tuple(keys) if target_name else (),
-            crashes.answers_to(keys, now_s),
-            alive,
+
+    def _publish_alive(
+        self, target_name: str, span: AliveSpan, cleared: tuple[str, ...] = ()
+    ) -> None:
+        """Tell all nodes when a start of a target was alive."""
+        crashes, now_s = self._knowledge.crashes, clock_s()
+        self._tell(
+            CrashReport(
+                '',
+                self._next_reporter(),
+                now_s - span.until_s,
+                (),
+                crashes.answers_to(cleared, now_s),
+                target_name,
+                min(MAX_ALIVE_AGE_S, now_s - span.since_s),
+            )
         )
+
+    def _next_reporter(self) -> str:
+        return f'{self._knowledge.process_name}.{next(self._report_numbers)}'
+
+    def _tell(self, report: CrashReport) -> None:
+        """Take a report, and tell the other nodes of it."""
         self._intake.take(report, OWN_SOURCE)
         self._records.write(report)
 
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -1,10 +1,12 @@
 """Forwards a call to a plain service, which sends one buffered response."""
 
+import math
 from http import HTTPStatus
 
 import attrs
 
 from dandelionyoke_dispatch import (
+    AliveSpan,
     Cause,
     Refusal,
     RegisteredTarget,
@@ -56,6 +58,8 @@
     head: ResponseHead
     facts: ResponseFacts
     body: bytes = attrs.field(repr=False)
+    # Since when the target has run at least, by its connection.
+    alive_since_s: float = math.inf
 
 
 def forward_plain_call(deps: CallDependencies, context: CallContext) -> None:
@@ -324,7 +328,7 @@
             validate_response(response_head, facts, context, connection)
         if facts.is_signed and not facts.is_not_run:
             count_usage_once(self._deps, context, sent_s)
-        return BufferedResponse(response_head, facts, body)
+        return BufferedResponse(response_head, facts, body, connection.opened_s)
 
     def _evaluate(
         self, target: RegisteredTarget, response: BufferedResponse
@@ -342,7 +346,9 @@
             loads.succeeded(target.target_id)
             self._turns.answered(target, clock_s() - self._sent_s)
             self._deps.crash_reports.answered(
-                target, self._context.crash_keys, self._sent_s
+                target,
+                self._context.crash_keys,
+                AliveSpan(response.alive_since_s, self._sent_s),
             )
             return response
         loads.failed(target.target_id, clock_s())
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -113,14 +113,14 @@
         self._store_returns = StoreReturns(self._log)
         self._adapters.store_era.listen(self._store_returns)
         self._store_returns.follow(self._knowledge.store_replaced)
-        self._crash_task = CrashTask(
-            self._knowledge, self._adapters.store, self._log
-        )
         self._links = new_node_links(self._knowledge, self._log)
         self._engines = LimitedEngineClient(
             self._adapters.engines, self._links.sources.target_gate
         )
         self._engines.listen(self._links.sources.target_gate.observe)
+        self._crash_task = CrashTask(
+            self._knowledge, self._adapters.store, self._engines, self._log
+        )
         self._call_dispatcher = CallDispatcher(
             CallDependencies(
                 self._knowledge,
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -6,6 +6,7 @@
 
 from dandelionyoke_dispatch import (
     DEFAULT_RETRY_AFTER_S,
+    AliveSpan,
     Cause,
     Refusal,
     RegisteredTarget,
@@ -314,7 +315,9 @@
         if is_whole or clock_s() - begun_s >= settled_s:
             stream.is_settled = True
             self._deps.crash_reports.answered(
-                stream.target, self._context.crash_keys, begun_s
+                stream.target,
+                self._context.crash_keys,
+                AliveSpan(stream.alive_since_s, begun_s),
             )
 
     def _forward_events(self, events: list[StreamEvent]) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -74,6 +74,8 @@
         max_wait_s: float = math.inf,
     ) -> None:
         self.address = address
+        # What accepted it has run since then.
+        self.opened_s = clock_s()
         self._sock = sock
         self._max_wait_s = max_wait_s
         self._parser = h11.Connection(
--- a/tests/gateway/test_crash_task.py
+++ b/tests/gateway/test_crash_task.py
@@ -18,12 +18,14 @@
     StoreWritten,
 )
 from dandelionyoke_dispatch import (
+    AliveSpan,
     CrashKeys,
     CrashVerdict,
+    Phase,
     RegisteredTarget,
 )
-from dandelionyoke_gateway import clock_s
-from dandelionyoke_gateway._crash_task import CrashTask
+from dandelionyoke_gateway import EngineReport, clock_s
+from dandelionyoke_gateway._crash_task import MAX_REPORT_DELAY_S, CrashTask
 from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._target_probe import PROBE_TIMEOUT_S
@@ -61,24 +63,52 @@
         return LeaseGranted(LeaseId('1'), 60.0)
 
 
+class Engines:
+    """Engines that say which start they are, if any."""
+
+    def __init__(self) -> None:
+        self.started_ms: int | None = None
+        self.is_silent = False
+        self.read_count = 0
+
+    def read_report(self, target: RegisteredTarget) -> EngineReport | None:
+        self.read_count += 1
+        if self.is_silent:
+            return None
+        return EngineReport(Phase.DECODE, 0, False, self.started_ms)
+
+
 def is_refused_by(knowledge: Knowledge) -> bool:
     verdict = knowledge.crashes.admit(CALL, clock_s(), lambda key: True)
     return verdict != CrashVerdict()
 
 
-class CrashTaskTest(testtools.TestCase):
+class CrashTaskTestCase(testtools.TestCase):
+    # The start that the registry lists.
+    started_ms: int | None = None
+
     def setUp(self) -> None:
         super().setUp()
         self.knowledge = new_knowledge(new_settings(), Random(3))
-        log = DecisionLog(LogLines(), 'n-1', Metrics())
+        self.lines = LogLines()
+        log = DecisionLog(self.lines, 'n-1', Metrics())
         self.addCleanup(log.close)
         self.store = NoStore()
-        self.task = CrashTask(self.knowledge, self.store, log)
+        self.engines = Engines()
+        self.task = CrashTask(self.knowledge, self.store, self.engines, log)
 
     def list_targets(self, *addresses: str) -> None:
         self.knowledge.registry.replace(
             [
-                RegisteredTarget(f'i-{number}', 'lm', address, 'a', 8, False)
+                RegisteredTarget(
+                    f'i-{number}',
+                    'lm',
+                    address,
+                    'a',
+                    8,
+                    False,
+                    started_ms=self.started_ms,
+                )
                 for number, address in enumerate(addresses)
             ],
             clock_s(),
@@ -88,7 +118,13 @@
         """Let a call be broken off by targets that accept no connection."""
         for number in range(count):
             target = RegisteredTarget(
-                f'i-{number}', 'lm', CLOSED_ADDRESS, 'a', 8, False
+                f'i-{number}',
+                'lm',
+                CLOSED_ADDRESS,
+                'a',
+                8,
+                False,
+                started_ms=self.started_ms,
             )
             self.task.broke_off(target, CALL.all)
         eventlet.sleep(2 * PROBE_TIMEOUT_S)
@@ -103,6 +139,8 @@
         self.list_targets(*[CLOSED_ADDRESS] * 3, f'{host}:{port}')
         self.break_off_everywhere(3)
 
+
+class CrashTaskTest(CrashTaskTestCase):
     def test_a_call_that_crashed_three_targets_is_refused(self) -> None:
         self.crash_three_targets()
         self.assertTrue(self.is_refused())
@@ -115,7 +153,7 @@
         other = new_knowledge(new_settings('n-2'), Random(4))
         log = DecisionLog(LogLines(), 'n-2', Metrics())
         self.addCleanup(log.close)
-        task = CrashTask(other, NoStore(), log)
+        task = CrashTask(other, NoStore(), Engines(), log)
         task._take_records(StoreListing(1, tuple(self.store.items)))
         self.assertTrue(is_refused_by(other))
 
@@ -199,18 +237,22 @@
 
     def test_an_answer_of_a_target_is_told_to_all_nodes(self) -> None:
         """Guards against a path that is cut and taken for crashes."""
+        opened_s = clock_s() - 10
         self.crash_three_targets()
         target = self.knowledge.registry.find('i-1')
-        self.task.answered(target, CrashKeys('another'), clock_s())
+        span = AliveSpan(opened_s, clock_s())
+        self.task.answered(target, CrashKeys('another'), span)
         self.assertFalse(self.is_refused())
         eventlet.sleep(0)
         self.assertEqual(4, len(self.store.items))
+        self.assertEqual(0, self.engines.read_count)
 
     def test_an_answer_to_a_trial_is_told_to_all_nodes(self) -> None:
         """Guards against a part that stays refused at all nodes but one."""
         self.crash_three_targets()
         target = RegisteredTarget('i-9', 'lm', CLOSED_ADDRESS, 'a', 8, False)
-        self.task.answered(target, CALL, clock_s())
+        span = AliveSpan(clock_s() - 1, clock_s())
+        self.task.answered(target, CALL, span)
         self.assertFalse(self.is_refused())
         eventlet.sleep(0)
         self.assertEqual(4, len(self.store.items))
@@ -220,3 +262,84 @@
         self.list_targets(*[CLOSED_ADDRESS] * 4)
         self.break_off_everywhere(3)
         self.assertFalse(self.is_refused())
+
+
+class RestartedTargetTest(CrashTaskTestCase):
+    """Targets that start again under their ids before they are listed."""
+
+    started_ms = 17
+
+    def answer_on_new_connection(self) -> None:
+        """Let each target answer on a connection from after its crash."""
+        for number in range(3):
+            target = self.knowledge.registry.find(f'i-{number}')
+            opened_s = clock_s()
+            eventlet.sleep(0.01)
+            span = AliveSpan(opened_s, clock_s())
+            self.task.answered(target, CrashKeys('another'), span)
+        eventlet.sleep(0.01)
+
+    def test_an_answer_of_a_new_start_takes_no_crash_back(self) -> None:
+        """Guards against a crashing call that is sent on after restarts."""
+        self.crash_three_targets()
+        self.engines.started_ms = 18
+        self.answer_on_new_connection()
+        self.assertTrue(self.is_refused())
+        self.assertEqual(3, len(self.store.items))
+
+    def test_an_answer_takes_no_later_report_back(self) -> None:
+        """Guards against a new start that is heard before the old one's crash."""
+        self.crash_three_targets()
+        other = new_knowledge(new_settings('n-2'), Random(4))
+        log = DecisionLog(LogLines(), 'n-2', Metrics())
+        self.addCleanup(log.close)
+        task = CrashTask(other, NoStore(), Engines(), log)
+        for target in self.knowledge.registry.of_service('lm'):
+            span = AliveSpan(clock_s(), clock_s() + 0.01)
+            task.answered(target, CrashKeys('another'), span)
+        task._take_records(StoreListing(1, tuple(self.store.items)))
+        self.assertTrue(is_refused_by(other))
+
+    def test_a_target_that_says_it_is_the_same_start_is_told(self) -> None:
+        """Guards against a cut path on which all connections are new."""
+        self.crash_three_targets()
+        self.engines.started_ms = 17
+        self.answer_on_new_connection()
+        self.assertFalse(self.is_refused())
+        other = new_knowledge(new_settings('n-2'), Random(4))
+        for report in self.knowledge.crashes_since(None):
+            other.take_crash(report)
+        self.assertFalse(is_refused_by(other))
+
+    def test_without_a_report_the_crash_stands(self) -> None:
+        """Guards against trust in the id of a target that says no start."""
+        self.crash_three_targets()
+        self.engines.is_silent = True
+        self.answer_on_new_connection()
+        self.assertTrue(self.is_refused())
+
+    def test_a_target_is_asked_once_a_second(self) -> None:
+        """Guards against a report for each call of a target that restarted."""
+        self.crash_three_targets()
+        self.engines.started_ms = 18
+        for _ in range(20):
+            self.answer_on_new_connection()
+        self.assertLessEqual(self.engines.read_count, 6)
+
+    def test_what_is_told_is_as_certain_as_what_is_known(self) -> None:
+        """Guards against nodes that take back more than the one that tells."""
+        self.crash_three_targets()
+        target = self.knowledge.registry.find('i-1')
+        # A new start of it, whose path is cut and heals.
+        opened_s = clock_s() - MAX_REPORT_DELAY_S
+        self.task._publish('i-1.17', ('another',))
+        eventlet.sleep(0.01)
+        self.task.answered(
+            target, CrashKeys('third'), AliveSpan(opened_s, clock_s())
+        )
+        self.assertIn('"target.alive"', self.lines.text)
+        other = new_knowledge(new_settings('n-2'), Random(4))
+        for report in self.knowledge.crashes_since(None):
+            other.take_crash(report)
+        self.assertTrue(self.is_refused())
+        self.assertTrue(is_refused_by(other))
--- a/tests/platform/local_server.py
+++ b/tests/platform/local_server.py
@@ -49,6 +49,15 @@
                 thread.kill()
         self._threads = [thread for thread in self._threads if thread is own]
 
+    def listen_again(self) -> None:
+        """Accept connections at the same address, after a crash."""
+        if self._port_holder is not None:
+            self._port_holder.close()
+            self._port_holder = None
+        host, _, port = self.address.rpartition(':')
+        self.listener = eventlet.listen((host, int(port)))
+        self._acceptor = eventlet.spawn(self._accept)
+
     def _accept(self) -> None:
         while True:
             sock, _ = self.listener.accept()
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -16,6 +16,7 @@
 
 from dandelionyoke_core import InstanceId, Metrics
 from dandelionyoke_dispatch import (
+    AliveSpan,
     CallKind,
     CrashKeys,
     CrashReport,
@@ -138,6 +139,10 @@
         """
         self._server.crash()
 
+    def start_again(self) -> None:
+        """Accept connections again, after a crash."""
+        self._server.listen_again()
+
     def restart(self, down_s: float) -> None:
         """End all connections; for some time, close each new one at once."""
         self._is_down = True
@@ -404,9 +409,9 @@
         )
 
     def answered(
-        self, target: RegisteredTarget, keys: CrashKeys, begun_s: float
+        self, target: RegisteredTarget, keys: CrashKeys, span: AliveSpan
     ) -> None:
-        self.knowledge.crashes.record_answer(keys, begun_s)
+        self.knowledge.crashes.record_answer(keys, span.until_s)
 
     def _accept(self) -> None:
         while True:
