Take no version for the only one on the word of a node that has just started

Cause: `only_listed` took the versions that a node had listed since its start for all there were. `find` asks for a fresh listing and a history as long as a stream may last. Such a history also counted as whole with gaps of 10 s.

Evidence: test_a_started_node_does_not_guess_without_an_attempt and test_a_gap_in_the_listings_hides_a_version failed on, and test_the_only_version_for_long_needs_no_record and test_a_caller_that_names_no_attempt_goes_on_at_the_only_version pass before and after. The latter asserted the guess at a node without a history; it gives the node a history now and asserts the same.

Change: both ways ask for the same knowledge. Gaps are limited to 3 s, under the 3.6 s by which an entry outlives its engine.

--- a/packages/dispatch/dandelionyoke_dispatch/_version_history.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_version_history.py
@@ -6,8 +6,9 @@
 
 # Far longer than a stream lasts.
 KEPT_S = 3600.0
-# Without a listing for this long, a version may have come and gone unseen.
-MAX_GAP_S = 10.0
+# Without a listing for this long, a version may have come and gone unseen: an
+# entry outlives its engine by three reports, 3.6 s.
+MAX_GAP_S = 3.0
 
 
 @attrs.frozen
--- a/packages/gateway/dandelionyoke_gateway/_stream_origin_keeper.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_origin_keeper.py
@@ -121,16 +121,14 @@
     def only_listed(self, service: str) -> FoundOrigin:
         """Return the origin of a stream whose caller names no attempt.
 
-        Its service must have one version only, as far as this node knows.
+        Its service must have had one version only while the stream may have
+        begun.
         """
-        since_s = clock_s() - self._lifetime_s()
-        version = self._knowledge.registry.version_history.only_version(
-            service, since_s
-        )
-        if version is None:
-            return FoundOrigin(None, OriginSource.UNKNOWN, 0)
-        origin = StreamOrigin(service, version)
-        return FoundOrigin(origin, OriginSource.ONLY_VERSION, 0)
+        origin = self._only_origin(service)
+        source = OriginSource.ONLY_VERSION
+        if origin is None:
+            source = OriginSource.UNKNOWN
+        return FoundOrigin(origin, source, 0)
 
     def handle_event(self, event: Event) -> bool:
         """Handle a link event; return whether it was for this part."""
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -28,6 +28,8 @@
 )
 
 BUSY = 7
+# Of a caller that names no first attempt.
+LAST_EVENT = 'Last-Event-Id: 2\r\n'
 
 
 class StreamVersionTest(testtools.TestCase):
@@ -168,9 +170,8 @@
         )
         # An earlier version may have begun it before the first listing.
         self.assert_refused(self.take_up())
-        versions = knowledge.registry.version_history = VersionHistory()
-        for age_s in range(60, -1, -5):
-            versions.observe([StreamOrigin('lm', 'v1')], clock_s() - age_s)
+        self.list_for_long('v1')
+        versions = knowledge.registry.version_history
         self.assertEqual({'v1'}, versions_in(self.take_up()))
         # A version that has gone in the meantime may have begun it.
         versions.observe([StreamOrigin('lm', 'v0')], clock_s())
@@ -183,7 +184,7 @@
         targets = knowledge.registry.all_of_service('lm')
         knowledge.listing.replace(targets, clock_s() - 5)
         versions = knowledge.registry.version_history = VersionHistory()
-        for age_s in range(60, -1, -5):
+        for age_s in range(60, -1, -2):
             versions.observe([StreamOrigin('lm', 'v1')], clock_s() - age_s)
         self.assert_refused(self.take_up())
 
@@ -192,10 +193,37 @@
     ) -> None:
         """Guards against callers of earlier versions that are all refused."""
         self.add_engine('v1')
-        last_event = 'Last-Event-Id: 2\r\n'
-        self.assertEqual({'v1'}, versions_in(self.take_up(last_event)))
+        self.list_for_long('v1')
+        self.assertEqual({'v1'}, versions_in(self.take_up(LAST_EVENT)))
         self.add_engine('v2')
-        self.assert_refused(self.take_up(last_event))
+        self.assert_refused(self.take_up(LAST_EVENT))
+
+    def test_a_started_node_does_not_guess_without_an_attempt(self) -> None:
+        """Guards against a version that left before this node started."""
+        self.add_engine('v2')
+        knowledge = self.node.knowledge
+        knowledge.listing.replace(
+            knowledge.registry.all_of_service('lm'), clock_s()
+        )
+        self.assert_refused(self.take_up(LAST_EVENT))
+        self.assertEqual(0, self.received_count())
+
+    def test_a_gap_in_the_listings_hides_a_version(self) -> None:
+        """Guards against a version that came and went unseen."""
+        self.add_engine('v1')
+        self.list_for_long('v1', step_s=4)
+        self.assert_refused(self.take_up(LAST_EVENT))
+        self.assert_refused(self.take_up(attempt_id='a3'))
+
+    def list_for_long(self, version: str, step_s: int = 2) -> None:
+        """List engines of one version for as long as a stream may last."""
+        knowledge = self.node.knowledge
+        knowledge.listing.replace(
+            knowledge.registry.all_of_service('lm'), clock_s()
+        )
+        versions = knowledge.registry.version_history = VersionHistory()
+        for age_s in range(60, -1, -step_s):
+            versions.observe([StreamOrigin('lm', version)], clock_s() - age_s)
 
     def test_the_table_keeps_the_latest_streams(self) -> None:
         """Guards against memory without a bound, and a table that jams."""
