Leave a window whose record of totals cannot be read

Cause: CodecError ended UsageTask; since tasks are started again it would fail at the same record again and again until the window is late.

Change: the record is logged (`usage.open`) and the other windows are reported.

Test: test_an_unreadable_record_leaves_the_other_windows failed before.

--- a/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
+++ b/packages/gateway/dandelionyoke_gateway/_usage_tasks.py
@@ -307,7 +307,7 @@
         item = self._store.perform(StoreGet(OperationId('report'), key))
         if isinstance(item, StoreItem) and item.value:
             self._closed[window_id] = item.value
-            return record_from_json(item.value, WindowCounts)
+            return self._parse_closed(window_id, item.value)
         if window_id not in self._left:
             self._left.add(window_id)
             self._log.decide(
@@ -351,7 +351,15 @@
         if self._closed.setdefault(window_id, text) != text:
             self._log_open(window_id, 'another record than the one of before')
             return None
-        return record_from_json(text, WindowCounts)
+        return self._parse_closed(window_id, text)
+
+    def _parse_closed(self, window_id: int, text: str) -> WindowCounts | None:
+        """Parse a window's record; None if its format is unknown."""
+        try:
+            return record_from_json(text, WindowCounts)
+        except CodecError as error:
+            self._log_open(window_id, str(error))
+            return None
 
     def _is_uncertain(self, window_id: int) -> bool:
         is_own = window_id in self._closed
--- a/tests/gateway/test_usage_task.py
+++ b/tests/gateway/test_usage_task.py
@@ -244,6 +244,17 @@
         self.process.hold(7)
         self.assertEqual([FULL], self.process.report())
 
+    def test_an_unreadable_record_leaves_the_other_windows(self) -> None:
+        """Guards against a record that ends the reports of all windows."""
+        self.settle()
+        self.process.contact_store()
+        self.store.put(f'reports/{self.window_id}', '[' * 5000)
+        self.process.hold(7)
+        self.assertEqual([], self.process.report())
+        self.store.items.pop(f'reports/{self.window_id}')
+        self.process.task._closed.clear()
+        self.assertEqual([FULL], self.process.report())
+
     def test_the_holder_itself_reports_what_it_has_not(self) -> None:
         """Guards against windows that are left at each return of the store."""
         self.settle()
