Refuse values where they are read that cannot be used later

Cause: a text with half a surrogate pair is valid JSON and cannot be encoded, so that it ended the writer of a link, which counted as open; a whole number beyond 64 bits fails at its first computation with a float.

Change: parse_json refuses a document with such a text. In answers of the store the key is kept with a `?`, so that one key does not spoil a listing. Whole numbers are limited to 64 bits. A message that CBOR does not hold ends its link.

--- a/packages/gateway/dandelionyoke_gateway/_json_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_json_call.py
@@ -86,7 +86,8 @@
 
 def _parse_fields(reply_body: bytes) -> Fields:
     try:
-        return parse_object(reply_body)
+        # One text must not spoil a whole listing.
+        return parse_object(reply_body, allows_surrogates=True)
     except FieldError:
         # A failure may have no JSON body; its status is enough.
         return {}
--- a/packages/gateway/dandelionyoke_gateway/_json_fields.py
+++ b/packages/gateway/dandelionyoke_gateway/_json_fields.py
@@ -8,6 +8,8 @@
 from dandelionyoke_gateway._messages import parse_whole_number
 
 MAX_PORT = 65535
+# What other programs hold in 64 bits; a larger one has no float either.
+MAX_INTEGER = 2**63 - 1
 
 Fields = Mapping[str, Any]
 _Parsed = TypeVar('_Parsed')
@@ -17,10 +19,12 @@
     """A field is missing or has the wrong type."""
 
 
-def parse_object(text: str | bytes) -> Fields:
+def parse_object(
+    text: str | bytes, *, allows_surrogates: bool = False
+) -> Fields:
     """Parse a JSON object."""
     try:
-        value = parse_json(text)
+        value = parse_json(text, allows_surrogates=allows_surrogates)
     except ValueError as error:
         raise FieldError('not valid JSON') from error
     if not isinstance(value, dict):
@@ -57,6 +61,8 @@
     value = fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int):
         raise FieldError(f'{name} is not an integer')
+    if abs(value) > MAX_INTEGER:
+        raise FieldError(f'{name} is too large')
     return value
 
 
--- a/packages/links/dandelionyoke_links/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -62,6 +62,8 @@
 MAX_QUEUED_MESSAGES = 1024
 
 _LINK_ERRORS = (OSError, WebSocketException, cbor2.CBORDecodeError, CodecError)
+# A message with a text or a number that CBOR does not hold.
+_SEND_ERRORS = (*_LINK_ERRORS, cbor2.CBOREncodeError, ValueError, TypeError)
 
 Emit = Callable[[Event], None]
 
@@ -199,7 +201,7 @@
         try:
             while True:
                 self.channel.send(message_to_mapping(self.outbox.get()))
-        except _LINK_ERRORS:
+        except _SEND_ERRORS:
             self.channel.shut_down()
 
 
@@ -225,7 +227,7 @@
         self._channel.set_timeout(timeout_s)
         try:
             self._channel.send(message_to_mapping(message))
-        except _LINK_ERRORS as error:
+        except _SEND_ERRORS as error:
             raise LinkError(
                 f'cannot send to {self.peer_id}: {error}'
             ) from error
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -85,6 +85,13 @@
             self.hub.send(InstanceId('n-2'), NewsAsked(1, 'x', 0, 0))
         )
 
+    def test_a_message_that_cannot_be_encoded_ends_the_link(self) -> None:
+        """Guards against a link that sends nothing and counts as open."""
+        hub, events = self.dial(b'one secret')
+        hub.send(InstanceId('n-1'), NewsAsked(3, '\ud800', 0.4, 5))
+        eventlet.sleep(0.2)
+        self.assertIsInstance(events[-1], PeerDisconnected)
+
     def fail_at_messages(self, event: Event) -> None:
         if isinstance(event, PeerMessageArrived):
             raise RuntimeError('a message that nobody foresaw')
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -3,6 +3,8 @@
 import json
 from random import Random
 
+import attrs
+import cbor2
 import testtools
 from hypothesis import given, strategies
 
@@ -10,7 +12,9 @@
     Action,
     CodecError,
     Metrics,
+    OperationId,
     StoreItem,
+    StoreList,
     StoreListing,
     StoreResult,
     record_from_json,
@@ -22,7 +26,7 @@
     WindowCounts,
     WindowRecord,
 )
-from dandelionyoke_gateway import FieldError, parse_object
+from dandelionyoke_gateway import FieldError, TargetPool, parse_object
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._registry_updater import RegistryUpdater
@@ -35,8 +39,9 @@
     StorePollIntervals,
 )
 from dandelionyoke_platform._dialect import PlatformDialect
+from dandelionyoke_platform._store import PlatformStore
 from tests.gateway.settings import new_settings
-from tests.platform.node_harness import LogLines
+from tests.platform.node_harness import LogLines, ScriptedTarget, answer
 
 RECORDS = (CrashReport, Member, WindowCounts, WindowRecord)
 ENTRY = {
@@ -57,7 +62,16 @@
         max_size=3,
     ),
 )
-texts = nested | strategies.text()
+# Texts that cannot be encoded, and numbers that no float holds.
+odd_values = strategies.sampled_from(
+    ('\ud800', 'a\udfff', 10**400, -(10**400), 2**63, True, None, [], {})
+)
+odd_entries = strategies.dictionaries(
+    strategies.sampled_from((*ENTRY, 'version', 'phase', 'x\ud800')),
+    odd_values,
+    min_size=1,
+).map(lambda odd: json.dumps(ENTRY | odd))
+texts = nested | strategies.text() | odd_entries
 
 
 class ReaderTest(testtools.TestCase):
@@ -66,7 +80,28 @@
     @given(texts)
     def test_any_target(self, text: str) -> None:
         """Guards against an entry that ends the watch on the targets."""
-        PlatformDialect().read_target('servers/i-1', text)
+        target = PlatformDialect().read_target('servers/i-1', text)
+        if target is not None:
+            # What is told to other nodes, and computed with.
+            cbor2.dumps(attrs.asdict(target), default=str)
+            self.assertLess(0, float(target.slots))
+            self.assertLess(0, float(abs(target.started_ms or 0)) + 1)
+
+    def test_a_key_that_cannot_be_encoded_leaves_the_others(self) -> None:
+        """Guards against a listing that one key of another writer spoils."""
+        rows = [
+            {'key': 'servers/\ud800', 'revision': 2, 'value': ''},
+            {'key': 'servers/i-1', 'revision': 3, 'value': ''},
+        ]
+        body = json.dumps({'items': rows, 'current_rev': 3}).encode()
+        target = ScriptedTarget(lambda _: [answer(body=body, extra='')])
+        self.addCleanup(target.close)
+        store = PlatformStore(target.address, TargetPool())
+        found = store.perform(StoreList(OperationId('o'), 'servers/'))
+        self.assertIsInstance(found, StoreListing)
+        self.assertEqual(
+            ['servers/?', 'servers/i-1'], [item.key for item in found.items]
+        )
 
     @given(texts)
     def test_any_configuration(self, text: str) -> None:
