Bound the targets that are asked which start they are

CrashTask kept the time of the last question for each start that was taken for dead; one that never answered again stayed for the life of the process. Found while reading the change; no test, as nothing visible depends on it.

--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -51,6 +51,7 @@
 MAX_REPORT_DELAY_S = 3.0
 # A target that is taken for dead and answers is asked this often.
 ASK_INTERVAL_S = 1.0
+MAX_ASKED_TARGETS = 256
 # Keeps a record within the size that the store takes.
 MAX_REPORT_KEYS = 256
 
@@ -188,6 +189,8 @@
             return
         if now_s - self._asked_s.get(name, NEVER_S) < ASK_INTERVAL_S:
             return
+        if len(self._asked_s) >= MAX_ASKED_TARGETS:
+            self._asked_s.clear()
         self._asked_s[name] = now_s
         eventlet.spawn_n(self._ask_start, target)
 
