--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -23,6 +23,7 @@
     Responder,
 )
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._counts_task import CountsTask
 from dandelionyoke_gateway._crash_answers_task import CrashAnswersTask
 from dandelionyoke_gateway._crash_task import CrashTask
 from dandelionyoke_gateway._duty_task import DutyTask
@@ -55,7 +56,7 @@
 from dandelionyoke_gateway._stream_call import forward_stream_call
 from dandelionyoke_gateway._target_pool import TargetPool
 from dandelionyoke_gateway._task_guard import TaskGuard
-from dandelionyoke_gateway._usage_tasks import CountsTask, UsageTask
+from dandelionyoke_gateway._usage_task import UsageTask
 from dandelionyoke_links import listen
 
 # The load balancer checks the health once a second and removes an instance
--- a/tests/gateway/test_counts_task.py
+++ b/tests/gateway/test_counts_task.py
@@ -19,8 +19,8 @@
 )
 from dandelionyoke_dispatch import WindowRecord
 from dandelionyoke_gateway import clock_s
+from dandelionyoke_gateway._counts_task import CountsTask
 from dandelionyoke_gateway._knowledge import new_knowledge
-from dandelionyoke_gateway._usage_tasks import CountsTask
 from tests.gateway.settings import new_settings
 
 ANSWER_DELAY_S = 0.1
--- a/tests/gateway/test_usage_task.py
+++ b/tests/gateway/test_usage_task.py
@@ -31,7 +31,7 @@
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._lost_reports import SettledEra
-from dandelionyoke_gateway._usage_tasks import CLOSE_DELAY_S, UsageTask
+from dandelionyoke_gateway._usage_task import CLOSE_DELAY_S, UsageTask
 from tests.gateway.settings import new_settings
 
 WINDOW_S = 5.0
