Add bounds on what the clients of a process use together

Parts only, no caller uses them yet: decoders of bodies, a reader that bounds the size, memory and time of a body, rooms of memory and of connections whose size follows from the machine, and a close that lets a refusal arrive.

--- a/packages/links/dandelionyoke_links/__init__.py
+++ b/packages/links/dandelionyoke_links/__init__.py
@@ -1,14 +1,47 @@
 """Event loop, authenticated links between processes, and socket helpers."""
 
+from dandelionyoke_links._body_decoders import (
+    BodyDecoder as BodyDecoder,
+    ChunkedDecoder as ChunkedDecoder,
+    FramingError as FramingError,
+    LengthDecoder as LengthDecoder,
+)
+from dandelionyoke_links._body_reader import (
+    BodyEndedError as BodyEndedError,
+    BodyError as BodyError,
+    BodyFramingError as BodyFramingError,
+    BodyLimits as BodyLimits,
+    BodyReader as BodyReader,
+    BodyRefusedError as BodyRefusedError,
+    BodySource as BodySource,
+    BodyTimeoutError as BodyTimeoutError,
+    BodyTooLargeError as BodyTooLargeError,
+    DecodeTurns as DecodeTurns,
+)
 from dandelionyoke_links._clock import (
     clock_s as clock_s,
 )
+from dandelionyoke_links._connection_room import (
+    ConnectionRoom as ConnectionRoom,
+    WaitingConnection as WaitingConnection,
+)
 from dandelionyoke_links._event_loop import (
     EventLoop as EventLoop,
     install_event_loop as install_event_loop,
     running_s as running_s,
     stalled_s as stalled_s,
 )
+from dandelionyoke_links._input_wait import InputWait as InputWait
+from dandelionyoke_links._machine import (
+    ClientRooms as ClientRooms,
+    MachineLimits as MachineLimits,
+    request_bytes as request_bytes,
+)
+from dandelionyoke_links._memory_room import (
+    Holding as Holding,
+    MemoryRoom as MemoryRoom,
+    MemoryShortError as MemoryShortError,
+)
 from dandelionyoke_links._peers import (
     CallChannel as CallChannel,
     LinkError as LinkError,
@@ -22,6 +55,7 @@
     READER as READER,
     URGENT as URGENT,
     SilenceLimits as SilenceLimits,
+    close_after_refusal as close_after_refusal,
     limit_silence as limit_silence,
     listen as listen,
     receive as receive,
--- a/packages/links/dandelionyoke_links/_sockets.py
+++ b/packages/links/dandelionyoke_links/_sockets.py
@@ -3,9 +3,12 @@
 import struct
 
 import attrs
+from eventlet import sleep
 from eventlet.green import socket
 from eventlet.hubs import trampoline
 
+from dandelionyoke_links._clock import clock_s
+
 # A sound peer may be silent for this long and then go on.
 MAX_SILENCE_S = 2.5
 # An idle connection is probed this long after its last packet, and then at
@@ -30,6 +33,11 @@
 # The kernel also counts the time in which a reader of an answer pauses.
 READER_USER_TIMEOUT_MS = 10_000
 LISTEN_BACKLOG = 1024
+# A client that is refused before its request is read may send on. So much is
+# read, and for so long, before the connection is closed.
+MAX_DISCARDED_BYTES = 4_194_304
+MAX_DISCARD_S = 2.0
+DISCARD_READ_BYTES = 65_536
 
 # SO_LINGER value (on, 0 s) that makes closing send a reset.
 LINGER_RESET = struct.pack('ii', 1, 0)
@@ -112,3 +120,26 @@
             trampoline(
                 sock.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError
             )
+
+
+def close_after_refusal(sock: socket.socket) -> None:
+    """Close a connection whose request was refused before its end.
+
+    Closing it with unread bytes would reset it, and the client could not read
+    the refusal. What arrives is dropped, within limits.
+    """
+    left_bytes = MAX_DISCARDED_BYTES
+    until_s = clock_s() + MAX_DISCARD_S
+    try:
+        sock.shutdown(socket.SHUT_WR)
+        while left_bytes > 0 and clock_s() < until_s:
+            received = receive(sock, DISCARD_READ_BYTES, MAX_DISCARD_S)
+            if not received:
+                break
+            left_bytes -= len(received)
+            sleep(0)
+    except OSError:
+        # The client is gone, or sends nothing more.
+        return
+    finally:
+        sock.close()
