Bound the memory of all requests of callers together

What callers saw: clients whose bodies stop shortly before their end brought a process to any amount of memory, until it was ended.

Cause: `max_body_bytes` bounds one connection. Bodies of requests in progress and heads of many small headers, which need 60 times what was sent, were counted nowhere.

--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -28,7 +28,7 @@
 from dandelionyoke_gateway._crash_task import CrashTask
 from dandelionyoke_gateway._duty_task import DutyTask
 from dandelionyoke_gateway._engine_count_task import EngineCountTask
-from dandelionyoke_gateway._errors import AddressError
+from dandelionyoke_gateway._errors import AddressError, InvalidRequestError
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._limited_engines import (
     LimitedDutyClient,
@@ -299,6 +299,8 @@
             self._read_limits,
             handler,
             lambda: self._knowledge.shutdown.is_leaving,
+            self._knowledge.client_rooms,
+            self._log_refusal,
         )
         self._connections.add(connection)
         try:
@@ -306,6 +308,17 @@
         finally:
             self._connections.discard(connection)
 
+    def _log_refusal(self, error: InvalidRequestError) -> None:
+        rooms = self._knowledge.client_rooms
+        self._log.decide(
+            'request.refused',
+            'caller',
+            outcome=str(int(error.status)),
+            cause=error.cause,
+            held_bytes=rooms.requests.held_bytes,
+            connections=len(rooms.connections),
+        )
+
     def _read_limits(self) -> CallerLimits:
         configuration = self._knowledge.configuration
         return configuration.limits if configuration else CallerLimits()
--- a/packages/gateway/dandelionyoke_gateway/_settings.py
+++ b/packages/gateway/dandelionyoke_gateway/_settings.py
@@ -49,6 +49,9 @@
     # The number of processors, and the share of each that this process gets.
     processors: float = 1.0
     processor_share: float = 1.0
+    # What the machine lets this process use.
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
     # In each window an organisation may exceed its limit by a share of it,
     # and by an absolute slack in the units of the limit. Both default to 0.
     limit_window_s: float = 0.0
@@ -139,6 +142,14 @@
     return _parse_number(raw) if raw else 0.0
 
 
+def _parse_memory(raw: str) -> float:
+    return _parse_number(raw) if raw else DEFAULT_MEMORY_MB
+
+
+def _parse_descriptors(raw: str) -> int:
+    return _parse_count(raw) if raw else DEFAULT_MAX_DESCRIPTORS
+
+
 def _parse_milliseconds(raw: str) -> float:
     return _parse_number(raw) / 1000
 
@@ -172,6 +183,8 @@
         'peers': ('gateway', 'peer_address', _parse_endpoint),
         'processors': ('gateway', 'processors', _parse_number_or_one),
         'processor_share': ('gateway', 'processor_share', _parse_number_or_one),
+        'memory_mb': ('machine', 'memory_mb', _parse_memory),
+        'max_descriptors': ('machine', 'max_descriptors', _parse_descriptors),
         'store_address': ('store', 'address', _parse_address),
         'duty_address': ('duties', 'address', _parse_optional_address),
         'revocation_s': ('bounds', 'revocation_ms', _parse_milliseconds),
--- a/tests/crowds/crowd_case.py
+++ b/tests/crowds/crowd_case.py
@@ -81,3 +81,51 @@
             if clock_s() > deadline_s:
                 raise AssertionError(f'no ordinary request answered {when}')
             eventlet.sleep(RETRY_DELAY_S)
+
+
+class BodyCrowds:
+    """Crowds that both products must bear."""
+
+    def check_crowd(self, kind: str) -> None:
+        """Check the bounds beside a crowd of a kind and after it."""
+        raise NotImplementedError
+
+    def test_bodies_that_stop_before_their_end(self) -> None:
+        """Guards against bodies whose sum no limit bounds."""
+        self.check_crowd('announced')
+
+    def test_chunks_that_stop_before_their_end(self) -> None:
+        """Guards against bodies whose sum no limit bounds."""
+        self.check_crowd('one_chunk')
+
+    def test_chunks_without_end(self) -> None:
+        """Guards against bodies whose sum no limit bounds."""
+        self.check_crowd('endless_chunks')
+
+    def test_chunks_of_two_bytes(self) -> None:
+        """Guards against a connection that keeps the loop from all others."""
+        self.check_crowd('chunks_of_2')
+
+    def test_chunks_of_seventeen_bytes(self) -> None:
+        """Guards against a connection that keeps the loop from all others."""
+        self.check_crowd('chunks_of_17')
+
+    def test_a_line_of_a_chunk_without_end(self) -> None:
+        """Guards against a line that is read without a bound."""
+        self.check_crowd('chunk_line_without_end')
+
+    def test_trailers_without_end(self) -> None:
+        """Guards against lines that are read without a bound."""
+        self.check_crowd('trailers_without_end')
+
+    def test_bodies_far_over_the_limit(self) -> None:
+        """Guards against a client that sends on after its refusal."""
+        self.check_crowd('far_over_the_limit')
+
+    def test_heads_without_end(self) -> None:
+        """Guards against heads that are held without a bound."""
+        self.check_crowd('head_without_end')
+
+    def test_heads_of_small_lines(self) -> None:
+        """Guards against heads that are far larger in memory than sent."""
+        self.check_crowd('small_header_lines')
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -6,7 +6,7 @@
 
 from testtools.content import text_content
 
-from tests.crowds.crowd_case import CrowdCase, MeasuredProcess
+from tests.crowds.crowd_case import BodyCrowds, CrowdCase, MeasuredProcess
 from tests.platform.node_harness import (
     API_KEY,
     HOST,
@@ -74,7 +74,7 @@
     return [answer(body=LARGE_ANSWER)]
 
 
-class GatewayCrowdTest(CrowdCase):
+class GatewayCrowdTest(BodyCrowds, CrowdCase):
     def setUp(self) -> None:
         super().setUp()
         store = StoreStandin()
@@ -150,6 +150,10 @@
         self.assertLess(self.measured.peak_mb, MEMORY_MB)
         self.assertTrue(self.program.is_ready())
 
+    def test_whole_bodies_that_wait(self) -> None:
+        """Guards against bodies of requests in progress that nothing bounds."""
+        self.check_crowd('whole_bodies')
+
     def test_a_body_of_the_limit_in_chunks_of_one_byte_is_served(self) -> None:
         """Guards against a refusal of a request inside the limits."""
         head = request_bytes('/confirm/1').partition(b'Content-Length')[0]
