Keep places for new connections of callers

What callers saw: connections that send nothing took all descriptors of a process. New callers waited in the kernel's queue, and the process could not connect to targets or to the store.

Cause: connections were bounded by the descriptors only, and each kept its place until its idle time ended.

Fix: the connections of callers have a limit that follows from the memory and the descriptors of the machine (`[machine] max_descriptors`). For a new one the connection is closed that has waited for its client for longest: idle, within a head or a body, or with an answer that is not read. If all have a request in progress the new one is refused unread. Above four fifths of the limit each answer closes its connection, so that clients that always have a next request leave places. Health checks and metrics have connections of their own.

--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -6,8 +6,8 @@
 from functools import partial
 from random import Random
 
+import attrs
 import eventlet
-from eventlet import event as green_event
 from eventlet.green import socket
 
 from dandelionyoke_core import Metrics, StoreEra
@@ -57,7 +57,7 @@
 from dandelionyoke_gateway._target_pool import TargetPool
 from dandelionyoke_gateway._task_guard import TaskGuard
 from dandelionyoke_gateway._usage_task import UsageTask
-from dandelionyoke_links import listen
+from dandelionyoke_links import ClientRooms, ConnectionRoom, listen
 
 # The load balancer checks the health once a second and removes an instance
 # after two failures in a row. Until then new callers connect and are served.
@@ -68,6 +68,18 @@
 # A caller that connects sends its request within this time.
 MIN_IDLE_S = 0.2
 ACCEPT_RETRY_DELAY_S = 0.05
+# Health checks and readers of metrics are few, and send no body.
+MAX_MONITOR_CONNECTIONS = 16
+MONITOR_LIMITS = CallerLimits(max_body_bytes=0)
+
+
+@attrs.frozen(eq=False)
+class _Service:
+    """What the connections of a listener are for, and what they may use."""
+
+    handler: Handler
+    rooms: ClientRooms
+    read_limits: Callable[[], CallerLimits]
 
 
 class Adapters:
@@ -103,9 +115,9 @@
         self._settings = settings
         self._metrics = Metrics()
         self._log = DecisionLog(sink, settings.instance_id, self._metrics)
-        self._exit_status = green_event.Event()
+        self._exit_status = eventlet.event.Event()
         self._connections: set[CallerConnection] = set()
-        self._listeners: dict[socket.socket, Handler | None] = {}
+        self._listeners: dict[socket.socket, _Service | None] = {}
         self._random = Random()
         self._knowledge = new_knowledge(settings, self._random)
         self._tasks = TaskGuard(self._log, self._random)
@@ -153,11 +165,18 @@
             signal.signal(signal_number, self._on_terminate)
         signal.signal(signal.SIGHUP, self._on_reload)
         peers = self._listen(self._settings.peers)
-        self._listen_and_serve(self._settings.health, self._answer_health)
-        self._listen_and_serve(self._settings.metrics, self._answer_metrics)
         self._listen_and_serve(
-            self._settings.callers, self._call_dispatcher.handle
+            self._settings.health, self._monitor_service(self._answer_health)
+        )
+        self._listen_and_serve(
+            self._settings.metrics, self._monitor_service(self._answer_metrics)
+        )
+        callers = _Service(
+            self._call_dispatcher.handle,
+            self._knowledge.client_rooms,
+            self._read_limits,
         )
+        self._listen_and_serve(self._settings.callers, callers)
         self._start_tasks(peers)
         self._log.decide(
             'process.started', self._settings.instance_id, outcome='listening'
@@ -248,38 +267,44 @@
 
     # Callers.
 
-    def _listen_and_serve(self, endpoint: Endpoint, handler: Handler) -> None:
-        listener = self._listen(endpoint, handler)
-        self._tasks.start('accept', partial(self._accept, listener, handler))
+    def _monitor_service(self, handler: Handler) -> _Service:
+        """Return a service that callers' connections cannot keep busy."""
+        rooms = ClientRooms(
+            self._knowledge.client_rooms.machine,
+            connections=ConnectionRoom(MAX_MONITOR_CONNECTIONS),
+        )
+        return _Service(handler, rooms, lambda: MONITOR_LIMITS)
+
+    def _listen_and_serve(self, endpoint: Endpoint, service: _Service) -> None:
+        listener = self._listen(endpoint, service)
+        self._tasks.start('accept', partial(self._accept, listener, service))
 
     def _listen(
-        self, endpoint: Endpoint, handler: Handler | None = None
+        self, endpoint: Endpoint, service: _Service | None = None
     ) -> socket.socket:
         listener = _listen(endpoint)
-        self._listeners[listener] = handler
+        self._listeners[listener] = service
         return listener
 
     def _close_listeners(self) -> None:
         """Refuse connections from now on: none would be read any more."""
         while self._listeners:
-            listener, handler = self._listeners.popitem()
-            if handler is not None:
-                self._accept_waiting(listener, handler)
+            listener, service = self._listeners.popitem()
+            if service is not None:
+                self._accept_waiting(listener, service)
             listener.close()
 
     def _accept_waiting(
-        self, listener: socket.socket, handler: Handler
+        self, listener: socket.socket, service: _Service
     ) -> None:
         """Accept the connections that closing their listener would reset."""
         listener.settimeout(0)
         with contextlib.suppress(OSError):
             while True:
                 sock, _ = listener.accept()
-                eventlet.spawn_n(
-                    self._serve_connection, socket.socket(sock), handler
-                )
+                self._open_connection(socket.socket(sock), service)
 
-    def _accept(self, listener: socket.socket, handler: Handler) -> None:
+    def _accept(self, listener: socket.socket, service: _Service) -> None:
         while True:
             try:
                 sock, _ = listener.accept()
@@ -291,22 +316,40 @@
                 self._log.decide('accept.failed', 'listener', cause=str(error))
                 eventlet.sleep(ACCEPT_RETRY_DELAY_S)
                 continue
-            eventlet.spawn_n(self._serve_connection, sock, handler)
+            self._open_connection(sock, service)
+            # Its request is read before another connection can replace it.
+            eventlet.sleep(0)
 
-    def _serve_connection(self, sock: socket.socket, handler: Handler) -> None:
+    def _open_connection(self, sock: socket.socket, service: _Service) -> None:
         connection = CallerConnection(
             sock,
-            self._read_limits,
-            handler,
+            service.read_limits,
+            service.handler,
             lambda: self._knowledge.shutdown.is_leaving,
-            self._knowledge.client_rooms,
+            service.rooms,
             self._log_refusal,
         )
+        if service.rooms.connections.enter(connection):
+            eventlet.spawn_n(self._serve_connection, connection, service)
+            return
+        self._log.decide(
+            'connection.refused',
+            'listener',
+            outcome='not read',
+            cause='all connections have a request in progress',
+            connections=len(service.rooms.connections),
+        )
+        connection.refuse_unread()
+
+    def _serve_connection(
+        self, connection: CallerConnection, service: _Service
+    ) -> None:
         self._connections.add(connection)
         try:
             connection.serve()
         finally:
             self._connections.discard(connection)
+            service.rooms.connections.leave(connection)
 
     def _log_refusal(self, error: InvalidRequestError) -> None:
         rooms = self._knowledge.client_rooms
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -154,6 +154,14 @@
         """Guards against bodies of requests in progress that nothing bounds."""
         self.check_crowd('whole_bodies')
 
+    def test_answers_that_nobody_reads(self) -> None:
+        """Guards against requests without a pause from one connection."""
+        self.check_crowd('unread_answers', path='/confirm/1')
+
+    def test_connections_that_send_nothing(self) -> None:
+        """Guards against a process without a descriptor for its work."""
+        self.check_crowd('nothing', SILENT_CLIENTS)
+
     def test_a_body_of_the_limit_in_chunks_of_one_byte_is_served(self) -> None:
         """Guards against a refusal of a request inside the limits."""
         head = request_bytes('/confirm/1').partition(b'Content-Length')[0]
--- a/tests/gateway/test_client_limits.py
+++ b/tests/gateway/test_client_limits.py
@@ -26,6 +26,7 @@
 TIMEOUT_S = 5.0
 LIMITS = CallerLimits(max_body_bytes=400 * KB, idle_timeout_s=TIMEOUT_S)
 HEAD = b'POST /a HTTP/1.1\r\nHost: h\r\n'
+LARGE_ANSWER = b'x' * 8_000_000
 
 
 def length_head(length: int) -> bytes:
@@ -127,3 +128,22 @@
         while content.count(b'ok') < 2:
             content += caller.recv(KB)
         self.assertEqual([3, 4], self.handled)
+
+
+class ConnectionsTest(ConnectionCase):
+    def test_a_caller_that_reads_no_answer_gives_way(self) -> None:
+        """Guards against answers that keep all connections."""
+        self.answer = LARGE_ANSWER
+        callers = [self.send(length_head(0)) for _ in range(2)]
+        self.answer = b'ok'
+        self.assertIn(b' 200 ', self.send(length_head(0)).recv(KB))
+        received = 0
+        while data := callers[0].recv(64 * KB):
+            received += len(data)
+        self.assertLess(received, len(LARGE_ANSWER))
+
+    def test_connections_close_after_answers_while_many_are_open(self) -> None:
+        """Guards against connections that always have a next request."""
+        first = self.send(length_head(0))
+        self.assertNotIn(b'close', first.recv(KB))
+        self.assertIn(b'connection: close', self.send(length_head(0)).recv(KB))
