Let a refusal reach a caller that goes on sending

What callers saw: no answer at all where 413 was sent, if their body was on its way.

Cause: closing a connection with unread bytes resets it, and the reset destroys what the caller has not read yet.

Evidence: test_a_refusal_reaches_a_client_that_sends_on failed on (an empty answer) and passes here.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -43,6 +43,7 @@
     Holding,
     MachineLimits,
     MemoryShortError,
+    close_after_refusal,
     request_bytes,
     set_socket_options,
 )
@@ -279,6 +280,8 @@
         self._source = CallerSource(sock)
         self._rooms = rooms or new_default_rooms()
         self._on_refusal = on_refusal
+        # Whether the end of the request was not read before its refusal.
+        self._is_refused = False
         self._read_limits = read_limits
         self._limits = read_limits()
         self._handler = handler
@@ -297,8 +300,10 @@
                 self._begin_next_request()
         except (CallerDisconnectedError, h11.LocalProtocolError):
             # The caller is gone and cannot receive an error response.
-            return
+            self._is_refused = False
         finally:
+            if self._is_refused:
+                close_after_refusal(self._sock)
             self._sock.close()
 
     def give_way(self) -> None:
@@ -580,6 +585,7 @@
         if error.retry_after_s is not None:
             headers.append(('retry-after', f'{error.retry_after_s:.2f}'))
         responder.respond(ResponseHead(error.status, tuple(headers)), body)
+        self._is_refused = True
 
 
 def _new_parser(limits: CallerLimits) -> h11.Connection:
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -175,3 +175,13 @@
         self.assertEqual(b'HTTP/1.1 200', content[:12])
         received = self.target.received_requests[-1].body
         self.assertEqual(b'x' * MAX_BODY_BYTES, received)
+
+    def test_a_refusal_reaches_a_client_that_sends_on(self) -> None:
+        """Guards against a reset that destroys a refusal."""
+        head = request_bytes('/confirm/1').partition(b'Content-Length')[0]
+        length = MAX_BODY_BYTES + 1
+        content = self.program.exchange(
+            self.program.port,
+            head + b'Content-Length: %d\r\n\r\n' % length + b'x' * length,
+        )
+        self.assertEqual(b'HTTP/1.1 413', content[:12])
--- a/tests/gateway/test_client_limits.py
+++ b/tests/gateway/test_client_limits.py
@@ -130,6 +130,25 @@
         self.assertEqual([3, 4], self.handled)
 
 
+class RefusalTest(ConnectionCase):
+    def test_a_refusal_reaches_a_caller_that_sends_on(self) -> None:
+        """Guards against a reset that destroys a refusal."""
+        body = b'x' * 3000 * KB
+        caller = self.send(length_head(len(body)))
+        caller.sendall(body)
+        self.assertIn(b' 413 ', caller.recv(KB))
+
+    def test_a_caller_that_sends_without_end_is_cut(self) -> None:
+        """Guards against a connection that is read for ever."""
+        caller = self.send(length_head(10**12))
+        with Timeout(TIMEOUT_S):
+            self.assertRaises(OSError, self.send_without_end, caller)
+
+    def send_without_end(self, caller: socket.socket) -> None:
+        while True:
+            caller.sendall(b'x' * 64 * KB)
+
+
 class ConnectionsTest(ConnectionCase):
     def test_a_caller_that_reads_no_answer_gives_way(self) -> None:
         """Guards against answers that keep all connections."""
