Count the memory of calls that other nodes hand over

Cause: a node kept the body of each handed call, up to 16 MiB, without a bound over all of them, copied it for each part that came, and the node that hands it over cut all parts before it sent the first.

Fix: handed calls share the rooms of the requests of callers. A node that has no memory for one reads its rest, as the other node reads no answer before it has sent the call, and says that it has not run and that another node may serve it. Parts are made one at a time.

Evidence: test_a_node_without_memory_takes_no_call could not fail before, as there was no room to fill; without the refusal the call ends as broken off. Crowds of handed calls between real processes were not played.

--- a/packages/gateway/dandelionyoke_gateway/_handover_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_server.py
@@ -1,6 +1,8 @@
 """Serves calls that other nodes hand to this one."""
 
+import contextlib
 from collections.abc import Iterator
+from http import HTTPStatus
 
 import attrs
 import eventlet
@@ -23,13 +25,25 @@
 )
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._messages import RequestHead, ResponseHead
-from dandelionyoke_links import CallChannel, LinkError
+from dandelionyoke_links import (
+    CallChannel,
+    ClientRooms,
+    Holding,
+    LinkError,
+    MemoryRoom,
+    MemoryShortError,
+    request_bytes,
+)
 
 # Well below the largest message that a link accepts.
 MAX_PART_BYTES = 262144
 # A peer sends the whole call at once.
 CALL_TIMEOUT_S = 5.0
 MAX_BODY_BYTES = 16777216
+# Another node may have memory for the call.
+_NOT_RUN = Verdict(
+    may_have_run=False, is_elsewhere=True, is_sent=False, is_prefill_sent=False
+)
 
 
 class ChannelResponder:
@@ -106,27 +120,41 @@
 class HandoverServer:
     """Reads calls from channels and passes them to the handler of calls."""
 
-    def __init__(self, handler: Handler, log: DecisionLog) -> None:
+    def __init__(
+        self, handler: Handler, log: DecisionLog, rooms: ClientRooms
+    ) -> None:
         self._handler = handler
         self._log = log
+        self._room = rooms.requests
 
     def serve(self, channel: CallChannel) -> None:
         """Serve the call of one channel."""
+        holding = self._room.open(lambda: None)
         try:
-            request = _read_request(channel)
+            self._serve(channel, holding)
+        finally:
+            self._room.close(holding)
+
+    def _serve(self, channel: CallChannel, holding: Holding) -> None:
+        metered = _MeteredChannel(channel, self._room, holding)
+        try:
+            request = _read_request(metered)
         except (LinkError, TimeoutError) as error:
-            self._log.decide(
-                'handover.dropped',
-                channel.peer_id,
-                outcome='not run',
-                cause=str(error),
-            )
+            self._log_dropped(channel, str(error))
+            return
+        responder = ChannelResponder(channel)
+        if metered.is_memory_short:
+            self._log_dropped(channel, 'there is no memory for the call')
+            with contextlib.suppress(CallerDisconnectedError):
+                responder.refuse(
+                    ResponseHead(HTTPStatus.SERVICE_UNAVAILABLE, ()),
+                    b'',
+                    _NOT_RUN,
+                )
             return
         # A target must not go on working for a caller that has left: the
         # other node closes the channel then.
-        handler = eventlet.spawn(
-            self._handler, request, ChannelResponder(channel)
-        )
+        handler = eventlet.spawn(self._handler, request, responder)
         watcher = eventlet.spawn(_watch_for_close, channel, handler)
         try:
             handler.wait()
@@ -136,32 +164,92 @@
             watcher.kill()
             handler.kill()
 
+    def _log_dropped(self, channel: CallChannel, cause: str) -> None:
+        self._log.decide(
+            'handover.dropped', channel.peer_id, outcome='not run', cause=cause
+        )
+
+
+class _MeteredChannel:
+    """Channel of a call that counts the memory of what it receives.
 
-def _read_request(channel: CallChannel) -> CallerRequest:
-    """Read a whole call.
+    The other node reads no answer before it has sent the whole call. While
+    memory is short, the rest of a call is therefore read and dropped.
+    """
+
+    def __init__(
+        self, channel: CallChannel, room: MemoryRoom, holding: Holding
+    ) -> None:
+        self._channel = channel
+        self._room = room
+        self._holding = holding
+        self.peer_id = channel.peer_id
+        self.is_memory_short = False
+
+    def receive_call(self, timeout_s: float) -> CallHanded:
+        """Return the call without its body.
+
+        Raises:
+            LinkError: the channel has ended, or what came is no call.
+            TimeoutError: none arrived within `timeout_s`.
+        """
+        call = self._channel.receive(timeout_s)
+        if not isinstance(call, CallHanded) or not call.is_valid:
+            raise LinkError('the first message is no valid call')
+        head_bytes = sum(len(name) + len(text) for name, text in call.headers)
+        self._grow(request_bytes(len(call.headers), head_bytes))
+        return call
+
+    def receive_part(self, timeout_s: float) -> BodyPart:
+        """Return the next part of the body, empty while memory is short.
+
+        Raises:
+            LinkError: the channel has ended, or what came is no part.
+            TimeoutError: none arrived within `timeout_s`.
+        """
+        part = self._channel.receive(timeout_s)
+        if not isinstance(part, BodyPart):
+            raise LinkError('a message is no part of the body')
+        self._grow(len(part.content))
+        if self.is_memory_short:
+            return BodyPart(b'', is_last=part.is_last)
+        return part
+
+    def _grow(self, count_bytes: int) -> None:
+        if self.is_memory_short:
+            return
+        try:
+            self._room.grow(self._holding, count_bytes)
+        except MemoryShortError:
+            self._room.close(self._holding)
+            self.is_memory_short = True
+
+
+def _read_request(channel: _MeteredChannel) -> CallerRequest:
+    """Read a whole call; its body is cut short while memory is short.
 
     Raises:
         LinkError: the channel has ended, or what came is no call.
         TimeoutError: the call did not come in time.
     """
     deadline_s = clock_s() + CALL_TIMEOUT_S
-    call = channel.receive(CALL_TIMEOUT_S)
-    if not isinstance(call, CallHanded) or not call.is_valid:
-        raise LinkError('the first message is no valid call')
+    call = channel.receive_call(CALL_TIMEOUT_S)
     received_s = clock_s()
-    body = b''
+    parts: list[bytes] = []
+    size = 0
     is_last = False
     while not is_last:
-        part = channel.receive(max(0.001, deadline_s - clock_s()))
-        if not isinstance(part, BodyPart):
-            raise LinkError('a message is no part of the body')
-        body += part.content
+        part = channel.receive_part(max(0.001, deadline_s - clock_s()))
         is_last = part.is_last
-        if len(body) > MAX_BODY_BYTES:
+        size += len(part.content)
+        if size > MAX_BODY_BYTES:
             raise LinkError('the body is too large')
+        parts.append(part.content)
+        if channel.is_memory_short:
+            parts.clear()
     return CallerRequest(
         RequestHead(call.method, call.target, call.headers),
-        body,
+        b''.join(parts),
         received_s - call.age_s,
         HandedOver(
             channel.peer_id,
@@ -190,9 +278,10 @@
 
 def split_body(body: bytes) -> Iterator[BodyPart]:
     """Split the body of a call into parts, of which the last is marked."""
-    parts = list(_parts(body)) or [b'']
-    for index, content in enumerate(parts):
-        yield BodyPart(content, is_last=index == len(parts) - 1)
+    end = max(1, len(body))
+    for start in range(0, end, MAX_PART_BYTES):
+        stop = start + MAX_PART_BYTES
+        yield BodyPart(body[start:stop], is_last=stop >= end)
 
 
 def _parts(content: bytes) -> Iterator[bytes]:
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -356,7 +356,9 @@
         hub = PeerHub(
             PeerSettings(instance_id, b'a secret'), lambda event: None
         )
-        server = HandoverServer(self._dispatcher.handle, self._log)
+        server = HandoverServer(
+            self._dispatcher.handle, self._log, self.knowledge.client_rooms
+        )
         hub.serve_calls(server.serve)
         self.handover.attach(hub.open_call)
         listener = eventlet.listen(('127.0.0.1', 0))
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -1,5 +1,6 @@
 """Calls that a node without a path to targets hands to another one."""
 
+import contextlib
 import functools
 import math
 from collections.abc import Callable, Iterator
@@ -34,7 +35,15 @@
     CallTerms,
     ResponseBegun,
 )
-from dandelionyoke_links import CallChannel, LinkError, PeerHub, PeerSettings
+from dandelionyoke_links import (
+    CallChannel,
+    LinkError,
+    MemoryRoom,
+    MemoryShortError,
+    PeerHub,
+    PeerSettings,
+)
+from dandelionyoke_links._machine import SMALL_REQUEST_BYTES
 from dandelionyoke_standins._relay import Relay
 from tests.platform import node_harness
 from tests.platform.node_harness import (
@@ -101,6 +110,13 @@
     yield chunk(b'')
 
 
+def fill(room: MemoryRoom) -> None:
+    """Hold all memory of a room for small requests."""
+    with contextlib.suppress(MemoryShortError):
+        while True:
+            room.grow(room.open(lambda: None), SMALL_REQUEST_BYTES)
+
+
 def change_routes(**changes: Any) -> tuple[Route, ...]:
     """Return the routes of the tests with changed fields."""
     return tuple(
@@ -206,6 +222,18 @@
         self.assertEqual(200, status(content))
         self.assertTrue(content.endswith(b'\r\n\r\n' + large))
 
+    def test_a_node_without_memory_takes_no_call(self) -> None:
+        """Guards against handed calls that no limit on memory bounds."""
+        self.add_targets(answers_ok)
+        for node in self.others:
+            fill(node.knowledge.client_rooms.requests)
+        self.assertEqual(503, status(self.origin.call()))
+        for node in self.others:
+            self.assertIn(
+                'there is no memory for the call', node.log_lines.text
+            )
+        self.assertEqual([], self.received())
+
     def test_a_large_call_outlasts_a_silence_of_its_node(self) -> None:
         """Guards against a call given up while its node reads nothing."""
         read_request = _handover_server._read_request
