Bound the memory of answers that are held as a whole

Cause: the answer of a plain service is read to its end, up to 8 MiB, before its caller gets a byte, copied once with its head, and kept until the caller has read it. Requests to targets were copied up to three times.

Fix: answers have a room that follows from the memory of the machine. While it is full, the answer that has been written for longest gives way, as its caller reads too slowly; if none is being written, the target waits. Large bodies are written without a copy.

Evidence: test_an_answer_waits_for_memory and test_an_answer_that_is_not_read_gives_way cannot fail before, as there was no room. The crowd of large answers that nobody reads did not fail on (59 MiB of 128; why its answers do not pile up there was not traced) and passes here: it guards, but does not show the fault.

--- /dev/null
+++ b/packages/gateway/dandelionyoke_gateway/_answer_memory.py
@@ -0,0 +1,57 @@
+"""The memory of answers that are held as a whole."""
+
+from functools import partial
+
+import eventlet
+from eventlet.hubs import get_hub
+
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._errors import ExchangeTimeoutError
+from dandelionyoke_links import MemoryRoom, MemoryShortError
+
+RETRY_INTERVAL_S = 0.05
+
+
+class AnswerMemory:
+    """The memory of the answers to one call.
+
+    While memory is short, the answer that has been written for longest gives
+    way: its caller reads too slowly, and its connection is closed.
+    """
+
+    def __init__(self, room: MemoryRoom, deadline_s: float) -> None:
+        self._room = room
+        self._deadline_s = deadline_s
+        self._holding = room.open(lambda: None)
+
+    def take(self, count_bytes: int) -> None:
+        """Count bytes of an answer; wait while there is no memory for them.
+
+        Raises:
+            ExchangeTimeoutError: there was none until the call's deadline.
+        """
+        while True:
+            try:
+                self._room.grow(self._holding, count_bytes)
+            except MemoryShortError as error:
+                if clock_s() >= self._deadline_s:
+                    raise ExchangeTimeoutError(
+                        'no memory for the response', sent=True
+                    ) from error
+                eventlet.sleep(RETRY_INTERVAL_S)
+                continue
+            return
+
+    def begin_writing(self) -> None:
+        """Let the calling green thread be ended while it writes the answer."""
+        self._holding.give_way = partial(
+            get_hub().schedule_call_global,
+            0,
+            eventlet.kill,
+            eventlet.getcurrent(),
+        )
+        self._room.set_revocable(self._holding, is_revocable=True)
+
+    def close(self) -> None:
+        """Give the memory back."""
+        self._room.close(self._holding)
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -49,6 +49,8 @@
 )
 
 HEAD_READ_BYTES = 16384
+# A body of this size is sent together with its head.
+MAX_JOINED_BODY_BYTES = 65536
 # A caller that reads nothing of its response for this long counts as
 # disconnected.
 WRITE_TIMEOUT_S = 10.0
@@ -181,8 +183,14 @@
         """Write a complete response."""
         length = ('content-length', str(len(body)))
         data = self._encode_head(head.status, (*head.headers, length))
-        data += self._encode_body(body)
-        self._write(data + (self._parser.send(h11.EndOfMessage()) or b''))
+        content = self._encode_body(body)
+        self._parser.send(h11.EndOfMessage())
+        if len(content) > MAX_JOINED_BODY_BYTES:
+            # A copy would be held until the caller has read it.
+            self._write(data)
+            self._write(content)
+        else:
+            self._write(data + content)
         self.is_complete = True
 
     def fail(self, head: ResponseHead, body: bytes, verdict: Verdict) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_handover.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover.py
@@ -74,15 +74,23 @@
             return None
         return part.content
 
-    def read_body(self, deadline_s: float) -> bytes:
+    def read_body(
+        self,
+        deadline_s: float,
+        on_bytes: Callable[[int], None] | None = None,
+    ) -> bytes:
         """Read the rest of the response body.
 
+        `on_bytes` takes the size of each part before it is kept.
+
         Raises:
             ExchangeError: the response was cut off.
         """
         chunks = []
         until_s = deadline_s + REFUSAL_DELAY_S
         while (chunk := self.read_chunk(until_s)) is not None:
+            if on_bytes is not None:
+                on_bytes(len(chunk))
             chunks.append(chunk)
         return b''.join(chunks)
 
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -1,5 +1,6 @@
 """Forwards a call to a plain service, which sends one buffered response."""
 
+import contextlib
 import math
 from http import HTTPStatus
 
@@ -11,6 +12,7 @@
     Refusal,
     RegisteredTarget,
 )
+from dandelionyoke_gateway._answer_memory import AnswerMemory
 from dandelionyoke_gateway._call_context import CallContext
 from dandelionyoke_gateway._call_dispatcher import (
     CallDependencies,
@@ -64,16 +66,24 @@
 
 def forward_plain_call(deps: CallDependencies, context: CallContext) -> None:
     """Send a call to one target after another until one responds."""
-    response = _PlainCall(deps, context).find_response()
-    head = deps.dialect.response_head(response.head)
-    context.responder.respond(head, response.body)
+    memory = AnswerMemory(
+        deps.knowledge.client_rooms.answers, context.deadline_s
+    )
+    with contextlib.closing(memory):
+        response = _PlainCall(deps, context, memory).find_response()
+        head = deps.dialect.response_head(response.head)
+        memory.begin_writing()
+        context.responder.respond(head, response.body)
 
 
 class _PlainCall:
     """The attempts to get the response to one call."""
 
-    def __init__(self, deps: CallDependencies, context: CallContext) -> None:
+    def __init__(
+        self, deps: CallDependencies, context: CallContext, memory: AnswerMemory
+    ) -> None:
         self._deps = deps
+        self._memory = memory
         self._knowledge = deps.knowledge
         self._context = context
         self._retries = RetryAccount(deps, context)
@@ -175,7 +185,7 @@
             with self._deps.handover.exchange(
                 context, watch, context.call.last_event_id
             ) as call:
-                body = call.read_body(context.deadline_s)
+                body = call.read_body(context.deadline_s, self._memory.take)
         except SupersededError:
             return self._wait_for_second()
         except ExchangeError as error:
@@ -324,7 +334,9 @@
             validate_attempt_id(facts, context, connection)
             # What a target says of itself holds if its body is cut off, too.
             apply_response_facts(self._deps, context, target, facts)
-            body = connection.read_body(context.deadline_s, MAX_RESPONSE_BYTES)
+            body = connection.read_body(
+                context.deadline_s, MAX_RESPONSE_BYTES, self._memory.take
+            )
             validate_response(response_head, facts, context, connection)
         if facts.is_signed and not facts.is_not_run:
             count_usage_once(self._deps, context, sent_s)
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -58,6 +58,9 @@
 # many of them.
 MAX_CARRIED_CALLS = 1024
 
+# A body of this size is sent together with its head.
+MAX_JOINED_BODY_BYTES = 65536
+
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
@@ -119,19 +122,18 @@
         Raises:
             ExchangeError: the first write failed, or it was too late for it.
         """
-        data = _request_bytes(self._parser, head, body)
+        pieces = _request_bytes(self._parser, head, body)
         self._silence = SilenceTimer()
         # Connecting takes time, and the process may have been paused.
         if clock_s() >= until_s:
             raise ExchangeError('too late to send after connecting', sent=False)
         try:
-            sent_count = _send_some(self._sock, data)
+            sent_count = _send_some(self._sock, pieces[0])
         except OSError as error:
             raise ExchangeError(f'cannot send: {error}', sent=True) from error
-        if sent_count < len(data):
-            self._send_task = eventlet.spawn(
-                self._send_rest, data[sent_count:], until_s
-            )
+        pieces[0] = pieces[0][sent_count:]
+        if any(pieces):
+            self._send_task = eventlet.spawn(self._send_rest, pieces, until_s)
 
     def read_head(self, deadline_s: float) -> ResponseHead:
         """Read the head of the response.
@@ -166,15 +168,24 @@
                 return None
             raise ExchangeError('the response was cut off', sent=True)
 
-    def read_body(self, deadline_s: float, max_bytes: int) -> bytes:
+    def read_body(
+        self,
+        deadline_s: float,
+        max_bytes: int,
+        on_bytes: Callable[[int], None] | None = None,
+    ) -> bytes:
         """Read the rest of the response body.
 
+        `on_bytes` takes the size of each part before it is kept.
+
         Raises:
             ExchangeError: the response was cut off or exceeds `max_bytes`.
         """
         chunks: list[bytes] = []
         size = 0
         while (chunk := self.read_chunk(deadline_s)) is not None:
+            if on_bytes is not None:
+                on_bytes(len(chunk))
             chunks.append(chunk)
             size += len(chunk)
             if size > max_bytes:
@@ -230,22 +241,29 @@
             self._send_task.kill()
         self._sock.close()
 
-    def _send_rest(self, rest: bytes, until_s: float) -> None:
+    def _send_rest(self, pieces: list[memoryview], until_s: float) -> None:
         # The first part was sent without blocking; the rest waits for space in
         # the send buffer. Closing the connection ends this.
-        unsent = memoryview(rest)
         try:
-            while unsent:
-                trampoline(self._sock.fd, write=True)
-                if clock_s() >= until_s:
+            for piece in pieces:
+                if not self._send_piece(piece, until_s):
                     # The receiver drops the incomplete request.
                     self._is_reusable = False
                     return
-                unsent = unsent[_send_some(self._sock, unsent) :]
         except OSError:
             # Reading the response fails as well and reports the error.
             self._is_reusable = False
 
+    def _send_piece(self, piece: memoryview, until_s: float) -> bool:
+        """Send a whole piece; return False if it is too late for that."""
+        unsent = piece
+        while unsent:
+            trampoline(self._sock.fd, write=True)
+            if clock_s() >= until_s:
+                return False
+            unsent = unsent[_send_some(self._sock, unsent) :]
+        return True
+
     def _next_event(self, deadline_s: float) -> Any:
         while True:
             try:
@@ -335,7 +353,8 @@
 
 def _request_bytes(
     parser: h11.Connection, head: RequestHead, body: bytes
-) -> bytes:
+) -> list[memoryview]:
+    """Return the bytes of a request; those of a large body are not copied."""
     headers = encode_headers(head.headers)
     if body or head.method not in _BODILESS:
         headers.append((b'content-length', str(len(body)).encode()))
@@ -343,8 +362,12 @@
         h11.Request(method=head.method, target=head.target, headers=headers)
     )
     if body:
-        data += parser.send(h11.Data(data=body))
-    return bytes(data + parser.send(h11.EndOfMessage()))
+        # The parser passes the body on as it is.
+        parser.send(h11.Data(data=body))
+    parser.send(h11.EndOfMessage())
+    if len(body) <= MAX_JOINED_BODY_BYTES:
+        return [memoryview(bytes(data + body))]
+    return [memoryview(bytes(data)), memoryview(body)]
 
 
 def _send_some(sock: socket.socket, data: bytes | memoryview) -> int:
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -154,6 +154,10 @@
         """Guards against bodies of requests in progress that nothing bounds."""
         self.check_crowd('whole_bodies')
 
+    def test_large_answers_that_nobody_reads(self) -> None:
+        """Guards against answers that are held without a bound."""
+        self.check_crowd('unread_answers', path='/crowd/large')
+
     def test_answers_that_nobody_reads(self) -> None:
         """Guards against requests without a pause from one connection."""
         self.check_crowd('unread_answers', path='/confirm/1')
--- a/tests/gateway/test_client_limits.py
+++ b/tests/gateway/test_client_limits.py
@@ -8,12 +8,17 @@
 
 from dandelionyoke_dispatch import CallerLimits
 from dandelionyoke_gateway import _caller_connection
+from dandelionyoke_gateway._answer_memory import AnswerMemory
 from dandelionyoke_gateway._caller_connection import (
     CallerConnection,
     CallerRequest,
     Responder,
 )
-from dandelionyoke_gateway._errors import InvalidRequestError
+from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._errors import (
+    ExchangeTimeoutError,
+    InvalidRequestError,
+)
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_links import (
     ClientRooms,
@@ -166,3 +171,40 @@
         first = self.send(length_head(0))
         self.assertNotIn(b'close', first.recv(KB))
         self.assertIn(b'connection: close', self.send(length_head(0)).recv(KB))
+
+
+class AnswerMemoryTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.room = MemoryRoom(100 * KB)
+        self.first = AnswerMemory(self.room, clock_s() + TIMEOUT_S)
+        self.first.take(90 * KB)
+
+    def test_an_answer_waits_for_memory(self) -> None:
+        """Guards against answers that are held without a bound."""
+        second = AnswerMemory(self.room, clock_s() + TIMEOUT_S)
+        waiting = spawn(second.take, 90 * KB)
+        sleep(0.1)
+        self.assertEqual(90 * KB, self.room.held_bytes)
+        self.first.close()
+        waiting.wait()
+        self.assertEqual(90 * KB, self.room.held_bytes)
+
+    def test_the_wait_ends_with_the_call(self) -> None:
+        """Guards against a call that waits for ever."""
+        second = AnswerMemory(self.room, clock_s() + 0.1)
+        error = self.assertRaises(ExchangeTimeoutError, second.take, 90 * KB)
+        self.assertTrue(error.sent)
+
+    def test_an_answer_that_is_not_read_gives_way(self) -> None:
+        """Guards against callers that read nothing and hold all memory."""
+
+        def write() -> None:
+            self.first.begin_writing()
+            sleep(TIMEOUT_S)
+
+        writer = spawn(write)
+        sleep(0)
+        AnswerMemory(self.room, clock_s() + TIMEOUT_S).take(90 * KB)
+        sleep(0.05)
+        self.assertTrue(writer.dead)
