Read no more of the next request than a small part

Cause: up to 64 KiB behind a body were read with it, and held, uncounted, while its request was handled. A log line of a refusal quoted up to 16 KiB of what the caller sent.

A cause in the log has 200 characters at most. Found by reading; the memory of pipelining crowds was not measured apart.

--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -70,6 +70,8 @@
 ACCEPT_RETRY_DELAY_S = 0.05
 # Health checks and readers of metrics are few, and send no body.
 MAX_MONITOR_CONNECTIONS = 16
+# The cause of a refusal may quote what the caller sent.
+MAX_CAUSE_LENGTH = 200
 MONITOR_LIMITS = CallerLimits(max_body_bytes=0)
 
 
@@ -357,7 +359,7 @@
             'request.refused',
             'caller',
             outcome=str(int(error.status)),
-            cause=error.cause,
+            cause=error.cause[:MAX_CAUSE_LENGTH],
             held_bytes=rooms.requests.held_bytes,
             connections=len(rooms.connections),
         )
--- a/packages/links/dandelionyoke_links/_body_reader.py
+++ b/packages/links/dandelionyoke_links/_body_reader.py
@@ -21,7 +21,7 @@
 # Parts of a body are kept in blocks of at least this size.
 BLOCK_BYTES = 65536
 # The first part of a body is read without a turn; small bodies have no other.
-FIRST_READ_BYTES = 16384
+MIN_READ_BYTES = 16384
 
 
 class BodyError(Exception):
@@ -175,8 +175,12 @@
     def _receive(self, source: BodySource) -> bool:
         """Take what has arrived; return whether that is anything."""
         if not self._has_received:
-            return self._receive_part(source, FIRST_READ_BYTES)
-        return self._turns.take(partial(self._receive_part, source, READ_BYTES))
+            return self._receive_part(source, MIN_READ_BYTES)
+        # What belongs to the next request is held until its turn comes.
+        max_bytes = min(READ_BYTES, self._decoder.missing_bytes)
+        return self._turns.take(
+            partial(self._receive_part, source, max(max_bytes, MIN_READ_BYTES))
+        )
 
     def _receive_part(self, source: BodySource, max_bytes: int) -> bool:
         self._check_held()
