Play silent connections against the health check as well

Its connections are bounded since health checks and metrics have a room of their own. On 300 silent clients at the health address left a process of 256 descriptors with none (256 not less than 256); passes here.

--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -123,12 +123,16 @@
         return self.program.call().startswith(b'HTTP/1.1 200')
 
     def check_crowd(
-        self, kind: str, count: int = CLIENTS, path: str = '/crowd/held'
+        self,
+        kind: str,
+        count: int = CLIENTS,
+        path: str = '/crowd/held',
+        port: int = 0,
     ) -> None:
         """Check the bounds beside a crowd and after it."""
         crowd = self.start_crowd(
             kind,
-            self.program.port,
+            port or self.program.port,
             count,
             MAX_BODY_BYTES,
             path,
@@ -166,6 +170,12 @@
         """Guards against a process without a descriptor for its work."""
         self.check_crowd('nothing', SILENT_CLIENTS)
 
+    def test_health_checks_that_send_nothing(self) -> None:
+        """Guards against a health check that keeps all descriptors."""
+        self.check_crowd(
+            'nothing', SILENT_CLIENTS, port=self.program.health_port
+        )
+
     def test_a_body_of_the_limit_in_chunks_of_one_byte_is_served(self) -> None:
         """Guards against a refusal of a request inside the limits."""
         head = request_bytes('/confirm/1').partition(b'Content-Length')[0]
