Serve the callers of an entry within the bounds of its machine

What callers saw, 100 clients at an entry on: 457 MiB beside bodies that stop before their end, 1,751 MiB beside chunks of 17 bytes, and no answer for 60 s beside chunks of 2 bytes, a size line without end and trailers without end.

Causes, all in how the WSGI server of eventlet reads and accepts: - a body is bounded for each call, each chunk is an object of its own, and buffered bytes are read without letting others run; - size lines and trailers have no bound; - what follows a refusal is read for as long as the client sends; - it ends when it cannot accept a connection, and accepts none while as many are open as it serves (read, not played).

Fix: the entry keeps that server and gives it a listener, a protocol and an input of its own. Bodies are read by the same BodyReader and share the same rooms as those of the gateway. These faults are one commit, as each needs the same classes.

Evidence: the eight tests of tests/crowds/test_entry.py that failed on (bodies that stop, chunks that stop, chunks without end, of 2 and of 17 bytes, size line, trailers, whole bodies) pass here; the other six passed before, too.

--- a/packages/entry/dandelionyoke_entry/_process.py
+++ b/packages/entry/dandelionyoke_entry/_process.py
@@ -1,13 +1,12 @@
 """The entry process: its sockets, its node and its shutdown."""
 
-import logging
 import random
 import signal
 import sys
 import time
 import traceback
 
-from eventlet import event as green_event, listen, sleep, spawn_n, wsgi
+from eventlet import event as green_event, listen, sleep, spawn_n
 from eventlet.green import socket
 
 from dandelionyoke_core import (
@@ -28,7 +27,11 @@
 from dandelionyoke_entry._exit_status import ExitStatus
 from dandelionyoke_entry._log import JsonLog
 from dandelionyoke_entry._settings import Endpoint, EntrySettings
-from dandelionyoke_links import PeerSettings
+from dandelionyoke_links import (
+    ClientRooms,
+    ConnectionRoom,
+    PeerSettings,
+)
 from dandelionyoke_wire import (
     ActionExecutor,
     CallerApp,
@@ -36,14 +39,9 @@
     EventQueue,
     NodeEventLoop,
     ResponseQueues,
+    serve_callers,
 )
 
-# A connection without progress in sending or receiving is closed after this.
-SOCKET_TIMEOUT_S = 60.0
-KEEPALIVE_S = 60.0
-# By default the server buffers 4096 bytes, which would delay tokens.
-MIN_CHUNK_BYTES = 1
-MAX_URL_BYTES = 8192
 LISTEN_BACKLOG = 512
 
 # Maximum wait at shutdown until complete answers are written to their sockets.
@@ -71,12 +69,14 @@
         self._callers = _listen(settings.callers)
         self._peers = _listen(settings.peers)
         self._node = Node(self._node_settings(), random.Random())
+        self._rooms = _new_rooms(settings)
         self._app = CallerApp(
             CallerSettings(settings.instance_id, settings.max_body_bytes),
             self._response_queues,
             self._event_queue.put,
             self._metrics.text,
             lambda: self._node.leaving,
+            self._rooms,
         )
 
     def run(self) -> ExitStatus:
@@ -138,18 +138,7 @@
             self._stop(ExitStatus.FAILED)
 
     def _serve_callers(self) -> None:
-        wsgi.server(
-            self._callers,
-            self._app,
-            log=_silent_logger(),
-            log_output=False,
-            debug=False,
-            max_size=self._settings.max_calls,
-            keepalive=KEEPALIVE_S,
-            minimum_chunk_size=MIN_CHUNK_BYTES,
-            socket_timeout=SOCKET_TIMEOUT_S,
-            url_length_limit=MAX_URL_BYTES,
-        )
+        serve_callers(self._callers, self._app, self._rooms.connections)
 
     def _on_signal(self, signal_number: int, frame: object) -> None:
         if self._node.leaving:
@@ -169,6 +158,12 @@
             sleep(FLUSH_CHECK_INTERVAL_S)
 
 
+def _new_rooms(settings: EntrySettings) -> ClientRooms:
+    """Return what connections may use; each call has a connection."""
+    count = min(settings.max_calls, settings.machine.max_connections)
+    return ClientRooms(settings.machine, connections=ConnectionRoom(count))
+
+
 def _listen(endpoint: Endpoint) -> socket.socket:
     return listen((endpoint.host, endpoint.port), backlog=LISTEN_BACKLOG)
 
@@ -176,14 +171,3 @@
 def _url(scheme: str, listener: socket.socket) -> str:
     host, port = listener.getsockname()
     return f'{scheme}://{host}:{port}'
-
-
-def _silent_logger() -> logging.Logger:
-    """Return a logger that discards the lines of the HTTP server.
-
-    They must not appear in the JSON log.
-    """
-    logger = logging.getLogger('dandelionyoke.http')
-    logger.addHandler(logging.NullHandler())
-    logger.propagate = False
-    return logger
--- a/packages/entry/dandelionyoke_entry/_settings.py
+++ b/packages/entry/dandelionyoke_entry/_settings.py
@@ -8,6 +8,7 @@
 import attrs
 
 from dandelionyoke_core import Domain, InstanceId, SettingsError
+from dandelionyoke_links import MachineLimits
 
 MIN_SECRET_BYTES = 16
 MAX_PORT = 65_535
@@ -15,6 +16,9 @@
 DEFAULT_BALANCER_NOTICE_S = 5.0
 DEFAULT_MAX_BODY_BYTES = 4_194_304
 DEFAULT_MAX_CALLS = 4096
+# A machine that the settings do not describe.
+DEFAULT_MEMORY_MB = 256
+DEFAULT_MAX_DESCRIPTORS = 4096
 
 Setting = TypeVar('Setting')
 
@@ -40,6 +44,7 @@
     balancer_notice_s: float
     max_body_bytes: int
     max_calls: int
+    machine: MachineLimits
 
 
 class _OptionReader:
@@ -134,9 +139,28 @@
             _parse_positive_integer,
             str(DEFAULT_MAX_CALLS),
         ),
+        'machine': _read_machine(reader),
     }
 
 
+def _read_machine(reader: _OptionReader) -> MachineLimits | None:
+    memory_mb = reader.read(
+        'machine',
+        'memory_mb',
+        _parse_positive_integer,
+        str(DEFAULT_MEMORY_MB),
+    )
+    max_descriptors = reader.read(
+        'machine',
+        'max_descriptors',
+        _parse_positive_integer,
+        str(DEFAULT_MAX_DESCRIPTORS),
+    )
+    if memory_mb is None or max_descriptors is None:
+        return None
+    return MachineLimits(memory_mb, max_descriptors)
+
+
 def _parse_name(text: str) -> str:
     if not text or not text.replace('-', '').replace('.', '').isalnum():
         raise ValueError(
--- a/packages/wire/dandelionyoke_wire/__init__.py
+++ b/packages/wire/dandelionyoke_wire/__init__.py
@@ -1,5 +1,6 @@
 """I/O layer of an entry: caller-facing server, clients and their tasks."""
 
+from dandelionyoke_wire._caller_server import serve_callers as serve_callers
 from dandelionyoke_wire._callers import (
     CallerApp as CallerApp,
     CallerSettings as CallerSettings,
--- a/packages/wire/dandelionyoke_wire/_caller_input.py
+++ b/packages/wire/dandelionyoke_wire/_caller_input.py
@@ -4,10 +4,33 @@
 from typing import Any
 
 from dandelionyoke_core import Refusal, RefusalKind
+from dandelionyoke_links import (
+    BodyDecoder,
+    BodyError,
+    BodyFramingError,
+    BodyLimits,
+    BodyReader,
+    BodyRefusedError,
+    BodyTimeoutError,
+    BodyTooLargeError,
+    ChunkedDecoder,
+    ClientRooms,
+    Holding,
+    LengthDecoder,
+    MemoryShortError,
+    request_bytes,
+)
 
 Environ = dict[str, Any]
 
 VERSION_PREFIX = '/v1'
+# The connection of a request, in its environment.
+CONNECTION_KEY = 'dandelionyoke.connection'
+# The time that a client may pause within a body, and that for a whole body.
+BODY_PAUSE_S = 60.0
+BODY_TIMEOUT_S = 60.0
+MAX_TRAILER_BYTES = 16384
+MEMORY_RETRY_AFTER_S = 1.0
 
 
 class CallError(Exception):
@@ -18,28 +41,55 @@
         self.refusal = refusal
 
 
-def read_body(environ: Environ, limit_bytes: int) -> bytes:
+def read_body(
+    environ: Environ, limit_bytes: int, rooms: ClientRooms, holding: Holding
+) -> bytes:
     """Read the whole request body.
 
     Raises:
-        CallError: the body exceeds the limit or ended early.
+        CallError: the body exceeds the limit or ended early, did not come in
+            time, or there is no memory for it.
     """
     content_length = _content_length(environ)
     if content_length is not None and content_length > limit_bytes:
         raise CallError(_too_large(limit_bytes))
-    body = _read(environ, limit_bytes + 1)
-    if len(body) > limit_bytes:
-        raise CallError(_too_large(limit_bytes))
-    if content_length is not None and len(body) < content_length:
-        raise CallError(_truncated())
-    return body
+    source = environ['wsgi.input']
+    decoder: BodyDecoder = LengthDecoder(content_length or 0)
+    if source.chunked_input:
+        decoder = ChunkedDecoder(MAX_TRAILER_BYTES)
+    limits = BodyLimits(limit_bytes, BODY_PAUSE_S, BODY_TIMEOUT_S)
+    reader = BodyReader(decoder, limits, rooms.requests, holding, rooms.turns)
+    try:
+        return reader.read(source, b'')
+    except BodyError as error:
+        raise CallError(_body_refusal(error, limit_bytes)) from error
+
 
+def _body_refusal(error: BodyError, limit_bytes: int) -> Refusal:
+    match error:
+        case BodyTooLargeError():
+            return _too_large(limit_bytes)
+        case BodyRefusedError():
+            return memory_refusal()
+        case BodyTimeoutError():
+            return malformed('The body did not come in time', 'Send it faster')
+        case BodyFramingError():
+            return malformed(str(error), 'Send chunks as HTTP/1.1 says')
+    return _truncated()
 
-def _read(environ: Environ, max_bytes: int) -> bytes:
+
+def hold_head(environ: Environ, rooms: ClientRooms, holding: Holding) -> None:
+    """Count the memory of a request without its body.
+
+    Raises:
+        CallError: there is no memory for it.
+    """
+    headers = environ.get('headers_raw', ())
+    head_bytes = sum(len(name) + len(text) for name, text in headers)
     try:
-        return bytes(environ['wsgi.input'].read(max_bytes))
-    except (OSError, ValueError) as error:
-        raise CallError(_truncated()) from error
+        rooms.requests.grow(holding, request_bytes(len(headers), head_bytes))
+    except MemoryShortError as error:
+        raise CallError(memory_refusal()) from error
 
 
 def request_path(environ: Environ) -> str:
@@ -102,6 +152,16 @@
     )
 
 
+def memory_refusal() -> Refusal:
+    """Return the refusal of a call that there is no memory for."""
+    return Refusal(
+        RefusalKind.OVERLOADED,
+        'This entry has no memory for the request now',
+        'Send it again',
+        retry_after_s=MEMORY_RETRY_AFTER_S,
+    )
+
+
 def _content_length(environ: Environ) -> int | None:
     header = environ.get('CONTENT_LENGTH')
     if not header:
--- a/packages/wire/dandelionyoke_wire/_callers.py
+++ b/packages/wire/dandelionyoke_wire/_callers.py
@@ -7,6 +7,7 @@
 
 import secrets
 from collections.abc import Callable, Iterable
+from functools import partial
 from http import HTTPStatus
 
 import attrs
@@ -21,12 +22,15 @@
     ServiceName,
     StatusRequested,
 )
+from dandelionyoke_links import ClientRooms, Holding
 from dandelionyoke_wire import _openai as openai
 from dandelionyoke_wire._caller_input import (
+    CONNECTION_KEY,
     CallError,
     Environ,
     bearer_key,
     deadline_in_s,
+    hold_head,
     malformed,
     read_body,
     request_path,
@@ -47,6 +51,8 @@
 
 REQUEST_ID_BYTES = 9
 SERVICES_PREFIX = '/services/'
+# The memory of a request, in its environment.
+_HOLDING_KEY = 'dandelionyoke.holding'
 
 
 @attrs.frozen
@@ -67,8 +73,10 @@
         emit: Callable[[Event], None],
         metrics_text: Callable[[], bytes],
         is_leaving: Callable[[], bool],
+        rooms: ClientRooms,
     ) -> None:
         self._settings = settings
+        self._rooms = rooms
         self._response_queues = response_queues
         self._emit = emit
         self._metrics_text = metrics_text
@@ -83,15 +91,23 @@
         """Serve one call."""
         request_id = self._new_request_id()
         self.open_responses += 1
+        holding = self._rooms.requests.open(lambda: None)
+        environ[_HOLDING_KEY] = holding
         try:
+            hold_head(environ, self._rooms, holding)
             chunks = self._route(request_id, environ, start_response)
         except CallError as error:
+            environ[CONNECTION_KEY].begin_answer()
             response = refusal_response(request_id, error.refusal)
             chunks = send_response(start_response, response)
-        return TrackedBody(chunks, self._response_closed)
+        except BaseException:
+            self._response_closed(holding)
+            raise
+        return TrackedBody(chunks, partial(self._response_closed, holding))
 
-    def _response_closed(self) -> None:
+    def _response_closed(self, holding: Holding) -> None:
         self.open_responses -= 1
+        self._rooms.requests.close(holding)
 
     def _new_request_id(self) -> RequestId:
         unique = secrets.token_hex(REQUEST_ID_BYTES)
@@ -110,6 +126,8 @@
             return send_response(
                 start_response, self._submit_and_wait(event, environ)
             )
+        if method == 'GET':
+            environ[CONNECTION_KEY].begin_answer()
         match (method, path):
             case ('POST', '/chat/completions'):
                 return self._call_model(
@@ -208,4 +226,11 @@
         return response_for(request_id, action)
 
     def _read_body(self, environ: Environ) -> bytes:
-        return read_body(environ, self._settings.max_body_bytes)
+        body = read_body(
+            environ,
+            self._settings.max_body_bytes,
+            self._rooms,
+            environ[_HOLDING_KEY],
+        )
+        environ[CONNECTION_KEY].begin_answer()
+        return body
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -109,6 +109,8 @@
     entries: int = 2
     engine_options: Sequence[str] = ()
     targets_behind_links: Collection[str] = ()
+    # Further lines of the entries' settings files.
+    more_settings: str = ''
 
 
 class Fleet:
@@ -116,6 +118,7 @@
 
     def __init__(self, balancer_notice_s: float = 0.2) -> None:
         self._balancer_notice_s = balancer_notice_s
+        self._more_settings = ''
         self.processes: list[RunningProcess] = []
         self.platform_url = ''
         self.entries: list[RunningProcess] = []
@@ -129,6 +132,7 @@
 
     def deploy(self, deployment: Deployment) -> None:
         """Start the platform, the targets and the entries."""
+        self._more_settings = deployment.more_settings
         platform = self.start_standin('platform', 'platform', '--lag-s', '0.2')
         # Start all before waiting for the first: each start takes 1 s.
         targets = [
@@ -204,6 +208,7 @@
                 secret=SECRET,
                 balancer_notice_s=self._balancer_notice_s,
             )
+            + self._more_settings
         )
         running = self._start_process(
             instance_id, 'dandelionyoke_entry', '--settings', str(settings)
