Name memory budgets, reservations and slots by the field's terms

Names only: MemoryRoom is MemoryBudget, Holding is Reservation, ConnectionRoom is ConnectionSlots, ClientRooms is ClientResources, what gave way is evicted.

--- a/packages/entry/dandelionyoke_entry/_process.py
+++ b/packages/entry/dandelionyoke_entry/_process.py
@@ -28,8 +28,8 @@
 from dandelionyoke_entry._log import JsonLog
 from dandelionyoke_entry._settings import Endpoint, EntrySettings
 from dandelionyoke_links import (
-    ClientRooms,
-    ConnectionRoom,
+    ClientResources,
+    ConnectionSlots,
     PeerSettings,
 )
 from dandelionyoke_wire import (
@@ -69,14 +69,14 @@
         self._callers = _listen(settings.callers)
         self._peers = _listen(settings.peers)
         self._node = Node(self._node_settings(), random.Random())
-        self._rooms = _new_rooms(settings)
+        self._resources = _new_resources(settings)
         self._app = CallerApp(
             CallerSettings(settings.instance_id, settings.max_body_bytes),
             self._response_queues,
             self._event_queue.put,
             self._metrics.text,
             lambda: self._node.leaving,
-            self._rooms,
+            self._resources,
         )
 
     def run(self) -> ExitStatus:
@@ -138,7 +138,7 @@
             self._stop(ExitStatus.FAILED)
 
     def _serve_callers(self) -> None:
-        serve_callers(self._callers, self._app, self._rooms.connections)
+        serve_callers(self._callers, self._app, self._resources.connections)
 
     def _on_signal(self, signal_number: int, frame: object) -> None:
         if self._node.leaving:
@@ -158,10 +158,10 @@
             sleep(FLUSH_CHECK_INTERVAL_S)
 
 
-def _new_rooms(settings: EntrySettings) -> ClientRooms:
+def _new_resources(settings: EntrySettings) -> ClientResources:
     """Return what connections may use; each call has a connection."""
     count = min(settings.max_calls, settings.machine.max_connections)
-    return ClientRooms(settings.machine, connections=ConnectionRoom(count))
+    return ClientResources(settings.machine, connections=ConnectionSlots(count))
 
 
 def _listen(endpoint: Endpoint) -> socket.socket:
--- a/packages/gateway/dandelionyoke_gateway/_answer_memory.py
+++ b/packages/gateway/dandelionyoke_gateway/_answer_memory.py
@@ -7,7 +7,7 @@
 
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeTimeoutError
-from dandelionyoke_links import MemoryRoom, MemoryShortError
+from dandelionyoke_links import MemoryBudget, MemoryShortError
 
 RETRY_INTERVAL_S = 0.05
 
@@ -19,10 +19,10 @@
     way: its caller reads too slowly, and its connection is closed.
     """
 
-    def __init__(self, room: MemoryRoom, deadline_s: float) -> None:
-        self._room = room
+    def __init__(self, budget: MemoryBudget, deadline_s: float) -> None:
+        self._budget = budget
         self._deadline_s = deadline_s
-        self._holding = room.open(lambda: None)
+        self._reservation = budget.open(lambda: None)
 
     def take(self, count_bytes: int) -> None:
         """Count bytes of an answer; wait while there is no memory for them.
@@ -32,7 +32,7 @@
         """
         while True:
             try:
-                self._room.grow(self._holding, count_bytes)
+                self._budget.grow(self._reservation, count_bytes)
             except MemoryShortError as error:
                 if clock_s() >= self._deadline_s:
                     raise ExchangeTimeoutError(
@@ -44,14 +44,14 @@
 
     def begin_writing(self) -> None:
         """Let the calling green thread be ended while it writes the answer."""
-        self._holding.give_way = partial(
+        self._reservation.on_evict = partial(
             get_hub().schedule_call_global,
             0,
             eventlet.kill,
             eventlet.getcurrent(),
         )
-        self._room.set_revocable(self._holding, is_revocable=True)
+        self._budget.set_evictable(self._reservation, is_evictable=True)
 
     def close(self) -> None:
         """Give the memory back."""
-        self._room.close(self._holding)
+        self._budget.close(self._reservation)
--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -39,10 +39,10 @@
     READER,
     BodyLimits,
     BodyReader,
-    ClientRooms,
-    Holding,
+    ClientResources,
     MachineLimits,
     MemoryShortError,
+    Reservation,
     close_after_refusal,
     request_bytes,
     set_socket_options,
@@ -57,7 +57,7 @@
 # The whole body of a request must be received within this time. No caller
 # waits as long for its answer.
 BODY_TIMEOUT_S = 60.0
-# Another instance may have room for the connection.
+# Another instance may take the connection.
 _UNREAD_REFUSAL = (
     b'HTTP/1.1 503 Service Unavailable\r\nretry-after: 0.05\r\n'
     b'connection: close\r\ncontent-length: 0\r\n\r\n'
@@ -265,9 +265,9 @@
 OnRefusal = Callable[[InvalidRequestError], None]
 
 
-def new_default_rooms() -> ClientRooms:
-    """Return rooms of a machine that the settings do not describe."""
-    return ClientRooms(
+def new_default_resources() -> ClientResources:
+    """Return resources of a machine that the settings do not describe."""
+    return ClientResources(
         MachineLimits(DEFAULT_MEMORY_MB, DEFAULT_MAX_DESCRIPTORS)
     )
 
@@ -281,12 +281,12 @@
         read_limits: Callable[[], CallerLimits],
         handler: Handler,
         is_leaving: Callable[[], bool],
-        rooms: ClientRooms | None = None,
+        resources: ClientResources | None = None,
         on_refusal: OnRefusal | None = None,
     ) -> None:
         self._sock = sock
         self._source = CallerSource(sock)
-        self._rooms = rooms or new_default_rooms()
+        self._resources = resources or new_default_resources()
         self._on_refusal = on_refusal
         # Whether the end of the request was not read before its refusal.
         self._is_refused = False
@@ -314,7 +314,7 @@
                 close_after_refusal(self._sock)
             self._sock.close()
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Close the connection, which waits for its caller, for a new one."""
         self._is_closing = True
         with contextlib.suppress(OSError):
@@ -349,7 +349,7 @@
             return
         if not self.has_input():
             # The caller may have reset it, which its own task reads next.
-            self.give_way()
+            self.evict()
 
     def has_input(self) -> bool:
         """Whether bytes of a request have arrived that are not read yet."""
@@ -366,24 +366,24 @@
             raise CallerDisconnectedError from error
 
     def _serve_one(self) -> bool:
-        holding = self._rooms.requests.open(lambda: None)
+        reservation = self._resources.requests.open(lambda: None)
         try:
-            return self._serve_next(holding)
+            return self._serve_next(reservation)
         except InvalidRequestError as error:
             self._refuse(error)
             return False
         finally:
-            self._rooms.requests.close(holding)
+            self._resources.requests.close(reservation)
 
-    def _serve_next(self, holding: Holding) -> bool:
-        request = self._read_request(holding)
+    def _serve_next(self, reservation: Reservation) -> bool:
+        request = self._read_request(reservation)
         if request is None:
             return False
         responder = HttpResponder(
             self._parser,
             self._sock,
             close_after=self._is_leaving()
-            or self._rooms.connections.is_crowded,
+            or self._resources.connections.is_crowded,
             is_bodiless=self._is_bodiless,
             on_wait=self._set_waiting,
         )
@@ -397,9 +397,9 @@
     def _set_waiting(self, is_waiting: bool) -> None:
         """Take note whether the connection waits for its caller."""
         if is_waiting:
-            self._rooms.connections.mark_waiting(self)
+            self._resources.connections.mark_waiting(self)
         else:
-            self._rooms.connections.mark_busy(self)
+            self._resources.connections.mark_busy(self)
 
     def _can_be_reused(self) -> bool:
         self.is_idle = True
@@ -442,22 +442,24 @@
 
     # Reading of requests.
 
-    def _read_request(self, holding: Holding) -> CallerRequest | None:
+    def _read_request(self, reservation: Reservation) -> CallerRequest | None:
         head = self._read_head()
         if head is None:
             return None
         arrived_s = clock_s()
         self._check_length(head)
-        self._hold_head(holding, head)
-        body = self._read_body(head, holding)
+        self._reserve_head(reservation, head)
+        body = self._read_body(head, reservation)
         return CallerRequest(head, body, arrived_s)
 
-    def _hold_head(self, holding: Holding, head: RequestHead) -> None:
+    def _reserve_head(
+        self, reservation: Reservation, head: RequestHead
+    ) -> None:
         """Count the memory of a head, which many small headers need most of."""
         head_bytes = sum(len(name) + len(text) for name, text in head.headers)
         try:
-            self._rooms.requests.grow(
-                holding, request_bytes(len(head.headers), head_bytes)
+            self._resources.requests.grow(
+                reservation, request_bytes(len(head.headers), head_bytes)
             )
         except MemoryShortError as error:
             raise memory_refusal() from error
@@ -488,7 +490,7 @@
                 self.is_idle = False
                 deadline_s = clock_s() + self._limits.header_timeout_s
 
-    def _read_body(self, head: RequestHead, holding: Holding) -> bytes:
+    def _read_body(self, head: RequestHead, reservation: Reservation) -> bytes:
         self._send_continue()
         decoder = new_body_decoder(head, self._limits.max_header_bytes)
         limits = BodyLimits(
@@ -496,9 +498,9 @@
             self._limits.idle_timeout_s,
             BODY_TIMEOUT_S,
         )
-        rooms = self._rooms
+        resources = self._resources
         reader = BodyReader(
-            decoder, limits, rooms.requests, holding, rooms.turns
+            decoder, limits, resources.requests, reservation, resources.turns
         )
         received, _ = self._parser.trailing_data
         return read_request_body(reader, self._source, bytes(received))
--- a/packages/gateway/dandelionyoke_gateway/_handover_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_server.py
@@ -27,11 +27,11 @@
 from dandelionyoke_gateway._messages import RequestHead, ResponseHead
 from dandelionyoke_links import (
     CallChannel,
-    ClientRooms,
-    Holding,
+    ClientResources,
     LinkError,
-    MemoryRoom,
+    MemoryBudget,
     MemoryShortError,
+    Reservation,
     request_bytes,
 )
 
@@ -121,22 +121,22 @@
     """Reads calls from channels and passes them to the handler of calls."""
 
     def __init__(
-        self, handler: Handler, log: DecisionLog, rooms: ClientRooms
+        self, handler: Handler, log: DecisionLog, resources: ClientResources
     ) -> None:
         self._handler = handler
         self._log = log
-        self._room = rooms.requests
+        self._budget = resources.requests
 
     def serve(self, channel: CallChannel) -> None:
         """Serve the call of one channel."""
-        holding = self._room.open(lambda: None)
+        reservation = self._budget.open(lambda: None)
         try:
-            self._serve(channel, holding)
+            self._serve(channel, reservation)
         finally:
-            self._room.close(holding)
+            self._budget.close(reservation)
 
-    def _serve(self, channel: CallChannel, holding: Holding) -> None:
-        metered = _MeteredChannel(channel, self._room, holding)
+    def _serve(self, channel: CallChannel, reservation: Reservation) -> None:
+        metered = _MeteredChannel(channel, self._budget, reservation)
         try:
             request = _read_request(metered)
         except (LinkError, TimeoutError) as error:
@@ -178,11 +178,14 @@
     """
 
     def __init__(
-        self, channel: CallChannel, room: MemoryRoom, holding: Holding
+        self,
+        channel: CallChannel,
+        budget: MemoryBudget,
+        reservation: Reservation,
     ) -> None:
         self._channel = channel
-        self._room = room
-        self._holding = holding
+        self._budget = budget
+        self._reservation = reservation
         self.peer_id = channel.peer_id
         self.is_memory_short = False
 
@@ -219,9 +222,9 @@
         if self.is_memory_short:
             return
         try:
-            self._room.grow(self._holding, count_bytes)
+            self._budget.grow(self._reservation, count_bytes)
         except MemoryShortError:
-            self._room.close(self._holding)
+            self._budget.close(self._reservation)
             self.is_memory_short = True
 
 
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -79,7 +79,7 @@
 from dandelionyoke_gateway._queue_waiters import QueueWaiters
 from dandelionyoke_gateway._settings import GatewaySettings
 from dandelionyoke_gateway._standstills import Standstills
-from dandelionyoke_links import ClientRooms, MachineLimits
+from dandelionyoke_links import ClientResources, MachineLimits
 
 # One slow KV cache fetch makes an engine suspect: skipping fetches costs
 # little, but each further slow one delays a caller. Engines that are gone
@@ -165,7 +165,7 @@
     plain_loads: PlainLoads
     room: EngineRoom
     # What the connections of callers may use.
-    client_rooms: ClientRooms
+    client_resources: ClientResources
     reach: TargetReach = attrs.field(
         factory=lambda: TargetReach(TargetReachSettings())
     )
@@ -468,7 +468,7 @@
         speeds=speeds,
         plain_loads=PlainLoads(PlainLoadSettings(), loads, speeds),
         room=room,
-        client_rooms=ClientRooms(
+        client_resources=ClientResources(
             MachineLimits(settings.memory_mb, settings.max_descriptors)
         ),
         shutdown=Shutdown(ShutdownSettings(settings.grace_s)),
--- a/packages/gateway/dandelionyoke_gateway/_node_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_node_links.py
@@ -58,7 +58,7 @@
             ),
             self.sources,
             self.handover,
-            HandoverServer(handler, self.log, self.knowledge.client_rooms),
+            HandoverServer(handler, self.log, self.knowledge.client_resources),
             self.origins,
         )
         secret = LinkSecret(store, self.knowledge.random, self.log)
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -67,7 +67,7 @@
 def forward_plain_call(deps: CallDependencies, context: CallContext) -> None:
     """Send a call to one target after another until one responds."""
     memory = AnswerMemory(
-        deps.knowledge.client_rooms.answers, context.deadline_s
+        deps.knowledge.client_resources.answers, context.deadline_s
     )
     with contextlib.closing(memory):
         response = _PlainCall(deps, context, memory).find_response()
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -57,7 +57,7 @@
 from dandelionyoke_gateway._target_pool import TargetPool
 from dandelionyoke_gateway._task_guard import TaskGuard
 from dandelionyoke_gateway._usage_task import UsageTask
-from dandelionyoke_links import ClientRooms, ConnectionRoom, listen
+from dandelionyoke_links import ClientResources, ConnectionSlots, listen
 
 # The load balancer checks the health once a second and removes an instance
 # after two failures in a row. Until then new callers connect and are served.
@@ -80,7 +80,7 @@
     """What the connections of a listener are for, and what they may use."""
 
     handler: Handler
-    rooms: ClientRooms
+    resources: ClientResources
     read_limits: Callable[[], CallerLimits]
 
 
@@ -175,7 +175,7 @@
         )
         callers = _Service(
             self._call_dispatcher.handle,
-            self._knowledge.client_rooms,
+            self._knowledge.client_resources,
             self._read_limits,
         )
         self._listen_and_serve(self._settings.callers, callers)
@@ -271,11 +271,11 @@
 
     def _monitor_service(self, handler: Handler) -> _Service:
         """Return a service that callers' connections cannot keep busy."""
-        rooms = ClientRooms(
-            self._knowledge.client_rooms.machine,
-            connections=ConnectionRoom(MAX_MONITOR_CONNECTIONS),
+        resources = ClientResources(
+            self._knowledge.client_resources.machine,
+            connections=ConnectionSlots(MAX_MONITOR_CONNECTIONS),
         )
-        return _Service(handler, rooms, lambda: MONITOR_LIMITS)
+        return _Service(handler, resources, lambda: MONITOR_LIMITS)
 
     def _listen_and_serve(self, endpoint: Endpoint, service: _Service) -> None:
         listener = self._listen(endpoint, service)
@@ -328,10 +328,10 @@
             service.read_limits,
             service.handler,
             lambda: self._knowledge.shutdown.is_leaving,
-            service.rooms,
+            service.resources,
             self._log_refusal,
         )
-        if service.rooms.connections.enter(connection):
+        if service.resources.connections.enter(connection):
             eventlet.spawn_n(self._serve_connection, connection, service)
             return
         self._log.decide(
@@ -339,7 +339,7 @@
             'listener',
             outcome='not read',
             cause='all connections have a request in progress',
-            connections=len(service.rooms.connections),
+            connections=len(service.resources.connections),
         )
         connection.refuse_unread()
 
@@ -351,17 +351,17 @@
             connection.serve()
         finally:
             self._connections.discard(connection)
-            service.rooms.connections.leave(connection)
+            service.resources.connections.leave(connection)
 
     def _log_refusal(self, error: InvalidRequestError) -> None:
-        rooms = self._knowledge.client_rooms
+        resources = self._knowledge.client_resources
         self._log.decide(
             'request.refused',
             'caller',
             outcome=str(int(error.status)),
             cause=error.cause[:MAX_CAUSE_LENGTH],
-            held_bytes=rooms.requests.held_bytes,
-            connections=len(rooms.connections),
+            held_bytes=resources.requests.held_bytes,
+            connections=len(resources.connections),
         )
 
     def _read_limits(self) -> CallerLimits:
--- a/packages/links/dandelionyoke_links/__init__.py
+++ b/packages/links/dandelionyoke_links/__init__.py
@@ -21,8 +21,8 @@
 from dandelionyoke_links._clock import (
     clock_s as clock_s,
 )
-from dandelionyoke_links._connection_room import (
-    ConnectionRoom as ConnectionRoom,
+from dandelionyoke_links._connection_slots import (
+    ConnectionSlots as ConnectionSlots,
     WaitingConnection as WaitingConnection,
 )
 from dandelionyoke_links._event_loop import (
@@ -33,14 +33,14 @@
 )
 from dandelionyoke_links._input_wait import InputWait as InputWait
 from dandelionyoke_links._machine import (
-    ClientRooms as ClientRooms,
+    ClientResources as ClientResources,
     MachineLimits as MachineLimits,
     request_bytes as request_bytes,
 )
-from dandelionyoke_links._memory_room import (
-    Holding as Holding,
-    MemoryRoom as MemoryRoom,
+from dandelionyoke_links._memory_budget import (
+    MemoryBudget as MemoryBudget,
     MemoryShortError as MemoryShortError,
+    Reservation as Reservation,
 )
 from dandelionyoke_links._peers import (
     CallChannel as CallChannel,
--- a/packages/links/dandelionyoke_links/_body_reader.py
+++ b/packages/links/dandelionyoke_links/_body_reader.py
@@ -11,10 +11,10 @@
 
 from dandelionyoke_links._body_decoders import BodyDecoder, FramingError
 from dandelionyoke_links._clock import clock_s
-from dandelionyoke_links._memory_room import (
-    Holding,
-    MemoryRoom,
+from dandelionyoke_links._memory_budget import (
+    MemoryBudget,
     MemoryShortError,
+    Reservation,
 )
 
 READ_BYTES = 65536
@@ -112,14 +112,14 @@
         self,
         decoder: BodyDecoder,
         limits: BodyLimits,
-        room: MemoryRoom,
-        holding: Holding,
+        budget: MemoryBudget,
+        reservation: Reservation,
         turns: DecodeTurns,
     ) -> None:
         self._decoder = decoder
         self._limits = limits
-        self._room = room
-        self._holding = holding
+        self._budget = budget
+        self._reservation = reservation
         self._turns = turns
         self._blocks: list[bytes] = []
         # What is no whole block yet.
@@ -134,13 +134,13 @@
             BodyError: the body was not read to its end.
         """
         until_s = clock_s() + self._limits.timeout_s
-        self._holding.give_way = partial(self._give_way, source)
-        self._room.set_revocable(self._holding, is_revocable=True)
+        self._reservation.on_evict = partial(self._evict, source)
+        self._budget.set_evictable(self._reservation, is_evictable=True)
         try:
             self._take(received)
             return self._read_rest(source, until_s)
         finally:
-            self._room.set_revocable(self._holding, is_revocable=False)
+            self._budget.set_evictable(self._reservation, is_evictable=False)
             self._drop()
 
     def _read_rest(self, source: BodySource, until_s: float) -> bytes:
@@ -150,8 +150,8 @@
         source.give_back(self._decoder.rest)
         return b''.join((*self._blocks, self._open_block))
 
-    def _give_way(self, source: BodySource) -> None:
-        """Give back the memory; the holding was closed."""
+    def _evict(self, source: BodySource) -> None:
+        """Give back the memory; the reservation was closed."""
         self._drop()
         source.end_wait()
 
@@ -210,7 +210,7 @@
                 f'the body is over {self._limits.max_bytes} bytes'
             )
         try:
-            self._room.grow(self._holding, len(content))
+            self._budget.grow(self._reservation, len(content))
         except MemoryShortError as error:
             raise _refused() from error
         self._open_block += content
@@ -219,7 +219,7 @@
             self._open_block = bytearray()
 
     def _check_held(self) -> None:
-        if self._holding.is_closed:
+        if self._reservation.is_closed:
             raise _refused()
 
 
--- a/packages/links/dandelionyoke_links/_connection_room.py
+++ b/packages/links/dandelionyoke_links/_connection_slots.py
@@ -13,11 +13,11 @@
     def has_input(self) -> bool:
         """Whether bytes have arrived that are not read yet."""
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Close the connection; must not block."""
 
 
-class ConnectionRoom:
+class ConnectionSlots:
     """The open connections of clients, at most `max_connections`.
 
     While there are as many, the one that has waited for its client for
@@ -45,7 +45,7 @@
             if closed is None:
                 return False
             self.leave(closed)
-            closed.give_way()
+            closed.evict()
         self._open.add(connection)
         self._waiting[connection] = None
         return True
--- a/packages/links/dandelionyoke_links/_machine.py
+++ b/packages/links/dandelionyoke_links/_machine.py
@@ -3,8 +3,8 @@
 import attrs
 
 from dandelionyoke_links._body_reader import DecodeTurns
-from dandelionyoke_links._connection_room import ConnectionRoom
-from dandelionyoke_links._memory_room import MemoryRoom
+from dandelionyoke_links._connection_slots import ConnectionSlots
+from dandelionyoke_links._memory_budget import MemoryBudget
 
 BYTES_PER_MB = 1_048_576
 # Shares of the memory of the machine. The rest is for the process itself.
@@ -49,25 +49,25 @@
         return max(1, int(min(by_memory, by_descriptors)))
 
 
-def _new_request_room(rooms: 'ClientRooms') -> MemoryRoom:
-    memory_bytes = rooms.machine.memory_bytes
-    return MemoryRoom(
+def _new_request_budget(resources: 'ClientResources') -> MemoryBudget:
+    memory_bytes = resources.machine.memory_bytes
+    return MemoryBudget(
         memory_bytes * LARGE_REQUESTS_SHARE,
         memory_bytes * SMALL_REQUESTS_SHARE,
         SMALL_REQUEST_BYTES,
     )
 
 
-def _new_answer_room(rooms: 'ClientRooms') -> MemoryRoom:
-    return MemoryRoom(rooms.machine.memory_bytes * ANSWERS_SHARE)
+def _new_answer_budget(resources: 'ClientResources') -> MemoryBudget:
+    return MemoryBudget(resources.machine.memory_bytes * ANSWERS_SHARE)
 
 
-def _new_connection_room(rooms: 'ClientRooms') -> ConnectionRoom:
-    return ConnectionRoom(rooms.machine.max_connections)
+def _new_connection_slots(resources: 'ClientResources') -> ConnectionSlots:
+    return ConnectionSlots(resources.machine.max_connections)
 
 
 @attrs.frozen
-class ClientRooms:
+class ClientResources:
     """What the connections of clients of a process use together.
 
     `requests` is the memory of requests, `answers` that of answers that are
@@ -75,14 +75,14 @@
     """
 
     machine: MachineLimits
-    requests: MemoryRoom = attrs.field(
-        default=attrs.Factory(_new_request_room, takes_self=True)
+    requests: MemoryBudget = attrs.field(
+        default=attrs.Factory(_new_request_budget, takes_self=True)
     )
-    answers: MemoryRoom = attrs.field(
-        default=attrs.Factory(_new_answer_room, takes_self=True)
+    answers: MemoryBudget = attrs.field(
+        default=attrs.Factory(_new_answer_budget, takes_self=True)
     )
-    connections: ConnectionRoom = attrs.field(
-        default=attrs.Factory(_new_connection_room, takes_self=True)
+    connections: ConnectionSlots = attrs.field(
+        default=attrs.Factory(_new_connection_slots, takes_self=True)
     )
     turns: DecodeTurns = attrs.field(factory=DecodeTurns)
 
--- a/packages/wire/dandelionyoke_wire/_caller_input.py
+++ b/packages/wire/dandelionyoke_wire/_caller_input.py
@@ -14,10 +14,10 @@
     BodyTimeoutError,
     BodyTooLargeError,
     ChunkedDecoder,
-    ClientRooms,
-    Holding,
+    ClientResources,
     LengthDecoder,
     MemoryShortError,
+    Reservation,
     request_bytes,
 )
 
@@ -42,7 +42,10 @@
 
 
 def read_body(
-    environ: Environ, limit_bytes: int, rooms: ClientRooms, holding: Holding
+    environ: Environ,
+    limit_bytes: int,
+    resources: ClientResources,
+    reservation: Reservation,
 ) -> bytes:
     """Read the whole request body.
 
@@ -58,7 +61,9 @@
     if source.chunked_input:
         decoder = ChunkedDecoder(MAX_TRAILER_BYTES)
     limits = BodyLimits(limit_bytes, BODY_PAUSE_S, BODY_TIMEOUT_S)
-    reader = BodyReader(decoder, limits, rooms.requests, holding, rooms.turns)
+    reader = BodyReader(
+        decoder, limits, resources.requests, reservation, resources.turns
+    )
     try:
         return reader.read(source, b'')
     except BodyError as error:
@@ -78,7 +83,9 @@
     return _truncated()
 
 
-def hold_head(environ: Environ, rooms: ClientRooms, holding: Holding) -> None:
+def reserve_head(
+    environ: Environ, resources: ClientResources, reservation: Reservation
+) -> None:
     """Count the memory of a request without its body.
 
     Raises:
@@ -87,7 +94,9 @@
     headers = environ.get('headers_raw', ())
     head_bytes = sum(len(name) + len(text) for name, text in headers)
     try:
-        rooms.requests.grow(holding, request_bytes(len(headers), head_bytes))
+        resources.requests.grow(
+            reservation, request_bytes(len(headers), head_bytes)
+        )
     except MemoryShortError as error:
         raise CallError(memory_refusal()) from error
 
--- a/packages/wire/dandelionyoke_wire/_caller_server.py
+++ b/packages/wire/dandelionyoke_wire/_caller_server.py
@@ -13,7 +13,7 @@
 from eventlet.green import socket
 
 from dandelionyoke_links import (
-    ConnectionRoom,
+    ConnectionSlots,
     InputWait,
     close_after_refusal,
 )
@@ -28,7 +28,7 @@
 ACCEPT_RETRY_DELAY_S = 0.05
 # Threads of connections that are being closed for new ones.
 SPARE_THREADS = 64
-# Another entry may have room for the connection.
+# Another entry may take the connection.
 _UNREAD_REFUSAL = (
     b'HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n'
     b'Connection: close\r\nContent-Length: 0\r\n\r\n'
@@ -36,7 +36,7 @@
 
 
 def serve_callers(
-    listener: socket.socket, app: Any, connections: ConnectionRoom
+    listener: socket.socket, app: Any, connections: ConnectionSlots
 ) -> None:
     """Serve the connections of a listener until the process ends."""
     wsgi.server(
@@ -55,7 +55,7 @@
 
 
 class ClientConnection:
-    """A connection of a client, as its room sees it."""
+    """A connection of a client that may be closed for others."""
 
     def __init__(self, sock: socket.socket) -> None:
         self._sock = sock
@@ -67,17 +67,17 @@
         except OSError:
             return False
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         """Close the connection; its thread ends when it reads or writes."""
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
 
 class CallerListener:
-    """Listening socket that accepts connections within the bounds of a room."""
+    """Listening socket that accepts connections while there are slots."""
 
     def __init__(
-        self, listener: socket.socket, connections: ConnectionRoom
+        self, listener: socket.socket, connections: ConnectionSlots
     ) -> None:
         self._listener = listener
         self.family = listener.family
@@ -93,7 +93,7 @@
         self._listener.close()
 
     def accept(self) -> tuple[socket.socket, Any]:
-        """Wait for a connection that there is room for."""
+        """Wait for a connection that gets a slot."""
         while True:
             # The requests of others are read before they can be closed.
             sleep(0)
@@ -196,7 +196,7 @@
 
 
 class CallerProtocol(wsgi.HttpProtocol):  # type: ignore[misc] # see above
-    """Protocol of one connection, which its room may close while it waits."""
+    """Protocol of one connection, which may be evicted while it waits."""
 
     def __init__(self, conn_state: Any, server: Any) -> None:
         self._connections = server.socket.connections
--- a/packages/wire/dandelionyoke_wire/_callers.py
+++ b/packages/wire/dandelionyoke_wire/_callers.py
@@ -22,7 +22,7 @@
     ServiceName,
     StatusRequested,
 )
-from dandelionyoke_links import ClientRooms, Holding
+from dandelionyoke_links import ClientResources, Reservation
 from dandelionyoke_wire import _openai as openai
 from dandelionyoke_wire._caller_input import (
     CONNECTION_KEY,
@@ -30,10 +30,10 @@
     Environ,
     bearer_key,
     deadline_in_s,
-    hold_head,
     malformed,
     read_body,
     request_path,
+    reserve_head,
     unknown_path,
 )
 from dandelionyoke_wire._caller_output import (
@@ -52,7 +52,7 @@
 REQUEST_ID_BYTES = 9
 SERVICES_PREFIX = '/services/'
 # The memory of a request, in its environment.
-_HOLDING_KEY = 'dandelionyoke.holding'
+_RESERVATION_KEY = 'dandelionyoke.reservation'
 
 
 @attrs.frozen
@@ -73,10 +73,10 @@
         emit: Callable[[Event], None],
         metrics_text: Callable[[], bytes],
         is_leaving: Callable[[], bool],
-        rooms: ClientRooms,
+        resources: ClientResources,
     ) -> None:
         self._settings = settings
-        self._rooms = rooms
+        self._resources = resources
         self._response_queues = response_queues
         self._emit = emit
         self._metrics_text = metrics_text
@@ -91,23 +91,23 @@
         """Serve one call."""
         request_id = self._new_request_id()
         self.open_responses += 1
-        holding = self._rooms.requests.open(lambda: None)
-        environ[_HOLDING_KEY] = holding
+        reservation = self._resources.requests.open(lambda: None)
+        environ[_RESERVATION_KEY] = reservation
         try:
-            hold_head(environ, self._rooms, holding)
+            reserve_head(environ, self._resources, reservation)
             chunks = self._route(request_id, environ, start_response)
         except CallError as error:
             environ[CONNECTION_KEY].begin_answer()
             response = refusal_response(request_id, error.refusal)
             chunks = send_response(start_response, response)
         except BaseException:
-            self._response_closed(holding)
+            self._response_closed(reservation)
             raise
-        return TrackedBody(chunks, partial(self._response_closed, holding))
+        return TrackedBody(chunks, partial(self._response_closed, reservation))
 
-    def _response_closed(self, holding: Holding) -> None:
+    def _response_closed(self, reservation: Reservation) -> None:
         self.open_responses -= 1
-        self._rooms.requests.close(holding)
+        self._resources.requests.close(reservation)
 
     def _new_request_id(self) -> RequestId:
         unique = secrets.token_hex(REQUEST_ID_BYTES)
@@ -229,8 +229,8 @@
         body = read_body(
             environ,
             self._settings.max_body_bytes,
-            self._rooms,
-            environ[_HOLDING_KEY],
+            self._resources,
+            environ[_RESERVATION_KEY],
         )
         environ[CONNECTION_KEY].begin_answer()
         return body
--- a/tests/gateway/test_client_limits.py
+++ b/tests/gateway/test_client_limits.py
@@ -21,10 +21,10 @@
 )
 from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_links import (
-    ClientRooms,
-    ConnectionRoom,
+    ClientResources,
+    ConnectionSlots,
     MachineLimits,
-    MemoryRoom,
+    MemoryBudget,
 )
 
 KB = 1024
@@ -41,10 +41,10 @@
 class ConnectionCase(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.rooms = ClientRooms(
+        self.resources = ClientResources(
             MachineLimits(100, 1000),
-            requests=MemoryRoom(500 * KB),
-            connections=ConnectionRoom(2),
+            requests=MemoryBudget(500 * KB),
+            connections=ConnectionSlots(2),
         )
         self.limits = LIMITS
         self.answer = b'ok'
@@ -64,10 +64,10 @@
             lambda: self.limits,
             self.handle,
             lambda: False,
-            self.rooms,
+            self.resources,
             self.refusals.append,
         )
-        self.rooms.connections.enter(connection)
+        self.resources.connections.enter(connection)
         spawn(connection.serve)
         return caller
 
@@ -102,7 +102,7 @@
             caller.sendall(length_head(300 * KB) + b'x' * 300 * KB)
             self.assertIn(b' 200 ', caller.recv(KB))
         sleep(0.05)
-        self.assertEqual(0, self.rooms.requests.held_bytes)
+        self.assertEqual(0, self.resources.requests.held_bytes)
 
     def test_many_small_headers_count(self) -> None:
         """Guards against heads that are larger in memory than sent."""
@@ -176,23 +176,23 @@
 class AnswerMemoryTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.room = MemoryRoom(100 * KB)
-        self.first = AnswerMemory(self.room, clock_s() + TIMEOUT_S)
+        self.budget = MemoryBudget(100 * KB)
+        self.first = AnswerMemory(self.budget, clock_s() + TIMEOUT_S)
         self.first.take(90 * KB)
 
     def test_an_answer_waits_for_memory(self) -> None:
         """Guards against answers that are held without a bound."""
-        second = AnswerMemory(self.room, clock_s() + TIMEOUT_S)
+        second = AnswerMemory(self.budget, clock_s() + TIMEOUT_S)
         waiting = spawn(second.take, 90 * KB)
         sleep(0.1)
-        self.assertEqual(90 * KB, self.room.held_bytes)
+        self.assertEqual(90 * KB, self.budget.held_bytes)
         self.first.close()
         waiting.wait()
-        self.assertEqual(90 * KB, self.room.held_bytes)
+        self.assertEqual(90 * KB, self.budget.held_bytes)
 
     def test_the_wait_ends_with_the_call(self) -> None:
         """Guards against a call that waits for ever."""
-        second = AnswerMemory(self.room, clock_s() + 0.1)
+        second = AnswerMemory(self.budget, clock_s() + 0.1)
         error = self.assertRaises(ExchangeTimeoutError, second.take, 90 * KB)
         self.assertTrue(error.sent)
 
@@ -205,6 +205,6 @@
 
         writer = spawn(write)
         sleep(0)
-        AnswerMemory(self.room, clock_s() + TIMEOUT_S).take(90 * KB)
+        AnswerMemory(self.budget, clock_s() + TIMEOUT_S).take(90 * KB)
         sleep(0.05)
         self.assertTrue(writer.dead)
--- a/tests/links/test_client_rooms.py
+++ b/tests/links/test_client_resources.py
@@ -9,63 +9,63 @@
     BodyRefusedError,
     BodyTimeoutError,
     BodyTooLargeError,
-    ClientRooms,
-    ConnectionRoom,
+    ClientResources,
+    ConnectionSlots,
     DecodeTurns,
-    Holding,
     LengthDecoder,
     MachineLimits,
-    MemoryRoom,
+    MemoryBudget,
     MemoryShortError,
+    Reservation,
 )
 
 KB = 1024
 PROGRESS_BYTES = 64 * KB
 
 
-class MemoryRoomTest(testtools.TestCase):
+class MemoryBudgetTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.room = MemoryRoom(1000 * KB, 100 * KB, 10 * KB)
+        self.budget = MemoryBudget(1000 * KB, 100 * KB, 10 * KB)
         self.ended: list[str] = []
 
     def hold(
-        self, name: str, size_bytes: int, *, is_revocable: bool = True
-    ) -> Holding:
-        holding = self.room.open(lambda: self.ended.append(name))
-        self.room.set_revocable(holding, is_revocable=is_revocable)
-        self.room.grow(holding, size_bytes)
-        return holding
+        self, name: str, size_bytes: int, *, is_evictable: bool = True
+    ) -> Reservation:
+        reservation = self.budget.open(lambda: self.ended.append(name))
+        self.budget.set_evictable(reservation, is_evictable=is_evictable)
+        self.budget.grow(reservation, size_bytes)
+        return reservation
 
     def test_the_one_without_progress_gives_way(self) -> None:
         """Guards against a newcomer that pays for a stalled body."""
         self.hold('stalled', 400 * KB)
         active = self.hold('active', 400 * KB)
-        self.room.grow(active, PROGRESS_BYTES)
+        self.budget.grow(active, PROGRESS_BYTES)
         self.hold('new', 400 * KB)
         self.assertEqual(['stalled'], self.ended)
-        self.assertEqual(864 * KB, self.room.held_bytes)
+        self.assertEqual(864 * KB, self.budget.held_bytes)
 
     def test_a_byte_at_a_time_is_no_progress(self) -> None:
         """Guards against a slow body that outlasts all others."""
         slow = self.hold('slow', 400 * KB)
         self.hold('stalled', 400 * KB)
         for _ in range(100):
-            self.room.grow(slow, 1)
+            self.budget.grow(slow, 1)
         self.hold('new', 200 * KB)
         self.assertEqual(['slow'], self.ended)
 
-    def test_a_whole_request_does_not_give_way(self) -> None:
+    def test_a_whole_request_does_not_evict(self) -> None:
         """Guards against a call that is ended while it may run."""
-        self.hold('whole', 900 * KB, is_revocable=False)
+        self.hold('whole', 900 * KB, is_evictable=False)
         self.assertRaises(MemoryShortError, self.hold, 'new', 200 * KB)
         self.assertEqual(['new'], self.ended)
-        self.assertEqual(900 * KB, self.room.held_bytes)
+        self.assertEqual(900 * KB, self.budget.held_bytes)
 
     def test_small_requests_have_memory_of_their_own(self) -> None:
         """Guards against large bodies that keep small requests out."""
-        self.hold('large', 1000 * KB, is_revocable=False)
-        self.hold('small', 8 * KB, is_revocable=False)
+        self.hold('large', 1000 * KB, is_evictable=False)
+        self.hold('small', 8 * KB, is_evictable=False)
         self.assertEqual([], self.ended)
 
     def test_one_request_is_served_whatever_its_size(self) -> None:
@@ -74,12 +74,12 @@
         self.assertEqual([], self.ended)
 
     def test_memory_is_given_back_once(self) -> None:
-        """Guards against a room that grows with each request."""
-        holding = self.hold('any', 50 * KB)
-        self.room.close(holding)
-        self.room.close(holding)
-        self.assertEqual(0, self.room.held_bytes)
-        self.assertRaises(MemoryShortError, self.room.grow, holding, 1)
+        """Guards against a budget that grows with each request."""
+        reservation = self.hold('any', 50 * KB)
+        self.budget.close(reservation)
+        self.budget.close(reservation)
+        self.assertEqual(0, self.budget.held_bytes)
+        self.assertRaises(MemoryShortError, self.budget.grow, reservation, 1)
 
 
 class Connection:
@@ -90,39 +90,39 @@
     def has_input(self) -> bool:
         return not self.is_read
 
-    def give_way(self) -> None:
+    def evict(self) -> None:
         self.is_closed = True
 
 
-class ConnectionRoomTest(testtools.TestCase):
+class ConnectionSlotsTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.room = ConnectionRoom(2)
+        self.budget = ConnectionSlots(2)
         self.first, self.second, self.third = (Connection() for _ in range(3))
-        self.room.enter(self.first)
-        self.room.enter(self.second)
+        self.budget.enter(self.first)
+        self.budget.enter(self.second)
 
     def test_the_one_that_waits_longest_is_closed(self) -> None:
         """Guards against silent connections that keep others out."""
-        self.room.mark_busy(self.first)
-        self.room.mark_waiting(self.first)
-        self.assertTrue(self.room.enter(self.third))
+        self.budget.mark_busy(self.first)
+        self.budget.mark_waiting(self.first)
+        self.assertTrue(self.budget.enter(self.third))
         self.assertTrue(self.second.is_closed)
         self.assertFalse(self.first.is_closed)
-        self.assertEqual(2, len(self.room))
+        self.assertEqual(2, len(self.budget))
 
     def test_a_request_in_progress_is_not_closed(self) -> None:
         """Guards against a call that is ended for a new connection."""
-        self.room.mark_busy(self.first)
-        self.room.mark_busy(self.second)
-        self.assertFalse(self.room.enter(self.third))
-        self.room.leave(self.first)
-        self.assertTrue(self.room.enter(self.third))
+        self.budget.mark_busy(self.first)
+        self.budget.mark_busy(self.second)
+        self.assertFalse(self.budget.enter(self.third))
+        self.budget.leave(self.first)
+        self.assertTrue(self.budget.enter(self.third))
 
     def test_a_request_that_has_arrived_is_not_closed(self) -> None:
         """Guards against a request that is neither read nor refused."""
         self.first.is_read = False
-        self.assertTrue(self.room.enter(self.third))
+        self.assertTrue(self.budget.enter(self.third))
         self.assertEqual(
             (False, True), (self.first.is_closed, self.second.is_closed)
         )
@@ -170,20 +170,20 @@
 class BodyReaderTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.rooms = ClientRooms(
-            MachineLimits(100, 1000), requests=MemoryRoom(200 * KB)
+        self.resources = ClientResources(
+            MachineLimits(100, 1000), requests=MemoryBudget(200 * KB)
         )
 
     def read(
         self, content: bytes, length: int, *, timeout_s: float = 60.0
     ) -> bytes:
-        room = self.rooms.requests
+        budget = self.resources.requests
         reader = BodyReader(
             LengthDecoder(length),
             BodyLimits(300 * KB, 0.2, timeout_s),
-            room,
-            room.open(lambda: None),
-            self.rooms.turns,
+            budget,
+            budget.open(lambda: None),
+            self.resources.turns,
         )
         self.source = Source(content)
         return reader.read(self.source, b'')
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -357,7 +357,7 @@
             PeerSettings(instance_id, b'a secret'), lambda event: None
         )
         server = HandoverServer(
-            self._dispatcher.handle, self._log, self.knowledge.client_rooms
+            self._dispatcher.handle, self._log, self.knowledge.client_resources
         )
         hub.serve_calls(server.serve)
         self.handover.attach(hub.open_call)
--- a/tests/platform/test_handed_calls.py
+++ b/tests/platform/test_handed_calls.py
@@ -38,7 +38,7 @@
 from dandelionyoke_links import (
     CallChannel,
     LinkError,
-    MemoryRoom,
+    MemoryBudget,
     MemoryShortError,
     PeerHub,
     PeerSettings,
@@ -110,11 +110,11 @@
     yield chunk(b'')
 
 
-def fill(room: MemoryRoom) -> None:
-    """Hold all memory of a room for small requests."""
+def fill(budget: MemoryBudget) -> None:
+    """Hold all memory of a budget for small requests."""
     with contextlib.suppress(MemoryShortError):
         while True:
-            room.grow(room.open(lambda: None), SMALL_REQUEST_BYTES)
+            budget.grow(budget.open(lambda: None), SMALL_REQUEST_BYTES)
 
 
 def change_routes(**changes: Any) -> tuple[Route, ...]:
@@ -226,7 +226,7 @@
         """Guards against handed calls that no limit on memory bounds."""
         self.add_targets(answers_ok)
         for node in self.others:
-            fill(node.knowledge.client_rooms.requests)
+            fill(node.knowledge.client_resources.requests)
         self.assertEqual(503, status(self.origin.call()))
         for node in self.others:
             self.assertIn(
