Log connections that are closed for new ones

The read of the diff found that such a decision had no line in the log, and that answers that are read at the same time may wait for each other; the latter is listed, not mended.

--- a/packages/gateway/dandelionyoke_gateway/_answer_memory.py
+++ b/packages/gateway/dandelionyoke_gateway/_answer_memory.py
@@ -15,8 +15,8 @@
 class AnswerMemory:
     """The memory of the answers to one call.
 
-    While memory is short, the answer that has been written for longest gives
-    way: its caller reads too slowly, and its connection is closed.
+    While memory is short, the answer that has been written for longest is
+    evicted: its caller reads too slowly, and its connection is closed.
     """
 
     def __init__(self, budget: MemoryBudget, deadline_s: float) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -279,6 +279,8 @@
 
     def _listen_and_serve(self, endpoint: Endpoint, service: _Service) -> None:
         listener = self._listen(endpoint, service)
+        connections = service.resources.connections
+        connections.on_evict = partial(self._log_eviction, connections)
         self._tasks.start('accept', partial(self._accept, listener, service))
 
     def _listen(
@@ -353,6 +355,15 @@
             self._connections.discard(connection)
             service.resources.connections.leave(connection)
 
+    def _log_eviction(self, connections: ConnectionSlots) -> None:
+        self._log.decide(
+            'connection.evicted',
+            'caller',
+            outcome='closed',
+            cause='it waited for its caller for longest as another one came',
+            connections=len(connections),
+        )
+
     def _log_refusal(self, error: InvalidRequestError) -> None:
         resources = self._knowledge.client_resources
         self._log.decide(
--- a/packages/links/dandelionyoke_links/_connection_slots.py
+++ b/packages/links/dandelionyoke_links/_connection_slots.py
@@ -1,5 +1,6 @@
 """A bound on the connections that clients keep open."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 # With more connections than this share, each is closed after its answer, so
@@ -26,6 +27,8 @@
 
     def __init__(self, max_connections: int) -> None:
         self.max_connections = max_connections
+        # Called when a connection is closed for a new one.
+        self.on_evict: Callable[[], None] | None = None
         self._open: set[WaitingConnection] = set()
         # In the order in which they began to wait.
         self._waiting: dict[WaitingConnection, None] = {}
@@ -46,6 +49,8 @@
                 return False
             self.leave(closed)
             closed.evict()
+            if self.on_evict is not None:
+                self.on_evict()
         self._open.add(connection)
         self._waiting[connection] = None
         return True
--- a/tests/links/test_client_resources.py
+++ b/tests/links/test_client_resources.py
@@ -97,32 +97,35 @@
 class ConnectionSlotsTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
-        self.budget = ConnectionSlots(2)
+        self.slots = ConnectionSlots(2)
         self.first, self.second, self.third = (Connection() for _ in range(3))
-        self.budget.enter(self.first)
-        self.budget.enter(self.second)
+        self.slots.enter(self.first)
+        self.slots.enter(self.second)
 
     def test_the_one_that_waits_longest_is_closed(self) -> None:
         """Guards against silent connections that keep others out."""
-        self.budget.mark_busy(self.first)
-        self.budget.mark_waiting(self.first)
-        self.assertTrue(self.budget.enter(self.third))
+        evicted: list[str] = []
+        self.slots.on_evict = lambda: evicted.append('one')
+        self.slots.mark_busy(self.first)
+        self.slots.mark_waiting(self.first)
+        self.assertTrue(self.slots.enter(self.third))
+        self.assertEqual(['one'], evicted)
         self.assertTrue(self.second.is_closed)
         self.assertFalse(self.first.is_closed)
-        self.assertEqual(2, len(self.budget))
+        self.assertEqual(2, len(self.slots))
 
     def test_a_request_in_progress_is_not_closed(self) -> None:
         """Guards against a call that is ended for a new connection."""
-        self.budget.mark_busy(self.first)
-        self.budget.mark_busy(self.second)
-        self.assertFalse(self.budget.enter(self.third))
-        self.budget.leave(self.first)
-        self.assertTrue(self.budget.enter(self.third))
+        self.slots.mark_busy(self.first)
+        self.slots.mark_busy(self.second)
+        self.assertFalse(self.slots.enter(self.third))
+        self.slots.leave(self.first)
+        self.assertTrue(self.slots.enter(self.third))
 
     def test_a_request_that_has_arrived_is_not_closed(self) -> None:
         """Guards against a request that is neither read nor refused."""
         self.first.is_read = False
-        self.assertTrue(self.budget.enter(self.third))
+        self.assertTrue(self.slots.enter(self.third))
         self.assertEqual(
             (False, True), (self.first.is_closed, self.second.is_closed)
         )
