Free a call at once when its caller has disconnected

What callers saw: beside clients that read no large answer a process grew without a bound, also after their connections were closed.

Cause: a green thread that ends with an error keeps the error, its frames and so the body and the answer of the call, in a cycle that only the garbage collector ends; it counts objects, not bytes.

Why the test did not show it: its target named a fixed attempt in its answers, so that the crowd got 502 and no large answer.

Fix: the handler of a call runs in a function that ends without an error when the caller has left.

--- a/packages/gateway/dandelionyoke_gateway/_caller_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_caller_connection.py
@@ -265,6 +265,21 @@
 OnRefusal = Callable[[InvalidRequestError], None]
 
 
+def run_handler(
+    handler: Handler, request: CallerRequest, responder: Responder
+) -> bool:
+    """Run a handler; return False if its caller has disconnected.
+
+    A green thread that ends with an error keeps its frames, and so the body
+    and the answer of the call, until the garbage collector finds them.
+    """
+    try:
+        handler(request, responder)
+    except (eventlet.greenlet.GreenletExit, CallerDisconnectedError):
+        return False
+    return True
+
+
 def new_default_resources() -> ClientResources:
     """Return resources of a machine that the settings do not describe."""
     return ClientResources(
@@ -410,15 +425,17 @@
         # An engine must not go on working for a caller that disconnected:
         # the watcher kills the handler, which closes the connection to the
         # engine.
-        handler = eventlet.spawn(self._handler, request, responder)
+        handler = eventlet.spawn(run_handler, self._handler, request, responder)
         watcher = eventlet.spawn(self._watch_for_disconnect, handler)
-        try:
-            handler.wait()
-        except (eventlet.greenlet.GreenletExit, CallerDisconnectedError):
-            raise CallerDisconnectedError from None
-        finally:
-            watcher.kill()
-            handler.kill()
+        is_whole = False
+        with contextlib.suppress(eventlet.greenlet.GreenletExit):
+            try:
+                is_whole = handler.wait()
+            finally:
+                watcher.kill()
+                handler.kill()
+        if not is_whole:
+            raise CallerDisconnectedError
 
     def _watch_for_disconnect(self, handler: Any) -> None:
         self._sock.settimeout(None)
--- a/packages/gateway/dandelionyoke_gateway/_handover_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_handover_server.py
@@ -15,6 +15,7 @@
     HandedOver,
     Handler,
     Verdict,
+    run_handler,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import CallerDisconnectedError
@@ -154,7 +155,7 @@
             return
         # A target must not go on working for a caller that has left: the
         # other node closes the channel then.
-        handler = eventlet.spawn(self._handler, request, responder)
+        handler = eventlet.spawn(run_handler, self._handler, request, responder)
         watcher = eventlet.spawn(_watch_for_close, channel, handler)
         try:
             handler.wait()
--- a/tests/crowds/test_gateway.py
+++ b/tests/crowds/test_gateway.py
@@ -69,9 +69,11 @@
 
 def answer_crowd(request: ReceivedRequest) -> list[bytes | float]:
     """Answer a request of the crowd: late, or with a large body."""
+    attempt_id = request.headers['attempt-id']
+    head = f'Response-Signature: s\r\nAttempt-Id: {attempt_id}\r\n'
     if '/held' in request.line:
-        return [60.0, answer()]
-    return [answer(body=LARGE_ANSWER)]
+        return [60.0, answer(extra=head)]
+    return [answer(body=LARGE_ANSWER, extra=head)]
 
 
 class GatewayCrowdTest(BodyCrowds, CrowdCase):
