--- a/packages/gateway/dandelionyoke_gateway/_answer_memory.py
+++ b/packages/gateway/dandelionyoke_gateway/_answer_memory.py
@@ -53,5 +53,5 @@
         self._budget.set_evictable(self._reservation, is_evictable=True)
 
     def close(self) -> None:
-        """Give the memory back."""
+        """Release the memory."""
         self._budget.close(self._reservation)
--- a/packages/gateway/dandelionyoke_gateway/_request_body.py
+++ b/packages/gateway/dandelionyoke_gateway/_request_body.py
@@ -64,7 +64,7 @@
         """End the wait of another green thread, if it waits; never blocks."""
         self._input_wait.end()
 
-    def give_back(self, rest: bytes) -> None:
+    def keep_rest(self, rest: bytes) -> None:
         """Keep received bytes, which belong to the next request."""
         self._rest = rest
 
--- a/packages/links/dandelionyoke_links/_body_reader.py
+++ b/packages/links/dandelionyoke_links/_body_reader.py
@@ -70,8 +70,8 @@
     def end_wait(self) -> None:
         """End the wait of another green thread, if it waits; never blocks."""
 
-    def give_back(self, rest: bytes) -> None:
-        """Take back received bytes, which belong to the next request."""
+    def keep_rest(self, rest: bytes) -> None:
+        """Keep received bytes, which belong to the next request."""
 
 
 @attrs.frozen
@@ -147,11 +147,11 @@
         while not self._decoder.is_complete:
             self._read_part(source, until_s)
         self._check_held()
-        source.give_back(self._decoder.rest)
+        source.keep_rest(self._decoder.rest)
         return b''.join((*self._blocks, self._open_block))
 
     def _evict(self, source: BodySource) -> None:
-        """Give back the memory; the reservation was closed."""
+        """Release the memory; the reservation was closed."""
         self._drop()
         source.end_wait()
 
--- a/packages/links/dandelionyoke_links/_memory_budget.py
+++ b/packages/links/dandelionyoke_links/_memory_budget.py
@@ -65,7 +65,7 @@
     def open(self, on_evict: Callable[[], None]) -> Reservation:
         """Return a reservation without memory, which is not evictable yet.
 
-        `on_evict` is called after its memory was given back; it must not
+        `on_evict` is called after its memory was released; it must not
         block.
         """
         return Reservation(on_evict, self._small)
@@ -105,7 +105,7 @@
                 pool.evictable.move_to_end(reservation)
 
     def close(self, reservation: Reservation) -> None:
-        """Give back the memory of a reservation."""
+        """Release the memory of a reservation."""
         if reservation.is_closed:
             return
         reservation.is_closed = True
--- a/packages/wire/dandelionyoke_wire/_caller_server.py
+++ b/packages/wire/dandelionyoke_wire/_caller_server.py
@@ -170,7 +170,7 @@
         """End the wait of another green thread, if it waits; never blocks."""
         self._input_wait.end()
 
-    def give_back(self, rest: bytes) -> None:
+    def keep_rest(self, rest: bytes) -> None:
         """Keep received bytes, which belong to the next request."""
         self._returned_bytes -= len(rest)
         self._drop_returned()
--- a/tests/links/test_client_resources.py
+++ b/tests/links/test_client_resources.py
@@ -73,7 +73,7 @@
         self.hold('huge', 5000 * KB)
         self.assertEqual([], self.ended)
 
-    def test_memory_is_given_back_once(self) -> None:
+    def test_memory_is_released_once(self) -> None:
         """Guards against a budget that grows with each request."""
         reservation = self.hold('any', 50 * KB)
         self.budget.close(reservation)
@@ -166,7 +166,7 @@
     def end_wait(self) -> None:
         self._ended.send()
 
-    def give_back(self, rest: bytes) -> None:
+    def keep_rest(self, rest: bytes) -> None:
         self.rest = rest
 
 
