--- a/review/standins2/platform_standins.py
+++ b/review/standins2/platform_standins.py
@@ -345,6 +345,7 @@
         self._heart = None
         self.is_gone = False
         self.state = 'ready'
+        self.version = 'v1'
 
     async def start(self):
         await self.listen()
@@ -360,7 +361,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': self.state,
             'cold_left_ms': 0,
