--- a/review/standins2/front.py
+++ b/review/standins2/front.py
@@ -60,6 +60,7 @@
         self.name = name
         self.port, self.ready_port = free_port(), free_port()
         ports = [free_port(), free_port()]
+        self.peer_address = f'127.0.0.1:{ports[1]}'
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         role = deploy['roles']['gateway']
         fields = {
--- a/review/standins2/platform_standins.py
+++ b/review/standins2/platform_standins.py
@@ -473,6 +473,9 @@
         self._handle_number = 0
         self._kept = set()
         self.answers = {}
+        # Attempts with the times at which their runs began and ended.
+        self.run_begins = []
+        self.run_ends = []
 
     def more_fields(self):
         models = [{'name': 'm', 'version': 1, 'adapters': []}]
@@ -631,17 +634,21 @@
         if self.running >= self.slots:
             return self.not_run(head)
         self.running += 1
+        attempt = head.get('attempt-id')
         try:
             if not source:
                 await self._read_prompt(head, 2)
             await self._send_events(head, writer)
         finally:
             self.running -= 1
+            self.record.write('run-end', server=self.name, attempt=attempt)
+            self.run_ends.append((attempt, self.record.now()))
         return None
 
     async def _send_events(self, head, writer):
         attempt = head.get('attempt-id')
         self.record.write('run', server=self.name, attempt=attempt)
+        self.run_begins.append((attempt, self.record.now()))
         count = int(head.get('token-count').split(',')[1])
         lines = (
             'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
