--- a/review/standins2/platform_standins.py
+++ b/review/standins2/platform_standins.py
@@ -347,8 +347,8 @@
         self.state = 'ready'
         self.version = 'v1'
 
-    async def start(self):
-        await self.listen()
+    async def start(self, port=0):
+        await self.listen(port)
         self._beat()
         self._heart = asyncio.ensure_future(self._run_heart())
 
