--- a/review/9/case.py
+++ b/review/9/case.py
@@ -112,7 +112,7 @@
         again = FragileServer(
             name, self.service, self.zone, self.slots, self.store, self.record
         )
-        # As most engines that are back, at the address that it had.
+        # The pages name no other address; it is back at the one it had.
         await again.start(self.port)
         self.record.write('start', server=name)
 
@@ -152,7 +152,7 @@
     record.write(
         'bad-request', arrivals=len(arrivals), crashes=len(crashes), late=late
     )
-    return not HAS_TROUBLE or late <= MAX_RETRIES
+    return late <= MAX_RETRIES
 
 
 async def play(record, folder):
