Gateway: an unframed answer is whole only if its request was sent

What callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection.

Cause: Linux reports a reset once for a socket. When the write of the request got it, `_send_rest` dropped the error, as "reading the response fails as well"; but the next read returned an orderly end, which is the end of a body without a length. A target that has read all that had arrived and then crashes ends the answer in order, too; only the write shows the reset.

In tests/gateway/test_target_connection.py three of the five new tests failed; the other two hold before and after (an early answer whose upload goes on; an early answer with a length whose upload fails).

Why this works: the failure of the write is kept, and the end of an answer without a length counts only after the request was sent, within the time of the call; else the call ends with the error of the write. Answers with a length or in chunks have an end of their own and stay as they were.

--- a/packages/gateway/dandelionyoke_gateway/_answer_body.py
+++ b/packages/gateway/dandelionyoke_gateway/_answer_body.py
@@ -51,6 +51,11 @@
         """Whether its end was received."""
         return self._decoder.is_complete
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the end of the connection is the end of the body."""
+        return isinstance(self._decoder, UntilCloseDecoder)
+
     @property
     def has_rest(self) -> bool:
         """Whether bytes that belong to no request were received after it."""
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -102,6 +102,8 @@
         self._method = ''
         self._body: AnswerBody | None = None
         self._send_task: GreenThread | None = None
+        # Why a part of the request was not sent.
+        self._unsent_cause = ''
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._is_reusable = True
         self._is_closed = False
@@ -192,6 +194,8 @@
                 content = body.take(received)
             elif received is not None:
                 self._is_reusable = False
+                if body.ends_with_connection:
+                    self._finish_sending(deadline_s)
                 body.end()
         return content
 
@@ -270,10 +274,29 @@
                 if not self._send_piece(piece, until_s):
                     # The receiver drops the incomplete request.
                     self._is_reusable = False
+                    self._unsent_cause = 'too late to send the whole request'
                     return
-        except OSError:
-            # Reading the response fails as well and reports the error.
+        except OSError as error:
+            # A response whose end does not depend on the connection is whole.
             self._is_reusable = False
+            self._unsent_cause = f'cannot send: {error}'
+
+    def _finish_sending(self, deadline_s: float) -> None:
+        """Wait until the request is sent, after the end of the connection.
+
+        The kernel reports a reset once, to a read or to a write; the next
+        read returns an orderly end. The end of a target that crashes may be
+        orderly as well, if it has read all that had arrived.
+
+        Raises:
+            ExchangeError: a part of the request was not sent.
+        """
+        timeout = ExchangeTimeoutError('no response in time', sent=True)
+        if self._send_task is not None:
+            with eventlet.Timeout(max(0, deadline_s - clock_s()), timeout):
+                self._send_task.wait()
+        if self._unsent_cause:
+            raise ExchangeError(self._unsent_cause, sent=True)
 
     def _send_piece(self, piece: memoryview, until_s: float) -> bool:
         """Send a whole piece; return False if it is too late for that."""
--- a/tests/gateway/test_target_connection.py
+++ b/tests/gateway/test_target_connection.py
@@ -18,6 +18,9 @@
 
 HEAD = RequestHead('POST', '/a/b', (('host', 'h'),))
 WAIT_S = 5.0
+# More than send buffers hold.
+LONG_BODY = b'x' * (16 << 20)
+UNFRAMED_RESPONSE = b'HTTP/1.1 200 OK\r\n\r\nhalf of it'
 
 # Sends a request and then sleeps until it is killed.
 SENDER = """
@@ -187,6 +190,103 @@
         connection = self.exchange(script)
         self.assertEqual(b'16777216', self.body(connection, b'x' * (16 << 20)))
 
+    def test_a_reset_that_ends_the_upload_cuts_off_an_unframed_response(
+        self,
+    ) -> None:
+        """Guards against passing a truncated response as complete.
+
+        A target responds before it has read a long body, and resets. The
+        kernel reports a reset once, here to the write; the next read returns
+        an orderly end.
+        """
+
+        def script(sock: socket.socket) -> None:
+            sock.recv(1000)
+            sock.sendall(UNFRAMED_RESPONSE)
+            eventlet.sleep(0.05)
+            reset(sock)
+
+        connection = self.exchange(script)
+        deadline_s = clock_s() + WAIT_S
+        connection.send(HEAD, LONG_BODY)
+        connection.read_head(deadline_s)
+        eventlet.sleep(0.2)
+        error = self.assertRaises(
+            ExchangeError, connection.read_body, deadline_s, 1 << 20
+        )
+        self.assertIn('cannot send', error.cause)
+
+    def test_a_target_that_is_gone_cuts_off_an_unframed_early_response(
+        self,
+    ) -> None:
+        """Guards against the orderly end that the kernel sends for a crash.
+
+        It does so for a target that has read all that had arrived. The rest
+        of the upload is then answered with a reset.
+        """
+
+        def script(sock: socket.socket) -> None:
+            sock.recv(1000)
+            sock.sendall(UNFRAMED_RESPONSE)
+            sock.shutdown(socket.SHUT_WR)
+            eventlet.sleep(0.05)
+            reset(sock)
+
+        connection = self.exchange(script)
+        with testtools.ExpectedException(ExchangeError):
+            self.body(connection, LONG_BODY)
+
+    def test_an_unframed_early_response_is_whole_if_the_upload_goes_on(
+        self,
+    ) -> None:
+        """Guards against refusing targets that respond early and read on."""
+
+        def script(sock: socket.socket) -> None:
+            sock.recv(1000)
+            sock.sendall(UNFRAMED_RESPONSE)
+            sock.shutdown(socket.SHUT_WR)
+            eventlet.sleep(0.05)
+            while sock.recv(65536):
+                continue
+
+        connection = self.exchange(script)
+        self.assertEqual(b'half of it', self.body(connection, LONG_BODY))
+
+    def test_an_unframed_early_response_waits_until_the_deadline(self) -> None:
+        """Guards against a call that waits for its upload for ever."""
+
+        def script(sock: socket.socket) -> None:
+            sock.recv(1000)
+            sock.sendall(UNFRAMED_RESPONSE)
+            sock.shutdown(socket.SHUT_WR)
+            eventlet.sleep(WAIT_S)
+
+        connection = self.exchange(script)
+        deadline_s = clock_s() + 0.3
+        connection.send(HEAD, LONG_BODY)
+        connection.read_head(deadline_s)
+        with testtools.ExpectedException(ExchangeTimeoutError):
+            connection.read_body(deadline_s, 1 << 20)
+
+    def test_a_framed_early_response_is_whole_although_the_upload_fails(
+        self,
+    ) -> None:
+        """Guards against losing a refusal to the reset that follows it."""
+
+        def script(sock: socket.socket) -> None:
+            sock.recv(1000)
+            sock.sendall(b'HTTP/1.1 413 Large\r\ncontent-length: 2\r\n\r\nno')
+            eventlet.sleep(0.05)
+            reset(sock)
+
+        connection = self.exchange(script)
+        deadline_s = clock_s() + WAIT_S
+        connection.send(HEAD, LONG_BODY)
+        connection.read_head(deadline_s)
+        eventlet.sleep(0.2)
+        self.assertEqual(b'no', connection.read_body(deadline_s, 1 << 20))
+        self.assertFalse(connection.prepare_reuse())
+
     def test_a_response_that_is_read_slowly_ends_at_the_deadline(self) -> None:
         """Guards against calls that outlast their time as bytes never run out.
 
