Wire: an unframed answer is whole only if nothing failed on its connection

The operator's program and the clients of the store and the platform read with the same connection.

Cause, in two places: urllib3 goes on to read after EPIPE or ECONNRESET of a write, and the kernel has then reported the reset already, so that the answer ends in order. And the programs patch the library with eventlet, whose sockets report a reset as an orderly end to each read.

Evidence: before the change two of the four new tests failed (tests/wire/test_early_answers.py): the answer that is reset within an upload of 16 MB was `ServiceAnswered` instead of `AttemptFailed`, and reading from a green socket did not raise. The other two hold before and after: an early answer whose upload goes on, and an answer with a length whose upload fails.

Why this works: the connection keeps the error of its write and the reader raises it at the end of the connection; answers with a length or in chunks are not read up to there. Green sockets are read with `receive` of dandelionyoke_links, which raises the reset.

--- a/packages/wire/dandelionyoke_wire/_bounded.py
+++ b/packages/wire/dandelionyoke_wire/_bounded.py
@@ -6,14 +6,16 @@
 
 import io
 import math
+from functools import partial
 from http.client import HTTPResponse
 from typing import Any
 
 import urllib3
 from eventlet import sleep
+from eventlet.greenio import GreenSocket
 from urllib3.connection import HTTPConnection
 
-from dandelionyoke_links import clock_s
+from dandelionyoke_links import clock_s, receive
 
 # An answer has no more bytes with its head and framing.
 MAX_ANSWER_BYTES = 16_777_216
@@ -27,15 +29,27 @@
     """An answer has more bytes than are taken."""
 
 
+class UnsentRequestError(OSError):
+    """An answer ended with its connection, and its request was not sent."""
+
+
 class _AnswerReader(io.RawIOBase):
     """Reads one answer, part by part.
 
     The whole answer must come within `limit_s` and `max_bytes`. The event loop
     looks for other input after each part, however fast the other end sends.
+    `unsent_cause` says why a part of the request was not sent.
     """
 
-    def __init__(self, sock: Any, limit_s: float, max_bytes: float) -> None:
+    def __init__(
+        self,
+        sock: Any,
+        limit_s: float,
+        max_bytes: float,
+        unsent_cause: str,
+    ) -> None:
         self._sock = sock
+        self._unsent_cause = unsent_cause
         self._raw = sock.makefile('rb', buffering=0)
         self._until_s = clock_s() + limit_s
         # The end of reading what comes late, once the limit has passed.
@@ -52,15 +66,19 @@
         Raises:
             TimeoutError: the time of the answer is over.
             AnswerLimitError: it has too many bytes.
+            UnsentRequestError: it ends with the connection, which failed.
         """
         if math.isfinite(self._until_s):
             self._limit_wait()
-        count = int(self._raw.readinto(buffer) or 0)
+        received = self._receive(len(buffer))
+        count = io.BytesIO(received).readinto(buffer)
         self._left_bytes -= count
         if self._left_bytes < 0:
             raise AnswerLimitError('the answer is too large')
         if count == len(buffer):
             sleep(0)
+        if not count and self._unsent_cause:
+            raise UnsentRequestError(self._unsent_cause)
         return count
 
     def close(self) -> None:
@@ -69,6 +87,12 @@
             self._raw.close()
         super().close()
 
+    def _receive(self, max_bytes: int) -> bytes:
+        if isinstance(self._sock, GreenSocket):
+            # Its own reads report a reset as an orderly end.
+            return receive(self._sock, max_bytes, self._sock.gettimeout())
+        return bytes(self._sock.recv(max_bytes))
+
     def _limit_wait(self) -> None:
         left_s = self._until_s - clock_s()
         if left_s <= 0:
@@ -99,8 +123,8 @@
 class _AnswerSource:
     """What the library reads an answer from in place of the socket."""
 
-    def __init__(self, sock: Any, limit_s: float, max_bytes: float) -> None:
-        self._reader = _AnswerReader(sock, limit_s, max_bytes)
+    def __init__(self, reader: _AnswerReader) -> None:
+        self._reader = reader
 
     def makefile(self, mode: str) -> io.BufferedReader:
         """Return the file that the library reads."""
@@ -110,32 +134,72 @@
 class BoundedResponse(HTTPResponse):
     """Response whose whole answer has the time that is set for one read."""
 
-    def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self, sock: Any, *args: Any, unsent_cause: str = '', **kwargs: Any
+    ) -> None:
         limit_s = sock.gettimeout()
-        source = _AnswerSource(
-            sock, math.inf if limit_s is None else limit_s, MAX_ANSWER_BYTES
+        reader = _AnswerReader(
+            sock,
+            math.inf if limit_s is None else limit_s,
+            MAX_ANSWER_BYTES,
+            unsent_cause,
         )
-        super().__init__(source, *args, **kwargs)  # type: ignore[arg-type]
+        source: Any = _AnswerSource(reader)
+        super().__init__(source, *args, **kwargs)
 
 
 class StreamResponse(HTTPResponse):
     """Response whose body may go on, as long as its bytes come."""
 
-    def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
-        source = _AnswerSource(sock, math.inf, math.inf)
-        super().__init__(source, *args, **kwargs)  # type: ignore[arg-type]
+    def __init__(
+        self, sock: Any, *args: Any, unsent_cause: str = '', **kwargs: Any
+    ) -> None:
+        reader = _AnswerReader(sock, math.inf, math.inf, unsent_cause)
+        source: Any = _AnswerSource(reader)
+        super().__init__(source, *args, **kwargs)
 
 
 class BoundedConnection(HTTPConnection):
-    """Connection whose answers are bounded."""
+    """Connection whose answers are bounded.
 
-    response_class = BoundedResponse
+    The library goes on to read after some errors of a write, as an answer may
+    come early. The kernel reports a reset once, so that the end of that answer
+    then looks orderly.
+    """
+
+    answer_class: type[BoundedResponse | StreamResponse] = BoundedResponse
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        # Why a part of the request was not sent.
+        self._unsent_cause = ''
+
+    def connect(self) -> None:
+        """Connect."""
+        self._unsent_cause = ''
+        super().connect()
+
+    def send(self, data: Any) -> None:
+        """Send data, and keep in mind a failure."""
+        try:
+            super().send(data)
+        except OSError as error:
+            self._unsent_cause = f'cannot send: {error}'
+            raise
+
+    def getresponse(self) -> Any:
+        """Read the head of the answer."""
+        response_class: Any = partial(
+            self.answer_class, unsent_cause=self._unsent_cause
+        )
+        self.response_class = response_class
+        return super().getresponse()
 
 
-class StreamConnection(HTTPConnection):
+class StreamConnection(BoundedConnection):
     """Connection whose answers are streams."""
 
-    response_class = StreamResponse
+    answer_class = StreamResponse
 
 
 class BoundedPool(urllib3.HTTPConnectionPool):
