Wire: read the head of an answer with the grammar of HTTP/1.1

What callers saw: at the product's own entry an answer in whose head the name of a field held a blank or a control byte came through as a 200, without the fields behind that line, so that the body had another length or the framing of chunks in it. A 101 or a 103 was taken for the answer. A report of usage was taken as accepted, and a value of the store as absent, by the status of half a head.

Cause: the library reads fields with a parser of e-mail, which ends at a line that is no field, and takes the end of the connection for the end of a head. Streams, calls with JSON, guarded calls, the store and the operator's program read with it, too.

Why this works: h11, which the platform's program reads with, parses the head, and the library gets it rewritten from what was parsed. What h11 refuses fails the call with its cause. tests/gateway/answer_heads.py has the list of answers, for the other reader as well. A first line that is folded was taken before and is refused now, as at the platform's program; folded fields, bare line feeds, answers without a length or reason and status 600 are passed on.

--- a/packages/wire/dandelionyoke_wire/_bounded.py
+++ b/packages/wire/dandelionyoke_wire/_bounded.py
@@ -16,6 +16,7 @@
 from urllib3.connection import HTTPConnection
 
 from dandelionyoke_links import clock_s, receive
+from dandelionyoke_wire._answer_filter import AnswerFilter
 
 # An answer has no more bytes with its head and framing.
 MAX_ANSWER_BYTES = 16_777_216
@@ -46,9 +47,13 @@
         sock: Any,
         limit_s: float,
         max_bytes: float,
+        method: str,
         unsent_cause: str,
     ) -> None:
         self._sock = sock
+        self._filter = AnswerFilter(method)
+        # What has passed the filter and is still to be read.
+        self._passed = b''
         self._unsent_cause = unsent_cause
         self._raw = sock.makefile('rb', buffering=0)
         self._until_s = clock_s() + limit_s
@@ -66,19 +71,17 @@
         Raises:
             TimeoutError: the time of the answer is over.
             AnswerLimitError: it has too many bytes.
+            AnswerHeadError: its head is not HTTP/1.1.
             UnsentRequestError: it ends with the connection, which failed.
         """
-        if math.isfinite(self._until_s):
-            self._limit_wait()
-        received = self._receive(len(buffer))
-        count = io.BytesIO(received).readinto(buffer)
-        self._left_bytes -= count
-        if self._left_bytes < 0:
-            raise AnswerLimitError('the answer is too large')
-        if count == len(buffer):
-            sleep(0)
-        if not count and self._unsent_cause:
-            raise UnsentRequestError(self._unsent_cause)
+        while not self._passed:
+            received = self._read_part(len(buffer))
+            if not received:
+                self._end()
+                break
+            self._passed = self._filter.feed(received)
+        count = io.BytesIO(self._passed).readinto(buffer)
+        self._passed = self._passed[count:]
         return count
 
     def close(self) -> None:
@@ -87,6 +90,22 @@
             self._raw.close()
         super().close()
 
+    def _read_part(self, max_bytes: int) -> bytes:
+        if math.isfinite(self._until_s):
+            self._limit_wait()
+        received = self._receive(max_bytes)
+        self._left_bytes -= len(received)
+        if self._left_bytes < 0:
+            raise AnswerLimitError('the answer is too large')
+        if len(received) == max_bytes:
+            sleep(0)
+        return received
+
+    def _end(self) -> None:
+        self._filter.end()
+        if self._unsent_cause:
+            raise UnsentRequestError(self._unsent_cause)
+
     def _receive(self, max_bytes: int) -> bytes:
         if isinstance(self._sock, GreenSocket):
             # Its own reads report a reset as an orderly end.
@@ -135,28 +154,29 @@
     """Response whose whole answer has the time that is set for one read."""
 
     def __init__(
-        self, sock: Any, *args: Any, unsent_cause: str = '', **kwargs: Any
+        self, sock: Any, *, method: str, unsent_cause: str = ''
     ) -> None:
         limit_s = sock.gettimeout()
         reader = _AnswerReader(
             sock,
             math.inf if limit_s is None else limit_s,
             MAX_ANSWER_BYTES,
+            method,
             unsent_cause,
         )
         source: Any = _AnswerSource(reader)
-        super().__init__(source, *args, **kwargs)
+        super().__init__(source, method=method)
 
 
 class StreamResponse(HTTPResponse):
     """Response whose body may go on, as long as its bytes come."""
 
     def __init__(
-        self, sock: Any, *args: Any, unsent_cause: str = '', **kwargs: Any
+        self, sock: Any, *, method: str, unsent_cause: str = ''
     ) -> None:
-        reader = _AnswerReader(sock, math.inf, math.inf, unsent_cause)
+        reader = _AnswerReader(sock, math.inf, math.inf, method, unsent_cause)
         source: Any = _AnswerSource(reader)
-        super().__init__(source, *args, **kwargs)
+        super().__init__(source, method=method)
 
 
 class BoundedConnection(HTTPConnection):
