--- a/packages/gateway/dandelionyoke_gateway/_answer_body.py
+++ b/packages/gateway/dandelionyoke_gateway/_answer_body.py
@@ -1,39 +1,16 @@
 """The body of an answer, taken out of its framing."""
 
 from collections.abc import Callable
-from http import HTTPStatus
 
 from dandelionyoke_gateway._errors import ExchangeError
-from dandelionyoke_gateway._messages import ResponseHead
 from dandelionyoke_links import (
     BodyDecoder,
-    ChunkedDecoder,
     FramingError,
-    LengthDecoder,
     UntilCloseDecoder,
 )
 
-MAX_TRAILER_BYTES = 65536
 # Parts of a body are kept in blocks of at least this size.
 BLOCK_BYTES = 65536
-_BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
-
-
-def new_answer_decoder(method: str, head: ResponseHead) -> BodyDecoder:
-    """Return a decoder for the framing of the answer to a request.
-
-    The parser has checked that lengths agree and that the only coding is that
-    of chunks.
-    """
-    if method == 'HEAD' or head.status in _BODILESS_STATUSES:
-        return LengthDecoder(0)
-    headers = dict(head.headers)
-    if 'transfer-encoding' in headers:
-        return ChunkedDecoder(MAX_TRAILER_BYTES)
-    length_text = headers.get('content-length')
-    if length_text is not None:
-        return LengthDecoder(int(length_text))
-    return UntilCloseDecoder()
 
 
 class AnswerBody:
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -20,7 +20,6 @@
 from dandelionyoke_gateway._answer_body import (
     AnswerBody,
     BodyBlocks,
-    new_answer_decoder,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
@@ -38,6 +37,7 @@
     DecodeTurns,
     SilenceLimits,
     limit_silence,
+    new_answer_decoder,
     receive,
     reset_on_close,
     set_socket_options,
@@ -173,9 +173,10 @@
         head = ResponseHead(event.status_code, decode_headers(event.headers))
         self._record_keep_alive(head)
         received, _ = self._parser.trailing_data
-        self._body = AnswerBody(
-            new_answer_decoder(self._method, head), bytes(received)
+        decoder = new_answer_decoder(
+            self._method, head.status, dict(head.headers)
         )
+        self._body = AnswerBody(decoder, bytes(received))
         return head
 
     def read_chunk(self, deadline_s: float) -> bytes | None:
--- a/packages/links/dandelionyoke_links/__init__.py
+++ b/packages/links/dandelionyoke_links/__init__.py
@@ -6,6 +6,7 @@
     FramingError as FramingError,
     LengthDecoder as LengthDecoder,
     UntilCloseDecoder as UntilCloseDecoder,
+    new_answer_decoder as new_answer_decoder,
 )
 from dandelionyoke_links._body_reader import (
     BodyEndedError as BodyEndedError,
--- a/packages/links/dandelionyoke_links/_body_decoders.py
+++ b/packages/links/dandelionyoke_links/_body_decoders.py
@@ -1,12 +1,16 @@
 """Decoders of bodies in the framings of HTTP/1.1."""
 
 import re
+from collections.abc import Mapping
+from http import HTTPStatus
 from types import MappingProxyType
 from typing import Protocol
 
 CRLF = b'\r\n'
 # A line with the size of a chunk and its extensions.
 MAX_SIZE_LINE_BYTES = 1024
+# The lines after the last chunk of an answer.
+MAX_ANSWER_TRAILER_BYTES = 65536
 # Equal sizes in a row after which chunks are taken as one run, and the largest
 # chunk for which that is faster.
 MIN_RUN_CHUNKS = 16
@@ -14,6 +18,7 @@
 # A longer run is taken in parts, as a body may have many short ones.
 MAX_RUN_CHUNKS = 256
 
+_BODILESS_STATUSES = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _SIZE_LINE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e]*)?')
 _SMALL_SIZES = MappingProxyType({b'%x' % size: size for size in range(1024)})
 
@@ -212,6 +217,24 @@
         return line_bytes
 
 
+def new_answer_decoder(
+    method: str, status: int, headers: Mapping[str, str]
+) -> BodyDecoder:
+    """Return a decoder for the framing of the answer to a request.
+
+    The names of `headers` are in lower case. The parser has checked that
+    lengths agree and that the only coding is that of chunks.
+    """
+    if method == 'HEAD' or status in _BODILESS_STATUSES:
+        return LengthDecoder(0)
+    if 'transfer-encoding' in headers:
+        return ChunkedDecoder(MAX_ANSWER_TRAILER_BYTES)
+    length_text = headers.get('content-length')
+    if length_text is not None:
+        return LengthDecoder(int(length_text))
+    return UntilCloseDecoder()
+
+
 def _check_complete(decoder: BodyDecoder) -> None:
     if not decoder.is_complete:
         raise FramingError('the connection ended within the body')
--- a/packages/wire/dandelionyoke_wire/_bounded.py
+++ b/packages/wire/dandelionyoke_wire/_bounded.py
@@ -71,7 +71,7 @@
         Raises:
             TimeoutError: the time of the answer is over.
             AnswerLimitError: it has too many bytes.
-            AnswerHeadError: its head is not HTTP/1.1.
+            MalformedAnswerError: it is not HTTP/1.1, or it was cut off.
             UnsentRequestError: it ends with the connection, which failed.
         """
         while not self._passed:
--- a/tests/wire/test_answer_heads.py
+++ b/tests/wire/test_broken_answers.py
@@ -1,6 +1,7 @@
-"""Answers of engines, the platform and the store with broken heads."""
+"""Answers of engines, the platform and the store that are broken."""
 
 from collections.abc import Callable
+from itertools import chain
 
 import testtools
 from urllib3.exceptions import HTTPError
@@ -21,6 +22,7 @@
     new_pool,
     new_stream_pool,
 )
+from tests.gateway.answer_bodies import broken_bodies, sound_bodies
 from tests.gateway.answer_heads import BODY, broken_answers, sound_answers
 from tests.wire.broken_engine import BrokenEngine, call_service
 
@@ -35,11 +37,11 @@
         return b''.join(iter(lambda: response.read1(1024), b''))
 
 
-class AnswerHeadTest(testtools.TestCase):
+class BrokenAnswerTest(testtools.TestCase):
     """Guards against a broken answer that is taken for a good one.
 
-    Its status is not the engine's, or the fields after the broken line are
-    lost, with the length of the body.
+    Its status or its body is not the engine's: the fields after a broken line
+    are lost with the length of the body, or the framing is a part of it.
     """
 
     def answered(self, answer: bytes, call: Callable[[str], object]) -> object:
@@ -57,7 +59,7 @@
     ) -> list[str]:
         """Return the kinds of broken answers with which a call succeeds."""
         kinds = []
-        for kind, answer in broken_answers():
+        for kind, answer in chain(broken_answers(), broken_bodies()):
             odd_answer = answer.replace(b'200 OK', status)
             if self.answered(odd_answer, call) is not None:
                 kinds.append(kind)
@@ -106,7 +108,7 @@
 
     def test_sound_answers(self) -> None:
         """Guards against losing answers that only look odd."""
-        for kind, answer in sound_answers():
+        for kind, answer in chain(sound_answers(), sound_bodies()):
             with self.subTest(kind):
                 event = self.answered(answer, call_service)
                 self.assertIsInstance(event, ServiceAnswered)
