Gateway: a target whose address is none counts as not reached

What callers saw: while the registry of a node held a target with a port out of range, or with a host that is none, calls of its service got a 503, each of four, though a sound target stood beside it. Entries that a node reads itself are checked; those that a node of another version tells it are not.

Cause: connecting to such an address raises OverflowError, ValueError or TypeError. `connect` took only OSError for a failed connection, so that the call ended instead of going to another target, and the target kept getting calls.

Evidence: before the change both tests of tests/platform/test_odd_addresses.py failed, the calls with four times 503 at the first of twelve addresses.

Why this works: each of these errors is a connection that failed, before anything was sent; the call goes on to the sound target, as with a refused connection.

Result: both tests pass.

--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -73,6 +73,8 @@
 MAX_JOINED_BODY_BYTES = 65536
 
 _FRAMINGS = ('content-length', 'transfer-encoding')
+# The last three are of an address that is none, as another node may tell it.
+_CONNECT_ERRORS = (OSError, OverflowError, TypeError, ValueError)
 _BODILESS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
@@ -453,7 +455,7 @@
     sock.settimeout(timeout_s)
     try:
         sock.connect((host, int(port)))
-    except OSError as error:
+    except _CONNECT_ERRORS as error:
         sock.close()
         cause = f'cannot connect: {error}'
         raise ExchangeError(cause, sent=False) from error
