Links: an address that is none is a peer that is not reached

What was seen: an entry of a node whose port is out of range, left by another writer, ended the green thread that opens a link with a ValueError. No `PeerDisconnected` followed, so the link counted as being opened. By reading: a call that was handed to that node met the same error, as `open_call` dials in the same way. Nodes parse the entry, but do not check its address.

Cause: `_dial` parsed the address outside of the errors that its callers know, and opened the socket before the second parser, which may refuse.

Why this works: what the parsers and the resolver raise for an address becomes a LinkError, which `connect` reports and `open_call` raises.

--- a/packages/links/dandelionyoke_links/_peers.py
+++ b/packages/links/dandelionyoke_links/_peers.py
@@ -11,7 +11,6 @@
 import secrets
 from collections.abc import Callable, Mapping
 from typing import Any
-from urllib.parse import urlsplit
 
 import attrs
 import cbor2
@@ -66,6 +65,8 @@
 MAX_QUEUED_MESSAGES = 1024
 
 _LINK_ERRORS = (OSError, WebSocketException, cbor2.CBORDecodeError, CodecError)
+# Of an address that is none, as another writer of the store may leave it.
+_ADDRESS_ERRORS = (OverflowError, TypeError, ValueError)
 # A message with a text or a number that CBOR does not hold.
 _SEND_ERRORS = (*_LINK_ERRORS, cbor2.CBOREncodeError, ValueError, TypeError)
 
@@ -501,12 +502,15 @@
     connect_timeout_s: float = CONNECT_TIMEOUT_S,
     handshake_timeout_s: float = HANDSHAKE_TIMEOUT_S,
 ) -> _Channel:
-    parts = urlsplit(address)
-    sock = socket.create_connection(
-        (parts.hostname, parts.port), timeout=connect_timeout_s
-    )
+    try:
+        uri = parse_uri(address)
+        sock = socket.create_connection(
+            (uri.host, uri.port), timeout=connect_timeout_s
+        )
+    except _ADDRESS_ERRORS as error:
+        raise LinkError(f'{address[:80]!r} is no address: {error}') from error
     set_socket_options(sock)
-    protocol = ClientProtocol(parse_uri(address), max_size=MAX_FRAME_BYTES)
+    protocol = ClientProtocol(uri, max_size=MAX_FRAME_BYTES)
     channel = _Channel(sock, protocol)
     channel.set_timeout(handshake_timeout_s)
     try:
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -13,9 +13,20 @@
     message_to_mapping,
 )
 from dandelionyoke_gateway._news_messages import NewsAsked
-from dandelionyoke_links import PeerHub, PeerSettings, listen
+from dandelionyoke_links import LinkError, PeerHub, PeerSettings, listen
 from dandelionyoke_links._peers import NONCE_BYTES, _dial
 
+# Without a port, the one of the scheme is meant.
+ODD_ADDRESSES = (
+    '127.0.0.1:99999',
+    '127.0.0.1:-1',
+    '127.0.0.1:port',
+    ':80',
+    '',
+    f'127.0.0.1:{"9" * 5000}',
+    '[:80',
+)
+
 
 class PeerHubTest(testtools.TestCase):
     def setUp(self) -> None:
@@ -51,6 +62,20 @@
             PeerMessageArrived(InstanceId('n-2'), message), self.events[-1]
         )
 
+    def test_an_address_that_is_none_is_reported(self) -> None:
+        """Guards against a link that counts as being opened for ever.
+
+        Another writer of the store may have left such an entry of a node.
+        """
+        peer_id = InstanceId('n-9')
+        for address in ODD_ADDRESSES:
+            self.events.clear()
+            self.hub.connect(peer_id, f'ws://{address}/')
+            (event,) = self.events
+            self.assertIsInstance(event, PeerDisconnected, address)
+            with testtools.ExpectedException(LinkError):
+                self.hub.open_call(peer_id, address, 1.0)
+
     def test_a_message_that_comes_with_the_proof_is_delivered(self) -> None:
         """Guards against a lost first message at a busy node.
 
--- a/tests/platform/test_odd_addresses.py
+++ b/tests/platform/test_odd_addresses.py
@@ -39,7 +39,9 @@
 
     def test_no_connection_is_opened(self) -> None:
         for address in ODD_ADDRESSES:
-            error = self.assertRaises(ExchangeError, connect, address, TIMEOUT_S)
+            error = self.assertRaises(
+                ExchangeError, connect, address, TIMEOUT_S
+            )
             self.assertFalse(error.sent, address)
 
     def test_calls_go_to_a_sound_target(self) -> None:
