Wire: one odd entry leaves the others of the platform's lists

What callers saw: at the product's own entry one entry of the platform's list of targets that was nested too deeply, held a number of 5,000 digits, was null or lacked a field kept the whole list from being read, so that the entry no longer followed the fleet. A target whose address has a port out of range was listed, as was one whose id is a list. A `targets` field that is an object was read as a fleet without targets.

Cause: the list was parsed and structured as one document, and text fields take the text of any value.

Why this works: each entry is structured by itself. If the document cannot be parsed, it is cut into its entries, which takes no recursion, and each is parsed by itself. What cannot be read is left out and logged when it changes. An answer without a list still is a failed listing.

--- a/packages/wire/dandelionyoke_wire/_platform.py
+++ b/packages/wire/dandelionyoke_wire/_platform.py
@@ -1,9 +1,11 @@
 """Client for the platform's lists, target orders and usage reports."""
 
-from collections.abc import Callable, Mapping
+import reprlib
+from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
+from typing import TypeVar
 
+import urllib3
 from cattrs import BaseValidationError, structure, unstructure
 
 from dandelionyoke_core import (
@@ -20,16 +22,24 @@
     TargetsListed,
     UsageReportResponded,
     UsageWindow,
+    WriteLog,
 )
 from dandelionyoke_wire._guarded import MaySend, call_guarded
+from dandelionyoke_wire._list_entries import parse_entries
 from dandelionyoke_wire._transport import (
     JsonResponse,
     TransportError,
-    call_json,
+    call_raw,
     new_pool,
 )
 
 READ_TIMEOUT_S = 5.0
+# An entry may be as large as the list; the log has its beginning.
+MAX_LOGGED_CHARS = 200
+
+_TARGET_TEXTS = ('target_id', 'service', 'domain', 'address')
+_INSTANCE_TEXTS = ('instance_id', 'domain', 'caller_address', 'peer_address')
+_Record = TypeVar('_Record', Target, Instance)
 
 _CALL_ERRORS = (
     TransportError,
@@ -38,23 +48,49 @@
     ValueError,
     BaseValidationError,
 )
+_ENTRY_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    OverflowError,
+    RecursionError,
+    BaseValidationError,
+)
 
 
 class PlatformClient:
     """Client that performs platform actions and emits results as events."""
 
-    def __init__(self, base_url: str, emit: Callable[[Event], None]) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        emit: Callable[[Event], None],
+        record: Callable[[WriteLog], None],
+    ) -> None:
         self._base_url = base_url.rstrip('/')
         self._emit = emit
+        self._record = record
         self._pool = new_pool()
+        # The unreadable entries of each list that were logged last.
+        self._unreadable: dict[str, list[str]] = {}
 
     def list_targets(self) -> None:
         """Fetch the list of targets."""
-        self._emit_list('/targets', _parse_targets)
+        try:
+            targets = self._read_list('targets', _read_target)
+        except _CALL_ERRORS as error:
+            self._emit(ListingFailed(f'targets: {error}'))
+        else:
+            self._emit(TargetsListed(targets))
 
     def list_instances(self) -> None:
         """Fetch the list of entry instances, which may be stale."""
-        self._emit_list('/instances', _parse_instances)
+        try:
+            instances = self._read_list('instances', _read_instance)
+        except _CALL_ERRORS as error:
+            self._emit(ListingFailed(f'instances: {error}'))
+        else:
+            self._emit(InstancesListed(instances))
 
     def order_targets(self, action: SendTargetOrder, may_send: MaySend) -> None:
         """Send an order; `may_send` is checked before each write."""
@@ -94,31 +130,70 @@
             READ_TIMEOUT_S,
         )
 
-    def _emit_list(
-        self, path: str, parse: Callable[[Mapping[str, Any]], Event]
-    ) -> None:
-        try:
-            response = self._call('GET', path, None)
-            event = parse(response.body)
-        except _CALL_ERRORS as error:
-            event = ListingFailed(f'{path}: {error}')
-        self._emit(event)
+    def _read_list(
+        self, name: str, read: Callable[[object], _Record]
+    ) -> tuple[_Record, ...]:
+        """Read a list without the entries that cannot be read.
 
-    def _call(
-        self, method: str, path: str, body: Mapping[str, Any] | None
-    ) -> JsonResponse:
-        return call_json(
+        Raises:
+            TransportError: no complete answer arrived.
+            ValueError: the answer has no such list.
+        """
+        response = call_raw(
             self._pool,
-            method,
-            f'{self._base_url}{path}',
-            body,
+            'GET',
+            f'{self._base_url}/{name}',
             read_timeout_s=READ_TIMEOUT_S,
         )
+        records, unreadable = [], []
+        for entry in parse_entries(response.data, name):
+            try:
+                records.append(read(entry))
+            except _ENTRY_ERRORS:
+                unreadable.append(_describe(entry))
+        self._log_unreadable(name, unreadable)
+        return tuple(records)
+
+    def _log_unreadable(self, name: str, unreadable: list[str]) -> None:
+        if unreadable == self._unreadable.get(name, []):
+            return
+        self._unreadable[name] = unreadable
+        text = unreadable[0] if unreadable else ''
+        self._record(
+            WriteLog(f'{name}.unreadable', f'{len(unreadable)} of {name}', text)
+        )
+
+
+def _read_target(entry: object) -> Target:
+    target = _structure(entry, Target, _TARGET_TEXTS)
+    if not urllib3.util.parse_url(target.address).host:
+        raise ValueError(f'{target.address!r} is no address')
+    return target
+
+
+def _read_instance(entry: object) -> Instance:
+    return _structure(entry, Instance, _INSTANCE_TEXTS)
+
 
+def _structure(
+    entry: object, record_type: type[_Record], texts: tuple[str, ...]
+) -> _Record:
+    """Return the record of an entry; numbers count as texts.
 
-def _parse_targets(body: Mapping[str, Any]) -> Event:
-    return TargetsListed(structure(body['targets'], tuple[Target, ...]))
+    Raises:
+        ValueError: the entry is no object, or a text is something else.
+    """
+    if not isinstance(entry, dict):
+        raise ValueError('the entry is no object')
+    for name in texts:
+        # The text of a list would be taken for that of the field.
+        if not isinstance(entry.get(name), str | int):
+            raise ValueError(f'{name} is no text')
+    return structure(entry, record_type)
 
 
-def _parse_instances(body: Mapping[str, Any]) -> Event:
-    return InstancesListed(structure(body['instances'], tuple[Instance, ...]))
+def _describe(entry: object) -> str:
+    """Return the beginning of the text of an entry."""
+    if isinstance(entry, bytes):
+        return entry[:MAX_LOGGED_CHARS].decode(errors='replace').strip()
+    return reprlib.repr(entry)[:MAX_LOGGED_CHARS]
--- a/packages/wire/dandelionyoke_wire/_runtime.py
+++ b/packages/wire/dandelionyoke_wire/_runtime.py
@@ -220,7 +220,9 @@
     ) -> None:
         pools = TargetPools()
         self.peers = PeerHub(peer_settings, event_queue.put)
-        self.platform = PlatformClient(platform_url, event_queue.put)
+        self.platform = PlatformClient(
+            platform_url, event_queue.put, sink.record
+        )
         self._engines = EngineClient(pools, event_queue.put)
         self._plain = PlainClient(event_queue.put)
         self._store = StoreClient(platform_url)
--- a/packages/wire/dandelionyoke_wire/_transport.py
+++ b/packages/wire/dandelionyoke_wire/_transport.py
@@ -107,8 +107,27 @@
     Raises:
         TransportError: no complete JSON response arrived.
     """
+    response = call_raw(pool, method, url, body, read_timeout_s=read_timeout_s)
+    return JsonResponse(
+        response.status, decode_json(response.data), response.headers
+    )
+
+
+def call_raw(
+    pool: urllib3.PoolManager,
+    method: str,
+    url: str,
+    body: Mapping[str, Any] | None = None,
+    *,
+    read_timeout_s: float,
+) -> urllib3.BaseHTTPResponse:
+    """Make one call and read the whole response.
+
+    Raises:
+        TransportError: no complete response arrived.
+    """
     try:
-        response = pool.request(
+        return pool.request(
             method,
             url,
             body=None if body is None else json.dumps(dict(body)).encode(),
@@ -124,9 +143,6 @@
             sent=may_have_been_sent(error),
             timed_out=has_timed_out(error),
         ) from error
-    return JsonResponse(
-        response.status, decode_json(response.data), response.headers
-    )
 
 
 def decode_json(raw: bytes) -> Mapping[str, Any]:
