Wire: an address that is none was never sent to

What callers saw: at the product's own entry a call to a target with a port out of range counted as possibly sent, so that a call that must not run twice failed where it could have gone to another target. An order to such a target ended its task with a ValueError and had no result.

Cause: what the library raises for an address stood among the errors of a connection that was used, and a guarded call parsed its address outside of the errors that it knows.

Evidence: before the change the three tests of tests/wire/test_odd_addresses.py failed, two with `sent` and one with the ValueError.

Why this works: an address is parsed before any connection, so nothing can have been sent; guarded calls parse it with the library, too.

Result: the three tests pass; all of tests/wire, tests/entry and tests/operator pass; make lint passes.

--- a/packages/wire/dandelionyoke_wire/_guarded.py
+++ b/packages/wire/dandelionyoke_wire/_guarded.py
@@ -9,7 +9,6 @@
 import json
 from collections.abc import Callable, Mapping
 from typing import Any
-from urllib.parse import urlsplit
 
 import urllib3
 
@@ -78,15 +77,18 @@
     Raises:
         TransportError: no complete response arrived, or the lease expired.
     """
-    parts = urlsplit(url)
+    try:
+        parts = urllib3.util.parse_url(url)
+    except urllib3.exceptions.LocationValueError as malformed:
+        raise TransportError(str(malformed), sent=False) from malformed
+    if not parts.host:
+        raise TransportError(f'{url!r} names no host', sent=False)
     connection = GuardedConnection(
-        parts.hostname or '',
-        parts.port or HTTP_PORT,
-        may_send,
+        parts.host, parts.port or HTTP_PORT, may_send
     )
     try:
         response = _send_request(
-            connection, method, parts.path, body, read_timeout_s
+            connection, method, parts.request_uri, body, read_timeout_s
         )
     except _CONNECTION_ERRORS as error:
         sent = connection.has_sent_bytes and may_have_been_sent(error)
--- a/packages/wire/dandelionyoke_wire/_transport.py
+++ b/packages/wire/dandelionyoke_wire/_transport.py
@@ -82,7 +82,8 @@
         error,
         urllib3.exceptions.NewConnectionError
         | urllib3.exceptions.ConnectTimeoutError
-        | urllib3.exceptions.NameResolutionError,
+        | urllib3.exceptions.NameResolutionError
+        | urllib3.exceptions.LocationValueError,
     )
 
 
