--- a/tests/gateway/test_target_connection.py
+++ b/tests/gateway/test_target_connection.py
@@ -20,6 +20,8 @@
 WAIT_S = 5.0
 # More than send buffers hold.
 LONG_BODY = b'x' * (16 << 20)
+# A reset that is sent after 0.05 s has ended the upload by then.
+RESET_SEEN_S = 0.2
 UNFRAMED_RESPONSE = b'HTTP/1.1 200 OK\r\n\r\nhalf of it'
 
 # Sends a request and then sleeps until it is killed.
@@ -190,6 +192,16 @@
         connection = self.exchange(script)
         self.assertEqual(b'16777216', self.body(connection, b'x' * (16 << 20)))
 
+    def upload_until_reset(
+        self, script: Callable[[socket.socket], None]
+    ) -> TargetConnection:
+        """Send a long body; return when the reset has ended the upload."""
+        connection = self.exchange(script)
+        connection.send(HEAD, LONG_BODY)
+        connection.read_head(clock_s() + WAIT_S)
+        eventlet.sleep(RESET_SEEN_S)
+        return connection
+
     def test_a_reset_that_ends_the_upload_cuts_off_an_unframed_response(
         self,
     ) -> None:
@@ -206,13 +218,9 @@
             eventlet.sleep(0.05)
             reset(sock)
 
-        connection = self.exchange(script)
-        deadline_s = clock_s() + WAIT_S
-        connection.send(HEAD, LONG_BODY)
-        connection.read_head(deadline_s)
-        eventlet.sleep(0.2)
+        connection = self.upload_until_reset(script)
         error = self.assertRaises(
-            ExchangeError, connection.read_body, deadline_s, 1 << 20
+            ExchangeError, connection.read_body, clock_s() + WAIT_S, 1 << 20
         )
         self.assertIn('cannot send', error.cause)
 
@@ -279,12 +287,9 @@
             eventlet.sleep(0.05)
             reset(sock)
 
-        connection = self.exchange(script)
-        deadline_s = clock_s() + WAIT_S
-        connection.send(HEAD, LONG_BODY)
-        connection.read_head(deadline_s)
-        eventlet.sleep(0.2)
-        self.assertEqual(b'no', connection.read_body(deadline_s, 1 << 20))
+        connection = self.upload_until_reset(script)
+        body = connection.read_body(clock_s() + WAIT_S, 1 << 20)
+        self.assertEqual(b'no', body)
         self.assertFalse(connection.prepare_reuse())
 
     def test_a_response_that_is_read_slowly_ends_at_the_deadline(self) -> None:
--- a/tests/platform/early_engine.py
+++ b/tests/platform/early_engine.py
@@ -2,23 +2,20 @@
 
 import contextlib
 
-import eventlet
 from eventlet.green import socket
 
 from dandelionyoke_links import reset_on_close
-from tests.platform.local_server import LocalServer
+from tests.platform.local_server import LocalServer, receive_head
 
 # Small, so that the sender of an upload waits for space.
 RECEIVE_BUFFER_BYTES = 4096
-HEAD_END = b'\r\n\r\n'
 
 
 class EarlyEngine:
     """Answers as soon as it has read the head of a request."""
 
-    def __init__(self, answer: bytes, reset_after_s: float = 0) -> None:
+    def __init__(self, answer: bytes) -> None:
         self._answer = answer
-        self._reset_after_s = reset_after_s
         self._server = LocalServer(self._serve)
         self._server.listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
@@ -31,12 +28,6 @@
 
     def _serve(self, sock: socket.socket) -> None:
         with sock, contextlib.suppress(OSError):
-            head = b''
-            while HEAD_END not in head:
-                data = sock.recv(1024)
-                if not data:
-                    return
-                head += data
-            sock.sendall(self._answer)
-            eventlet.sleep(self._reset_after_s)
-            reset_on_close(sock)
+            if receive_head(sock):
+                sock.sendall(self._answer)
+                reset_on_close(sock)
--- a/tests/platform/local_server.py
+++ b/tests/platform/local_server.py
@@ -64,6 +64,17 @@
             self._threads.append(eventlet.spawn(self._serve, sock))
 
 
+def receive_head(sock: socket.socket) -> bytes:
+    """Read a head and what comes with it; b'' if there is none."""
+    head = b''
+    while b'\r\n\r\n' not in head:
+        data = sock.recv(1024)
+        if not data:
+            return b''
+        head += data
+    return head
+
+
 def _hold_port(address: str) -> socket.socket:
     """Bind a port without listening, so that its connections are refused."""
     host, _, port = address.rpartition(':')
--- a/tests/wire/broken_engine.py
+++ b/tests/wire/broken_engine.py
@@ -17,11 +17,11 @@
 )
 from dandelionyoke_links import reset_on_close
 from dandelionyoke_wire._plain import PlainClient
+from tests.platform.local_server import receive_head
 
 # Small, so that the sender of an upload waits for space.
 RECEIVE_BUFFER_BYTES = 4096
 WAIT_S = 5.0
-HEAD_END = b'\r\n\r\n'
 
 CALL_TIMEOUT_S = 5.0
 
@@ -69,14 +69,9 @@
                     self._serve(sock)
 
     def _serve(self, sock: socket.socket) -> None:
-        head = b''
-        while HEAD_END not in head:
-            data = sock.recv(1024)
-            if not data:
-                return
-            head += data
-        sock.sendall(self._answer)
-        self._end(sock)
+        if receive_head(sock):
+            sock.sendall(self._answer)
+            self._end(sock)
 
 
 def reset(sock: socket.socket) -> None:
