--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -17,11 +17,15 @@
     StoreList,
     StoreListing,
     StoreResult,
+    message_from_mapping,
+    message_to_mapping,
     record_from_json,
 )
 from dandelionyoke_dispatch import (
     ConfigurationError,
     CrashReport,
+    ListingChanges,
+    ListingMark,
     Member,
     WindowCounts,
     WindowRecord,
@@ -29,6 +33,7 @@
 from dandelionyoke_gateway import FieldError, TargetPool, parse_object
 from dandelionyoke_gateway._knowledge import new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._news_messages import NewsTold, TargetNews
 from dandelionyoke_gateway._registry_updater import RegistryUpdater
 from dandelionyoke_gateway._store_poll_policy import (
     StorePollPolicy,
@@ -87,6 +92,18 @@
             self.assertLess(0, float(target.slots))
             self.assertLess(0, float(abs(target.started_ms or 0)) + 1)
 
+    @given(texts)
+    def test_any_target_is_told(self, text: str) -> None:
+        """Guards against an entry that ends the links to other nodes."""
+        target = PlatformDialect().read_target('servers/i-1', text)
+        if target is None:
+            return
+        mark = ListingMark('n-1', 1)
+        changes = ListingChanges(mark, True, (target,), ())
+        told = NewsTold(1, targets=TargetNews(0, changes))
+        frame = cbor2.dumps(message_to_mapping(told))
+        self.assertEqual(told, message_from_mapping(cbor2.loads(frame)))
+
     def test_a_key_that_cannot_be_encoded_leaves_the_others(self) -> None:
         """Guards against a listing that one key of another writer spoils."""
         rows = [
