Wire: a guarded call ends with a result whatever its answer is

What was seen: an order or a report whose answer names another version of HTTP, or has more fields than the library takes, ended its task with an error of http.client, and the core had no result of it.

Cause: guarded calls use a connection without the pool, which turns errors of http.client into its own; only those of the pool and the socket were taken for a failed call.

Evidence: before the change the new test of tests/wire/test_broken_answers.py failed with `UnknownProtocol: HTTP/3.1`.

Why this works: these errors end the call as any other, as possibly sent.

Result: all of tests/wire passes; make lint passes. With this, two blank lines and two imports are tidied.

--- a/packages/gateway/dandelionyoke_gateway/_answer_body.py
+++ b/packages/gateway/dandelionyoke_gateway/_answer_body.py
@@ -3,11 +3,7 @@
 from collections.abc import Callable
 
 from dandelionyoke_gateway._errors import ExchangeError
-from dandelionyoke_links import (
-    BodyDecoder,
-    FramingError,
-    UntilCloseDecoder,
-)
+from dandelionyoke_links import BodyDecoder, FramingError, UntilCloseDecoder
 
 # Parts of a body are kept in blocks of at least this size.
 BLOCK_BYTES = 65536
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -17,10 +17,7 @@
 from eventlet.greenthread import GreenThread
 from eventlet.hubs import trampoline
 
-from dandelionyoke_gateway._answer_body import (
-    AnswerBody,
-    BodyBlocks,
-)
+from dandelionyoke_gateway._answer_body import AnswerBody, BodyBlocks
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._errors import ExchangeError, ExchangeTimeoutError
 from dandelionyoke_gateway._messages import (
--- a/packages/wire/dandelionyoke_wire/_answer_filter.py
+++ b/packages/wire/dandelionyoke_wire/_answer_filter.py
@@ -18,8 +18,6 @@
 MAX_HEAD_BYTES = 65_536
 # A target that sends more of them before its answer never answers.
 MAX_INTERIM_ANSWERS = 16
-
-
 LAST_CHUNK = b'0\r\n\r\n'
 
 
--- a/packages/wire/dandelionyoke_wire/_guarded.py
+++ b/packages/wire/dandelionyoke_wire/_guarded.py
@@ -8,6 +8,7 @@
 
 import json
 from collections.abc import Callable, Mapping
+from http.client import HTTPException
 from typing import Any
 
 import urllib3
@@ -27,7 +28,7 @@
 
 HTTP_PORT = 80
 
-_CONNECTION_ERRORS = (urllib3.exceptions.HTTPError, OSError)
+_CONNECTION_ERRORS = (urllib3.exceptions.HTTPError, HTTPException, OSError)
 
 
 class LeaseExpiredError(OSError):
--- a/tests/wire/test_broken_answers.py
+++ b/tests/wire/test_broken_answers.py
@@ -27,6 +27,11 @@
 
 TIMEOUT_S = 5.0
 LONG_STATUS = b'HTTP/1.1 600 Odd\r\nContent-Length: 4\r\n\r\n' + BODY
+MANY_FIELDS = b'X: y\r\n' * 200
+REFUSED_BY_LIBRARY = (
+    b'HTTP/3.1 200 OK\r\nContent-Length: 4\r\n\r\n' + BODY,
+    b'HTTP/1.1 200 OK\r\n%bContent-Length: 4\r\n\r\n' % MANY_FIELDS + BODY,
+)
 
 
 def read_stream(address: str) -> bytes:
@@ -94,6 +99,16 @@
 
         self.assertEqual([], self.taken_kinds(call))
 
+    def test_guarded_calls_with_answers_that_the_library_refuses(self) -> None:
+        """Guards against an order that has no result, as its task ended."""
+        for answer in REFUSED_BY_LIBRARY:
+            engine = BrokenEngine(answer)
+            self.addCleanup(engine.close)
+            with testtools.ExpectedException(TransportError):
+                call_guarded(
+                    'POST', f'{engine.address}/x', {}, lambda: True, TIMEOUT_S
+                )
+
     def test_the_store(self) -> None:
         """A value is absent by a status alone."""
 
