Wire: the log names the list and how many of its entries are left out

What was seen: callers saw nothing. Who reads the log of the product's entry found, for an odd entry of the platform's list, a line `targets.unreadable` with the subject `1 of targets`, the entry as its detail and no cause. Searching the log for the list did not find it, and each other count was another subject. The fault came in with the reading of entries one by one.

Cause: the line was written with its values one place too far to the front. The subject of a line is the id of what it concerns; the count belongs into the detail and the entry into the cause. The test compared two of the four fields, so that it did not show this.

Evidence: the test of this commit on the code before it, on a trial copy, fails: `WriteLog(kind='targets.unreadable', subject='1 of targets', detail='None', cause='')` instead of `subject='targets', detail='1 left out', cause='None'`.

Why this works: the subject is the name of the list, as in the other lines, the detail says how many entries are left out, and the cause is the beginning of the first. The test compares the whole line, more than before.

Result: the tests of tests/wire/test_platform_lists.py and tests/operator/test_docs.py pass; make lint passes.

--- a/packages/wire/dandelionyoke_wire/_platform.py
+++ b/packages/wire/dandelionyoke_wire/_platform.py
@@ -158,10 +158,9 @@
         if unreadable == self._unreadable.get(name, []):
             return
         self._unreadable[name] = unreadable
-        text = unreadable[0] if unreadable else ''
-        self._record(
-            WriteLog(f'{name}.unreadable', f'{len(unreadable)} of {name}', text)
-        )
+        first = unreadable[0] if unreadable else ''
+        detail = f'{len(unreadable)} left out'
+        self._record(WriteLog(f'{name}.unreadable', name, detail, first))
 
 
 def _read_target(entry: object) -> Target:
--- a/tests/wire/test_platform_lists.py
+++ b/tests/wire/test_platform_lists.py
@@ -130,7 +130,5 @@
         """Guards against a line for each of many equal lists."""
         self.read_beside('targets', 'null', TARGET)
         self.client.list_targets()
-        (line,) = self.log
-        self.assertEqual(
-            ('targets.unreadable', 'None'), (line.kind, line.detail)
-        )
+        line = WriteLog('targets.unreadable', 'targets', '1 left out', 'None')
+        self.assertEqual([line], self.log)
