Tests: wait for the end of an upload instead of a time

A stall of the test's process could let the read come before the write, so that the reset was reported to the read: the call fails then as well, with another cause. The test waits for the task that sends.

--- a/tests/gateway/test_target_connection.py
+++ b/tests/gateway/test_target_connection.py
@@ -20,8 +20,6 @@
 WAIT_S = 5.0
 # More than send buffers hold.
 LONG_BODY = b'x' * (16 << 20)
-# A reset that is sent after 0.05 s has ended the upload by then.
-RESET_SEEN_S = 0.2
 UNFRAMED_RESPONSE = b'HTTP/1.1 200 OK\r\n\r\nhalf of it'
 
 # Sends a request and then sleeps until it is killed.
@@ -199,7 +197,8 @@
         connection = self.exchange(script)
         connection.send(HEAD, LONG_BODY)
         connection.read_head(clock_s() + WAIT_S)
-        eventlet.sleep(RESET_SEEN_S)
+        with eventlet.Timeout(WAIT_S):
+            connection._send_task.wait()
         return connection
 
     def test_a_reset_that_ends_the_upload_cuts_off_an_unframed_response(
@@ -270,11 +269,10 @@
             eventlet.sleep(WAIT_S)
 
         connection = self.exchange(script)
-        deadline_s = clock_s() + 0.3
         connection.send(HEAD, LONG_BODY)
-        connection.read_head(deadline_s)
+        connection.read_head(clock_s() + WAIT_S)
         with testtools.ExpectedException(ExchangeTimeoutError):
-            connection.read_body(deadline_s, 1 << 20)
+            connection.read_body(clock_s() + 0.3, 1 << 20)
 
     def test_a_framed_early_response_is_whole_although_the_upload_fails(
         self,
