Gateway: the store keeps where streams began, for when all nodes are gone

What callers saw: after all gateway processes were killed at once, every stream that the kill had cut off was refused with 503 ('the version that began the stream is not known') for 38 s, while new ones began.

Cause: which version began a stream was known to three processes alone, and the history that shows an only version begins with a process.

Evidence: stream.resumed says unknown with asked 1, answered 1.

Why this works: the nodes that read the store for their domains write the versions of each service as they change, and, while these alone do not tell, the open streams once a second, which come with the questions for news. A stream has one origin for ever, so that no record can give it another. A call whose stream nobody knows waits for one read that begins after it came, 1.0 s at most and shared, the next one 0.5 s later at the earliest. With one version nothing is written but its name.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -108,6 +108,15 @@
     LoadReport as LoadReport,
     LoadReportError as LoadReportError,
 )
+from dandelionyoke_dispatch._open_streams import (
+    OpenStreams as OpenStreams,
+    OpenStreamsRecord as OpenStreamsRecord,
+    RecordedStreams as RecordedStreams,
+    StreamGroup as StreamGroup,
+    StreamReports as StreamReports,
+    VersionsRecord as VersionsRecord,
+    merge_groups as merge_groups,
+)
 from dandelionyoke_dispatch._overload import (
     OverloadDetector as OverloadDetector,
     OverloadSettings as OverloadSettings,
--- a/packages/dispatch/dandelionyoke_dispatch/_stream_origins.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_stream_origins.py
@@ -47,9 +47,21 @@
         self._records[key] = _Record(origin, now_s)
         while len(self._records) > self._max_records:
             self._drop_oldest()
-        while self._oldest().recorded_s < now_s - lifetime_s:
+        self.drop_older(now_s - lifetime_s)
+
+    def forget(self, key: str) -> None:
+        """Drop a stream, if it is known."""
+        self._records.pop(key, None)
+
+    def drop_older(self, since_s: float) -> None:
+        """Drop the streams that were recorded before a time."""
+        while self._records and self._oldest().recorded_s < since_s:
             self._drop_oldest()
 
+    def all(self) -> Sequence[tuple[str, StreamOrigin]]:
+        """Return all streams, the oldest first."""
+        return [(key, record.origin) for key, record in self._records.items()]
+
     def find(self, key: str) -> StreamOrigin | None:
         """Return the origin of a stream; None if it is not known."""
         record = self._records.get(key)
--- a/packages/dispatch/dandelionyoke_dispatch/_version_history.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_version_history.py
@@ -49,13 +49,20 @@
 
         None if it had several or none, or that is not known.
         """
+        if self._since_s is None or self._since_s > since_s - MAX_GAP_S:
+            return None
+        versions = self.versions(service, since_s)
+        return next(iter(versions)) if len(versions) == 1 else None
+
+    def versions(self, service: str, since_s: float) -> frozenset[str]:
+        """Return the versions of a service that were listed since then.
+
+        Others may have come and gone in a gap of the listings.
+        """
         # A version may go as late as the listing after the last one with it.
         since_s -= MAX_GAP_S
-        if self._since_s is None or self._since_s > since_s:
-            return None
-        versions = {
+        return frozenset(
             origin.version
             for origin, last_s in self._last_s.items()
             if origin.service == service and last_s >= since_s
-        }
-        return versions.pop() if len(versions) == 1 else None
+        )
--- a/packages/gateway/dandelionyoke_gateway/_knowledge.py
+++ b/packages/gateway/dandelionyoke_gateway/_knowledge.py
@@ -37,6 +37,7 @@
     LeastBusyDecode,
     LimitScope,
     Member,
+    OpenStreams,
     OverloadDetector,
     OverloadSettings,
     PaceChoice,
@@ -61,6 +62,8 @@
     ShutdownSettings,
     SourceChoice,
     SourceSettings,
+    StreamGroup,
+    StreamReports,
     SuspicionSettings,
     TargetLimitNote,
     TargetLimits,
@@ -100,6 +103,8 @@
 TYPICAL_PREFILL_TIME = PrefillTimeSettings(quantile=0.5, max_step_share=0.02)
 
 NEVER_S = float('-inf')
+# Callers come back to a stream within this time after its time limit.
+COME_BACK_S = 30.0
 PROCESS_NAME_BITS = 48
 
 
@@ -176,6 +181,9 @@
         factory=lambda: DomainReach(TargetReachSettings())
     )
     counts_receiver: CountsReceiver = attrs.field(factory=CountsReceiver)
+    open_streams: OpenStreams = attrs.field(factory=OpenStreams)
+    # The open streams of the nodes that ask this one for news.
+    stream_reports: StreamReports = attrs.field(factory=StreamReports)
     signal: ChangeSignal = attrs.field(factory=ChangeSignal)
     # Each listing of targets, also one without a change.
     listed: ChangeSignal = attrs.field(factory=ChangeSignal)
@@ -340,6 +348,25 @@
             self.speeds.is_balanced(service),
         )
 
+    @property
+    def stream_lifetime_s(self) -> float:
+        """How long after its first event a stream may be taken up."""
+        if self.configuration is None:
+            return COME_BACK_S
+        timeouts_s = (route.timeout_s for route in self.configuration.routes)
+        return max(timeouts_s, default=0.0) + COME_BACK_S
+
+    def unproven_streams(self) -> tuple[StreamGroup, ...]:
+        """Return the open streams that may be of one of several versions."""
+        now_s, lifetime_s = clock_s(), self.stream_lifetime_s
+        history = self.registry.version_history
+        return tuple(
+            group
+            for group in self.open_streams.groups(now_s, lifetime_s)
+            if history.only_version(group.origin.service, now_s - lifetime_s)
+            is None
+        )
+
     def store_replaced(self) -> None:
         """Keep targets for a while that the copy of the store may lack."""
         self.registry.store_replaced(clock_s())
--- a/packages/gateway/dandelionyoke_gateway/_news_messages.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_messages.py
@@ -15,6 +15,7 @@
     ListingChanges,
     ListingMark,
     Member,
+    StreamGroup,
     TargetLimitNote,
 )
 
@@ -31,6 +32,7 @@
     answer, None from a node that knows no limits of targets. `crash_mark` is
     that of the last answer, None from a node that has had none.
     `configuration_revision` is the store's number in `configuration_era`.
+    `streams` are the open ones of the node that the receiver is to save.
     """
 
     number: int
@@ -45,6 +47,7 @@
     limits_version: int | None = None
     crash_mark: str | None = None
     configuration_era: int = 0
+    streams: tuple[StreamGroup, ...] = ()
 
     def held_revision(self, present_era: int) -> int:
         """Return the revision of the configuration that the node has.
--- a/packages/gateway/dandelionyoke_gateway/_news_server.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_server.py
@@ -42,6 +42,9 @@
         self._knowledge.news_requested_s = received_s
         if request.parcel is not None:
             self._knowledge.counts_receiver.take(request.parcel)
+        self._knowledge.stream_reports.take(
+            request.process, request.streams, received_s
+        )
         if request.demand is not None:
             self._knowledge.demand.take(peer_id, request.demand, received_s)
         deadline_s = received_s + min(request.hold_s, MAX_HOLD_S)
--- a/packages/gateway/dandelionyoke_gateway/_news_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_news_task.py
@@ -189,6 +189,7 @@
             self._limits_version,
             self._crash_mark,
             era_of(self._knowledge.configuration_revision),
+            self._knowledge.unproven_streams(),
         )
         if not hub.send(peer_id, request):
             return Silence.NOT_SENT
--- a/packages/gateway/dandelionyoke_gateway/_node_links.py
+++ b/packages/gateway/dandelionyoke_gateway/_node_links.py
@@ -21,6 +21,8 @@
 from dandelionyoke_gateway._source_services import SourceServices
 from dandelionyoke_gateway._store_returns import StoreReturns
 from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
+from dandelionyoke_gateway._stream_record_reader import StreamRecordReader
+from dandelionyoke_gateway._stream_records import StreamRecordTask
 from dandelionyoke_gateway._task_guard import TaskGuard
 
 
@@ -35,6 +37,7 @@
     local_prefill_queue: LocalPrefillQueue
     prefill_queue: DomainPrefillQueue
     origins: StreamOriginKeeper
+    stream_records: StreamRecordTask
     domain_reach: DomainReachTask
 
     def start(
@@ -63,6 +66,8 @@
         )
         secret = LinkSecret(store, self.knowledge.random, self.log)
         returns.follow(secret.store_replaced)
+        returns.follow(self.stream_records.store_replaced)
+        tasks.start('stream_records', self.stream_records.run)
         tasks.start(
             'links',
             partial(
@@ -76,8 +81,14 @@
             ),
         )
 
+    def finish(self) -> None:
+        """Save on shutdown what other nodes need of this one."""
+        self.stream_records.finish()
 
-def new_node_links(knowledge: Knowledge, log: DecisionLog) -> NodeLinks:
+
+def new_node_links(
+    knowledge: Knowledge, store: Store, log: DecisionLog
+) -> NodeLinks:
     """Create the parts; they decide locally until the links are open."""
     local_prefill_queue = LocalPrefillQueue(knowledge)
     local_prefill_queue.attach_log(log)
@@ -90,6 +101,9 @@
         sources,
         local_prefill_queue,
         DomainPrefillQueue(local_prefill_queue, knowledge, log, domain_reach),
-        StreamOriginKeeper(knowledge),
+        StreamOriginKeeper(
+            knowledge, StreamRecordReader(store, knowledge.random, log)
+        ),
+        StreamRecordTask(knowledge, store, log),
         domain_reach,
     )
--- a/packages/gateway/dandelionyoke_gateway/_process.py
+++ b/packages/gateway/dandelionyoke_gateway/_process.py
@@ -128,7 +128,8 @@
         self._store_returns = StoreReturns(self._log)
         self._adapters.store_era.listen(self._store_returns)
         self._store_returns.follow(self._knowledge.store_replaced)
-        self._links = new_node_links(self._knowledge, self._log)
+        store = self._adapters.store
+        self._links = new_node_links(self._knowledge, store, self._log)
         self._engines = LimitedEngineClient(
             self._adapters.engines, self._links.sources.target_gate
         )
@@ -422,6 +423,7 @@
         killed_s = requested_s + self._settings.grace_s
         self._end_connections(requested_s, killed_s - GRACE_MARGIN_S)
         self._counts_task.finish()
+        self._links.finish()
         is_clean = not self._has_callers()
         self._stop(ExitStatus.OK if is_clean else ExitStatus.CUT)
 
--- a/packages/gateway/dandelionyoke_gateway/_stream_binding.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_binding.py
@@ -75,6 +75,12 @@
     )
 
 
+def release_at_end(deps: CallDependencies, context: CallContext) -> None:
+    """Forget for the store where a stream began, as it has ended whole."""
+    if context.route.is_resumable:
+        deps.origins.end(_first_attempt_id(context))
+
+
 def is_version_lost(context: CallContext) -> bool:
     """Whether the caller has events of a version that is not known."""
     return context.has_events and context.version is None
--- a/packages/gateway/dandelionyoke_gateway/_stream_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_call.py
@@ -44,6 +44,7 @@
     bind_at_head,
     bind_resumed,
     is_version_lost,
+    release_at_end,
 )
 from dandelionyoke_gateway._stream_call_state import RetryableError
 from dandelionyoke_gateway._stream_memory import StreamMemory
@@ -316,6 +317,7 @@
             self._deps.knowledge.loads.succeeded(stream.target.target_id)
         self._context.attempts.ran(stream.attempt)
         self._context.responder.finish()
+        release_at_end(self._deps, self._context)
         record_answer(self._deps, self._context)
 
     def _broken(
--- a/packages/gateway/dandelionyoke_gateway/_stream_origin_keeper.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_origin_keeper.py
@@ -34,6 +34,7 @@
     OriginTold,
 )
 from dandelionyoke_gateway._source_links import Connect
+from dandelionyoke_gateway._stream_record_reader import StreamRecordReader
 
 # The other nodes that keep the origin of a stream, in different domains.
 COPY_COUNT = 2
@@ -41,8 +42,8 @@
 ASK_COUNT = 3
 # A healthy node answers within milliseconds, also if a link must be opened.
 ASK_TIMEOUT_S = 0.4
-# Callers come back to a stream within this time after its time limit.
-COME_BACK_S = 30.0
+# The store answers within milliseconds.
+READ_TIMEOUT_S = 1.0
 MAX_RECORDS = 32768
 # A call waits this long for a listing that is asked for after it came. Callers
 # give up after two seconds without an event.
@@ -57,7 +58,9 @@
 
     OWN = 'own'
     ASKED = 'asked'
+    STORED = 'stored'
     ONLY_VERSION = 'only version'
+    ONLY_RECORDED = 'only recorded version'
     UNKNOWN = 'unknown'
 
 
@@ -115,8 +118,11 @@
 class StreamOriginKeeper:
     """Records where streams began, here and at two other nodes."""
 
-    def __init__(self, knowledge: Knowledge) -> None:
+    def __init__(
+        self, knowledge: Knowledge, records: StreamRecordReader | None = None
+    ) -> None:
         self._knowledge = knowledge
+        self._records = records
         self._origins = StreamOrigins(MAX_RECORDS)
         self._ranking = KeeperRanking()
         self._links = KeeperLinks(self._handle_loss)
@@ -137,11 +143,18 @@
         key = stream_key(attempt_id)
         self._keep(key, origin)
         if is_told:
+            self._knowledge.open_streams.begin(
+                key, origin, clock_s(), self._knowledge.stream_lifetime_s
+            )
             self._tell(key, origin)
             # Lets the links write it before the caller has an event: this
             # process may be killed right then.
             eventlet.sleep(0)
 
+    def end(self, attempt_id: str) -> None:
+        """Save a stream no more, as its caller has all of it."""
+        self._knowledge.open_streams.end(stream_key(attempt_id))
+
     def find(
         self, attempt_id: str, service: str, deadline_s: float = math.inf
     ) -> FoundOrigin:
@@ -155,11 +168,18 @@
         if origin is not None:
             return self._found(origin, OriginSource.OWN, started_s, _Question())
         question = self._ask(key)
-        if question.origin is None:
-            return self._find_only(service, started_s, deadline_s, question)
-        return self._found(
-            question.origin, OriginSource.ASKED, started_s, question
-        )
+        if question.origin is not None:
+            return self._found(
+                question.origin, OriginSource.ASKED, started_s, question
+            )
+        until_s = min(started_s + LISTING_TIMEOUT_S, deadline_s)
+        if self._only_origin(service) is None:
+            stored = self._find_stored(key, started_s, until_s)
+            if stored is not None:
+                return self._found(
+                    stored, OriginSource.STORED, started_s, question
+                )
+        return self._find_only(service, started_s, until_s, question)
 
     def only_listed(
         self, service: str, deadline_s: float = math.inf
@@ -169,7 +189,9 @@
         Its service must have had one version only while the stream may have
         begun.
         """
-        return self._find_only(service, clock_s(), deadline_s, _Question())
+        started_s = clock_s()
+        until_s = min(started_s + LISTING_TIMEOUT_S, deadline_s)
+        return self._find_only(service, started_s, until_s, _Question())
 
     def handle_event(self, event: Event) -> bool:
         """Handle a link event; return whether it was for this part."""
@@ -191,15 +213,8 @@
         return True
 
     def _keep(self, key: str, origin: StreamOrigin) -> None:
-        self._origins.record(key, origin, clock_s(), self._lifetime_s())
-
-    def _lifetime_s(self) -> float:
-        """Return how long after its first event a stream may be taken up."""
-        configuration = self._knowledge.configuration
-        if configuration is None:
-            return COME_BACK_S
-        timeouts_s = (route.timeout_s for route in configuration.routes)
-        return max(timeouts_s, default=0.0) + COME_BACK_S
+        lifetime_s = self._knowledge.stream_lifetime_s
+        self._origins.record(key, origin, clock_s(), lifetime_s)
 
     def _tell(self, key: str, origin: StreamOrigin) -> None:
         for member in self._keepers(key, COPY_COUNT):
@@ -246,13 +261,31 @@
                 if question is not None:
                     question.lose(peer_id)
 
+    # Records of processes that are gone.
+
+    def _find_stored(
+        self, key: str, started_s: float, until_s: float
+    ) -> StreamOrigin | None:
+        """Find the origin of a stream in the store."""
+        records = self._records
+        if records is None or not self._read_records(started_s, until_s):
+            return None
+        return records.recorded.find(key)
+
+    def _read_records(self, started_s: float, until_s: float) -> bool:
+        """Read the records that there were as a call came."""
+        until_s = min(until_s, started_s + READ_TIMEOUT_S)
+        return self._records is not None and self._records.read(
+            started_s, until_s
+        )
+
     # Listings.
 
     def _find_only(
         self,
         service: str,
         started_s: float,
-        deadline_s: float,
+        until_s: float,
         question: _Question,
     ) -> FoundOrigin:
         """Find the origin that all streams of a service must have.
@@ -263,12 +296,15 @@
         not: another node may have listed a version since. That no other node
         knows the stream, or none answered, shows nothing.
         """
-        origin = self._only_origin(service)
+        find, source = self._only_origin, OriginSource.ONLY_VERSION
+        if find(service) is None and self._read_records(started_s, until_s):
+            find, source = self._only_recorded, OriginSource.ONLY_RECORDED
+        origin = find(service)
         if origin is not None:
-            until_s = min(started_s + LISTING_TIMEOUT_S, deadline_s)
             is_listed = self._await_listing(started_s, until_s)
-            origin = self._only_origin(service) if is_listed else None
-        source = OriginSource.ONLY_VERSION if origin else OriginSource.UNKNOWN
+            origin = find(service) if is_listed else None
+        if origin is None:
+            source = OriginSource.UNKNOWN
         return self._found(origin, source, started_s, question)
 
     def _await_listing(self, since_s: float, until_s: float) -> bool:
@@ -292,10 +328,21 @@
 
     def _only_origin(self, service: str) -> StreamOrigin | None:
         versions = self._knowledge.registry.version_history
-        since_s = clock_s() - self._lifetime_s()
+        since_s = clock_s() - self._knowledge.stream_lifetime_s
         version = versions.only_version(service, since_s)
         return None if version is None else StreamOrigin(service, version)
 
+    def _only_recorded(self, service: str) -> StreamOrigin | None:
+        """Return the origin if processes before this one saw no other."""
+        if self._records is None:
+            return None
+        history = self._knowledge.registry.version_history
+        recorded = self._records.recorded.versions(service)
+        listed = history.versions(service, -math.inf)
+        if len(recorded) != 1 or recorded != listed:
+            return None
+        return StreamOrigin(service, *recorded)
+
     def _found(
         self,
         origin: StreamOrigin | None,
--- a/tests/platform/test_nodes_out_of_step.py
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -14,7 +14,7 @@
 from testtools.content import text_content
 
 from dandelionyoke_gateway import clock_s
-from dandelionyoke_gateway._stream_origin_keeper import COME_BACK_S
+from dandelionyoke_gateway._knowledge import COME_BACK_S
 from tests.platform.cut_path import CutPath
 from tests.platform.node_harness import (
     API_KEY,
