Tests: wait for the secret of the links

test_calls_handed_late_are_declined failed once (KeyError: 'links/secret'): a program is ready as it knows its configuration and its targets, and writes the secret beside that. Shown with a stand-in store whose write of the secret takes 0.3 s: the same error before, passed with the wait (one run each). The checks are as they were; the 15 tests of both files: 14 passed, 1 xpassed.

--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -55,6 +55,12 @@
         eventlet.sleep(0.05)
 
 
+def wait_for_secret(store: StoreStandin) -> bytes:
+    """Return the secret of the links, once a process has written it."""
+    wait_for(lambda: 'links/secret' in store.items, 'the secret')
+    return str(store.items['links/secret'].value).encode()
+
+
 @attrs.frozen
 class Ports:
     """Ports of a node; a restarted process uses the same ones."""
--- a/tests/platform/test_late_in_the_grace.py
+++ b/tests/platform/test_late_in_the_grace.py
@@ -33,7 +33,7 @@
     chunk,
     stream_head,
 )
-from tests.platform.program import Program, wait_for
+from tests.platform.program import Program, wait_for, wait_for_secret
 from tests.platform.store_standin import StoreStandin
 
 # As in the settings of the program; the platform kills it then.
@@ -399,7 +399,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        secret = self.store.items['links/secret'].value.encode()
+        secret = wait_for_secret(self.store)
         self.hub = PeerHub(PeerSettings(InstanceId('n-2'), secret), id)
 
     def hand(
--- a/tests/platform/test_leaving_processes.py
+++ b/tests/platform/test_leaving_processes.py
@@ -15,7 +15,7 @@
 from dandelionyoke_gateway import ExitStatus, clock_s
 from dandelionyoke_links import LinkError, PeerHub, PeerSettings
 from tests.platform.node_harness import ScriptedTarget, answer, request_bytes
-from tests.platform.program import Program, wait_for
+from tests.platform.program import Program, wait_for, wait_for_secret
 from tests.platform.store_standin import StoreStandin
 from tests.platform.test_process import configuration
 
@@ -130,7 +130,7 @@
 
     def test_calls_of_other_nodes_are_not_accepted_any_more(self) -> None:
         """Guards against handed calls that wait for a node that ends."""
-        secret = self.store.items['links/secret'].value.encode()
+        secret = wait_for_secret(self.store)
         hub = PeerHub(PeerSettings(InstanceId('n-2'), secret), id)
         open_call = functools.partial(
             hub.open_call,
