Gateway: a 421 to a prefill or a stream may come from a change of phase

What callers saw: after one decoding engine of four had left as planned, every stream was answered 503, while two sound engines stood idle; 6 or 7 of 100 were served until the process was restarted.

Cause: an engine answers 421 to work of the other phase as well, in the second or so between the end of its switch and the listing of it. The node took that for another target at the address and marked the engine as leaving, which only a new start ends. It then ordered the next engine to decode, and lost it alike.

Evidence: target.replaced in the log for engines that the store lists at the same address and start.

Why this works: a call that names a phase leaves two meanings, and the report of the engine, asked for once for all calls, tells them apart: 421 or another start ends the engine as before; the same start is in the other phase, and used so until the registry lists it, for 5 s at most. Until the answer its phase is unknown: it gets no work, and counts as listed in the plan of the phases. Whether the 421 names an Instance-Id does not matter. A target of a plain service has no phase and is not asked.

--- a/packages/dispatch/dandelionyoke_dispatch/_placement.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_placement.py
@@ -318,7 +318,9 @@
         return frozenset(
             target.target_id
             for target in self._registry.all_of_service(service)
-            if target.is_leaving or self._rests.is_resting(target, now_s)
+            if target.is_leaving
+            or self._rests.is_resting(target, now_s)
+            or self._registry.refused_phase(target.target_id) is Phase.PREFILL
         )
 
     def _usable(
--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -16,11 +16,15 @@
 
 @enum.unique
 class Phase(enum.Enum):
-    """The phase of the work that a language engine performs."""
+    """The phase of the work that a language engine performs.
+
+    UNKNOWN: the engine refused work of its listed phase.
+    """
 
     PREFILL = 'prefill'
     DECODE = 'decode'
     ANY = 'any'
+    UNKNOWN = 'unknown'
 
 
 @attrs.frozen
@@ -51,12 +55,32 @@
     targets would be left for callers. A target counts as new for
     `new_target_s`: the phase of an engine that has just started is often
     changed at once, and the change is visible only after the heartbeat, the
-    order and the delay of a listing.
+    order and the delay of a listing. What an engine's refusal shows of its
+    phase counts for `phase_notice_s`, or until the registry lists that phase.
     """
 
     return_grace_s: float = 2.5
     outage_s: float = 1.5
     new_target_s: float = 5.0
+    phase_notice_s: float = 5.0
+
+
+@attrs.frozen
+class _PhaseNotice:
+    """The phase whose work a start of a target refused, until it is listed."""
+
+    refused: Phase
+    started_ms: int | None
+    until_s: float
+    actual: Phase = Phase.UNKNOWN
+
+    def applies_to(self, target: RegisteredTarget, now_s: float) -> bool:
+        """Whether an entry still shows the phase that was refused."""
+        return (
+            now_s < self.until_s
+            and target.phase is self.refused
+            and target.started_ms == self.started_ms
+        )
 
 
 class TargetRegistry:
@@ -74,6 +98,7 @@
         self._missing: set[str] = set()
         # The starts of the targets that leave or left, the latest last.
         self._leaving_starts: dict[str, int | None] = {}
+        self._phase_notices: dict[str, _PhaseNotice] = {}
         # The versions of the targets by service; filled on use.
         self._versions: dict[str, frozenset[str]] = {}
 
@@ -113,7 +138,7 @@
             is_same = known and known.started_ms == target.started_ms
             if not is_first and not is_same:
                 self._added_s[target.target_id] = now_s
-            self._store_target(target)
+            self._store_target(self._with_phase(target, now_s))
         self._missing = set(missing)
         self.version_history.observe(
             # An entry that is not used here may be used by another node.
@@ -161,6 +186,61 @@
             self._targets[target_id] = attrs.evolve(known, is_leaving=True)
         return is_new
 
+    def refuse_phase(self, target: RegisteredTarget, now_s: float) -> bool:
+        """Record that a target refused work of the phase of its entry.
+
+        Its phase is unknown from now on. False if its entry has changed since
+        the work was sent.
+        """
+        known = self._targets.get(target.target_id)
+        if (
+            known is None
+            or known.phase is not target.phase
+            or known.started_ms != target.started_ms
+        ):
+            return False
+        until_s = now_s + self._settings.phase_notice_s
+        notice = _PhaseNotice(target.phase, target.started_ms, until_s)
+        self._set_phase(known, notice)
+        return True
+
+    def settle_phase(self, target: RegisteredTarget) -> Phase | None:
+        """Record that a target itself refused work; return its phase.
+
+        None if its entry has changed since.
+        """
+        notice = self._phase_notices.get(target.target_id)
+        known = self._targets.get(target.target_id)
+        if notice is None or known is None:
+            return None
+        if notice.started_ms != target.started_ms:
+            return None
+        is_decoding = notice.refused is Phase.PREFILL
+        phase = Phase.DECODE if is_decoding else Phase.PREFILL
+        self._set_phase(known, attrs.evolve(notice, actual=phase))
+        return phase
+
+    def forget_phase(self, target_id: str) -> None:
+        """Use the listed phase of a target again if its own is unknown."""
+        known = self._targets.get(target_id)
+        if known is None or known.phase is not Phase.UNKNOWN:
+            return
+        phase = self.listed_phase(known)
+        self._phase_notices.pop(target_id)
+        self._targets[target_id] = attrs.evolve(known, phase=phase)
+
+    def listed_phase(self, target: RegisteredTarget) -> Phase:
+        """Return the phase of a target, the listed one if it is unknown."""
+        notice = self._phase_notices.get(target.target_id)
+        if target.phase is Phase.UNKNOWN and notice is not None:
+            return notice.refused
+        return target.phase
+
+    def refused_phase(self, target_id: str) -> Phase | None:
+        """Return the listed phase whose work a target refused, if any."""
+        notice = self._phase_notices.get(target_id)
+        return None if notice is None else notice.refused
+
     def is_new(self, target_id: str, now_s: float) -> bool:
         """Whether a target was added a short while ago."""
         added_s = self._added_s.get(target_id)
@@ -194,6 +274,7 @@
 
     def _remove(self, target_id: str) -> None:
         self._added_s.pop(target_id, None)
+        self._phase_notices.pop(target_id, None)
         target = self._targets.pop(target_id, None)
         # A store that comes back from a copy may list it as usable again.
         if target is not None and target.is_leaving:
@@ -206,6 +287,24 @@
         if len(self._leaving_starts) > MAX_LEAVING_TARGETS:
             self._leaving_starts.pop(next(iter(self._leaving_starts)))
 
+    def _set_phase(self, known: RegisteredTarget, notice: _PhaseNotice) -> None:
+        self._phase_notices[known.target_id] = notice
+        self._targets[known.target_id] = attrs.evolve(
+            known, phase=notice.actual
+        )
+
+    def _with_phase(
+        self, target: RegisteredTarget, now_s: float
+    ) -> RegisteredTarget:
+        """Apply what a refusal shows, unless the entry shows it or is newer."""
+        notice = self._phase_notices.get(target.target_id)
+        if notice is None:
+            return target
+        if notice.applies_to(target, now_s):
+            return attrs.evolve(target, phase=notice.actual)
+        self._phase_notices.pop(target.target_id)
+        return target
+
     def _store_target(self, target: RegisteredTarget) -> None:
         known = self._targets.get(target.target_id)
         if known is not None and _is_earlier_start(target, known):
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -43,7 +43,8 @@
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._messages import ResponseHead
-from dandelionyoke_gateway._ports import Dialect, EngineClient
+from dandelionyoke_gateway._misdirected_calls import MisdirectedCalls
+from dandelionyoke_gateway._ports import Dialect, IdentifyingEngineClient
 from dandelionyoke_gateway._prefill_queue import PrefillQueue
 from dandelionyoke_gateway._rate_limits import (
     Charge,
@@ -69,7 +70,7 @@
     knowledge: Knowledge
     dialect: Dialect
     pool: TargetPool
-    engines: EngineClient
+    engines: IdentifyingEngineClient
     prefill_queue: PrefillQueue
     rate_limits: RateLimits
     log: DecisionLog
@@ -78,6 +79,11 @@
     reach: ReachTask
     handover: Handover
     origins: StreamOriginKeeper
+    misdirected: MisdirectedCalls = attrs.field(init=False)
+
+    @misdirected.default
+    def _new_misdirected(self) -> MisdirectedCalls:
+        return MisdirectedCalls(self.knowledge, self.engines, self.log)
 
     @contextmanager
     def connect_to(
--- a/packages/gateway/dandelionyoke_gateway/_import_check.py
+++ b/packages/gateway/dandelionyoke_gateway/_import_check.py
@@ -103,7 +103,7 @@
         service = self._state.context.service.name
         if not self._knowledge.speeds.is_balanced(service):
             return False
-        is_answer = not facts.is_other_target and not facts.rest_s
+        is_answer = not facts.is_misdirected and not facts.rest_s
         return is_answer and not is_full(facts.load)
 
     def _conclude(self, *, is_refused_without: bool) -> None:
--- a/packages/gateway/dandelionyoke_gateway/_phase_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_phase_task.py
@@ -212,13 +212,21 @@
             for target_id, assumed in self._assumed_phases.items()
             if now_s < assumed.expires_s
         }
-        updated = []
-        for engine in engines:
-            assumed = self._assumed_phases.get(engine.target_id)
-            if assumed is not None:
-                engine = attrs.evolve(engine, phase=assumed.phase)
-            updated.append(engine)
-        return updated
+        return [
+            attrs.evolve(engine, phase=self._phase_of(engine))
+            for engine in engines
+        ]
+
+    def _phase_of(self, engine: RegisteredTarget) -> Phase:
+        """Return the phase to plan with.
+
+        An engine whose phase is unknown counts as listed, so that no other one
+        is ordered to take its place.
+        """
+        assumed = self._assumed_phases.get(engine.target_id)
+        if assumed is not None:
+            return assumed.phase
+        return self._knowledge.registry.listed_phase(engine)
 
     def _assume(self, change: PhaseChange, duration_s: float) -> None:
         self._assumed_phases[change.target.target_id] = _AssumedPhase(
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -509,16 +509,13 @@
     facts: ResponseFacts,
 ) -> None:
     """Record what a target reported of itself."""
-    knowledge = deps.knowledge
     deps.target_gate.observe(target, facts)
-    is_leaving = facts.is_leaving and not facts.is_other_target
+    is_leaving = facts.is_leaving and not facts.is_misdirected
     context.responder.leaving = target if is_leaving else None
     _apply_load(deps, target, facts)
-    if facts.is_other_target:
-        deps.log.decide(
-            'target.replaced', target.target_id, outcome='left alone'
-        )
-        knowledge.registry.mark_leaving(target.target_id, target.started_ms)
+    if facts.is_misdirected:
+        is_engine = context.service.engine is not None
+        deps.misdirected.take(target, is_engine=is_engine)
 
 
 def _apply_load(
@@ -532,7 +529,7 @@
             outcome='left out',
             cause=facts.invalid_load,
         )
-    if facts.load is None or facts.is_other_target:
+    if facts.load is None or facts.is_misdirected:
         return
     knowledge, now_s = deps.knowledge, clock_s()
     knowledge.loads.reported(target.target_id, facts.load.busy, now_s)
--- a/packages/gateway/dandelionyoke_gateway/_ports.py
+++ b/packages/gateway/dandelionyoke_gateway/_ports.py
@@ -55,7 +55,8 @@
     """The status and metadata in the head of a target's response.
 
     `is_not_run` means that the target states that it did not run the call.
-    `is_other_target` means that another target uses the address now.
+    `is_misdirected` means that it did not take the call for its own: another
+    target uses the address now, or this one is in another phase.
     `load` is the load that the target reports; `invalid_load` is the text of
     one that cannot be read, with the reason. `limit_per_s` is the rate of
     requests that it takes from all nodes together, None if it names none;
@@ -69,7 +70,7 @@
     attempt_id: str | None
     is_signed: bool
     is_not_run: bool
-    is_other_target: bool
+    is_misdirected: bool
     load: LoadReport | None = None
     invalid_load: str = ''
     limit_per_s: float | None = None
@@ -147,6 +148,16 @@
     started_ms: int | None = None
 
 
+@enum.unique
+class TargetIdentity(enum.Enum):
+    """Whether a target is the start that the registry lists."""
+
+    SAME = 'same'
+    # It has started anew, or another target uses its address.
+    OTHER = 'other'
+    UNKNOWN = 'unknown'
+
+
 @attrs.frozen
 class PhaseOrder:
     """An order to an engine to change its phase.
@@ -254,3 +265,10 @@
 
     def release_cache(self, cache: CacheSource) -> None:
         """Free the KV cache of a prompt that is no longer needed."""
+
+
+class IdentifyingEngineClient(EngineClient, Protocol):
+    """Calls to engines, which also tell their starts apart."""
+
+    def identify(self, target: RegisteredTarget) -> TargetIdentity:
+        """Ask an engine whether it is the start that the registry lists."""
--- a/packages/gateway/dandelionyoke_gateway/_queued_turns.py
+++ b/packages/gateway/dandelionyoke_gateway/_queued_turns.py
@@ -83,7 +83,7 @@
         is_full = (
             load is not None
             and load.busy >= load.slots
-            and not facts.is_other_target
+            and not facts.is_misdirected
             and not facts.rest_s
         )
         if is_full and load is not None:
--- a/packages/gateway/dandelionyoke_gateway/_target_gate.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_gate.py
@@ -79,7 +79,7 @@
 
     def observe(self, target: RegisteredTarget, facts: ResponseFacts) -> None:
         """Record the limit that an answer of a target names, or its end."""
-        if facts.is_other_target:
+        if facts.is_misdirected:
             return
         self._take_notices(target, facts)
         if facts.invalid_limit:
--- a/tests/gateway/test_phase_task.py
+++ b/tests/gateway/test_phase_task.py
@@ -83,3 +83,15 @@
         self.knowledge.reach.probed('lm', probed, clock_s())
         self.task._reconcile_service('lm')
         self.assertEqual([], list(self.task._plans))
+
+    def test_an_engine_of_unknown_phase_counts_as_listed(self) -> None:
+        """Guards against an order to another engine to take its place."""
+        registry = self.knowledge.registry
+        registry.replace(self.engines, clock_s())
+        registry.refuse_phase(self.engines[0], clock_s())
+        unknown = registry.of_service('lm')
+        self.assertIs(Phase.UNKNOWN, unknown[0].phase)
+        planned = self.task._with_assumed_phases(unknown, clock_s())
+        self.assertEqual(
+            [Phase.DECODE] * 2, [target.phase for target in planned]
+        )
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -41,6 +41,7 @@
 from dandelionyoke_gateway._handover import Handover
 from dandelionyoke_gateway._handover_server import HandoverServer
 from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
+from dandelionyoke_gateway._limited_engines import LimitedEngineClient
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._plain_call import forward_plain_call
 from dandelionyoke_gateway._prefill_queue import LocalPrefillQueue
@@ -291,12 +292,16 @@
         self.handover = Handover(self.knowledge, self._log, self.target_gate)
         self.origins = StreamOriginKeeper(self.knowledge)
         self.prefill_queue = LocalPrefillQueue(self.knowledge)
+        engines = LimitedEngineClient(
+            PlatformDuties('', self.pool), self.target_gate
+        )
+        engines.listen(self.target_gate.observe)
         self._dispatcher = CallDispatcher(
             CallDependencies(
                 self.knowledge,
                 PlatformDialect(),
                 self.pool,
-                PlatformDuties('', self.pool),
+                engines,
                 self.prefill_queue,
                 self.rate_limits,
                 self._log,
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -214,7 +214,7 @@
         self.assertTrue(facts.is_not_run)
         self.assertEqual(7, facts.busy)
         misdirected = DIALECT.read_response(ResponseHead(421, ()))
-        self.assertTrue(misdirected.is_other_target and misdirected.is_not_run)
+        self.assertTrue(misdirected.is_misdirected and misdirected.is_not_run)
         self.assertFalse(
             DIALECT.read_response(ResponseHead(500, ())).is_not_run
         )
