Gateway: a target that is back when its connections end has crashed too

What callers saw: a request that ends each engine that begins to run it was sent on for ever, 41 and 42 sends after the time for agreement and 47 or 48 engines ended in a minute, and a fifth of all other calls to the service were not served.

Cause: the node asked whether an address accepts connections, where the question is whether the start lives that ran the call, and asked it when the connection broke off. An engine that falls silent is back by then. A call that ends in the silence, by its time limit, by its caller or by the answer of another target, asked nothing at all.

Why this works: an address that accepts connections is asked for the report of its engine; 421 or another start shows the end of the old one. Plain services have no report and are judged by the next listings. The keys of a call that ends in a silence are kept for 10 s and count once that start has ended; silence alone never counts, and an answer of the same start ends the suspicion.

--- a/packages/dispatch/dandelionyoke_dispatch/__init__.py
+++ b/packages/dispatch/dandelionyoke_dispatch/__init__.py
@@ -265,6 +265,9 @@
 from dandelionyoke_dispatch._tried_targets import (
     TriedTargets as TriedTargets,
 )
+from dandelionyoke_dispatch._unanswered_calls import (
+    UnansweredCalls as UnansweredCalls,
+)
 from dandelionyoke_dispatch._usage import (
     ProcessCounts as ProcessCounts,
     TrueTime as TrueTime,
--- a/packages/dispatch/dandelionyoke_dispatch/_registry.py
+++ b/packages/dispatch/dandelionyoke_dispatch/_registry.py
@@ -253,6 +253,20 @@
         """Return a target by its id; None if it is not listed."""
         return self._targets.get(target_id)
 
+    def has_ended(self, target: RegisteredTarget) -> bool:
+        """Whether the start of a target is listed no more, or replaced."""
+        known = self._targets.get(target.target_id)
+        return known is None or self.is_replaced(target)
+
+    def is_replaced(self, target: RegisteredTarget) -> bool:
+        """Whether a later start has the id or the address of a target."""
+        return any(
+            _is_earlier_start(target, other)
+            for other in self._targets.values()
+            if target.target_id == other.target_id
+            or target.address == other.address
+        )
+
     def of_service(self, service: str) -> list[RegisteredTarget]:
         """Return the targets of a service that accept new work."""
         targets = self.all_of_service(service)
--- a/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
+++ b/packages/gateway/dandelionyoke_gateway/_call_dispatcher.py
@@ -33,7 +33,10 @@
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._crash_task import CrashReports
-from dandelionyoke_gateway._errors import CallerDisconnectedError
+from dandelionyoke_gateway._errors import (
+    CallerDisconnectedError,
+    ExchangeError,
+)
 from dandelionyoke_gateway._handed_terms import (
     organisation_of,
     route_of,
@@ -52,7 +55,11 @@
     RateLimits,
 )
 from dandelionyoke_gateway._reach_task import ReachTask
-from dandelionyoke_gateway._silence import Silence, SilenceWatch
+from dandelionyoke_gateway._silence import (
+    SILENCE_S,
+    Silence,
+    SilenceWatch,
+)
 from dandelionyoke_gateway._stream_origin_keeper import StreamOriginKeeper
 from dandelionyoke_gateway._target_connection import TargetConnection
 from dandelionyoke_gateway._target_gate import TargetGate
@@ -83,11 +90,16 @@
 
     @misdirected.default
     def _new_misdirected(self) -> MisdirectedCalls:
-        return MisdirectedCalls(self.knowledge, self.engines, self.log)
+        return MisdirectedCalls(
+            self.knowledge, self.engines, self.crash_reports, self.log
+        )
 
     @contextmanager
     def connect_to(
-        self, target: RegisteredTarget, call_id: str, watch: SilenceWatch
+        self,
+        target: RegisteredTarget,
+        context: CallContext,
+        watch: SilenceWatch,
     ) -> Iterator[TargetConnection]:
         """Acquire a connection to a target for one exchange of a call.
 
@@ -98,7 +110,7 @@
         if self.knowledge.speeds.is_balanced(target.service):
             timeout_s = BRIEF_CONNECT_TIMEOUT_S
         with self.pool.acquire(
-            target.address, call_id, timeout_s
+            target.address, context.call.attempt_id, timeout_s
         ) as connection:
             # Connecting takes time, in which the target may ask for rest.
             self.target_gate.check_rest(target)
@@ -108,11 +120,37 @@
                 Silence(target, silent_s, self.reach.silent(target))
             )
             connection.on_data = watch.heard
-            yield connection
+            with self._reports_silence(target, context, connection):
+                yield connection
             connection.on_silence = None
             connection.on_data = None
             self.reach.heard(target)
 
+    @contextmanager
+    def _reports_silence(
+        self,
+        target: RegisteredTarget,
+        context: CallContext,
+        connection: TargetConnection,
+    ) -> Iterator[None]:
+        """Report a call that ends for a reason of its own in a silence.
+
+        Its caller has left, or another target has answered. Failures of the
+        exchange are reported where they are recorded.
+        """
+        try:
+            yield
+        except ExchangeError:
+            raise
+        except BaseException:
+            if connection.silent_s >= SILENCE_S:
+                settled_s = self.knowledge.crashes.settings.settled_s
+                keys = context.suspect_keys(
+                    target.target_id, settled_s, clock_s()
+                )
+                self.crash_reports.gave_up(target, keys)
+            raise
+
 
 # Another node can take the call at once.
 LEAVING_REFUSAL = Refusal(Cause.LEAVING, OTHER_INSTANCE_RETRY_AFTER_S)
--- a/packages/gateway/dandelionyoke_gateway/_crash_task.py
+++ b/packages/gateway/dandelionyoke_gateway/_crash_task.py
@@ -23,6 +23,7 @@
     CrashKeys,
     CrashReport,
     RegisteredTarget,
+    UnansweredCalls,
 )
 from dandelionyoke_gateway._clock import clock_s
 from dandelionyoke_gateway._crash_intake import CrashIntake
@@ -33,7 +34,11 @@
 )
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
-from dandelionyoke_gateway._ports import EngineClient, Store
+from dandelionyoke_gateway._ports import (
+    IdentifyingEngineClient,
+    Store,
+    TargetIdentity,
+)
 from dandelionyoke_gateway._prefix_watcher import PrefixWatcher
 from dandelionyoke_gateway._target_probe import is_reached, probe_sample
 
@@ -54,6 +59,8 @@
 MAX_ASKED_TARGETS = 256
 # Keeps a record within the size that the store takes.
 MAX_REPORT_KEYS = 256
+# Listings come more often, unless the store is away.
+MAX_LISTING_WAIT_S = 2.0
 
 
 class CrashReports(Protocol):
@@ -64,6 +71,12 @@
     ) -> None:
         """Report that a target broke off a call with these keys."""
 
+    def gave_up(self, target: RegisteredTarget, keys: tuple[str, ...]) -> None:
+        """Report that a call ended while its target was silent."""
+
+    def replaced(self, target: RegisteredTarget) -> None:
+        """Report that another target answers at the address of one."""
+
     def answered(
         self, target: RegisteredTarget, keys: CrashKeys, span: AliveSpan
     ) -> None:
@@ -80,7 +93,7 @@
         self,
         knowledge: Knowledge,
         store: Store,
-        engines: EngineClient,
+        engines: IdentifyingEngineClient,
         log: DecisionLog,
     ) -> None:
         self._engines = engines
@@ -95,6 +108,8 @@
         )
         # The keys of the calls that broke off, by target, until it is probed.
         self._broken: dict[str, list[str]] = {}
+        self._unanswered = UnansweredCalls()
+        self._is_watching = False
         self._report_numbers = itertools.count(1)
         self._poll: GreenThread | None = None
 
@@ -136,6 +151,23 @@
         self._broken[target.target_id] = list(keys)
         eventlet.spawn_n(self._probe_target, target)
 
+    def gave_up(self, target: RegisteredTarget, keys: tuple[str, ...]) -> None:
+        """Keep the keys of a call until it is known why it got no answer.
+
+        It is reported once its target has ended, not as it is silent.
+        """
+        start = _start_name(target)
+        self._unanswered.add(start, target, keys, clock_s())
+        if not self._is_watching:
+            self._is_watching = True
+            eventlet.spawn_n(self._watch_unanswered)
+
+    def replaced(self, target: RegisteredTarget) -> None:
+        """Report the calls that a target left unanswered as it ended."""
+        keys = self._unanswered.take(_start_name(target))
+        if keys and not self._is_leaving(target):
+            self._report_crash(target, list(keys), 'replaced')
+
     def answered(
         self, target: RegisteredTarget, keys: CrashKeys, span: AliveSpan
     ) -> None:
@@ -146,6 +178,7 @@
         start it is.
         """
         crashes = self._knowledge.crashes
+        self._unanswered.answered(_start_name(target), span.until_s)
         answered = crashes.record_answer(keys, span.until_s)
         self._intake.log_findings(answered)
         certain = AliveSpan(span.since_s + MAX_REPORT_DELAY_S, span.until_s)
@@ -220,16 +253,89 @@
         eventlet.sleep(GATHER_S)
         keys = self._broken.pop(target.target_id, [])
         if is_reached(target):
+            self._judge_reached(target, keys)
             return
-        is_crash = self._reaches_others(target)
+        start = _start_name(target)
+        if self._reaches_others(target):
+            keys.extend(self._unanswered.take(start))
+            self._report_crash(target, keys, 'not reached')
+            return
+        self._log.decide(
+            'target.unreached',
+            target.target_id,
+            outcome='no crash: cut off',
+            keys=_key_text(keys),
+        )
+
+    def _judge_reached(self, target: RegisteredTarget, keys: list[str]) -> None:
+        """Report a crash if another start answers at the address of a target.
+
+        It may be back by the time that its connections are reset.
+        """
+        identity = self._engines.identify(target)
+        start = _start_name(target)
+        if identity is TargetIdentity.SAME:
+            self._unanswered.take(start)
+        elif identity is TargetIdentity.UNKNOWN:
+            self._wait_for_listing(target, keys)
+        elif not self._is_leaving(target):
+            keys.extend(self._unanswered.take(start))
+            self._report_crash(target, keys, 'started anew')
+
+    def _wait_for_listing(
+        self, target: RegisteredTarget, keys: list[str]
+    ) -> None:
+        """Judge by the next listings: a target did not say which it is."""
+        registry = self._knowledge.registry
+        if registry.is_replaced(target):
+            keys.extend(self._unanswered.take(_start_name(target)))
+            self._report_crash(target, keys, 'listed anew')
+        elif not registry.has_ended(target):
+            self.gave_up(target, tuple(keys))
+
+    def _report_crash(
+        self, target: RegisteredTarget, keys: list[str], evidence: str
+    ) -> None:
         self._log.decide(
-            'target.died' if is_crash else 'target.unreached',
+            'target.died',
             target.target_id,
-            outcome='calls suspected' if is_crash else 'no crash: cut off',
-            keys=','.join(sorted(set(keys))[:MAX_REPORT_KEYS]),
+            outcome='calls suspected',
+            evidence=evidence,
+            keys=_key_text(keys),
+        )
+        self._publish(_start_name(target), keys[:MAX_REPORT_KEYS])
+
+    def _is_leaving(self, target: RegisteredTarget) -> bool:
+        """Whether a target was to end, by its entry."""
+        return target.is_leaving or any(
+            listed.is_leaving and listed.started_ms == target.started_ms
+            for listed in self._knowledge.listing.targets
+            if listed.target_id == target.target_id
         )
-        if is_crash:
-            self._publish(_start_name(target), keys[:MAX_REPORT_KEYS])
+
+    # Calls without an answer.
+
+    def _watch_unanswered(self) -> None:
+        """Probe targets that left calls unanswered, as their start ends."""
+        try:
+            while self._probe_ended():
+                self._knowledge.listed.wait(MAX_LISTING_WAIT_S)
+        finally:
+            self._is_watching = False
+
+    def _probe_ended(self) -> bool:
+        """Probe the targets whose start is listed no more.
+
+        Returns whether any call is still unexplained.
+        """
+        for target in self._unanswered.targets(self._is_leaving):
+            self._unanswered.take(_start_name(target))
+        has_ended = self._knowledge.registry.has_ended
+        for target in self._unanswered.targets(has_ended):
+            keys = self._unanswered.take(_start_name(target))
+            self.broke_off(target, keys)
+        self._unanswered.expire(clock_s())
+        return bool(self._unanswered)
 
     def _reaches_others(self, target: RegisteredTarget) -> bool:
         """Whether this node reaches another target, of the same service first.
@@ -304,6 +410,10 @@
             self._intake.take(report, STORE_SOURCE)
 
 
+def _key_text(keys: Iterable[str]) -> str:
+    return ','.join(sorted(set(keys))[:MAX_REPORT_KEYS])
+
+
 def _start_name(target: RegisteredTarget) -> str:
     """Name one start of a target, which may start again under its id."""
     if target.started_ms is None:
--- a/packages/gateway/dandelionyoke_gateway/_misdirected_calls.py
+++ b/packages/gateway/dandelionyoke_gateway/_misdirected_calls.py
@@ -8,6 +8,7 @@
 
 from dandelionyoke_dispatch import Phase, RegisteredTarget
 from dandelionyoke_gateway._clock import clock_s
+from dandelionyoke_gateway._crash_task import CrashReports
 from dandelionyoke_gateway._knowledge import Knowledge
 from dandelionyoke_gateway._log import DecisionLog
 from dandelionyoke_gateway._ports import (
@@ -27,10 +28,12 @@
         self,
         knowledge: Knowledge,
         engines: IdentifyingEngineClient,
+        crash_reports: CrashReports,
         log: DecisionLog,
     ) -> None:
         self._registry = knowledge.registry
         self._engines = engines
+        self._crash_reports = crash_reports
         self._log = log
 
     def take(self, target: RegisteredTarget, *, is_engine: bool) -> None:
@@ -76,3 +79,4 @@
             'target.replaced', target.target_id, outcome='left alone'
         )
         self._registry.mark_leaving(target.target_id, target.started_ms)
+        self._crash_reports.replaced(target)
--- a/packages/gateway/dandelionyoke_gateway/_plain_call.py
+++ b/packages/gateway/dandelionyoke_gateway/_plain_call.py
@@ -338,9 +338,7 @@
             last_event_id=context.call.last_event_id,
         )
         head = self._deps.dialect.call_head(context.request.head, forwarding)
-        with self._deps.connect_to(
-            target, context.call.attempt_id, self._watch
-        ) as connection:
+        with self._deps.connect_to(target, context, self._watch) as connection:
             sent_s = clock_s()
             self._sent_s = sent_s
             self._attempt = self._retries.call_sent(target.target_id)
@@ -584,11 +582,11 @@
         has_begun=str(context.responder.has_started),
         stalled_s=stalled_s(context.request.arrived_s),
     )
-    if isinstance(error, ExchangeTimeoutError):
-        return Cause.OUT_OF_TIME
+    is_timeout = isinstance(error, ExchangeTimeoutError)
     if error.sent:
         settled_s = deps.knowledge.crashes.settings.settled_s
-        deps.crash_reports.broke_off(
-            target, context.suspect_keys(target.target_id, settled_s, now_s)
-        )
-    return Cause.BROKEN
+        keys = context.suspect_keys(target.target_id, settled_s, now_s)
+        reports = deps.crash_reports
+        report = reports.gave_up if is_timeout else reports.broke_off
+        report(target, keys)
+    return Cause.OUT_OF_TIME if is_timeout else Cause.BROKEN
--- a/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
+++ b/packages/gateway/dandelionyoke_gateway/_prompt_prefiller.py
@@ -329,9 +329,8 @@
         self, target: RegisteredTarget, head: RequestHead
     ) -> str | None:
         deadline_s = self.deadline_s
-        call_id = self._context.call.attempt_id
         with self._deps.connect_to(
-            target, call_id, CutOffWatch()
+            target, self._context, CutOffWatch()
         ) as connection:
             self._state.retries.prefill_sent()
             connection.send(head, self._context.request.body)
--- a/packages/gateway/dandelionyoke_gateway/_stream_opener.py
+++ b/packages/gateway/dandelionyoke_gateway/_stream_opener.py
@@ -285,7 +285,7 @@
         )
         head = self.state.new_request_head(forwarding)
         connection = exchange.enter_context(
-            self._deps.connect_to(target, self._context.call.attempt_id, watch)
+            self._deps.connect_to(target, self._context, watch)
         )
         attempt = self.state.retries.call_sent(target.target_id)
         use.is_spent = True
--- a/packages/gateway/dandelionyoke_gateway/_target_connection.py
+++ b/packages/gateway/dandelionyoke_gateway/_target_connection.py
@@ -257,6 +257,11 @@
             return False
         return False
 
+    @property
+    def silent_s(self) -> float:
+        """For how long the peer has sent nothing in this exchange."""
+        return self._silence.duration_s
+
     def close(self) -> None:
         """Reset the connection, so that unsent bytes are never delivered."""
         if self._is_closed:
--- a/tests/gateway/test_crash_task.py
+++ b/tests/gateway/test_crash_task.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import attrs
 import eventlet
 import testtools
 
@@ -24,10 +25,12 @@
     Phase,
     RegisteredTarget,
 )
+from dandelionyoke_dispatch._unanswered_calls import KEPT_S
 from dandelionyoke_gateway import EngineReport, clock_s
 from dandelionyoke_gateway._crash_task import MAX_REPORT_DELAY_S, CrashTask
 from dandelionyoke_gateway._knowledge import Knowledge, new_knowledge
 from dandelionyoke_gateway._log import DecisionLog
+from dandelionyoke_gateway._ports import TargetIdentity
 from dandelionyoke_gateway._target_probe import PROBE_TIMEOUT_S
 from tests.gateway.settings import new_settings
 from tests.platform.node_harness import LogLines
@@ -70,6 +73,10 @@
         self.started_ms: int | None = None
         self.is_silent = False
         self.read_count = 0
+        self.identity = TargetIdentity.UNKNOWN
+
+    def identify(self, target: RegisteredTarget) -> TargetIdentity:
+        return self.identity
 
     def read_report(self, target: RegisteredTarget) -> EngineReport | None:
         self.read_count += 1
@@ -343,3 +350,137 @@
             other.take_crash(report)
         self.assertTrue(self.is_refused())
         self.assertTrue(is_refused_by(other))
+
+
+class SilentTargetTest(CrashTaskTestCase):
+    """Targets that fall silent under a call, and whose addresses accept."""
+
+    started_ms = 17
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.listener = eventlet.listen(('127.0.0.1', 0))
+        self.addCleanup(self.listener.close)
+        host, port = self.listener.getsockname()
+        self.address = f'{host}:{port}'
+        self.list_targets(*[self.address] * 4)
+        self.targets = self.knowledge.registry.of_service('lm')[:3]
+        # One at a time: they share an address.
+        self.knowledge.registry.replace(self.targets, clock_s())
+
+    def break_off(self) -> None:
+        for target in self.targets:
+            self.task.broke_off(target, CALL.all)
+        eventlet.sleep(PROBE_TIMEOUT_S)
+
+    def give_up(self) -> None:
+        for target in self.targets:
+            self.task.gave_up(target, CALL.all)
+
+    def list_now(self, *targets: RegisteredTarget) -> None:
+        """Apply a listing, and let the task judge by it."""
+        self.knowledge.listing.replace(targets, clock_s())
+        self.knowledge.registry.replace(targets, clock_s())
+        self.knowledge.listed.notify()
+        eventlet.sleep(2 * PROBE_TIMEOUT_S)
+
+    def new_starts(self) -> list[RegisteredTarget]:
+        return [
+            attrs.evolve(target, target_id=f'new-{number}', started_ms=18)
+            for number, target in enumerate(self.targets)
+        ]
+
+    def test_a_reset_by_another_start_is_a_crash(self) -> None:
+        """Guards against an engine that is back as its calls break off."""
+        self.engines.identity = TargetIdentity.OTHER
+        self.break_off()
+        self.assertTrue(self.is_refused())
+        self.assertEqual(3, len(self.store.items))
+
+    def test_a_reset_by_the_same_start_is_none(self) -> None:
+        """Guards against connections that are reset by a sound target."""
+        self.engines.identity = TargetIdentity.SAME
+        self.break_off()
+        self.list_now(*self.targets)
+        self.assertFalse(self.is_refused())
+
+    def test_a_reset_is_judged_by_the_next_listing(self) -> None:
+        """Guards against targets that do not say who they are."""
+        self.break_off()
+        self.assertFalse(self.is_refused())
+        self.list_now(*self.new_starts())
+        self.assertTrue(self.is_refused())
+
+    def test_a_silence_is_no_crash(self) -> None:
+        """Guards against targets that only hang."""
+        self.give_up()
+        self.list_now(*self.targets)
+        self.assertFalse(self.is_refused())
+
+    def test_a_silence_counts_as_another_start_is_listed(self) -> None:
+        """Guards against calls that end before their target does."""
+        self.give_up()
+        self.list_now(*self.new_starts())
+        self.assertTrue(self.is_refused())
+        self.assertEqual(3, len(self.store.items))
+
+    def test_a_silence_counts_as_its_target_is_gone(self) -> None:
+        """Guards against targets that are not back at all."""
+        self.targets = [
+            attrs.evolve(target, address=CLOSED_ADDRESS)
+            for target in self.targets
+        ]
+        self.give_up()
+        other = attrs.evolve(self.targets[0], target_id='i-9')
+        self.list_now(attrs.evolve(other, address=self.address))
+        self.assertTrue(self.is_refused())
+
+    def test_an_entry_alone_that_is_gone_shows_no_end(self) -> None:
+        """Guards against entries that expire while the store is away."""
+        self.give_up()
+        self.list_now()
+        self.assertFalse(self.is_refused())
+
+    def test_a_target_that_answered_since_is_not_blamed_on_the_call(
+        self,
+    ) -> None:
+        """Guards against a crash of after the call."""
+        self.give_up()
+        for target in self.targets:
+            span = AliveSpan(clock_s(), clock_s())
+            self.task.answered(target, CrashKeys('another'), span)
+        self.list_now(*self.new_starts())
+        self.assertFalse(self.is_refused())
+
+    def test_a_planned_end_is_no_crash(self) -> None:
+        """Guards against hanging calls that outlast their target."""
+        self.give_up()
+        leaving = [
+            attrs.evolve(target, is_leaving=True) for target in self.targets
+        ]
+        self.list_now(*leaving)
+        self.list_now(*self.new_starts())
+        self.assertFalse(self.is_refused())
+
+    def test_an_end_long_after_the_call_does_not_count(self) -> None:
+        """Guards against keys that are kept until some crash comes."""
+        self.give_up()
+        self.task._unanswered.expire(clock_s() + KEPT_S + 1)
+        self.list_now(*self.new_starts())
+        self.assertFalse(self.is_refused())
+
+    def test_another_target_at_the_address_shows_the_end(self) -> None:
+        """Guards against a wait for the listing where an answer shows it."""
+        self.give_up()
+        for target in self.targets:
+            self.task.replaced(target)
+        self.assertTrue(self.is_refused())
+
+    def test_a_silence_that_is_over_ends_its_watch(self) -> None:
+        """Guards against a thread that stays, or never comes back."""
+        self.give_up()
+        self.list_now(*self.new_starts())
+        eventlet.sleep(0)
+        self.assertFalse(self.task._is_watching)
+        self.task.gave_up(self.targets[0], CALL.all)
+        self.assertTrue(self.task._is_watching)
--- a/tests/platform/node_harness.py
+++ b/tests/platform/node_harness.py
@@ -266,6 +266,9 @@
     ) -> None:
         self.log_lines = LogLines()
         self.probed_targets: list[str] = []
+        # The targets, and the keys, of calls that ended without an answer.
+        self.unanswered: list[tuple[str, tuple[str, ...]]] = []
+        self.replaced_targets: list[str] = []
         self.knowledge: Knowledge = new_knowledge(
             settings or new_settings(instance_id), Random(7)
         )
@@ -415,6 +418,12 @@
             CrashReport(target.target_id, reporter, 0.0, keys, answers)
         )
 
+    def gave_up(self, target: RegisteredTarget, keys: tuple[str, ...]) -> None:
+        self.unanswered.append((target.target_id, keys))
+
+    def replaced(self, target: RegisteredTarget) -> None:
+        self.replaced_targets.append(target.target_id)
+
     def answered(
         self, target: RegisteredTarget, keys: CrashKeys, span: AliveSpan
     ) -> None:
