--- a/tests/platform/program.py
+++ b/tests/platform/program.py
@@ -10,7 +10,9 @@
 
 import attrs
 import eventlet
+import testtools
 from eventlet.green import socket
+from testtools.content import text_content
 
 from dandelionyoke_gateway import clock_s
 from tests.platform.node_harness import API_KEY, request_bytes
@@ -19,6 +21,8 @@
 WAIT_TIMEOUT_S = 15.0
 HEAD_END = b'\r\n\r\n'
 LAST_CHUNK = b'\r\n0\r\n\r\n'
+# The end of a process's log that a failed test shows.
+LOG_DETAIL_LENGTH = 20_000
 # Each test process has its own range of ports, below the kernel's ephemeral
 # ports. The port of a program that is being restarted could otherwise be taken
 # by another test.
@@ -184,6 +188,23 @@
         return self.process.poll() is not None
 
 
+def kill_after(test: testtools.TestCase, program: Program) -> None:
+    """Kill a program after a test; a failure shows the end of its log."""
+    test.addCleanup(program.process.wait)
+    test.addCleanup(program.process.kill)
+    test.addOnException(
+        lambda _: test.addDetail(
+            f'log of n-{program.port}',
+            text_content(program.log.read_text()[-LOG_DETAIL_LENGTH:]),
+        )
+    )
+
+
+def wait_for_members(store: StoreStandin, count: int) -> None:
+    """Wait until so many nodes have their entry in the store."""
+    wait_for(lambda: len(store.keys('members/')) == count, 'the members')
+
+
 def _start_arguments(exit_delay_s: float) -> list[str]:
     """Return the arguments that start the program.
 
--- a/tests/platform/test_crash_sharing.py
+++ b/tests/platform/test_crash_sharing.py
@@ -8,7 +8,6 @@
 
 import eventlet
 import testtools
-from testtools.content import text_content
 
 from tests.platform.node_harness import (
     ReceivedRequest,
@@ -17,7 +16,11 @@
     chunk,
     request_bytes,
 )
-from tests.platform.program import Program, wait_for
+from tests.platform.program import (
+    Program,
+    kill_after,
+    wait_for_members,
+)
 from tests.platform.scripts import status
 from tests.platform.store_standin import StoreStandin
 from tests.platform.test_crashing_parts import (
@@ -57,10 +60,7 @@
         self.nodes = [self.start_node(domain) for domain in DOMAINS]
         for node in self.nodes:
             node.wait_until_ready()
-        wait_for(
-            lambda: len(self.store.keys('members/')) == len(DOMAINS),
-            'the members',
-        )
+        wait_for_members(self.store, len(DOMAINS))
         eventlet.sleep(MEMBERS_LISTED_S)
 
     def add_engine(self, number: int) -> ScriptedTarget:
@@ -84,14 +84,7 @@
 
     def start_node(self, domain: str) -> Program:
         program = Program(self.store, self.folder, domain=domain)
-        self.addCleanup(program.process.wait)
-        self.addCleanup(program.process.kill)
-        self.addOnException(
-            lambda _: self.addDetail(
-                f'log of n-{program.port}',
-                text_content(program.log.read_text()[-20000:]),
-            )
-        )
+        kill_after(self, program)
         return program
 
     def run_call(
--- a/tests/platform/test_handover.py
+++ b/tests/platform/test_handover.py
@@ -6,7 +6,6 @@
 
 import eventlet
 import testtools
-from testtools.content import text_content
 
 from dandelionyoke_gateway import clock_s
 from dandelionyoke_standins._relay import Relay
@@ -21,7 +20,11 @@
     request_bytes,
     stream_head,
 )
-from tests.platform.program import Program, wait_for
+from tests.platform.program import (
+    Program,
+    kill_after,
+    wait_for_members,
+)
 from tests.platform.store_standin import StoreStandin
 
 # From this long after a partition began, first attempts at the node must be
@@ -154,19 +157,12 @@
             domain=domain,
             store_address=store_address,
         )
-        self.addCleanup(program.process.wait)
-        self.addCleanup(program.process.kill)
-        self.addOnException(
-            lambda _: self.addDetail(
-                f'log of n-{program.port}',
-                text_content(program.log.read_text()[-20000:]),
-            )
-        )
+        kill_after(self, program)
         return program
 
     def _wait_for_members(self) -> None:
         """Wait until each node has listed the other one."""
-        wait_for(lambda: len(self.store.keys('members/')) == 2, 'the members')
+        wait_for_members(self.store, 2)
         # Both list the members again within this time.
         eventlet.sleep(4.5)
 
--- a/tests/platform/test_killed_fleet.py
+++ b/tests/platform/test_killed_fleet.py
@@ -11,7 +11,6 @@
 import eventlet
 import testtools
 from eventlet.green import socket
-from testtools.content import text_content
 
 from tests.platform.node_harness import (
     ReceivedRequest,
@@ -21,7 +20,12 @@
     chunk,
     request_bytes,
 )
-from tests.platform.program import Ports, Program, wait_for
+from tests.platform.program import (
+    Ports,
+    Program,
+    kill_after,
+    wait_for_members,
+)
 from tests.platform.store_standin import StoreStandin
 from tests.platform.test_resumed_streams import (
     MEMBERS_LISTED_S,
@@ -106,24 +110,14 @@
             domain=self.domains[number],
             store_address=self.store_addresses[number],
         )
-        self.addCleanup(program.process.wait)
-        self.addCleanup(program.process.kill)
-        self.addOnException(
-            lambda _: self.addDetail(
-                f'log of n-{program.port}',
-                text_content(program.log.read_text()[-20000:]),
-            )
-        )
+        kill_after(self, program)
         return program
 
     def start_fleet(self, versions: Iterable[str]) -> None:
         """Start engines, and nodes that know each other."""
         self.add_engines(versions)
         self.start_nodes()
-        wait_for(
-            lambda: len(self.store.keys('members/')) == len(self.domains),
-            'the members',
-        )
+        wait_for_members(self.store, len(self.domains))
         eventlet.sleep(MEMBERS_LISTED_S)
 
     def kill_all(self) -> None:
--- a/tests/platform/test_nodes_out_of_step.py
+++ b/tests/platform/test_nodes_out_of_step.py
@@ -22,7 +22,12 @@
     ScriptedTarget,
     request_bytes,
 )
-from tests.platform.program import Ports, Program, wait_for
+from tests.platform.program import (
+    Ports,
+    Program,
+    kill_after,
+    wait_for_members,
+)
 from tests.platform.scripts import status
 from tests.platform.store_standin import StoreStandin
 from tests.platform.test_resumed_streams import has_ended
@@ -112,10 +117,7 @@
         for node in self.nodes:
             node.wait_until_ready()
         *self.others, self.late = self.nodes
-        wait_for(
-            lambda: len(self.store.keys('members/')) == len(DOMAINS),
-            'the members',
-        )
+        wait_for_members(self.store, len(DOMAINS))
         eventlet.sleep(HISTORY_S)
 
     def _route_links(
@@ -141,14 +143,7 @@
         program = Program(
             self.store, self.folder, ports, domain, store_address=store
         )
-        self.addCleanup(program.process.wait)
-        self.addCleanup(program.process.kill)
-        self.addOnException(
-            lambda _: self.addDetail(
-                f'log of n-{program.port}',
-                text_content(program.log.read_text()[-20000:]),
-            )
-        )
+        kill_after(self, program)
         return program
 
     def add_engine(self, service: str, version: str) -> None:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -25,7 +25,12 @@
     ScriptStep,
     answer,
 )
-from tests.platform.program import Ports, Program, wait_for
+from tests.platform.program import (
+    Ports,
+    Program,
+    wait_for,
+    wait_for_members,
+)
 from tests.platform.store_standin import StoreStandin
 
 # An interpreter that is slow to end, and the longest time for which it may
@@ -249,7 +254,7 @@
         and its calls must still be counted in the usage reports.
         """
         programs = [self.start_program(), self.start_program()]
-        wait_for(lambda: len(self.store.keys('members/')) == 2, 'members')
+        wait_for_members(self.store, 2)
         eventlet.sleep(8)
         self.store.calls.clear()
         eventlet.sleep(4)
@@ -274,7 +279,7 @@
         the keys are valid. A revoked key must stop working there as well.
         """
         programs = [self.start_program(), self.start_program()]
-        wait_for(lambda: len(self.store.keys('members/')) == 2, 'members')
+        wait_for_members(self.store, 2)
         eventlet.sleep(3)
         for refused_program in programs:
             self.store.refused = {refused_program.store_address}
@@ -302,7 +307,7 @@
         first = self.start_program(first_ports)
         eventlet.sleep(3)
         self.start_program(source_ports)
-        wait_for(lambda: len(self.store.keys('members/')) == 2, 'members')
+        wait_for_members(self.store, 2)
         self.store.refused = {first.store_address}
         eventlet.sleep(6)
         self.assertIn(b' 200 ', first.call())
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -8,7 +8,6 @@
 
 import eventlet
 import testtools
-from testtools.content import text_content
 
 from tests.platform.node_harness import (
     API_KEY,
@@ -16,7 +15,12 @@
     ScriptedTarget,
     request_bytes,
 )
-from tests.platform.program import Ports, Program, wait_for
+from tests.platform.program import (
+    Ports,
+    Program,
+    kill_after,
+    wait_for_members,
+)
 from tests.platform.store_standin import StoreStandin
 from tests.platform.versioned_engines import (
     EVENTS_PER_STREAM,
@@ -84,10 +88,7 @@
         ]
         for node in self.nodes:
             node.wait_until_ready()
-        wait_for(
-            lambda: len(self.store.keys('members/')) == len(DOMAINS),
-            'the members',
-        )
+        wait_for_members(self.store, len(DOMAINS))
         eventlet.sleep(MEMBERS_LISTED_S)
 
     def _add_engine(self, name: str, version: str) -> None:
@@ -106,14 +107,7 @@
 
     def _start_node(self, domain: str, ports: Ports) -> Program:
         program = Program(self.store, self.folder, ports, domain=domain)
-        self.addCleanup(program.process.wait)
-        self.addCleanup(program.process.kill)
-        self.addOnException(
-            lambda _: self.addDetail(
-                f'log of n-{program.port}',
-                text_content(program.log.read_text()[-20000:]),
-            )
-        )
+        kill_after(self, program)
         return program
 
     def new_id(self) -> str:
--- a/tests/platform/test_silent_crashes.py
+++ b/tests/platform/test_silent_crashes.py
@@ -9,7 +9,6 @@
 import testtools
 from eventlet.event import Event
 from eventlet.green import socket
-from testtools.content import text_content
 
 from tests.platform.local_server import LocalServer, receive_head
 from tests.platform.node_harness import (
@@ -19,7 +18,12 @@
     answer,
     request_bytes,
 )
-from tests.platform.program import Program, wait_for
+from tests.platform.program import (
+    Program,
+    kill_after,
+    wait_for,
+    wait_for_members,
+)
 from tests.platform.store_standin import StoreStandin
 
 DOMAINS = ('a', 'a', 'b')
@@ -168,10 +172,7 @@
         self.nodes = [self.start_node(domain) for domain in DOMAINS]
         for node in self.nodes:
             node.wait_until_ready()
-        wait_for(
-            lambda: len(self.store.keys('members/')) == len(DOMAINS),
-            'the members',
-        )
+        wait_for_members(self.store, len(DOMAINS))
         eventlet.sleep(MEMBERS_LISTED_S)
 
     def add_engine(self, name: str) -> SilentEngine:
@@ -182,14 +183,7 @@
 
     def start_node(self, domain: str) -> Program:
         program = Program(self.store, self.folder, domain=domain)
-        self.addCleanup(program.process.wait)
-        self.addCleanup(program.process.kill)
-        self.addOnException(
-            lambda _: self.addDetail(
-                f'log of n-{program.port}',
-                text_content(program.log.read_text()[-20000:]),
-            )
-        )
+        kill_after(self, program)
         return program
 
     def send(self, node: Program, path: str) -> bytes:
--- a/tests/platform/test_store_copies.py
+++ b/tests/platform/test_store_copies.py
@@ -17,7 +17,12 @@
     ScriptStep,
     answer,
 )
-from tests.platform.program import Ports, Program, wait_for
+from tests.platform.program import (
+    Ports,
+    Program,
+    wait_for,
+    wait_for_members,
+)
 from tests.platform.store_standin import StoreCopy, StoreStandin
 from tests.platform.test_process import configuration
 
@@ -201,10 +206,7 @@
 
     def test_nodes_register_again(self) -> None:
         """Guards against nodes that are counted as gone, so that limits grow."""
-        wait_for(
-            lambda: len(self.store.keys('members/')) == len(DOMAINS),
-            'the members',
-        )
+        wait_for_members(self.store, len(DOMAINS))
         self.drill(self.early_copy, 0.5)
         eventlet.sleep(CONTACT_S - REWRITE_S)
         self.assertEqual(len(DOMAINS), len(self.store.keys('members/')))
