Tests: a wait may start again after a standstill of the test's process

Cause: the test's bound leaves out what AnswerWait has stated since: a wait in which this process stood still starts again, once. A full garbage collection of the test's process, some 116,000 objects, takes 0.10 to 0.13 s, which is a step of over 0.1 s and so a standstill.

In a run that printed the wait, it was extended for a standstill of 0.0195 s within a step of over 0.1 s, and took 0.802 s. In another one that printed collections and steps, and passed, the one standstill of the file was a collection of 0.127 s in a step of 0.147 s, in another test. That the first standstill was a collection too is so inferred. Run alone, without other tests' objects, it passed.

The same bound stood in two tests of limits and prefills.

--- a/tests/gateway/test_prefill_queue.py
+++ b/tests/gateway/test_prefill_queue.py
@@ -46,6 +46,7 @@
 )
 from tests.gateway.network import DomainNetwork
 from tests.gateway.settings import new_settings
+from tests.gateway.waits import max_wait_s
 from tests.platform.node_harness import LogLines
 
 PREFILL_S = 0.05
@@ -200,7 +201,8 @@
         node = network.others[0]
         started_s = clock_s()
         self.assertIsNotNone(node.queue.acquire(request()).placement)
-        self.assertLess(clock_s() - started_s, 2 * ANSWER_TIMEOUT_S)
+        took_s = clock_s() - started_s
+        self.assertLess(took_s, max_wait_s(ANSWER_TIMEOUT_S, started_s))
         started_s = clock_s()
         self.assertIsNotNone(node.queue.acquire(request()).placement)
         self.assertLess(clock_s() - started_s, ANSWER_TIMEOUT_S / 2)
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -38,6 +38,7 @@
 from dandelionyoke_gateway._source_links import SourceLinks
 from tests.gateway.network import DomainNetwork
 from tests.gateway.settings import new_settings
+from tests.gateway.waits import max_wait_s
 from tests.platform.node_harness import LogLines
 
 LIMIT = RateLimit(100.0, 1000.0, LimitUnit.TOKENS)
@@ -147,7 +148,8 @@
         self.network.silent.add(self.source.name)
         started_s = clock_s()
         self.assertTrue(self.first.call())
-        self.assertLess(clock_s() - started_s, 2 * ANSWER_TIMEOUT_S)
+        took_s = clock_s() - started_s
+        self.assertLess(took_s, max_wait_s(ANSWER_TIMEOUT_S, started_s))
         self.assertIn('limit.silent', self.first.lines.text)
 
     def test_a_refusal_logs_its_reasons(self) -> None:
--- a/tests/gateway/test_stream_origin_keeper.py
+++ b/tests/gateway/test_stream_origin_keeper.py
@@ -1,5 +1,6 @@
 """Nodes that keep the origins of streams for each other, over real links."""
 
+import time
 from random import Random
 
 import attrs
@@ -29,6 +30,7 @@
 )
 from dandelionyoke_links import PeerHub, PeerSettings
 from tests.gateway.settings import new_settings
+from tests.gateway.waits import max_wait_s
 from tests.platform.node_harness import LogLines
 from tests.platform.program import wait_for
 
@@ -36,6 +38,8 @@
 DOMAINS = ('a', 'b', 'c')
 NODE_COUNT = 9
 STREAM_COUNT = 40
+# Longer than a step of the event loop that is no standstill.
+STANDSTILL_S = 0.15
 
 
 class KeeperNode:
@@ -181,9 +185,22 @@
         """Guards against callers that wait without a bound."""
         for node in self.others[1:]:
             node.is_silent = True
+        began_s = clock_s()
         found = self.others[0].find(1)
         self.assertIs(OriginSource.UNKNOWN, found.source)
-        self.assertLess(found.took_s, 2 * ASK_TIMEOUT_S)
+        self.assertLess(found.took_s, max_wait_s(ASK_TIMEOUT_S, began_s))
+
+    def test_silent_keepers_get_their_time_again_once(self) -> None:
+        """Guards against callers that wait longer after each standstill."""
+        for node in self.others[1:]:
+            node.is_silent = True
+        for delay_s in (0, ASK_TIMEOUT_S, 2 * ASK_TIMEOUT_S):
+            eventlet.spawn_after(delay_s, time.sleep, STANDSTILL_S)
+        began_s = clock_s()
+        found = self.others[0].find(1)
+        self.assertIs(OriginSource.UNKNOWN, found.source)
+        self.assertGreater(found.took_s, 2 * ASK_TIMEOUT_S)
+        self.assertLess(found.took_s, max_wait_s(ASK_TIMEOUT_S, began_s))
 
     def test_copies_go_to_the_next_node_if_one_is_out_of_reach(self) -> None:
         """Guards against a stream with a single copy."""
